--- /dev/null
+++ b/src/contract/config_base.h
@@ -0,0 +1,43 @@
+/** @file config_base.h The configuration in force in this process. */
+#ifndef SAPPHIRE_CONTRACT_CONFIG_BASE_H_
+#define SAPPHIRE_CONTRACT_CONFIG_BASE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "contract/intent_type.h"
+
+namespace sapphire::contract {
+
+/** Holds the newest configuration seen; its version never goes down. */
+class ConfigHolder {
+ public:
+  /** @return What is in force; a null pointer before the first. */
+  [[nodiscard]] std::shared_ptr<const Config> Current() const;
+
+  /** @return The version in force, 0 before the first. */
+  [[nodiscard]] std::int64_t version() const;
+
+  /**
+   * Puts a configuration in force unless one as new already is. This is the
+   * only way in, so an older version shown by a lagging or restarted source
+   * can't come into force again.
+   * @return True if it came into force.
+   */
+  bool Adopt(Config config);
+
+  /** Calls `listener` after each Adopt that succeeds, on Adopt's thread. */
+  void OnChange(std::function<void(const Config&)> listener);
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const Config> current_;
+  std::vector<std::function<void(const Config&)>> listeners_;
+};
+
+}  // namespace sapphire::contract
+
+#endif  // SAPPHIRE_CONTRACT_CONFIG_BASE_H_
--- /dev/null
+++ b/src/core/task.cc
@@ -0,0 +1,44 @@
+/** @file task.cc Sleeping and spawning in coroutines. */
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "core/task_func.h"
+
+namespace sapphire::core {
+
+namespace asio = boost::asio;
+
+Task<> SleepFor(std::chrono::milliseconds duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+namespace {
+
+Task<> RunLogged(const Logger& log, std::string name,
+                 std::function<Task<>()> task) {
+  try {
+    co_await task();
+  } catch (const std::exception& e) {
+    log.Event(LogLevel::kWarning, LogCategory::kProcess, "task_failed",
+              {{"task", name}, {"error", e.what()}});
+  }
+}
+
+}  // namespace
+
+void Spawn(const Executor& executor, const Logger& log, std::string_view name,
+           std::function<Task<>()> task) {
+  asio::co_spawn(asio::make_strand(executor),
+                 RunLogged(log, std::string(name), std::move(task)),
+                 asio::detached);
+}
+
+}  // namespace sapphire::core
--- /dev/null
+++ b/src/core/task_func.h
@@ -0,0 +1,25 @@
+/** @file task_func.h Sleeping and spawning in coroutines. */
+#ifndef SAPPHIRE_CORE_TASK_FUNC_H_
+#define SAPPHIRE_CORE_TASK_FUNC_H_
+
+#include <chrono>
+#include <functional>
+
+#include "core/log_base.h"
+#include "core/task_type.h"
+
+namespace sapphire::core {
+
+/** Suspends the calling coroutine for `duration` of real time. */
+Task<> SleepFor(std::chrono::milliseconds duration);
+
+/**
+ * Runs a coroutine on a strand of its own. What it throws is logged as event
+ * `task_failed` with the task's name; it never ends the process.
+ */
+void Spawn(const Executor& executor, const Logger& log, std::string_view name,
+           std::function<Task<>()> task);
+
+}  // namespace sapphire::core
+
+#endif  // SAPPHIRE_CORE_TASK_FUNC_H_
--- /dev/null
+++ b/src/entry/directory_base.h
@@ -0,0 +1,93 @@
+/** @file directory_base.h What this entry knows of the fleet. */
+#ifndef SAPPHIRE_ENTRY_DIRECTORY_BASE_H_
+#define SAPPHIRE_ENTRY_DIRECTORY_BASE_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "link/link_base.h"
+#include "platform/vm_list_base.h"
+
+namespace sapphire::entry {
+
+/** One endpoint as last reported over its link. */
+struct KnownEndpoint {
+  core::EndpointId id;
+  std::string address;
+  gen::EndpointReport report;
+  /** When the report came. */
+  core::SteadyTime reported_at;
+  /** False once its link is lost. */
+  bool connected = false;
+  /** As the platform's list or the endpoint itself says. */
+  bool leaving = false;
+};
+
+/** One live entry, this one included. */
+struct KnownEntry {
+  core::VmId vm;
+  core::ZoneId zone;
+  std::string address;
+};
+
+struct DirectoryOptions {
+  core::VmId self;
+  std::chrono::milliseconds list_interval{1000};
+};
+
+/**
+ * Follows the platform's VM list and subscribes to each endpoint's reports.
+ * The list may lag, and its service may be down: the last list stays in use,
+ * and a lost link is acted on at once.
+ */
+class Directory {
+ public:
+  /** @pre All references outlive the directory. */
+  Directory(const core::Executor& executor, DirectoryOptions options,
+            platform::VmList& vm_list, link::LinkNode& links,
+            const core::Clock& clock, const core::Logger& log);
+
+  /** Begins to follow the list. */
+  void Start();
+  void Stop();
+
+  /** @return All endpoints with at least one report. */
+  [[nodiscard]] std::vector<KnownEndpoint> Endpoints() const;
+  [[nodiscard]] std::optional<KnownEndpoint> Find(
+      const core::EndpointId& id) const;
+
+  /** @return Live entries that are not leaving, always including this one
+   * unless this one leaves. */
+  [[nodiscard]] std::vector<KnownEntry> Entries() const;
+
+  /** Drops an entry from Entries until the list next shows it with a link up:
+   * a home that can't be reached is passed over. */
+  void NoteUnreachable(const core::VmId& entry);
+
+  /** Marks this entry as leaving: others are preferred as homes. */
+  void NoteSelfLeaving();
+
+  /** Calls `listener` after any change; on any thread, must not block. */
+  void OnChange(std::function<void()> listener);
+
+  /** Calls `listener` once for each VM that the list showed and shows no
+   * longer, for `grace` on end: the VM is gone for good. */
+  void OnGone(std::function<void(const core::VmId&)> listener);
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_DIRECTORY_BASE_H_
--- /dev/null
+++ b/src/entry/home_base.h
@@ -0,0 +1,80 @@
+/** @file home_base.h The home role: one queue and one load decision a model. */
+#ifndef SAPPHIRE_ENTRY_HOME_BASE_H_
+#define SAPPHIRE_ENTRY_HOME_BASE_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "contract/config_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/directory_base.h"
+#include "gen/link_types.h"
+#include "link/link_base.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+struct HomeOptions {
+  core::VmId self;
+  core::ZoneId zone;
+  /** Requests that may wait for one model. */
+  int max_queue = 512;
+  /** Shards of state, each under its own lock. */
+  int shards = 16;
+};
+
+/** A place granted to a request; holds a slot until Done or destruction. */
+class Placement {
+ public:
+  virtual ~Placement() = default;
+  [[nodiscard]] virtual const gen::Placed& placed() const = 0;
+  /** Frees the slot and tells the home how the run went. */
+  virtual void Done(gen::RunResult::type result) = 0;
+};
+
+/**
+ * Places requests for the models this entry is home to: queues them, decides
+ * with policy::DecidePlacement, orders loads with EnsureModel, and counts the
+ * crashes of each request fingerprint.
+ */
+class Home {
+ public:
+  /** @pre All references outlive the home. */
+  Home(const core::Executor& executor, HomeOptions options,
+       contract::ConfigHolder& config, Directory& directory,
+       link::LinkNode& links, platform::KeyValueStore& store,
+       const core::Clock& clock, const core::Logger& log);
+  ~Home();
+
+  /**
+   * Waits until the request can run at an endpoint.
+   * @throws core::Error a refusal (nothing ran), at once when it is known.
+   */
+  core::Task<std::unique_ptr<Placement>> Place(gen::Place request);
+
+  /** Answers a Place call from another entry. */
+  core::Task<> Serve(std::shared_ptr<link::Call> call, gen::Place request);
+
+  /** Counters for metrics and the admin status. */
+  struct Stats {
+    std::int64_t placed = 0;
+    std::int64_t refused = 0;
+    std::int64_t loads_ordered = 0;
+    std::int64_t cold_starts = 0;
+    std::int64_t quarantined = 0;
+    int queued = 0;
+  };
+  [[nodiscard]] Stats stats() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_HOME_BASE_H_
--- /dev/null
+++ b/src/http/http_type.h
@@ -0,0 +1,75 @@
+/** @file http_type.h HTTP requests and answers as plain values. */
+#ifndef SAPPHIRE_HTTP_HTTP_TYPE_H_
+#define SAPPHIRE_HTTP_HTTP_TYPE_H_
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphire::http {
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+/** @return The first value of a header field, by name in any case. */
+std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
+                                           std::string_view name);
+
+struct Request {
+  std::string method = "GET";
+  /** Path and query, as on the wire. */
+  std::string target = "/";
+  std::vector<Header> headers;
+  std::string body;
+};
+
+/** Status and header fields; Content-Length and Transfer-Encoding are set by
+ * the writer. */
+struct ResponseHead {
+  int status = 200;
+  std::vector<Header> headers;
+};
+
+struct Response {
+  ResponseHead head;
+  std::string body;
+};
+
+/** A call to another HTTP server failed below HTTP. */
+class TransportError : public std::runtime_error {
+ public:
+  TransportError(const std::string& what, bool may_have_run, bool timed_out)
+      : std::runtime_error(what),
+        may_have_run_(may_have_run),
+        timed_out_(timed_out) {}
+
+  /** @return False only if no byte of the request was sent. */
+  [[nodiscard]] bool may_have_run() const { return may_have_run_; }
+  [[nodiscard]] bool timed_out() const { return timed_out_; }
+
+ private:
+  bool may_have_run_;
+  bool timed_out_;
+};
+
+/** @return The path of a target, without its query. */
+std::string_view PathOf(std::string_view target);
+
+/** @return The decoded value of a query parameter. */
+std::optional<std::string> QueryValue(std::string_view target,
+                                      std::string_view name);
+
+/** @return `text` with everything but unreserved characters percent-encoded. */
+std::string UrlEncode(std::string_view text);
+
+/** @return An answer of this type and body. */
+Response MakeResponse(int status, std::string_view content_type,
+                      std::string body);
+
+}  // namespace sapphire::http
+
+#endif  // SAPPHIRE_HTTP_HTTP_TYPE_H_
--- /dev/null
+++ b/src/platform/vm_list_base.h
@@ -0,0 +1,34 @@
+/** @file vm_list_base.h The platform's lagging list of VMs. */
+#ifndef SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
+#define SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
+
+#include <string>
+#include <vector>
+
+#include "core/id_type.h"
+#include "core/task_type.h"
+
+namespace sapphire::platform {
+
+enum class VmRole { kEntry, kEndpoint };
+enum class VmState { kLive, kLeaving };
+
+struct VmRecord {
+  core::VmId vm;
+  core::ZoneId zone;
+  VmRole role = VmRole::kEntry;
+  VmState state = VmState::kLive;
+  /** Where the process on this VM listens for links, "ip:port". */
+  std::string link_address;
+};
+
+class VmList {
+ public:
+  virtual ~VmList() = default;
+  /** @throws core::Error kPlatformUnavailable. */
+  virtual core::Task<std::vector<VmRecord>> Read() = 0;
+};
+
+}  // namespace sapphire::platform
+
+#endif  // SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
--- /dev/null
+++ b/src/policy/placement_func.h
@@ -0,0 +1,36 @@
+/** @file placement_func.h Where a request runs, waits or loads its model. */
+#ifndef SAPPHIRE_POLICY_PLACEMENT_FUNC_H_
+#define SAPPHIRE_POLICY_PLACEMENT_FUNC_H_
+
+#include <span>
+#include <vector>
+
+#include "policy/placement_type.h"
+
+namespace sapphire::policy {
+
+/**
+ * Decides for one request against what is known of all endpoints.
+ * Refuses at once what can't start in its remaining time.
+ * @param loads Expected load times of this model.
+ */
+PlacementDecision DecidePlacement(const PlacementRequest& request,
+                                  std::span<const EndpointView> endpoints,
+                                  const LoadTimes& loads);
+
+/** @return The tier this endpoint would load `model` from. */
+Tier TierAt(const EndpointView& endpoint, const core::ModelId& model);
+
+/** @return The expected load time from `tier`. */
+Millis LoadTimeFrom(const LoadTimes& loads, Tier tier);
+
+/**
+ * Rendezvous hashing: the candidates in order of preference for `key`.
+ * Removing a candidate moves only the keys that it was first for.
+ */
+std::vector<core::VmId> RankHomes(std::string_view key,
+                                  std::span<const core::VmId> candidates);
+
+}  // namespace sapphire::policy
+
+#endif  // SAPPHIRE_POLICY_PLACEMENT_FUNC_H_
