--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -262,13 +262,30 @@
   listen_address = other1.listen_address;
   __isset = other1.__isset;
 }
-Hello& Hello::operator=(const Hello& other2) {
-  vm = other2.vm;
-  zone = other2.zone;
+Hello::Hello(Hello&& other2) noexcept {
+  vm = std::move(other2.vm);
+  zone = std::move(other2.zone);
   role = other2.role;
   incarnation = other2.incarnation;
-  listen_address = other2.listen_address;
+  listen_address = std::move(other2.listen_address);
   __isset = other2.__isset;
+}
+Hello& Hello::operator=(const Hello& other3) {
+  vm = other3.vm;
+  zone = other3.zone;
+  role = other3.role;
+  incarnation = other3.incarnation;
+  listen_address = other3.listen_address;
+  __isset = other3.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other4) noexcept {
+  vm = std::move(other4.vm);
+  zone = std::move(other4.zone);
+  role = other4.role;
+  incarnation = other4.incarnation;
+  listen_address = std::move(other4.listen_address);
+  __isset = other4.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -337,11 +354,18 @@
   (void) b;
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other3) noexcept {
-  (void) other3;
+Heartbeat::Heartbeat(const Heartbeat& other5) noexcept {
+  (void) other5;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other4) noexcept {
-  (void) other4;
+Heartbeat::Heartbeat(Heartbeat&& other6) noexcept {
+  (void) other6;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other7) noexcept {
+  (void) other7;
+  return *this;
+}
+Heartbeat& Heartbeat::operator=(Heartbeat&& other8) noexcept {
+  (void) other8;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -426,13 +450,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Credit::Credit(const Credit& other5) noexcept {
-  messages = other5.messages;
-  __isset = other5.__isset;
+Credit::Credit(const Credit& other9) noexcept {
+  messages = other9.messages;
+  __isset = other9.__isset;
 }
-Credit& Credit::operator=(const Credit& other6) noexcept {
-  messages = other6.messages;
-  __isset = other6.__isset;
+Credit::Credit(Credit&& other10) noexcept {
+  messages = other10.messages;
+  __isset = other10.__isset;
+}
+Credit& Credit::operator=(const Credit& other11) noexcept {
+  messages = other11.messages;
+  __isset = other11.__isset;
+  return *this;
+}
+Credit& Credit::operator=(Credit&& other12) noexcept {
+  messages = other12.messages;
+  __isset = other12.__isset;
   return *this;
 }
 void Credit::printTo(std::ostream& out) const {
@@ -497,11 +530,18 @@
   (void) b;
 }
 
-Cancel::Cancel(const Cancel& other7) noexcept {
-  (void) other7;
+Cancel::Cancel(const Cancel& other13) noexcept {
+  (void) other13;
 }
-Cancel& Cancel::operator=(const Cancel& other8) noexcept {
-  (void) other8;
+Cancel::Cancel(Cancel&& other14) noexcept {
+  (void) other14;
+}
+Cancel& Cancel::operator=(const Cancel& other15) noexcept {
+  (void) other15;
+  return *this;
+}
+Cancel& Cancel::operator=(Cancel&& other16) noexcept {
+  (void) other16;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -637,19 +677,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Refusal::Refusal(const Refusal& other9) {
-  code = other9.code;
-  detail = other9.detail;
-  retry_after_ms = other9.retry_after_ms;
-  not_run = other9.not_run;
-  __isset = other9.__isset;
+Refusal::Refusal(const Refusal& other17) {
+  code = other17.code;
+  detail = other17.detail;
+  retry_after_ms = other17.retry_after_ms;
+  not_run = other17.not_run;
+  __isset = other17.__isset;
 }
-Refusal& Refusal::operator=(const Refusal& other10) {
-  code = other10.code;
-  detail = other10.detail;
-  retry_after_ms = other10.retry_after_ms;
-  not_run = other10.not_run;
-  __isset = other10.__isset;
+Refusal::Refusal(Refusal&& other18) noexcept {
+  code = std::move(other18.code);
+  detail = std::move(other18.detail);
+  retry_after_ms = other18.retry_after_ms;
+  not_run = other18.not_run;
+  __isset = other18.__isset;
+}
+Refusal& Refusal::operator=(const Refusal& other19) {
+  code = other19.code;
+  detail = other19.detail;
+  retry_after_ms = other19.retry_after_ms;
+  not_run = other19.not_run;
+  __isset = other19.__isset;
+  return *this;
+}
+Refusal& Refusal::operator=(Refusal&& other20) noexcept {
+  code = std::move(other20.code);
+  detail = std::move(other20.detail);
+  retry_after_ms = other20.retry_after_ms;
+  not_run = other20.not_run;
+  __isset = other20.__isset;
   return *this;
 }
 void Refusal::printTo(std::ostream& out) const {
@@ -798,14 +853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->avoid.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->avoid.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += iprot->readString(this->avoid[_i15]);
+              xfer += iprot->readString(this->avoid[_i25]);
             }
             xfer += iprot->readListEnd();
           }
@@ -866,10 +921,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter16;
-    for (_iter16 = this->avoid.begin(); _iter16 != this->avoid.end(); ++_iter16)
+    std::vector<std::string> ::const_iterator _iter26;
+    for (_iter26 = this->avoid.begin(); _iter26 != this->avoid.end(); ++_iter26)
     {
-      xfer += oprot->writeString((*_iter16));
+      xfer += oprot->writeString((*_iter26));
     }
     xfer += oprot->writeListEnd();
   }
@@ -894,29 +949,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Place::Place(const Place& other17) {
-  request_id = other17.request_id;
-  model = other17.model;
-  adapter = other17.adapter;
-  remaining_ms = other17.remaining_ms;
-  priority = other17.priority;
-  owner = other17.owner;
-  fingerprint = other17.fingerprint;
-  prefix_hash = other17.prefix_hash;
-  avoid = other17.avoid;
-  __isset = other17.__isset;
+Place::Place(const Place& other27) {
+  request_id = other27.request_id;
+  model = other27.model;
+  adapter = other27.adapter;
+  remaining_ms = other27.remaining_ms;
+  priority = other27.priority;
+  owner = other27.owner;
+  fingerprint = other27.fingerprint;
+  prefix_hash = other27.prefix_hash;
+  avoid = other27.avoid;
+  __isset = other27.__isset;
 }
-Place& Place::operator=(const Place& other18) {
-  request_id = other18.request_id;
-  model = other18.model;
-  adapter = other18.adapter;
-  remaining_ms = other18.remaining_ms;
-  priority = other18.priority;
-  owner = other18.owner;
-  fingerprint = other18.fingerprint;
-  prefix_hash = other18.prefix_hash;
-  avoid = other18.avoid;
-  __isset = other18.__isset;
+Place::Place(Place&& other28) noexcept {
+  request_id = std::move(other28.request_id);
+  model = std::move(other28.model);
+  adapter = std::move(other28.adapter);
+  remaining_ms = other28.remaining_ms;
+  priority = other28.priority;
+  owner = std::move(other28.owner);
+  fingerprint = other28.fingerprint;
+  prefix_hash = other28.prefix_hash;
+  avoid = std::move(other28.avoid);
+  __isset = other28.__isset;
+}
+Place& Place::operator=(const Place& other29) {
+  request_id = other29.request_id;
+  model = other29.model;
+  adapter = other29.adapter;
+  remaining_ms = other29.remaining_ms;
+  priority = other29.priority;
+  owner = other29.owner;
+  fingerprint = other29.fingerprint;
+  prefix_hash = other29.prefix_hash;
+  avoid = other29.avoid;
+  __isset = other29.__isset;
+  return *this;
+}
+Place& Place::operator=(Place&& other30) noexcept {
+  request_id = std::move(other30.request_id);
+  model = std::move(other30.model);
+  adapter = std::move(other30.adapter);
+  remaining_ms = other30.remaining_ms;
+  priority = other30.priority;
+  owner = std::move(other30.owner);
+  fingerprint = other30.fingerprint;
+  prefix_hash = other30.prefix_hash;
+  avoid = std::move(other30.avoid);
+  __isset = other30.__isset;
   return *this;
 }
 void Place::printTo(std::ostream& out) const {
@@ -1044,17 +1124,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Placed::Placed(const Placed& other19) {
-  endpoint = other19.endpoint;
-  address = other19.address;
-  keep_alive_ms = other19.keep_alive_ms;
-  __isset = other19.__isset;
+Placed::Placed(const Placed& other31) {
+  endpoint = other31.endpoint;
+  address = other31.address;
+  keep_alive_ms = other31.keep_alive_ms;
+  __isset = other31.__isset;
 }
-Placed& Placed::operator=(const Placed& other20) {
-  endpoint = other20.endpoint;
-  address = other20.address;
-  keep_alive_ms = other20.keep_alive_ms;
-  __isset = other20.__isset;
+Placed::Placed(Placed&& other32) noexcept {
+  endpoint = std::move(other32.endpoint);
+  address = std::move(other32.address);
+  keep_alive_ms = other32.keep_alive_ms;
+  __isset = other32.__isset;
+}
+Placed& Placed::operator=(const Placed& other33) {
+  endpoint = other33.endpoint;
+  address = other33.address;
+  keep_alive_ms = other33.keep_alive_ms;
+  __isset = other33.__isset;
+  return *this;
+}
+Placed& Placed::operator=(Placed&& other34) noexcept {
+  endpoint = std::move(other34.endpoint);
+  address = std::move(other34.address);
+  keep_alive_ms = other34.keep_alive_ms;
+  __isset = other34.__isset;
   return *this;
 }
 void Placed::printTo(std::ostream& out) const {
@@ -1104,9 +1197,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast21;
-          xfer += iprot->readI32(ecast21);
-          this->result = static_cast<RunResult::type>(ecast21);
+          int32_t ecast35;
+          xfer += iprot->readI32(ecast35);
+          this->result = static_cast<RunResult::type>(ecast35);
           this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1144,13 +1237,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceDone::PlaceDone(const PlaceDone& other22) noexcept {
-  result = other22.result;
-  __isset = other22.__isset;
+PlaceDone::PlaceDone(const PlaceDone& other36) noexcept {
+  result = other36.result;
+  __isset = other36.__isset;
+}
+PlaceDone::PlaceDone(PlaceDone&& other37) noexcept {
+  result = other37.result;
+  __isset = other37.__isset;
+}
+PlaceDone& PlaceDone::operator=(const PlaceDone& other38) noexcept {
+  result = other38.result;
+  __isset = other38.__isset;
+  return *this;
 }
-PlaceDone& PlaceDone::operator=(const PlaceDone& other23) noexcept {
-  result = other23.result;
-  __isset = other23.__isset;
+PlaceDone& PlaceDone::operator=(PlaceDone&& other39) noexcept {
+  result = other39.result;
+  __isset = other39.__isset;
   return *this;
 }
 void PlaceDone::printTo(std::ostream& out) const {
@@ -1508,45 +1610,86 @@
   swap(a.__isset, b.__isset);
 }
 
-Run::Run(const Run& other24) {
-  request_id = other24.request_id;
-  attempt_id = other24.attempt_id;
-  service_id = other24.service_id;
-  model = other24.model;
-  adapter = other24.adapter;
-  remaining_ms = other24.remaining_ms;
-  priority = other24.priority;
-  owner = other24.owner;
-  fingerprint = other24.fingerprint;
-  non_idempotent = other24.non_idempotent;
-  idempotency_key = other24.idempotency_key;
-  method = other24.method;
-  path = other24.path;
-  content_type = other24.content_type;
-  body = other24.body;
-  keep_alive_ms = other24.keep_alive_ms;
-  prefix_hash = other24.prefix_hash;
-  __isset = other24.__isset;
-}
-Run& Run::operator=(const Run& other25) {
-  request_id = other25.request_id;
-  attempt_id = other25.attempt_id;
-  service_id = other25.service_id;
-  model = other25.model;
-  adapter = other25.adapter;
-  remaining_ms = other25.remaining_ms;
-  priority = other25.priority;
-  owner = other25.owner;
-  fingerprint = other25.fingerprint;
-  non_idempotent = other25.non_idempotent;
-  idempotency_key = other25.idempotency_key;
-  method = other25.method;
-  path = other25.path;
-  content_type = other25.content_type;
-  body = other25.body;
-  keep_alive_ms = other25.keep_alive_ms;
-  prefix_hash = other25.prefix_hash;
-  __isset = other25.__isset;
+Run::Run(const Run& other40) {
+  request_id = other40.request_id;
+  attempt_id = other40.attempt_id;
+  service_id = other40.service_id;
+  model = other40.model;
+  adapter = other40.adapter;
+  remaining_ms = other40.remaining_ms;
+  priority = other40.priority;
+  owner = other40.owner;
+  fingerprint = other40.fingerprint;
+  non_idempotent = other40.non_idempotent;
+  idempotency_key = other40.idempotency_key;
+  method = other40.method;
+  path = other40.path;
+  content_type = other40.content_type;
+  body = other40.body;
+  keep_alive_ms = other40.keep_alive_ms;
+  prefix_hash = other40.prefix_hash;
+  __isset = other40.__isset;
+}
+Run::Run(Run&& other41) noexcept {
+  request_id = std::move(other41.request_id);
+  attempt_id = std::move(other41.attempt_id);
+  service_id = std::move(other41.service_id);
+  model = std::move(other41.model);
+  adapter = std::move(other41.adapter);
+  remaining_ms = other41.remaining_ms;
+  priority = other41.priority;
+  owner = std::move(other41.owner);
+  fingerprint = other41.fingerprint;
+  non_idempotent = other41.non_idempotent;
+  idempotency_key = std::move(other41.idempotency_key);
+  method = std::move(other41.method);
+  path = std::move(other41.path);
+  content_type = std::move(other41.content_type);
+  body = std::move(other41.body);
+  keep_alive_ms = other41.keep_alive_ms;
+  prefix_hash = other41.prefix_hash;
+  __isset = other41.__isset;
+}
+Run& Run::operator=(const Run& other42) {
+  request_id = other42.request_id;
+  attempt_id = other42.attempt_id;
+  service_id = other42.service_id;
+  model = other42.model;
+  adapter = other42.adapter;
+  remaining_ms = other42.remaining_ms;
+  priority = other42.priority;
+  owner = other42.owner;
+  fingerprint = other42.fingerprint;
+  non_idempotent = other42.non_idempotent;
+  idempotency_key = other42.idempotency_key;
+  method = other42.method;
+  path = other42.path;
+  content_type = other42.content_type;
+  body = other42.body;
+  keep_alive_ms = other42.keep_alive_ms;
+  prefix_hash = other42.prefix_hash;
+  __isset = other42.__isset;
+  return *this;
+}
+Run& Run::operator=(Run&& other43) noexcept {
+  request_id = std::move(other43.request_id);
+  attempt_id = std::move(other43.attempt_id);
+  service_id = std::move(other43.service_id);
+  model = std::move(other43.model);
+  adapter = std::move(other43.adapter);
+  remaining_ms = other43.remaining_ms;
+  priority = other43.priority;
+  owner = std::move(other43.owner);
+  fingerprint = other43.fingerprint;
+  non_idempotent = other43.non_idempotent;
+  idempotency_key = std::move(other43.idempotency_key);
+  method = std::move(other43.method);
+  path = std::move(other43.path);
+  content_type = std::move(other43.content_type);
+  body = std::move(other43.body);
+  keep_alive_ms = other43.keep_alive_ms;
+  prefix_hash = other43.prefix_hash;
+  __isset = other43.__isset;
   return *this;
 }
 void Run::printTo(std::ostream& out) const {
@@ -1665,15 +1808,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RunHead::RunHead(const RunHead& other26) {
-  status = other26.status;
-  content_type = other26.content_type;
-  __isset = other26.__isset;
+RunHead::RunHead(const RunHead& other44) {
+  status = other44.status;
+  content_type = other44.content_type;
+  __isset = other44.__isset;
 }
-RunHead& RunHead::operator=(const RunHead& other27) {
-  status = other27.status;
-  content_type = other27.content_type;
-  __isset = other27.__isset;
+RunHead::RunHead(RunHead&& other45) noexcept {
+  status = other45.status;
+  content_type = std::move(other45.content_type);
+  __isset = other45.__isset;
+}
+RunHead& RunHead::operator=(const RunHead& other46) {
+  status = other46.status;
+  content_type = other46.content_type;
+  __isset = other46.__isset;
+  return *this;
+}
+RunHead& RunHead::operator=(RunHead&& other47) noexcept {
+  status = other47.status;
+  content_type = std::move(other47.content_type);
+  __isset = other47.__isset;
   return *this;
 }
 void RunHead::printTo(std::ostream& out) const {
@@ -1777,15 +1931,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other28) {
-  sequence = other28.sequence;
-  data = other28.data;
-  __isset = other28.__isset;
+Chunk::Chunk(const Chunk& other48) {
+  sequence = other48.sequence;
+  data = other48.data;
+  __isset = other48.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other29) {
-  sequence = other29.sequence;
-  data = other29.data;
-  __isset = other29.__isset;
+Chunk::Chunk(Chunk&& other49) noexcept {
+  sequence = other49.sequence;
+  data = std::move(other49.data);
+  __isset = other49.__isset;
+}
+Chunk& Chunk::operator=(const Chunk& other50) {
+  sequence = other50.sequence;
+  data = other50.data;
+  __isset = other50.__isset;
+  return *this;
+}
+Chunk& Chunk::operator=(Chunk&& other51) noexcept {
+  sequence = other51.sequence;
+  data = std::move(other51.data);
+  __isset = other51.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
@@ -1889,15 +2054,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RunEnd::RunEnd(const RunEnd& other30) noexcept {
-  chunks = other30.chunks;
-  bytes = other30.bytes;
-  __isset = other30.__isset;
+RunEnd::RunEnd(const RunEnd& other52) noexcept {
+  chunks = other52.chunks;
+  bytes = other52.bytes;
+  __isset = other52.__isset;
 }
-RunEnd& RunEnd::operator=(const RunEnd& other31) noexcept {
-  chunks = other31.chunks;
-  bytes = other31.bytes;
-  __isset = other31.__isset;
+RunEnd::RunEnd(RunEnd&& other53) noexcept {
+  chunks = other53.chunks;
+  bytes = other53.bytes;
+  __isset = other53.__isset;
+}
+RunEnd& RunEnd::operator=(const RunEnd& other54) noexcept {
+  chunks = other54.chunks;
+  bytes = other54.bytes;
+  __isset = other54.__isset;
+  return *this;
+}
+RunEnd& RunEnd::operator=(RunEnd&& other55) noexcept {
+  chunks = other55.chunks;
+  bytes = other55.bytes;
+  __isset = other55.__isset;
   return *this;
 }
 void RunEnd::printTo(std::ostream& out) const {
@@ -1984,13 +2160,22 @@
   swap(a.__isset, b.__isset);
 }
 
-VoidAttempt::VoidAttempt(const VoidAttempt& other32) {
-  attempt_id = other32.attempt_id;
-  __isset = other32.__isset;
+VoidAttempt::VoidAttempt(const VoidAttempt& other56) {
+  attempt_id = other56.attempt_id;
+  __isset = other56.__isset;
 }
-VoidAttempt& VoidAttempt::operator=(const VoidAttempt& other33) {
-  attempt_id = other33.attempt_id;
-  __isset = other33.__isset;
+VoidAttempt::VoidAttempt(VoidAttempt&& other57) noexcept {
+  attempt_id = std::move(other57.attempt_id);
+  __isset = other57.__isset;
+}
+VoidAttempt& VoidAttempt::operator=(const VoidAttempt& other58) {
+  attempt_id = other58.attempt_id;
+  __isset = other58.__isset;
+  return *this;
+}
+VoidAttempt& VoidAttempt::operator=(VoidAttempt&& other59) noexcept {
+  attempt_id = std::move(other59.attempt_id);
+  __isset = other59.__isset;
   return *this;
 }
 void VoidAttempt::printTo(std::ostream& out) const {
@@ -2093,15 +2278,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptState::AttemptState(const AttemptState& other34) noexcept {
-  started = other34.started;
-  incarnation = other34.incarnation;
-  __isset = other34.__isset;
+AttemptState::AttemptState(const AttemptState& other60) noexcept {
+  started = other60.started;
+  incarnation = other60.incarnation;
+  __isset = other60.__isset;
 }
-AttemptState& AttemptState::operator=(const AttemptState& other35) noexcept {
-  started = other35.started;
-  incarnation = other35.incarnation;
-  __isset = other35.__isset;
+AttemptState::AttemptState(AttemptState&& other61) noexcept {
+  started = other61.started;
+  incarnation = other61.incarnation;
+  __isset = other61.__isset;
+}
+AttemptState& AttemptState::operator=(const AttemptState& other62) noexcept {
+  started = other62.started;
+  incarnation = other62.incarnation;
+  __isset = other62.__isset;
+  return *this;
+}
+AttemptState& AttemptState::operator=(AttemptState&& other63) noexcept {
+  started = other63.started;
+  incarnation = other63.incarnation;
+  __isset = other63.__isset;
   return *this;
 }
 void AttemptState::printTo(std::ostream& out) const {
@@ -2212,14 +2408,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evict.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->evict.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->evict.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readString(this->evict[_i40]);
+              xfer += iprot->readString(this->evict[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2268,10 +2464,10 @@
   xfer += oprot->writeFieldBegin("evict", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evict.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->evict.begin(); _iter41 != this->evict.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter69;
+    for (_iter69 = this->evict.begin(); _iter69 != this->evict.end(); ++_iter69)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter69));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2293,23 +2489,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EnsureModel::EnsureModel(const EnsureModel& other42) {
-  service_id = other42.service_id;
-  model = other42.model;
-  adapter = other42.adapter;
-  remaining_ms = other42.remaining_ms;
-  keep_alive_ms = other42.keep_alive_ms;
-  evict = other42.evict;
-  __isset = other42.__isset;
+EnsureModel::EnsureModel(const EnsureModel& other70) {
+  service_id = other70.service_id;
+  model = other70.model;
+  adapter = other70.adapter;
+  remaining_ms = other70.remaining_ms;
+  keep_alive_ms = other70.keep_alive_ms;
+  evict = other70.evict;
+  __isset = other70.__isset;
+}
+EnsureModel::EnsureModel(EnsureModel&& other71) noexcept {
+  service_id = std::move(other71.service_id);
+  model = std::move(other71.model);
+  adapter = std::move(other71.adapter);
+  remaining_ms = other71.remaining_ms;
+  keep_alive_ms = other71.keep_alive_ms;
+  evict = std::move(other71.evict);
+  __isset = other71.__isset;
+}
+EnsureModel& EnsureModel::operator=(const EnsureModel& other72) {
+  service_id = other72.service_id;
+  model = other72.model;
+  adapter = other72.adapter;
+  remaining_ms = other72.remaining_ms;
+  keep_alive_ms = other72.keep_alive_ms;
+  evict = other72.evict;
+  __isset = other72.__isset;
+  return *this;
 }
-EnsureModel& EnsureModel::operator=(const EnsureModel& other43) {
-  service_id = other43.service_id;
-  model = other43.model;
-  adapter = other43.adapter;
-  remaining_ms = other43.remaining_ms;
-  keep_alive_ms = other43.keep_alive_ms;
-  evict = other43.evict;
-  __isset = other43.__isset;
+EnsureModel& EnsureModel::operator=(EnsureModel&& other73) noexcept {
+  service_id = std::move(other73.service_id);
+  model = std::move(other73.model);
+  adapter = std::move(other73.adapter);
+  remaining_ms = other73.remaining_ms;
+  keep_alive_ms = other73.keep_alive_ms;
+  evict = std::move(other73.evict);
+  __isset = other73.__isset;
   return *this;
 }
 void EnsureModel::printTo(std::ostream& out) const {
@@ -2417,15 +2632,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelReady::ModelReady(const ModelReady& other44) {
-  model = other44.model;
-  adapter = other44.adapter;
-  __isset = other44.__isset;
+ModelReady::ModelReady(const ModelReady& other74) {
+  model = other74.model;
+  adapter = other74.adapter;
+  __isset = other74.__isset;
 }
-ModelReady& ModelReady::operator=(const ModelReady& other45) {
-  model = other45.model;
-  adapter = other45.adapter;
-  __isset = other45.__isset;
+ModelReady::ModelReady(ModelReady&& other75) noexcept {
+  model = std::move(other75.model);
+  adapter = std::move(other75.adapter);
+  __isset = other75.__isset;
+}
+ModelReady& ModelReady::operator=(const ModelReady& other76) {
+  model = other76.model;
+  adapter = other76.adapter;
+  __isset = other76.__isset;
+  return *this;
+}
+ModelReady& ModelReady::operator=(ModelReady&& other77) noexcept {
+  model = std::move(other77.model);
+  adapter = std::move(other77.adapter);
+  __isset = other77.__isset;
   return *this;
 }
 void ModelReady::printTo(std::ostream& out) const {
@@ -2502,9 +2728,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast46;
-          xfer += iprot->readI32(ecast46);
-          this->state = static_cast<ReplicaState::type>(ecast46);
+          int32_t ecast78;
+          xfer += iprot->readI32(ecast78);
+          this->state = static_cast<ReplicaState::type>(ecast78);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2530,14 +2756,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->adapters.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->adapters.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += iprot->readString(this->adapters[_i51]);
+              xfer += iprot->readString(this->adapters[_i83]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2590,10 +2816,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter52;
-    for (_iter52 = this->adapters.begin(); _iter52 != this->adapters.end(); ++_iter52)
+    std::vector<std::string> ::const_iterator _iter84;
+    for (_iter84 = this->adapters.begin(); _iter84 != this->adapters.end(); ++_iter84)
     {
-      xfer += oprot->writeString((*_iter52));
+      xfer += oprot->writeString((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2619,23 +2845,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaReport::ReplicaReport(const ReplicaReport& other53) {
-  model = other53.model;
-  state = other53.state;
-  running = other53.running;
-  idle_ms = other53.idle_ms;
-  adapters = other53.adapters;
-  bytes = other53.bytes;
-  __isset = other53.__isset;
+ReplicaReport::ReplicaReport(const ReplicaReport& other85) {
+  model = other85.model;
+  state = other85.state;
+  running = other85.running;
+  idle_ms = other85.idle_ms;
+  adapters = other85.adapters;
+  bytes = other85.bytes;
+  __isset = other85.__isset;
+}
+ReplicaReport::ReplicaReport(ReplicaReport&& other86) noexcept {
+  model = std::move(other86.model);
+  state = other86.state;
+  running = other86.running;
+  idle_ms = other86.idle_ms;
+  adapters = std::move(other86.adapters);
+  bytes = other86.bytes;
+  __isset = other86.__isset;
+}
+ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other87) {
+  model = other87.model;
+  state = other87.state;
+  running = other87.running;
+  idle_ms = other87.idle_ms;
+  adapters = other87.adapters;
+  bytes = other87.bytes;
+  __isset = other87.__isset;
+  return *this;
 }
-ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other54) {
-  model = other54.model;
-  state = other54.state;
-  running = other54.running;
-  idle_ms = other54.idle_ms;
-  adapters = other54.adapters;
-  bytes = other54.bytes;
-  __isset = other54.__isset;
+ReplicaReport& ReplicaReport::operator=(ReplicaReport&& other88) noexcept {
+  model = std::move(other88.model);
+  state = other88.state;
+  running = other88.running;
+  idle_ms = other88.idle_ms;
+  adapters = std::move(other88.adapters);
+  bytes = other88.bytes;
+  __isset = other88.__isset;
   return *this;
 }
 void ReplicaReport::printTo(std::ostream& out) const {
@@ -2705,11 +2950,18 @@
   (void) b;
 }
 
-Subscribe::Subscribe(const Subscribe& other55) noexcept {
-  (void) other55;
+Subscribe::Subscribe(const Subscribe& other89) noexcept {
+  (void) other89;
+}
+Subscribe::Subscribe(Subscribe&& other90) noexcept {
+  (void) other90;
+}
+Subscribe& Subscribe::operator=(const Subscribe& other91) noexcept {
+  (void) other91;
+  return *this;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other56) noexcept {
-  (void) other56;
+Subscribe& Subscribe::operator=(Subscribe&& other92) noexcept {
+  (void) other92;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -2878,14 +3130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->replicas.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->replicas.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->replicas[_i61].read(iprot);
+              xfer += this->replicas[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2898,14 +3150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memory_tier.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->memory_tier.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->memory_tier.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += iprot->readString(this->memory_tier[_i66]);
+              xfer += iprot->readString(this->memory_tier[_i102]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2918,14 +3170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->disk_tier.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->disk_tier.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->disk_tier.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += iprot->readString(this->disk_tier[_i71]);
+              xfer += iprot->readString(this->disk_tier[_i107]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2998,10 +3250,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaReport> ::const_iterator _iter72;
-    for (_iter72 = this->replicas.begin(); _iter72 != this->replicas.end(); ++_iter72)
+    std::vector<ReplicaReport> ::const_iterator _iter108;
+    for (_iter108 = this->replicas.begin(); _iter108 != this->replicas.end(); ++_iter108)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3010,10 +3262,10 @@
   xfer += oprot->writeFieldBegin("memory_tier", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->memory_tier.size()));
-    std::vector<std::string> ::const_iterator _iter73;
-    for (_iter73 = this->memory_tier.begin(); _iter73 != this->memory_tier.end(); ++_iter73)
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->memory_tier.begin(); _iter109 != this->memory_tier.end(); ++_iter109)
     {
-      xfer += oprot->writeString((*_iter73));
+      xfer += oprot->writeString((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3022,10 +3274,10 @@
   xfer += oprot->writeFieldBegin("disk_tier", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->disk_tier.size()));
-    std::vector<std::string> ::const_iterator _iter74;
-    for (_iter74 = this->disk_tier.begin(); _iter74 != this->disk_tier.end(); ++_iter74)
+    std::vector<std::string> ::const_iterator _iter110;
+    for (_iter110 = this->disk_tier.begin(); _iter110 != this->disk_tier.end(); ++_iter110)
     {
-      xfer += oprot->writeString((*_iter74));
+      xfer += oprot->writeString((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3058,37 +3310,70 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other75) {
-  endpoint = other75.endpoint;
-  zone = other75.zone;
-  incarnation = other75.incarnation;
-  leaving = other75.leaving;
-  kind = other75.kind;
-  memory_bytes = other75.memory_bytes;
-  reserved_bytes = other75.reserved_bytes;
-  running = other75.running;
-  max_running = other75.max_running;
-  replicas = other75.replicas;
-  memory_tier = other75.memory_tier;
-  disk_tier = other75.disk_tier;
-  engine_up = other75.engine_up;
-  __isset = other75.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other111) {
+  endpoint = other111.endpoint;
+  zone = other111.zone;
+  incarnation = other111.incarnation;
+  leaving = other111.leaving;
+  kind = other111.kind;
+  memory_bytes = other111.memory_bytes;
+  reserved_bytes = other111.reserved_bytes;
+  running = other111.running;
+  max_running = other111.max_running;
+  replicas = other111.replicas;
+  memory_tier = other111.memory_tier;
+  disk_tier = other111.disk_tier;
+  engine_up = other111.engine_up;
+  __isset = other111.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other112) noexcept {
+  endpoint = std::move(other112.endpoint);
+  zone = std::move(other112.zone);
+  incarnation = other112.incarnation;
+  leaving = other112.leaving;
+  kind = std::move(other112.kind);
+  memory_bytes = other112.memory_bytes;
+  reserved_bytes = other112.reserved_bytes;
+  running = other112.running;
+  max_running = other112.max_running;
+  replicas = std::move(other112.replicas);
+  memory_tier = std::move(other112.memory_tier);
+  disk_tier = std::move(other112.disk_tier);
+  engine_up = other112.engine_up;
+  __isset = other112.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other113) {
+  endpoint = other113.endpoint;
+  zone = other113.zone;
+  incarnation = other113.incarnation;
+  leaving = other113.leaving;
+  kind = other113.kind;
+  memory_bytes = other113.memory_bytes;
+  reserved_bytes = other113.reserved_bytes;
+  running = other113.running;
+  max_running = other113.max_running;
+  replicas = other113.replicas;
+  memory_tier = other113.memory_tier;
+  disk_tier = other113.disk_tier;
+  engine_up = other113.engine_up;
+  __isset = other113.__isset;
+  return *this;
 }
-EndpointReport& EndpointReport::operator=(const EndpointReport& other76) {
-  endpoint = other76.endpoint;
-  zone = other76.zone;
-  incarnation = other76.incarnation;
-  leaving = other76.leaving;
-  kind = other76.kind;
-  memory_bytes = other76.memory_bytes;
-  reserved_bytes = other76.reserved_bytes;
-  running = other76.running;
-  max_running = other76.max_running;
-  replicas = other76.replicas;
-  memory_tier = other76.memory_tier;
-  disk_tier = other76.disk_tier;
-  engine_up = other76.engine_up;
-  __isset = other76.__isset;
+EndpointReport& EndpointReport::operator=(EndpointReport&& other114) noexcept {
+  endpoint = std::move(other114.endpoint);
+  zone = std::move(other114.zone);
+  incarnation = other114.incarnation;
+  leaving = other114.leaving;
+  kind = std::move(other114.kind);
+  memory_bytes = other114.memory_bytes;
+  reserved_bytes = other114.reserved_bytes;
+  running = other114.running;
+  max_running = other114.max_running;
+  replicas = std::move(other114.replicas);
+  memory_tier = std::move(other114.memory_tier);
+  disk_tier = std::move(other114.disk_tier);
+  engine_up = other114.engine_up;
+  __isset = other114.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -3165,11 +3450,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other77) noexcept {
-  (void) other77;
+Drain::Drain(const Drain& other115) noexcept {
+  (void) other115;
+}
+Drain::Drain(Drain&& other116) noexcept {
+  (void) other116;
 }
-Drain& Drain::operator=(const Drain& other78) noexcept {
-  (void) other78;
+Drain& Drain::operator=(const Drain& other117) noexcept {
+  (void) other117;
+  return *this;
+}
+Drain& Drain::operator=(Drain&& other118) noexcept {
+  (void) other118;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -3254,13 +3546,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other79) noexcept {
-  running = other79.running;
-  __isset = other79.__isset;
+DrainState::DrainState(const DrainState& other119) noexcept {
+  running = other119.running;
+  __isset = other119.__isset;
+}
+DrainState::DrainState(DrainState&& other120) noexcept {
+  running = other120.running;
+  __isset = other120.__isset;
+}
+DrainState& DrainState::operator=(const DrainState& other121) noexcept {
+  running = other121.running;
+  __isset = other121.__isset;
+  return *this;
 }
-DrainState& DrainState::operator=(const DrainState& other80) noexcept {
-  running = other80.running;
-  __isset = other80.__isset;
+DrainState& DrainState::operator=(DrainState&& other122) noexcept {
+  running = other122.running;
+  __isset = other122.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -3322,14 +3623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->have_parts.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->have_parts.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readString(this->have_parts[_i85]);
+              xfer += iprot->readString(this->have_parts[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3362,10 +3663,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->have_parts.begin(); _iter86 != this->have_parts.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter128;
+    for (_iter128 = this->have_parts.begin(); _iter128 != this->have_parts.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter128));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3383,15 +3684,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other87) {
-  have_version = other87.have_version;
-  have_parts = other87.have_parts;
-  __isset = other87.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other129) {
+  have_version = other129.have_version;
+  have_parts = other129.have_parts;
+  __isset = other129.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other88) {
-  have_version = other88.have_version;
-  have_parts = other88.have_parts;
-  __isset = other88.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other130) noexcept {
+  have_version = other130.have_version;
+  have_parts = std::move(other130.have_parts);
+  __isset = other130.__isset;
+}
+ConfigPull& ConfigPull::operator=(const ConfigPull& other131) {
+  have_version = other131.have_version;
+  have_parts = other131.have_parts;
+  __isset = other131.__isset;
+  return *this;
+}
+ConfigPull& ConfigPull::operator=(ConfigPull&& other132) noexcept {
+  have_version = other132.have_version;
+  have_parts = std::move(other132.have_parts);
+  __isset = other132.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -3495,15 +3807,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other89) {
-  hash = other89.hash;
-  data = other89.data;
-  __isset = other89.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other133) {
+  hash = other133.hash;
+  data = other133.data;
+  __isset = other133.__isset;
+}
+ConfigPart::ConfigPart(ConfigPart&& other134) noexcept {
+  hash = std::move(other134.hash);
+  data = std::move(other134.data);
+  __isset = other134.__isset;
+}
+ConfigPart& ConfigPart::operator=(const ConfigPart& other135) {
+  hash = other135.hash;
+  data = other135.data;
+  __isset = other135.__isset;
+  return *this;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other90) {
-  hash = other90.hash;
-  data = other90.data;
-  __isset = other90.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other136) noexcept {
+  hash = std::move(other136.hash);
+  data = std::move(other136.data);
+  __isset = other136.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -3582,14 +3905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->part_hashes.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->part_hashes.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += iprot->readString(this->part_hashes[_i95]);
+              xfer += iprot->readString(this->part_hashes[_i141]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3602,14 +3925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->parts.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->parts.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->parts[_i100].read(iprot);
+              xfer += this->parts[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3646,10 +3969,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter101;
-    for (_iter101 = this->part_hashes.begin(); _iter101 != this->part_hashes.end(); ++_iter101)
+    std::vector<std::string> ::const_iterator _iter147;
+    for (_iter147 = this->part_hashes.begin(); _iter147 != this->part_hashes.end(); ++_iter147)
     {
-      xfer += oprot->writeString((*_iter101));
+      xfer += oprot->writeString((*_iter147));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3658,10 +3981,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter102;
-    for (_iter102 = this->parts.begin(); _iter102 != this->parts.end(); ++_iter102)
+    std::vector<ConfigPart> ::const_iterator _iter148;
+    for (_iter148 = this->parts.begin(); _iter148 != this->parts.end(); ++_iter148)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3681,19 +4004,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other103) {
-  version = other103.version;
-  plan_id = other103.plan_id;
-  part_hashes = other103.part_hashes;
-  parts = other103.parts;
-  __isset = other103.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other149) {
+  version = other149.version;
+  plan_id = other149.plan_id;
+  part_hashes = other149.part_hashes;
+  parts = other149.parts;
+  __isset = other149.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other150) noexcept {
+  version = other150.version;
+  plan_id = std::move(other150.plan_id);
+  part_hashes = std::move(other150.part_hashes);
+  parts = std::move(other150.parts);
+  __isset = other150.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other151) {
+  version = other151.version;
+  plan_id = other151.plan_id;
+  part_hashes = other151.part_hashes;
+  parts = other151.parts;
+  __isset = other151.__isset;
+  return *this;
 }
-ConfigParts& ConfigParts::operator=(const ConfigParts& other104) {
-  version = other104.version;
-  plan_id = other104.plan_id;
-  part_hashes = other104.part_hashes;
-  parts = other104.parts;
-  __isset = other104.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other152) noexcept {
+  version = other152.version;
+  plan_id = std::move(other152.plan_id);
+  part_hashes = std::move(other152.part_hashes);
+  parts = std::move(other152.parts);
+  __isset = other152.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -4183,55 +4521,106 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other105) {
-  hello = other105.hello;
-  heartbeat = other105.heartbeat;
-  credit = other105.credit;
-  cancel = other105.cancel;
-  refusal = other105.refusal;
-  place = other105.place;
-  placed = other105.placed;
-  place_done = other105.place_done;
-  run = other105.run;
-  run_head = other105.run_head;
-  chunk = other105.chunk;
-  run_end = other105.run_end;
-  void_attempt = other105.void_attempt;
-  attempt_state = other105.attempt_state;
-  ensure_model = other105.ensure_model;
-  model_ready = other105.model_ready;
-  subscribe = other105.subscribe;
-  endpoint_report = other105.endpoint_report;
-  drain = other105.drain;
-  drain_state = other105.drain_state;
-  config_pull = other105.config_pull;
-  config_parts = other105.config_parts;
-  __isset = other105.__isset;
-}
-Message& Message::operator=(const Message& other106) {
-  hello = other106.hello;
-  heartbeat = other106.heartbeat;
-  credit = other106.credit;
-  cancel = other106.cancel;
-  refusal = other106.refusal;
-  place = other106.place;
-  placed = other106.placed;
-  place_done = other106.place_done;
-  run = other106.run;
-  run_head = other106.run_head;
-  chunk = other106.chunk;
-  run_end = other106.run_end;
-  void_attempt = other106.void_attempt;
-  attempt_state = other106.attempt_state;
-  ensure_model = other106.ensure_model;
-  model_ready = other106.model_ready;
-  subscribe = other106.subscribe;
-  endpoint_report = other106.endpoint_report;
-  drain = other106.drain;
-  drain_state = other106.drain_state;
-  config_pull = other106.config_pull;
-  config_parts = other106.config_parts;
-  __isset = other106.__isset;
+Message::Message(const Message& other153) {
+  hello = other153.hello;
+  heartbeat = other153.heartbeat;
+  credit = other153.credit;
+  cancel = other153.cancel;
+  refusal = other153.refusal;
+  place = other153.place;
+  placed = other153.placed;
+  place_done = other153.place_done;
+  run = other153.run;
+  run_head = other153.run_head;
+  chunk = other153.chunk;
+  run_end = other153.run_end;
+  void_attempt = other153.void_attempt;
+  attempt_state = other153.attempt_state;
+  ensure_model = other153.ensure_model;
+  model_ready = other153.model_ready;
+  subscribe = other153.subscribe;
+  endpoint_report = other153.endpoint_report;
+  drain = other153.drain;
+  drain_state = other153.drain_state;
+  config_pull = other153.config_pull;
+  config_parts = other153.config_parts;
+  __isset = other153.__isset;
+}
+Message::Message(Message&& other154) noexcept {
+  hello = std::move(other154.hello);
+  heartbeat = std::move(other154.heartbeat);
+  credit = std::move(other154.credit);
+  cancel = std::move(other154.cancel);
+  refusal = std::move(other154.refusal);
+  place = std::move(other154.place);
+  placed = std::move(other154.placed);
+  place_done = std::move(other154.place_done);
+  run = std::move(other154.run);
+  run_head = std::move(other154.run_head);
+  chunk = std::move(other154.chunk);
+  run_end = std::move(other154.run_end);
+  void_attempt = std::move(other154.void_attempt);
+  attempt_state = std::move(other154.attempt_state);
+  ensure_model = std::move(other154.ensure_model);
+  model_ready = std::move(other154.model_ready);
+  subscribe = std::move(other154.subscribe);
+  endpoint_report = std::move(other154.endpoint_report);
+  drain = std::move(other154.drain);
+  drain_state = std::move(other154.drain_state);
+  config_pull = std::move(other154.config_pull);
+  config_parts = std::move(other154.config_parts);
+  __isset = other154.__isset;
+}
+Message& Message::operator=(const Message& other155) {
+  hello = other155.hello;
+  heartbeat = other155.heartbeat;
+  credit = other155.credit;
+  cancel = other155.cancel;
+  refusal = other155.refusal;
+  place = other155.place;
+  placed = other155.placed;
+  place_done = other155.place_done;
+  run = other155.run;
+  run_head = other155.run_head;
+  chunk = other155.chunk;
+  run_end = other155.run_end;
+  void_attempt = other155.void_attempt;
+  attempt_state = other155.attempt_state;
+  ensure_model = other155.ensure_model;
+  model_ready = other155.model_ready;
+  subscribe = other155.subscribe;
+  endpoint_report = other155.endpoint_report;
+  drain = other155.drain;
+  drain_state = other155.drain_state;
+  config_pull = other155.config_pull;
+  config_parts = other155.config_parts;
+  __isset = other155.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other156) noexcept {
+  hello = std::move(other156.hello);
+  heartbeat = std::move(other156.heartbeat);
+  credit = std::move(other156.credit);
+  cancel = std::move(other156.cancel);
+  refusal = std::move(other156.refusal);
+  place = std::move(other156.place);
+  placed = std::move(other156.placed);
+  place_done = std::move(other156.place_done);
+  run = std::move(other156.run);
+  run_head = std::move(other156.run_head);
+  chunk = std::move(other156.chunk);
+  run_end = std::move(other156.run_end);
+  void_attempt = std::move(other156.void_attempt);
+  attempt_state = std::move(other156.attempt_state);
+  ensure_model = std::move(other156.ensure_model);
+  model_ready = std::move(other156.model_ready);
+  subscribe = std::move(other156.subscribe);
+  endpoint_report = std::move(other156.endpoint_report);
+  drain = std::move(other156.drain);
+  drain_state = std::move(other156.drain_state);
+  config_pull = std::move(other156.config_pull);
+  config_parts = std::move(other156.config_parts);
+  __isset = other156.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4389,19 +4778,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other107) {
-  call = other107.call;
-  from_opener = other107.from_opener;
-  config_version = other107.config_version;
-  message = other107.message;
-  __isset = other107.__isset;
+Frame::Frame(const Frame& other157) {
+  call = other157.call;
+  from_opener = other157.from_opener;
+  config_version = other157.config_version;
+  message = other157.message;
+  __isset = other157.__isset;
+}
+Frame::Frame(Frame&& other158) noexcept {
+  call = other158.call;
+  from_opener = other158.from_opener;
+  config_version = other158.config_version;
+  message = std::move(other158.message);
+  __isset = other158.__isset;
+}
+Frame& Frame::operator=(const Frame& other159) {
+  call = other159.call;
+  from_opener = other159.from_opener;
+  config_version = other159.config_version;
+  message = other159.message;
+  __isset = other159.__isset;
+  return *this;
 }
-Frame& Frame::operator=(const Frame& other108) {
-  call = other108.call;
-  from_opener = other108.from_opener;
-  config_version = other108.config_version;
-  message = other108.message;
-  __isset = other108.__isset;
+Frame& Frame::operator=(Frame&& other160) noexcept {
+  call = other160.call;
+  from_opener = other160.from_opener;
+  config_version = other160.config_version;
+  message = std::move(other160.message);
+  __isset = other160.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -129,7 +129,9 @@
  public:
 
   Hello(const Hello&);
+  Hello(Hello&&) noexcept;
   Hello& operator=(const Hello&);
+  Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : vm(),
           zone(),
@@ -196,7 +198,9 @@
  public:
 
   Heartbeat(const Heartbeat&) noexcept;
+  Heartbeat(Heartbeat&&) noexcept;
   Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept {
   }
 
@@ -231,7 +235,9 @@
  public:
 
   Credit(const Credit&) noexcept;
+  Credit(Credit&&) noexcept;
   Credit& operator=(const Credit&) noexcept;
+  Credit& operator=(Credit&&) noexcept;
   Credit() noexcept
          : messages(0) {
   }
@@ -270,7 +276,9 @@
  public:
 
   Cancel(const Cancel&) noexcept;
+  Cancel(Cancel&&) noexcept;
   Cancel& operator=(const Cancel&) noexcept;
+  Cancel& operator=(Cancel&&) noexcept;
   Cancel() noexcept {
   }
 
@@ -308,7 +316,9 @@
  public:
 
   Refusal(const Refusal&);
+  Refusal(Refusal&&) noexcept;
   Refusal& operator=(const Refusal&);
+  Refusal& operator=(Refusal&&) noexcept;
   Refusal() noexcept
           : code(),
             detail(),
@@ -377,7 +387,9 @@
  public:
 
   Place(const Place&);
+  Place(Place&&) noexcept;
   Place& operator=(const Place&);
+  Place& operator=(Place&&) noexcept;
   Place() noexcept
         : request_id(),
           model(),
@@ -469,7 +481,9 @@
  public:
 
   Placed(const Placed&);
+  Placed(Placed&&) noexcept;
   Placed& operator=(const Placed&);
+  Placed& operator=(Placed&&) noexcept;
   Placed() noexcept
          : endpoint(),
            address(),
@@ -524,7 +538,9 @@
  public:
 
   PlaceDone(const PlaceDone&) noexcept;
+  PlaceDone(PlaceDone&&) noexcept;
   PlaceDone& operator=(const PlaceDone&) noexcept;
+  PlaceDone& operator=(PlaceDone&&) noexcept;
   PlaceDone() noexcept
             : result(static_cast<RunResult::type>(0)) {
   }
@@ -587,7 +603,9 @@
  public:
 
   Run(const Run&);
+  Run(Run&&) noexcept;
   Run& operator=(const Run&);
+  Run& operator=(Run&&) noexcept;
   Run() noexcept
       : request_id(),
         attempt_id(),
@@ -727,7 +745,9 @@
  public:
 
   RunHead(const RunHead&);
+  RunHead(RunHead&&) noexcept;
   RunHead& operator=(const RunHead&);
+  RunHead& operator=(RunHead&&) noexcept;
   RunHead() noexcept
           : status(0),
             content_type() {
@@ -777,7 +797,9 @@
  public:
 
   Chunk(const Chunk&);
+  Chunk(Chunk&&) noexcept;
   Chunk& operator=(const Chunk&);
+  Chunk& operator=(Chunk&&) noexcept;
   Chunk() noexcept
         : sequence(0),
           data() {
@@ -827,7 +849,9 @@
  public:
 
   RunEnd(const RunEnd&) noexcept;
+  RunEnd(RunEnd&&) noexcept;
   RunEnd& operator=(const RunEnd&) noexcept;
+  RunEnd& operator=(RunEnd&&) noexcept;
   RunEnd() noexcept
          : chunks(0),
            bytes(0) {
@@ -876,7 +900,9 @@
  public:
 
   VoidAttempt(const VoidAttempt&);
+  VoidAttempt(VoidAttempt&&) noexcept;
   VoidAttempt& operator=(const VoidAttempt&);
+  VoidAttempt& operator=(VoidAttempt&&) noexcept;
   VoidAttempt() noexcept
               : attempt_id() {
   }
@@ -920,7 +946,9 @@
  public:
 
   AttemptState(const AttemptState&) noexcept;
+  AttemptState(AttemptState&&) noexcept;
   AttemptState& operator=(const AttemptState&) noexcept;
+  AttemptState& operator=(AttemptState&&) noexcept;
   AttemptState() noexcept
                : started(0),
                  incarnation(0) {
@@ -974,7 +1002,9 @@
  public:
 
   EnsureModel(const EnsureModel&);
+  EnsureModel(EnsureModel&&) noexcept;
   EnsureModel& operator=(const EnsureModel&);
+  EnsureModel& operator=(EnsureModel&&) noexcept;
   EnsureModel() noexcept
               : service_id(),
                 model(),
@@ -1047,7 +1077,9 @@
  public:
 
   ModelReady(const ModelReady&);
+  ModelReady(ModelReady&&) noexcept;
   ModelReady& operator=(const ModelReady&);
+  ModelReady& operator=(ModelReady&&) noexcept;
   ModelReady() noexcept
              : model(),
                adapter() {
@@ -1101,7 +1133,9 @@
  public:
 
   ReplicaReport(const ReplicaReport&);
+  ReplicaReport(ReplicaReport&&) noexcept;
   ReplicaReport& operator=(const ReplicaReport&);
+  ReplicaReport& operator=(ReplicaReport&&) noexcept;
   ReplicaReport() noexcept
                 : model(),
                   state(static_cast<ReplicaState::type>(0)),
@@ -1173,7 +1207,9 @@
  public:
 
   Subscribe(const Subscribe&) noexcept;
+  Subscribe(Subscribe&&) noexcept;
   Subscribe& operator=(const Subscribe&) noexcept;
+  Subscribe& operator=(Subscribe&&) noexcept;
   Subscribe() noexcept {
   }
 
@@ -1220,7 +1256,9 @@
  public:
 
   EndpointReport(const EndpointReport&);
+  EndpointReport(EndpointReport&&) noexcept;
   EndpointReport& operator=(const EndpointReport&);
+  EndpointReport& operator=(EndpointReport&&) noexcept;
   EndpointReport() noexcept
                  : endpoint(),
                    zone(),
@@ -1328,7 +1366,9 @@
  public:
 
   Drain(const Drain&) noexcept;
+  Drain(Drain&&) noexcept;
   Drain& operator=(const Drain&) noexcept;
+  Drain& operator=(Drain&&) noexcept;
   Drain() noexcept {
   }
 
@@ -1363,7 +1403,9 @@
  public:
 
   DrainState(const DrainState&) noexcept;
+  DrainState(DrainState&&) noexcept;
   DrainState& operator=(const DrainState&) noexcept;
+  DrainState& operator=(DrainState&&) noexcept;
   DrainState() noexcept
              : running(0) {
   }
@@ -1407,7 +1449,9 @@
  public:
 
   ConfigPull(const ConfigPull&);
+  ConfigPull(ConfigPull&&) noexcept;
   ConfigPull& operator=(const ConfigPull&);
+  ConfigPull& operator=(ConfigPull&&) noexcept;
   ConfigPull() noexcept
              : have_version(0) {
   }
@@ -1456,7 +1500,9 @@
  public:
 
   ConfigPart(const ConfigPart&);
+  ConfigPart(ConfigPart&&) noexcept;
   ConfigPart& operator=(const ConfigPart&);
+  ConfigPart& operator=(ConfigPart&&) noexcept;
   ConfigPart() noexcept
              : hash(),
                data() {
@@ -1508,7 +1554,9 @@
  public:
 
   ConfigParts(const ConfigParts&);
+  ConfigParts(ConfigParts&&) noexcept;
   ConfigParts& operator=(const ConfigParts&);
+  ConfigParts& operator=(ConfigParts&&) noexcept;
   ConfigParts() noexcept
               : version(0),
                 plan_id() {
@@ -1588,7 +1636,9 @@
  public:
 
   Message(const Message&);
+  Message(Message&&) noexcept;
   Message& operator=(const Message&);
+  Message& operator=(Message&&) noexcept;
   Message() noexcept {
   }
 
@@ -1782,7 +1832,9 @@
  public:
 
   Frame(const Frame&);
+  Frame(Frame&&) noexcept;
   Frame& operator=(const Frame&);
+  Frame& operator=(Frame&&) noexcept;
   Frame() noexcept
         : call(0),
           from_opener(0),
--- a/scripts/gen.sh
+++ b/scripts/gen.sh
@@ -2,4 +2,4 @@
 # Regenerates gen/ from idl/ with the Thrift compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-thrift --gen cpp:no_skeleton -out gen idl/link.thrift
+thrift --gen cpp:no_skeleton,moveable_types -out gen idl/link.thrift
--- /dev/null
+++ b/src/link/codec.cc
@@ -0,0 +1,62 @@
+/** @file codec.cc Frames as bytes, by Thrift's compact protocol. */
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+#include "core/error_type.h"
+#include "link/codec_func.h"
+
+namespace sapphire::link {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+namespace {
+
+constexpr int kBitsPerByte = 8;
+
+std::string EncodeLength(std::uint32_t length) {
+  std::string bytes(kLengthBytes, '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    const auto shift = kBitsPerByte * (kLengthBytes - 1 - i);
+    bytes[i] = static_cast<char>(length >> shift);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+std::string EncodeFrame(const gen::Frame& frame) {
+  const auto buf = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buf);
+  frame.write(&protocol);
+  const std::string body = buf->getBufferAsString();
+  return EncodeLength(static_cast<std::uint32_t>(body.size())) + body;
+}
+
+gen::Frame DecodeFrame(std::string_view body) {
+  // TMemoryBuffer takes a mutable pointer, but only reads in OBSERVE mode.
+  auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(body.data()));
+  const auto buf = std::make_shared<TMemoryBuffer>(
+      bytes, static_cast<std::uint32_t>(body.size()), TMemoryBuffer::OBSERVE);
+  TCompactProtocol protocol(buf);
+  gen::Frame frame;
+  try {
+    frame.read(&protocol);
+  } catch (const apache::thrift::TException& e) {
+    throw core::Error(core::ErrorCode::kMalformedRequest,
+                      std::string("link frame: ") + e.what());
+  }
+  return frame;
+}
+
+std::uint32_t DecodeLength(std::string_view bytes) {
+  std::uint32_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length = (length << kBitsPerByte) | static_cast<std::uint8_t>(bytes[i]);
+  }
+  return length;
+}
+
+}  // namespace sapphire::link
--- /dev/null
+++ b/src/link/connection.cc
@@ -0,0 +1,308 @@
+/** @file connection.cc One TCP link: frames in, frames out, its calls. */
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "core/task_func.h"
+#include "link/codec_func.h"
+#include "link/connection_base.h"
+
+namespace sapphire::link {
+
+namespace asio = boost::asio;
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Task;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kWriteRecheck{60'000};
+/** Heartbeats and Hello belong to the link itself, not to a call. */
+constexpr CallKey kLinkItself{0, true};
+
+Error LinkLost(const std::string& why) {
+  return Error(ErrorCode::kLinkLost, why);
+}
+
+/** Runs the handler of one accepted call; what it throws is the answer. */
+Task<> RunHandler(std::shared_ptr<NodeContext> context,
+                  std::shared_ptr<CallState> state, gen::Message first) {
+  std::optional<Error> failure;
+  const std::string kind = KindOf(first);
+  // Kept over the handler's own reference, whose end would end the call before
+  // a refusal could be sent.
+  const auto handle = std::make_shared<CallHandle>(state);
+  try {
+    co_await context->handler(handle, std::move(first));
+  } catch (const Error& e) {
+    failure = e;
+  } catch (const std::exception& e) {
+    failure.emplace(ErrorCode::kInternal, e.what());
+  }
+  if (!failure) co_return;
+  context->log.Event(LogLevel::kDebug, LogCategory::kLink, "call_refused",
+                     {{"kind", kind}, {"error", failure->what()}});
+  gen::Message message;
+  message.__set_refusal(ToRefusal(*failure));
+  state->EndWith(std::move(message));
+}
+
+}  // namespace
+
+Connection::Connection(std::shared_ptr<NodeContext> context,
+                       asio::ip::tcp::socket socket)
+    : context_(std::move(context)), socket_(std::move(socket)) {}
+
+Task<> Connection::Start() {
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  last_received_ns_ = context_->clock.Now().time_since_epoch().count();
+  // Writing and listening for silence start first: a peer that never says
+  // hello is closed by the heartbeat loop.
+  const auto strand = socket_.get_executor();
+  asio::co_spawn(strand, WriteLoop(), asio::detached);
+  asio::co_spawn(strand, HeartbeatLoop(), asio::detached);
+  co_await ExchangeHello();
+  asio::co_spawn(strand, ReadLoop(), asio::detached);
+}
+
+Task<> Connection::ExchangeHello() {
+  gen::Message message;
+  message.__set_hello(context_->options.self);
+  Push(kLinkItself, std::move(message));
+  const gen::Frame frame = co_await ReadFrame();
+  if (!frame.message.__isset.hello) {
+    Close(LinkLost("the peer did not say hello"));
+    throw LinkLost("the peer did not say hello");
+  }
+  const gen::Hello& hello = frame.message.hello;
+  const std::lock_guard lock(mutex_);
+  peer_ = PeerInfo{core::VmId(hello.vm), core::ZoneId(hello.zone),
+                   hello.role,           hello.incarnation,
+                   hello.listen_address, frame.config_version};
+}
+
+Task<gen::Frame> Connection::ReadFrame() {
+  std::string length(kLengthBytes, '\0');
+  auto [ec, n] =
+      co_await asio::async_read(socket_, asio::buffer(length), kTuple);
+  std::string body;
+  if (!ec) {
+    const std::uint32_t size = DecodeLength(length);
+    if (size > static_cast<std::uint32_t>(context_->options.max_frame_bytes)) {
+      Close(LinkLost("a frame is over the limit"));
+      throw LinkLost("a frame is over the limit");
+    }
+    body.resize(size);
+    std::tie(ec, n) =
+        co_await asio::async_read(socket_, asio::buffer(body), kTuple);
+  }
+  if (ec) {
+    Close(LinkLost(ec.message()));
+    throw LinkLost(ec.message());
+  }
+  last_received_ns_ = context_->clock.Now().time_since_epoch().count();
+  ++context_->counters.frames_received;
+  context_->counters.bytes_received +=
+      static_cast<std::int64_t>(kLengthBytes + body.size());
+  co_return DecodeFrame(body);
+}
+
+Task<> Connection::ReadLoop() {
+  const auto self = shared_from_this();
+  try {
+    while (!lost_) Receive(co_await ReadFrame());
+  } catch (const Error& e) {
+    Close(LinkLost(e.detail()));
+  }
+}
+
+void Connection::Receive(gen::Frame frame) {
+  NoteVersion(frame.config_version);
+  if (frame.message.__isset.heartbeat || frame.message.__isset.hello) return;
+  Dispatch(CallKey{frame.call, !frame.from_opener}, std::move(frame.message));
+}
+
+void Connection::NoteVersion(std::int64_t version) {
+  {
+    const std::lock_guard lock(mutex_);
+    peer_.config_version = std::max(peer_.config_version, version);
+  }
+  if (version > context_->hooks.current()) {
+    context_->hooks.newer_seen(shared_from_this(), version);
+  }
+}
+
+void Connection::Dispatch(const CallKey& key, gen::Message message) {
+  std::shared_ptr<CallState> state;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto it = calls_.find(key);
+    if (it != calls_.end()) state = it->second;
+  }
+  if (state) {
+    state->Deliver(std::move(message));
+    return;
+  }
+  const bool opens = !key.opened_here && !message.__isset.cancel &&
+                     !message.__isset.credit && !message.__isset.refusal;
+  if (opens) {
+    AcceptCall(key, std::move(message));
+    return;
+  }
+  // Late frames of a call that is over here: the other side had not yet seen
+  // its end. Ids are never used twice on a link, so they can't reach another.
+  if (!message.__isset.cancel) ++context_->counters.frames_dropped;
+}
+
+void Connection::AcceptCall(const CallKey& key, gen::Message first) {
+  {
+    const std::lock_guard lock(mutex_);
+    // A frame of an ended call must not be taken for a new one: the peer
+    // counts its calls up, so an id at or below the newest is an old call.
+    if (key.id <= newest_accepted_) {
+      ++context_->counters.frames_dropped;
+      return;
+    }
+    newest_accepted_ = key.id;
+  }
+  const auto state = std::make_shared<CallState>(key, shared_from_this(),
+                                                 context_->options.window);
+  if (!context_->accept_calls) {
+    gen::Message message;
+    message.__set_refusal(
+        ToRefusal(Error(ErrorCode::kLeaving, "the VM takes no new calls",
+                        std::chrono::milliseconds(1000))));
+    state->EndWith(std::move(message));
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    if (lost_) return;
+    calls_[key] = state;
+  }
+  asio::co_spawn(asio::make_strand(context_->executor),
+                 RunHandler(context_, state, std::move(first)), asio::detached);
+}
+
+Task<> Connection::WriteLoop() {
+  const auto self = shared_from_this();
+  while (!lost_) {
+    const std::uint64_t seen = outgoing_added_.epoch();
+    std::string buf;
+    {
+      const std::lock_guard lock(mutex_);
+      buf.swap(outgoing_);
+    }
+    if (buf.empty()) {
+      co_await outgoing_added_.Wait(seen, kWriteRecheck);
+      continue;
+    }
+    const auto [ec, n] =
+        co_await asio::async_write(socket_, asio::buffer(buf), kTuple);
+    context_->counters.bytes_sent += static_cast<std::int64_t>(n);
+    if (ec) Close(LinkLost(ec.message()));
+  }
+}
+
+Task<> Connection::HeartbeatLoop() {
+  const auto self = shared_from_this();
+  while (!lost_) {
+    co_await core::SleepFor(context_->options.heartbeat_interval);
+    if (lost_) break;
+    if (PeerIsSilent()) {
+      Close(LinkLost("the peer is silent"));
+      break;
+    }
+    SendHeartbeat();
+  }
+}
+
+/** Guard against a peer that is frozen, cut off or gone without a word: TCP
+ * would notice after many minutes. A cut in one direction is noticed by the
+ * side that hears nothing; closing tells the other. */
+bool Connection::PeerIsSilent() const {
+  const core::SteadyTime last(
+      core::SteadyTime::duration(last_received_ns_.load()));
+  return context_->clock.Now() - last > context_->options.dead_after;
+}
+
+void Connection::SendHeartbeat() {
+  gen::Message message;
+  message.__set_heartbeat(gen::Heartbeat());
+  Push(kLinkItself, std::move(message));
+}
+
+void Connection::Push(const CallKey& key, gen::Message message) {
+  gen::Frame frame;
+  frame.call = key.id;
+  frame.from_opener = key.opened_here;
+  frame.config_version = context_->hooks.current();
+  frame.message = std::move(message);
+  const std::string bytes = EncodeFrame(frame);
+  {
+    const std::lock_guard lock(mutex_);
+    if (lost_) return;
+    outgoing_ += bytes;
+  }
+  ++context_->counters.frames_sent;
+  outgoing_added_.Notify();
+}
+
+void Connection::Forget(const CallKey& key) {
+  const std::lock_guard lock(mutex_);
+  calls_.erase(key);
+}
+
+PeerInfo Connection::peer() const {
+  const std::lock_guard lock(mutex_);
+  return peer_;
+}
+
+Task<std::shared_ptr<Call>> Connection::Open(gen::Message first) {
+  // Ids must reach the peer in order: it takes a smaller id than the newest
+  // for a late frame of an ended call.
+  const std::lock_guard opening(open_mutex_);
+  std::shared_ptr<CallState> state;
+  CallKey key;
+  {
+    const std::lock_guard lock(mutex_);
+    if (lost_) throw LinkLost("the link is down");
+    key = CallKey{next_call_++, true};
+    state = std::make_shared<CallState>(key, shared_from_this(),
+                                        context_->options.window);
+    calls_[key] = state;
+  }
+  Push(key, std::move(first));
+  co_return std::make_shared<CallHandle>(state);
+}
+
+void Connection::Close(const Error& why) {
+  if (lost_.exchange(true)) return;
+  std::map<CallKey, std::shared_ptr<CallState>> calls;
+  {
+    const std::lock_guard lock(mutex_);
+    calls.swap(calls_);
+  }
+  ++context_->counters.links_lost;
+  context_->log.Event(LogLevel::kInfo, LogCategory::kLink, "link_lost",
+                      {{"peer", peer().vm}, {"why", why.detail()}});
+  for (const auto& [key, state] : calls) state->Fail(why);
+  outgoing_added_.Notify();
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    boost::system::error_code ignored;
+    self->socket_.close(ignored);
+  });
+}
+
+}  // namespace sapphire::link
--- /dev/null
+++ b/src/link/link_test.cc
@@ -0,0 +1,242 @@
+/** @file link_test.cc Calls between two nodes over real sockets. */
+#define BOOST_TEST_MODULE link
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "core/address_func.h"
+#include "core/task_func.h"
+#include "link/link_base.h"
+
+namespace sapphire::link {
+namespace {
+
+namespace asio = boost::asio;
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLong{10'000};
+
+gen::Message ChunkMessage(std::int64_t sequence) {
+  gen::Chunk chunk;
+  chunk.sequence = sequence;
+  chunk.data = "data " + std::to_string(sequence);
+  gen::Message message;
+  message.__set_chunk(chunk);
+  return message;
+}
+
+gen::Message RunMessage(const std::string& path, std::int64_t count = 0) {
+  gen::Run run;
+  run.path = path;
+  run.remaining_ms = count;
+  gen::Message message;
+  message.__set_run(run);
+  return message;
+}
+
+/** Answers by path: "stream" sends that many chunks, "refuse" refuses,
+ * "wait" waits until the call is cancelled. */
+struct Server {
+  std::atomic<int> cancelled{0};
+  std::atomic<int> started{0};
+
+  Task<> Handle(std::shared_ptr<Call> call, gen::Message first) {
+    ++started;
+    const std::string path = first.run.path;
+    if (path == "refuse") {
+      throw Error(ErrorCode::kQueueFull, "full", milliseconds(700));
+    }
+    if (path == "wait") {
+      try {
+        co_await call->Receive(kLong);
+      } catch (const Error& e) {
+        if (e.code() != ErrorCode::kTimedOut) ++cancelled;
+      }
+      co_return;
+    }
+    for (std::int64_t i = 0; i < first.run.remaining_ms; ++i) {
+      co_await call->Send(ChunkMessage(i));
+    }
+  }
+};
+
+struct Fixture {
+  Fixture()
+      : work(asio::make_work_guard(io)),
+        log({"test", core::VmId("t"), core::ZoneId("z")},
+            core::LogLevel::kError, clock),
+        far(
+            io.get_executor(), Options("far"),
+            [this](std::shared_ptr<Call> call, gen::Message first) {
+              return server.Handle(std::move(call), std::move(first));
+            },
+            VersionHooks{[this] { return far_version.load(); },
+                         [](const std::shared_ptr<Link>&, std::int64_t) {}},
+            clock, log),
+        near(
+            io.get_executor(), Options("near"),
+            [](std::shared_ptr<Call>, gen::Message) -> Task<> { co_return; },
+            VersionHooks{[] { return std::int64_t{1}; },
+                         [this](const std::shared_ptr<Link>&,
+                                std::int64_t version) { seen = version; }},
+            clock, log) {
+    address = far.Listen("127.0.0.1:0");
+    for (auto& thread : threads) thread = std::thread([this] { io.run(); });
+  }
+  ~Fixture() {
+    near.Close();
+    far.Close();
+    work.reset();
+    io.stop();
+    for (auto& thread : threads) thread.join();
+  }
+
+  static LinkOptions Options(const std::string& vm) {
+    LinkOptions options;
+    options.self.vm = vm;
+    options.heartbeat_interval = milliseconds(20);
+    options.dead_after = milliseconds(300);
+    return options;
+  }
+
+  template <typename T>
+  T Run(Task<T> task) {
+    return asio::co_spawn(asio::make_strand(io), std::move(task),
+                          asio::use_future)
+        .get();
+  }
+
+  /** Waits, for a long time if need be, until something becomes true. */
+  template <typename Condition>
+  bool Eventually(Condition condition) {
+    for (int i = 0; i < 2000; ++i) {
+      if (condition()) return true;
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+  }
+
+  /** Reads `count` chunks of a call; counts those out of order. */
+  Task<int> ReadStream(std::string to, std::int64_t count) {
+    const auto call = co_await near.Open(to, RunMessage("stream", count));
+    int wrong = 0;
+    for (std::int64_t i = 0; i < count; ++i) {
+      const gen::Message message = co_await call->Receive(kLong);
+      if (message.chunk.sequence != i) ++wrong;
+    }
+    co_return wrong;
+  }
+
+  Task<ErrorCode> FailureOf(std::string path, milliseconds timeout) {
+    try {
+      const auto call = co_await near.Open(address, RunMessage(path));
+      co_await call->Receive(timeout);
+    } catch (const Error& e) {
+      co_return e.code();
+    }
+    co_return ErrorCode::kInternal;
+  }
+
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  core::SystemClock clock;
+  core::Logger log;
+  Server server;
+  std::atomic<std::int64_t> far_version{1};
+  std::atomic<std::int64_t> seen{0};
+  LinkNode far;
+  LinkNode near;
+  std::string address;
+  std::array<std::thread, 3> threads;
+};
+
+BOOST_FIXTURE_TEST_CASE(ManyStreamsLongerThanTheWindow, Fixture) {
+  constexpr int kStreams = 40;
+  constexpr std::int64_t kChunks = 500;
+  std::vector<std::future<int>> results;
+  results.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    results.push_back(asio::co_spawn(
+        asio::make_strand(io), ReadStream(address, kChunks), asio::use_future));
+  }
+  for (auto& result : results) BOOST_TEST(result.get() == 0);
+  BOOST_TEST(near.Peers().size() == 1U);
+  BOOST_TEST(near.Peers()[0].vm.value() == "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusalArrivesAsItsError, Fixture) {
+  try {
+    Run([](Fixture& f) -> Task<> {
+      const auto call = co_await f.near.Open(f.address, RunMessage("refuse"));
+      co_await call->Receive(kLong);
+    }(*this));
+    BOOST_FAIL("not refused");
+  } catch (const Error& e) {
+    BOOST_TEST((e.code() == ErrorCode::kQueueFull));
+    BOOST_TEST((e.outcome() == core::Outcome::kNotRun));
+    BOOST_TEST((*e.retry_after() == milliseconds(700)));
+  }
+}
+
+// A caller gives up while its request runs. The far side must learn it at
+// once, or engines would go on for callers that have left.
+BOOST_FIXTURE_TEST_CASE(DroppingACallCancelsIt, Fixture) {
+  BOOST_TEST(
+      (Run(FailureOf("wait", milliseconds(10))) == ErrorCode::kTimedOut));
+  BOOST_TEST(Eventually([this] { return server.cancelled == 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(NewerVersionIsSeenWithoutCalls, Fixture) {
+  Run(ReadStream(address, 1));
+  far_version = 7;
+  far.AnnounceVersion();
+  BOOST_TEST(Eventually([this] { return seen == 7; }));
+}
+
+// The VM at the far side freezes: its sockets stay open, but it says nothing.
+// Without heartbeats the caller would wait until its deadline; with them the
+// call fails as soon as the link counts as dead.
+BOOST_FIXTURE_TEST_CASE(SilentPeerFailsItsCalls, Fixture) {
+  asio::ip::tcp::acceptor frozen(io);
+  core::ListenOn(frozen, "127.0.0.1:0");
+  address = core::AddressText(frozen);
+  BOOST_TEST((Run(FailureOf("wait", kLong)) == ErrorCode::kLinkLost));
+}
+
+BOOST_FIXTURE_TEST_CASE(ClosingFailsCallsInProgress, Fixture) {
+  auto result = asio::co_spawn(asio::make_strand(io), FailureOf("wait", kLong),
+                               asio::use_future);
+  BOOST_TEST(Eventually([this] { return server.started == 1; }));
+  far.Close();
+  BOOST_TEST((result.get() == ErrorCode::kLinkLost));
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavingNodeRefusesNewCalls, Fixture) {
+  Run(ReadStream(address, 1));
+  far.StopAccepting();
+  BOOST_TEST((Run(FailureOf("stream", kLong)) == ErrorCode::kLeaving));
+}
+
+// Something that is no peer connects and sends rubbish, or a length of 4 GB.
+// It is closed; the node goes on.
+BOOST_FIXTURE_TEST_CASE(RubbishClosesOnlyItsOwnLink, Fixture) {
+  for (const std::string& bytes :
+       {std::string("\xff\xff\xff\xff"), std::string("\0\0\0\4abcd", 8)}) {
+    asio::io_context own;
+    asio::ip::tcp::socket socket(own);
+    socket.connect(core::ParseAddress(address));
+    asio::write(socket, asio::buffer(bytes));
+    BOOST_TEST(Run(ReadStream(address, 3)) == 0);
+  }
+}
+
+}  // namespace
+}  // namespace sapphire::link
--- /dev/null
+++ b/src/link/link_type.cc
@@ -0,0 +1,66 @@
+/** @file link_type.cc Refusals as errors, and names of messages. */
+#include "link/link_type.h"
+
+#include <array>
+#include <string_view>
+
+namespace sapphire::link {
+
+gen::Refusal ToRefusal(const core::Error& error) {
+  gen::Refusal refusal;
+  refusal.code = core::InfoOf(error.code()).name;
+  refusal.detail = error.detail();
+  refusal.retry_after_ms =
+      error.retry_after() ? error.retry_after()->count() : -1;
+  refusal.not_run = error.outcome() == core::Outcome::kNotRun;
+  return refusal;
+}
+
+core::Error FromRefusal(const gen::Refusal& refusal) {
+  std::optional<std::chrono::milliseconds> retry_after;
+  if (refusal.retry_after_ms >= 0) {
+    retry_after = std::chrono::milliseconds(refusal.retry_after_ms);
+  }
+  const core::Error error(core::CodeNamed(refusal.code), refusal.detail,
+                          retry_after);
+  return error.WithOutcome(refusal.not_run ? core::Outcome::kNotRun
+                                           : core::Outcome::kUnknown);
+}
+
+std::string KindOf(const gen::Message& message) {
+  const auto& set = message.__isset;
+  struct Row {
+    bool is_set;
+    std::string_view name;
+  };
+  const std::array rows = {
+      Row{set.hello, "hello"},
+      Row{set.heartbeat, "heartbeat"},
+      Row{set.credit, "credit"},
+      Row{set.cancel, "cancel"},
+      Row{set.refusal, "refusal"},
+      Row{set.place, "place"},
+      Row{set.placed, "placed"},
+      Row{set.place_done, "place_done"},
+      Row{set.run, "run"},
+      Row{set.run_head, "run_head"},
+      Row{set.chunk, "chunk"},
+      Row{set.run_end, "run_end"},
+      Row{set.void_attempt, "void_attempt"},
+      Row{set.attempt_state, "attempt_state"},
+      Row{set.ensure_model, "ensure_model"},
+      Row{set.model_ready, "model_ready"},
+      Row{set.subscribe, "subscribe"},
+      Row{set.endpoint_report, "endpoint_report"},
+      Row{set.drain, "drain"},
+      Row{set.drain_state, "drain_state"},
+      Row{set.config_pull, "config_pull"},
+      Row{set.config_parts, "config_parts"},
+  };
+  for (const Row& row : rows) {
+    if (row.is_set) return std::string(row.name);
+  }
+  return "empty";
+}
+
+}  // namespace sapphire::link
--- /dev/null
+++ b/src/link/node.cc
@@ -0,0 +1,205 @@
+/** @file node.cc All links of one process. */
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <set>
+#include <utility>
+
+#include "core/address_func.h"
+#include "core/task_func.h"
+#include "link/connection_base.h"
+
+namespace sapphire::link {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kAcceptPause{10};
+
+}  // namespace
+
+struct LinkNode::State : std::enable_shared_from_this<State> {
+  State(const core::Executor& executor, LinkOptions options,
+        CallHandler handler, VersionHooks hooks, const core::Clock& clock,
+        const core::Logger& log)
+      : context(std::make_shared<NodeContext>(executor, std::move(options),
+                                              std::move(handler),
+                                              std::move(hooks), clock, log)),
+        accept_strand(asio::make_strand(executor)),
+        acceptor(accept_strand) {}
+
+  Task<> AcceptLoop();
+  Task<> Welcome(std::shared_ptr<Connection> connection);
+  Task<std::shared_ptr<Connection>> Dial(std::string address);
+  Task<std::shared_ptr<Connection>> DialOnStrand(
+      asio::strand<core::Executor> strand, std::string address);
+  /** @return The link to `address` that is up, if any. */
+  std::shared_ptr<Connection> Existing(const std::string& address);
+  /** Remembers a link and forgets those that are lost. */
+  void Keep(const std::shared_ptr<Connection>& connection);
+  [[nodiscard]] std::vector<std::shared_ptr<Connection>> All() const;
+
+  const std::shared_ptr<NodeContext> context;
+  asio::strand<core::Executor> accept_strand;
+  tcp::acceptor acceptor;
+  std::atomic<bool> closed{false};
+  mutable std::mutex mutex;
+  std::map<std::string, std::shared_ptr<Connection>> dialed;
+  std::set<std::shared_ptr<Connection>> all;
+};
+
+Task<> LinkNode::State::AcceptLoop() {
+  const auto self = shared_from_this();
+  while (!closed) {
+    tcp::socket socket(asio::make_strand(context->executor));
+    const auto [ec] = co_await acceptor.async_accept(socket, kTuple);
+    if (!acceptor.is_open()) break;
+    if (ec) {
+      co_await core::SleepFor(kAcceptPause);
+      continue;
+    }
+    const auto strand = socket.get_executor();
+    asio::co_spawn(
+        strand,
+        Welcome(std::make_shared<Connection>(context, std::move(socket))),
+        asio::detached);
+  }
+}
+
+Task<> LinkNode::State::Welcome(std::shared_ptr<Connection> connection) {
+  const auto self = shared_from_this();
+  try {
+    co_await connection->Start();
+    Keep(connection);
+  } catch (const Error& e) {
+    context->log.Event(core::LogLevel::kDebug, core::LogCategory::kLink,
+                       "link_refused", {{"error", e.what()}});
+  }
+}
+
+std::shared_ptr<Connection> LinkNode::State::Existing(
+    const std::string& address) {
+  const std::lock_guard lock(mutex);
+  const auto it = dialed.find(address);
+  if (it == dialed.end() || it->second->lost()) return nullptr;
+  return it->second;
+}
+
+void LinkNode::State::Keep(const std::shared_ptr<Connection>& connection) {
+  const std::lock_guard lock(mutex);
+  std::erase_if(all, [](const auto& it) { return it->lost(); });
+  all.insert(connection);
+}
+
+std::vector<std::shared_ptr<Connection>> LinkNode::State::All() const {
+  const std::lock_guard lock(mutex);
+  return {all.begin(), all.end()};
+}
+
+/** Connects on the socket's own strand: a timer elsewhere would cancel the
+ * socket from a second thread. */
+Task<std::shared_ptr<Connection>> LinkNode::State::Dial(std::string address) {
+  const auto strand = asio::make_strand(context->executor);
+  co_return co_await asio::co_spawn(
+      strand, DialOnStrand(strand, std::move(address)), asio::use_awaitable);
+}
+
+Task<std::shared_ptr<Connection>> LinkNode::State::DialOnStrand(
+    asio::strand<core::Executor> strand, std::string address) {
+  const auto self = shared_from_this();
+  boost::beast::tcp_stream stream(strand);
+  stream.expires_after(context->options.connect_timeout);
+  const auto [ec] =
+      co_await stream.async_connect(core::ParseAddress(address), kTuple);
+  if (ec) throw Error(ErrorCode::kLinkLost, address + ": " + ec.message());
+  stream.expires_never();
+  auto connection =
+      std::make_shared<Connection>(context, stream.release_socket());
+  co_await connection->Start();
+  co_return connection;
+}
+
+LinkNode::LinkNode(const core::Executor& executor, LinkOptions options,
+                   CallHandler handler, VersionHooks hooks,
+                   const core::Clock& clock, const core::Logger& log)
+    : state_(std::make_shared<State>(executor, std::move(options),
+                                     std::move(handler), std::move(hooks),
+                                     clock, log)) {}
+
+LinkNode::~LinkNode() { Close(); }
+
+std::string LinkNode::Listen(const std::string& address) {
+  core::ListenOn(state_->acceptor, address);
+  std::string bound = core::AddressText(state_->acceptor);
+  state_->context->options.self.listen_address = bound;
+  asio::co_spawn(state_->accept_strand, state_->AcceptLoop(), asio::detached);
+  return bound;
+}
+
+Task<std::shared_ptr<Call>> LinkNode::Open(const std::string& address,
+                                           gen::Message first) {
+  const auto state = state_;
+  if (state->closed) throw Error(ErrorCode::kLinkLost, "this process ends");
+  auto connection = state->Existing(address);
+  if (!connection) {
+    auto fresh = co_await state->Dial(address);
+    connection = state->Existing(address);
+    // Two coroutines may have dialled at once: the first one's link is used.
+    if (connection) {
+      fresh->Close(Error(ErrorCode::kLinkLost, "a second link"));
+    } else {
+      connection = fresh;
+      state->Keep(connection);
+      const std::lock_guard lock(state->mutex);
+      state->dialed[address] = connection;
+    }
+  }
+  co_return co_await connection->Open(std::move(first));
+}
+
+std::vector<PeerInfo> LinkNode::Peers() const {
+  std::vector<PeerInfo> peers;
+  for (const auto& connection : state_->All()) {
+    if (!connection->lost()) peers.push_back(connection->peer());
+  }
+  return peers;
+}
+
+LinkCounters LinkNode::counters() const {
+  const AtomicCounters& from = state_->context->counters;
+  return LinkCounters{from.frames_sent,    from.frames_received,
+                      from.bytes_sent,     from.bytes_received,
+                      from.frames_dropped, from.links_lost};
+}
+
+void LinkNode::AnnounceVersion() {
+  for (const auto& connection : state_->All()) connection->SendHeartbeat();
+}
+
+void LinkNode::StopAccepting() {
+  state_->context->accept_calls = false;
+  asio::post(state_->accept_strand, [state = state_] {
+    boost::system::error_code ignored;
+    state->acceptor.close(ignored);
+  });
+}
+
+void LinkNode::Close() {
+  if (state_->closed.exchange(true)) return;
+  StopAccepting();
+  for (const auto& connection : state_->All()) {
+    connection->Close(Error(ErrorCode::kLinkLost, "this process ends"));
+  }
+}
+
+}  // namespace sapphire::link
