--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -1,5 +1,6 @@
 /** @file admission.cc Queue order, owners' shares, retry budgets. */
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 
@@ -11,26 +12,72 @@
 
 constexpr double kSmallestShare = 1e-6;
 
-/** @return How much of its share an owner uses: smaller goes first. */
-double UseOf(const core::OwnerId& owner,
-             const std::map<core::OwnerId, OwnerUse>& owners) {
-  const auto it = owners.find(owner);
-  if (it == owners.end()) return 0;
-  return it->second.running / std::max(it->second.share, kSmallestShare);
+/** Use and share of the owners that run or wait right now. */
+struct ActiveOwners {
+  std::map<core::OwnerId, OwnerUse> use;
+  double running = 0;
+  double shares = 0;
+};
+
+double ShareOf(const OwnerUse& use) {
+  return std::max(use.share, kSmallestShare);
+}
+
+ActiveOwners ActiveAmong(std::span<const QueuedRequest> queue,
+                         const std::map<core::OwnerId, OwnerUse>& owners) {
+  ActiveOwners active;
+  for (const QueuedRequest& request : queue) active.use[request.owner];
+  for (const auto& [owner, use] : owners) {
+    const bool waits = active.use.contains(owner);
+    if (waits || use.running > 0) active.use[owner] = use;
+  }
+  for (const auto& [owner, use] : active.use) {
+    active.running += use.running;
+    active.shares += ShareOf(use);
+  }
+  return active;
+}
+
+/** @return True if one more request takes the owner over its share. */
+bool IsOverShare(const OwnerUse& use, const ActiveOwners& active) {
+  const double fair = (active.running + 1) * ShareOf(use) / active.shares;
+  return use.running + 1 > std::ceil(fair);
 }
 
 }  // namespace
 
 std::size_t PickNext(std::span<const QueuedRequest> queue,
                      const std::map<core::OwnerId, OwnerUse>& owners) {
+  const ActiveOwners active = ActiveAmong(queue, owners);
   const auto rank = [&](const QueuedRequest& request) {
-    return std::make_tuple(-request.priority, UseOf(request.owner, owners),
-                           request.deadline, request.arrived);
+    const OwnerUse& use = active.use.at(request.owner);
+    return std::make_tuple(IsOverShare(use, active), -request.priority,
+                           use.running / ShareOf(use), request.deadline,
+                           request.arrived);
   };
   const auto first = std::ranges::min_element(queue, std::ranges::less{}, rank);
   return static_cast<std::size_t>(first - queue.begin());
 }
 
+std::optional<core::ErrorCode> RefuseAtQueue(
+    const QueueUse& use, const core::OwnerId& owner,
+    const std::map<core::OwnerId, OwnerUse>& owners) {
+  int total = 0;
+  for (const auto& [name, waiting] : use.waiting) total += waiting;
+  if (total >= use.max_queue) return core::ErrorCode::kQueueFull;
+  if (total < use.max_queue / 2) return std::nullopt;
+  double shares = 0;
+  for (const auto& [name, entry] : owners) shares += ShareOf(entry);
+  const auto own = owners.find(owner);
+  const double share = own == owners.end() ? 1.0 : ShareOf(own->second);
+  if (own == owners.end()) shares += share;
+  const auto waiting = use.waiting.find(owner);
+  const int held = waiting == use.waiting.end() ? 0 : waiting->second;
+  const double place = use.max_queue / 2.0 * share / shares;
+  if (held + 1 <= place) return std::nullopt;
+  return core::ErrorCode::kOverShare;
+}
+
 void RecordFirstTry(RetryBudget& budget) {
   budget.tokens = std::min(budget.max_tokens, budget.tokens + budget.ratio);
 }
--- a/src/policy/admission_func.h
+++ b/src/policy/admission_func.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
 #include "core/clock_base.h"
+#include "core/error_type.h"
 #include "core/id_type.h"
 
 namespace sapphire::policy {
@@ -31,13 +33,31 @@
 };
 
 /**
- * @return The index of the request to serve next: highest priority, then the
- *   owner furthest below its share, then earliest deadline.
+ * @return The index of the request to serve next: owners within their share
+ *   before those over it, then highest priority, then the owner furthest below
+ *   its share, then earliest deadline. Shares are counted among the owners that
+ *   run or wait, so unused capacity is lent; priority never lets one owner
+ *   starve another.
  * @pre `queue` is not empty.
  */
 std::size_t PickNext(std::span<const QueuedRequest> queue,
                      const std::map<core::OwnerId, OwnerUse>& owners);
 
+/** Requests that wait for one model, and how many may. */
+struct QueueUse {
+  int max_queue = 512;
+  std::map<core::OwnerId, int> waiting;
+};
+
+/**
+ * Decides whether one more request of `owner` may wait. Up to half of the queue
+ * is open to all; in the other half each owner has a place for its share.
+ * @return Why it is refused, or nothing.
+ */
+std::optional<core::ErrorCode> RefuseAtQueue(
+    const QueueUse& use, const core::OwnerId& owner,
+    const std::map<core::OwnerId, OwnerUse>& owners);
+
 /** Retries allowed as a fraction of first tries, so that a failing fleet is
  * not buried under its own retries. */
 struct RetryBudget {
--- a/src/policy/keep_alive.cc
+++ b/src/policy/keep_alive.cc
@@ -10,63 +10,129 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Buckets per second of the first bound: bucket 0 ends at 1/16 s. */
+/** Upper bound of bucket 0, in seconds. */
 constexpr double kFirstBound = 1.0 / 16;
-/** Gaps this short fall within a burst: the replica is busy, not idle. */
-constexpr Seconds kBurstGap{1.0};
+/** Arrivals this close to the first of a group would have waited with it. */
+constexpr Seconds kGroupSpan{4.0};
 /** What a gap still counts after the next one. */
-constexpr double kDecay = 0.95;
-/** Weight of the prior: one gap of unknown length, spread over all buckets. */
+constexpr double kDecay = 0.97;
+/** The prior stands for this many gaps of unknown length, ... */
 constexpr double kPriorGaps = 1.0;
+/** ... spread evenly over the buckets from this one (2 s) up. */
+constexpr std::size_t kPriorFirstBucket = 5;
 /** Mean position of a gap within its bucket, as part of the upper bound. */
 constexpr double kMeanInBucket = 0.75;
 
-Seconds UpperBound(std::size_t bucket) {
-  return Seconds(kFirstBound * std::exp2(static_cast<double>(bucket)));
+double UpperBound(std::size_t bucket) {
+  return kFirstBound * std::exp2(static_cast<double>(bucket));
 }
 
 std::size_t BucketOf(Seconds gap) {
   std::size_t bucket = 0;
-  while (bucket + 1 < ArrivalHistory::kBuckets && UpperBound(bucket) < gap) {
+  while (bucket + 1 < ArrivalHistory::kBuckets &&
+         UpperBound(bucket) < gap.count()) {
     ++bucket;
   }
   return bucket;
 }
 
+double PriorGapsIn(std::size_t bucket) {
+  if (bucket < kPriorFirstBucket) return 0;
+  return kPriorGaps / (ArrivalHistory::kBuckets - kPriorFirstBucket);
+}
+
+/** Counts of gaps and of callers after them, prior included. */
+double GapsIn(const ArrivalHistory& history, std::size_t bucket) {
+  return history.gaps[bucket] + PriorGapsIn(bucket);
+}
+
+double CallersIn(const ArrivalHistory& history, std::size_t bucket) {
+  return history.callers[bucket] + PriorGapsIn(bucket);
+}
+
+void StartGroup(ArrivalHistory& history, Seconds gap, core::SteadyTime now) {
+  for (double& count : history.gaps) count *= kDecay;
+  for (double& count : history.callers) count *= kDecay;
+  history.total = history.total * kDecay + 1;
+  history.group_start = now;
+  history.group_bucket = BucketOf(gap);
+  history.gaps[history.group_bucket] += 1;
+}
+
 }  // namespace
 
 void RecordArrival(ArrivalHistory& history, core::SteadyTime now) {
   const auto last = history.last_arrival;
   history.last_arrival = now;
   if (!last.has_value()) return;
-  const Seconds gap = now - *last;
-  if (gap < kBurstGap) return;
-  for (double& count : history.gaps) count *= kDecay;
-  history.gaps[BucketOf(gap)] += 1;
-  history.total = history.total * kDecay + 1;
+  const bool in_group = now - history.group_start.value_or(*last) < kGroupSpan;
+  if (!in_group) StartGroup(history, now - *last, now);
+  // Arrivals of the very first group have no gap before them to count for.
+  if (history.group_start.has_value()) {
+    history.callers[history.group_bucket] += 1;
+  }
 }
 
 std::chrono::milliseconds KeepAliveTime(const ArrivalHistory& history,
                                         const CostWeights& weights,
                                         std::chrono::milliseconds load_time) {
   const double cold_cost = weights.cold_start * Seconds(load_time).count();
-  const double prior = kPriorGaps / ArrivalHistory::kBuckets;
-  double missed = history.total + kPriorGaps;
+  double later_gaps = 0;
+  double later_callers = 0;
+  for (std::size_t i = 0; i < ArrivalHistory::kBuckets; ++i) {
+    later_gaps += GapsIn(history, i);
+    later_callers += CallersIn(history, i);
+  }
   double held = 0;
-  double best_cost = missed * cold_cost;
-  Seconds best{0};
+  double best_cost = later_callers * cold_cost;
+  double best = 0;
   for (std::size_t i = 0; i < ArrivalHistory::kBuckets; ++i) {
-    const double count = history.gaps[i] + prior;
-    const double bound = UpperBound(i).count();
-    missed -= count;
-    held += count * bound * kMeanInBucket;
-    const double idle = held + std::max(missed, 0.0) * bound;
-    const double cost = missed * cold_cost + weights.idle * idle;
+    later_gaps -= GapsIn(history, i);
+    later_callers -= CallersIn(history, i);
+    held += GapsIn(history, i) * UpperBound(i) * kMeanInBucket;
+    const double idle = held + std::max(later_gaps, 0.0) * UpperBound(i);
+    const double cost = later_callers * cold_cost + weights.idle * idle;
     if (cost >= best_cost) continue;
     best_cost = cost;
-    best = Seconds(bound);
+    best = UpperBound(i);
   }
-  return std::chrono::duration_cast<std::chrono::milliseconds>(best);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Seconds(best));
+}
+
+double ReloadCost(const ArrivalHistory& history, const CostWeights& weights,
+                  std::chrono::milliseconds load_time,
+                  std::chrono::milliseconds idle,
+                  std::chrono::milliseconds horizon) {
+  const double from = Seconds(idle).count();
+  const double until = Seconds(idle + horizon).count();
+  double open = 0;
+  double callers = 0;
+  for (std::size_t i = 0; i < ArrivalHistory::kBuckets; ++i) {
+    const double high = UpperBound(i);
+    const double low = i == 0 ? 0 : UpperBound(i - 1);
+    if (high <= from) continue;
+    const double part = (high - std::max(low, from)) / (high - low);
+    open += GapsIn(history, i) * part;
+    if (until <= low) continue;
+    const double within = std::min(high, until) - std::max(low, from);
+    callers += CallersIn(history, i) * within / (high - low);
+  }
+  if (open <= 0) return 0;
+  return callers / open * weights.cold_start * Seconds(load_time).count();
+}
+
+std::vector<std::size_t> ReplicasToUnload(std::span<const HeldReplica> held) {
+  const bool kept = std::ranges::any_of(held, [](const HeldReplica& it) {
+    return it.running > 0 || it.idle < it.keep_alive;
+  });
+  std::vector<std::size_t> unload;
+  for (std::size_t i = 0; !kept && i < held.size(); ++i) unload.push_back(i);
+  return unload;
+}
+
+CostWeights SharedWeights(const CostWeights& weights, std::size_t replicas) {
+  const auto sharers = static_cast<double>(std::max<std::size_t>(replicas, 1));
+  return {.cold_start = weights.cold_start, .idle = weights.idle / sharers};
 }
 
 }  // namespace sapphire::policy
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -1,31 +1,35 @@
 /** @file placement.cc Where a request runs, waits or loads its model. */
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 #include "core/random_func.h"
+#include "policy/eviction_func.h"
 #include "policy/placement_func.h"
+#include "policy/queue_wait_func.h"
 
 namespace sapphire::policy {
 
 namespace {
 
-/** Longest wait that is worked out. */
-constexpr Millis kHorizon = std::chrono::hours(1);
 /** Hint to callers when only an unload elsewhere can help. */
 constexpr Millis kNoCapacityRetry{2000};
+/** What loading in another zone than the caller's is worth avoiding. */
+constexpr double kOtherZoneMillis = 2;
+/** What waking an accelerator that holds nothing is worth avoiding. */
+constexpr double kEmptyMillis = 4000;
+/** The same for one that holds models but runs nothing. */
+constexpr double kIdleMillis = 1000;
+/** What one unit of EvictionCost is worth avoiding. */
+constexpr double kEvictionMillis = 20;
+/** A second replica has to save this part of its load time. */
+constexpr double kSecondReplicaGain = 0.5;
 
 bool Usable(const EndpointView& endpoint, const PlacementRequest& request) {
   return endpoint.engine_up && !endpoint.leaving &&
+         (!endpoint.reserved_for_suspect || request.alone) &&
          !request.avoid.contains(endpoint.id);
 }
 
-bool Serves(const ReplicaView& replica, const PlacementRequest& request) {
-  return replica.model == request.model &&
-         (replica.state == ReplicaState::kReady ||
-          replica.state == ReplicaState::kLoading);
-}
-
 bool HasAdapter(const ReplicaView& replica, const PlacementRequest& request) {
   return request.adapter.empty() || replica.adapters.contains(request.adapter);
 }
@@ -34,125 +38,198 @@
   return endpoint.memory_bytes - endpoint.reserved_bytes;
 }
 
-bool CanRunNow(const EndpointView& endpoint, const ReplicaView& replica,
-               const PlacementRequest& request) {
-  if (replica.model != request.model) return false;
-  if (replica.state != ReplicaState::kReady) return false;
-  if (replica.running >= request.max_concurrent) return false;
-  return HasAdapter(replica, request) ||
-         FreeBytes(endpoint) >= request.adapter_bytes;
+int RunningAt(const EndpointView& endpoint) {
+  int running = 0;
+  for (const ReplicaView& replica : endpoint.replicas) {
+    running += replica.running;
+  }
+  return running;
+}
+
+bool HasSlot(const EndpointView& endpoint, const ReplicaView& replica,
+             const PlacementRequest& request) {
+  const int running = RunningAt(endpoint);
+  if (request.alone && running > 0) return false;
+  if (endpoint.max_running > 0 && running >= endpoint.max_running) return false;
+  return replica.state == ReplicaState::kReady &&
+         replica.running < request.max_concurrent;
 }
 
-/** The best replica to run on now, if there is one. */
-struct RunChoice {
+/** A replica of the model at an endpoint that may be used. */
+struct Site {
   const EndpointView* endpoint = nullptr;
-  /** No adapter, no cached prefix, other zone, requests running. */
-  std::tuple<bool, bool, bool, int> rank;
+  const ReplicaView* replica = nullptr;
 };
 
-RunChoice ChooseRun(const PlacementRequest& request,
-                    std::span<const EndpointView> endpoints) {
-  RunChoice best;
+/** What one pass over the fleet finds out about the model. */
+struct Survey {
+  std::vector<Site> sites;
+  /** Replicas that count against the model's limit, usable or not. */
+  int held = 0;
+  bool any_usable = false;
+};
+
+Survey SurveyFleet(const PlacementRequest& request,
+                   std::span<const EndpointView> endpoints) {
+  Survey survey;
   for (const EndpointView& endpoint : endpoints) {
-    if (!Usable(endpoint, request)) continue;
+    const bool usable = Usable(endpoint, request);
+    survey.any_usable = survey.any_usable || usable;
     for (const ReplicaView& replica : endpoint.replicas) {
-      if (!CanRunNow(endpoint, replica, request)) continue;
-      const auto rank =
-          std::make_tuple(!HasAdapter(replica, request),
-                          !replica.prefixes.contains(request.prefix_hash),
-                          endpoint.zone != request.zone, replica.running);
-      if (best.endpoint != nullptr && rank >= best.rank) continue;
-      best = {&endpoint, rank};
+      if (replica.model != request.model) continue;
+      ++survey.held;
+      const bool serves = replica.state == ReplicaState::kReady ||
+                          replica.state == ReplicaState::kLoading;
+      if (usable && serves) survey.sites.push_back({&endpoint, &replica});
     }
   }
-  return best;
+  return survey;
 }
 
-/** How many queued requests one replica has started `wait` from now. */
-std::int64_t StartsBy(const ReplicaView& replica,
-                      const PlacementRequest& request, Millis wait) {
-  const std::int64_t service =
-      std::max<std::int64_t>(1, request.service_time.count());
-  const std::int64_t slots = request.max_concurrent;
-  if (replica.state == ReplicaState::kReady) {
-    return slots * wait.count() / service;
-  }
-  const Millis after = wait - replica.ready_in;
-  return after < Millis(0) ? 0 : slots * (1 + after.count() / service);
-}
-
-/** @return The wait until the last of the queue starts; kHorizon if never. */
-Millis QueueWait(const PlacementRequest& request,
-                 std::span<const ReplicaView* const> replicas) {
-  Millis low{0};
-  Millis high = kHorizon;
-  while (low < high) {
-    const Millis middle = (low + high) / 2;
-    std::int64_t starts = 0;
-    for (const ReplicaView* replica : replicas) {
-      starts += StartsBy(*replica, request, middle);
-    }
-    if (starts > request.waiting_ahead) {
-      high = middle;
-    } else {
-      low = middle + Millis(1);
-    }
-  }
-  return low;
+/** Smaller is better: adapter missing, prefix missing, other zone, load. */
+auto RunRank(const Site& site, const PlacementRequest& request) {
+  const bool no_prefix = request.prefix_hash != 0 &&
+                         !site.replica->prefixes.contains(request.prefix_hash);
+  return std::make_tuple(!HasAdapter(*site.replica, request), no_prefix,
+                         site.endpoint->zone != request.zone,
+                         site.replica->running, site.endpoint->id);
 }
 
-/** Idle models to unload so that `needed` bytes are free; longest idle first.
- */
-std::optional<std::vector<core::ModelId>> ChooseEvictions(
-    const EndpointView& endpoint, std::int64_t needed) {
-  std::vector<const ReplicaView*> idle;
-  for (const ReplicaView& replica : endpoint.replicas) {
-    if (replica.state == ReplicaState::kReady && replica.running == 0) {
-      idle.push_back(&replica);
+/** @return The best site with a free slot and room for the adapter, if any. */
+const Site* ChooseRun(const PlacementRequest& request, const Survey& survey) {
+  const Site* best = nullptr;
+  for (const Site& site : survey.sites) {
+    if (!HasSlot(*site.endpoint, *site.replica, request)) continue;
+    if (!HasAdapter(*site.replica, request) &&
+        FreeBytes(*site.endpoint) < request.adapter_bytes) {
+      continue;
+    }
+    if (best == nullptr || RunRank(site, request) < RunRank(*best, request)) {
+      best = &site;
     }
   }
-  std::ranges::sort(idle, std::ranges::greater{}, &ReplicaView::idle);
-  std::int64_t free = FreeBytes(endpoint);
-  std::vector<core::ModelId> evict;
-  for (const ReplicaView* replica : idle) {
-    if (free >= needed) break;
-    free += replica->bytes;
-    evict.push_back(replica->model);
-  }
-  if (free < needed) return std::nullopt;
-  return evict;
+  return best;
 }
 
+/** A load and what speaks against it. */
 struct LoadChoice {
   const EndpointView* endpoint = nullptr;
   std::vector<core::ModelId> evict;
-  Millis wait = kHorizon;
+  Millis ready_in{0};
+  bool too_late = false;
+  double score = 0;
+
+  [[nodiscard]] bool exists() const { return endpoint != nullptr; }
 };
 
+bool IsBetter(const LoadChoice& a, const LoadChoice& b) {
+  if (!b.exists()) return true;
+  return std::tie(a.too_late, a.score, a.endpoint->id) <
+         std::tie(b.too_late, b.score, b.endpoint->id);
+}
+
+/** Base loaded, but no room for the adapter beside it: evict for it. */
+LoadChoice ChooseAdapterLoad(const PlacementRequest& request,
+                             const Survey& survey, const LoadTimes& loads) {
+  LoadChoice best;
+  for (const Site& site : survey.sites) {
+    if (!HasSlot(*site.endpoint, *site.replica, request)) continue;
+    const auto evictions =
+        ChooseEvictions(*site.endpoint, {.free_bytes = request.adapter_bytes,
+                                         .service = {},
+                                         .keep = request.model});
+    if (!evictions.has_value()) continue;
+    LoadChoice choice{.endpoint = site.endpoint,
+                      .evict = evictions->models,
+                      .ready_in = loads.adapter,
+                      .score = evictions->cost};
+    if (IsBetter(choice, best)) best = std::move(choice);
+  }
+  return best;
+}
+
+/** An engine carries out one order at a time: a load there waits for others. */
+Millis LoadingAt(const EndpointView& endpoint) {
+  Millis left{0};
+  for (const ReplicaView& replica : endpoint.replicas) {
+    if (replica.state != ReplicaState::kLoading) continue;
+    left = std::max(left, replica.ready_in);
+  }
+  return left;
+}
+
+/** Cost of the accelerator time that loading here brings, as if a wait. */
+double WakeMillis(const EndpointView& endpoint) {
+  if (endpoint.replicas.empty()) return kEmptyMillis;
+  return RunningAt(endpoint) > 0 ? 0 : kIdleMillis;
+}
+
+bool Holds(const EndpointView& endpoint, const core::ModelId& model) {
+  return std::ranges::any_of(endpoint.replicas, [&](const ReplicaView& it) {
+    return it.model == model;
+  });
+}
+
+/** @return What has to be freed for a load, given the service's limit. */
+EvictionNeed NeedOf(const PlacementRequest& request) {
+  EvictionNeed need;
+  need.free_bytes = request.replica_bytes + request.adapter_bytes;
+  if (request.service_replicas >= request.service_max_replicas) {
+    need.service = request.service;
+  }
+  return need;
+}
+
+bool MayLoad(const PlacementRequest& request, const Survey& survey) {
+  if (survey.held >= request.max_replicas) return false;
+  const bool place = request.service_replicas < request.service_max_replicas;
+  // At the service's limit an eviction of the same service makes the place,
+  // but only if the limit is kept now.
+  const bool exchange =
+      !request.service.empty() &&
+      request.service_replicas == request.service_max_replicas;
+  return place || exchange;
+}
+
 LoadChoice ChooseLoad(const PlacementRequest& request,
                       std::span<const EndpointView> endpoints,
                       const LoadTimes& loads) {
+  const EvictionNeed need = NeedOf(request);
   LoadChoice best;
-  const std::int64_t needed = request.replica_bytes + request.adapter_bytes;
   for (const EndpointView& endpoint : endpoints) {
-    if (!Usable(endpoint, request)) continue;
-    const bool holds = std::ranges::any_of(
-        endpoint.replicas,
-        [&](const ReplicaView& it) { return it.model == request.model; });
-    if (holds) continue;
-    auto evict = ChooseEvictions(endpoint, needed);
-    if (!evict.has_value()) continue;
-    const Millis wait = LoadTimeFrom(loads, TierAt(endpoint, request.model));
-    const auto rank = std::make_tuple(wait, evict->size());
-    if (best.endpoint != nullptr &&
-        rank >= std::make_tuple(best.wait, best.evict.size())) {
-      continue;
-    }
-    best = {&endpoint, std::move(*evict), wait};
+    if (!Usable(endpoint, request) || Holds(endpoint, request.model)) continue;
+    if (endpoint.memory_bytes < need.free_bytes) continue;
+    if (request.alone && RunningAt(endpoint) > 0) continue;
+    const Tier tier = TierAt(endpoint, request.model);
+    LoadChoice choice;
+    choice.endpoint = &endpoint;
+    choice.ready_in = LoadingAt(endpoint) + LoadTimeFrom(loads, tier);
+    choice.too_late =
+        choice.ready_in + request.service_time > request.remaining;
+    choice.score =
+        static_cast<double>(choice.ready_in.count()) + WakeMillis(endpoint);
+    if (endpoint.zone != request.zone) choice.score += kOtherZoneMillis;
+    if (!IsBetter(choice, best)) continue;
+    auto evictions = ChooseEvictions(endpoint, need);
+    if (!evictions.has_value()) continue;
+    choice.score += kEvictionMillis * evictions->cost;
+    choice.evict = std::move(evictions->models);
+    if (IsBetter(choice, best)) best = std::move(choice);
   }
   return best;
 }
 
+std::vector<QueueServer> ServersOf(const Survey& survey,
+                                   const PlacementRequest& request) {
+  std::vector<QueueServer> servers;
+  for (const Site& site : survey.sites) {
+    servers.push_back({.ready_in = site.replica->ready_in,
+                       .loading = site.replica->state == ReplicaState::kLoading,
+                       .slots = request.max_concurrent});
+  }
+  return servers;
+}
+
 PlacementDecision Refuse(core::ErrorCode code, Millis retry_after) {
   PlacementDecision decision;
   decision.action = PlacementAction::kRefuse;
@@ -161,50 +238,99 @@
   return decision;
 }
 
-}  // namespace
+PlacementDecision RunAt(const EndpointView& endpoint) {
+  PlacementDecision decision;
+  decision.action = PlacementAction::kRun;
+  decision.endpoint = endpoint.id;
+  return decision;
+}
 
-PlacementDecision DecidePlacement(const PlacementRequest& request,
-                                  std::span<const EndpointView> endpoints,
-                                  const LoadTimes& loads) {
-  const RunChoice run = ChooseRun(request, endpoints);
-  if (run.endpoint != nullptr) {
-    return {.action = PlacementAction::kRun, .endpoint = run.endpoint->id};
+PlacementDecision LoadAt(const LoadChoice& load, Millis wait) {
+  PlacementDecision decision;
+  decision.action = PlacementAction::kLoad;
+  decision.endpoint = load.endpoint->id;
+  decision.evict = load.evict;
+  decision.expected_wait = wait;
+  return decision;
+}
+
+PlacementDecision Wait(const PlacementRequest& request, const Survey& survey,
+                       Millis wait) {
+  PlacementDecision decision;
+  decision.action = PlacementAction::kWait;
+  decision.expected_wait = wait;
+  if (request.alone) decision.endpoint = survey.sites.front().endpoint->id;
+  return decision;
+}
+
+PlacementDecision RefuseLate(Millis wait, bool served, const LoadChoice& load) {
+  auto decision = Refuse(core::ErrorCode::kDeadlineTooShort, wait);
+  if (served || !load.exists()) return decision;
+  decision.endpoint = load.endpoint->id;
+  decision.evict = load.evict;
+  decision.load_for_retry = true;
+  return decision;
+}
+
+/** @return True if another replica is worth its load. */
+bool WorthLoading(const PlacementRequest& request, std::optional<Millis> queue,
+                  Millis with_load, const LoadChoice& load) {
+  if (!queue.has_value()) return true;
+  if (*queue + request.service_time > request.remaining) {
+    return with_load < *queue;
   }
-  int held = 0;
-  bool any_usable = false;
-  std::vector<const ReplicaView*> serving;
-  for (const EndpointView& endpoint : endpoints) {
-    any_usable = any_usable || Usable(endpoint, request);
-    for (const ReplicaView& replica : endpoint.replicas) {
-      if (replica.model == request.model) ++held;
-      if (Usable(endpoint, request) && Serves(replica, request)) {
-        serving.push_back(&replica);
-      }
-    }
+  const Millis saved = *queue - with_load;
+  return static_cast<double>(saved.count()) >
+         kSecondReplicaGain * static_cast<double>(load.ready_in.count());
+}
+
+/** No slot is free: wait for one, load another replica, or refuse. */
+PlacementDecision WaitOrLoad(const PlacementRequest& request,
+                             const Survey& survey, const LoadChoice& load) {
+  auto servers = ServersOf(survey, request);
+  const auto queue =
+      QueueWait(servers, request.service_time, request.waiting_ahead);
+  std::optional<Millis> with_load;
+  if (load.exists()) {
+    servers.push_back({.ready_in = load.ready_in,
+                       .loading = true,
+                       .slots = request.max_concurrent});
+    with_load = QueueWait(servers, request.service_time, request.waiting_ahead);
   }
-  if (!any_usable)
-    return Refuse(core::ErrorCode::kNoEndpoint, kNoCapacityRetry);
-  const bool may_load = held < request.max_replicas &&
-                        request.service_replicas < request.service_max_replicas;
-  const Millis wait = QueueWait(request, serving);
-  const LoadChoice load =
-      may_load ? ChooseLoad(request, endpoints, loads) : LoadChoice{};
-  const Millis best = std::min(wait, load.wait);
-  if (best >= kHorizon) {
-    return Refuse(may_load ? core::ErrorCode::kNoCapacity
-                           : core::ErrorCode::kReplicaLimit,
+  const bool loads =
+      with_load.has_value() && WorthLoading(request, queue, *with_load, load);
+  const auto wait = loads ? with_load : queue;
+  if (!wait.has_value()) {
+    return Refuse(load.exists() || MayLoad(request, survey)
+                      ? core::ErrorCode::kNoCapacity
+                      : core::ErrorCode::kReplicaLimit,
                   kNoCapacityRetry);
   }
-  if (best > request.remaining) {
-    return Refuse(core::ErrorCode::kDeadlineTooShort, best);
+  if (*wait + request.service_time > request.remaining) {
+    return RefuseLate(*wait, queue.has_value(), load);
   }
-  if (load.wait < wait) {
-    return {.action = PlacementAction::kLoad,
-            .endpoint = load.endpoint->id,
-            .evict = load.evict,
-            .expected_wait = load.wait};
+  return loads ? LoadAt(load, *wait) : Wait(request, survey, *wait);
+}
+
+}  // namespace
+
+PlacementDecision DecidePlacement(const PlacementRequest& request,
+                                  std::span<const EndpointView> endpoints,
+                                  const LoadTimes& loads) {
+  const Survey survey = SurveyFleet(request, endpoints);
+  if (!survey.any_usable) {
+    return Refuse(core::ErrorCode::kNoEndpoint, kNoCapacityRetry);
   }
-  return {.action = PlacementAction::kWait, .expected_wait = wait};
+  const Site* run = ChooseRun(request, survey);
+  if (run != nullptr) return RunAt(*run->endpoint);
+  const LoadChoice adapter = ChooseAdapterLoad(request, survey, loads);
+  const bool adapter_in_time =
+      adapter.exists() &&
+      adapter.ready_in + request.service_time <= request.remaining;
+  if (adapter_in_time) return LoadAt(adapter, adapter.ready_in);
+  LoadChoice load;
+  if (MayLoad(request, survey)) load = ChooseLoad(request, endpoints, loads);
+  return WaitOrLoad(request, survey, load);
 }
 
 Tier TierAt(const EndpointView& endpoint, const core::ModelId& model) {
@@ -227,16 +353,19 @@
 
 std::vector<core::VmId> RankHomes(std::string_view key,
                                   std::span<const core::VmId> candidates) {
-  std::vector<std::pair<std::uint64_t, core::VmId>> scored;
+  std::vector<std::pair<std::uint64_t, const core::VmId*>> scored;
   scored.reserve(candidates.size());
   const std::uint64_t seed = core::HashOf(key);
   for (const core::VmId& vm : candidates) {
-    scored.emplace_back(core::HashOf(vm.value(), seed), vm);
+    scored.emplace_back(core::HashOf(vm.value(), seed), &vm);
   }
-  std::ranges::sort(scored, std::ranges::greater{});
+  std::ranges::sort(scored, [](const auto& a, const auto& b) {
+    if (a.first != b.first) return a.first > b.first;
+    return *a.second < *b.second;
+  });
   std::vector<core::VmId> ranked;
   ranked.reserve(scored.size());
-  for (auto& [score, vm] : scored) ranked.push_back(std::move(vm));
+  for (const auto& [score, vm] : scored) ranked.push_back(*vm);
   return ranked;
 }
 
--- a/src/policy/placement_func.h
+++ b/src/policy/placement_func.h
@@ -11,7 +11,9 @@
 
 /**
  * Decides for one request against what is known of all endpoints.
- * Refuses at once what can't start in its remaining time.
+ * Refuses at once what can't start and, by `service_time`, end in its remaining
+ * time. Never more than the model's and the service's limits of replicas, never
+ * more than an endpoint's memory after the evictions it names.
  * @param loads Expected load times of this model.
  */
 PlacementDecision DecidePlacement(const PlacementRequest& request,
--- a/src/policy/placement_type.h
+++ b/src/policy/placement_type.h
@@ -34,6 +34,10 @@
   Millis ready_in{0};
   /** Prefix hashes of requests recently placed there. */
   std::set<std::int64_t> prefixes;
+  /** Service whose replica limit it counts for; empty: not known. */
+  core::ServiceId service;
+  /** Expected cost of unloading it, see ReloadCost; 0: go by `idle`. */
+  double reload_cost = 0;
 };
 
 struct EndpointView {
@@ -46,6 +50,10 @@
   std::vector<ReplicaView> replicas;
   std::set<core::ModelId> memory_tier;
   std::set<core::ModelId> disk_tier;
+  /** Requests in progress at once over all replicas; 0: no limit. */
+  int max_running = 0;
+  /** A suspect of a crash runs here and must stay alone. */
+  bool reserved_for_suspect = false;
 };
 
 /** Expected load times of one model, by tier. */
@@ -53,6 +61,8 @@
   Millis memory{1000};
   Millis disk{3000};
   Millis remote{8000};
+  /** An adapter onto a loaded base. */
+  Millis adapter{500};
 };
 
 /** One request waiting for a replica of its model. */
@@ -75,12 +85,17 @@
   std::set<core::EndpointId> avoid;
   /** Requests of the same model that wait already. */
   int waiting_ahead = 0;
+  /** The model's service; empty: evictions free no place under its limit. */
+  core::ServiceId service;
+  /** Run only where nothing else runs: the request may crash its engine. */
+  bool alone = false;
 };
 
 enum class PlacementAction {
   kRun,     ///< Run it at `endpoint` now.
   kWait,    ///< Stay queued: a slot or a load in progress will serve it.
-  kLoad,    ///< Load a replica at `endpoint`, first unloading `evict`; wait.
+  kLoad,    ///< Load a replica (or, where the base is loaded, the adapter) at
+            ///< `endpoint`, first unloading `evict`; wait.
   kRefuse,  ///< Can't be met: final answer now.
 };
 
@@ -92,6 +107,10 @@
   Millis expected_wait{0};
   core::ErrorCode refusal = core::ErrorCode::kNoCapacity;
   Millis retry_after{0};
+  /** On kRefuse: this caller has too little time, but loading at `endpoint`
+   * after unloading `evict` lets its retry find the model. Without it a model
+   * slower to load than its callers wait would never be loaded. */
+  bool load_for_retry = false;
 };
 
 }  // namespace sapphire::policy
