--- /dev/null
+++ b/src/platform/http_call.cc
@@ -0,0 +1,76 @@
+/** @file http_call.cc Calls to a platform service, their failures typed. */
+#include <utility>
+
+#include "core/error_type.h"
+#include "platform/http_call_base.h"
+
+namespace sapphire::platform {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+std::string Describe(const std::string& target, int status) {
+  return target + ": status " + std::to_string(status);
+}
+
+/** A 4xx answer is a refusal and had no effect; of a 5xx nothing is known. */
+core::ErrorCode CodeOfFailedWrite(int status) {
+  const bool refused =
+      status >= kFirstClientError && status < kFirstServerError;
+  return refused ? core::ErrorCode::kPlatformUnavailable
+                 : core::ErrorCode::kPlatformUnknownOutcome;
+}
+
+}  // namespace
+
+HttpCall::HttpCall(const std::string& address,
+                   std::chrono::milliseconds timeout)
+    : client_(address), timeout_(timeout) {}
+
+core::Task<std::string> HttpCall::Read(std::string target,
+                                       std::chrono::milliseconds wait) {
+  http::Request request;
+  request.target = target;
+  http::Response response;
+  try {
+    response = co_await client_.Fetch(std::move(request), timeout_ + wait);
+  } catch (const http::TransportError& e) {
+    throw core::Error(core::ErrorCode::kPlatformUnavailable,
+                      target + ": " + e.what());
+  }
+  if (response.head.status != kOk) {
+    throw core::Error(core::ErrorCode::kPlatformUnavailable,
+                      Describe(target, response.head.status));
+  }
+  co_return std::move(response.body);
+}
+
+core::Task<std::string> HttpCall::Write(std::string target, std::string body) {
+  http::Request request;
+  request.method = "POST";
+  request.target = target;
+  request.headers.push_back({"Content-Type", "application/json"});
+  request.body = std::move(body);
+  http::Response response;
+  try {
+    response = co_await client_.Fetch(std::move(request), timeout_);
+  } catch (const http::TransportError& e) {
+    // An answer may be lost after the write took effect, and a request that
+    // timed out may take effect later still: only one that never left is safe
+    // to call ineffective.
+    throw core::Error(e.may_have_run()
+                          ? core::ErrorCode::kPlatformUnknownOutcome
+                          : core::ErrorCode::kPlatformUnavailable,
+                      target + ": " + e.what());
+  }
+  if (response.head.status != kOk) {
+    throw core::Error(CodeOfFailedWrite(response.head.status),
+                      Describe(target, response.head.status));
+  }
+  co_return std::move(response.body);
+}
+
+}  // namespace sapphire::platform
--- /dev/null
+++ b/src/platform/json_func.h
@@ -0,0 +1,39 @@
+/** @file json_func.h Checked reading of the fields of JSON objects. */
+#ifndef SAPPHIRE_PLATFORM_JSON_FUNC_H_
+#define SAPPHIRE_PLATFORM_JSON_FUNC_H_
+
+#include <boost/json/fwd.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sapphire::platform {
+
+/**
+ * Every function here throws core::Error kMalformedRequest, naming the field,
+ * if the text or the field isn't what was asked for.
+ */
+boost::json::object ParseObject(std::string_view text);
+
+std::string StringAt(const boost::json::object& object, std::string_view field);
+std::int64_t IntegerAt(const boost::json::object& object,
+                       std::string_view field);
+bool BooleanAt(const boost::json::object& object, std::string_view field);
+const boost::json::array& ArrayAt(const boost::json::object& object,
+                                  std::string_view field);
+
+/** The same for a field that may be absent. */
+std::string StringOr(const boost::json::object& object, std::string_view field,
+                     std::string_view fallback);
+std::int64_t IntegerOr(const boost::json::object& object,
+                       std::string_view field, std::int64_t fallback);
+bool BooleanOr(const boost::json::object& object, std::string_view field,
+               bool fallback);
+
+/** @return The value as an object. @param field What it stands in. */
+const boost::json::object& AsObject(const boost::json::value& value,
+                                    std::string_view field);
+
+}  // namespace sapphire::platform
+
+#endif  // SAPPHIRE_PLATFORM_JSON_FUNC_H_
