--- /dev/null
+++ b/standin/engine_state.cc
@@ -0,0 +1,398 @@
+/** @file engine_state.cc What the model engine's stand-in holds. */
+#include <algorithm>
+#include <utility>
+
+#include "core/random_func.h"
+#include "standin/engine_state_base.h"
+#include "standin/stand_in_base.h"
+
+namespace sapphire::standin {
+
+using platform::EngineAdapter;
+using platform::EngineModel;
+using platform::EngineModelState;
+using platform::EngineOrder;
+using platform::OrderKind;
+
+namespace {
+
+/** A generated token takes the cache of so many characters. */
+constexpr std::int64_t kCharsPerToken = 4;
+
+bool IsLoad(OrderKind kind) {
+  return kind == OrderKind::kLoadModel || kind == OrderKind::kLoadAdapter;
+}
+
+std::vector<core::ModelId> ToIds(const std::set<std::string>& names) {
+  std::vector<core::ModelId> ids;
+  for (const std::string& it : names) ids.emplace_back(it);
+  return ids;
+}
+
+/** @return What an order adds to the memory in use. */
+std::int64_t AddedBytes(const EngineOrder& order) {
+  return IsLoad(order.kind) ? order.bytes + order.kv_budget_bytes : 0;
+}
+
+}  // namespace
+
+std::string_view NameOf(OrderVerdict verdict) {
+  switch (verdict) {
+    case OrderVerdict::kStaleFence:
+      return "stale_fence";
+    case OrderVerdict::kBusy:
+      return "busy";
+    case OrderVerdict::kNotReady:
+      return "not_ready";
+    case OrderVerdict::kNoMemory:
+      return "no_memory";
+    case OrderVerdict::kCarryOut:
+    case OrderVerdict::kNothingToDo:
+      break;
+  }
+  return "";
+}
+
+EngineState::EngineState(EngineOptions options, const core::Clock& clock)
+    : options_(std::move(options)),
+      clock_(clock),
+      incarnation_(core::RandomPositive()),
+      memory_tier_(options_.memory_tier.begin(), options_.memory_tier.end()),
+      disk_tier_(options_.disk_tier.begin(), options_.disk_tier.end()) {
+  record_.memory_bytes = options_.memory_bytes;
+}
+
+std::int64_t EngineState::incarnation() const {
+  const std::lock_guard lock(mutex_);
+  return incarnation_;
+}
+
+platform::EngineStatus EngineState::Status() const {
+  const std::lock_guard lock(mutex_);
+  platform::EngineStatus status;
+  status.incarnation = incarnation_;
+  status.memory_bytes = options_.memory_bytes;
+  status.honours_fencing = options_.honours_fencing;
+  status.fence = fence_;
+  status.order_in_progress = orders_in_progress_ > 0;
+  for (const auto& [name, held] : held_) status.models.push_back(held.model);
+  status.memory_tier = ToIds(memory_tier_);
+  status.disk_tier = ToIds(disk_tier_);
+  return status;
+}
+
+EngineRecord EngineState::Record() const {
+  const std::lock_guard lock(mutex_);
+  EngineRecord record = record_;
+  record.used_bytes = UsedBytes();
+  return record;
+}
+
+OrderVerdict EngineState::BeginOrder(const EngineOrder& order) {
+  const std::lock_guard lock(mutex_);
+  const OrderVerdict verdict = Judge(order);
+  fence_ = std::max(fence_, order.fence);
+  if (verdict == OrderVerdict::kCarryOut) {
+    ++orders_in_progress_;
+    Apply(order);
+  } else if (verdict != OrderVerdict::kNothingToDo) {
+    NoteRefusal(order, verdict);
+  }
+  return verdict;
+}
+
+void EngineState::EndOrder(const EngineOrder& order, std::int64_t incarnation,
+                           bool carried_out) {
+  const std::lock_guard lock(mutex_);
+  if (incarnation != incarnation_) return;
+  --orders_in_progress_;
+  const std::string& model = order.model.value();
+  switch (order.kind) {
+    case OrderKind::kLoadModel:
+      EndLoad(order, carried_out);
+      break;
+    case OrderKind::kUnloadModel:
+      Drop(model, ReplicaEnd::kUnloaded);
+      break;
+    case OrderKind::kLoadAdapter:
+      EndAdapterLoad(order, carried_out);
+      break;
+    case OrderKind::kUnloadAdapter:
+      RemoveAdapter(order);
+      break;
+  }
+}
+
+CheckpointTier EngineState::TierOf(const std::string& checkpoint) const {
+  const std::lock_guard lock(mutex_);
+  if (memory_tier_.contains(checkpoint)) return CheckpointTier::kMemory;
+  if (disk_tier_.contains(checkpoint)) return CheckpointTier::kDisk;
+  return CheckpointTier::kRemote;
+}
+
+void EngineState::CacheCheckpoint(const std::string& checkpoint) {
+  const std::lock_guard lock(mutex_);
+  memory_tier_.insert(checkpoint);
+  disk_tier_.insert(checkpoint);
+}
+
+Admission EngineState::Admit(const GenerateCall& call) {
+  const std::lock_guard lock(mutex_);
+  Admission admission;
+  const auto it = held_.find(call.model);
+  if (it == held_.end()) return admission;
+  Held& held = it->second;
+  if (held.model.state != EngineModelState::kReady) return admission;
+  if (!call.adapter.empty() && !IsUsable(held, call.adapter)) return admission;
+  const std::int64_t chars = static_cast<std::int64_t>(call.prompt.size()) +
+                             call.max_tokens * kCharsPerToken;
+  const std::int64_t kv_bytes = chars * options_.kv_bytes_per_char;
+  const std::int64_t budget = held.model.kv_budget_bytes;
+  const std::int64_t wanted = held.running_kv_bytes + kv_bytes;
+  // A request that is larger than the whole budget runs alone.
+  if (budget > 0 && wanted > budget && held.model.running > 0) {
+    admission.verdict = AdmissionVerdict::kNoRoom;
+    return admission;
+  }
+  admission.cached_chars = held.prefixes.Match(call.prompt);
+  held.prefixes.EvictTo(budget - wanted);
+  held.running_kv_bytes = wanted;
+  ++held.model.running;
+  admission.verdict = AdmissionVerdict::kAdmitted;
+  admission.ticket = ++last_ticket_;
+  running_[admission.ticket] = {call.model, call.prompt, kv_bytes,
+                                record_.requests.size()};
+  RequestRun run;
+  run.request_id = call.request_id;
+  run.model = call.model;
+  run.started_ms = WallMillis(clock_);
+  record_.requests.push_back(std::move(run));
+  NoteMemory("request " + call.request_id);
+  return admission;
+}
+
+bool EngineState::IsRunning(std::int64_t ticket) const {
+  const std::lock_guard lock(mutex_);
+  return running_.contains(ticket);
+}
+
+void EngineState::EndRequest(std::int64_t ticket, RunOutcome outcome) {
+  const std::lock_guard lock(mutex_);
+  if (running_.contains(ticket)) Stop(ticket, outcome);
+}
+
+int EngineState::running() const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(running_.size());
+}
+
+void EngineState::Crash() {
+  const std::lock_guard lock(mutex_);
+  while (!held_.empty()) {
+    const std::string model = held_.begin()->first;
+    StopAll(model, RunOutcome::kCrashed);
+    Drop(model, ReplicaEnd::kCrashed);
+  }
+  incarnation_ = core::RandomPositive();
+  orders_in_progress_ = 0;
+  fence_ = 0;
+  memory_tier_.clear();
+  record_.crashes_ms.push_back(WallMillis(clock_));
+}
+
+OrderVerdict EngineState::Judge(const EngineOrder& order) const {
+  if (options_.honours_fencing) {
+    if (order.fence < fence_) return OrderVerdict::kStaleFence;
+    if (orders_in_progress_ > 0) return OrderVerdict::kBusy;
+  }
+  OrderVerdict verdict = OrderVerdict::kCarryOut;
+  switch (order.kind) {
+    case OrderKind::kLoadModel:
+      verdict = JudgeLoad(order);
+      break;
+    case OrderKind::kUnloadModel:
+      verdict = JudgeUnload(order);
+      break;
+    case OrderKind::kLoadAdapter:
+    case OrderKind::kUnloadAdapter:
+      verdict = JudgeAdapter(order);
+      break;
+  }
+  const bool fits = UsedBytes() + AddedBytes(order) <= options_.memory_bytes;
+  if (verdict == OrderVerdict::kCarryOut && options_.refuses_overcommit &&
+      IsLoad(order.kind) && !fits) {
+    return OrderVerdict::kNoMemory;
+  }
+  return verdict;
+}
+
+/** A model that is held in another version has to be unloaded first. */
+OrderVerdict EngineState::JudgeLoad(const EngineOrder& order) const {
+  const auto it = held_.find(order.model.value());
+  if (it == held_.end()) return OrderVerdict::kCarryOut;
+  const EngineModel& model = it->second.model;
+  const bool same = model.state == EngineModelState::kReady &&
+                    model.version == order.version;
+  return same ? OrderVerdict::kNothingToDo : OrderVerdict::kBusy;
+}
+
+OrderVerdict EngineState::JudgeUnload(const EngineOrder& order) const {
+  const auto it = held_.find(order.model.value());
+  if (it == held_.end()) return OrderVerdict::kNothingToDo;
+  const bool ready = it->second.model.state == EngineModelState::kReady;
+  return ready ? OrderVerdict::kCarryOut : OrderVerdict::kBusy;
+}
+
+OrderVerdict EngineState::JudgeAdapter(const EngineOrder& order) const {
+  const bool is_load = order.kind == OrderKind::kLoadAdapter;
+  const auto it = held_.find(order.model.value());
+  if (it == held_.end() || it->second.model.state != EngineModelState::kReady) {
+    return is_load ? OrderVerdict::kNotReady : OrderVerdict::kNothingToDo;
+  }
+  const bool has = HasAdapter(it->second, order.adapter.value());
+  return has == is_load ? OrderVerdict::kNothingToDo : OrderVerdict::kCarryOut;
+}
+
+/** Memory is taken from the start of a load to the end of an unload. */
+void EngineState::Apply(const EngineOrder& order) {
+  switch (order.kind) {
+    case OrderKind::kLoadModel:
+      BeginLoad(order);
+      break;
+    case OrderKind::kUnloadModel:
+      BeginUnload(order.model.value());
+      break;
+    case OrderKind::kLoadAdapter:
+      BeginAdapterLoad(order);
+      break;
+    case OrderKind::kUnloadAdapter:
+      break;
+  }
+}
+
+void EngineState::BeginLoad(const EngineOrder& order) {
+  EngineModel model;
+  model.model = order.model;
+  model.version = order.version;
+  model.weight_bytes = order.bytes;
+  model.kv_budget_bytes = order.kv_budget_bytes;
+  ReplicaStay stay;
+  stay.model = order.model.value();
+  stay.version = order.version;
+  stay.fence = order.fence;
+  stay.load_began_ms = WallMillis(clock_);
+  held_.emplace(stay.model,
+                Held{std::move(model), record_.replicas.size(), 0,
+                     PrefixCache(options_.kv_bytes_per_char),
+                     {}});
+  record_.replicas.push_back(std::move(stay));
+  NoteMemory("load of model " + order.model.value());
+}
+
+void EngineState::BeginAdapterLoad(const EngineOrder& order) {
+  Held& held = held_.at(order.model.value());
+  held.model.adapters.push_back({order.adapter, order.bytes});
+  held.loading_adapters.insert(order.adapter.value());
+  NoteMemory("load of adapter " + order.adapter.value());
+}
+
+/** An engine that is told to unload doesn't wait for running requests. */
+void EngineState::BeginUnload(const std::string& model) {
+  held_.at(model).model.state = EngineModelState::kUnloading;
+  StopAll(model, RunOutcome::kUnloaded);
+}
+
+void EngineState::EndLoad(const EngineOrder& order, bool carried_out) {
+  const std::string& model = order.model.value();
+  if (!carried_out) {
+    Drop(model, ReplicaEnd::kLoadFailed);
+    return;
+  }
+  Held& held = held_.at(model);
+  held.model.state = EngineModelState::kReady;
+  record_.replicas[held.stay].ready_ms = WallMillis(clock_);
+}
+
+void EngineState::Drop(const std::string& model, ReplicaEnd end) {
+  const auto it = held_.find(model);
+  if (it == held_.end()) return;
+  ReplicaStay& stay = record_.replicas[it->second.stay];
+  stay.ended_ms = WallMillis(clock_);
+  stay.end = end;
+  held_.erase(it);
+}
+
+void EngineState::EndAdapterLoad(const EngineOrder& order, bool carried_out) {
+  const auto it = held_.find(order.model.value());
+  if (it == held_.end()) return;
+  it->second.loading_adapters.erase(order.adapter.value());
+  if (!carried_out) RemoveAdapter(order);
+}
+
+void EngineState::RemoveAdapter(const EngineOrder& order) {
+  const auto it = held_.find(order.model.value());
+  if (it == held_.end()) return;
+  std::erase_if(it->second.model.adapters, [&](const EngineAdapter& adapter) {
+    return adapter.adapter == order.adapter;
+  });
+}
+
+void EngineState::Stop(std::int64_t ticket, RunOutcome outcome) {
+  const auto it = running_.find(ticket);
+  const Running& running = it->second;
+  Held& held = held_.at(running.model);
+  --held.model.running;
+  held.running_kv_bytes -= running.kv_bytes;
+  if (outcome == RunOutcome::kDone) held.prefixes.Insert(running.prompt);
+  held.prefixes.EvictTo(held.model.kv_budget_bytes - held.running_kv_bytes);
+  RequestRun& run = record_.requests[running.run];
+  run.ended_ms = WallMillis(clock_);
+  run.outcome = outcome;
+  running_.erase(it);
+}
+
+void EngineState::StopAll(const std::string& model, RunOutcome outcome) {
+  std::vector<std::int64_t> tickets;
+  for (const auto& [ticket, running] : running_) {
+    if (running.model == model) tickets.push_back(ticket);
+  }
+  for (std::int64_t ticket : tickets) Stop(ticket, outcome);
+}
+
+void EngineState::NoteRefusal(const EngineOrder& order, OrderVerdict verdict) {
+  record_.refused_orders.push_back({WallMillis(clock_), order.model.value(),
+                                    order.fence,
+                                    std::string(NameOf(verdict))});
+}
+
+void EngineState::NoteMemory(const std::string& cause) {
+  const std::int64_t used = UsedBytes();
+  record_.peak_used_bytes = std::max(record_.peak_used_bytes, used);
+  if (used <= options_.memory_bytes) return;
+  record_.overcommits.push_back({WallMillis(clock_), used, cause});
+}
+
+/** A model's cache counts as its whole budget, or as what it has beyond. */
+std::int64_t EngineState::UsedBytes() const {
+  std::int64_t used = 0;
+  for (const auto& [name, held] : held_) {
+    used += held.model.weight_bytes;
+    for (const EngineAdapter& it : held.model.adapters) used += it.bytes;
+    used += std::max(held.model.kv_budget_bytes,
+                     held.running_kv_bytes + held.prefixes.bytes());
+  }
+  return used;
+}
+
+bool EngineState::IsUsable(const Held& held, const std::string& id) const {
+  return HasAdapter(held, id) && !held.loading_adapters.contains(id);
+}
+
+bool EngineState::HasAdapter(const Held& held, const std::string& id) const {
+  const auto& adapters = held.model.adapters;
+  return std::any_of(
+      adapters.begin(), adapters.end(),
+      [&](const EngineAdapter& it) { return it.adapter.value() == id; });
+}
+
+}  // namespace sapphire::standin
--- /dev/null
+++ b/standin/engine_state_base.h
@@ -0,0 +1,136 @@
+/** @file engine_state_base.h What the model engine's stand-in holds. */
+#ifndef SAPPHIRE_STANDIN_ENGINE_STATE_BASE_H_
+#define SAPPHIRE_STANDIN_ENGINE_STATE_BASE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "core/clock_base.h"
+#include "platform/engine_base.h"
+#include "standin/engine_type.h"
+#include "standin/prefix_cache_base.h"
+
+namespace sapphire::standin {
+
+/** Whether an order is carried out. */
+enum class OrderVerdict {
+  kCarryOut,
+  kNothingToDo,  ///< What it asks for is so already.
+  kStaleFence,
+  kBusy,
+  kNotReady,  ///< An adapter's model isn't ready.
+  kNoMemory,
+};
+
+/** Where a checkpoint is cached. */
+enum class CheckpointTier { kMemory, kDisk, kRemote };
+
+enum class AdmissionVerdict { kAdmitted, kNotReady, kNoRoom };
+
+/** What a request is told when it asks to run. */
+struct Admission {
+  AdmissionVerdict verdict = AdmissionVerdict::kNotReady;
+  /** Names the running request. */
+  std::int64_t ticket = 0;
+  /** Leading characters of its prompt that needn't be prefilled. */
+  std::size_t cached_chars = 0;
+};
+
+/**
+ * The models, adapters, KV cache and running requests of one engine, and the
+ * record of them. Memory is counted here, not by who gives orders: an order
+ * that takes too much is recorded as an overcommit. Safe on many threads.
+ */
+class EngineState {
+ public:
+  /** @pre `clock` outlives the state. */
+  EngineState(EngineOptions options, const core::Clock& clock);
+
+  [[nodiscard]] std::int64_t incarnation() const;
+  [[nodiscard]] platform::EngineStatus Status() const;
+  [[nodiscard]] EngineRecord Record() const;
+
+  /** Judges an order; one to be carried out is in progress until EndOrder. */
+  OrderVerdict BeginOrder(const platform::EngineOrder& order);
+
+  /** Ends an order in progress.
+   * @param incarnation Of its beginning: a crash in between voids it. */
+  void EndOrder(const platform::EngineOrder& order, std::int64_t incarnation,
+                bool carried_out);
+
+  [[nodiscard]] CheckpointTier TierOf(const std::string& checkpoint) const;
+  /** Caches a checkpoint in memory and on disk. */
+  void CacheCheckpoint(const std::string& checkpoint);
+
+  /** Begins to run a request if its model is ready and has room for it. */
+  Admission Admit(const GenerateCall& call);
+  /** @return False once a crash or an unload has ended the request. */
+  [[nodiscard]] bool IsRunning(std::int64_t ticket) const;
+  /** Ends a request; nothing if it has ended. */
+  void EndRequest(std::int64_t ticket, RunOutcome outcome);
+  [[nodiscard]] int running() const;
+
+  /** Loses everything held but the checkpoints on disk. */
+  void Crash();
+
+ private:
+  struct Held {
+    platform::EngineModel model;
+    std::size_t stay = 0;  ///< Its place among the record's replicas.
+    std::int64_t running_kv_bytes = 0;
+    PrefixCache prefixes;
+    /** Those of its adapters that can't be used yet. */
+    std::set<std::string> loading_adapters;
+  };
+  struct Running {
+    std::string model;
+    std::string prompt;
+    std::int64_t kv_bytes = 0;
+    std::size_t run = 0;  ///< Its place among the record's requests.
+  };
+
+  // All of these are called with the lock held.
+  OrderVerdict Judge(const platform::EngineOrder& order) const;
+  OrderVerdict JudgeLoad(const platform::EngineOrder& order) const;
+  OrderVerdict JudgeUnload(const platform::EngineOrder& order) const;
+  OrderVerdict JudgeAdapter(const platform::EngineOrder& order) const;
+  void Apply(const platform::EngineOrder& order);
+  void BeginLoad(const platform::EngineOrder& order);
+  void BeginUnload(const std::string& model);
+  void EndLoad(const platform::EngineOrder& order, bool carried_out);
+  void Drop(const std::string& model, ReplicaEnd end);
+  void BeginAdapterLoad(const platform::EngineOrder& order);
+  void EndAdapterLoad(const platform::EngineOrder& order, bool carried_out);
+  void RemoveAdapter(const platform::EngineOrder& order);
+  void Stop(std::int64_t ticket, RunOutcome outcome);
+  void StopAll(const std::string& model, RunOutcome outcome);
+  void NoteRefusal(const platform::EngineOrder& order, OrderVerdict verdict);
+  void NoteMemory(const std::string& cause);
+  [[nodiscard]] std::int64_t UsedBytes() const;
+  [[nodiscard]] bool IsUsable(const Held& held, const std::string& id) const;
+  [[nodiscard]] bool HasAdapter(const Held& held, const std::string& id) const;
+
+  const EngineOptions options_;
+  const core::Clock& clock_;
+  mutable std::mutex mutex_;
+  std::int64_t incarnation_;
+  std::int64_t fence_ = 0;
+  int orders_in_progress_ = 0;
+  std::map<std::string, Held> held_;
+  std::set<std::string> memory_tier_;
+  std::set<std::string> disk_tier_;
+  std::int64_t last_ticket_ = 0;
+  std::map<std::int64_t, Running> running_;
+  EngineRecord record_;
+};
+
+/** @return The verdict's name on the wire; empty if the order is accepted. */
+std::string_view NameOf(OrderVerdict verdict);
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_ENGINE_STATE_BASE_H_
--- /dev/null
+++ b/standin/engine_type.h
@@ -0,0 +1,108 @@
+/** @file engine_type.h Settings and records of the model engine's stand-in. */
+#ifndef SAPPHIRE_STANDIN_ENGINE_TYPE_H_
+#define SAPPHIRE_STANDIN_ENGINE_TYPE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sapphire::standin {
+
+struct EngineOptions {
+  std::int64_t memory_bytes = 0;
+  /** Refuse an order with a smaller fence than one seen, and a second order
+   * while one is in progress. */
+  bool honours_fencing = true;
+  /** Refuse an order that doesn't fit, in place of recording an overcommit. */
+  bool refuses_overcommit = false;
+  /** "ip:port" of the weight store; empty: remote loads have a fixed speed. */
+  std::string weights_address;
+  double remote_bytes_per_second = 1e9;
+  double disk_bytes_per_second = 2e9;
+  double memory_bytes_per_second = 1e10;
+  /** Checkpoints cached at the start. */
+  std::vector<std::string> memory_tier;
+  std::vector<std::string> disk_tier;
+  std::chrono::milliseconds unload_time{20};
+  /** One step of all running requests. */
+  std::chrono::milliseconds token_time{5};
+  /** How much longer a step gets with each further running request. */
+  double batch_slowdown = 0.01;
+  std::chrono::microseconds prefill_time_per_char{20};
+  std::int64_t kv_bytes_per_char = 1024;
+};
+
+/** One generating request as a caller asked for it. */
+struct GenerateCall {
+  std::string request_id;
+  std::string model;
+  std::string adapter;
+  std::string prompt;
+  int max_tokens = 0;
+  bool stream = false;
+  bool chat = false;
+};
+
+/** How a request ended at the engine. */
+enum class RunOutcome {
+  kRunning,
+  kDone,
+  kCancelled,  ///< Its connection was closed.
+  kCrashed,
+  kUnloaded,  ///< Its model was unloaded under it.
+};
+
+/** The record of one request that began to run. */
+struct RequestRun {
+  std::string request_id;
+  std::string model;
+  std::int64_t started_ms = 0;
+  std::int64_t ended_ms = 0;
+  RunOutcome outcome = RunOutcome::kRunning;
+};
+
+/** How a replica's stay in memory ended. */
+enum class ReplicaEnd { kHeld, kUnloaded, kLoadFailed, kCrashed };
+
+/** The record of one replica, from the start of its load. */
+struct ReplicaStay {
+  std::string model;
+  std::string version;
+  std::int64_t fence = 0;
+  std::int64_t load_began_ms = 0;
+  std::int64_t ready_ms = 0;
+  std::int64_t ended_ms = 0;
+  ReplicaEnd end = ReplicaEnd::kHeld;
+};
+
+/** The record of an order or request that took more than the memory. */
+struct Overcommit {
+  std::int64_t at_ms = 0;
+  std::int64_t used_bytes = 0;
+  std::string cause;
+};
+
+/** The record of an order that was turned down. */
+struct RefusedOrder {
+  std::int64_t at_ms = 0;
+  std::string model;
+  std::int64_t fence = 0;
+  std::string error;
+};
+
+/** Everything the engine saw itself. */
+struct EngineRecord {
+  std::vector<RequestRun> requests;
+  std::vector<ReplicaStay> replicas;
+  std::vector<Overcommit> overcommits;
+  std::vector<RefusedOrder> refused_orders;
+  std::vector<std::int64_t> crashes_ms;
+  std::int64_t memory_bytes = 0;
+  std::int64_t used_bytes = 0;
+  std::int64_t peak_used_bytes = 0;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_ENGINE_TYPE_H_
--- /dev/null
+++ b/standin/engine_wire.cc
@@ -0,0 +1,301 @@
+/** @file engine_wire.cc The model engine's wire and records as JSON. */
+#include <array>
+#include <boost/json.hpp>
+#include <map>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "platform/json_func.h"
+#include "standin/engine_wire_func.h"
+
+namespace sapphire::standin {
+
+namespace json = boost::json;
+using platform::EngineOrder;
+using platform::IntegerOr;
+using platform::OrderKind;
+using platform::StringAt;
+using platform::StringOr;
+
+namespace {
+
+constexpr int kDefaultMaxTokens = 16;
+constexpr int kMostTokens = 100'000;
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+
+/** Wire names, in the order of their enumerations. */
+constexpr std::array<std::string_view, 3> kStateNames = {"loading", "ready",
+                                                         "unloading"};
+constexpr std::array<std::string_view, 5> kOutcomeNames = {
+    "running", "done", "cancelled", "crashed", "unloaded"};
+constexpr std::array<std::string_view, 4> kEndNames = {"held", "unloaded",
+                                                       "load_failed", "crashed"};
+
+[[noreturn]] void FailField(std::string_view field, std::string_view why) {
+  throw core::Error(core::ErrorCode::kMalformedRequest,
+                    std::string(field) + ": " + std::string(why));
+}
+
+OrderKind ParseKind(const std::string& name) {
+  if (name == "load_model") return OrderKind::kLoadModel;
+  if (name == "unload_model") return OrderKind::kUnloadModel;
+  if (name == "load_adapter") return OrderKind::kLoadAdapter;
+  if (name == "unload_adapter") return OrderKind::kUnloadAdapter;
+  FailField("kind", "unknown value " + name);
+}
+
+/** @return The messages' contents, one a line. */
+std::string PromptOfChat(const json::object& body) {
+  std::string prompt;
+  for (const json::value& it : platform::ArrayAt(body, "messages")) {
+    if (!prompt.empty()) prompt += '\n';
+    prompt += StringAt(platform::AsObject(it, "messages"), "content");
+  }
+  return prompt;
+}
+
+void SetModel(GenerateCall& call, const std::string& name) {
+  const std::size_t colon = name.find(':');
+  call.model = name.substr(0, colon);
+  if (colon != std::string::npos) call.adapter = name.substr(colon + 1);
+}
+
+json::array ToJson(const std::vector<core::ModelId>& ids) {
+  json::array array;
+  for (const core::ModelId& it : ids) array.emplace_back(it.value());
+  return array;
+}
+
+json::object ToJson(const platform::EngineModel& model) {
+  json::array adapters;
+  for (const platform::EngineAdapter& it : model.adapters) {
+    json::object adapter;
+    adapter["adapter"] = it.adapter.value();
+    adapter["bytes"] = it.bytes;
+    adapters.push_back(std::move(adapter));
+  }
+  json::object object;
+  object["model"] = model.model.value();
+  object["version"] = model.version;
+  object["state"] = kStateNames[static_cast<std::size_t>(model.state)];
+  object["weight_bytes"] = model.weight_bytes;
+  object["kv_budget_bytes"] = model.kv_budget_bytes;
+  object["running"] = model.running;
+  object["adapters"] = std::move(adapters);
+  return object;
+}
+
+json::object ToJson(const RequestRun& run) {
+  json::object object;
+  object["request_id"] = run.request_id;
+  object["model"] = run.model;
+  object["started"] = run.started_ms;
+  object["ended"] = run.ended_ms;
+  object["outcome"] = kOutcomeNames[static_cast<std::size_t>(run.outcome)];
+  return object;
+}
+
+json::object ToJson(const ReplicaStay& stay) {
+  json::object object;
+  object["model"] = stay.model;
+  object["version"] = stay.version;
+  object["fence"] = stay.fence;
+  object["load_began"] = stay.load_began_ms;
+  object["ready"] = stay.ready_ms;
+  object["ended"] = stay.ended_ms;
+  object["end"] = kEndNames[static_cast<std::size_t>(stay.end)];
+  return object;
+}
+
+json::object ToJson(const Overcommit& overcommit) {
+  json::object object;
+  object["at"] = overcommit.at_ms;
+  object["used_bytes"] = overcommit.used_bytes;
+  object["cause"] = overcommit.cause;
+  return object;
+}
+
+json::object ToJson(const RefusedOrder& order) {
+  json::object object;
+  object["at"] = order.at_ms;
+  object["model"] = order.model;
+  object["fence"] = order.fence;
+  object["error"] = order.error;
+  return object;
+}
+
+template <typename T>
+json::array ToArray(const std::vector<T>& items) {
+  json::array array;
+  for (const T& it : items) array.push_back(ToJson(it));
+  return array;
+}
+
+/** @return How many replicas of each model are held now. */
+json::object CurrentReplicas(const EngineRecord& record) {
+  std::map<std::string, int> counts;
+  for (const ReplicaStay& it : record.replicas) {
+    counts[it.model] += it.end == ReplicaEnd::kHeld ? 1 : 0;
+  }
+  json::object object;
+  for (const auto& [model, n] : counts) object[model] = n;
+  return object;
+}
+
+json::object Usage(const GenerateCall& call) {
+  json::object usage;
+  usage["prompt_tokens"] = call.prompt.size();
+  usage["completion_tokens"] = call.max_tokens;
+  usage["total_tokens"] =
+      call.prompt.size() + static_cast<std::size_t>(call.max_tokens);
+  return usage;
+}
+
+json::object AnswerHead(const GenerateCall& call, std::string_view object) {
+  json::object answer;
+  answer["id"] = call.request_id;
+  answer["object"] = object;
+  answer["model"] = call.model;
+  return answer;
+}
+
+/** @return An answer whose one choice is filled by the caller. */
+json::object WithChoice(json::object answer, json::object choice,
+                        json::value finish_reason) {
+  choice["index"] = 0;
+  choice["finish_reason"] = std::move(finish_reason);
+  json::array choices;
+  choices.push_back(std::move(choice));
+  answer["choices"] = std::move(choices);
+  return answer;
+}
+
+json::object ChunkHead(const GenerateCall& call) {
+  return AnswerHead(call,
+                    call.chat ? "chat.completion.chunk" : "text_completion");
+}
+
+json::object ChunkChoice(const GenerateCall& call, const std::string& text) {
+  json::object choice;
+  if (call.chat) {
+    json::object delta;
+    if (!text.empty()) delta["content"] = text;
+    choice["delta"] = std::move(delta);
+  } else {
+    choice["text"] = text;
+  }
+  return choice;
+}
+
+std::string Event(const json::object& data) {
+  return "data: " + json::serialize(data) + "\n\n";
+}
+
+}  // namespace
+
+EngineOrder ParseOrder(std::string_view body) {
+  const json::object object = platform::ParseObject(body);
+  EngineOrder order;
+  order.kind = ParseKind(StringAt(object, "kind"));
+  order.model = core::ModelId(StringAt(object, "model"));
+  order.version = StringOr(object, "version", "");
+  order.adapter = core::AdapterId(StringOr(object, "adapter", ""));
+  order.bytes = IntegerOr(object, "bytes", 0);
+  order.kv_budget_bytes = IntegerOr(object, "kv_budget_bytes", 0);
+  order.fence = IntegerOr(object, "fence", 0);
+  return order;
+}
+
+GenerateCall ParseCall(const http::Request& request) {
+  const json::object body = platform::ParseObject(request.body);
+  GenerateCall call;
+  const auto id = http::FindHeader(request.headers, "X-Request-Id");
+  call.request_id = id ? std::string(*id) : core::RandomHexId();
+  SetModel(call, StringAt(body, "model"));
+  call.chat = http::PathOf(request.target) == kChatPath;
+  call.prompt = call.chat ? PromptOfChat(body) : StringAt(body, "prompt");
+  const std::int64_t tokens = IntegerOr(body, "max_tokens", kDefaultMaxTokens);
+  if (tokens < 1 || tokens > kMostTokens) {
+    FailField("max_tokens", "is out of range");
+  }
+  call.max_tokens = static_cast<int>(tokens);
+  call.stream = platform::BooleanOr(body, "stream", false);
+  return call;
+}
+
+std::string StatusJson(const platform::EngineStatus& status) {
+  json::object object;
+  object["incarnation"] = status.incarnation;
+  object["memory_bytes"] = status.memory_bytes;
+  object["honours_fencing"] = status.honours_fencing;
+  object["fence"] = status.fence;
+  object["order_in_progress"] = status.order_in_progress;
+  object["models"] = ToArray(status.models);
+  object["memory_tier"] = ToJson(status.memory_tier);
+  object["disk_tier"] = ToJson(status.disk_tier);
+  return json::serialize(object);
+}
+
+std::string RecordJson(const EngineRecord& record) {
+  json::object object;
+  object["requests"] = ToArray(record.requests);
+  object["replicas"] = ToArray(record.replicas);
+  object["current_replicas"] = CurrentReplicas(record);
+  object["overcommits"] = ToArray(record.overcommits);
+  object["refused_orders"] = ToArray(record.refused_orders);
+  object["crashes"] = json::value_from(record.crashes_ms);
+  object["memory_bytes"] = record.memory_bytes;
+  object["used_bytes"] = record.used_bytes;
+  object["peak_used_bytes"] = record.peak_used_bytes;
+  return json::serialize(object);
+}
+
+std::string ErrorJson(std::string_view name) {
+  json::object object;
+  object["error"] = name;
+  return json::serialize(object);
+}
+
+std::string TokenText(const GenerateCall& call, int index) {
+  const std::string token = call.request_id + "#" + std::to_string(index);
+  return index == 0 ? call.prompt + " " + token : " " + token;
+}
+
+std::string WholeText(const GenerateCall& call) {
+  std::string text;
+  for (int i = 0; i < call.max_tokens; ++i) text += TokenText(call, i);
+  return text;
+}
+
+std::string AnswerJson(const GenerateCall& call) {
+  json::object choice;
+  if (call.chat) {
+    json::object message;
+    message["role"] = "assistant";
+    message["content"] = WholeText(call);
+    choice["message"] = std::move(message);
+  } else {
+    choice["text"] = WholeText(call);
+  }
+  json::object answer =
+      WithChoice(AnswerHead(call, call.chat ? "chat.completion"
+                                            : "text_completion"),
+                 std::move(choice), "length");
+  answer["usage"] = Usage(call);
+  return json::serialize(answer);
+}
+
+std::string TokenEvent(const GenerateCall& call, int index) {
+  return Event(WithChoice(ChunkHead(call),
+                          ChunkChoice(call, TokenText(call, index)), nullptr));
+}
+
+std::string LastEvents(const GenerateCall& call) {
+  json::object last =
+      WithChoice(ChunkHead(call), ChunkChoice(call, ""), "length");
+  last["usage"] = Usage(call);
+  return Event(last) + "data: [DONE]\n\n";
+}
+
+}  // namespace sapphire::standin
--- /dev/null
+++ b/standin/fault_base.h
@@ -0,0 +1,66 @@
+/** @file fault_base.h The fault switches of a stand-in. */
+#ifndef SAPPHIRE_STANDIN_FAULT_BASE_H_
+#define SAPPHIRE_STANDIN_FAULT_BASE_H_
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace sapphire::standin {
+
+enum class FaultKind {
+  kFlag,    ///< On or off.
+  kCount,   ///< Happens so many times more.
+  kNumber,  ///< A factor or a time in milliseconds.
+  kText,    ///< A key or a substring; empty is off.
+};
+
+/** One row of a stand-in's table of switches. */
+struct FaultDef {
+  std::string_view name;
+  FaultKind kind = FaultKind::kFlag;
+  double initial = 0;
+};
+
+/** The switches' values. Safe on many threads. */
+class Faults {
+ public:
+  /** @param table The switches of this stand-in, besides those of all. */
+  explicit Faults(std::span<const FaultDef> table);
+
+  /**
+   * Sets the switches named in a JSON object.
+   * @throws core::Error kMalformedRequest for an unknown switch or a wrong
+   *   type; then nothing is set.
+   */
+  void SetJson(std::string_view text);
+
+  /** @return Every switch and its value, as a JSON object. */
+  [[nodiscard]] std::string ShowJson() const;
+
+  /** @pre The table has a switch of this name and kind. */
+  [[nodiscard]] bool Flag(std::string_view name) const;
+  [[nodiscard]] double Number(std::string_view name) const;
+  [[nodiscard]] std::chrono::milliseconds Duration(std::string_view name) const;
+  [[nodiscard]] std::string Text(std::string_view name) const;
+
+  /** Uses up one of a count, or a flag. @return True if it was set. */
+  bool TakeOne(std::string_view name);
+
+ private:
+  struct Switch {
+    FaultKind kind = FaultKind::kFlag;
+    double number = 0;
+    std::string text;
+  };
+
+  mutable std::mutex mutex_;
+  std::map<std::string, Switch, std::less<>> switches_;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_FAULT_BASE_H_
--- /dev/null
+++ b/standin/kv_stand_in.cc
@@ -0,0 +1,264 @@
+/** @file kv_stand_in.cc Stand-in of the platform's key-value service. */
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "platform/json_func.h"
+#include "standin/kv_stand_in_base.h"
+
+namespace sapphire::standin {
+
+namespace json = boost::json;
+using platform::IntegerAt;
+using platform::KvEntry;
+using platform::StringAt;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+constexpr std::array kFaults = {
+    FaultDef{.name = "lose_answers", .kind = FaultKind::kCount},
+    FaultDef{.name = "late_writes", .kind = FaultKind::kCount},
+    FaultDef{.name = "late_writes_ms", .kind = FaultKind::kNumber},
+    FaultDef{.name = "lapse_leases", .kind = FaultKind::kFlag},
+    FaultDef{.name = "watch_gap", .kind = FaultKind::kCount},
+    FaultDef{.name = "show_old_key", .kind = FaultKind::kText},
+};
+
+json::value ToJson(const KvEntry& entry) {
+  json::object object;
+  object["key"] = entry.key;
+  object["value"] = entry.value;
+  object["revision"] = entry.revision;
+  return object;
+}
+
+json::value ToJson(const std::optional<KvEntry>& entry) {
+  if (!entry) return nullptr;
+  return ToJson(*entry);
+}
+
+json::value ToJson(const platform::KvEvent& event) {
+  json::object object;
+  object["key"] = event.key;
+  if (event.value) {
+    object["value"] = *event.value;
+  } else {
+    object["value"] = nullptr;
+  }
+  object["revision"] = event.revision;
+  return object;
+}
+
+json::object ToJson(const platform::CasResult& result) {
+  json::object object;
+  object["swapped"] = result.swapped;
+  if (result.swapped) {
+    object["revision"] = result.revision;
+  } else {
+    object["current"] = ToJson(result.current);
+  }
+  return object;
+}
+
+json::object ToJson(const platform::WatchBatch& batch) {
+  json::array events;
+  for (const platform::KvEvent& it : batch.events) events.push_back(ToJson(it));
+  json::object object;
+  object["revision"] = batch.revision;
+  object["gap"] = batch.gap;
+  object["events"] = std::move(events);
+  return object;
+}
+
+std::int64_t NumberInQuery(const http::Request& request,
+                           std::string_view name) {
+  const std::string text =
+      http::QueryValue(request.target, name).value_or("0");
+  try {
+    return std::stoll(text);
+  } catch (const std::logic_error&) {
+    throw core::Error(core::ErrorCode::kMalformedRequest,
+                      std::string(name) + ": must be an integer");
+  }
+}
+
+/** Carries out a write; the answer as JSON. */
+json::object ApplyTo(KvStore& store, const http::Request& request) {
+  const std::string_view path = http::PathOf(request.target);
+  const json::object body = platform::ParseObject(request.body);
+  json::object answer;
+  if (path == "/cas") {
+    return ToJson(store.CompareAndSwap(
+        StringAt(body, "key"), IntegerAt(body, "expected"),
+        StringAt(body, "value"), platform::StringOr(body, "lease", "")));
+  }
+  if (path == "/delete") {
+    answer["deleted"] =
+        store.DeleteIf(StringAt(body, "key"), IntegerAt(body, "expected"));
+  } else if (path == "/lease") {
+    const platform::KvLease lease =
+        store.GrantLease(core::Millis(IntegerAt(body, "ttl_ms")));
+    answer["id"] = lease.id;
+    answer["ttl_ms"] = lease.time_to_live.count();
+  } else if (path == "/lease/keepalive") {
+    answer["alive"] = store.KeepAlive(StringAt(body, "id"));
+  } else {
+    throw core::Error(core::ErrorCode::kUnknownPath, std::string(path));
+  }
+  return answer;
+}
+
+}  // namespace
+
+KvStandIn::KvStandIn(StandInContext context, KvOptions options)
+    : StandIn(std::move(context), kFaults),
+      store_(options.history_limit, context_.clock) {}
+
+core::Task<> KvStandIn::Serve(const http::Request& request,
+                              http::ResponseWriter& writer) {
+  const std::string path(http::PathOf(request.target));
+  const bool is_write = request.method == "POST";
+  Count(path, is_write);
+  if (is_write) {
+    co_await ServeWrite(request, writer);
+  } else if (path == "/kv") {
+    co_await ServeRead(request, writer);
+  } else if (path == "/watch") {
+    co_await ServeWatch(request, writer);
+  } else {
+    throw core::Error(core::ErrorCode::kUnknownPath, path);
+  }
+}
+
+core::Task<> KvStandIn::ServeRead(const http::Request& request,
+                                  http::ResponseWriter& writer) {
+  json::object answer;
+  const auto key = http::QueryValue(request.target, "key");
+  const auto prefix = http::QueryValue(request.target, "prefix").value_or("");
+  {
+    const std::lock_guard lock(mutex_);
+    if (key) {
+      std::optional<KvEntry> entry = store_.Get(*key);
+      ShowOld(entry, *key);
+      answer["entry"] = ToJson(entry);
+    } else {
+      json::array entries;
+      for (const KvEntry& it : store_.List(prefix)) {
+        std::optional<KvEntry> entry = it;
+        ShowOld(entry, it.key);
+        entries.push_back(ToJson(entry));
+      }
+      answer["entries"] = std::move(entries);
+      answer["revision"] = store_.revision();
+    }
+  }
+  co_await SendJson(writer, kOk, json::serialize(answer));
+}
+
+core::Task<> KvStandIn::ServeWrite(const http::Request& request,
+                                   http::ResponseWriter& writer) {
+  if (faults_.TakeOne("late_writes")) {
+    core::Spawn(context_.executor, context_.log, "late_write",
+                [this, copy = request] { return ApplyLate(copy); });
+    CutConnection("late write");
+  }
+  std::string answer = Apply(request);
+  if (faults_.TakeOne("lose_answers")) CutConnection("lost answer");
+  co_await SendJson(writer, kOk, std::move(answer));
+}
+
+core::Task<> KvStandIn::ServeWatch(const http::Request& request,
+                                   http::ResponseWriter& writer) {
+  const std::string prefix =
+      http::QueryValue(request.target, "prefix").value_or("");
+  const std::int64_t after = NumberInQuery(request, "after");
+  const core::SteadyTime deadline =
+      context_.clock.Now() + core::Millis(NumberInQuery(request, "wait_ms"));
+  platform::WatchBatch batch;
+  while (true) {
+    const std::int64_t seen = changed_.changes();
+    {
+      const std::lock_guard lock(mutex_);
+      batch = store_.ChangesAfter(prefix, after);
+    }
+    if (batch.gap || !batch.events.empty()) break;
+    if (context_.clock.Now() >= deadline) break;
+    co_await changed_.Wait(seen, WaitUntil(deadline));
+    CutIfDown();
+  }
+  if (faults_.TakeOne("watch_gap")) {
+    batch.gap = true;
+    batch.events.clear();
+  }
+  co_await SendJson(writer, kOk, json::serialize(ToJson(batch)));
+}
+
+core::Task<> KvStandIn::ApplyLate(http::Request request) {
+  co_await core::SleepFor(faults_.Duration("late_writes_ms"));
+  Apply(request);
+}
+
+std::string KvStandIn::Apply(const http::Request& request) {
+  json::object answer;
+  {
+    const std::lock_guard lock(mutex_);
+    answer = ApplyTo(store_, request);
+  }
+  changed_.Notify();
+  return json::serialize(answer);
+}
+
+/** @return How long a watch may sleep: to its end or the next lease's. */
+std::chrono::milliseconds KvStandIn::WaitUntil(
+    core::SteadyTime deadline) const {
+  const std::lock_guard lock(mutex_);
+  const core::SteadyTime end =
+      std::min(deadline, store_.NextExpiry().value_or(deadline));
+  return std::chrono::ceil<std::chrono::milliseconds>(end -
+                                                      context_.clock.Now());
+}
+
+void KvStandIn::ShowOld(std::optional<KvEntry>& entry, const std::string& key) {
+  if (key != faults_.Text("show_old_key")) return;
+  const std::optional<KvEntry> previous = store_.Previous(key);
+  if (previous) entry = previous;
+}
+
+void KvStandIn::OnFaultsSet() {
+  if (faults_.TakeOne("lapse_leases")) {
+    const std::lock_guard lock(mutex_);
+    store_.LapseLeases();
+  }
+  changed_.Notify();
+}
+
+void KvStandIn::Count(const std::string& path, bool is_write) {
+  const std::lock_guard lock(mutex_);
+  ++calls_[path];
+  if (!is_write) return;
+  const std::int64_t second = WallMillis(context_.clock) / kMillisPerSecond;
+  if (second != current_second_) writes_this_second_ = 0;
+  current_second_ = second;
+  ++writes_this_second_;
+  peak_writes_per_second_ =
+      std::max(peak_writes_per_second_, writes_this_second_);
+}
+
+std::string KvStandIn::RecordJson() const {
+  const std::lock_guard lock(mutex_);
+  json::object calls;
+  for (const auto& [path, n] : calls_) calls[path] = n;
+  json::object record;
+  record["calls"] = std::move(calls);
+  record["peak_writes_per_second"] = peak_writes_per_second_;
+  record["revision"] = store_.revision();
+  return json::serialize(record);
+}
+
+}  // namespace sapphire::standin
--- /dev/null
+++ b/standin/kv_stand_in_base.h
@@ -0,0 +1,64 @@
+/** @file kv_stand_in_base.h Stand-in of the platform's key-value service. */
+#ifndef SAPPHIRE_STANDIN_KV_STAND_IN_BASE_H_
+#define SAPPHIRE_STANDIN_KV_STAND_IN_BASE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "standin/kv_store_base.h"
+#include "standin/notifier_base.h"
+#include "standin/stand_in_base.h"
+
+namespace sapphire::standin {
+
+struct KvOptions {
+  /** How many changes a watch can look back on. */
+  std::size_t history_limit = 1000;
+};
+
+/**
+ * Faults: `lose_answers` (so many writes take effect, unanswered),
+ * `late_writes` (so many are unanswered and take effect `late_writes_ms`
+ * later, if their expected revision still stands), `lapse_leases`,
+ * `watch_gap` (so many watches report a gap), `show_old_key` (reads of this
+ * key give the value before the newest).
+ */
+class KvStandIn final : public StandIn {
+ public:
+  KvStandIn(StandInContext context, KvOptions options);
+
+ protected:
+  core::Task<> Serve(const http::Request& request,
+                     http::ResponseWriter& writer) override;
+  [[nodiscard]] std::string RecordJson() const override;
+  void OnFaultsSet() override;
+
+ private:
+  core::Task<> ServeRead(const http::Request& request,
+                         http::ResponseWriter& writer);
+  core::Task<> ServeWrite(const http::Request& request,
+                          http::ResponseWriter& writer);
+  core::Task<> ServeWatch(const http::Request& request,
+                          http::ResponseWriter& writer);
+  core::Task<> ApplyLate(http::Request request);
+  std::string Apply(const http::Request& request);
+  void Count(const std::string& path, bool is_write);
+  void ShowOld(std::optional<platform::KvEntry>& entry, const std::string& key);
+  std::chrono::milliseconds WaitUntil(core::SteadyTime deadline) const;
+
+  mutable std::mutex mutex_;
+  KvStore store_;
+  std::map<std::string, std::int64_t> calls_;
+  std::int64_t current_second_ = 0;
+  std::int64_t writes_this_second_ = 0;
+  std::int64_t peak_writes_per_second_ = 0;
+  Notifier changed_;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_KV_STAND_IN_BASE_H_
--- /dev/null
+++ b/standin/kv_store_base.h
@@ -0,0 +1,90 @@
+/** @file kv_store_base.h The data of the key-value service's stand-in. */
+#ifndef SAPPHIRE_STANDIN_KV_STORE_BASE_H_
+#define SAPPHIRE_STANDIN_KV_STORE_BASE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::standin {
+
+/**
+ * Keys with store-wide revisions, compare-and-swap, leases and a limited
+ * history of changes. Leases end by the clock at the next call. Not safe on
+ * several threads.
+ */
+class KvStore {
+ public:
+  /** @param history_limit How many changes a watch can look back on.
+   * @pre `clock` outlives the store. */
+  KvStore(std::size_t history_limit, const core::Clock& clock);
+
+  [[nodiscard]] std::int64_t revision() const { return revision_; }
+
+  std::optional<platform::KvEntry> Get(const std::string& key);
+  std::vector<platform::KvEntry> List(const std::string& prefix);
+
+  /** @return The value that stood at the key before its newest. */
+  std::optional<platform::KvEntry> Previous(const std::string& key);
+
+  /** @throws core::Error kMalformedRequest if the lease doesn't live. */
+  platform::CasResult CompareAndSwap(const std::string& key,
+                                     std::int64_t expected,
+                                     const std::string& value,
+                                     const std::string& lease_id);
+  bool DeleteIf(const std::string& key, std::int64_t expected);
+
+  platform::KvLease GrantLease(std::chrono::milliseconds time_to_live);
+  bool KeepAlive(const std::string& lease_id);
+
+  /** Ends all leases. */
+  void LapseLeases();
+
+  /** @return When the next lease ends, if there is one. */
+  [[nodiscard]] std::optional<core::SteadyTime> NextExpiry() const;
+
+  /** @return The changes after `after`; with a gap if some are forgotten. */
+  platform::WatchBatch ChangesAfter(std::string_view prefix,
+                                    std::int64_t after);
+
+ private:
+  struct Item {
+    platform::KvEntry entry;
+    std::string lease_id;
+  };
+  struct Lease {
+    std::chrono::milliseconds time_to_live{};
+    core::SteadyTime ends;
+  };
+
+  void ExpireLeases();
+  void EndLease(const std::string& lease_id);
+  void Put(const std::string& key, const std::string& value,
+           const std::string& lease_id);
+  void Delete(const std::string& key);
+  void Remember(platform::KvEvent event);
+
+  const std::size_t history_limit_;
+  const core::Clock& clock_;
+  std::int64_t revision_ = 0;
+  /** The newest change that the history has lost. */
+  std::int64_t forgotten_ = 0;
+  std::map<std::string, Item> items_;
+  std::map<std::string, platform::KvEntry> previous_;
+  std::map<std::string, Lease> leases_;
+  std::deque<platform::KvEvent> history_;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_KV_STORE_BASE_H_
--- /dev/null
+++ b/standin/prefix_cache.cc
@@ -0,0 +1,64 @@
+/** @file prefix_cache.cc Cached prompt prefixes of one model. */
+#include <algorithm>
+
+#include "core/random_func.h"
+#include "standin/prefix_cache_base.h"
+
+namespace sapphire::standin {
+
+namespace {
+
+constexpr std::size_t kBlockChars = 256;
+
+/** @return The hash of the prompt up to the end of each whole block. */
+std::vector<std::uint64_t> BlocksOf(std::string_view prompt) {
+  std::vector<std::uint64_t> blocks;
+  std::uint64_t hash = 0;
+  for (std::size_t i = 0; i + kBlockChars <= prompt.size(); i += kBlockChars) {
+    hash = core::HashOf(prompt.substr(i, kBlockChars), hash);
+    blocks.push_back(hash);
+  }
+  return blocks;
+}
+
+}  // namespace
+
+PrefixCache::PrefixCache(std::int64_t bytes_per_char)
+    : bytes_per_block_(bytes_per_char * std::int64_t{kBlockChars}) {}
+
+std::size_t PrefixCache::Match(std::string_view prompt) {
+  std::size_t n = 0;
+  for (std::uint64_t block : BlocksOf(prompt)) {
+    if (!Touch(block)) break;
+    n += kBlockChars;
+  }
+  return n;
+}
+
+void PrefixCache::Insert(std::string_view prompt) {
+  for (std::uint64_t block : BlocksOf(prompt)) {
+    if (Touch(block)) continue;
+    blocks_.push_front(block);
+    places_[block] = blocks_.begin();
+  }
+}
+
+void PrefixCache::EvictTo(std::int64_t bytes) {
+  while (!blocks_.empty() && this->bytes() > bytes) {
+    places_.erase(blocks_.back());
+    blocks_.pop_back();
+  }
+}
+
+std::int64_t PrefixCache::bytes() const {
+  return static_cast<std::int64_t>(blocks_.size()) * bytes_per_block_;
+}
+
+bool PrefixCache::Touch(std::uint64_t block) {
+  const auto it = places_.find(block);
+  if (it == places_.end()) return false;
+  blocks_.splice(blocks_.begin(), blocks_, it->second);
+  return true;
+}
+
+}  // namespace sapphire::standin
