standin: thin

Cause: the demo and the tests need a platform to talk to. Change: bin/sapphire-standin with kv, vms, weights, engine and plain; faults and records of each. http::Server lets a handler cut its connection without an answer (ConnectionCut) and ask whether its caller has gone (CallerGone), both additive: a lost answer and a cancelled whole answer can't be shown otherwise. Ruled out: whitespace written ahead of a whole answer to notice a closed connection (it would start an answer that may yet be refused).

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 /** @file server.cc A small HTTP/1.1 server on Beast. */
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -123,6 +124,15 @@
   }
 
   [[nodiscard]] bool started() const override { return started_; }
+
+  [[nodiscard]] bool CallerGone() override {
+    char c = 0;
+    const auto n = ::recv(stream_.socket().native_handle(), &c, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+    const bool silent = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return n <= 0 && !silent;
+  }
+
   [[nodiscard]] bool finished() const { return finished_; }
   [[nodiscard]] bool keep_alive() const { return keep_alive_; }
   void CloseAfterThis() { keep_alive_ = false; }
@@ -306,6 +316,8 @@
     if (!writer.started()) {
       failure.emplace(core::ErrorCode::kInternal, "no answer was given");
     }
+  } catch (const ConnectionCut&) {
+    co_return;
   } catch (const core::Error& e) {
     failure = e;
   } catch (const std::exception& e) {
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,15 @@
 
   /** @return True once a byte of the answer may have been sent. */
   [[nodiscard]] virtual bool started() const = 0;
+
+  /** @return True if the caller has closed its connection. */
+  [[nodiscard]] virtual bool CallerGone() { return false; }
+};
+
+/** Thrown by a handler to close the connection at once, without an answer. */
+class ConnectionCut final : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
 };
 
 struct ServerLimits {
@@ -48,7 +58,8 @@
 
 /**
  * Answers one request. A core::Error thrown before anything was sent becomes a
- * problem+json answer; thrown later, it cuts the connection.
+ * problem+json answer; thrown later, it cuts the connection. A ConnectionCut
+ * cuts it in any case.
  */
 using Handler = std::function<core::Task<>(const Request&, ResponseWriter&)>;
 
--- /dev/null
+++ b/standin/engine_stand_in_base.h
@@ -0,0 +1,66 @@
+/** @file engine_stand_in_base.h Stand-in of a model engine. */
+#ifndef SAPPHIRE_STANDIN_ENGINE_STAND_IN_BASE_H_
+#define SAPPHIRE_STANDIN_ENGINE_STAND_IN_BASE_H_
+
+#include <memory>
+#include <string>
+
+#include "core/signal_base.h"
+#include "http/client_base.h"
+#include "standin/engine_state_base.h"
+#include "standin/engine_type.h"
+#include "standin/stand_in_base.h"
+
+namespace sapphire::standin {
+
+/**
+ * Faults: `crash_on` (a request whose body contains this crashes the engine),
+ * `crash_now`, `slow_factor` (local loads, prefill and steps take so many times
+ * as long), `load_fail` (so many loads fail at their end), `lose_order_answers`
+ * (so many orders are carried out, unanswered).
+ */
+class EngineStandIn final : public StandIn {
+ public:
+  EngineStandIn(StandInContext context, EngineOptions options);
+
+ protected:
+  core::Task<> Serve(const http::Request& request,
+                     http::ResponseWriter& writer) override;
+  [[nodiscard]] std::string RecordJson() const override;
+  void OnFaultsSet() override;
+
+ private:
+  class RunningRequest;
+
+  core::Task<> ServeOrder(const http::Request& request,
+                          http::ResponseWriter& writer);
+  core::Task<bool> CarryOut(const platform::EngineOrder& order,
+                            std::int64_t incarnation);
+  core::Task<bool> LoadRemote(const std::string& checkpoint, std::int64_t bytes,
+                              std::int64_t incarnation);
+  core::Task<> PauseOrder(std::chrono::milliseconds duration,
+                          std::int64_t incarnation);
+  void CutIfCrashed(std::int64_t incarnation) const;
+
+  core::Task<> ServeGenerate(const http::Request& request,
+                             http::ResponseWriter& writer);
+  core::Task<Admission> WaitForRoom(const GenerateCall& call,
+                                    http::ResponseWriter& writer);
+  core::Task<> Stream(RunningRequest& run, const GenerateCall& call,
+                      http::ResponseWriter& writer);
+  core::Task<> Generate(RunningRequest& run, const GenerateCall& call,
+                        http::ResponseWriter& writer);
+  std::chrono::nanoseconds StepTime() const;
+  std::chrono::nanoseconds PrefillTime(const GenerateCall& call,
+                                       std::size_t cached_chars) const;
+
+  const EngineOptions options_;
+  EngineState state_;
+  /** Crashes, unloads and switches: whoever waits looks whether it is meant. */
+  core::Signal disrupted_;
+  std::unique_ptr<http::Client> weights_;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_ENGINE_STAND_IN_BASE_H_
--- a/standin/engine_state.cc
+++ b/standin/engine_state.cc
@@ -231,8 +231,8 @@
   const auto it = held_.find(order.model.value());
   if (it == held_.end()) return OrderVerdict::kCarryOut;
   const EngineModel& model = it->second.model;
-  const bool same = model.state == EngineModelState::kReady &&
-                    model.version == order.version;
+  const bool same =
+      model.state == EngineModelState::kReady && model.version == order.version;
   return same ? OrderVerdict::kNothingToDo : OrderVerdict::kBusy;
 }
 
@@ -281,10 +281,11 @@
   stay.version = order.version;
   stay.fence = order.fence;
   stay.load_began_ms = WallMillis(clock_);
-  held_.emplace(stay.model,
-                Held{std::move(model), record_.replicas.size(), 0,
-                     PrefixCache(options_.kv_bytes_per_char),
-                     {}});
+  held_.emplace(stay.model, Held{std::move(model),
+                                 record_.replicas.size(),
+                                 0,
+                                 PrefixCache(options_.kv_bytes_per_char),
+                                 {}});
   record_.replicas.push_back(std::move(stay));
   NoteMemory("load of model " + order.model.value());
 }
@@ -361,8 +362,7 @@
 
 void EngineState::NoteRefusal(const EngineOrder& order, OrderVerdict verdict) {
   record_.refused_orders.push_back({WallMillis(clock_), order.model.value(),
-                                    order.fence,
-                                    std::string(NameOf(verdict))});
+                                    order.fence, std::string(NameOf(verdict))});
 }
 
 void EngineState::NoteMemory(const std::string& cause) {
--- a/standin/engine_wire.cc
+++ b/standin/engine_wire.cc
@@ -29,8 +29,8 @@
                                                          "unloading"};
 constexpr std::array<std::string_view, 5> kOutcomeNames = {
     "running", "done", "cancelled", "crashed", "unloaded"};
-constexpr std::array<std::string_view, 4> kEndNames = {"held", "unloaded",
-                                                       "load_failed", "crashed"};
+constexpr std::array<std::string_view, 4> kEndNames = {
+    "held", "unloaded", "load_failed", "crashed"};
 
 [[noreturn]] void FailField(std::string_view field, std::string_view why) {
   throw core::Error(core::ErrorCode::kMalformedRequest,
@@ -278,10 +278,9 @@
   } else {
     choice["text"] = WholeText(call);
   }
-  json::object answer =
-      WithChoice(AnswerHead(call, call.chat ? "chat.completion"
-                                            : "text_completion"),
-                 std::move(choice), "length");
+  json::object answer = WithChoice(
+      AnswerHead(call, call.chat ? "chat.completion" : "text_completion"),
+      std::move(choice), "length");
   answer["usage"] = Usage(call);
   return json::serialize(answer);
 }
--- a/standin/fault.cc
+++ b/standin/fault.cc
@@ -35,6 +35,13 @@
   return std::string(value.get_string());
 }
 
+/** @return An integer where the number is one, so that it reads well. */
+json::value ToJson(double number) {
+  const auto whole = static_cast<std::int64_t>(number);
+  if (static_cast<double>(whole) == number) return whole;
+  return number;
+}
+
 }  // namespace
 
 Faults::Faults(std::span<const FaultDef> table) {
@@ -75,7 +82,7 @@
         break;
       case FaultKind::kCount:
       case FaultKind::kNumber:
-        object[name] = it.number;
+        object[name] = ToJson(it.number);
         break;
     }
   }
--- /dev/null
+++ b/standin/host.cc
@@ -0,0 +1,72 @@
+/** @file host.cc Runs one stand-in behind a server of its own. */
+#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+#include "standin/host_base.h"
+
+namespace sapphire::standin {
+
+namespace {
+
+/** Values of a megabyte grow when they are quoted. */
+constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kThreads = 2;
+
+http::ServerLimits Limits() {
+  http::ServerLimits limits;
+  limits.max_body_bytes = kMaxBodyBytes;
+  return limits;
+}
+
+}  // namespace
+
+/** The order of the members is the order of their ends: coroutines end with
+ * the I/O context, and the stand-in outlives them. */
+struct Host::State {
+  State(const std::string& name, const std::string& listen_address,
+        const Factory& factory)
+      : log({"sapphire-standin-" + name, core::VmId("platform"),
+             core::ZoneId("platform")},
+            core::LogLevel::kInfo, clock),
+        work(io.get_executor()) {
+    stand_in = factory(StandInContext{io.get_executor(), clock, log});
+    server = std::make_unique<http::Server>(
+        io.get_executor(), listen_address, Limits(),
+        [this](const http::Request& request, http::ResponseWriter& writer) {
+          return stand_in->Handle(request, writer);
+        },
+        log);
+    server->Start();
+    for (auto& thread : threads) thread = std::thread([this] { io.run(); });
+  }
+
+  ~State() {
+    io.stop();
+    for (auto& thread : threads) thread.join();
+  }
+
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  core::SystemClock clock;
+  core::Logger log;
+  std::unique_ptr<StandIn> stand_in;
+  boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  std::unique_ptr<http::Server> server;
+  std::array<std::thread, kThreads> threads;
+};
+
+Host::Host(const std::string& name, const std::string& listen_address,
+           const Factory& factory)
+    : state_(std::make_unique<State>(name, listen_address, factory)) {}
+
+Host::~Host() = default;
+
+std::string Host::address() const { return state_->server->address(); }
+
+StandIn& Host::stand_in() const { return *state_->stand_in; }
+
+}  // namespace sapphire::standin
--- /dev/null
+++ b/standin/host_base.h
@@ -0,0 +1,46 @@
+/** @file host_base.h Runs one stand-in behind a server of its own. */
+#ifndef SAPPHIRE_STANDIN_HOST_BASE_H_
+#define SAPPHIRE_STANDIN_HOST_BASE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "standin/stand_in_base.h"
+
+namespace sapphire::standin {
+
+/** A listening stand-in and its threads, for a program or inside a test. */
+class Host {
+ public:
+  using Factory =
+      std::function<std::unique_ptr<StandIn>(const StandInContext& context)>;
+
+  /**
+   * Listens and serves from now on.
+   * @param name For log lines.
+   * @param listen_address "ip:port"; port 0 takes a free one.
+   * @throws core::Error kBadSettings if the address can't be listened on.
+   */
+  Host(const std::string& name, const std::string& listen_address,
+       const Factory& factory);
+
+  /** Stops at once; requests in progress are cut. */
+  ~Host();
+
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  /** @return "ip:port" as bound. */
+  [[nodiscard]] std::string address() const;
+
+  [[nodiscard]] StandIn& stand_in() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace sapphire::standin
+
+#endif  // SAPPHIRE_STANDIN_HOST_BASE_H_
--- a/standin/kv_stand_in.cc
+++ b/standin/kv_stand_in.cc
@@ -78,8 +78,7 @@
 
 std::int64_t NumberInQuery(const http::Request& request,
                            std::string_view name) {
-  const std::string text =
-      http::QueryValue(request.target, name).value_or("0");
+  const std::string text = http::QueryValue(request.target, name).value_or("0");
   try {
     return std::stoll(text);
   } catch (const std::logic_error&) {
@@ -182,7 +181,7 @@
       context_.clock.Now() + core::Millis(NumberInQuery(request, "wait_ms"));
   platform::WatchBatch batch;
   while (true) {
-    const std::int64_t seen = changed_.changes();
+    const std::uint64_t seen = changed_.epoch();
     {
       const std::lock_guard lock(mutex_);
       batch = store_.ChangesAfter(prefix, after);
--- a/standin/kv_stand_in_base.h
+++ b/standin/kv_stand_in_base.h
@@ -9,8 +9,8 @@
 #include <mutex>
 #include <string>
 
+#include "core/signal_base.h"
 #include "standin/kv_store_base.h"
-#include "standin/notifier_base.h"
 #include "standin/stand_in_base.h"
 
 namespace sapphire::standin {
@@ -56,7 +56,7 @@
   std::int64_t current_second_ = 0;
   std::int64_t writes_this_second_ = 0;
   std::int64_t peak_writes_per_second_ = 0;
-  Notifier changed_;
+  core::Signal changed_;
 };
 
 }  // namespace sapphire::standin
--- a/standin/stand_in.cc
+++ b/standin/stand_in.cc
@@ -1,9 +1,8 @@
 /** @file stand_in.cc What the stand-ins of all platform services share. */
-#include "standin/stand_in_base.h"
-
 #include <utility>
 
 #include "core/task_func.h"
+#include "standin/stand_in_base.h"
 
 namespace sapphire::standin {
 
@@ -45,8 +44,7 @@
 }
 
 void CutConnection(const std::string& why) {
-  throw http::TransportError("stand-in: " + why, /*may_have_run=*/true,
-                             /*timed_out=*/false);
+  throw http::ConnectionCut("stand-in: " + why);
 }
 
 core::Task<> SendJson(http::ResponseWriter& writer, int status,
--- a/standin/vms_stand_in.cc
+++ b/standin/vms_stand_in.cc
@@ -48,7 +48,8 @@
     co_await SendJson(writer, kOk, "{}");
     co_return;
   }
-  std::string list = ListAsOf(context_.clock.Now() - faults_.Duration("lag_ms"));
+  std::string list =
+      ListAsOf(context_.clock.Now() - faults_.Duration("lag_ms"));
   co_await SendJson(writer, kOk, std::move(list));
 }
 
--- a/standin/weights_stand_in.cc
+++ b/standin/weights_stand_in.cc
@@ -69,7 +69,8 @@
     const core::SteadyTime start = std::max(now, next_start_);
     const FloatSeconds interval(1 / options_.loads_per_second);
     next_start_ =
-        start + std::chrono::duration_cast<core::SteadyTime::duration>(interval);
+        start +
+        std::chrono::duration_cast<core::SteadyTime::duration>(interval);
     wait = std::chrono::ceil<std::chrono::milliseconds>(start - now);
   }
   if (wait.count() > 0) co_await core::SleepFor(wait);
