--- a/standin/engine_stand_in.cc
+++ b/standin/engine_stand_in.cc
@@ -147,8 +147,7 @@
 core::Task<> EngineStandIn::ServeOrder(const http::Request& request,
                                        http::ResponseWriter& writer) {
   const EngineOrder order = ParseOrder(request.body);
-  const std::int64_t incarnation = state_.incarnation();
-  const OrderVerdict verdict = state_.BeginOrder(order);
+  const auto [verdict, incarnation] = state_.BeginOrder(order);
   const std::string_view error = NameOf(verdict);
   if (!error.empty()) {
     const bool no_memory = verdict == OrderVerdict::kNoMemory;
--- a/standin/engine_state.cc
+++ b/standin/engine_state.cc
@@ -25,6 +25,7 @@
 
 std::vector<core::ModelId> ToIds(const std::set<std::string>& names) {
   std::vector<core::ModelId> ids;
+  ids.reserve(names.size());
   for (const std::string& it : names) ids.emplace_back(it);
   return ids;
 }
@@ -88,7 +89,7 @@
   return record;
 }
 
-OrderVerdict EngineState::BeginOrder(const EngineOrder& order) {
+OrderStart EngineState::BeginOrder(const EngineOrder& order) {
   const std::lock_guard lock(mutex_);
   const OrderVerdict verdict = Judge(order);
   fence_ = std::max(fence_, order.fence);
@@ -98,7 +99,7 @@
   } else if (verdict != OrderVerdict::kNothingToDo) {
     NoteRefusal(order, verdict);
   }
-  return verdict;
+  return {verdict, incarnation_};
 }
 
 void EngineState::EndOrder(const EngineOrder& order, std::int64_t incarnation,
@@ -138,28 +139,44 @@
 
 Admission EngineState::Admit(const GenerateCall& call) {
   const std::lock_guard lock(mutex_);
-  Admission admission;
+  Held* held = FindUsable(call);
+  if (held == nullptr) return {};
+  const std::int64_t kv_bytes = KvBytesOf(call);
+  const std::int64_t budget = held->model.kv_budget_bytes;
+  const bool fits = held->running_kv_bytes + kv_bytes <= budget;
+  // A model without a budget has no limit of its own; a request that is larger
+  // than the whole budget runs alone.
+  if (budget > 0 && !fits && held->model.running > 0) {
+    return {.verdict = AdmissionVerdict::kNoRoom};
+  }
+  return StartRun(call, *held, kv_bytes);
+}
+
+EngineState::Held* EngineState::FindUsable(const GenerateCall& call) {
   const auto it = held_.find(call.model);
-  if (it == held_.end()) return admission;
+  if (it == held_.end()) return nullptr;
   Held& held = it->second;
-  if (held.model.state != EngineModelState::kReady) return admission;
-  if (!call.adapter.empty() && !IsUsable(held, call.adapter)) return admission;
+  if (held.model.state != EngineModelState::kReady) return nullptr;
+  const bool usable = call.adapter.empty() || IsUsable(held, call.adapter);
+  return usable ? &held : nullptr;
+}
+
+std::int64_t EngineState::KvBytesOf(const GenerateCall& call) const {
   const std::int64_t chars = static_cast<std::int64_t>(call.prompt.size()) +
                              call.max_tokens * kCharsPerToken;
-  const std::int64_t kv_bytes = chars * options_.kv_bytes_per_char;
-  const std::int64_t budget = held.model.kv_budget_bytes;
-  const std::int64_t wanted = held.running_kv_bytes + kv_bytes;
-  // A request that is larger than the whole budget runs alone.
-  if (budget > 0 && wanted > budget && held.model.running > 0) {
-    admission.verdict = AdmissionVerdict::kNoRoom;
-    return admission;
-  }
-  admission.cached_chars = held.prefixes.Match(call.prompt);
-  held.prefixes.EvictTo(budget - wanted);
-  held.running_kv_bytes = wanted;
-  ++held.model.running;
+  return chars * options_.kv_bytes_per_char;
+}
+
+Admission EngineState::StartRun(const GenerateCall& call, Held& held,
+                                std::int64_t kv_bytes) {
+  const std::int64_t used_before = UsedBytes();
+  Admission admission;
   admission.verdict = AdmissionVerdict::kAdmitted;
   admission.ticket = ++last_ticket_;
+  admission.cached_chars = held.prefixes.Match(call.prompt);
+  held.running_kv_bytes += kv_bytes;
+  held.prefixes.EvictTo(held.model.kv_budget_bytes - held.running_kv_bytes);
+  ++held.model.running;
   running_[admission.ticket] = {call.model, call.prompt, kv_bytes,
                                 record_.requests.size()};
   RequestRun run;
@@ -167,7 +184,7 @@
   run.model = call.model;
   run.started_ms = WallMillis(clock_);
   record_.requests.push_back(std::move(run));
-  NoteMemory("request " + call.request_id);
+  if (UsedBytes() > used_before) NoteMemory("request " + call.request_id);
   return admission;
 }
 
--- a/standin/engine_state_base.h
+++ b/standin/engine_state_base.h
@@ -26,6 +26,13 @@
   kNoMemory,
 };
 
+/** How an order began. */
+struct OrderStart {
+  OrderVerdict verdict = OrderVerdict::kCarryOut;
+  /** Of the engine that judged it. */
+  std::int64_t incarnation = 0;
+};
+
 /** Where a checkpoint is cached. */
 enum class CheckpointTier { kMemory, kDisk, kRemote };
 
@@ -55,7 +62,7 @@
   [[nodiscard]] EngineRecord Record() const;
 
   /** Judges an order; one to be carried out is in progress until EndOrder. */
-  OrderVerdict BeginOrder(const platform::EngineOrder& order);
+  OrderStart BeginOrder(const platform::EngineOrder& order);
 
   /** Ends an order in progress.
    * @param incarnation Of its beginning: a crash in between voids it. */
@@ -74,7 +81,7 @@
   void EndRequest(std::int64_t ticket, RunOutcome outcome);
   [[nodiscard]] int running() const;
 
-  /** Loses everything held but the checkpoints on disk. */
+  /** Loses everything but the checkpoints on disk: also the largest fence. */
   void Crash();
 
  private:
@@ -106,6 +113,10 @@
   void BeginAdapterLoad(const platform::EngineOrder& order);
   void EndAdapterLoad(const platform::EngineOrder& order, bool carried_out);
   void RemoveAdapter(const platform::EngineOrder& order);
+  Held* FindUsable(const GenerateCall& call);
+  [[nodiscard]] std::int64_t KvBytesOf(const GenerateCall& call) const;
+  Admission StartRun(const GenerateCall& call, Held& held,
+                     std::int64_t kv_bytes);
   void Stop(std::int64_t ticket, RunOutcome outcome);
   void StopAll(const std::string& model, RunOutcome outcome);
   void NoteRefusal(const platform::EngineOrder& order, OrderVerdict verdict);
--- a/standin/engine_wire.cc
+++ b/standin/engine_wire.cc
@@ -1,4 +1,5 @@
 /** @file engine_wire.cc The model engine's wire and records as JSON. */
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 #include <map>
@@ -132,14 +133,37 @@
   return array;
 }
 
-/** @return How many replicas of each model are held now. */
-json::object CurrentReplicas(const EngineRecord& record) {
-  std::map<std::string, int> counts;
+/** How many replicas of a model are held, and were held at once. */
+struct ReplicaCount {
+  int current = 0;
+  int peak = 0;
+};
+
+/** @return True if `held` was there when `began` came. */
+bool HeldWhenBegan(const ReplicaStay& held, const ReplicaStay& began) {
+  const bool came_before = held.load_began_ms <= began.load_began_ms;
+  const bool went_after =
+      held.end == ReplicaEnd::kHeld || held.ended_ms > began.load_began_ms;
+  return came_before && went_after;
+}
+
+json::object CountReplicas(const EngineRecord& record) {
+  std::map<std::string, ReplicaCount> counts;
   for (const ReplicaStay& it : record.replicas) {
-    counts[it.model] += it.end == ReplicaEnd::kHeld ? 1 : 0;
+    ReplicaCount& count = counts[it.model];
+    if (it.end == ReplicaEnd::kHeld) ++count.current;
+    const auto at_once =
+        std::count_if(record.replicas.begin(), record.replicas.end(),
+                      [&](const ReplicaStay& other) {
+                        return &other != &it && other.model == it.model &&
+                               HeldWhenBegan(other, it);
+                      });
+    count.peak = std::max(count.peak, 1 + static_cast<int>(at_once));
   }
   json::object object;
-  for (const auto& [model, n] : counts) object[model] = n;
+  for (const auto& [model, count] : counts) {
+    object[model] = {{"current", count.current}, {"peak", count.peak}};
+  }
   return object;
 }
 
@@ -241,7 +265,7 @@
   json::object object;
   object["requests"] = ToArray(record.requests);
   object["replicas"] = ToArray(record.replicas);
-  object["current_replicas"] = CurrentReplicas(record);
+  object["replica_counts"] = CountReplicas(record);
   object["overcommits"] = ToArray(record.overcommits);
   object["refused_orders"] = ToArray(record.refused_orders);
   object["crashes"] = json::value_from(record.crashes_ms);
--- a/standin/fault.cc
+++ b/standin/fault.cc
@@ -58,7 +58,7 @@
   const std::lock_guard lock(mutex_);
   auto changed = switches_;
   for (const auto& [name, value] : object) {
-    const auto it = changed.find(std::string_view(name));
+    const auto it = changed.find(std::string(name));
     if (it == changed.end()) FailSwitch(name, "is no switch of this stand-in");
     if (it->second.kind == FaultKind::kText) {
       it->second.text = ToText(name, value);
--- a/standin/kv_stand_in.cc
+++ b/standin/kv_stand_in.cc
@@ -25,6 +25,7 @@
     FaultDef{.name = "lose_answers", .kind = FaultKind::kCount},
     FaultDef{.name = "late_writes", .kind = FaultKind::kCount},
     FaultDef{.name = "late_writes_ms", .kind = FaultKind::kNumber},
+    FaultDef{.name = "write_prefix", .kind = FaultKind::kText},
     FaultDef{.name = "lapse_leases", .kind = FaultKind::kFlag},
     FaultDef{.name = "watch_gap", .kind = FaultKind::kCount},
     FaultDef{.name = "show_old_key", .kind = FaultKind::kText},
@@ -87,6 +88,14 @@
   }
 }
 
+/** @return True if the call writes a key that starts with `prefix`. */
+bool WritesUnder(const http::Request& request, const std::string& prefix) {
+  const std::string_view path = http::PathOf(request.target);
+  if (path != "/cas" && path != "/delete") return false;
+  return StringAt(platform::ParseObject(request.body), "key")
+      .starts_with(prefix);
+}
+
 /** Carries out a write; the answer as JSON. */
 json::object ApplyTo(KvStore& store, const http::Request& request) {
   const std::string_view path = http::PathOf(request.target);
@@ -162,13 +171,14 @@
 
 core::Task<> KvStandIn::ServeWrite(const http::Request& request,
                                    http::ResponseWriter& writer) {
-  if (faults_.TakeOne("late_writes")) {
+  const bool hit = WritesUnder(request, faults_.Text("write_prefix"));
+  if (hit && faults_.TakeOne("late_writes")) {
     core::Spawn(context_.executor, context_.log, "late_write",
                 [this, copy = request] { return ApplyLate(copy); });
     CutConnection("late write");
   }
   std::string answer = Apply(request);
-  if (faults_.TakeOne("lose_answers")) CutConnection("lost answer");
+  if (hit && faults_.TakeOne("lose_answers")) CutConnection("lost answer");
   co_await SendJson(writer, kOk, std::move(answer));
 }
 
--- a/standin/kv_stand_in_base.h
+++ b/standin/kv_stand_in_base.h
@@ -23,7 +23,8 @@
 /**
  * Faults: `lose_answers` (so many writes take effect, unanswered),
  * `late_writes` (so many are unanswered and take effect `late_writes_ms`
- * later, if their expected revision still stands), `lapse_leases`,
+ * later, if their expected revision still stands), `write_prefix` (these two
+ * only hit swaps and deletes of keys that start so), `lapse_leases`,
  * `watch_gap` (so many watches report a gap), `show_old_key` (reads of this
  * key give the value before the newest).
  */
--- a/standin/plain_stand_in.cc
+++ b/standin/plain_stand_in.cc
@@ -26,7 +26,8 @@
   http::ResponseHead head;
   head.headers.push_back({"Content-Type", "application/json"});
   co_await writer.Begin(std::move(head));
-  co_await writer.Write(std::string_view(body).substr(0, body.size() / 2));
+  const std::string_view whole = body;
+  co_await writer.Write(whole.substr(0, whole.size() / 2));
   CutConnection("cut body");
 }
 
--- a/standin/weights_stand_in.cc
+++ b/standin/weights_stand_in.cc
@@ -73,7 +73,9 @@
         std::chrono::duration_cast<core::SteadyTime::duration>(interval);
     wait = std::chrono::ceil<std::chrono::milliseconds>(start - now);
   }
-  if (wait.count() > 0) co_await core::SleepFor(wait);
+  if (wait.count() > 0) {
+    co_await core::SleepFor(wait);
+  }
 }
 
 core::Task<> WeightsStandIn::Move(std::int64_t bytes) {
