--- /dev/null
+++ b/src/contract/config_pull.cc
@@ -0,0 +1,191 @@
+/** @file config_pull.cc Configuration spreads over links. */
+#include <algorithm>
+#include <atomic>
+#include <exception>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "contract/config_pull_base.h"
+#include "core/error_type.h"
+#include "core/task_func.h"
+
+namespace sapphire::contract {
+
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+/** Parts in one message, bytes: well below the longest frame of a link. */
+constexpr std::size_t kMessageBytes = 1024 * 1024;
+constexpr std::chrono::milliseconds kReceiveTimeout{2000};
+/** A peer whose pull failed shows its version again with its next frame; this
+ * keeps a broken one from being asked without end. */
+constexpr std::chrono::milliseconds kPauseAfterFailure{200};
+
+using PartMap = std::map<std::string, std::string, std::less<>>;
+
+gen::Message PullMessage(const EncodedConfig* have) {
+  gen::ConfigPull pull;
+  if (have != nullptr) {
+    pull.have_version = have->version;
+    pull.have_parts = HashesOf(*have);
+  }
+  gen::Message message;
+  message.__set_config_pull(pull);
+  return message;
+}
+
+/** @return True once every part of the answer is in `parts`. */
+bool Complete(const gen::ConfigParts& answer, const PartMap& parts) {
+  return std::ranges::all_of(answer.part_hashes, [&](const std::string& hash) {
+    return parts.contains(hash);
+  });
+}
+
+/** Parts the peer left out because we said that we hold them. */
+PartMap HeldParts(const EncodedConfig* have) {
+  PartMap parts;
+  if (have == nullptr) return parts;
+  for (const Part& part : have->parts) parts.emplace(part.hash, part.data);
+  return parts;
+}
+
+EncodedConfig Assemble(const gen::ConfigParts& answer, PartMap parts) {
+  EncodedConfig config{answer.version, core::PlanId(answer.plan_id), {}};
+  for (const std::string& hash : answer.part_hashes) {
+    config.parts.push_back({hash, std::move(parts.at(hash))});
+  }
+  return config;
+}
+
+/** Reads messages until every part is there. */
+core::Task<EncodedConfig> ReceiveConfig(std::shared_ptr<link::Call> call,
+                                        PartMap parts) {
+  while (true) {
+    const gen::Message message = co_await call->Receive(kReceiveTimeout);
+    if (!message.__isset.config_parts) {
+      throw core::Error(ErrorCode::kInternal,
+                        "config pull: answered by " + link::KindOf(message));
+    }
+    const gen::ConfigParts& answer = message.config_parts;
+    for (const gen::ConfigPart& part : answer.parts) {
+      parts.insert_or_assign(part.hash, part.data);
+    }
+    if (Complete(answer, parts)) {
+      co_return Assemble(answer, std::move(parts));
+    }
+    if (answer.parts.empty()) {
+      throw core::Error(ErrorCode::kAnswerCut, "config pull: parts missing");
+    }
+  }
+}
+
+gen::Message AnswerMessage(const EncodedConfig& config) {
+  gen::ConfigParts answer;
+  answer.version = config.version;
+  answer.plan_id = config.plan.value();
+  answer.part_hashes = HashesOf(config);
+  gen::Message message;
+  message.__set_config_parts(answer);
+  return message;
+}
+
+}  // namespace
+
+struct ConfigPuller::State : std::enable_shared_from_this<State> {
+  State(const core::Executor& own_executor, ConfigHolder& own_holder,
+        PartCache& own_parts, const core::Logger& own_log)
+      : executor(own_executor),
+        holder(own_holder),
+        parts(own_parts),
+        log(own_log) {}
+
+  /** Starts a pull unless one runs; called for every frame of a newer peer. */
+  void NewerSeen(const std::shared_ptr<link::Link>& link) {
+    if (pulling.exchange(true)) return;
+    core::Spawn(executor, log, "config_pull",
+                [self = shared_from_this(), link] { return Run(self, link); });
+  }
+
+  static core::Task<> Run(std::shared_ptr<State> self,
+                          std::shared_ptr<link::Link> link) {
+    std::string failure;
+    try {
+      co_await Pull(self, link);
+    } catch (const std::exception& e) {
+      failure = e.what();
+    }
+    if (!failure.empty()) {
+      self->log.Event(LogLevel::kWarning, LogCategory::kConfig,
+                      "config_pull_failed",
+                      {{"peer", link->peer().vm}, {"error", failure}});
+      co_await core::SleepFor(kPauseAfterFailure);
+    }
+    self->pulling = false;
+  }
+
+  static core::Task<> Pull(std::shared_ptr<State> self,
+                           std::shared_ptr<link::Link> link) {
+    const std::shared_ptr<const EncodedConfig> have = self->parts.Current();
+    const std::shared_ptr<link::Call> call =
+        co_await link->Open(PullMessage(have.get()));
+    EncodedConfig config = co_await ReceiveConfig(call, HeldParts(have.get()));
+    const std::int64_t version = config.version;
+    if (!self->parts.Adopt(std::move(config))) co_return;
+    self->log.Event(
+        LogLevel::kInfo, LogCategory::kConfig, "config_adopted",
+        {{"version", version}, {"source", "link"}, {"peer", link->peer().vm}});
+  }
+
+  core::Executor executor;
+  ConfigHolder& holder;
+  PartCache& parts;
+  const core::Logger& log;
+  std::atomic<bool> pulling = false;
+};
+
+ConfigPuller::ConfigPuller(const core::Executor& executor, ConfigHolder& holder,
+                           PartCache& parts, const core::Logger& log)
+    : state_(std::make_shared<State>(executor, holder, parts, log)) {}
+
+ConfigPuller::~ConfigPuller() = default;
+
+link::VersionHooks ConfigPuller::Hooks() {
+  link::VersionHooks hooks;
+  hooks.current = [state = state_] { return state->holder.version(); };
+  hooks.newer_seen = [state = state_](const std::shared_ptr<link::Link>& link,
+                                      std::int64_t) { state->NewerSeen(link); };
+  return hooks;
+}
+
+core::Task<> ConfigPuller::Serve(std::shared_ptr<link::Call> call,
+                                 gen::ConfigPull request) {
+  const std::shared_ptr<const EncodedConfig> config = state_->parts.Current();
+  if (!config) {
+    throw core::Error(ErrorCode::kNotConfigured, "nothing is in force here");
+  }
+  const std::set<std::string> have(request.have_parts.begin(),
+                                   request.have_parts.end());
+  gen::Message message = AnswerMessage(*config);
+  std::size_t bytes = 0;
+  for (const Part& part : config->parts) {
+    if (have.contains(part.hash)) continue;
+    if (bytes > 0 && bytes + part.data.size() > kMessageBytes) {
+      co_await call->Send(message);
+      message.config_parts.parts.clear();
+      bytes = 0;
+    }
+    gen::ConfigPart piece;
+    piece.hash = part.hash;
+    piece.data = part.data;
+    message.config_parts.parts.push_back(std::move(piece));
+    bytes += part.data.size();
+  }
+  co_await call->Send(std::move(message));
+}
+
+}  // namespace sapphire::contract
--- /dev/null
+++ b/src/contract/part_cache.cc
@@ -0,0 +1,33 @@
+/** @file part_cache.cc The parts of the configuration in force. */
+#include <utility>
+
+#include "contract/part_cache_base.h"
+
+namespace sapphire::contract {
+
+bool PartCache::Adopt(EncodedConfig config) {
+  Config decoded = DecodeConfig(config.version, config.plan, config.parts);
+  if (!holder_.Adopt(std::move(decoded))) return false;
+  Keep(std::make_shared<const EncodedConfig>(std::move(config)));
+  return true;
+}
+
+std::shared_ptr<const EncodedConfig> PartCache::Current() {
+  const std::shared_ptr<const Config> in_force = holder_.Current();
+  if (!in_force) return nullptr;
+  {
+    const std::lock_guard lock(mutex_);
+    if (kept_ && kept_->version >= in_force->version) return kept_;
+  }
+  auto encoded = std::make_shared<const EncodedConfig>(EncodeConfig(*in_force));
+  Keep(encoded);
+  return encoded;
+}
+
+void PartCache::Keep(std::shared_ptr<const EncodedConfig> config) {
+  const std::lock_guard lock(mutex_);
+  if (kept_ && kept_->version >= config->version) return;
+  kept_ = std::move(config);
+}
+
+}  // namespace sapphire::contract
--- a/src/contract/plan_func.h
+++ b/src/contract/plan_func.h
@@ -24,10 +24,11 @@
 std::vector<Change> Diff(const Intent& before, const Intent& after);
 
 /**
- * @return The replicas that are over a limit of `intent` or of models it does
- *   not offer. Idle ones are chosen first, then by endpoint name downwards.
+ * @return The replicas that are over a limit of `intent` or of models that it
+ *   does not offer. The busiest stay; among equals, those whose endpoint's
+ *   name comes first.
  */
-std::vector<ObservedReplica> ExcessReplicas(
+std::vector<ExcessReplica> ExcessReplicas(
     const Intent& intent, std::span<const ObservedReplica> observed);
 
 /** @return The plan as a readable diff, one line a change. */
--- a/src/contract/plan_type.h
+++ b/src/contract/plan_type.h
@@ -68,6 +68,12 @@
   std::vector<core::AdapterId> adapters;
 };
 
+/** A replica that an intent leaves no room for. */
+struct ExcessReplica {
+  ObservedReplica replica;
+  std::string reason;
+};
+
 /** What would change, and from which version on. */
 struct Plan {
   core::PlanId id;
