--- /dev/null
+++ b/src/entry/config_fetch.cc
@@ -0,0 +1,59 @@
+/** @file config_fetch.cc Reads the configuration kept in the platform. */
+#include <map>
+#include <utility>
+
+#include "core/error_type.h"
+#include "entry/config_fetch_func.h"
+
+namespace sapphire::entry {
+
+using core::ErrorCode;
+
+namespace {
+
+core::Task<std::string> FetchPart(platform::KeyValueStore& store,
+                                  std::string hash) {
+  const std::optional<platform::KvEntry> entry =
+      co_await store.Get(PartKey(hash));
+  if (!entry) {
+    throw core::Error(ErrorCode::kPlatformUnavailable,
+                      "configuration part " + hash + " is gone");
+  }
+  co_return entry->value;
+}
+
+}  // namespace
+
+std::string PartKey(std::string_view hash) {
+  return std::string(kPartPrefix) + std::string(hash);
+}
+
+core::Task<StoredHead> ReadHead(platform::KeyValueStore& store) {
+  const std::optional<platform::KvEntry> entry =
+      co_await store.Get(std::string(kHeadKey));
+  if (!entry) co_return StoredHead{};
+  co_return StoredHead{contract::HeadFromJson(entry->value), entry->revision};
+}
+
+core::Task<bool> AdoptHead(platform::KeyValueStore& store,
+                           contract::PartCache& parts,
+                           contract::ConfigHead head) {
+  const std::shared_ptr<const contract::EncodedConfig> have = parts.Current();
+  if (have && have->version >= head.version) co_return false;
+  std::map<std::string_view, std::string_view> held;
+  if (have) {
+    for (const contract::Part& part : have->parts) {
+      held.emplace(part.hash, part.data);
+    }
+  }
+  contract::EncodedConfig config{head.version, head.plan, {}};
+  for (const std::string& hash : head.part_hashes) {
+    const auto it = held.find(hash);
+    std::string data = it != held.end() ? std::string(it->second)
+                                        : co_await FetchPart(store, hash);
+    config.parts.push_back({hash, std::move(data)});
+  }
+  co_return parts.Adopt(std::move(config));
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/config_fetch_func.h
@@ -0,0 +1,47 @@
+/** @file config_fetch_func.h Reads the configuration kept in the platform. */
+#ifndef SAPPHIRE_ENTRY_CONFIG_FETCH_FUNC_H_
+#define SAPPHIRE_ENTRY_CONFIG_FETCH_FUNC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "contract/config_func.h"
+#include "contract/part_cache_base.h"
+#include "core/task_type.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+inline constexpr std::string_view kHeadKey = "config/head";
+inline constexpr std::string_view kPartPrefix = "config/parts/";
+
+/** The head as it stands in the service. */
+struct StoredHead {
+  /** Version 0 and no parts if the key is absent. */
+  contract::ConfigHead head;
+  /** Revision of the key; 0 if it is absent. */
+  std::int64_t revision = 0;
+};
+
+/** @return The key of a configuration part. */
+std::string PartKey(std::string_view hash);
+
+/** @throws core::Error of the service, or kBadIntent. */
+core::Task<StoredHead> ReadHead(platform::KeyValueStore& store);
+
+/**
+ * Puts the configuration of `head` in force unless one as new already is.
+ * Fetches only the parts that `parts` lacks.
+ * @return True if it came into force.
+ * @throws core::Error kPlatformUnavailable if a part is gone: a newer head has
+ *   replaced it; others of the service.
+ */
+core::Task<bool> AdoptHead(platform::KeyValueStore& store,
+                           contract::PartCache& parts,
+                           contract::ConfigHead head);
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_CONFIG_FETCH_FUNC_H_
--- /dev/null
+++ b/src/entry/config_store_base.h
@@ -0,0 +1,101 @@
+/** @file config_store_base.h Operators' side: saves and confirms plans. */
+#ifndef SAPPHIRE_ENTRY_CONFIG_STORE_BASE_H_
+#define SAPPHIRE_ENTRY_CONFIG_STORE_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "contract/part_cache_base.h"
+#include "contract/plan_type.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/config_fetch_func.h"
+#include "entry/plan_record_func.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+struct ConfigStoreOptions {
+  /** How long a confirmation tries to learn its outcome. */
+  std::chrono::milliseconds confirm_timeout{5000};
+  std::chrono::milliseconds retry_pause{100};
+  /** A plan that is not confirmed in this time is forgotten. */
+  std::chrono::milliseconds plan_time_to_live{std::chrono::hours(24)};
+};
+
+/** A plan read back, with what it wants. */
+struct SavedPlan {
+  contract::Plan plan;
+  contract::Intent wanted;
+  /** True if the configuration has moved on: it can't be confirmed any more. */
+  bool stale = false;
+  /** The version it became; 0 if it isn't known to be confirmed. */
+  std::int64_t confirmed_version = 0;
+};
+
+/**
+ * Saves plans and puts them in force by one swap of `config/head` against the
+ * plan's base version. Of two plans on one base exactly one is confirmed.
+ */
+class ConfigStore {
+ public:
+  /** @pre All references outlive the store. */
+  ConfigStore(ConfigStoreOptions options, platform::KeyValueStore& store,
+              contract::ConfigHolder& holder, contract::PartCache& parts,
+              const core::Clock& clock, const core::Logger& log);
+
+  /**
+   * Works out what `wanted` would change in the newest configuration, and
+   * keeps the plan. Nothing comes into force.
+   * @throws core::Error kBadIntent, kIntentOverLimit, or of the service.
+   */
+  core::Task<contract::Plan> SavePlan(
+      contract::Intent wanted, std::vector<contract::ObservedReplica> observed);
+
+  /**
+   * @return The plan as it would act now.
+   * @throws core::Error kUnknownPlan, or of the service.
+   */
+  core::Task<SavedPlan> ReadPlan(
+      core::PlanId id, std::vector<contract::ObservedReplica> observed);
+
+  /**
+   * Puts a plan in force, here at once. Confirming it again gives the same
+   * version and changes nothing.
+   * @return The plan's version.
+   * @throws core::Error kUnknownPlan; kPlanConflict: another plan came first
+   *   and this one certainly never comes into force; kPlatformUnavailable:
+   *   nothing was changed; kPlatformUnknownOutcome: confirm it again to learn
+   *   the outcome.
+   */
+  core::Task<std::int64_t> Confirm(core::PlanId id);
+
+ private:
+  core::Task<> AdoptNewest();
+  core::Task<> SaveRecord(PlanRecord record, contract::EncodedConfig encoded);
+  core::Task<PlanRecord> ReadRecord(core::PlanId id);
+  core::Task<contract::EncodedConfig> ReadParts(PlanRecord record,
+                                                std::int64_t version);
+  core::Task<std::vector<platform::KvEntry>> ReadReplaced(
+      contract::ConfigHead before, std::vector<std::string> kept_hashes);
+  core::Task<> PutParts(contract::ConfigHead before,
+                        contract::EncodedConfig encoded);
+  core::Task<> PutPart(contract::Part part);
+  core::Task<std::int64_t> Swap(StoredHead before, contract::ConfigHead next);
+  core::Task<> AfterConfirm(PlanRecord record,
+                            std::vector<platform::KvEntry> replaced);
+
+  const ConfigStoreOptions options_;
+  platform::KeyValueStore& store_;
+  contract::ConfigHolder& holder_;
+  contract::PartCache& parts_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_CONFIG_STORE_BASE_H_
--- /dev/null
+++ b/src/entry/config_watch_base.h
@@ -0,0 +1,69 @@
+/** @file config_watch_base.h An entry follows the configuration's head. */
+#ifndef SAPPHIRE_ENTRY_CONFIG_WATCH_BASE_H_
+#define SAPPHIRE_ENTRY_CONFIG_WATCH_BASE_H_
+
+#include <chrono>
+#include <memory>
+
+#include "contract/part_cache_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+struct ConfigWatchOptions {
+  /** How long one call waits for a change. */
+  std::chrono::milliseconds wait{20'000};
+  /** The head is read anew this often even if no change was shown. */
+  std::chrono::milliseconds refresh_interval{60'000};
+  /** Pause after a failure; doubles up to the longest. */
+  std::chrono::milliseconds first_pause{100};
+  std::chrono::milliseconds longest_pause{5'000};
+};
+
+/** What a watch has met so far. */
+struct ConfigWatchCounters {
+  std::int64_t adopted = 0;
+  /** Heads shown that were older than what is in force. */
+  std::int64_t older_seen = 0;
+  std::int64_t gaps = 0;
+  std::int64_t failures = 0;
+};
+
+/**
+ * Watches `config/head` and puts each newer configuration in force. While the
+ * service is down the last one stays in force, and newer ones may still come
+ * over links (contract::ConfigPuller).
+ *
+ * To pass a new version on at once, the program connects
+ * `ConfigHolder::OnChange` with `LinkNode::AnnounceVersion`.
+ */
+class ConfigWatch {
+ public:
+  /** @pre All references outlive the watch's last coroutine. */
+  ConfigWatch(const core::Executor& executor, ConfigWatchOptions options,
+              platform::KeyValueStore& store, contract::PartCache& parts,
+              const core::Clock& clock, const core::Logger& log);
+  ~ConfigWatch();
+
+  ConfigWatch(const ConfigWatch&) = delete;
+  ConfigWatch& operator=(const ConfigWatch&) = delete;
+
+  /** Begins to watch. */
+  void Start();
+
+  /** Ends after the call in progress. */
+  void Stop();
+
+  [[nodiscard]] ConfigWatchCounters counters() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_CONFIG_WATCH_BASE_H_
