--- a/src/entry/admin_view.cc
+++ b/src/entry/admin_view.cc
@@ -139,10 +139,10 @@
     return json::serialize(
         json::object{{"version", 0}, {"plan", nullptr}, {"intent", nullptr}});
   }
-  return json::serialize(json::object{
-      {"version", config->version},
-      {"plan", config->plan.value()},
-      {"intent", json::parse(contract::ToJson(config->intent))}});
+  return json::serialize(
+      json::object{{"version", config->version},
+                   {"plan", config->plan.value()},
+                   {"intent", json::parse(contract::ToJson(config->intent))}});
 }
 
 std::string StatusJson(std::int64_t version, std::span<const VmVersion> vms,
--- a/src/entry/config_fetch.cc
+++ b/src/entry/config_fetch.cc
@@ -49,8 +49,12 @@
   contract::EncodedConfig config{head.version, head.plan, {}};
   for (const std::string& hash : head.part_hashes) {
     const auto it = held.find(hash);
-    std::string data = it != held.end() ? std::string(it->second)
-                                        : co_await FetchPart(store, hash);
+    std::string data;
+    if (it != held.end()) {
+      data = it->second;
+    } else {
+      data = co_await FetchPart(store, hash);
+    }
     config.parts.push_back({hash, std::move(data)});
   }
   co_return parts.Adopt(std::move(config));
