--- a/src/contract/intent_read.cc
+++ b/src/contract/intent_read.cc
@@ -272,7 +272,7 @@
 const char* FieldFault::what() const noexcept { return reason_.c_str(); }
 
 core::Error FieldFault::ToError(std::string_view place) const {
-  const std::string_view field = field_.empty() ? "intent" : field_;
+  const std::string field = field_.empty() ? std::string("intent") : field_;
   return core::Error(code_, fmt::format("{}{}: {}", place, field, reason_));
 }
 
