--- /dev/null
+++ b/src/entry/directory.cc
@@ -0,0 +1,453 @@
+/** @file directory.cc Follows the VM list and the endpoints' reports. */
+#include <algorithm>
+#include <exception>
+#include <set>
+#include <utility>
+
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "entry/directory_base.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+using core::LogCategory;
+using core::LogLevel;
+
+/** Successful reads in a row that must miss a VM before it can be gone. */
+constexpr int kGoneReads = 3;
+constexpr core::Millis kFirstBackoff{100};
+constexpr core::Millis kProbeTimeout{1000};
+
+/** One VM of the list, and what this entry has seen of it. */
+struct TrackedVm {
+  platform::VmRecord record;
+  int missed_reads = 0;
+  core::SteadyTime missing_since;
+  /** Entries: it did not answer when last tried. */
+  bool unreachable = false;
+  bool probing = false;
+};
+
+/** @return Half to all of `backoff`: spreads retries after a common failure. */
+core::Millis Jittered(core::Millis backoff) {
+  const auto half = std::max<std::int64_t>(backoff.count() / 2, 1);
+  return core::Millis(half + core::RandomPositive() % half);
+}
+
+gen::Message SubscribeMessage() {
+  gen::Message message;
+  message.__set_subscribe(gen::Subscribe());
+  return message;
+}
+
+}  // namespace
+
+struct Directory::State : std::enable_shared_from_this<Directory::State> {
+  State(const core::Executor& executor_arg, DirectoryOptions options_arg,
+        platform::VmList& vm_list_arg, link::LinkNode& links_arg,
+        const core::Clock& clock_arg, const core::Logger& log_arg)
+      : executor(executor_arg),
+        options(std::move(options_arg)),
+        vm_list(vm_list_arg),
+        links(links_arg),
+        clock(clock_arg),
+        log(log_arg) {}
+
+  core::Task<> FollowList();
+  core::Task<> ReadListOnce();
+  void TakeList(const std::vector<platform::VmRecord>& records);
+  void TakeRecord(const platform::VmRecord& record);
+  std::vector<core::VmId> CollectGone(const std::set<core::VmId>& shown);
+  void StartFollowers();
+  void StartProbes();
+
+  core::Task<> FollowEndpoint(core::VmId vm);
+  core::Task<> ReadReports(core::VmId vm, std::string address);
+  void TakeReport(const core::VmId& vm, const std::string& address,
+                  gen::EndpointReport report);
+  void TakeLoss(const core::VmId& vm);
+  std::optional<std::string> AddressToFollow(const core::VmId& vm);
+
+  core::Task<> Probe(core::VmId vm, std::string address);
+
+  void Notify(const KnownEndpoint* changed);
+  bool IsStopped() const;
+
+  const core::Executor executor;
+  const DirectoryOptions options;
+  platform::VmList& vm_list;
+  link::LinkNode& links;
+  const core::Clock& clock;
+  const core::Logger& log;
+
+  mutable std::mutex mutex;
+  bool stopped = false;
+  bool self_leaving = false;
+  bool list_seen = false;
+  bool self_seen = false;
+  std::map<core::VmId, TrackedVm> vms;
+  std::map<core::EndpointId, KnownEndpoint> endpoints;
+  /** VMs with a FollowEndpoint running: one each, also if a VM comes back. */
+  std::set<core::VmId> followers;
+  std::map<core::VmId, std::shared_ptr<link::Call>> calls;
+  std::vector<std::function<void()>> change_listeners;
+  std::vector<std::function<void(const KnownEndpoint&)>> endpoint_listeners;
+  std::vector<std::function<void(const core::VmId&)>> gone_listeners;
+};
+
+bool Directory::State::IsStopped() const {
+  const std::lock_guard lock(mutex);
+  return stopped;
+}
+
+void Directory::State::Notify(const KnownEndpoint* changed) {
+  std::vector<std::function<void()>> on_change;
+  std::vector<std::function<void(const KnownEndpoint&)>> on_endpoint;
+  {
+    const std::lock_guard lock(mutex);
+    if (stopped) return;
+    on_change = change_listeners;
+    if (changed != nullptr) on_endpoint = endpoint_listeners;
+  }
+  for (const auto& listener : on_endpoint) listener(*changed);
+  for (const auto& listener : on_change) listener();
+}
+
+core::Task<> Directory::State::FollowList() {
+  while (!IsStopped()) {
+    co_await ReadListOnce();
+    co_await core::SleepFor(options.list_interval);
+  }
+}
+
+core::Task<> Directory::State::ReadListOnce() {
+  // Failure: the list's service is down. It shows as an error or an empty
+  // list. The last list stays in use: links tell of lost VMs meanwhile, and
+  // nobody is declared gone on the strength of a read that failed.
+  std::vector<platform::VmRecord> records;
+  try {
+    records = co_await vm_list.Read();
+  } catch (const std::exception& e) {
+    log.Event(LogLevel::kWarning, LogCategory::kPlatform, "vm_list_failed",
+              {{"error", e.what()}});
+  }
+  if (!records.empty()) TakeList(records);
+  StartFollowers();
+  StartProbes();
+}
+
+void Directory::State::TakeRecord(const platform::VmRecord& record) {
+  TrackedVm& tracked = vms[record.vm];
+  tracked.record = record;
+  tracked.missed_reads = 0;
+  const auto it = endpoints.find(core::EndpointId(record.vm.value()));
+  if (it == endpoints.end()) return;
+  KnownEndpoint& known = it->second;
+  known.leaving = known.report.leaving ||
+                  record.state == platform::VmState::kLeaving;
+}
+
+std::vector<core::VmId> Directory::State::CollectGone(
+    const std::set<core::VmId>& shown) {
+  std::vector<core::VmId> gone;
+  // Failure: a list service that restarted or lags shows too little. It shows
+  // as this very entry missing, though it was shown before. Such a list is
+  // not believed about others.
+  if (self_seen && !shown.contains(options.self)) return gone;
+  for (auto& [vm, tracked] : vms) {
+    if (shown.contains(vm)) continue;
+    if (tracked.missed_reads++ == 0) tracked.missing_since = clock.Now();
+    if (tracked.missed_reads < kGoneReads) continue;
+    if (clock.Now() - tracked.missing_since < options.gone_grace) continue;
+    // Failure: the list drops a VM that still runs and may hold a replica. Its
+    // link is up: as long as it is, the VM is not gone, whatever the list says.
+    const auto it = endpoints.find(core::EndpointId(vm.value()));
+    if (it != endpoints.end() && it->second.connected) continue;
+    gone.push_back(vm);
+  }
+  for (const core::VmId& vm : gone) {
+    vms.erase(vm);
+    endpoints.erase(core::EndpointId(vm.value()));
+  }
+  return gone;
+}
+
+void Directory::State::TakeList(
+    const std::vector<platform::VmRecord>& records) {
+  std::vector<core::VmId> gone;
+  std::vector<KnownEndpoint> turned;
+  std::vector<std::function<void(const core::VmId&)>> listeners;
+  {
+    const std::lock_guard lock(mutex);
+    list_seen = true;
+    std::set<core::VmId> shown;
+    for (const platform::VmRecord& record : records) {
+      shown.insert(record.vm);
+      const auto it = endpoints.find(core::EndpointId(record.vm.value()));
+      const bool was_leaving = it != endpoints.end() && it->second.leaving;
+      TakeRecord(record);
+      if (it != endpoints.end() && it->second.leaving != was_leaving) {
+        turned.push_back(it->second);
+      }
+    }
+    gone = CollectGone(shown);
+    self_seen = self_seen || shown.contains(options.self);
+    listeners = gone_listeners;
+  }
+  for (const KnownEndpoint& endpoint : turned) Notify(&endpoint);
+  for (const core::VmId& vm : gone) {
+    log.Event(LogLevel::kInfo, LogCategory::kPlatform, "vm_gone", {{"vm", vm}});
+    for (const auto& listener : listeners) listener(vm);
+  }
+  Notify(nullptr);
+}
+
+void Directory::State::StartFollowers() {
+  std::vector<core::VmId> starting;
+  {
+    const std::lock_guard lock(mutex);
+    for (auto& [vm, tracked] : vms) {
+      if (stopped) break;
+      if (tracked.record.role != platform::VmRole::kEndpoint) continue;
+      if (followers.insert(vm).second) starting.push_back(vm);
+    }
+  }
+  for (const core::VmId& vm : starting) {
+    core::Spawn(
+        executor, log, "follow_endpoint",
+        [self = shared_from_this(), vm] { return self->FollowEndpoint(vm); });
+  }
+}
+
+std::optional<std::string> Directory::State::AddressToFollow(
+    const core::VmId& vm) {
+  const std::lock_guard lock(mutex);
+  const auto it = vms.find(vm);
+  if (stopped || it == vms.end()) {
+    followers.erase(vm);
+    return std::nullopt;
+  }
+  return it->second.record.link_address;
+}
+
+core::Task<> Directory::State::FollowEndpoint(core::VmId vm) {
+  core::Millis backoff = kFirstBackoff;
+  while (const auto address = AddressToFollow(vm)) {
+    const core::SteadyTime started = clock.Now();
+    try {
+      co_await ReadReports(vm, *address);
+    } catch (const core::Error& e) {
+      log.Event(LogLevel::kInfo, LogCategory::kLink, "endpoint_lost",
+                {{"endpoint", vm}, {"error", e.what()}});
+    }
+    TakeLoss(vm);
+    if (clock.Now() - started > options.max_backoff) backoff = kFirstBackoff;
+    co_await core::SleepFor(Jittered(backoff));
+    backoff = std::min(backoff * 2, options.max_backoff);
+  }
+}
+
+core::Task<> Directory::State::ReadReports(core::VmId vm, std::string address) {
+  const std::shared_ptr<link::Call> call =
+      co_await links.Open(address, SubscribeMessage());
+  {
+    const std::lock_guard lock(mutex);
+    calls[vm] = call;
+  }
+  while (!IsStopped()) {
+    gen::Message message = co_await call->Receive(options.report_timeout);
+    if (!message.__isset.endpoint_report) continue;
+    // Failure: a VM was replaced and its address reused, but the list still
+    // shows the old one. It shows as a report under another name. Orders for
+    // the old VM must not reach the new one.
+    if (message.endpoint_report.endpoint != vm.value()) {
+      throw core::Error(core::ErrorCode::kLinkLost,
+                        "address answers as " +
+                            message.endpoint_report.endpoint);
+    }
+    TakeReport(vm, address, std::move(message.endpoint_report));
+  }
+}
+
+void Directory::State::TakeReport(const core::VmId& vm,
+                                  const std::string& address,
+                                  gen::EndpointReport report) {
+  KnownEndpoint copy;
+  {
+    const std::lock_guard lock(mutex);
+    const auto listed = vms.find(vm);
+    if (listed == vms.end()) return;
+    const bool list_says =
+        listed->second.record.state == platform::VmState::kLeaving;
+    const core::EndpointId id(vm.value());
+    KnownEndpoint& known = endpoints[id];
+    known.id = id;
+    known.address = address;
+    known.leaving = report.leaving || list_says;
+    known.report = std::move(report);
+    known.reported_at = clock.Now();
+    known.connected = true;
+    copy = known;
+  }
+  Notify(&copy);
+}
+
+void Directory::State::TakeLoss(const core::VmId& vm) {
+  KnownEndpoint copy;
+  {
+    const std::lock_guard lock(mutex);
+    calls.erase(vm);
+    const auto it = endpoints.find(core::EndpointId(vm.value()));
+    if (it == endpoints.end() || !it->second.connected) return;
+    it->second.connected = false;
+    copy = it->second;
+  }
+  Notify(&copy);
+}
+
+void Directory::State::StartProbes() {
+  std::vector<platform::VmRecord> targets;
+  {
+    const std::lock_guard lock(mutex);
+    const auto is_entry = [](const auto& item) {
+      return item.second.record.role == platform::VmRole::kEntry;
+    };
+    const auto entries = std::count_if(vms.begin(), vms.end(), is_entry);
+    const bool all =
+        static_cast<std::size_t>(entries) <= options.max_probed_entries;
+    for (auto& [vm, tracked] : vms) {
+      if (tracked.record.role != platform::VmRole::kEntry) continue;
+      if (vm == options.self || tracked.probing || stopped) continue;
+      if (!all && !tracked.unreachable) continue;
+      tracked.probing = true;
+      targets.push_back(tracked.record);
+    }
+  }
+  for (const platform::VmRecord& record : targets) {
+    core::Spawn(
+        executor, log, "probe_entry",
+        [self = shared_from_this(), vm = record.vm,
+         address = record.link_address] { return self->Probe(vm, address); });
+  }
+}
+
+core::Task<> Directory::State::Probe(core::VmId vm, std::string address) {
+  // Any answer shows that the process runs, a refusal too: entries have no
+  // reports to give.
+  bool up = true;
+  try {
+    const auto call = co_await links.Open(address, SubscribeMessage());
+    co_await call->Receive(kProbeTimeout);
+  } catch (const core::Error& e) {
+    up = e.code() != core::ErrorCode::kLinkLost &&
+         e.code() != core::ErrorCode::kTimedOut &&
+         e.code() != core::ErrorCode::kLeaving;
+  }
+  bool changed = false;
+  {
+    const std::lock_guard lock(mutex);
+    const auto it = vms.find(vm);
+    if (it == vms.end()) co_return;
+    changed = it->second.unreachable == up;
+    it->second.probing = false;
+    it->second.unreachable = !up;
+  }
+  if (changed) Notify(nullptr);
+}
+
+Directory::Directory(const core::Executor& executor, DirectoryOptions options,
+                     platform::VmList& vm_list, link::LinkNode& links,
+                     const core::Clock& clock, const core::Logger& log)
+    : state_(std::make_shared<State>(executor, std::move(options), vm_list,
+                                     links, clock, log)) {}
+
+Directory::~Directory() { Stop(); }
+
+void Directory::Start() {
+  core::Spawn(state_->executor, state_->log, "follow_vm_list",
+              [state = state_] { return state->FollowList(); });
+}
+
+void Directory::Stop() {
+  std::map<core::VmId, std::shared_ptr<link::Call>> calls;
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->stopped = true;
+    calls.swap(state_->calls);
+  }
+  for (const auto& [vm, call] : calls) call->Cancel();
+}
+
+std::vector<KnownEndpoint> Directory::Endpoints() const {
+  const std::lock_guard lock(state_->mutex);
+  std::vector<KnownEndpoint> all;
+  all.reserve(state_->endpoints.size());
+  for (const auto& [id, known] : state_->endpoints) all.push_back(known);
+  return all;
+}
+
+std::optional<KnownEndpoint> Directory::Find(const core::EndpointId& id) const {
+  const std::lock_guard lock(state_->mutex);
+  const auto it = state_->endpoints.find(id);
+  if (it == state_->endpoints.end()) return std::nullopt;
+  return it->second;
+}
+
+std::vector<KnownEntry> Directory::Entries() const {
+  const std::lock_guard lock(state_->mutex);
+  std::vector<KnownEntry> entries;
+  bool self_listed = false;
+  for (const auto& [vm, tracked] : state_->vms) {
+    const platform::VmRecord& record = tracked.record;
+    if (record.role != platform::VmRole::kEntry) continue;
+    const bool self = vm == state_->options.self;
+    self_listed = self_listed || self;
+    if (record.state == platform::VmState::kLeaving) continue;
+    if (self ? state_->self_leaving : tracked.unreachable) continue;
+    entries.push_back({vm, record.zone, record.link_address});
+  }
+  // Failure: the list lags behind this entry's own start, or is down. An entry
+  // that does not know itself could serve nothing.
+  if (!self_listed && !state_->self_leaving) {
+    entries.push_back({state_->options.self, core::ZoneId(), ""});
+  }
+  return entries;
+}
+
+void Directory::NoteUnreachable(const core::VmId& entry) {
+  const std::lock_guard lock(state_->mutex);
+  const auto it = state_->vms.find(entry);
+  if (it != state_->vms.end()) it->second.unreachable = true;
+}
+
+void Directory::NoteSelfLeaving() {
+  {
+    const std::lock_guard lock(state_->mutex);
+    state_->self_leaving = true;
+  }
+  state_->Notify(nullptr);
+}
+
+void Directory::OnChange(std::function<void()> listener) {
+  const std::lock_guard lock(state_->mutex);
+  state_->change_listeners.push_back(std::move(listener));
+}
+
+void Directory::OnEndpoint(std::function<void(const KnownEndpoint&)> listener) {
+  const std::lock_guard lock(state_->mutex);
+  state_->endpoint_listeners.push_back(std::move(listener));
+}
+
+bool Directory::list_seen() const {
+  const std::lock_guard lock(state_->mutex);
+  return state_->list_seen;
+}
+
+void Directory::OnGone(std::function<void(const core::VmId&)> listener) {
+  const std::lock_guard lock(state_->mutex);
+  state_->gone_listeners.push_back(std::move(listener));
+}
+
+}  // namespace sapphire::entry
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -42,6 +42,15 @@
 struct DirectoryOptions {
   core::VmId self;
   std::chrono::milliseconds list_interval{1000};
+  /** A VM missing from the list for this long counts as gone. */
+  std::chrono::milliseconds gone_grace{10000};
+  /** Longest pause between two tries to subscribe to one endpoint. */
+  std::chrono::milliseconds max_backoff{2000};
+  /** Without a report for this long an endpoint is subscribed to anew. */
+  std::chrono::milliseconds report_timeout{10000};
+  /** With more entries than this, only those noted as unreachable are probed:
+   * a full mesh of links costs each entry more than its share of traffic. */
+  std::size_t max_probed_entries = 32;
 };
 
 /**
@@ -55,6 +64,10 @@
   Directory(const core::Executor& executor, DirectoryOptions options,
             platform::VmList& vm_list, link::LinkNode& links,
             const core::Clock& clock, const core::Logger& log);
+  ~Directory();
+
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
 
   /** Begins to follow the list. */
   void Start();
@@ -79,6 +92,13 @@
   /** Calls `listener` after any change; on any thread, must not block. */
   void OnChange(std::function<void()> listener);
 
+  /** Calls `listener` with each endpoint whose report, link or leaving state
+   * changed; on any thread, must not block. */
+  void OnEndpoint(std::function<void(const KnownEndpoint&)> listener);
+
+  /** @return True unless every read of the list so far has failed. */
+  [[nodiscard]] bool list_seen() const;
+
   /** Calls `listener` once for each VM that the list showed and shows no
    * longer, for `grace` on end: the VM is gone for good. */
   void OnGone(std::function<void(const core::VmId&)> listener);
--- /dev/null
+++ b/src/entry/fleet_view.cc
@@ -0,0 +1,346 @@
+/** @file fleet_view.cc All endpoints as the placement policy sees them. */
+#include <algorithm>
+#include <utility>
+
+#include "entry/endpoint_view_func.h"
+#include "entry/fleet_view_base.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+/** Prefix hashes remembered for each replica. */
+constexpr std::size_t kPrefixesKept = 32;
+
+/** A load that takes longer than expected is taken to need this part of what
+ * it has taken so far once more. */
+constexpr int kOverduePart = 4;
+constexpr core::Millis kLeastReadyIn{50};
+
+core::Millis ReadyIn(core::Millis elapsed, core::Millis expected) {
+  if (elapsed < expected) {
+    return std::max(expected - elapsed, kLeastReadyIn);
+  }
+  return std::max(elapsed / kOverduePart, kLeastReadyIn);
+}
+
+}  // namespace
+
+std::set<core::ModelId> FleetView::Update(const KnownEndpoint& known) {
+  const std::lock_guard lock(mutex_);
+  Endpoint& endpoint = endpoints_[known.id];
+  std::set<core::ModelId> touched = ModelsIn(endpoint.known.report);
+  touched.merge(ModelsIn(known.report));
+  DropView(endpoint);
+  plain_[endpoint.known.report.kind].erase(known.id);
+  endpoint.known = known;
+  for (auto& [model, overlay] : endpoint.overlay) {
+    overlay.foreign = 0;
+    overlay.ready = false;
+    overlay.evicted = false;
+    overlay.new_adapters.clear();
+    touched.insert(model);
+  }
+  for (const gen::ReplicaReport& replica : known.report.replicas) {
+    Overlay& overlay = endpoint.overlay[core::ModelId(replica.model)];
+    overlay.foreign = std::max(0, replica.running - overlay.slots);
+    const bool loading = replica.state == gen::ReplicaState::LOADING;
+    if (loading && overlay.loading_since == core::SteadyTime()) {
+      overlay.loading_since = clock_.Now();
+    }
+    if (!loading && overlay.loads == 0) overlay.loading_since = {};
+  }
+  const std::set<core::ModelId> reported = ModelsIn(known.report);
+  std::erase_if(endpoint.overlay, [&reported](const auto& item) {
+    return item.second.slots == 0 && item.second.loads == 0 &&
+           !reported.contains(item.first);
+  });
+  if (!known.connected) return touched;
+  if (known.report.kind == kModelEndpointKind) {
+    AddView(endpoint);
+  } else {
+    plain_[known.report.kind].insert(known.id);
+  }
+  return touched;
+}
+
+void FleetView::Forget(const core::EndpointId& id) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  DropView(it->second);
+  plain_[it->second.known.report.kind].erase(id);
+  endpoints_.erase(it);
+}
+
+void FleetView::SetServices(
+    std::map<core::ModelId, core::ServiceId> service_of) {
+  const std::lock_guard lock(mutex_);
+  service_of_ = std::move(service_of);
+  service_replicas_.clear();
+  for (const policy::EndpointView& view : views_) {
+    for (const policy::ReplicaView& replica : view.replicas) {
+      const auto it = service_of_.find(replica.model);
+      if (it != service_of_.end()) ++service_replicas_[it->second];
+    }
+  }
+}
+
+void FleetView::AddView(Endpoint& endpoint) {
+  endpoint.index = views_.size();
+  views_.push_back(ViewOf(endpoint.known.report, endpoint.known.leaving));
+  CountReplicas(views_.back(), 1);
+  RefreshReplicas(endpoint);
+}
+
+void FleetView::DropView(Endpoint& endpoint) {
+  if (!endpoint.index) return;
+  const std::size_t index = *endpoint.index;
+  CountReplicas(views_[index], -1);
+  endpoint.index.reset();
+  if (index + 1 < views_.size()) {
+    views_[index] = std::move(views_.back());
+    endpoints_[views_[index].id].index = index;
+  }
+  views_.pop_back();
+}
+
+void FleetView::CountReplicas(const policy::EndpointView& view, int sign) {
+  for (const policy::ReplicaView& replica : view.replicas) {
+    const auto it = service_of_.find(replica.model);
+    if (it != service_of_.end()) service_replicas_[it->second] += sign;
+    std::set<core::EndpointId>& holders = holders_[replica.model];
+    if (sign > 0) {
+      holders.insert(view.id);
+    } else {
+      holders.erase(view.id);
+    }
+    if (holders.empty()) holders_.erase(replica.model);
+  }
+}
+
+void FleetView::RefreshReplicas(Endpoint& endpoint) {
+  if (!endpoint.index) return;
+  policy::EndpointView& view = views_[*endpoint.index];
+  CountReplicas(view, -1);
+  const gen::EndpointReport& report = endpoint.known.report;
+  view.replicas = ReplicasOf(report);
+  view.reserved_bytes = report.reserved_bytes;
+  for (const auto& [model, overlay] : endpoint.overlay) {
+    policy::ReplicaView* replica = FindReplica(endpoint, model);
+    const bool on_its_way = overlay.loads > 0 || overlay.ready;
+    if (replica == nullptr && on_its_way) {
+      replica = &view.replicas.emplace_back();
+      replica->model = model;
+      replica->state = policy::ReplicaState::kLoading;
+      replica->bytes = overlay.load_bytes;
+      view.reserved_bytes += overlay.load_bytes;
+    }
+    if (replica == nullptr) continue;
+    if (overlay.ready) replica->state = policy::ReplicaState::kReady;
+    if (overlay.evicted) {
+      replica->state = policy::ReplicaState::kUnloading;
+      view.reserved_bytes -= replica->bytes;
+    }
+    replica->running = overlay.slots + overlay.foreign;
+    if (replica->running > 0) replica->idle = policy::Millis(0);
+    replica->adapters.insert(overlay.new_adapters.begin(),
+                             overlay.new_adapters.end());
+    replica->prefixes.insert(overlay.prefixes.begin(), overlay.prefixes.end());
+  }
+  CountReplicas(view, 1);
+}
+
+policy::ReplicaView* FleetView::FindReplica(const Endpoint& endpoint,
+                                            const core::ModelId& model) {
+  if (!endpoint.index) return nullptr;
+  for (policy::ReplicaView& replica : views_[*endpoint.index].replicas) {
+    if (replica.model == model) return &replica;
+  }
+  return nullptr;
+}
+
+void FleetView::PrepareHolders(const policy::PlacementRequest& request,
+                               const policy::LoadTimes& loads) {
+  const auto holders = holders_.find(request.model);
+  if (holders == holders_.end()) return;
+  const core::SteadyTime now = clock_.Now();
+  for (const core::EndpointId& id : holders->second) {
+    Endpoint& endpoint = endpoints_[id];
+    policy::ReplicaView* replica = FindReplica(endpoint, request.model);
+    if (replica == nullptr) continue;
+    const Overlay& overlay = endpoint.overlay[request.model];
+    const int running = overlay.slots + overlay.foreign;
+    // A suspect runs alone: its replica shows as full to everyone else.
+    replica->running = overlay.alone > 0
+                           ? std::max(running, request.max_concurrent)
+                           : running;
+    if (replica->state != policy::ReplicaState::kLoading) continue;
+    const auto elapsed = std::chrono::duration_cast<core::Millis>(
+        now - overlay.loading_since);
+    const core::Millis expected =
+        overlay.loads > 0
+            ? overlay.load_expected
+            : policy::LoadTimeFrom(
+                  loads,
+                  policy::TierAt(views_[*endpoint.index], request.model));
+    replica->ready_in = ReadyIn(elapsed, expected);
+  }
+}
+
+int FleetView::ServiceReplicas(const core::ServiceId& service) const {
+  const auto it = service_replicas_.find(service);
+  return it == service_replicas_.end() ? 0 : it->second;
+}
+
+policy::PlacementDecision FleetView::Decide(policy::PlacementRequest request,
+                                            const core::ServiceId& service,
+                                            const policy::LoadTimes& loads) {
+  const std::lock_guard lock(mutex_);
+  request.service_replicas = ServiceReplicas(service);
+  PrepareHolders(request, loads);
+  const auto holders = holders_.find(request.model);
+  if (holders == holders_.end()) {
+    return policy::DecidePlacement(request, views_, loads);
+  }
+  // Most requests meet a replica with a free slot, or a model at its limit:
+  // then nothing but the model's own replicas can matter, and the rest of the
+  // fleet is not looked at.
+  std::vector<policy::EndpointView> own;
+  for (const core::EndpointId& id : holders->second) {
+    own.push_back(views_[*endpoints_[id].index]);
+  }
+  const bool at_limit =
+      static_cast<int>(own.size()) >= request.max_replicas;
+  policy::PlacementDecision decision =
+      policy::DecidePlacement(request, own, loads);
+  if (at_limit || decision.action == policy::PlacementAction::kRun) {
+    return decision;
+  }
+  return policy::DecidePlacement(request, views_, loads);
+}
+
+std::optional<core::EndpointId> FleetView::PickPlain(
+    const core::ServiceId& service, const core::ZoneId& zone,
+    const std::set<core::EndpointId>& avoid) const {
+  const std::lock_guard lock(mutex_);
+  const auto kind = plain_.find(service.value());
+  if (kind == plain_.end()) return std::nullopt;
+  const Endpoint* best = nullptr;
+  const auto rank = [&zone](const Endpoint& endpoint) {
+    const bool away = endpoint.known.report.zone != zone.value();
+    return std::pair(away, endpoint.plain_slots);
+  };
+  for (const core::EndpointId& id : kind->second) {
+    const Endpoint& endpoint = endpoints_.at(id);
+    if (endpoint.known.leaving || !endpoint.known.report.engine_up) continue;
+    if (avoid.contains(id)) continue;
+    if (best == nullptr || rank(endpoint) < rank(*best)) best = &endpoint;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->known.id;
+}
+
+void FleetView::AddSlot(const Slot& slot) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(slot.endpoint);
+  if (it == endpoints_.end()) return;
+  if (slot.model.empty()) {
+    ++it->second.plain_slots;
+    return;
+  }
+  Overlay& overlay = it->second.overlay[slot.model];
+  ++overlay.slots;
+  if (slot.alone) ++overlay.alone;
+  if (slot.prefix_hash != 0) {
+    overlay.prefixes.push_back(slot.prefix_hash);
+    if (overlay.prefixes.size() > kPrefixesKept) overlay.prefixes.pop_front();
+  }
+  policy::ReplicaView* replica = FindReplica(it->second, slot.model);
+  if (replica == nullptr) return;
+  replica->running = overlay.slots + overlay.foreign;
+  replica->idle = policy::Millis(0);
+  replica->prefixes = {overlay.prefixes.begin(), overlay.prefixes.end()};
+}
+
+void FleetView::RemoveSlot(const Slot& slot) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(slot.endpoint);
+  if (it == endpoints_.end()) return;
+  if (slot.model.empty()) {
+    it->second.plain_slots = std::max(0, it->second.plain_slots - 1);
+    return;
+  }
+  const auto found = it->second.overlay.find(slot.model);
+  if (found == it->second.overlay.end()) return;
+  Overlay& overlay = found->second;
+  overlay.slots = std::max(0, overlay.slots - 1);
+  if (slot.alone) overlay.alone = std::max(0, overlay.alone - 1);
+  policy::ReplicaView* replica = FindReplica(it->second, slot.model);
+  if (replica != nullptr) {
+    replica->running = overlay.slots + overlay.foreign;
+  }
+}
+
+void FleetView::BeginLoad(const LoadOrder& order) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(order.endpoint);
+  if (it == endpoints_.end()) return;
+  Overlay& overlay = it->second.overlay[order.model];
+  ++overlay.loads;
+  overlay.load_bytes = order.bytes;
+  overlay.loading_since = clock_.Now();
+  overlay.load_expected = order.expected;
+  for (const core::ModelId& model : order.evict) {
+    it->second.overlay[model].evicted = true;
+  }
+  RefreshReplicas(it->second);
+}
+
+void FleetView::EndLoad(const LoadOrder& order, bool ready) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(order.endpoint);
+  if (it == endpoints_.end()) return;
+  Overlay& overlay = it->second.overlay[order.model];
+  overlay.loads = std::max(0, overlay.loads - 1);
+  overlay.ready = ready;
+  if (ready && !order.adapter.empty()) {
+    overlay.new_adapters.insert(order.adapter);
+  }
+  if (!ready) {
+    for (const core::ModelId& model : order.evict) {
+      it->second.overlay[model].evicted = false;
+    }
+  }
+  RefreshReplicas(it->second);
+}
+
+std::optional<std::string> FleetView::AddressOf(
+    const core::EndpointId& id) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end() || !it->second.known.connected) {
+    return std::nullopt;
+  }
+  return it->second.known.address;
+}
+
+policy::Tier FleetView::TierOf(const core::EndpointId& id,
+                               const core::ModelId& model) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end() || !it->second.index) {
+    return policy::Tier::kRemote;
+  }
+  return policy::TierAt(views_[*it->second.index], model);
+}
+
+bool FleetView::HasReplica(const core::EndpointId& id,
+                           const core::ModelId& model) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = holders_.find(model);
+  return it != holders_.end() && it->second.contains(id);
+}
+
+}  // namespace sapphire::entry
--- a/src/entry/home_base.h
+++ b/src/entry/home_base.h
@@ -3,18 +3,23 @@
 #define SAPPHIRE_ENTRY_HOME_BASE_H_
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
-#include <string>
-#include <vector>
+#include <set>
 
 #include "contract/config_base.h"
 #include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/id_type.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/directory_base.h"
 #include "gen/link_types.h"
 #include "link/link_base.h"
 #include "platform/key_value_base.h"
+#include "policy/placement_type.h"
 
 namespace sapphire::entry {
 
@@ -25,6 +30,11 @@
   int max_queue = 512;
   /** Shards of state, each under its own lock. */
   int shards = 16;
+  /** How often waiting requests are checked for deadlines that passed. */
+  std::chrono::milliseconds sweep_interval{20};
+  /** Told of each cold start: the tier loaded from and what its request waited
+   * from arrival to placement. On any thread; must not block. */
+  std::function<void(policy::Tier, std::chrono::milliseconds)> cold_start_seen;
 };
 
 /** A place granted to a request; holds a slot until Done or destruction. */
@@ -50,12 +60,24 @@
        const core::Clock& clock, const core::Logger& log);
   ~Home();
 
+  Home(const Home&) = delete;
+  Home& operator=(const Home&) = delete;
+
   /**
    * Waits until the request can run at an endpoint.
    * @throws core::Error a refusal (nothing ran), at once when it is known.
    */
   core::Task<std::unique_ptr<Placement>> Place(gen::Place request);
 
+  /**
+   * Picks an endpoint of a plain service: connected, not leaving, in this zone
+   * if there is one, with the fewest requests outstanding from this entry.
+   * @throws core::Error kNoEndpoint at once if there is none.
+   */
+  core::Task<std::unique_ptr<Placement>> PlaceService(
+      core::ServiceId service, core::OwnerId owner,
+      std::chrono::milliseconds remaining, std::set<core::EndpointId> avoid);
+
   /** Answers a Place call from another entry. */
   core::Task<> Serve(std::shared_ptr<link::Call> call, gen::Place request);
 
@@ -65,8 +87,10 @@
     std::int64_t refused = 0;
     std::int64_t loads_ordered = 0;
     std::int64_t cold_starts = 0;
+    /** Requests refused because their fingerprint is quarantined. */
     std::int64_t quarantined = 0;
     int queued = 0;
+    std::map<core::ErrorCode, std::int64_t> refused_by_code;
   };
   [[nodiscard]] Stats stats() const;
 
--- /dev/null
+++ b/src/entry/model_queue.cc
@@ -0,0 +1,145 @@
+/** @file model_queue.cc The requests of one model: waiting and running. */
+#include <algorithm>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "entry/model_queue_base.h"
+
+namespace sapphire::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Fingerprints remembered as harmless for each model. */
+constexpr std::size_t kHarmlessKept = 1024;
+
+}  // namespace
+
+struct Waiter::Signal {
+  explicit Signal(const core::Executor& executor) : channel(executor, 1) {}
+  asio::experimental::concurrent_channel<void(boost::system::error_code)>
+      channel;
+};
+
+Waiter::Waiter(const core::Executor& executor, gen::Place request,
+               policy::QueuedRequest queued, std::function<bool()> abandoned)
+    : request_(std::move(request)),
+      queued_(std::move(queued)),
+      abandoned_(std::move(abandoned)),
+      signal_(std::make_unique<Signal>(executor)) {}
+
+Waiter::~Waiter() = default;
+
+void Waiter::Finish(WaitResult result) {
+  if (!std::holds_alternative<std::monostate>(result_)) return;
+  result_ = std::move(result);
+  signal_->channel.try_send(boost::system::error_code());
+}
+
+core::Task<> Waiter::Wait() {
+  boost::system::error_code ec;
+  co_await signal_->channel.async_receive(
+      asio::redirect_error(asio::use_awaitable, ec));
+}
+
+std::shared_ptr<Waiter> NextWaiter(
+    const ModelQueue& queue, const std::set<WaitClass>& blocked,
+    const std::function<WaitClass(const Waiter&)>& class_of) {
+  std::vector<policy::QueuedRequest> candidates;
+  std::vector<std::size_t> indexes;
+  for (std::size_t i = 0; i < queue.waiters.size(); ++i) {
+    const Waiter& waiter = *queue.waiters[i];
+    if (!blocked.empty() && blocked.contains(class_of(waiter))) continue;
+    candidates.push_back(waiter.queued());
+    indexes.push_back(i);
+  }
+  if (candidates.empty()) return nullptr;
+  return queue.waiters[indexes[policy::PickNext(candidates, queue.owners)]];
+}
+
+bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter) {
+  const auto it = std::find_if(
+      queue.waiters.begin(), queue.waiters.end(),
+      [waiter](const auto& other) { return other.get() == waiter; });
+  if (it == queue.waiters.end()) return false;
+  queue.waiters.erase(it);
+  return true;
+}
+
+int WaitingAhead(const ModelQueue& queue, int priority) {
+  const auto ahead = [priority](const auto& waiter) {
+    return waiter->queued().priority >= priority;
+  };
+  return static_cast<int>(
+      std::count_if(queue.waiters.begin(), queue.waiters.end(), ahead));
+}
+
+core::SteadyTime LatestDeadline(const ModelQueue& queue,
+                                core::SteadyTime least) {
+  core::SteadyTime latest = least;
+  for (const auto& waiter : queue.waiters) {
+    latest = std::max(latest, waiter->queued().deadline);
+  }
+  return latest;
+}
+
+std::shared_ptr<Waiter> OverShareWaiter(const ModelQueue& queue,
+                                        const core::OwnerId& newcomer) {
+  std::map<core::OwnerId, int> waiting;
+  ++waiting[newcomer];
+  for (const auto& waiter : queue.waiters) ++waiting[waiter->queued().owner];
+  const auto load_of = [&queue, &waiting](const core::OwnerId& owner) {
+    const auto it = queue.owners.find(owner);
+    const double share = it == queue.owners.end() ? 1.0 : it->second.share;
+    return waiting.at(owner) / std::max(share, 1e-9);
+  };
+  const auto heaviest = std::max_element(
+      waiting.begin(), waiting.end(), [&load_of](const auto& a, const auto& b) {
+        return load_of(a.first) < load_of(b.first);
+      });
+  if (load_of(heaviest->first) <= load_of(newcomer)) return nullptr;
+  const auto last = std::find_if(
+      queue.waiters.rbegin(), queue.waiters.rend(),
+      [&heaviest](const auto& waiter) {
+        return waiter->queued().owner == heaviest->first;
+      });
+  return last == queue.waiters.rend() ? nullptr : *last;
+}
+
+std::set<core::EndpointId> AvoidSet(const ModelQueue& queue,
+                                    const gen::Place& request,
+                                    core::SteadyTime now) {
+  std::set<core::EndpointId> avoid;
+  for (const std::string& endpoint : request.avoid) avoid.emplace(endpoint);
+  for (const auto& [key, until] : queue.avoid_until) {
+    const auto& [endpoint, adapter] = key;
+    if (until <= now) continue;
+    if (adapter.empty() || adapter.value() == request.adapter) {
+      avoid.insert(endpoint);
+    }
+  }
+  return avoid;
+}
+
+bool MayExpose(const ModelQueue& queue, std::int64_t fingerprint, int crashes,
+               int limit, const core::EndpointId& endpoint) {
+  if (fingerprint == 0) return true;
+  if (crashes == 0 && queue.harmless.contains(fingerprint)) return true;
+  std::set<core::EndpointId> exposed{endpoint};
+  for (const auto& [id, running] : queue.running) {
+    if (running.fingerprint == fingerprint) {
+      exposed.insert(running.slot.endpoint);
+    }
+  }
+  return crashes + static_cast<int>(exposed.size()) <= limit;
+}
+
+void NoteHarmless(ModelQueue& queue, std::int64_t fingerprint) {
+  if (fingerprint == 0) return;
+  if (queue.harmless.size() >= kHarmlessKept) queue.harmless.clear();
+  queue.harmless.insert(fingerprint);
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/model_queue_base.h
@@ -0,0 +1,145 @@
+/** @file model_queue_base.h The requests of one model: waiting and running. */
+#ifndef SAPPHIRE_ENTRY_MODEL_QUEUE_BASE_H_
+#define SAPPHIRE_ENTRY_MODEL_QUEUE_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "contract/intent_type.h"
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/id_type.h"
+#include "core/task_type.h"
+#include "entry/estimate_func.h"
+#include "entry/fleet_view_base.h"
+#include "gen/link_types.h"
+#include "policy/admission_func.h"
+#include "policy/keep_alive_func.h"
+
+namespace sapphire::entry {
+
+/** A place given to a request. */
+struct Grant {
+  std::int64_t slot_id = 0;
+  gen::Placed placed;
+};
+
+/** How waiting ended; empty while it has not. */
+using WaitResult = std::variant<std::monostate, Grant, core::Error>;
+
+/** One waiting request. All but Wait is called under its shard's lock. */
+class Waiter {
+ public:
+  /** @param abandoned Says whether nobody waits any more; may be empty. */
+  Waiter(const core::Executor& executor, gen::Place request,
+         policy::QueuedRequest queued, std::function<bool()> abandoned);
+  ~Waiter();
+
+  /** Ends the waiting; later calls have no effect. */
+  void Finish(WaitResult result);
+
+  /** Suspends until Finish. */
+  core::Task<> Wait();
+
+  [[nodiscard]] const WaitResult& result() const { return result_; }
+  [[nodiscard]] const gen::Place& request() const { return request_; }
+  [[nodiscard]] const policy::QueuedRequest& queued() const { return queued_; }
+  [[nodiscard]] bool IsAbandoned() const { return abandoned_ && abandoned_(); }
+
+  /** Set once this request has had to wait for a load from this tier. */
+  std::optional<policy::Tier> cold_tier;
+
+ private:
+  struct Signal;
+  const gen::Place request_;
+  const policy::QueuedRequest queued_;
+  const std::function<bool()> abandoned_;
+  const std::unique_ptr<Signal> signal_;
+  WaitResult result_;
+};
+
+/** A placed request that is not done. */
+struct RunningRequest {
+  Slot slot;
+  core::OwnerId owner;
+  std::int64_t fingerprint = 0;
+  core::SteadyTime placed_at;
+};
+
+/** One endpoint and what is loaded there: a model, or one adapter of it. */
+using LoadKey = std::pair<core::EndpointId, core::AdapterId>;
+
+/** Everything the home knows of one model; guarded by its shard's lock. */
+struct ModelQueue {
+  std::vector<std::shared_ptr<Waiter>> waiters;
+  std::map<std::int64_t, RunningRequest> running;
+  std::map<core::OwnerId, policy::OwnerUse> owners;
+  std::set<LoadKey> loads;
+  /** Loads that failed a short while ago are not tried again there. */
+  std::map<LoadKey, core::SteadyTime> avoid_until;
+  std::optional<core::Error> last_load_error;
+  int failed_loads_in_row = 0;
+  policy::RetryBudget retries;
+  policy::ArrivalHistory arrivals;
+  LoadEstimates load_times;
+  Estimate service_time;
+  /** Fingerprints that have run to their end here. */
+  std::set<std::int64_t> harmless;
+};
+
+/** Requests that the same answers serve: if one has to wait, all have to. */
+using WaitClass = std::tuple<core::AdapterId, bool, std::vector<std::string>>;
+
+/** @return The waiter to decide for next, passing over `blocked` classes. */
+std::shared_ptr<Waiter> NextWaiter(
+    const ModelQueue& queue, const std::set<WaitClass>& blocked,
+    const std::function<WaitClass(const Waiter&)>& class_of);
+
+/** Takes a waiter out of the queue. @return False if it wasn't in it. */
+bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter);
+
+/** @return How many wait that go before or with `priority`. */
+int WaitingAhead(const ModelQueue& queue, int priority);
+
+/** @return The latest time up to which any request of the queue waits. */
+core::SteadyTime LatestDeadline(const ModelQueue& queue,
+                                core::SteadyTime least);
+
+/**
+ * Finds whom to refuse for a newcomer when the queue is full.
+ * @return The last waiter of the owner that holds most of the queue for its
+ *   share, if the newcomer's owner holds less for its own; null otherwise.
+ */
+std::shared_ptr<Waiter> OverShareWaiter(const ModelQueue& queue,
+                                        const core::OwnerId& newcomer);
+
+/** @return Endpoints that a request for `adapter` is not to be placed at. */
+std::set<core::EndpointId> AvoidSet(const ModelQueue& queue,
+                                    const gen::Place& request,
+                                    core::SteadyTime now);
+
+/**
+ * Bounds how many engines one request can have killed by the time it is known.
+ * @param crashes Engines that died under this fingerprint so far.
+ * @return False if running it at `endpoint` now would put it before more than
+ *   `limit` engines while it is not known to be harmless.
+ */
+bool MayExpose(const ModelQueue& queue, std::int64_t fingerprint, int crashes,
+               int limit, const core::EndpointId& endpoint);
+
+/** Remembers that this fingerprint ran to its end. */
+void NoteHarmless(ModelQueue& queue, std::int64_t fingerprint);
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_MODEL_QUEUE_BASE_H_
