home: thin

Directory follows the list and the endpoints' reports; Home queues, decides with policy::DecidePlacement over patched views, orders loads, counts slots and crashes. Ruled out: views rebuilt from all reports for each decision. Not run yet: the link code is not there to link tests with.

--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -145,8 +145,8 @@
   const auto it = endpoints.find(core::EndpointId(record.vm.value()));
   if (it == endpoints.end()) return;
   KnownEndpoint& known = it->second;
-  known.leaving = known.report.leaving ||
-                  record.state == platform::VmState::kLeaving;
+  known.leaving =
+      known.report.leaving || record.state == platform::VmState::kLeaving;
 }
 
 std::vector<core::VmId> Directory::State::CollectGone(
@@ -263,9 +263,9 @@
     // shows the old one. It shows as a report under another name. Orders for
     // the old VM must not reach the new one.
     if (message.endpoint_report.endpoint != vm.value()) {
-      throw core::Error(core::ErrorCode::kLinkLost,
-                        "address answers as " +
-                            message.endpoint_report.endpoint);
+      throw core::Error(
+          core::ErrorCode::kLinkLost,
+          "address answers as " + message.endpoint_report.endpoint);
     }
     TakeReport(vm, address, std::move(message.endpoint_report));
   }
--- a/src/entry/estimate.cc
+++ b/src/entry/estimate.cc
@@ -23,8 +23,8 @@
                      core::Millis least) {
   const double megabytes =
       static_cast<double>(bytes) / static_cast<double>(kBytesPerMegabyte);
-  return least + core::Millis(
-                     static_cast<std::int64_t>(megabytes / megabytes_per_ms));
+  return least +
+         core::Millis(static_cast<std::int64_t>(megabytes / megabytes_per_ms));
 }
 
 Estimate& TierEstimate(LoadEstimates& loads, policy::Tier tier) {
--- a/src/entry/estimate_func.h
+++ b/src/entry/estimate_func.h
@@ -42,8 +42,7 @@
 void LearnLoad(LoadEstimates& loads, policy::Tier tier, core::Millis sample,
                core::SteadyTime now);
 
-policy::LoadTimes LoadTimesAt(const LoadEstimates& loads,
-                              core::SteadyTime now);
+policy::LoadTimes LoadTimesAt(const LoadEstimates& loads, core::SteadyTime now);
 
 }  // namespace sapphire::entry
 
--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -173,18 +173,16 @@
     const Overlay& overlay = endpoint.overlay[request.model];
     const int running = overlay.slots + overlay.foreign;
     // A suspect runs alone: its replica shows as full to everyone else.
-    replica->running = overlay.alone > 0
-                           ? std::max(running, request.max_concurrent)
-                           : running;
+    replica->running =
+        overlay.alone > 0 ? std::max(running, request.max_concurrent) : running;
     if (replica->state != policy::ReplicaState::kLoading) continue;
-    const auto elapsed = std::chrono::duration_cast<core::Millis>(
-        now - overlay.loading_since);
+    const auto elapsed =
+        std::chrono::duration_cast<core::Millis>(now - overlay.loading_since);
     const core::Millis expected =
-        overlay.loads > 0
-            ? overlay.load_expected
-            : policy::LoadTimeFrom(
-                  loads,
-                  policy::TierAt(views_[*endpoint.index], request.model));
+        overlay.loads > 0 ? overlay.load_expected
+                          : policy::LoadTimeFrom(
+                                loads, policy::TierAt(views_[*endpoint.index],
+                                                      request.model));
     replica->ready_in = ReadyIn(elapsed, expected);
   }
 }
@@ -211,8 +209,7 @@
   for (const core::EndpointId& id : holders->second) {
     own.push_back(views_[*endpoints_[id].index]);
   }
-  const bool at_limit =
-      static_cast<int>(own.size()) >= request.max_replicas;
+  const bool at_limit = static_cast<int>(own.size()) >= request.max_replicas;
   policy::PlacementDecision decision =
       policy::DecidePlacement(request, own, loads);
   if (at_limit || decision.action == policy::PlacementAction::kRun) {
@@ -343,4 +340,20 @@
   return it != holders_.end() && it->second.contains(id);
 }
 
+bool FleetView::HasAdapter(const core::EndpointId& id,
+                           const core::ModelId& model,
+                           const core::AdapterId& adapter) {
+  if (adapter.empty()) return true;
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return false;
+  const policy::ReplicaView* replica = FindReplica(it->second, model);
+  return replica != nullptr && replica->adapters.contains(adapter);
+}
+
+bool FleetView::HasModelEndpoints() const {
+  const std::lock_guard lock(mutex_);
+  return !views_.empty();
+}
+
 }  // namespace sapphire::entry
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -40,6 +40,8 @@
   std::vector<core::ModelId> evict;
   policy::Tier tier = policy::Tier::kRemote;
   core::Millis expected{0};
+  /** The model is there or on its way: only the adapter is loaded. */
+  bool base_there = false;
 };
 
 /**
@@ -90,11 +92,18 @@
   [[nodiscard]] policy::Tier TierOf(const core::EndpointId& id,
                                     const core::ModelId& model) const;
 
-  /** @return True if the endpoint's last report has a replica of the model
-   * that is loading or ready, or a load of it is ordered there. */
+  /** @return True if the model is loaded or on its way there. */
   [[nodiscard]] bool HasReplica(const core::EndpointId& id,
                                 const core::ModelId& model) const;
 
+  /** @return True if the replica there has the adapter, or none is asked. */
+  [[nodiscard]] bool HasAdapter(const core::EndpointId& id,
+                                const core::ModelId& model,
+                                const core::AdapterId& adapter);
+
+  /** @return True if any model engine's endpoint is connected. */
+  [[nodiscard]] bool HasModelEndpoints() const;
+
  private:
   /** What this entry knows of a replica beyond the report. */
   struct Overlay {
--- /dev/null
+++ b/src/entry/home.cc
@@ -0,0 +1,438 @@
+/** @file home.cc The home role: requests coming and going. */
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "entry/home_base.h"
+#include "entry/home_state_base.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+using core::ErrorCode;
+
+/** Hint to callers where nothing better is known. */
+constexpr core::Millis kRetryAfter{1000};
+/** How long Serve waits for PlaceDone before it looks at the link again. */
+constexpr core::Millis kServeRound{60000};
+/** Sweeps between two full decisions for models that have waiters. */
+constexpr int kSweepsPerDecision = 5;
+
+}  // namespace
+
+/** A slot held at an endpoint, freed once. */
+class HeldSlot final : public Placement {
+ public:
+  HeldSlot(std::shared_ptr<Home::State> state, core::ModelId model, Grant grant)
+      : state_(std::move(state)),
+        model_(std::move(model)),
+        grant_(std::move(grant)) {}
+  ~HeldSlot() override { Free(gen::RunResult::ABANDONED); }
+
+  HeldSlot(const HeldSlot&) = delete;
+  HeldSlot& operator=(const HeldSlot&) = delete;
+
+  [[nodiscard]] const gen::Placed& placed() const override {
+    return grant_.placed;
+  }
+  void Done(gen::RunResult::type result) override { Free(result); }
+
+ private:
+  void Free(gen::RunResult::type result) {
+    if (std::exchange(done_, true)) return;
+    state_->Release(model_, grant_.slot_id, result);
+  }
+
+  const std::shared_ptr<Home::State> state_;
+  const core::ModelId model_;
+  const Grant grant_;
+  bool done_ = false;
+};
+
+/** A request in progress at a plain service's endpoint. */
+class HeldPlainSlot final : public Placement {
+ public:
+  HeldPlainSlot(std::shared_ptr<Home::State> state, gen::Placed placed)
+      : state_(std::move(state)), placed_(std::move(placed)) {
+    state_->fleet.AddSlot(SlotHere());
+  }
+  ~HeldPlainSlot() override { Done(gen::RunResult::ABANDONED); }
+
+  HeldPlainSlot(const HeldPlainSlot&) = delete;
+  HeldPlainSlot& operator=(const HeldPlainSlot&) = delete;
+
+  [[nodiscard]] const gen::Placed& placed() const override { return placed_; }
+  void Done(gen::RunResult::type /*result*/) override {
+    if (std::exchange(done_, true)) return;
+    state_->fleet.RemoveSlot(SlotHere());
+  }
+
+ private:
+  [[nodiscard]] Slot SlotHere() const {
+    return {.endpoint = core::EndpointId(placed_.endpoint), .model = {}};
+  }
+
+  const std::shared_ptr<Home::State> state_;
+  const gen::Placed placed_;
+  bool done_ = false;
+};
+
+namespace {
+
+/** Takes the request back if its coroutine ends while it waits: the caller
+ * has gone, and its slot or place in the queue would stay taken. */
+class WithdrawGuard {
+ public:
+  WithdrawGuard(std::function<void()> withdraw)
+      : withdraw_(std::move(withdraw)) {}
+  ~WithdrawGuard() {
+    if (withdraw_) withdraw_();
+  }
+  WithdrawGuard(const WithdrawGuard&) = delete;
+  WithdrawGuard& operator=(const WithdrawGuard&) = delete;
+
+  void Dismiss() { withdraw_ = nullptr; }
+
+ private:
+  std::function<void()> withdraw_;
+};
+
+}  // namespace
+
+Home::State::State(const core::Executor& executor_arg, HomeOptions options_arg,
+                   contract::ConfigHolder& config_arg, Directory& directory_arg,
+                   link::LinkNode& links_arg,
+                   platform::KeyValueStore& store_arg,
+                   const core::Clock& clock_arg, const core::Logger& log_arg)
+    : executor(executor_arg),
+      options(std::move(options_arg)),
+      config(config_arg),
+      directory(directory_arg),
+      links(links_arg),
+      store(store_arg),
+      clock(clock_arg),
+      log(log_arg),
+      started_at(clock_arg.Now()),
+      fleet(clock_arg),
+      shards(static_cast<std::size_t>(std::max(options.shards, 1))) {}
+
+Home::State::Shard& Home::State::ShardOf(const core::ModelId& id) {
+  return shards[core::HashOf(id.value()) % shards.size()];
+}
+
+void Home::State::Start() {
+  const std::weak_ptr<State> weak = weak_from_this();
+  directory.OnEndpoint([weak](const KnownEndpoint& endpoint) {
+    const auto self = weak.lock();
+    if (!self || self->stopped) return;
+    for (const core::ModelId& id : self->fleet.Update(endpoint)) {
+      self->Evaluate(id);
+    }
+  });
+  directory.OnGone([weak](const core::VmId& vm) {
+    const auto self = weak.lock();
+    if (self) self->fleet.Forget(core::EndpointId(vm.value()));
+  });
+  const auto adopt = [weak](const contract::Config& adopted) {
+    const auto self = weak.lock();
+    if (!self || self->stopped) return;
+    std::map<core::ModelId, core::ServiceId> service_of;
+    for (const auto& [id, model] : adopted.intent.models) {
+      service_of[id] = model.service;
+    }
+    self->fleet.SetServices(std::move(service_of));
+    self->EvaluateAll();
+  };
+  config.OnChange(adopt);
+  if (const auto current = config.Current()) adopt(*current);
+  for (const KnownEndpoint& endpoint : directory.Endpoints()) {
+    fleet.Update(endpoint);
+  }
+  core::Spawn(executor, log, "home_sweep",
+              [self = shared_from_this()] { return self->Sweep(); });
+}
+
+void Home::State::Stop() {
+  stopped = true;
+  for (Shard& shard : shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (auto& [id, queue] : shard.queues) {
+      while (!queue.waiters.empty()) {
+        Refuse(
+            queue, queue.waiters.back(),
+            core::Error(ErrorCode::kLeaving, "the entry stops", kRetryAfter));
+      }
+    }
+  }
+}
+
+core::Task<> Home::State::Sweep() {
+  for (int round = 0; !stopped; ++round) {
+    co_await core::SleepFor(options.sweep_interval);
+    if (queued == 0) continue;
+    if (round % kSweepsPerDecision == 0) {
+      EvaluateAll();
+      continue;
+    }
+    for (Shard& shard : shards) {
+      const std::lock_guard lock(shard.mutex);
+      for (auto& [id, queue] : shard.queues) EndOverdue(queue);
+    }
+  }
+}
+
+void Home::State::CountRefusal(const core::Error& error) {
+  const std::lock_guard lock(stats_mutex);
+  ++stats.refused;
+  ++stats.refused_by_code[error.code()];
+  if (error.code() == ErrorCode::kQuarantined) ++stats.quarantined;
+}
+
+void Home::State::CheckQuarantine(std::int64_t fingerprint) {
+  if (quarantine.Crashes(fingerprint) < kCrashLimit) return;
+  throw core::Error(ErrorCode::kQuarantined,
+                    "this request has crashed two engines");
+}
+
+void Home::State::CheckRoom(ModelQueue& queue, const Waiter& newcomer) {
+  if (static_cast<int>(queue.waiters.size()) < options.max_queue) return;
+  // Failure: one owner's burst fills the queue and shuts out the others. Room
+  // is made at the cost of the owner that holds most of it for its share.
+  const auto over = OverShareWaiter(queue, newcomer.queued().owner);
+  if (over == nullptr) {
+    throw core::Error(ErrorCode::kQueueFull, "", kRetryAfter);
+  }
+  Refuse(queue, over, core::Error(ErrorCode::kOverShare, "", kRetryAfter));
+}
+
+namespace {
+
+const contract::Model& FindModel(const contract::Config& config,
+                                 const gen::Place& request) {
+  const auto it = config.intent.models.find(core::ModelId(request.model));
+  if (it == config.intent.models.end()) {
+    throw core::Error(ErrorCode::kUnknownModel, request.model);
+  }
+  const auto& adapters = it->second.adapters;
+  const bool known = std::any_of(
+      adapters.begin(), adapters.end(), [&request](const auto& adapter) {
+        return adapter.name.value() == request.adapter;
+      });
+  if (!request.adapter.empty() && !known) {
+    throw core::Error(ErrorCode::kUnknownAdapter, request.adapter);
+  }
+  return it->second;
+}
+
+policy::QueuedRequest ToQueued(const gen::Place& request,
+                               core::SteadyTime now) {
+  return {.id = core::RequestId(request.request_id),
+          .owner = core::OwnerId(request.owner),
+          .priority = request.priority,
+          .deadline = now + core::Millis(request.remaining_ms),
+          .arrived = now};
+}
+
+double ShareOf(const contract::Config& config, const core::OwnerId& owner) {
+  const auto it = config.intent.owners.find(owner);
+  return it == config.intent.owners.end() ? 1.0 : it->second.share;
+}
+
+}  // namespace
+
+std::shared_ptr<Waiter> Home::State::Admit(gen::Place request,
+                                           std::function<bool()> abandoned) {
+  const auto current = config.Current();
+  if (!current) throw core::Error(ErrorCode::kNotConfigured, "", kRetryAfter);
+  const contract::Model& model = FindModel(*current, request);
+  CheckQuarantine(request.fingerprint);
+  const core::SteadyTime now = clock.Now();
+  if (request.remaining_ms <= 0) {
+    throw core::Error(ErrorCode::kDeadlineTooShort, "", kRetryAfter);
+  }
+  policy::QueuedRequest entry = ToQueued(request, now);
+  const auto waiter = std::make_shared<Waiter>(
+      std::move(request), std::move(entry), std::move(abandoned));
+  Shard& shard = ShardOf(model.name);
+  {
+    const std::lock_guard lock(shard.mutex);
+    const auto [it, created] = shard.queues.try_emplace(model.name);
+    ModelQueue& queue = it->second;
+    if (created) queue.load_times = GuessLoads(model.weight_bytes);
+    policy::RecordArrival(queue.arrivals, now);
+    policy::RecordFirstTry(queue.retries);
+    const core::OwnerId& owner = waiter->queued().owner;
+    queue.owners[owner].share = ShareOf(*current, owner);
+    CheckRoom(queue, *waiter);
+    // Alone it is decided for below. Behind others it only has to be told if
+    // its turn will come too late: now, not when its time is up.
+    if (!queue.waiters.empty() && !IsStarting()) {
+      const int ahead = WaitingAhead(queue, waiter->queued().priority);
+      const auto decision = Consult(*current, model, queue, *waiter, ahead);
+      if (decision.action == policy::PlacementAction::kRefuse) {
+        throw core::Error(decision.refusal, "",
+                          std::max(decision.retry_after, kRetryAfter));
+      }
+    }
+    if (!queue.loads.empty()) waiter->cold_tier = queue.load_tier;
+    queue.waiters.push_back(waiter);
+    ++queued;
+  }
+  Evaluate(model.name);
+  return waiter;
+}
+
+void Home::State::Withdraw(const std::shared_ptr<Waiter>& waiter) {
+  const core::ModelId id(waiter->request().model);
+  std::optional<std::int64_t> granted;
+  {
+    Shard& shard = ShardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    if (RemoveWaiter(shard.queues[id], waiter.get())) --queued;
+    if (const auto* grant = std::get_if<Grant>(&waiter->result())) {
+      granted = grant->slot_id;
+    }
+  }
+  if (granted) Release(id, *granted, gen::RunResult::ABANDONED);
+}
+
+void Home::State::LearnFromRun(ModelQueue& queue, const RunningRequest& run,
+                               gen::RunResult::type result) {
+  const core::SteadyTime now = clock.Now();
+  if (result == gen::RunResult::COMPLETED) {
+    Learn(queue.service_time,
+          std::chrono::duration_cast<core::Millis>(now - run.placed_at), now);
+    NoteHarmless(queue, run.fingerprint);
+    quarantine.RecordCompleted(run.fingerprint);
+  }
+  if (result == gen::RunResult::ENGINE_CRASHED) {
+    queue.harmless.erase(run.fingerprint);
+    quarantine.RecordCrash(run.fingerprint, run.slot.model, run.slot.endpoint,
+                           run.placed_at, now);
+    log.Event(core::LogLevel::kWarning, core::LogCategory::kFault,
+              "engine_crashed_under_request",
+              {{"model", run.slot.model},
+               {"endpoint", run.slot.endpoint},
+               {"fingerprint", run.fingerprint},
+               {"crashes", quarantine.Crashes(run.fingerprint)}});
+  }
+}
+
+void Home::State::Release(const core::ModelId& model, std::int64_t slot_id,
+                          gen::RunResult::type result) {
+  {
+    Shard& shard = ShardOf(model);
+    const std::lock_guard lock(shard.mutex);
+    ModelQueue& queue = shard.queues[model];
+    const auto it = queue.running.find(slot_id);
+    if (it == queue.running.end()) return;
+    const RunningRequest run = it->second;
+    queue.running.erase(it);
+    --queue.owners[run.owner].running;
+    fleet.RemoveSlot(run.slot);
+    LearnFromRun(queue, run, result);
+  }
+  Evaluate(model);
+}
+
+namespace {
+
+core::Task<std::unique_ptr<Placement>> PlaceIn(
+    std::shared_ptr<Home::State> state, gen::Place request,
+    std::function<bool()> abandoned) {
+  const core::ModelId model(request.model);
+  std::shared_ptr<Waiter> waiter;
+  try {
+    waiter = state->Admit(std::move(request), std::move(abandoned));
+  } catch (const core::Error& e) {
+    state->CountRefusal(e);
+    throw;
+  }
+  WithdrawGuard guard([state, waiter] { state->Withdraw(waiter); });
+  co_await waiter->Wait();
+  guard.Dismiss();
+  if (const auto* error = std::get_if<core::Error>(&waiter->result())) {
+    throw core::Error(*error);
+  }
+  co_return std::make_unique<HeldSlot>(state, model,
+                                       std::get<Grant>(waiter->result()));
+}
+
+/** Waits for the placer to be done, or for its end. */
+core::Task<gen::RunResult::type> AwaitDone(std::shared_ptr<link::Call> call) {
+  while (!call->ended()) {
+    try {
+      const gen::Message message = co_await call->Receive(kServeRound);
+      if (message.__isset.place_done) co_return message.place_done.result;
+    } catch (const core::Error& e) {
+      // Failure: the placing entry dies or is cut off. It shows as a lost
+      // link; its slot is freed, since the endpoint counts for itself.
+      if (e.code() != ErrorCode::kTimedOut) break;
+    }
+  }
+  co_return gen::RunResult::ABANDONED;
+}
+
+core::Task<std::unique_ptr<Placement>> PlacePlain(
+    std::shared_ptr<Home::State> state, core::ServiceId service,
+    core::Millis remaining, std::set<core::EndpointId> avoid) {
+  if (remaining <= core::Millis(0)) {
+    throw core::Error(ErrorCode::kDeadlineTooShort, "", kRetryAfter);
+  }
+  const auto endpoint =
+      state->fleet.PickPlain(service, state->options.zone, avoid);
+  const auto address =
+      endpoint ? state->fleet.AddressOf(*endpoint) : std::nullopt;
+  if (!address) {
+    throw core::Error(ErrorCode::kNoEndpoint, service.value(), kRetryAfter);
+  }
+  gen::Placed placed;
+  placed.endpoint = endpoint->value();
+  placed.address = *address;
+  co_return std::make_unique<HeldPlainSlot>(state, std::move(placed));
+}
+
+}  // namespace
+
+Home::Home(const core::Executor& executor, HomeOptions options,
+           contract::ConfigHolder& config, Directory& directory,
+           link::LinkNode& links, platform::KeyValueStore& store,
+           const core::Clock& clock, const core::Logger& log)
+    : state_(std::make_shared<State>(executor, std::move(options), config,
+                                     directory, links, store, clock, log)) {
+  state_->Start();
+}
+
+Home::~Home() { state_->Stop(); }
+
+core::Task<std::unique_ptr<Placement>> Home::Place(gen::Place request) {
+  return PlaceIn(state_, std::move(request), nullptr);
+}
+
+core::Task<std::unique_ptr<Placement>> Home::PlaceService(
+    core::ServiceId service, core::OwnerId /*owner*/,
+    std::chrono::milliseconds remaining, std::set<core::EndpointId> avoid) {
+  return PlacePlain(state_, std::move(service), remaining, std::move(avoid));
+}
+
+core::Task<> Home::Serve(std::shared_ptr<link::Call> call, gen::Place request) {
+  const std::unique_ptr<Placement> placement = co_await PlaceIn(
+      state_, std::move(request), [call] { return call->ended(); });
+  gen::Message message;
+  message.__set_placed(placement->placed());
+  co_await call->Send(std::move(message));
+  const gen::RunResult::type result = co_await AwaitDone(call);
+  placement->Done(result);
+}
+
+Home::Stats Home::stats() const {
+  const std::lock_guard lock(state_->stats_mutex);
+  Stats stats = state_->stats;
+  stats.queued = state_->queued;
+  return stats;
+}
+
+}  // namespace sapphire::entry
--- a/src/entry/home_base.h
+++ b/src/entry/home_base.h
@@ -94,8 +94,10 @@
   };
   [[nodiscard]] Stats stats() const;
 
- private:
+  /** Internal. */
   struct State;
+
+ private:
   std::shared_ptr<State> state_;
 };
 
--- /dev/null
+++ b/src/entry/home_decide.cc
@@ -0,0 +1,300 @@
+/** @file home_decide.cc The home's decisions for the waiters of one model. */
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "entry/home_state_base.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+using core::ErrorCode;
+using policy::PlacementAction;
+
+constexpr core::Millis kRetryAfter{1000};
+/** A new entry waits this long for the endpoints' first reports before it
+ * refuses for lack of them. */
+constexpr core::Millis kStartGrace{2000};
+
+std::int64_t AdapterBytes(const contract::Model& model,
+                          const std::string& name) {
+  for (const contract::Adapter& adapter : model.adapters) {
+    if (adapter.name.value() == name) return adapter.bytes;
+  }
+  return 0;
+}
+
+int ServiceLimit(const contract::Config& config, const contract::Model& model) {
+  const auto it = config.intent.services.find(model.service);
+  if (it == config.intent.services.end()) {
+    return std::numeric_limits<int>::max();
+  }
+  return it->second.max_replicas;
+}
+
+}  // namespace
+
+bool Home::State::IsStarting() const {
+  return clock.Now() - started_at < kStartGrace && !fleet.HasModelEndpoints();
+}
+
+bool Home::State::IsSuspect(const Waiter& waiter) const {
+  return quarantine.Crashes(waiter.request().fingerprint) > 0;
+}
+
+void Home::State::Evaluate(const core::ModelId& id) {
+  const auto current = config.Current();
+  std::vector<LoadOrder> orders;
+  {
+    Shard& shard = ShardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto it = shard.queues.find(id);
+    if (it == shard.queues.end() || it->second.waiters.empty()) return;
+    ModelQueue& queue = it->second;
+    EndOverdue(queue);
+    if (!current || IsStarting()) return;
+    const auto model = current->intent.models.find(id);
+    if (model == current->intent.models.end()) {
+      while (!queue.waiters.empty()) {
+        Refuse(queue, queue.waiters.back(),
+               core::Error(ErrorCode::kUnknownModel, id.value()));
+      }
+      return;
+    }
+    Decide(*current, model->second, queue, orders);
+  }
+  for (const LoadOrder& order : orders) StartLoad(order);
+}
+
+void Home::State::EvaluateAll() {
+  std::vector<core::ModelId> waiting;
+  for (Shard& shard : shards) {
+    const std::lock_guard lock(shard.mutex);
+    for (const auto& [id, queue] : shard.queues) {
+      if (!queue.waiters.empty()) waiting.push_back(id);
+    }
+  }
+  for (const core::ModelId& id : waiting) Evaluate(id);
+}
+
+void Home::State::EndOverdue(ModelQueue& queue) {
+  const core::SteadyTime now = clock.Now();
+  const std::vector<std::shared_ptr<Waiter>> all = queue.waiters;
+  for (const auto& waiter : all) {
+    if (waiter->IsAbandoned()) {
+      Refuse(queue, waiter, core::Error(ErrorCode::kCancelled));
+    } else if (waiter->queued().deadline <= now) {
+      Refuse(queue, waiter,
+             core::Error(ErrorCode::kDeadlineTooShort,
+                         "its time ran out in the queue", kRetryAfter));
+    } else if (quarantine.Crashes(waiter->request().fingerprint) >=
+               kCrashLimit) {
+      Refuse(queue, waiter,
+             core::Error(ErrorCode::kQuarantined,
+                         "this request has crashed two engines"));
+    }
+  }
+}
+
+void Home::State::Refuse(ModelQueue& queue,
+                         const std::shared_ptr<Waiter>& waiter,
+                         const core::Error& error) {
+  if (!RemoveWaiter(queue, waiter.get())) return;
+  --queued;
+  CountRefusal(error);
+  waiter->Finish(error);
+}
+
+void Home::State::Decide(const contract::Config& current,
+                         const contract::Model& model, ModelQueue& queue,
+                         std::vector<LoadOrder>& orders) {
+  const auto class_of = [this](const Waiter& waiter) {
+    const gen::Place& request = waiter.request();
+    return WaitClass(core::AdapterId(request.adapter), IsSuspect(waiter),
+                     request.avoid);
+  };
+  std::set<WaitClass> held;
+  std::set<const Waiter*> decided;
+  const auto skip = [&](const Waiter& waiter) {
+    if (decided.contains(&waiter)) return true;
+    return !held.empty() && held.contains(class_of(waiter));
+  };
+  while (const auto waiter = NextWaiter(queue, skip)) {
+    const int ahead = static_cast<int>(decided.size());
+    const Step step = DecideOne(current, model, queue, waiter, ahead, orders);
+    if (step == Step::kEnded) continue;
+    decided.insert(waiter.get());
+    if (step == Step::kHeldAlone) continue;
+    // A suspect waits for an idle replica: placing others meanwhile could keep
+    // it from ever finding one.
+    if (IsSuspect(*waiter)) return;
+    held.insert(class_of(*waiter));
+  }
+}
+
+policy::PlacementDecision Home::State::Consult(const contract::Config& current,
+                                               const contract::Model& model,
+                                               const ModelQueue& queue,
+                                               const Waiter& waiter,
+                                               int ahead) {
+  const core::SteadyTime now = clock.Now();
+  policy::PlacementRequest request;
+  request.model = model.name;
+  request.adapter = core::AdapterId(waiter.request().adapter);
+  request.replica_bytes = model.weight_bytes + model.kv_budget_bytes;
+  request.adapter_bytes = AdapterBytes(model, waiter.request().adapter);
+  request.max_replicas = model.max_replicas;
+  request.max_concurrent = IsSuspect(waiter) ? 1 : model.max_concurrent;
+  request.service_max_replicas = ServiceLimit(current, model);
+  request.remaining =
+      std::chrono::duration_cast<core::Millis>(waiter.queued().deadline - now);
+  request.service_time = ValueAt(queue.service_time, now);
+  request.zone = options.zone;
+  request.prefix_hash = waiter.request().prefix_hash;
+  request.avoid = AvoidSet(queue, waiter.request(), now);
+  request.waiting_ahead = ahead;
+  return fleet.Decide(std::move(request), model.service,
+                      LoadTimesAt(queue.load_times, now));
+}
+
+Home::State::Step Home::State::DecideOne(const contract::Config& current,
+                                         const contract::Model& model,
+                                         ModelQueue& queue,
+                                         const std::shared_ptr<Waiter>& waiter,
+                                         int ahead,
+                                         std::vector<LoadOrder>& orders) {
+  const policy::PlacementDecision decision =
+      Consult(current, model, queue, *waiter, ahead);
+  switch (decision.action) {
+    case PlacementAction::kRun:
+      return Run(current, model, queue, waiter, decision, orders);
+    case PlacementAction::kLoad:
+      return Load(model, queue, waiter, decision, orders);
+    case PlacementAction::kWait:
+      return Step::kHeld;
+    case PlacementAction::kRefuse:
+      break;
+  }
+  const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
+  if (queue.failed_loads_in_row > 0 && queue.last_load_error) {
+    const core::Error& cause = *queue.last_load_error;
+    Refuse(queue, waiter,
+           core::Error(cause.code(), cause.detail(), retry_after)
+               .WithOutcome(core::Outcome::kNotRun));
+    return Step::kEnded;
+  }
+  Refuse(queue, waiter, core::Error(decision.refusal, "", retry_after));
+  return Step::kEnded;
+}
+
+core::Millis Home::State::KeepAlive(const contract::Config& current,
+                                    const ModelQueue& queue,
+                                    const core::ModelId& model,
+                                    const core::EndpointId& endpoint) const {
+  const policy::CostWeights weights{
+      .cold_start = current.intent.weights.cold_start,
+      .idle = current.intent.weights.idle};
+  const policy::LoadTimes times = LoadTimesAt(queue.load_times, clock.Now());
+  const policy::Tier tier = fleet.TierOf(endpoint, model);
+  return policy::KeepAliveTime(queue.arrivals, weights,
+                               policy::LoadTimeFrom(times, tier));
+}
+
+Home::State::Step Home::State::Run(const contract::Config& current,
+                                   const contract::Model& model,
+                                   ModelQueue& queue,
+                                   const std::shared_ptr<Waiter>& waiter,
+                                   const policy::PlacementDecision& decision,
+                                   std::vector<LoadOrder>& orders) {
+  const gen::Place& request = waiter->request();
+  const core::AdapterId adapter(request.adapter);
+  if (!fleet.HasAdapter(decision.endpoint, model.name, adapter)) {
+    return Load(model, queue, waiter, decision, orders);
+  }
+  const auto address = fleet.AddressOf(decision.endpoint);
+  if (!address) return Step::kHeld;
+  const int crashes = quarantine.Crashes(request.fingerprint);
+  if (!MayExpose(queue, request.fingerprint, crashes, kCrashLimit,
+                 decision.endpoint)) {
+    return Step::kHeldAlone;
+  }
+  const core::SteadyTime now = clock.Now();
+  const Slot slot{.endpoint = decision.endpoint,
+                  .model = model.name,
+                  .prefix_hash = request.prefix_hash,
+                  .alone = crashes > 0};
+  Grant grant;
+  grant.slot_id = next_slot_id++;
+  grant.placed.endpoint = decision.endpoint.value();
+  grant.placed.address = *address;
+  grant.placed.keep_alive_ms =
+      KeepAlive(current, queue, model.name, decision.endpoint).count();
+  fleet.AddSlot(slot);
+  queue.running[grant.slot_id] = {.slot = slot,
+                                  .owner = waiter->queued().owner,
+                                  .fingerprint = request.fingerprint,
+                                  .placed_at = now};
+  ++queue.owners[waiter->queued().owner].running;
+  RemoveWaiter(queue, waiter.get());
+  --queued;
+  CountPlaced(*waiter, now);
+  waiter->Finish(std::move(grant));
+  return Step::kEnded;
+}
+
+void Home::State::CountPlaced(const Waiter& waiter, core::SteadyTime now) {
+  {
+    const std::lock_guard lock(stats_mutex);
+    ++stats.placed;
+    if (waiter.cold_tier) ++stats.cold_starts;
+  }
+  if (waiter.cold_tier && options.cold_start_seen) {
+    options.cold_start_seen(*waiter.cold_tier,
+                            std::chrono::duration_cast<core::Millis>(
+                                now - waiter.queued().arrived));
+  }
+}
+
+Home::State::Step Home::State::Load(const contract::Model& model,
+                                    ModelQueue& queue,
+                                    const std::shared_ptr<Waiter>& waiter,
+                                    const policy::PlacementDecision& decision,
+                                    std::vector<LoadOrder>& orders) {
+  const core::AdapterId adapter(waiter->request().adapter);
+  const LoadKey key(decision.endpoint, adapter);
+  if (queue.loads.contains(key)) return Step::kHeld;
+  // Failure: endpoints fail one load after the other, and every try takes
+  // store bandwidth from loads that could succeed. Tries after a failure are
+  // held to a fraction of the requests that came.
+  if (queue.failed_loads_in_row > 0 && !policy::TakeRetry(queue.retries)) {
+    Refuse(queue, waiter,
+           core::Error(ErrorCode::kLoadFailed, "the retry budget is used up",
+                       kRetryAfter));
+    return Step::kEnded;
+  }
+  const core::SteadyTime now = clock.Now();
+  const bool base_there = fleet.HasReplica(decision.endpoint, model.name);
+  LoadOrder order;
+  order.endpoint = decision.endpoint;
+  order.model = model.name;
+  order.adapter = adapter;
+  order.evict = decision.evict;
+  order.bytes = AdapterBytes(model, adapter.value());
+  if (!base_there) order.bytes += model.weight_bytes + model.kv_budget_bytes;
+  order.tier = fleet.TierOf(order.endpoint, order.model);
+  order.expected =
+      policy::LoadTimeFrom(LoadTimesAt(queue.load_times, now), order.tier);
+  order.base_there = base_there;
+  queue.loads.insert(key);
+  queue.load_tier = order.tier;
+  for (const auto& other : queue.waiters) {
+    if (!other->cold_tier) other->cold_tier = order.tier;
+  }
+  fleet.BeginLoad(order);
+  orders.push_back(std::move(order));
+  return Step::kHeld;
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/home_load.cc
@@ -0,0 +1,150 @@
+/** @file home_load.cc The home's load orders to endpoints. */
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "core/task_func.h"
+#include "entry/home_state_base.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+using core::ErrorCode;
+
+/** A load is given at least this long, however short its requests' time. */
+constexpr core::Millis kLeastLoadTime{1000};
+/** What the endpoint's answer may take beyond the time it was given. */
+constexpr core::Millis kAnswerMargin{500};
+
+/** @return How long an endpoint is left alone after this answer. */
+core::Millis AvoidFor(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kLeaving:
+      return std::chrono::seconds(10);
+    case ErrorCode::kReplicaLimit:
+    case ErrorCode::kInProgress:
+      return core::Millis(500);
+    case ErrorCode::kLinkLost:
+    case ErrorCode::kNoEndpoint:
+      return std::chrono::seconds(1);
+    default:
+      return std::chrono::seconds(3);
+  }
+}
+
+gen::Message EnsureMessage(const LoadOrder& order,
+                           const core::ServiceId& service,
+                           core::Millis remaining, core::Millis keep_alive) {
+  gen::EnsureModel ensure;
+  ensure.service_id = service.value();
+  ensure.model = order.model.value();
+  ensure.adapter = order.adapter.value();
+  ensure.remaining_ms = remaining.count();
+  ensure.keep_alive_ms = keep_alive.count();
+  for (const core::ModelId& model : order.evict) {
+    ensure.evict.push_back(model.value());
+  }
+  gen::Message message;
+  message.__set_ensure_model(std::move(ensure));
+  return message;
+}
+
+}  // namespace
+
+void Home::State::StartLoad(const LoadOrder& order) {
+  {
+    const std::lock_guard lock(stats_mutex);
+    ++stats.loads_ordered;
+  }
+  log.Event(core::LogLevel::kInfo, core::LogCategory::kReplica, "load_ordered",
+            {{"model", order.model},
+             {"adapter", order.adapter},
+             {"endpoint", order.endpoint},
+             {"evict", order.evict.size()}});
+  core::Spawn(executor, log, "order_load", [self = shared_from_this(), order] {
+    return self->OrderLoad(order);
+  });
+}
+
+core::Task<> Home::State::OrderLoad(LoadOrder order) {
+  const core::SteadyTime started = clock.Now();
+  std::optional<core::Error> failure;
+  try {
+    co_await SendLoad(order, started);
+  } catch (const core::Error& e) {
+    failure = e;
+  } catch (const std::exception& e) {
+    failure = core::Error(ErrorCode::kInternal, e.what());
+  }
+  EndLoad(order, started, failure ? &*failure : nullptr);
+}
+
+core::Task<> Home::State::SendLoad(LoadOrder order, core::SteadyTime started) {
+  const auto address = fleet.AddressOf(order.endpoint);
+  if (!address) throw core::Error(ErrorCode::kLinkLost, "not connected");
+  const auto current = config.Current();
+  const auto model = current->intent.models.find(order.model);
+  if (model == current->intent.models.end()) {
+    throw core::Error(ErrorCode::kUnknownModel, order.model.value());
+  }
+  core::Millis remaining;
+  core::Millis keep_alive;
+  {
+    Shard& shard = ShardOf(order.model);
+    const std::lock_guard lock(shard.mutex);
+    const ModelQueue& queue = shard.queues[order.model];
+    const core::SteadyTime latest =
+        LatestDeadline(queue, started + kLeastLoadTime);
+    remaining = std::chrono::duration_cast<core::Millis>(latest - started);
+    keep_alive = KeepAlive(*current, queue, order.model, order.endpoint);
+  }
+  const auto call = co_await links.Open(
+      *address,
+      EnsureMessage(order, model->second.service, remaining, keep_alive));
+  const gen::Message answer = co_await call->Receive(remaining + kAnswerMargin);
+  if (!answer.__isset.model_ready) {
+    throw core::Error(ErrorCode::kInternal, "no answer to a load order");
+  }
+}
+
+void Home::State::EndLoad(const LoadOrder& order, core::SteadyTime started,
+                          const core::Error* failure) {
+  const core::SteadyTime now = clock.Now();
+  const auto took = std::chrono::duration_cast<core::Millis>(now - started);
+  {
+    Shard& shard = ShardOf(order.model);
+    const std::lock_guard lock(shard.mutex);
+    ModelQueue& queue = shard.queues[order.model];
+    const LoadKey key(order.endpoint, order.adapter);
+    queue.loads.erase(key);
+    fleet.EndLoad(order, failure == nullptr);
+    if (failure == nullptr) {
+      queue.failed_loads_in_row = 0;
+      queue.last_load_error.reset();
+      queue.avoid_until.erase(key);
+      if (!order.base_there) {
+        LearnLoad(queue.load_times, order.tier, took, now);
+      }
+    } else {
+      ++queue.failed_loads_in_row;
+      queue.last_load_error = *failure;
+      // A failed adapter load doesn't speak against the model at the endpoint.
+      const core::AdapterId adapter =
+          order.base_there ? order.adapter : core::AdapterId();
+      queue.avoid_until[{order.endpoint, adapter}] =
+          now + AvoidFor(failure->code());
+    }
+  }
+  log.Event(
+      failure == nullptr ? core::LogLevel::kInfo : core::LogLevel::kWarning,
+      core::LogCategory::kReplica, "load_ended",
+      {{"model", order.model},
+       {"adapter", order.adapter},
+       {"endpoint", order.endpoint},
+       {"took_ms", took},
+       {"error", failure == nullptr ? "" : failure->what()}});
+  Evaluate(order.model);
+}
+
+}  // namespace sapphire::entry
--- a/src/entry/model_queue.cc
+++ b/src/entry/model_queue.cc
@@ -1,57 +1,41 @@
 /** @file model_queue.cc The requests of one model: waiting and running. */
 #include <algorithm>
-#include <boost/asio/experimental/concurrent_channel.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "entry/model_queue_base.h"
 
 namespace sapphire::entry {
 
-namespace asio = boost::asio;
-
 namespace {
 
 /** Fingerprints remembered as harmless for each model. */
 constexpr std::size_t kHarmlessKept = 1024;
+/** The home ends every wait itself; this only bounds one timer. */
+constexpr std::chrono::minutes kWaitRound{10};
 
 }  // namespace
 
-struct Waiter::Signal {
-  explicit Signal(const core::Executor& executor) : channel(executor, 1) {}
-  asio::experimental::concurrent_channel<void(boost::system::error_code)>
-      channel;
-};
-
-Waiter::Waiter(const core::Executor& executor, gen::Place request,
-               policy::QueuedRequest queued, std::function<bool()> abandoned)
-    : request_(std::move(request)),
-      queued_(std::move(queued)),
-      abandoned_(std::move(abandoned)),
-      signal_(std::make_unique<Signal>(executor)) {}
-
-Waiter::~Waiter() = default;
-
 void Waiter::Finish(WaitResult result) {
-  if (!std::holds_alternative<std::monostate>(result_)) return;
+  if (finished_) return;
   result_ = std::move(result);
-  signal_->channel.try_send(boost::system::error_code());
+  finished_ = true;
+  signal_.Notify();
 }
 
 core::Task<> Waiter::Wait() {
-  boost::system::error_code ec;
-  co_await signal_->channel.async_receive(
-      asio::redirect_error(asio::use_awaitable, ec));
+  while (true) {
+    const std::uint64_t seen = signal_.epoch();
+    if (finished_) co_return;
+    co_await signal_.Wait(seen, kWaitRound);
+  }
 }
 
 std::shared_ptr<Waiter> NextWaiter(
-    const ModelQueue& queue, const std::set<WaitClass>& blocked,
-    const std::function<WaitClass(const Waiter&)>& class_of) {
+    const ModelQueue& queue, const std::function<bool(const Waiter&)>& skip) {
   std::vector<policy::QueuedRequest> candidates;
   std::vector<std::size_t> indexes;
   for (std::size_t i = 0; i < queue.waiters.size(); ++i) {
     const Waiter& waiter = *queue.waiters[i];
-    if (!blocked.empty() && blocked.contains(class_of(waiter))) continue;
+    if (skip(waiter)) continue;
     candidates.push_back(waiter.queued());
     indexes.push_back(i);
   }
@@ -100,11 +84,11 @@
         return load_of(a.first) < load_of(b.first);
       });
   if (load_of(heaviest->first) <= load_of(newcomer)) return nullptr;
-  const auto last = std::find_if(
-      queue.waiters.rbegin(), queue.waiters.rend(),
-      [&heaviest](const auto& waiter) {
-        return waiter->queued().owner == heaviest->first;
-      });
+  const auto last =
+      std::find_if(queue.waiters.rbegin(), queue.waiters.rend(),
+                   [&heaviest](const auto& waiter) {
+                     return waiter->queued().owner == heaviest->first;
+                   });
   return last == queue.waiters.rend() ? nullptr : *last;
 }
 
--- a/src/entry/model_queue_base.h
+++ b/src/entry/model_queue_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_ENTRY_MODEL_QUEUE_BASE_H_
 #define SAPPHIRE_ENTRY_MODEL_QUEUE_BASE_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -19,6 +20,7 @@
 #include "core/clock_base.h"
 #include "core/error_type.h"
 #include "core/id_type.h"
+#include "core/signal_base.h"
 #include "core/task_type.h"
 #include "entry/estimate_func.h"
 #include "entry/fleet_view_base.h"
@@ -41,14 +43,16 @@
 class Waiter {
  public:
   /** @param abandoned Says whether nobody waits any more; may be empty. */
-  Waiter(const core::Executor& executor, gen::Place request,
-         policy::QueuedRequest queued, std::function<bool()> abandoned);
-  ~Waiter();
+  Waiter(gen::Place request, policy::QueuedRequest queued,
+         std::function<bool()> abandoned)
+      : request_(std::move(request)),
+        queued_(std::move(queued)),
+        abandoned_(std::move(abandoned)) {}
 
   /** Ends the waiting; later calls have no effect. */
   void Finish(WaitResult result);
 
-  /** Suspends until Finish. */
+  /** Suspends until Finish. @pre The calling coroutine runs on a strand. */
   core::Task<> Wait();
 
   [[nodiscard]] const WaitResult& result() const { return result_; }
@@ -60,11 +64,11 @@
   std::optional<policy::Tier> cold_tier;
 
  private:
-  struct Signal;
   const gen::Place request_;
   const policy::QueuedRequest queued_;
   const std::function<bool()> abandoned_;
-  const std::unique_ptr<Signal> signal_;
+  core::Signal signal_;
+  std::atomic<bool> finished_{false};
   WaitResult result_;
 };
 
@@ -85,6 +89,8 @@
   std::map<std::int64_t, RunningRequest> running;
   std::map<core::OwnerId, policy::OwnerUse> owners;
   std::set<LoadKey> loads;
+  /** The tier that the newest load in progress reads from. */
+  policy::Tier load_tier = policy::Tier::kRemote;
   /** Loads that failed a short while ago are not tried again there. */
   std::map<LoadKey, core::SteadyTime> avoid_until;
   std::optional<core::Error> last_load_error;
@@ -100,10 +106,10 @@
 /** Requests that the same answers serve: if one has to wait, all have to. */
 using WaitClass = std::tuple<core::AdapterId, bool, std::vector<std::string>>;
 
-/** @return The waiter to decide for next, passing over `blocked` classes. */
+/** @return The waiter to decide for next of those that `skip` doesn't hold
+ * back; null if there is none. */
 std::shared_ptr<Waiter> NextWaiter(
-    const ModelQueue& queue, const std::set<WaitClass>& blocked,
-    const std::function<WaitClass(const Waiter&)>& class_of);
+    const ModelQueue& queue, const std::function<bool(const Waiter&)>& skip);
 
 /** Takes a waiter out of the queue. @return False if it wasn't in it. */
 bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter);
