--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -445,6 +445,11 @@
   return state_->list_seen;
 }
 
+bool Directory::Lists(const core::VmId& vm) const {
+  const std::lock_guard lock(state_->mutex);
+  return state_->vms.contains(vm);
+}
+
 void Directory::OnGone(std::function<void(const core::VmId&)> listener) {
   const std::lock_guard lock(state_->mutex);
   state_->gone_listeners.push_back(std::move(listener));
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -99,6 +99,9 @@
   /** @return True unless every read of the list so far has failed. */
   [[nodiscard]] bool list_seen() const;
 
+  /** @return True if the list shows this VM, or did until a grace ago. */
+  [[nodiscard]] bool Lists(const core::VmId& vm) const;
+
   /** Calls `listener` once for each VM that the list showed and shows no
    * longer, for `grace` on end: the VM is gone for good. */
   void OnGone(std::function<void(const core::VmId&)> listener);
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -18,6 +18,9 @@
 constexpr core::Millis kRetryAfter{1000};
 /** How long Serve waits for PlaceDone before it looks at the link again. */
 constexpr core::Millis kServeRound{60000};
+/** How long the first requests of a new home wait for the quarantine. */
+constexpr core::Millis kQuarantineGrace{500};
+constexpr core::Millis kQuarantinePoll{10};
 /** Sweeps between two full decisions for models that have waiters. */
 constexpr int kSweepsPerDecision = 5;
 
@@ -117,6 +120,15 @@
       log(log_arg),
       started_at(clock_arg.Now()),
       fleet(clock_arg),
+      quarantine(std::make_shared<Quarantine>(clock_arg)),
+      quarantine_store(std::make_shared<QuarantineStore>(executor, quarantine,
+                                                         store, clock, log)),
+      ledger_cleanup(std::make_shared<LedgerCleanup>(
+          executor,
+          LedgerCleanupOptions{.self = options.self,
+                               .interval = options.ledger_interval,
+                               .gone_grace = options.gone_grace},
+          config, directory, store, clock, log)),
       shards(static_cast<std::size_t>(std::max(options.shards, 1))) {}
 
 Home::State::Shard& Home::State::ShardOf(const core::ModelId& id) {
@@ -151,12 +163,16 @@
   for (const KnownEndpoint& endpoint : directory.Endpoints()) {
     fleet.Update(endpoint);
   }
+  quarantine_store->Start();
+  ledger_cleanup->Start();
   core::Spawn(executor, log, "home_sweep",
               [self = shared_from_this()] { return self->Sweep(); });
 }
 
 void Home::State::Stop() {
   stopped = true;
+  quarantine_store->Stop();
+  ledger_cleanup->Stop();
   for (Shard& shard : shards) {
     const std::lock_guard lock(shard.mutex);
     for (auto& [id, queue] : shard.queues) {
@@ -192,7 +208,7 @@
 }
 
 void Home::State::CheckQuarantine(std::int64_t fingerprint) {
-  if (quarantine.Crashes(fingerprint) < kCrashLimit) return;
+  if (quarantine->Crashes(fingerprint) < kCrashLimit) return;
   throw core::Error(ErrorCode::kQuarantined,
                     "this request has crashed two engines");
 }
@@ -306,18 +322,22 @@
     Learn(queue.service_time,
           std::chrono::duration_cast<core::Millis>(now - run.placed_at), now);
     NoteHarmless(queue, run.fingerprint);
-    quarantine.RecordCompleted(run.fingerprint);
+    if (quarantine->RecordCompleted(run.fingerprint)) {
+      quarantine_store->NoteChanged(run.fingerprint);
+    }
   }
   if (result == gen::RunResult::ENGINE_CRASHED) {
     queue.harmless.erase(run.fingerprint);
-    quarantine.RecordCrash(run.fingerprint, run.slot.model, run.slot.endpoint,
-                           run.placed_at, now);
+    if (quarantine->RecordCrash(run.fingerprint, run.slot.model,
+                                run.slot.endpoint, run.placed_at)) {
+      quarantine_store->NoteChanged(run.fingerprint);
+    }
     log.Event(core::LogLevel::kWarning, core::LogCategory::kFault,
               "engine_crashed_under_request",
               {{"model", run.slot.model},
                {"endpoint", run.slot.endpoint},
                {"fingerprint", run.fingerprint},
-               {"crashes", quarantine.Crashes(run.fingerprint)}});
+               {"crashes", quarantine->Crashes(run.fingerprint)}});
   }
 }
 
@@ -340,10 +360,24 @@
 
 namespace {
 
+/**
+ * Failure: a home starts and is sent a request that killed two engines under
+ * the home before it. Its first requests wait for the first read of the
+ * quarantine, for a bounded time.
+ */
+core::Task<> AwaitQuarantine(const Home::State& state) {
+  const core::SteadyTime until = state.started_at + kQuarantineGrace;
+  while (!state.quarantine_store->first_read_done()) {
+    if (state.clock.Now() >= until) co_return;
+    co_await core::SleepFor(kQuarantinePoll);
+  }
+}
+
 core::Task<std::unique_ptr<Placement>> PlaceIn(
     std::shared_ptr<Home::State> state, gen::Place request,
     std::function<bool()> abandoned) {
   const core::ModelId model(request.model);
+  co_await AwaitQuarantine(*state);
   std::shared_ptr<Waiter> waiter;
   try {
     waiter = state->Admit(std::move(request), std::move(abandoned));
--- a/src/entry/home_base.h
+++ b/src/entry/home_base.h
@@ -32,6 +32,10 @@
   int shards = 16;
   /** How often waiting requests are checked for deadlines that passed. */
   std::chrono::milliseconds sweep_interval{20};
+  /** How often the ledgers of this entry's services are looked through. */
+  std::chrono::milliseconds ledger_interval{15000};
+  /** A grant's VM missing from the list for this long counts as gone. */
+  std::chrono::milliseconds gone_grace{30000};
   /** Told of each cold start: the tier loaded from and what its request waited
    * from arrival to placement. On any thread; must not block. */
   std::function<void(policy::Tier, std::chrono::milliseconds)> cold_start_seen;
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -41,7 +41,7 @@
 }
 
 bool Home::State::IsSuspect(const Waiter& waiter) const {
-  return quarantine.Crashes(waiter.request().fingerprint) > 0;
+  return quarantine->Crashes(waiter.request().fingerprint) > 0;
 }
 
 void Home::State::Evaluate(const core::ModelId& id) {
@@ -89,7 +89,7 @@
       Refuse(queue, waiter,
              core::Error(ErrorCode::kDeadlineTooShort,
                          "its time ran out in the queue", kRetryAfter));
-    } else if (quarantine.Crashes(waiter->request().fingerprint) >=
+    } else if (quarantine->Crashes(waiter->request().fingerprint) >=
                kCrashLimit) {
       Refuse(queue, waiter,
              core::Error(ErrorCode::kQuarantined,
@@ -215,7 +215,7 @@
   }
   const auto address = fleet.AddressOf(decision.endpoint);
   if (!address) return Step::kHeld;
-  const int crashes = quarantine.Crashes(request.fingerprint);
+  const int crashes = quarantine->Crashes(request.fingerprint);
   if (!MayExpose(queue, request.fingerprint, crashes, kCrashLimit,
                  decision.endpoint)) {
     return Step::kHeldAlone;
--- /dev/null
+++ b/src/entry/home_test.cc
@@ -0,0 +1,306 @@
+/** @file home_test.cc The home under bursts, lost endpoints and crashes. */
+#define BOOST_TEST_MODULE entry_home
+#include <boost/test/unit_test.hpp>
+
+#include "entry/fleet_fake_base.h"
+
+namespace sapphire::entry::fake {
+
+constexpr core::Millis kLong{20000};
+constexpr char kModel[] = "cabin-8b";
+
+/** Two endpoints, one entry, one sleeping model. */
+struct Fleet {
+  Fleet() : Fleet(1, 4) {}
+  Fleet(int max_replicas, int max_concurrent) {
+    for (FakeEndpoint* endpoint : {&left, &right}) {
+      list.Add(endpoint == &left ? "left" : "right",
+               platform::VmRole::kEndpoint, endpoint->address());
+    }
+    config.Adopt(ConfigOf(kModel, max_replicas, max_concurrent));
+    entry = std::make_unique<FakeEntry>(threads, "entry-1", list, store, config,
+                                        clock, log);
+    BOOST_REQUIRE(Eventually(
+        [this] { return entry->directory().Endpoints().size() == 2; }));
+  }
+  ~Fleet() { threads.Stop(); }
+
+  Outcome Place(gen::Place request) { return Place(*entry, request); }
+  Outcome Place(FakeEntry& at, const gen::Place& request) {
+    return threads.Start(TryPlace(at.home(), request)).get();
+  }
+  int Loads() const { return left.loads + right.loads; }
+  FakeEndpoint& Named(const std::string& name) {
+    return name == "left" ? left : right;
+  }
+
+  core::SystemClock clock;
+  core::Logger log{{"test", core::VmId("t"), core::ZoneId("a")},
+                   core::LogLevel::kError,
+                   clock};
+  FakeVmList list;
+  FakeStore store;
+  contract::ConfigHolder config;
+  Threads threads;
+  FakeEndpoint left{threads, "left", clock, log};
+  FakeEndpoint right{threads, "right", clock, log};
+  std::unique_ptr<FakeEntry> entry;
+};
+
+/** Places, holds the slot for a moment, and is done. */
+core::Task<bool> RunOnce(Home& home, std::atomic<int>& running,
+                         std::atomic<int>& peak) {
+  Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong));
+  if (!outcome.placement) co_return false;
+  const int now = ++running;
+  int seen = peak;
+  while (now > seen && !peak.compare_exchange_weak(seen, now)) continue;
+  co_await core::SleepFor(core::Millis(1));
+  --running;
+  outcome.placement->Done(gen::RunResult::COMPLETED);
+  co_return true;
+}
+
+// A ship docks: hundreds of guests ask one sleeping model at the same moment.
+// Each alone would order a load. The home must order one, queue the rest, and
+// give every guest a slot without ever giving out more than the replica has.
+BOOST_AUTO_TEST_CASE(BurstForSleepingModelLoadsItOnce) {
+  Fleet fleet;
+  std::atomic<int> running{0};
+  std::atomic<int> peak{0};
+  std::vector<std::future<bool>> all;
+  for (int i = 0; i < 500; ++i) {
+    all.push_back(
+        fleet.threads.Start(RunOnce(fleet.entry->home(), running, peak)));
+  }
+  int served = 0;
+  for (auto& one : all) served += one.get() ? 1 : 0;
+  BOOST_TEST(served == 500);
+  BOOST_TEST(fleet.Loads() == 1);
+  BOOST_TEST(peak <= 4);
+  const Home::Stats stats = fleet.entry->home().stats();
+  BOOST_TEST(stats.placed == 500);
+  BOOST_TEST(stats.loads_ordered == 1);
+  BOOST_TEST(stats.queued == 0);
+}
+
+// A guest's model is loading when the endpoint's VM is reclaimed: its link
+// breaks before the load is answered. The guest must be served elsewhere.
+BOOST_AUTO_TEST_CASE(EndpointLostWhileLoadingIsReplaced) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kHang;
+  fleet.right.mode = LoadMode::kHang;
+  auto placing = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 1; }));
+  FakeEndpoint& lost = fleet.left.loads == 1 ? fleet.left : fleet.right;
+  FakeEndpoint& other = &lost == &fleet.left ? fleet.right : fleet.left;
+  other.mode = LoadMode::kSucceed;
+  lost.node().Close();
+  const Outcome outcome = placing.get();
+  BOOST_REQUIRE(outcome.placement);
+  BOOST_TEST(outcome.placement->placed().address == other.address());
+}
+
+// A checkpoint is broken at one endpoint: its engine answers the load with an
+// error. The home tries the other endpoint instead of telling the guest.
+BOOST_AUTO_TEST_CASE(FailedLoadIsTriedElsewhere) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kFail;
+  fleet.right.mode = LoadMode::kFail;
+  auto placing = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 1; }));
+  FakeEndpoint& other = fleet.left.loads == 1 ? fleet.right : fleet.left;
+  other.mode = LoadMode::kSucceed;
+  const Outcome outcome = placing.get();
+  BOOST_REQUIRE(outcome.placement);
+  BOOST_TEST(outcome.placement->placed().address == other.address());
+  BOOST_TEST(fleet.Loads() == 2);
+}
+
+// The checkpoint is broken everywhere. With every endpoint tried, waiting on
+// can't help: the guest is told at once, and when to come back.
+BOOST_AUTO_TEST_CASE(LoadThatFailsEverywhereIsRefused) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kFail;
+  fleet.right.mode = LoadMode::kFail;
+  const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong));
+  BOOST_REQUIRE(outcome.error);
+  BOOST_TEST((outcome.error->code() == core::ErrorCode::kLoadFailed));
+  BOOST_TEST((outcome.error->outcome() == core::Outcome::kNotRun));
+  BOOST_TEST(outcome.error->retry_after().has_value());
+  BOOST_TEST(fleet.Loads() == 2);
+}
+
+// A booth asks with less time left than any load takes. It is refused now,
+// with a time to come back, and no load is started for nobody.
+BOOST_AUTO_TEST_CASE(TooShortDeadlineIsRefusedAtOnce) {
+  Fleet fleet;
+  const Outcome outcome = fleet.Place(PlaceOf(kModel, core::Millis(20)));
+  BOOST_REQUIRE(outcome.error);
+  BOOST_TEST((outcome.error->code() == core::ErrorCode::kDeadlineTooShort));
+  BOOST_TEST((outcome.error->outcome() == core::Outcome::kNotRun));
+  BOOST_TEST(outcome.error->retry_after().has_value());
+  BOOST_TEST(fleet.Loads() == 0);
+}
+
+// The load hangs beyond the guest's time: the store has stalled, nobody
+// answers. The guest must still get an answer when its time is up.
+BOOST_AUTO_TEST_CASE(DeadlineEndsAWaitThatNothingElseEnds) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kHang;
+  fleet.right.mode = LoadMode::kHang;
+  const Outcome outcome = fleet.Place(PlaceOf(kModel, core::Millis(800)));
+  BOOST_REQUIRE(outcome.error);
+  BOOST_TEST((outcome.error->outcome() == core::Outcome::kNotRun));
+  BOOST_TEST(outcome.error->retry_after().has_value());
+  BOOST_TEST(fleet.entry->home().stats().queued == 0);
+}
+
+// A request kills the engine that runs it; its caller sends it again and kills
+// a second. The third time it comes through another entry, which has become
+// the model's home. It must be refused there, before a third engine.
+BOOST_AUTO_TEST_CASE(SecondCrashQuarantinesAlsoAtTheNextHome) {
+  Fleet fleet;
+  constexpr std::int64_t kFatal = 666;
+  for (int crash = 0; crash < 2; ++crash) {
+    const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong, kFatal));
+    BOOST_REQUIRE(outcome.placement);
+    outcome.placement->Done(gen::RunResult::ENGINE_CRASHED);
+  }
+  const Outcome third = fleet.Place(PlaceOf(kModel, kLong, kFatal));
+  BOOST_REQUIRE(third.error);
+  BOOST_TEST((third.error->code() == core::ErrorCode::kQuarantined));
+  BOOST_REQUIRE(Eventually([&] {
+    const auto kept = fleet.store.Find("quarantine/666");
+    return kept && kept->value.find("crashes") != std::string::npos;
+  }));
+  FakeEntry next(fleet.threads, "entry-2", fleet.list, fleet.store,
+                 fleet.config, fleet.clock, fleet.log);
+  BOOST_REQUIRE(
+      Eventually([&] { return next.directory().Endpoints().size() == 2; }));
+  BOOST_REQUIRE(Eventually([&] {
+    const Outcome again = fleet.Place(next, PlaceOf(kModel, kLong, kFatal));
+    return again.error && again.error->code() == core::ErrorCode::kQuarantined;
+  }));
+  fleet.threads.Stop();
+}
+
+// A crash takes three requests down, two of them innocent. All three callers
+// send again. Each runs alone now: the innocent ones finish and are cleared,
+// only the fatal one is refused in the end.
+BOOST_AUTO_TEST_CASE(InnocentBesideACrashIsClearedByRunningAlone) {
+  Fleet fleet;
+  std::vector<Outcome> together;
+  for (const std::int64_t fingerprint : {1, 2, 666}) {
+    together.push_back(fleet.Place(PlaceOf(kModel, kLong, fingerprint)));
+    BOOST_REQUIRE(together.back().placement);
+  }
+  for (const Outcome& outcome : together) {
+    outcome.placement->Done(gen::RunResult::ENGINE_CRASHED);
+  }
+  Outcome innocent = fleet.Place(PlaceOf(kModel, kLong, 1));
+  BOOST_REQUIRE(innocent.placement);
+  auto fatal = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong, 666)));
+  BOOST_TEST(
+      (fatal.wait_for(core::Millis(300)) == std::future_status::timeout));
+  innocent.placement->Done(gen::RunResult::COMPLETED);
+  fatal.get().placement->Done(gen::RunResult::ENGINE_CRASHED);
+  BOOST_TEST(fleet.Place(PlaceOf(kModel, kLong, 1)).placement != nullptr);
+  BOOST_TEST(fleet.Place(PlaceOf(kModel, kLong, 2)).placement != nullptr);
+  const Outcome refused = fleet.Place(PlaceOf(kModel, kLong, 666));
+  BOOST_REQUIRE(refused.error);
+  BOOST_TEST((refused.error->code() == core::ErrorCode::kQuarantined));
+}
+
+core::Task<int> PlaceInTurn(Home& home, std::string owner,
+                            std::atomic<int>& turn) {
+  Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong, 0, owner));
+  const int mine = outcome.placement ? turn++ : -1;
+  if (outcome.placement) {
+    outcome.placement->Done(gen::RunResult::COMPLETED);
+  }
+  co_return mine;
+}
+
+// One ad house sends two hundred requests; a rival's single one comes last,
+// with the same priority. Behind the whole burst its manifest would be late:
+// shares put it near the front.
+BOOST_AUTO_TEST_CASE(BurstOfOneOwnerDoesNotStarveAnother) {
+  Fleet fleet(1, 1);
+  Outcome holder = fleet.Place(PlaceOf(kModel, kLong, 0, "loud"));
+  BOOST_REQUIRE(holder.placement);
+  std::atomic<int> turn{0};
+  std::vector<std::future<int>> loud;
+  for (int i = 0; i < 200; ++i) {
+    loud.push_back(
+        fleet.threads.Start(PlaceInTurn(fleet.entry->home(), "loud", turn)));
+  }
+  BOOST_REQUIRE(
+      Eventually([&] { return fleet.entry->home().stats().queued == 200; }));
+  auto quiet =
+      fleet.threads.Start(PlaceInTurn(fleet.entry->home(), "quiet", turn));
+  BOOST_REQUIRE(
+      Eventually([&] { return fleet.entry->home().stats().queued == 201; }));
+  holder.placement->Done(gen::RunResult::COMPLETED);
+  BOOST_TEST(quiet.get() <= 1);
+  for (auto& one : loud) BOOST_TEST(one.get() >= 0);
+}
+
+core::Task<std::shared_ptr<link::Call>> OpenPlace(link::LinkNode& node,
+                                                  std::string address) {
+  gen::Message message;
+  message.__set_place(PlaceOf(kModel, kLong));
+  auto call = co_await node.Open(address, message);
+  const gen::Message answer = co_await call->Receive(kLong);
+  if (!answer.__isset.placed) co_return nullptr;
+  co_return call;
+}
+
+// Another entry is given the only slot and dies without a word. Its link
+// breaks; the slot must come free, or the model is blocked for good.
+BOOST_AUTO_TEST_CASE(VanishedPlacerFreesItsSlot) {
+  Fleet fleet(1, 1);
+  link::LinkNode placer(
+      fleet.threads.executor(), LinkOptionsOf("entry-9", gen::Role::ENTRY),
+      [](std::shared_ptr<link::Call>, gen::Message) -> core::Task<> {
+        co_return;
+      },
+      NoVersions(), fleet.clock, fleet.log);
+  const auto call =
+      fleet.threads.Start(OpenPlace(placer, fleet.entry->address())).get();
+  BOOST_REQUIRE(call);
+  auto second = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_TEST(
+      (second.wait_for(core::Millis(200)) == std::future_status::timeout));
+  placer.Close();
+  BOOST_TEST(second.get().placement != nullptr);
+  fleet.threads.Stop();
+}
+
+// A caller hangs up while its request waits. Nobody would ever free a slot
+// given to it: the request leaves the queue instead.
+BOOST_AUTO_TEST_CASE(AbandonedWaiterLeavesTheQueue) {
+  Fleet fleet(1, 1);
+  Outcome holder = fleet.Place(PlaceOf(kModel, kLong));
+  BOOST_REQUIRE(holder.placement);
+  link::LinkNode placer(
+      fleet.threads.executor(), LinkOptionsOf("entry-9", gen::Role::ENTRY),
+      [](std::shared_ptr<link::Call>, gen::Message) -> core::Task<> {
+        co_return;
+      },
+      NoVersions(), fleet.clock, fleet.log);
+  auto waiting = fleet.threads.Start(OpenPlace(placer, fleet.entry->address()));
+  BOOST_REQUIRE(
+      Eventually([&] { return fleet.entry->home().stats().queued == 1; }));
+  placer.Close();
+  BOOST_TEST(
+      Eventually([&] { return fleet.entry->home().stats().queued == 0; }));
+  BOOST_CHECK_THROW(waiting.get(), core::Error);
+  fleet.threads.Stop();
+}
+
+}  // namespace sapphire::entry::fake
--- /dev/null
+++ b/src/entry/ledger_cleanup_base.h
@@ -0,0 +1,85 @@
+/** @file ledger_cleanup_base.h Ends the grants of VMs that are gone. */
+#ifndef SAPPHIRE_ENTRY_LEDGER_CLEANUP_BASE_H_
+#define SAPPHIRE_ENTRY_LEDGER_CLEANUP_BASE_H_
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "contract/config_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/directory_base.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+/** @return The VMs that hold a grant in the value of a `ledger/` key. */
+std::set<core::VmId> GrantHolders(const std::string& ledger);
+
+/** @return The value without the grants of `vm`, all else unchanged; nothing
+ * if it holds none. */
+std::optional<std::string> WithoutGrantsOf(const std::string& ledger,
+                                           const core::VmId& vm);
+
+struct LedgerCleanupOptions {
+  core::VmId self;
+  std::chrono::milliseconds interval{15000};
+  /** A holder missing from the list for this long counts as gone. */
+  std::chrono::milliseconds gone_grace{30000};
+};
+
+/**
+ * A grant has no time to live, so that a paused holder can't lose it and load
+ * all the same. It outlives its VM: the home entry of each service removes the
+ * grants of VMs that the platform's list no longer shows. Two entries doing so
+ * at once is harmless, since each removes by compare-and-swap.
+ */
+class LedgerCleanup : public std::enable_shared_from_this<LedgerCleanup> {
+ public:
+  /** @pre All references outlive the object's coroutines. */
+  LedgerCleanup(const core::Executor& executor, LedgerCleanupOptions options,
+                contract::ConfigHolder& config, Directory& directory,
+                platform::KeyValueStore& store, const core::Clock& clock,
+                const core::Logger& log);
+
+  void Start();
+  void Stop() { stopped_ = true; }
+
+  /** Looks at every service this entry is home to; also called at intervals,
+   * which finds VMs that went while no entry watched. */
+  core::Task<> Sweep();
+
+ private:
+  core::Task<> Follow();
+  core::Task<> SweepService(core::ServiceId service);
+  core::Task<> EndGrants(std::string key, core::VmId vm);
+  [[nodiscard]] std::vector<core::ServiceId> OwnServices() const;
+  [[nodiscard]] bool IsGone(const core::VmId& vm);
+
+  const core::Executor executor_;
+  const LedgerCleanupOptions options_;
+  contract::ConfigHolder& config_;
+  Directory& directory_;
+  platform::KeyValueStore& store_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  std::atomic<bool> stopped_{false};
+  /** VMs the list showed and shows no longer. */
+  std::mutex mutex_;
+  std::set<core::VmId> gone_;
+  std::map<core::VmId, core::SteadyTime> missing_since_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_LEDGER_CLEANUP_BASE_H_
--- a/src/entry/quarantine_base.h
+++ b/src/entry/quarantine_base.h
@@ -17,6 +17,22 @@
 /** Engines that may die under one fingerprint before it is refused. */
 inline constexpr int kCrashLimit = 2;
 
+/** The crashes seen under one fingerprint, as kept in the platform. */
+struct CrashRecord {
+  core::ModelId model;
+  /** One random id for each crash: adding one twice counts it once. */
+  std::set<std::string> crashes;
+  core::WallTime last_crash;
+
+  friend bool operator==(const CrashRecord&, const CrashRecord&) = default;
+};
+
+/** @return The value of a `quarantine/` key. */
+std::string EncodeCrashes(const CrashRecord& record);
+
+/** @throws core::Error kInternal if the text isn't such a value. */
+CrashRecord DecodeCrashes(const std::string& text);
+
 /**
  * Counts the engines that died while a request ran. Everything that ran beside
  * a crash is a suspect after it; a suspect runs alone, so the second crash
@@ -25,6 +41,9 @@
  */
 class Quarantine {
  public:
+  /** @pre `clock` outlives the object. */
+  explicit Quarantine(const core::Clock& clock) : clock_(clock) {}
+
   /**
    * Notes that an engine died under a request.
    * @param placed_at When the request was placed there: copies that ran
@@ -32,8 +51,8 @@
    * @return True if this crash was not yet counted.
    */
   bool RecordCrash(std::int64_t fingerprint, const core::ModelId& model,
-                   const core::EndpointId& endpoint, core::SteadyTime placed_at,
-                   core::SteadyTime now);
+                   const core::EndpointId& endpoint,
+                   core::SteadyTime placed_at);
 
   /** Clears a suspect that ran to its end. @return True if it was one. */
   bool RecordCompleted(std::int64_t fingerprint);
@@ -41,18 +60,31 @@
   /** @return Engines that died under this fingerprint so far. */
   [[nodiscard]] int Crashes(std::int64_t fingerprint) const;
 
+  /** @return What is known; no crashes if nothing is. */
+  [[nodiscard]] CrashRecord Find(std::int64_t fingerprint) const;
+
+  /** @return Every fingerprint with a crash. */
+  [[nodiscard]] std::set<std::int64_t> Fingerprints() const;
+
+  /** Adds what another entry saw. */
+  void Merge(std::int64_t fingerprint, const CrashRecord& record);
+
+  /** Forgets a fingerprint that another entry cleared. */
+  void Drop(std::int64_t fingerprint);
+
  private:
-  struct Crash {
+  struct SeenHere {
     core::EndpointId endpoint;
     core::SteadyTime at;
   };
-  struct Record {
-    core::ModelId model;
-    std::vector<Crash> crashes;
+  struct Entry {
+    CrashRecord record;
+    std::vector<SeenHere> seen_here;
   };
 
+  const core::Clock& clock_;
   mutable std::mutex mutex_;
-  std::map<std::int64_t, Record> records_;
+  std::map<std::int64_t, Entry> entries_;
 };
 
 }  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/quarantine_store.cc
@@ -0,0 +1,209 @@
+/** @file quarantine_store.cc Keeps the quarantine in the platform. */
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "entry/quarantine_store_base.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+constexpr std::string_view kPrefix = "quarantine/";
+constexpr core::Millis kFlushInterval{50};
+constexpr core::Millis kRetryPause{1000};
+constexpr core::Millis kWatchWait{10000};
+/** A fingerprint without a crash for this long is forgotten. */
+constexpr std::chrono::hours kKeptFor{7 * 24};
+
+std::string KeyOf(std::int64_t fingerprint) {
+  return std::string(kPrefix) + std::to_string(fingerprint);
+}
+
+std::optional<std::int64_t> FingerprintIn(std::string_view key) {
+  if (!key.starts_with(kPrefix)) return std::nullopt;
+  key.remove_prefix(kPrefix.size());
+  std::int64_t fingerprint = 0;
+  const auto [end, ec] =
+      std::from_chars(key.data(), key.data() + key.size(), fingerprint);
+  if (ec != std::errc() || end != key.data() + key.size()) return std::nullopt;
+  return fingerprint;
+}
+
+}  // namespace
+
+QuarantineStore::QuarantineStore(const core::Executor& executor,
+                                 std::shared_ptr<Quarantine> quarantine,
+                                 platform::KeyValueStore& store,
+                                 const core::Clock& clock,
+                                 const core::Logger& log)
+    : executor_(executor),
+      quarantine_(std::move(quarantine)),
+      store_(store),
+      clock_(clock),
+      log_(log) {}
+
+void QuarantineStore::Start() {
+  core::Spawn(executor_, log_, "quarantine_follow",
+              [self = shared_from_this()] { return self->Follow(); });
+  core::Spawn(executor_, log_, "quarantine_flush",
+              [self = shared_from_this()] { return self->Flush(); });
+}
+
+void QuarantineStore::Stop() { stopped_ = true; }
+
+void QuarantineStore::NoteChanged(std::int64_t fingerprint) {
+  const std::lock_guard lock(mutex_);
+  dirty_.insert(fingerprint);
+}
+
+std::set<std::int64_t> QuarantineStore::TakeDirty() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(dirty_, {});
+}
+
+bool QuarantineStore::IsDirty(std::int64_t fingerprint) const {
+  const std::lock_guard lock(mutex_);
+  return dirty_.contains(fingerprint);
+}
+
+core::Task<> QuarantineStore::Follow() {
+  while (!stopped_) {
+    try {
+      const std::int64_t revision = co_await ReadAll();
+      first_read_done_ = true;
+      co_await WatchFrom(revision);
+    } catch (const core::Error& e) {
+      log_.Event(core::LogLevel::kWarning, core::LogCategory::kPlatform,
+                 "quarantine_unread", {{"error", e.what()}});
+    }
+    first_read_done_ = true;
+    co_await core::SleepFor(kRetryPause);
+  }
+}
+
+core::Task<std::int64_t> QuarantineStore::ReadAll() {
+  const std::set<std::int64_t> known = quarantine_->Fingerprints();
+  const std::vector<platform::KvEntry> entries =
+      co_await store_.List(std::string(kPrefix));
+  std::set<std::int64_t> listed;
+  std::int64_t revision = 0;
+  for (const platform::KvEntry& entry : entries) {
+    revision = std::max(revision, entry.revision);
+    TakeEntry(entry.key, entry.value);
+    if (const auto it = FingerprintIn(entry.key)) listed.insert(*it);
+  }
+  // What was known before the read and is not in it was cleared elsewhere
+  // while no watch told of it, unless it is still to be written from here.
+  for (const std::int64_t fingerprint : known) {
+    if (listed.contains(fingerprint) || IsDirty(fingerprint)) continue;
+    quarantine_->Drop(fingerprint);
+  }
+  co_await DeleteExpired(entries);
+  co_return revision;
+}
+
+core::Task<> QuarantineStore::DeleteExpired(
+    std::vector<platform::KvEntry> entries) {
+  for (const platform::KvEntry& entry : entries) {
+    const auto fingerprint = FingerprintIn(entry.key);
+    if (!fingerprint) continue;
+    const core::WallTime last = quarantine_->Find(*fingerprint).last_crash;
+    if (clock_.WallNow() - last < kKeptFor) continue;
+    if (co_await store_.DeleteIf(entry.key, entry.revision)) {
+      quarantine_->Drop(*fingerprint);
+    }
+  }
+}
+
+core::Task<> QuarantineStore::WatchFrom(std::int64_t revision) {
+  while (!stopped_) {
+    const platform::WatchBatch batch =
+        co_await store_.Watch(std::string(kPrefix), revision, kWatchWait);
+    // Failure: the watch skipped changes. It says so; all is read again.
+    if (batch.gap) co_return;
+    for (const platform::KvEvent& event : batch.events) TakeEvent(event);
+    revision = std::max(revision, batch.revision);
+  }
+}
+
+void QuarantineStore::TakeEvent(const platform::KvEvent& event) {
+  if (event.value) {
+    TakeEntry(event.key, *event.value);
+    return;
+  }
+  const auto fingerprint = FingerprintIn(event.key);
+  if (fingerprint && !IsDirty(*fingerprint)) quarantine_->Drop(*fingerprint);
+}
+
+void QuarantineStore::TakeEntry(const std::string& key,
+                                const std::string& value) {
+  const auto fingerprint = FingerprintIn(key);
+  // Cleared here and not yet deleted there: the clearing counts.
+  if (!fingerprint) return;
+  if (IsDirty(*fingerprint) && quarantine_->Crashes(*fingerprint) == 0) return;
+  try {
+    quarantine_->Merge(*fingerprint, DecodeCrashes(value));
+  } catch (const core::Error& e) {
+    log_.Event(core::LogLevel::kWarning, core::LogCategory::kPlatform,
+               "quarantine_value_bad", {{"key", key}, {"error", e.what()}});
+  }
+}
+
+core::Task<> QuarantineStore::Flush() {
+  while (!stopped_) {
+    bool failed = false;
+    for (const std::int64_t fingerprint : TakeDirty()) {
+      if (co_await SaveOne(fingerprint)) continue;
+      NoteChanged(fingerprint);
+      failed = true;
+    }
+    co_await core::SleepFor(failed ? kRetryPause : kFlushInterval);
+  }
+}
+
+core::Task<bool> QuarantineStore::SaveOne(std::int64_t fingerprint) {
+  try {
+    CrashRecord record = quarantine_->Find(fingerprint);
+    co_return co_await SwapIn(fingerprint, std::move(record));
+  } catch (const core::Error& e) {
+    // Failure: the service is down, or a write's answer was lost after it took
+    // effect. Writing again adds the same crash ids, which count once.
+    log_.Event(core::LogLevel::kWarning, core::LogCategory::kPlatform,
+               "quarantine_unsaved",
+               {{"fingerprint", fingerprint}, {"error", e.what()}});
+  }
+  co_return false;
+}
+
+core::Task<bool> QuarantineStore::SwapIn(std::int64_t fingerprint,
+                                         CrashRecord record) {
+  const std::string key = KeyOf(fingerprint);
+  const auto stored = co_await store_.Get(key);
+  CrashRecord merged = record;
+  if (stored) {
+    const CrashRecord there = DecodeCrashes(stored->value);
+    if (record.crashes.empty()) {
+      const bool convicted =
+          static_cast<int>(there.crashes.size()) >= kCrashLimit;
+      if (convicted) {
+        quarantine_->Merge(fingerprint, there);
+        co_return true;
+      }
+      co_return co_await store_.DeleteIf(key, stored->revision);
+    }
+    merged.crashes.insert(there.crashes.begin(), there.crashes.end());
+    quarantine_->Merge(fingerprint, merged);
+    if (merged.crashes == there.crashes) co_return true;
+  }
+  if (merged.crashes.empty()) co_return true;
+  const platform::CasResult swap = co_await store_.CompareAndSwap(
+      key, stored ? stored->revision : 0, EncodeCrashes(merged), "");
+  co_return swap.swapped;
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/quarantine_store_base.h
@@ -0,0 +1,73 @@
+/** @file quarantine_store_base.h Keeps the quarantine in the platform. */
+#ifndef SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
+#define SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/quarantine_base.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry {
+
+/**
+ * Shares the quarantine between entries through the key-value service, so that
+ * it outlives a home and is known to the next one. While the service is down
+ * each entry goes on with what it saw itself and writes it later.
+ */
+class QuarantineStore : public std::enable_shared_from_this<QuarantineStore> {
+ public:
+  /** @pre All references outlive the store's coroutines. */
+  QuarantineStore(const core::Executor& executor,
+                  std::shared_ptr<Quarantine> quarantine,
+                  platform::KeyValueStore& store, const core::Clock& clock,
+                  const core::Logger& log);
+
+  /** Begins to follow and to write. */
+  void Start();
+  void Stop();
+
+  /** Says that a fingerprint's crashes changed here. */
+  void NoteChanged(std::int64_t fingerprint);
+
+  /** @return True once the service has been asked for what is known, whether
+   * or not it answered. */
+  [[nodiscard]] bool first_read_done() const { return first_read_done_; }
+
+ private:
+  core::Task<> Follow();
+  core::Task<std::int64_t> ReadAll();
+  core::Task<> WatchFrom(std::int64_t revision);
+  void TakeEvent(const platform::KvEvent& event);
+  void TakeEntry(const std::string& key, const std::string& value);
+  core::Task<> Flush();
+  core::Task<bool> SaveOne(std::int64_t fingerprint);
+  core::Task<bool> SwapIn(std::int64_t fingerprint, CrashRecord record);
+  core::Task<> DeleteExpired(std::vector<platform::KvEntry> entries);
+  std::set<std::int64_t> TakeDirty();
+  [[nodiscard]] bool IsDirty(std::int64_t fingerprint) const;
+
+  const core::Executor executor_;
+  const std::shared_ptr<Quarantine> quarantine_;
+  platform::KeyValueStore& store_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  std::atomic<bool> stopped_{false};
+  std::atomic<bool> first_read_done_{false};
+  mutable std::mutex mutex_;
+  /** Fingerprints whose crashes here are not yet written. */
+  std::set<std::int64_t> dirty_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
