--- /dev/null
+++ b/src/endpoint/attempt_table_base.h
@@ -0,0 +1,74 @@
+/** @file attempt_table_base.h Each attempt runs at most once. */
+#ifndef SAPPHIRE_ENDPOINT_ATTEMPT_TABLE_BASE_H_
+#define SAPPHIRE_ENDPOINT_ATTEMPT_TABLE_BASE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/id_type.h"
+
+namespace sapphire::endpoint {
+
+struct AttemptTableOptions {
+  /** How long an attempt is remembered: longer than any copy of it can be
+   * under way. */
+  std::chrono::milliseconds remember_for{900'000};
+  /** Attempts remembered at once; beyond it new ones are refused. */
+  std::size_t max_attempts = 65'536;
+  std::size_t shards = 8;
+};
+
+/** The attempts this process started or promised never to start. Safe on
+ * several threads: each shard has its own lock. */
+class AttemptTable {
+ public:
+  /** @pre `clock` outlives the table. */
+  AttemptTable(AttemptTableOptions options, const core::Clock& clock);
+
+  /**
+   * Notes that an attempt starts now.
+   * @throws core::Error kAttemptVoided if it was voided; kAlreadyRan if it
+   *   started before; kQueueFull if too many are remembered to promise that a
+   *   copy would be known.
+   */
+  void Start(const core::AttemptId& attempt);
+
+  /** Takes a Start back that reached no engine; a copy stays refused. */
+  void NeverStarted(const core::AttemptId& attempt);
+
+  /**
+   * Voids an attempt unless it started.
+   * @return True if it started.
+   * @throws core::Error kQueueFull if the promise can't be kept.
+   */
+  bool Void(const core::AttemptId& attempt);
+
+  [[nodiscard]] std::size_t size() const;
+
+ private:
+  enum class Fate { kStarted, kVoided };
+  struct Shard {
+    mutable std::mutex mutex;
+    std::unordered_map<core::AttemptId, Fate> fates;
+    std::deque<std::pair<core::SteadyTime, core::AttemptId>> by_age;
+  };
+
+  Shard& ShardOf(const core::AttemptId& attempt);
+  /** @pre The shard's lock is held. */
+  void Remember(Shard& shard, const core::AttemptId& attempt, Fate fate);
+
+  const AttemptTableOptions options_;
+  const core::Clock& clock_;
+  std::vector<std::unique_ptr<Shard>> shards_;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_ATTEMPT_TABLE_BASE_H_
--- /dev/null
+++ b/src/endpoint/grant_ledger.cc
@@ -0,0 +1,277 @@
+/** @file grant_ledger.cc Takes and gives back this VM's replica grants. */
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "endpoint/grant_func.h"
+#include "endpoint/grant_ledger_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Task;
+
+namespace {
+
+constexpr std::chrono::milliseconds kOutageRetryAfter{3000};
+/** Swaps that lost a race before the ledger counts as too contended. */
+constexpr int kMaxSwaps = 32;
+/** Longest wait between two swaps that lost a race. */
+constexpr int kMaxBackoffMillis = 16;
+
+Error Outage(const std::string& detail) {
+  return Error(ErrorCode::kPlatformUnavailable, detail, kOutageRetryAfter);
+}
+
+LedgerValue LedgerOf(const std::optional<platform::KvEntry>& entry) {
+  return entry ? DecodeLedger(entry->value) : LedgerValue{};
+}
+
+std::int64_t RevisionOf(const std::optional<platform::KvEntry>& entry) {
+  return entry ? entry->revision : 0;
+}
+
+/** A short random pause, so that racing endpoints don't race in step. */
+Task<> BackOff(int lost_races) {
+  const int most = std::min(kMaxBackoffMillis, 1 << std::min(lost_races, 8));
+  co_await core::SleepFor(core::Millis(core::RandomPositive() % most));
+}
+
+}  // namespace
+
+GrantLedger::GrantLedger(core::VmId vm, platform::KeyValueStore& store,
+                         const core::Clock& clock, const core::Logger& log)
+    : vm_(std::move(vm)), store_(store), clock_(clock), log_(log) {}
+
+Task<std::optional<platform::KvEntry>> GrantLedger::ReadEntry(std::string key) {
+  try {
+    auto entry = co_await store_.Get(std::move(key));
+    NoteReachable(true);
+    co_return entry;
+  } catch (const Error&) {
+    NoteReachable(false);
+    throw;
+  }
+}
+
+/** @return Nothing if the write's outcome is unknown. */
+Task<std::optional<platform::CasResult>> GrantLedger::Swap(
+    std::string key, std::int64_t expected, std::string value) {
+  try {
+    auto result = co_await store_.CompareAndSwap(std::move(key), expected,
+                                                 std::move(value), "");
+    NoteReachable(true);
+    co_return result;
+  } catch (const Error& e) {
+    NoteReachable(false);
+    if (e.code() != ErrorCode::kPlatformUnknownOutcome) throw;
+  }
+  co_return std::nullopt;
+}
+
+Task<Grant> GrantLedger::Take(std::shared_ptr<const contract::Config> config,
+                              core::ModelId model, std::int64_t min_fence,
+                              core::SteadyTime deadline) {
+  const auto known = config->intent.models.find(model);
+  if (known == config->intent.models.end()) {
+    throw Error(ErrorCode::kUnknownModel, model.value());
+  }
+  if (auto held = Reclaim(model)) co_return *held;
+  auto attempt = std::make_shared<Try>();
+  attempt->service = known->second.service;
+  attempt->grant = {model, vm_, 0};
+  std::optional<Error> failure;
+  try {
+    co_return co_await TakeFresh(config, min_fence, deadline, attempt);
+  } catch (const Error& e) {
+    failure = e;
+  }
+  if (attempt->late_write) {
+    // The swap may still land after we have said "no grant". It would hold
+    // capacity that nobody uses, so a further swap of the key voids it.
+    const std::lock_guard lock(mutex_);
+    endings_.push_back(std::make_shared<Ending>(
+        Ending{attempt->service, attempt->grant, attempt->late_write}));
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_refused",
+             {{"model", model}, {"error", failure->what()}});
+  throw *failure;
+}
+
+/**
+ * A grant whose release was never sent is still ours. This is what lets a
+ * model wake at the endpoint that had it while the key-value service is down.
+ * @throws Error kPlatformUnavailable if its end was sent and isn't settled: a
+ *   grant taken now could be ended by that write.
+ */
+std::optional<Grant> GrantLedger::Reclaim(const core::ModelId& model) {
+  const std::lock_guard lock(mutex_);
+  const auto it = std::ranges::find_if(endings_, [&](const auto& ending) {
+    return ending->grant.model == model;
+  });
+  if (it == endings_.end()) return std::nullopt;
+  const Ending& ending = **it;
+  if (ending.sent || ending.busy || ending.late_write) {
+    throw Outage("an earlier grant of " + model.value() + " isn't settled");
+  }
+  const Grant grant = ending.grant;
+  endings_.erase(it);
+  return grant;
+}
+
+Task<Grant> GrantLedger::TakeFresh(
+    std::shared_ptr<const contract::Config> config, std::int64_t min_fence,
+    core::SteadyTime deadline, std::shared_ptr<Try> attempt) {
+  const std::string key = LedgerKey(attempt->service);
+  Grant& grant = attempt->grant;
+  auto entry = co_await ReadEntry(key);
+  for (int i = 0; i < kMaxSwaps; ++i) {
+    LedgerValue ledger = LedgerOf(entry);
+    if (const Grant* ours = FindGrant(ledger, vm_, grant.model)) {
+      // A swap whose answer was lost, or a predecessor on this VM.
+      attempt->late_write.reset();
+      co_return *ours;
+    }
+    const std::int64_t revision = RevisionOf(entry);
+    // Revisions only grow: a swap against an older one can't land any more.
+    if (attempt->late_write != revision) attempt->late_write.reset();
+    CheckLimits(ledger, *config, grant.model);
+    if (clock_.Now() >= deadline) throw Outage("no grant in time");
+    grant.fence = std::max(ledger.next_fence, min_fence);
+    ledger.grants.push_back(grant);
+    ledger.next_fence = grant.fence + 1;
+    ledger.config_version = config->version;
+    // Of all swaps against one revision at most one takes effect, so trying
+    // again after an unknown outcome can't take two grants.
+    const auto result = co_await Swap(key, revision, EncodeLedger(ledger));
+    if (!result) {
+      attempt->late_write = revision;
+      entry = co_await ReadEntry(key);
+      continue;
+    }
+    if (result->swapped) {
+      attempt->late_write.reset();
+      log_.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_taken",
+                 {{"model", grant.model},
+                  {"fence", grant.fence},
+                  {"tries", i + 1}});
+      co_return grant;
+    }
+    entry = result->current;
+    co_await BackOff(i);
+  }
+  throw Outage("the ledger of " + attempt->service.value() + " is contended");
+}
+
+void GrantLedger::Release(const core::ServiceId& service, const Grant& grant) {
+  const std::lock_guard lock(mutex_);
+  for (const auto& it : endings_) {
+    if (it->grant == grant) return;
+  }
+  endings_.push_back(std::make_shared<Ending>(
+      Ending{service, grant, std::nullopt, false, false}));
+}
+
+std::vector<std::shared_ptr<GrantLedger::Ending>> GrantLedger::ClaimEndings() {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::shared_ptr<Ending>> claimed;
+  for (const auto& it : endings_) {
+    if (std::exchange(it->busy, true)) continue;
+    claimed.push_back(it);
+  }
+  return claimed;
+}
+
+void GrantLedger::Finish(const std::shared_ptr<Ending>& ending, bool done) {
+  const std::lock_guard lock(mutex_);
+  ending->busy = false;
+  if (done) std::erase(endings_, ending);
+}
+
+Task<bool> GrantLedger::Settle() {
+  for (const auto& it : ClaimEndings()) {
+    bool done = false;
+    try {
+      co_await End(it);
+      done = true;
+    } catch (const Error& e) {
+      log_.Event(
+          LogLevel::kWarning, LogCategory::kLedger, "grant_end_delayed",
+          {{"model", it->grant.model}, {"error", std::string(e.what())}});
+    }
+    Finish(it, done);
+  }
+  co_return pending() == 0;
+}
+
+/** Returns once the grant isn't in the ledger and no write can put it there. */
+Task<> GrantLedger::End(std::shared_ptr<Ending> ending) {
+  const std::string key = LedgerKey(ending->service);
+  auto entry = co_await ReadEntry(key);
+  for (int i = 0; i < kMaxSwaps; ++i) {
+    LedgerValue ledger = LedgerOf(entry);
+    const bool held = std::erase(ledger.grants, ending->grant) > 0;
+    const std::int64_t revision = RevisionOf(entry);
+    if (!held && ending->late_write != revision) {
+      log_.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_ended",
+                 {{"model", ending->grant.model},
+                  {"fence", ending->grant.fence}});
+      co_return;
+    }
+    // The late write could land against this very revision: any swap that
+    // moves the revision on makes that impossible.
+    ledger.next_fence = std::max(ledger.next_fence, ending->grant.fence + 1);
+    const auto result = co_await Swap(key, revision, EncodeLedger(ledger));
+    if (!result) {
+      ending->sent = true;
+      entry = co_await ReadEntry(key);
+      continue;
+    }
+    if (result->swapped) {
+      entry = platform::KvEntry{key, EncodeLedger(ledger), result->revision};
+      continue;
+    }
+    entry = result->current;
+    co_await BackOff(i);
+  }
+  throw Outage("the ledger of " + ending->service.value() + " is contended");
+}
+
+Task<std::map<core::ServiceId, LedgerValue>> GrantLedger::ReadAll() {
+  std::map<core::ServiceId, LedgerValue> ledgers;
+  std::vector<platform::KvEntry> entries;
+  try {
+    entries = co_await store_.List(std::string(kLedgerPrefix));
+    NoteReachable(true);
+  } catch (const Error&) {
+    NoteReachable(false);
+    throw;
+  }
+  for (const platform::KvEntry& it : entries) {
+    ledgers.emplace(ServiceOfLedgerKey(it.key), DecodeLedger(it.value));
+  }
+  co_return ledgers;
+}
+
+int GrantLedger::pending() const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(endings_.size());
+}
+
+bool GrantLedger::reachable() const {
+  const std::lock_guard lock(mutex_);
+  return reachable_;
+}
+
+void GrantLedger::NoteReachable(bool reachable) {
+  const std::lock_guard lock(mutex_);
+  reachable_ = reachable;
+}
+
+}  // namespace sapphire::endpoint
--- /dev/null
+++ b/src/endpoint/grant_ledger_base.h
@@ -0,0 +1,109 @@
+/** @file grant_ledger_base.h Takes and gives back this VM's replica grants. */
+#ifndef SAPPHIRE_ENDPOINT_GRANT_LEDGER_BASE_H_
+#define SAPPHIRE_ENDPOINT_GRANT_LEDGER_BASE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "contract/intent_type.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "endpoint/grant_type.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::endpoint {
+
+/**
+ * The replica limit, kept by compare-and-swap on one key per service.
+ * A grant has no time to live: it ends only by Release, which the owner calls
+ * after a confirmed unload. This VM's process is the only writer of grants
+ * with this VM's name, so a grant of this VM found in a ledger is ours.
+ * Safe on several threads, with one Take at a time for each model.
+ */
+class GrantLedger {
+ public:
+  /** @pre All references outlive the ledger. */
+  GrantLedger(core::VmId vm, platform::KeyValueStore& store,
+              const core::Clock& clock, const core::Logger& log);
+
+  /**
+   * Takes the grant to hold a replica of `model`, with both limits of
+   * `config` checked in the same swap.
+   * @param min_fence The grant's fence is at least this.
+   * @throws core::Error kReplicaLimit, kUnknownModel, kNotConfigured, or
+   *   kPlatformUnavailable; no grant is held then, or Settle will end it.
+   */
+  core::Task<Grant> Take(std::shared_ptr<const contract::Config> config,
+                         core::ModelId model, std::int64_t min_fence,
+                         core::SteadyTime deadline);
+
+  /** Hands a grant back: Settle ends it. @pre The unload is confirmed. */
+  void Release(const core::ServiceId& service, const Grant& grant);
+
+  /**
+   * Tries to end the grants handed back and to void writes of unknown outcome.
+   * @return True if none is left.
+   */
+  core::Task<bool> Settle();
+
+  /** @return Every service's ledger. @throws core::Error kPlatformUnavailable.
+   */
+  core::Task<std::map<core::ServiceId, LedgerValue>> ReadAll();
+
+  /** @return Grants handed back and not yet ended. */
+  [[nodiscard]] int pending() const;
+
+  /** @return True if the last call to the key-value service was answered. */
+  [[nodiscard]] bool reachable() const;
+
+ private:
+  /** A grant to end, or a write of one to void. */
+  struct Ending {
+    core::ServiceId service;
+    Grant grant;
+    /** Set: a swap against this revision (0: key absent) may still land. */
+    std::optional<std::int64_t> late_write;
+    /** True once a swap that ends the grant may have taken effect. */
+    bool sent = false;
+    /** True while Settle works on it. */
+    bool busy = false;
+  };
+
+  /** A Take in progress. */
+  struct Try {
+    core::ServiceId service;
+    Grant grant;
+    std::optional<std::int64_t> late_write;
+  };
+
+  core::Task<std::optional<platform::KvEntry>> ReadEntry(std::string key);
+  core::Task<std::optional<platform::CasResult>> Swap(std::string key,
+                                                      std::int64_t expected,
+                                                      std::string value);
+  core::Task<Grant> TakeFresh(std::shared_ptr<const contract::Config> config,
+                              std::int64_t min_fence,
+                              core::SteadyTime deadline,
+                              std::shared_ptr<Try> attempt);
+  core::Task<> End(std::shared_ptr<Ending> ending);
+  std::optional<Grant> Reclaim(const core::ModelId& model);
+  std::vector<std::shared_ptr<Ending>> ClaimEndings();
+  void Finish(const std::shared_ptr<Ending>& ending, bool done);
+  void NoteReachable(bool reachable);
+
+  const core::VmId vm_;
+  platform::KeyValueStore& store_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  mutable std::mutex mutex_;
+  std::vector<std::shared_ptr<Ending>> endings_;
+  bool reachable_ = true;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_GRANT_LEDGER_BASE_H_
--- /dev/null
+++ b/src/endpoint/memory_ledger_type.h
@@ -0,0 +1,35 @@
+/** @file memory_ledger_type.h What an engine's memory is spoken for. */
+#ifndef SAPPHIRE_ENDPOINT_MEMORY_LEDGER_TYPE_H_
+#define SAPPHIRE_ENDPOINT_MEMORY_LEDGER_TYPE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+
+#include "core/id_type.h"
+
+namespace sapphire::endpoint {
+
+/** Something that takes memory: a model, or one of its adapters. */
+struct MemoryHolder {
+  core::ModelId model;
+  /** Empty: the model's own weights and KV cache budget. */
+  core::AdapterId adapter;
+
+  friend auto operator<=>(const MemoryHolder&, const MemoryHolder&) = default;
+};
+
+/**
+ * Reservations of one engine's memory. A reservation is made before the order
+ * that takes the memory and ends after a confirmed unload, so the engine never
+ * holds more than is reserved, whatever became of an order in between.
+ */
+struct MemoryLedger {
+  std::int64_t capacity_bytes = 0;
+  std::int64_t reserved_bytes = 0;
+  std::map<MemoryHolder, std::int64_t> reservations;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_MEMORY_LEDGER_TYPE_H_
--- /dev/null
+++ b/src/endpoint/replica_life.cc
@@ -0,0 +1,132 @@
+/** @file replica_life.cc The life of one replica as a Boost.MSM machine. */
+// The replica's table has more rows than MSM's default of 20.
+#define BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS
+#define BOOST_MPL_LIMIT_VECTOR_SIZE 30
+
+#include "endpoint/replica_life_base.h"
+
+#include <array>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace sapphire::endpoint {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+
+struct Wanted {};
+struct FoundLoaded {};
+struct LoadOrdered {};
+struct ShownLoaded {};
+struct ShownAbsent {};
+struct OutcomeLost {};
+struct DrainStarted {};
+struct DrainCalledOff {};
+struct UnloadOrdered {};
+struct GrantHandedBack {};
+
+struct Absent : msm::front::state<> {};
+struct Granted : msm::front::state<> {};
+struct Loading : msm::front::state<> {};
+struct Ready : msm::front::state<> {};
+struct Draining : msm::front::state<> {};
+struct Unloading : msm::front::state<> {};
+struct Unknown : msm::front::state<> {};
+
+struct LifeDef : msm::front::state_machine_def<LifeDef> {
+  using initial_state = Absent;
+
+  template <typename From, typename Event, typename To>
+  using Row = msm::front::Row<From, Event, To, none, none>;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+      Row<Absent,    Wanted,          Granted>,
+      Row<Absent,    FoundLoaded,     Ready>,
+      Row<Granted,   FoundLoaded,     Ready>,
+      Row<Granted,   LoadOrdered,     Loading>,
+      Row<Granted,   GrantHandedBack, Absent>,
+      Row<Loading,   ShownLoaded,     Ready>,
+      Row<Loading,   ShownAbsent,     Granted>,
+      Row<Loading,   OutcomeLost,     Unknown>,
+      Row<Ready,     DrainStarted,    Draining>,
+      Row<Ready,     ShownAbsent,     Granted>,
+      Row<Draining,  DrainCalledOff,  Ready>,
+      Row<Draining,  UnloadOrdered,   Unloading>,
+      Row<Draining,  ShownAbsent,     Granted>,
+      Row<Unloading, ShownAbsent,     Granted>,
+      Row<Unloading, ShownLoaded,     Draining>,
+      Row<Unloading, OutcomeLost,     Unknown>,
+      Row<Unknown,   ShownLoaded,     Draining>,
+      Row<Unknown,   ShownAbsent,     Granted>
+  > {};
+  // clang-format on
+
+  /** An event without a row is refused by Apply; nothing is thrown. */
+  template <typename Fsm, typename Event>
+  void no_transition(const Event& /*event*/, Fsm& /*fsm*/, int /*state*/) {}
+};
+
+/** In the order in which MSM numbers the states: by their first rows. */
+constexpr std::array kPhasesById = {
+    ReplicaPhase::kAbsent,   ReplicaPhase::kGranted, ReplicaPhase::kLoading,
+    ReplicaPhase::kReady,    ReplicaPhase::kDraining,
+    ReplicaPhase::kUnloading, ReplicaPhase::kUnknown};
+
+}  // namespace
+
+struct ReplicaLife::Machine {
+  msm::back::state_machine<LifeDef> fsm;
+};
+
+ReplicaLife::ReplicaLife() : machine_(std::make_unique<Machine>()) {
+  machine_->fsm.start();
+}
+
+ReplicaLife::~ReplicaLife() = default;
+
+ReplicaPhase ReplicaLife::phase() const {
+  return kPhasesById.at(
+      static_cast<std::size_t>(machine_->fsm.current_state()[0]));
+}
+
+bool ReplicaLife::Apply(ReplicaEvent event) {
+  const auto process = [this](auto typed) {
+    return machine_->fsm.process_event(typed) == msm::back::HANDLED_TRUE;
+  };
+  switch (event) {
+    case ReplicaEvent::kWanted:
+      return process(Wanted{});
+    case ReplicaEvent::kFoundLoaded:
+      return process(FoundLoaded{});
+    case ReplicaEvent::kLoadOrdered:
+      return process(LoadOrdered{});
+    case ReplicaEvent::kShownLoaded:
+      return process(ShownLoaded{});
+    case ReplicaEvent::kShownAbsent:
+      return process(ShownAbsent{});
+    case ReplicaEvent::kOutcomeLost:
+      return process(OutcomeLost{});
+    case ReplicaEvent::kDrainStarted:
+      return process(DrainStarted{});
+    case ReplicaEvent::kDrainCalledOff:
+      return process(DrainCalledOff{});
+    case ReplicaEvent::kUnloadOrdered:
+      return process(UnloadOrdered{});
+    case ReplicaEvent::kGrantHandedBack:
+      return process(GrantHandedBack{});
+  }
+  return false;
+}
+
+std::string_view NameOf(ReplicaPhase phase) {
+  constexpr std::array<std::string_view, 7> kNames = {
+      "absent",   "granted",   "loading", "ready",
+      "draining", "unloading", "unknown"};
+  return kNames.at(static_cast<std::size_t>(phase));
+}
+
+}  // namespace sapphire::endpoint
