--- /dev/null
+++ b/src/endpoint/adapter_worker.cc
@@ -0,0 +1,145 @@
+/** @file adapter_worker.cc Loads and unloads adapters beside their models. */
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "endpoint/replica_worker_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Millis;
+using core::Task;
+
+namespace {
+
+constexpr Millis kAdapterRetryAfter{1000};
+
+contract::Adapter AdapterSpec(const contract::Model& model,
+                              const core::AdapterId& adapter) {
+  const auto it =
+      std::ranges::find(model.adapters, adapter, &contract::Adapter::name);
+  if (it == model.adapters.end()) {
+    throw Error(ErrorCode::kUnknownAdapter, adapter.value());
+  }
+  return *it;
+}
+
+platform::EngineOrder AdapterOrder(platform::OrderKind kind,
+                                   const core::ModelId& model,
+                                   const core::AdapterId& adapter) {
+  platform::EngineOrder order;
+  order.kind = kind;
+  order.model = model;
+  order.adapter = adapter;
+  return order;
+}
+
+}  // namespace
+
+Task<> ReplicaWorker::EnsureAdapter(ReplicaPtr replica, core::AdapterId adapter,
+                                    core::SteadyTime deadline) {
+  const contract::Adapter spec = AdapterSpec(SpecOf(replica->model), adapter);
+  bool ours = false;
+  while (!ours) {
+    const auto epoch = parts_.table.changed().epoch();
+    {
+      const std::lock_guard lock(replica->mutex);
+      const auto [it, added] = replica->adapters.try_emplace(adapter);
+      if (it->second.loaded) {
+        it->second.last_used = parts_.clock.Now();
+        ++it->second.running;
+        co_return;
+      }
+      ours = added;
+    }
+    if (ours) break;
+    const auto left =
+        std::chrono::duration_cast<Millis>(deadline - parts_.clock.Now());
+    if (left.count() <= 0) {
+      throw Error(ErrorCode::kDeadlineTooShort, "adapter " + adapter.value(),
+                  kAdapterRetryAfter);
+    }
+    co_await parts_.table.changed().Wait(epoch, left);
+  }
+  co_await LoadAdapter(replica, spec);
+}
+
+Task<> ReplicaWorker::LoadAdapter(ReplicaPtr replica, contract::Adapter spec) {
+  const MemoryHolder holder{replica->model, spec.name};
+  std::optional<Error> failure;
+  bool reserved = false;
+  try {
+    const OrderTurn turn = co_await parts_.desk.Enter();
+    co_await MakeRoom(holder, spec.bytes, {});
+    reserved = true;
+    auto order = AdapterOrder(platform::OrderKind::kLoadAdapter, replica->model,
+                              spec.name);
+    order.version = spec.version;
+    order.bytes = spec.bytes;
+    const OrderResult result =
+        co_await parts_.desk.Give(std::move(order), [] {});
+    if (!result.carried_out) failure = result.error;
+  } catch (const Error& e) {
+    failure = e;
+  }
+  {
+    const std::lock_guard lock(replica->mutex);
+    if (failure) {
+      replica->adapters.erase(spec.name);
+      if (reserved) parts_.table.ReleaseMemory(holder);
+    } else {
+      replica->adapters[spec.name] = {true, 1, parts_.clock.Now()};
+    }
+  }
+  parts_.table.changed().Notify();
+  if (failure) throw failure->WithOutcome(core::Outcome::kNotRun);
+  parts_.log.Event(LogLevel::kInfo, LogCategory::kReplica, "adapter_loaded",
+                   {{"model", replica->model}, {"adapter", spec.name}});
+}
+
+/** Unloads the adapter not used for longest, of any model.
+ * @return False if there is none that isn't in use. */
+Task<bool> ReplicaWorker::EvictAdapter() {
+  ReplicaPtr owner;
+  core::AdapterId victim;
+  core::SteadyTime longest = core::SteadyTime::max();
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    const std::lock_guard lock(it->mutex);
+    for (const auto& [adapter, slot] : it->adapters) {
+      if (!slot.loaded || slot.running > 0 || slot.last_used >= longest) {
+        continue;
+      }
+      longest = slot.last_used;
+      owner = it;
+      victim = adapter;
+    }
+  }
+  if (!owner) co_return false;
+  {
+    const std::lock_guard lock(owner->mutex);
+    AdapterSlot& slot = owner->adapters[victim];
+    if (slot.running > 0) co_return true;
+    slot.loaded = false;
+  }
+  const OrderResult result = co_await parts_.desk.Give(
+      AdapterOrder(platform::OrderKind::kUnloadAdapter, owner->model, victim),
+      [] {});
+  const std::lock_guard lock(owner->mutex);
+  if (!result.carried_out) {
+    owner->adapters[victim].loaded = true;
+    co_return false;
+  }
+  owner->adapters.erase(victim);
+  parts_.table.ReleaseMemory({owner->model, victim});
+  parts_.log.Event(LogLevel::kInfo, LogCategory::kReplica, "adapter_unloaded",
+                   {{"model", owner->model}, {"adapter", victim}});
+  co_return true;
+}
+
+}  // namespace sapphire::endpoint
--- /dev/null
+++ b/src/endpoint/endpoint_base.h
@@ -0,0 +1,122 @@
+/** @file endpoint_base.h The process beside one endpoint. */
+#ifndef SAPPHIRE_ENDPOINT_ENDPOINT_BASE_H_
+#define SAPPHIRE_ENDPOINT_ENDPOINT_BASE_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "contract/config_pull_base.h"
+#include "contract/part_cache_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "endpoint/attempt_table_base.h"
+#include "endpoint/engine_follower_base.h"
+#include "endpoint/grant_ledger_base.h"
+#include "endpoint/metrics_base.h"
+#include "endpoint/order_desk_base.h"
+#include "endpoint/plain_admission_base.h"
+#include "endpoint/replica_keeper_base.h"
+#include "endpoint/replica_table_base.h"
+#include "endpoint/replica_worker_base.h"
+#include "endpoint/replicas_base.h"
+#include "endpoint/runner_base.h"
+#include "link/link_base.h"
+#include "platform/engine_base.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::endpoint {
+
+struct EndpointOptions {
+  core::VmId vm;
+  core::ZoneId zone;
+  std::int64_t incarnation = 0;
+  /** Empty beside a model engine; else the plain service's name. */
+  core::ServiceId plain_service;
+  std::string listen_address;
+  std::chrono::milliseconds heartbeat_interval{500};
+  std::chrono::milliseconds dead_after{2000};
+  /** Reports go out at least this often. */
+  std::chrono::milliseconds report_interval{1000};
+  /** Changes closer together than this share one report. */
+  std::chrono::milliseconds report_gap{20};
+  std::chrono::milliseconds engine_poll{250};
+  /** Longest time that leaving waits for runs and unloads. */
+  std::chrono::milliseconds drain_limit{60'000};
+  /** How long links stay up after the last change: reports get out. */
+  std::chrono::milliseconds farewell{200};
+  OrderDeskOptions orders;
+  ReplicaKeeperOptions keeper;
+  AttemptTableOptions attempts;
+};
+
+/** All parts of one endpoint process, and the calls it answers. */
+class Endpoint {
+ public:
+  /** @pre All references outlive the endpoint. */
+  Endpoint(const core::Executor& executor, EndpointOptions options,
+           platform::Engine& engine, platform::KeyValueStore& store,
+           const core::Clock& clock, const core::Logger& log, Metrics& metrics);
+
+  /** Listens and begins to work. @return "ip:port" as bound.
+   * @throws core::Error kBadSettings. */
+  std::string Start();
+
+  /**
+   * Leaves: says so, takes no new work, lets runs end, unloads, hands grants
+   * back. @return True if all of that was done within the drain limit.
+   * @pre The calling coroutine runs on a strand.
+   */
+  core::Task<bool> Leave();
+
+  /** Closes the links. */
+  void Close();
+
+  /** @return True once requests can be served. */
+  [[nodiscard]] bool Ready() const;
+  [[nodiscard]] bool leaving() const { return table_.leaving; }
+  [[nodiscard]] gen::EndpointReport Report() const;
+  [[nodiscard]] Levels CurrentLevels() const;
+
+  /** Completes when an operator's Drain call has asked the VM to leave. */
+  core::Task<> WaitForDrain();
+
+ private:
+  core::Task<> Answer(std::shared_ptr<link::Call> call, gen::Message first);
+  core::Task<> AnswerSubscribe(std::shared_ptr<link::Call> call);
+  core::Task<> AnswerEnsure(std::shared_ptr<link::Call> call,
+                            gen::EnsureModel wish);
+  core::Task<> AnswerVoid(std::shared_ptr<link::Call> call,
+                          gen::VoidAttempt request);
+  core::Task<> AnswerDrain(std::shared_ptr<link::Call> call);
+  [[nodiscard]] bool plain() const { return !options_.plain_service.empty(); }
+  [[nodiscard]] bool Idle() const;
+  core::Task<bool> WaitUntilGone(core::SteadyTime limit);
+
+  const EndpointOptions options_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  const core::Executor executor_;
+  contract::ConfigHolder config_;
+  contract::PartCache config_parts_;
+  contract::ConfigPuller puller_;
+  ReplicaTable table_;
+  EngineFollower follower_;
+  OrderDesk desk_;
+  GrantLedger ledger_;
+  EndpointParts parts_;
+  ReplicaWorker worker_;
+  ReplicaKeeper keeper_;
+  Replicas replicas_;
+  PlainAdmission plain_admission_;
+  Admission& admission_;
+  AttemptTable attempts_;
+  Runner runner_;
+  link::LinkNode links_;
+  std::atomic<bool> drain_asked_ = false;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_ENDPOINT_BASE_H_
--- /dev/null
+++ b/src/endpoint/endpoint_settings.cc
@@ -0,0 +1,113 @@
+/** @file endpoint_settings.cc The settings of sapphire-endpoint. */
+#include <array>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "endpoint/endpoint_settings_base.h"
+
+namespace sapphire::endpoint {
+
+using core::SettingDef;
+using core::SettingType;
+
+namespace {
+
+constexpr double kMaxMillis = 3'600'000;
+
+constexpr SettingDef Text(std::string_view name, std::string_view value,
+                          std::string_view help) {
+  return {name, SettingType::kString, value, "", 0, 0, help};
+}
+
+constexpr SettingDef Time(std::string_view name, std::string_view value,
+                          double min, std::string_view help) {
+  return {name, SettingType::kInteger, value, "ms", min, kMaxMillis, help};
+}
+
+constexpr std::array kTable = {
+    Text("vm", "", "Name of this VM"),
+    Text("zone", "", "Availability zone of this VM"),
+    Text("listen", "",
+         "Address for links, ip:port; the lock against a second "
+         "process on this VM"),
+    Text("metrics_listen", "\"127.0.0.1:0\"",
+         "Address for /metrics, /healthz and /readyz, ip:port"),
+    Text("port_file", "\"\"",
+         "If set: file that the bound addresses are written to"),
+    Text("kind", "\"model\"", "What this endpoint is: model or plain"),
+    Text("service", "\"\"",
+         "Name of the plain service; empty for a model "
+         "engine"),
+    Text("engine", "", "Address of the engine or plain service, ip:port"),
+    Text("kv", "", "Address of the key-value service, ip:port"),
+    Text("log_level", "\"info\"", "debug, info, warning or error"),
+    SettingDef{"threads", SettingType::kInteger, "2", "", 1, 64,
+               "Threads that serve links and requests"},
+    Time("drain_ms", "60000", 0,
+         "Longest time that leaving waits for runs and unloads"),
+    Time("heartbeat_ms", "500", 10, "Between two heartbeats on a link"),
+    Time("dead_after_ms", "2000", 50,
+         "Without a frame for this long a link counts as lost"),
+    Time("report_interval_ms", "1000", 10,
+         "Entries get a report at least this often"),
+    Time("report_gap_ms", "20", 1,
+         "Changes closer together than this share one report"),
+    Time("engine_poll_ms", "250", 10,
+         "Between two reads of the engine's state"),
+    Time("engine_timeout_ms", "2000", 10, "Of one read of the engine's state"),
+    Time("order_timeout_ms", "60000", 100,
+         "After this an order's outcome counts as unknown"),
+    Time("settle_ms", "1000", 0,
+         "Quiet time after which an order of unknown outcome counts as not "
+         "carried out; longer than an order travels"),
+    Time("kv_timeout_ms", "1000", 10, "Of one call to the key-value service"),
+    Time("keep_alive_ms", "60000", 0,
+         "How long an idle replica stays loaded if its caller names no time"),
+    Time("sweep_ms", "250", 10, "Between two looks for idle replicas"),
+    Time("audit_ms", "30000", 100,
+         "Between two comparisons with the ledgers of grants"),
+    Time("attempt_memory_ms", "900000", 1000,
+         "How long an attempt is remembered, so that a copy is refused"),
+};
+
+void CheckKind(const core::Settings& settings) {
+  const std::string& kind = settings.String("kind");
+  const bool plain = kind == "plain";
+  if (!plain && kind != "model") {
+    throw core::Error(core::ErrorCode::kBadSettings,
+                      "kind: " + kind + " is neither model nor plain");
+  }
+  if (plain == settings.String("service").empty()) {
+    throw core::Error(core::ErrorCode::kBadSettings,
+                      "service: is for kind = \"plain\", and needed there");
+  }
+}
+
+}  // namespace
+
+std::span<const SettingDef> SettingsTable() { return kTable; }
+
+EndpointOptions OptionsFrom(const core::Settings& settings) {
+  CheckKind(settings);
+  EndpointOptions options;
+  options.vm = core::VmId(settings.String("vm"));
+  options.zone = core::ZoneId(settings.String("zone"));
+  options.incarnation = core::RandomPositive();
+  options.plain_service = core::ServiceId(settings.String("service"));
+  options.listen_address = settings.String("listen");
+  options.heartbeat_interval = settings.Millis("heartbeat_ms");
+  options.dead_after = settings.Millis("dead_after_ms");
+  options.report_interval = settings.Millis("report_interval_ms");
+  options.report_gap = settings.Millis("report_gap_ms");
+  options.engine_poll = settings.Millis("engine_poll_ms");
+  options.drain_limit = settings.Millis("drain_ms");
+  options.orders.order_timeout = settings.Millis("order_timeout_ms");
+  options.orders.settle_time = settings.Millis("settle_ms");
+  options.keeper.keep_alive = settings.Millis("keep_alive_ms");
+  options.keeper.sweep_interval = settings.Millis("sweep_ms");
+  options.keeper.audit_interval = settings.Millis("audit_ms");
+  options.attempts.remember_for = settings.Millis("attempt_memory_ms");
+  return options;
+}
+
+}  // namespace sapphire::endpoint
--- a/src/endpoint/grant.cc
+++ b/src/endpoint/grant.cc
@@ -28,10 +28,8 @@
 }
 
 int CountOf(const LedgerValue& ledger, const core::ModelId& model) {
-  return static_cast<int>(std::ranges::count(ledger.grants, model,
-                                             [](const Grant& it) -> auto& {
-                                               return it.model;
-                                             }));
+  return static_cast<int>(std::ranges::count(
+      ledger.grants, model, [](const Grant& it) -> auto& { return it.model; }));
 }
 
 }  // namespace
@@ -77,10 +75,9 @@
 
 const Grant* FindGrant(const LedgerValue& ledger, const core::VmId& vm,
                        const core::ModelId& model) {
-  const auto it =
-      std::ranges::find_if(ledger.grants, [&](const Grant& grant) {
-        return grant.vm == vm && grant.model == model;
-      });
+  const auto it = std::ranges::find_if(ledger.grants, [&](const Grant& grant) {
+    return grant.vm == vm && grant.model == model;
+  });
   return it == ledger.grants.end() ? nullptr : &*it;
 }
 
@@ -105,10 +102,11 @@
                 kLimitRetryAfter);
   }
   if (static_cast<int>(ledger.grants.size()) >= service->second.max_replicas) {
-    throw Error(ErrorCode::kReplicaLimit,
-                fmt::format("service {}: {} replicas", it->second.service.value(),
-                            service->second.max_replicas),
-                kLimitRetryAfter);
+    throw Error(
+        ErrorCode::kReplicaLimit,
+        fmt::format("service {}: {} replicas", it->second.service.value(),
+                    service->second.max_replicas),
+        kLimitRetryAfter);
   }
 }
 
--- a/src/endpoint/grant_ledger.cc
+++ b/src/endpoint/grant_ledger.cc
@@ -157,10 +157,9 @@
     }
     if (result->swapped) {
       attempt->late_write.reset();
-      log_.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_taken",
-                 {{"model", grant.model},
-                  {"fence", grant.fence},
-                  {"tries", i + 1}});
+      log_.Event(
+          LogLevel::kInfo, LogCategory::kLedger, "grant_taken",
+          {{"model", grant.model}, {"fence", grant.fence}, {"tries", i + 1}});
       co_return grant;
     }
     entry = result->current;
@@ -219,9 +218,9 @@
     const bool held = std::erase(ledger.grants, ending->grant) > 0;
     const std::int64_t revision = RevisionOf(entry);
     if (!held && ending->late_write != revision) {
-      log_.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_ended",
-                 {{"model", ending->grant.model},
-                  {"fence", ending->grant.fence}});
+      log_.Event(
+          LogLevel::kInfo, LogCategory::kLedger, "grant_ended",
+          {{"model", ending->grant.model}, {"fence", ending->grant.fence}});
       co_return;
     }
     // The late write could land against this very revision: any swap that
--- a/src/endpoint/grant_ledger_base.h
+++ b/src/endpoint/grant_ledger_base.h
@@ -86,8 +86,7 @@
                                                       std::int64_t expected,
                                                       std::string value);
   core::Task<Grant> TakeFresh(std::shared_ptr<const contract::Config> config,
-                              std::int64_t min_fence,
-                              core::SteadyTime deadline,
+                              std::int64_t min_fence, core::SteadyTime deadline,
                               std::shared_ptr<Try> attempt);
   core::Task<> End(std::shared_ptr<Ending> ending);
   std::optional<Grant> Reclaim(const core::ModelId& model);
--- a/src/endpoint/metrics.cc
+++ b/src/endpoint/metrics.cc
@@ -33,12 +33,11 @@
           .Name("sapphire_endpoint_load_failures_total")
           .Help("Loads that ended without a ready replica, by error")
           .Register(registry);
-  prometheus::Counter& unloads =
-      BuildCounter()
-          .Name("sapphire_endpoint_unloads_total")
-          .Help("Confirmed unloads of models")
-          .Register(registry)
-          .Add({});
+  prometheus::Counter& unloads = BuildCounter()
+                                     .Name("sapphire_endpoint_unloads_total")
+                                     .Help("Confirmed unloads of models")
+                                     .Register(registry)
+                                     .Add({});
   prometheus::Family<prometheus::Counter>& runs =
       BuildCounter()
           .Name("sapphire_endpoint_runs_total")
--- /dev/null
+++ b/src/endpoint/order_desk.cc
@@ -0,0 +1,209 @@
+/** @file order_desk.cc Gives the engine its orders, one at a time. */
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "core/task_func.h"
+#include "endpoint/order_desk_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Task;
+using platform::EngineModel;
+using platform::EngineModelState;
+using platform::EngineOrder;
+using platform::EngineStatus;
+using platform::OrderKind;
+
+namespace {
+
+/** How long one look at the engine may take before it is logged and tried
+ * again. */
+constexpr std::chrono::milliseconds kLookTimeout{5000};
+/** A wake-up that got lost costs this much. */
+constexpr std::chrono::milliseconds kTurnRecheck{1000};
+/** Tries of an order that the engine refuses. */
+constexpr int kMaxTries = 3;
+
+std::string_view NameOf(OrderKind kind) {
+  constexpr std::array<std::string_view, 4> kNames = {
+      "load_model", "unload_model", "load_adapter", "unload_adapter"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+const EngineModel* FindModel(const EngineStatus& status,
+                             const core::ModelId& model) {
+  const auto it = std::ranges::find(status.models, model, &EngineModel::model);
+  return it == status.models.end() ? nullptr : &*it;
+}
+
+/** @return True if the engine shows what the order asked for. */
+bool ShowsEffect(const EngineStatus& status, const EngineOrder& order) {
+  const EngineModel* model = FindModel(status, order.model);
+  const bool adapter_held =
+      model != nullptr &&
+      std::ranges::find(model->adapters, order.adapter,
+                        &platform::EngineAdapter::adapter) !=
+          model->adapters.end();
+  switch (order.kind) {
+    case OrderKind::kLoadModel:
+      return model != nullptr && model->state == EngineModelState::kReady;
+    case OrderKind::kUnloadModel:
+      return model == nullptr;
+    case OrderKind::kLoadAdapter:
+      return adapter_held;
+    case OrderKind::kUnloadAdapter:
+      return !adapter_held;
+  }
+  return false;
+}
+
+/** @return True while a model of the engine is between two states. */
+bool InTransit(const EngineStatus& status, const core::ModelId& model) {
+  const EngineModel* it = FindModel(status, model);
+  return it != nullptr && it->state != EngineModelState::kReady;
+}
+
+}  // namespace
+
+OrderDesk::OrderDesk(OrderDeskOptions options, platform::Engine& engine,
+                     EngineFollower& follower, const core::Clock& clock,
+                     const core::Logger& log)
+    : options_(options),
+      engine_(engine),
+      follower_(follower),
+      clock_(clock),
+      log_(log),
+      turns_(std::make_shared<Turns>()) {}
+
+Task<OrderTurn> OrderDesk::Enter() {
+  const auto turns = turns_;
+  while (true) {
+    const auto epoch = turns->freed.epoch();
+    {
+      const std::lock_guard lock(turns->mutex);
+      if (!turns->held) {
+        turns->held = true;
+        ++turns->count;
+        break;
+      }
+    }
+    co_await turns->freed.Wait(epoch, kTurnRecheck);
+  }
+  co_return OrderTurn(nullptr, [turns](void*) {
+    {
+      const std::lock_guard lock(turns->mutex);
+      turns->held = false;
+    }
+    turns->freed.Notify();
+  });
+}
+
+std::uint64_t OrderDesk::QuietMark() const {
+  const std::lock_guard lock(turns_->mutex);
+  return turns_->held ? 0 : turns_->count;
+}
+
+std::int64_t OrderDesk::NextFence() const {
+  std::int64_t seen = 0;
+  if (const auto status = follower_.Latest()) seen = status->fence;
+  const std::lock_guard lock(mutex_);
+  return std::max(last_fence_, seen) + 1;
+}
+
+void OrderDesk::RaiseFence(std::int64_t fence) {
+  const std::lock_guard lock(mutex_);
+  last_fence_ = std::max(last_fence_, fence);
+}
+
+std::int64_t OrderDesk::TakeFence() {
+  const std::int64_t next = NextFence();
+  RaiseFence(next);
+  return next;
+}
+
+Task<OrderResult> OrderDesk::Give(EngineOrder order,
+                                  std::function<void()> outcome_lost) {
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "order_given",
+             {{"kind", NameOf(order.kind)},
+              {"model", order.model},
+              {"adapter", order.adapter}});
+  for (int i = 1;; ++i) {
+    order.fence = TakeFence();
+    const auto error = co_await Send(order);
+    if (!error) co_return OrderResult{true, std::nullopt};
+    log_.Event(LogLevel::kWarning, LogCategory::kReplica, "order_failed",
+               {{"kind", NameOf(order.kind)},
+                {"model", order.model},
+                {"fence", order.fence},
+                {"error", std::string(error->what())}});
+    if (error->code() == ErrorCode::kEngineRefusedOrder) {
+      OrderResult result = co_await AfterRefusal(order, *error);
+      if (result.carried_out || i >= kMaxTries) co_return result;
+      continue;
+    }
+    if (error->code() == ErrorCode::kOutcomeUnknown) {
+      outcome_lost();
+      co_return co_await FindOut(order, *error);
+    }
+    co_return OrderResult{false, error};
+  }
+}
+
+Task<std::optional<Error>> OrderDesk::Send(EngineOrder order) {
+  try {
+    co_await engine_.Order(std::move(order), options_.order_timeout);
+  } catch (const Error& e) {
+    co_return e;
+  }
+  co_return std::nullopt;
+}
+
+/** Waits until the engine answers and carries nothing out. */
+Task<EngineFollower::StatusPtr> OrderDesk::QuietStatus() {
+  while (true) {
+    const auto status = co_await follower_.Fresh(kLookTimeout);
+    if (status && !status->order_in_progress) co_return status;
+  }
+}
+
+/**
+ * A refusal means another order was in progress (a predecessor's, on this VM)
+ * or that the fence is too small (the predecessor's were larger). Both pass:
+ * once the engine is quiet its fence is known, and the next try is above it.
+ */
+Task<OrderResult> OrderDesk::AfterRefusal(EngineOrder order, Error error) {
+  const auto status = co_await QuietStatus();
+  RaiseFence(status->fence);
+  co_return OrderResult{ShowsEffect(*status, order), error};
+}
+
+/**
+ * The answer is lost: the engine may have carried the order out, may be about
+ * to, or may not have received it yet. Until it is certain, the memory and the
+ * grant stay taken. The effect, once shown, settles it; its absence does so
+ * only after the engine has been quiet for longer than an order travels.
+ */
+Task<OrderResult> OrderDesk::FindOut(EngineOrder order, Error error) {
+  std::optional<core::SteadyTime> quiet_since;
+  while (true) {
+    const auto status = co_await QuietStatus();
+    if (InTransit(*status, order.model)) {
+      quiet_since.reset();
+      continue;
+    }
+    if (ShowsEffect(*status, order)) co_return OrderResult{true, std::nullopt};
+    const core::SteadyTime now = clock_.Now();
+    if (!quiet_since) quiet_since = now;
+    if (now - *quiet_since >= options_.settle_time) {
+      co_return OrderResult{false, error};
+    }
+  }
+}
+
+}  // namespace sapphire::endpoint
--- /dev/null
+++ b/src/endpoint/order_desk_base.h
@@ -0,0 +1,104 @@
+/** @file order_desk_base.h Gives the engine its orders, one at a time. */
+#ifndef SAPPHIRE_ENDPOINT_ORDER_DESK_BASE_H_
+#define SAPPHIRE_ENDPOINT_ORDER_DESK_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/log_base.h"
+#include "core/signal_base.h"
+#include "core/task_type.h"
+#include "endpoint/engine_follower_base.h"
+#include "platform/engine_base.h"
+
+namespace sapphire::endpoint {
+
+struct OrderDeskOptions {
+  /** Longest time one order may take. */
+  std::chrono::milliseconds order_timeout{60'000};
+  /** After an order of unknown outcome: how long the engine must show neither
+   * the order's effect nor any order in progress before it counts as not
+   * carried out. Longer than an order can be under way to the engine. */
+  std::chrono::milliseconds settle_time{1000};
+};
+
+/** What became of an order; nothing is left open. */
+struct OrderResult {
+  bool carried_out = false;
+  /** Why not. */
+  std::optional<core::Error> error;
+};
+
+/** The right to give orders; ends when the last copy is dropped. */
+using OrderTurn = std::shared_ptr<void>;
+
+/**
+ * The one sender of orders to the engine. Each order's fence is larger than
+ * all before it, so that an engine which honours fencing refuses a copy that
+ * arrives late. Safe on several threads.
+ */
+class OrderDesk {
+ public:
+  /** @pre All references outlive the desk. */
+  OrderDesk(OrderDeskOptions options, platform::Engine& engine,
+            EngineFollower& follower, const core::Clock& clock,
+            const core::Logger& log);
+
+  /** Waits for the turn. @pre The calling coroutine runs on a strand. */
+  core::Task<OrderTurn> Enter();
+
+  /**
+   * Gives an order and waits until its outcome is certain, however long that
+   * takes.
+   * @param outcome_lost Called if the answer did not arrive.
+   * @pre The caller holds a turn.
+   */
+  core::Task<OrderResult> Give(platform::EngineOrder order,
+                               std::function<void()> outcome_lost);
+
+  /** @return Turns taken so far; 0 while one is held. For EngineFollower: a
+   * status is consistent with our books if this was, at both ends of its read,
+   * the same and not 0. */
+  [[nodiscard]] std::uint64_t QuietMark() const;
+
+  /** @return The fence that the next grant must reach. */
+  [[nodiscard]] std::int64_t NextFence() const;
+
+  /** Makes the next order's fence larger than `fence`. */
+  void RaiseFence(std::int64_t fence);
+
+ private:
+  struct Turns {
+    std::mutex mutex;
+    core::Signal freed;
+    bool held = false;
+    std::uint64_t count = 1;
+  };
+
+  core::Task<std::optional<core::Error>> Send(platform::EngineOrder order);
+  core::Task<OrderResult> FindOut(platform::EngineOrder order,
+                                  core::Error error);
+  core::Task<OrderResult> AfterRefusal(platform::EngineOrder order,
+                                       core::Error error);
+  core::Task<EngineFollower::StatusPtr> QuietStatus();
+  std::int64_t TakeFence();
+
+  const OrderDeskOptions options_;
+  platform::Engine& engine_;
+  EngineFollower& follower_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  const std::shared_ptr<Turns> turns_;
+  mutable std::mutex mutex_;
+  std::int64_t last_fence_ = 0;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_ORDER_DESK_BASE_H_
--- /dev/null
+++ b/src/endpoint/replica_keeper.cc
@@ -0,0 +1,252 @@
+/** @file replica_keeper.cc Keeps the books true and idle replicas few. */
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "endpoint/grant_func.h"
+#include "endpoint/replica_keeper_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::LogCategory;
+using core::LogLevel;
+using core::Millis;
+using core::Task;
+using platform::EngineModel;
+using platform::EngineModelState;
+using platform::EngineStatus;
+
+ReplicaKeeper::ReplicaKeeper(EndpointParts parts, ReplicaKeeperOptions options,
+                             ReplicaWorker& worker)
+    : parts_(parts), options_(std::move(options)), worker_(worker) {}
+
+void ReplicaKeeper::Reconcile(const EngineStatus& status, std::uint64_t mark) {
+  parts_.table.SetCapacity(status.memory_bytes);
+  // While an order is under way, ours or a predecessor's, the status may show
+  // the engine before or after it: acting on that could drop the books of a
+  // model that is just being loaded.
+  const bool quiet = mark != 0 && mark == parts_.desk.QuietMark();
+  if (!quiet || status.order_in_progress) return;
+  parts_.desk.RaiseFence(status.fence);
+  for (const EngineModel& it : status.models) {
+    if (it.state == EngineModelState::kReady) AdoptModel(it);
+  }
+  DropMissing(status);
+  if (!parts_.table.recovered.exchange(true)) {
+    parts_.log.Event(
+        LogLevel::kInfo, LogCategory::kReplica, "recovered",
+        {{"models", status.models.size()}, {"fence", status.fence}});
+    AuditSoon();
+  }
+  parts_.table.changed().Notify();
+}
+
+/** Books a model that is loaded though nobody here ordered it: a predecessor
+ * of this process did, or an order arrived late. */
+void ReplicaKeeper::AdoptModel(const EngineModel& model) {
+  const ReplicaPtr replica = parts_.table.FindOrAdd(model.model);
+  const std::lock_guard lock(replica->mutex);
+  const ReplicaPhase phase = replica->life.phase();
+  if (phase == ReplicaPhase::kReady) AdoptAdapters(*replica, model);
+  if (phase != ReplicaPhase::kAbsent || replica->working) return;
+  replica->life.Apply(ReplicaEvent::kFoundLoaded);
+  parts_.table.BookHeldMemory({model.model, {}},
+                              model.weight_bytes + model.kv_budget_bytes);
+  replica->version = model.version;
+  replica->keep_alive = options_.keep_alive;
+  replica->idle_since = parts_.clock.Now();
+  if (const auto config = parts_.config.Current()) {
+    const auto it = config->intent.models.find(model.model);
+    if (it != config->intent.models.end()) {
+      replica->service = it->second.service;
+      replica->max_concurrent = it->second.max_concurrent;
+    }
+  }
+  AdoptAdapters(*replica, model);
+  parts_.log.Event(LogLevel::kInfo, LogCategory::kReplica, "model_found_loaded",
+                   {{"model", model.model}});
+}
+
+/** @pre The replica's lock is held. */
+void ReplicaKeeper::AdoptAdapters(Replica& replica, const EngineModel& model) {
+  for (const platform::EngineAdapter& it : model.adapters) {
+    const auto [slot, added] = replica.adapters.try_emplace(it.adapter);
+    if (!added) continue;
+    slot->second = {true, 0, parts_.clock.Now()};
+    parts_.table.BookHeldMemory({model.model, it.adapter}, it.bytes);
+  }
+}
+
+/** The engine restarted, or dropped a model on its own: what it doesn't show
+ * isn't held, and the memory and grant are free again. */
+void ReplicaKeeper::DropMissing(const EngineStatus& status) {
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    if (std::ranges::find(status.models, it->model, &EngineModel::model) !=
+        status.models.end()) {
+      continue;
+    }
+    const std::lock_guard lock(it->mutex);
+    const ReplicaPhase phase = it->life.phase();
+    if (phase != ReplicaPhase::kReady && phase != ReplicaPhase::kDraining) {
+      continue;
+    }
+    worker_.NoteGone(*it);
+    parts_.log.Event(LogLevel::kWarning, LogCategory::kFault, "model_lost",
+                     {{"model", it->model}});
+  }
+}
+
+void ReplicaKeeper::Start() {
+  core::Spawn(parts_.executor, parts_.log, "replica_keeper",
+              [this] { return Run(); });
+}
+
+void ReplicaKeeper::Stop() {
+  stopped_ = true;
+  parts_.table.changed().Notify();
+}
+
+Task<> ReplicaKeeper::Run() {
+  while (!stopped_) {
+    if (parts_.table.recovered) {
+      Sweep();
+      co_await AuditIfDue();
+    }
+    co_await core::SleepFor(options_.sweep_interval);
+  }
+}
+
+Task<> ReplicaKeeper::AuditIfDue() {
+  const core::SteadyTime now = parts_.clock.Now();
+  const bool due = audit_due_.exchange(false) || now >= next_audit_;
+  if (!due || !parts_.config.Current()) {
+    if (due) audit_due_ = true;
+    co_return;
+  }
+  next_audit_ = now + options_.audit_interval;
+  try {
+    co_await Audit();
+  } catch (const Error& e) {
+    next_audit_ = now + options_.audit_retry;
+    parts_.log.Event(LogLevel::kWarning, LogCategory::kLedger, "audit_failed",
+                     {{"error", std::string(e.what())}});
+  }
+  co_await parts_.ledger.Settle();
+}
+
+void ReplicaKeeper::Sweep() {
+  for (const ReplicaPtr& it : parts_.table.All()) SweepOne(it);
+}
+
+void ReplicaKeeper::SweepOne(const ReplicaPtr& replica) {
+  const std::lock_guard lock(replica->mutex);
+  if (replica->working) return;
+  if (replica->life.phase() == ReplicaPhase::kReady) {
+    if (MayStay(*replica)) return;
+    replica->life.Apply(ReplicaEvent::kDrainStarted);
+  }
+  // A drain whose unload failed is begun again here.
+  if (replica->life.phase() != ReplicaPhase::kDraining) return;
+  replica->working = true;
+  worker_.StartUnload(replica);
+}
+
+/** @pre The replica's lock is held. */
+bool ReplicaKeeper::MayStay(Replica& replica) const {
+  const auto config = parts_.config.Current();
+  if (config) {
+    const auto it = config->intent.models.find(replica.model);
+    if (it == config->intent.models.end() ||
+        it->second.version != replica.version) {
+      replica.must_go = true;
+    } else {
+      replica.max_concurrent = it->second.max_concurrent;
+    }
+  }
+  if (parts_.table.leaving) replica.must_go = true;
+  if (replica.must_go) return false;
+  if (replica.running > 0) return true;
+  // While the key-value service is down, an unloaded model could be woken
+  // nowhere else: it stays until the memory is needed.
+  if (!parts_.ledger.reachable()) return true;
+  return parts_.clock.Now() - replica.idle_since < replica.keep_alive;
+}
+
+Task<> ReplicaKeeper::Audit() {
+  const auto ledgers = co_await parts_.ledger.ReadAll();
+  for (const auto& [service, ledger] : ledgers) {
+    ReleaseOrphans(service, ledger);
+    ForgetLostGrants(service, ledger);
+    DrainSurplus(service, ledger);
+  }
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    const std::lock_guard lock(it->mutex);
+    if (it->life.phase() != ReplicaPhase::kReady || it->grant || it->working) {
+      continue;
+    }
+    it->working = true;
+    worker_.StartGrantCheck(it);
+  }
+}
+
+/** Ends this VM's grants of models that aren't loaded here: a predecessor took
+ * them, or a swap landed after it was given up. */
+void ReplicaKeeper::ReleaseOrphans(const core::ServiceId& service,
+                                   const LedgerValue& ledger) {
+  for (const Grant& it : ledger.grants) {
+    if (it.vm != options_.vm) continue;
+    const ReplicaPtr replica = parts_.table.FindOrAdd(it.model);
+    const std::lock_guard lock(replica->mutex);
+    // The ledger was read some time ago; a grant taken since has another
+    // fence, so ending the one that was read can't end it.
+    if (replica->working || replica->life.phase() != ReplicaPhase::kAbsent) {
+      continue;
+    }
+    parts_.log.Event(LogLevel::kInfo, LogCategory::kLedger, "grant_orphaned",
+                     {{"model", it.model}, {"fence", it.fence}});
+    parts_.ledger.Release(service, it);
+  }
+}
+
+/** A grant that was ended because the platform showed this VM as gone is not
+ * ours any more, though the model is still loaded: it is asked for anew, and
+ * the replica goes if the limit has been used up meanwhile. */
+void ReplicaKeeper::ForgetLostGrants(const core::ServiceId& service,
+                                     const LedgerValue& ledger) {
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    const std::lock_guard lock(it->mutex);
+    if (!it->grant || it->service != service || it->working) continue;
+    // A grant from after the read isn't in it.
+    if (it->grant->fence >= ledger.next_fence) continue;
+    if (std::ranges::find(ledger.grants, *it->grant) != ledger.grants.end()) {
+      continue;
+    }
+    parts_.log.Event(LogLevel::kWarning, LogCategory::kLedger, "grant_lost",
+                     {{"model", it->model}, {"fence", it->grant->fence}});
+    it->grant.reset();
+  }
+}
+
+void ReplicaKeeper::DrainSurplus(const core::ServiceId& service,
+                                 const LedgerValue& ledger) {
+  const auto config = parts_.config.Current();
+  if (!config || ledger.config_version > config->version) return;
+  for (const Grant& it : SurplusGrants(ledger, config->intent, service)) {
+    if (it.vm != options_.vm) continue;
+    const ReplicaPtr replica = parts_.table.FindOrAdd(it.model);
+    const std::lock_guard lock(replica->mutex);
+    if (replica->grant == it) replica->must_go = true;
+  }
+}
+
+bool ReplicaKeeper::Empty() const {
+  return std::ranges::all_of(parts_.table.All(), [](const ReplicaPtr& it) {
+    const std::lock_guard lock(it->mutex);
+    return it->life.phase() == ReplicaPhase::kAbsent && !it->working;
+  });
+}
+
+}  // namespace sapphire::endpoint
--- a/src/endpoint/replica_life.cc
+++ b/src/endpoint/replica_life.cc
@@ -3,13 +3,13 @@
 #define BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS
 #define BOOST_MPL_LIMIT_VECTOR_SIZE 30
 
-#include "endpoint/replica_life_base.h"
-
 #include <array>
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "endpoint/replica_life_base.h"
+
 namespace sapphire::endpoint {
 
 namespace {
@@ -72,9 +72,9 @@
 
 /** In the order in which MSM numbers the states: by their first rows. */
 constexpr std::array kPhasesById = {
-    ReplicaPhase::kAbsent,   ReplicaPhase::kGranted, ReplicaPhase::kLoading,
-    ReplicaPhase::kReady,    ReplicaPhase::kDraining,
-    ReplicaPhase::kUnloading, ReplicaPhase::kUnknown};
+    ReplicaPhase::kAbsent, ReplicaPhase::kGranted,  ReplicaPhase::kLoading,
+    ReplicaPhase::kReady,  ReplicaPhase::kDraining, ReplicaPhase::kUnloading,
+    ReplicaPhase::kUnknown};
 
 }  // namespace
 
--- /dev/null
+++ b/src/endpoint/replica_worker.cc
@@ -0,0 +1,340 @@
+/** @file replica_worker.cc Loads and unloads models. */
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "endpoint/memory_ledger_func.h"
+#include "endpoint/replica_worker_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Millis;
+using core::Task;
+
+namespace {
+
+/** A wake-up that got lost costs this much. */
+constexpr Millis kRecheck{1000};
+constexpr Millis kRoomRetryAfter{2000};
+/** Time for the check of a grant; nobody waits for it. */
+constexpr Millis kGrantCheckTime{5000};
+
+Millis Between(core::SteadyTime from, core::SteadyTime to) {
+  return std::chrono::duration_cast<Millis>(to - from);
+}
+
+}  // namespace
+
+contract::Model ReplicaWorker::SpecOf(const core::ModelId& model) const {
+  const auto config = parts_.config.Current();
+  if (!config) throw Error(ErrorCode::kNotConfigured);
+  const auto it = config->intent.models.find(model);
+  if (it == config->intent.models.end()) {
+    throw Error(ErrorCode::kUnknownModel, model.value());
+  }
+  return it->second;
+}
+
+std::string_view ReplicaWorker::TierOf(const core::ModelId& model) const {
+  const auto status = parts_.follower.Latest();
+  const auto holds = [&](const std::vector<core::ModelId>& tier) {
+    return std::ranges::find(tier, model) != tier.end();
+  };
+  if (status && holds(status->memory_tier)) return "memory";
+  if (status && holds(status->disk_tier)) return "disk";
+  return "remote";
+}
+
+void ReplicaWorker::StartLoad(const ReplicaPtr& replica, LoadWish wish) {
+  core::Spawn(parts_.executor, parts_.log, "load",
+              [this, replica, wish] { return Load(replica, wish); });
+}
+
+Task<> ReplicaWorker::Load(ReplicaPtr replica, LoadWish wish) {
+  std::optional<Error> failure;
+  try {
+    co_await LoadSteps(replica, std::move(wish));
+  } catch (const Error& e) {
+    failure = e;
+  }
+  if (failure) {
+    parts_.metrics.LoadFailed(failure->code());
+    parts_.log.Event(
+        LogLevel::kWarning, LogCategory::kReplica, "load_failed",
+        {{"model", replica->model}, {"error", std::string(failure->what())}});
+  }
+  {
+    const std::lock_guard lock(replica->mutex);
+    if (failure) {
+      ++replica->failures;
+      replica->last_failure = failure;
+    }
+    replica->working = false;
+  }
+  parts_.table.changed().Notify();
+  if (failure) co_await parts_.ledger.Settle();
+}
+
+Task<> ReplicaWorker::LoadSteps(ReplicaPtr replica, LoadWish wish) {
+  const core::SteadyTime begun = parts_.clock.Now();
+  const contract::Model spec = SpecOf(replica->model);
+  const std::string_view tier = TierOf(replica->model);
+  CheckRoom(spec, wish.evict);
+  {
+    const std::lock_guard lock(replica->mutex);
+    replica->life.Apply(ReplicaEvent::kWanted);
+    replica->service = spec.service;
+    replica->version = spec.version;
+    replica->max_concurrent = spec.max_concurrent;
+  }
+  parts_.table.changed().Notify();
+  std::optional<Error> failure;
+  try {
+    co_await TakeGrant(replica, wish.deadline);
+    co_await OrderLoad(replica, spec, std::move(wish));
+  } catch (const Error& e) {
+    failure = e;
+  }
+  if (failure) {
+    const std::lock_guard lock(replica->mutex);
+    HandBack(*replica);
+    throw *failure;
+  }
+  const Millis took = Between(begun, parts_.clock.Now());
+  parts_.metrics.ColdLoad(tier, took);
+  parts_.log.Event(
+      LogLevel::kInfo, LogCategory::kReplica, "model_loaded",
+      {{"model", replica->model}, {"tier", tier}, {"took_ms", took}});
+}
+
+Task<> ReplicaWorker::TakeGrant(ReplicaPtr replica, core::SteadyTime deadline) {
+  const auto config = parts_.config.Current();
+  if (!config) throw Error(ErrorCode::kNotConfigured);
+  const Grant grant = co_await parts_.ledger.Take(
+      config, replica->model, parts_.desk.NextFence(), deadline);
+  parts_.desk.RaiseFence(grant.fence);
+  const std::lock_guard lock(replica->mutex);
+  replica->grant = grant;
+}
+
+Task<> ReplicaWorker::OrderLoad(ReplicaPtr replica, contract::Model spec,
+                                LoadWish wish) {
+  const OrderTurn turn = co_await parts_.desk.Enter();
+  if (parts_.table.leaving) throw Error(ErrorCode::kLeaving);
+  const MemoryHolder holder{replica->model, {}};
+  co_await MakeRoom(holder, spec.weight_bytes + spec.kv_budget_bytes,
+                    std::move(wish.evict));
+  {
+    const std::lock_guard lock(replica->mutex);
+    replica->life.Apply(ReplicaEvent::kLoadOrdered);
+  }
+  platform::EngineOrder order;
+  order.kind = platform::OrderKind::kLoadModel;
+  order.model = replica->model;
+  order.version = spec.version;
+  order.bytes = spec.weight_bytes;
+  order.kv_budget_bytes = spec.kv_budget_bytes;
+  const OrderResult result =
+      co_await parts_.desk.Give(std::move(order), [replica] {
+        const std::lock_guard lock(replica->mutex);
+        replica->life.Apply(ReplicaEvent::kOutcomeLost);
+      });
+  const std::lock_guard lock(replica->mutex);
+  if (!result.carried_out) {
+    replica->life.Apply(ReplicaEvent::kShownAbsent);
+    parts_.table.ReleaseMemory(holder);
+    throw *result.error;
+  }
+  replica->life.Apply(ReplicaEvent::kShownLoaded);
+  // From kUnknown the machine goes to kDraining; the load is wanted still.
+  replica->life.Apply(ReplicaEvent::kDrainCalledOff);
+  replica->idle_since = parts_.clock.Now();
+}
+
+/** @pre The replica's lock is held; phase kGranted. */
+void ReplicaWorker::HandBack(Replica& replica) {
+  if (replica.grant) parts_.ledger.Release(replica.service, *replica.grant);
+  replica.grant.reset();
+  replica.must_go = false;
+  replica.life.Apply(ReplicaEvent::kGrantHandedBack);
+}
+
+void ReplicaWorker::NoteGone(Replica& replica) {
+  replica.life.Apply(ReplicaEvent::kShownAbsent);
+  parts_.table.ReleaseMemory({replica.model, {}});
+  replica.adapters.clear();
+  if (replica.running == 0) {
+    parts_.metrics.Idle(Between(replica.idle_since, parts_.clock.Now()));
+  }
+  HandBack(replica);
+}
+
+void ReplicaWorker::StartUnload(const ReplicaPtr& replica) {
+  core::Spawn(parts_.executor, parts_.log, "unload",
+              [this, replica] { return Unload(replica); });
+}
+
+Task<> ReplicaWorker::Unload(ReplicaPtr replica) {
+  if (co_await WaitUntilIdle(replica)) {
+    const OrderTurn turn = co_await parts_.desk.Enter();
+    co_await OrderUnload(replica);
+  }
+  {
+    const std::lock_guard lock(replica->mutex);
+    replica->working = false;
+  }
+  parts_.table.changed().Notify();
+  co_await parts_.ledger.Settle();
+}
+
+/** @return False if the drain was called off, or somebody else unloaded it. */
+Task<bool> ReplicaWorker::WaitUntilIdle(ReplicaPtr replica) {
+  while (true) {
+    const auto epoch = parts_.table.changed().epoch();
+    {
+      const std::lock_guard lock(replica->mutex);
+      if (replica->life.phase() != ReplicaPhase::kDraining) co_return false;
+      if (replica->running == 0) co_return true;
+    }
+    co_await parts_.table.changed().Wait(epoch, kRecheck);
+  }
+}
+
+/**
+ * Unloads a replica that is draining and idle.
+ * @return True if the unload is confirmed.
+ * @pre The caller holds the turn at the desk.
+ */
+Task<bool> ReplicaWorker::OrderUnload(ReplicaPtr replica) {
+  {
+    const std::lock_guard lock(replica->mutex);
+    if (replica->running > 0 ||
+        !replica->life.Apply(ReplicaEvent::kUnloadOrdered)) {
+      co_return false;
+    }
+  }
+  parts_.table.changed().Notify();
+  platform::EngineOrder order;
+  order.kind = platform::OrderKind::kUnloadModel;
+  order.model = replica->model;
+  order.version = replica->version;
+  const OrderResult result =
+      co_await parts_.desk.Give(std::move(order), [replica] {
+        const std::lock_guard lock(replica->mutex);
+        replica->life.Apply(ReplicaEvent::kOutcomeLost);
+      });
+  {
+    const std::lock_guard lock(replica->mutex);
+    if (!result.carried_out) {
+      replica->life.Apply(ReplicaEvent::kShownLoaded);
+    } else {
+      NoteGone(*replica);
+    }
+  }
+  parts_.table.changed().Notify();
+  if (!result.carried_out) co_return false;
+  parts_.metrics.Unloaded();
+  parts_.log.Event(LogLevel::kInfo, LogCategory::kReplica, "model_unloaded",
+                   {{"model", replica->model}});
+  co_return true;
+}
+
+void ReplicaWorker::StartGrantCheck(const ReplicaPtr& replica) {
+  core::Spawn(parts_.executor, parts_.log, "grant_check",
+              [this, replica] { return CheckGrant(replica); });
+}
+
+Task<> ReplicaWorker::CheckGrant(ReplicaPtr replica) {
+  std::optional<Error> failure;
+  try {
+    co_await TakeGrant(replica, parts_.clock.Now() + kGrantCheckTime);
+  } catch (const Error& e) {
+    failure = e;
+  }
+  {
+    const std::lock_guard lock(replica->mutex);
+    replica->working = false;
+    // The engine lost the model meanwhile: its grant is of no use.
+    if (replica->life.phase() == ReplicaPhase::kAbsent) HandBack(*replica);
+    // An outage says nothing of the limit: it is asked again later.
+    if (failure && (failure->code() == ErrorCode::kReplicaLimit ||
+                    failure->code() == ErrorCode::kUnknownModel)) {
+      replica->must_go = true;
+    }
+  }
+  parts_.table.changed().Notify();
+}
+
+/** @throws Error kOverMemory if room can't be made even by eviction: known
+ * before a grant is taken or anything is unloaded. */
+void ReplicaWorker::CheckRoom(const contract::Model& spec,
+                              const std::vector<core::ModelId>& evict) const {
+  const MemoryLedger memory = parts_.table.Memory();
+  std::int64_t possible = FreeBytes(memory);
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    const std::lock_guard lock(it->mutex);
+    const bool named = std::ranges::find(evict, it->model) != evict.end();
+    const ReplicaPhase phase = it->life.phase();
+    const bool going =
+        phase == ReplicaPhase::kDraining || phase == ReplicaPhase::kUnloading;
+    const bool idle = phase == ReplicaPhase::kReady && it->running == 0;
+    if (going || (named && idle)) possible += BytesOf(memory, it->model);
+  }
+  if (spec.weight_bytes + spec.kv_budget_bytes > possible) {
+    throw Error(ErrorCode::kOverMemory, spec.name.value(), kRoomRetryAfter);
+  }
+}
+
+/**
+ * Reserves memory, unloading idle adapters and the idle models of `evict` as
+ * far as needed.
+ * @throws Error kOverMemory
+ * @pre The caller holds the turn at the desk.
+ */
+Task<> ReplicaWorker::MakeRoom(MemoryHolder holder, std::int64_t bytes,
+                               std::vector<core::ModelId> evict) {
+  std::set<core::ModelId> tried;
+  while (!parts_.table.ReserveMemory(holder, bytes)) {
+    if (co_await EvictModel(evict, holder.model, tried)) continue;
+    if (co_await EvictAdapter()) continue;
+    throw Error(ErrorCode::kOverMemory, holder.model.value(), kRoomRetryAfter);
+  }
+}
+
+/** Unloads one idle model: one that has to go, or the longest idle of `evict`.
+ * @return False if there is none. */
+Task<bool> ReplicaWorker::EvictModel(std::vector<core::ModelId> evict,
+                                     core::ModelId keep,
+                                     std::set<core::ModelId>& tried) {
+  ReplicaPtr victim;
+  core::SteadyTime longest = core::SteadyTime::max();
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    if (it->model == keep || tried.contains(it->model)) continue;
+    const std::lock_guard lock(it->mutex);
+    const bool named = std::ranges::find(evict, it->model) != evict.end();
+    const ReplicaPhase phase = it->life.phase();
+    const bool may_go =
+        phase == ReplicaPhase::kDraining ||
+        (phase == ReplicaPhase::kReady && named && !it->working);
+    if (!may_go || it->running > 0 || it->idle_since >= longest) continue;
+    longest = it->idle_since;
+    victim = it;
+  }
+  if (!victim) co_return false;
+  tried.insert(victim->model);
+  {
+    const std::lock_guard lock(victim->mutex);
+    if (victim->running > 0) co_return true;
+    victim->life.Apply(ReplicaEvent::kDrainStarted);
+  }
+  co_await OrderUnload(victim);
+  co_return true;
+}
+
+}  // namespace sapphire::endpoint
--- /dev/null
+++ b/src/endpoint/replica_worker_base.h
@@ -0,0 +1,106 @@
+/** @file replica_worker_base.h Loads and unloads models and adapters. */
+#ifndef SAPPHIRE_ENDPOINT_REPLICA_WORKER_BASE_H_
+#define SAPPHIRE_ENDPOINT_REPLICA_WORKER_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "contract/config_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "endpoint/engine_follower_base.h"
+#include "endpoint/grant_ledger_base.h"
+#include "endpoint/metrics_base.h"
+#include "endpoint/order_desk_base.h"
+#include "endpoint/replica_table_base.h"
+
+namespace sapphire::endpoint {
+
+/** Why and how a model is to be loaded. */
+struct LoadWish {
+  core::SteadyTime deadline;
+  /** Idle models that may be unloaded to make room. */
+  std::vector<core::ModelId> evict;
+};
+
+/** Everything the endpoint's parts work on. All references outlive them. */
+struct EndpointParts {
+  core::Executor executor;
+  contract::ConfigHolder& config;
+  ReplicaTable& table;
+  EngineFollower& follower;
+  OrderDesk& desk;
+  GrantLedger& ledger;
+  const core::Clock& clock;
+  const core::Logger& log;
+  Metrics& metrics;
+};
+
+/**
+ * Carries a replica from absent to ready and back. The order of steps is what
+ * keeps the promises: grant, then memory, then the order; and backwards,
+ * confirmed unload, then memory, then grant.
+ */
+class ReplicaWorker {
+ public:
+  explicit ReplicaWorker(EndpointParts parts) : parts_(parts) {}
+
+  /** Loads in the background. @pre The caller set `working`. */
+  void StartLoad(const ReplicaPtr& replica, LoadWish wish);
+
+  /** Unloads in the background once nothing runs. @pre The caller set
+   * `working` and applied kDrainStarted. */
+  void StartUnload(const ReplicaPtr& replica);
+
+  /** Takes the grant of a replica that was found loaded; one that is over the
+   * limit has to go. @pre The caller set `working`. */
+  void StartGrantCheck(const ReplicaPtr& replica);
+
+  /**
+   * Has an adapter loaded beside its model and counts one more use of it, which
+   * keeps it from being evicted; the caller ends the use.
+   * @throws core::Error kOverMemory, kTimedOut, kLoadFailed, all "not run".
+   * @pre The caller holds a run slot of the replica, which keeps the model.
+   */
+  core::Task<> EnsureAdapter(ReplicaPtr replica, core::AdapterId adapter,
+                             core::SteadyTime deadline);
+
+  /** Books a replica as gone that the engine shows not to hold.
+   * @pre Its lock is held; phase kReady, kDraining or kUnloading. */
+  void NoteGone(Replica& replica);
+
+ private:
+  core::Task<> Load(ReplicaPtr replica, LoadWish wish);
+  core::Task<> LoadSteps(ReplicaPtr replica, LoadWish wish);
+  core::Task<> OrderLoad(ReplicaPtr replica, contract::Model spec,
+                         LoadWish wish);
+  core::Task<> TakeGrant(ReplicaPtr replica, core::SteadyTime deadline);
+  core::Task<> Unload(ReplicaPtr replica);
+  core::Task<bool> WaitUntilIdle(ReplicaPtr replica);
+  core::Task<bool> OrderUnload(ReplicaPtr replica);
+  core::Task<> CheckGrant(ReplicaPtr replica);
+  core::Task<> LoadAdapter(ReplicaPtr replica, contract::Adapter spec);
+  core::Task<> MakeRoom(MemoryHolder holder, std::int64_t bytes,
+                        std::vector<core::ModelId> evict);
+  core::Task<bool> EvictAdapter();
+  core::Task<bool> EvictModel(std::vector<core::ModelId> evict,
+                              core::ModelId keep,
+                              std::set<core::ModelId>& tried);
+  void CheckRoom(const contract::Model& spec,
+                 const std::vector<core::ModelId>& evict) const;
+  void HandBack(Replica& replica);
+  contract::Model SpecOf(const core::ModelId& model) const;
+  std::string_view TierOf(const core::ModelId& model) const;
+
+  EndpointParts parts_;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_REPLICA_WORKER_BASE_H_
--- /dev/null
+++ b/src/endpoint/runner_base.h
@@ -0,0 +1,75 @@
+/** @file runner_base.h Runs callers' requests at the engine. */
+#ifndef SAPPHIRE_ENDPOINT_RUNNER_BASE_H_
+#define SAPPHIRE_ENDPOINT_RUNNER_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "endpoint/admission_base.h"
+#include "endpoint/attempt_table_base.h"
+#include "endpoint/engine_follower_base.h"
+#include "endpoint/metrics_base.h"
+#include "gen/link_types.h"
+#include "link/link_base.h"
+#include "platform/engine_base.h"
+
+namespace sapphire::endpoint {
+
+/** Admits each request, sends it to the engine once and streams the answer
+ * back. */
+class Runner {
+ public:
+  /** @param follower Null beside a plain service.
+   * @pre All references outlive the runner. */
+  Runner(platform::Engine& engine, EngineFollower* follower,
+         Admission& admission, AttemptTable& attempts, const core::Clock& clock,
+         const core::Logger& log, Metrics& metrics);
+
+  /**
+   * Answers a Run call.
+   * @throws core::Error a refusal, or why the answer isn't whole.
+   */
+  core::Task<> Serve(std::shared_ptr<link::Call> call, gen::Run run);
+
+ private:
+  /** One request on its way. */
+  struct Trip {
+    std::shared_ptr<link::Call> call;
+    gen::Run run;
+    core::SteadyTime deadline;
+    /** The engine that the request was sent to. */
+    std::int64_t engine_incarnation = 0;
+    bool head_sent = false;
+    std::int64_t chunks = 0;
+    std::int64_t bytes = 0;
+    std::optional<core::Error> error;
+  };
+  using TripPtr = std::shared_ptr<Trip>;
+
+  core::Task<> Pump(TripPtr trip);
+  core::Task<> Forward(TripPtr trip);
+  core::Task<std::unique_ptr<http::ResponseStream>> OpenAtEngine(TripPtr trip);
+  core::Task<> Stream(TripPtr trip, http::ResponseStream& answer);
+  core::Task<> WatchCaller(TripPtr trip);
+  core::Task<core::Error> ExplainBreak(TripPtr trip, bool timed_out);
+  void LogEnd(const Trip& trip) const;
+  [[nodiscard]] std::chrono::milliseconds Left(const Trip& trip) const;
+
+  platform::Engine& engine_;
+  EngineFollower* const follower_;
+  Admission& admission_;
+  AttemptTable& attempts_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  Metrics& metrics_;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_RUNNER_BASE_H_
--- /dev/null
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -0,0 +1,166 @@
+/** @file sapphire_endpoint_main.cc The program beside one endpoint. */
+#include <fmt/format.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/address_func.h"
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/log_base.h"
+#include "core/settings_func.h"
+#include "core/task_func.h"
+#include "endpoint/counting_store_base.h"
+#include "endpoint/endpoint_base.h"
+#include "endpoint/endpoint_settings_base.h"
+#include "endpoint/metrics_base.h"
+#include "http/server_base.h"
+#include "platform/platform_func.h"
+
+namespace sapphire::endpoint {
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitUnfinished = 3;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+core::Task<> AnswerHttp(const http::Request& request,
+                        http::ResponseWriter& writer, const Endpoint& endpoint,
+                        Metrics& metrics) {
+  const auto path = http::PathOf(request.target);
+  if (path == "/metrics") {
+    co_await writer.Send(
+        http::MakeResponse(kOk, "text/plain; version=0.0.4",
+                           metrics.Text(endpoint.CurrentLevels())));
+  } else if (path == "/healthz") {
+    co_await writer.Send(http::MakeResponse(kOk, "text/plain", "ok\n"));
+  } else if (path == "/readyz") {
+    const bool ready = endpoint.Ready();
+    co_await writer.Send(http::MakeResponse(ready ? kOk : kUnavailable,
+                                            "text/plain",
+                                            ready ? "ready\n" : "not ready\n"));
+  } else {
+    co_await writer.Send(http::MakeResponse(kNotFound, "text/plain", ""));
+  }
+}
+
+/** The running process: leaves once, on a signal or an operator's drain. */
+class Process {
+ public:
+  Process(const core::Settings& settings, const core::Logger& log,
+          const core::Clock& clock)
+      : settings_(settings),
+        log_(log),
+        engine_(platform::MakeHttpEngine(settings.String("engine"),
+                                         settings.Millis("engine_timeout_ms"))),
+        store_(platform::MakeHttpKeyValueStore(
+            settings.String("kv"), settings.Millis("kv_timeout_ms"))),
+        counting_store_(*store_, metrics_),
+        endpoint_(context_.get_executor(), OptionsFrom(settings), *engine_,
+                  counting_store_, clock, log, metrics_),
+        signals_(context_, SIGTERM, SIGINT),
+        http_(
+            context_.get_executor(), settings.String("metrics_listen"), {},
+            [this](const http::Request& request, http::ResponseWriter& writer) {
+              return AnswerHttp(request, writer, endpoint_, metrics_);
+            },
+            log) {}
+
+  int Run() {
+    const std::string address = endpoint_.Start();
+    http_.Start();
+    WritePorts(address);
+    log_.Event(core::LogLevel::kInfo, core::LogCategory::kProcess, "started",
+               {{"link", address}, {"http", http_.address()}});
+    signals_.async_wait([this](const auto& ec, int /*signal*/) {
+      if (!ec) StartLeaving();
+    });
+    core::Spawn(context_.get_executor(), log_, "wait_for_drain",
+                [this] { return LeaveOnDrain(); });
+    RunThreads();
+    return exit_code_;
+  }
+
+ private:
+  void WritePorts(const std::string& address) {
+    const std::string& path = settings_.String("port_file");
+    if (path.empty()) return;
+    core::WriteFileAtomically(
+        path, fmt::format("link={}\nhttp={}\n", address, http_.address()));
+  }
+
+  core::Task<> LeaveOnDrain() {
+    co_await endpoint_.WaitForDrain();
+    StartLeaving();
+  }
+
+  void StartLeaving() {
+    if (leaving_.exchange(true)) return;
+    core::Spawn(context_.get_executor(), log_, "leave",
+                [this] { return Leave(); });
+  }
+
+  core::Task<> Leave() {
+    const bool whole = co_await endpoint_.Leave();
+    exit_code_ = whole ? 0 : kExitUnfinished;
+    endpoint_.Close();
+    context_.stop();
+  }
+
+  void RunThreads() {
+    std::vector<std::jthread> threads;
+    const auto n = settings_.Integer("threads");
+    for (std::int64_t i = 1; i < n; ++i) {
+      threads.emplace_back([this] { context_.run(); });
+    }
+    context_.run();
+  }
+
+  const core::Settings& settings_;
+  const core::Logger& log_;
+  boost::asio::io_context context_;
+  Metrics metrics_;
+  std::unique_ptr<platform::Engine> engine_;
+  std::unique_ptr<platform::KeyValueStore> store_;
+  CountingStore counting_store_;
+  Endpoint endpoint_;
+  boost::asio::signal_set signals_;
+  http::Server http_;
+  std::atomic<bool> leaving_ = false;
+  std::atomic<int> exit_code_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  const core::CommandLine line = core::ParseCommandLine(
+      argc, argv, "The process beside one endpoint", SettingsTable());
+  if (line.exit_code) return *line.exit_code;
+  const core::Settings& settings = *line.settings;
+  try {
+    const core::SystemClock clock;
+    const core::Logger log({"endpoint", core::VmId(settings.String("vm")),
+                            core::ZoneId(settings.String("zone"))},
+                           core::LogLevelNamed(settings.String("log_level")),
+                           clock);
+    return Process(settings, log, clock).Run();
+  } catch (const core::Error& e) {
+    fmt::print(stderr, "{}\n", e.what());
+    return kExitBadSettings;
+  }
+}
+
+}  // namespace
+
+}  // namespace sapphire::endpoint
+
+int main(int argc, char** argv) { return sapphire::endpoint::Main(argc, argv); }
