--- a/src/core/task.cc
+++ b/src/core/task.cc
@@ -1,6 +1,7 @@
 /** @file task.cc Sleeping and spawning in coroutines. */
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -36,9 +37,14 @@
 
 void Spawn(const Executor& executor, const Logger& log, std::string_view name,
            std::function<Task<>()> task) {
-  asio::co_spawn(asio::make_strand(executor),
-                 RunLogged(log, std::string(name), std::move(task)),
-                 asio::detached);
+  // Posted, as co_spawn may run the first step inline: under a lock that the
+  // caller holds.
+  const auto strand = asio::make_strand(executor);
+  asio::post(strand, [strand, &log, name = std::string(name),
+                      task = std::move(task)]() mutable {
+    asio::co_spawn(strand, RunLogged(log, std::move(name), std::move(task)),
+                   asio::detached);
+  });
 }
 
 }  // namespace sapphire::core
--- a/src/core/task_func.h
+++ b/src/core/task_func.h
@@ -14,8 +14,9 @@
 Task<> SleepFor(std::chrono::milliseconds duration);
 
 /**
- * Runs a coroutine on a strand of its own. What it throws is logged as event
- * `task_failed` with the task's name; it never ends the process.
+ * Runs a coroutine on a strand of its own, never before returning. What it
+ * throws is logged as event `task_failed` with the task's name; it never ends
+ * the process.
  */
 void Spawn(const Executor& executor, const Logger& log, std::string_view name,
            std::function<Task<>()> task);
--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -18,11 +18,11 @@
 #include "core/log_base.h"
 #include "core/settings_func.h"
 #include "core/task_func.h"
-#include "endpoint/counting_store_base.h"
 #include "endpoint/endpoint_base.h"
 #include "endpoint/endpoint_settings_base.h"
 #include "endpoint/metrics_base.h"
 #include "http/server_base.h"
+#include "platform/counting_store_base.h"
 #include "platform/platform_func.h"
 
 namespace sapphire::endpoint {
@@ -66,7 +66,11 @@
                                          settings.Millis("engine_timeout_ms"))),
         store_(platform::MakeHttpKeyValueStore(
             settings.String("kv"), settings.Millis("kv_timeout_ms"))),
-        counting_store_(*store_, metrics_),
+        counting_store_(
+            *store_,
+            [this](std::string_view kind, std::string_view outcome) {
+              metrics_.KeyValueCall(kind, outcome);
+            }),
         endpoint_(context_.get_executor(), OptionsFrom(settings), *engine_,
                   counting_store_, clock, log, metrics_),
         signals_(context_, SIGTERM, SIGINT),
@@ -133,7 +137,7 @@
   Metrics metrics_;
   std::unique_ptr<platform::Engine> engine_;
   std::unique_ptr<platform::KeyValueStore> store_;
-  CountingStore counting_store_;
+  platform::CountingStore counting_store_;
   Endpoint endpoint_;
   boost::asio::signal_set signals_;
   http::Server http_;
--- /dev/null
+++ b/src/entry/attempt.cc
@@ -0,0 +1,149 @@
+/** @file attempt.cc One dispatch of a request over a link. */
+#include <algorithm>
+#include <utility>
+
+#include "core/task_func.h"
+#include "entry/attempt_func.h"
+#include "http/http_type.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kVoidTimeout{1000};
+constexpr milliseconds kVoidPause{100};
+
+/** Checks that the parts of an answer are all there, in order. */
+class WholenessCheck {
+ public:
+  void Add(const gen::Chunk& chunk) {
+    if (chunk.sequence != totals_.chunks) Fail("a part of it is missing");
+    totals_.chunks += 1;
+    totals_.bytes += static_cast<std::int64_t>(chunk.data.size());
+  }
+
+  void End(const gen::RunEnd& end) const {
+    const bool whole =
+        end.chunks == totals_.chunks && end.bytes == totals_.bytes;
+    if (!whole) Fail("its totals don't match");
+  }
+
+ private:
+  [[noreturn]] static void Fail(const std::string& why) {
+    throw Error(ErrorCode::kAnswerCut, why);
+  }
+
+  gen::RunEnd totals_;
+};
+
+/** Passes the answer on until its end.
+ * @throws core::Error, http::TransportError */
+Task<> Relay(link::Call& call, core::SteadyTime deadline, AnswerSink& sink,
+             const core::Clock& clock) {
+  WholenessCheck check;
+  while (true) {
+    gen::Message message = co_await call.Receive(Remaining(clock, deadline));
+    if (message.__isset.run_head) {
+      co_await sink.Head(std::move(message.run_head));
+    } else if (message.__isset.chunk) {
+      check.Add(message.chunk);
+      co_await sink.Part(std::move(message.chunk.data));
+    } else if (message.__isset.run_end) {
+      check.End(message.run_end);
+      co_await sink.End();
+      co_return;
+    } else {
+      throw Error(ErrorCode::kInternal,
+                  "unexpected " + link::KindOf(message) + " in an answer");
+    }
+  }
+}
+
+AttemptResult Failed(const Error& error, std::int64_t incarnation) {
+  if (error.outcome() == core::Outcome::kNotRun) {
+    return {AttemptEnd::kNotStarted, error, incarnation};
+  }
+  const bool crashed = error.code() == ErrorCode::kEngineCrashed;
+  return {crashed ? AttemptEnd::kCrashed : AttemptEnd::kUnknown, error,
+          incarnation};
+}
+
+/** @return The open call, or nothing if the other side can't be reached; then
+ * not a byte of the request was sent. */
+Task<std::shared_ptr<link::Call>> TryOpen(link::LinkNode& links,
+                                          std::string address,
+                                          gen::Message first) {
+  try {
+    co_return co_await links.Open(address, std::move(first));
+  } catch (const Error&) {
+    co_return nullptr;
+  }
+}
+
+Task<std::optional<gen::AttemptState>> AskState(link::LinkNode& links,
+                                                std::string address,
+                                                std::string attempt_id) {
+  gen::VoidAttempt request;
+  request.attempt_id = std::move(attempt_id);
+  gen::Message message;
+  message.__set_void_attempt(request);
+  try {
+    const auto call = co_await links.Open(address, std::move(message));
+    const gen::Message answer = co_await call->Receive(kVoidTimeout);
+    if (answer.__isset.attempt_state) co_return answer.attempt_state;
+  } catch (const Error&) {
+    // No answer: asked again until the deadline.
+  }
+  co_return std::nullopt;
+}
+
+}  // namespace
+
+milliseconds Remaining(const core::Clock& clock, core::SteadyTime deadline) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline - clock.Now());
+  return std::max(left, milliseconds::zero());
+}
+
+Task<AttemptResult> RunAttempt(link::LinkNode& links, std::string address,
+                               gen::Run run, core::SteadyTime deadline,
+                               AnswerSink& sink, const core::Clock& clock) {
+  run.remaining_ms = Remaining(clock, deadline).count();
+  gen::Message first;
+  first.__set_run(run);
+  const auto call = co_await TryOpen(links, address, std::move(first));
+  if (!call) {
+    const Error error(ErrorCode::kNoEndpoint, address + " can't be reached");
+    co_return AttemptResult{AttemptEnd::kNotStarted, error, 0};
+  }
+  const std::int64_t incarnation = call->peer().incarnation;
+  try {
+    co_await Relay(*call, deadline, sink, clock);
+  } catch (const Error& e) {
+    co_return Failed(e, incarnation);
+  } catch (const http::TransportError& e) {
+    const Error error(ErrorCode::kCancelled, e.what());
+    co_return AttemptResult{AttemptEnd::kSinkGone, error, incarnation};
+  }
+  co_return AttemptResult{AttemptEnd::kCompleted, std::nullopt, incarnation};
+}
+
+Task<bool> VoidAttempt(link::LinkNode& links, std::string address,
+                       std::string attempt_id, std::int64_t incarnation,
+                       core::SteadyTime deadline, const core::Clock& clock) {
+  while (Remaining(clock, deadline) > milliseconds::zero()) {
+    const auto state = co_await AskState(links, address, attempt_id);
+    if (state) {
+      co_return !state->started && state->incarnation == incarnation;
+    }
+    co_await core::SleepFor(kVoidPause);
+  }
+  co_return false;
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/claim_store.cc
@@ -0,0 +1,157 @@
+/** @file claim_store.cc Claims in the key-value service. */
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "entry/claim_func.h"
+#include "entry/claim_store_base.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryAfter{2000};
+
+bool IsPlatformFault(const Error& error) {
+  return error.code() == ErrorCode::kPlatformUnavailable ||
+         error.code() == ErrorCode::kPlatformUnknownOutcome;
+}
+
+}  // namespace
+
+ClaimStore::ClaimStore(const core::Executor& executor,
+                       ClaimStoreOptions options,
+                       platform::KeyValueStore& store, const core::Clock& clock,
+                       const core::Logger& log)
+    : executor_(executor),
+      options_(options),
+      store_(store),
+      clock_(clock),
+      log_(log) {}
+
+Task<AcquireResult> ClaimStore::Acquire(std::string key, Claim claim,
+                                        core::SteadyTime deadline) {
+  const auto end = std::min(deadline, clock_.Now() + options_.patience);
+  bool may_stand = false;
+  while (true) {
+    std::optional<Error> failure;
+    try {
+      co_return co_await TryAcquire(key, claim);
+    } catch (const Error& e) {
+      failure = e;
+    }
+    if (!IsPlatformFault(*failure)) throw Error(*failure);
+    // A write whose answer was lost may stand, or may land later. Trying again
+    // with the same attempt settles both: the key has one first writer.
+    if (failure->code() == ErrorCode::kPlatformUnknownOutcome) may_stand = true;
+    if (clock_.Now() + options_.retry_pause >= end) break;
+    co_await core::SleepFor(options_.retry_pause);
+  }
+  if (may_stand) {
+    // It will never be dispatched. Left as it is, the caller's resend would be
+    // told "outcome unknown" for a request that certainly did not run.
+    claim.state = ClaimState::kVoid;
+    co_await Settle(std::move(key), std::move(claim));
+  }
+  throw Error(ErrorCode::kPlatformUnavailable,
+              "the key-value service did not take the claim", kRetryAfter);
+}
+
+Task<AcquireResult> ClaimStore::TryAcquire(std::string key, Claim claim) {
+  const std::string value = EncodeClaim(claim);
+  std::int64_t expected = 0;
+  while (true) {
+    const platform::CasResult result =
+        co_await store_.CompareAndSwap(key, expected, value, "");
+    if (result.swapped) co_return AcquireResult{true, claim, result.revision};
+    if (!result.current) {
+      expected = 0;
+      continue;
+    }
+    const Claim standing = DecodeClaim(result.current->value);
+    const std::int64_t revision = result.current->revision;
+    if (standing.attempt == claim.attempt) {
+      co_return AcquireResult{true, standing, revision};
+    }
+    if (!IsVoid(standing)) {
+      co_return AcquireResult{false, standing, revision};
+    }
+    expected = revision;
+  }
+}
+
+bool ClaimStore::IsVoid(const Claim& claim) const {
+  if (claim.state == ClaimState::kVoid) return true;
+  const std::lock_guard lock(voided_mutex_);
+  return voided_.contains(claim.attempt);
+}
+
+void ClaimStore::NoteVoided(const core::AttemptId& attempt) {
+  const std::lock_guard lock(voided_mutex_);
+  voided_.insert(attempt);
+}
+
+Task<> ClaimStore::Settle(std::string key, Claim claim) {
+  if (claim.state == ClaimState::kVoid) NoteVoided(claim.attempt);
+  std::string value = EncodeClaim(claim);
+  if (value.size() > options_.max_value_bytes) {
+    claim.answer.reset();
+    value = EncodeClaim(claim);
+  }
+  if (co_await TrySettleOnce(key, value, claim)) co_return;
+  core::Spawn(
+      executor_, log_, "settle_claim",
+      [this, key = std::move(key), value = std::move(value),
+       claim = std::move(claim)] { return SettleLoop(key, value, claim); });
+}
+
+Task<> ClaimStore::SettleLoop(std::string key, std::string value, Claim claim) {
+  const auto end = clock_.Now() + options_.settle_limit;
+  while (clock_.Now() < end) {
+    co_await core::SleepFor(options_.retry_pause);
+    if (co_await TrySettleOnce(key, value, claim)) co_return;
+  }
+  log_.Event(core::LogLevel::kWarning, core::LogCategory::kPlatform,
+             "claim_not_settled", {{"key", key}});
+}
+
+Task<bool> ClaimStore::TrySettleOnce(std::string key, std::string value,
+                                     Claim claim) {
+  bool settled = false;
+  try {
+    settled = co_await TrySettle(key, value, claim);
+  } catch (const Error& e) {
+    log_.Event(core::LogLevel::kDebug, core::LogCategory::kPlatform,
+               "settle_retry", {{"key", key}, {"error", e.what()}});
+  }
+  if (settled) {
+    const std::lock_guard lock(voided_mutex_);
+    voided_.erase(claim.attempt);
+  }
+  co_return settled;
+}
+
+/** @return True once the key shows this claim's end, or another's claim. */
+Task<bool> ClaimStore::TrySettle(std::string key, std::string value,
+                                 Claim claim) {
+  const auto entry = co_await store_.Get(key);
+  if (!entry) {
+    // Nothing stands yet, but our lost write may still land. A void claim in
+    // its place makes it fail: it expects the key to be absent.
+    if (claim.state != ClaimState::kVoid) co_return true;
+    co_return (co_await store_.CompareAndSwap(key, 0, value, "")).swapped;
+  }
+  const Claim standing = DecodeClaim(entry->value);
+  if (standing.attempt != claim.attempt) co_return true;
+  if (standing.state == claim.state) co_return true;
+  const auto result =
+      co_await store_.CompareAndSwap(key, entry->revision, value, "");
+  co_return result.swapped;
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/dispatcher.cc
@@ -0,0 +1,98 @@
+/** @file dispatcher.cc Runs idempotent requests, again where that helps. */
+#include <utility>
+
+#include "core/random_func.h"
+#include "entry/attempt_func.h"
+#include "entry/dispatcher_base.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+
+namespace {
+
+constexpr int kMaxAttempts = 6;
+
+gen::RunResult::type ResultOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kCompleted:
+      return gen::RunResult::COMPLETED;
+    case AttemptEnd::kNotStarted:
+      return gen::RunResult::NOT_STARTED;
+    case AttemptEnd::kCrashed:
+      return gen::RunResult::ENGINE_CRASHED;
+    case AttemptEnd::kUnknown:
+    case AttemptEnd::kSinkGone:
+      return gen::RunResult::ABANDONED;
+  }
+  return gen::RunResult::ABANDONED;
+}
+
+bool MayTryAgain(const AttemptResult& result) {
+  if (result.end == AttemptEnd::kSinkGone) return false;
+  return result.error->code() != ErrorCode::kTimedOut;
+}
+
+/** @return The error with the outcome that all attempts together allow: once
+ * one of them may have run, "not run" can't be said any more. */
+Error WithHistory(const Error& error, bool may_have_run) {
+  return may_have_run ? error.WithOutcome(core::Outcome::kUnknown) : error;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(Placer& placer, link::LinkNode& links,
+                       const core::Clock& clock, const core::Logger& log)
+    : placer_(placer), links_(links), clock_(clock), log_(log) {}
+
+Task<> Dispatcher::Run(gen::Run run, core::SteadyTime deadline,
+                       AnswerSink& sink) {
+  {
+    const std::lock_guard lock(budget_mutex_);
+    policy::RecordFirstTry(budget_);
+  }
+  std::set<core::EndpointId> avoid;
+  bool may_have_run = false;
+  for (int attempt = 1;; ++attempt) {
+    std::unique_ptr<Placement> place;
+    std::optional<Error> refused;
+    try {
+      place = co_await placer_.Place(run, avoid, deadline);
+    } catch (const Error& e) {
+      refused = e;
+    }
+    if (refused) throw WithHistory(*refused, may_have_run);
+    const gen::Placed placed = place->placed();
+    run.attempt_id = core::RandomHexId();
+    run.keep_alive_ms = placed.keep_alive_ms;
+    const AttemptResult result = co_await RunAttempt(
+        links_, placed.address, run, deadline, sink, clock_);
+    place->Done(ResultOf(result.end));
+    if (result.end == AttemptEnd::kCompleted) co_return;
+    if (result.end != AttemptEnd::kNotStarted) may_have_run = true;
+    log_.Event(core::LogLevel::kInfo, core::LogCategory::kRequest,
+               "attempt_failed",
+               {{"request", run.request_id},
+                {"endpoint", placed.endpoint},
+                {"attempt", attempt},
+                {"error", result.error->what()}});
+    // What the receiver has seen can't be unsent: it gets an explicit error.
+    if (sink.started() || attempt == kMaxAttempts || !MayTryAgain(result) ||
+        !TakeRetryToken()) {
+      throw WithHistory(*result.error, may_have_run);
+    }
+    sink.Reset();
+    avoid.insert(core::EndpointId(placed.endpoint));
+  }
+}
+
+/** Guard against retries that bury a failing fleet: they are a fraction of
+ * the first tries, over all requests of this entry. */
+bool Dispatcher::TakeRetryToken() {
+  const std::lock_guard lock(budget_mutex_);
+  return policy::TakeRetry(budget_);
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,198 @@
+/** @file entry.cc All parts of one entry process. */
+#include <utility>
+
+#include "core/task_func.h"
+#include "entry/attempt_func.h"
+#include "entry/entry_base.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using core::Task;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kDrainPoll{20};
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
+
+/** Counts a scope in an atomic. */
+class Counted {
+ public:
+  explicit Counted(std::atomic<int>& count) : count_(count) { ++count_; }
+  ~Counted() { --count_; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+ private:
+  std::atomic<int>& count_;
+};
+
+AdminOptions AdminOptionsOf(const EntryOptions& options) {
+  AdminOptions admin;
+  admin.self = options.vm;
+  admin.zone = options.zone;
+  return admin;
+}
+
+GatewayParts PartsOf(contract::ConfigHolder& config, Directory& directory,
+                     Placer& placer, Dispatcher& dispatcher, OnceRunner& once,
+                     link::LinkNode& links, Metrics& metrics,
+                     const core::Clock& clock, const core::Logger& log) {
+  return {config, directory, placer, dispatcher, once,
+          links,  metrics,   clock,  log};
+}
+
+}  // namespace
+
+Entry::Entry(const core::Executor& executor, const EntryOptions& options,
+             platform::KeyValueStore& store, platform::VmList& vm_list,
+             const core::Clock& clock, const core::Logger& log,
+             Metrics& metrics)
+    : options_(options),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      config_parts_(config_),
+      puller_(executor, config_, config_parts_, log),
+      links_(
+          executor, options.links,
+          [this](std::shared_ptr<link::Call> call, gen::Message first) {
+            return AnswerCall(std::move(call), std::move(first));
+          },
+          puller_.Hooks(), clock, log),
+      directory_(executor, {options.vm, options.vm_list_interval}, vm_list,
+                 links_, clock, log),
+      config_watch_(executor, {}, store, config_parts_, clock, log),
+      config_store_({}, store, config_, config_parts_, clock, log),
+      home_(executor, options.home, config_, directory_, links_, store, clock,
+            log),
+      placer_(executor, options.vm, directory_, home_, links_, clock, log),
+      dispatcher_(placer_, links_, clock, log),
+      claims_(executor, options.claims, store, clock, log),
+      once_(executor, {options.vm, options.keep_ended, milliseconds(2000)},
+            claims_, placer_, links_, clock, log),
+      gateway_(options.vm, options.callers,
+               PartsOf(config_, directory_, placer_, dispatcher_, once_, links_,
+                       metrics, clock, log)),
+      admin_(AdminOptionsOf(options), config_, config_store_, directory_,
+             links_, clock, log),
+      http_(
+          executor, options.listen_address, options.http,
+          [this](const http::Request& request, http::ResponseWriter& writer) {
+            return AnswerHttp(request, writer);
+          },
+          log) {
+  config_.OnChange([this](const contract::Config& config) {
+    log_.Event(LogLevel::kInfo, LogCategory::kConfig, "config_in_force",
+               {{"version", config.version}, {"plan", config.plan}});
+    links_.AnnounceVersion();
+  });
+}
+
+void Entry::Start() {
+  link_address_ = links_.Listen(options_.link_listen_address);
+  directory_.Start();
+  config_watch_.Start();
+  http_.Start();
+}
+
+bool Entry::Ready() const { return !leaving_ && config_.version() > 0; }
+
+Levels Entry::CurrentLevels() const {
+  Levels levels;
+  levels.config_version = config_.version();
+  levels.requests_in_progress = http_.in_progress();
+  levels.once_runs_in_progress = once_.in_progress();
+  for (const KnownEndpoint& endpoint : directory_.Endpoints()) {
+    levels.endpoints_connected += endpoint.connected ? 1 : 0;
+  }
+  levels.entries_live = static_cast<int>(directory_.Entries().size());
+  levels.leaving = leaving_;
+  levels.home = home_.stats();
+  levels.links = links_.counters();
+  return levels;
+}
+
+Task<> Entry::AnswerHttp(const http::Request& request,
+                         http::ResponseWriter& writer) {
+  const std::string path(http::PathOf(request.target));
+  if (Admin::Owns(request.target)) {
+    co_await admin_.Handle(request, writer);
+  } else if (path == "/metrics" || path == "/healthz" || path == "/readyz") {
+    co_await AnswerPlainPath(path, writer);
+  } else {
+    co_await gateway_.Handle(request, writer);
+  }
+}
+
+Task<> Entry::AnswerPlainPath(std::string path, http::ResponseWriter& writer) {
+  http::Response response;
+  if (path == "/metrics") {
+    response =
+        http::MakeResponse(kOk, kMetricsType, metrics_.Text(CurrentLevels()));
+  } else if (path == "/readyz" && !Ready()) {
+    response = http::MakeResponse(kUnavailable, "text/plain", "not ready\n");
+  } else {
+    response = http::MakeResponse(kOk, "text/plain", "ok\n");
+  }
+  co_await writer.Send(std::move(response));
+}
+
+Task<> Entry::AnswerCall(std::shared_ptr<link::Call> call, gen::Message first) {
+  if (first.__isset.place) {
+    const Counted counted(home_calls_);
+    co_await home_.Serve(std::move(call), std::move(first.place));
+  } else if (first.__isset.run) {
+    const Counted counted(home_calls_);
+    co_await AnswerRun(std::move(call), std::move(first.run));
+  } else if (first.__isset.config_pull) {
+    co_await puller_.Serve(std::move(call), std::move(first.config_pull));
+  } else {
+    throw Error(ErrorCode::kMalformedRequest,
+                "an entry does not serve " + link::KindOf(first));
+  }
+}
+
+Task<> Entry::AnswerRun(std::shared_ptr<link::Call> call, gen::Run run) {
+  if (!run.non_idempotent) {
+    throw Error(ErrorCode::kMalformedRequest,
+                "an entry runs only non-idempotent requests for others");
+  }
+  const auto deadline = clock_.Now() + milliseconds(run.remaining_ms);
+  CallSink sink(call);
+  co_await once_.Run(std::move(run), deadline, sink);
+}
+
+bool Entry::Idle() const {
+  return http_.in_progress() == 0 && home_calls_ == 0 &&
+         once_.in_progress() == 0;
+}
+
+Task<bool> Entry::Leave() {
+  leaving_ = true;
+  directory_.NoteSelfLeaving();
+  log_.Event(LogLevel::kInfo, LogCategory::kProcess, "leaving");
+  co_await core::SleepFor(options_.lame_duck);
+  http_.StopAccepting();
+  links_.StopAccepting();
+  const auto limit = clock_.Now() + options_.drain_limit;
+  while (!Idle() && clock_.Now() < limit) {
+    co_await core::SleepFor(kDrainPoll);
+  }
+  directory_.Stop();
+  config_watch_.Stop();
+  const bool whole = Idle();
+  log_.Event(LogLevel::kInfo, LogCategory::kProcess, "left",
+             {{"whole", whole}});
+  co_return whole;
+}
+
+void Entry::Close() { links_.Close(); }
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/entry_base.h
@@ -0,0 +1,113 @@
+/** @file entry_base.h All parts of one entry process. */
+#ifndef SAPPHIRE_ENTRY_ENTRY_BASE_H_
+#define SAPPHIRE_ENTRY_ENTRY_BASE_H_
+
+#include <atomic>
+#include <chrono>
+#include <string>
+
+#include "contract/config_base.h"
+#include "contract/config_pull_base.h"
+#include "contract/part_cache_base.h"
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/admin_base.h"
+#include "entry/claim_store_base.h"
+#include "entry/config_store_base.h"
+#include "entry/config_watch_base.h"
+#include "entry/directory_base.h"
+#include "entry/dispatcher_base.h"
+#include "entry/gateway_base.h"
+#include "entry/home_base.h"
+#include "entry/metrics_base.h"
+#include "entry/once_runner_base.h"
+#include "entry/placer_base.h"
+#include "http/server_base.h"
+#include "link/link_base.h"
+#include "platform/key_value_base.h"
+#include "platform/vm_list_base.h"
+
+namespace sapphire::entry {
+
+struct EntryOptions {
+  core::VmId vm;
+  core::ZoneId zone;
+  std::string listen_address;
+  std::string link_listen_address;
+  link::LinkOptions links;
+  http::ServerLimits http;
+  CallerLimits callers;
+  HomeOptions home;
+  ClaimStoreOptions claims;
+  std::chrono::milliseconds keep_ended{60'000};
+  std::chrono::milliseconds vm_list_interval{1000};
+  std::chrono::milliseconds lame_duck{2000};
+  std::chrono::milliseconds drain_limit{60'000};
+};
+
+/** Wires the parts of an entry and answers its HTTP and link calls. */
+class Entry {
+ public:
+  /** @pre All references outlive the entry. */
+  Entry(const core::Executor& executor, const EntryOptions& options,
+        platform::KeyValueStore& store, platform::VmList& vm_list,
+        const core::Clock& clock, const core::Logger& log, Metrics& metrics);
+
+  /** Listens and begins to serve. @throws core::Error kBadSettings. */
+  void Start();
+
+  [[nodiscard]] std::string http_address() const { return http_.address(); }
+  [[nodiscard]] const std::string& link_address() const {
+    return link_address_;
+  }
+
+  /**
+   * Leaves: stops being ready, serves on while the balancer still sends, then
+   * takes nothing new and waits for what is in progress.
+   * @return True if all of that ended within the drain limit.
+   * @pre The calling coroutine runs on a strand.
+   */
+  core::Task<bool> Leave();
+
+  /** Closes the links. */
+  void Close();
+
+ private:
+  core::Task<> AnswerHttp(const http::Request& request,
+                          http::ResponseWriter& writer);
+  core::Task<> AnswerPlainPath(std::string path, http::ResponseWriter& writer);
+  core::Task<> AnswerCall(std::shared_ptr<link::Call> call, gen::Message first);
+  core::Task<> AnswerRun(std::shared_ptr<link::Call> call, gen::Run run);
+  [[nodiscard]] bool Ready() const;
+  [[nodiscard]] Levels CurrentLevels() const;
+  [[nodiscard]] bool Idle() const;
+
+  const EntryOptions options_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  Metrics& metrics_;
+  contract::ConfigHolder config_;
+  contract::PartCache config_parts_;
+  contract::ConfigPuller puller_;
+  link::LinkNode links_;
+  Directory directory_;
+  ConfigWatch config_watch_;
+  ConfigStore config_store_;
+  Home home_;
+  Placer placer_;
+  Dispatcher dispatcher_;
+  ClaimStore claims_;
+  OnceRunner once_;
+  Gateway gateway_;
+  Admin admin_;
+  http::Server http_;
+  std::string link_address_;
+  std::atomic<bool> leaving_{false};
+  /** Calls of other entries that this one serves as their home. */
+  std::atomic<int> home_calls_{0};
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_ENTRY_BASE_H_
--- /dev/null
+++ b/src/entry/gateway.cc
@@ -0,0 +1,147 @@
+/** @file gateway.cc Callers' HTTP interface. */
+#include <boost/json.hpp>
+#include <utility>
+
+#include "entry/attempt_func.h"
+#include "entry/caller_request_func.h"
+#include "entry/claim_func.h"
+#include "entry/gateway_base.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr std::chrono::milliseconds kRetryAfter{1000};
+
+/** Tells a caller whose stream has begun why it ends here: without this event
+ * and without the final [DONE] it can't be taken for whole. */
+Task<> SendErrorEvent(http::ResponseWriter& writer, const Error& error,
+                      const std::string& request_id) {
+  std::string event = "data: {\"error\":";
+  event += core::ProblemJson(error, request_id);
+  event += "}\n\n";
+  try {
+    co_await writer.Write(event);
+  } catch (const http::TransportError&) {
+    // The caller has left; there is nobody to tell.
+  }
+}
+
+/** @return True if another entry may take the home role where this one can't.
+ */
+bool HomeIsAtFault(const AttemptResult& result) {
+  const ErrorCode code = result.error->code();
+  return code == ErrorCode::kNoEndpoint && result.incarnation == 0
+             ? true
+             : code == ErrorCode::kLinkLost || code == ErrorCode::kLeaving;
+}
+
+}  // namespace
+
+Gateway::Gateway(core::VmId self, CallerLimits limits, GatewayParts parts)
+    : self_(std::move(self)), limits_(limits), parts_(parts) {}
+
+Task<> Gateway::Handle(const http::Request& request,
+                       http::ResponseWriter& writer) {
+  const auto config = parts_.config.Current();
+  if (!config) {
+    throw Error(ErrorCode::kNotConfigured, "no plan was confirmed yet",
+                kRetryAfter);
+  }
+  if (http::PathOf(request.target) == "/v1/models") {
+    co_await writer.Send(http::MakeResponse(kOk, "application/json",
+                                            ModelsJson(config->intent)));
+    co_return;
+  }
+  co_await RunCaller(ReadCallerRequest(request, config->intent, limits_),
+                     writer);
+}
+
+Task<> Gateway::RunCaller(CallerRequest request, http::ResponseWriter& writer) {
+  const core::SteadyTime arrived = parts_.clock.Now();
+  const core::SteadyTime deadline = arrived + request.timeout;
+  HttpSink sink(writer, request.id.value(), request.stream);
+  std::optional<Error> failure;
+  try {
+    if (request.non_idempotent) {
+      co_await RunAtHome(ToRun(request), deadline, sink);
+    } else {
+      co_await parts_.dispatcher.Run(ToRun(request), deadline, sink);
+    }
+  } catch (const Error& e) {
+    failure = e;
+  }
+  Note(request, arrived, failure ? &*failure : nullptr);
+  if (!failure) co_return;
+  if (writer.started() && request.stream) {
+    co_await SendErrorEvent(writer, *failure, request.id.value());
+  }
+  throw Error(*failure);
+}
+
+/** Runs a non-idempotent request at its home; at the next one if that can't be
+ * reached. Two homes at once are harmless: the claim has one first writer. */
+Task<> Gateway::RunAtHome(gen::Run run, core::SteadyTime deadline,
+                          AnswerSink& sink) {
+  bool may_have_run = false;
+  for (const KnownEntry& home : parts_.placer.Homes(ClaimKey(run))) {
+    const AttemptResult result =
+        co_await RunAtHomeEntry(home, run, deadline, sink);
+    if (result.end == AttemptEnd::kCompleted) co_return;
+    if (result.end != AttemptEnd::kNotStarted) may_have_run = true;
+    // A home that was lost may have dispatched; what a later one knows of its
+    // own part does not undo that.
+    const Error error = may_have_run
+                            ? result.error->WithOutcome(core::Outcome::kUnknown)
+                            : *result.error;
+    if (sink.started() || !HomeIsAtFault(result)) throw Error(error);
+    parts_.directory.NoteUnreachable(home.vm);
+    sink.Reset();
+  }
+  const Error none(ErrorCode::kNoEndpoint, "no home entry could be asked",
+                   kRetryAfter);
+  throw may_have_run ? none.WithOutcome(core::Outcome::kUnknown) : none;
+}
+
+Task<AttemptResult> Gateway::RunAtHomeEntry(KnownEntry home, gen::Run run,
+                                            core::SteadyTime deadline,
+                                            AnswerSink& sink) {
+  if (home.vm != self_) {
+    co_return co_await RunAttempt(parts_.links, home.address, std::move(run),
+                                  deadline, sink, parts_.clock);
+  }
+  try {
+    co_await parts_.once.Run(std::move(run), deadline, sink);
+  } catch (const Error& e) {
+    const bool not_run = e.outcome() == core::Outcome::kNotRun;
+    co_return AttemptResult{
+        not_run ? AttemptEnd::kNotStarted : AttemptEnd::kUnknown, e, 1};
+  }
+  co_return AttemptResult{AttemptEnd::kCompleted, std::nullopt, 1};
+}
+
+void Gateway::Note(const CallerRequest& request, core::SteadyTime arrived,
+                   const Error* error) {
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      parts_.clock.Now() - arrived);
+  parts_.metrics.RequestEnded(
+      error == nullptr ? "ok" : core::InfoOf(error->code()).name, took);
+  const bool not_run =
+      error != nullptr && error->outcome() == core::Outcome::kNotRun;
+  parts_.log.Event(
+      core::LogLevel::kInfo, core::LogCategory::kRequest, "request_ended",
+      {{"request", request.id},
+       {"service", request.service},
+       {"model", request.model},
+       {"result", error == nullptr ? "ok" : core::InfoOf(error->code()).name},
+       {"not_run", not_run},
+       {"took_ms", took},
+       {"detail", error == nullptr ? "" : error->detail()}});
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/metrics_base.h
@@ -0,0 +1,54 @@
+/** @file metrics_base.h What an entry counts. */
+#ifndef SAPPHIRE_ENTRY_METRICS_BASE_H_
+#define SAPPHIRE_ENTRY_METRICS_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "entry/home_base.h"
+#include "link/link_type.h"
+
+namespace sapphire::entry {
+
+/** Levels read when the metrics are asked for. */
+struct Levels {
+  std::int64_t config_version = 0;
+  int requests_in_progress = 0;
+  int once_runs_in_progress = 0;
+  int endpoints_connected = 0;
+  int entries_live = 0;
+  bool leaving = false;
+  Home::Stats home;
+  link::LinkCounters links;
+};
+
+/** Counters, histograms and their text form. Safe on several threads. */
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /** @param result "ok" or the error's name. */
+  void RequestEnded(std::string_view result, std::chrono::milliseconds took);
+  /** A request that waited for a load. @param tier "memory", "disk" or
+   * "remote". */
+  void ColdStart(std::string_view tier, std::chrono::milliseconds waited);
+  /** @param kind Of the call. @param outcome "ok" or the error's name. */
+  void KeyValueCall(std::string_view kind, std::string_view outcome);
+
+  /** @return Everything, in the Prometheus text format. */
+  std::string Text(const Levels& levels);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_METRICS_BASE_H_
--- /dev/null
+++ b/src/entry/placer.cc
@@ -0,0 +1,144 @@
+/** @file placer.cc Finds a place for a request, here or at its home. */
+#include <algorithm>
+#include <utility>
+
+#include "core/task_func.h"
+#include "entry/attempt_func.h"
+#include "entry/caller_request_func.h"
+#include "entry/placer_base.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Task;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kRetryAfter{1000};
+
+/** A place that another entry holds for us while the call stays open. */
+class RemotePlacement final : public Placement {
+ public:
+  RemotePlacement(const core::Executor& executor, const core::Logger& log,
+                  std::shared_ptr<link::Call> call, gen::Placed placed)
+      : executor_(executor),
+        log_(log),
+        call_(std::move(call)),
+        placed_(std::move(placed)) {}
+
+  [[nodiscard]] const gen::Placed& placed() const override { return placed_; }
+
+  void Done(gen::RunResult::type result) override {
+    if (!call_) return;
+    gen::PlaceDone done;
+    done.result = result;
+    gen::Message message;
+    message.__set_place_done(done);
+    core::Spawn(executor_, log_, "place_done",
+                [call = std::exchange(call_, nullptr), message] {
+                  return call->Send(message);
+                });
+  }
+
+ private:
+  const core::Executor executor_;
+  const core::Logger& log_;
+  std::shared_ptr<link::Call> call_;
+  const gen::Placed placed_;
+};
+
+/** @return True if another home may answer where this one did not. */
+bool HomeIsAtFault(const Error& error) {
+  return error.code() == ErrorCode::kLinkLost ||
+         error.code() == ErrorCode::kCancelled;
+}
+
+}  // namespace
+
+Placer::Placer(const core::Executor& executor, core::VmId self,
+               Directory& directory, Home& home, link::LinkNode& links,
+               const core::Clock& clock, const core::Logger& log)
+    : executor_(executor),
+      self_(std::move(self)),
+      directory_(directory),
+      home_(home),
+      links_(links),
+      clock_(clock),
+      log_(log) {}
+
+std::vector<KnownEntry> Placer::Homes(std::string_view key) const {
+  const std::vector<KnownEntry> entries = directory_.Entries();
+  std::vector<core::VmId> names;
+  names.reserve(entries.size());
+  for (const KnownEntry& entry : entries) names.push_back(entry.vm);
+  std::vector<KnownEntry> ranked;
+  for (const core::VmId& name : policy::RankHomes(key, names)) {
+    const auto it =
+        std::find_if(entries.begin(), entries.end(),
+                     [&](const KnownEntry& entry) { return entry.vm == name; });
+    ranked.push_back(*it);
+  }
+  return ranked;
+}
+
+Task<std::unique_ptr<Placement>> Placer::Place(gen::Run run,
+                                               std::set<core::EndpointId> avoid,
+                                               core::SteadyTime deadline) {
+  if (run.model.empty()) {
+    co_return co_await home_.PlaceService(
+        core::ServiceId(run.service_id), core::OwnerId(run.owner),
+        Remaining(clock_, deadline), std::move(avoid));
+  }
+  gen::Place request = ToPlace(run);
+  for (const core::EndpointId& id : avoid) request.avoid.push_back(id.value());
+  for (const KnownEntry& home : Homes(run.model)) {
+    if (Remaining(clock_, deadline) <= milliseconds::zero()) break;
+    try {
+      co_return co_await PlaceAt(home, request, deadline);
+    } catch (const Error& e) {
+      if (!HomeIsAtFault(e)) throw;
+      directory_.NoteUnreachable(home.vm);
+      log_.Event(core::LogLevel::kWarning, core::LogCategory::kRequest,
+                 "home_unreachable",
+                 {{"request", run.request_id},
+                  {"home", home.vm},
+                  {"error", e.what()}});
+    }
+  }
+  throw Error(ErrorCode::kDeadlineTooShort, "no home entry could be asked",
+              kRetryAfter);
+}
+
+Task<std::unique_ptr<Placement>> Placer::PlaceAt(KnownEntry home,
+                                                 gen::Place request,
+                                                 core::SteadyTime deadline) {
+  const milliseconds remaining = Remaining(clock_, deadline);
+  request.remaining_ms = remaining.count();
+  if (home.vm == self_) co_return co_await home_.Place(std::move(request));
+  gen::Message first;
+  first.__set_place(request);
+  const auto call = co_await links_.Open(home.address, std::move(first));
+  std::optional<Error> failure;
+  gen::Message answer;
+  try {
+    answer = co_await call->Receive(remaining);
+  } catch (const Error& e) {
+    failure = e;
+  }
+  if (failure && failure->code() == ErrorCode::kTimedOut) {
+    // The home has not placed it, and dropping the call makes sure of that.
+    throw Error(ErrorCode::kDeadlineTooShort, "its time passed while it waited",
+                kRetryAfter);
+  }
+  if (failure) throw Error(*failure);
+  if (!answer.__isset.placed) {
+    throw Error(ErrorCode::kInternal, "unexpected " + link::KindOf(answer));
+  }
+  co_return std::make_unique<RemotePlacement>(executor_, log_, call,
+                                              std::move(answer.placed));
+}
+
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/placer_base.h
@@ -0,0 +1,62 @@
+/** @file placer_base.h Finds a place for a request, here or at its home. */
+#ifndef SAPPHIRE_ENTRY_PLACER_BASE_H_
+#define SAPPHIRE_ENTRY_PLACER_BASE_H_
+
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "entry/directory_base.h"
+#include "entry/home_base.h"
+#include "gen/link_types.h"
+#include "link/link_base.h"
+
+namespace sapphire::entry {
+
+/**
+ * Asks a model's home for a place. A home that can't be reached is passed
+ * over: the next in the ranking takes its models. Asking twice is harmless,
+ * as a place that nobody uses is freed when its call ends.
+ */
+class Placer {
+ public:
+  /** @pre All references outlive the placer and its placements. */
+  Placer(const core::Executor& executor, core::VmId self, Directory& directory,
+         Home& home, link::LinkNode& links, const core::Clock& clock,
+         const core::Logger& log);
+
+  /** @return The live entries, best home for `key` first. */
+  [[nodiscard]] std::vector<KnownEntry> Homes(std::string_view key) const;
+
+  /**
+   * @param run The request; a plain service's is placed here.
+   * @param avoid Endpoints it must not go to.
+   * @throws core::Error a refusal: nothing ran.
+   * @pre The coroutine runs on a strand.
+   */
+  core::Task<std::unique_ptr<Placement>> Place(gen::Run run,
+                                               std::set<core::EndpointId> avoid,
+                                               core::SteadyTime deadline);
+
+ private:
+  core::Task<std::unique_ptr<Placement>> PlaceAt(KnownEntry home,
+                                                 gen::Place request,
+                                                 core::SteadyTime deadline);
+
+  const core::Executor executor_;
+  const core::VmId self_;
+  Directory& directory_;
+  Home& home_;
+  link::LinkNode& links_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_PLACER_BASE_H_
--- /dev/null
+++ b/src/entry/recording_base.h
@@ -0,0 +1,67 @@
+/** @file recording_base.h An answer recorded while others follow it. */
+#ifndef SAPPHIRE_ENTRY_RECORDING_BASE_H_
+#define SAPPHIRE_ENTRY_RECORDING_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/signal_base.h"
+#include "entry/answer_sink_base.h"
+#include "entry/claim_type.h"
+
+namespace sapphire::entry {
+
+/** Takes one answer, and replays it from its start to each follower, also
+ * while it is still coming. Any thread. */
+class Recording final : public AnswerSink {
+ public:
+  /** @param fingerprint Of the request: followers must want the same work. */
+  explicit Recording(std::int64_t fingerprint) : fingerprint_(fingerprint) {}
+
+  core::Task<> Head(gen::RunHead head) override;
+  core::Task<> Part(std::string data) override;
+  core::Task<> End() override;
+  /** Never called after something was recorded: a run that began to answer is
+   * not run again. */
+  void Reset() override {}
+  [[nodiscard]] bool started() const override;
+
+  /** Ends it without a whole answer. */
+  void Fail(core::Error error);
+
+  /**
+   * Replays the answer to `sink` as it comes.
+   * @throws core::Error the error it ended with, or kTimedOut.
+   * @pre The coroutine runs on a strand.
+   */
+  core::Task<> Follow(AnswerSink& sink, core::SteadyTime deadline,
+                      const core::Clock& clock);
+
+  [[nodiscard]] std::int64_t fingerprint() const { return fingerprint_; }
+
+  /** @return The whole answer, if it ended with one. */
+  [[nodiscard]] std::optional<StoredAnswer> answer() const;
+
+  /** @return True if it ended in a way that lets the request be claimed anew.
+   */
+  [[nodiscard]] bool ended_not_run() const;
+
+ private:
+  const std::int64_t fingerprint_;
+  mutable std::mutex mutex_;
+  core::Signal changed_;
+  std::optional<gen::RunHead> head_;
+  std::vector<std::string> parts_;
+  bool whole_ = false;
+  std::optional<core::Error> error_;
+};
+
+}  // namespace sapphire::entry
+
+#endif  // SAPPHIRE_ENTRY_RECORDING_BASE_H_
--- /dev/null
+++ b/src/entry/sapphire_entry_main.cc
@@ -0,0 +1,179 @@
+/** @file sapphire_entry_main.cc The program of an entry VM. */
+#include <fmt/format.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include "core/address_func.h"
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "core/settings_func.h"
+#include "core/task_func.h"
+#include "entry/entry_base.h"
+#include "entry/entry_settings_base.h"
+#include "platform/counting_store_base.h"
+#include "platform/platform_func.h"
+
+namespace sapphire::entry {
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitUnfinished = 3;
+
+std::string_view TierName(policy::Tier tier) {
+  switch (tier) {
+    case policy::Tier::kMemory:
+      return "memory";
+    case policy::Tier::kDisk:
+      return "disk";
+    case policy::Tier::kRemote:
+      return "remote";
+  }
+  return "";
+}
+
+link::LinkOptions LinkOptionsFrom(const core::Settings& settings) {
+  link::LinkOptions options;
+  options.self.vm = settings.String("vm");
+  options.self.zone = settings.String("zone");
+  options.self.role = gen::Role::ENTRY;
+  options.self.incarnation = core::RandomPositive();
+  options.heartbeat_interval = settings.Millis("heartbeat_ms");
+  options.dead_after = settings.Millis("dead_after_ms");
+  return options;
+}
+
+HomeOptions HomeOptionsFrom(const core::Settings& settings, Metrics& metrics) {
+  HomeOptions options;
+  options.self = core::VmId(settings.String("vm"));
+  options.zone = core::ZoneId(settings.String("zone"));
+  options.max_queue = static_cast<int>(settings.Integer("max_queue"));
+  options.gone_grace = settings.Millis("gone_grace_ms");
+  options.cold_start_seen = [&metrics](policy::Tier tier,
+                                       std::chrono::milliseconds waited) {
+    metrics.ColdStart(TierName(tier), waited);
+  };
+  return options;
+}
+
+EntryOptions OptionsFrom(const core::Settings& settings, Metrics& metrics) {
+  EntryOptions options;
+  options.vm = core::VmId(settings.String("vm"));
+  options.zone = core::ZoneId(settings.String("zone"));
+  options.listen_address = settings.String("listen");
+  options.link_listen_address = settings.String("link_listen");
+  options.links = LinkOptionsFrom(settings);
+  options.http.max_body_bytes =
+      static_cast<std::size_t>(settings.Integer("max_body_bytes"));
+  options.http.max_header_bytes =
+      static_cast<std::size_t>(settings.Integer("max_header_bytes"));
+  options.callers = {settings.Millis("default_timeout_ms"),
+                     settings.Millis("max_timeout_ms")};
+  options.home = HomeOptionsFrom(settings, metrics);
+  options.claims.patience = settings.Millis("claim_patience_ms");
+  options.keep_ended = settings.Millis("keep_ended_ms");
+  options.vm_list_interval = settings.Millis("vm_list_interval_ms");
+  options.lame_duck = settings.Millis("lame_duck_ms");
+  options.drain_limit = settings.Millis("drain_ms");
+  return options;
+}
+
+/** The running process: leaves once, on a signal. */
+class Process {
+ public:
+  Process(const core::Settings& settings, const core::Logger& log,
+          const core::Clock& clock)
+      : settings_(settings),
+        log_(log),
+        store_(platform::MakeHttpKeyValueStore(
+            settings.String("kv"), settings.Millis("kv_timeout_ms"))),
+        vm_list_(platform::MakeHttpVmList(
+            settings.String("vm_list"), settings.Millis("vm_list_timeout_ms"))),
+        counting_store_(
+            *store_,
+            [this](std::string_view kind, std::string_view outcome) {
+              metrics_.KeyValueCall(kind, outcome);
+            }),
+        entry_(context_.get_executor(), OptionsFrom(settings, metrics_),
+               counting_store_, *vm_list_, clock, log, metrics_),
+        signals_(context_, SIGTERM, SIGINT) {}
+
+  int Run() {
+    entry_.Start();
+    WritePorts();
+    log_.Event(
+        core::LogLevel::kInfo, core::LogCategory::kProcess, "started",
+        {{"http", entry_.http_address()}, {"link", entry_.link_address()}});
+    signals_.async_wait([this](const auto& ec, int /*signal*/) {
+      if (ec) return;
+      core::Spawn(context_.get_executor(), log_, "leave",
+                  [this] { return Leave(); });
+    });
+    RunThreads();
+    return exit_code_;
+  }
+
+ private:
+  void WritePorts() {
+    const std::string& path = settings_.String("port_file");
+    if (path.empty()) return;
+    core::WriteFileAtomically(
+        path, fmt::format("http={}\nlink={}\n", entry_.http_address(),
+                          entry_.link_address()));
+  }
+
+  core::Task<> Leave() {
+    const bool whole = co_await entry_.Leave();
+    exit_code_ = whole ? 0 : kExitUnfinished;
+    entry_.Close();
+    context_.stop();
+  }
+
+  void RunThreads() {
+    std::vector<std::jthread> threads;
+    const auto n = settings_.Integer("threads");
+    for (std::int64_t i = 1; i < n; ++i) {
+      threads.emplace_back([this] { context_.run(); });
+    }
+    context_.run();
+  }
+
+  const core::Settings& settings_;
+  const core::Logger& log_;
+  boost::asio::io_context context_;
+  Metrics metrics_;
+  std::unique_ptr<platform::KeyValueStore> store_;
+  std::unique_ptr<platform::VmList> vm_list_;
+  platform::CountingStore counting_store_;
+  Entry entry_;
+  boost::asio::signal_set signals_;
+  std::atomic<int> exit_code_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  const core::CommandLine line = core::ParseCommandLine(
+      argc, argv, "The program of an entry VM", SettingsTable());
+  if (line.exit_code) return *line.exit_code;
+  const core::Settings& settings = *line.settings;
+  try {
+    const core::SystemClock clock;
+    const core::Logger log({"entry", core::VmId(settings.String("vm")),
+                            core::ZoneId(settings.String("zone"))},
+                           core::LogLevelNamed(settings.String("log_level")),
+                           clock);
+    return Process(settings, log, clock).Run();
+  } catch (const core::Error& e) {
+    fmt::print(stderr, "{}\n", e.what());
+    return kExitBadSettings;
+  }
+}
+
+}  // namespace
+
+}  // namespace sapphire::entry
+
+int main(int argc, char** argv) { return sapphire::entry::Main(argc, argv); }
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -25,23 +25,6 @@
   return -1;
 }
 
-std::string UrlDecode(std::string_view text) {
-  std::string decoded;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const bool escape = text[i] == '%' && i + 2 < text.size() &&
-                        HexValue(text[i + 1]) >= 0 &&
-                        HexValue(text[i + 2]) >= 0;
-    if (escape) {
-      decoded +=
-          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
-      i += 2;
-    } else {
-      decoded += text[i] == '+' ? ' ' : text[i];
-    }
-  }
-  return decoded;
-}
-
 }  // namespace
 
 std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
@@ -73,6 +56,23 @@
   return std::nullopt;
 }
 
+std::string UrlDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escape = text[i] == '%' && i + 2 < text.size() &&
+                        HexValue(text[i + 1]) >= 0 &&
+                        HexValue(text[i + 2]) >= 0;
+    if (escape) {
+      decoded +=
+          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
+      i += 2;
+    } else {
+      decoded += text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return decoded;
+}
+
 std::string UrlEncode(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -66,6 +66,9 @@
 /** @return `text` with everything but unreserved characters percent-encoded. */
 std::string UrlEncode(std::string_view text);
 
+/** @return `text` with percent escapes and '+' undone. */
+std::string UrlDecode(std::string_view text);
+
 /** @return An answer of this type and body. */
 Response MakeResponse(int status, std::string_view content_type,
                       std::string body);
--- a/src/endpoint/counting_store.cc
+++ b/src/platform/counting_store.cc
@@ -2,9 +2,9 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "endpoint/counting_store_base.h"
+#include "platform/counting_store_base.h"
 
-namespace sapphire::endpoint {
+namespace sapphire::platform {
 
 using core::Task;
 
@@ -12,26 +12,26 @@
 Task<T> CountingStore::Counted(std::string_view kind, Task<T> call) {
   try {
     T result = co_await std::move(call);
-    metrics_.KeyValueCall(kind, "ok");
+    observer_(kind, "ok");
     co_return result;
   } catch (const core::Error& e) {
-    metrics_.KeyValueCall(kind, core::InfoOf(e.code()).name);
+    observer_(kind, core::InfoOf(e.code()).name);
     throw;
   }
 }
 
-Task<std::optional<platform::KvEntry>> CountingStore::Get(std::string key) {
+Task<std::optional<KvEntry>> CountingStore::Get(std::string key) {
   return Counted("get", store_.Get(std::move(key)));
 }
 
-Task<std::vector<platform::KvEntry>> CountingStore::List(std::string prefix) {
+Task<std::vector<KvEntry>> CountingStore::List(std::string prefix) {
   return Counted("list", store_.List(std::move(prefix)));
 }
 
-Task<platform::CasResult> CountingStore::CompareAndSwap(std::string key,
-                                                        std::int64_t expected,
-                                                        std::string value,
-                                                        std::string lease_id) {
+Task<CasResult> CountingStore::CompareAndSwap(std::string key,
+                                              std::int64_t expected,
+                                              std::string value,
+                                              std::string lease_id) {
   return Counted(
       "cas", store_.CompareAndSwap(std::move(key), expected, std::move(value),
                                    std::move(lease_id)));
@@ -41,7 +41,7 @@
   return Counted("delete", store_.DeleteIf(std::move(key), expected));
 }
 
-Task<platform::KvLease> CountingStore::GrantLease(
+Task<KvLease> CountingStore::GrantLease(
     std::chrono::milliseconds time_to_live) {
   return Counted("lease", store_.GrantLease(time_to_live));
 }
@@ -50,9 +50,9 @@
   return Counted("keepalive", store_.KeepAlive(std::move(lease_id)));
 }
 
-Task<platform::WatchBatch> CountingStore::Watch(
-    std::string prefix, std::int64_t revision, std::chrono::milliseconds wait) {
+Task<WatchBatch> CountingStore::Watch(std::string prefix, std::int64_t revision,
+                                      std::chrono::milliseconds wait) {
   return Counted("watch", store_.Watch(std::move(prefix), revision, wait));
 }
 
-}  // namespace sapphire::endpoint
+}  // namespace sapphire::platform
