--- a/src/entry/config_fetch.cc
+++ b/src/entry/config_fetch.cc
@@ -39,7 +39,8 @@
                            contract::PartCache& parts,
                            contract::ConfigHead head) {
   const std::shared_ptr<const contract::EncodedConfig> have = parts.Current();
-  if (have && have->version >= head.version) co_return false;
+  const std::int64_t in_force = have ? have->version : 0;
+  if (head.version <= in_force) co_return false;
   std::map<std::string_view, std::string_view> held;
   if (have) {
     for (const contract::Part& part : have->parts) {
--- /dev/null
+++ b/src/entry/config_watch_test.cc
@@ -0,0 +1,149 @@
+/** @file config_watch_test.cc Following the configuration under failure. */
+#define BOOST_TEST_MODULE config_watch
+#include <boost/test/unit_test.hpp>
+
+#include "contract/testing_intent.h"
+#include "entry/config_store_base.h"
+#include "entry/config_watch_base.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+
+namespace sapphire::entry {
+namespace {
+
+using contract::testing::Mutate;
+using contract::testing::RandomIntent;
+using std::chrono::milliseconds;
+
+struct Fixture {
+  Fixture() { watch.Start(); }
+
+  ~Fixture() {
+    watch.Stop();
+    io.run();
+  }
+
+  /** Confirms an intent through an operator's entry. */
+  std::int64_t Confirm(const contract::Intent& wanted) {
+    const auto plan = testing::RunTask(io, store.SavePlan(wanted, {}));
+    return testing::RunTask(io, store.Confirm(plan.id));
+  }
+
+  bool RunUntilVersion(std::int64_t version) {
+    return testing::RunUntil(io, [&] { return holder.version() == version; });
+  }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log{{"test", core::VmId("t"), core::ZoneId("z")},
+                   core::LogLevel::kError,
+                   clock};
+  testing::MemoryKeyValue kv{clock};
+  contract::testing::Random random{3};
+  contract::ConfigHolder operators_holder;
+  contract::PartCache operators_parts{operators_holder};
+  ConfigStore store{{milliseconds(200), milliseconds(1)},
+                    kv,
+                    operators_holder,
+                    operators_parts,
+                    clock,
+                    log};
+  contract::ConfigHolder holder;
+  contract::PartCache parts{holder};
+  ConfigWatch watch{
+      io.get_executor(),
+      {milliseconds(50), milliseconds(200), milliseconds(1), milliseconds(4)},
+      kv,
+      parts,
+      clock,
+      log};
+};
+
+BOOST_FIXTURE_TEST_CASE(EachVersionComesIntoForce, Fixture) {
+  for (int i = 1; i <= 5; ++i) {
+    const auto wanted = RandomIntent(random, 20);
+    BOOST_TEST(Confirm(wanted) == i);
+    BOOST_TEST(RunUntilVersion(i));
+    BOOST_CHECK(holder.Current()->intent == wanted);
+  }
+}
+
+// A deployment of many models sees small changes all day. An entry that read
+// every part anew for each would use up the service's reads.
+BOOST_FIXTURE_TEST_CASE(OnlyChangedPartsAreRead, Fixture) {
+  auto intent = RandomIntent(random, 500);
+  Confirm(intent);
+  BOOST_TEST(RunUntilVersion(1));
+  Mutate(random, intent);
+  Confirm(intent);
+  const int before = kv.gets;
+  BOOST_TEST(RunUntilVersion(2));
+  BOOST_TEST(kv.gets - before <= 3);
+}
+
+// An operator lowers a limit, and all entries follow. Then the service answers
+// from a replica that lags and shows the older head, by a read and by a watch.
+// The limit must not come back.
+BOOST_FIXTURE_TEST_CASE(OlderHeadIsPassedOver, Fixture) {
+  Confirm(RandomIntent(random, 20));
+  const auto older = kv.Peek("config/head");
+  const auto newest = RandomIntent(random, 20);
+  Confirm(newest);
+  BOOST_TEST(RunUntilVersion(2));
+  kv.batches = {{1, {{"config/head", older->value, older->revision}}, false},
+                {1, {}, true}};
+  kv.head_shown = {older};
+  BOOST_TEST(
+      testing::RunUntil(io, [&] { return watch.counters().older_seen >= 2; }));
+  BOOST_TEST(holder.version() == 2);
+  BOOST_CHECK(holder.Current()->intent == newest);
+}
+
+// The service restarts and has lost its history: the watch says that changes
+// may have been missed, and one was. It must be found all the same.
+BOOST_FIXTURE_TEST_CASE(GapIsFilled, Fixture) {
+  Confirm(RandomIntent(random, 20));
+  BOOST_TEST(RunUntilVersion(1));
+  constexpr std::int64_t kFarAhead = 1'000'000;
+  Confirm(RandomIntent(random, 20));
+  kv.batches = {{kFarAhead, {}, true}};
+  // The watch goes on from a revision that no event will reach.
+  BOOST_TEST(RunUntilVersion(2));
+}
+
+// The service goes down for a while, and a plan is confirmed as soon as it is
+// back. The entry keeps the last configuration meanwhile and then follows.
+BOOST_FIXTURE_TEST_CASE(OutageIsSurvived, Fixture) {
+  Confirm(RandomIntent(random, 20));
+  BOOST_TEST(RunUntilVersion(1));
+  kv.down = true;
+  BOOST_TEST(
+      testing::RunUntil(io, [&] { return watch.counters().failures >= 3; }));
+  BOOST_TEST(holder.version() == 1);
+  kv.down = false;
+  Confirm(RandomIntent(random, 20));
+  BOOST_TEST(RunUntilVersion(2));
+}
+
+// The entry reads a head, and before it has read its parts the next plan is
+// confirmed and replaced parts are deleted. It must go on to the newer head.
+BOOST_FIXTURE_TEST_CASE(PartsDeletedMeanwhileAreNoEnd, Fixture) {
+  Confirm(RandomIntent(random, 20));
+  const auto older = kv.Peek("config/head");
+  Confirm(RandomIntent(random, 20));
+  contract::ConfigHolder fresh_holder;
+  contract::PartCache fresh_parts(fresh_holder);
+  ConfigWatch fresh(io.get_executor(), {}, kv, fresh_parts, clock, log);
+  watch.Stop();
+  io.run();
+  kv.head_shown = {older};
+  fresh.Start();
+  BOOST_TEST(
+      testing::RunUntil(io, [&] { return fresh_holder.version() == 2; }));
+  BOOST_TEST(fresh.counters().failures == 1);
+  fresh.Stop();
+  io.run();
+}
+
+}  // namespace
+}  // namespace sapphire::entry
--- /dev/null
+++ b/src/entry/testing_key_value.h
@@ -0,0 +1,180 @@
+/** @file testing_key_value.h A key-value service in memory, for tests only. */
+#ifndef SAPPHIRE_ENTRY_TESTING_KEY_VALUE_H_
+#define SAPPHIRE_ENTRY_TESTING_KEY_VALUE_H_
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::entry::testing {
+
+/** What happens to a write of a key. */
+enum class WriteFault {
+  kAnswerLost,  ///< It takes effect; the caller is told that it may have.
+  kLandsLate,   ///< As kAnswerLost, but it takes effect at LandLate only.
+  kNeverLands,  ///< The caller is told that it may have taken effect.
+};
+
+/** One thread only. Each call moves the clock by a millisecond. */
+class MemoryKeyValue final : public platform::KeyValueStore {
+ public:
+  explicit MemoryKeyValue(core::ManualClock& clock) : clock_(clock) {}
+
+  /** Every call fails while true. */
+  bool down = false;
+  /** Faults of the next writes of the head; then none. */
+  std::deque<WriteFault> head_faults;
+  /** What the next reads of the head show in its place. */
+  std::deque<std::optional<platform::KvEntry>> head_shown;
+  /** What the next watches answer, before real changes. */
+  std::deque<platform::WatchBatch> batches;
+  /** Deletes are on their way, and take effect when this becomes false. */
+  bool hold_deletes = false;
+  int gets = 0;
+
+  /** Lets the writes that are on their way take effect. */
+  void LandLate() {
+    for (auto& [key, expected, value] : std::exchange(late_, {})) {
+      Swap(key, expected, value);
+    }
+  }
+
+  [[nodiscard]] std::optional<platform::KvEntry> Peek(
+      const std::string& key) const {
+    const auto it = entries_.find(key);
+    if (it == entries_.end()) return std::nullopt;
+    return it->second;
+  }
+
+  /** @return The keys under a prefix. */
+  [[nodiscard]] std::vector<std::string> Keys(std::string_view prefix) const {
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : entries_) {
+      if (key.starts_with(prefix)) keys.push_back(key);
+    }
+    return keys;
+  }
+
+  core::Task<std::optional<platform::KvEntry>> Get(std::string key) override {
+    co_await Step();
+    ++gets;
+    if (key == "config/head" && !head_shown.empty()) {
+      auto shown = head_shown.front();
+      head_shown.pop_front();
+      co_return shown;
+    }
+    co_return Peek(key);
+  }
+
+  core::Task<std::vector<platform::KvEntry>> List(std::string) override {
+    co_await Step();
+    co_return std::vector<platform::KvEntry>();
+  }
+
+  core::Task<platform::CasResult> CompareAndSwap(std::string key,
+                                                 std::int64_t expected,
+                                                 std::string value,
+                                                 std::string) override {
+    co_await Step();
+    if (key == "config/head" && !head_faults.empty()) {
+      const WriteFault fault = head_faults.front();
+      head_faults.pop_front();
+      if (fault == WriteFault::kAnswerLost) Swap(key, expected, value);
+      if (fault == WriteFault::kLandsLate) {
+        late_.push_back({key, expected, value});
+      }
+      throw core::Error(core::ErrorCode::kPlatformUnknownOutcome, "lost");
+    }
+    co_return Swap(key, expected, value);
+  }
+
+  core::Task<bool> DeleteIf(std::string key, std::int64_t expected) override {
+    do {
+      co_await Step();
+    } while (hold_deletes);
+    const auto it = entries_.find(key);
+    if (it == entries_.end() || it->second.revision != expected) {
+      co_return false;
+    }
+    entries_.erase(it);
+    co_return true;
+  }
+
+  core::Task<platform::KvLease> GrantLease(
+      std::chrono::milliseconds time_to_live) override {
+    co_await Step();
+    co_return platform::KvLease{"lease", time_to_live};
+  }
+
+  core::Task<bool> KeepAlive(std::string) override {
+    co_await Step();
+    co_return true;
+  }
+
+  core::Task<platform::WatchBatch> Watch(
+      std::string prefix, std::int64_t revision,
+      std::chrono::milliseconds wait) override {
+    co_await Step();
+    if (!batches.empty()) {
+      platform::WatchBatch batch = batches.front();
+      batches.pop_front();
+      co_return batch;
+    }
+    const core::SteadyTime end = clock_.Now() + wait;
+    platform::WatchBatch batch;
+    while (batch.events.empty() && clock_.Now() < end) {
+      co_await core::SleepFor(std::chrono::milliseconds(1));
+      co_await Step();
+      const auto entry = Peek(prefix);
+      if (entry && entry->revision > revision) {
+        batch.events.push_back({prefix, entry->value, entry->revision});
+      }
+    }
+    batch.revision = revision_;
+    co_return batch;
+  }
+
+ private:
+  struct LateWrite {
+    std::string key;
+    std::int64_t expected;
+    std::string value;
+  };
+
+  /** Lets other coroutines run between any two calls of one caller. */
+  core::Task<> Step() {
+    clock_.Advance(std::chrono::milliseconds(1));
+    co_await core::SleepFor(std::chrono::milliseconds(0));
+    if (!down) co_return;
+    throw core::Error(core::ErrorCode::kPlatformUnavailable, "down");
+  }
+
+  platform::CasResult Swap(const std::string& key, std::int64_t expected,
+                           const std::string& value) {
+    const auto current = Peek(key);
+    if ((current ? current->revision : 0) != expected) {
+      return {false, 0, current};
+    }
+    ++revision_;
+    entries_[key] = {key, value, revision_};
+    return {true, revision_, std::nullopt};
+  }
+
+  core::ManualClock& clock_;
+  std::map<std::string, platform::KvEntry> entries_;
+  std::vector<LateWrite> late_;
+  std::int64_t revision_ = 0;
+};
+
+}  // namespace sapphire::entry::testing
+
+#endif  // SAPPHIRE_ENTRY_TESTING_KEY_VALUE_H_
