--- /dev/null
+++ b/src/timeline/clock_skew.cc
@@ -0,0 +1,160 @@
+/** @file clock_skew.cc Puts events of VMs with different clocks in order. */
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include "timeline/clock_skew_func.h"
+
+namespace sapphire::timeline {
+
+namespace {
+
+using std::chrono::microseconds;
+
+/** A message's last event may be logged a little after its answer arrived, so
+ * disagreements up to this are no sign of a clock that is off. */
+constexpr microseconds kTolerance{2'000};
+
+/** The time from a VM's first event of a request to its last. */
+struct Span {
+  core::WallTime first = core::WallTime::max();
+  core::WallTime last = core::WallTime::min();
+
+  void Add(core::WallTime time) {
+    first = std::min(first, time);
+    last = std::max(last, time);
+  }
+};
+
+using SpansByVm = std::map<core::VmId, Span>;
+using RequestSpans = std::map<core::RequestId, SpansByVm>;
+
+/** What may be added to one VM's clock without breaking any order. */
+struct Bounds {
+  microseconds lowest = microseconds::min();
+  microseconds highest = microseconds::max();
+
+  /** Narrows the bounds so that `inner` lies in `outer`. */
+  void Enclose(const Span& outer, const Span& inner) {
+    const auto at_least =
+        std::chrono::duration_cast<microseconds>(outer.first - inner.first);
+    const auto at_most =
+        std::chrono::duration_cast<microseconds>(outer.last - inner.last);
+    lowest = std::max(lowest, at_least);
+    highest = std::min(highest, at_most);
+  }
+
+  [[nodiscard]] microseconds Shift() const {
+    const bool agrees = lowest <= kTolerance && highest >= -kTolerance;
+    return agrees ? microseconds(0) : lowest + (highest - lowest) / 2;
+  }
+};
+
+/** From a VM whose clock is known to those whose clocks follow from it. */
+using Graph = std::map<core::VmId, std::map<core::VmId, Bounds>>;
+
+RequestSpans CollectSpans(const std::vector<Event>& events) {
+  RequestSpans spans;
+  for (const Event& event : events) {
+    if (event.request.empty()) continue;
+    spans[event.request][event.vm].Add(event.time);
+  }
+  return spans;
+}
+
+/** @return The VM that took the request: its span is the longest. That is so
+ * whatever its clock shows, as a duration does not depend on it. */
+core::VmId OriginOf(const SpansByVm& spans) {
+  const auto length = [](const auto& item) {
+    return item.second.last - item.second.first;
+  };
+  return std::ranges::max_element(spans, {}, length)->first;
+}
+
+Graph BuildGraph(const RequestSpans& requests) {
+  Graph graph;
+  for (const auto& [request, spans] : requests) {
+    const core::VmId origin = OriginOf(spans);
+    for (const auto& [vm, span] : spans) {
+      if (vm == origin) continue;
+      graph[origin][vm].Enclose(spans.at(origin), span);
+    }
+  }
+  return graph;
+}
+
+/** @return Neighbours of a VM with the shift of their clock against its own. */
+std::vector<std::pair<core::VmId, microseconds>> Neighbours(
+    const Graph& graph, const core::VmId& vm) {
+  std::vector<std::pair<core::VmId, microseconds>> found;
+  for (const auto& [origin, others] : graph) {
+    for (const auto& [other, bounds] : others) {
+      if (origin == vm) found.emplace_back(other, bounds.Shift());
+      if (other == vm) found.emplace_back(origin, -bounds.Shift());
+    }
+  }
+  return found;
+}
+
+/** Spreads from one VM, whose clock is taken as right, over the graph. */
+void SpreadFrom(const core::VmId& start, const Graph& graph,
+                ClockShifts& shifts) {
+  std::deque<core::VmId> waiting = {start};
+  shifts.emplace(start, 0);
+  while (!waiting.empty()) {
+    const core::VmId vm = waiting.front();
+    waiting.pop_front();
+    for (const auto& [other, shift] : Neighbours(graph, vm)) {
+      if (!shifts.emplace(other, shifts.at(vm) + shift).second) continue;
+      waiting.push_back(other);
+    }
+  }
+}
+
+/** @return The origins, those with most neighbours first. */
+std::vector<core::VmId> StartsOf(const Graph& graph) {
+  std::vector<core::VmId> starts;
+  for (const auto& [origin, others] : graph) starts.push_back(origin);
+  std::ranges::stable_sort(starts, std::greater{}, [&](const core::VmId& vm) {
+    return graph.at(vm).size();
+  });
+  return starts;
+}
+
+}  // namespace
+
+ClockShifts EstimateShifts(const std::vector<Event>& events) {
+  const Graph graph = BuildGraph(CollectSpans(events));
+  ClockShifts shifts;
+  for (const core::VmId& start : StartsOf(graph)) {
+    if (!shifts.contains(start)) SpreadFrom(start, graph, shifts);
+  }
+  std::erase_if(
+      shifts, [](const auto& item) { return item.second == microseconds(0); });
+  return shifts;
+}
+
+void PutInOrder(std::vector<Event>& events, const ClockShifts& shifts) {
+  for (Event& event : events) {
+    const auto it = shifts.find(event.vm);
+    if (it != shifts.end()) event.time += it->second;
+  }
+  const RequestSpans requests = CollectSpans(events);
+  for (Event& event : events) {
+    if (event.request.empty()) continue;
+    const SpansByVm& spans = requests.at(event.request);
+    const core::VmId origin = OriginOf(spans);
+    if (event.vm == origin) continue;
+    event.time = std::max(event.time, spans.at(origin).first);
+  }
+  const auto begins_request = [&](const Event& event) {
+    return event.request.empty() ||
+           OriginOf(requests.at(event.request)) == event.vm;
+  };
+  std::ranges::stable_sort(events, {}, [&](const Event& event) {
+    return std::pair(event.time, !begins_request(event));
+  });
+}
+
+}  // namespace sapphire::timeline
--- /dev/null
+++ b/src/timeline/event_type.h
@@ -0,0 +1,45 @@
+/** @file event_type.h One logged event of one process. */
+#ifndef SAPPHIRE_TIMELINE_EVENT_TYPE_H_
+#define SAPPHIRE_TIMELINE_EVENT_TYPE_H_
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/id_type.h"
+
+namespace sapphire::timeline {
+
+/** A line of an event log, read. */
+struct Event {
+  core::WallTime time;
+  std::string process;
+  core::VmId vm;
+  core::ZoneId zone;
+  std::string level;
+  std::string category;
+  std::string name;
+  /** Empty if the event belongs to no request. */
+  core::RequestId request;
+  /** All further fields, in the order of the line. */
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/** @return The value of a further field; empty if there is none. */
+inline std::string FieldOf(const Event& event, std::string_view key) {
+  for (const auto& [name, value] : event.fields) {
+    if (name == key) return value;
+  }
+  return {};
+}
+
+/** @return The lane an event is drawn in: its process on its VM. */
+inline std::string LaneOf(const Event& event) {
+  return event.process + "@" + event.vm.value();
+}
+
+}  // namespace sapphire::timeline
+
+#endif  // SAPPHIRE_TIMELINE_EVENT_TYPE_H_
