contract: a peer whose answer can't be used rests alone

Found by a test over real links: a peer with damaged parts kept a process from asking any other, as the pause after a failure was a multiple of the heartbeat interval and the same peer came first again each time (10 s without progress).

--- a/src/contract/config_pull.cc
+++ b/src/contract/config_pull.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <exception>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,9 +23,8 @@
 /** Parts in one message, bytes: well below the longest frame of a link. */
 constexpr std::size_t kMessageBytes = 1024 * 1024;
 constexpr std::chrono::milliseconds kReceiveTimeout{2000};
-/** A peer whose pull failed shows its version again with its next frame; this
- * keeps a broken one from being asked without end. */
-constexpr std::chrono::milliseconds kPauseAfterFailure{200};
+/** How long a peer is not asked again after its answer could not be used. */
+constexpr std::chrono::milliseconds kRestAfterFailure{200};
 
 using PartMap = std::map<std::string, std::string, std::less<>>;
 
@@ -106,11 +106,15 @@
 
   /** Starts a pull unless one runs; called for every frame of a newer peer. */
   void NewerSeen(const std::shared_ptr<link::Link>& link) {
-    if (pulling.exchange(true)) return;
+    if (Resting(link->peer().vm) || pulling.exchange(true)) return;
     core::Spawn(executor, log, "config_pull",
                 [self = shared_from_this(), link] { return Run(self, link); });
   }
 
+  // Guards against one broken peer keeping all others from being asked: it
+  // would show as a process that stays behind while many have the version.
+  // Frames come in step with heartbeats, so after a pause for everybody the
+  // same peer may well be first again, each time. Here only it has to rest.
   static core::Task<> Run(std::shared_ptr<State> self,
                           std::shared_ptr<link::Link> link) {
     std::string failure;
@@ -119,13 +123,28 @@
     } catch (const std::exception& e) {
       failure = e.what();
     }
-    if (!failure.empty()) {
-      self->log.Event(LogLevel::kWarning, LogCategory::kConfig,
-                      "config_pull_failed",
-                      {{"peer", link->peer().vm}, {"error", failure}});
-      co_await core::SleepFor(kPauseAfterFailure);
-    }
+    const core::VmId peer = link->peer().vm;
+    if (!failure.empty()) self->SetResting(peer, true);
     self->pulling = false;
+    if (failure.empty()) co_return;
+    self->log.Event(LogLevel::kWarning, LogCategory::kConfig,
+                    "config_pull_failed", {{"peer", peer}, {"error", failure}});
+    co_await core::SleepFor(kRestAfterFailure);
+    self->SetResting(peer, false);
+  }
+
+  bool Resting(const core::VmId& peer) {
+    const std::lock_guard lock(mutex);
+    return resting.contains(peer);
+  }
+
+  void SetResting(const core::VmId& peer, bool rests) {
+    const std::lock_guard lock(mutex);
+    if (rests) {
+      resting.insert(peer);
+    } else {
+      resting.erase(peer);
+    }
   }
 
   static core::Task<> Pull(std::shared_ptr<State> self,
@@ -146,6 +165,9 @@
   PartCache& parts;
   const core::Logger& log;
   std::atomic<bool> pulling = false;
+  std::mutex mutex;
+  /** Peers that are not asked for now. */
+  std::set<core::VmId> resting;
 };
 
 ConfigPuller::ConfigPuller(const core::Executor& executor, ConfigHolder& holder,
