--- /dev/null
+++ b/src/entry/fleet_view_test.cc
@@ -0,0 +1,207 @@
+/** @file fleet_view_test.cc Views, queues and estimates that decisions use. */
+#define BOOST_TEST_MODULE entry_fleet_view
+#include <boost/test/unit_test.hpp>
+
+#include "entry/estimate_func.h"
+#include "entry/fleet_view_base.h"
+#include "entry/model_queue_base.h"
+
+namespace sapphire::entry {
+
+const core::ModelId kModel("m");
+const core::ServiceId kService("s");
+
+KnownEndpoint EndpointOf(const std::string& name, int running,
+                         bool with_replica) {
+  KnownEndpoint known;
+  known.id = core::EndpointId(name);
+  known.connected = true;
+  known.report.endpoint = name;
+  known.report.kind = "model";
+  known.report.memory_bytes = 1000;
+  known.report.engine_up = true;
+  if (with_replica) {
+    gen::ReplicaReport replica;
+    replica.model = kModel.value();
+    replica.state = gen::ReplicaState::READY;
+    replica.running = running;
+    replica.bytes = 100;
+    known.report.replicas.push_back(replica);
+    known.report.reserved_bytes = 100;
+  }
+  return known;
+}
+
+policy::PlacementRequest RequestOf(int max_replicas, int max_concurrent) {
+  policy::PlacementRequest request;
+  request.model = kModel;
+  request.replica_bytes = 100;
+  request.max_replicas = max_replicas;
+  request.max_concurrent = max_concurrent;
+  request.service_max_replicas = max_replicas;
+  request.remaining = core::Millis(20000);
+  return request;
+}
+
+struct View {
+  View() { fleet.SetServices({{kModel, kService}}); }
+  policy::PlacementDecision Decide(const policy::PlacementRequest& request) {
+    return fleet.Decide(request, kService, {});
+  }
+  core::ManualClock clock;
+  FleetView fleet{clock};
+};
+
+// Reports lag: between two of them a home places several requests. If it
+// trusted the reports alone, all would go to the one replica that looks idle,
+// and wait there although the other is free.
+BOOST_AUTO_TEST_CASE(OwnPlacementsCountBeforeTheyAreReported) {
+  View view;
+  view.fleet.Update(EndpointOf("a", 0, true));
+  view.fleet.Update(EndpointOf("b", 0, true));
+  const auto request = RequestOf(2, 1);
+  std::set<core::EndpointId> used;
+  for (int i = 0; i < 2; ++i) {
+    const auto decision = view.Decide(request);
+    BOOST_REQUIRE((decision.action == policy::PlacementAction::kRun));
+    view.fleet.AddSlot({.endpoint = decision.endpoint, .model = kModel});
+    used.insert(decision.endpoint);
+  }
+  BOOST_TEST(used.size() == 2U);
+  BOOST_TEST((view.Decide(request).action == policy::PlacementAction::kWait));
+  // A stale report that still shows both idle must not free the slots.
+  view.fleet.Update(EndpointOf("a", 0, true));
+  BOOST_TEST((view.Decide(request).action == policy::PlacementAction::kWait));
+  view.fleet.RemoveSlot({.endpoint = *used.begin(), .model = kModel});
+  BOOST_TEST((view.Decide(request).action == policy::PlacementAction::kRun));
+}
+
+// A load was ordered, and a report from before the order arrives. The load
+// must stay visible, or the next request orders it again elsewhere.
+BOOST_AUTO_TEST_CASE(OrderedLoadSurvivesAnOlderReport) {
+  View view;
+  view.fleet.Update(EndpointOf("a", 0, false));
+  view.fleet.Update(EndpointOf("b", 0, false));
+  const auto request = RequestOf(1, 4);
+  const auto first = view.Decide(request);
+  BOOST_REQUIRE((first.action == policy::PlacementAction::kLoad));
+  LoadOrder order;
+  order.endpoint = first.endpoint;
+  order.model = kModel;
+  order.bytes = 100;
+  view.fleet.BeginLoad(order);
+  view.fleet.Update(EndpointOf(first.endpoint.value(), 0, false));
+  BOOST_TEST((view.Decide(request).action == policy::PlacementAction::kWait));
+  view.fleet.EndLoad(order, true);
+  BOOST_TEST((view.Decide(request).action == policy::PlacementAction::kRun));
+}
+
+// An endpoint's link is lost. Requests must go elsewhere from that moment,
+// not when the platform's list has caught up.
+BOOST_AUTO_TEST_CASE(LostEndpointIsNotPlacedAt) {
+  View view;
+  view.fleet.Update(EndpointOf("a", 0, true));
+  view.fleet.Update(EndpointOf("b", 0, true));
+  KnownEndpoint lost = EndpointOf("a", 0, true);
+  lost.connected = false;
+  view.fleet.Update(lost);
+  const auto decision = view.Decide(RequestOf(2, 1));
+  BOOST_REQUIRE((decision.action == policy::PlacementAction::kRun));
+  BOOST_TEST(decision.endpoint.value() == "b");
+  BOOST_TEST(!view.fleet.AddressOf(core::EndpointId("a")).has_value());
+}
+
+// A service's replicas are counted over all endpoints through updates, losses
+// and returns: a count that drifts would refuse or allow loads for ever.
+BOOST_AUTO_TEST_CASE(ServiceCountDoesNotDrift) {
+  View view;
+  for (int round = 0; round < 3; ++round) {
+    for (const char* name : {"a", "b", "c"}) {
+      view.fleet.Update(EndpointOf(name, 0, true));
+      KnownEndpoint lost = EndpointOf(name, 0, true);
+      lost.connected = false;
+      view.fleet.Update(lost);
+    }
+  }
+  view.fleet.Update(EndpointOf("a", 0, false));
+  const auto decision = view.Decide(RequestOf(1, 1));
+  BOOST_TEST((decision.action == policy::PlacementAction::kLoad));
+}
+
+// A plain service's endpoint is picked in this zone and by load; one that
+// leaves is not.
+BOOST_AUTO_TEST_CASE(PlainServiceGoesToTheLeastLoadedInThisZone) {
+  View view;
+  for (const char* name : {"far", "near-1", "near-2", "leaving"}) {
+    KnownEndpoint known = EndpointOf(name, 0, false);
+    known.report.kind = "booths";
+    known.report.zone = std::string(name) == "far" ? "b" : "a";
+    known.leaving = std::string(name) == "leaving";
+    view.fleet.Update(known);
+  }
+  const core::ServiceId booths("booths");
+  const core::ZoneId zone("a");
+  std::set<core::EndpointId> picked;
+  for (int i = 0; i < 2; ++i) {
+    const auto pick = view.fleet.PickPlain(booths, zone, {});
+    BOOST_REQUIRE(pick.has_value());
+    view.fleet.AddSlot({.endpoint = *pick, .model = {}});
+    picked.insert(*pick);
+  }
+  BOOST_TEST((picked == std::set{core::EndpointId("near-1"),
+                                 core::EndpointId("near-2")}));
+  const auto far = view.fleet.PickPlain(booths, zone, picked);
+  BOOST_REQUIRE(far.has_value());
+  BOOST_TEST(far->value() == "far");
+}
+
+std::shared_ptr<Waiter> WaiterOf(const std::string& owner) {
+  policy::QueuedRequest queued;
+  queued.owner = core::OwnerId(owner);
+  return std::make_shared<Waiter>(gen::Place(), queued, nullptr);
+}
+
+// The queue is full of one owner's burst when another's first request comes.
+// Turned away, the second owner would be starved by the first: the burst
+// gives up its last place instead, and nobody is pushed out for the burst.
+BOOST_AUTO_TEST_CASE(FullQueueMakesRoomAtTheCostOfTheHeaviestOwner) {
+  ModelQueue queue;
+  for (int i = 0; i < 5; ++i) queue.waiters.push_back(WaiterOf("loud"));
+  BOOST_TEST(OverShareWaiter(queue, core::OwnerId("quiet")) ==
+             queue.waiters.back());
+  BOOST_TEST(OverShareWaiter(queue, core::OwnerId("loud")) == nullptr);
+}
+
+// Copies of one request run on two engines when a third is asked for. Nobody
+// knows yet whether it kills engines: a third must not be put at risk.
+BOOST_AUTO_TEST_CASE(UnprovenRequestReachesAtMostTwoEngines) {
+  ModelQueue queue;
+  const core::EndpointId a("a");
+  const core::EndpointId b("b");
+  const core::EndpointId c("c");
+  queue.running[1] = {.slot = {.endpoint = a, .model = kModel},
+                      .owner = {},
+                      .fingerprint = 7,
+                      .placed_at = {}};
+  BOOST_TEST(MayExpose(queue, 7, 0, 2, b));
+  BOOST_TEST(!MayExpose(queue, 7, 1, 2, b));
+  queue.running[2] = queue.running[1];
+  queue.running[2].slot.endpoint = b;
+  BOOST_TEST(!MayExpose(queue, 7, 0, 2, c));
+  NoteHarmless(queue, 7);
+  BOOST_TEST(MayExpose(queue, 7, 0, 2, c));
+}
+
+// One load was very slow. If its time were believed for ever, every request
+// would be refused as too late, and no load would run to correct it.
+BOOST_AUTO_TEST_CASE(MeasuredLoadTimeFadesToTheGuess) {
+  LoadEstimates loads = GuessLoads(0);
+  const core::SteadyTime start;
+  const core::Millis guess = LoadTimesAt(loads, start).remote;
+  LearnLoad(loads, policy::Tier::kRemote, std::chrono::seconds(60), start);
+  BOOST_TEST(LoadTimesAt(loads, start).remote.count() == 60000);
+  const auto later = LoadTimesAt(loads, start + std::chrono::minutes(20));
+  BOOST_TEST((later.remote - guess).count() < 10);
+}
+
+}  // namespace sapphire::entry
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -351,7 +351,13 @@
     if (it == queue.running.end()) return;
     const RunningRequest run = it->second;
     queue.running.erase(it);
-    --queue.owners[run.owner].running;
+    const core::SteadyTime now = clock.Now();
+    OwnerUsage& usage = queue.owners[run.owner];
+    --usage.running;
+    ChargeOwner(usage,
+                std::chrono::duration_cast<core::Millis>(now - run.placed_at),
+                now);
+    ForgetIdleOwners(queue, now);
     fleet.RemoveSlot(run.slot);
     LearnFromRun(queue, run, result);
   }
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -45,6 +45,7 @@
 }
 
 void Home::State::Evaluate(const core::ModelId& id) {
+  if (stopped) return;
   const auto current = config.Current();
   std::vector<LoadOrder> orders;
   {
@@ -121,7 +122,7 @@
     if (decided.contains(&waiter)) return true;
     return !held.empty() && held.contains(class_of(waiter));
   };
-  while (const auto waiter = NextWaiter(queue, skip)) {
+  while (const auto waiter = NextWaiter(queue, clock.Now(), skip)) {
     const int ahead = static_cast<int>(decided.size());
     const Step step = DecideOne(current, model, queue, waiter, ahead, orders);
     if (step == Step::kEnded) continue;
--- a/src/entry/model_queue.cc
+++ b/src/entry/model_queue.cc
@@ -1,5 +1,7 @@
 /** @file model_queue.cc The requests of one model: waiting and running. */
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "entry/model_queue_base.h"
 
@@ -11,9 +13,48 @@
 constexpr std::size_t kHarmlessKept = 1024;
 /** The home ends every wait itself; this only bounds one timer. */
 constexpr std::chrono::minutes kWaitRound{10};
+constexpr std::chrono::seconds kUsageHalfLife{10};
+/** Owners remembered for each model while they use nothing. */
+constexpr std::size_t kIdleOwnersKept = 64;
+
+double RecentAt(const OwnerUsage& usage, core::SteadyTime now) {
+  const std::chrono::duration<double> age = now - usage.recent_as_of;
+  const std::chrono::duration<double> half_life = kUsageHalfLife;
+  return usage.recent_ms * std::exp2(-(age / half_life));
+}
+
+/** @return Each owner's slot time, in ms: what ran lately, and what runs. */
+std::map<core::OwnerId, policy::OwnerUse> UseOf(const ModelQueue& queue,
+                                                core::SteadyTime now) {
+  const std::int64_t each =
+      std::max<std::int64_t>(ValueAt(queue.service_time, now).count(), 1);
+  std::map<core::OwnerId, policy::OwnerUse> use;
+  for (const auto& [owner, usage] : queue.owners) {
+    const double slot_ms =
+        RecentAt(usage, now) + static_cast<double>(usage.running * each);
+    const double most = std::numeric_limits<int>::max();
+    use[owner] = {.running = static_cast<int>(std::min(slot_ms, most)),
+                  .share = usage.share};
+  }
+  return use;
+}
 
 }  // namespace
 
+void ChargeOwner(OwnerUsage& usage, core::Millis slot_time,
+                 core::SteadyTime now) {
+  const auto charged = std::max<std::int64_t>(slot_time.count(), 1);
+  usage.recent_ms = RecentAt(usage, now) + static_cast<double>(charged);
+  usage.recent_as_of = now;
+}
+
+void ForgetIdleOwners(ModelQueue& queue, core::SteadyTime now) {
+  if (queue.owners.size() <= kIdleOwnersKept || !queue.waiters.empty()) return;
+  std::erase_if(queue.owners, [now](const auto& item) {
+    return item.second.running == 0 && RecentAt(item.second, now) < 1;
+  });
+}
+
 void Waiter::Finish(WaitResult result) {
   if (finished_) return;
   result_ = std::move(result);
@@ -30,7 +71,8 @@
 }
 
 std::shared_ptr<Waiter> NextWaiter(
-    const ModelQueue& queue, const std::function<bool(const Waiter&)>& skip) {
+    const ModelQueue& queue, core::SteadyTime now,
+    const std::function<bool(const Waiter&)>& skip) {
   std::vector<policy::QueuedRequest> candidates;
   std::vector<std::size_t> indexes;
   for (std::size_t i = 0; i < queue.waiters.size(); ++i) {
@@ -40,7 +82,7 @@
     indexes.push_back(i);
   }
   if (candidates.empty()) return nullptr;
-  return queue.waiters[indexes[policy::PickNext(candidates, queue.owners)]];
+  return queue.waiters[indexes[policy::PickNext(candidates, UseOf(queue, now))]];
 }
 
 bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter) {
--- a/src/entry/model_queue_base.h
+++ b/src/entry/model_queue_base.h
@@ -80,6 +80,20 @@
   core::SteadyTime placed_at;
 };
 
+/** What one owner uses of a model. */
+struct OwnerUsage {
+  int running = 0;
+  double share = 1.0;
+  /** Slot time of requests that ended, halved every few seconds: at moments
+   * when nothing runs, shares are kept by it. */
+  double recent_ms = 0;
+  core::SteadyTime recent_as_of;
+};
+
+/** Adds the slot time of a request that ended. */
+void ChargeOwner(OwnerUsage& usage, core::Millis slot_time,
+                 core::SteadyTime now);
+
 /** One endpoint and what is loaded there: a model, or one adapter of it. */
 using LoadKey = std::pair<core::EndpointId, core::AdapterId>;
 
@@ -87,7 +101,7 @@
 struct ModelQueue {
   std::vector<std::shared_ptr<Waiter>> waiters;
   std::map<std::int64_t, RunningRequest> running;
-  std::map<core::OwnerId, policy::OwnerUse> owners;
+  std::map<core::OwnerId, OwnerUsage> owners;
   std::set<LoadKey> loads;
   /** The tier that the newest load in progress reads from. */
   policy::Tier load_tier = policy::Tier::kRemote;
@@ -109,7 +123,11 @@
 /** @return The waiter to decide for next of those that `skip` doesn't hold
  * back; null if there is none. */
 std::shared_ptr<Waiter> NextWaiter(
-    const ModelQueue& queue, const std::function<bool(const Waiter&)>& skip);
+    const ModelQueue& queue, core::SteadyTime now,
+    const std::function<bool(const Waiter&)>& skip);
+
+/** Forgets owners that use nothing, so that the map can't grow for ever. */
+void ForgetIdleOwners(ModelQueue& queue, core::SteadyTime now);
 
 /** Takes a waiter out of the queue. @return False if it wasn't in it. */
 bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter);
