--- a/src/endpoint/adapter_worker.cc
+++ b/src/endpoint/adapter_worker.cc
@@ -83,10 +83,8 @@
   if (!added) return false;
   // In a task of its own: a caller that gives up must not cut short an order
   // whose outcome has to be known.
-  core::Spawn(parts_.executor, parts_.log, "load_adapter",
-              [this, replica = parts_.table.Find(replica.model), spec] {
-                return LoadAdapter(replica, spec);
-              });
+  StartTask("load_adapter", [this, held = parts_.table.Find(replica.model),
+                             spec] { return LoadAdapter(held, spec); });
   return false;
 }
 
--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -245,8 +245,7 @@
         http::FindHeader(request.headers, "X-Request-Id").value_or(""));
     const bool crash = std::exchange(crash_next_run, false);
     if (crash) Crash();
-    co_return std::make_unique<FakeStream>(
-        std::vector<std::string>{"part one ", "part two"}, crash);
+    co_return MakeAnswer(crash);
   }
 
   /** Orders that were under way arrive now. */
@@ -299,6 +298,11 @@
   }
 
  private:
+  static std::unique_ptr<http::ResponseStream> MakeAnswer(bool broken) {
+    const std::vector<std::string> parts = {"part one ", "part two"};
+    return std::make_unique<FakeStream>(parts, broken);
+  }
+
   bool PassesFence(const platform::EngineOrder& order) {
     if (status.honours_fencing && order.fence < status.fence) return false;
     status.fence = std::max(status.fence, order.fence);
--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -1,5 +1,6 @@
 /** @file replica_worker.cc Loads and unloads models. */
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <string>
 #include <utility>
 
@@ -29,6 +30,15 @@
   return std::chrono::duration_cast<Millis>(to - from);
 }
 
+/** Named, not a lambda inside a co_await: GCC 12 destroys such a temporary
+ * twice, and with it the replica. */
+std::function<void()> OutcomeLostHook(const ReplicaPtr& replica) {
+  return [replica] {
+    const std::lock_guard lock(replica->mutex);
+    replica->life.Apply(ReplicaEvent::kOutcomeLost);
+  };
+}
+
 }  // namespace
 
 contract::Model ReplicaWorker::SpecOf(const core::ModelId& model) const {
@@ -51,9 +61,17 @@
   return "remote";
 }
 
+/** Callers hold a replica's lock, and core::Spawn may run a task's first steps
+ * before it returns: the task would wait for the lock for ever. */
+void ReplicaWorker::StartTask(std::string_view name,
+                              std::function<Task<>()> task) {
+  boost::asio::post(parts_.executor, [this, name, task = std::move(task)] {
+    core::Spawn(parts_.executor, parts_.log, name, task);
+  });
+}
+
 void ReplicaWorker::StartLoad(const ReplicaPtr& replica, LoadWish wish) {
-  core::Spawn(parts_.executor, parts_.log, "load",
-              [this, replica, wish] { return Load(replica, wish); });
+  StartTask("load", [this, replica, wish] { return Load(replica, wish); });
 }
 
 Task<> ReplicaWorker::Load(ReplicaPtr replica, LoadWish wish) {
@@ -140,11 +158,9 @@
   order.version = spec.version;
   order.bytes = spec.weight_bytes;
   order.kv_budget_bytes = spec.kv_budget_bytes;
+  std::function<void()> outcome_lost = OutcomeLostHook(replica);
   const OrderResult result =
-      co_await parts_.desk.Give(std::move(order), [replica] {
-        const std::lock_guard lock(replica->mutex);
-        replica->life.Apply(ReplicaEvent::kOutcomeLost);
-      });
+      co_await parts_.desk.Give(std::move(order), std::move(outcome_lost));
   const std::lock_guard lock(replica->mutex);
   if (!result.carried_out) {
     replica->life.Apply(ReplicaEvent::kShownAbsent);
@@ -176,8 +192,7 @@
 }
 
 void ReplicaWorker::StartUnload(const ReplicaPtr& replica) {
-  core::Spawn(parts_.executor, parts_.log, "unload",
-              [this, replica] { return Unload(replica); });
+  StartTask("unload", [this, replica] { return Unload(replica); });
 }
 
 Task<> ReplicaWorker::Unload(ReplicaPtr replica) {
@@ -224,11 +239,9 @@
   order.kind = platform::OrderKind::kUnloadModel;
   order.model = replica->model;
   order.version = replica->version;
+  std::function<void()> outcome_lost = OutcomeLostHook(replica);
   const OrderResult result =
-      co_await parts_.desk.Give(std::move(order), [replica] {
-        const std::lock_guard lock(replica->mutex);
-        replica->life.Apply(ReplicaEvent::kOutcomeLost);
-      });
+      co_await parts_.desk.Give(std::move(order), std::move(outcome_lost));
   {
     const std::lock_guard lock(replica->mutex);
     if (!result.carried_out) {
@@ -246,8 +259,7 @@
 }
 
 void ReplicaWorker::StartGrantCheck(const ReplicaPtr& replica) {
-  core::Spawn(parts_.executor, parts_.log, "grant_check",
-              [this, replica] { return CheckGrant(replica); });
+  StartTask("grant_check", [this, replica] { return CheckGrant(replica); });
 }
 
 Task<> ReplicaWorker::CheckGrant(ReplicaPtr replica) {
--- a/src/endpoint/replica_worker_base.h
+++ b/src/endpoint/replica_worker_base.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -76,6 +77,8 @@
   void NoteGone(Replica& replica);
 
  private:
+  /** @param name Outlives the task. */
+  void StartTask(std::string_view name, std::function<core::Task<>()> task);
   core::Task<> Load(ReplicaPtr replica, LoadWish wish);
   core::Task<> LoadSteps(ReplicaPtr replica, LoadWish wish);
   core::Task<> OrderLoad(ReplicaPtr replica, contract::Model spec,
--- a/src/endpoint/runner.cc
+++ b/src/endpoint/runner.cc
@@ -197,7 +197,8 @@
     throw Error(ErrorCode::kEngineUnavailable, failure->what(),
                 kBusyRetryAfter);
   }
-  throw co_await ExplainBreak(trip, failure->timed_out());
+  const Error broke = co_await ExplainBreak(trip, failure->timed_out());
+  throw Error(broke);
 }
 
 Task<> Runner::Stream(TripPtr trip, http::ResponseStream& answer) {
@@ -211,7 +212,10 @@
     } catch (const http::TransportError& e) {
       failure = e;
     }
-    if (failure) throw co_await ExplainBreak(trip, failure->timed_out());
+    if (failure) {
+      const Error broke = co_await ExplainBreak(trip, failure->timed_out());
+      throw Error(broke);
+    }
     if (!part) break;
     trip->bytes += static_cast<std::int64_t>(part->size());
     co_await trip->call->Send(ChunkMessage(trip->chunks++, std::move(*part)));
