--- a/src/entry/model_queue.cc
+++ b/src/entry/model_queue.cc
@@ -82,7 +82,8 @@
     indexes.push_back(i);
   }
   if (candidates.empty()) return nullptr;
-  return queue.waiters[indexes[policy::PickNext(candidates, UseOf(queue, now))]];
+  return queue
+      .waiters[indexes[policy::PickNext(candidates, UseOf(queue, now))]];
 }
 
 bool RemoveWaiter(ModelQueue& queue, const Waiter* waiter) {
