--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -2,7 +2,6 @@
 #ifndef SAPPHIRE_CORE_ID_TYPE_H_
 #define SAPPHIRE_CORE_ID_TYPE_H_
 
-#include <compare>
 #include <functional>
 #include <string>
 #include <utility>
@@ -19,7 +18,10 @@
   [[nodiscard]] const std::string& value() const { return value_; }
   [[nodiscard]] bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend bool operator==(const StrongId& a, const StrongId& b) = default;
+  friend bool operator<(const StrongId& a, const StrongId& b) {
+    return a.value_ < b.value_;
+  }
 
  private:
   std::string value_;
