Stand-ins: rates of the key-value service

Cause: the platform's service handles several hundred writes and some thousand reads a second, and counts a waiting watch as a call; the stand-in had no limit and counted writes only. A call that waited while the service went down has no effect. Conclusion: no limit by default, so present tests are unchanged.

--- a/src/platform/http_platform_test.cc
+++ b/src/platform/http_platform_test.cc
@@ -56,7 +56,7 @@
   http::Request last;
   Answer answer;
   milliseconds delay{};
-  // Declared last: its thread ends first.
+  // After what its coroutines use, so that its thread ends first.
   TestRunner runner;
   http::Server server;
 };
--- a/standin/kv_stand_in.cc
+++ b/standin/kv_stand_in.cc
@@ -96,6 +96,13 @@
       .starts_with(prefix);
 }
 
+void AddCall(RateMeter& meter, std::int64_t second) {
+  if (second != meter.second) meter.calls_in_second = 0;
+  meter.second = second;
+  ++meter.calls_in_second;
+  meter.peak = std::max(meter.peak, meter.calls_in_second);
+}
+
 /** Carries out a write; the answer as JSON. */
 json::object ApplyTo(KvStore& store, const http::Request& request) {
   const std::string_view path = http::PathOf(request.target);
@@ -126,6 +133,8 @@
 
 KvStandIn::KvStandIn(StandInContext context, KvOptions options)
     : StandIn(std::move(context), kFaults),
+      read_pacer_(options.reads_per_second, context_.clock),
+      write_pacer_(options.writes_per_second, context_.clock),
       store_(options.history_limit, context_.clock) {}
 
 core::Task<> KvStandIn::Serve(const http::Request& request,
@@ -133,6 +142,8 @@
   const std::string path(http::PathOf(request.target));
   const bool is_write = request.method == "POST";
   Count(path, is_write);
+  co_await (is_write ? write_pacer_ : read_pacer_).Pass();
+  CutIfDown();
   if (is_write) {
     co_await ServeWrite(request, writer);
   } else if (path == "/kv") {
@@ -250,13 +261,8 @@
 void KvStandIn::Count(const std::string& path, bool is_write) {
   const std::lock_guard lock(mutex_);
   ++calls_[path];
-  if (!is_write) return;
   const std::int64_t second = WallMillis(context_.clock) / kMillisPerSecond;
-  if (second != current_second_) writes_this_second_ = 0;
-  current_second_ = second;
-  ++writes_this_second_;
-  peak_writes_per_second_ =
-      std::max(peak_writes_per_second_, writes_this_second_);
+  AddCall(is_write ? writes_ : reads_, second);
 }
 
 std::string KvStandIn::RecordJson() const {
@@ -265,7 +271,8 @@
   for (const auto& [path, n] : calls_) calls[path] = n;
   json::object record;
   record["calls"] = std::move(calls);
-  record["peak_writes_per_second"] = peak_writes_per_second_;
+  record["peak_reads_per_second"] = reads_.peak;
+  record["peak_writes_per_second"] = writes_.peak;
   record["revision"] = store_.revision();
   return json::serialize(record);
 }
--- a/standin/kv_stand_in_base.h
+++ b/standin/kv_stand_in_base.h
@@ -4,13 +4,13 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
 
 #include "core/signal_base.h"
 #include "standin/kv_store_base.h"
+#include "standin/pacer_base.h"
 #include "standin/stand_in_base.h"
 
 namespace sapphire::standin {
@@ -18,6 +18,16 @@
 struct KvOptions {
   /** How many changes a watch can look back on. */
   std::size_t history_limit = 1000;
+  /** Calls beyond these rates wait their turn; 0: no limit. */
+  double reads_per_second = 0;
+  double writes_per_second = 0;
+};
+
+/** Counts calls by the second of the wall clock. */
+struct RateMeter {
+  std::int64_t second = 0;
+  std::int64_t calls_in_second = 0;
+  std::int64_t peak = 0;
 };
 
 /**
@@ -51,12 +61,13 @@
   void ShowOld(std::optional<platform::KvEntry>& entry, const std::string& key);
   std::chrono::milliseconds WaitUntil(core::SteadyTime deadline) const;
 
+  Pacer read_pacer_;
+  Pacer write_pacer_;
   mutable std::mutex mutex_;
   KvStore store_;
   std::map<std::string, std::int64_t> calls_;
-  std::int64_t current_second_ = 0;
-  std::int64_t writes_this_second_ = 0;
-  std::int64_t peak_writes_per_second_ = 0;
+  RateMeter reads_;
+  RateMeter writes_;
   core::Signal changed_;
 };
 
--- a/standin/kv_store_base.h
+++ b/standin/kv_store_base.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
--- /dev/null
+++ b/standin/pacer_test.cc
@@ -0,0 +1,34 @@
+/** @file pacer_test.cc Turns are one interval apart and unused ones are lost.
+ */
+#define BOOST_TEST_MODULE pacer
+#include <boost/test/unit_test.hpp>
+
+#include "standin/pacer_base.h"
+
+namespace sapphire::standin {
+namespace {
+
+using core::Millis;
+
+BOOST_AUTO_TEST_CASE(SpacesCallers) {
+  core::ManualClock clock;
+  Pacer pacer(10, clock);
+  BOOST_TEST((pacer.Reserve() == Millis(0)));
+  BOOST_TEST((pacer.Reserve() == Millis(100)));
+  BOOST_TEST((pacer.Reserve() == Millis(200)));
+  clock.Advance(Millis(250));
+  BOOST_TEST((pacer.Reserve() == Millis(50)));
+  clock.Advance(Millis(10'000));
+  BOOST_TEST((pacer.Reserve() == Millis(0)));
+  BOOST_TEST((pacer.Reserve() == Millis(100)));
+}
+
+BOOST_AUTO_TEST_CASE(NoRateIsNoLimit) {
+  const core::ManualClock clock;
+  Pacer pacer(0, clock);
+  BOOST_TEST((pacer.Reserve() == Millis(0)));
+  BOOST_TEST((pacer.Reserve() == Millis(0)));
+}
+
+}  // namespace
+}  // namespace sapphire::standin
--- a/standin/sapphire_standin_main.cc
+++ b/standin/sapphire_standin_main.cc
@@ -77,6 +77,9 @@
   CLI::App* kv = AddCommand(app, args, "kv", "Key-value service");
   kv->add_option("--history", args.kv.history_limit,
                  "How many changes a watch can look back on");
+  kv->add_option("--reads-per-second", args.kv.reads_per_second,
+                 "More wait their turn; 0 is no limit");
+  kv->add_option("--writes-per-second", args.kv.writes_per_second);
   AddCommand(app, args, "vms", "List of VMs");
   AddWeightsOptions(AddCommand(app, args, "weights", "Weight store"),
                     args.weights);
--- a/standin/weights_stand_in.cc
+++ b/standin/weights_stand_in.cc
@@ -40,7 +40,7 @@
 WeightsStandIn::WeightsStandIn(StandInContext context, WeightsOptions options)
     : StandIn(std::move(context), kFaults),
       options_(options),
-      next_start_(context_.clock.Now()) {}
+      starts_(options.loads_per_second, context_.clock) {}
 
 core::Task<> WeightsStandIn::Serve(const http::Request& request,
                                    http::ResponseWriter& writer) {
@@ -52,7 +52,7 @@
   transfer.name = path.substr(kPathPrefix.size());
   transfer.bytes = BytesOf(request);
   transfer.asked_ms = WallMillis(context_.clock);
-  co_await WaitForStart();
+  co_await starts_.Pass();
   transfer.started_ms = WallMillis(context_.clock);
   co_await Move(transfer.bytes);
   transfer.ended_ms = WallMillis(context_.clock);
@@ -60,24 +60,6 @@
   co_await SendJson(writer, kOk, "{}");
 }
 
-/** New transfers begin one interval apart, in the order asked for. */
-core::Task<> WeightsStandIn::WaitForStart() {
-  std::chrono::milliseconds wait{};
-  {
-    const std::lock_guard lock(mutex_);
-    const core::SteadyTime now = context_.clock.Now();
-    const core::SteadyTime start = std::max(now, next_start_);
-    const FloatSeconds interval(1 / options_.loads_per_second);
-    next_start_ =
-        start +
-        std::chrono::duration_cast<core::SteadyTime::duration>(interval);
-    wait = std::chrono::ceil<std::chrono::milliseconds>(start - now);
-  }
-  if (wait.count() > 0) {
-    co_await core::SleepFor(wait);
-  }
-}
-
 core::Task<> WeightsStandIn::Move(std::int64_t bytes) {
   Begin();
   auto left = static_cast<double>(bytes);
--- a/standin/weights_stand_in_base.h
+++ b/standin/weights_stand_in_base.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "standin/pacer_base.h"
 #include "standin/stand_in_base.h"
 
 namespace sapphire::standin {
@@ -39,15 +40,14 @@
     std::int64_t ended_ms = 0;
   };
 
-  core::Task<> WaitForStart();
   core::Task<> Move(std::int64_t bytes);
   void Begin();
   void Finish(const Transfer& transfer);
   double CurrentSpeed() const;
 
   const WeightsOptions options_;
+  Pacer starts_;
   mutable std::mutex mutex_;
-  core::SteadyTime next_start_;
   int active_ = 0;
   int peak_active_ = 0;
   std::vector<Transfer> transfers_;
