--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -140,6 +140,10 @@
   return report;
 }
 
+Report UsageReport(const std::exception& error) {
+  return {ExitCode::kUsage, "", fmt::format("error: {}\n", error.what())};
+}
+
 /** Collects why no entry gave an answer. */
 class FailureList {
  public:
@@ -238,18 +242,20 @@
   try {
     request = RequestFor(command);
   } catch (const std::exception& e) {
-    co_return Report{ExitCode::kUsage, "",
-                     fmt::format("error: {}\n", e.what())};
+    co_return UsageReport(e);
   }
   FailureList failures;
   for (const std::string& entry : command.entries) {
-    http::Client client(entry);
     try {
+      http::Client client(entry);
       const http::Response response =
           co_await client.Fetch(request, command.timeout);
       co_return ReportFor(command, response);
     } catch (const http::TransportError& e) {
       failures.Add(entry, e);
+    } catch (const core::Error& e) {
+      // The address can't be used; nothing was sent.
+      co_return UsageReport(e);
     }
   }
   co_return failures.ToReport(command.kind);
--- a/src/ctl/ctl_test.cc
+++ b/src/ctl/ctl_test.cc
@@ -161,6 +161,9 @@
   command.kind = CommandKind::kPlan;
   command.argument = "/no/such/file.toml";
   BOOST_CHECK(Run(io, command).exit_code == ExitCode::kUsage);
+  command.kind = CommandKind::kConfirm;
+  command.entries = {"no address"};
+  BOOST_CHECK(Run(io, command).exit_code == ExitCode::kUsage);
 }
 
 }  // namespace
