--- a/src/timeline/clock_skew.cc
+++ b/src/timeline/clock_skew.cc
@@ -16,14 +16,14 @@
  * disagreements up to this are no sign of a clock that is off. */
 constexpr microseconds kTolerance{2'000};
 
-/** The time from a VM's first event of a request to its last. */
+/** The time from where a VM's part in a request began to its last event. */
 struct Span {
   core::WallTime first = core::WallTime::max();
   core::WallTime last = core::WallTime::min();
 
-  void Add(core::WallTime time) {
-    first = std::min(first, time);
-    last = std::max(last, time);
+  void Add(const Event& event) {
+    first = std::min(first, BeginOf(event));
+    last = std::max(last, event.time);
   }
 };
 
@@ -58,7 +58,7 @@
   RequestSpans spans;
   for (const Event& event : events) {
     if (event.request.empty()) continue;
-    spans[event.request][event.vm].Add(event.time);
+    spans[event.request][event.vm].Add(event);
   }
   return spans;
 }
--- a/src/timeline/clock_skew_func.h
+++ b/src/timeline/clock_skew_func.h
@@ -15,9 +15,9 @@
 using ClockShifts = std::map<core::VmId, std::chrono::microseconds>;
 
 /**
- * Works out how far the VMs' clocks are apart. The VM that took a request
- * logs its first and last event, so what other VMs logged of it happened in
- * between; where their clocks say otherwise, they are off by as much.
+ * Works out how far the VMs' clocks are apart. At the VM that took a request
+ * it begins and ends, so what other VMs logged of it happened in between;
+ * where their clocks say otherwise, they are off by as much.
  */
 ClockShifts EstimateShifts(const std::vector<Event>& events);
 
--- a/src/timeline/event_type.h
+++ b/src/timeline/event_type.h
@@ -2,8 +2,10 @@
 #ifndef SAPPHIRE_TIMELINE_EVENT_TYPE_H_
 #define SAPPHIRE_TIMELINE_EVENT_TYPE_H_
 
+#include <charconv>
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -35,6 +37,15 @@
   return {};
 }
 
+/** @return When what the event reports began: events of something that took
+ * time say how long, in their field `took_ms`. */
+inline core::WallTime BeginOf(const Event& event) {
+  const std::string took = FieldOf(event, "took_ms");
+  core::Millis::rep millis = 0;
+  std::from_chars(took.data(), took.data() + took.size(), millis);
+  return event.time - core::Millis(millis);
+}
+
 /** @return The lane an event is drawn in: its process on its VM. */
 inline std::string LaneOf(const Event& event) {
   return event.process + "@" + event.vm.value();
--- a/src/timeline/render_svg.cc
+++ b/src/timeline/render_svg.cc
@@ -73,9 +73,11 @@
 /** Draws one picture from events sorted by time. */
 class Picture {
  public:
-  explicit Picture(const std::vector<Event>& events) : events_(events) {
+  explicit Picture(const std::vector<Event>& events)
+      : events_(events), begin_(events.front().time) {
     for (const Event& event : events) {
       lanes_.try_emplace(LaneOf(event), 0);
+      begin_ = std::min(begin_, BeginOf(event));
     }
     int n = 0;
     for (auto& [name, index] : lanes_) index = n++;
@@ -99,10 +101,9 @@
 
  private:
   [[nodiscard]] double X(core::WallTime time) const {
-    const core::WallTime begin = events_.front().time;
-    const auto whole = events_.back().time - begin;
+    const auto whole = events_.back().time - begin_;
     if (whole.count() == 0) return kLabelWidth;
-    const double share = static_cast<double>((time - begin).count()) /
+    const double share = static_cast<double>((time - begin_).count()) /
                          static_cast<double>(whole.count());
     return kLabelWidth + share * kPlotWidth;
   }
@@ -112,10 +113,10 @@
   }
 
   void DrawTicks(double height) {
-    const auto whole = events_.back().time - events_.front().time;
+    const auto whole = events_.back().time - begin_;
     for (int i = 0; i <= kTicks; ++i) {
       const auto since = whole * i / kTicks;
-      const double x = X(events_.front().time + since);
+      const double x = X(begin_ + since);
       const auto millis =
           std::chrono::duration_cast<std::chrono::milliseconds>(since);
       svg_ += fmt::format(
@@ -143,10 +144,15 @@
       if (event.category != "replica" || model.empty()) continue;
       const Event*& previous = before[{LaneOf(event), model}];
       if (previous != nullptr) DrawBar(*previous, event);
-      previous = &event;
+      previous = EndsReplica(event) ? nullptr : &event;
     }
   }
 
+  static bool EndsReplica(const Event& event) {
+    return event.name.ends_with("_ended") ||
+           event.name.ends_with("_unloaded") || event.name.ends_with("_failed");
+  }
+
   void DrawBar(const Event& from, const Event& to) {
     svg_ += fmt::format(
         "<rect x=\"{:.1f}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" "
@@ -156,22 +162,30 @@
         kBarHeight, Title(from), Escaped(to.name));
   }
 
-  /** A line through the events of each request, from lane to lane. */
+  /** A line from lane to lane through where each event of a request began and
+   * ended. */
   void DrawRequests() {
-    std::map<core::RequestId, std::string> paths;
+    std::map<core::RequestId, std::multimap<core::WallTime, double>> paths;
     for (const Event& event : events_) {
       if (event.request.empty()) continue;
-      paths[event.request] +=
-          fmt::format("{:.1f},{:.1f} ", X(event.time), Y(event));
+      auto& path = paths[event.request];
+      path.emplace(BeginOf(event), Y(event));
+      path.emplace(event.time, Y(event));
     }
     int n = 0;
-    for (const auto& [request, points] : paths) {
-      svg_ += fmt::format(
-          "<polyline points=\"{}\" fill=\"none\" stroke-opacity=\"0.6\" "
-          "stroke=\"hsl({}, 70%, 45%)\"><title>request {}</title></polyline>\n",
-          points, n * kHueStep % kHues, Escaped(request.value()));
-      ++n;
+    for (const auto& [request, path] : paths) DrawRequest(request, path, n++);
+  }
+
+  void DrawRequest(const core::RequestId& request,
+                   const std::multimap<core::WallTime, double>& path, int n) {
+    std::string points;
+    for (const auto& [time, y] : path) {
+      points += fmt::format("{:.1f},{:.1f} ", X(time), y);
     }
+    svg_ += fmt::format(
+        "<polyline points=\"{}\" fill=\"none\" stroke-opacity=\"0.6\" "
+        "stroke=\"hsl({}, 70%, 45%)\"><title>request {}</title></polyline>\n",
+        points, n * kHueStep % kHues, Escaped(request.value()));
   }
 
   void DrawEvent(const Event& event) {
@@ -182,6 +196,7 @@
   }
 
   const std::vector<Event>& events_;
+  core::WallTime begin_;
   std::map<std::string, int> lanes_;
   std::string svg_;
 };
--- a/src/timeline/timeline_test.cc
+++ b/src/timeline/timeline_test.cc
@@ -88,6 +88,32 @@
   }
 }
 
+// As above, where each process logs a request once, at its end.
+BOOST_DATA_TEST_CASE(EndsAloneSuffice, boost::unit_test::data::xrange(20),
+                     seed) {
+  std::mt19937 random(seed);
+  const milliseconds off(
+      std::uniform_int_distribution<int>(-90'000, 90'000)(random));
+  std::vector<Event> events;
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const milliseconds begin(i * 400);
+    events.push_back(
+        At("vm", "run_ended", id, begin + off + milliseconds(290)));
+    events.push_back(At("entry", "ended", id, begin + milliseconds(300)));
+    events.back().fields.emplace_back("took_ms", "300");
+  }
+  const ClockShifts shifts = EstimateShifts(events);
+  PutInOrder(events, shifts);
+  for (const Event& event : events) {
+    if (event.vm.value() != "vm") continue;
+    const auto end = event.time - core::WallTime();
+    const int i = std::stoi(event.request.value().substr(1));
+    BOOST_TEST((end >= milliseconds(i * 400)));
+    BOOST_TEST((end <= milliseconds(i * 400 + 300)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ClocksThatAgreeAreLeftAlone) {
   std::vector<Event> events = {
       At("vm", "run", "r", milliseconds(5)),
