--- a/src/contract/intent_check.cc
+++ b/src/contract/intent_check.cc
@@ -61,7 +61,7 @@
 /** @param call "METHOD /path-prefix". */
 void CheckCall(const std::string& field, const std::string& call) {
   const std::size_t space = call.find(' ');
-  const std::string_view method = std::string_view(call).substr(0, space);
+  const std::string method = call.substr(0, space);
   if (std::ranges::find(kMethods, method) == kMethods.end() ||
       space == std::string::npos || !call.substr(space + 1).starts_with('/')) {
     Bad(field, fmt::format("\"{}\" must be like \"POST /path\"", call));
--- a/src/contract/intent_read.cc
+++ b/src/contract/intent_read.cc
@@ -101,9 +101,9 @@
 
   /** @return The list, empty if it is not given. */
   const json::array& List(std::string_view key) {
-    static const json::array empty;
+    static const json::array kEmpty;
     const json::value* value = Find(key);
-    if (value == nullptr) return empty;
+    if (value == nullptr) return kEmpty;
     if (!value->is_array()) Bad(PathOf(key), "must be a list");
     return value->get_array();
   }
@@ -146,9 +146,8 @@
 std::string_view NameIn(const json::value& element) {
   const json::object* object = element.if_object();
   const json::value* name = object ? object->if_contains("name") : nullptr;
-  return name != nullptr && name->is_string()
-             ? std::string_view(name->get_string())
-             : std::string_view();
+  if (name == nullptr || !name->is_string()) return {};
+  return name->get_string();
 }
 
 /** Calls `read(reader)` for each element of a list of named things. */
--- a/src/contract/plan.cc
+++ b/src/contract/plan.cc
@@ -325,8 +325,8 @@
 
 Plan MakePlan(core::PlanId id, const Config* base, const Intent& wanted,
               std::span<const ObservedReplica> observed) {
-  static const Intent nothing;
-  const Intent& before = base == nullptr ? nothing : base->intent;
+  static const Intent kNothing;
+  const Intent& before = base == nullptr ? kNothing : base->intent;
   Plan plan{std::move(id),
             base == nullptr ? 0 : base->version,
             Diff(before, wanted),
--- a/src/contract/plan_test.cc
+++ b/src/contract/plan_test.cc
@@ -29,7 +29,8 @@
       if (list == "model") {
         for (const json::value& adapter : item.at("adapters").as_array()) {
           const std::string own(adapter.at("name").as_string());
-          flat[{"adapter", name + ":" + own}] = json::serialize(adapter);
+          flat[{"adapter", fmt::format("{}:{}", name, own)}] =
+              json::serialize(adapter);
         }
         item.as_object().erase("adapters");
       }
@@ -91,6 +92,7 @@
   testing::Random random(seed);
   const Intent intent = testing::RandomIntent(random, 8);
   std::vector<ObservedReplica> observed;
+  observed.reserve(20);
   for (int i = 0; i < 20; ++i) {
     observed.push_back(
         {core::EndpointId(fmt::format("vm-{}", i)),
--- a/src/contract/testing_intent.h
+++ b/src/contract/testing_intent.h
@@ -21,6 +21,7 @@
 inline std::vector<Adapter> RandomAdapters(Random& random, int max) {
   std::vector<Adapter> adapters;
   const int n = Pick(random, 0, max);
+  adapters.reserve(n);
   for (int i = 0; i < n; ++i) {
     adapters.push_back({core::AdapterId(fmt::format("adapter-{:03}", i)),
                         fmt::to_string(Pick(random, 1, 3)),
--- a/src/ctl/ctl_test.cc
+++ b/src/ctl/ctl_test.cc
@@ -60,6 +60,7 @@
 ParsedLine Parse(std::vector<std::string> words) {
   words.insert(words.begin(), "sapphirectl");
   std::vector<char*> argv;
+  argv.reserve(words.size());
   for (std::string& word : words) argv.push_back(word.data());
   return ParseCommandLine(static_cast<int>(argv.size()), argv.data());
 }
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -117,7 +117,9 @@
 core::Task<std::string> Admin::HandlePlans(const http::Request& request,
                                            std::vector<std::string> path) {
   const bool post = request.method == "POST";
-  if (post && path.size() == 1) co_return co_await MakePlan(request);
+  if (post && path.size() == 1) {
+    co_return co_await MakePlan(request);
+  }
   if (request.method == "GET" && path.size() == 2) {
     co_return co_await ShowPlan(core::PlanId(path[1]));
   }
--- a/src/entry/admin_test.cc
+++ b/src/entry/admin_test.cc
@@ -49,7 +49,9 @@
     if (first.__isset.subscribe) {
       message.__set_endpoint_report(Report());
       co_await call->Send(message);
-      while (!call->ended()) co_await core::SleepFor(milliseconds(10));
+      while (!call->ended()) {
+        co_await core::SleepFor(milliseconds(10));
+      }
     } else if (first.__isset.drain) {
       leaving = true;
       gen::DrainState state;
--- a/src/entry/config_store.cc
+++ b/src/entry/config_store.cc
@@ -187,8 +187,13 @@
     }
     std::optional<platform::KvEntry> entry =
         co_await store_.Get(PlanPartKey(record.id, hash));
-    if (!entry) entry = co_await store_.Get(PartKey(hash));
-    if (!entry) throw Conflict(record.id, (co_await ReadHead(store_)).head);
+    if (!entry) {
+      entry = co_await store_.Get(PartKey(hash));
+    }
+    if (!entry) {
+      const StoredHead now = co_await ReadHead(store_);
+      throw Conflict(record.id, now.head);
+    }
     encoded.parts.push_back({hash, entry->value});
   }
   co_return encoded;
--- a/src/entry/config_watch.cc
+++ b/src/entry/config_watch.cc
@@ -56,7 +56,9 @@
     const core::SteadyTime asked = self->clock.Now();
     StoredHead stored = co_await ReadHead(self->store);
     const std::int64_t revision = stored.revision;
-    if (revision != 0) co_await Take(self, std::move(stored.head));
+    if (revision != 0) {
+      co_await Take(self, std::move(stored.head));
+    }
     self->refreshed = asked;
     co_return revision;
   }
--- a/src/entry/config_watch_test.cc
+++ b/src/entry/config_watch_test.cc
@@ -15,6 +15,9 @@
 using contract::testing::RandomIntent;
 using std::chrono::milliseconds;
 
+constexpr ConfigWatchOptions kQuick{milliseconds(50), milliseconds(200),
+                                    milliseconds(1), milliseconds(4)};
+
 struct Fixture {
   Fixture() { watch.Start(); }
 
@@ -133,7 +136,7 @@
   Confirm(RandomIntent(random, 20));
   contract::ConfigHolder fresh_holder;
   contract::PartCache fresh_parts(fresh_holder);
-  ConfigWatch fresh(io.get_executor(), {}, kv, fresh_parts, clock, log);
+  ConfigWatch fresh(io.get_executor(), kQuick, kv, fresh_parts, clock, log);
   watch.Stop();
   io.run();
   kv.head_shown = {older};
--- a/src/timeline/log_reader.cc
+++ b/src/timeline/log_reader.cc
@@ -83,9 +83,9 @@
       std::chrono::month(static_cast<unsigned>(*month)),
       std::chrono::day(static_cast<unsigned>(*day))};
   if (!date.ok()) return std::nullopt;
-  return std::chrono::sys_days(date) + std::chrono::hours(*hour) +
-         std::chrono::minutes(*minute) + std::chrono::seconds(*second) +
-         std::chrono::microseconds(*micros);
+  const std::chrono::sys_days midnight = date;
+  return midnight + std::chrono::hours(*hour) + std::chrono::minutes(*minute) +
+         std::chrono::seconds(*second) + std::chrono::microseconds(*micros);
 }
 
 void SetField(Event& event, std::string_view key, std::string value) {
