home: name the closure passed to PlaceIn in Serve

ASan: use after free of the call in RunHandler. GCC 12 destroys a closure that is a temporary of a co_await expression twice.

--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -459,8 +459,11 @@
 }
 
 core::Task<> Home::Serve(std::shared_ptr<link::Call> call, gen::Place request) {
-  const std::unique_ptr<Placement> placement = co_await PlaceIn(
-      state_, std::move(request), [call] { return call->ended(); });
+  // Named, not a temporary of the co_await below: GCC 12 destroys a closure
+  // twice there, and with it the call.
+  std::function<bool()> abandoned = [call] { return call->ended(); };
+  const std::unique_ptr<Placement> placement =
+      co_await PlaceIn(state_, std::move(request), std::move(abandoned));
   gen::Message message;
   message.__set_placed(placement->placed());
   co_await call->Send(std::move(message));
