home: crash tracker, queue rule and load-for-retry of the policy

Policy now brings the crash tracker, the full-queue rule and loads for callers that must come again; the home's own versions of the first two are gone. A suspect's endpoint shows as full to others, who wait for it: marking it unusable refused them. The burst test's queue is 1200: one owner may take half.

--- a/src/entry/endpoint_view_func.cc
+++ b/src/entry/endpoint_view_func.cc
@@ -50,6 +50,7 @@
   view.reserved_bytes = report.reserved_bytes;
   view.leaving = leaving;
   view.engine_up = report.engine_up;
+  view.max_running = report.max_running;
   view.replicas = ReplicasOf(report);
   view.memory_tier = ToModels(report.memory_tier);
   view.disk_tier = ToModels(report.disk_tier);
--- a/src/entry/fleet_fake_base.h
+++ b/src/entry/fleet_fake_base.h
@@ -312,7 +312,7 @@
     HomeOptions options;
     options.self = core::VmId(name);
     options.zone = core::ZoneId("a");
-    options.max_queue = 600;
+    options.max_queue = 1200;
     options.ledger_interval = core::Millis(200);
     options.gone_grace = core::Millis(100);
     home_ = std::make_unique<Home>(threads.executor(), options, config,
--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -18,7 +18,10 @@
 constexpr int kOverduePart = 4;
 constexpr core::Millis kLeastReadyIn{50};
 
-core::Millis ReadyIn(core::Millis elapsed, core::Millis expected) {
+/** For loads that others ordered, where the time is not known better. */
+constexpr core::Millis kForeignLoad{2000};
+
+core::Millis TimeLeft(core::Millis elapsed, core::Millis expected) {
   if (elapsed < expected) {
     return std::max(expected - elapsed, kLeastReadyIn);
   }
@@ -90,6 +93,9 @@
 void FleetView::AddView(Endpoint& endpoint) {
   endpoint.index = views_.size();
   views_.push_back(ViewOf(endpoint.known.report, endpoint.known.leaving));
+  for (policy::ReplicaView& replica : views_.back().replicas) {
+    replica.service = ServiceOf(replica.model);
+  }
   CountReplicas(views_.back(), 1);
   RefreshReplicas(endpoint);
 }
@@ -138,6 +144,8 @@
       view.reserved_bytes += overlay.load_bytes;
     }
     if (replica == nullptr) continue;
+    replica->service = ServiceOf(model);
+    replica->ready_in = ReadyIn(overlay, kForeignLoad);
     if (overlay.ready) replica->state = policy::ReplicaState::kReady;
     if (overlay.evicted) {
       replica->state = policy::ReplicaState::kUnloading;
@@ -161,32 +169,52 @@
   return nullptr;
 }
 
+core::Millis FleetView::ReadyIn(const Overlay& overlay,
+                                core::Millis expected) const {
+  const auto elapsed = std::chrono::duration_cast<core::Millis>(
+      clock_.Now() - overlay.loading_since);
+  return TimeLeft(elapsed,
+                  overlay.loads > 0 ? overlay.load_expected : expected);
+}
+
 void FleetView::PrepareHolders(const policy::PlacementRequest& request,
                                const policy::LoadTimes& loads) {
   const auto holders = holders_.find(request.model);
   if (holders == holders_.end()) return;
-  const core::SteadyTime now = clock_.Now();
   for (const core::EndpointId& id : holders->second) {
     Endpoint& endpoint = endpoints_[id];
     policy::ReplicaView* replica = FindReplica(endpoint, request.model);
     if (replica == nullptr) continue;
     const Overlay& overlay = endpoint.overlay[request.model];
-    const int running = overlay.slots + overlay.foreign;
-    // A suspect runs alone: its replica shows as full to everyone else.
-    replica->running =
-        overlay.alone > 0 ? std::max(running, request.max_concurrent) : running;
+    // A suspect runs alone: its endpoint shows as full to everyone else, who
+    // then wait for it instead of being refused.
+    if (endpoint.suspects > 0 && !request.alone) {
+      replica->running = std::max(replica->running, request.max_concurrent);
+    }
     if (replica->state != policy::ReplicaState::kLoading) continue;
-    const auto elapsed =
-        std::chrono::duration_cast<core::Millis>(now - overlay.loading_since);
-    const core::Millis expected =
-        overlay.loads > 0 ? overlay.load_expected
-                          : policy::LoadTimeFrom(
-                                loads, policy::TierAt(views_[*endpoint.index],
-                                                      request.model));
-    replica->ready_in = ReadyIn(elapsed, expected);
+    const policy::Tier tier =
+        policy::TierAt(views_[*endpoint.index], request.model);
+    replica->ready_in = ReadyIn(overlay, policy::LoadTimeFrom(loads, tier));
+  }
+}
+
+void FleetView::RestoreHolders(const core::ModelId& model) {
+  const auto holders = holders_.find(model);
+  if (holders == holders_.end()) return;
+  for (const core::EndpointId& id : holders->second) {
+    Endpoint& endpoint = endpoints_[id];
+    policy::ReplicaView* replica = FindReplica(endpoint, model);
+    if (replica == nullptr || endpoint.suspects == 0) continue;
+    const Overlay& overlay = endpoint.overlay[model];
+    replica->running = overlay.slots + overlay.foreign;
   }
 }
 
+core::ServiceId FleetView::ServiceOf(const core::ModelId& model) const {
+  const auto it = service_of_.find(model);
+  return it == service_of_.end() ? core::ServiceId() : it->second;
+}
+
 int FleetView::ServiceReplicas(const core::ServiceId& service) const {
   const auto it = service_replicas_.find(service);
   return it == service_replicas_.end() ? 0 : it->second;
@@ -196,8 +224,17 @@
                                             const core::ServiceId& service,
                                             const policy::LoadTimes& loads) {
   const std::lock_guard lock(mutex_);
+  request.service = service;
   request.service_replicas = ServiceReplicas(service);
   PrepareHolders(request, loads);
+  policy::PlacementDecision decision = DecidePrepared(request, loads);
+  RestoreHolders(request.model);
+  return decision;
+}
+
+policy::PlacementDecision FleetView::DecidePrepared(
+    const policy::PlacementRequest& request,
+    const policy::LoadTimes& loads) const {
   const auto holders = holders_.find(request.model);
   if (holders == holders_.end()) {
     return policy::DecidePlacement(request, views_, loads);
@@ -207,14 +244,16 @@
   // fleet is not looked at.
   std::vector<policy::EndpointView> own;
   for (const core::EndpointId& id : holders->second) {
-    own.push_back(views_[*endpoints_[id].index]);
+    own.push_back(views_[*endpoints_.at(id).index]);
   }
   const bool at_limit = static_cast<int>(own.size()) >= request.max_replicas;
   policy::PlacementDecision decision =
       policy::DecidePlacement(request, own, loads);
-  if (at_limit || decision.action == policy::PlacementAction::kRun) {
-    return decision;
-  }
+  const bool none_usable =
+      decision.action == policy::PlacementAction::kRefuse &&
+      decision.refusal == core::ErrorCode::kNoEndpoint;
+  if (decision.action == policy::PlacementAction::kRun) return decision;
+  if (at_limit && !none_usable) return decision;
   return policy::DecidePlacement(request, views_, loads);
 }
 
@@ -249,7 +288,7 @@
   }
   Overlay& overlay = it->second.overlay[slot.model];
   ++overlay.slots;
-  if (slot.alone) ++overlay.alone;
+  if (slot.alone) ++it->second.suspects;
   if (slot.prefix_hash != 0) {
     overlay.prefixes.push_back(slot.prefix_hash);
     if (overlay.prefixes.size() > kPrefixesKept) overlay.prefixes.pop_front();
@@ -269,17 +308,34 @@
     it->second.plain_slots = std::max(0, it->second.plain_slots - 1);
     return;
   }
+  if (slot.alone) DropSuspect(it->second);
   const auto found = it->second.overlay.find(slot.model);
   if (found == it->second.overlay.end()) return;
   Overlay& overlay = found->second;
   overlay.slots = std::max(0, overlay.slots - 1);
-  if (slot.alone) overlay.alone = std::max(0, overlay.alone - 1);
   policy::ReplicaView* replica = FindReplica(it->second, slot.model);
   if (replica != nullptr) {
     replica->running = overlay.slots + overlay.foreign;
   }
 }
 
+void FleetView::DropSuspect(Endpoint& endpoint) {
+  // The endpoint may have been forgotten and come back since it was counted.
+  endpoint.suspects = std::max(0, endpoint.suspects - 1);
+}
+
+void FleetView::Reserve(const core::EndpointId& id) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it != endpoints_.end()) ++it->second.suspects;
+}
+
+void FleetView::EndReserve(const core::EndpointId& id) {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it != endpoints_.end()) DropSuspect(it->second);
+}
+
 void FleetView::BeginLoad(const LoadOrder& order) {
   const std::lock_guard lock(mutex_);
   const auto it = endpoints_.find(order.endpoint);
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -26,7 +26,7 @@
   /** Empty for a plain service. */
   core::ModelId model;
   std::int64_t prefix_hash = 0;
-  /** True: nothing else of the model may run at this endpoint beside it. */
+  /** True: a suspect; nothing else is placed at this endpoint beside it. */
   bool alone = false;
 };
 
@@ -80,6 +80,10 @@
   void AddSlot(const Slot& slot);
   void RemoveSlot(const Slot& slot);
 
+  /** Keeps an endpoint clear for a suspect that waits; each needs an end. */
+  void Reserve(const core::EndpointId& id);
+  void EndReserve(const core::EndpointId& id);
+
   void BeginLoad(const LoadOrder& order);
   /** @param ready True if the endpoint says that the load succeeded. */
   void EndLoad(const LoadOrder& order, bool ready);
@@ -110,7 +114,6 @@
     int slots = 0;
     /** Reported as running and not placed from here. */
     int foreign = 0;
-    int alone = 0;
     int loads = 0;
     std::int64_t load_bytes = 0;
     core::SteadyTime loading_since;
@@ -129,8 +132,11 @@
     /** Where its view is in `views_`; nothing while not connected. */
     std::optional<std::size_t> index;
     int plain_slots = 0;
+    /** Suspects that run or wait here. */
+    int suspects = 0;
   };
 
+  static void DropSuspect(Endpoint& endpoint);
   void AddView(Endpoint& endpoint);
   void DropView(Endpoint& endpoint);
   /** Builds the replicas of the endpoint's view anew. */
@@ -141,6 +147,15 @@
   /** Brings what changes by time alone up to date for one model. */
   void PrepareHolders(const policy::PlacementRequest& request,
                       const policy::LoadTimes& loads);
+  /** Shows what PrepareHolders changed for this request as it is. */
+  void RestoreHolders(const core::ModelId& model);
+  /** @return When the replica's load is expected to end, from now. */
+  [[nodiscard]] core::Millis ReadyIn(const Overlay& overlay,
+                                     core::Millis expected) const;
+  [[nodiscard]] core::ServiceId ServiceOf(const core::ModelId& model) const;
+  [[nodiscard]] policy::PlacementDecision DecidePrepared(
+      const policy::PlacementRequest& request,
+      const policy::LoadTimes& loads) const;
   [[nodiscard]] int ServiceReplicas(const core::ServiceId& service) const;
 
   const core::Clock& clock_;
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -208,20 +208,16 @@
 }
 
 void Home::State::CheckQuarantine(std::int64_t fingerprint) {
-  if (quarantine->Crashes(fingerprint) < kCrashLimit) return;
+  if (!quarantine->Judge(fingerprint).IsQuarantined()) return;
   throw core::Error(ErrorCode::kQuarantined,
                     "this request has crashed two engines");
 }
 
-void Home::State::CheckRoom(ModelQueue& queue, const Waiter& newcomer) {
-  if (static_cast<int>(queue.waiters.size()) < options.max_queue) return;
-  // Failure: one owner's burst fills the queue and shuts out the others. Room
-  // is made at the cost of the owner that holds most of it for its share.
-  const auto over = OverShareWaiter(queue, newcomer.queued().owner);
-  if (over == nullptr) {
-    throw core::Error(ErrorCode::kQueueFull, "", kRetryAfter);
-  }
-  Refuse(queue, over, core::Error(ErrorCode::kOverShare, "", kRetryAfter));
+void Home::State::CheckRoom(const ModelQueue& queue,
+                            const core::OwnerId& owner) {
+  const auto refusal = policy::RefuseAtQueue(
+      WaitingOf(queue, options.max_queue), owner, UseOf(queue, clock.Now()));
+  if (refusal) throw core::Error(*refusal, "", kRetryAfter);
 }
 
 namespace {
@@ -282,7 +278,7 @@
     policy::RecordFirstTry(queue.retries);
     const core::OwnerId& owner = waiter->queued().owner;
     queue.owners[owner].share = ShareOf(*current, owner);
-    CheckRoom(queue, *waiter);
+    CheckRoom(queue, owner);
     // Alone it is decided for below. Behind others it only has to be told if
     // its turn will come too late: now, not when its time is up.
     if (!queue.waiters.empty() && !IsStarting()) {
@@ -307,7 +303,7 @@
   {
     Shard& shard = ShardOf(id);
     const std::lock_guard lock(shard.mutex);
-    if (RemoveWaiter(shard.queues[id], waiter.get())) --queued;
+    if (Dequeue(shard.queues[id], *waiter)) --queued;
     if (const auto* grant = std::get_if<Grant>(&waiter->result())) {
       granted = grant->slot_id;
     }
@@ -315,30 +311,32 @@
   if (granted) Release(id, *granted, gen::RunResult::ABANDONED);
 }
 
-void Home::State::LearnFromRun(ModelQueue& queue, const RunningRequest& run,
+void Home::State::LearnFromRun(ModelQueue& queue, std::int64_t slot_id,
+                               const RunningRequest& run,
                                gen::RunResult::type result) {
   const core::SteadyTime now = clock.Now();
-  if (result == gen::RunResult::COMPLETED) {
+  const bool completed = result == gen::RunResult::COMPLETED;
+  if (completed) {
     Learn(queue.service_time,
           std::chrono::duration_cast<core::Millis>(now - run.placed_at), now);
     NoteHarmless(queue, run.fingerprint);
-    if (quarantine->RecordCompleted(run.fingerprint)) {
-      quarantine_store->NoteChanged(run.fingerprint);
-    }
   }
-  if (result == gen::RunResult::ENGINE_CRASHED) {
-    queue.harmless.erase(run.fingerprint);
-    if (quarantine->RecordCrash(run.fingerprint, run.slot.model,
-                                run.slot.endpoint, run.placed_at)) {
+  if (result != gen::RunResult::ENGINE_CRASHED) {
+    if (quarantine->RecordEnd(run.fingerprint, slot_id, completed)) {
       quarantine_store->NoteChanged(run.fingerprint);
     }
-    log.Event(core::LogLevel::kWarning, core::LogCategory::kFault,
-              "engine_crashed_under_request",
-              {{"model", run.slot.model},
-               {"endpoint", run.slot.endpoint},
-               {"fingerprint", run.fingerprint},
-               {"crashes", quarantine->Crashes(run.fingerprint)}});
+    return;
+  }
+  queue.harmless.erase(run.fingerprint);
+  if (quarantine->RecordCrash(run.fingerprint, slot_id, run.slot.model)) {
+    quarantine_store->NoteChanged(run.fingerprint);
   }
+  log.Event(core::LogLevel::kWarning, core::LogCategory::kFault,
+            "engine_crashed_under_request",
+            {{"model", run.slot.model},
+             {"endpoint", run.slot.endpoint},
+             {"fingerprint", run.fingerprint},
+             {"crashes", quarantine->Judge(run.fingerprint).crashes}});
 }
 
 void Home::State::Release(const core::ModelId& model, std::int64_t slot_id,
@@ -359,7 +357,7 @@
                 now);
     ForgetIdleOwners(queue, now);
     fleet.RemoveSlot(run.slot);
-    LearnFromRun(queue, run, result);
+    LearnFromRun(queue, slot_id, run, result);
   }
   Evaluate(model);
 }
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -41,7 +41,7 @@
 }
 
 bool Home::State::IsSuspect(const Waiter& waiter) const {
-  return quarantine->Crashes(waiter.request().fingerprint) > 0;
+  return quarantine->Judge(waiter.request().fingerprint).IsSuspect();
 }
 
 void Home::State::Evaluate(const core::ModelId& id) {
@@ -90,8 +90,8 @@
       Refuse(queue, waiter,
              core::Error(ErrorCode::kDeadlineTooShort,
                          "its time ran out in the queue", kRetryAfter));
-    } else if (quarantine->Crashes(waiter->request().fingerprint) >=
-               kCrashLimit) {
+    } else if (quarantine->Judge(waiter->request().fingerprint)
+                   .IsQuarantined()) {
       Refuse(queue, waiter,
              core::Error(ErrorCode::kQuarantined,
                          "this request has crashed two engines"));
@@ -99,10 +99,24 @@
   }
 }
 
+bool Home::State::Dequeue(ModelQueue& queue, Waiter& waiter) {
+  if (!RemoveWaiter(queue, &waiter)) return false;
+  if (waiter.reserved) fleet.EndReserve(*waiter.reserved);
+  waiter.reserved.reset();
+  return true;
+}
+
+void Home::State::ReserveFor(Waiter& waiter, const core::EndpointId& endpoint) {
+  if (waiter.reserved == endpoint) return;
+  if (waiter.reserved) fleet.EndReserve(*waiter.reserved);
+  waiter.reserved = endpoint;
+  fleet.Reserve(endpoint);
+}
+
 void Home::State::Refuse(ModelQueue& queue,
                          const std::shared_ptr<Waiter>& waiter,
                          const core::Error& error) {
-  if (!RemoveWaiter(queue, waiter.get())) return;
+  if (!Dequeue(queue, *waiter)) return;
   --queued;
   CountRefusal(error);
   waiter->Finish(error);
@@ -147,7 +161,8 @@
   request.replica_bytes = model.weight_bytes + model.kv_budget_bytes;
   request.adapter_bytes = AdapterBytes(model, waiter.request().adapter);
   request.max_replicas = model.max_replicas;
-  request.max_concurrent = IsSuspect(waiter) ? 1 : model.max_concurrent;
+  request.max_concurrent = model.max_concurrent;
+  request.alone = IsSuspect(waiter);
   request.service_max_replicas = ServiceLimit(current, model);
   request.remaining =
       std::chrono::duration_cast<core::Millis>(waiter.queued().deadline - now);
@@ -174,10 +189,14 @@
     case PlacementAction::kLoad:
       return Load(model, queue, waiter, decision, orders);
     case PlacementAction::kWait:
+      if (!decision.endpoint.empty()) ReserveFor(*waiter, decision.endpoint);
       return Step::kHeld;
     case PlacementAction::kRefuse:
       break;
   }
+  if (decision.load_for_retry) {
+    LoadForRetry(model, queue, waiter, decision, orders);
+  }
   const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
   if (queue.failed_loads_in_row > 0 && queue.last_load_error) {
     const core::Error& cause = *queue.last_load_error;
@@ -216,16 +235,21 @@
   }
   const auto address = fleet.AddressOf(decision.endpoint);
   if (!address) return Step::kHeld;
-  const int crashes = quarantine->Crashes(request.fingerprint);
-  if (!MayExpose(queue, request.fingerprint, crashes, kCrashLimit,
-                 decision.endpoint)) {
+  const Verdict verdict = quarantine->Judge(request.fingerprint);
+  // Failure: copies of one request are sent at once and kill an engine each
+  // before the first crash is known. Until one has run to its end, no more
+  // engines run it than may die of it.
+  const bool harmless =
+      !verdict.IsSuspect() && queue.harmless.contains(request.fingerprint);
+  if (verdict.dispatch == policy::DispatchVerdict::kWaitForCopies &&
+      !harmless && !verdict.copies.contains(decision.endpoint)) {
     return Step::kHeldAlone;
   }
   const core::SteadyTime now = clock.Now();
   const Slot slot{.endpoint = decision.endpoint,
                   .model = model.name,
                   .prefix_hash = request.prefix_hash,
-                  .alone = crashes > 0};
+                  .alone = verdict.IsSuspect()};
   Grant grant;
   grant.slot_id = next_slot_id++;
   grant.placed.endpoint = decision.endpoint.value();
@@ -238,7 +262,9 @@
                                   .fingerprint = request.fingerprint,
                                   .placed_at = now};
   ++queue.owners[waiter->queued().owner].running;
-  RemoveWaiter(queue, waiter.get());
+  quarantine->RecordDispatch(request.fingerprint, grant.slot_id,
+                             decision.endpoint);
+  Dequeue(queue, *waiter);
   --queued;
   CountPlaced(*waiter, now);
   waiter->Finish(std::move(grant));
@@ -264,8 +290,9 @@
                                     const policy::PlacementDecision& decision,
                                     std::vector<LoadOrder>& orders) {
   const core::AdapterId adapter(waiter->request().adapter);
-  const LoadKey key(decision.endpoint, adapter);
-  if (queue.loads.contains(key)) return Step::kHeld;
+  if (queue.loads.contains(LoadKey(decision.endpoint, adapter))) {
+    return Step::kHeld;
+  }
   // Failure: endpoints fail one load after the other, and every try takes
   // store bandwidth from loads that could succeed. Tries after a failure are
   // held to a fraction of the requests that came.
@@ -275,27 +302,45 @@
                        kRetryAfter));
     return Step::kEnded;
   }
-  const core::SteadyTime now = clock.Now();
-  const bool base_there = fleet.HasReplica(decision.endpoint, model.name);
+  BeginLoad(model, queue, adapter, decision, orders);
+  for (const auto& other : queue.waiters) {
+    if (!other->cold_tier) other->cold_tier = queue.load_tier;
+  }
+  return Step::kHeld;
+}
+
+void Home::State::LoadForRetry(const contract::Model& model, ModelQueue& queue,
+                               const std::shared_ptr<Waiter>& waiter,
+                               const policy::PlacementDecision& decision,
+                               std::vector<LoadOrder>& orders) {
+  // Nobody waits for it: one at a time, and none after a failure.
+  if (!queue.loads.empty() || queue.failed_loads_in_row > 0) return;
+  const core::AdapterId adapter(waiter->request().adapter);
+  BeginLoad(model, queue, adapter, decision, orders);
+}
+
+void Home::State::BeginLoad(const contract::Model& model, ModelQueue& queue,
+                            const core::AdapterId& adapter,
+                            const policy::PlacementDecision& decision,
+                            std::vector<LoadOrder>& orders) {
   LoadOrder order;
   order.endpoint = decision.endpoint;
   order.model = model.name;
   order.adapter = adapter;
   order.evict = decision.evict;
   order.bytes = AdapterBytes(model, adapter.value());
-  if (!base_there) order.bytes += model.weight_bytes + model.kv_budget_bytes;
+  order.base_there = fleet.HasReplica(order.endpoint, order.model);
+  if (!order.base_there) {
+    order.bytes += model.weight_bytes + model.kv_budget_bytes;
+  }
   order.tier = fleet.TierOf(order.endpoint, order.model);
-  order.expected =
-      policy::LoadTimeFrom(LoadTimesAt(queue.load_times, now), order.tier);
-  order.base_there = base_there;
-  queue.loads.insert(key);
+  const policy::LoadTimes times = LoadTimesAt(queue.load_times, clock.Now());
+  order.expected = order.base_there ? times.adapter
+                                    : policy::LoadTimeFrom(times, order.tier);
+  queue.loads.insert(LoadKey(order.endpoint, adapter));
   queue.load_tier = order.tier;
-  for (const auto& other : queue.waiters) {
-    if (!other->cold_tier) other->cold_tier = order.tier;
-  }
   fleet.BeginLoad(order);
   orders.push_back(std::move(order));
-  return Step::kHeld;
 }
 
 }  // namespace sapphire::entry
--- a/src/entry/home_state_base.h
+++ b/src/entry/home_state_base.h
@@ -48,10 +48,10 @@
   void Withdraw(const std::shared_ptr<Waiter>& waiter);
   void Release(const core::ModelId& model, std::int64_t slot_id,
                gen::RunResult::type result);
-  void CheckRoom(ModelQueue& queue, const Waiter& newcomer);
+  void CheckRoom(const ModelQueue& queue, const core::OwnerId& owner);
   void CheckQuarantine(std::int64_t fingerprint);
-  void LearnFromRun(ModelQueue& queue, const RunningRequest& run,
-                    gen::RunResult::type result);
+  void LearnFromRun(ModelQueue& queue, std::int64_t slot_id,
+                    const RunningRequest& run, gen::RunResult::type result);
   void CountRefusal(const core::Error& error);
   core::Task<> Sweep();
 
@@ -83,9 +83,22 @@
             const std::shared_ptr<Waiter>& waiter,
             const policy::PlacementDecision& decision,
             std::vector<LoadOrder>& orders);
+  /** Loads for callers that come again, when this one has too little time. */
+  void LoadForRetry(const contract::Model& model, ModelQueue& queue,
+                    const std::shared_ptr<Waiter>& waiter,
+                    const policy::PlacementDecision& decision,
+                    std::vector<LoadOrder>& orders);
+  void BeginLoad(const contract::Model& model, ModelQueue& queue,
+                 const core::AdapterId& adapter,
+                 const policy::PlacementDecision& decision,
+                 std::vector<LoadOrder>& orders);
   void CountPlaced(const Waiter& waiter, core::SteadyTime now);
   void Refuse(ModelQueue& queue, const std::shared_ptr<Waiter>& waiter,
               const core::Error& error);
+  /** Takes a waiter out of the queue, with what is reserved for it. */
+  bool Dequeue(ModelQueue& queue, Waiter& waiter);
+  /** Keeps `endpoint` clear until the waiter leaves the queue. */
+  void ReserveFor(Waiter& waiter, const core::EndpointId& endpoint);
   /** Ends what is abandoned, out of time or quarantined meanwhile. */
   void EndOverdue(ModelQueue& queue);
   core::Millis KeepAlive(const contract::Config& config,
--- a/src/entry/quarantine.cc
+++ b/src/entry/quarantine.cc
@@ -40,68 +40,87 @@
   }
 }
 
-bool Quarantine::RecordCrash(std::int64_t fingerprint,
-                             const core::ModelId& model,
-                             const core::EndpointId& endpoint,
-                             core::SteadyTime placed_at) {
-  if (fingerprint == 0) return false;
+namespace {
+
+core::AttemptId AttemptOf(std::int64_t slot_id) {
+  return core::AttemptId(std::to_string(slot_id));
+}
+
+int CrashesOf(const policy::CrashTracker& tracker, std::int64_t fingerprint) {
+  const auto it = tracker.records.find(fingerprint);
+  return it == tracker.records.end() ? 0 : it->second.crashes;
+}
+
+}  // namespace
+
+Verdict Quarantine::Judge(std::int64_t fingerprint) const {
   const std::lock_guard lock(mutex_);
-  Entry& entry = entries_[fingerprint];
-  const bool counted =
-      std::any_of(entry.seen_here.begin(), entry.seen_here.end(),
-                  [&](const SeenHere& seen) {
-                    return seen.endpoint == endpoint && placed_at <= seen.at;
-                  });
-  if (counted) return false;
-  entry.seen_here.push_back({endpoint, clock_.Now()});
-  entry.record.model = model;
-  entry.record.crashes.insert(core::RandomHexId());
-  entry.record.last_crash = clock_.WallNow();
-  return true;
+  return {.dispatch = policy::JudgeDispatch(tracker_, fingerprint),
+          .crashes = CrashesOf(tracker_, fingerprint),
+          .copies = policy::EnginesWithCopies(tracker_, fingerprint)};
+}
+
+void Quarantine::RecordDispatch(std::int64_t fingerprint, std::int64_t slot_id,
+                                const core::EndpointId& endpoint) {
+  if (fingerprint == 0) return;
+  const std::lock_guard lock(mutex_);
+  policy::RecordDispatch(tracker_, fingerprint, AttemptOf(slot_id), endpoint);
 }
 
-bool Quarantine::RecordCompleted(std::int64_t fingerprint) {
+bool Quarantine::RecordCrash(std::int64_t fingerprint, std::int64_t slot_id,
+                             const core::ModelId& model) {
+  if (fingerprint == 0) return false;
   const std::lock_guard lock(mutex_);
-  const auto it = entries_.find(fingerprint);
-  if (it == entries_.end()) return false;
-  const auto crashes = static_cast<int>(it->second.record.crashes.size());
-  if (crashes >= kCrashLimit) return false;
-  entries_.erase(it);
+  const int before = CrashesOf(tracker_, fingerprint);
+  policy::RecordCrash(tracker_, fingerprint, AttemptOf(slot_id), clock_.Now());
+  if (CrashesOf(tracker_, fingerprint) == before) return false;
+  CrashRecord& record = records_[fingerprint];
+  record.model = model;
+  record.crashes.insert(core::RandomHexId());
+  record.last_crash = clock_.WallNow();
   return true;
 }
 
-int Quarantine::Crashes(std::int64_t fingerprint) const {
+bool Quarantine::RecordEnd(std::int64_t fingerprint, std::int64_t slot_id,
+                           bool completed) {
+  if (fingerprint == 0) return false;
   const std::lock_guard lock(mutex_);
-  const auto it = entries_.find(fingerprint);
-  if (it == entries_.end()) return 0;
-  return static_cast<int>(it->second.record.crashes.size());
+  policy::RecordEnd(tracker_, fingerprint, AttemptOf(slot_id), completed);
+  if (CrashesOf(tracker_, fingerprint) > 0) return false;
+  return records_.erase(fingerprint) > 0;
 }
 
 CrashRecord Quarantine::Find(std::int64_t fingerprint) const {
   const std::lock_guard lock(mutex_);
-  const auto it = entries_.find(fingerprint);
-  return it == entries_.end() ? CrashRecord() : it->second.record;
+  const auto it = records_.find(fingerprint);
+  return it == records_.end() ? CrashRecord() : it->second;
 }
 
 std::set<std::int64_t> Quarantine::Fingerprints() const {
   const std::lock_guard lock(mutex_);
   std::set<std::int64_t> all;
-  for (const auto& [fingerprint, entry] : entries_) all.insert(fingerprint);
+  for (const auto& [fingerprint, record] : records_) all.insert(fingerprint);
   return all;
 }
 
 void Quarantine::Merge(std::int64_t fingerprint, const CrashRecord& record) {
   if (record.crashes.empty()) return;
   const std::lock_guard lock(mutex_);
-  CrashRecord& own = entries_[fingerprint].record;
+  CrashRecord& own = records_[fingerprint];
   own.model = record.model;
   own.crashes.insert(record.crashes.begin(), record.crashes.end());
   own.last_crash = std::max(own.last_crash, record.last_crash);
+  policy::AdoptCrashes(tracker_, fingerprint,
+                       static_cast<int>(own.crashes.size()), clock_.Now());
 }
 
 void Quarantine::Drop(std::int64_t fingerprint) {
   const std::lock_guard lock(mutex_);
-  entries_.erase(fingerprint);
+  records_.erase(fingerprint);
+  const auto it = tracker_.records.find(fingerprint);
+  if (it == tracker_.records.end()) return;
+  it->second.crashes = 0;
+  if (it->second.running.empty()) tracker_.records.erase(it);
 }
 
 }  // namespace sapphire::entry
--- a/src/entry/quarantine_base.h
+++ b/src/entry/quarantine_base.h
@@ -7,16 +7,13 @@
 #include <mutex>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "core/clock_base.h"
 #include "core/id_type.h"
+#include "policy/crash_func.h"
 
 namespace sapphire::entry {
 
-/** Engines that may die under one fingerprint before it is refused. */
-inline constexpr int kCrashLimit = 2;
-
 /** The crashes seen under one fingerprint, as kept in the platform. */
 struct CrashRecord {
   core::ModelId model;
@@ -33,32 +30,45 @@
 /** @throws core::Error kInternal if the text isn't such a value. */
 CrashRecord DecodeCrashes(const std::string& text);
 
+/** How a request may be placed. */
+struct Verdict {
+  policy::DispatchVerdict dispatch = policy::DispatchVerdict::kRun;
+  int crashes = 0;
+  /** Engines that run a copy of it now. */
+  std::set<core::EndpointId> copies;
+
+  [[nodiscard]] bool IsSuspect() const { return crashes > 0; }
+  [[nodiscard]] bool IsQuarantined() const {
+    return dispatch == policy::DispatchVerdict::kQuarantined;
+  }
+};
+
 /**
- * Counts the engines that died while a request ran. Everything that ran beside
- * a crash is a suspect after it; a suspect runs alone, so the second crash
- * convicts the right one, and running to its end clears it. Safe to use from
- * any thread.
+ * policy::CrashTracker for several threads, with an id for each crash, so that
+ * entries can share what they saw and count nothing twice.
  */
 class Quarantine {
  public:
   /** @pre `clock` outlives the object. */
   explicit Quarantine(const core::Clock& clock) : clock_(clock) {}
 
+  [[nodiscard]] Verdict Judge(std::int64_t fingerprint) const;
+
+  /** Notes that a request is placed; `slot_id` is new for each. */
+  void RecordDispatch(std::int64_t fingerprint, std::int64_t slot_id,
+                      const core::EndpointId& endpoint);
+
   /**
    * Notes that an engine died under a request.
-   * @param placed_at When the request was placed there: copies that ran
-   *   together on one engine saw the same crash, which counts once.
-   * @return True if this crash was not yet counted.
+   * @return True if this crash was not yet counted: copies that ran together
+   *   on one engine saw the same one.
    */
-  bool RecordCrash(std::int64_t fingerprint, const core::ModelId& model,
-                   const core::EndpointId& endpoint,
-                   core::SteadyTime placed_at);
-
-  /** Clears a suspect that ran to its end. @return True if it was one. */
-  bool RecordCompleted(std::int64_t fingerprint);
+  bool RecordCrash(std::int64_t fingerprint, std::int64_t slot_id,
+                   const core::ModelId& model);
 
-  /** @return Engines that died under this fingerprint so far. */
-  [[nodiscard]] int Crashes(std::int64_t fingerprint) const;
+  /** Notes an end without a crash. @return True if it cleared a suspect. */
+  bool RecordEnd(std::int64_t fingerprint, std::int64_t slot_id,
+                 bool completed);
 
   /** @return What is known; no crashes if nothing is. */
   [[nodiscard]] CrashRecord Find(std::int64_t fingerprint) const;
@@ -73,18 +83,10 @@
   void Drop(std::int64_t fingerprint);
 
  private:
-  struct SeenHere {
-    core::EndpointId endpoint;
-    core::SteadyTime at;
-  };
-  struct Entry {
-    CrashRecord record;
-    std::vector<SeenHere> seen_here;
-  };
-
   const core::Clock& clock_;
   mutable std::mutex mutex_;
-  std::map<std::int64_t, Entry> entries_;
+  policy::CrashTracker tracker_;
+  std::map<std::int64_t, CrashRecord> records_;
 };
 
 }  // namespace sapphire::entry
--- a/src/entry/quarantine_store.cc
+++ b/src/entry/quarantine_store.cc
@@ -145,7 +145,8 @@
   const auto fingerprint = FingerprintIn(key);
   // Cleared here and not yet deleted there: the clearing counts.
   if (!fingerprint) return;
-  if (IsDirty(*fingerprint) && quarantine_->Crashes(*fingerprint) == 0) return;
+  if (IsDirty(*fingerprint) && quarantine_->Find(*fingerprint).crashes.empty())
+    return;
   try {
     quarantine_->Merge(*fingerprint, DecodeCrashes(value));
   } catch (const core::Error& e) {
@@ -188,8 +189,8 @@
   if (stored) {
     const CrashRecord there = DecodeCrashes(stored->value);
     if (record.crashes.empty()) {
-      const bool convicted =
-          static_cast<int>(there.crashes.size()) >= kCrashLimit;
+      const bool convicted = static_cast<int>(there.crashes.size()) >=
+                             policy::kCrashesToQuarantine;
       if (convicted) {
         quarantine_->Merge(fingerprint, there);
         co_return true;
