--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -18,6 +18,7 @@
 constexpr int kOverduePart = 4;
 constexpr core::Millis kLeastReadyIn{50};
 
+constexpr core::Millis kScanPause{20};
 /** For loads that others ordered, where the time is not known better. */
 constexpr core::Millis kForeignLoad{2000};
 
@@ -233,8 +234,7 @@
 }
 
 policy::PlacementDecision FleetView::DecidePrepared(
-    const policy::PlacementRequest& request,
-    const policy::LoadTimes& loads) const {
+    const policy::PlacementRequest& request, const policy::LoadTimes& loads) {
   const auto holders = holders_.find(request.model);
   if (holders == holders_.end()) {
     return policy::DecidePlacement(request, views_, loads);
@@ -254,7 +254,16 @@
       decision.refusal == core::ErrorCode::kNoEndpoint;
   if (decision.action == policy::PlacementAction::kRun) return decision;
   if (at_limit && !none_usable) return decision;
-  return policy::DecidePlacement(request, views_, loads);
+  // A burst behind busy replicas below their limit: whether one more is worth
+  // loading doesn't change with each request, and costs a look at all.
+  const core::SteadyTime now = clock_.Now();
+  const bool waits = decision.action == policy::PlacementAction::kWait;
+  if (waits && now < next_scan_[request.model]) return decision;
+  decision = policy::DecidePlacement(request, views_, loads);
+  if (decision.action == policy::PlacementAction::kWait) {
+    next_scan_[request.model] = now + kScanPause;
+  }
+  return decision;
 }
 
 std::optional<core::EndpointId> FleetView::PickPlain(
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -154,8 +154,7 @@
                                      core::Millis expected) const;
   [[nodiscard]] core::ServiceId ServiceOf(const core::ModelId& model) const;
   [[nodiscard]] policy::PlacementDecision DecidePrepared(
-      const policy::PlacementRequest& request,
-      const policy::LoadTimes& loads) const;
+      const policy::PlacementRequest& request, const policy::LoadTimes& loads);
   [[nodiscard]] int ServiceReplicas(const core::ServiceId& service) const;
 
   const core::Clock& clock_;
@@ -166,6 +165,8 @@
   std::map<std::string, std::set<core::EndpointId>> plain_;
   std::map<core::ModelId, core::ServiceId> service_of_;
   std::map<core::ServiceId, int> service_replicas_;
+  /** Until when a model's queue is not worth a look at the whole fleet. */
+  std::unordered_map<core::ModelId, core::SteadyTime> next_scan_;
 };
 
 }  // namespace sapphire::entry
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -89,7 +89,7 @@
  * has gone, and its slot or place in the queue would stay taken. */
 class WithdrawGuard {
  public:
-  WithdrawGuard(std::function<void()> withdraw)
+  explicit WithdrawGuard(std::function<void()> withdraw)
       : withdraw_(std::move(withdraw)) {}
   ~WithdrawGuard() {
     if (withdraw_) withdraw_();
@@ -266,8 +266,8 @@
     throw core::Error(ErrorCode::kDeadlineTooShort, "", kRetryAfter);
   }
   policy::QueuedRequest entry = ToQueued(request, now);
-  const auto waiter = std::make_shared<Waiter>(
-      std::move(request), std::move(entry), std::move(abandoned));
+  auto waiter = std::make_shared<Waiter>(std::move(request), std::move(entry),
+                                         std::move(abandoned));
   Shard& shard = ShardOf(model.name);
   {
     const std::lock_guard lock(shard.mutex);
