--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -239,14 +239,13 @@
 
 Millis Simulation::KeepAlive(const EngineState& engine, int model) const {
   if (choice_.rest != RestPolicy::kPriced) return choice_.timeout;
-  const bool unwanted =
-      !histories_[static_cast<std::size_t>(model)].last_arrival.has_value();
-  if (unwanted) return Millis(0);
-  const policy::LoadTimes& loads = Spec(model).loads;
+  const int index = ReplicaAt(engine, model);
+  const bool staged = engine.times[static_cast<std::size_t>(index)].staging;
+  if (staged) return Millis(0);
   return policy::KeepAliveTime(
       histories_[static_cast<std::size_t>(model)],
       policy::SharedWeights(workload_.weights, engine.times.size()),
-      (loads.memory + loads.disk) / 2);
+      policy::ExpectedReloadTime(Spec(model).loads));
 }
 
 void Simulation::OnIdleCheck(int engine_index) {
@@ -364,6 +363,7 @@
   for (const auto& replica : engine.view.replicas) beside += replica.running;
   policy::ReplicaView& replica = engine.view.replicas[index];
   ++replica.running;
+  engine.times[index].staging = false;
   ++owners_[spec.owner].running;
   Millis service(
       static_cast<std::int64_t>(static_cast<double>(spec.service_time.count()) *
--- a/src/policy/keep_alive.cc
+++ b/src/policy/keep_alive.cc
@@ -13,11 +13,11 @@
 /** Upper bound of bucket 0, in seconds. */
 constexpr double kFirstBound = 1.0 / 16;
 /** Arrivals this close to the first of a group would have waited with it. */
-constexpr Seconds kGroupSpan{4.0};
+constexpr Seconds kGroupSpan{8.0};
 /** What a gap still counts after the next one. */
 constexpr double kDecay = 0.97;
 /** The prior stands for this many gaps of unknown length, ... */
-constexpr double kPriorGaps = 1.0;
+constexpr double kPriorGaps = 3.0;
 /** ... spread evenly over the buckets from this one (2 s) up. */
 constexpr std::size_t kPriorFirstBucket = 5;
 /** Mean position of a gap within its bucket, as part of the upper bound. */
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -18,12 +18,15 @@
 /** What waking an accelerator that holds nothing is worth avoiding. */
 constexpr double kEmptyMillis = 4000;
 /** The same for one that holds models but runs nothing. */
-constexpr double kIdleMillis = 1000;
+constexpr double kIdleMillis = 1500;
 /** What one unit of EvictionCost is worth avoiding. */
 constexpr double kEvictionMillis = 20;
 /** A second replica has to save this part of its load time. */
 constexpr double kSecondReplicaGain = 0.5;
 
+/** One reload in this many finds its checkpoint on disk only. */
+constexpr int kReloadsFromDisk = 4;
+
 bool Usable(const EndpointView& endpoint, const PlacementRequest& request) {
   return endpoint.engine_up && !endpoint.leaving &&
          (!endpoint.reserved_for_suspect || request.alone) &&
@@ -351,6 +354,10 @@
   return loads.remote;
 }
 
+Millis ExpectedReloadTime(const LoadTimes& loads) {
+  return loads.memory + (loads.disk - loads.memory) / kReloadsFromDisk;
+}
+
 std::vector<core::VmId> RankHomes(std::string_view key,
                                   std::span<const core::VmId> candidates) {
   std::vector<std::pair<std::uint64_t, const core::VmId*>> scored;
--- a/src/policy/placement_func.h
+++ b/src/policy/placement_func.h
@@ -26,6 +26,13 @@
 /** @return The expected load time from `tier`. */
 Millis LoadTimeFrom(const LoadTimes& loads, Tier tier);
 
+/**
+ * @return What loading a model again is expected to take after it has been
+ *   unloaded: its checkpoint mostly stays in the machine's memory. For
+ *   KeepAliveTime and ReloadCost.
+ */
+Millis ExpectedReloadTime(const LoadTimes& loads);
+
 /**
  * Rendezvous hashing: the candidates in order of preference for `key`.
  * Removing a candidate moves only the keys that it was first for.
