bench: a row priced per replica, and the cost by idle replica hours

Cause: 'idle accelerator hours' can be read per accelerator or per idle model. Ruled out: settling it by silence; the table now shows both costs. Change: policy 'priced alone' (no sharing, each replica leaves by itself) and a last column with idle replica time priced in place of accelerator time.

--- a/bench/report.cc
+++ b/bench/report.cc
@@ -18,8 +18,8 @@
 constexpr unsigned kThreads = 4;
 constexpr double kGoalCostRatio = 0.8;
 
-/** Ours, and ours without a part of it; the rest are baselines. */
-constexpr std::size_t kOwnRows = 2;
+/** Ours, and ours without a part; the rest are baselines. */
+constexpr std::size_t kOwnRows = 3;
 
 /** The policies of the table; ours comes first. */
 std::vector<PolicyChoice> Choices() {
@@ -30,6 +30,9 @@
        .timeout = {},
        .stages = true},
       {.name = "priced, no staging", .rest = RestPolicy::kPriced},
+      {.name = "priced alone, staging",
+       .rest = RestPolicy::kPricedAlone,
+       .stages = true},
       {.name = "never unload", .rest = RestPolicy::kNeverUnload},
       {
           .name = "unload at once",
@@ -68,6 +71,8 @@
   double replica_hours = 0;
   double loads = 0;
   double cost = 0;
+  /** The cost if idle replica time is priced in place of accelerator time. */
+  double replica_cost = 0;
 };
 
 /** @return The nearest-rank quantile in seconds. */
@@ -98,6 +103,9 @@
   row.cost = (weights.cold_start * sum.caller_seconds +
               weights.idle * sum.idle_accelerator_seconds) /
              days;
+  row.replica_cost = (weights.cold_start * sum.caller_seconds +
+                      weights.idle * sum.idle_replica_seconds) /
+                     days;
   return row;
 }
 
@@ -131,14 +139,16 @@
   std::string table =
       "| policy | cold starts | cold p50 s | p95 s | p99 s | all callers' p99 "
       "s | refused | late | idle accelerator h | idle replica h | loads | "
-      "weighted cost |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+      "weighted cost | cost by replica h "
+      "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const Row& row : rows) {
     fmt::format_to(std::back_inserter(table),
                    "| {} | {:.0f} | {:.2f} | {:.2f} | {:.2f} | {:.2f} | {:.1f} "
-                   "| {:.1f} | {:.1f} | {:.1f} | {:.0f} | {:.0f} |\n",
+                   "| {:.1f} | {:.1f} | {:.1f} | {:.0f} | {:.0f} | {:.0f} |\n",
                    row.name, row.cold_starts, row.cold_p50, row.cold_p95,
                    row.cold_p99, row.all_p99, row.refused, row.late,
-                   row.idle_hours, row.replica_hours, row.loads, row.cost);
+                   row.idle_hours, row.replica_hours, row.loads, row.cost,
+                   row.replica_cost);
   }
   return table;
 }
--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -98,6 +98,10 @@
   void RefreshFleet();
 
   [[nodiscard]] Millis KeepAlive(const EngineState& engine, int model) const;
+  [[nodiscard]] bool IsPriced() const {
+    return choice_.rest == RestPolicy::kPriced ||
+           choice_.rest == RestPolicy::kPricedAlone;
+  }
   [[nodiscard]] bool HasReady(int model) const;
   [[nodiscard]] int EngineNamed(const core::EndpointId& endpoint) const;
   [[nodiscard]] int ModelNamed(const core::ModelId& model) const;
@@ -238,13 +242,15 @@
 }
 
 Millis Simulation::KeepAlive(const EngineState& engine, int model) const {
-  if (choice_.rest != RestPolicy::kPriced) return choice_.timeout;
+  if (!IsPriced()) return choice_.timeout;
   const int index = ReplicaAt(engine, model);
   const bool staged = engine.times[static_cast<std::size_t>(index)].staging;
   if (staged) return Millis(0);
+  const bool shares = choice_.rest == RestPolicy::kPriced;
+  const std::size_t sharers = shares ? engine.times.size() : 1;
   return policy::KeepAliveTime(
       histories_[static_cast<std::size_t>(model)],
-      policy::SharedWeights(workload_.weights, engine.times.size()),
+      policy::SharedWeights(workload_.weights, sharers),
       policy::ExpectedReloadTime(Spec(model).loads));
 }
 
@@ -261,7 +267,8 @@
     held.push_back({.running = running,
                     .idle = replica.idle,
                     .keep_alive = engine.times[i].keep_alive});
-    const bool expired = running == 0 && replica.idle >= choice_.timeout;
+    const bool expired =
+        running == 0 && replica.idle >= engine.times[i].keep_alive;
     if (expired) unload.push_back(engine.times[i].model);
   }
   if (choice_.rest == RestPolicy::kPriced) {
@@ -279,7 +286,7 @@
     RefreshView(engine, now_);
     for (std::size_t i = 0; i < engine.times.size(); ++i) {
       policy::ReplicaView& replica = engine.view.replicas[i];
-      if (choice_.rest != RestPolicy::kPriced) continue;
+      if (!IsPriced()) continue;
       const int model = engine.times[i].model;
       replica.reload_cost = policy::ReloadCost(
           histories_[static_cast<std::size_t>(model)], workload_.weights,
--- a/bench/simulation_type.h
+++ b/bench/simulation_type.h
@@ -13,6 +13,7 @@
 /** When an idle replica is unloaded. */
 enum class RestPolicy {
   kPriced,  ///< Ours: priced keep-alive, shared by an accelerator's replicas.
+  kPricedAlone,  ///< Priced as if each replica had an accelerator of its own.
   kNeverUnload,
   kUnloadAtOnce,
   kFixedTimeout,
