policy: copies of one request run on one engine at a time; first tests

Ruled out: condemning only after a run alone (a third engine could crash); remembering every completed fingerprint (state for each request served). Change: verdict kRunBesideCopies; tests of eviction, queue wait and crashes. Conclusion: identical requests share one engine, which holds their prefix anyway.

--- a/src/policy/crash.cc
+++ b/src/policy/crash.cc
@@ -25,11 +25,12 @@
   if (record.crashes >= kCrashesToQuarantine) {
     return DispatchVerdict::kQuarantined;
   }
-  const auto engines = EnginesWithCopies(tracker, fingerprint);
-  const int at_stake = record.crashes + static_cast<int>(engines.size());
-  if (at_stake >= kCrashesToQuarantine) return DispatchVerdict::kWaitForCopies;
-  return record.crashes > 0 ? DispatchVerdict::kRunAlone
-                            : DispatchVerdict::kRun;
+  const bool suspect = record.crashes > 0;
+  if (record.running.empty()) {
+    return suspect ? DispatchVerdict::kRunAlone : DispatchVerdict::kRun;
+  }
+  return suspect ? DispatchVerdict::kWaitForCopies
+                 : DispatchVerdict::kRunBesideCopies;
 }
 
 std::set<core::EndpointId> EnginesWithCopies(const CrashTracker& tracker,
--- a/src/policy/crash_func.h
+++ b/src/policy/crash_func.h
@@ -31,21 +31,22 @@
 
 enum class DispatchVerdict {
   kRun,
-  kRunAlone,       ///< A suspect: only on an engine where nothing else runs.
-  kWaitForCopies,  ///< Only on an engine that runs a copy; else wait for them.
-  kQuarantined,    ///< Refused: it may not reach a third engine.
+  kRunBesideCopies,  ///< Only on the engine that runs a copy; else wait.
+  kRunAlone,         ///< A suspect: only on an engine where nothing else runs.
+  kWaitForCopies,    ///< A suspect, a copy of which is being tried.
+  kQuarantined,      ///< Refused: it may not reach a third engine.
 };
 
 /**
  * Judges a request before it is dispatched.
  *
  * The failure guarded against: one request crashes each engine that runs it,
- * and its caller sends it again. The crashes counted plus the engines that run
- * a copy right now never pass two, so copies sent in parallel can't take a
- * third engine down before the first crash is known. Requests that merely ran
- * beside it are suspects too, with one crash each; a suspect is retried alone,
- * so a second crash can't be another request's doing, and an innocent one
- * completes, which clears it.
+ * and its caller sends it again. Copies of one request run on one engine at a
+ * time (where its prefix is cached anyway), so copies sent in parallel can't
+ * take several engines down before the first crash is known. Requests that
+ * merely ran beside it are suspects too, with one crash each; a suspect is
+ * retried alone, so a second crash can't be another request's doing, and an
+ * innocent one completes, which clears it.
  */
 DispatchVerdict JudgeDispatch(const CrashTracker& tracker,
                               std::int64_t fingerprint);
--- /dev/null
+++ b/src/policy/crash_test.cc
@@ -0,0 +1,148 @@
+/** @file crash_test.cc Harmful requests are stopped, innocent ones are not. */
+#define BOOST_TEST_MODULE crash
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
+
+#include "policy/crash_func.h"
+
+namespace sapphire::policy {
+namespace {
+
+constexpr core::SteadyTime kNow{};
+
+core::AttemptId Attempt(int n) { return core::AttemptId(std::to_string(n)); }
+core::EndpointId Engine(std::size_t n) {
+  return core::EndpointId("engine-" + std::to_string(n));
+}
+
+// A guest's request crashes the engine that runs it. Its caller's library sends
+// it again at once, and again. Without a memory of it every engine of the
+// deployment would go down in turn; here the third try is refused.
+BOOST_AUTO_TEST_CASE(ResentRequestIsRefusedBeforeAThirdEngine) {
+  CrashTracker tracker;
+  RecordDispatch(tracker, 7, Attempt(1), Engine(1));
+  BOOST_TEST(!RecordCrash(tracker, 7, Attempt(1), kNow));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunAlone));
+  RecordDispatch(tracker, 7, Attempt(2), Engine(2));
+  BOOST_TEST(RecordCrash(tracker, 7, Attempt(2), kNow));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kQuarantined));
+}
+
+// A caller sends the same harmful request five times at once. All copies are
+// judged before the first crash is known, so a count of crashes alone would let
+// them reach five engines.
+BOOST_AUTO_TEST_CASE(CopiesInParallelReachOneEngineAtATime) {
+  CrashTracker tracker;
+  RecordDispatch(tracker, 7, Attempt(1), Engine(1));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunBesideCopies));
+  BOOST_TEST((EnginesWithCopies(tracker, 7) == std::set{Engine(1)}));
+  RecordCrash(tracker, 7, Attempt(1), kNow);
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunAlone));
+  RecordDispatch(tracker, 7, Attempt(2), Engine(2));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kWaitForCopies));
+  RecordCrash(tracker, 7, Attempt(2), kNow);
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kQuarantined));
+}
+
+// Two guests send the same innocent words; both copies are on the engine that
+// another request takes down. Counting each copy's report would quarantine the
+// words after this one crash.
+BOOST_AUTO_TEST_CASE(CopiesOnOneEngineCountOneCrash) {
+  CrashTracker tracker;
+  RecordDispatch(tracker, 7, Attempt(1), Engine(1));
+  RecordDispatch(tracker, 7, Attempt(2), Engine(1));
+  RecordCrash(tracker, 7, Attempt(1), kNow);
+  BOOST_TEST(!RecordCrash(tracker, 7, Attempt(2), kNow));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunAlone));
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsAfterAWhileButNotWhatRuns) {
+  CrashTracker tracker;
+  AdoptCrashes(tracker, 1, 2, kNow);
+  RecordDispatch(tracker, 2, Attempt(1), Engine(1));
+  ForgetCrashes(tracker, kNow + std::chrono::hours(2), std::chrono::hours(1));
+  BOOST_TEST(tracker.records.size() == 1U);
+  BOOST_TEST((JudgeDispatch(tracker, 1) == DispatchVerdict::kRun));
+}
+
+/** Engines that run requests of which some crash them, all resent on failure.
+ */
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, std::int64_t harmful)
+      : random_(seed), harmful_(harmful), engines_(6) {}
+
+  /** One request comes, and one engine ends what it runs. */
+  void Step() {
+    Dispatch(static_cast<std::int64_t>(random_() % 40));
+    EndOne(random_() % engines_.size());
+  }
+
+  CrashTracker tracker;
+  std::map<std::int64_t, int> crashes;
+
+ private:
+  struct Running {
+    std::int64_t fingerprint;
+    core::AttemptId attempt;
+    bool alone;
+  };
+
+  void Dispatch(std::int64_t fingerprint) {
+    const auto verdict = JudgeDispatch(tracker, fingerprint);
+    const bool alone = verdict == DispatchVerdict::kRunAlone;
+    const bool beside = verdict == DispatchVerdict::kRunBesideCopies;
+    if (verdict != DispatchVerdict::kRun && !alone && !beside) return;
+    const std::size_t at = random_() % engines_.size();
+    const auto copies = EnginesWithCopies(tracker, fingerprint);
+    if (beside && !copies.contains(Engine(at))) return;
+    auto& engine = engines_[at];
+    if (alone && !engine.empty()) return;
+    if (!engine.empty() && engine.front().alone) return;
+    const auto attempt = Attempt(++attempts_);
+    engine.push_back({fingerprint, attempt, alone});
+    RecordDispatch(tracker, fingerprint, attempt, Engine(at));
+  }
+
+  void EndOne(std::size_t at) {
+    auto& engine = engines_[at];
+    if (engine.empty()) return;
+    if (engine.front().fingerprint < harmful_) return Crash(engine);
+    RecordEnd(tracker, engine.front().fingerprint, engine.front().attempt,
+              true);
+    engine.erase(engine.begin());
+  }
+
+  void Crash(std::vector<Running>& engine) {
+    ++crashes[engine.front().fingerprint];
+    for (const Running& run : engine) {
+      RecordCrash(tracker, run.fingerprint, run.attempt, kNow);
+    }
+    engine.clear();
+  }
+
+  std::mt19937_64 random_;
+  /** Fingerprints below this one crash their engine. */
+  std::int64_t harmful_;
+  std::vector<std::vector<Running>> engines_;
+  int attempts_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(OnlyTheHarmfulEndInQuarantine) {
+  constexpr std::int64_t kHarmful = 3;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Fleet fleet(seed, kHarmful);
+    for (int i = 0; i < 2000; ++i) fleet.Step();
+    for (const auto& [fingerprint, crashes] : fleet.crashes) {
+      BOOST_TEST(crashes <= 2, "seed " << seed);
+    }
+    for (const auto& [fingerprint, record] : fleet.tracker.records) {
+      const bool condemned = record.crashes >= kCrashesToQuarantine;
+      if (condemned) BOOST_TEST(fingerprint < kHarmful, "seed " << seed);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sapphire::policy
