--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -226,6 +226,9 @@
                                    const PlacementRequest& request) {
   std::vector<QueueServer> servers;
   for (const Site& site : survey.sites) {
+    // A slot is free and yet the request does not run: there is no room for its
+    // adapter, and waiting for a slot would not make any.
+    if (HasSlot(*site.endpoint, *site.replica, request)) continue;
     servers.push_back({.ready_in = site.replica->ready_in,
                        .loading = site.replica->state == ReplicaState::kLoading,
                        .slots = request.max_concurrent});
