--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -18,12 +18,15 @@
 /** What waking an accelerator that holds nothing is worth avoiding. */
 constexpr double kEmptyMillis = 4000;
 /** The same for one that holds models but runs nothing. */
-constexpr double kIdleMillis = 1000;
+constexpr double kIdleMillis = 1500;
 /** What one unit of EvictionCost is worth avoiding. */
 constexpr double kEvictionMillis = 20;
 /** A second replica has to save this part of its load time. */
 constexpr double kSecondReplicaGain = 0.5;
 
+/** One reload in this many finds its checkpoint on disk only. */
+constexpr int kReloadsFromDisk = 4;
+
 bool Usable(const EndpointView& endpoint, const PlacementRequest& request) {
   return endpoint.engine_up && !endpoint.leaving &&
          (!endpoint.reserved_for_suspect || request.alone) &&
@@ -223,6 +226,9 @@
                                    const PlacementRequest& request) {
   std::vector<QueueServer> servers;
   for (const Site& site : survey.sites) {
+    // A slot is free and yet the request does not run: there is no room for its
+    // adapter, and waiting for a slot would not make any.
+    if (HasSlot(*site.endpoint, *site.replica, request)) continue;
     servers.push_back({.ready_in = site.replica->ready_in,
                        .loading = site.replica->state == ReplicaState::kLoading,
                        .slots = request.max_concurrent});
@@ -351,6 +357,10 @@
   return loads.remote;
 }
 
+Millis ExpectedReloadTime(const LoadTimes& loads) {
+  return loads.memory + (loads.disk - loads.memory) / kReloadsFromDisk;
+}
+
 std::vector<core::VmId> RankHomes(std::string_view key,
                                   std::span<const core::VmId> candidates) {
   std::vector<std::pair<std::uint64_t, const core::VmId*>> scored;
