--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_CORE_ID_TYPE_H_
 #define SAPPHIRE_CORE_ID_TYPE_H_
 
+#include <compare>
 #include <functional>
 #include <string>
 #include <utility>
@@ -19,8 +20,9 @@
   [[nodiscard]] bool empty() const { return value_.empty(); }
 
   friend bool operator==(const StrongId& a, const StrongId& b) = default;
-  friend bool operator<(const StrongId& a, const StrongId& b) {
-    return a.value_ < b.value_;
+  friend std::strong_ordering operator<=>(const StrongId& a,
+                                          const StrongId& b) {
+    return a.value_ <=> b.value_;
   }
 
  private:
