Tests: non-idempotent requests under failure, judged by what really ran

Cause: the promises "at most once" and "not run only where it is certain" were not shown under failure. Change: 12 scenarios with real processes: one call through every entry at once, lost and cut answers, the key-value service down, losing a claim's answer or landing its write late, entries and the endpoint process killed or frozen, and two faults at a time by 8 seeds; a relay that cuts a link one way or both.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -211,21 +211,30 @@
   return endpoint(stand_in).engine->Address("");
 }
 
+Relay& Fleet::AddRelay(const std::string& vm) {
+  EndpointVm& it = endpoint(vm);
+  it.relay = std::make_unique<Relay>(io_, it.process->Address("link"));
+  return *it.relay;
+}
+
 void Fleet::PublishVms() {
   boost::json::array vms;
-  const auto add = [&](const auto& vm, const char* role) {
+  const auto add = [&](const auto& vm, const char* role,
+                       const std::string& address) {
     vms.push_back(
         boost::json::object{{"vm", vm.vm},
                             {"zone", vm.zone},
                             {"role", role},
                             {"state", vm.leaving ? "leaving" : "live"},
-                            {"link_address", vm.process->Address("link")}});
+                            {"link_address", address}});
   };
   for (const auto& it : endpoints_) {
-    if (it->process) add(*it, "endpoint");
+    if (!it->process) continue;
+    add(*it, "endpoint",
+        it->relay ? it->relay->address() : it->process->Address("link"));
   }
   for (const auto& it : entries_) {
-    if (it->process) add(*it, "entry");
+    if (it->process) add(*it, "entry", it->process->Address("link"));
   }
   const Reply reply =
       Send(StandInAddress("vms"),
--- a/tests/fleet_base.h
+++ b/tests/fleet_base.h
@@ -16,6 +16,7 @@
 #include "http/client_base.h"
 #include "http/http_type.h"
 #include "tests/process_base.h"
+#include "tests/relay_base.h"
 
 namespace sapphire::tests {
 
@@ -43,6 +44,8 @@
   std::string service;
   std::unique_ptr<Process> engine;
   std::unique_ptr<Process> process;
+  /** If set, stands before the process's link address. */
+  std::unique_ptr<Relay> relay;
   bool leaving = false;
 };
 
@@ -63,6 +66,9 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
+  /** Puts a relay before an endpoint's link: call before PublishVms. */
+  Relay& AddRelay(const std::string& vm);
+
   /** Settings lines added to each entry's / endpoint's file. */
   std::string entry_settings;
   std::string endpoint_settings;
--- /dev/null
+++ b/tests/once_test.cc
@@ -0,0 +1,368 @@
+/** @file once_test.cc A non-idempotent request runs at most once, and "not run"
+ * is said only where it is certain. Judged by the plain service's own record.
+ */
+#define BOOST_TEST_MODULE once
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <random>
+#include <set>
+
+#include "tests/fleet_base.h"
+
+namespace sapphire::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kIntent = R"(
+deployment = "desk"
+[[service]]
+name = "desk"
+kind = "plain"
+max_concurrent = 64
+non_idempotent = ["POST /bookings"]
+)";
+
+constexpr milliseconds kTimeout{8000};
+/** An answer may come this much after the request's time, on a busy machine. */
+constexpr milliseconds kSlack{4000};
+
+struct Desk {
+  Desk() : fleet(SAPPHIRE_BIN_DIR "/bin", "sapphire-once") {
+    fleet.endpoint_settings = "dead_after_ms = 1000\nheartbeat_ms = 200\n";
+    fleet.entry_settings =
+        "dead_after_ms = 1000\nheartbeat_ms = 200\nkv_timeout_ms = 400\n";
+    fleet.AddPlain("desk-1", "zone-a", "desk");
+    for (const char* vm : kEntries) fleet.AddEntry(vm, "zone-a");
+    fleet.PublishVms();
+    fleet.Confirm(kIntent);
+  }
+
+  static http::Request Booking(const std::string& key) {
+    return {"POST",
+            "/services/desk/bookings",
+            {{"Idempotency-Key", key},
+             {"X-Request-Timeout-Ms", std::to_string(kTimeout.count())}},
+            "{\"cabin\": 7}"};
+  }
+
+  std::future<Reply> SendLater(const std::string& entry,
+                               const std::string& key) {
+    return fleet.SendLater(fleet.EntryAddress(entry), Booking(key));
+  }
+
+  Reply Send(const std::string& entry, const std::string& key) {
+    Reply reply = SendLater(entry, key).get();
+    replies[key].push_back(reply);
+    return reply;
+  }
+
+  /** Sends each key through every entry but one, at once. */
+  void SendAllElsewhere(const std::string& victim,
+                        const std::map<std::string, std::future<Reply>>& keys) {
+    std::vector<std::pair<std::string, std::future<Reply>>> pending;
+    for (const auto& [key, first] : keys) {
+      for (const char* entry : kEntries) {
+        if (entry != victim) pending.emplace_back(key, SendLater(entry, key));
+      }
+    }
+    for (auto& [key, reply] : pending) replies[key].push_back(reply.get());
+  }
+
+  int Runs(const std::string& key) {
+    int n = 0;
+    const auto record = fleet.Record("desk-1");
+    for (const auto& run : record.at("runs").as_array()) {
+      if (run.as_object().at("idempotency_key").as_string() == key) ++n;
+    }
+    return n;
+  }
+
+  bool WaitForRun(const std::string& key) {
+    return Eventually([&] { return Runs(key) > 0; });
+  }
+
+  /** Holds every reply against what the service itself says it ran. */
+  void Judge() {
+    for (const auto& [key, list] : replies) {
+      const int runs = Runs(key);
+      BOOST_TEST_CONTEXT("key " << key) {
+        BOOST_TEST(runs <= 1);
+        bool all_not_run = true;
+        for (const Reply& reply : list) {
+          JudgeReply(reply, runs);
+          if (reply.outcome() != "not_run") all_not_run = false;
+        }
+        if (all_not_run) BOOST_TEST(runs == 0);
+      }
+    }
+  }
+
+  static void JudgeReply(const Reply& reply, int runs) {
+    BOOST_TEST_CONTEXT(reply.status << " " << reply.body << reply.failure) {
+      if (reply.ok()) BOOST_TEST(runs == 1);
+      // The entry itself may have been killed: the caller sees a cut.
+      if (reply.failure.empty() && !reply.ok()) {
+        BOOST_TEST(!reply.outcome().empty());
+      }
+      BOOST_TEST((reply.took < kTimeout + kSlack));
+    }
+  }
+
+  static constexpr std::array kEntries = {"entry-1", "entry-2", "entry-3"};
+  Fleet fleet;
+  std::map<std::string, std::vector<Reply>> replies;
+};
+
+// A guest's phone sends one booking through every entry at the same moment.
+// Without a claim that the entries agree on, each would run it and three
+// stewards would go to one cabin.
+BOOST_FIXTURE_TEST_CASE(SameCallThroughEveryEntryAtOnce, Desk) {
+  constexpr int kKeys = 12;
+  std::map<std::string, std::vector<std::future<Reply>>> pending;
+  for (int i = 0; i < kKeys; ++i) {
+    const std::string key = fmt::format("same-{}", i);
+    for (const char* entry : kEntries) {
+      pending[key].push_back(SendLater(entry, key));
+    }
+  }
+  for (auto& [key, futures] : pending) {
+    std::set<std::string> bodies;
+    for (auto& future : futures) {
+      replies[key].push_back(future.get());
+      BOOST_TEST(replies[key].back().ok());
+      bodies.insert(replies[key].back().body);
+    }
+    BOOST_TEST(bodies.size() == 1U);
+    BOOST_TEST(Runs(key) == 1);
+  }
+  Judge();
+}
+
+// The service files the booking, and its answer is lost on the way. The caller
+// must not be told "not run", and sending it again must not file it twice.
+BOOST_FIXTURE_TEST_CASE(AnswerLostAfterTheRun, Desk) {
+  fleet.Fault("desk-1", R"({"lose_answers": 1})");
+  const Reply first = Send("entry-1", "lost");
+  BOOST_TEST(first.outcome() == "unknown");
+  for (const char* entry : kEntries) {
+    BOOST_TEST(Send(entry, "lost").outcome() == "unknown");
+  }
+  BOOST_TEST(Runs("lost") == 1);
+  Judge();
+}
+
+// Half of the answer arrives, then the connection breaks. The caller must see
+// an error, not the half.
+BOOST_FIXTURE_TEST_CASE(AnswerCutInTheMiddle, Desk) {
+  fleet.Fault("desk-1", R"({"cut_body": 1})");
+  const Reply first = Send("entry-1", "cut");
+  BOOST_TEST(!first.ok());
+  BOOST_TEST(first.outcome() == "unknown");
+  BOOST_TEST(!Send("entry-2", "cut").ok());
+  BOOST_TEST(Runs("cut") == 1);
+  Judge();
+}
+
+// The same key comes with another booking. The stored answer of the first is
+// not an answer to the second.
+BOOST_FIXTURE_TEST_CASE(SameKeyForOtherWork, Desk) {
+  BOOST_TEST(Send("entry-1", "reused").ok());
+  http::Request other = Booking("reused");
+  other.body = "{\"cabin\": 8}";
+  const Reply reply = fleet.Send(fleet.EntryAddress("entry-2"), other);
+  BOOST_TEST(reply.problem() == "bad_header");
+  BOOST_TEST(Runs("reused") == 1);
+}
+
+// The key-value service is down. Nothing can be claimed, so nothing is run; the
+// caller is told so at once, with when to come back, and then it works.
+BOOST_FIXTURE_TEST_CASE(ServiceDownRefusesHonestly, Desk) {
+  fleet.Fault("kv", R"({"down": true})");
+  const Reply refused = Send("entry-1", "down");
+  BOOST_TEST(refused.outcome() == "not_run");
+  BOOST_TEST(http::FindHeader(refused.headers, "Retry-After").has_value());
+  BOOST_TEST((refused.took < kTimeout));
+  BOOST_TEST(Runs("down") == 0);
+  fleet.Fault("kv", R"({"down": false})");
+  BOOST_TEST(Eventually([&] { return Send("entry-2", "down").ok(); }));
+  BOOST_TEST(Runs("down") == 1);
+}
+
+// The claim is written, but the answer to the write is lost. Taking that for a
+// failure would refuse for good; taking it for another's claim would too.
+BOOST_FIXTURE_TEST_CASE(ClaimAnswerLost, Desk) {
+  fleet.Fault("kv", R"({"write_prefix": "claims/", "lose_answers": 1})");
+  BOOST_TEST(Send("entry-1", "claim-lost").ok());
+  BOOST_TEST(Send("entry-2", "claim-lost").ok());
+  Judge();
+}
+
+// The claim's write times out and lands a second later, when the caller has
+// been refused or has sent it again. The late claim must not let it run twice,
+// nor block for good a booking that never ran.
+BOOST_FIXTURE_TEST_CASE(ClaimLandsLate, Desk) {
+  fleet.Fault("kv", R"({"write_prefix": "claims/", "late_writes_ms": 1000,
+                        "late_writes": 8})");
+  for (int i = 0; i < 4; ++i) Send(kEntries[i % 3], "late");
+  BOOST_TEST(Eventually([&] { return Send("entry-1", "late").ok(); }));
+  BOOST_TEST(Runs("late") == 1);
+}
+
+/** Enough keys that each entry is the home of some. */
+constexpr int kKeysPerVictim = 5;
+
+// The entry that runs the bookings dies with them in progress. The caller sends
+// them again through the others.
+BOOST_FIXTURE_TEST_CASE(EntryKilledWhileItRuns, Desk) {
+  fleet.Fault("desk-1", R"({"delay_ms": 700})");
+  for (const char* victim : kEntries) {
+    std::map<std::string, std::future<Reply>> first;
+    for (int i = 0; i < kKeysPerVictim; ++i) {
+      const std::string key = fmt::format("killed-{}-{}", victim, i);
+      first[key] = SendLater(victim, key);
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    fleet.entry(victim).process->Signal(SIGKILL);
+    for (auto& [key, future] : first) replies[key].push_back(future.get());
+    SendAllElsewhere(victim, first);
+    fleet.RestartEntry(victim);
+    fleet.PublishVms();
+    for (const auto& [key, future] : first) Send(victim, key);
+  }
+  Judge();
+}
+
+// An entry freezes with bookings in its hands, past every timeout, while the
+// caller sends them again elsewhere; then it wakes up and goes on where it
+// stood.
+BOOST_FIXTURE_TEST_CASE(EntryFrozenWhileItRuns, Desk) {
+  fleet.Fault("desk-1", R"({"delay_ms": 100})");
+  for (const char* victim : kEntries) {
+    std::map<std::string, std::future<Reply>> first;
+    for (int i = 0; i < kKeysPerVictim; ++i) {
+      const std::string key = fmt::format("frozen-{}-{}", victim, i);
+      first[key] = SendLater(victim, key);
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    fleet.entry(victim).process->Signal(SIGSTOP);
+    SendAllElsewhere(victim, first);
+    fleet.entry(victim).process->Signal(SIGCONT);
+    for (auto& [key, future] : first) {
+      replies[key].push_back(future.get());
+      // Its time passed while the entry was frozen: only the outcome counts.
+      replies[key].back().took = milliseconds(0);
+    }
+  }
+  Judge();
+}
+
+// The process beside the desk freezes before it has read the request, and the
+// entries give up on its link. It then wakes up and reads what was sent.
+BOOST_FIXTURE_TEST_CASE(EndpointFrozenBeforeItStarts, Desk) {
+  fleet.endpoint("desk-1").process->Signal(SIGSTOP);
+  const Reply first = Send("entry-1", "stuck");
+  BOOST_TEST(!first.ok());
+  fleet.endpoint("desk-1").process->Signal(SIGCONT);
+  for (const char* entry : kEntries) Send(entry, "stuck");
+  Judge();
+}
+
+// The process beside the desk is killed while the desk files the booking: what
+// it knew of started requests is gone with it.
+BOOST_FIXTURE_TEST_CASE(EndpointKilledWhileItRuns, Desk) {
+  fleet.Fault("desk-1", R"({"delay_ms": 800})");
+  auto first = SendLater("entry-1", "orphan");
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.endpoint("desk-1").process->Signal(SIGKILL);
+  fleet.RestartEndpoint("desk-1");
+  fleet.PublishVms();
+  replies["orphan"].push_back(first.get());
+  BOOST_TEST(replies["orphan"].back().outcome() != "not_run");
+  Send("entry-2", "orphan");
+  Judge();
+}
+
+/** One fault that comes and goes while bookings are sent. */
+struct FaultKind {
+  const char* name;
+  std::function<void(Desk&)> begin;
+  std::function<void(Desk&)> end;
+};
+
+std::vector<FaultKind> FaultKinds() {
+  const auto signal = [](const char* vm, int number) {
+    return [vm, number](Desk& desk) {
+      if (std::string_view(vm) == "desk-1") {
+        desk.fleet.endpoint(vm).process->Signal(number);
+      } else {
+        desk.fleet.entry(vm).process->Signal(number);
+      }
+    };
+  };
+  const auto fault = [](const char* stand_in, const char* json) {
+    return [stand_in, json](Desk& desk) { desk.fleet.Fault(stand_in, json); };
+  };
+  return {
+      {"kv down", fault("kv", R"({"down": true})"),
+       fault("kv", R"({"down": false})")},
+      {"kv slow", fault("kv", R"({"delay_ms": 300})"),
+       fault("kv", R"({"delay_ms": 0})")},
+      {"kv loses answers",
+       fault("kv", R"({"write_prefix": "claims/", "lose_answers": 3})"),
+       fault("kv", R"({"lose_answers": 0})")},
+      {"kv writes late",
+       fault("kv", R"({"write_prefix": "claims/", "late_writes_ms": 600,
+                       "late_writes": 3})"),
+       fault("kv", R"({"late_writes": 0})")},
+      {"leases lapse", fault("kv", R"({"lapse_leases": true})"),
+       fault("kv", R"({"lapse_leases": false})")},
+      {"desk loses answers", fault("desk-1", R"({"lose_answers": 2})"),
+       fault("desk-1", R"({"lose_answers": 0})")},
+      {"desk slow", fault("desk-1", R"({"delay_ms": 300})"),
+       fault("desk-1", R"({"delay_ms": 0})")},
+      {"endpoint frozen", signal("desk-1", SIGSTOP), signal("desk-1", SIGCONT)},
+      {"entry frozen", signal("entry-2", SIGSTOP), signal("entry-2", SIGCONT)},
+  };
+}
+
+// Two faults at a time, drawn by seed, come and go while each booking is sent
+// through all entries, one after the other and at once.
+BOOST_FIXTURE_TEST_CASE(TwoFaultsAtATime, Desk) {
+  const std::vector<FaultKind> kinds = FaultKinds();
+  for (const unsigned seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+    std::mt19937 random(seed);
+    const FaultKind& one = kinds[random() % kinds.size()];
+    const FaultKind& two = kinds[random() % kinds.size()];
+    std::map<std::string, std::vector<std::future<Reply>>> pending;
+    const auto send_all = [&](int i) {
+      const std::string key = fmt::format("seed-{}-{}", seed, i);
+      for (const char* entry : kEntries) {
+        pending[key].push_back(SendLater(entry, key));
+      }
+    };
+    send_all(0);
+    one.begin(*this);
+    send_all(1);
+    two.begin(*this);
+    send_all(2);
+    std::this_thread::sleep_for(milliseconds(random() % 1500));
+    one.end(*this);
+    send_all(0);
+    two.end(*this);
+    for (int i = 0; i < 3; ++i) send_all(i);
+    for (auto& [key, futures] : pending) {
+      for (auto& future : futures) replies[key].push_back(future.get());
+    }
+    BOOST_TEST_CONTEXT("seed " << seed << ": " << one.name << ", "
+                               << two.name) {
+      Judge();
+    }
+    replies.clear();
+  }
+}
+
+}  // namespace
+}  // namespace sapphire::tests
