--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -1,4 +1,5 @@
 /** @file entry.cc All parts of one entry process. */
+#include <algorithm>
 #include <utility>
 
 #include "core/task_func.h"
@@ -102,7 +103,15 @@
   http_.Start();
 }
 
-bool Entry::Ready() const { return !leaving_ && config_.version() > 0; }
+/** Guard against an entry that can't serve: one that has just thawed, or is cut
+ * off, refuses every request with no_endpoint. Not being ready, it gets none
+ * from the balancer until a link is up again. */
+bool Entry::Ready() const {
+  if (leaving_ || config_.version() == 0) return false;
+  const std::vector<KnownEndpoint> endpoints = directory_.Endpoints();
+  return std::any_of(endpoints.begin(), endpoints.end(),
+                     [](const KnownEndpoint& it) { return it.connected; });
+}
 
 Levels Entry::CurrentLevels() const {
   Levels levels;
--- /dev/null
+++ b/tests/refusal_test.cc
@@ -0,0 +1,377 @@
+/** @file refusal_test.cc Every request is answered whole or refused honestly,
+ * in its time. Judged by the engines' own records. */
+#define BOOST_TEST_MODULE refusal
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <random>
+#include <set>
+
+#include "tests/fleet_base.h"
+
+namespace sapphire::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kIntent = R"(
+deployment = "cabins"
+[[service]]
+name = "cabins"
+kind = "model"
+max_replicas = 6
+[[model]]
+name = "itinerary"
+service = "cabins"
+weight_bytes = "300 MB"
+kv_budget_bytes = "100 MB"
+max_replicas = 3
+max_concurrent = 8
+[[model]]
+name = "claims"
+service = "cabins"
+weight_bytes = "300 MB"
+kv_budget_bytes = "100 MB"
+max_replicas = 1
+max_concurrent = 2
+[[service]]
+name = "desk"
+kind = "plain"
+)";
+
+constexpr std::array kEntries = {"entry-1", "entry-2"};
+constexpr std::array kEngines = {"engine-1", "engine-2", "engine-3"};
+/** An answer may come this much after the request's time, on a busy machine. */
+constexpr milliseconds kSlack{5000};
+constexpr int kTokens = 12;
+
+struct Cabins {
+  Cabins() : fleet(SAPPHIRE_BIN_DIR "/bin", "sapphire-refusal") {
+    fleet.endpoint_settings = "dead_after_ms = 1000\nheartbeat_ms = 200\n";
+    fleet.entry_settings =
+        "dead_after_ms = 1000\nheartbeat_ms = 200\nkv_timeout_ms = 400\n";
+    for (const char* vm : kEngines) {
+      fleet.AddEngine(
+          vm, "zone-a",
+          {"--memory-bytes", "1000000000", "--token-ms", "10", "--disk-tier",
+           "itinerary,claims", "--disk-bytes-per-second", "1000000000"});
+    }
+    for (const char* vm : kEntries) fleet.AddEntry(vm, "zone-a");
+  }
+
+  void Begin() {
+    fleet.PublishVms();
+    fleet.Confirm(kIntent);
+  }
+
+  static http::Request Chat(const std::string& model, const std::string& id,
+                            milliseconds timeout, bool stream,
+                            const std::string& prompt = "shore day",
+                            int tokens = kTokens) {
+    http::Request request = ChatRequest(model, prompt, id, stream, tokens);
+    request.headers.push_back(
+        {"X-Request-Timeout-Ms", std::to_string(timeout.count())});
+    return request;
+  }
+
+  std::future<Reply> SendLater(const std::string& entry,
+                               http::Request request) {
+    return fleet.SendLater(fleet.EntryAddress(entry), std::move(request));
+  }
+
+  /** @return True if any engine says that it began this request. */
+  bool Began(const std::string& id) {
+    for (const char* vm : kEngines) {
+      const auto record = fleet.Record(vm);
+      for (const auto& run : record.at("requests").as_array()) {
+        if (run.as_object().at("request_id").as_string() == id) return true;
+      }
+    }
+    return false;
+  }
+
+  /** Holds one reply against what must always be so. */
+  void Judge(const std::string& id, const Reply& reply, milliseconds timeout,
+             bool stream) {
+    BOOST_TEST_CONTEXT(id << " " << reply.status << " " << reply.body
+                          << reply.failure) {
+      BOOST_TEST((reply.took < timeout + kSlack));
+      BOOST_TEST(OnlyOwnTokens(reply.body, id));
+      if (reply.ok()) {
+        BOOST_TEST(IsWhole(reply.body, id, stream));
+      } else if (reply.failure.empty()) {
+        BOOST_TEST(!reply.outcome().empty());
+        if (reply.outcome() == "not_run") BOOST_TEST(!Began(id));
+      } else {
+        // Cut: never the mark of a whole stream.
+        BOOST_TEST(reply.body.find("[DONE]") == std::string::npos);
+      }
+    }
+  }
+
+  static bool IsWhole(const std::string& body, const std::string& id,
+                      bool stream) {
+    for (int i = 0; i < kTokens; ++i) {
+      if (body.find(fmt::format("{}#{}", id, i)) == std::string::npos) {
+        return false;
+      }
+    }
+    return !stream || body.find("data: [DONE]") != std::string::npos;
+  }
+
+  /** Tokens are "ID#N": every '#' must follow this request's id. */
+  static bool OnlyOwnTokens(const std::string& body, const std::string& id) {
+    for (std::size_t at = body.find('#'); at != std::string::npos;
+         at = body.find('#', at + 1)) {
+      const bool own =
+          at >= id.size() && body.compare(at - id.size(), id.size(), id) == 0;
+      if (!own) return false;
+    }
+    return true;
+  }
+
+  /** Sends many, streamed and not, through both entries, and judges all.
+   * @return How many were answered. */
+  int SendAndJudge(const std::string& name, int count, milliseconds timeout,
+                   const std::function<void()>& meanwhile) {
+    std::vector<std::future<Reply>> pending;
+    for (int i = 0; i < count; ++i) {
+      pending.push_back(
+          SendLater(kEntries[i % 2],
+                    Chat("itinerary", Id(name, i), timeout, i % 3 == 0)));
+    }
+    meanwhile();
+    int answered = 0;
+    for (int i = 0; i < count; ++i) {
+      const Reply reply = pending[i].get();
+      Judge(Id(name, i), reply, timeout, i % 3 == 0);
+      if (reply.ok()) ++answered;
+    }
+    return answered;
+  }
+
+  static std::string Id(const std::string& name, int i) {
+    return fmt::format("{}-{:03}-x", name, i);
+  }
+
+  std::size_t Crashes() {
+    std::size_t n = 0;
+    for (const char* vm : kEngines) {
+      n += fleet.Record(vm).at("crashes").as_array().size();
+    }
+    return n;
+  }
+
+  Fleet fleet;
+};
+
+// A crowd on the quay asks at once. Answers arrive crossed and interleaved on
+// the same links: everybody must get their own, whole.
+BOOST_FIXTURE_TEST_CASE(CrossedAnswersReachTheirOwnCallers, Cabins) {
+  Begin();
+  BOOST_TEST(SendAndJudge("crowd", 120, milliseconds(30'000), [] {}) == 120);
+}
+
+// More ask than can be served in their time. Those who can't be are told so
+// while they can still do something else, with when to come back; they are not
+// held until their time is over.
+BOOST_FIXTURE_TEST_CASE(OverloadIsRefusedAtOnce, Cabins) {
+  Begin();
+  constexpr int kCount = 80;
+  constexpr milliseconds kTimeout{12'000};
+  std::vector<std::future<Reply>> pending;
+  for (int i = 0; i < kCount; ++i) {
+    pending.push_back(SendLater(
+        kEntries[i % 2],
+        Chat("claims", Id("over", i), kTimeout, false, "a long claim", 100)));
+  }
+  int refused = 0;
+  for (int i = 0; i < kCount; ++i) {
+    const Reply reply = pending[i].get();
+    if (reply.ok()) continue;
+    ++refused;
+    BOOST_TEST(reply.outcome() == "not_run");
+    BOOST_TEST(http::FindHeader(reply.headers, "Retry-After").has_value());
+    BOOST_TEST(!Began(Id("over", i)));
+  }
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(refused < kCount);
+}
+
+// A caller allows less time than any load takes. The answer "can't be done" is
+// known at once.
+BOOST_FIXTURE_TEST_CASE(ImpossibleDeadlineStartsNothing, Cabins) {
+  Begin();
+  const Reply reply =
+      SendLater("entry-1", Chat("itinerary", "hasty", milliseconds(50), false))
+          .get();
+  BOOST_TEST(reply.outcome() == "not_run");
+  BOOST_TEST(http::FindHeader(reply.headers, "Retry-After").has_value());
+  BOOST_TEST(!Began("hasty"));
+}
+
+// An engine dies under a crowd. Callers it was answering get a whole answer
+// from elsewhere or an explicit error; nobody gets half an answer as a whole.
+BOOST_FIXTURE_TEST_CASE(EngineCrashUnderACrowd, Cabins) {
+  Begin();
+  const int answered = SendAndJudge("crash", 60, milliseconds(20'000), [this] {
+    std::this_thread::sleep_for(milliseconds(500));
+    for (const char* vm : {"engine-1", "engine-2"}) {
+      fleet.Fault(vm, R"({"crash_now": true})");
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  });
+  BOOST_TEST(answered > 0);
+}
+
+// A guest's question kills every engine that runs it, and the guest asks again,
+// through another entry. Two engines is too many already; a third must not
+// follow, and the others' questions go on being answered.
+BOOST_FIXTURE_TEST_CASE(PoisonIsNotRunAThirdTime, Cabins) {
+  Begin();
+  for (const char* vm : kEngines) {
+    fleet.Fault(vm, R"({"crash_on": "poison"})");
+  }
+  Reply last;
+  for (int i = 0; i < 6; ++i) {
+    last =
+        SendLater(kEntries[i % 2], Chat("itinerary", Id("bad", i),
+                                        milliseconds(20'000), false, "poison"))
+            .get();
+    BOOST_TEST(!last.ok());
+  }
+  BOOST_TEST(Crashes() <= 2U);
+  BOOST_TEST(last.problem() == "quarantined");
+  BOOST_TEST(last.outcome() == "not_run");
+  BOOST_TEST(SendAndJudge("good", 10, milliseconds(30'000), [] {}) == 10);
+}
+
+// The entry that is a model's home freezes. Callers of the other entry are not
+// left waiting for it until their time is over.
+BOOST_FIXTURE_TEST_CASE(FrozenHomeIsPassedOver, Cabins) {
+  Begin();
+  for (const char* victim : kEntries) {
+    const std::string other =
+        victim == std::string_view("entry-1") ? "entry-2" : "entry-1";
+    fleet.entry(victim).process->Signal(SIGSTOP);
+    const std::string id = "while-frozen-" + other;
+    const Reply reply =
+        SendLater(other, Chat("itinerary", id, milliseconds(20'000), false))
+            .get();
+    Judge(id, reply, milliseconds(20'000), false);
+    BOOST_TEST(reply.ok());
+    fleet.entry(victim).process->Signal(SIGCONT);
+    // A thawed entry finds its links lost; the balancer sends it nothing until
+    // it is ready again. The pause lets it find out.
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_TEST(Eventually([&] {
+      return fleet.Send(fleet.EntryAddress(victim), {"GET", "/readyz", {}, ""})
+                 .status == 200;
+    }));
+  }
+}
+
+// The network between the entries and one endpoint breaks, in one direction or
+// in both, with answers under way. Callers get a whole answer from elsewhere,
+// or an explicit error; and the endpoint is used again once the cut is mended.
+BOOST_FIXTURE_TEST_CASE(CutLinks, Cabins) {
+  std::map<std::string, Relay*> relays;
+  for (const char* vm : kEngines) relays[vm] = &fleet.AddRelay(vm);
+  Begin();
+  struct Cut {
+    const char* name;
+    bool to;
+    bool from;
+  };
+  for (const Cut cut : {Cut{"to", true, false}, Cut{"from", false, true},
+                        Cut{"both", true, true}}) {
+    const int answered = SendAndJudge(cut.name, 30, milliseconds(20'000), [&] {
+      std::this_thread::sleep_for(milliseconds(400));
+      relays["engine-1"]->Cut(cut.to, cut.from);
+      relays["engine-2"]->Cut(cut.to, cut.from);
+    });
+    BOOST_TEST_CONTEXT(cut.name) { BOOST_TEST(answered > 0); }
+    relays["engine-1"]->Cut(false, false);
+    relays["engine-2"]->Cut(false, false);
+    BOOST_TEST(Eventually([&] {
+      return SendLater("entry-1",
+                       Chat("itinerary", "after", milliseconds(9000), false))
+          .get()
+          .ok();
+    }));
+  }
+}
+
+// The key-value service is down for long. Models that are loaded go on being
+// served; a sleeping one is refused honestly, and served once it is back.
+BOOST_FIXTURE_TEST_CASE(ServiceDown, Cabins) {
+  Begin();
+  BOOST_TEST(SendAndJudge("warm", 4, milliseconds(20'000), [] {}) == 4);
+  fleet.Fault("kv", R"({"down": true})");
+  BOOST_TEST(SendAndJudge("still", 8, milliseconds(20'000), [] {}) == 8);
+  const Reply asleep =
+      SendLater("entry-2", Chat("claims", "asleep", milliseconds(6000), false))
+          .get();
+  BOOST_TEST(asleep.outcome() == "not_run");
+  BOOST_TEST(http::FindHeader(asleep.headers, "Retry-After").has_value());
+  fleet.Fault("kv", R"({"down": false})");
+  BOOST_TEST(Eventually([&] {
+    return SendLater("entry-1",
+                     Chat("claims", "awake", milliseconds(9000), false))
+        .get()
+        .ok();
+  }));
+}
+
+// Bad input of every kind gets a typed error that names what is wrong, and the
+// entry goes on.
+BOOST_FIXTURE_TEST_CASE(BadInputIsNamed, Cabins) {
+  Begin();
+  struct Row {
+    http::Request request;
+    int status;
+    const char* problem;
+    const char* names;
+  };
+  const auto post = [](std::string body) {
+    return http::Request{"POST", "/v1/completions", {}, std::move(body)};
+  };
+  const auto with_header = [](const char* name, const char* value) {
+    http::Request request = ChatRequest("itinerary", "x", "id");
+    request.headers.push_back({name, value});
+    return request;
+  };
+  const std::vector<Row> rows = {
+      {post("{"), 400, "malformed_request", "body"},
+      {post("[]"), 400, "malformed_request", "body"},
+      {post(R"({"prompt":"x"})"), 400, "malformed_request", "model"},
+      {post(R"({"model":"itinerary"})"), 400, "malformed_request", "prompt"},
+      {post(R"({"model":"itinerary","prompt":"x","stream":1})"), 400,
+       "malformed_request", "stream"},
+      {post(R"({"model":"nobody","prompt":"x"})"), 404, "unknown_model",
+       "nobody"},
+      {post(R"({"model":"itinerary:none","prompt":"x"})"), 404,
+       "unknown_adapter", "none"},
+      {{"GET", "/services/none/x", {}, ""}, 404, "unknown_service", "none"},
+      {{"GET", "/nowhere", {}, ""}, 404, "unknown_path", "nowhere"},
+      {with_header("X-Request-Timeout-Ms", "soon"), 400, "bad_header",
+       "X-Request-Timeout-Ms"},
+      {with_header("X-Priority", "1e9"), 400, "bad_header", "X-Priority"},
+      {with_header("Idempotency-Key", "a b"), 400, "bad_header",
+       "Idempotency-Key"},
+  };
+  for (const Row& row : rows) {
+    const Reply reply = SendLater("entry-1", row.request).get();
+    BOOST_TEST_CONTEXT(row.request.body << " " << reply.body) {
+      BOOST_TEST(reply.status == row.status);
+      BOOST_TEST(reply.problem() == row.problem);
+      BOOST_TEST(reply.outcome() == "not_run");
+      BOOST_TEST(reply.body.find(row.names) != std::string::npos);
+    }
+  }
+  BOOST_TEST(SendAndJudge("after", 3, milliseconds(20'000), [] {}) == 3);
+}
+
+}  // namespace
+}  // namespace sapphire::tests
