home: newest state of an endpoint wins, load errors told for ten seconds

A loss and an older report reach the home on two threads; a revision settles the order (OlderReportDoesNotUndoALoss). A failed load was the reason given for refusals until the next success, however long ago. More tests: the store down at the crashes, a leaving endpoint, a withdrawn model.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -19,6 +19,8 @@
   [[nodiscard]] const std::string& value() const { return value_; }
   [[nodiscard]] bool empty() const { return value_.empty(); }
 
+  // clang-tidy takes the 0 that std::pair compares with for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StrongId&, const StrongId&) = default;
 
  private:
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -87,6 +87,7 @@
   bool self_leaving = false;
   bool list_seen = false;
   bool self_seen = false;
+  std::uint64_t revision = 0;
   std::map<core::VmId, TrackedVm> vms;
   std::map<core::EndpointId, KnownEndpoint> endpoints;
   /** VMs with a FollowEndpoint running: one each, also if a VM comes back. */
@@ -189,6 +190,7 @@
       const bool was_leaving = it != endpoints.end() && it->second.leaving;
       TakeRecord(record);
       if (it != endpoints.end() && it->second.leaving != was_leaving) {
+        it->second.revision = ++revision;
         turned.push_back(it->second);
       }
     }
@@ -289,6 +291,7 @@
     known.report = std::move(report);
     known.reported_at = clock.Now();
     known.connected = true;
+    known.revision = ++revision;
     copy = known;
   }
   Notify(&copy);
@@ -302,6 +305,7 @@
     const auto it = endpoints.find(core::EndpointId(vm.value()));
     if (it == endpoints.end() || !it->second.connected) return;
     it->second.connected = false;
+    it->second.revision = ++revision;
     copy = it->second;
   }
   Notify(&copy);
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_ENTRY_DIRECTORY_BASE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,9 @@
   bool connected = false;
   /** As the platform's list or the endpoint itself says. */
   bool leaving = false;
+  /** Grows with each change of any endpoint: tells newer from older when
+   * listeners on several threads are told out of order. */
+  std::uint64_t revision = 0;
 };
 
 /** One live entry, this one included. */
--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -34,6 +34,9 @@
 std::set<core::ModelId> FleetView::Update(const KnownEndpoint& known) {
   const std::lock_guard lock(mutex_);
   Endpoint& endpoint = endpoints_[known.id];
+  // Failure: the loss of a link and an older report are told on two threads,
+  // the loss first. The older one would bring the endpoint back.
+  if (known.revision < endpoint.known.revision) return {};
   std::set<core::ModelId> touched = ModelsIn(endpoint.known.report);
   touched.merge(ModelsIn(known.report));
   DropView(endpoint);
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -56,7 +56,8 @@
   explicit FleetView(const core::Clock& clock) : clock_(clock) {}
 
   /**
-   * Takes a report, or the loss of an endpoint's link.
+   * Takes a report, or the loss of an endpoint's link, unless a newer one is
+   * known.
    * @return The models that have or had a replica there.
    */
   std::set<core::ModelId> Update(const KnownEndpoint& known);
--- a/src/entry/fleet_view_test.cc
+++ b/src/entry/fleet_view_test.cc
@@ -111,6 +111,20 @@
   BOOST_TEST(!view.fleet.AddressOf(core::EndpointId("a")).has_value());
 }
 
+// The loss of a link and a report from before it are told on two threads, in
+// the wrong order. The report must not bring the dead endpoint back.
+BOOST_AUTO_TEST_CASE(OlderReportDoesNotUndoALoss) {
+  View view;
+  KnownEndpoint report = EndpointOf("a", 0, true);
+  report.revision = 1;
+  KnownEndpoint lost = report;
+  lost.connected = false;
+  lost.revision = 2;
+  view.fleet.Update(lost);
+  view.fleet.Update(report);
+  BOOST_TEST(!view.fleet.AddressOf(core::EndpointId("a")).has_value());
+}
+
 // A service's replicas are counted over all endpoints through updates, losses
 // and returns: a count that drifts would refuse or allow loads for ever.
 BOOST_AUTO_TEST_CASE(ServiceCountDoesNotDrift) {
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -17,6 +17,8 @@
 /** A new entry waits this long for the endpoints' first reports before it
  * refuses for lack of them. */
 constexpr core::Millis kStartGrace{2000};
+/** How long a failed load is given as the reason of refusals. */
+constexpr std::chrono::seconds kLoadErrorTold{10};
 
 std::int64_t AdapterBytes(const contract::Model& model,
                           const std::string& name) {
@@ -34,6 +36,23 @@
   return it->second.max_replicas;
 }
 
+/** @return What the caller is told: the failed load, where that is why. */
+core::Error RefusalOf(const ModelQueue& queue,
+                      const policy::PlacementDecision& decision,
+                      core::SteadyTime now) {
+  const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
+  const bool recent = queue.last_load_error.has_value() &&
+                      now - queue.last_load_error_at < kLoadErrorTold;
+  if (!recent || decision.refusal == ErrorCode::kDeadlineTooShort) {
+    return core::Error(decision.refusal, "", retry_after);
+  }
+  const core::Error& cause = *queue.last_load_error;
+  // Only the load's outcome may be unknown; the request has not run.
+  const bool load_unknown = cause.outcome() == core::Outcome::kUnknown;
+  const ErrorCode code = load_unknown ? ErrorCode::kLoadFailed : cause.code();
+  return core::Error(code, cause.what(), retry_after);
+}
+
 }  // namespace
 
 bool Home::State::IsStarting() const {
@@ -197,15 +216,7 @@
   if (decision.load_for_retry) {
     LoadForRetry(model, queue, waiter, decision, orders);
   }
-  const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
-  if (queue.failed_loads_in_row > 0 && queue.last_load_error) {
-    const core::Error& cause = *queue.last_load_error;
-    Refuse(queue, waiter,
-           core::Error(cause.code(), cause.detail(), retry_after)
-               .WithOutcome(core::Outcome::kNotRun));
-    return Step::kEnded;
-  }
-  Refuse(queue, waiter, core::Error(decision.refusal, "", retry_after));
+  Refuse(queue, waiter, RefusalOf(queue, decision, clock.Now()));
   return Step::kEnded;
 }
 
@@ -313,8 +324,11 @@
                                const std::shared_ptr<Waiter>& waiter,
                                const policy::PlacementDecision& decision,
                                std::vector<LoadOrder>& orders) {
-  // Nobody waits for it: one at a time, and none after a failure.
-  if (!queue.loads.empty() || queue.failed_loads_in_row > 0) return;
+  // Nobody waits for it: one at a time.
+  if (!queue.loads.empty()) return;
+  if (queue.failed_loads_in_row > 0 && !policy::TakeRetry(queue.retries)) {
+    return;
+  }
   const core::AdapterId adapter(waiter->request().adapter);
   BeginLoad(model, queue, adapter, decision, orders);
 }
--- a/src/entry/home_load.cc
+++ b/src/entry/home_load.cc
@@ -46,7 +46,7 @@
     ensure.evict.push_back(model.value());
   }
   gen::Message message;
-  message.__set_ensure_model(std::move(ensure));
+  message.__set_ensure_model(ensure);
   return message;
 }
 
@@ -129,6 +129,7 @@
     } else {
       ++queue.failed_loads_in_row;
       queue.last_load_error = *failure;
+      queue.last_load_error_at = now;
       // A failed adapter load doesn't speak against the model at the endpoint.
       const core::AdapterId adapter =
           order.base_there ? order.adapter : core::AdapterId();
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/fleet_fake_base.h"
+#include "entry/quarantine_base.h"
 
 namespace sapphire::entry::fake {
 
@@ -219,6 +220,62 @@
   BOOST_TEST((refused.error->code() == core::ErrorCode::kQuarantined));
 }
 
+// The key-value service is down when the crashes happen. The home must still
+// refuse the third try from memory, and write what it saw once it can.
+BOOST_AUTO_TEST_CASE(QuarantineHoldsWhileTheStoreIsDown) {
+  Fleet fleet;
+  fleet.store.down = true;
+  for (int crash = 0; crash < 2; ++crash) {
+    const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong, 666));
+    BOOST_REQUIRE(outcome.placement);
+    outcome.placement->Done(gen::RunResult::ENGINE_CRASHED);
+  }
+  const Outcome third = fleet.Place(PlaceOf(kModel, kLong, 666));
+  BOOST_REQUIRE(third.error);
+  BOOST_TEST((third.error->code() == core::ErrorCode::kQuarantined));
+  BOOST_TEST(!fleet.store.Find("quarantine/666").has_value());
+  fleet.store.down = false;
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.store.Find("quarantine/666").has_value(); }));
+  const auto kept = DecodeCrashes(fleet.store.Find("quarantine/666")->value);
+  BOOST_TEST(kept.crashes.size() == 2U);
+}
+
+// A planned stop of an endpoint begins: it says that it leaves. From its next
+// report on nothing new may be loaded or placed there.
+BOOST_AUTO_TEST_CASE(LeavingEndpointGetsNothingNew) {
+  Fleet fleet;
+  const auto left = [&fleet] {
+    return *fleet.entry->directory().Find(core::EndpointId("left"));
+  };
+  fleet.left.SetReady(kModel);
+  BOOST_REQUIRE(Eventually([&] { return !left().report.replicas.empty(); }));
+  BOOST_REQUIRE(fleet.Place(PlaceOf(kModel, kLong)).placement);
+  fleet.left.SetLeaving();
+  BOOST_REQUIRE(Eventually([&] { return left().leaving; }));
+  const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong));
+  BOOST_TEST(fleet.left.loads == 0);
+  BOOST_TEST(
+      (outcome.error || outcome.placement->placed().endpoint == "right"));
+}
+
+// Operators withdraw a model while requests wait for it. They must end with
+// an answer, not wait for what can't come.
+BOOST_AUTO_TEST_CASE(WithdrawnModelEndsItsQueue) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kHang;
+  fleet.right.mode = LoadMode::kHang;
+  auto waiting = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 1; }));
+  contract::Config other = ConfigOf("another", 1, 1);
+  other.version = 2;
+  fleet.config.Adopt(other);
+  const Outcome outcome = waiting.get();
+  BOOST_REQUIRE(outcome.error);
+  BOOST_TEST((outcome.error->code() == core::ErrorCode::kUnknownModel));
+}
+
 core::Task<int> PlaceInTurn(Home& home, std::string owner,
                             std::atomic<int>& turn) {
   Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong, 0, owner));
--- a/src/entry/ledger_cleanup.cc
+++ b/src/entry/ledger_cleanup.cc
@@ -139,7 +139,8 @@
   const auto ledger = co_await store_.Get(key);
   if (!ledger) co_return;
   for (const core::VmId& vm : GrantHolders(ledger->value)) {
-    if (IsGone(vm)) co_await EndGrants(key, vm);
+    if (!IsGone(vm)) continue;
+    co_await EndGrants(key, vm);
   }
 }
 
--- a/src/entry/model_queue_base.h
+++ b/src/entry/model_queue_base.h
@@ -111,6 +111,7 @@
   /** Loads that failed a short while ago are not tried again there. */
   std::map<LoadKey, core::SteadyTime> avoid_until;
   std::optional<core::Error> last_load_error;
+  core::SteadyTime last_load_error_at;
   int failed_loads_in_row = 0;
   policy::RetryBudget retries;
   policy::ArrivalHistory arrivals;
--- a/src/entry/quarantine_store.cc
+++ b/src/entry/quarantine_store.cc
@@ -143,10 +143,10 @@
 void QuarantineStore::TakeEntry(const std::string& key,
                                 const std::string& value) {
   const auto fingerprint = FingerprintIn(key);
-  // Cleared here and not yet deleted there: the clearing counts.
   if (!fingerprint) return;
-  if (IsDirty(*fingerprint) && quarantine_->Find(*fingerprint).crashes.empty())
-    return;
+  const bool nothing_here = quarantine_->Find(*fingerprint).crashes.empty();
+  // Cleared here and not yet deleted there: the clearing counts.
+  if (nothing_here && IsDirty(*fingerprint)) return;
   try {
     quarantine_->Merge(*fingerprint, DecodeCrashes(value));
   } catch (const core::Error& e) {
