home: adapters loaded once, first reports awaited, PlaceDone before the end of its call read

A Serve call that ended with PlaceDone still unread counted as abandoned: a crash it told of was lost. A new entry refused, or loaded again, before the endpoints had told it anything.

--- a/bench/sapphire_home_bench_main.cc
+++ b/bench/sapphire_home_bench_main.cc
@@ -110,6 +110,7 @@
   const std::int64_t kilobytes = ResidentKilobytes() - before;
 
   std::vector<KnownEndpoint> reports;
+  reports.reserve(kRounds);
   for (int i = 0; i < kRounds; ++i) {
     reports.push_back(MakeEndpoint(i % engines, models));
   }
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -92,6 +92,8 @@
   std::map<core::EndpointId, KnownEndpoint> endpoints;
   /** VMs with a FollowEndpoint running: one each, also if a VM comes back. */
   std::set<core::VmId> followers;
+  /** Endpoints that have reported or failed to since the start. */
+  std::set<core::VmId> tried;
   std::map<core::VmId, std::shared_ptr<link::Call>> calls;
   std::vector<std::function<void()>> change_listeners;
   std::vector<std::function<void(const KnownEndpoint&)>> endpoint_listeners;
@@ -170,6 +172,7 @@
   }
   for (const core::VmId& vm : gone) {
     vms.erase(vm);
+    tried.erase(vm);
     endpoints.erase(core::EndpointId(vm.value()));
   }
   return gone;
@@ -283,6 +286,7 @@
     if (listed == vms.end()) return;
     const bool list_says =
         listed->second.record.state == platform::VmState::kLeaving;
+    tried.insert(vm);
     const core::EndpointId id(vm.value());
     KnownEndpoint& known = endpoints[id];
     known.id = id;
@@ -302,6 +306,7 @@
   {
     const std::lock_guard lock(mutex);
     calls.erase(vm);
+    tried.insert(vm);
     const auto it = endpoints.find(core::EndpointId(vm.value()));
     if (it == endpoints.end() || !it->second.connected) return;
     it->second.connected = false;
@@ -444,6 +449,16 @@
   state_->endpoint_listeners.push_back(std::move(listener));
 }
 
+bool Directory::settled() const {
+  const std::lock_guard lock(state_->mutex);
+  const auto is_known = [this](const auto& item) {
+    return item.second.record.role != platform::VmRole::kEndpoint ||
+           state_->tried.contains(item.first);
+  };
+  return state_->list_seen &&
+         std::all_of(state_->vms.begin(), state_->vms.end(), is_known);
+}
+
 bool Directory::list_seen() const {
   const std::lock_guard lock(state_->mutex);
   return state_->list_seen;
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -100,6 +100,10 @@
    * changed; on any thread, must not block. */
   void OnEndpoint(std::function<void(const KnownEndpoint&)> listener);
 
+  /** @return True once each endpoint of the list has reported or failed to:
+   * before that an entry that has just started knows too little to refuse. */
+  [[nodiscard]] bool settled() const;
+
   /** @return True unless every read of the list so far has failed. */
   [[nodiscard]] bool list_seen() const;
 
--- a/src/entry/fleet_fake_base.h
+++ b/src/entry/fleet_fake_base.h
@@ -227,14 +227,20 @@
   const std::string& address() const { return address_; }
   link::LinkNode& node() { return node_; }
 
-  void SetReady(const std::string& model) {
+  void SetReady(const std::string& model, const std::string& adapter = "") {
     const std::lock_guard lock(mutex_);
-    gen::ReplicaReport replica;
-    replica.model = model;
-    replica.state = gen::ReplicaState::READY;
-    replica.bytes = 100;
-    report_.replicas.push_back(replica);
-    report_.reserved_bytes += replica.bytes;
+    auto it = std::find_if(
+        report_.replicas.begin(), report_.replicas.end(),
+        [&model](const auto& replica) { return replica.model == model; });
+    if (it == report_.replicas.end()) {
+      gen::ReplicaReport replica;
+      replica.model = model;
+      replica.state = gen::ReplicaState::READY;
+      replica.bytes = 100;
+      report_.reserved_bytes += replica.bytes;
+      it = report_.replicas.insert(it, replica);
+    }
+    if (!adapter.empty()) it->adapters.push_back(adapter);
   }
   void SetLeaving() {
     const std::lock_guard lock(mutex_);
@@ -275,7 +281,7 @@
     if (mode == LoadMode::kFail) {
       throw core::Error(core::ErrorCode::kLoadFailed, "broken");
     }
-    SetReady(order.model);
+    SetReady(order.model, order.adapter);
     gen::Message message;
     gen::ModelReady ready;
     ready.model = order.model;
@@ -383,6 +389,7 @@
   declared.kv_budget_bytes = 20;
   declared.max_replicas = max_replicas;
   declared.max_concurrent = max_concurrent;
+  declared.adapters.push_back({.name = core::AdapterId("lake")});
   config.intent.models[declared.name] = declared;
   return config;
 }
--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -401,6 +401,14 @@
   return policy::TierAt(views_[*it->second.index], model);
 }
 
+std::size_t FleetView::ReplicasAt(const core::EndpointId& id) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end() || !it->second.index) return 1;
+  const std::size_t held = views_[*it->second.index].replicas.size();
+  return std::max<std::size_t>(held, 1);
+}
+
 bool FleetView::HasReplica(const core::EndpointId& id,
                            const core::ModelId& model) const {
   const std::lock_guard lock(mutex_);
@@ -419,9 +427,4 @@
   return replica != nullptr && replica->adapters.contains(adapter);
 }
 
-bool FleetView::HasModelEndpoints() const {
-  const std::lock_guard lock(mutex_);
-  return !views_.empty();
-}
-
 }  // namespace sapphire::entry
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -97,6 +97,9 @@
   [[nodiscard]] policy::Tier TierOf(const core::EndpointId& id,
                                     const core::ModelId& model) const;
 
+  /** @return How many models share the endpoint's engine, at least 1. */
+  [[nodiscard]] std::size_t ReplicasAt(const core::EndpointId& id) const;
+
   /** @return True if the model is loaded or on its way there. */
   [[nodiscard]] bool HasReplica(const core::EndpointId& id,
                                 const core::ModelId& model) const;
@@ -106,9 +109,6 @@
                                 const core::ModelId& model,
                                 const core::AdapterId& adapter);
 
-  /** @return True if any model engine's endpoint is connected. */
-  [[nodiscard]] bool HasModelEndpoints() const;
-
  private:
   /** What this entry knows of a replica beyond the report. */
   struct Overlay {
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -401,8 +401,10 @@
 
 /** Waits for the placer to be done, or for its end. */
 core::Task<gen::RunResult::type> AwaitDone(std::shared_ptr<link::Call> call) {
-  while (!call->ended()) {
+  while (true) {
     try {
+      // Read before looking whether the call has ended: PlaceDone may have
+      // come just before the end, and a crash it tells of must be counted.
       const gen::Message message = co_await call->Receive(kServeRound);
       if (message.__isset.place_done) co_return message.place_done.result;
     } catch (const core::Error& e) {
@@ -446,8 +448,9 @@
 
 Home::~Home() { state_->Stop(); }
 
-core::Task<std::unique_ptr<Placement>> Home::Place(gen::Place request) {
-  return PlaceIn(state_, std::move(request), nullptr);
+core::Task<std::unique_ptr<Placement>> Home::Place(
+    gen::Place request, std::function<bool()> abandoned) {
+  return PlaceIn(state_, std::move(request), std::move(abandoned));
 }
 
 core::Task<std::unique_ptr<Placement>> Home::PlaceService(
--- a/src/entry/home_base.h
+++ b/src/entry/home_base.h
@@ -69,9 +69,12 @@
 
   /**
    * Waits until the request can run at an endpoint.
+   * @param abandoned Says whether the caller has gone, so that its request
+   *   leaves the queue; any thread, must not block; may be empty.
    * @throws core::Error a refusal (nothing ran), at once when it is known.
    */
-  core::Task<std::unique_ptr<Placement>> Place(gen::Place request);
+  core::Task<std::unique_ptr<Placement>> Place(
+      gen::Place request, std::function<bool()> abandoned = nullptr);
 
   /**
    * Picks an endpoint of a plain service: connected, not leaving, in this zone
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -56,7 +56,7 @@
 }  // namespace
 
 bool Home::State::IsStarting() const {
-  return clock.Now() - started_at < kStartGrace && !fleet.HasModelEndpoints();
+  return clock.Now() - started_at < kStartGrace && !directory.settled();
 }
 
 bool Home::State::IsSuspect(const Waiter& waiter) const {
@@ -224,9 +224,10 @@
                                     const ModelQueue& queue,
                                     const core::ModelId& model,
                                     const core::EndpointId& endpoint) const {
-  const policy::CostWeights weights{
-      .cold_start = current.intent.weights.cold_start,
-      .idle = current.intent.weights.idle};
+  const contract::Weights& prices = current.intent.weights;
+  const policy::CostWeights weights = policy::SharedWeights(
+      {.cold_start = prices.cold_start, .idle = prices.idle},
+      fleet.ReplicasAt(endpoint));
   const policy::LoadTimes times = LoadTimesAt(queue.load_times, clock.Now());
   const policy::Tier tier = fleet.TierOf(endpoint, model);
   return policy::KeepAliveTime(queue.arrivals, weights,
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -70,6 +70,7 @@
   std::atomic<int> running{0};
   std::atomic<int> peak{0};
   std::vector<std::future<bool>> all;
+  all.reserve(500);
   for (int i = 0; i < 500; ++i) {
     all.push_back(
         fleet.threads.Start(RunOnce(fleet.entry->home(), running, peak)));
@@ -134,6 +135,21 @@
   BOOST_TEST(fleet.Loads() == 2);
 }
 
+// An entry has just been replaced and is asked before the endpoints have told
+// it anything. Refusing for lack of endpoints would be wrong, and loading what
+// is already loaded somewhere too: it waits for the first reports.
+BOOST_AUTO_TEST_CASE(NewEntryWaitsForTheFirstReports) {
+  Fleet fleet;
+  fleet.right.SetReady(kModel);
+  FakeEntry next(fleet.threads, "entry-2", fleet.list, fleet.store,
+                 fleet.config, fleet.clock, fleet.log);
+  const Outcome outcome = fleet.Place(next, PlaceOf(kModel, kLong));
+  BOOST_REQUIRE(outcome.placement);
+  BOOST_TEST(outcome.placement->placed().endpoint == "right");
+  BOOST_TEST(fleet.Loads() == 0);
+  fleet.threads.Stop();
+}
+
 // A booth asks with less time left than any load takes. It is refused now,
 // with a time to come back. One load is started all the same, however many ask
 // like this, or the model would never be there: the retry is served.
@@ -276,6 +292,35 @@
   BOOST_TEST((outcome.error->code() == core::ErrorCode::kUnknownModel));
 }
 
+// Guests ask for an adapter that the loaded model doesn't have yet, many at
+// once, while others need the bare model. The adapter must be loaded once,
+// before its first request is placed, and must not hold the others up.
+BOOST_AUTO_TEST_CASE(AdapterIsLoadedOnceAndHoldsNobodyElseUp) {
+  Fleet fleet(1, 100);
+  BOOST_REQUIRE(fleet.Place(PlaceOf(kModel, kLong)).placement);
+  BOOST_REQUIRE(fleet.Loads() == 1);
+  FakeEndpoint& holder = fleet.left.loads == 1 ? fleet.left : fleet.right;
+  holder.mode = LoadMode::kHang;
+  gen::Place with_adapter = PlaceOf(kModel, kLong);
+  with_adapter.adapter = "lake";
+  std::vector<std::future<Outcome>> waiting;
+  waiting.reserve(20);
+  for (int i = 0; i < 20; ++i) {
+    waiting.push_back(
+        fleet.threads.Start(TryPlace(fleet.entry->home(), with_adapter)));
+  }
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 2; }));
+  BOOST_TEST(fleet.Place(PlaceOf(kModel, kLong)).placement != nullptr);
+  holder.mode = LoadMode::kSucceed;
+  for (auto& one : waiting) BOOST_TEST(one.get().placement != nullptr);
+  BOOST_TEST(fleet.Place(with_adapter).placement != nullptr);
+  BOOST_TEST(fleet.Loads() == 2);
+  with_adapter.adapter = "unheard-of";
+  const Outcome unknown = fleet.Place(with_adapter);
+  BOOST_REQUIRE(unknown.error);
+  BOOST_TEST((unknown.error->code() == core::ErrorCode::kUnknownAdapter));
+}
+
 core::Task<int> PlaceInTurn(Home& home, std::string owner,
                             std::atomic<int>& turn) {
   Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong, 0, owner));
@@ -295,6 +340,7 @@
   BOOST_REQUIRE(holder.placement);
   std::atomic<int> turn{0};
   std::vector<std::future<int>> loud;
+  loud.reserve(200);
   for (int i = 0; i < 200; ++i) {
     loud.push_back(
         fleet.threads.Start(PlaceInTurn(fleet.entry->home(), "loud", turn)));
