home: a load that outlasts its request is waited for, not avoided

The endpoint refuses for lack of time while its load goes on; the home passed it over for three seconds, refused the next request or loaded a second time (LoadThatOutlastsItsRequestServesTheNext failed on all three counts). Slow is no failure now as long as the report shows the model there. Loads for callers that come again are given 30 s, behind those who wait.

--- a/src/entry/fleet_fake_base.h
+++ b/src/entry/fleet_fake_base.h
@@ -201,7 +201,12 @@
 }
 
 /** What a fake endpoint does with load orders. */
-enum class LoadMode { kSucceed, kFail, kHang };
+enum class LoadMode {
+  kSucceed,
+  kFail,
+  kHang,
+  kOutlast,  ///< Refuses for lack of time while the load goes on.
+};
 
 /** An endpoint that counts its load orders and reports what they loaded. */
 class FakeEndpoint {
@@ -242,6 +247,15 @@
     }
     if (!adapter.empty()) it->adapters.push_back(adapter);
   }
+  void SetLoading(const std::string& model) {
+    SetReady(model);
+    const std::lock_guard lock(mutex_);
+    report_.replicas.back().state = gen::ReplicaState::LOADING;
+  }
+  void FinishLoading() {
+    const std::lock_guard lock(mutex_);
+    report_.replicas.back().state = gen::ReplicaState::READY;
+  }
   void SetLeaving() {
     const std::lock_guard lock(mutex_);
     report_.leaving = true;
@@ -278,6 +292,11 @@
     while (mode == LoadMode::kHang && !call->ended()) {
       co_await core::SleepFor(core::Millis(10));
     }
+    if (mode == LoadMode::kOutlast) {
+      SetLoading(order.model);
+      co_await core::SleepFor(core::Millis(300));
+      throw core::Error(core::ErrorCode::kDeadlineTooShort, order.model);
+    }
     if (mode == LoadMode::kFail) {
       throw core::Error(core::ErrorCode::kLoadFailed, "broken");
     }
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -40,6 +40,8 @@
   std::vector<core::ModelId> evict;
   policy::Tier tier = policy::Tier::kRemote;
   core::Millis expected{0};
+  /** Time the load is given at least, however short its requests' time. */
+  core::Millis least_time{0};
   /** The model is there or on its way: only the adapter is loaded. */
   bool base_there = false;
 };
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -17,6 +17,8 @@
 /** A new entry waits this long for the endpoints' first reports before it
  * refuses for lack of them. */
 constexpr core::Millis kStartGrace{2000};
+/** Least time of a load for callers that come again: behind those who wait. */
+constexpr core::Millis kRetryLoadTime{30000};
 /** How long a failed load is given as the reason of refusals. */
 constexpr std::chrono::seconds kLoadErrorTold{10};
 
@@ -332,6 +334,8 @@
   }
   const core::AdapterId adapter(waiter->request().adapter);
   BeginLoad(model, queue, adapter, decision, orders);
+  orders.back().least_time =
+      std::max(kRetryLoadTime, 2 * orders.back().expected);
 }
 
 void Home::State::BeginLoad(const contract::Model& model, ModelQueue& queue,
--- a/src/entry/home_load.cc
+++ b/src/entry/home_load.cc
@@ -17,6 +17,13 @@
 /** What the endpoint's answer may take beyond the time it was given. */
 constexpr core::Millis kAnswerMargin{500};
 
+/** @return True if the answer doesn't speak against the endpoint: the load goes
+ * on beyond the time it was given, or all its slots are taken right now. */
+bool IsOnlySlow(ErrorCode code) {
+  return code == ErrorCode::kTimedOut || code == ErrorCode::kDeadlineTooShort ||
+         code == ErrorCode::kQueueFull;
+}
+
 /** @return How long an endpoint is left alone after this answer. */
 core::Millis AvoidFor(ErrorCode code) {
   switch (code) {
@@ -24,6 +31,7 @@
       return std::chrono::seconds(10);
     case ErrorCode::kReplicaLimit:
     case ErrorCode::kInProgress:
+    case ErrorCode::kQueueFull:
       return core::Millis(500);
     case ErrorCode::kLinkLost:
     case ErrorCode::kNoEndpoint:
@@ -94,8 +102,8 @@
     Shard& shard = ShardOf(order.model);
     const std::lock_guard lock(shard.mutex);
     const ModelQueue& queue = shard.queues[order.model];
-    const core::SteadyTime latest =
-        LatestDeadline(queue, started + kLeastLoadTime);
+    const core::SteadyTime latest = LatestDeadline(
+        queue, started + std::max(order.least_time, kLeastLoadTime));
     remaining = std::chrono::duration_cast<core::Millis>(latest - started);
     keep_alive = KeepAlive(*current, queue, order.model, order.endpoint);
   }
@@ -127,14 +135,7 @@
         LearnLoad(queue.load_times, order.tier, took, now);
       }
     } else {
-      ++queue.failed_loads_in_row;
-      queue.last_load_error = *failure;
-      queue.last_load_error_at = now;
-      // A failed adapter load doesn't speak against the model at the endpoint.
-      const core::AdapterId adapter =
-          order.base_there ? order.adapter : core::AdapterId();
-      queue.avoid_until[{order.endpoint, adapter}] =
-          now + AvoidFor(failure->code());
+      NoteLoadFailure(queue, order, *failure);
     }
   }
   log.Event(
@@ -148,4 +149,23 @@
   Evaluate(order.model);
 }
 
+void Home::State::NoteLoadFailure(ModelQueue& queue, const LoadOrder& order,
+                                  const core::Error& failure) {
+  // Failure: the weight store is slow and a load outlasts everyone who waited
+  // for it. The report shows it still loading; left alone, the endpoint would
+  // be passed over just when the load is about to succeed.
+  const bool goes_on = IsOnlySlow(failure.code()) &&
+                       fleet.HasReplica(order.endpoint, order.model);
+  if (goes_on && failure.code() != ErrorCode::kQueueFull) return;
+  const core::SteadyTime now = clock.Now();
+  // A failed adapter load doesn't speak against the model at the endpoint.
+  const core::AdapterId adapter =
+      order.base_there ? order.adapter : core::AdapterId();
+  queue.avoid_until[{order.endpoint, adapter}] = now + AvoidFor(failure.code());
+  if (goes_on) return;
+  ++queue.failed_loads_in_row;
+  queue.last_load_error = failure;
+  queue.last_load_error_at = now;
+}
+
 }  // namespace sapphire::entry
--- a/src/entry/home_state_base.h
+++ b/src/entry/home_state_base.h
@@ -116,6 +116,9 @@
   void EndLoad(const LoadOrder& order, core::SteadyTime started,
                const core::Error* failure);
 
+  void NoteLoadFailure(ModelQueue& queue, const LoadOrder& order,
+                       const core::Error& failure);
+
   Shard& ShardOf(const core::ModelId& id);
 
   const core::Executor executor;
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -166,6 +166,32 @@
   BOOST_TEST(fleet.Loads() == 1);
 }
 
+// The store is slow: a load outlasts the time its first guest had, and the
+// endpoint says so while it goes on loading. The next guest must be allowed to
+// wait for it, neither refused nor given a second load.
+BOOST_AUTO_TEST_CASE(LoadThatOutlastsItsRequestServesTheNext) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kOutlast;
+  fleet.right.mode = LoadMode::kOutlast;
+  auto first = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, core::Millis(1500))));
+  BOOST_REQUIRE(Eventually([&] {
+    const auto all = fleet.entry->directory().Endpoints();
+    return std::any_of(all.begin(), all.end(), [](const auto& known) {
+      return !known.report.replicas.empty();
+    });
+  }));
+  FakeEndpoint& holder = fleet.left.loads == 1 ? fleet.left : fleet.right;
+  auto second = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_TEST(
+      (second.wait_for(core::Millis(300)) == std::future_status::timeout));
+  holder.FinishLoading();
+  BOOST_TEST(second.get().placement != nullptr);
+  first.wait();
+  BOOST_TEST(fleet.Loads() == 1);
+}
+
 // The load hangs beyond the guest's time: the store has stalled, nobody
 // answers. The guest must still get an answer when its time is up.
 BOOST_AUTO_TEST_CASE(DeadlineEndsAWaitThatNothingElseEnds) {
@@ -321,6 +347,37 @@
   BOOST_TEST((unknown.error->code() == core::ErrorCode::kUnknownAdapter));
 }
 
+core::Task<Outcome> TryPlaceService(Home& home, std::string service) {
+  Outcome outcome;
+  try {
+    outcome.placement = co_await home.PlaceService(
+        core::ServiceId(service), core::OwnerId("one"), kLong, {});
+  } catch (const core::Error& e) {
+    outcome.error = e;
+  }
+  co_return outcome;
+}
+
+// A booth asks the plain service while its only endpoint goes away. Until then
+// it is placed there; after, it is told at once when to come back.
+BOOST_AUTO_TEST_CASE(PlainServiceWithoutEndpointIsRefusedAtOnce) {
+  Fleet fleet;
+  FakeEndpoint booth(fleet.threads, "booth", fleet.clock, fleet.log, "booths");
+  fleet.list.Add("booth", platform::VmRole::kEndpoint, booth.address());
+  const auto place = [&fleet](const char* service) {
+    return fleet.threads.Start(TryPlaceService(fleet.entry->home(), service))
+        .get();
+  };
+  BOOST_REQUIRE(Eventually([&] { return place("booths").placement; }));
+  BOOST_TEST(place("booths").placement->placed().address == booth.address());
+  booth.node().Close();
+  BOOST_REQUIRE(Eventually([&] { return place("booths").error; }));
+  const Outcome refused = place("booths");
+  BOOST_TEST((refused.error->code() == core::ErrorCode::kNoEndpoint));
+  BOOST_TEST(refused.error->retry_after().has_value());
+  fleet.threads.Stop();
+}
+
 core::Task<int> PlaceInTurn(Home& home, std::string owner,
                             std::atomic<int>& turn) {
   Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong, 0, owner));
