--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -29,6 +29,22 @@
   return std::max(elapsed / kOverduePart, kLeastReadyIn);
 }
 
+/** @return A copy for decisions among a model's holders, where no checkpoint is
+ * read and the lists of cached ones are most of the copy's cost. */
+policy::EndpointView WithoutTiers(const policy::EndpointView& view) {
+  policy::EndpointView copy;
+  copy.id = view.id;
+  copy.zone = view.zone;
+  copy.memory_bytes = view.memory_bytes;
+  copy.reserved_bytes = view.reserved_bytes;
+  copy.leaving = view.leaving;
+  copy.engine_up = view.engine_up;
+  copy.replicas = view.replicas;
+  copy.max_running = view.max_running;
+  copy.reserved_for_suspect = view.reserved_for_suspect;
+  return copy;
+}
+
 }  // namespace
 
 std::set<core::ModelId> FleetView::Update(const KnownEndpoint& known) {
@@ -247,7 +263,7 @@
   // fleet is not looked at.
   std::vector<policy::EndpointView> own;
   for (const core::EndpointId& id : holders->second) {
-    own.push_back(views_[*endpoints_.at(id).index]);
+    own.push_back(WithoutTiers(views_[*endpoints_.at(id).index]));
   }
   const bool at_limit = static_cast<int>(own.size()) >= request.max_replicas;
   policy::PlacementDecision decision =
