--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_ENTRY_DIRECTORY_BASE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,9 @@
   bool connected = false;
   /** As the platform's list or the endpoint itself says. */
   bool leaving = false;
+  /** Grows with each change of any endpoint: tells newer from older when
+   * listeners on several threads are told out of order. */
+  std::uint64_t revision = 0;
 };
 
 /** One live entry, this one included. */
@@ -96,6 +100,10 @@
    * changed; on any thread, must not block. */
   void OnEndpoint(std::function<void(const KnownEndpoint&)> listener);
 
+  /** @return True once each endpoint of the list has reported or failed to:
+   * before that an entry that has just started knows too little to refuse. */
+  [[nodiscard]] bool settled() const;
+
   /** @return True unless every read of the list so far has failed. */
   [[nodiscard]] bool list_seen() const;
 
--- a/src/entry/fleet_fake_base.h
+++ b/src/entry/fleet_fake_base.h
@@ -201,7 +201,12 @@
 }
 
 /** What a fake endpoint does with load orders. */
-enum class LoadMode { kSucceed, kFail, kHang };
+enum class LoadMode {
+  kSucceed,
+  kFail,
+  kHang,
+  kOutlast,  ///< Refuses for lack of time while the load goes on.
+};
 
 /** An endpoint that counts its load orders and reports what they loaded. */
 class FakeEndpoint {
@@ -227,14 +232,29 @@
   const std::string& address() const { return address_; }
   link::LinkNode& node() { return node_; }
 
-  void SetReady(const std::string& model) {
+  void SetReady(const std::string& model, const std::string& adapter = "") {
+    const std::lock_guard lock(mutex_);
+    auto it = std::find_if(
+        report_.replicas.begin(), report_.replicas.end(),
+        [&model](const auto& replica) { return replica.model == model; });
+    if (it == report_.replicas.end()) {
+      gen::ReplicaReport replica;
+      replica.model = model;
+      replica.state = gen::ReplicaState::READY;
+      replica.bytes = 100;
+      report_.reserved_bytes += replica.bytes;
+      it = report_.replicas.insert(it, replica);
+    }
+    if (!adapter.empty()) it->adapters.push_back(adapter);
+  }
+  void SetLoading(const std::string& model) {
+    SetReady(model);
     const std::lock_guard lock(mutex_);
-    gen::ReplicaReport replica;
-    replica.model = model;
-    replica.state = gen::ReplicaState::READY;
-    replica.bytes = 100;
-    report_.replicas.push_back(replica);
-    report_.reserved_bytes += replica.bytes;
+    report_.replicas.back().state = gen::ReplicaState::LOADING;
+  }
+  void FinishLoading() {
+    const std::lock_guard lock(mutex_);
+    report_.replicas.back().state = gen::ReplicaState::READY;
   }
   void SetLeaving() {
     const std::lock_guard lock(mutex_);
@@ -272,10 +292,15 @@
     while (mode == LoadMode::kHang && !call->ended()) {
       co_await core::SleepFor(core::Millis(10));
     }
+    if (mode == LoadMode::kOutlast) {
+      SetLoading(order.model);
+      co_await core::SleepFor(core::Millis(300));
+      throw core::Error(core::ErrorCode::kDeadlineTooShort, order.model);
+    }
     if (mode == LoadMode::kFail) {
       throw core::Error(core::ErrorCode::kLoadFailed, "broken");
     }
-    SetReady(order.model);
+    SetReady(order.model, order.adapter);
     gen::Message message;
     gen::ModelReady ready;
     ready.model = order.model;
@@ -383,6 +408,7 @@
   declared.kv_budget_bytes = 20;
   declared.max_replicas = max_replicas;
   declared.max_concurrent = max_concurrent;
+  declared.adapters.push_back({.name = core::AdapterId("lake")});
   config.intent.models[declared.name] = declared;
   return config;
 }
--- a/src/entry/fleet_view.cc
+++ b/src/entry/fleet_view.cc
@@ -29,11 +29,30 @@
   return std::max(elapsed / kOverduePart, kLeastReadyIn);
 }
 
+/** @return A copy for decisions among a model's holders, where no checkpoint is
+ * read and the lists of cached ones are most of the copy's cost. */
+policy::EndpointView WithoutTiers(const policy::EndpointView& view) {
+  policy::EndpointView copy;
+  copy.id = view.id;
+  copy.zone = view.zone;
+  copy.memory_bytes = view.memory_bytes;
+  copy.reserved_bytes = view.reserved_bytes;
+  copy.leaving = view.leaving;
+  copy.engine_up = view.engine_up;
+  copy.replicas = view.replicas;
+  copy.max_running = view.max_running;
+  copy.reserved_for_suspect = view.reserved_for_suspect;
+  return copy;
+}
+
 }  // namespace
 
 std::set<core::ModelId> FleetView::Update(const KnownEndpoint& known) {
   const std::lock_guard lock(mutex_);
   Endpoint& endpoint = endpoints_[known.id];
+  // Failure: the loss of a link and an older report are told on two threads,
+  // the loss first. The older one would bring the endpoint back.
+  if (known.revision < endpoint.known.revision) return {};
   std::set<core::ModelId> touched = ModelsIn(endpoint.known.report);
   touched.merge(ModelsIn(known.report));
   DropView(endpoint);
@@ -244,7 +263,7 @@
   // fleet is not looked at.
   std::vector<policy::EndpointView> own;
   for (const core::EndpointId& id : holders->second) {
-    own.push_back(views_[*endpoints_.at(id).index]);
+    own.push_back(WithoutTiers(views_[*endpoints_.at(id).index]));
   }
   const bool at_limit = static_cast<int>(own.size()) >= request.max_replicas;
   policy::PlacementDecision decision =
@@ -398,6 +417,14 @@
   return policy::TierAt(views_[*it->second.index], model);
 }
 
+std::size_t FleetView::ReplicasAt(const core::EndpointId& id) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end() || !it->second.index) return 1;
+  const std::size_t held = views_[*it->second.index].replicas.size();
+  return std::max<std::size_t>(held, 1);
+}
+
 bool FleetView::HasReplica(const core::EndpointId& id,
                            const core::ModelId& model) const {
   const std::lock_guard lock(mutex_);
@@ -416,9 +443,4 @@
   return replica != nullptr && replica->adapters.contains(adapter);
 }
 
-bool FleetView::HasModelEndpoints() const {
-  const std::lock_guard lock(mutex_);
-  return !views_.empty();
-}
-
 }  // namespace sapphire::entry
--- a/src/entry/fleet_view_base.h
+++ b/src/entry/fleet_view_base.h
@@ -40,6 +40,8 @@
   std::vector<core::ModelId> evict;
   policy::Tier tier = policy::Tier::kRemote;
   core::Millis expected{0};
+  /** Time the load is given at least, however short its requests' time. */
+  core::Millis least_time{0};
   /** The model is there or on its way: only the adapter is loaded. */
   bool base_there = false;
 };
@@ -56,7 +58,8 @@
   explicit FleetView(const core::Clock& clock) : clock_(clock) {}
 
   /**
-   * Takes a report, or the loss of an endpoint's link.
+   * Takes a report, or the loss of an endpoint's link, unless a newer one is
+   * known.
    * @return The models that have or had a replica there.
    */
   std::set<core::ModelId> Update(const KnownEndpoint& known);
@@ -96,6 +99,9 @@
   [[nodiscard]] policy::Tier TierOf(const core::EndpointId& id,
                                     const core::ModelId& model) const;
 
+  /** @return How many models share the endpoint's engine, at least 1. */
+  [[nodiscard]] std::size_t ReplicasAt(const core::EndpointId& id) const;
+
   /** @return True if the model is loaded or on its way there. */
   [[nodiscard]] bool HasReplica(const core::EndpointId& id,
                                 const core::ModelId& model) const;
@@ -105,9 +111,6 @@
                                 const core::ModelId& model,
                                 const core::AdapterId& adapter);
 
-  /** @return True if any model engine's endpoint is connected. */
-  [[nodiscard]] bool HasModelEndpoints() const;
-
  private:
   /** What this entry knows of a replica beyond the report. */
   struct Overlay {
