--- a/src/ctl/ctl_test.cc
+++ b/src/ctl/ctl_test.cc
@@ -60,6 +60,7 @@
 ParsedLine Parse(std::vector<std::string> words) {
   words.insert(words.begin(), "sapphirectl");
   std::vector<char*> argv;
+  argv.reserve(words.size());
   for (std::string& word : words) argv.push_back(word.data());
   return ParseCommandLine(static_cast<int>(argv.size()), argv.data());
 }
@@ -161,6 +162,9 @@
   command.kind = CommandKind::kPlan;
   command.argument = "/no/such/file.toml";
   BOOST_CHECK(Run(io, command).exit_code == ExitCode::kUsage);
+  command.kind = CommandKind::kConfirm;
+  command.entries = {"no address"};
+  BOOST_CHECK(Run(io, command).exit_code == ExitCode::kUsage);
 }
 
 }  // namespace
