endpoint: lanes of the weight store

Remote loads take a lane first: at most intent.loads_at_once over the fleet, earliest deadline first. Weighed: a leased key per lane, which needs one call more per lane to find a free one and can't order the waiting; here one key holds holders and bids, and lapses by wall time. A lapse, a skewed clock or an outage makes a load slower, never unsafe: the replica limit is kept by grants.

--- a/src/endpoint/endpoint.cc
+++ b/src/endpoint/endpoint.cc
@@ -37,6 +37,12 @@
   return keeper;
 }
 
+LaneQueueOptions LaneOptionsOf(const EndpointOptions& options) {
+  LaneQueueOptions lanes = options.lanes;
+  lanes.vm = options.vm;
+  return lanes;
+}
+
 }  // namespace
 
 Endpoint::Endpoint(const core::Executor& executor, EndpointOptions options,
@@ -52,8 +58,9 @@
       follower_(engine, options_.engine_poll, log),
       desk_(options_.orders, engine, follower_, clock, log),
       ledger_(options_.vm, store, clock, log),
+      lanes_(LaneOptionsOf(options_), store, clock, log),
       parts_{executor, config_, table_, follower_, desk_,
-             ledger_,  clock,   log,    metrics},
+             ledger_,  lanes_,  clock,  log,       metrics},
       worker_(parts_),
       keeper_(parts_, KeeperOptionsOf(options_), worker_),
       replicas_(parts_, worker_, options_.keeper.keep_alive),
--- a/src/endpoint/endpoint_base.h
+++ b/src/endpoint/endpoint_base.h
@@ -14,6 +14,7 @@
 #include "endpoint/attempt_table_base.h"
 #include "endpoint/engine_follower_base.h"
 #include "endpoint/grant_ledger_base.h"
+#include "endpoint/lane_queue_base.h"
 #include "endpoint/metrics_base.h"
 #include "endpoint/order_desk_base.h"
 #include "endpoint/plain_admission_base.h"
@@ -49,6 +50,7 @@
   OrderDeskOptions orders;
   ReplicaKeeperOptions keeper;
   AttemptTableOptions attempts;
+  LaneQueueOptions lanes;
 };
 
 /** All parts of one endpoint process, and the calls it answers. */
@@ -105,6 +107,7 @@
   EngineFollower follower_;
   OrderDesk desk_;
   GrantLedger ledger_;
+  LaneQueue lanes_;
   EndpointParts parts_;
   ReplicaWorker worker_;
   ReplicaKeeper keeper_;
--- a/src/endpoint/endpoint_rig_test.h
+++ b/src/endpoint/endpoint_rig_test.h
@@ -80,12 +80,14 @@
         desk({Millis(1000), Millis(20)}, its_engine, follower, its_world.clock,
              its_world.log),
         ledger(core::VmId(vm), its_world.store, its_world.clock, its_world.log),
+        lanes(LaneOptions(vm), its_world.store, its_world.clock, its_world.log),
         parts{its_world.context.get_executor(),
               its_world.config,
               table,
               follower,
               desk,
               ledger,
+              lanes,
               its_world.clock,
               its_world.log,
               metrics},
@@ -114,6 +116,13 @@
     co_return condition();
   }
 
+  static LaneQueueOptions LaneOptions(const std::string& vm) {
+    LaneQueueOptions options;
+    options.vm = core::VmId(vm);
+    options.poll = Millis(2);
+    return options;
+  }
+
   /** What a killed process leaves: no more orders, no more looks. */
   void Kill() {
     follower.Stop();
@@ -149,6 +158,7 @@
   EngineFollower follower;
   OrderDesk desk;
   GrantLedger ledger;
+  LaneQueue lanes;
   EndpointParts parts;
   ReplicaWorker worker;
   ReplicaKeeper keeper;
--- a/src/endpoint/endpoint_settings.cc
+++ b/src/endpoint/endpoint_settings.cc
@@ -66,6 +66,10 @@
     Time("sweep_ms", "250", 10, "Between two looks for idle replicas"),
     Time("audit_ms", "30000", 100,
          "Between two comparisons with the ledgers of grants"),
+    Time("lane_hold_ms", "30000", 100,
+         "A remote load that has not ended by then frees its lane"),
+    Time("lane_poll_ms", "200", 10,
+         "Between two looks of a load that waits for a lane"),
     Time("attempt_memory_ms", "900000", 1000,
          "How long an attempt is remembered, so that a copy is refused"),
 };
@@ -106,6 +110,8 @@
   options.keeper.keep_alive = settings.Millis("keep_alive_ms");
   options.keeper.sweep_interval = settings.Millis("sweep_ms");
   options.keeper.audit_interval = settings.Millis("audit_ms");
+  options.lanes.hold_time = settings.Millis("lane_hold_ms");
+  options.lanes.poll = settings.Millis("lane_poll_ms");
   options.attempts.remember_for = settings.Millis("attempt_memory_ms");
   return options;
 }
--- /dev/null
+++ b/src/endpoint/lane_queue.cc
@@ -0,0 +1,100 @@
+/** @file lane_queue.cc Waits for a lane of the weight store. */
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "endpoint/lane_func.h"
+#include "endpoint/lane_queue_base.h"
+
+namespace sapphire::endpoint {
+
+using core::Error;
+using core::LogCategory;
+using core::LogLevel;
+using core::Millis;
+using core::Task;
+
+namespace {
+/** Swaps lost to others before the lane is left to lapse. */
+constexpr int kDropTries = 8;
+}  // namespace
+
+LaneQueue::LaneQueue(LaneQueueOptions options, platform::KeyValueStore& store,
+                     const core::Clock& clock, const core::Logger& log)
+    : options_(std::move(options)), store_(store), clock_(clock), log_(log) {}
+
+Task<bool> LaneQueue::Enter(core::ModelId model, int lanes_at_once,
+                            core::SteadyTime deadline) {
+  const core::WallTime wall_deadline =
+      clock_.WallNow() + std::chrono::duration_cast<core::WallTime::duration>(
+                             deadline - clock_.Now());
+  while (true) {
+    const Answer answer = co_await Try(model, lanes_at_once, wall_deadline);
+    if (answer == Answer::kTaken) co_return true;
+    if (answer == Answer::kOutage) {
+      log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "lane_skipped",
+                 {{"model", model}});
+      co_return true;
+    }
+    if (clock_.Now() + options_.poll >= deadline) co_return false;
+    co_await core::SleepFor(options_.poll);
+  }
+}
+
+/** One look at the lanes, and one swap if it changes anything. A lost race or
+ * an unknown outcome counts as waiting: the next look shows what stands. */
+Task<LaneQueue::Answer> LaneQueue::Try(core::ModelId model, int lanes_at_once,
+                                       core::WallTime deadline) {
+  const core::WallTime now = clock_.WallNow();
+  LaneEntry mine{options_.vm, model, deadline, now + options_.hold_time};
+  try {
+    const std::string key(kLanesKey);
+    const auto entry = co_await store_.Get(key);
+    LanesValue lanes = entry ? DecodeLanes(entry->value) : LanesValue{};
+    const bool bid_stands =
+        std::ranges::any_of(lanes.bids, [&](const LaneEntry& it) {
+          return it.vm == mine.vm && it.model == mine.model &&
+                 it.until > now + options_.bid_time / 2;
+        });
+    const bool taken = BidOrTake(lanes, mine, lanes_at_once, now);
+    if (!taken && bid_stands) co_return Answer::kWait;
+    if (!taken) lanes.bids.back().until = now + options_.bid_time;
+    const std::string value = EncodeLanes(lanes);
+    const std::int64_t revision = entry ? entry->revision : 0;
+    const auto result =
+        co_await store_.CompareAndSwap(key, revision, value, std::string());
+    co_return taken&& result.swapped ? Answer::kTaken : Answer::kWait;
+  } catch (const Error& e) {
+    co_return e.code() == core::ErrorCode::kPlatformUnavailable
+        ? Answer::kOutage
+        : Answer::kWait;
+  }
+}
+
+Task<> LaneQueue::Leave(core::ModelId model) {
+  for (int i = 0; i < kDropTries; ++i) {
+    const bool dropped = co_await Drop(model);
+    if (dropped) co_return;
+  }
+}
+
+/** @return True if there is no more to do. */
+Task<bool> LaneQueue::Drop(core::ModelId model) {
+  try {
+    const std::string key(kLanesKey);
+    const auto entry = co_await store_.Get(key);
+    if (!entry) co_return true;
+    LanesValue lanes = DecodeLanes(entry->value);
+    DropLane(lanes, options_.vm, model);
+    const std::string value = EncodeLanes(lanes);
+    const auto result = co_await store_.CompareAndSwap(key, entry->revision,
+                                                       value, std::string());
+    co_return result.swapped;
+  } catch (const Error&) {
+    co_return true;
+  }
+}
+
+}  // namespace sapphire::endpoint
--- /dev/null
+++ b/src/endpoint/lane_queue_base.h
@@ -0,0 +1,63 @@
+/** @file lane_queue_base.h Waits for a lane of the weight store. */
+#ifndef SAPPHIRE_ENDPOINT_LANE_QUEUE_BASE_H_
+#define SAPPHIRE_ENDPOINT_LANE_QUEUE_BASE_H_
+
+#include <chrono>
+#include <optional>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "endpoint/lane_type.h"
+#include "platform/key_value_base.h"
+
+namespace sapphire::endpoint {
+
+struct LaneQueueOptions {
+  core::VmId vm;
+  /** A holder that does not say so has ended its load by then. */
+  std::chrono::milliseconds hold_time{30'000};
+  /** A bid that isn't renewed lapses. */
+  std::chrono::milliseconds bid_time{2000};
+  std::chrono::milliseconds poll{200};
+};
+
+/**
+ * Spreads remote loads over the fleet, so that the weight store serves each at
+ * full speed and the earliest deadline first. Lanes lapse by wall time: a skew
+ * of clocks, a paused holder or an outage makes loads slower, never unsafe.
+ */
+class LaneQueue {
+ public:
+  /** @pre All references outlive the queue. */
+  LaneQueue(LaneQueueOptions options, platform::KeyValueStore& store,
+            const core::Clock& clock, const core::Logger& log);
+
+  /**
+   * Waits for a lane. With the key-value service down it gives up waiting: the
+   * endpoint loads one model at a time anyway, which is its fixed share.
+   * @param lanes_at_once How many loads the store serves at full speed.
+   * @return False if there was none until `deadline`.
+   */
+  core::Task<bool> Enter(core::ModelId model, int lanes_at_once,
+                         core::SteadyTime deadline);
+
+  /** Frees the lane; if that fails, it lapses. */
+  core::Task<> Leave(core::ModelId model);
+
+ private:
+  enum class Answer { kTaken, kWait, kOutage };
+
+  core::Task<Answer> Try(core::ModelId model, int lanes_at_once,
+                         core::WallTime deadline);
+  core::Task<bool> Drop(core::ModelId model);
+
+  const LaneQueueOptions options_;
+  platform::KeyValueStore& store_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+};
+
+}  // namespace sapphire::endpoint
+
+#endif  // SAPPHIRE_ENDPOINT_LANE_QUEUE_BASE_H_
--- /dev/null
+++ b/src/endpoint/lane_test.cc
@@ -0,0 +1,106 @@
+/** @file lane_test.cc The weight store's lanes: few at once, urgent first. */
+#define BOOST_TEST_MODULE lane
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "endpoint/fake_platform_test.h"
+#include "endpoint/lane_func.h"
+#include "endpoint/lane_queue_base.h"
+
+namespace sapphire::endpoint::test {
+
+namespace {
+
+core::WallTime At(int millis) { return core::WallTime(Millis(millis)); }
+
+LaneEntry Bid(int vm, int deadline, int until) {
+  return {core::VmId("vm" + std::to_string(vm)), core::ModelId("m"),
+          At(deadline), At(until)};
+}
+
+}  // namespace
+
+// Booths open: twelve VMs want to load at once and all loads crawl, because the
+// store is shared by all. At most four may load, and the most urgent go first.
+BOOST_AUTO_TEST_CASE(FewAtOnceAndEarliestDeadlineFirst) {
+  LanesValue lanes;
+  BOOST_TEST(BidOrTake(lanes, Bid(0, 900, 1000), 1, At(0)));
+  BOOST_TEST(!BidOrTake(lanes, Bid(1, 800, 1000), 1, At(0)));
+  BOOST_TEST(!BidOrTake(lanes, Bid(2, 700, 1000), 1, At(0)));
+  DropLane(lanes, core::VmId("vm0"), core::ModelId("m"));
+  BOOST_TEST(!BidOrTake(lanes, Bid(1, 800, 1000), 1, At(1)));
+  BOOST_TEST(BidOrTake(lanes, Bid(2, 700, 1000), 1, At(1)));
+}
+
+// A VM is reclaimed while it loads, and another while it waits for a lane.
+// Neither may keep a lane for ever.
+BOOST_AUTO_TEST_CASE(LapsedHoldersAndBidsCountNoMore) {
+  LanesValue lanes;
+  BOOST_TEST(BidOrTake(lanes, Bid(0, 900, 100), 1, At(0)));
+  BOOST_TEST(!BidOrTake(lanes, Bid(1, 100, 100), 1, At(0)));
+  BOOST_TEST(!BidOrTake(lanes, Bid(2, 800, 500), 1, At(99)));
+  BOOST_TEST(BidOrTake(lanes, Bid(2, 800, 500), 1, At(100)));
+}
+
+BOOST_AUTO_TEST_CASE(NeverMoreHoldersThanLanesOverRandomSequences) {
+  for (unsigned seed = 0; seed < 100; ++seed) {
+    std::mt19937 random(seed);
+    LanesValue lanes;
+    for (int now = 0; now < 300; ++now) {
+      const int vm = static_cast<int>(random() % 9);
+      if (random() % 3 == 0) {
+        DropLane(lanes, Bid(vm, 0, 0).vm, core::ModelId("m"));
+      } else {
+        const int deadline = static_cast<int>(random() % 500);
+        BidOrTake(lanes, Bid(vm, deadline, now + 20), 4, At(now));
+      }
+      lanes = DecodeLanes(EncodeLanes(lanes));
+      const auto live = std::ranges::count_if(
+          lanes.holders, [&](const auto& it) { return it.until > At(now); });
+      BOOST_REQUIRE_LE(live, 4);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SpoiltValueCountsAsNoLanes) {
+  BOOST_TEST(DecodeLanes("spoilt").holders.empty());
+  BOOST_TEST(DecodeLanes("{\"holders\":[1]}").bids.empty());
+}
+
+// The key-value service is down. Loads that need no new grant (a parked one is
+// taken back) must go on; lanes are only about speed.
+BOOST_AUTO_TEST_CASE(OutageNeverStopsALoad) {
+  boost::asio::io_context context;
+  const core::SystemClock clock;
+  const core::Logger log({"test", core::VmId("vm"), core::ZoneId("z")},
+                         core::LogLevel::kError, clock);
+  FakeStore store;
+  LaneQueueOptions options;
+  options.vm = core::VmId("vm1");
+  options.poll = Millis(1);
+  LaneQueue queue(options, store, clock, log);
+  LaneQueueOptions other_options = options;
+  other_options.vm = core::VmId("vm2");
+  LaneQueue other(other_options, store, clock, log);
+  std::vector<bool> entered;
+  core::Spawn(context.get_executor(), log, "test", [&]() -> Task<> {
+    const core::ModelId model("m");
+    const auto soon = [&] { return clock.Now() + Millis(20); };
+    entered.push_back(co_await queue.Enter(model, 1, soon()));
+    entered.push_back(co_await other.Enter(model, 1, soon()));
+    co_await queue.Leave(model);
+    entered.push_back(co_await other.Enter(model, 1, soon()));
+    store.down = true;
+    entered.push_back(co_await queue.Enter(model, 1, soon()));
+  });
+  context.run();
+  const std::vector<bool> expected = {true, false, true, true};
+  BOOST_TEST((entered == expected));
+}
+
+}  // namespace sapphire::endpoint::test
--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -23,6 +23,8 @@
 /** A wake-up that got lost costs this much. */
 constexpr Millis kRecheck{1000};
 constexpr Millis kRoomRetryAfter{2000};
+constexpr Millis kLaneRetryAfter{3000};
+constexpr std::string_view kRemote = "remote";
 /** Time for the check of a grant; nobody waits for it. */
 constexpr Millis kGrantCheckTime{5000};
 
@@ -58,7 +60,7 @@
   };
   if (status && holds(status->memory_tier)) return "memory";
   if (status && holds(status->disk_tier)) return "disk";
-  return "remote";
+  return kRemote;
 }
 
 /** Callers hold a replica's lock, and core::Spawn may run a task's first steps
@@ -116,7 +118,11 @@
   std::optional<Error> failure;
   try {
     co_await TakeGrant(replica, wish.deadline);
-    co_await OrderLoad(replica, spec, std::move(wish));
+    if (tier == kRemote) {
+      co_await LoadThroughLane(replica, spec, std::move(wish));
+    } else {
+      co_await OrderLoad(replica, spec, std::move(wish));
+    }
   } catch (const Error& e) {
     failure = e;
   }
@@ -132,6 +138,31 @@
       {{"model", replica->model}, {"tier", tier}, {"took_ms", took}});
 }
 
+/** Remote loads share the weight store's lanes with the whole fleet. */
+Task<> ReplicaWorker::LoadThroughLane(ReplicaPtr replica, contract::Model spec,
+                                      LoadWish wish) {
+  const auto config = parts_.config.Current();
+  const int at_once = config ? config->intent.loads_at_once : 1;
+  const bool entered =
+      co_await parts_.lanes.Enter(replica->model, at_once, wish.deadline);
+  if (!entered) {
+    throw Error(ErrorCode::kDeadlineTooShort,
+                "no lane of the weight store for " + replica->model.value(),
+                kLaneRetryAfter);
+  }
+  std::optional<Error> failure;
+  try {
+    co_await OrderLoad(replica, std::move(spec), std::move(wish));
+  } catch (const Error& e) {
+    failure = e;
+  }
+  // In the background: the replica is ready, and its caller need not wait.
+  StartTask("leave_lane", [this, model = replica->model] {
+    return parts_.lanes.Leave(model);
+  });
+  if (failure) throw Error(*failure);
+}
+
 Task<> ReplicaWorker::TakeGrant(ReplicaPtr replica, core::SteadyTime deadline) {
   const auto config = parts_.config.Current();
   if (!config) throw Error(ErrorCode::kNotConfigured);
--- a/src/endpoint/replica_worker_base.h
+++ b/src/endpoint/replica_worker_base.h
@@ -17,6 +17,7 @@
 #include "core/task_type.h"
 #include "endpoint/engine_follower_base.h"
 #include "endpoint/grant_ledger_base.h"
+#include "endpoint/lane_queue_base.h"
 #include "endpoint/metrics_base.h"
 #include "endpoint/order_desk_base.h"
 #include "endpoint/replica_table_base.h"
@@ -38,6 +39,7 @@
   EngineFollower& follower;
   OrderDesk& desk;
   GrantLedger& ledger;
+  LaneQueue& lanes;
   const core::Clock& clock;
   const core::Logger& log;
   Metrics& metrics;
@@ -81,6 +83,8 @@
   void StartTask(std::string_view name, std::function<core::Task<>()> task);
   core::Task<> Load(ReplicaPtr replica, LoadWish wish);
   core::Task<> LoadSteps(ReplicaPtr replica, LoadWish wish);
+  core::Task<> LoadThroughLane(ReplicaPtr replica, contract::Model spec,
+                               LoadWish wish);
   core::Task<> OrderLoad(ReplicaPtr replica, contract::Model spec,
                          LoadWish wish);
   core::Task<> TakeGrant(ReplicaPtr replica, core::SteadyTime deadline);
