endpoint: a restarted process ends the grants of models it found loaded

Cause: a trial (SIGKILL of the endpoint, restart, SIGTERM) left a grant in the ledger. The model was found loaded before the configuration came, so its service was unknown and its grant was ended in a ledger that doesn't exist. Ruled out: a lost swap; the store's record showed one swap too few. Change: the service is noted with the grant; a grant handed back is only taken back for the same service; leaving ends with one look at the ledgers.

--- a/src/endpoint/endpoint.cc
+++ b/src/endpoint/endpoint.cc
@@ -199,12 +199,20 @@
 }
 
 Task<bool> Endpoint::WaitUntilGone(core::SteadyTime limit) {
-  while (!Idle()) {
+  bool audited = plain();
+  while (!Idle() || !audited) {
     const auto epoch = table_.changed().epoch();
     if (!plain()) {
       keeper_.Sweep();
       co_await ledger_.Settle();
     }
+    if (!audited && Idle()) {
+      // A model found loaded by this process may have gone before its grant
+      // was looked up: the ledger tells of grants that nobody here knows.
+      co_await keeper_.TryAudit();
+      audited = true;
+      continue;
+    }
     if (Idle()) break;
     if (clock_.Now() >= limit) co_return false;
     co_await table_.changed().Wait(epoch, kRecheck);
--- a/src/endpoint/grant_ledger.cc
+++ b/src/endpoint/grant_ledger.cc
@@ -82,7 +82,7 @@
   if (known == config->intent.models.end()) {
     throw Error(ErrorCode::kUnknownModel, model.value());
   }
-  if (auto held = Reclaim(model)) co_return *held;
+  if (auto held = Reclaim(known->second.service, model)) co_return *held;
   auto attempt = std::make_shared<Try>();
   attempt->service = known->second.service;
   attempt->grant = {model, vm_, 0};
@@ -110,10 +110,11 @@
  * @throws Error kPlatformUnavailable if its end was sent and isn't settled: a
  *   grant taken now could be ended by that write.
  */
-std::optional<Grant> GrantLedger::Reclaim(const core::ModelId& model) {
+std::optional<Grant> GrantLedger::Reclaim(const core::ServiceId& service,
+                                          const core::ModelId& model) {
   const std::lock_guard lock(mutex_);
   const auto it = std::ranges::find_if(endings_, [&](const auto& ending) {
-    return ending->grant.model == model;
+    return ending->service == service && ending->grant.model == model;
   });
   if (it == endings_.end()) return std::nullopt;
   const Ending& ending = **it;
--- a/src/endpoint/grant_ledger_base.h
+++ b/src/endpoint/grant_ledger_base.h
@@ -89,7 +89,8 @@
                               std::int64_t min_fence, core::SteadyTime deadline,
                               std::shared_ptr<Try> attempt);
   core::Task<> End(std::shared_ptr<Ending> ending);
-  std::optional<Grant> Reclaim(const core::ModelId& model);
+  std::optional<Grant> Reclaim(const core::ServiceId& service,
+                               const core::ModelId& model);
   std::vector<std::shared_ptr<Ending>> ClaimEndings();
   void Finish(const std::shared_ptr<Ending>& ending, bool done);
   void NoteReachable(bool reachable);
--- a/src/endpoint/replica_keeper.cc
+++ b/src/endpoint/replica_keeper.cc
@@ -127,14 +127,19 @@
     if (due) audit_due_ = true;
     co_return;
   }
-  next_audit_ = now + options_.audit_interval;
+  const bool done = co_await TryAudit();
+  next_audit_ = now + (done ? options_.audit_interval : options_.audit_retry);
+}
+
+Task<bool> ReplicaKeeper::TryAudit() {
   try {
     co_await Audit();
   } catch (const Error& e) {
-    next_audit_ = now + options_.audit_retry;
     parts_.log.Event(LogLevel::kWarning, LogCategory::kLedger, "audit_failed",
                      {{"error", std::string(e.what())}});
+    co_return false;
   }
+  co_return true;
 }
 
 /** Grants handed back in an outage are ended once it is over. */
--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -50,6 +50,9 @@
    * @throws core::Error kPlatformUnavailable. */
   core::Task<> Audit();
 
+  /** Audit, with its failure logged. @return True if it was done. */
+  core::Task<bool> TryAudit();
+
   /** @return True if nothing is loaded, granted or under way. */
   [[nodiscard]] bool Empty() const;
 
--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -171,6 +171,9 @@
   parts_.desk.RaiseFence(grant.fence);
   const std::lock_guard lock(replica->mutex);
   replica->grant = grant;
+  // A model that was found loaded before the configuration came has no service
+  // yet; its grant would be "ended" in a ledger that doesn't exist.
+  replica->service = config->intent.models.at(replica->model).service;
 }
 
 Task<> ReplicaWorker::OrderLoad(ReplicaPtr replica, contract::Model spec,
--- a/src/endpoint/replicas_test.cc
+++ b/src/endpoint/replicas_test.cc
@@ -147,6 +147,42 @@
   BOOST_TEST(!one.engine.orders_overlapped);
 }
 
+// An endpoint process restarted and left again soon after; its model could be
+// loaded nowhere else, because the grant stayed in the ledger. Cause: the model
+// was found loaded before the configuration had come, so its service, and with
+// it the ledger, was not known.
+BOOST_AUTO_TEST_CASE(GrantOfAModelFoundBeforeTheConfigurationIsEnded) {
+  World earlier;
+  earlier.Configure(1, 1, 9);
+  World world;
+  FakeEngine engine(world.judge);
+  platform::EngineOrder order;
+  order.model = core::ModelId("m0");
+  order.version = "1";
+  order.bytes = 40;
+  engine.Carry(order);
+  EndpointRig rig(world, engine, "vm1");
+  GrantLedger predecessor(core::VmId("vm1"), world.store, world.clock,
+                          world.log);
+  world.Run([&]() -> Task<> {
+    co_await predecessor.Take(earlier.config.Current(), core::ModelId("m0"), 0,
+                              world.clock.Now() + Millis(5000));
+    BOOST_TEST(co_await rig.Until([&] { return rig.table.recovered.load(); }));
+    world.Configure(1, 1, 9);
+    BOOST_TEST(!co_await rig.Ensure("m0"));
+    const auto replica = rig.table.Find(core::ModelId("m0"));
+    BOOST_TEST(co_await rig.Until([&] {
+      const std::lock_guard lock(replica->mutex);
+      return replica->grant.has_value();
+    }));
+    rig.replicas.Leave();
+    BOOST_TEST(co_await rig.Until(
+        [&] { return rig.keeper.Empty() && rig.ledger.pending() == 0; }));
+  });
+  BOOST_TEST(!engine.Holds("m0"));
+  BOOST_TEST(world.Ledger().grants.empty());
+}
+
 // The endpoint process dies between taking a grant and ordering the load. Its
 // successor ends the grant, or the model could be loaded nowhere.
 BOOST_AUTO_TEST_CASE(RestartEndsGrantsOfModelsThatAreNotLoaded) {
