--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -202,6 +202,7 @@
   bool down = false;
   bool overcommitted = false;
   bool orders_overlapped = false;
+  int orders = 0;
   std::vector<std::string> ran;
   /** The engine dies in the middle of the next answer. */
   bool crash_next_run = false;
@@ -214,6 +215,7 @@
 
   Task<> Order(platform::EngineOrder order, Millis /*timeout*/) override {
     if (down) throw Error(ErrorCode::kEngineUnavailable);
+    ++orders;
     if (status.order_in_progress) {
       orders_overlapped = true;
       throw Error(ErrorCode::kEngineRefusedOrder, "busy");
