endpoint: a model woken while its grant goes back waits for it

Cause: read in review: a wake-up within the milliseconds of a release was refused as if the key-value service were down.

--- a/src/endpoint/grant_ledger.cc
+++ b/src/endpoint/grant_ledger.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds kOutageRetryAfter{3000};
 /** Swaps that lost a race before the ledger counts as too contended. */
 constexpr int kMaxSwaps = 32;
+/** Between two looks whether an earlier grant has ended. */
+constexpr std::chrono::milliseconds kEndPause{5};
 /** Longest wait between two swaps that lost a race. */
 constexpr int kMaxBackoffMillis = 16;
 
@@ -82,6 +84,7 @@
   if (known == config->intent.models.end()) {
     throw Error(ErrorCode::kUnknownModel, model.value());
   }
+  co_await AwaitEnd(known->second.service, model, deadline);
   if (auto held = Reclaim(known->second.service, model)) co_return *held;
   auto attempt = std::make_shared<Try>();
   attempt->service = known->second.service;
@@ -104,6 +107,29 @@
   throw *failure;
 }
 
+bool GrantLedger::IsEnding(const core::ServiceId& service,
+                           const core::ModelId& model) const {
+  const std::lock_guard lock(mutex_);
+  return std::ranges::any_of(endings_, [&](const auto& it) {
+    return it->service == service && it->grant.model == model &&
+           (it->sent || it->busy || it->late_write);
+  });
+}
+
+/** A model woken in the very moment its grant goes back waits for that
+ * moment; in an outage it would wait for long, and is refused. */
+Task<> GrantLedger::AwaitEnd(core::ServiceId service, core::ModelId model,
+                             core::SteadyTime deadline) {
+  while (IsEnding(service, model)) {
+    co_await Settle();
+    if (!IsEnding(service, model)) co_return;
+    if (!reachable() || clock_.Now() >= deadline) {
+      throw Outage("an earlier grant of " + model.value() + " isn't settled");
+    }
+    co_await core::SleepFor(kEndPause);
+  }
+}
+
 /**
  * A grant whose release was never sent is still ours. This is what lets a
  * model wake at the endpoint that had it while the key-value service is down.
--- a/src/endpoint/grant_ledger_base.h
+++ b/src/endpoint/grant_ledger_base.h
@@ -88,6 +88,10 @@
   core::Task<Grant> TakeFresh(std::shared_ptr<const contract::Config> config,
                               std::int64_t min_fence, core::SteadyTime deadline,
                               std::shared_ptr<Try> attempt);
+  core::Task<> AwaitEnd(core::ServiceId service, core::ModelId model,
+                        core::SteadyTime deadline);
+  bool IsEnding(const core::ServiceId& service,
+                const core::ModelId& model) const;
   core::Task<> End(std::shared_ptr<Ending> ending);
   std::optional<Grant> Reclaim(const core::ServiceId& service,
                                const core::ModelId& model);
--- a/src/endpoint/grant_ledger_test.cc
+++ b/src/endpoint/grant_ledger_test.cc
@@ -192,6 +192,20 @@
   BOOST_TEST((rig.Take(rig.ledger, "a") == ErrorCode::kPlatformUnavailable));
 }
 
+// A guest asks for a model in the very moment its grant goes back. With the
+// key-value service up, that is no reason to refuse.
+BOOST_AUTO_TEST_CASE(WakeWhileTheGrantGoesBackWaitsForIt) {
+  Rig rig;
+  BOOST_TEST(!rig.Take(rig.ledger, "a"));
+  const std::int64_t fence = rig.Stands().grants.at(0).fence;
+  rig.ledger.Release(kService, rig.Stands().grants.at(0));
+  core::Spawn(rig.context.get_executor(), rig.log, "settle",
+              [&]() -> Task<> { co_await rig.ledger.Settle(); });
+  rig.context.poll_one();
+  BOOST_TEST(!rig.Take(rig.ledger, "a"));
+  BOOST_TEST(rig.Stands().grants.at(0).fence > fence);
+}
+
 // An operator lowered the limit; an endpoint that had not heard of it yet
 // took a grant under the old one.
 BOOST_AUTO_TEST_CASE(OlderConfigurationCanNotTakeAGrant) {
