--- a/src/endpoint/replica_keeper.cc
+++ b/src/endpoint/replica_keeper.cc
@@ -114,6 +114,7 @@
     if (parts_.table.recovered) {
       Sweep();
       co_await AuditIfDue();
+      co_await SettleIfDue();
     }
     co_await core::SleepFor(options_.sweep_interval);
   }
@@ -126,14 +127,26 @@
     if (due) audit_due_ = true;
     co_return;
   }
-  next_audit_ = now + options_.audit_interval;
+  const bool done = co_await TryAudit();
+  next_audit_ = now + (done ? options_.audit_interval : options_.audit_retry);
+}
+
+Task<bool> ReplicaKeeper::TryAudit() {
   try {
     co_await Audit();
   } catch (const Error& e) {
-    next_audit_ = now + options_.audit_retry;
     parts_.log.Event(LogLevel::kWarning, LogCategory::kLedger, "audit_failed",
                      {{"error", std::string(e.what())}});
+    co_return false;
   }
+  co_return true;
+}
+
+/** Grants handed back in an outage are ended once it is over. */
+Task<> ReplicaKeeper::SettleIfDue() {
+  const core::SteadyTime now = parts_.clock.Now();
+  if (parts_.ledger.pending() == 0 || now < next_settle_) co_return;
+  next_settle_ = now + options_.audit_retry;
   co_await parts_.ledger.Settle();
 }
 
--- a/src/endpoint/replica_worker_base.h
+++ b/src/endpoint/replica_worker_base.h
@@ -17,13 +17,14 @@
 #include "core/task_type.h"
 #include "endpoint/engine_follower_base.h"
 #include "endpoint/grant_ledger_base.h"
+#include "endpoint/lane_queue_base.h"
 #include "endpoint/metrics_base.h"
 #include "endpoint/order_desk_base.h"
 #include "endpoint/replica_table_base.h"
 
 namespace sapphire::endpoint {
 
-/** Why and how a model is to be loaded. */
+/** Until when, and at what cost, a model or adapter is to be loaded. */
 struct LoadWish {
   core::SteadyTime deadline;
   /** Idle models that may be unloaded to make room. */
@@ -38,6 +39,7 @@
   EngineFollower& follower;
   OrderDesk& desk;
   GrantLedger& ledger;
+  LaneQueue& lanes;
   const core::Clock& clock;
   const core::Logger& log;
   Metrics& metrics;
@@ -70,7 +72,7 @@
    * @pre The caller holds a run slot of the replica, which keeps the model.
    */
   core::Task<> EnsureAdapter(ReplicaPtr replica, core::AdapterId adapter,
-                             core::SteadyTime deadline);
+                             LoadWish wish);
 
   /** Books a replica as gone that the engine shows not to hold.
    * @pre Its lock is held; phase kReady, kDraining or kUnloading. */
@@ -81,6 +83,8 @@
   void StartTask(std::string_view name, std::function<core::Task<>()> task);
   core::Task<> Load(ReplicaPtr replica, LoadWish wish);
   core::Task<> LoadSteps(ReplicaPtr replica, LoadWish wish);
+  core::Task<> LoadThroughLane(ReplicaPtr replica, contract::Model spec,
+                               LoadWish wish);
   core::Task<> OrderLoad(ReplicaPtr replica, contract::Model spec,
                          LoadWish wish);
   core::Task<> TakeGrant(ReplicaPtr replica, core::SteadyTime deadline);
@@ -89,10 +93,12 @@
   core::Task<bool> OrderUnload(ReplicaPtr replica);
   core::Task<> CheckGrant(ReplicaPtr replica);
   bool UseAdapter(Replica& replica, const contract::Adapter& spec,
-                  int failures_before);
-  core::Task<> LoadAdapter(ReplicaPtr replica, contract::Adapter spec);
+                  const LoadWish& wish, int failures_before);
+  core::Task<> LoadAdapter(ReplicaPtr replica, contract::Adapter spec,
+                           std::vector<core::ModelId> evict);
   core::Task<> MakeRoom(MemoryHolder holder, std::int64_t bytes,
                         std::vector<core::ModelId> evict);
+  bool IdleAdaptersMakeRoomFor(std::int64_t bytes) const;
   core::Task<bool> EvictAdapter();
   core::Task<bool> EvictModel(std::vector<core::ModelId> evict,
                               core::ModelId keep,
