--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -19,7 +19,11 @@
   [[nodiscard]] const std::string& value() const { return value_; }
   [[nodiscard]] bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend bool operator==(const StrongId& a, const StrongId& b) = default;
+  friend std::strong_ordering operator<=>(const StrongId& a,
+                                          const StrongId& b) {
+    return a.value_ <=> b.value_;
+  }
 
  private:
   std::string value_;
