policy: lint findings of the new files

Cause: scripts/lint.sh named narrowing, loops without reserve, local constants. Ruled out: silencing any of them. Change: as the linter asks.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -56,6 +56,7 @@
 std::vector<policy::EndpointView> MakeEndpoints(int size) {
   std::mt19937_64 random(1);
   std::vector<policy::EndpointView> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(size));
   for (int i = 0; i < size; ++i) endpoints.push_back(MakeEndpoint(random, i));
   return endpoints;
 }
@@ -109,6 +110,7 @@
 
 std::function<void()> RankCall(int size) {
   std::vector<core::VmId> entries;
+  entries.reserve(static_cast<std::size_t>(size));
   for (int i = 0; i < size; ++i) {
     entries.emplace_back(fmt::format("entry-{:03}", i));
   }
@@ -139,6 +141,7 @@
 
 std::function<void()> StageCall(int size) {
   std::vector<policy::StagingCandidate> candidates;
+  candidates.reserve(kModels);
   for (int i = 0; i < kModels; ++i) {
     candidates.push_back(
         {.model = ModelNamed(i), .replica_bytes = kReplicaBytes, .demand = 1});
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -148,6 +148,7 @@
   for (int i = 0; i < profile.models; ++i) harmonic += 1.0 / (i + 1);
   const double scale = profile.sessions_per_hour / 3600.0 / harmonic;
   std::vector<ModelSpec> models;
+  models.reserve(static_cast<std::size_t>(profile.models));
   for (int i = 0; i < profile.models; ++i) {
     models.push_back(MakeModel(random, profile, i, scale));
   }
--- a/src/policy/admission_test.cc
+++ b/src/policy/admission_test.cc
@@ -9,6 +9,8 @@
 namespace sapphire::policy {
 namespace {
 
+constexpr int kSlots = 9;
+
 core::SteadyTime At(std::int64_t ms) {
   return core::SteadyTime(std::chrono::milliseconds(ms));
 }
@@ -48,7 +50,6 @@
 // few plain requests. By priority alone the others would wait until the flood
 // is over and their manifests would be late.
 BOOST_AUTO_TEST_CASE(PriorityStarvesNoOwner) {
-  constexpr int kSlots = 9;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     std::mt19937_64 random(seed);
     std::map<core::OwnerId, OwnerUse> owners = {
--- a/src/policy/crash_test.cc
+++ b/src/policy/crash_test.cc
@@ -11,6 +11,9 @@
 
 constexpr core::SteadyTime kNow{};
 
+/** Fingerprints below this one crash their engine. */
+constexpr std::int64_t kHarmful = 3;
+
 core::AttemptId Attempt(int n) { return core::AttemptId(std::to_string(n)); }
 core::EndpointId Engine(std::size_t n) {
   return core::EndpointId("engine-" + std::to_string(n));
@@ -70,8 +73,7 @@
  */
 class Fleet {
  public:
-  Fleet(std::uint64_t seed, std::int64_t harmful)
-      : random_(seed), harmful_(harmful), engines_(6) {}
+  explicit Fleet(std::uint64_t seed) : random_(seed), engines_(6) {}
 
   /** One request comes, and one engine ends what it runs. */
   void Step() {
@@ -108,7 +110,7 @@
   void EndOne(std::size_t at) {
     auto& engine = engines_[at];
     if (engine.empty()) return;
-    if (engine.front().fingerprint < harmful_) return Crash(engine);
+    if (engine.front().fingerprint < kHarmful) return Crash(engine);
     RecordEnd(tracker, engine.front().fingerprint, engine.front().attempt,
               true);
     engine.erase(engine.begin());
@@ -123,16 +125,13 @@
   }
 
   std::mt19937_64 random_;
-  /** Fingerprints below this one crash their engine. */
-  std::int64_t harmful_;
   std::vector<std::vector<Running>> engines_;
   int attempts_ = 0;
 };
 
 BOOST_AUTO_TEST_CASE(OnlyTheHarmfulEndInQuarantine) {
-  constexpr std::int64_t kHarmful = 3;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    Fleet fleet(seed, kHarmful);
+    Fleet fleet(seed);
     for (int i = 0; i < 2000; ++i) fleet.Step();
     for (const auto& [fingerprint, crashes] : fleet.crashes) {
       BOOST_TEST(crashes <= 2, "seed " << seed);
--- a/src/policy/eviction_test.cc
+++ b/src/policy/eviction_test.cc
@@ -22,7 +22,9 @@
     replica.bytes = 1 + static_cast<std::int64_t>(random() % 30);
     replica.idle = Millis(random() % 100'000);
     replica.service = core::ServiceId(random() % 2 == 0 ? "a" : "b");
-    if (random() % 2 == 0) replica.reload_cost = 1.0 + random() % 50;
+    if (random() % 2 == 0) {
+      replica.reload_cost = 1.0 + static_cast<double>(random() % 50);
+    }
     endpoint.reserved_bytes += replica.bytes;
     endpoint.replicas.push_back(replica);
   }
--- a/src/policy/service_time_test.cc
+++ b/src/policy/service_time_test.cc
@@ -8,13 +8,15 @@
 namespace sapphire::policy {
 namespace {
 
+constexpr int kRequests = 2000;
+
 BOOST_AUTO_TEST_CASE(MostRequestsKeepToIt) {
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     std::mt19937_64 random(seed);
-    std::normal_distribution<double> spread(2000, 50.0 * (1 + seed % 8));
+    std::normal_distribution<double> spread(
+        2000, 50.0 * static_cast<double>(1 + seed % 8));
     ServiceTimes times;
     int kept = 0;
-    constexpr int kRequests = 2000;
     for (int i = 0; i < kRequests; ++i) {
       const auto took = std::chrono::milliseconds(
           std::max<std::int64_t>(1, static_cast<std::int64_t>(spread(random))));
--- a/src/policy/store_lane_test.cc
+++ b/src/policy/store_lane_test.cc
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kEndpoints = 12;
+
 core::SteadyTime At(std::int64_t ms) {
   return core::SteadyTime(milliseconds(ms));
 }
@@ -90,7 +92,6 @@
 // as soon as its own share allows; if the shares summed up to more than the
 // store's rate, every load in the fleet would slow down together.
 BOOST_AUTO_TEST_CASE(FixedSharesSumUpToTheRate) {
-  constexpr std::size_t kEndpoints = 12;
   const StoreLimits limits;
   std::size_t loads = 0;
   for (std::size_t i = 0; i < kEndpoints; ++i) {
