--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -1,17 +1,12 @@
-/** @file simulation.cc Drives the decisions through one virtual day. */
+/** @file simulation.cc Callers: arrival, queue, run and end. */
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
-#include <queue>
-#include <tuple>
 
 #include "bench/fleet_func.h"
+#include "bench/simulation_base.h"
 #include "bench/simulation_func.h"
-#include "policy/admission_func.h"
 #include "policy/placement_func.h"
-#include "policy/service_time_func.h"
-#include "policy/staging_func.h"
 
 namespace sapphire::bench {
 
@@ -25,124 +20,20 @@
 /** A request slows down by this part for each one beside it. */
 constexpr double kSlowdownPerRequest = 1.0 / 32;
 
-/** How often a model to stage is looked for. */
-constexpr Millis kStagingInterval = std::chrono::seconds(20);
-
-enum class EventKind {
-  kArrival,
-  kEnd,
-  kLoaded,
-  kIdleCheck,
-  kLanes,
-  kStaging,
-  kGiveUp
-};
-
-struct Event {
-  Millis at{0};
-  /** Keeps events of one moment in the order they were made. */
-  std::int64_t order = 0;
-  EventKind kind = EventKind::kArrival;
-  int engine = 0;
-  int model = 0;
-  int request = 0;
-};
-
-struct Later {
-  bool operator()(const Event& a, const Event& b) const {
-    return std::tie(a.at, a.order) > std::tie(b.at, b.order);
-  }
-};
-
-/** A load that waits for a lane of the weight store. */
-struct PendingLoad {
-  policy::LoadBid bid;
-  int engine = 0;
-  int model = 0;
-};
-
-core::SteadyTime TimeOf(Millis at) { return core::SteadyTime(at); }
-
 double SecondsOf(Millis duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
-class Simulation {
- public:
-  Simulation(const Workload& workload, const PolicyChoice& choice)
-      : workload_(workload),
-        choice_(choice),
-        fleet_(MakeFleet(workload)),
-        histories_(workload.models.size()),
-        queues_(workload.models.size()),
-        service_times_(workload.models.size()),
-        cold_(workload.arrivals.size()) {}
-
-  Result Run();
-
- private:
-  void Schedule(Millis delay, EventKind kind, int engine, int model,
-                int request = 0);
-  void Handle(const Event& event);
-
-  void OnArrival(int request);
-  void OnEnd(const Event& event);
-  void OnLoaded(const Event& event);
-  void OnIdleCheck(int engine_index);
-  void OnStaging();
-  void OnGiveUp(int request);
-
-  /** Queues a request until it starts or its time gets too short. */
-  void Enqueue(int request);
-
-  /** @return The decision for a request, given how many wait before it. */
-  policy::PlacementDecision Decide(int request, int ahead);
-  /** Takes requests off the model's queue while they can start. */
-  void ServeQueue(int model);
-  void Start(int request, const core::EndpointId& endpoint);
-  void StartLoad(int model, const policy::PlacementDecision& decision,
-                 Millis deadline);
-  /** Loads from the weight store as soon as a lane is granted. */
-  void BidForLane(int engine_index, int model, Millis deadline,
-                  bool caller_waits);
-  void BeginTransfer(int engine_index, int model, Millis transfer);
-  void GrantLanes();
-  void Refuse(int request);
-  void Rest(int engine_index, int model);
-  void RefreshFleet();
-
-  [[nodiscard]] Millis KeepAlive(const EngineState& engine, int model) const;
-  [[nodiscard]] bool IsPriced() const {
-    return choice_.rest == RestPolicy::kPriced ||
-           choice_.rest == RestPolicy::kPricedAlone;
-  }
-  [[nodiscard]] bool HasReady(int model) const;
-  [[nodiscard]] int EngineNamed(const core::EndpointId& endpoint) const;
-  [[nodiscard]] int ModelNamed(const core::ModelId& model) const;
-  [[nodiscard]] const ModelSpec& Spec(int model) const {
-    return workload_.models[static_cast<std::size_t>(model)];
-  }
-  [[nodiscard]] const Arrival& Caller(int request) const {
-    return workload_.arrivals[static_cast<std::size_t>(request)];
-  }
+}  // namespace
 
-  const Workload& workload_;
-  const PolicyChoice& choice_;
-  std::vector<EngineState> fleet_;
-  std::vector<policy::EndpointView> views_;
-  std::vector<policy::ArrivalHistory> histories_;
-  std::vector<std::vector<int>> queues_;
-  std::vector<policy::ServiceTimes> service_times_;
-  /** Requests that found no ready replica. */
-  std::vector<bool> cold_;
-  std::map<core::OwnerId, policy::OwnerUse> owners_;
-  std::vector<PendingLoad> pending_;
-  policy::StoreUse store_use_;
-  std::priority_queue<Event, std::vector<Event>, Later> events_;
-  std::int64_t next_order_ = 0;
-  Millis now_{0};
-  Result result_;
-};
+Simulation::Simulation(const Workload& workload, const PolicyChoice& choice)
+    : workload_(workload),
+      choice_(choice),
+      fleet_(MakeFleet(workload)),
+      histories_(workload.models.size()),
+      queues_(workload.models.size()),
+      service_times_(workload.models.size()),
+      cold_(workload.arrivals.size()) {}
 
 Result Simulation::Run() {
   for (std::size_t i = 0; i < workload_.arrivals.size(); ++i) {
@@ -242,75 +133,6 @@
   Rest(event.engine, event.model);
 }
 
-void Simulation::OnLoaded(const Event& event) {
-  EngineState& engine = fleet_[static_cast<std::size_t>(event.engine)];
-  Settle(engine, now_, result_);
-  const auto index = static_cast<std::size_t>(ReplicaAt(engine, event.model));
-  engine.view.replicas[index].state = ReplicaState::kReady;
-  if (engine.times[index].holds_lane) {
-    --store_use_.loading;
-    CacheOnDisk(engine, Spec(event.model).id);
-    GrantLanes();
-  }
-  ServeQueue(event.model);
-  Rest(event.engine, event.model);
-}
-
-/** Starts a replica's idle time if it runs nothing. */
-void Simulation::Rest(int engine_index, int model) {
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  const int index = ReplicaAt(engine, model);
-  if (index < 0) return;
-  const auto at = static_cast<std::size_t>(index);
-  if (engine.view.replicas[at].running > 0) return;
-  engine.times[at].idle_since = now_;
-  engine.times[at].keep_alive = KeepAlive(engine, model);
-  const bool stays = choice_.rest == RestPolicy::kNeverUnload ||
-                     choice_.rest == RestPolicy::kLeastRecentlyUsed;
-  if (stays) return;
-  Schedule(engine.times[at].keep_alive, EventKind::kIdleCheck, engine_index,
-           model);
-}
-
-Millis Simulation::KeepAlive(const EngineState& engine, int model) const {
-  if (!IsPriced()) return choice_.timeout;
-  const int index = ReplicaAt(engine, model);
-  const bool staged = engine.times[static_cast<std::size_t>(index)].staging;
-  if (staged) return Millis(0);
-  const bool shares = choice_.rest == RestPolicy::kPriced;
-  const std::size_t sharers = shares ? engine.times.size() : 1;
-  return policy::KeepAliveTime(
-      histories_[static_cast<std::size_t>(model)],
-      policy::SharedWeights(workload_.weights, sharers),
-      policy::ExpectedReloadTime(Spec(model).loads));
-}
-
-void Simulation::OnIdleCheck(int engine_index) {
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  Settle(engine, now_, result_);
-  RefreshView(engine, now_);
-  std::vector<policy::HeldReplica> held;
-  std::vector<int> unload;
-  for (std::size_t i = 0; i < engine.times.size(); ++i) {
-    const policy::ReplicaView& replica = engine.view.replicas[i];
-    const bool ready = replica.state == ReplicaState::kReady;
-    const int running = ready ? replica.running : 1;
-    held.push_back({.running = running,
-                    .idle = replica.idle,
-                    .keep_alive = engine.times[i].keep_alive});
-    const bool expired =
-        running == 0 && replica.idle >= engine.times[i].keep_alive;
-    if (expired) unload.push_back(engine.times[i].model);
-  }
-  if (choice_.rest == RestPolicy::kPriced) {
-    unload.clear();
-    for (const std::size_t i : policy::ReplicasToUnload(held)) {
-      unload.push_back(engine.times[i].model);
-    }
-  }
-  for (const int model : unload) RemoveReplica(engine, model);
-}
-
 void Simulation::RefreshFleet() {
   views_.clear();
   for (EngineState& engine : fleet_) {
@@ -421,95 +243,6 @@
   result_.caller_seconds += SecondsOf(wait);
 }
 
-void Simulation::StartLoad(int model, const policy::PlacementDecision& decision,
-                           Millis deadline) {
-  const int engine_index = EngineNamed(decision.endpoint);
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  Settle(engine, now_, result_);
-  for (const core::ModelId& evicted : decision.evict) {
-    RemoveReplica(engine, ModelNamed(evicted));
-  }
-  const ModelSpec& spec = Spec(model);
-  const policy::Tier tier = policy::TierAt(engine.view, spec.id);
-  AddReplica(engine, workload_, model);
-  ++result_.loads;
-  if (tier != policy::Tier::kRemote) {
-    return BeginTransfer(engine_index, model,
-                         policy::LoadTimeFrom(spec.loads, tier));
-  }
-  BidForLane(engine_index, model, deadline, true);
-}
-
-void Simulation::BidForLane(int engine_index, int model, Millis deadline,
-                            bool caller_waits) {
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  const ModelSpec& spec = Spec(model);
-  engine.times.back().holds_lane = true;
-  engine.times.back().ready_at = now_ + spec.loads.remote;
-  pending_.push_back({.bid = {.vm = core::VmId(engine.view.id.value()),
-                              .model = spec.id,
-                              .deadline = TimeOf(deadline),
-                              .caller_waits = caller_waits},
-                      .engine = engine_index,
-                      .model = model});
-  GrantLanes();
-}
-
-void Simulation::OnStaging() {
-  Schedule(kStagingInterval, EventKind::kStaging, 0, 0);
-  std::size_t held = 0;
-  for (const EngineState& engine : fleet_) held += engine.times.size();
-  const auto limit = static_cast<std::size_t>(workload_.service_max_replicas);
-  if (!pending_.empty() || held >= limit) return;
-  std::vector<policy::StagingCandidate> candidates;
-  for (std::size_t i = 0; i < workload_.models.size(); ++i) {
-    candidates.push_back({.model = workload_.models[i].id,
-                          .replica_bytes = workload_.models[i].bytes,
-                          .demand = histories_[i].total});
-  }
-  RefreshFleet();
-  const auto decision = policy::ChooseStaging(candidates, views_);
-  if (!decision.has_value()) return;
-  const int engine_index = EngineNamed(decision->endpoint);
-  const int model = ModelNamed(decision->model);
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  Settle(engine, now_, result_);
-  AddReplica(engine, workload_, model);
-  engine.times.back().staging = true;
-  ++result_.loads;
-  BidForLane(engine_index, model, now_ + kStagingInterval, false);
-}
-
-void Simulation::BeginTransfer(int engine_index, int model, Millis transfer) {
-  EngineState& engine = fleet_[static_cast<std::size_t>(engine_index)];
-  const Millis start = std::max(now_, engine.orders_done);
-  const auto index = static_cast<std::size_t>(ReplicaAt(engine, model));
-  engine.orders_done = start + transfer;
-  engine.times[index].ready_at = engine.orders_done;
-  Schedule(engine.orders_done - now_, EventKind::kLoaded, engine_index, model);
-}
-
-void Simulation::GrantLanes() {
-  std::vector<policy::LoadBid> bids;
-  for (const PendingLoad& load : pending_) bids.push_back(load.bid);
-  auto granted =
-      policy::GrantLanes(bids, workload_.store, store_use_, TimeOf(now_));
-  std::ranges::sort(granted, std::ranges::greater{});
-  for (const std::size_t index : granted) {
-    const PendingLoad load = pending_[index];
-    pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(index));
-    ++store_use_.loading;
-    store_use_.starts.push_back(TimeOf(now_));
-    BeginTransfer(load.engine, load.model, Spec(load.model).loads.remote);
-  }
-  std::erase_if(store_use_.starts, [&](core::SteadyTime start) {
-    return TimeOf(now_) - start > std::chrono::seconds(2);
-  });
-  const bool lane_free = store_use_.loading < workload_.store.loads_at_once;
-  if (pending_.empty() || !lane_free) return;
-  Schedule(Millis(100), EventKind::kLanes, 0, 0);
-}
-
 void Simulation::Refuse(int request) {
   const Millis limit = Caller(request).limit;
   ++result_.refused;
@@ -538,8 +271,6 @@
   return static_cast<int>(it - workload_.models.begin());
 }
 
-}  // namespace
-
 Result Simulate(const Workload& workload, const PolicyChoice& choice) {
   return Simulation(workload, choice).Run();
 }
