policy: crash verdicts keep the meaning their caller relies on

Cause: a separate verdict for copies of unsuspected requests would have been taken for 'run anywhere' by the home, which knows kWaitForCopies only. Change: kWaitForCopies stands for both: only on an engine that runs a copy, and a suspect not even there.

--- a/src/policy/crash.cc
+++ b/src/policy/crash.cc
@@ -25,12 +25,9 @@
   if (record.crashes >= kCrashesToQuarantine) {
     return DispatchVerdict::kQuarantined;
   }
-  const bool suspect = record.crashes > 0;
-  if (record.running.empty()) {
-    return suspect ? DispatchVerdict::kRunAlone : DispatchVerdict::kRun;
-  }
-  return suspect ? DispatchVerdict::kWaitForCopies
-                 : DispatchVerdict::kRunBesideCopies;
+  if (!record.running.empty()) return DispatchVerdict::kWaitForCopies;
+  return record.crashes > 0 ? DispatchVerdict::kRunAlone
+                            : DispatchVerdict::kRun;
 }
 
 std::set<core::EndpointId> EnginesWithCopies(const CrashTracker& tracker,
--- a/src/policy/crash_func.h
+++ b/src/policy/crash_func.h
@@ -31,10 +31,10 @@
 
 enum class DispatchVerdict {
   kRun,
-  kRunBesideCopies,  ///< Only on the engine that runs a copy; else wait.
-  kRunAlone,         ///< A suspect: only on an engine where nothing else runs.
-  kWaitForCopies,    ///< A suspect, a copy of which is being tried.
-  kQuarantined,      ///< Refused: it may not reach a third engine.
+  kRunAlone,       ///< A suspect: only on an engine where nothing else runs.
+  kWaitForCopies,  ///< Only on an engine that runs a copy, and a suspect not
+                   ///< even there; else wait.
+  kQuarantined,    ///< Refused: it may not reach a third engine.
 };
 
 /**
