--- a/src/policy/crash_test.cc
+++ b/src/policy/crash_test.cc
@@ -11,6 +11,9 @@
 
 constexpr core::SteadyTime kNow{};
 
+/** Fingerprints below this one crash their engine. */
+constexpr std::int64_t kHarmful = 3;
+
 core::AttemptId Attempt(int n) { return core::AttemptId(std::to_string(n)); }
 core::EndpointId Engine(std::size_t n) {
   return core::EndpointId("engine-" + std::to_string(n));
@@ -35,7 +38,7 @@
 BOOST_AUTO_TEST_CASE(CopiesInParallelReachOneEngineAtATime) {
   CrashTracker tracker;
   RecordDispatch(tracker, 7, Attempt(1), Engine(1));
-  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunBesideCopies));
+  BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kWaitForCopies));
   BOOST_TEST((EnginesWithCopies(tracker, 7) == std::set{Engine(1)}));
   RecordCrash(tracker, 7, Attempt(1), kNow);
   BOOST_TEST((JudgeDispatch(tracker, 7) == DispatchVerdict::kRunAlone));
@@ -70,8 +73,7 @@
  */
 class Fleet {
  public:
-  Fleet(std::uint64_t seed, std::int64_t harmful)
-      : random_(seed), harmful_(harmful), engines_(6) {}
+  explicit Fleet(std::uint64_t seed) : random_(seed), engines_(6) {}
 
   /** One request comes, and one engine ends what it runs. */
   void Step() {
@@ -92,7 +94,8 @@
   void Dispatch(std::int64_t fingerprint) {
     const auto verdict = JudgeDispatch(tracker, fingerprint);
     const bool alone = verdict == DispatchVerdict::kRunAlone;
-    const bool beside = verdict == DispatchVerdict::kRunBesideCopies;
+    const bool beside = verdict == DispatchVerdict::kWaitForCopies &&
+                        tracker.records[fingerprint].crashes == 0;
     if (verdict != DispatchVerdict::kRun && !alone && !beside) return;
     const std::size_t at = random_() % engines_.size();
     const auto copies = EnginesWithCopies(tracker, fingerprint);
@@ -108,7 +111,7 @@
   void EndOne(std::size_t at) {
     auto& engine = engines_[at];
     if (engine.empty()) return;
-    if (engine.front().fingerprint < harmful_) return Crash(engine);
+    if (engine.front().fingerprint < kHarmful) return Crash(engine);
     RecordEnd(tracker, engine.front().fingerprint, engine.front().attempt,
               true);
     engine.erase(engine.begin());
@@ -123,16 +126,13 @@
   }
 
   std::mt19937_64 random_;
-  /** Fingerprints below this one crash their engine. */
-  std::int64_t harmful_;
   std::vector<std::vector<Running>> engines_;
   int attempts_ = 0;
 };
 
 BOOST_AUTO_TEST_CASE(OnlyTheHarmfulEndInQuarantine) {
-  constexpr std::int64_t kHarmful = 3;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    Fleet fleet(seed, kHarmful);
+    Fleet fleet(seed);
     for (int i = 0; i < 2000; ++i) fleet.Step();
     for (const auto& [fingerprint, crashes] : fleet.crashes) {
       BOOST_TEST(crashes <= 2, "seed " << seed);
