--- /dev/null
+++ b/tests/memory_limit_test.cc
@@ -0,0 +1,168 @@
+/** @file memory_limit_test.cc No engine's memory is ever overcommitted. */
+#define BOOST_TEST_MODULE memory_limit
+#include <fmt/format.h>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <random>
+#include <thread>
+
+#include "tests/judge_func.h"
+
+namespace sapphire::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kModels = 6;
+constexpr int kAdapters = 2;
+constexpr int kBurst = 16;
+constexpr int kBursts = 4;
+constexpr int kTokens = 3;
+
+/** Each replica takes 300 MB and each adapter 60 MB: an engine of 1 GB holds
+ * three replicas, but not with all their adapters. */
+std::string Intent() {
+  std::string text =
+      "deployment = \"meander\"\n[[service]]\nname = \"cabin\"\n"
+      "max_replicas = 12\n";
+  for (int i = 0; i < kModels; ++i) {
+    text += fmt::format(
+        "[[model]]\nname = \"model-{}\"\nservice = \"cabin\"\n"
+        "weight_bytes = \"250 MB\"\nkv_budget_bytes = \"50 MB\"\n"
+        "max_replicas = 2\nadapters = [\n"
+        "  {{ name = \"a0\", version = \"1\", bytes = \"60 MB\" }},\n"
+        "  {{ name = \"a1\", version = \"1\", bytes = \"60 MB\" }},\n]\n",
+        i);
+  }
+  return text;
+}
+
+class Deployment {
+ public:
+  explicit Deployment(std::uint64_t seed)
+      : random_(seed), fleet_(SAPPHIRE_BIN_DIR "/bin", "memory-limit") {
+    fleet_.entry_settings = "vm_list_interval_ms = 200\n";
+    fleet_.endpoint_settings = "audit_ms = 500\nsettle_ms = 300\n";
+    AddEngine("engine-1", "--honours-fencing");
+    AddEngine("engine-2", "--ignores-fencing");
+    fleet_.AddEntry("entry-1", "zone-a");
+    fleet_.AddEntry("entry-2", "zone-b");
+    fleet_.PublishVms();
+    fleet_.Confirm(Intent());
+  }
+
+  void StartBurst() {
+    for (int i = 0; i < kBurst; ++i) {
+      const std::string id = fmt::format("guest-{}", sent_++);
+      std::string model = fmt::format("model-{}", Pick(kModels));
+      if (Pick(3) > 0) model += fmt::format(":a{}", Pick(kAdapters));
+      const std::string entry = Pick(2) == 0 ? "entry-1" : "entry-2";
+      replies_.emplace_back(
+          id, fleet_.SendLater(
+                  fleet_.EntryAddress(entry),
+                  ChatRequest(model, "what is for lunch", id, false, kTokens)));
+    }
+  }
+
+  void CollectReplies() {
+    for (auto& [id, future] : replies_) {
+      const Reply reply = future.get();
+      const bool whole = IsOwnWholeAnswer(reply, id, kTokens);
+      served_ += whole ? 1 : 0;
+      BOOST_TEST((whole || IsTypedRefusal(reply)),
+                 id << ": " << reply.status << reply.body << reply.failure);
+    }
+    replies_.clear();
+  }
+
+  /** Kills an endpoint's process and starts another beside the engine. */
+  void KillOneEndpoint() {
+    const std::string vm = Pick(2) == 0 ? "engine-1" : "engine-2";
+    std::this_thread::sleep_for(milliseconds(Pick(400)));
+    fleet_.endpoint(vm).process->Signal(SIGKILL);
+    fleet_.RestartEndpoint(vm);
+    fleet_.PublishVms();
+  }
+
+  void LoseOrderAnswers() {
+    for (const char* vm : {"engine-1", "engine-2"}) {
+      fleet_.Fault(vm, R"({"lose_order_answers":2})");
+    }
+  }
+
+  /** Checks what the engines counted. */
+  void Check() {
+    int unloads = 0;
+    for (const char* vm : {"engine-1", "engine-2"}) {
+      const auto record = fleet_.Record(vm);
+      BOOST_TEST(record.at("overcommits").as_array().empty());
+      const auto peak = record.at("peak_used_bytes").to_number<std::int64_t>();
+      const auto memory = record.at("memory_bytes").to_number<std::int64_t>();
+      BOOST_TEST(peak <= memory);
+      BOOST_TEST_MESSAGE("  " << vm << ": peak " << peak << " of " << memory);
+      for (const ReplicaStay& it : StaysOf(vm, record)) {
+        unloads += it.end == "unloaded" ? 1 : 0;
+      }
+    }
+    BOOST_TEST(served_ > 0);
+    // Without evictions the engines were never asked for too much.
+    BOOST_TEST(unloads > 0);
+  }
+
+ private:
+  int Pick(std::size_t n) { return static_cast<int>(random_() % n); }
+
+  void AddEngine(const std::string& vm, const std::string& fencing) {
+    std::string tier;
+    for (int i = 0; i < kModels; ++i) {
+      tier += fmt::format("model-{0},model-{0}:a0,model-{0}:a1,", i);
+    }
+    tier.pop_back();
+    fleet_.AddEngine(vm, "zone-a",
+                     {fencing, "--memory-bytes", "1000000000", "--disk-tier",
+                      tier, "--disk-bytes-per-second", "2000000000"});
+  }
+
+  std::mt19937_64 random_;
+  Fleet fleet_;
+  std::vector<std::pair<std::string, std::future<Reply>>> replies_;
+  int sent_ = 0;
+  int served_ = 0;
+};
+
+// Guests ask for twice as many models as fit, with adapters. Loads, adapters
+// and evictions overlap at each engine; an engine given more than it holds
+// would fail for all of its guests at once.
+BOOST_DATA_TEST_CASE(BurstsForMoreThanFits,
+                     boost::unit_test::data::make(std::vector<std::uint64_t>{
+                         21, 22}),
+                     seed) {
+  Deployment deployment(seed);
+  for (int i = 0; i < kBursts; ++i) {
+    deployment.StartBurst();
+    deployment.CollectReplies();
+  }
+  deployment.Check();
+}
+
+// The same, and in the middle the process that keeps an engine's books is
+// killed, or the answers to its orders are lost. Its successor knows nothing of
+// the load under way; what it doesn't count it would give away again.
+BOOST_DATA_TEST_CASE(BooksAreLostInABurst,
+                     boost::unit_test::data::make(std::vector<std::uint64_t>{
+                         31, 32}),
+                     seed) {
+  Deployment deployment(seed);
+  for (int i = 0; i < kBursts; ++i) {
+    if (i % 2 == 1) deployment.LoseOrderAnswers();
+    deployment.StartBurst();
+    deployment.KillOneEndpoint();
+    deployment.CollectReplies();
+  }
+  deployment.Check();
+}
+
+}  // namespace
+}  // namespace sapphire::tests
