Tests: leaving endpoints get no new work, planned stops cut nothing

By drain, by SIGTERM and by the list showing the VM as leaving (lagging), with traffic going on; judged by the start times in the engine's record, 4 s after the VM was told (after the list has shown it). SIGTERM of endpoint and entry with streams in progress and with guests who wait for a load: all answers whole, exit 0.

A case expected at first that guests who wait for a model with max_replicas 1 are served although the process that loads it is stopped. They are refused at once ('leaving', not_run, with Retry-After): no other replica may be loaded before that one is gone. The case stands with max_replicas 2, where all must be served, and another holds the refusal of the single replica to be typed, not run and with a time to come back.

--- /dev/null
+++ b/tests/leaving_test.cc
@@ -0,0 +1,348 @@
+/** @file leaving_test.cc A leaving endpoint gets no new work, and every planned
+ * stop is graceful. */
+#define BOOST_TEST_MODULE leaving
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+#include "tests/judge_func.h"
+
+namespace sapphire::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** An endpoint that is leaving gets no new work after this long. */
+constexpr seconds kNoNewWorkAfter{4};
+/** How long traffic goes on after that. */
+constexpr seconds kWatchOn{2};
+constexpr milliseconds kListInterval{500};
+constexpr milliseconds kListLag{1500};
+constexpr milliseconds kBetweenRequests{40};
+constexpr seconds kExitLimit{30};
+constexpr int kShortAnswer = 4;
+constexpr int kLongAnswer = 150;
+
+constexpr std::string_view kIntent = R"(deployment = "meander"
+[[service]]
+name = "cabin"
+max_replicas = 4
+[[model]]
+name = "itinerary"
+service = "cabin"
+weight_bytes = "100 MB"
+kv_budget_bytes = "50 MB"
+max_replicas = 2
+max_concurrent = 8
+[[model]]
+name = "claims"
+service = "cabin"
+weight_bytes = "100 MB"
+kv_budget_bytes = "50 MB"
+max_replicas = 1
+)";
+
+struct Deployment {
+  Deployment() : fleet(SAPPHIRE_BIN_DIR "/bin", "leaving") {
+    fleet.entry_settings =
+        fmt::format("vm_list_interval_ms = {}\nlame_duck_ms = 500\n",
+                    kListInterval.count());
+    for (const std::string& vm : vms) {
+      fleet.AddEngine(
+          vm, "zone-a",
+          {"--memory-bytes", "1000000000", "--disk-tier", "itinerary,claims",
+           "--disk-bytes-per-second", "200000000", "--token-ms", "10"});
+    }
+    fleet.AddEntry("entry-1", "zone-a");
+    fleet.AddEntry("entry-2", "zone-a");
+    fleet.PublishVms();
+    fleet.Confirm(std::string(kIntent));
+  }
+
+  std::future<Reply> Ask(const std::string& entry, const std::string& model,
+                         const std::string& id, bool stream, int tokens) {
+    return fleet.SendLater(fleet.EntryAddress(entry),
+                           ChatRequest(model, "a walk", id, stream, tokens));
+  }
+
+  /** @return A VM whose engine holds the model; empty if there is none. */
+  std::string HolderOf(const std::string& model) {
+    for (const ReplicaStay& it : StaysOf(fleet, vms)) {
+      if (it.model == model && it.end == "held") return it.vm;
+    }
+    return "";
+  }
+
+  int Running() {
+    int n = 0;
+    for (const std::string& vm : vms) n += RunningIn(fleet.Record(vm));
+    return n;
+  }
+
+  /** @return Grants in the ledger that name the VM. */
+  int GrantsOf(const std::string& vm) {
+    const Reply reply = fleet.Send(fleet.StandInAddress("kv"),
+                                   {"GET", "/kv?key=ledger/cabin", {}, ""});
+    const auto entry = boost::json::parse(reply.body).at("entry");
+    const auto ledger = boost::json::parse(entry.at("value").as_string());
+    int n = 0;
+    for (const auto& it : ledger.at("grants").as_array()) {
+      n += it.at("vm").as_string() == vm ? 1 : 0;
+    }
+    return n;
+  }
+
+  const std::vector<std::string> vms = {"engine-1", "engine-2", "engine-3"};
+  Fleet fleet;
+};
+
+/** Callers who go on asking, at both entries in turn. */
+class Traffic {
+ public:
+  explicit Traffic(Deployment& deployment)
+      : deployment_(deployment), thread_([this] { Send(); }) {}
+  ~Traffic() { Stop(); }
+
+  /** Waits for all answers. @return How many weren't whole. */
+  int Stop() {
+    stopped_ = true;
+    if (thread_.joinable()) thread_.join();
+    int bad = 0;
+    for (std::size_t i = 0; i < replies_.size(); ++i) {
+      const std::string id = fmt::format("guest-{}", i);
+      const Reply reply = replies_[i].get();
+      if (IsOwnWholeAnswer(reply, id, kShortAnswer)) continue;
+      BOOST_TEST_MESSAGE("  " << id << ": " << reply.status << " " << reply.body
+                              << reply.failure);
+      ++bad;
+    }
+    replies_.clear();
+    return bad;
+  }
+
+ private:
+  void Send() {
+    for (int i = 0; !stopped_; ++i) {
+      replies_.push_back(
+          deployment_.Ask(i % 2 == 0 ? "entry-1" : "entry-2", "itinerary",
+                          fmt::format("guest-{}", i), true, kShortAnswer));
+      std::this_thread::sleep_for(kBetweenRequests);
+    }
+  }
+
+  Deployment& deployment_;
+  std::atomic<bool> stopped_ = false;
+  std::vector<std::future<Reply>> replies_;
+  std::thread thread_;
+};
+
+/** Sends traffic while `leave` makes the model's holder leave.
+ * @param told_after How long the platform itself takes to tell. */
+void CheckNoNewWork(const std::function<void(Deployment&, EndpointVm&)>& leave,
+                    milliseconds told_after) {
+  Deployment deployment;
+  Traffic traffic(deployment);
+  std::string vm;
+  BOOST_REQUIRE(Eventually([&] {
+    vm = deployment.HolderOf("itinerary");
+    return !vm.empty() && StartedAfter(deployment.fleet.Record(vm), 0) > 3;
+  }));
+  const std::int64_t left = WallMillis();
+  leave(deployment, deployment.fleet.endpoint(vm));
+  const milliseconds bound = kNoNewWorkAfter + told_after;
+  std::this_thread::sleep_for(bound + kWatchOn);
+  const auto record = deployment.fleet.Record(vm);
+  int elsewhere = 0;
+  for (const std::string& it : deployment.vms) {
+    if (it == vm) continue;
+    elsewhere +=
+        StartedAfter(deployment.fleet.Record(it), left + bound.count());
+  }
+  BOOST_TEST(StartedAfter(record, left + bound.count()) == 0);
+  BOOST_TEST(elsewhere > 0);
+  BOOST_TEST(traffic.Stop() == 0);
+  BOOST_TEST(RunningIn(record) == 0);
+}
+
+// An operator drains a VM while guests go on asking for the model it holds.
+// They must be served elsewhere: work that still reaches it delays its stop,
+// or is lost with it.
+BOOST_AUTO_TEST_CASE(DrainedEndpointGetsNoNewWork) {
+  CheckNoNewWork(
+      [](Deployment& deployment, EndpointVm& vm) {
+        deployment.fleet.Admin(
+            "entry-1",
+            {"POST", "/admin/v1/endpoints/" + vm.vm + "/drain", {}, ""});
+      },
+      milliseconds(0));
+}
+
+// The platform stops a VM with SIGTERM while guests go on asking.
+BOOST_AUTO_TEST_CASE(TerminatedEndpointGetsNoNewWork) {
+  CheckNoNewWork(
+      [](Deployment&, EndpointVm& vm) { vm.process->Signal(SIGTERM); },
+      milliseconds(0));
+}
+
+// The platform's list shows a VM as leaving, late, and nothing else tells the
+// endpoint or the entries. Guests go on asking.
+BOOST_AUTO_TEST_CASE(EndpointListedAsLeavingGetsNoNewWork) {
+  CheckNoNewWork(
+      [](Deployment& deployment, EndpointVm& vm) {
+        deployment.fleet.Fault(
+            "vms", fmt::format(R"({{"lag_ms":{}}})", kListLag.count()));
+        vm.leaving = true;
+        deployment.fleet.PublishVms();
+      },
+      kListLag + kListInterval);
+}
+
+/** Long streams through both entries that have begun to run. */
+std::vector<std::pair<std::string, std::future<Reply>>> StartStreams(
+    Deployment& deployment, int n) {
+  std::vector<std::pair<std::string, std::future<Reply>>> streams;
+  for (int i = 0; i < n; ++i) {
+    const std::string id = fmt::format("stream-{}", i);
+    streams.emplace_back(
+        id, deployment.Ask(i % 2 == 0 ? "entry-1" : "entry-2", "itinerary", id,
+                           true, kLongAnswer));
+  }
+  BOOST_REQUIRE(Eventually([&] { return deployment.Running() == n; }));
+  return streams;
+}
+
+int CountWhole(std::vector<std::pair<std::string, std::future<Reply>>>& all,
+               int tokens) {
+  int whole = 0;
+  for (auto& [id, future] : all) {
+    const Reply reply = future.get();
+    const bool good = IsOwnWholeAnswer(reply, id, tokens) &&
+                      reply.body.find("[DONE]") != std::string::npos;
+    if (!good) {
+      BOOST_TEST_MESSAGE("  " << id << ": " << reply.status << " "
+                              << reply.failure);
+    }
+    whole += good ? 1 : 0;
+  }
+  return whole;
+}
+
+// Answers are being streamed to guests when the platform stops the process
+// beside the engine. A guest would see half an itinerary.
+BOOST_AUTO_TEST_CASE(TerminatedEndpointCutsNoStream) {
+  Deployment deployment;
+  auto streams = StartStreams(deployment, 8);
+  const std::string vm = deployment.HolderOf("itinerary");
+  Process& process = *deployment.fleet.endpoint(vm).process;
+  process.Signal(SIGTERM);
+  BOOST_TEST(CountWhole(streams, kLongAnswer) == 8);
+  BOOST_TEST(process.WaitForExit(kExitLimit).value_or(-1) == 0);
+  for (const ReplicaStay& it : StaysOf(deployment.fleet, {vm})) {
+    BOOST_TEST(it.end == "unloaded");
+  }
+  BOOST_TEST(deployment.GrantsOf(vm) == 0);
+}
+
+// The same, and it is an entry that is stopped: the one that streams to its own
+// callers, and the home of the model at which the others' requests were placed.
+BOOST_AUTO_TEST_CASE(TerminatedEntryCutsNoStream) {
+  for (const char* entry : {"entry-1", "entry-2"}) {
+    Deployment deployment;
+    auto streams = StartStreams(deployment, 8);
+    Process& process = *deployment.fleet.entry(entry).process;
+    process.Signal(SIGTERM);
+    BOOST_TEST(CountWhole(streams, kLongAnswer) == 8);
+    BOOST_TEST(process.WaitForExit(kExitLimit).value_or(-1) == 0);
+  }
+}
+
+// Guests wait for a model that is being loaded when the entry that they wait
+// at, or the home that ordered the load, is stopped.
+BOOST_AUTO_TEST_CASE(TerminatedEntryServesThoseWhoWait) {
+  for (const char* entry : {"entry-1", "entry-2"}) {
+    Deployment deployment;
+    std::vector<std::pair<std::string, std::future<Reply>>> waiting;
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = fmt::format("waiting-{}", i);
+      waiting.emplace_back(
+          id, deployment.Ask(i % 2 == 0 ? "entry-1" : "entry-2", "claims", id,
+                             true, kShortAnswer));
+    }
+    BOOST_REQUIRE(
+        Eventually([&] { return !deployment.HolderOf("claims").empty(); }));
+    Process& process = *deployment.fleet.entry(entry).process;
+    process.Signal(SIGTERM);
+    BOOST_TEST(CountWhole(waiting, kShortAnswer) == 6);
+    BOOST_TEST(process.WaitForExit(kExitLimit).value_or(-1) == 0);
+  }
+}
+
+/** Stops the process beside the engine that loads the model for waiters.
+ * @return What became of them. */
+std::vector<std::pair<std::string, Reply>> TerminateWhileItLoads(
+    Deployment& deployment, const std::string& model) {
+  std::vector<std::pair<std::string, std::future<Reply>>> waiting;
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = fmt::format("waiting-{}", i);
+    waiting.emplace_back(
+        id, deployment.Ask("entry-1", model, id, true, kShortAnswer));
+  }
+  std::string vm;
+  BOOST_REQUIRE(Eventually([&] {
+    vm = deployment.HolderOf(model);
+    return !vm.empty();
+  }));
+  Process& process = *deployment.fleet.endpoint(vm).process;
+  process.Signal(SIGTERM);
+  std::vector<std::pair<std::string, Reply>> ended;
+  for (auto& [id, reply] : waiting) ended.emplace_back(id, reply.get());
+  BOOST_TEST(process.WaitForExit(kExitLimit).value_or(-1) == 0);
+  for (const ReplicaStay& it : StaysOf(deployment.fleet, {vm})) {
+    BOOST_TEST(it.end == "unloaded");
+  }
+  BOOST_TEST(deployment.GrantsOf(vm) == 0);
+  return ended;
+}
+
+// The process beside an engine is stopped while it loads a model for guests
+// who wait. Another replica may be loaded: they are served there, for a planned
+// stop ends nobody's request.
+BOOST_AUTO_TEST_CASE(EndpointTerminatedWhileItLoadsLosesNoWaiter) {
+  Deployment deployment;
+  for (const auto& [id, reply] :
+       TerminateWhileItLoads(deployment, "itinerary")) {
+    BOOST_TEST(IsOwnWholeAnswer(reply, id, kShortAnswer),
+               id << ": " << reply.status << reply.body);
+  }
+}
+
+// The same, and no other replica may be loaded until this one is gone. A guest
+// who isn't served is told so at once, with the time to come back; nobody loads
+// a second replica for them.
+BOOST_AUTO_TEST_CASE(EndpointTerminatedWhileItLoadsTheOnlyReplica) {
+  Deployment deployment;
+  for (const auto& [id, reply] : TerminateWhileItLoads(deployment, "claims")) {
+    const bool refused =
+        IsTypedRefusal(reply) && reply.outcome() == "not_run" &&
+        std::ranges::any_of(reply.headers, [](const http::Header& it) {
+          return it.name == "Retry-After";
+        });
+    BOOST_TEST((IsOwnWholeAnswer(reply, id, kShortAnswer) || refused),
+               id << ": " << reply.status << reply.body);
+  }
+  BOOST_TEST(Eventually([&] {
+    const Reply reply =
+        deployment.Ask("entry-1", "claims", "later", true, kShortAnswer).get();
+    return IsOwnWholeAnswer(reply, "later", kShortAnswer);
+  }));
+  BOOST_TEST(
+      PeakReplicas(StaysOf(deployment.fleet, deployment.vms), {"claims"}) == 1);
+}
+
+}  // namespace
+}  // namespace sapphire::tests
