Tests: replica limits under each failure alone and seeded pairs

Each one now has a case of its own, and eight seeds pick two. The older head in the tests of the configuration has its parts too, as a replica of the service that lags would show them.

--- a/tests/config_force_test.cc
+++ b/tests/config_force_test.cc
@@ -113,6 +113,24 @@
         kInForceWithin);
   }
 
+  /** Confirms an intent; the key-value service then shows the head, and keeps
+   * the parts, from before, as a replica of it that lags would. */
+  void ConfirmAndShowOlder(const std::string& intent) {
+    const std::string kv = fleet.StandInAddress("kv");
+    const Reply before =
+        fleet.Send(kv, {"GET", "/kv?prefix=config/parts/", {}, ""});
+    fleet.Confirm(intent);
+    const auto parts = boost::json::parse(before.body);
+    for (const auto& it : parts.at("entries").as_array()) {
+      const boost::json::object write{{"key", it.at("key")},
+                                      {"expected", 0},
+                                      {"value", it.at("value")},
+                                      {"lease", ""}};
+      fleet.Send(kv, {"POST", "/cas", {}, boost::json::serialize(write)});
+    }
+    fleet.Fault("kv", R"({"show_old_key":"config/head"})");
+  }
+
   bool Serves(const std::string& entry, const std::string& model) {
     const std::string id = fmt::format("guest-{}", sent++);
     const Reply reply =
@@ -251,9 +269,8 @@
 // to the version that its fellows have, not keep the older one.
 BOOST_AUTO_TEST_CASE(EntryThatStartsOnAnOlderHeadCatchesUp) {
   Deployment deployment;
-  deployment.fleet.Confirm(Intent(2, {"lunch"}));
+  deployment.ConfirmAndShowOlder(Intent(2, {"lunch"}));
   const std::int64_t version = deployment.VersionAt("entry-1");
-  deployment.fleet.Fault("kv", R"({"show_old_key":"config/head"})");
   deployment.fleet.RestartEntry("entry-2");
   deployment.fleet.PublishVms();
   BOOST_TEST(deployment.InForce(version));
--- a/tests/replica_limit_test.cc
+++ b/tests/replica_limit_test.cc
@@ -142,14 +142,12 @@
     }
   }
 
-  /** A cause, or two that differ, by the seed. */
-  std::vector<Cause> PickCauses() {
+  /** Two causes that differ, by the seed. */
+  std::vector<Cause> PickTwo() {
     const int n = static_cast<int>(Cause::kNumber);
     const int first = Pick(n);
     const int second = (first + 1 + Pick(n - 1)) % n;
-    std::vector<Cause> causes = {static_cast<Cause>(first)};
-    if (Pick(2) == 0) causes.push_back(static_cast<Cause>(second));
-    return causes;
+    return {static_cast<Cause>(first), static_cast<Cause>(second)};
   }
 
   void Heal() {
@@ -290,16 +288,7 @@
   CheckLimits(deployment);
 }
 
-// A burst, and in the middle of it one or two of the causes that the seed
-// picks: a ledger write whose answer is lost or that lands late, a process
-// killed or frozen while its engine loads, a VM taken away, a list that lags.
-// A book that is wrong afterwards would let one replica too many be loaded.
-BOOST_DATA_TEST_CASE(NoFailureLoadsOneTooMany,
-                     boost::unit_test::data::make(std::vector<std::uint64_t>{
-                         11, 12, 13, 14, 15, 16}),
-                     seed) {
-  Deployment deployment(seed);
-  const std::vector<Cause> causes = deployment.PickCauses();
+void BurstWith(Deployment& deployment, const std::vector<Cause>& causes) {
   deployment.StartBurst();
   for (const Cause cause : causes) {
     deployment.Pause(150);
@@ -312,5 +301,26 @@
   CheckLimits(deployment);
 }
 
+// A burst, and in the middle of it one failure: a ledger write whose answer is
+// lost or that lands late, a process killed or frozen while its engine loads, a
+// VM taken away, a list that lags. A book that is wrong afterwards would let
+// one replica too many be loaded.
+BOOST_DATA_TEST_CASE(
+    NoFailureLoadsOneTooMany,
+    boost::unit_test::data::xrange(static_cast<int>(Cause::kNumber)), cause) {
+  Deployment deployment(100 + cause);
+  BurstWith(deployment, {static_cast<Cause>(cause)});
+}
+
+// The same with two failures in one burst, as the seed picks them.
+BOOST_DATA_TEST_CASE(NoTwoFailuresLoadOneTooMany,
+                     boost::unit_test::data::make(std::vector<std::uint64_t>{
+                         11, 12, 13, 14, 15, 16, 17, 18}),
+                     seed) {
+  Deployment deployment(seed);
+  const std::vector<Cause> causes = deployment.PickTwo();
+  BurstWith(deployment, causes);
+}
+
 }  // namespace
 }  // namespace sapphire::tests
