--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -459,6 +459,16 @@
          std::all_of(state_->vms.begin(), state_->vms.end(), is_known);
 }
 
+std::vector<platform::VmRecord> Directory::Listed() const {
+  const std::lock_guard lock(state_->mutex);
+  std::vector<platform::VmRecord> records;
+  records.reserve(state_->vms.size());
+  for (const auto& [vm, tracked] : state_->vms) {
+    records.push_back(tracked.record);
+  }
+  return records;
+}
+
 bool Directory::list_seen() const {
   const std::lock_guard lock(state_->mutex);
   return state_->list_seen;
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -104,6 +104,9 @@
    * before that an entry that has just started knows too little to refuse. */
   [[nodiscard]] bool settled() const;
 
+  /** @return Every VM of the list, also those that can't be reached. */
+  [[nodiscard]] std::vector<platform::VmRecord> Listed() const;
+
   /** @return True unless every read of the list so far has failed. */
   [[nodiscard]] bool list_seen() const;
 
