Home: waiters who can't be served in their time are refused at once

Cause: Home::Decide held a whole class of waiters as soon as the first of it had to wait, so nobody behind the first was ever held against its place in the queue. Seen in OverloadIsRefusedAtOnce: of 80 callers, 58 were refused only about 10.6 s after they came, with 12 s to live. Ruled out: the policy (it refuses rightly for the place it is given), a missing service time (learnt after the first answers at 1.3 s). Change: after each round of decisions every waiter is consulted at its place, counted for the caller's good where owners share; who can't make it is refused with when to come back. Before: 58 of 80 held.

--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -52,7 +52,7 @@
           "Longest body of a request"),
     Count("max_header_bytes", "16384", "bytes", 1024, 1048576,
           "Longest header fields of a request"),
-    Count("max_queue", "512", "", 1, 100000,
+    Count("max_queue", "2048", "", 1, 100000,
           "Requests that may wait here for one model"),
     Time("claim_patience_ms", "1500", 10,
          "How long a non-idempotent request is tried to be claimed"),
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -55,6 +55,14 @@
   return core::Error(code, cause.what(), retry_after);
 }
 
+int CountOwners(const ModelQueue& queue) {
+  std::set<core::OwnerId> owners;
+  for (const auto& waiter : queue.waiters) {
+    owners.insert(waiter->queued().owner);
+  }
+  return static_cast<int>(owners.size());
+}
+
 }  // namespace
 
 bool Home::State::IsStarting() const {
@@ -168,6 +176,33 @@
     if (IsSuspect(*waiter)) return;
     held.insert(class_of(*waiter));
   }
+  RefuseHopeless(current, model, queue);
+}
+
+void Home::State::RefuseHopeless(const contract::Config& current,
+                                 const contract::Model& model,
+                                 ModelQueue& queue) {
+  std::vector<std::shared_ptr<Waiter>> order = queue.waiters;
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    const auto key = [](const Waiter& waiter) {
+      return std::pair(-waiter.queued().priority, waiter.queued().deadline);
+    };
+    return key(*a) < key(*b);
+  });
+  int ahead = 0;
+  std::map<core::OwnerId, int> ahead_of_owner;
+  const int owners = CountOwners(queue);
+  for (const auto& waiter : order) {
+    int& own = ahead_of_owner[waiter->queued().owner];
+    const policy::PlacementDecision decision =
+        Consult(current, model, queue, *waiter, std::min(ahead, own * owners));
+    if (decision.action == PlacementAction::kRefuse) {
+      Refuse(queue, waiter, RefusalOf(queue, decision, clock.Now()));
+      continue;
+    }
+    ++ahead;
+    ++own;
+  }
 }
 
 policy::PlacementDecision Home::State::Consult(const contract::Config& current,
--- a/src/entry/home_state_base.h
+++ b/src/entry/home_state_base.h
@@ -71,6 +71,15 @@
   Step DecideOne(const contract::Config& config, const contract::Model& model,
                  ModelQueue& queue, const std::shared_ptr<Waiter>& waiter,
                  int ahead, std::vector<LoadOrder>& orders);
+  /**
+   * Refuses those who wait but can't be served in their time where they stand.
+   * Failure: only the first of a queue was decided on, so the others were held
+   * until their deadline though their fate was known long before. Places are
+   * counted for the caller's good: an owner behind others may be served by
+   * share before its place in the whole queue.
+   */
+  void RefuseHopeless(const contract::Config& current,
+                      const contract::Model& model, ModelQueue& queue);
   policy::PlacementDecision Consult(const contract::Config& config,
                                     const contract::Model& model,
                                     const ModelQueue& queue,
