bench: a row for replicas that leave apart, as the processes run today

Cause: the endpoint process unloads each replica when its own keep-alive is up, while the home already passes the keep-alive priced for leaving together. Conclusion: the endpoint has to call ReplicasToUnload.

--- a/bench/report.cc
+++ b/bench/report.cc
@@ -19,7 +19,7 @@
 constexpr double kGoalCostRatio = 0.8;
 
 /** Ours, and ours without a part; the rest are baselines. */
-constexpr std::size_t kOwnRows = 3;
+constexpr std::size_t kOwnRows = 4;
 
 /** The policies of the table; ours comes first. */
 std::vector<PolicyChoice> Choices() {
@@ -30,6 +30,9 @@
        .timeout = {},
        .stages = true},
       {.name = "priced, no staging", .rest = RestPolicy::kPriced},
+      {.name = "priced, leaving apart, staging",
+       .rest = RestPolicy::kPricedApart,
+       .stages = true},
       {.name = "priced alone, staging",
        .rest = RestPolicy::kPricedAlone,
        .stages = true},
--- a/bench/simulation_base.h
+++ b/bench/simulation_base.h
@@ -102,6 +102,7 @@
   [[nodiscard]] Millis KeepAlive(const EngineState& engine, int model) const;
   [[nodiscard]] bool IsPriced() const {
     return choice_.rest == RestPolicy::kPriced ||
+           choice_.rest == RestPolicy::kPricedApart ||
            choice_.rest == RestPolicy::kPricedAlone;
   }
   [[nodiscard]] bool HasReady(int model) const;
--- a/bench/simulation_load.cc
+++ b/bench/simulation_load.cc
@@ -49,7 +49,7 @@
   const int index = ReplicaAt(engine, model);
   const bool staged = engine.times[static_cast<std::size_t>(index)].staging;
   if (staged) return Millis(0);
-  const bool shares = choice_.rest == RestPolicy::kPriced;
+  const bool shares = choice_.rest != RestPolicy::kPricedAlone;
   const std::size_t sharers = shares ? engine.times.size() : 1;
   return policy::KeepAliveTime(
       histories_[static_cast<std::size_t>(model)],
--- a/bench/simulation_type.h
+++ b/bench/simulation_type.h
@@ -13,6 +13,8 @@
 /** When an idle replica is unloaded. */
 enum class RestPolicy {
   kPriced,  ///< Ours: priced keep-alive, shared by an accelerator's replicas.
+  /** The same price, but each replica leaves when its own time is up. */
+  kPricedApart,
   kPricedAlone,  ///< Priced as if each replica had an accelerator of its own.
   kNeverUnload,
   kUnloadAtOnce,
