endpoint: a grant older than 5 s is looked up again before the load

Measured: without the second look 2 replicas at the engines, with it 1. Left open: a stop between the look and the order.

--- a/src/endpoint/endpoint_rig_test.h
+++ b/src/endpoint/endpoint_rig_test.h
@@ -91,7 +91,7 @@
               its_world.clock,
               its_world.log,
               metrics},
-        worker(parts),
+        worker(parts, Millis(10)),
         keeper(
             parts,
             {core::VmId(vm), Millis(60'000), Millis(5), Millis(50), Millis(20)},
--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -84,6 +84,12 @@
     }
   }
 
+  /** Somebody else's write. */
+  void Overwrite(const std::string& key, const std::string& value) {
+    const auto it = entries_.find(key);
+    Apply(key, it == entries_.end() ? 0 : it->second.revision, value);
+  }
+
   /** @return The value under `key`; empty if there is none. */
   [[nodiscard]] std::string Value(const std::string& key) const {
     const auto it = entries_.find(key);
--- a/src/endpoint/replica_type.h
+++ b/src/endpoint/replica_type.h
@@ -38,6 +38,8 @@
   std::string version;
   /** Not set in phase kReady: found loaded, and not yet checked. */
   std::optional<Grant> grant;
+  /** When `grant` was last seen in the ledger, or taken back unsent. */
+  core::SteadyTime grant_seen;
   /** A load, unload or grant check is at work on it. */
   bool working = false;
   /** It is not wanted here any more: a drain can't be called off. */
--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -171,15 +171,38 @@
   parts_.desk.RaiseFence(grant.fence);
   const std::lock_guard lock(replica->mutex);
   replica->grant = grant;
+  replica->grant_seen = parts_.clock.Now();
   // A model that was found loaded before the configuration came has no service
   // yet; its grant would be "ended" in a ledger that doesn't exist.
   replica->service = config->intent.models.at(replica->model).service;
 }
 
+/**
+ * A process that is stopped for long between its grant and its order, and whose
+ * VM the platform shows as gone meanwhile, loses the grant to another VM. It
+ * would come back and load one replica too many; a second look at the ledger
+ * finds the grant gone and asks for a new one.
+ */
+Task<> ReplicaWorker::RenewTrust(ReplicaPtr replica,
+                                 core::SteadyTime deadline) {
+  core::SteadyTime seen;
+  {
+    const std::lock_guard lock(replica->mutex);
+    seen = replica->grant_seen;
+  }
+  if (parts_.clock.Now() - seen <= grant_trust_) co_return;
+  {
+    const std::lock_guard lock(replica->mutex);
+    replica->grant.reset();
+  }
+  co_await TakeGrant(replica, deadline);
+}
+
 Task<> ReplicaWorker::OrderLoad(ReplicaPtr replica, contract::Model spec,
                                 LoadWish wish) {
   const OrderTurn turn = co_await parts_.desk.Enter();
   if (parts_.table.leaving) throw Error(ErrorCode::kLeaving);
+  co_await RenewTrust(replica, wish.deadline);
   const MemoryHolder holder{replica->model, {}};
   co_await MakeRoom(holder, spec.weight_bytes + spec.kv_budget_bytes,
                     std::move(wish.evict));
--- a/src/endpoint/replica_worker_base.h
+++ b/src/endpoint/replica_worker_base.h
@@ -52,7 +52,15 @@
  */
 class ReplicaWorker {
  public:
-  explicit ReplicaWorker(EndpointParts parts) : parts_(parts) {}
+  /** @param grant_trust A grant taken longer ago than this is looked up again
+   * before the load is ordered. */
+  explicit ReplicaWorker(EndpointParts parts,
+                         std::chrono::milliseconds grant_trust = kGrantTrust)
+      : parts_(parts), grant_trust_(grant_trust) {}
+
+  /** Well below the time after which a VM missing from the platform's list
+   * counts as gone. */
+  static constexpr std::chrono::milliseconds kGrantTrust{5000};
 
   /** Loads in the background. @pre The caller set `working`. */
   void StartLoad(const ReplicaPtr& replica, LoadWish wish);
@@ -87,6 +95,7 @@
                                LoadWish wish);
   core::Task<> OrderLoad(ReplicaPtr replica, contract::Model spec,
                          LoadWish wish);
+  core::Task<> RenewTrust(ReplicaPtr replica, core::SteadyTime deadline);
   core::Task<> TakeGrant(ReplicaPtr replica, core::SteadyTime deadline);
   core::Task<> Unload(ReplicaPtr replica);
   core::Task<bool> WaitUntilIdle(ReplicaPtr replica);
@@ -110,6 +119,7 @@
   std::string_view TierOf(const core::ModelId& model) const;
 
   EndpointParts parts_;
+  const std::chrono::milliseconds grant_trust_;
 };
 
 }  // namespace sapphire::endpoint
--- a/src/endpoint/replicas_test.cc
+++ b/src/endpoint/replicas_test.cc
@@ -290,6 +290,37 @@
   }
 }
 
+// An endpoint process is stopped between its grant and its order. The platform
+// shows its VM as gone, an entry ends the grant, another VM takes it and loads.
+// The process continues: it must not load a second replica.
+BOOST_AUTO_TEST_CASE(GrantLostWhileStoppedIsNotUsed) {
+  Single one;
+  FakeEngine second_engine(one.world.judge);
+  EndpointRig second(one.world, second_engine, "vm2");
+  std::optional<ErrorCode> outcome;
+  bool ended = false;
+  one.world.Run([&]() -> Task<> {
+    co_await one.rig->Until([&] { return one.rig->table.recovered.load(); });
+    OrderTurn stopped = co_await one.rig->desk.Enter();
+    core::Spawn(one.world.context.get_executor(), one.world.log, "want",
+                [&]() -> Task<> {
+                  outcome = co_await one.rig->Ensure("m0");
+                  ended = true;
+                });
+    BOOST_TEST(co_await one.rig->Until(
+        [&] { return !one.world.Ledger().grants.empty(); }));
+    co_await core::SleepFor(Millis(20));
+    LedgerValue without = one.world.Ledger();
+    without.grants.clear();
+    one.world.store.Overwrite("ledger/cabin", EncodeLedger(without));
+    BOOST_TEST(!co_await second.Ensure("m0"));
+    stopped.reset();
+    BOOST_TEST(co_await second.Until([&] { return ended; }));
+  });
+  BOOST_TEST((outcome == ErrorCode::kReplicaLimit));
+  BOOST_TEST(one.world.judge->most_of_a_model == 1);
+}
+
 // A ship docks: two VMs want the last replica of a model at the same moment.
 // Counted at the engines, there is never more than one.
 BOOST_AUTO_TEST_CASE(TwoEndpointsRaceForTheLastGrant) {
