--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -33,13 +33,18 @@
   bool down = false;
   /** Faults of the next writes of the head; then none. */
   std::deque<WriteFault> head_faults;
+  /** The service goes down with the next fault of the head. */
+  bool down_after_fault = false;
   /** What the next reads of the head show in its place. */
   std::deque<std::optional<platform::KvEntry>> head_shown;
   /** What the next watches answer, before real changes. */
   std::deque<platform::WatchBatch> batches;
   /** Deletes are on their way, and take effect when this becomes false. */
   bool hold_deletes = false;
+  /** Watches pass over changes while true. */
+  bool mute_watches = false;
   int gets = 0;
+  int watches = 0;
 
   /** Lets the writes that are on their way take effect. */
   void LandLate() {
@@ -86,6 +91,7 @@
                                                  std::string) override {
     co_await Step();
     if (key == "config/head" && !head_faults.empty()) {
+      if (down_after_fault) down = true;
       const WriteFault fault = head_faults.front();
       head_faults.pop_front();
       if (fault == WriteFault::kAnswerLost) Swap(key, expected, value);
@@ -124,6 +130,7 @@
       std::string prefix, std::int64_t revision,
       std::chrono::milliseconds wait) override {
     co_await Step();
+    ++watches;
     if (!batches.empty()) {
       platform::WatchBatch batch = batches.front();
       batches.pop_front();
@@ -135,7 +142,7 @@
       co_await core::SleepFor(std::chrono::milliseconds(1));
       co_await Step();
       const auto entry = Peek(prefix);
-      if (entry && entry->revision > revision) {
+      if (entry && entry->revision > revision && !mute_watches) {
         batch.events.push_back({prefix, entry->value, entry->revision});
       }
     }
