entry: an older head is no conflict

A head below the plan's base proves nothing: it is read again, and in the end platform_unavailable is said, which is true. The head is also asked before the plan's record, which may have lapsed.

--- a/src/entry/config_store.cc
+++ b/src/entry/config_store.cc
@@ -223,34 +223,65 @@
 }
 
 core::Task<std::int64_t> ConfigStore::Confirm(core::PlanId id) {
-  const StoredHead before = co_await ReadHead(store_);
+  StoredHead before = co_await ReadHead(store_);
+  PlanRecord record;
+  // A plan in force is known by the head even if its record has expired.
+  if (VersionOf(before.head, id) == 0) {
+    record = co_await ReadRecord(id);
+    if (record.confirmed_version != 0) co_return record.confirmed_version;
+    before = co_await ReadHeadFrom(record.base_version);
+  }
   const std::int64_t earlier = VersionOf(before.head, id);
   if (earlier != 0) {
     co_await AdoptHead(store_, parts_, before.head);
     co_return earlier;
   }
-  PlanRecord record = co_await ReadRecord(id);
-  if (record.confirmed_version != 0) co_return record.confirmed_version;
   if (record.base_version != before.head.version) {
     throw Conflict(id, before.head);
   }
+  co_return co_await PutInForce(std::move(record), std::move(before));
+}
+
+core::Task<std::int64_t> ConfigStore::PutInForce(PlanRecord record,
+                                                 StoredHead before) {
   co_await AdoptHead(store_, parts_, before.head);
   const ConfigHead next = NextHead(before.head, record);
   EncodedConfig encoded = co_await ReadParts(record, next.version);
   // The same checks as when the plan was made, on what will be in force.
   contract::Validate(
-      contract::DecodeConfig(next.version, id, encoded.parts).intent);
+      contract::DecodeConfig(next.version, record.id, encoded.parts).intent);
   co_await PutParts(before.head, encoded);
   const std::vector<platform::KvEntry> replaced =
       co_await ReadReplaced(before.head, next.part_hashes);
   record.confirmed_version = co_await Swap(before, next);
   parts_.Adopt(std::move(encoded));
   log_.Event(LogLevel::kInfo, LogCategory::kAdmin, "plan_confirmed",
-             {{"plan", id}, {"version", record.confirmed_version}});
+             {{"plan", record.id}, {"version", record.confirmed_version}});
   co_await AfterConfirm(record, replaced);
   co_return record.confirmed_version;
 }
 
+// Guards against calling it a conflict when the service merely shows a head
+// older than the plan's base, as from a replica that lags. It would show as an
+// operator who is told that his plan can't come into force any more, and then
+// it does. Versions only grow, so a head above the base proves a conflict, but
+// one below it proves nothing.
+core::Task<StoredHead> ConfigStore::ReadHeadFrom(std::int64_t version) {
+  const core::SteadyTime deadline = clock_.Now() + options_.confirm_timeout;
+  while (true) {
+    StoredHead stored = co_await ReadHead(store_);
+    if (stored.head.version >= version) co_return stored;
+    if (clock_.Now() >= deadline) {
+      throw core::Error(
+          ErrorCode::kPlatformUnavailable,
+          fmt::format("the key-value service shows version {}, but the plan "
+                      "was made on version {}; nothing was changed",
+                      stored.head.version, version));
+    }
+    co_await core::SleepFor(options_.retry_pause);
+  }
+}
+
 core::Task<> ConfigStore::PutParts(ConfigHead before, EncodedConfig encoded) {
   for (Part& part : encoded.parts) {
     if (Contains(before.part_hashes, part.hash)) continue;
--- a/src/entry/config_store_base.h
+++ b/src/entry/config_store_base.h
@@ -77,6 +77,8 @@
   core::Task<> AdoptNewest();
   core::Task<> SaveRecord(PlanRecord record, contract::EncodedConfig encoded);
   core::Task<PlanRecord> ReadRecord(core::PlanId id);
+  core::Task<StoredHead> ReadHeadFrom(std::int64_t version);
+  core::Task<std::int64_t> PutInForce(PlanRecord record, StoredHead before);
   core::Task<contract::EncodedConfig> ReadParts(PlanRecord record,
                                                 std::int64_t version);
   core::Task<std::vector<platform::KvEntry>> ReadReplaced(
--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -53,6 +53,13 @@
     }
   }
 
+  /** Ends all leases: what was written under one is gone. */
+  void LapseLeases() {
+    std::erase_if(entries_, [](const auto& item) {
+      return item.first.starts_with("plans/");
+    });
+  }
+
   [[nodiscard]] std::optional<platform::KvEntry> Peek(
       const std::string& key) const {
     const auto it = entries_.find(key);
