--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -23,6 +23,8 @@
 /** A wake-up that got lost costs this much. */
 constexpr Millis kRecheck{1000};
 constexpr Millis kRoomRetryAfter{2000};
+constexpr Millis kLaneRetryAfter{3000};
+constexpr std::string_view kRemote = "remote";
 /** Time for the check of a grant; nobody waits for it. */
 constexpr Millis kGrantCheckTime{5000};
 
@@ -58,7 +60,7 @@
   };
   if (status && holds(status->memory_tier)) return "memory";
   if (status && holds(status->disk_tier)) return "disk";
-  return "remote";
+  return kRemote;
 }
 
 /** Callers hold a replica's lock, and core::Spawn may run a task's first steps
@@ -96,7 +98,8 @@
     replica->working = false;
   }
   parts_.table.changed().Notify();
-  if (failure) co_await parts_.ledger.Settle();
+  // Its own grant if it failed, and those of models unloaded to make room.
+  co_await parts_.ledger.Settle();
 }
 
 Task<> ReplicaWorker::LoadSteps(ReplicaPtr replica, LoadWish wish) {
@@ -115,7 +118,11 @@
   std::optional<Error> failure;
   try {
     co_await TakeGrant(replica, wish.deadline);
-    co_await OrderLoad(replica, spec, std::move(wish));
+    if (tier == kRemote) {
+      co_await LoadThroughLane(replica, spec, std::move(wish));
+    } else {
+      co_await OrderLoad(replica, spec, std::move(wish));
+    }
   } catch (const Error& e) {
     failure = e;
   }
@@ -131,6 +138,31 @@
       {{"model", replica->model}, {"tier", tier}, {"took_ms", took}});
 }
 
+/** Remote loads share the weight store's lanes with the whole fleet. */
+Task<> ReplicaWorker::LoadThroughLane(ReplicaPtr replica, contract::Model spec,
+                                      LoadWish wish) {
+  const auto config = parts_.config.Current();
+  const int at_once = config ? config->intent.loads_at_once : 1;
+  const bool entered =
+      co_await parts_.lanes.Enter(replica->model, at_once, wish.deadline);
+  if (!entered) {
+    throw Error(ErrorCode::kDeadlineTooShort,
+                "no lane of the weight store for " + replica->model.value(),
+                kLaneRetryAfter);
+  }
+  std::optional<Error> failure;
+  try {
+    co_await OrderLoad(replica, std::move(spec), std::move(wish));
+  } catch (const Error& e) {
+    failure = e;
+  }
+  // In the background: the replica is ready, and its caller need not wait.
+  StartTask("leave_lane", [this, model = replica->model] {
+    return parts_.lanes.Leave(model);
+  });
+  if (failure) throw Error(*failure);
+}
+
 Task<> ReplicaWorker::TakeGrant(ReplicaPtr replica, core::SteadyTime deadline) {
   const auto config = parts_.config.Current();
   if (!config) throw Error(ErrorCode::kNotConfigured);
@@ -139,6 +171,9 @@
   parts_.desk.RaiseFence(grant.fence);
   const std::lock_guard lock(replica->mutex);
   replica->grant = grant;
+  // A model that was found loaded before the configuration came has no service
+  // yet; its grant would be "ended" in a ledger that doesn't exist.
+  replica->service = config->intent.models.at(replica->model).service;
 }
 
 Task<> ReplicaWorker::OrderLoad(ReplicaPtr replica, contract::Model spec,
@@ -313,6 +348,9 @@
                                std::vector<core::ModelId> evict) {
   std::set<core::ModelId> tried;
   while (!parts_.table.ReserveMemory(holder, bytes)) {
+    // Adapters load far faster than models, but unloading them is of no use
+    // if a model has to go all the same.
+    if (IdleAdaptersMakeRoomFor(bytes) && co_await EvictAdapter()) continue;
     if (co_await EvictModel(evict, holder.model, tried)) continue;
     if (co_await EvictAdapter()) continue;
     throw Error(ErrorCode::kOverMemory, holder.model.value(), kRoomRetryAfter);
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -87,10 +87,13 @@
   bool self_leaving = false;
   bool list_seen = false;
   bool self_seen = false;
+  std::uint64_t revision = 0;
   std::map<core::VmId, TrackedVm> vms;
   std::map<core::EndpointId, KnownEndpoint> endpoints;
   /** VMs with a FollowEndpoint running: one each, also if a VM comes back. */
   std::set<core::VmId> followers;
+  /** Endpoints that have reported or failed to since the start. */
+  std::set<core::VmId> tried;
   std::map<core::VmId, std::shared_ptr<link::Call>> calls;
   std::vector<std::function<void()>> change_listeners;
   std::vector<std::function<void(const KnownEndpoint&)>> endpoint_listeners;
@@ -169,6 +172,7 @@
   }
   for (const core::VmId& vm : gone) {
     vms.erase(vm);
+    tried.erase(vm);
     endpoints.erase(core::EndpointId(vm.value()));
   }
   return gone;
@@ -189,6 +193,7 @@
       const bool was_leaving = it != endpoints.end() && it->second.leaving;
       TakeRecord(record);
       if (it != endpoints.end() && it->second.leaving != was_leaving) {
+        it->second.revision = ++revision;
         turned.push_back(it->second);
       }
     }
@@ -281,6 +286,7 @@
     if (listed == vms.end()) return;
     const bool list_says =
         listed->second.record.state == platform::VmState::kLeaving;
+    tried.insert(vm);
     const core::EndpointId id(vm.value());
     KnownEndpoint& known = endpoints[id];
     known.id = id;
@@ -289,6 +295,7 @@
     known.report = std::move(report);
     known.reported_at = clock.Now();
     known.connected = true;
+    known.revision = ++revision;
     copy = known;
   }
   Notify(&copy);
@@ -299,9 +306,11 @@
   {
     const std::lock_guard lock(mutex);
     calls.erase(vm);
+    tried.insert(vm);
     const auto it = endpoints.find(core::EndpointId(vm.value()));
     if (it == endpoints.end() || !it->second.connected) return;
     it->second.connected = false;
+    it->second.revision = ++revision;
     copy = it->second;
   }
   Notify(&copy);
@@ -440,6 +449,26 @@
   state_->endpoint_listeners.push_back(std::move(listener));
 }
 
+bool Directory::settled() const {
+  const std::lock_guard lock(state_->mutex);
+  const auto is_known = [this](const auto& item) {
+    return item.second.record.role != platform::VmRole::kEndpoint ||
+           state_->tried.contains(item.first);
+  };
+  return state_->list_seen &&
+         std::all_of(state_->vms.begin(), state_->vms.end(), is_known);
+}
+
+std::vector<platform::VmRecord> Directory::Listed() const {
+  const std::lock_guard lock(state_->mutex);
+  std::vector<platform::VmRecord> records;
+  records.reserve(state_->vms.size());
+  for (const auto& [vm, tracked] : state_->vms) {
+    records.push_back(tracked.record);
+  }
+  return records;
+}
+
 bool Directory::list_seen() const {
   const std::lock_guard lock(state_->mutex);
   return state_->list_seen;
