endpoint: the newest version seen is noted in each service's ledger

Cause: the ledger knows the version of its last grant only. A lowered limit was in force by links alone until somebody took a grant: an endpoint that had been frozen and an entry that started on an older head agreed on the old limit and loaded a second replica where one was decided. Ruled out: the home (it goes by its own, older version), the links (all who knew of the newer version were frozen), the watch (shows nothing newer). Change: an endpoint's audit, due at once when a configuration comes into force, swaps its version into each service's ledger unless one as new is there. CheckLimits already refuses a grant to whoever goes by an older one. Before: config_force_test, LedgerKeepsTheLoweredLimit: 2 replicas of a model with max_replicas 1, ledger not at the confirmed version. After: 1, passes. One swap per service and confirmed version, lost races aside.

--- a/src/endpoint/grant_ledger.cc
+++ b/src/endpoint/grant_ledger.cc
@@ -242,6 +242,28 @@
   throw Outage("the ledger of " + ending->service.value() + " is contended");
 }
 
+Task<> GrantLedger::NoteVersion(core::ServiceId service, std::int64_t version) {
+  const std::string key = LedgerKey(service);
+  auto entry = co_await ReadEntry(key);
+  for (int i = 0; i < kMaxSwaps; ++i) {
+    LedgerValue ledger = LedgerOf(entry);
+    if (ledger.config_version >= version) co_return;
+    ledger.config_version = version;
+    // Whether and when an unanswered swap lands makes no difference: it leaves
+    // the grants of its own revision as they are.
+    const auto result =
+        co_await Swap(key, RevisionOf(entry), EncodeLedger(ledger));
+    if (result && result->swapped) co_return;
+    if (result) {
+      entry = result->current;
+    } else {
+      entry = co_await ReadEntry(key);
+    }
+    co_await BackOff(i);
+  }
+  throw Outage("the ledger of " + service.value() + " is contended");
+}
+
 Task<std::map<core::ServiceId, LedgerValue>> GrantLedger::ReadAll() {
   std::map<core::ServiceId, LedgerValue> ledgers;
   std::vector<platform::KvEntry> entries;
--- a/src/endpoint/grant_ledger_base.h
+++ b/src/endpoint/grant_ledger_base.h
@@ -51,6 +51,13 @@
    */
   core::Task<bool> Settle();
 
+  /**
+   * Notes in a service's ledger that `version` has been confirmed: no endpoint
+   * that goes by an older one takes a grant from then on.
+   * @throws core::Error kPlatformUnavailable.
+   */
+  core::Task<> NoteVersion(core::ServiceId service, std::int64_t version);
+
   /** @return Every service's ledger. @throws core::Error kPlatformUnavailable.
    */
   core::Task<std::map<core::ServiceId, LedgerValue>> ReadAll();
--- a/src/endpoint/replica_keeper.cc
+++ b/src/endpoint/replica_keeper.cc
@@ -175,8 +175,28 @@
   return parts_.clock.Now() - replica.idle_since < replica.keep_alive;
 }
 
+// Guards against a lowered limit being loaded over by those who missed it: an
+// endpoint and an entry that were frozen, or start anew and are shown the older
+// head, agree on the limit from before. It would show as one replica too many.
+// The first endpoint that knows of the newer version writes it to the ledger;
+// a grant is taken by a swap of the same key, so it can't pass unseen.
+Task<> ReplicaKeeper::NoteVersions(
+    std::map<core::ServiceId, LedgerValue> ledgers) {
+  const auto config = parts_.config.Current();
+  if (!config) co_return;
+  for (const auto& [id, service] : config->intent.services) {
+    if (service.kind != contract::ServiceKind::kModel) continue;
+    const auto it = ledgers.find(id);
+    const bool known =
+        it != ledgers.end() && it->second.config_version >= config->version;
+    if (known) continue;
+    co_await parts_.ledger.NoteVersion(id, config->version);
+  }
+}
+
 Task<> ReplicaKeeper::Audit() {
   const auto ledgers = co_await parts_.ledger.ReadAll();
+  co_await NoteVersions(ledgers);
   for (const auto& [service, ledger] : ledgers) {
     ReleaseOrphans(service, ledger);
     ForgetLostGrants(service, ledger);
--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 
 #include "endpoint/replica_worker_base.h"
 #include "platform/engine_base.h"
@@ -56,6 +57,7 @@
  private:
   core::Task<> Run();
   core::Task<> AuditIfDue();
+  core::Task<> NoteVersions(std::map<core::ServiceId, LedgerValue> ledgers);
   void AdoptModel(const platform::EngineModel& model);
   void AdoptAdapters(Replica& replica, const platform::EngineModel& model);
   void DropMissing(const platform::EngineStatus& status);
--- a/tests/config_force_test.cc
+++ b/tests/config_force_test.cc
@@ -114,12 +114,15 @@
   }
 
   /** Confirms an intent; the key-value service then shows the head, and keeps
-   * the parts, from before, as a replica of it that lags would. */
-  void ConfirmAndShowOlder(const std::string& intent) {
+   * the parts, from before, as a replica of it that lags would.
+   * @return The version confirmed. */
+  std::int64_t ConfirmAndShowOlder(const std::string& intent) {
     const std::string kv = fleet.StandInAddress("kv");
     const Reply before =
         fleet.Send(kv, {"GET", "/kv?prefix=config/parts/", {}, ""});
-    fleet.Confirm(intent);
+    const std::string plan = Plan("entry-1", intent);
+    const Reply reply = ConfirmLater("entry-1", plan).get();
+    BOOST_REQUIRE_MESSAGE(reply.ok(), reply.body + reply.failure);
     const auto parts = boost::json::parse(before.body);
     for (const auto& it : parts.at("entries").as_array()) {
       const boost::json::object write{{"key", it.at("key")},
@@ -129,6 +132,30 @@
       fleet.Send(kv, {"POST", "/cas", {}, boost::json::serialize(write)});
     }
     fleet.Fault("kv", R"({"show_old_key":"config/head"})");
+    return VersionAt("entry-1");
+  }
+
+  /** @return The version under which the ledger was last written. */
+  std::int64_t LedgerVersion() {
+    const Reply reply = fleet.Send(fleet.StandInAddress("kv"),
+                                   {"GET", "/kv?key=ledger/cabin", {}, ""});
+    const auto answer = boost::json::parse(reply.body);
+    const auto& entry = answer.at("entry");
+    const auto ledger = boost::json::parse(entry.at("value").as_string());
+    return ledger.at("config").to_number<std::int64_t>();
+  }
+
+  /** Has each entry's watch end, and the next one report a gap: the entries
+   * read the head anew. */
+  void EndWatchesWithAGap() {
+    fleet.Fault("kv", fmt::format(R"({{"watch_gap":{}}})", entries.size()));
+    const boost::json::object write{
+        {"key", fmt::format("config/head/{}", sent++)},
+        {"expected", 0},
+        {"value", ""},
+        {"lease", ""}};
+    fleet.Send(fleet.StandInAddress("kv"),
+               {"POST", "/cas", {}, boost::json::serialize(write)});
   }
 
   bool Serves(const std::string& entry, const std::string& model) {
@@ -249,12 +276,12 @@
 // high again.
 BOOST_AUTO_TEST_CASE(OlderHeadIsNotTakenUp) {
   Deployment deployment;
-  deployment.fleet.Confirm(Intent(2, {"lunch"}));
+  const std::int64_t version =
+      deployment.ConfirmAndShowOlder(Intent(2, {"lunch"}));
+  BOOST_TEST(deployment.InForce(version));
   VersionWatch watch(deployment);
-  const std::int64_t version = deployment.VersionAt("entry-1");
-  deployment.fleet.Fault("kv",
-                         R"({"show_old_key":"config/head","watch_gap":20})");
   for (int i = 0; i < 10; ++i) {
+    deployment.EndWatchesWithAGap();
     std::this_thread::sleep_for(milliseconds(200));
     BOOST_TEST(deployment.Serves(i % 2 == 0 ? "entry-1" : "entry-2", "lunch"));
   }
@@ -269,8 +296,8 @@
 // to the version that its fellows have, not keep the older one.
 BOOST_AUTO_TEST_CASE(EntryThatStartsOnAnOlderHeadCatchesUp) {
   Deployment deployment;
-  deployment.ConfirmAndShowOlder(Intent(2, {"lunch"}));
-  const std::int64_t version = deployment.VersionAt("entry-1");
+  const std::int64_t version =
+      deployment.ConfirmAndShowOlder(Intent(2, {"lunch"}));
   deployment.fleet.RestartEntry("entry-2");
   deployment.fleet.PublishVms();
   BOOST_TEST(deployment.InForce(version));
@@ -381,5 +408,46 @@
                           {"itinerary"}) == 1);
 }
 
+// An endpoint is frozen while the operator lowers a limit. When it goes on,
+// all who know of that are frozen in their turn, and an entry that starts anew
+// is shown the older head: the two agree on the limit from before. The ledger
+// itself must keep them from loading the replica that operators took away.
+BOOST_AUTO_TEST_CASE(LedgerKeepsTheLoweredLimit) {
+  Deployment deployment;
+  BOOST_REQUIRE(deployment.Serves("entry-1", "itinerary"));
+  const std::string holder =
+      StaysOf(deployment.fleet, deployment.vms).front().vm;
+  const std::string frozen = holder == "engine-2" ? "engine-3" : "engine-2";
+  const auto signal_others = [&](int signal) {
+    deployment.fleet.entry("entry-1").process->Signal(signal);
+    for (const std::string& vm : deployment.vms) {
+      if (vm != frozen) deployment.fleet.endpoint(vm).process->Signal(signal);
+    }
+  };
+  deployment.fleet.endpoint(frozen).process->Signal(SIGSTOP);
+  const std::int64_t version = deployment.ConfirmAndShowOlder(Intent(1, {}));
+  BOOST_TEST(Eventually([&] { return deployment.LedgerVersion() == version; }));
+  // Watches show nothing newer either.
+  deployment.fleet.Fault("kv", R"({"watch_gap":100000})");
+  signal_others(SIGSTOP);
+  deployment.fleet.RestartEntry("entry-2");
+  deployment.fleet.PublishVms();
+  deployment.fleet.endpoint(frozen).process->Signal(SIGCONT);
+  std::vector<std::future<Reply>> burst;
+  for (int i = 0; i < 10; ++i) {
+    http::Request request = ChatRequest("itinerary", "a walk",
+                                        fmt::format("burst-{}", i), true, 20);
+    request.headers.push_back({"X-Request-Timeout-Ms", "4000"});
+    burst.push_back(deployment.fleet.SendLater(
+        deployment.fleet.EntryAddress("entry-2"), std::move(request)));
+  }
+  for (auto& it : burst) it.wait();
+  BOOST_TEST(deployment.VersionAt("entry-2") == version - 1);
+  signal_others(SIGCONT);
+  BOOST_TEST(deployment.InForce(version));
+  BOOST_TEST(PeakReplicas(StaysOf(deployment.fleet, deployment.vms),
+                          {"itinerary"}) == 1);
+}
+
 }  // namespace
 }  // namespace sapphire::tests
