--- a/src/endpoint/adapter_worker.cc
+++ b/src/endpoint/adapter_worker.cc
@@ -5,6 +5,7 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
+#include "endpoint/memory_ledger_func.h"
 #include "endpoint/replica_worker_base.h"
 
 namespace sapphire::endpoint {
@@ -43,7 +44,7 @@
 }  // namespace
 
 Task<> ReplicaWorker::EnsureAdapter(ReplicaPtr replica, core::AdapterId adapter,
-                                    core::SteadyTime deadline) {
+                                    LoadWish wish) {
   const contract::Adapter spec = AdapterSpec(SpecOf(replica->model), adapter);
   std::optional<int> failures;
   while (true) {
@@ -51,10 +52,10 @@
     {
       const std::lock_guard lock(replica->mutex);
       if (!failures) failures = replica->adapter_failures;
-      if (UseAdapter(*replica, spec, *failures)) co_return;
+      if (UseAdapter(*replica, spec, wish, *failures)) co_return;
     }
     const auto left =
-        std::chrono::duration_cast<Millis>(deadline - parts_.clock.Now());
+        std::chrono::duration_cast<Millis>(wish.deadline - parts_.clock.Now());
     if (left.count() <= 0) {
       throw Error(ErrorCode::kDeadlineTooShort, "adapter " + adapter.value(),
                   kAdapterRetryAfter);
@@ -70,7 +71,7 @@
  * @pre The replica's lock is held.
  */
 bool ReplicaWorker::UseAdapter(Replica& replica, const contract::Adapter& spec,
-                               int failures_before) {
+                               const LoadWish& wish, int failures_before) {
   if (replica.adapter_failures > failures_before) {
     throw Error(*replica.last_adapter_failure);
   }
@@ -83,18 +84,22 @@
   if (!added) return false;
   // In a task of its own: a caller that gives up must not cut short an order
   // whose outcome has to be known.
-  StartTask("load_adapter", [this, held = parts_.table.Find(replica.model),
-                             spec] { return LoadAdapter(held, spec); });
+  const std::vector<core::ModelId> evict = wish.evict;
+  const ReplicaPtr held = parts_.table.Find(replica.model);
+  StartTask("load_adapter", [this, held, spec, evict] {
+    return LoadAdapter(held, spec, evict);
+  });
   return false;
 }
 
-Task<> ReplicaWorker::LoadAdapter(ReplicaPtr replica, contract::Adapter spec) {
+Task<> ReplicaWorker::LoadAdapter(ReplicaPtr replica, contract::Adapter spec,
+                                  std::vector<core::ModelId> evict) {
   const MemoryHolder holder{replica->model, spec.name};
   std::optional<Error> failure;
   bool reserved = false;
   try {
     const OrderTurn turn = co_await parts_.desk.Enter();
-    co_await MakeRoom(holder, spec.bytes, {});
+    co_await MakeRoom(holder, spec.bytes, std::move(evict));
     reserved = true;
     auto order = AdapterOrder(platform::OrderKind::kLoadAdapter, replica->model,
                               spec.name);
@@ -124,6 +129,21 @@
                    {{"model", replica->model}, {"adapter", spec.name}});
 }
 
+/** @return True if `bytes` fit once every adapter that isn't in use is gone. */
+bool ReplicaWorker::IdleAdaptersMakeRoomFor(std::int64_t bytes) const {
+  const MemoryLedger memory = parts_.table.Memory();
+  std::int64_t possible = FreeBytes(memory);
+  for (const ReplicaPtr& it : parts_.table.All()) {
+    const std::lock_guard lock(it->mutex);
+    for (const auto& [adapter, slot] : it->adapters) {
+      if (!slot.loaded || slot.running > 0) continue;
+      const auto held = memory.reservations.find({it->model, adapter});
+      if (held != memory.reservations.end()) possible += held->second;
+    }
+  }
+  return bytes <= possible;
+}
+
 /** Unloads the adapter not used for longest, of any model.
  * @return False if there is none that isn't in use. */
 Task<bool> ReplicaWorker::EvictAdapter() {
--- a/src/endpoint/endpoint.cc
+++ b/src/endpoint/endpoint.cc
@@ -37,6 +37,12 @@
   return keeper;
 }
 
+LaneQueueOptions LaneOptionsOf(const EndpointOptions& options) {
+  LaneQueueOptions lanes = options.lanes;
+  lanes.vm = options.vm;
+  return lanes;
+}
+
 }  // namespace
 
 Endpoint::Endpoint(const core::Executor& executor, EndpointOptions options,
@@ -52,8 +58,9 @@
       follower_(engine, options_.engine_poll, log),
       desk_(options_.orders, engine, follower_, clock, log),
       ledger_(options_.vm, store, clock, log),
+      lanes_(LaneOptionsOf(options_), store, clock, log),
       parts_{executor, config_, table_, follower_, desk_,
-             ledger_,  clock,   log,    metrics},
+             ledger_,  lanes_,  clock,  log,       metrics},
       worker_(parts_),
       keeper_(parts_, KeeperOptionsOf(options_), worker_),
       replicas_(parts_, worker_, options_.keeper.keep_alive),
@@ -80,7 +87,7 @@
 }
 
 std::string Endpoint::Start() {
-  const std::string address = links_.Listen(options_.listen_address);
+  std::string address = links_.Listen(options_.listen_address);
   if (plain()) return address;
   follower_.Listen(
       [this] { return desk_.QuietMark(); },
@@ -192,11 +199,19 @@
 }
 
 Task<bool> Endpoint::WaitUntilGone(core::SteadyTime limit) {
-  while (!Idle()) {
+  bool audited = plain();
+  while (!Idle() || !audited) {
     const auto epoch = table_.changed().epoch();
     if (!plain()) {
       keeper_.Sweep();
-      if (keeper_.Empty()) co_await ledger_.Settle();
+      co_await ledger_.Settle();
+    }
+    if (!audited && Idle()) {
+      // A model found loaded by this process may have gone before its grant
+      // was looked up: the ledger tells of grants that nobody here knows.
+      co_await keeper_.TryAudit();
+      audited = true;
+      continue;
     }
     if (Idle()) break;
     if (clock_.Now() >= limit) co_return false;
--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -19,7 +19,7 @@
   std::chrono::milliseconds sweep_interval{250};
   /** Between two comparisons with the ledgers. */
   std::chrono::milliseconds audit_interval{30'000};
-  /** After an audit that could not read the ledgers. */
+  /** After an audit or a settlement that failed. */
   std::chrono::milliseconds audit_retry{2000};
 };
 
@@ -51,6 +51,9 @@
    * @throws core::Error kPlatformUnavailable. */
   core::Task<> Audit();
 
+  /** Audit, with its failure logged. @return True if it was done. */
+  core::Task<bool> TryAudit();
+
   /** @return True if nothing is loaded, granted or under way. */
   [[nodiscard]] bool Empty() const;
 
@@ -58,6 +61,7 @@
   core::Task<> Run();
   core::Task<> AuditIfDue();
   core::Task<> NoteVersions(std::map<core::ServiceId, LedgerValue> ledgers);
+  core::Task<> SettleIfDue();
   void AdoptModel(const platform::EngineModel& model);
   void AdoptAdapters(Replica& replica, const platform::EngineModel& model);
   void DropMissing(const platform::EngineStatus& status);
@@ -75,6 +79,7 @@
   std::atomic<bool> stopped_ = false;
   std::atomic<bool> audit_due_ = true;
   core::SteadyTime next_audit_;
+  core::SteadyTime next_settle_;
 };
 
 }  // namespace sapphire::endpoint
--- a/src/endpoint/replicas_test.cc
+++ b/src/endpoint/replicas_test.cc
@@ -136,7 +136,7 @@
     one.engine.status.order_in_progress = false;
     BOOST_TEST(!co_await one.rig->Ensure("m0"));
     BOOST_TEST(one.rig->table.Memory().reserved_bytes == 40);
-    BOOST_TEST(one.world.judge->loaded[core::ModelId("m0")] == 1);
+    BOOST_TEST(one.engine.orders == 1);
     BOOST_TEST(co_await one.rig->Until([&] {
       const auto replica = one.rig->table.Find(core::ModelId("m0"));
       const std::lock_guard lock(replica->mutex);
@@ -147,6 +147,42 @@
   BOOST_TEST(!one.engine.orders_overlapped);
 }
 
+// An endpoint process restarted and left again soon after; its model could be
+// loaded nowhere else, because the grant stayed in the ledger. Cause: the model
+// was found loaded before the configuration had come, so its service, and with
+// it the ledger, was not known.
+BOOST_AUTO_TEST_CASE(GrantOfAModelFoundBeforeTheConfigurationIsEnded) {
+  World earlier;
+  earlier.Configure(1, 1, 9);
+  World world;
+  FakeEngine engine(world.judge);
+  platform::EngineOrder order;
+  order.model = core::ModelId("m0");
+  order.version = "1";
+  order.bytes = 40;
+  engine.Carry(order);
+  EndpointRig rig(world, engine, "vm1");
+  GrantLedger predecessor(core::VmId("vm1"), world.store, world.clock,
+                          world.log);
+  world.Run([&]() -> Task<> {
+    co_await predecessor.Take(earlier.config.Current(), core::ModelId("m0"), 0,
+                              world.clock.Now() + Millis(5000));
+    BOOST_TEST(co_await rig.Until([&] { return rig.table.recovered.load(); }));
+    world.Configure(1, 1, 9);
+    BOOST_TEST(!co_await rig.Ensure("m0"));
+    const auto replica = rig.table.Find(core::ModelId("m0"));
+    BOOST_TEST(co_await rig.Until([&] {
+      const std::lock_guard lock(replica->mutex);
+      return replica->grant.has_value();
+    }));
+    rig.replicas.Leave();
+    BOOST_TEST(co_await rig.Until(
+        [&] { return rig.keeper.Empty() && rig.ledger.pending() == 0; }));
+  });
+  BOOST_TEST(!engine.Holds("m0"));
+  BOOST_TEST(world.Ledger().grants.empty());
+}
+
 // The endpoint process dies between taking a grant and ordering the load. Its
 // successor ends the grant, or the model could be loaded nowhere.
 BOOST_AUTO_TEST_CASE(RestartEndsGrantsOfModelsThatAreNotLoaded) {
@@ -228,6 +264,32 @@
   });
 }
 
+// A model moves from one VM to another: it is idle at the first, whose unload
+// is slow, and whose first unload order gets lost. The second VM may load it
+// only after the first engine has really let go of it.
+BOOST_AUTO_TEST_CASE(GrantMovesOnlyAfterTheUnloadIsConfirmed) {
+  for (const auto fault :
+       {Fault::kNone, Fault::kNeverArrived, Fault::kAnswerLost}) {
+    Single one;
+    FakeEngine second_engine(one.world.judge);
+    EndpointRig second(one.world, second_engine, "vm2");
+    one.engine.order_time = Millis(25);
+    one.world.Run([&]() -> Task<> {
+      BOOST_TEST(!co_await one.rig->Ensure("m0", {}, "", Millis(1)));
+      FailNextOrder(one.engine, fault);
+      bool moved = false;
+      for (int i = 0; i < 200 && !moved; ++i) {
+        const auto error = co_await second.Ensure("m0");
+        moved = !error.has_value();
+        co_await core::SleepFor(Millis(2));
+      }
+      BOOST_TEST(moved);
+    });
+    BOOST_TEST(one.world.judge->most_of_a_model == 1);
+    BOOST_TEST(!one.engine.Holds("m0"));
+  }
+}
+
 // A ship docks: two VMs want the last replica of a model at the same moment.
 // Counted at the engines, there is never more than one.
 BOOST_AUTO_TEST_CASE(TwoEndpointsRaceForTheLastGrant) {
@@ -278,7 +340,7 @@
           if (random() % 2 == 0) evict.push_back("m" + std::to_string(m));
         }
         const std::string adapter =
-            random() % 2 == 0 ? "" : std::string(1, 'x' + random() % 2);
+            random() % 2 == 0 ? "" : (random() % 2 == 0 ? "x" : "y");
         co_await one.rig->Ensure("m" + std::to_string(random() % 5), evict,
                                  adapter);
         BOOST_REQUIRE_LE(one.rig->table.Memory().reserved_bytes, 100);
@@ -290,6 +352,38 @@
   }
 }
 
+// An adapter needs the room that an idle model takes, which the home allows to
+// be unloaded for it.
+BOOST_AUTO_TEST_CASE(IdleModelMakesRoomForAnAdapter) {
+  Single one;
+  const std::vector<std::string> may_go(1, "m1");
+  one.engine.status.memory_bytes = 90;
+  one.world.Run([&]() -> Task<> {
+    BOOST_TEST(!co_await one.rig->Ensure("m0"));
+    BOOST_TEST(!co_await one.rig->Ensure("m1"));
+    BOOST_TEST(
+        (co_await one.rig->Ensure("m0", {}, "x") == ErrorCode::kOverMemory));
+    BOOST_TEST(!co_await one.rig->Ensure("m0", may_go, "x"));
+  });
+  BOOST_TEST(!one.engine.Holds("m1"));
+  BOOST_TEST(!one.engine.overcommitted);
+}
+
+// A model was unloaded and reloaded for the sake of a few bytes that an adapter
+// nobody used had taken.
+BOOST_AUTO_TEST_CASE(IdleAdapterGoesBeforeAModel) {
+  Single one;
+  const std::vector<std::string> may_go(1, "m0");
+  one.world.Run([&]() -> Task<> {
+    BOOST_TEST(!co_await one.rig->Ensure("m0", {}, "x"));
+    BOOST_TEST(!co_await one.rig->Ensure("m0", {}, "y"));
+    BOOST_TEST(!co_await one.rig->Ensure("m1", may_go));
+  });
+  BOOST_TEST(one.engine.Holds("m0"));
+  BOOST_TEST(one.engine.Holds("m1"));
+  BOOST_TEST(one.rig->table.Memory().reserved_bytes == 95);
+}
+
 // SIGTERM: everything is unloaded and every grant handed back, also when the
 // key-value service is slow to come back.
 BOOST_AUTO_TEST_CASE(LeavingUnloadsAndHandsEveryGrantBack) {
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -17,6 +17,10 @@
 /** A new entry waits this long for the endpoints' first reports before it
  * refuses for lack of them. */
 constexpr core::Millis kStartGrace{2000};
+/** Least time of a load for callers that come again: behind those who wait. */
+constexpr core::Millis kRetryLoadTime{30000};
+/** How long a failed load is given as the reason of refusals. */
+constexpr std::chrono::seconds kLoadErrorTold{10};
 
 std::int64_t AdapterBytes(const contract::Model& model,
                           const std::string& name) {
@@ -34,10 +38,27 @@
   return it->second.max_replicas;
 }
 
+/** @return What the caller is told: the failed load, where that is why. */
+core::Error RefusalOf(const ModelQueue& queue,
+                      const policy::PlacementDecision& decision,
+                      core::SteadyTime now) {
+  const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
+  const bool recent = queue.last_load_error.has_value() &&
+                      now - queue.last_load_error_at < kLoadErrorTold;
+  if (!recent || decision.refusal == ErrorCode::kDeadlineTooShort) {
+    return core::Error(decision.refusal, "", retry_after);
+  }
+  const core::Error& cause = *queue.last_load_error;
+  // Only the load's outcome may be unknown; the request has not run.
+  const bool load_unknown = cause.outcome() == core::Outcome::kUnknown;
+  const ErrorCode code = load_unknown ? ErrorCode::kLoadFailed : cause.code();
+  return core::Error(code, cause.what(), retry_after);
+}
+
 }  // namespace
 
 bool Home::State::IsStarting() const {
-  return clock.Now() - started_at < kStartGrace && !fleet.HasModelEndpoints();
+  return clock.Now() - started_at < kStartGrace && !directory.settled();
 }
 
 bool Home::State::IsSuspect(const Waiter& waiter) const {
@@ -197,15 +218,7 @@
   if (decision.load_for_retry) {
     LoadForRetry(model, queue, waiter, decision, orders);
   }
-  const core::Millis retry_after = std::max(decision.retry_after, kRetryAfter);
-  if (queue.failed_loads_in_row > 0 && queue.last_load_error) {
-    const core::Error& cause = *queue.last_load_error;
-    Refuse(queue, waiter,
-           core::Error(cause.code(), cause.detail(), retry_after)
-               .WithOutcome(core::Outcome::kNotRun));
-    return Step::kEnded;
-  }
-  Refuse(queue, waiter, core::Error(decision.refusal, "", retry_after));
+  Refuse(queue, waiter, RefusalOf(queue, decision, clock.Now()));
   return Step::kEnded;
 }
 
@@ -213,9 +226,10 @@
                                     const ModelQueue& queue,
                                     const core::ModelId& model,
                                     const core::EndpointId& endpoint) const {
-  const policy::CostWeights weights{
-      .cold_start = current.intent.weights.cold_start,
-      .idle = current.intent.weights.idle};
+  const contract::Weights& prices = current.intent.weights;
+  const policy::CostWeights weights = policy::SharedWeights(
+      {.cold_start = prices.cold_start, .idle = prices.idle},
+      fleet.ReplicasAt(endpoint));
   const policy::LoadTimes times = LoadTimesAt(queue.load_times, clock.Now());
   const policy::Tier tier = fleet.TierOf(endpoint, model);
   return policy::KeepAliveTime(queue.arrivals, weights,
@@ -313,10 +327,15 @@
                                const std::shared_ptr<Waiter>& waiter,
                                const policy::PlacementDecision& decision,
                                std::vector<LoadOrder>& orders) {
-  // Nobody waits for it: one at a time, and none after a failure.
-  if (!queue.loads.empty() || queue.failed_loads_in_row > 0) return;
+  // Nobody waits for it: one at a time.
+  if (!queue.loads.empty()) return;
+  if (queue.failed_loads_in_row > 0 && !policy::TakeRetry(queue.retries)) {
+    return;
+  }
   const core::AdapterId adapter(waiter->request().adapter);
   BeginLoad(model, queue, adapter, decision, orders);
+  orders.back().least_time =
+      std::max(kRetryLoadTime, 2 * orders.back().expected);
 }
 
 void Home::State::BeginLoad(const contract::Model& model, ModelQueue& queue,
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/fleet_fake_base.h"
+#include "entry/quarantine_base.h"
 
 namespace sapphire::entry::fake {
 
@@ -69,6 +70,7 @@
   std::atomic<int> running{0};
   std::atomic<int> peak{0};
   std::vector<std::future<bool>> all;
+  all.reserve(500);
   for (int i = 0; i < 500; ++i) {
     all.push_back(
         fleet.threads.Start(RunOnce(fleet.entry->home(), running, peak)));
@@ -133,6 +135,21 @@
   BOOST_TEST(fleet.Loads() == 2);
 }
 
+// An entry has just been replaced and is asked before the endpoints have told
+// it anything. Refusing for lack of endpoints would be wrong, and loading what
+// is already loaded somewhere too: it waits for the first reports.
+BOOST_AUTO_TEST_CASE(NewEntryWaitsForTheFirstReports) {
+  Fleet fleet;
+  fleet.right.SetReady(kModel);
+  FakeEntry next(fleet.threads, "entry-2", fleet.list, fleet.store,
+                 fleet.config, fleet.clock, fleet.log);
+  const Outcome outcome = fleet.Place(next, PlaceOf(kModel, kLong));
+  BOOST_REQUIRE(outcome.placement);
+  BOOST_TEST(outcome.placement->placed().endpoint == "right");
+  BOOST_TEST(fleet.Loads() == 0);
+  fleet.threads.Stop();
+}
+
 // A booth asks with less time left than any load takes. It is refused now,
 // with a time to come back. One load is started all the same, however many ask
 // like this, or the model would never be there: the retry is served.
@@ -149,6 +166,32 @@
   BOOST_TEST(fleet.Loads() == 1);
 }
 
+// The store is slow: a load outlasts the time its first guest had, and the
+// endpoint says so while it goes on loading. The next guest must be allowed to
+// wait for it, neither refused nor given a second load.
+BOOST_AUTO_TEST_CASE(LoadThatOutlastsItsRequestServesTheNext) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kOutlast;
+  fleet.right.mode = LoadMode::kOutlast;
+  auto first = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, core::Millis(1500))));
+  BOOST_REQUIRE(Eventually([&] {
+    const auto all = fleet.entry->directory().Endpoints();
+    return std::any_of(all.begin(), all.end(), [](const auto& known) {
+      return !known.report.replicas.empty();
+    });
+  }));
+  FakeEndpoint& holder = fleet.left.loads == 1 ? fleet.left : fleet.right;
+  auto second = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_TEST(
+      (second.wait_for(core::Millis(300)) == std::future_status::timeout));
+  holder.FinishLoading();
+  BOOST_TEST(second.get().placement != nullptr);
+  first.wait();
+  BOOST_TEST(fleet.Loads() == 1);
+}
+
 // The load hangs beyond the guest's time: the store has stalled, nobody
 // answers. The guest must still get an answer when its time is up.
 BOOST_AUTO_TEST_CASE(DeadlineEndsAWaitThatNothingElseEnds) {
@@ -219,6 +262,122 @@
   BOOST_TEST((refused.error->code() == core::ErrorCode::kQuarantined));
 }
 
+// The key-value service is down when the crashes happen. The home must still
+// refuse the third try from memory, and write what it saw once it can.
+BOOST_AUTO_TEST_CASE(QuarantineHoldsWhileTheStoreIsDown) {
+  Fleet fleet;
+  fleet.store.down = true;
+  for (int crash = 0; crash < 2; ++crash) {
+    const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong, 666));
+    BOOST_REQUIRE(outcome.placement);
+    outcome.placement->Done(gen::RunResult::ENGINE_CRASHED);
+  }
+  const Outcome third = fleet.Place(PlaceOf(kModel, kLong, 666));
+  BOOST_REQUIRE(third.error);
+  BOOST_TEST((third.error->code() == core::ErrorCode::kQuarantined));
+  BOOST_TEST(!fleet.store.Find("quarantine/666").has_value());
+  fleet.store.down = false;
+  BOOST_REQUIRE(Eventually(
+      [&] { return fleet.store.Find("quarantine/666").has_value(); }));
+  const auto kept = DecodeCrashes(fleet.store.Find("quarantine/666")->value);
+  BOOST_TEST(kept.crashes.size() == 2U);
+}
+
+// A planned stop of an endpoint begins: it says that it leaves. From its next
+// report on nothing new may be loaded or placed there.
+BOOST_AUTO_TEST_CASE(LeavingEndpointGetsNothingNew) {
+  Fleet fleet;
+  const auto left = [&fleet] {
+    return *fleet.entry->directory().Find(core::EndpointId("left"));
+  };
+  fleet.left.SetReady(kModel);
+  BOOST_REQUIRE(Eventually([&] { return !left().report.replicas.empty(); }));
+  BOOST_REQUIRE(fleet.Place(PlaceOf(kModel, kLong)).placement);
+  fleet.left.SetLeaving();
+  BOOST_REQUIRE(Eventually([&] { return left().leaving; }));
+  const Outcome outcome = fleet.Place(PlaceOf(kModel, kLong));
+  BOOST_TEST(fleet.left.loads == 0);
+  BOOST_TEST(
+      (outcome.error || outcome.placement->placed().endpoint == "right"));
+}
+
+// Operators withdraw a model while requests wait for it. They must end with
+// an answer, not wait for what can't come.
+BOOST_AUTO_TEST_CASE(WithdrawnModelEndsItsQueue) {
+  Fleet fleet;
+  fleet.left.mode = LoadMode::kHang;
+  fleet.right.mode = LoadMode::kHang;
+  auto waiting = fleet.threads.Start(
+      TryPlace(fleet.entry->home(), PlaceOf(kModel, kLong)));
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 1; }));
+  contract::Config other = ConfigOf("another", 1, 1);
+  other.version = 2;
+  fleet.config.Adopt(other);
+  const Outcome outcome = waiting.get();
+  BOOST_REQUIRE(outcome.error);
+  BOOST_TEST((outcome.error->code() == core::ErrorCode::kUnknownModel));
+}
+
+// Guests ask for an adapter that the loaded model doesn't have yet, many at
+// once, while others need the bare model. The adapter must be loaded once,
+// before its first request is placed, and must not hold the others up.
+BOOST_AUTO_TEST_CASE(AdapterIsLoadedOnceAndHoldsNobodyElseUp) {
+  Fleet fleet(1, 100);
+  BOOST_REQUIRE(fleet.Place(PlaceOf(kModel, kLong)).placement);
+  BOOST_REQUIRE(fleet.Loads() == 1);
+  FakeEndpoint& holder = fleet.left.loads == 1 ? fleet.left : fleet.right;
+  holder.mode = LoadMode::kHang;
+  gen::Place with_adapter = PlaceOf(kModel, kLong);
+  with_adapter.adapter = "lake";
+  std::vector<std::future<Outcome>> waiting;
+  waiting.reserve(20);
+  for (int i = 0; i < 20; ++i) {
+    waiting.push_back(
+        fleet.threads.Start(TryPlace(fleet.entry->home(), with_adapter)));
+  }
+  BOOST_REQUIRE(Eventually([&] { return fleet.Loads() == 2; }));
+  BOOST_TEST(fleet.Place(PlaceOf(kModel, kLong)).placement != nullptr);
+  holder.mode = LoadMode::kSucceed;
+  for (auto& one : waiting) BOOST_TEST(one.get().placement != nullptr);
+  BOOST_TEST(fleet.Place(with_adapter).placement != nullptr);
+  BOOST_TEST(fleet.Loads() == 2);
+  with_adapter.adapter = "unheard-of";
+  const Outcome unknown = fleet.Place(with_adapter);
+  BOOST_REQUIRE(unknown.error);
+  BOOST_TEST((unknown.error->code() == core::ErrorCode::kUnknownAdapter));
+}
+
+core::Task<Outcome> TryPlaceService(Home& home, std::string service) {
+  Outcome outcome;
+  try {
+    outcome.placement = co_await home.PlaceService(
+        core::ServiceId(service), core::OwnerId("one"), kLong, {});
+  } catch (const core::Error& e) {
+    outcome.error = e;
+  }
+  co_return outcome;
+}
+
+// A booth asks the plain service while its only endpoint goes away. Until then
+// it is placed there; after, it is told at once when to come back.
+BOOST_AUTO_TEST_CASE(PlainServiceWithoutEndpointIsRefusedAtOnce) {
+  Fleet fleet;
+  FakeEndpoint booth(fleet.threads, "booth", fleet.clock, fleet.log, "booths");
+  fleet.list.Add("booth", platform::VmRole::kEndpoint, booth.address());
+  const auto place = [&fleet](const char* service) {
+    return fleet.threads.Start(TryPlaceService(fleet.entry->home(), service))
+        .get();
+  };
+  BOOST_REQUIRE(Eventually([&] { return place("booths").placement; }));
+  BOOST_TEST(place("booths").placement->placed().address == booth.address());
+  booth.node().Close();
+  BOOST_REQUIRE(Eventually([&] { return place("booths").error; }));
+  const Outcome refused = place("booths");
+  BOOST_TEST((refused.error->code() == core::ErrorCode::kNoEndpoint));
+  BOOST_TEST(refused.error->retry_after().has_value());
+  fleet.threads.Stop();
+}
+
 core::Task<int> PlaceInTurn(Home& home, std::string owner,
                             std::atomic<int>& turn) {
   Outcome outcome = co_await TryPlace(home, PlaceOf(kModel, kLong, 0, owner));
@@ -238,6 +397,7 @@
   BOOST_REQUIRE(holder.placement);
   std::atomic<int> turn{0};
   std::vector<std::future<int>> loud;
+  loud.reserve(200);
   for (int i = 0; i < 200; ++i) {
     loud.push_back(
         fleet.threads.Start(PlaceInTurn(fleet.entry->home(), "loud", turn)));
