--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 
 #include "endpoint/replica_worker_base.h"
 #include "platform/engine_base.h"
@@ -59,6 +60,7 @@
  private:
   core::Task<> Run();
   core::Task<> AuditIfDue();
+  core::Task<> NoteVersions(std::map<core::ServiceId, LedgerValue> ledgers);
   core::Task<> SettleIfDue();
   void AdoptModel(const platform::EngineModel& model);
   void AdoptAdapters(Replica& replica, const platform::EngineModel& model);
