--- a/tests/memory_limit_test.cc
+++ b/tests/memory_limit_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <map>
 #include <random>
 #include <thread>
 
@@ -15,14 +16,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kModels = 6;
+constexpr int kModels = 10;
 constexpr int kAdapters = 2;
 constexpr int kBurst = 16;
 constexpr int kBursts = 4;
 constexpr int kTokens = 3;
 
 /** Each replica takes 300 MB and each adapter 60 MB: an engine of 1 GB holds
- * three replicas, but not with all their adapters. */
+ * three replicas, but not with all their adapters, and two engines hold six of
+ * the ten models. */
 std::string Intent() {
   std::string text =
       "deployment = \"meander\"\n[[service]]\nname = \"cabin\"\n"
@@ -71,12 +73,31 @@
       const Reply reply = future.get();
       const bool whole = IsOwnWholeAnswer(reply, id, kTokens);
       served_ += whole ? 1 : 0;
+      if (!whole) ++refusals_[reply.problem()];
       BOOST_TEST((whole || IsTypedRefusal(reply)),
                  id << ": " << reply.status << reply.body << reply.failure);
     }
     replies_.clear();
   }
 
+  /** Callers who come again until they are served, for each model in turn: as
+   * not all fit, idle ones have to go. @return True if each was served. */
+  bool ServesEach() {
+    for (int i = 0; i < kModels; ++i) {
+      const std::string model = fmt::format("model-{}:a{}", i, i % kAdapters);
+      const bool served = Eventually([&] {
+        const std::string id = fmt::format("again-{}", sent_++);
+        const Reply reply =
+            fleet_.Send(fleet_.EntryAddress("entry-1"),
+                        ChatRequest(model, "and now", id, false, kTokens));
+        served_ += IsOwnWholeAnswer(reply, id, kTokens) ? 1 : 0;
+        return IsOwnWholeAnswer(reply, id, kTokens);
+      });
+      if (!served) return false;
+    }
+    return true;
+  }
+
   /** Kills an endpoint's process and starts another beside the engine. */
   void KillOneEndpoint() {
     const std::string vm = Pick(2) == 0 ? "engine-1" : "engine-2";
@@ -106,6 +127,11 @@
         unloads += it.end == "unloaded" ? 1 : 0;
       }
     }
+    BOOST_TEST_MESSAGE("  served " << served_ << " of " << sent_ << ", "
+                                   << unloads << " unloads");
+    for (const auto& [problem, n] : refusals_) {
+      BOOST_TEST_MESSAGE("  refused " << n << " as " << problem);
+    }
     BOOST_TEST(served_ > 0);
     // Without evictions the engines were never asked for too much.
     BOOST_TEST(unloads > 0);
@@ -130,9 +156,10 @@
   std::vector<std::pair<std::string, std::future<Reply>>> replies_;
   int sent_ = 0;
   int served_ = 0;
+  std::map<std::string, int> refusals_;
 };
 
-// Guests ask for twice as many models as fit, with adapters. Loads, adapters
+// Guests ask for more models than fit, with adapters. Loads, adapters
 // and evictions overlap at each engine; an engine given more than it holds
 // would fail for all of its guests at once.
 BOOST_DATA_TEST_CASE(BurstsForMoreThanFits,
@@ -144,6 +171,7 @@
     deployment.StartBurst();
     deployment.CollectReplies();
   }
+  BOOST_TEST(deployment.ServesEach());
   deployment.Check();
 }
 
@@ -161,6 +189,7 @@
     deployment.KillOneEndpoint();
     deployment.CollectReplies();
   }
+  BOOST_TEST(deployment.ServesEach());
   deployment.Check();
 }
 
