--- a/tests/config_force_test.cc
+++ b/tests/config_force_test.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 #include "tests/judge_func.h"
 
@@ -192,7 +193,7 @@
     while (!stopped_) {
       for (const std::string& entry : deployment_.entries) {
         for (const auto& [vm, version] : deployment_.VersionsSeenBy(entry)) {
-          Note(entry + " of " + vm, version);
+          Note({entry, vm}, version);
         }
       }
       std::this_thread::sleep_for(kWatchPause);
@@ -201,7 +202,8 @@
 
   /** A VM that isn't linked, or has just started, shows none: that isn't a
    * version to act by. */
-  void Note(const std::string& view, std::int64_t version) {
+  void Note(const std::pair<std::string, std::string>& view,
+            std::int64_t version) {
     if (version == 0) return;
     ++looks_;
     std::int64_t& newest = newest_[view];
@@ -211,7 +213,8 @@
 
   Deployment& deployment_;
   std::atomic<bool> stopped_ = false;
-  std::map<std::string, std::int64_t> newest_;
+  /** By the entry that shows it, and the VM. */
+  std::map<std::pair<std::string, std::string>, std::int64_t> newest_;
   int looks_ = 0;
   int went_back_ = 0;
   std::thread thread_;
@@ -258,7 +261,7 @@
        R"({"write_prefix":"config/head","late_writes":2,"late_writes_ms":300})"}) {
     const std::int64_t base = deployment.VersionAt("entry-2");
     const std::string plan =
-        deployment.Plan("entry-2", Intent(1 + (base % 2), {}));
+        deployment.Plan("entry-2", Intent(base % 2 == 0 ? 1 : 2, {}));
     deployment.fleet.Fault("kv", fault);
     const Reply reply = deployment.ConfirmLater("entry-2", plan).get();
     BOOST_TEST(reply.ok(), reply.body << reply.failure);
@@ -394,6 +397,7 @@
   deployment.fleet.RestartEndpoint("engine-3");
   deployment.fleet.PublishVms();
   std::vector<std::future<Reply>> burst;
+  burst.reserve(20);
   for (int i = 0; i < 20; ++i) {
     burst.push_back(deployment.fleet.SendLater(
         deployment.fleet.EntryAddress(i % 2 == 0 ? "entry-1" : "entry-2"),
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -300,6 +300,7 @@
   Process& process = *deployment.fleet.endpoint(vm).process;
   process.Signal(SIGTERM);
   std::vector<std::pair<std::string, Reply>> ended;
+  ended.reserve(waiting.size());
   for (auto& [id, reply] : waiting) ended.emplace_back(id, reply.get());
   BOOST_TEST(process.WaitForExit(kExitLimit).value_or(-1) == 0);
   for (const ReplicaStay& it : StaysOf(deployment.fleet, {vm})) {
