--- a/src/endpoint/replica_keeper.cc
+++ b/src/endpoint/replica_keeper.cc
@@ -7,6 +7,7 @@
 #include "core/task_func.h"
 #include "endpoint/grant_func.h"
 #include "endpoint/replica_keeper_base.h"
+#include "policy/keep_alive_func.h"
 
 namespace sapphire::endpoint {
 
@@ -15,6 +16,25 @@
 using core::LogLevel;
 using core::Millis;
 using core::Task;
+
+namespace {
+
+/** @return The replica as the policy sees it: one on its way in counts as in
+ * use, one on its way out as gone long ago. */
+policy::HeldReplica HeldAt(Replica& replica, core::SteadyTime now) {
+  const std::lock_guard lock(replica.mutex);
+  const ReplicaPhase phase = replica.life.phase();
+  if (phase == ReplicaPhase::kReady) {
+    const auto idle =
+        std::chrono::duration_cast<core::Millis>(now - replica.idle_since);
+    return {replica.running, idle, replica.keep_alive};
+  }
+  const bool coming =
+      phase == ReplicaPhase::kGranted || phase == ReplicaPhase::kLoading;
+  return {coming ? 1 : 0, core::Millis::zero(), core::Millis::zero()};
+}
+
+}  // namespace
 using platform::EngineModel;
 using platform::EngineModelState;
 using platform::EngineStatus;
@@ -151,14 +171,31 @@
 }
 
 void ReplicaKeeper::Sweep() {
-  for (const ReplicaPtr& it : parts_.table.All()) SweepOne(it);
+  const std::vector<ReplicaPtr> all = parts_.table.All();
+  const std::set<ReplicaPtr> unwanted = IdleToUnload(all);
+  for (const ReplicaPtr& it : all) SweepOne(it, unwanted.contains(it));
+}
+
+/** @return Those whose keep-alive is over, by the policy for replicas that
+ * share this accelerator. */
+std::set<ReplicaPtr> ReplicaKeeper::IdleToUnload(
+    const std::vector<ReplicaPtr>& all) const {
+  const core::SteadyTime now = parts_.clock.Now();
+  std::vector<policy::HeldReplica> held;
+  held.reserve(all.size());
+  for (const ReplicaPtr& it : all) held.push_back(HeldAt(*it, now));
+  std::set<ReplicaPtr> unwanted;
+  for (const std::size_t i : policy::ReplicasToUnload(held)) {
+    unwanted.insert(all[i]);
+  }
+  return unwanted;
 }
 
-void ReplicaKeeper::SweepOne(const ReplicaPtr& replica) {
+void ReplicaKeeper::SweepOne(const ReplicaPtr& replica, bool unwanted) {
   const std::lock_guard lock(replica->mutex);
   if (replica->working) return;
   if (replica->life.phase() == ReplicaPhase::kReady) {
-    if (MayStay(*replica)) return;
+    if (MayStay(*replica, unwanted)) return;
     replica->life.Apply(ReplicaEvent::kDrainStarted);
   }
   // A drain whose unload failed is begun again here.
@@ -168,7 +205,7 @@
 }
 
 /** @pre The replica's lock is held. */
-bool ReplicaKeeper::MayStay(Replica& replica) const {
+bool ReplicaKeeper::MayStay(Replica& replica, bool unwanted) const {
   const auto config = parts_.config.Current();
   if (config) {
     const auto it = config->intent.models.find(replica.model);
@@ -185,6 +222,8 @@
   // While the key-value service is down, an unloaded model could be woken
   // nowhere else: it stays until the memory is needed.
   if (!parts_.ledger.reachable()) return true;
+  if (!unwanted) return true;
+  // It may have served a request since the policy was asked.
   return parts_.clock.Now() - replica.idle_since < replica.keep_alive;
 }
 
--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <chrono>
 #include <map>
+#include <set>
+#include <vector>
 
 #include "endpoint/replica_worker_base.h"
 #include "platform/engine_base.h"
@@ -65,8 +67,10 @@
   void AdoptModel(const platform::EngineModel& model);
   void AdoptAdapters(Replica& replica, const platform::EngineModel& model);
   void DropMissing(const platform::EngineStatus& status);
-  void SweepOne(const ReplicaPtr& replica);
-  bool MayStay(Replica& replica) const;
+  [[nodiscard]] std::set<ReplicaPtr> IdleToUnload(
+      const std::vector<ReplicaPtr>& all) const;
+  void SweepOne(const ReplicaPtr& replica, bool unwanted);
+  bool MayStay(Replica& replica, bool unwanted) const;
   void ReleaseOrphans(const core::ServiceId& service,
                       const LedgerValue& ledger);
   void ForgetLostGrants(const core::ServiceId& service,
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -35,12 +35,6 @@
   return result.error->code() != ErrorCode::kTimedOut;
 }
 
-/** @return The error with the outcome that all attempts together allow: once
- * one of them may have run, "not run" can't be said any more. */
-Error WithHistory(const Error& error, bool may_have_run) {
-  return may_have_run ? error.WithOutcome(core::Outcome::kUnknown) : error;
-}
-
 }  // namespace
 
 Dispatcher::Dispatcher(Placer& placer, link::LinkNode& links,
@@ -54,7 +48,10 @@
     policy::RecordFirstTry(budget_);
   }
   std::set<core::EndpointId> avoid;
-  bool may_have_run = false;
+  // Of the newest attempt that may have run: from then on "not run" can't be
+  // said any more, and this is what the caller is told, not that nobody was
+  // found to try again.
+  std::optional<Error> may_have_run;
   const auto abandoned = [&sink] { return sink.abandoned(); };
   for (int attempt = 1;; ++attempt) {
     std::unique_ptr<Placement> place;
@@ -64,7 +61,7 @@
     } catch (const Error& e) {
       refused = e;
     }
-    if (refused) throw WithHistory(*refused, may_have_run);
+    if (refused) throw may_have_run ? *may_have_run : *refused;
     const gen::Placed placed = place->placed();
     run.attempt_id = core::RandomHexId();
     run.keep_alive_ms = placed.keep_alive_ms;
@@ -72,7 +69,7 @@
         links_, placed.address, run, deadline, sink, clock_);
     place->Done(ResultOf(result.end));
     if (result.end == AttemptEnd::kCompleted) co_return;
-    if (result.end != AttemptEnd::kNotStarted) may_have_run = true;
+    if (result.end != AttemptEnd::kNotStarted) may_have_run = result.error;
     log_.Event(core::LogLevel::kInfo, core::LogCategory::kRequest,
                "attempt_failed",
                {{"request", run.request_id},
@@ -82,7 +79,7 @@
     // What the receiver has seen can't be unsent: it gets an explicit error.
     if (sink.started() || attempt == kMaxAttempts || !MayTryAgain(result) ||
         !TakeRetryToken()) {
-      throw WithHistory(*result.error, may_have_run);
+      throw may_have_run ? *may_have_run : *result.error;
     }
     sink.Reset();
     avoid.insert(core::EndpointId(placed.endpoint));
