--- a/src/endpoint/endpoint_settings.cc
+++ b/src/endpoint/endpoint_settings.cc
@@ -3,75 +3,70 @@
 
 #include "core/error_type.h"
 #include "core/random_func.h"
+#include "core/settings_row_func.h"
 #include "endpoint/endpoint_settings_base.h"
 
 namespace sapphire::endpoint {
 
 using core::SettingDef;
-using core::SettingType;
 
 namespace {
 
-constexpr double kMaxMillis = 3'600'000;
-
-constexpr SettingDef Text(std::string_view name, std::string_view value,
-                          std::string_view help) {
-  return {name, SettingType::kString, value, "", 0, 0, help};
-}
-
-constexpr SettingDef Time(std::string_view name, std::string_view value,
-                          double min, std::string_view help) {
-  return {name, SettingType::kInteger, value, "ms", min, kMaxMillis, help};
-}
-
 constexpr std::array kTable = {
-    Text("vm", "", "Name of this VM"),
-    Text("zone", "", "Availability zone of this VM"),
-    Text("listen", "",
-         "Address for links, ip:port; the lock against a second "
-         "process on this VM"),
-    Text("metrics_listen", "\"127.0.0.1:0\"",
-         "Address for /metrics, /healthz and /readyz, ip:port"),
-    Text("port_file", "\"\"",
-         "If set: file that the bound addresses are written to"),
-    Text("kind", "\"model\"", "What this endpoint is: model or plain"),
-    Text("service", "\"\"",
-         "Name of the plain service; empty for a model "
-         "engine"),
-    Text("engine", "", "Address of the engine or plain service, ip:port"),
-    Text("kv", "", "Address of the key-value service, ip:port"),
-    Text("log_level", "\"info\"", "debug, info, warning or error"),
-    SettingDef{"threads", SettingType::kInteger, "2", "", 1, 64,
-               "Threads that serve links and requests"},
-    Time("drain_ms", "60000", 0,
-         "Longest time that leaving waits for runs and unloads"),
-    Time("heartbeat_ms", "500", 10, "Between two heartbeats on a link"),
-    Time("dead_after_ms", "2000", 50,
-         "Without a frame for this long a link counts as lost"),
-    Time("report_interval_ms", "1000", 10,
-         "Entries get a report at least this often"),
-    Time("report_gap_ms", "20", 1,
-         "Changes closer together than this share one report"),
-    Time("engine_poll_ms", "250", 10,
-         "Between two reads of the engine's state"),
-    Time("engine_timeout_ms", "2000", 10, "Of one read of the engine's state"),
-    Time("order_timeout_ms", "60000", 100,
-         "After this an order's outcome counts as unknown"),
-    Time("settle_ms", "1000", 0,
-         "Quiet time after which an order of unknown outcome counts as not "
-         "carried out; longer than an order travels"),
-    Time("kv_timeout_ms", "1000", 10, "Of one call to the key-value service"),
-    Time("keep_alive_ms", "60000", 0,
-         "How long an idle replica stays loaded if its caller names no time"),
-    Time("sweep_ms", "250", 10, "Between two looks for idle replicas"),
-    Time("audit_ms", "30000", 100,
-         "Between two comparisons with the ledgers of grants"),
-    Time("lane_hold_ms", "30000", 100,
-         "A remote load that has not ended by then frees its lane"),
-    Time("lane_poll_ms", "200", 10,
-         "Between two looks of a load that waits for a lane"),
-    Time("attempt_memory_ms", "900000", 1000,
-         "How long an attempt is remembered, so that a copy is refused"),
+    core::TextRow("vm", "", "Name of this VM"),
+    core::TextRow("zone", "", "Availability zone of this VM"),
+    core::TextRow("listen", "",
+                  "Address for links, ip:port; the lock against a second "
+                  "process on this VM"),
+    core::TextRow("metrics_listen", "\"127.0.0.1:0\"",
+                  "Address for /metrics, /healthz and /readyz, ip:port"),
+    core::TextRow("port_file", "\"\"",
+                  "If set: file that the bound addresses are written to"),
+    core::TextRow("kind", "\"model\"", "What this endpoint is: model or plain"),
+    core::TextRow("service", "\"\"",
+                  "Name of the plain service; empty for a model "
+                  "engine"),
+    core::TextRow("engine", "",
+                  "Address of the engine or plain service, ip:port"),
+    core::TextRow("kv", "", "Address of the key-value service, ip:port"),
+    core::TextRow("log_level", "\"info\"", "debug, info, warning or error"),
+    core::CountRow("threads", "2", "", 1, 64,
+                   "Threads that serve links and requests"),
+    core::TimeRow("drain_ms", "60000", 0,
+                  "Longest time that leaving waits for runs and unloads"),
+    core::TimeRow("heartbeat_ms", "500", 10,
+                  "Between two heartbeats on a link"),
+    core::TimeRow("dead_after_ms", "2000", 50,
+                  "Without a frame for this long a link counts as lost"),
+    core::TimeRow("report_interval_ms", "1000", 10,
+                  "Entries get a report at least this often"),
+    core::TimeRow("report_gap_ms", "20", 1,
+                  "Changes closer together than this share one report"),
+    core::TimeRow("engine_poll_ms", "250", 10,
+                  "Between two reads of the engine's state"),
+    core::TimeRow("engine_timeout_ms", "2000", 10,
+                  "Of one read of the engine's state"),
+    core::TimeRow("order_timeout_ms", "60000", 100,
+                  "After this an order's outcome counts as unknown"),
+    core::TimeRow(
+        "settle_ms", "1000", 0,
+        "Quiet time after which an order of unknown outcome counts as not "
+        "carried out; longer than an order travels"),
+    core::TimeRow("kv_timeout_ms", "1000", 10,
+                  "Of one call to the key-value service"),
+    core::TimeRow(
+        "keep_alive_ms", "60000", 0,
+        "How long an idle replica stays loaded if its caller names no time"),
+    core::TimeRow("sweep_ms", "250", 10, "Between two looks for idle replicas"),
+    core::TimeRow("audit_ms", "30000", 100,
+                  "Between two comparisons with the ledgers of grants"),
+    core::TimeRow("lane_hold_ms", "30000", 100,
+                  "A remote load that has not ended by then frees its lane"),
+    core::TimeRow("lane_poll_ms", "200", 10,
+                  "Between two looks of a load that waits for a lane"),
+    core::TimeRow(
+        "attempt_memory_ms", "900000", 1000,
+        "How long an attempt is remembered, so that a copy is refused"),
 };
 
 void CheckKind(const core::Settings& settings) {
--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -9,14 +9,11 @@
 #include <exception>
 #include <optional>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include "core/address_func.h"
 #include "core/clock_base.h"
-#include "core/error_type.h"
+#include "core/daemon_func.h"
 #include "core/log_base.h"
-#include "core/settings_func.h"
 #include "core/task_func.h"
 #include "endpoint/endpoint_base.h"
 #include "endpoint/endpoint_settings_base.h"
@@ -29,8 +26,6 @@
 
 namespace {
 
-constexpr int kExitBadSettings = 2;
-constexpr int kExitUnfinished = 3;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -92,7 +87,7 @@
     });
     core::Spawn(context_.get_executor(), log_, "wait_for_drain",
                 [this] { return LeaveOnDrain(); });
-    RunThreads();
+    core::RunOnThreads(context_, settings_.Integer("threads"));
     return exit_code_;
   }
 
@@ -117,20 +112,11 @@
 
   core::Task<> Leave() {
     const bool whole = co_await endpoint_.Leave();
-    exit_code_ = whole ? 0 : kExitUnfinished;
+    exit_code_ = whole ? 0 : core::kExitUnfinished;
     endpoint_.Close();
     context_.stop();
   }
 
-  void RunThreads() {
-    std::vector<std::jthread> threads;
-    const auto n = settings_.Integer("threads");
-    for (std::int64_t i = 1; i < n; ++i) {
-      threads.emplace_back([this] { context_.run(); });
-    }
-    context_.run();
-  }
-
   const core::Settings& settings_;
   const core::Logger& log_;
   boost::asio::io_context context_;
@@ -145,26 +131,18 @@
   std::atomic<int> exit_code_ = 0;
 };
 
-int Main(int argc, char** argv) {
-  const core::CommandLine line = core::ParseCommandLine(
-      argc, argv, "The process beside one endpoint", SettingsTable());
-  if (line.exit_code) return *line.exit_code;
-  const core::Settings& settings = *line.settings;
-  try {
-    const core::SystemClock clock;
-    const core::Logger log({"endpoint", core::VmId(settings.String("vm")),
-                            core::ZoneId(settings.String("zone"))},
-                           core::LogLevelNamed(settings.String("log_level")),
-                           clock);
-    return Process(settings, log, clock).Run();
-  } catch (const core::Error& e) {
-    fmt::print(stderr, "{}\n", e.what());
-    return kExitBadSettings;
-  }
-}
-
 }  // namespace
 
 }  // namespace sapphire::endpoint
 
-int main(int argc, char** argv) { return sapphire::endpoint::Main(argc, argv); }
+int main(int argc, char** argv) {
+  namespace core = sapphire::core;
+  const core::DaemonInfo info{"endpoint", "The process beside one endpoint",
+                              sapphire::endpoint::SettingsTable()};
+  return core::RunDaemon(
+      argc, argv, info,
+      [](const core::Settings& settings, const core::Logger& log,
+         const core::Clock& clock) {
+        return sapphire::endpoint::Process(settings, log, clock).Run();
+      });
+}
--- a/src/entry/once_runner.cc
+++ b/src/entry/once_runner.cc
@@ -28,7 +28,9 @@
 /** Replays an answer that an earlier run left in the key-value service. */
 Task<> Replay(const StoredAnswer& answer, AnswerSink& sink) {
   co_await sink.Head(answer.head);
-  if (!answer.body.empty()) co_await sink.Part(answer.body);
+  if (!answer.body.empty()) {
+    co_await sink.Part(answer.body);
+  }
   co_await sink.End();
 }
 
--- a/src/entry/sapphire_entry_main.cc
+++ b/src/entry/sapphire_entry_main.cc
@@ -4,13 +4,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <thread>
-#include <vector>
 
 #include "core/address_func.h"
-#include "core/error_type.h"
+#include "core/daemon_func.h"
 #include "core/random_func.h"
-#include "core/settings_func.h"
 #include "core/task_func.h"
 #include "entry/entry_base.h"
 #include "entry/entry_settings_base.h"
@@ -21,9 +18,6 @@
 
 namespace {
 
-constexpr int kExitBadSettings = 2;
-constexpr int kExitUnfinished = 3;
-
 std::string_view TierName(policy::Tier tier) {
   switch (tier) {
     case policy::Tier::kMemory:
@@ -113,7 +107,7 @@
       core::Spawn(context_.get_executor(), log_, "leave",
                   [this] { return Leave(); });
     });
-    RunThreads();
+    core::RunOnThreads(context_, settings_.Integer("threads"));
     return exit_code_;
   }
 
@@ -128,20 +122,11 @@
 
   core::Task<> Leave() {
     const bool whole = co_await entry_.Leave();
-    exit_code_ = whole ? 0 : kExitUnfinished;
+    exit_code_ = whole ? 0 : core::kExitUnfinished;
     entry_.Close();
     context_.stop();
   }
 
-  void RunThreads() {
-    std::vector<std::jthread> threads;
-    const auto n = settings_.Integer("threads");
-    for (std::int64_t i = 1; i < n; ++i) {
-      threads.emplace_back([this] { context_.run(); });
-    }
-    context_.run();
-  }
-
   const core::Settings& settings_;
   const core::Logger& log_;
   boost::asio::io_context context_;
@@ -154,26 +139,18 @@
   std::atomic<int> exit_code_ = 0;
 };
 
-int Main(int argc, char** argv) {
-  const core::CommandLine line = core::ParseCommandLine(
-      argc, argv, "The program of an entry VM", SettingsTable());
-  if (line.exit_code) return *line.exit_code;
-  const core::Settings& settings = *line.settings;
-  try {
-    const core::SystemClock clock;
-    const core::Logger log({"entry", core::VmId(settings.String("vm")),
-                            core::ZoneId(settings.String("zone"))},
-                           core::LogLevelNamed(settings.String("log_level")),
-                           clock);
-    return Process(settings, log, clock).Run();
-  } catch (const core::Error& e) {
-    fmt::print(stderr, "{}\n", e.what());
-    return kExitBadSettings;
-  }
-}
-
 }  // namespace
 
 }  // namespace sapphire::entry
 
-int main(int argc, char** argv) { return sapphire::entry::Main(argc, argv); }
+int main(int argc, char** argv) {
+  namespace core = sapphire::core;
+  const core::DaemonInfo info{"entry", "The program of an entry VM",
+                              sapphire::entry::SettingsTable()};
+  return core::RunDaemon(
+      argc, argv, info,
+      [](const core::Settings& settings, const core::Logger& log,
+         const core::Clock& clock) {
+        return sapphire::entry::Process(settings, log, clock).Run();
+      });
+}
--- a/tests/sapphire_demo_main.cc
+++ b/tests/sapphire_demo_main.cc
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "tests/fleet_base.h"
+#include "tests/judge_func.h"
 
 namespace sapphire::tests {
 
@@ -91,17 +92,6 @@
   checks.Check(code == 0, "the configuration is in force on every VM");
 }
 
-/** @return True if the reply is this request's own, whole answer. */
-bool IsOwnWholeAnswer(const Reply& reply, const std::string& id, int tokens) {
-  if (!reply.ok()) return false;
-  for (int i = 0; i < tokens; ++i) {
-    if (reply.body.find(fmt::format("{}#{}", id, i)) == std::string::npos) {
-      return false;
-    }
-  }
-  return true;
-}
-
 std::int64_t PeakReplicas(Fleet& fleet, const std::string& model) {
   std::int64_t loads = 0;
   for (const char* vm : {"engine-1", "engine-2", "engine-3"}) {
