--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -133,10 +133,11 @@
 /** @return True if "METHOD /prefix" covers this call. */
 bool Covers(const std::string& pattern, const std::string& method,
             std::string_view path) {
-  const std::size_t space = pattern.find(' ');
-  if (space == std::string::npos) return false;
-  const std::string_view prefix = std::string_view(pattern).substr(space + 1);
-  return pattern.compare(0, space, method) == 0 && path.starts_with(prefix);
+  const std::string_view text = pattern;
+  const std::size_t space = text.find(' ');
+  if (space == std::string_view::npos) return false;
+  const std::string_view prefix = text.substr(space + 1);
+  return text.substr(0, space) == method && path.starts_with(prefix);
 }
 
 void ReadServiceCall(CallerRequest& out, const contract::Intent& intent) {
