--- a/tests/process_base.h
+++ b/tests/process_base.h
@@ -30,6 +30,8 @@
   [[nodiscard]] const std::string& name() const { return name_; }
   [[nodiscard]] const std::string& log_path() const { return log_path_; }
 
+  [[nodiscard]] pid_t pid() const { return pid_; }
+
   /** Waits for the port file that the program was told to write.
    * @return The address of this kind ("http", "link"; "" for stand-ins). */
   std::string Address(const std::string& kind);
