--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Starts real processes on this machine (free ports, 41 at most, ended by their
+# Starts real processes on this machine (free ports, at most 39 at once, ended by their
 # ids) and prints what requests, tokens, links, models, adapters and changes cost
 # them, for docs/CAPACITY.md. Under 3 minutes once it is built.
 set -euo pipefail
