Keep-alive 0 means unload at once; the demo and slopes stand in demo/

Seen when a signature with a bare integer time was read. Change: -1 on the wire is 'none given'; 0 is kept, but a replica just loaded waits 1 s for the requests it was loaded for. The endpoint's test rig names -1 where it named 0 for the same meaning; no check was changed. The demo and the slopes are no tests and left tests/. GrantMovesOnlyAfter TheUnloadIsConfirmed failed with the 1 s as a constant (it gives a move 0.4 s); the least time is a dependency now, 1 ms in the rig.

--- a/bench/load.cc
+++ b/bench/load.cc
@@ -94,7 +94,7 @@
 
 LoadResult RunLoad(const LoadPlan& plan) {
   boost::asio::io_context io(1);
-  Run run{.plan = plan, .client = http::Client(plan.target)};
+  Run run{.plan = plan, .client = http::Client(plan.target), .result = {}};
   for (int i = 0; i < plan.concurrency; ++i) {
     boost::asio::co_spawn(io, Work(run), boost::asio::detached);
   }
--- a/tests/sapphire_demo_main.cc
+++ b/demo/sapphire_demo_main.cc
@@ -12,7 +12,13 @@
 #include "tests/fleet_base.h"
 #include "tests/judge_func.h"
 
-namespace sapphire::tests {
+namespace sapphire::demo {
+
+using tests::ChatRequest;
+using tests::Fleet;
+using tests::IsOwnWholeAnswer;
+using tests::Process;
+using tests::Reply;
 
 namespace {
 
@@ -212,7 +218,7 @@
 
 }  // namespace
 
-}  // namespace sapphire::tests
+}  // namespace sapphire::demo
 
 int main(int argc, char** argv) {
   if (argc != 3) {
@@ -220,7 +226,7 @@
     return 2;
   }
   try {
-    return sapphire::tests::Main(argv[1], argv[2]);
+    return sapphire::demo::Main(argv[1], argv[2]);
   } catch (const std::exception& e) {
     fmt::print(stderr, "demo: {}\n", e.what());
     return 1;
--- a/tests/sapphire_slopes_main.cc
+++ b/demo/sapphire_slopes_main.cc
@@ -12,7 +12,11 @@
 #include "contract/intent_func.h"
 #include "tests/fleet_base.h"
 
-namespace sapphire::tests {
+namespace sapphire::demo {
+
+using tests::Fleet;
+using tests::Process;
+using tests::Reply;
 
 namespace {
 
@@ -384,7 +388,7 @@
 
 }  // namespace
 
-}  // namespace sapphire::tests
+}  // namespace sapphire::demo
 
 int main(int argc, char** argv) {
   if (argc != 2) {
@@ -392,7 +396,7 @@
     return 2;
   }
   try {
-    sapphire::tests::Main(argv[1]);
+    sapphire::demo::Main(argv[1]);
     return 0;
   } catch (const std::exception& e) {
     fmt::print(stderr, "slopes: {}\n", e.what());
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -579,7 +579,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceDone& obj);
 
 typedef struct _Run__isset {
-  _Run__isset() : request_id(false), attempt_id(false), service_id(false), model(false), adapter(false), remaining_ms(false), priority(false), owner(false), fingerprint(false), non_idempotent(false), idempotency_key(false), method(false), path(false), content_type(false), body(false), keep_alive_ms(false), prefix_hash(false) {}
+  _Run__isset() : request_id(false), attempt_id(false), service_id(false), model(false), adapter(false), remaining_ms(false), priority(false), owner(false), fingerprint(false), non_idempotent(false), idempotency_key(false), method(false), path(false), content_type(false), body(false), keep_alive_ms(true), prefix_hash(false) {}
   bool request_id :1;
   bool attempt_id :1;
   bool service_id :1;
@@ -622,7 +622,7 @@
         path(),
         content_type(),
         body(),
-        keep_alive_ms(0),
+        keep_alive_ms(-1LL),
         prefix_hash(0) {
   }
 
@@ -989,7 +989,7 @@
 std::ostream& operator<<(std::ostream& out, const AttemptState& obj);
 
 typedef struct _EnsureModel__isset {
-  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(false), evict(false) {}
+  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(true), evict(false) {}
   bool service_id :1;
   bool model :1;
   bool adapter :1;
@@ -1010,7 +1010,7 @@
                 model(),
                 adapter(),
                 remaining_ms(0),
-                keep_alive_ms(0) {
+                keep_alive_ms(-1LL) {
   }
 
   virtual ~EnsureModel() noexcept;
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -90,7 +90,8 @@
   13: string path
   14: string content_type
   15: binary body
-  16: i64 keep_alive_ms
+  // Negative: the endpoint's own setting.
+  16: i64 keep_alive_ms = -1
   17: i64 prefix_hash
 }
 
@@ -114,7 +115,8 @@
   2: string model
   3: string adapter
   4: i64 remaining_ms
-  5: i64 keep_alive_ms
+  // Negative: the endpoint's own setting.
+  5: i64 keep_alive_ms = -1
   // Idle models the home allows this endpoint to unload to make room.
   6: list<string> evict
 }
--- a/src/endpoint/endpoint.cc
+++ b/src/endpoint/endpoint.cc
@@ -19,6 +19,8 @@
 
 /** A wake-up that got lost costs this much. */
 constexpr Millis kRecheck{500};
+/** A queued request reaches the endpoint that its load was for within this. */
+constexpr Millis kLeastKeepAlive{1000};
 
 link::LinkOptions LinkOptionsOf(const EndpointOptions& options) {
   link::LinkOptions link;
@@ -63,7 +65,7 @@
              ledger_,  lanes_,  clock,  log,       metrics},
       worker_(parts_),
       keeper_(parts_, KeeperOptionsOf(options_), worker_),
-      replicas_(parts_, worker_, options_.keeper.keep_alive),
+      replicas_(parts_, worker_, options_.keeper.keep_alive, kLeastKeepAlive),
       plain_admission_(options_.plain_service, config_,
                        table_.shared_changed()),
       admission_(plain() ? static_cast<Admission&>(plain_admission_)
--- a/src/endpoint/endpoint_rig_test.h
+++ b/src/endpoint/endpoint_rig_test.h
@@ -96,7 +96,7 @@
             parts,
             {core::VmId(vm), Millis(60'000), Millis(5), Millis(50), Millis(20)},
             worker),
-        replicas(parts, worker, Millis(60'000)),
+        replicas(parts, worker, Millis(60'000), Millis(1)),
         runner(its_engine, &follower, replicas, attempts, its_world.clock,
                its_world.log, metrics) {
     follower.Listen([this] { return desk.QuietMark(); },
@@ -133,7 +133,7 @@
   Task<std::optional<ErrorCode>> Ensure(std::string model,
                                         std::vector<std::string> evict = {},
                                         std::string adapter = "",
-                                        Millis keep_alive = Millis(0)) {
+                                        Millis keep_alive = Millis(-1)) {
     gen::EnsureModel wish;
     wish.service_id = "cabin";
     wish.model = std::move(model);
--- a/src/endpoint/replicas.cc
+++ b/src/endpoint/replicas.cc
@@ -101,7 +101,7 @@
     }
     co_await parts_.table.changed().Wait(epoch, std::min(left, kRecheck));
   }
-  KeepFor(replica, wish.keep_alive_ms);
+  KeepFor(replica, Millis(wish.keep_alive_ms));
   if (wish.adapter.empty()) co_return;
   gen::Run use;
   use.model = wish.model;
@@ -140,10 +140,14 @@
   }
 }
 
-void Replicas::KeepFor(const ReplicaPtr& replica,
-                       std::int64_t keep_alive_ms) const {
+Millis Replicas::KeepAliveFor(Millis wanted) const {
+  if (wanted < Millis::zero()) return keep_alive_;
+  return std::max(wanted, least_keep_alive_);
+}
+
+void Replicas::KeepFor(const ReplicaPtr& replica, Millis wanted) const {
   const std::lock_guard lock(replica->mutex);
-  replica->keep_alive = keep_alive_ms > 0 ? Millis(keep_alive_ms) : keep_alive_;
+  replica->keep_alive = KeepAliveFor(wanted);
   if (replica->running == 0) {
     const core::SteadyTime now = parts_.clock.Now();
     parts_.metrics.Idle(Between(replica->idle_since, now));
@@ -179,7 +183,9 @@
     if (replica->running++ == 0) {
       parts_.metrics.Idle(Between(replica->idle_since, parts_.clock.Now()));
     }
-    if (run.keep_alive_ms > 0) replica->keep_alive = Millis(run.keep_alive_ms);
+    if (run.keep_alive_ms >= 0) {
+      replica->keep_alive = KeepAliveFor(Millis(run.keep_alive_ms));
+    }
   }
   parts_.table.changed().Notify();
   // The slot may outlive this object at the end of the process: it holds what
--- a/src/endpoint/replicas_base.h
+++ b/src/endpoint/replicas_base.h
@@ -15,10 +15,16 @@
 class Replicas final : public Admission {
  public:
   /** @param keep_alive Of replicas whose caller named none.
+   * @param least_keep_alive A replica just loaded waits this long for the
+   *   requests that it was loaded for: they are on their way from its home.
    * @pre `worker` outlives this. */
   Replicas(EndpointParts parts, ReplicaWorker& worker,
-           std::chrono::milliseconds keep_alive)
-      : parts_(parts), worker_(worker), keep_alive_(keep_alive) {}
+           std::chrono::milliseconds keep_alive,
+           std::chrono::milliseconds least_keep_alive)
+      : parts_(parts),
+        worker_(worker),
+        keep_alive_(keep_alive),
+        least_keep_alive_(least_keep_alive) {}
 
   /**
    * Has a model, and an adapter if one is named, loaded.
@@ -39,11 +45,15 @@
   RunSlot TakeSlot(const ReplicaPtr& replica, const gen::Run& run);
   RunSlot TakeAdapterSlot(const ReplicaPtr& replica, RunSlot slot,
                           const core::AdapterId& adapter) const;
-  void KeepFor(const ReplicaPtr& replica, std::int64_t keep_alive_ms) const;
+  void KeepFor(const ReplicaPtr& replica, core::Millis wanted) const;
+  /** @return How long an idle replica stays. @param wanted Negative: by this
+   * endpoint's setting. */
+  [[nodiscard]] core::Millis KeepAliveFor(core::Millis wanted) const;
 
   EndpointParts parts_;
   ReplicaWorker& worker_;
   const std::chrono::milliseconds keep_alive_;
+  const std::chrono::milliseconds least_keep_alive_;
 };
 
 }  // namespace sapphire::endpoint
