Endpoint: an adapter that is waited for is not unloaded

Cause: with room for one adapter and several wanted, each load task took the turn at the engine before the waiters of the last one had woken, saw an adapter that nobody was using, and unloaded it; its waiters began its load anew. Change: waiters are counted per adapter; eviction passes over those with any. Conclusion: each adapter load now serves somebody.

--- a/demo/sapphire_demo_main.cc
+++ b/demo/sapphire_demo_main.cc
@@ -114,6 +114,7 @@
 
 void Burst(Fleet& fleet, Checks& checks) {
   std::vector<std::future<Reply>> replies;
+  replies.reserve(kBurst);
   for (int i = 0; i < kBurst; ++i) {
     const std::string entry = i % 2 == 0 ? "entry-1" : "entry-2";
     replies.push_back(
@@ -165,8 +166,10 @@
 
 void DrainOne(Fleet& fleet, Checks& checks) {
   const std::string entry = fleet.EntryAddress("entry-1");
+  constexpr int kStreams = 4;
   std::vector<std::future<Reply>> running;
-  for (int i = 0; i < 4; ++i) {
+  running.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
     running.push_back(fleet.SendLater(
         entry, ChatRequest("itinerary", "a long story",
                            fmt::format("drain-{}", i), true, 150)));
@@ -178,11 +181,11 @@
   fmt::print("{}", shown);
   checks.Check(code == 0, "the drain is accepted");
   int whole = 0;
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < kStreams; ++i) {
     const Reply reply = running[i].get();
     whole += IsOwnWholeAnswer(reply, fmt::format("drain-{}", i), 150) ? 1 : 0;
   }
-  checks.Check(whole == 4, "the drain cuts off no stream in progress");
+  checks.Check(whole == kStreams, "the drain cuts off no stream in progress");
   const auto left = fleet.endpoint("engine-1").process->WaitForExit(kExitLimit);
   checks.Check(left == 0, "the drained endpoint's process ends by itself");
 }
--- a/src/endpoint/adapter_worker.cc
+++ b/src/endpoint/adapter_worker.cc
@@ -41,11 +41,48 @@
   return order;
 }
 
+/**
+ * Counts somebody who waits for an adapter, while in scope.
+ * Failure: memory has room for one adapter and several are wanted. Each load
+ * unloaded the adapter just loaded before its waiter had woken up to use it;
+ * the waiter then began the same load anew, and none got anywhere until all
+ * their deadlines had passed, with their models held in memory as in use. An
+ * adapter that is waited for is not unloaded, so each load serves somebody.
+ */
+class AdapterWait {
+ public:
+  AdapterWait(ReplicaPtr replica, core::AdapterId adapter)
+      : replica_(std::move(replica)), adapter_(std::move(adapter)) {
+    const std::lock_guard lock(replica_->mutex);
+    ++replica_->adapter_waiters[adapter_];
+  }
+  ~AdapterWait() {
+    const std::lock_guard lock(replica_->mutex);
+    const auto it = replica_->adapter_waiters.find(adapter_);
+    if (--it->second == 0) replica_->adapter_waiters.erase(it);
+  }
+  AdapterWait(const AdapterWait&) = delete;
+  AdapterWait& operator=(const AdapterWait&) = delete;
+
+ private:
+  const ReplicaPtr replica_;
+  const core::AdapterId adapter_;
+};
+
+/** @return True if nobody uses or waits for a loaded adapter.
+ * @pre The replica's lock is held. */
+bool IsIdle(const Replica& replica, const core::AdapterId& adapter,
+            const AdapterSlot& slot) {
+  return slot.loaded && slot.running == 0 &&
+         !replica.adapter_waiters.contains(adapter);
+}
+
 }  // namespace
 
 Task<> ReplicaWorker::EnsureAdapter(ReplicaPtr replica, core::AdapterId adapter,
                                     LoadWish wish) {
   const contract::Adapter spec = AdapterSpec(SpecOf(replica->model), adapter);
+  const AdapterWait waits(replica, adapter);
   std::optional<int> failures;
   while (true) {
     const auto epoch = parts_.table.changed().epoch();
@@ -136,7 +173,7 @@
   for (const ReplicaPtr& it : parts_.table.All()) {
     const std::lock_guard lock(it->mutex);
     for (const auto& [adapter, slot] : it->adapters) {
-      if (!slot.loaded || slot.running > 0) continue;
+      if (!IsIdle(*it, adapter, slot)) continue;
       const auto held = memory.reservations.find({it->model, adapter});
       if (held != memory.reservations.end()) possible += held->second;
     }
@@ -153,9 +190,7 @@
   for (const ReplicaPtr& it : parts_.table.All()) {
     const std::lock_guard lock(it->mutex);
     for (const auto& [adapter, slot] : it->adapters) {
-      if (!slot.loaded || slot.running > 0 || slot.last_used >= longest) {
-        continue;
-      }
+      if (!IsIdle(*it, adapter, slot) || slot.last_used >= longest) continue;
       longest = slot.last_used;
       owner = it;
       victim = adapter;
@@ -165,7 +200,7 @@
   {
     const std::lock_guard lock(owner->mutex);
     AdapterSlot& slot = owner->adapters[victim];
-    if (slot.running > 0) co_return true;
+    if (!IsIdle(*owner, victim, slot)) co_return true;
     slot.loaded = false;
   }
   const OrderResult result = co_await parts_.desk.Give(
--- a/src/endpoint/replica_type.h
+++ b/src/endpoint/replica_type.h
@@ -50,6 +50,8 @@
   std::chrono::milliseconds keep_alive{0};
   std::map<core::AdapterId, AdapterSlot> adapters;
   /** Adapter loads that failed, and how the last one did. */
+  /** Requests and wishes that wait for an adapter to be loaded. */
+  std::map<core::AdapterId, int> adapter_waiters;
   int adapter_failures = 0;
   std::optional<core::Error> last_adapter_failure;
   /** Loads that failed, and how the last one did. */
--- a/src/endpoint/replicas_test.cc
+++ b/src/endpoint/replicas_test.cc
@@ -415,6 +415,32 @@
   BOOST_TEST(one.rig->table.Memory().reserved_bytes == 95);
 }
 
+// Guests want four adapters where there is room for one. Each load pushed out
+// the adapter just loaded before its waiter had woken up; all loads began anew,
+// and nobody got anywhere while the model counted as in use.
+BOOST_AUTO_TEST_CASE(AdaptersInTurnsServeSomebodyWithEachLoad) {
+  Single one;
+  constexpr int kWishes = 4;
+  one.engine.status.memory_bytes = 95;
+  int ended = 0;
+  one.world.Run([&]() -> Task<> {
+    BOOST_TEST(!co_await one.rig->Ensure("m0"));
+    BOOST_TEST(!co_await one.rig->Ensure("m1"));
+    for (int i = 0; i < kWishes; ++i) {
+      const std::string model = i < 2 ? "m0" : "m1";
+      const std::string adapter = i % 2 == 0 ? "x" : "y";
+      core::Spawn(one.world.context.get_executor(), one.world.log, "wish",
+                  [&one, &ended, model, adapter]() -> Task<> {
+                    co_await one.rig->Ensure(model, {}, adapter);
+                    ++ended;
+                  });
+    }
+    BOOST_TEST(co_await one.rig->Until([&] { return ended == kWishes; }));
+  });
+  // The models, and for each wish at most one load and one unload.
+  BOOST_TEST(one.engine.orders <= 2 + 2 * kWishes);
+}
+
 // SIGTERM: everything is unloaded and every grant handed back, also when the
 // key-value service is slow to come back.
 BOOST_AUTO_TEST_CASE(LeavingUnloadsAndHandsEveryGrantBack) {
--- a/tests/refusal_test.cc
+++ b/tests/refusal_test.cc
@@ -148,6 +148,7 @@
   int SendAndJudge(const std::string& name, int count, milliseconds timeout,
                    const std::function<void()>& meanwhile) {
     std::vector<std::future<Reply>> pending;
+    pending.reserve(count);
     for (int i = 0; i < count; ++i) {
       pending.push_back(
           SendLater(kEntries[i % 2],
@@ -193,6 +194,7 @@
   constexpr int kCount = 80;
   constexpr milliseconds kTimeout{12'000};
   std::vector<std::future<Reply>> pending;
+  pending.reserve(kCount);
   for (int i = 0; i < kCount; ++i) {
     pending.push_back(SendLater(
         kEntries[i % 2],
