Dispatcher and gateway read more plainly

Change: one attempt at one place is its own function; a home is at fault if nothing was sent to it, its link was lost, or it leaves.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -62,28 +62,38 @@
       refused = e;
     }
     if (refused) throw may_have_run ? *may_have_run : *refused;
-    const gen::Placed placed = place->placed();
-    run.attempt_id = core::RandomHexId();
-    run.keep_alive_ms = placed.keep_alive_ms;
-    const AttemptResult result = co_await RunAttempt(
-        links_, placed.address, run, deadline, sink, clock_);
-    place->Done(ResultOf(result.end));
+    const AttemptResult result =
+        co_await RunAtPlace(*place, run, deadline, sink);
     if (result.end == AttemptEnd::kCompleted) co_return;
     if (result.end != AttemptEnd::kNotStarted) may_have_run = result.error;
-    log_.Event(core::LogLevel::kInfo, core::LogCategory::kRequest,
-               "attempt_failed",
-               {{"request", run.request_id},
-                {"endpoint", placed.endpoint},
-                {"attempt", attempt},
-                {"error", result.error->what()}});
     // What the receiver has seen can't be unsent: it gets an explicit error.
     if (sink.started() || attempt == kMaxAttempts || !MayTryAgain(result) ||
         !TakeRetryToken()) {
       throw may_have_run ? *may_have_run : *result.error;
     }
     sink.Reset();
-    avoid.insert(core::EndpointId(placed.endpoint));
+    avoid.insert(core::EndpointId(place->placed().endpoint));
+  }
+}
+
+Task<AttemptResult> Dispatcher::RunAtPlace(Placement& place, gen::Run run,
+                                           core::SteadyTime deadline,
+                                           AnswerSink& sink) {
+  const gen::Placed placed = place.placed();
+  run.attempt_id = core::RandomHexId();
+  run.keep_alive_ms = placed.keep_alive_ms;
+  const AttemptResult result =
+      co_await RunAttempt(links_, placed.address, run, deadline, sink, clock_);
+  place.Done(ResultOf(result.end));
+  if (result.end != AttemptEnd::kCompleted) {
+    log_.Event(core::LogLevel::kInfo, core::LogCategory::kRequest,
+               "attempt_failed",
+               {{"request", run.request_id},
+                {"endpoint", placed.endpoint},
+                {"attempt", run.attempt_id},
+                {"error", result.error->what()}});
   }
+  co_return result;
 }
 
 /** Guard against retries that bury a failing fleet: they are a fraction of
--- a/src/entry/dispatcher_base.h
+++ b/src/entry/dispatcher_base.h
@@ -9,6 +9,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/answer_sink_base.h"
+#include "entry/attempt_func.h"
 #include "entry/placer_base.h"
 #include "gen/link_types.h"
 #include "link/link_base.h"
@@ -33,6 +34,9 @@
   core::Task<> Run(gen::Run run, core::SteadyTime deadline, AnswerSink& sink);
 
  private:
+  core::Task<AttemptResult> RunAtPlace(Placement& place, gen::Run run,
+                                       core::SteadyTime deadline,
+                                       AnswerSink& sink);
   bool TakeRetryToken();
 
   Placer& placer_;
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -17,6 +17,8 @@
 
 constexpr int kOk = 200;
 constexpr std::chrono::milliseconds kRetryAfter{1000};
+/** Stands for this process where an incarnation is told. */
+constexpr std::int64_t kSelf = 1;
 
 /** Tells a caller whose stream has begun why it ends here: without this event
  * and without the final [DONE] it can't be taken for whole. */
@@ -35,10 +37,10 @@
 /** @return True if another entry may take the home role where this one can't.
  */
 bool HomeIsAtFault(const AttemptResult& result) {
+  const bool not_sent = result.incarnation == 0;
   const ErrorCode code = result.error->code();
-  return code == ErrorCode::kNoEndpoint && result.incarnation == 0
-             ? true
-             : code == ErrorCode::kLinkLost || code == ErrorCode::kLeaving;
+  return not_sent || code == ErrorCode::kLinkLost ||
+         code == ErrorCode::kLeaving;
 }
 
 }  // namespace
@@ -120,9 +122,9 @@
   } catch (const Error& e) {
     const bool not_run = e.outcome() == core::Outcome::kNotRun;
     co_return AttemptResult{
-        not_run ? AttemptEnd::kNotStarted : AttemptEnd::kUnknown, e, 1};
+        not_run ? AttemptEnd::kNotStarted : AttemptEnd::kUnknown, e, kSelf};
   }
-  co_return AttemptResult{AttemptEnd::kCompleted, std::nullopt, 1};
+  co_return AttemptResult{AttemptEnd::kCompleted, std::nullopt, kSelf};
 }
 
 void Gateway::Note(const CallerRequest& request, core::SteadyTime arrived,
