--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -113,6 +113,25 @@
                      [](const KnownEndpoint& it) { return it.connected; });
 }
 
+std::map<core::ServiceId, ServiceReplicas> Entry::CountReplicas() const {
+  std::map<core::ServiceId, ServiceReplicas> counts;
+  const auto config = config_.Current();
+  if (!config) return counts;
+  for (const auto& [name, service] : config->intent.services) {
+    if (service.kind != contract::ServiceKind::kModel) continue;
+    counts[name].limit = service.max_replicas;
+  }
+  for (const KnownEndpoint& endpoint : directory_.Endpoints()) {
+    for (const gen::ReplicaReport& replica : endpoint.report.replicas) {
+      const auto it = config->intent.models.find(core::ModelId(replica.model));
+      if (it != config->intent.models.end()) {
+        ++counts[it->second.service].reported;
+      }
+    }
+  }
+  return counts;
+}
+
 Levels Entry::CurrentLevels() const {
   Levels levels;
   levels.config_version = config_.version();
@@ -123,6 +142,7 @@
   }
   levels.entries_live = static_cast<int>(directory_.Entries().size());
   levels.leaving = leaving_;
+  levels.services = CountReplicas();
   levels.home = home_.stats();
   levels.links = links_.counters();
   return levels;
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <string>
 
 #include "contract/config_base.h"
@@ -80,6 +81,8 @@
   core::Task<> AnswerCall(std::shared_ptr<link::Call> call, gen::Message first);
   core::Task<> AnswerRun(std::shared_ptr<link::Call> call, gen::Run run);
   [[nodiscard]] bool Ready() const;
+  [[nodiscard]] std::map<core::ServiceId, ServiceReplicas> CountReplicas()
+      const;
   [[nodiscard]] Levels CurrentLevels() const;
   [[nodiscard]] bool Idle() const;
 
--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -43,6 +43,11 @@
           .Name("sapphire_entry_home_refusals")
           .Help("Requests this entry refused as their home, by error")
           .Register(registry);
+  prometheus::Family<prometheus::Gauge>& replicas =
+      BuildGauge()
+          .Name("sapphire_entry_service_replicas")
+          .Help("Replicas that endpoints report, and the limit, by service")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& levels =
       BuildGauge()
           .Name("sapphire_entry_level")
@@ -93,6 +98,14 @@
   set("link_bytes_received", levels.links.bytes_received);
   set("link_frames_dropped", levels.links.frames_dropped);
   set("links_lost", levels.links.links_lost);
+  for (const auto& [service, count] : levels.services) {
+    const auto gauge = [&](const char* kind) -> prometheus::Gauge& {
+      return state_->replicas.Add(
+          {{"service", service.value()}, {"kind", kind}});
+    };
+    gauge("reported").Set(count.reported);
+    gauge("limit").Set(count.limit);
+  }
   for (const auto& [code, count] : levels.home.refused_by_code) {
     state_->refusals.Add({{"error", std::string(core::InfoOf(code).name)}})
         .Set(static_cast<double>(count));
--- a/src/entry/metrics_base.h
+++ b/src/entry/metrics_base.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,6 +14,13 @@
 
 namespace sapphire::entry {
 
+/** Replicas of one service, as endpoints last reported them. */
+struct ServiceReplicas {
+  int reported = 0;
+  /** As operators decided. */
+  int limit = 0;
+};
+
 /** Levels read when the metrics are asked for. */
 struct Levels {
   std::int64_t config_version = 0;
@@ -21,6 +29,7 @@
   int endpoints_connected = 0;
   int entries_live = 0;
   bool leaving = false;
+  std::map<core::ServiceId, ServiceReplicas> services;
   Home::Stats home;
   link::LinkCounters links;
 };
