--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -98,13 +98,14 @@
   set("link_bytes_received", levels.links.bytes_received);
   set("link_frames_dropped", levels.links.frames_dropped);
   set("links_lost", levels.links.links_lost);
+  const auto set_replicas = [this](const core::ServiceId& service,
+                                   const char* kind, int count) {
+    state_->replicas.Add({{"service", service.value()}, {"kind", kind}})
+        .Set(count);
+  };
   for (const auto& [service, count] : levels.services) {
-    const auto gauge = [&](const char* kind) -> prometheus::Gauge& {
-      return state_->replicas.Add(
-          {{"service", service.value()}, {"kind", kind}});
-    };
-    gauge("reported").Set(count.reported);
-    gauge("limit").Set(count.limit);
+    set_replicas(service, "reported", count.reported);
+    set_replicas(service, "limit", count.limit);
   }
   for (const auto& [code, count] : levels.home.refused_by_code) {
     state_->refusals.Add({{"error", std::string(core::InfoOf(code).name)}})
