--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -2336,6 +2336,10 @@
 void EnsureModel::__set_evict(const std::vector<std::string> & val) {
   this->evict = val;
 }
+
+void EnsureModel::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
+}
 std::ostream& operator<<(std::ostream& out, const EnsureModel& obj)
 {
   obj.printTo(out);
@@ -2424,6 +2428,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine_instance);
+          this->__isset.engine_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2473,6 +2485,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->engine_instance);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2486,6 +2502,7 @@
   swap(a.remaining_ms, b.remaining_ms);
   swap(a.keep_alive_ms, b.keep_alive_ms);
   swap(a.evict, b.evict);
+  swap(a.engine_instance, b.engine_instance);
   swap(a.__isset, b.__isset);
 }
 
@@ -2496,6 +2513,7 @@
   remaining_ms = other70.remaining_ms;
   keep_alive_ms = other70.keep_alive_ms;
   evict = other70.evict;
+  engine_instance = other70.engine_instance;
   __isset = other70.__isset;
 }
 EnsureModel::EnsureModel(EnsureModel&& other71) noexcept {
@@ -2505,6 +2523,7 @@
   remaining_ms = other71.remaining_ms;
   keep_alive_ms = other71.keep_alive_ms;
   evict = std::move(other71.evict);
+  engine_instance = std::move(other71.engine_instance);
   __isset = other71.__isset;
 }
 EnsureModel& EnsureModel::operator=(const EnsureModel& other72) {
@@ -2514,6 +2533,7 @@
   remaining_ms = other72.remaining_ms;
   keep_alive_ms = other72.keep_alive_ms;
   evict = other72.evict;
+  engine_instance = other72.engine_instance;
   __isset = other72.__isset;
   return *this;
 }
@@ -2524,6 +2544,7 @@
   remaining_ms = other73.remaining_ms;
   keep_alive_ms = other73.keep_alive_ms;
   evict = std::move(other73.evict);
+  engine_instance = std::move(other73.engine_instance);
   __isset = other73.__isset;
   return *this;
 }
@@ -2536,6 +2557,7 @@
   out << ", " << "remaining_ms=" << to_string(remaining_ms);
   out << ", " << "keep_alive_ms=" << to_string(keep_alive_ms);
   out << ", " << "evict=" << to_string(evict);
+  out << ", " << "engine_instance=" << to_string(engine_instance);
   out << ")";
 }
 
@@ -2690,6 +2712,10 @@
 void ReplicaReport::__set_bytes(const int64_t val) {
   this->bytes = val;
 }
+
+void ReplicaReport::__set_demand_per_1000_s(const int64_t val) {
+  this->demand_per_1000_s = val;
+}
 std::ostream& operator<<(std::ostream& out, const ReplicaReport& obj)
 {
   obj.printTo(out);
@@ -2780,6 +2806,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demand_per_1000_s);
+          this->__isset.demand_per_1000_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2829,6 +2863,10 @@
   xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("demand_per_1000_s", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->demand_per_1000_s);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2842,6 +2880,7 @@
   swap(a.idle_ms, b.idle_ms);
   swap(a.adapters, b.adapters);
   swap(a.bytes, b.bytes);
+  swap(a.demand_per_1000_s, b.demand_per_1000_s);
   swap(a.__isset, b.__isset);
 }
 
@@ -2852,6 +2891,7 @@
   idle_ms = other85.idle_ms;
   adapters = other85.adapters;
   bytes = other85.bytes;
+  demand_per_1000_s = other85.demand_per_1000_s;
   __isset = other85.__isset;
 }
 ReplicaReport::ReplicaReport(ReplicaReport&& other86) noexcept {
@@ -2861,6 +2901,7 @@
   idle_ms = other86.idle_ms;
   adapters = std::move(other86.adapters);
   bytes = other86.bytes;
+  demand_per_1000_s = other86.demand_per_1000_s;
   __isset = other86.__isset;
 }
 ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other87) {
@@ -2870,6 +2911,7 @@
   idle_ms = other87.idle_ms;
   adapters = other87.adapters;
   bytes = other87.bytes;
+  demand_per_1000_s = other87.demand_per_1000_s;
   __isset = other87.__isset;
   return *this;
 }
@@ -2880,6 +2922,7 @@
   idle_ms = other88.idle_ms;
   adapters = std::move(other88.adapters);
   bytes = other88.bytes;
+  demand_per_1000_s = other88.demand_per_1000_s;
   __isset = other88.__isset;
   return *this;
 }
@@ -2892,6 +2935,7 @@
   out << ", " << "idle_ms=" << to_string(idle_ms);
   out << ", " << "adapters=" << to_string(adapters);
   out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "demand_per_1000_s=" << to_string(demand_per_1000_s);
   out << ")";
 }
 
@@ -3026,6 +3070,38 @@
 void EndpointReport::__set_engine_up(const bool val) {
   this->engine_up = val;
 }
+
+void EndpointReport::__set_order_count(const int64_t val) {
+  this->order_count = val;
+}
+
+void EndpointReport::__set_loading_model(const std::string& val) {
+  this->loading_model = val;
+}
+
+void EndpointReport::__set_loading_left_ms(const int64_t val) {
+  this->loading_left_ms = val;
+}
+
+void EndpointReport::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void EndpointReport::__set_kv_tokens_used(const int64_t val) {
+  this->kv_tokens_used = val;
+}
+
+void EndpointReport::__set_kv_tokens_total(const int64_t val) {
+  this->kv_tokens_total = val;
+}
+
+void EndpointReport::__set_entries(const int32_t val) {
+  this->entries = val;
+}
+
+void EndpointReport::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -3194,6 +3270,70 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order_count);
+          this->__isset.order_count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->loading_model);
+          this->__isset.loading_model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->loading_left_ms);
+          this->__isset.loading_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kv_tokens_used);
+          this->__isset.kv_tokens_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kv_tokens_total);
+          this->__isset.kv_tokens_total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine_instance);
+          this->__isset.engine_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3287,6 +3427,38 @@
   xfer += oprot->writeBool(this->engine_up);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("order_count", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->order_count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loading_model", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->loading_model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loading_left_ms", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->loading_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kv_tokens_used", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->kv_tokens_used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kv_tokens_total", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->kv_tokens_total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 21);
+  xfer += oprot->writeString(this->engine_instance);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3307,6 +3479,14 @@
   swap(a.memory_tier, b.memory_tier);
   swap(a.disk_tier, b.disk_tier);
   swap(a.engine_up, b.engine_up);
+  swap(a.order_count, b.order_count);
+  swap(a.loading_model, b.loading_model);
+  swap(a.loading_left_ms, b.loading_left_ms);
+  swap(a.waiting, b.waiting);
+  swap(a.kv_tokens_used, b.kv_tokens_used);
+  swap(a.kv_tokens_total, b.kv_tokens_total);
+  swap(a.entries, b.entries);
+  swap(a.engine_instance, b.engine_instance);
   swap(a.__isset, b.__isset);
 }
 
@@ -3324,6 +3504,14 @@
   memory_tier = other111.memory_tier;
   disk_tier = other111.disk_tier;
   engine_up = other111.engine_up;
+  order_count = other111.order_count;
+  loading_model = other111.loading_model;
+  loading_left_ms = other111.loading_left_ms;
+  waiting = other111.waiting;
+  kv_tokens_used = other111.kv_tokens_used;
+  kv_tokens_total = other111.kv_tokens_total;
+  entries = other111.entries;
+  engine_instance = other111.engine_instance;
   __isset = other111.__isset;
 }
 EndpointReport::EndpointReport(EndpointReport&& other112) noexcept {
@@ -3340,6 +3528,14 @@
   memory_tier = std::move(other112.memory_tier);
   disk_tier = std::move(other112.disk_tier);
   engine_up = other112.engine_up;
+  order_count = other112.order_count;
+  loading_model = std::move(other112.loading_model);
+  loading_left_ms = other112.loading_left_ms;
+  waiting = other112.waiting;
+  kv_tokens_used = other112.kv_tokens_used;
+  kv_tokens_total = other112.kv_tokens_total;
+  entries = other112.entries;
+  engine_instance = std::move(other112.engine_instance);
   __isset = other112.__isset;
 }
 EndpointReport& EndpointReport::operator=(const EndpointReport& other113) {
@@ -3356,6 +3552,14 @@
   memory_tier = other113.memory_tier;
   disk_tier = other113.disk_tier;
   engine_up = other113.engine_up;
+  order_count = other113.order_count;
+  loading_model = other113.loading_model;
+  loading_left_ms = other113.loading_left_ms;
+  waiting = other113.waiting;
+  kv_tokens_used = other113.kv_tokens_used;
+  kv_tokens_total = other113.kv_tokens_total;
+  entries = other113.entries;
+  engine_instance = other113.engine_instance;
   __isset = other113.__isset;
   return *this;
 }
@@ -3373,6 +3577,14 @@
   memory_tier = std::move(other114.memory_tier);
   disk_tier = std::move(other114.disk_tier);
   engine_up = other114.engine_up;
+  order_count = other114.order_count;
+  loading_model = std::move(other114.loading_model);
+  loading_left_ms = other114.loading_left_ms;
+  waiting = other114.waiting;
+  kv_tokens_used = other114.kv_tokens_used;
+  kv_tokens_total = other114.kv_tokens_total;
+  entries = other114.entries;
+  engine_instance = std::move(other114.engine_instance);
   __isset = other114.__isset;
   return *this;
 }
@@ -3392,6 +3604,302 @@
   out << ", " << "memory_tier=" << to_string(memory_tier);
   out << ", " << "disk_tier=" << to_string(disk_tier);
   out << ", " << "engine_up=" << to_string(engine_up);
+  out << ", " << "order_count=" << to_string(order_count);
+  out << ", " << "loading_model=" << to_string(loading_model);
+  out << ", " << "loading_left_ms=" << to_string(loading_left_ms);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "kv_tokens_used=" << to_string(kv_tokens_used);
+  out << ", " << "kv_tokens_total=" << to_string(kv_tokens_total);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "engine_instance=" << to_string(engine_instance);
+  out << ")";
+}
+
+
+ModelUsage::~ModelUsage() noexcept {
+}
+
+
+void ModelUsage::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void ModelUsage::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void ModelUsage::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void ModelUsage::__set_begun(const int64_t val) {
+  this->begun = val;
+}
+std::ostream& operator<<(std::ostream& out, const ModelUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ModelUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ModelUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ModelUsage");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ModelUsage &a, ModelUsage &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.adapter, b.adapter);
+  swap(a.running, b.running);
+  swap(a.begun, b.begun);
+  swap(a.__isset, b.__isset);
+}
+
+ModelUsage::ModelUsage(const ModelUsage& other115) {
+  model = other115.model;
+  adapter = other115.adapter;
+  running = other115.running;
+  begun = other115.begun;
+  __isset = other115.__isset;
+}
+ModelUsage::ModelUsage(ModelUsage&& other116) noexcept {
+  model = std::move(other116.model);
+  adapter = std::move(other116.adapter);
+  running = other116.running;
+  begun = other116.begun;
+  __isset = other116.__isset;
+}
+ModelUsage& ModelUsage::operator=(const ModelUsage& other117) {
+  model = other117.model;
+  adapter = other117.adapter;
+  running = other117.running;
+  begun = other117.begun;
+  __isset = other117.__isset;
+  return *this;
+}
+ModelUsage& ModelUsage::operator=(ModelUsage&& other118) noexcept {
+  model = std::move(other118.model);
+  adapter = std::move(other118.adapter);
+  running = other118.running;
+  begun = other118.begun;
+  __isset = other118.__isset;
+  return *this;
+}
+void ModelUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ModelUsage(";
+  out << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "begun=" << to_string(begun);
+  out << ")";
+}
+
+
+UsageReport::~UsageReport() noexcept {
+}
+
+
+void UsageReport::__set_models(const std::vector<ModelUsage> & val) {
+  this->models = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->models.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->models[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageReport");
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
+    std::vector<ModelUsage> ::const_iterator _iter124;
+    for (_iter124 = this->models.begin(); _iter124 != this->models.end(); ++_iter124)
+    {
+      xfer += (*_iter124).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageReport &a, UsageReport &b) {
+  using ::std::swap;
+  swap(a.models, b.models);
+  swap(a.__isset, b.__isset);
+}
+
+UsageReport::UsageReport(const UsageReport& other125) {
+  models = other125.models;
+  __isset = other125.__isset;
+}
+UsageReport::UsageReport(UsageReport&& other126) noexcept {
+  models = std::move(other126.models);
+  __isset = other126.__isset;
+}
+UsageReport& UsageReport::operator=(const UsageReport& other127) {
+  models = other127.models;
+  __isset = other127.__isset;
+  return *this;
+}
+UsageReport& UsageReport::operator=(UsageReport&& other128) noexcept {
+  models = std::move(other128.models);
+  __isset = other128.__isset;
+  return *this;
+}
+void UsageReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageReport(";
+  out << "models=" << to_string(models);
   out << ")";
 }
 
@@ -3450,18 +3958,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other115) noexcept {
-  (void) other115;
+Drain::Drain(const Drain& other129) noexcept {
+  (void) other129;
 }
-Drain::Drain(Drain&& other116) noexcept {
-  (void) other116;
+Drain::Drain(Drain&& other130) noexcept {
+  (void) other130;
 }
-Drain& Drain::operator=(const Drain& other117) noexcept {
-  (void) other117;
+Drain& Drain::operator=(const Drain& other131) noexcept {
+  (void) other131;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other118) noexcept {
-  (void) other118;
+Drain& Drain::operator=(Drain&& other132) noexcept {
+  (void) other132;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -3546,22 +4054,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other119) noexcept {
-  running = other119.running;
-  __isset = other119.__isset;
+DrainState::DrainState(const DrainState& other133) noexcept {
+  running = other133.running;
+  __isset = other133.__isset;
 }
-DrainState::DrainState(DrainState&& other120) noexcept {
-  running = other120.running;
-  __isset = other120.__isset;
+DrainState::DrainState(DrainState&& other134) noexcept {
+  running = other134.running;
+  __isset = other134.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other121) noexcept {
-  running = other121.running;
-  __isset = other121.__isset;
+DrainState& DrainState::operator=(const DrainState& other135) noexcept {
+  running = other135.running;
+  __isset = other135.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other122) noexcept {
-  running = other122.running;
-  __isset = other122.__isset;
+DrainState& DrainState::operator=(DrainState&& other136) noexcept {
+  running = other136.running;
+  __isset = other136.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -3623,14 +4131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->have_parts.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->have_parts.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += iprot->readString(this->have_parts[_i127]);
+              xfer += iprot->readString(this->have_parts[_i141]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3663,10 +4171,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter128;
-    for (_iter128 = this->have_parts.begin(); _iter128 != this->have_parts.end(); ++_iter128)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->have_parts.begin(); _iter142 != this->have_parts.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter128));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3684,26 +4192,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other129) {
-  have_version = other129.have_version;
-  have_parts = other129.have_parts;
-  __isset = other129.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other143) {
+  have_version = other143.have_version;
+  have_parts = other143.have_parts;
+  __isset = other143.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other130) noexcept {
-  have_version = other130.have_version;
-  have_parts = std::move(other130.have_parts);
-  __isset = other130.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other144) noexcept {
+  have_version = other144.have_version;
+  have_parts = std::move(other144.have_parts);
+  __isset = other144.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other131) {
-  have_version = other131.have_version;
-  have_parts = other131.have_parts;
-  __isset = other131.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other145) {
+  have_version = other145.have_version;
+  have_parts = other145.have_parts;
+  __isset = other145.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other132) noexcept {
-  have_version = other132.have_version;
-  have_parts = std::move(other132.have_parts);
-  __isset = other132.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other146) noexcept {
+  have_version = other146.have_version;
+  have_parts = std::move(other146.have_parts);
+  __isset = other146.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -3807,26 +4315,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other133) {
-  hash = other133.hash;
-  data = other133.data;
-  __isset = other133.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other147) {
+  hash = other147.hash;
+  data = other147.data;
+  __isset = other147.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other134) noexcept {
-  hash = std::move(other134.hash);
-  data = std::move(other134.data);
-  __isset = other134.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other148) noexcept {
+  hash = std::move(other148.hash);
+  data = std::move(other148.data);
+  __isset = other148.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other135) {
-  hash = other135.hash;
-  data = other135.data;
-  __isset = other135.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other149) {
+  hash = other149.hash;
+  data = other149.data;
+  __isset = other149.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other136) noexcept {
-  hash = std::move(other136.hash);
-  data = std::move(other136.data);
-  __isset = other136.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other150) noexcept {
+  hash = std::move(other150.hash);
+  data = std::move(other150.data);
+  __isset = other150.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -3905,14 +4413,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->part_hashes.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->part_hashes.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readString(this->part_hashes[_i141]);
+              xfer += iprot->readString(this->part_hashes[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3925,14 +4433,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->parts.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->parts.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->parts[_i146].read(iprot);
+              xfer += this->parts[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3969,10 +4477,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter147;
-    for (_iter147 = this->part_hashes.begin(); _iter147 != this->part_hashes.end(); ++_iter147)
+    std::vector<std::string> ::const_iterator _iter161;
+    for (_iter161 = this->part_hashes.begin(); _iter161 != this->part_hashes.end(); ++_iter161)
     {
-      xfer += oprot->writeString((*_iter147));
+      xfer += oprot->writeString((*_iter161));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3981,10 +4489,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter148;
-    for (_iter148 = this->parts.begin(); _iter148 != this->parts.end(); ++_iter148)
+    std::vector<ConfigPart> ::const_iterator _iter162;
+    for (_iter162 = this->parts.begin(); _iter162 != this->parts.end(); ++_iter162)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4004,34 +4512,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other149) {
-  version = other149.version;
-  plan_id = other149.plan_id;
-  part_hashes = other149.part_hashes;
-  parts = other149.parts;
-  __isset = other149.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other150) noexcept {
-  version = other150.version;
-  plan_id = std::move(other150.plan_id);
-  part_hashes = std::move(other150.part_hashes);
-  parts = std::move(other150.parts);
-  __isset = other150.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other151) {
-  version = other151.version;
-  plan_id = other151.plan_id;
-  part_hashes = other151.part_hashes;
-  parts = other151.parts;
-  __isset = other151.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other163) {
+  version = other163.version;
+  plan_id = other163.plan_id;
+  part_hashes = other163.part_hashes;
+  parts = other163.parts;
+  __isset = other163.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other164) noexcept {
+  version = other164.version;
+  plan_id = std::move(other164.plan_id);
+  part_hashes = std::move(other164.part_hashes);
+  parts = std::move(other164.parts);
+  __isset = other164.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other165) {
+  version = other165.version;
+  plan_id = other165.plan_id;
+  part_hashes = other165.part_hashes;
+  parts = other165.parts;
+  __isset = other165.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other152) noexcept {
-  version = other152.version;
-  plan_id = std::move(other152.plan_id);
-  part_hashes = std::move(other152.part_hashes);
-  parts = std::move(other152.parts);
-  __isset = other152.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other166) noexcept {
+  version = other166.version;
+  plan_id = std::move(other166.plan_id);
+  part_hashes = std::move(other166.part_hashes);
+  parts = std::move(other166.parts);
+  __isset = other166.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -4158,6 +4666,11 @@
   this->config_parts = val;
 __isset.config_parts = true;
 }
+
+void Message::__set_usage_report(const UsageReport& val) {
+  this->usage_report = val;
+__isset.usage_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -4362,6 +4875,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->usage_report.read(iprot);
+          this->__isset.usage_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4489,6 +5010,11 @@
     xfer += this->config_parts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usage_report) {
+    xfer += oprot->writeFieldBegin("usage_report", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->usage_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4518,109 +5044,114 @@
   swap(a.drain_state, b.drain_state);
   swap(a.config_pull, b.config_pull);
   swap(a.config_parts, b.config_parts);
+  swap(a.usage_report, b.usage_report);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other153) {
-  hello = other153.hello;
-  heartbeat = other153.heartbeat;
-  credit = other153.credit;
-  cancel = other153.cancel;
-  refusal = other153.refusal;
-  place = other153.place;
-  placed = other153.placed;
-  place_done = other153.place_done;
-  run = other153.run;
-  run_head = other153.run_head;
-  chunk = other153.chunk;
-  run_end = other153.run_end;
-  void_attempt = other153.void_attempt;
-  attempt_state = other153.attempt_state;
-  ensure_model = other153.ensure_model;
-  model_ready = other153.model_ready;
-  subscribe = other153.subscribe;
-  endpoint_report = other153.endpoint_report;
-  drain = other153.drain;
-  drain_state = other153.drain_state;
-  config_pull = other153.config_pull;
-  config_parts = other153.config_parts;
-  __isset = other153.__isset;
-}
-Message::Message(Message&& other154) noexcept {
-  hello = std::move(other154.hello);
-  heartbeat = std::move(other154.heartbeat);
-  credit = std::move(other154.credit);
-  cancel = std::move(other154.cancel);
-  refusal = std::move(other154.refusal);
-  place = std::move(other154.place);
-  placed = std::move(other154.placed);
-  place_done = std::move(other154.place_done);
-  run = std::move(other154.run);
-  run_head = std::move(other154.run_head);
-  chunk = std::move(other154.chunk);
-  run_end = std::move(other154.run_end);
-  void_attempt = std::move(other154.void_attempt);
-  attempt_state = std::move(other154.attempt_state);
-  ensure_model = std::move(other154.ensure_model);
-  model_ready = std::move(other154.model_ready);
-  subscribe = std::move(other154.subscribe);
-  endpoint_report = std::move(other154.endpoint_report);
-  drain = std::move(other154.drain);
-  drain_state = std::move(other154.drain_state);
-  config_pull = std::move(other154.config_pull);
-  config_parts = std::move(other154.config_parts);
-  __isset = other154.__isset;
-}
-Message& Message::operator=(const Message& other155) {
-  hello = other155.hello;
-  heartbeat = other155.heartbeat;
-  credit = other155.credit;
-  cancel = other155.cancel;
-  refusal = other155.refusal;
-  place = other155.place;
-  placed = other155.placed;
-  place_done = other155.place_done;
-  run = other155.run;
-  run_head = other155.run_head;
-  chunk = other155.chunk;
-  run_end = other155.run_end;
-  void_attempt = other155.void_attempt;
-  attempt_state = other155.attempt_state;
-  ensure_model = other155.ensure_model;
-  model_ready = other155.model_ready;
-  subscribe = other155.subscribe;
-  endpoint_report = other155.endpoint_report;
-  drain = other155.drain;
-  drain_state = other155.drain_state;
-  config_pull = other155.config_pull;
-  config_parts = other155.config_parts;
-  __isset = other155.__isset;
+Message::Message(const Message& other167) {
+  hello = other167.hello;
+  heartbeat = other167.heartbeat;
+  credit = other167.credit;
+  cancel = other167.cancel;
+  refusal = other167.refusal;
+  place = other167.place;
+  placed = other167.placed;
+  place_done = other167.place_done;
+  run = other167.run;
+  run_head = other167.run_head;
+  chunk = other167.chunk;
+  run_end = other167.run_end;
+  void_attempt = other167.void_attempt;
+  attempt_state = other167.attempt_state;
+  ensure_model = other167.ensure_model;
+  model_ready = other167.model_ready;
+  subscribe = other167.subscribe;
+  endpoint_report = other167.endpoint_report;
+  drain = other167.drain;
+  drain_state = other167.drain_state;
+  config_pull = other167.config_pull;
+  config_parts = other167.config_parts;
+  usage_report = other167.usage_report;
+  __isset = other167.__isset;
+}
+Message::Message(Message&& other168) noexcept {
+  hello = std::move(other168.hello);
+  heartbeat = std::move(other168.heartbeat);
+  credit = std::move(other168.credit);
+  cancel = std::move(other168.cancel);
+  refusal = std::move(other168.refusal);
+  place = std::move(other168.place);
+  placed = std::move(other168.placed);
+  place_done = std::move(other168.place_done);
+  run = std::move(other168.run);
+  run_head = std::move(other168.run_head);
+  chunk = std::move(other168.chunk);
+  run_end = std::move(other168.run_end);
+  void_attempt = std::move(other168.void_attempt);
+  attempt_state = std::move(other168.attempt_state);
+  ensure_model = std::move(other168.ensure_model);
+  model_ready = std::move(other168.model_ready);
+  subscribe = std::move(other168.subscribe);
+  endpoint_report = std::move(other168.endpoint_report);
+  drain = std::move(other168.drain);
+  drain_state = std::move(other168.drain_state);
+  config_pull = std::move(other168.config_pull);
+  config_parts = std::move(other168.config_parts);
+  usage_report = std::move(other168.usage_report);
+  __isset = other168.__isset;
+}
+Message& Message::operator=(const Message& other169) {
+  hello = other169.hello;
+  heartbeat = other169.heartbeat;
+  credit = other169.credit;
+  cancel = other169.cancel;
+  refusal = other169.refusal;
+  place = other169.place;
+  placed = other169.placed;
+  place_done = other169.place_done;
+  run = other169.run;
+  run_head = other169.run_head;
+  chunk = other169.chunk;
+  run_end = other169.run_end;
+  void_attempt = other169.void_attempt;
+  attempt_state = other169.attempt_state;
+  ensure_model = other169.ensure_model;
+  model_ready = other169.model_ready;
+  subscribe = other169.subscribe;
+  endpoint_report = other169.endpoint_report;
+  drain = other169.drain;
+  drain_state = other169.drain_state;
+  config_pull = other169.config_pull;
+  config_parts = other169.config_parts;
+  usage_report = other169.usage_report;
+  __isset = other169.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other156) noexcept {
-  hello = std::move(other156.hello);
-  heartbeat = std::move(other156.heartbeat);
-  credit = std::move(other156.credit);
-  cancel = std::move(other156.cancel);
-  refusal = std::move(other156.refusal);
-  place = std::move(other156.place);
-  placed = std::move(other156.placed);
-  place_done = std::move(other156.place_done);
-  run = std::move(other156.run);
-  run_head = std::move(other156.run_head);
-  chunk = std::move(other156.chunk);
-  run_end = std::move(other156.run_end);
-  void_attempt = std::move(other156.void_attempt);
-  attempt_state = std::move(other156.attempt_state);
-  ensure_model = std::move(other156.ensure_model);
-  model_ready = std::move(other156.model_ready);
-  subscribe = std::move(other156.subscribe);
-  endpoint_report = std::move(other156.endpoint_report);
-  drain = std::move(other156.drain);
-  drain_state = std::move(other156.drain_state);
-  config_pull = std::move(other156.config_pull);
-  config_parts = std::move(other156.config_parts);
-  __isset = other156.__isset;
+Message& Message::operator=(Message&& other170) noexcept {
+  hello = std::move(other170.hello);
+  heartbeat = std::move(other170.heartbeat);
+  credit = std::move(other170.credit);
+  cancel = std::move(other170.cancel);
+  refusal = std::move(other170.refusal);
+  place = std::move(other170.place);
+  placed = std::move(other170.placed);
+  place_done = std::move(other170.place_done);
+  run = std::move(other170.run);
+  run_head = std::move(other170.run_head);
+  chunk = std::move(other170.chunk);
+  run_end = std::move(other170.run_end);
+  void_attempt = std::move(other170.void_attempt);
+  attempt_state = std::move(other170.attempt_state);
+  ensure_model = std::move(other170.ensure_model);
+  model_ready = std::move(other170.model_ready);
+  subscribe = std::move(other170.subscribe);
+  endpoint_report = std::move(other170.endpoint_report);
+  drain = std::move(other170.drain);
+  drain_state = std::move(other170.drain_state);
+  config_pull = std::move(other170.config_pull);
+  config_parts = std::move(other170.config_parts);
+  usage_report = std::move(other170.usage_report);
+  __isset = other170.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -4648,6 +5179,7 @@
   out << ", " << "drain_state="; (__isset.drain_state ? (out << to_string(drain_state)) : (out << "<null>"));
   out << ", " << "config_pull="; (__isset.config_pull ? (out << to_string(config_pull)) : (out << "<null>"));
   out << ", " << "config_parts="; (__isset.config_parts ? (out << to_string(config_parts)) : (out << "<null>"));
+  out << ", " << "usage_report="; (__isset.usage_report ? (out << to_string(usage_report)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4778,34 +5310,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other157) {
-  call = other157.call;
-  from_opener = other157.from_opener;
-  config_version = other157.config_version;
-  message = other157.message;
-  __isset = other157.__isset;
-}
-Frame::Frame(Frame&& other158) noexcept {
-  call = other158.call;
-  from_opener = other158.from_opener;
-  config_version = other158.config_version;
-  message = std::move(other158.message);
-  __isset = other158.__isset;
-}
-Frame& Frame::operator=(const Frame& other159) {
-  call = other159.call;
-  from_opener = other159.from_opener;
-  config_version = other159.config_version;
-  message = other159.message;
-  __isset = other159.__isset;
+Frame::Frame(const Frame& other171) {
+  call = other171.call;
+  from_opener = other171.from_opener;
+  config_version = other171.config_version;
+  message = other171.message;
+  __isset = other171.__isset;
+}
+Frame::Frame(Frame&& other172) noexcept {
+  call = other172.call;
+  from_opener = other172.from_opener;
+  config_version = other172.config_version;
+  message = std::move(other172.message);
+  __isset = other172.__isset;
+}
+Frame& Frame::operator=(const Frame& other173) {
+  call = other173.call;
+  from_opener = other173.from_opener;
+  config_version = other173.config_version;
+  message = other173.message;
+  __isset = other173.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other160) noexcept {
-  call = other160.call;
-  from_opener = other160.from_opener;
-  config_version = other160.config_version;
-  message = std::move(other160.message);
-  __isset = other160.__isset;
+Frame& Frame::operator=(Frame&& other174) noexcept {
+  call = other174.call;
+  from_opener = other174.from_opener;
+  config_version = other174.config_version;
+  message = std::move(other174.message);
+  __isset = other174.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -102,6 +102,10 @@
 
 class EndpointReport;
 
+class ModelUsage;
+
+class UsageReport;
+
 class Drain;
 
 class DrainState;
@@ -989,13 +993,14 @@
 std::ostream& operator<<(std::ostream& out, const AttemptState& obj);
 
 typedef struct _EnsureModel__isset {
-  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(true), evict(false) {}
+  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(true), evict(false), engine_instance(false) {}
   bool service_id :1;
   bool model :1;
   bool adapter :1;
   bool remaining_ms :1;
   bool keep_alive_ms :1;
   bool evict :1;
+  bool engine_instance :1;
 } _EnsureModel__isset;
 
 class EnsureModel : public virtual ::apache::thrift::TBase {
@@ -1010,7 +1015,8 @@
                 model(),
                 adapter(),
                 remaining_ms(0),
-                keep_alive_ms(-1LL) {
+                keep_alive_ms(-1LL),
+                engine_instance() {
   }
 
   virtual ~EnsureModel() noexcept;
@@ -1020,6 +1026,7 @@
   int64_t remaining_ms;
   int64_t keep_alive_ms;
   std::vector<std::string>  evict;
+  std::string engine_instance;
 
   _EnsureModel__isset __isset;
 
@@ -1035,6 +1042,8 @@
 
   void __set_evict(const std::vector<std::string> & val);
 
+  void __set_engine_instance(const std::string& val);
+
   bool operator == (const EnsureModel & rhs) const
   {
     if (!(service_id == rhs.service_id))
@@ -1049,6 +1058,8 @@
       return false;
     if (!(evict == rhs.evict))
       return false;
+    if (!(engine_instance == rhs.engine_instance))
+      return false;
     return true;
   }
   bool operator != (const EnsureModel &rhs) const {
@@ -1120,13 +1131,14 @@
 std::ostream& operator<<(std::ostream& out, const ModelReady& obj);
 
 typedef struct _ReplicaReport__isset {
-  _ReplicaReport__isset() : model(false), state(false), running(false), idle_ms(false), adapters(false), bytes(false) {}
+  _ReplicaReport__isset() : model(false), state(false), running(false), idle_ms(false), adapters(false), bytes(false), demand_per_1000_s(false) {}
   bool model :1;
   bool state :1;
   bool running :1;
   bool idle_ms :1;
   bool adapters :1;
   bool bytes :1;
+  bool demand_per_1000_s :1;
 } _ReplicaReport__isset;
 
 class ReplicaReport : public virtual ::apache::thrift::TBase {
@@ -1141,7 +1153,8 @@
                   state(static_cast<ReplicaState::type>(0)),
                   running(0),
                   idle_ms(0),
-                  bytes(0) {
+                  bytes(0),
+                  demand_per_1000_s(0) {
   }
 
   virtual ~ReplicaReport() noexcept;
@@ -1155,6 +1168,7 @@
   int64_t idle_ms;
   std::vector<std::string>  adapters;
   int64_t bytes;
+  int64_t demand_per_1000_s;
 
   _ReplicaReport__isset __isset;
 
@@ -1170,6 +1184,8 @@
 
   void __set_bytes(const int64_t val);
 
+  void __set_demand_per_1000_s(const int64_t val);
+
   bool operator == (const ReplicaReport & rhs) const
   {
     if (!(model == rhs.model))
@@ -1184,6 +1200,8 @@
       return false;
     if (!(bytes == rhs.bytes))
       return false;
+    if (!(demand_per_1000_s == rhs.demand_per_1000_s))
+      return false;
     return true;
   }
   bool operator != (const ReplicaReport &rhs) const {
@@ -1236,7 +1254,7 @@
 std::ostream& operator<<(std::ostream& out, const Subscribe& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false) {}
+  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false), order_count(false), loading_model(false), loading_left_ms(false), waiting(false), kv_tokens_used(false), kv_tokens_total(false), entries(false), engine_instance(false) {}
   bool endpoint :1;
   bool zone :1;
   bool incarnation :1;
@@ -1250,6 +1268,14 @@
   bool memory_tier :1;
   bool disk_tier :1;
   bool engine_up :1;
+  bool order_count :1;
+  bool loading_model :1;
+  bool loading_left_ms :1;
+  bool waiting :1;
+  bool kv_tokens_used :1;
+  bool kv_tokens_total :1;
+  bool entries :1;
+  bool engine_instance :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -1269,7 +1295,15 @@
                    reserved_bytes(0),
                    running(0),
                    max_running(0),
-                   engine_up(0) {
+                   engine_up(0),
+                   order_count(0),
+                   loading_model(),
+                   loading_left_ms(0),
+                   waiting(0),
+                   kv_tokens_used(0),
+                   kv_tokens_total(0),
+                   entries(0),
+                   engine_instance() {
   }
 
   virtual ~EndpointReport() noexcept;
@@ -1286,6 +1320,14 @@
   std::vector<std::string>  memory_tier;
   std::vector<std::string>  disk_tier;
   bool engine_up;
+  int64_t order_count;
+  std::string loading_model;
+  int64_t loading_left_ms;
+  int32_t waiting;
+  int64_t kv_tokens_used;
+  int64_t kv_tokens_total;
+  int32_t entries;
+  std::string engine_instance;
 
   _EndpointReport__isset __isset;
 
@@ -1315,6 +1357,22 @@
 
   void __set_engine_up(const bool val);
 
+  void __set_order_count(const int64_t val);
+
+  void __set_loading_model(const std::string& val);
+
+  void __set_loading_left_ms(const int64_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_kv_tokens_used(const int64_t val);
+
+  void __set_kv_tokens_total(const int64_t val);
+
+  void __set_entries(const int32_t val);
+
+  void __set_engine_instance(const std::string& val);
+
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -1343,6 +1401,22 @@
       return false;
     if (!(engine_up == rhs.engine_up))
       return false;
+    if (!(order_count == rhs.order_count))
+      return false;
+    if (!(loading_model == rhs.loading_model))
+      return false;
+    if (!(loading_left_ms == rhs.loading_left_ms))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(kv_tokens_used == rhs.kv_tokens_used))
+      return false;
+    if (!(kv_tokens_total == rhs.kv_tokens_total))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(engine_instance == rhs.engine_instance))
+      return false;
     return true;
   }
   bool operator != (const EndpointReport &rhs) const {
@@ -1361,6 +1435,116 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
 
+typedef struct _ModelUsage__isset {
+  _ModelUsage__isset() : model(false), adapter(false), running(false), begun(false) {}
+  bool model :1;
+  bool adapter :1;
+  bool running :1;
+  bool begun :1;
+} _ModelUsage__isset;
+
+class ModelUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  ModelUsage(const ModelUsage&);
+  ModelUsage(ModelUsage&&) noexcept;
+  ModelUsage& operator=(const ModelUsage&);
+  ModelUsage& operator=(ModelUsage&&) noexcept;
+  ModelUsage() noexcept
+             : model(),
+               adapter(),
+               running(0),
+               begun(0) {
+  }
+
+  virtual ~ModelUsage() noexcept;
+  std::string model;
+  std::string adapter;
+  int32_t running;
+  int64_t begun;
+
+  _ModelUsage__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_adapter(const std::string& val);
+
+  void __set_running(const int32_t val);
+
+  void __set_begun(const int64_t val);
+
+  bool operator == (const ModelUsage & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    return true;
+  }
+  bool operator != (const ModelUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ModelUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ModelUsage &a, ModelUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const ModelUsage& obj);
+
+typedef struct _UsageReport__isset {
+  _UsageReport__isset() : models(false) {}
+  bool models :1;
+} _UsageReport__isset;
+
+class UsageReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageReport(const UsageReport&);
+  UsageReport(UsageReport&&) noexcept;
+  UsageReport& operator=(const UsageReport&);
+  UsageReport& operator=(UsageReport&&) noexcept;
+  UsageReport() noexcept {
+  }
+
+  virtual ~UsageReport() noexcept;
+  std::vector<ModelUsage>  models;
+
+  _UsageReport__isset __isset;
+
+  void __set_models(const std::vector<ModelUsage> & val);
+
+  bool operator == (const UsageReport & rhs) const
+  {
+    if (!(models == rhs.models))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageReport &a, UsageReport &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageReport& obj);
+
 
 class Drain : public virtual ::apache::thrift::TBase {
  public:
@@ -1607,7 +1791,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigParts& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false) {}
+  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false), usage_report(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool credit :1;
@@ -1630,6 +1814,7 @@
   bool drain_state :1;
   bool config_pull :1;
   bool config_parts :1;
+  bool usage_report :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1665,6 +1850,7 @@
   DrainState drain_state;
   ConfigPull config_pull;
   ConfigParts config_parts;
+  UsageReport usage_report;
 
   _Message__isset __isset;
 
@@ -1712,6 +1898,8 @@
 
   void __set_config_parts(const ConfigParts& val);
 
+  void __set_usage_report(const UsageReport& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1802,6 +1990,10 @@
       return false;
     else if (__isset.config_parts && !(config_parts == rhs.config_parts))
       return false;
+    if (__isset.usage_report != rhs.__isset.usage_report)
+      return false;
+    else if (__isset.usage_report && !(usage_report == rhs.usage_report))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -119,6 +119,8 @@
   5: i64 keep_alive_ms = -1
   // Idle models the home allows this endpoint to unload to make room.
   6: list<string> evict
+  // The start of the engine that is meant: the order is void for another one.
+  7: string engine_instance
 }
 struct ModelReady { 1: string model, 2: string adapter }
 
@@ -132,6 +134,8 @@
   5: list<string> adapters
   // Weights, adapters and KV cache budget together.
   6: i64 bytes
+  // Requests for the model that began here lately, per 1000 seconds.
+  7: i64 demand_per_1000_s
 }
 
 // Opened by each entry towards each endpoint; the endpoint sends an
@@ -154,8 +158,33 @@
   11: list<string> memory_tier
   12: list<string> disk_tier
   13: bool engine_up
+  // Orders that the engine has accepted since its start.
+  14: i64 order_count
+  // The model being loaded, and when the load is expected to end.
+  15: string loading_model
+  16: i64 loading_left_ms
+  // Requests that wait inside the engine, tokens in use and at most.
+  17: i32 waiting
+  18: i64 kv_tokens_used
+  19: i64 kv_tokens_total
+  // Entries that follow this endpoint: how many share what all share.
+  20: i32 entries
+  // The start of the engine that this report is about, as far as known.
+  21: string engine_instance
 }
 
+// Entry to endpoint, on the call that Subscribe opened: what this entry sends
+// to the engine, so that nothing in use is unloaded.
+struct ModelUsage {
+  1: string model
+  2: string adapter
+  // Requests in progress now.
+  3: i32 running
+  // Requests begun since the entry started.
+  4: i64 begun
+}
+struct UsageReport { 1: list<ModelUsage> models }
+
 // Operators' drain of one endpoint. Answered by DrainState.
 struct Drain {}
 struct DrainState { 1: i32 running }
@@ -196,6 +225,7 @@
   20: optional DrainState drain_state
   21: optional ConfigPull config_pull
   22: optional ConfigParts config_parts
+  23: optional UsageReport usage_report
 }
 
 struct Frame {
--- a/src/core/address.cc
+++ b/src/core/address.cc
@@ -1,4 +1,8 @@
 /** @file address.cc "ip:port" texts and listening sockets. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cstdio>
@@ -64,6 +68,24 @@
   return shown + ":" + std::to_string(local.port());
 }
 
+void NoticeDeadPeer(boost::asio::ip::tcp::socket& socket) {
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 1;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnacknowledgedMs = 3000;
+  const int fd = socket.native_handle();
+  // A socket that can't take an option still serves; it only fails later.
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof kOn);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds,
+               sizeof kIdleSeconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds,
+               sizeof kProbeSeconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+               sizeof kUnacknowledgedMs);
+}
+
 void WriteFileAtomically(const std::string& path, const std::string& text) {
   const std::string draft = path + ".new";
   {
--- a/src/core/address_func.h
+++ b/src/core/address_func.h
@@ -23,6 +23,13 @@
 /** @return "ip:port" as bound. @pre `acceptor` listens. */
 std::string AddressText(const boost::asio::ip::tcp::acceptor& acceptor);
 
+/**
+ * Makes the kernel end a connection whose peer is gone without a word (power
+ * lost, network cut): unacknowledged bytes or keep-alive probes fail it after
+ * about three seconds. Without it a read on such a connection waits for good.
+ */
+void NoticeDeadPeer(boost::asio::ip::tcp::socket& socket);
+
 /** Writes `text` to a file in one step (rename): a reader never sees a part.
  * @throws Error kBadSettings */
 void WriteFileAtomically(const std::string& path, const std::string& text);
--- a/src/endpoint/adapter_worker.cc
+++ b/src/endpoint/adapter_worker.cc
@@ -31,10 +31,10 @@
   return *it;
 }
 
-platform::EngineOrder AdapterOrder(platform::OrderKind kind,
+external::EngineOrder AdapterOrder(external::OrderKind kind,
                                    const core::ModelId& model,
                                    const core::AdapterId& adapter) {
-  platform::EngineOrder order;
+  external::EngineOrder order;
   order.kind = kind;
   order.model = model;
   order.adapter = adapter;
@@ -138,7 +138,7 @@
     const OrderTurn turn = co_await parts_.desk.Enter();
     co_await MakeRoom(holder, spec.bytes, std::move(evict));
     reserved = true;
-    auto order = AdapterOrder(platform::OrderKind::kLoadAdapter, replica->model,
+    auto order = AdapterOrder(external::OrderKind::kLoadAdapter, replica->model,
                               spec.name);
     order.version = spec.version;
     order.bytes = spec.bytes;
@@ -204,7 +204,7 @@
     slot.loaded = false;
   }
   const OrderResult result = co_await parts_.desk.Give(
-      AdapterOrder(platform::OrderKind::kUnloadAdapter, owner->model, victim),
+      AdapterOrder(external::OrderKind::kUnloadAdapter, owner->model, victim),
       [] {});
   const std::lock_guard lock(owner->mutex);
   if (!result.carried_out) {
--- a/src/endpoint/endpoint.cc
+++ b/src/endpoint/endpoint.cc
@@ -48,7 +48,7 @@
 }  // namespace
 
 Endpoint::Endpoint(const core::Executor& executor, EndpointOptions options,
-                   platform::Engine& engine, platform::KeyValueStore& store,
+                   external::Engine& engine, external::KeyValueStore& store,
                    const core::Clock& clock, const core::Logger& log,
                    Metrics& metrics)
     : options_(std::move(options)),
@@ -93,7 +93,7 @@
   if (plain()) return address;
   follower_.Listen(
       [this] { return desk_.QuietMark(); },
-      [this](const platform::EngineStatus& status, std::uint64_t mark) {
+      [this](const external::EngineStatus& status, std::uint64_t mark) {
         keeper_.Reconcile(status, mark);
       });
   follower_.Start(executor_);
--- a/src/endpoint/endpoint_base.h
+++ b/src/endpoint/endpoint_base.h
@@ -23,9 +23,9 @@
 #include "endpoint/replica_worker_base.h"
 #include "endpoint/replicas_base.h"
 #include "endpoint/runner_base.h"
+#include "external/engine_base.h"
+#include "external/key_value_base.h"
 #include "link/link_base.h"
-#include "platform/engine_base.h"
-#include "platform/key_value_base.h"
 
 namespace sapphire::endpoint {
 
@@ -58,7 +58,7 @@
  public:
   /** @pre All references outlive the endpoint. */
   Endpoint(const core::Executor& executor, EndpointOptions options,
-           platform::Engine& engine, platform::KeyValueStore& store,
+           external::Engine& engine, external::KeyValueStore& store,
            const core::Clock& clock, const core::Logger& log, Metrics& metrics);
 
   /** Listens and begins to work. @return "ip:port" as bound.
--- a/src/endpoint/engine_follower.cc
+++ b/src/endpoint/engine_follower.cc
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds kShortestPause{10};
 }  // namespace
 
-EngineFollower::EngineFollower(platform::Engine& engine,
+EngineFollower::EngineFollower(external::Engine& engine,
                                std::chrono::milliseconds interval,
                                const core::Logger& log)
     : engine_(engine), interval_(interval), log_(log) {}
@@ -71,7 +71,7 @@
   const std::uint64_t mark = marker_ ? marker_() : 0;
   StatusPtr status;
   try {
-    status = std::make_shared<const platform::EngineStatus>(
+    status = std::make_shared<const external::EngineStatus>(
         co_await engine_.Status());
   } catch (const core::Error&) {
     // Note below tells of it.
--- a/src/endpoint/engine_follower_base.h
+++ b/src/endpoint/engine_follower_base.h
@@ -11,7 +11,7 @@
 #include "core/log_base.h"
 #include "core/signal_base.h"
 #include "core/task_type.h"
-#include "platform/engine_base.h"
+#include "external/engine_base.h"
 
 namespace sapphire::endpoint {
 
@@ -21,14 +21,14 @@
  */
 class EngineFollower {
  public:
-  using StatusPtr = std::shared_ptr<const platform::EngineStatus>;
+  using StatusPtr = std::shared_ptr<const external::EngineStatus>;
   /** Gives a number at the start of a read; it comes back with the status. */
   using Marker = std::function<std::uint64_t()>;
   using Listener =
-      std::function<void(const platform::EngineStatus&, std::uint64_t mark)>;
+      std::function<void(const external::EngineStatus&, std::uint64_t mark)>;
 
   /** @pre All references outlive the follower. */
-  EngineFollower(platform::Engine& engine, std::chrono::milliseconds interval,
+  EngineFollower(external::Engine& engine, std::chrono::milliseconds interval,
                  const core::Logger& log);
 
   /** @pre Called before Start. */
@@ -59,7 +59,7 @@
   core::Task<> ReadOnce();
   void Note(StatusPtr status, std::uint64_t number);
 
-  platform::Engine& engine_;
+  external::Engine& engine_;
   const std::chrono::milliseconds interval_;
   const core::Logger& log_;
   Marker marker_;
--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -17,8 +17,8 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
-#include "platform/engine_base.h"
-#include "platform/key_value_base.h"
+#include "external/engine_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::endpoint::test {
 
@@ -28,7 +28,7 @@
 using core::Task;
 
 /** Compare-and-swap store whose next writes can go wrong. */
-class FakeStore final : public platform::KeyValueStore {
+class FakeStore final : public external::KeyValueStore {
  public:
   enum class Fault { kNone, kAnswerLost, kNeverArrived, kLandsLate };
 
@@ -40,7 +40,7 @@
   std::function<void()> on_change = [] {};
   int swaps = 0;
 
-  Task<std::optional<platform::KvEntry>> Get(std::string key) override {
+  Task<std::optional<external::KvEntry>> Get(std::string key) override {
     co_await core::SleepFor(Millis(0));
     CheckUp();
     const auto it = entries_.find(key);
@@ -48,17 +48,17 @@
     co_return it->second;
   }
 
-  Task<std::vector<platform::KvEntry>> List(std::string prefix) override {
+  Task<std::vector<external::KvEntry>> List(std::string prefix) override {
     co_await core::SleepFor(Millis(0));
     CheckUp();
-    std::vector<platform::KvEntry> found;
+    std::vector<external::KvEntry> found;
     for (const auto& [key, entry] : entries_) {
       if (key.starts_with(prefix)) found.push_back(entry);
     }
     co_return found;
   }
 
-  Task<platform::CasResult> CompareAndSwap(std::string key,
+  Task<external::CasResult> CompareAndSwap(std::string key,
                                            std::int64_t expected,
                                            std::string value,
                                            std::string /*lease*/) override {
@@ -99,14 +99,14 @@
   Task<bool> DeleteIf(std::string /*key*/, std::int64_t /*expected*/) override {
     co_return false;
   }
-  Task<platform::KvLease> GrantLease(Millis time_to_live) override {
-    co_return platform::KvLease{"lease", time_to_live};
+  Task<external::KvLease> GrantLease(Millis time_to_live) override {
+    co_return external::KvLease{"lease", time_to_live};
   }
   Task<bool> KeepAlive(std::string /*lease*/) override { co_return true; }
-  Task<platform::WatchBatch> Watch(std::string /*prefix*/,
+  Task<external::WatchBatch> Watch(std::string /*prefix*/,
                                    std::int64_t /*revision*/,
                                    Millis /*wait*/) override {
-    co_return platform::WatchBatch{};
+    co_return external::WatchBatch{};
   }
 
  private:
@@ -120,11 +120,11 @@
     if (down) throw Error(ErrorCode::kPlatformUnavailable);
   }
 
-  platform::CasResult Apply(const std::string& key, std::int64_t expected,
+  external::CasResult Apply(const std::string& key, std::int64_t expected,
                             const std::string& value) {
     const auto it = entries_.find(key);
     const std::int64_t stands = it == entries_.end() ? 0 : it->second.revision;
-    platform::CasResult result;
+    external::CasResult result;
     if (stands != expected) {
       if (it != entries_.end()) result.current = it->second;
       return result;
@@ -136,7 +136,7 @@
     return result;
   }
 
-  std::map<std::string, platform::KvEntry> entries_;
+  std::map<std::string, external::KvEntry> entries_;
   std::vector<Write> late_;
   std::int64_t revision_ = 0;
 };
@@ -184,7 +184,7 @@
 };
 
 /** A model engine that keeps count of what it was made to do. */
-class FakeEngine final : public platform::Engine {
+class FakeEngine final : public external::Engine {
  public:
   enum class Fault {
     kNone,
@@ -201,7 +201,7 @@
     status.memory_bytes = 100;
   }
 
-  platform::EngineStatus status;
+  external::EngineStatus status;
   std::shared_ptr<Judge> judge;
   std::function<Fault()> fault = [] { return Fault::kNone; };
   Millis order_time{1};
@@ -213,13 +213,13 @@
   /** The engine dies in the middle of the next answer. */
   bool crash_next_run = false;
 
-  Task<platform::EngineStatus> Status() override {
+  Task<external::EngineStatus> Status() override {
     co_await core::SleepFor(Millis(0));
     if (down) throw Error(ErrorCode::kEngineUnavailable);
     co_return status;
   }
 
-  Task<> Order(platform::EngineOrder order, Millis /*timeout*/) override {
+  Task<> Order(external::EngineOrder order, Millis /*timeout*/) override {
     if (down) throw Error(ErrorCode::kEngineUnavailable);
     ++orders;
     if (status.order_in_progress) {
@@ -274,20 +274,20 @@
 
   [[nodiscard]] bool Holds(const std::string& model) const {
     return std::ranges::find(status.models, core::ModelId(model),
-                             &platform::EngineModel::model) !=
+                             &external::EngineModel::model) !=
            status.models.end();
   }
 
-  void Carry(const platform::EngineOrder& order) {
-    using platform::OrderKind;
+  void Carry(const external::EngineOrder& order) {
+    using external::OrderKind;
     auto it = std::ranges::find(status.models, order.model,
-                                &platform::EngineModel::model);
+                                &external::EngineModel::model);
     const bool held = it != status.models.end();
     if (order.kind == OrderKind::kLoadModel && !held) {
-      platform::EngineModel model;
+      external::EngineModel model;
       model.model = order.model;
       model.version = order.version;
-      model.state = platform::EngineModelState::kReady;
+      model.state = external::EngineModelState::kReady;
       model.weight_bytes = order.bytes;
       model.kv_budget_bytes = order.kv_budget_bytes;
       status.models.push_back(model);
@@ -311,7 +311,7 @@
     return std::make_unique<FakeStream>(parts, broken);
   }
 
-  bool PassesFence(const platform::EngineOrder& order) {
+  bool PassesFence(const external::EngineOrder& order) {
     if (status.honours_fencing && order.fence < status.fence) return false;
     status.fence = std::max(status.fence, order.fence);
     return true;
@@ -326,7 +326,7 @@
     return bytes;
   }
 
-  std::vector<platform::EngineOrder> late_;
+  std::vector<external::EngineOrder> late_;
 };
 
 }  // namespace sapphire::endpoint::test
--- a/src/endpoint/grant_ledger.cc
+++ b/src/endpoint/grant_ledger.cc
@@ -31,11 +31,11 @@
   return Error(ErrorCode::kPlatformUnavailable, detail, kOutageRetryAfter);
 }
 
-LedgerValue LedgerOf(const std::optional<platform::KvEntry>& entry) {
+LedgerValue LedgerOf(const std::optional<external::KvEntry>& entry) {
   return entry ? DecodeLedger(entry->value) : LedgerValue{};
 }
 
-std::int64_t RevisionOf(const std::optional<platform::KvEntry>& entry) {
+std::int64_t RevisionOf(const std::optional<external::KvEntry>& entry) {
   return entry ? entry->revision : 0;
 }
 
@@ -47,11 +47,11 @@
 
 }  // namespace
 
-GrantLedger::GrantLedger(core::VmId vm, platform::KeyValueStore& store,
+GrantLedger::GrantLedger(core::VmId vm, external::KeyValueStore& store,
                          const core::Clock& clock, const core::Logger& log)
     : vm_(std::move(vm)), store_(store), clock_(clock), log_(log) {}
 
-Task<std::optional<platform::KvEntry>> GrantLedger::ReadEntry(std::string key) {
+Task<std::optional<external::KvEntry>> GrantLedger::ReadEntry(std::string key) {
   try {
     auto entry = co_await store_.Get(std::move(key));
     NoteReachable(true);
@@ -63,7 +63,7 @@
 }
 
 /** @return Nothing if the write's outcome is unknown. */
-Task<std::optional<platform::CasResult>> GrantLedger::Swap(
+Task<std::optional<external::CasResult>> GrantLedger::Swap(
     std::string key, std::int64_t expected, std::string value) {
   try {
     auto result = co_await store_.CompareAndSwap(std::move(key), expected,
@@ -260,7 +260,7 @@
       continue;
     }
     if (result->swapped) {
-      entry = platform::KvEntry{key, EncodeLedger(ledger), result->revision};
+      entry = external::KvEntry{key, EncodeLedger(ledger), result->revision};
       continue;
     }
     entry = result->current;
@@ -293,7 +293,7 @@
 
 Task<std::map<core::ServiceId, LedgerValue>> GrantLedger::ReadAll() {
   std::map<core::ServiceId, LedgerValue> ledgers;
-  std::vector<platform::KvEntry> entries;
+  std::vector<external::KvEntry> entries;
   try {
     entries = co_await store_.List(std::string(kLedgerPrefix));
     NoteReachable(true);
@@ -301,7 +301,7 @@
     NoteReachable(false);
     throw;
   }
-  for (const platform::KvEntry& it : entries) {
+  for (const external::KvEntry& it : entries) {
     ledgers.emplace(ServiceOfLedgerKey(it.key), DecodeLedger(it.value));
   }
   co_return ledgers;
--- a/src/endpoint/grant_ledger_base.h
+++ b/src/endpoint/grant_ledger_base.h
@@ -14,7 +14,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "endpoint/grant_type.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::endpoint {
 
@@ -28,7 +28,7 @@
 class GrantLedger {
  public:
   /** @pre All references outlive the ledger. */
-  GrantLedger(core::VmId vm, platform::KeyValueStore& store,
+  GrantLedger(core::VmId vm, external::KeyValueStore& store,
               const core::Clock& clock, const core::Logger& log);
 
   /**
@@ -88,8 +88,8 @@
     std::optional<std::int64_t> late_write;
   };
 
-  core::Task<std::optional<platform::KvEntry>> ReadEntry(std::string key);
-  core::Task<std::optional<platform::CasResult>> Swap(std::string key,
+  core::Task<std::optional<external::KvEntry>> ReadEntry(std::string key);
+  core::Task<std::optional<external::CasResult>> Swap(std::string key,
                                                       std::int64_t expected,
                                                       std::string value);
   core::Task<Grant> TakeFresh(std::shared_ptr<const contract::Config> config,
@@ -107,7 +107,7 @@
   void NoteReachable(bool reachable);
 
   const core::VmId vm_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
   mutable std::mutex mutex_;
--- a/src/endpoint/lane_queue.cc
+++ b/src/endpoint/lane_queue.cc
@@ -21,7 +21,7 @@
 constexpr int kDropTries = 8;
 }  // namespace
 
-LaneQueue::LaneQueue(LaneQueueOptions options, platform::KeyValueStore& store,
+LaneQueue::LaneQueue(LaneQueueOptions options, external::KeyValueStore& store,
                      const core::Clock& clock, const core::Logger& log)
     : options_(std::move(options)), store_(store), clock_(clock), log_(log) {}
 
--- a/src/endpoint/lane_queue_base.h
+++ b/src/endpoint/lane_queue_base.h
@@ -9,7 +9,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "endpoint/lane_type.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::endpoint {
 
@@ -30,7 +30,7 @@
 class LaneQueue {
  public:
   /** @pre All references outlive the queue. */
-  LaneQueue(LaneQueueOptions options, platform::KeyValueStore& store,
+  LaneQueue(LaneQueueOptions options, external::KeyValueStore& store,
             const core::Clock& clock, const core::Logger& log);
 
   /**
@@ -53,7 +53,7 @@
   core::Task<bool> Drop(core::ModelId model);
 
   const LaneQueueOptions options_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
 };
--- a/src/endpoint/order_desk.cc
+++ b/src/endpoint/order_desk.cc
@@ -14,11 +14,11 @@
 using core::LogCategory;
 using core::LogLevel;
 using core::Task;
-using platform::EngineModel;
-using platform::EngineModelState;
-using platform::EngineOrder;
-using platform::EngineStatus;
-using platform::OrderKind;
+using external::EngineModel;
+using external::EngineModelState;
+using external::EngineOrder;
+using external::EngineStatus;
+using external::OrderKind;
 
 namespace {
 
@@ -48,7 +48,7 @@
   const bool adapter_held =
       model != nullptr &&
       std::ranges::find(model->adapters, order.adapter,
-                        &platform::EngineAdapter::adapter) !=
+                        &external::EngineAdapter::adapter) !=
           model->adapters.end();
   switch (order.kind) {
     case OrderKind::kLoadModel:
@@ -71,7 +71,7 @@
 
 }  // namespace
 
-OrderDesk::OrderDesk(OrderDeskOptions options, platform::Engine& engine,
+OrderDesk::OrderDesk(OrderDeskOptions options, external::Engine& engine,
                      EngineFollower& follower, const core::Clock& clock,
                      const core::Logger& log)
     : options_(options),
--- a/src/endpoint/order_desk_base.h
+++ b/src/endpoint/order_desk_base.h
@@ -15,7 +15,7 @@
 #include "core/signal_base.h"
 #include "core/task_type.h"
 #include "endpoint/engine_follower_base.h"
-#include "platform/engine_base.h"
+#include "external/engine_base.h"
 
 namespace sapphire::endpoint {
 
@@ -46,7 +46,7 @@
 class OrderDesk {
  public:
   /** @pre All references outlive the desk. */
-  OrderDesk(OrderDeskOptions options, platform::Engine& engine,
+  OrderDesk(OrderDeskOptions options, external::Engine& engine,
             EngineFollower& follower, const core::Clock& clock,
             const core::Logger& log);
 
@@ -59,7 +59,7 @@
    * @param outcome_lost Called if the answer did not arrive.
    * @pre The caller holds a turn.
    */
-  core::Task<OrderResult> Give(platform::EngineOrder order,
+  core::Task<OrderResult> Give(external::EngineOrder order,
                                std::function<void()> outcome_lost);
 
   /** @return Turns taken so far; 0 while one is held. For EngineFollower: a
@@ -81,16 +81,16 @@
     std::uint64_t count = 1;
   };
 
-  core::Task<std::optional<core::Error>> Send(platform::EngineOrder order);
-  core::Task<OrderResult> FindOut(platform::EngineOrder order,
+  core::Task<std::optional<core::Error>> Send(external::EngineOrder order);
+  core::Task<OrderResult> FindOut(external::EngineOrder order,
                                   core::Error error);
-  core::Task<OrderResult> AfterRefusal(platform::EngineOrder order,
+  core::Task<OrderResult> AfterRefusal(external::EngineOrder order,
                                        core::Error error);
   core::Task<EngineFollower::StatusPtr> QuietStatus();
   std::int64_t TakeFence();
 
   const OrderDeskOptions options_;
-  platform::Engine& engine_;
+  external::Engine& engine_;
   EngineFollower& follower_;
   const core::Clock& clock_;
   const core::Logger& log_;
--- a/src/endpoint/replica_keeper.cc
+++ b/src/endpoint/replica_keeper.cc
@@ -35,9 +35,9 @@
 }
 
 }  // namespace
-using platform::EngineModel;
-using platform::EngineModelState;
-using platform::EngineStatus;
+using external::EngineModel;
+using external::EngineModelState;
+using external::EngineStatus;
 
 ReplicaKeeper::ReplicaKeeper(EndpointParts parts, ReplicaKeeperOptions options,
                              ReplicaWorker& worker)
@@ -92,7 +92,7 @@
 
 /** @pre The replica's lock is held. */
 void ReplicaKeeper::AdoptAdapters(Replica& replica, const EngineModel& model) {
-  for (const platform::EngineAdapter& it : model.adapters) {
+  for (const external::EngineAdapter& it : model.adapters) {
     const auto [slot, added] = replica.adapters.try_emplace(it.adapter);
     if (!added) continue;
     slot->second = {true, 0, parts_.clock.Now()};
--- a/src/endpoint/replica_keeper_base.h
+++ b/src/endpoint/replica_keeper_base.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "endpoint/replica_worker_base.h"
-#include "platform/engine_base.h"
+#include "external/engine_base.h"
 
 namespace sapphire::endpoint {
 
@@ -37,7 +37,7 @@
 
   /** Takes over what the engine shows. For EngineFollower.
    * @param mark OrderDesk::QuietMark at the start of the read. */
-  void Reconcile(const platform::EngineStatus& status, std::uint64_t mark);
+  void Reconcile(const external::EngineStatus& status, std::uint64_t mark);
 
   /** Sweeps and audits until Stop. */
   void Start();
@@ -64,9 +64,9 @@
   core::Task<> AuditIfDue();
   core::Task<> NoteVersions(std::map<core::ServiceId, LedgerValue> ledgers);
   core::Task<> SettleIfDue();
-  void AdoptModel(const platform::EngineModel& model);
-  void AdoptAdapters(Replica& replica, const platform::EngineModel& model);
-  void DropMissing(const platform::EngineStatus& status);
+  void AdoptModel(const external::EngineModel& model);
+  void AdoptAdapters(Replica& replica, const external::EngineModel& model);
+  void DropMissing(const external::EngineStatus& status);
   [[nodiscard]] std::set<ReplicaPtr> IdleToUnload(
       const std::vector<ReplicaPtr>& all) const;
   void SweepOne(const ReplicaPtr& replica, bool unwanted);
--- a/src/endpoint/replica_worker.cc
+++ b/src/endpoint/replica_worker.cc
@@ -210,8 +210,8 @@
     const std::lock_guard lock(replica->mutex);
     replica->life.Apply(ReplicaEvent::kLoadOrdered);
   }
-  platform::EngineOrder order;
-  order.kind = platform::OrderKind::kLoadModel;
+  external::EngineOrder order;
+  order.kind = external::OrderKind::kLoadModel;
   order.model = replica->model;
   order.version = spec.version;
   order.bytes = spec.weight_bytes;
@@ -293,8 +293,8 @@
     }
   }
   parts_.table.changed().Notify();
-  platform::EngineOrder order;
-  order.kind = platform::OrderKind::kUnloadModel;
+  external::EngineOrder order;
+  order.kind = external::OrderKind::kUnloadModel;
   order.model = replica->model;
   order.version = replica->version;
   std::function<void()> outcome_lost = OutcomeLostHook(replica);
--- a/src/endpoint/replicas_test.cc
+++ b/src/endpoint/replicas_test.cc
@@ -156,7 +156,7 @@
   earlier.Configure(1, 1, 9);
   World world;
   FakeEngine engine(world.judge);
-  platform::EngineOrder order;
+  external::EngineOrder order;
   order.model = core::ModelId("m0");
   order.version = "1";
   order.bytes = 40;
@@ -205,7 +205,7 @@
   Single one;
   GrantLedger other(core::VmId("vm2"), one.world.store, one.world.clock,
                     one.world.log);
-  platform::EngineOrder order;
+  external::EngineOrder order;
   order.model = core::ModelId("m0");
   order.version = "1";
   order.bytes = 40;
--- a/src/endpoint/runner.cc
+++ b/src/endpoint/runner.cc
@@ -68,7 +68,7 @@
 
 }  // namespace
 
-Runner::Runner(platform::Engine& engine, EngineFollower* follower,
+Runner::Runner(external::Engine& engine, EngineFollower* follower,
                Admission& admission, AttemptTable& attempts,
                const core::Clock& clock, const core::Logger& log,
                Metrics& metrics)
--- a/src/endpoint/runner_base.h
+++ b/src/endpoint/runner_base.h
@@ -15,9 +15,9 @@
 #include "endpoint/attempt_table_base.h"
 #include "endpoint/engine_follower_base.h"
 #include "endpoint/metrics_base.h"
+#include "external/engine_base.h"
 #include "gen/link_types.h"
 #include "link/link_base.h"
-#include "platform/engine_base.h"
 
 namespace sapphire::endpoint {
 
@@ -27,7 +27,7 @@
  public:
   /** @param follower Null beside a plain service.
    * @pre All references outlive the runner. */
-  Runner(platform::Engine& engine, EngineFollower* follower,
+  Runner(external::Engine& engine, EngineFollower* follower,
          Admission& admission, AttemptTable& attempts, const core::Clock& clock,
          const core::Logger& log, Metrics& metrics);
 
@@ -63,7 +63,7 @@
   void LogEnd(const Trip& trip) const;
   [[nodiscard]] std::chrono::milliseconds Left(const Trip& trip) const;
 
-  platform::Engine& engine_;
+  external::Engine& engine_;
   EngineFollower* const follower_;
   Admission& admission_;
   AttemptTable& attempts_;
--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -18,9 +18,9 @@
 #include "endpoint/endpoint_base.h"
 #include "endpoint/endpoint_settings_base.h"
 #include "endpoint/metrics_base.h"
+#include "external/counting_store_base.h"
+#include "external/external_func.h"
 #include "http/server_base.h"
-#include "platform/counting_store_base.h"
-#include "platform/platform_func.h"
 
 namespace sapphire::endpoint {
 
@@ -57,9 +57,9 @@
           const core::Clock& clock)
       : settings_(settings),
         log_(log),
-        engine_(platform::MakeHttpEngine(settings.String("engine"),
+        engine_(external::MakeHttpEngine(settings.String("engine"),
                                          settings.Millis("engine_timeout_ms"))),
-        store_(platform::MakeHttpKeyValueStore(
+        store_(external::MakeHttpKeyValueStore(
             settings.String("kv"), settings.Millis("kv_timeout_ms"))),
         counting_store_(
             *store_,
@@ -121,9 +121,9 @@
   const core::Logger& log_;
   boost::asio::io_context context_;
   Metrics metrics_;
-  std::unique_ptr<platform::Engine> engine_;
-  std::unique_ptr<platform::KeyValueStore> store_;
-  platform::CountingStore counting_store_;
+  std::unique_ptr<external::Engine> engine_;
+  std::unique_ptr<external::KeyValueStore> store_;
+  external::CountingStore counting_store_;
   Endpoint endpoint_;
   boost::asio::signal_set signals_;
   http::Server http_;
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -200,11 +200,11 @@
 // it: the list is what the links are held against.
 std::vector<VmVersion> Admin::Versions() const {
   std::map<core::VmId, VmVersion> by_vm;
-  for (const platform::VmRecord& it : directory_.Listed()) {
+  for (const external::VmRecord& it : directory_.Listed()) {
     by_vm[it.vm] = {it.vm,
                     it.zone,
-                    it.role == platform::VmRole::kEntry,
-                    it.state == platform::VmState::kLeaving,
+                    it.role == external::VmRole::kEntry,
+                    it.state == external::VmState::kLeaving,
                     false,
                     0};
   }
--- a/src/entry/admin_test.cc
+++ b/src/entry/admin_test.cc
@@ -103,7 +103,7 @@
 
   /** Adds an endpoint to the platform's list and waits until it is known. */
   void Add(const std::string& vm, const std::string& address) {
-    list.Add(vm, platform::VmRole::kEndpoint, address);
+    list.Add(vm, external::VmRole::kEndpoint, address);
     const core::EndpointId id(vm);
     BOOST_REQUIRE(fake::Eventually([&] { return !!directory.Find(id); }));
   }
@@ -234,7 +234,7 @@
 // In a large fleet not every entry has a link to every other. One without a
 // link follows the version as the others do, and must not be named as behind.
 BOOST_FIXTURE_TEST_CASE(EntriesWithoutLinkAreAsked, Fixture) {
-  list.Add("e-2", platform::VmRole::kEntry, far_entry.address);
+  list.Add("e-2", external::VmRole::kEntry, far_entry.address);
   BOOST_REQUIRE(
       fake::Eventually([&] { return directory.Entries().size() == 2; }));
   const json::value answer =
--- a/src/entry/claim.cc
+++ b/src/entry/claim.cc
@@ -7,8 +7,8 @@
 #include "core/error_type.h"
 #include "core/random_func.h"
 #include "entry/claim_func.h"
+#include "external/json_func.h"
 #include "http/http_type.h"
-#include "platform/json_func.h"
 
 namespace sapphire::entry {
 
@@ -43,9 +43,9 @@
 StoredAnswer DecodeAnswer(const boost::json::object& object) {
   StoredAnswer answer;
   answer.head.status =
-      static_cast<std::int32_t>(platform::IntegerAt(object, "status"));
-  answer.head.content_type = platform::StringAt(object, "content_type");
-  answer.body = http::UrlDecode(platform::StringAt(object, "body"));
+      static_cast<std::int32_t>(external::IntegerAt(object, "status"));
+  answer.head.content_type = external::StringAt(object, "content_type");
+  answer.body = http::UrlDecode(external::StringAt(object, "body"));
   return answer;
 }
 
@@ -71,17 +71,17 @@
 }
 
 Claim DecodeClaim(std::string_view json) {
-  const boost::json::object object = platform::ParseObject(json);
+  const boost::json::object object = external::ParseObject(json);
   Claim claim;
-  claim.attempt = core::AttemptId(platform::StringAt(object, "attempt"));
-  claim.home = core::VmId(platform::StringAt(object, "home"));
-  claim.state = StateNamed(platform::StringAt(object, "state"));
-  claim.fingerprint = platform::IntegerAt(object, "fingerprint");
+  claim.attempt = core::AttemptId(external::StringAt(object, "attempt"));
+  claim.home = core::VmId(external::StringAt(object, "home"));
+  claim.state = StateNamed(external::StringAt(object, "state"));
+  claim.fingerprint = external::IntegerAt(object, "fingerprint");
   claim.created =
-      core::WallTime(core::Millis(platform::IntegerAt(object, "created_ms")));
+      core::WallTime(core::Millis(external::IntegerAt(object, "created_ms")));
   const boost::json::value* answer = object.if_contains("answer");
   if (answer != nullptr) {
-    claim.answer = DecodeAnswer(platform::AsObject(*answer, "answer"));
+    claim.answer = DecodeAnswer(external::AsObject(*answer, "answer"));
   }
   return claim;
 }
--- a/src/entry/claim_store.cc
+++ b/src/entry/claim_store.cc
@@ -26,7 +26,7 @@
 
 ClaimStore::ClaimStore(const core::Executor& executor,
                        ClaimStoreOptions options,
-                       platform::KeyValueStore& store, const core::Clock& clock,
+                       external::KeyValueStore& store, const core::Clock& clock,
                        const core::Logger& log)
     : executor_(executor),
       options_(options),
@@ -66,7 +66,7 @@
   const std::string value = EncodeClaim(claim);
   std::int64_t expected = 0;
   while (true) {
-    const platform::CasResult result =
+    const external::CasResult result =
         co_await store_.CompareAndSwap(key, expected, value, "");
     if (result.swapped) co_return AcquireResult{true, claim, result.revision};
     if (!result.current) {
--- a/src/entry/claim_store_base.h
+++ b/src/entry/claim_store_base.h
@@ -12,7 +12,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/claim_type.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -42,7 +42,7 @@
  public:
   /** @pre All references outlive the store and its background writes. */
   ClaimStore(const core::Executor& executor, ClaimStoreOptions options,
-             platform::KeyValueStore& store, const core::Clock& clock,
+             external::KeyValueStore& store, const core::Clock& clock,
              const core::Logger& log);
 
   /**
@@ -76,7 +76,7 @@
 
   const core::Executor executor_;
   const ClaimStoreOptions options_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
   mutable std::mutex voided_mutex_;
--- a/src/entry/config_fetch.cc
+++ b/src/entry/config_fetch.cc
@@ -11,9 +11,9 @@
 
 namespace {
 
-core::Task<std::string> FetchPart(platform::KeyValueStore& store,
+core::Task<std::string> FetchPart(external::KeyValueStore& store,
                                   std::string hash) {
-  const std::optional<platform::KvEntry> entry =
+  const std::optional<external::KvEntry> entry =
       co_await store.Get(PartKey(hash));
   if (!entry) {
     throw core::Error(ErrorCode::kPlatformUnavailable,
@@ -28,14 +28,14 @@
   return std::string(kPartPrefix) + std::string(hash);
 }
 
-core::Task<StoredHead> ReadHead(platform::KeyValueStore& store) {
-  const std::optional<platform::KvEntry> entry =
+core::Task<StoredHead> ReadHead(external::KeyValueStore& store) {
+  const std::optional<external::KvEntry> entry =
       co_await store.Get(std::string(kHeadKey));
   if (!entry) co_return StoredHead{};
   co_return StoredHead{contract::HeadFromJson(entry->value), entry->revision};
 }
 
-core::Task<bool> AdoptHead(platform::KeyValueStore& store,
+core::Task<bool> AdoptHead(external::KeyValueStore& store,
                            contract::PartCache& parts,
                            contract::ConfigHead head) {
   const std::shared_ptr<const contract::EncodedConfig> have = parts.Current();
--- a/src/entry/config_fetch_func.h
+++ b/src/entry/config_fetch_func.h
@@ -10,7 +10,7 @@
 #include "contract/config_func.h"
 #include "contract/part_cache_base.h"
 #include "core/task_type.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -29,7 +29,7 @@
 std::string PartKey(std::string_view hash);
 
 /** @throws core::Error of the service, or kBadIntent. */
-core::Task<StoredHead> ReadHead(platform::KeyValueStore& store);
+core::Task<StoredHead> ReadHead(external::KeyValueStore& store);
 
 /**
  * Puts the configuration of `head` in force unless one as new already is.
@@ -38,7 +38,7 @@
  * @throws core::Error kPlatformUnavailable if a part is gone: a newer head has
  *   replaced it; others of the service.
  */
-core::Task<bool> AdoptHead(platform::KeyValueStore& store,
+core::Task<bool> AdoptHead(external::KeyValueStore& store,
                            contract::PartCache& parts,
                            contract::ConfigHead head);
 
--- a/src/entry/config_store.cc
+++ b/src/entry/config_store.cc
@@ -63,13 +63,13 @@
 
 /** How one attempt at a write that may be repeated ended. */
 struct Attempt {
-  std::optional<platform::CasResult> result;
+  std::optional<external::CasResult> result;
   /** Set if there is no result. */
   ErrorCode failure = ErrorCode::kInternal;
   std::string reason;
 };
 
-core::Task<Attempt> TryCas(platform::KeyValueStore& store, std::string key,
+core::Task<Attempt> TryCas(external::KeyValueStore& store, std::string key,
                            std::int64_t expected, std::string value) {
   Attempt attempt;
   try {
@@ -102,7 +102,7 @@
 }  // namespace
 
 ConfigStore::ConfigStore(ConfigStoreOptions options,
-                         platform::KeyValueStore& store,
+                         external::KeyValueStore& store,
                          contract::ConfigHolder& holder,
                          contract::PartCache& parts, const core::Clock& clock,
                          const core::Logger& log)
@@ -144,7 +144,7 @@
 }
 
 core::Task<> ConfigStore::SaveRecord(PlanRecord record, EncodedConfig encoded) {
-  const platform::KvLease lease =
+  const external::KvLease lease =
       co_await store_.GrantLease(options_.plan_time_to_live);
   record.lease_id = lease.id;
   const std::shared_ptr<const EncodedConfig> base = parts_.Current();
@@ -160,7 +160,7 @@
 }
 
 core::Task<PlanRecord> ConfigStore::ReadRecord(core::PlanId id) {
-  const std::optional<platform::KvEntry> entry =
+  const std::optional<external::KvEntry> entry =
       co_await store_.Get(PlanKey(id));
   if (!entry) {
     throw core::Error(ErrorCode::kUnknownPlan,
@@ -185,7 +185,7 @@
       encoded.parts.push_back({hash, it->second});
       continue;
     }
-    std::optional<platform::KvEntry> entry =
+    std::optional<external::KvEntry> entry =
         co_await store_.Get(PlanPartKey(record.id, hash));
     if (!entry) {
       entry = co_await store_.Get(PartKey(hash));
@@ -251,7 +251,7 @@
   contract::Validate(
       contract::DecodeConfig(next.version, record.id, encoded.parts).intent);
   co_await PutParts(before.head, encoded);
-  const std::vector<platform::KvEntry> replaced =
+  const std::vector<external::KvEntry> replaced =
       co_await ReadReplaced(before.head, next.part_hashes);
   record.confirmed_version = co_await Swap(before, next);
   parts_.Adopt(std::move(encoded));
@@ -313,12 +313,12 @@
                                 part.hash));
 }
 
-core::Task<std::vector<platform::KvEntry>> ConfigStore::ReadReplaced(
+core::Task<std::vector<external::KvEntry>> ConfigStore::ReadReplaced(
     ConfigHead before, std::vector<std::string> kept_hashes) {
-  std::vector<platform::KvEntry> replaced;
+  std::vector<external::KvEntry> replaced;
   for (const std::string& hash : before.part_hashes) {
     if (Contains(kept_hashes, hash)) continue;
-    std::optional<platform::KvEntry> entry = co_await store_.Get(PartKey(hash));
+    std::optional<external::KvEntry> entry = co_await store_.Get(PartKey(hash));
     if (entry) replaced.push_back({entry->key, "", entry->revision});
   }
   co_return replaced;
@@ -364,15 +364,15 @@
 // Tidying only: its failure leaves unused keys behind, or a plan that the
 // head's history alone remembers.
 core::Task<> ConfigStore::AfterConfirm(
-    PlanRecord record, std::vector<platform::KvEntry> replaced) {
+    PlanRecord record, std::vector<external::KvEntry> replaced) {
   try {
-    const std::optional<platform::KvEntry> saved =
+    const std::optional<external::KvEntry> saved =
         co_await store_.Get(PlanKey(record.id));
     if (saved) {
       co_await store_.CompareAndSwap(PlanKey(record.id), saved->revision,
                                      ToJson(record), record.lease_id);
     }
-    for (const platform::KvEntry& entry : replaced) {
+    for (const external::KvEntry& entry : replaced) {
       co_await store_.DeleteIf(entry.key, entry.revision);
     }
   } catch (const core::Error& e) {
--- a/src/entry/config_store_base.h
+++ b/src/entry/config_store_base.h
@@ -14,7 +14,7 @@
 #include "core/task_type.h"
 #include "entry/config_fetch_func.h"
 #include "entry/plan_record_func.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -43,7 +43,7 @@
 class ConfigStore {
  public:
   /** @pre All references outlive the store. */
-  ConfigStore(ConfigStoreOptions options, platform::KeyValueStore& store,
+  ConfigStore(ConfigStoreOptions options, external::KeyValueStore& store,
               contract::ConfigHolder& holder, contract::PartCache& parts,
               const core::Clock& clock, const core::Logger& log);
 
@@ -81,17 +81,17 @@
   core::Task<std::int64_t> PutInForce(PlanRecord record, StoredHead before);
   core::Task<contract::EncodedConfig> ReadParts(PlanRecord record,
                                                 std::int64_t version);
-  core::Task<std::vector<platform::KvEntry>> ReadReplaced(
+  core::Task<std::vector<external::KvEntry>> ReadReplaced(
       contract::ConfigHead before, std::vector<std::string> kept_hashes);
   core::Task<> PutParts(contract::ConfigHead before,
                         contract::EncodedConfig encoded);
   core::Task<> PutPart(contract::Part part);
   core::Task<std::int64_t> Swap(StoredHead before, contract::ConfigHead next);
   core::Task<> AfterConfirm(PlanRecord record,
-                            std::vector<platform::KvEntry> replaced);
+                            std::vector<external::KvEntry> replaced);
 
   const ConfigStoreOptions options_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   contract::ConfigHolder& holder_;
   contract::PartCache& parts_;
   const core::Clock& clock_;
--- a/src/entry/config_store_test.cc
+++ b/src/entry/config_store_test.cc
@@ -21,7 +21,7 @@
 
 /** What one entry holds. */
 struct Entry {
-  Entry(platform::KeyValueStore& kv, const core::Clock& clock,
+  Entry(external::KeyValueStore& kv, const core::Clock& clock,
         const core::Logger& log)
       : store({milliseconds(200), milliseconds(1)}, kv, holder, parts, clock,
               log) {}
--- a/src/entry/config_watch.cc
+++ b/src/entry/config_watch.cc
@@ -17,7 +17,7 @@
 
 struct ConfigWatch::State : std::enable_shared_from_this<State> {
   State(const core::Executor& own_executor, ConfigWatchOptions own_options,
-        platform::KeyValueStore& own_store, contract::PartCache& own_parts,
+        external::KeyValueStore& own_store, contract::PartCache& own_parts,
         const core::Clock& own_clock, const core::Logger& own_log)
       : executor(own_executor),
         options(own_options),
@@ -64,8 +64,8 @@
   }
 
   static core::Task<> TakeEvents(std::shared_ptr<State> self,
-                                 std::vector<platform::KvEvent> events) {
-    for (const platform::KvEvent& event : events) {
+                                 std::vector<external::KvEvent> events) {
+    for (const external::KvEvent& event : events) {
       if (event.key != kHeadKey || !event.value) continue;
       co_await Take(self, contract::HeadFromJson(*event.value));
     }
@@ -79,7 +79,7 @@
   static core::Task<> Follow(std::shared_ptr<State> self) {
     std::int64_t revision = co_await Refresh(self);
     while (!self->stopped) {
-      platform::WatchBatch batch = co_await self->store.Watch(
+      external::WatchBatch batch = co_await self->store.Watch(
           std::string(kHeadKey), revision, self->options.wait);
       revision = batch.revision;
       self->pause = self->options.first_pause;
@@ -116,7 +116,7 @@
 
   core::Executor executor;
   const ConfigWatchOptions options;
-  platform::KeyValueStore& store;
+  external::KeyValueStore& store;
   contract::PartCache& parts;
   const core::Clock& clock;
   const core::Logger& log;
@@ -130,7 +130,7 @@
 
 ConfigWatch::ConfigWatch(const core::Executor& executor,
                          ConfigWatchOptions options,
-                         platform::KeyValueStore& store,
+                         external::KeyValueStore& store,
                          contract::PartCache& parts, const core::Clock& clock,
                          const core::Logger& log)
     : state_(std::make_shared<State>(executor, options, store, parts, clock,
--- a/src/entry/config_watch_base.h
+++ b/src/entry/config_watch_base.h
@@ -9,7 +9,7 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -44,7 +44,7 @@
  public:
   /** @pre All references outlive the watch's last coroutine. */
   ConfigWatch(const core::Executor& executor, ConfigWatchOptions options,
-              platform::KeyValueStore& store, contract::PartCache& parts,
+              external::KeyValueStore& store, contract::PartCache& parts,
               const core::Clock& clock, const core::Logger& log);
   ~ConfigWatch();
 
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -22,7 +22,7 @@
 
 /** One VM of the list, and what this entry has seen of it. */
 struct TrackedVm {
-  platform::VmRecord record;
+  external::VmRecord record;
   int missed_reads = 0;
   core::SteadyTime missing_since;
   /** Entries: it did not answer when last tried. */
@@ -46,7 +46,7 @@
 
 struct Directory::State : std::enable_shared_from_this<Directory::State> {
   State(const core::Executor& executor_arg, DirectoryOptions options_arg,
-        platform::VmList& vm_list_arg, link::LinkNode& links_arg,
+        external::VmList& vm_list_arg, link::LinkNode& links_arg,
         const core::Clock& clock_arg, const core::Logger& log_arg)
       : executor(executor_arg),
         options(std::move(options_arg)),
@@ -57,8 +57,8 @@
 
   core::Task<> FollowList();
   core::Task<> ReadListOnce();
-  void TakeList(const std::vector<platform::VmRecord>& records);
-  void TakeRecord(const platform::VmRecord& record);
+  void TakeList(const std::vector<external::VmRecord>& records);
+  void TakeRecord(const external::VmRecord& record);
   std::vector<core::VmId> CollectGone(const std::set<core::VmId>& shown);
   void StartFollowers();
   void StartProbes();
@@ -77,7 +77,7 @@
 
   const core::Executor executor;
   const DirectoryOptions options;
-  platform::VmList& vm_list;
+  external::VmList& vm_list;
   link::LinkNode& links;
   const core::Clock& clock;
   const core::Logger& log;
@@ -129,7 +129,7 @@
   // Failure: the list's service is down. It shows as an error or an empty
   // list. The last list stays in use: links tell of lost VMs meanwhile, and
   // nobody is declared gone on the strength of a read that failed.
-  std::vector<platform::VmRecord> records;
+  std::vector<external::VmRecord> records;
   try {
     records = co_await vm_list.Read();
   } catch (const std::exception& e) {
@@ -141,7 +141,7 @@
   StartProbes();
 }
 
-void Directory::State::TakeRecord(const platform::VmRecord& record) {
+void Directory::State::TakeRecord(const external::VmRecord& record) {
   TrackedVm& tracked = vms[record.vm];
   tracked.record = record;
   tracked.missed_reads = 0;
@@ -149,7 +149,7 @@
   if (it == endpoints.end()) return;
   KnownEndpoint& known = it->second;
   known.leaving =
-      known.report.leaving || record.state == platform::VmState::kLeaving;
+      known.report.leaving || record.state == external::VmState::kLeaving;
 }
 
 std::vector<core::VmId> Directory::State::CollectGone(
@@ -179,7 +179,7 @@
 }
 
 void Directory::State::TakeList(
-    const std::vector<platform::VmRecord>& records) {
+    const std::vector<external::VmRecord>& records) {
   std::vector<core::VmId> gone;
   std::vector<KnownEndpoint> turned;
   std::vector<std::function<void(const core::VmId&)>> listeners;
@@ -187,7 +187,7 @@
     const std::lock_guard lock(mutex);
     list_seen = true;
     std::set<core::VmId> shown;
-    for (const platform::VmRecord& record : records) {
+    for (const external::VmRecord& record : records) {
       shown.insert(record.vm);
       const auto it = endpoints.find(core::EndpointId(record.vm.value()));
       const bool was_leaving = it != endpoints.end() && it->second.leaving;
@@ -215,7 +215,7 @@
     const std::lock_guard lock(mutex);
     for (auto& [vm, tracked] : vms) {
       if (stopped) break;
-      if (tracked.record.role != platform::VmRole::kEndpoint) continue;
+      if (tracked.record.role != external::VmRole::kEndpoint) continue;
       if (followers.insert(vm).second) starting.push_back(vm);
     }
   }
@@ -285,7 +285,7 @@
     const auto listed = vms.find(vm);
     if (listed == vms.end()) return;
     const bool list_says =
-        listed->second.record.state == platform::VmState::kLeaving;
+        listed->second.record.state == external::VmState::kLeaving;
     tried.insert(vm);
     const core::EndpointId id(vm.value());
     KnownEndpoint& known = endpoints[id];
@@ -317,24 +317,24 @@
 }
 
 void Directory::State::StartProbes() {
-  std::vector<platform::VmRecord> targets;
+  std::vector<external::VmRecord> targets;
   {
     const std::lock_guard lock(mutex);
     const auto is_entry = [](const auto& item) {
-      return item.second.record.role == platform::VmRole::kEntry;
+      return item.second.record.role == external::VmRole::kEntry;
     };
     const auto entries = std::count_if(vms.begin(), vms.end(), is_entry);
     const bool all =
         static_cast<std::size_t>(entries) <= options.max_probed_entries;
     for (auto& [vm, tracked] : vms) {
-      if (tracked.record.role != platform::VmRole::kEntry) continue;
+      if (tracked.record.role != external::VmRole::kEntry) continue;
       if (vm == options.self || tracked.probing || stopped) continue;
       if (!all && !tracked.unreachable) continue;
       tracked.probing = true;
       targets.push_back(tracked.record);
     }
   }
-  for (const platform::VmRecord& record : targets) {
+  for (const external::VmRecord& record : targets) {
     core::Spawn(
         executor, log, "probe_entry",
         [self = shared_from_this(), vm = record.vm,
@@ -367,7 +367,7 @@
 }
 
 Directory::Directory(const core::Executor& executor, DirectoryOptions options,
-                     platform::VmList& vm_list, link::LinkNode& links,
+                     external::VmList& vm_list, link::LinkNode& links,
                      const core::Clock& clock, const core::Logger& log)
     : state_(std::make_shared<State>(executor, std::move(options), vm_list,
                                      links, clock, log)) {}
@@ -409,11 +409,11 @@
   std::vector<KnownEntry> entries;
   bool self_listed = false;
   for (const auto& [vm, tracked] : state_->vms) {
-    const platform::VmRecord& record = tracked.record;
-    if (record.role != platform::VmRole::kEntry) continue;
+    const external::VmRecord& record = tracked.record;
+    if (record.role != external::VmRole::kEntry) continue;
     const bool self = vm == state_->options.self;
     self_listed = self_listed || self;
-    if (record.state == platform::VmState::kLeaving) continue;
+    if (record.state == external::VmState::kLeaving) continue;
     if (self ? state_->self_leaving : tracked.unreachable) continue;
     entries.push_back({vm, record.zone, record.link_address});
   }
@@ -452,16 +452,16 @@
 bool Directory::settled() const {
   const std::lock_guard lock(state_->mutex);
   const auto is_known = [this](const auto& item) {
-    return item.second.record.role != platform::VmRole::kEndpoint ||
+    return item.second.record.role != external::VmRole::kEndpoint ||
            state_->tried.contains(item.first);
   };
   return state_->list_seen &&
          std::all_of(state_->vms.begin(), state_->vms.end(), is_known);
 }
 
-std::vector<platform::VmRecord> Directory::Listed() const {
+std::vector<external::VmRecord> Directory::Listed() const {
   const std::lock_guard lock(state_->mutex);
-  std::vector<platform::VmRecord> records;
+  std::vector<external::VmRecord> records;
   records.reserve(state_->vms.size());
   for (const auto& [vm, tracked] : state_->vms) {
     records.push_back(tracked.record);
--- a/src/entry/directory_base.h
+++ b/src/entry/directory_base.h
@@ -15,8 +15,8 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
+#include "external/vm_list_base.h"
 #include "link/link_base.h"
-#include "platform/vm_list_base.h"
 
 namespace sapphire::entry {
 
@@ -66,7 +66,7 @@
  public:
   /** @pre All references outlive the directory. */
   Directory(const core::Executor& executor, DirectoryOptions options,
-            platform::VmList& vm_list, link::LinkNode& links,
+            external::VmList& vm_list, link::LinkNode& links,
             const core::Clock& clock, const core::Logger& log);
   ~Directory();
 
@@ -105,7 +105,7 @@
   [[nodiscard]] bool settled() const;
 
   /** @return Every VM of the list, also those that can't be reached. */
-  [[nodiscard]] std::vector<platform::VmRecord> Listed() const;
+  [[nodiscard]] std::vector<external::VmRecord> Listed() const;
 
   /** @return True unless every read of the list so far has failed. */
   [[nodiscard]] bool list_seen() const;
--- a/src/entry/directory_test.cc
+++ b/src/entry/directory_test.cc
@@ -14,8 +14,8 @@
 
 struct Fleet {
   Fleet() {
-    list.Add("left", platform::VmRole::kEndpoint, left->address());
-    list.Add("right", platform::VmRole::kEndpoint, right->address());
+    list.Add("left", external::VmRole::kEndpoint, left->address());
+    list.Add("right", external::VmRole::kEndpoint, right->address());
     config.Adopt(ConfigOf("m", 2, 4));
     entry = std::make_unique<FakeEntry>(threads, "entry-1", list, store, config,
                                         clock, log);
@@ -81,7 +81,7 @@
   BOOST_REQUIRE(Eventually([&] { return fleet.Connected() == 1; }));
   auto again = std::make_unique<FakeEndpoint>(fleet.threads, "left",
                                               fleet.clock, fleet.log);
-  fleet.list.Add("left", platform::VmRole::kEndpoint, again->address());
+  fleet.list.Add("left", external::VmRole::kEndpoint, again->address());
   BOOST_TEST(Eventually([&] { return fleet.Connected() == 2; }));
   fleet.threads.Stop();
 }
@@ -130,7 +130,7 @@
 // shows the old one there. Orders for the old one must not reach the new one.
 BOOST_AUTO_TEST_CASE(EndpointUnderAnotherNameIsNotTaken) {
   Fleet fleet;
-  fleet.list.Add("old", platform::VmRole::kEndpoint, fleet.right->address());
+  fleet.list.Add("old", external::VmRole::kEndpoint, fleet.right->address());
   fleet.AwaitReads(15);
   BOOST_TEST(
       !fleet.entry->directory().Find(core::EndpointId("old")).has_value());
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -52,7 +52,7 @@
 }  // namespace
 
 Entry::Entry(const core::Executor& executor, const EntryOptions& options,
-             platform::KeyValueStore& store, platform::VmList& vm_list,
+             external::KeyValueStore& store, external::VmList& vm_list,
              const core::Clock& clock, const core::Logger& log,
              Metrics& metrics)
     : options_(options),
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -24,10 +24,10 @@
 #include "entry/metrics_base.h"
 #include "entry/once_runner_base.h"
 #include "entry/placer_base.h"
+#include "external/key_value_base.h"
+#include "external/vm_list_base.h"
 #include "http/server_base.h"
 #include "link/link_base.h"
-#include "platform/key_value_base.h"
-#include "platform/vm_list_base.h"
 
 namespace sapphire::entry {
 
@@ -52,7 +52,7 @@
  public:
   /** @pre All references outlive the entry. */
   Entry(const core::Executor& executor, const EntryOptions& options,
-        platform::KeyValueStore& store, platform::VmList& vm_list,
+        external::KeyValueStore& store, external::VmList& vm_list,
         const core::Clock& clock, const core::Logger& log, Metrics& metrics);
 
   /** Listens and begins to serve. @throws core::Error kBadSettings. */
--- a/src/entry/fleet_fake_base.h
+++ b/src/entry/fleet_fake_base.h
@@ -25,9 +25,9 @@
 #include "core/task_func.h"
 #include "entry/directory_base.h"
 #include "entry/home_base.h"
+#include "external/key_value_base.h"
+#include "external/vm_list_base.h"
 #include "link/link_base.h"
-#include "platform/key_value_base.h"
-#include "platform/vm_list_base.h"
 
 namespace sapphire::entry::fake {
 
@@ -72,21 +72,21 @@
   return false;
 }
 
-class FakeVmList final : public platform::VmList {
+class FakeVmList final : public external::VmList {
  public:
-  core::Task<std::vector<platform::VmRecord>> Read() override {
+  core::Task<std::vector<external::VmRecord>> Read() override {
     const std::lock_guard lock(mutex_);
     ++reads_;
     if (down) throw core::Error(core::ErrorCode::kPlatformUnavailable);
-    std::vector<platform::VmRecord> all;
+    std::vector<external::VmRecord> all;
     for (const auto& [vm, record] : records_) all.push_back(record);
     co_return all;
   }
-  void Add(const std::string& vm, platform::VmRole role,
+  void Add(const std::string& vm, external::VmRole role,
            const std::string& address) {
     const std::lock_guard lock(mutex_);
     records_[vm] = {core::VmId(vm), core::ZoneId("a"), role,
-                    platform::VmState::kLive, address};
+                    external::VmState::kLive, address};
   }
   void Remove(const std::string& vm) {
     const std::lock_guard lock(mutex_);
@@ -99,36 +99,36 @@
  private:
   std::mutex mutex_;
   std::atomic<int> reads_{0};
-  std::map<std::string, platform::VmRecord> records_;
+  std::map<std::string, external::VmRecord> records_;
 };
 
-class FakeStore final : public platform::KeyValueStore {
+class FakeStore final : public external::KeyValueStore {
  public:
-  core::Task<std::optional<platform::KvEntry>> Get(std::string key) override {
+  core::Task<std::optional<external::KvEntry>> Get(std::string key) override {
     CheckUp();
     co_return Find(key);
   }
-  core::Task<std::vector<platform::KvEntry>> List(std::string prefix) override {
+  core::Task<std::vector<external::KvEntry>> List(std::string prefix) override {
     CheckUp();
     const std::lock_guard lock(mutex_);
-    std::vector<platform::KvEntry> found;
+    std::vector<external::KvEntry> found;
     for (const auto& [key, entry] : entries_) {
       if (key.starts_with(prefix)) found.push_back(entry);
     }
     co_return found;
   }
-  core::Task<platform::CasResult> CompareAndSwap(
+  core::Task<external::CasResult> CompareAndSwap(
       std::string key, std::int64_t expected, std::string value,
       std::string /*lease_id*/) override {
     CheckUp();
     const auto current = Find(key);
     if ((current ? current->revision : 0) != expected) {
-      co_return platform::CasResult{false, 0, current};
+      co_return external::CasResult{false, 0, current};
     }
     const std::lock_guard lock(mutex_);
     entries_[key] = {key, value, ++revision_};
     changed_.insert(key);
-    co_return platform::CasResult{true, revision_, std::nullopt};
+    co_return external::CasResult{true, revision_, std::nullopt};
   }
   core::Task<bool> DeleteIf(std::string key, std::int64_t expected) override {
     CheckUp();
@@ -139,22 +139,22 @@
     ++revision_;
     co_return true;
   }
-  core::Task<platform::KvLease> GrantLease(core::Millis ttl) override {
-    co_return platform::KvLease{"lease", ttl};
+  core::Task<external::KvLease> GrantLease(core::Millis ttl) override {
+    co_return external::KvLease{"lease", ttl};
   }
   core::Task<bool> KeepAlive(std::string /*lease_id*/) override {
     co_return true;
   }
   /** Answers with a gap after a short while: followers list again. */
-  core::Task<platform::WatchBatch> Watch(std::string /*prefix*/,
+  core::Task<external::WatchBatch> Watch(std::string /*prefix*/,
                                          std::int64_t revision,
                                          core::Millis /*wait*/) override {
     co_await core::SleepFor(core::Millis(20));
     CheckUp();
-    co_return platform::WatchBatch{revision, {}, true};
+    co_return external::WatchBatch{revision, {}, true};
   }
 
-  std::optional<platform::KvEntry> Find(const std::string& key) {
+  std::optional<external::KvEntry> Find(const std::string& key) {
     const std::lock_guard lock(mutex_);
     const auto it = entries_.find(key);
     if (it == entries_.end()) return std::nullopt;
@@ -172,7 +172,7 @@
     if (down) throw core::Error(core::ErrorCode::kPlatformUnavailable);
   }
   std::mutex mutex_;
-  std::map<std::string, platform::KvEntry> entries_;
+  std::map<std::string, external::KvEntry> entries_;
   std::set<std::string> changed_;
   std::int64_t revision_ = 0;
 };
@@ -333,7 +333,7 @@
                     .max_backoff = core::Millis(200)},
                    list, node_, clock, log) {
     address_ = node_.Listen("127.0.0.1:0");
-    list.Add(name, platform::VmRole::kEntry, address_);
+    list.Add(name, external::VmRole::kEntry, address_);
     HomeOptions options;
     options.self = core::VmId(name);
     options.zone = core::ZoneId("a");
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -108,7 +108,7 @@
 Home::State::State(const core::Executor& executor_arg, HomeOptions options_arg,
                    contract::ConfigHolder& config_arg, Directory& directory_arg,
                    link::LinkNode& links_arg,
-                   platform::KeyValueStore& store_arg,
+                   external::KeyValueStore& store_arg,
                    const core::Clock& clock_arg, const core::Logger& log_arg)
     : executor(executor_arg),
       options(std::move(options_arg)),
@@ -439,7 +439,7 @@
 
 Home::Home(const core::Executor& executor, HomeOptions options,
            contract::ConfigHolder& config, Directory& directory,
-           link::LinkNode& links, platform::KeyValueStore& store,
+           link::LinkNode& links, external::KeyValueStore& store,
            const core::Clock& clock, const core::Logger& log)
     : state_(std::make_shared<State>(executor, std::move(options), config,
                                      directory, links, store, clock, log)) {
--- a/src/entry/home_base.h
+++ b/src/entry/home_base.h
@@ -16,9 +16,9 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/directory_base.h"
+#include "external/key_value_base.h"
 #include "gen/link_types.h"
 #include "link/link_base.h"
-#include "platform/key_value_base.h"
 #include "policy/placement_type.h"
 
 namespace sapphire::entry {
@@ -60,7 +60,7 @@
   /** @pre All references outlive the home. */
   Home(const core::Executor& executor, HomeOptions options,
        contract::ConfigHolder& config, Directory& directory,
-       link::LinkNode& links, platform::KeyValueStore& store,
+       link::LinkNode& links, external::KeyValueStore& store,
        const core::Clock& clock, const core::Logger& log);
   ~Home();
 
--- a/src/entry/home_state_base.h
+++ b/src/entry/home_state_base.h
@@ -32,7 +32,7 @@
 
   State(const core::Executor& executor_arg, HomeOptions options_arg,
         contract::ConfigHolder& config_arg, Directory& directory_arg,
-        link::LinkNode& links_arg, platform::KeyValueStore& store_arg,
+        link::LinkNode& links_arg, external::KeyValueStore& store_arg,
         const core::Clock& clock_arg, const core::Logger& log_arg);
 
   /** Listens to the directory and the configuration; starts the sweep. */
@@ -135,7 +135,7 @@
   contract::ConfigHolder& config;
   Directory& directory;
   link::LinkNode& links;
-  platform::KeyValueStore& store;
+  external::KeyValueStore& store;
   const core::Clock& clock;
   const core::Logger& log;
 
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -16,7 +16,7 @@
   Fleet(int max_replicas, int max_concurrent) {
     for (FakeEndpoint* endpoint : {&left, &right}) {
       list.Add(endpoint == &left ? "left" : "right",
-               platform::VmRole::kEndpoint, endpoint->address());
+               external::VmRole::kEndpoint, endpoint->address());
     }
     config.Adopt(ConfigOf(kModel, max_replicas, max_concurrent));
     entry = std::make_unique<FakeEntry>(threads, "entry-1", list, store, config,
@@ -363,7 +363,7 @@
 BOOST_AUTO_TEST_CASE(PlainServiceWithoutEndpointIsRefusedAtOnce) {
   Fleet fleet;
   FakeEndpoint booth(fleet.threads, "booth", fleet.clock, fleet.log, "booths");
-  fleet.list.Add("booth", platform::VmRole::kEndpoint, booth.address());
+  fleet.list.Add("booth", external::VmRole::kEndpoint, booth.address());
   const auto place = [&fleet](const char* service) {
     return fleet.threads.Start(TryPlaceService(fleet.entry->home(), service))
         .get();
--- a/src/entry/ledger_cleanup.cc
+++ b/src/entry/ledger_cleanup.cc
@@ -48,7 +48,7 @@
                              LedgerCleanupOptions options,
                              contract::ConfigHolder& config,
                              Directory& directory,
-                             platform::KeyValueStore& store,
+                             external::KeyValueStore& store,
                              const core::Clock& clock, const core::Logger& log)
     : executor_(executor),
       options_(std::move(options)),
@@ -150,7 +150,7 @@
     if (!ledger) co_return;
     const auto without = WithoutGrantsOf(ledger->value, vm);
     if (!without) co_return;
-    const platform::CasResult swap =
+    const external::CasResult swap =
         co_await store_.CompareAndSwap(key, ledger->revision, *without, "");
     if (!swap.swapped) continue;
     log_.Event(core::LogLevel::kInfo, core::LogCategory::kLedger,
--- a/src/entry/ledger_cleanup_base.h
+++ b/src/entry/ledger_cleanup_base.h
@@ -19,7 +19,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/directory_base.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -49,7 +49,7 @@
   /** @pre All references outlive the object's coroutines. */
   LedgerCleanup(const core::Executor& executor, LedgerCleanupOptions options,
                 contract::ConfigHolder& config, Directory& directory,
-                platform::KeyValueStore& store, const core::Clock& clock,
+                external::KeyValueStore& store, const core::Clock& clock,
                 const core::Logger& log);
 
   void Start();
@@ -70,7 +70,7 @@
   const LedgerCleanupOptions options_;
   contract::ConfigHolder& config_;
   Directory& directory_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
   std::atomic<bool> stopped_{false};
--- a/src/entry/quarantine_store.cc
+++ b/src/entry/quarantine_store.cc
@@ -38,7 +38,7 @@
 
 QuarantineStore::QuarantineStore(const core::Executor& executor,
                                  std::shared_ptr<Quarantine> quarantine,
-                                 platform::KeyValueStore& store,
+                                 external::KeyValueStore& store,
                                  const core::Clock& clock,
                                  const core::Logger& log)
     : executor_(executor),
@@ -88,11 +88,11 @@
 
 core::Task<std::int64_t> QuarantineStore::ReadAll() {
   const std::set<std::int64_t> known = quarantine_->Fingerprints();
-  const std::vector<platform::KvEntry> entries =
+  const std::vector<external::KvEntry> entries =
       co_await store_.List(std::string(kPrefix));
   std::set<std::int64_t> listed;
   std::int64_t revision = 0;
-  for (const platform::KvEntry& entry : entries) {
+  for (const external::KvEntry& entry : entries) {
     revision = std::max(revision, entry.revision);
     TakeEntry(entry.key, entry.value);
     if (const auto it = FingerprintIn(entry.key)) listed.insert(*it);
@@ -108,8 +108,8 @@
 }
 
 core::Task<> QuarantineStore::DeleteExpired(
-    std::vector<platform::KvEntry> entries) {
-  for (const platform::KvEntry& entry : entries) {
+    std::vector<external::KvEntry> entries) {
+  for (const external::KvEntry& entry : entries) {
     const auto fingerprint = FingerprintIn(entry.key);
     if (!fingerprint) continue;
     const core::WallTime last = quarantine_->Find(*fingerprint).last_crash;
@@ -122,16 +122,16 @@
 
 core::Task<> QuarantineStore::WatchFrom(std::int64_t revision) {
   while (!stopped_) {
-    const platform::WatchBatch batch =
+    const external::WatchBatch batch =
         co_await store_.Watch(std::string(kPrefix), revision, kWatchWait);
     // Failure: the watch skipped changes. It says so; all is read again.
     if (batch.gap) co_return;
-    for (const platform::KvEvent& event : batch.events) TakeEvent(event);
+    for (const external::KvEvent& event : batch.events) TakeEvent(event);
     revision = std::max(revision, batch.revision);
   }
 }
 
-void QuarantineStore::TakeEvent(const platform::KvEvent& event) {
+void QuarantineStore::TakeEvent(const external::KvEvent& event) {
   if (event.value) {
     TakeEntry(event.key, *event.value);
     return;
@@ -202,7 +202,7 @@
     if (merged.crashes == there.crashes) co_return true;
   }
   if (merged.crashes.empty()) co_return true;
-  const platform::CasResult swap = co_await store_.CompareAndSwap(
+  const external::CasResult swap = co_await store_.CompareAndSwap(
       key, stored ? stored->revision : 0, EncodeCrashes(merged), "");
   co_return swap.swapped;
 }
--- a/src/entry/quarantine_store_base.h
+++ b/src/entry/quarantine_store_base.h
@@ -15,7 +15,7 @@
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "entry/quarantine_base.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry {
 
@@ -29,7 +29,7 @@
   /** @pre All references outlive the store's coroutines. */
   QuarantineStore(const core::Executor& executor,
                   std::shared_ptr<Quarantine> quarantine,
-                  platform::KeyValueStore& store, const core::Clock& clock,
+                  external::KeyValueStore& store, const core::Clock& clock,
                   const core::Logger& log);
 
   /** Begins to follow and to write. */
@@ -47,18 +47,18 @@
   core::Task<> Follow();
   core::Task<std::int64_t> ReadAll();
   core::Task<> WatchFrom(std::int64_t revision);
-  void TakeEvent(const platform::KvEvent& event);
+  void TakeEvent(const external::KvEvent& event);
   void TakeEntry(const std::string& key, const std::string& value);
   core::Task<> Flush();
   core::Task<bool> SaveOne(std::int64_t fingerprint);
   core::Task<bool> SwapIn(std::int64_t fingerprint, CrashRecord record);
-  core::Task<> DeleteExpired(std::vector<platform::KvEntry> entries);
+  core::Task<> DeleteExpired(std::vector<external::KvEntry> entries);
   std::set<std::int64_t> TakeDirty();
   [[nodiscard]] bool IsDirty(std::int64_t fingerprint) const;
 
   const core::Executor executor_;
   const std::shared_ptr<Quarantine> quarantine_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
   std::atomic<bool> stopped_{false};
--- a/src/entry/sapphire_entry_main.cc
+++ b/src/entry/sapphire_entry_main.cc
@@ -11,8 +11,8 @@
 #include "core/task_func.h"
 #include "entry/entry_base.h"
 #include "entry/entry_settings_base.h"
-#include "platform/counting_store_base.h"
-#include "platform/platform_func.h"
+#include "external/counting_store_base.h"
+#include "external/external_func.h"
 
 namespace sapphire::entry {
 
@@ -83,9 +83,9 @@
           const core::Clock& clock)
       : settings_(settings),
         log_(log),
-        store_(platform::MakeHttpKeyValueStore(
+        store_(external::MakeHttpKeyValueStore(
             settings.String("kv"), settings.Millis("kv_timeout_ms"))),
-        vm_list_(platform::MakeHttpVmList(
+        vm_list_(external::MakeHttpVmList(
             settings.String("vm_list"), settings.Millis("vm_list_timeout_ms"))),
         counting_store_(
             *store_,
@@ -131,9 +131,9 @@
   const core::Logger& log_;
   boost::asio::io_context context_;
   Metrics metrics_;
-  std::unique_ptr<platform::KeyValueStore> store_;
-  std::unique_ptr<platform::VmList> vm_list_;
-  platform::CountingStore counting_store_;
+  std::unique_ptr<external::KeyValueStore> store_;
+  std::unique_ptr<external::VmList> vm_list_;
+  external::CountingStore counting_store_;
   Entry entry_;
   boost::asio::signal_set signals_;
   std::atomic<int> exit_code_ = 0;
--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -13,7 +13,7 @@
 #include "core/clock_base.h"
 #include "core/error_type.h"
 #include "core/task_func.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::entry::testing {
 
@@ -25,7 +25,7 @@
 };
 
 /** One thread only. Each call moves the clock by a millisecond. */
-class MemoryKeyValue final : public platform::KeyValueStore {
+class MemoryKeyValue final : public external::KeyValueStore {
  public:
   explicit MemoryKeyValue(core::ManualClock& clock) : clock_(clock) {}
 
@@ -36,9 +36,9 @@
   /** The service goes down with the next fault of the head. */
   bool down_after_fault = false;
   /** What the next reads of the head show in its place. */
-  std::deque<std::optional<platform::KvEntry>> head_shown;
+  std::deque<std::optional<external::KvEntry>> head_shown;
   /** What the next watches answer, before real changes. */
-  std::deque<platform::WatchBatch> batches;
+  std::deque<external::WatchBatch> batches;
   /** Deletes are on their way, and take effect when this becomes false. */
   bool hold_deletes = false;
   /** Watches pass over changes while true. */
@@ -60,7 +60,7 @@
     });
   }
 
-  [[nodiscard]] std::optional<platform::KvEntry> Peek(
+  [[nodiscard]] std::optional<external::KvEntry> Peek(
       const std::string& key) const {
     const auto it = entries_.find(key);
     if (it == entries_.end()) return std::nullopt;
@@ -76,7 +76,7 @@
     return keys;
   }
 
-  core::Task<std::optional<platform::KvEntry>> Get(std::string key) override {
+  core::Task<std::optional<external::KvEntry>> Get(std::string key) override {
     co_await Step();
     ++gets;
     if (key == "config/head" && !head_shown.empty()) {
@@ -87,12 +87,12 @@
     co_return Peek(key);
   }
 
-  core::Task<std::vector<platform::KvEntry>> List(std::string) override {
+  core::Task<std::vector<external::KvEntry>> List(std::string) override {
     co_await Step();
-    co_return std::vector<platform::KvEntry>();
+    co_return std::vector<external::KvEntry>();
   }
 
-  core::Task<platform::CasResult> CompareAndSwap(std::string key,
+  core::Task<external::CasResult> CompareAndSwap(std::string key,
                                                  std::int64_t expected,
                                                  std::string value,
                                                  std::string) override {
@@ -122,10 +122,10 @@
     co_return true;
   }
 
-  core::Task<platform::KvLease> GrantLease(
+  core::Task<external::KvLease> GrantLease(
       std::chrono::milliseconds time_to_live) override {
     co_await Step();
-    co_return platform::KvLease{"lease", time_to_live};
+    co_return external::KvLease{"lease", time_to_live};
   }
 
   core::Task<bool> KeepAlive(std::string) override {
@@ -133,18 +133,18 @@
     co_return true;
   }
 
-  core::Task<platform::WatchBatch> Watch(
+  core::Task<external::WatchBatch> Watch(
       std::string prefix, std::int64_t revision,
       std::chrono::milliseconds wait) override {
     co_await Step();
     ++watches;
     if (!batches.empty()) {
-      platform::WatchBatch batch = batches.front();
+      external::WatchBatch batch = batches.front();
       batches.pop_front();
       co_return batch;
     }
     const core::SteadyTime end = clock_.Now() + wait;
-    platform::WatchBatch batch;
+    external::WatchBatch batch;
     while (batch.events.empty() && clock_.Now() < end) {
       co_await core::SleepFor(std::chrono::milliseconds(1));
       co_await Step();
@@ -172,7 +172,7 @@
     throw core::Error(core::ErrorCode::kPlatformUnavailable, "down");
   }
 
-  platform::CasResult Swap(const std::string& key, std::int64_t expected,
+  external::CasResult Swap(const std::string& key, std::int64_t expected,
                            const std::string& value) {
     const auto current = Peek(key);
     if ((current ? current->revision : 0) != expected) {
@@ -184,7 +184,7 @@
   }
 
   core::ManualClock& clock_;
-  std::map<std::string, platform::KvEntry> entries_;
+  std::map<std::string, external::KvEntry> entries_;
   std::vector<LateWrite> late_;
   std::int64_t revision_ = 0;
 };
--- a/src/platform/counting_store.cc
+++ b/src/external/counting_store.cc
@@ -2,9 +2,9 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/counting_store_base.h"
+#include "external/counting_store_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 using core::Task;
 
@@ -55,4 +55,4 @@
   return Counted("watch", store_.Watch(std::move(prefix), revision, wait));
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/counting_store_base.h
+++ b/src/external/counting_store_base.h
@@ -1,6 +1,6 @@
 /** @file counting_store_base.h A key-value client whose calls are counted. */
-#ifndef SAPPHIRE_PLATFORM_COUNTING_STORE_BASE_H_
-#define SAPPHIRE_PLATFORM_COUNTING_STORE_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_COUNTING_STORE_BASE_H_
+#define SAPPHIRE_EXTERNAL_COUNTING_STORE_BASE_H_
 
 #include <functional>
 #include <string>
@@ -8,9 +8,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 /** Passes every call on and counts it by kind and outcome. */
 class CountingStore final : public KeyValueStore {
@@ -43,6 +43,6 @@
   const Observer observer_;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_COUNTING_STORE_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_COUNTING_STORE_BASE_H_
--- a/src/platform/engine_base.h
+++ b/src/external/engine_base.h
@@ -1,7 +1,7 @@
 /** @file engine_base.h A model engine or plain service, as its endpoint process
  * uses it. */
-#ifndef SAPPHIRE_PLATFORM_ENGINE_BASE_H_
-#define SAPPHIRE_PLATFORM_ENGINE_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_ENGINE_BASE_H_
+#define SAPPHIRE_EXTERNAL_ENGINE_BASE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -14,7 +14,7 @@
 #include "http/client_base.h"
 #include "http/http_type.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 enum class EngineModelState { kLoading, kReady, kUnloading };
 
@@ -86,6 +86,6 @@
       http::Request request, std::chrono::milliseconds timeout) = 0;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_ENGINE_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_ENGINE_BASE_H_
--- a/src/platform/platform_func.h
+++ b/src/external/external_func.h
@@ -1,16 +1,16 @@
-/** @file platform_func.h Makes the clients of the platform's services. */
-#ifndef SAPPHIRE_PLATFORM_PLATFORM_FUNC_H_
-#define SAPPHIRE_PLATFORM_PLATFORM_FUNC_H_
+/** @file external_func.h Makes the clients of the platform's services. */
+#ifndef SAPPHIRE_EXTERNAL_EXTERNAL_FUNC_H_
+#define SAPPHIRE_EXTERNAL_EXTERNAL_FUNC_H_
 
 #include <chrono>
 #include <memory>
 #include <string>
 
-#include "platform/engine_base.h"
-#include "platform/key_value_base.h"
-#include "platform/vm_list_base.h"
+#include "external/engine_base.h"
+#include "external/key_value_base.h"
+#include "external/vm_list_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 /** @param address "ip:port" of the service. @param timeout Of one call. */
 std::unique_ptr<KeyValueStore> MakeHttpKeyValueStore(
@@ -22,6 +22,6 @@
 std::unique_ptr<Engine> MakeHttpEngine(const std::string& address,
                                        std::chrono::milliseconds timeout);
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_PLATFORM_FUNC_H_
+#endif  // SAPPHIRE_EXTERNAL_EXTERNAL_FUNC_H_
--- a/src/platform/http_call.cc
+++ b/src/external/http_call.cc
@@ -2,9 +2,9 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/http_call_base.h"
+#include "external/http_call_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 namespace {
 
@@ -73,4 +73,4 @@
   co_return std::move(response.body);
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/http_call_base.h
+++ b/src/external/http_call_base.h
@@ -1,6 +1,6 @@
 /** @file http_call_base.h Calls to a platform service, their failures typed. */
-#ifndef SAPPHIRE_PLATFORM_HTTP_CALL_BASE_H_
-#define SAPPHIRE_PLATFORM_HTTP_CALL_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_HTTP_CALL_BASE_H_
+#define SAPPHIRE_EXTERNAL_HTTP_CALL_BASE_H_
 
 #include <chrono>
 #include <string>
@@ -8,7 +8,7 @@
 #include "core/task_type.h"
 #include "http/client_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 /** One service of the platform, reached over HTTP with JSON bodies. */
 class HttpCall {
@@ -37,6 +37,6 @@
   const std::chrono::milliseconds timeout_;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_HTTP_CALL_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_HTTP_CALL_BASE_H_
--- a/src/platform/http_engine.cc
+++ b/src/external/http_engine.cc
@@ -4,10 +4,10 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/json_func.h"
-#include "platform/platform_func.h"
+#include "external/external_func.h"
+#include "external/json_func.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 namespace json = boost::json;
 using core::ErrorCode;
@@ -171,4 +171,4 @@
   return std::make_unique<HttpEngine>(address, timeout);
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/http_key_value.cc
+++ b/src/external/http_key_value.cc
@@ -4,11 +4,11 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/http_call_base.h"
-#include "platform/json_func.h"
-#include "platform/platform_func.h"
+#include "external/external_func.h"
+#include "external/http_call_base.h"
+#include "external/json_func.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 namespace json = boost::json;
 using core::ErrorCode;
@@ -176,4 +176,4 @@
   return std::make_unique<HttpKeyValueStore>(address, timeout);
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/http_platform_test.cc
+++ b/src/external/http_platform_test.cc
@@ -4,11 +4,11 @@
 #include <functional>
 
 #include "core/task_func.h"
+#include "external/external_func.h"
+#include "external/test_runner_base.h"
 #include "http/server_base.h"
-#include "platform/platform_func.h"
-#include "platform/test_runner_base.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 namespace {
 
 using core::ErrorCode;
@@ -168,4 +168,4 @@
 }
 
 }  // namespace
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/http_vm_list.cc
+++ b/src/external/http_vm_list.cc
@@ -3,11 +3,11 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/http_call_base.h"
-#include "platform/json_func.h"
-#include "platform/platform_func.h"
+#include "external/external_func.h"
+#include "external/http_call_base.h"
+#include "external/json_func.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 namespace json = boost::json;
 
@@ -72,4 +72,4 @@
   return std::make_unique<HttpVmList>(address, timeout);
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/json.cc
+++ b/src/external/json.cc
@@ -3,9 +3,9 @@
 #include <boost/system/error_code.hpp>
 
 #include "core/error_type.h"
-#include "platform/json_func.h"
+#include "external/json_func.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 namespace json = boost::json;
 
@@ -45,6 +45,13 @@
   return n;
 }
 
+double NumberAt(const json::object& object, std::string_view field) {
+  boost::system::error_code ec;
+  const double n = ValueAt(object, field).to_number<double>(ec);
+  if (ec) FailField(field, "must be a number");
+  return n;
+}
+
 bool BooleanAt(const json::object& object, std::string_view field) {
   const json::value& value = ValueAt(object, field);
   if (!value.is_bool()) FailField(field, "must be a boolean");
@@ -68,6 +75,11 @@
   return object.contains(field) ? IntegerAt(object, field) : fallback;
 }
 
+double NumberOr(const json::object& object, std::string_view field,
+                double fallback) {
+  return object.contains(field) ? NumberAt(object, field) : fallback;
+}
+
 bool BooleanOr(const json::object& object, std::string_view field,
                bool fallback) {
   return object.contains(field) ? BooleanAt(object, field) : fallback;
@@ -78,4 +90,4 @@
   return value.get_object();
 }
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
--- a/src/platform/json_func.h
+++ b/src/external/json_func.h
@@ -1,13 +1,13 @@
 /** @file json_func.h Checked reading of the fields of JSON objects. */
-#ifndef SAPPHIRE_PLATFORM_JSON_FUNC_H_
-#define SAPPHIRE_PLATFORM_JSON_FUNC_H_
+#ifndef SAPPHIRE_EXTERNAL_JSON_FUNC_H_
+#define SAPPHIRE_EXTERNAL_JSON_FUNC_H_
 
 #include <boost/json/fwd.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 /**
  * Every function here throws core::Error kMalformedRequest, naming the field,
@@ -18,6 +18,8 @@
 std::string StringAt(const boost::json::object& object, std::string_view field);
 std::int64_t IntegerAt(const boost::json::object& object,
                        std::string_view field);
+/** Any number, also one with a fraction. */
+double NumberAt(const boost::json::object& object, std::string_view field);
 bool BooleanAt(const boost::json::object& object, std::string_view field);
 const boost::json::array& ArrayAt(const boost::json::object& object,
                                   std::string_view field);
@@ -27,6 +29,8 @@
                      std::string_view fallback);
 std::int64_t IntegerOr(const boost::json::object& object,
                        std::string_view field, std::int64_t fallback);
+double NumberOr(const boost::json::object& object, std::string_view field,
+                double fallback);
 bool BooleanOr(const boost::json::object& object, std::string_view field,
                bool fallback);
 
@@ -34,6 +38,6 @@
 const boost::json::object& AsObject(const boost::json::value& value,
                                     std::string_view field);
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_JSON_FUNC_H_
+#endif  // SAPPHIRE_EXTERNAL_JSON_FUNC_H_
--- /dev/null
+++ b/src/external/key_value.cc
@@ -0,0 +1,18 @@
+/** @file key_value.cc What the key-value service's clients share. */
+#include <algorithm>
+#include <utility>
+
+#include "external/key_value_base.h"
+
+namespace sapphire::external {
+
+core::Task<KvSnapshot> KeyValueStore::Snapshot(std::string prefix) {
+  KvSnapshot snapshot;
+  snapshot.entries = co_await List(std::move(prefix));
+  for (const KvEntry& entry : snapshot.entries) {
+    snapshot.revision = std::max(snapshot.revision, entry.revision);
+  }
+  co_return snapshot;
+}
+
+}  // namespace sapphire::external
--- a/src/platform/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -1,6 +1,6 @@
 /** @file key_value_base.h The platform's key-value service, as we use it. */
-#ifndef SAPPHIRE_PLATFORM_KEY_VALUE_BASE_H_
-#define SAPPHIRE_PLATFORM_KEY_VALUE_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_KEY_VALUE_BASE_H_
+#define SAPPHIRE_EXTERNAL_KEY_VALUE_BASE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -10,7 +10,7 @@
 
 #include "core/task_type.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 struct KvEntry {
   std::string key;
@@ -42,6 +42,13 @@
   bool gap = false;
 };
 
+/** All entries under a prefix, and from where to watch on. */
+struct KvSnapshot {
+  std::vector<KvEntry> entries;
+  /** Changes after this one may be missing from `entries`. */
+  std::int64_t revision = 0;
+};
+
 struct KvLease {
   std::string id;
   std::chrono::milliseconds time_to_live{};
@@ -60,6 +67,9 @@
   virtual core::Task<std::optional<KvEntry>> Get(std::string key) = 0;
   virtual core::Task<std::vector<KvEntry>> List(std::string prefix) = 0;
 
+  /** Lists with the revision to watch from: by default the newest listed. */
+  virtual core::Task<KvSnapshot> Snapshot(std::string prefix);
+
   /**
    * Writes if the key's revision is `expected` (0: the key is absent).
    * @param lease_id Empty, or a lease whose end deletes the key.
@@ -83,6 +93,6 @@
                                        std::chrono::milliseconds wait) = 0;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_KEY_VALUE_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_KEY_VALUE_BASE_H_
--- a/src/platform/test_runner_base.h
+++ b/src/external/test_runner_base.h
@@ -1,6 +1,6 @@
 /** @file test_runner_base.h Runs coroutines to their end from a test. */
-#ifndef SAPPHIRE_PLATFORM_TEST_RUNNER_BASE_H_
-#define SAPPHIRE_PLATFORM_TEST_RUNNER_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_TEST_RUNNER_BASE_H_
+#define SAPPHIRE_EXTERNAL_TEST_RUNNER_BASE_H_
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -15,7 +15,7 @@
 #include "core/error_type.h"
 #include "core/task_type.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 /** One thread that runs coroutines; tests wait for their ends. */
 class TestRunner {
@@ -62,6 +62,6 @@
   std::thread thread_;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_TEST_RUNNER_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_TEST_RUNNER_BASE_H_
--- a/src/platform/vm_list_base.h
+++ b/src/external/vm_list_base.h
@@ -1,6 +1,6 @@
 /** @file vm_list_base.h The platform's lagging list of VMs. */
-#ifndef SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
-#define SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
+#ifndef SAPPHIRE_EXTERNAL_VM_LIST_BASE_H_
+#define SAPPHIRE_EXTERNAL_VM_LIST_BASE_H_
 
 #include <string>
 #include <vector>
@@ -8,7 +8,7 @@
 #include "core/id_type.h"
 #include "core/task_type.h"
 
-namespace sapphire::platform {
+namespace sapphire::external {
 
 enum class VmRole { kEntry, kEndpoint };
 enum class VmState { kLive, kLeaving };
@@ -29,6 +29,6 @@
   virtual core::Task<std::vector<VmRecord>> Read() = 0;
 };
 
-}  // namespace sapphire::platform
+}  // namespace sapphire::external
 
-#endif  // SAPPHIRE_PLATFORM_VM_LIST_BASE_H_
+#endif  // SAPPHIRE_EXTERNAL_VM_LIST_BASE_H_
--- /dev/null
+++ b/src/fleet/endpoint_feed.cc
@@ -0,0 +1,128 @@
+/** @file endpoint_feed.cc Follows the endpoint processes beside engines. */
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "fleet/endpoint_feed_base.h"
+
+namespace sapphire::fleet {
+
+using core::Error;
+using core::ErrorCode;
+
+namespace {
+
+/** Entries that are assumed to share a limit before any endpoint has told:
+ * more than a small site has, so that the limit holds meanwhile. */
+constexpr int kAssumedEntries = 8;
+
+}  // namespace
+
+EndpointFeed::EndpointFeed(FeedOptions options, link::LinkNode& links,
+                           const EngineRegistry& registry, EngineLoads& loads,
+                           const core::Executor& executor,
+                           const core::Clock& clock, const core::Logger& log)
+    : options_(options),
+      links_(links),
+      registry_(registry),
+      loads_(loads),
+      executor_(executor),
+      clock_(clock),
+      log_(log) {}
+
+void EndpointFeed::Follow(const InstanceId& instance) {
+  if (!followed_.insert(instance).second) return;
+  core::Spawn(executor_, log_, "follow_endpoint",
+              [this, instance] { return FollowOne(instance); });
+}
+
+core::Task<> EndpointFeed::FollowOne(InstanceId instance) {
+  bool reachable = true;
+  while (registry_.Find(instance) != nullptr) {
+    std::string failure;
+    try {
+      co_await Subscribe(instance);
+    } catch (const Error& e) {
+      failure = e.what();
+    }
+    const bool heard = Find(instance) != nullptr;
+    if (heard || reachable) {
+      log_.Event(core::LogLevel::kInfo, core::LogCategory::kLink,
+                 "endpoint_lost", {{"instance", instance}, {"error", failure}});
+    }
+    reachable = heard;
+    co_await core::SleepFor(options_.retry_pause);
+  }
+  followed_.erase(instance);
+  states_.erase(instance);
+}
+
+core::Task<> EndpointFeed::Subscribe(InstanceId instance) {
+  gen::Message first;
+  first.__set_subscribe(gen::Subscribe());
+  const std::string address = LinkAddress(instance);
+  const std::shared_ptr<link::Call> call =
+      co_await links_.Open(address, std::move(first));
+  core::Spawn(executor_, log_, "send_usage",
+              [this, call, instance] { return SendUsage(call, instance); });
+  while (registry_.Find(instance) != nullptr) {
+    const gen::Message message = co_await call->Receive(options_.silence);
+    if (!message.__isset.endpoint_report) continue;
+    EndpointState& state = states_[instance];
+    state.report = message.endpoint_report;
+    state.at = clock_.Now();
+    state.own_running = loads_.Running(instance);
+    changed_.Notify();
+  }
+  call->Cancel();
+}
+
+core::Task<> EndpointFeed::SendUsage(std::shared_ptr<link::Call> call,
+                                     InstanceId instance) {
+  while (!call->ended()) {
+    gen::Message message;
+    message.__set_usage_report(loads_.UsageOf(instance));
+    co_await call->Send(std::move(message));
+    co_await core::SleepFor(options_.usage_interval);
+  }
+}
+
+const EndpointState* EndpointFeed::Find(const InstanceId& instance) const {
+  const auto it = states_.find(instance);
+  if (it == states_.end()) return nullptr;
+  if (clock_.Now() - it->second.at > options_.fresh) return nullptr;
+  return it->second.report.engine_up ? &it->second : nullptr;
+}
+
+core::Task<> EndpointFeed::Ensure(InstanceId instance, gen::EnsureModel wish,
+                                  std::chrono::milliseconds timeout) {
+  gen::Message first;
+  first.__set_ensure_model(wish);
+  const std::string address = LinkAddress(instance);
+  const std::shared_ptr<link::Call> call =
+      co_await links_.Open(address, std::move(first));
+  co_await call->Receive(timeout);
+}
+
+int EndpointFeed::entries() const {
+  int most = 0;
+  for (const auto& [instance, state] : states_) {
+    most = std::max(most, state.report.entries);
+  }
+  return most == 0 ? kAssumedEntries : most;
+}
+
+std::string EndpointFeed::LinkAddress(const InstanceId& instance) const {
+  const EngineEntry* engine = registry_.Find(instance);
+  if (engine == nullptr) {
+    throw Error(ErrorCode::kNoEndpoint, "the engine is gone");
+  }
+  const std::size_t colon = engine->address.rfind(':');
+  return fmt::format("{}:{}", engine->address.substr(0, colon),
+                     options_.link_port);
+}
+
+}  // namespace sapphire::fleet
--- /dev/null
+++ b/src/fleet/engine_loads_base.h
@@ -0,0 +1,104 @@
+/** @file engine_loads_base.h What this entry has sent to each engine, and how
+ * it went. */
+#ifndef SAPPHIRE_FLEET_ENGINE_LOADS_BASE_H_
+#define SAPPHIRE_FLEET_ENGINE_LOADS_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "fleet/engine_type.h"
+#include "gen/link_types.h"
+
+namespace sapphire::fleet {
+
+/** How an engine dealt with a request. */
+enum class SendResult {
+  kServed,     ///< A whole answer, or one that goes on well.
+  kRefused,    ///< It said that it did not run it.
+  kFailed,     ///< No answer, a broken one, or a failure of the engine.
+  kAbandoned,  ///< Ended from our side: the caller left or time ran out.
+};
+
+/** What is sent: a model and adapter, both empty for a plain service. */
+struct SentPart {
+  core::ModelId model;
+  core::AdapterId adapter;
+
+  friend auto operator<=>(const SentPart&, const SentPart&) = default;
+};
+
+/** One request at an engine. */
+struct SendTicket {
+  InstanceId instance;
+  std::int64_t number = 0;
+};
+
+/** One thread. */
+class EngineLoads {
+ public:
+  /** @pre `clock` outlives it. */
+  explicit EngineLoads(const core::Clock& clock);
+
+  SendTicket Begin(const InstanceId& instance, const SentPart& part);
+  /** The first byte of the answer has come. */
+  void NoteAnswer(const SendTicket& ticket);
+  void End(const SendTicket& ticket, SendResult result);
+
+  /** @return Requests in progress there, from here. */
+  [[nodiscard]] int Running(const InstanceId& instance) const;
+
+  /** @return Share of the latest requests that failed, 0 to 1. */
+  [[nodiscard]] double FailureRate(const InstanceId& instance) const;
+
+  /** @return How long the oldest request without a first byte waits. */
+  [[nodiscard]] std::chrono::milliseconds OldestSilence(
+      const InstanceId& instance) const;
+
+  /** Notes the prompt parts that an engine has read, newest last. */
+  void NotePrefix(const InstanceId& instance, const core::ModelId& model,
+                  const std::vector<std::uint64_t>& part_hashes);
+
+  /** @return How many leading parts the engine has read lately. */
+  [[nodiscard]] std::size_t KnownParts(
+      const InstanceId& instance, const core::ModelId& model,
+      const std::vector<std::uint64_t>& part_hashes) const;
+
+  /** @return What an endpoint is told of the use of its engine. */
+  [[nodiscard]] gen::UsageReport UsageOf(const InstanceId& instance) const;
+
+  /** Forgets engines that are not in `alive` and have nothing in progress. */
+  void Forget(const std::set<InstanceId>& alive);
+
+ private:
+  struct Sent {
+    SentPart part;
+    core::SteadyTime at;
+    bool answered = false;
+  };
+  struct Part {
+    int running = 0;
+    std::int64_t begun = 0;
+  };
+  struct Load {
+    std::map<std::int64_t, Sent> sent;
+    std::map<SentPart, Part> parts;
+    double failure_rate = 0;
+    core::SteadyTime last_result;
+    /** Hashes of model and prompt parts read there, and when. */
+    std::map<std::uint64_t, core::SteadyTime> prefixes;
+    std::deque<std::uint64_t> prefix_order;
+  };
+
+  const core::Clock& clock_;
+  std::map<InstanceId, Load> loads_;
+  std::int64_t next_number_ = 1;
+};
+
+}  // namespace sapphire::fleet
+
+#endif  // SAPPHIRE_FLEET_ENGINE_LOADS_BASE_H_
--- /dev/null
+++ b/src/fleet/engine_registry_base.h
@@ -0,0 +1,75 @@
+/** @file engine_registry_base.h Which engines there are, by their own entries.
+ */
+#ifndef SAPPHIRE_FLEET_ENGINE_REGISTRY_BASE_H_
+#define SAPPHIRE_FLEET_ENGINE_REGISTRY_BASE_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "fleet/engine_type.h"
+
+namespace sapphire::fleet {
+
+struct RegistryOptions {
+  /** An engine that is missing from the first listing after the store was away
+   * counts as gone after this long: until then it may register again. */
+  std::chrono::milliseconds return_grace{2000};
+};
+
+/** Engines that have registered and have not gone. One thread. */
+class EngineRegistry {
+ public:
+  /** @pre `clock` and `log` outlive the registry. */
+  EngineRegistry(RegistryOptions options, const core::Clock& clock,
+                 const core::Logger& log);
+
+  /** An engine has registered or changed its entry. */
+  void Put(EngineEntry entry);
+
+  /**
+   * An entry was removed: the engine is gone.
+   * @param after_outage The store was away just before: the entry may have
+   *   lapsed with it, and comes back within the grace if the engine lives.
+   */
+  void Remove(const InstanceId& instance, bool after_outage);
+
+  /**
+   * Takes over a listing of all entries.
+   * @param after_outage True if the store was out of reach before: entries that
+   *   lapsed meanwhile may come back, so what is missing stays for the grace.
+   */
+  void Replace(std::vector<EngineEntry> entries, bool after_outage);
+
+  /** Drops engines whose grace has passed. Call it now and then. */
+  void Expire();
+
+  /** @return Every engine, draining ones too, by instance. */
+  [[nodiscard]] const std::map<InstanceId, EngineEntry>& engines() const {
+    return engines_;
+  }
+
+  [[nodiscard]] const EngineEntry* Find(const InstanceId& instance) const;
+
+  /** Counts every change; readers compare it to see that nothing moved. */
+  [[nodiscard]] std::int64_t generation() const { return generation_; }
+
+ private:
+  void Drop(const InstanceId& instance, std::string_view reason);
+
+  const RegistryOptions options_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  std::map<InstanceId, EngineEntry> engines_;
+  /** When each engine that is missing from the store counts as gone. */
+  std::map<InstanceId, core::SteadyTime> missing_;
+  std::int64_t generation_ = 0;
+};
+
+}  // namespace sapphire::fleet
+
+#endif  // SAPPHIRE_FLEET_ENGINE_REGISTRY_BASE_H_
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -3,12 +3,14 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <mutex>
 #include <utility>
 
@@ -29,9 +31,9 @@
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::size_t kMaxIdle = 32;
-/** Far below the time after which servers close idle connections: a request
- * is not sent into a connection that is just being closed. */
-constexpr std::chrono::seconds kMaxIdleTime{5};
+/** How long before the end that a server's `Keep-Alive` names its connection is
+ * no longer used: a request sent then may cross the server's close. */
+constexpr std::chrono::milliseconds kKeepAliveMargin{300};
 
 [[noreturn]] void Fail(const std::string& address, const beast::error_code& ec,
                        bool may_have_run) {
@@ -48,15 +50,34 @@
 
 }  // namespace
 
+/** @return The idle time that a `Keep-Alive: timeout=N` field names. */
+std::optional<std::chrono::milliseconds> NamedKeepAlive(
+    const std::vector<Header>& headers) {
+  static constexpr std::string_view kTimeout = "timeout=";
+  const auto value = FindHeader(headers, "Keep-Alive");
+  if (!value) return std::nullopt;
+  const std::size_t at = value->find(kTimeout);
+  if (at == std::string_view::npos) return std::nullopt;
+  int seconds = 0;
+  const char* begin = value->data() + at + kTimeout.size();
+  const auto parsed =
+      std::from_chars(begin, value->data() + value->size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 /** Idle connections are kept as descriptors: each is taken up again on the
  * executor of the coroutine that uses it next. */
 struct Client::State {
   struct Idle {
     int fd;
     core::SteadyTime since;
+    std::chrono::milliseconds usable_for;
   };
 
   std::string address;
+  ClientOptions options;
+  std::atomic<std::int64_t> connections_opened{0};
   tcp::endpoint remote;
   std::mutex mutex;
   std::vector<Idle> idle;
@@ -72,13 +93,13 @@
       const Idle last = idle.back();
       idle.pop_back();
       const auto age = std::chrono::steady_clock::now() - last.since;
-      if (age < kMaxIdleTime && StillUsable(last.fd)) return last.fd;
+      if (age < last.usable_for && StillUsable(last.fd)) return last.fd;
       ::close(last.fd);
     }
     return -1;
   }
 
-  void GiveBack(tcp::socket socket) {
+  void GiveBack(tcp::socket socket, std::chrono::milliseconds usable_for) {
     beast::error_code ec;
     const int fd = socket.release(ec);
     if (ec) return;
@@ -87,7 +108,7 @@
       ::close(fd);
       return;
     }
-    idle.push_back({fd, std::chrono::steady_clock::now()});
+    idle.push_back({fd, std::chrono::steady_clock::now(), usable_for});
   }
 };
 
@@ -95,13 +116,40 @@
 
 class BeastStream final : public ResponseStream {
  public:
-  using Recycle = std::function<void(tcp::socket)>;
+  using Recycle = std::function<void(tcp::socket, std::chrono::milliseconds)>;
 
-  BeastStream(std::string address, beast::tcp_stream stream, Recycle recycle)
+  BeastStream(std::string address, tcp::socket socket, Recycle recycle,
+              std::chrono::milliseconds max_idle_time,
+              std::shared_ptr<Abort> abort)
       : address_(std::move(address)),
-        stream_(std::move(stream)),
-        recycle_(std::move(recycle)) {
+        stream_(std::move(socket)),
+        recycle_(std::move(recycle)),
+        max_idle_time_(max_idle_time),
+        abort_(std::move(abort)) {
     parser_.body_limit(boost::none);
+    if (abort_) {
+      abort_->Attach([this] { stream_.close(); });
+    }
+  }
+  ~BeastStream() override {
+    if (abort_) abort_->Attach(nullptr);
+  }
+
+  BeastStream(const BeastStream&) = delete;
+  BeastStream& operator=(const BeastStream&) = delete;
+
+  Task<> Connect(const tcp::endpoint& remote,
+                 std::chrono::milliseconds timeout) {
+    stream_.expires_after(timeout);
+    const auto [ec] = co_await stream_.async_connect(remote, kTuple);
+    if (ec) Fail(address_, ec, false);
+    beast::error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    core::NoticeDeadPeer(stream_.socket());
+  }
+
+  void ExpireAfter(std::chrono::milliseconds timeout) {
+    stream_.expires_after(timeout);
   }
 
   Task<> Send(const Request& request) {
@@ -109,9 +157,11 @@
     out.version(kHttp11);
     out.method_string(request.method);
     out.target(request.target);
-    out.set(beast::http::field::host, address_);
     for (const Header& header : request.headers) {
-      out.set(header.name, header.value);
+      out.insert(header.name, header.value);
+    }
+    if (out.count(beast::http::field::host) == 0) {
+      out.set(beast::http::field::host, address_);
     }
     out.body() = request.body;
     out.prepare_payload();
@@ -156,12 +206,21 @@
   void Finish() {
     if (!recycle_ || !parser_.keep_alive() || buf_.size() > 0) return;
     stream_.expires_never();
-    std::exchange(recycle_, nullptr)(stream_.release_socket());
+    if (abort_) std::exchange(abort_, nullptr)->Attach(nullptr);
+    std::exchange(recycle_, nullptr)(stream_.release_socket(), IdleTime());
+  }
+
+  [[nodiscard]] std::chrono::milliseconds IdleTime() const {
+    const auto named = NamedKeepAlive(head_.headers);
+    if (!named) return max_idle_time_;
+    return std::min(max_idle_time_, *named - kKeepAliveMargin);
   }
 
   const std::string address_;
   beast::tcp_stream stream_;
   Recycle recycle_;
+  const std::chrono::milliseconds max_idle_time_;
+  std::shared_ptr<Abort> abort_;
   beast::flat_buffer buf_;
   beast::http::response_parser<beast::http::buffer_body> parser_;
   ResponseHead head_;
@@ -169,33 +228,65 @@
 
 }  // namespace
 
-Client::Client(std::string address) : state_(std::make_shared<State>()) {
+void Abort::Now() {
+  requested_ = true;
+  if (close_) close_();
+}
+
+void Abort::Attach(std::function<void()> close) {
+  close_ = std::move(close);
+  if (requested_ && close_) close_();
+}
+
+Client::Client(std::string address, ClientOptions options)
+    : state_(std::make_shared<State>()) {
   state_->remote = core::ParseAddress(address);
   state_->address = std::move(address);
+  state_->options = options;
 }
 
 Client::~Client() = default;
 
 const std::string& Client::address() const { return state_->address; }
 
+std::int64_t Client::connections_opened() const {
+  return state_->connections_opened;
+}
+
 Task<std::unique_ptr<ResponseStream>> Client::Open(
     Request request, std::chrono::milliseconds timeout) {
+  OpenOptions options;
+  options.timeout = timeout;
+  options.connect_timeout = timeout;
+  co_return co_await Open(std::move(request), std::move(options));
+}
+
+Task<std::unique_ptr<ResponseStream>> Client::Open(Request request,
+                                                   OpenOptions options) {
   const auto state = state_;
   const auto executor = co_await asio::this_coro::executor;
-  const int fd = state->TakeIdle();
+  const auto began = std::chrono::steady_clock::now();
+  const int fd = options.fresh_connection ? -1 : state->TakeIdle();
   tcp::socket socket(executor);
   if (fd >= 0) socket.assign(state->remote.protocol(), fd);
-  beast::tcp_stream stream(std::move(socket));
-  stream.expires_after(timeout);
+  auto answer = std::make_unique<BeastStream>(
+      state->address, std::move(socket),
+      [state](tcp::socket s, std::chrono::milliseconds usable_for) {
+        state->GiveBack(std::move(s), usable_for);
+      },
+      state->options.max_idle_time, options.abort);
+  if (options.abort && options.abort->requested()) {
+    throw TransportError(state->address + ": given up", false, false);
+  }
   if (fd < 0) {
-    const auto [ec] = co_await stream.async_connect(state->remote, kTuple);
-    if (ec) Fail(state->address, ec, false);
-    beast::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
+    ++state->connections_opened;
+    co_await answer->Connect(
+        state->remote, std::min(options.connect_timeout, options.timeout));
   }
-  auto answer = std::make_unique<BeastStream>(
-      state->address, std::move(stream),
-      [state](tcp::socket s) { state->GiveBack(std::move(s)); });
+  const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - began);
+  answer->ExpireAfter(
+      std::max(options.timeout - spent, std::chrono::milliseconds(1)));
   co_await answer->Send(request);
   co_await answer->ReadHead();
   co_return answer;
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -3,6 +3,8 @@
 #define SAPPHIRE_HTTP_CLIENT_BASE_H_
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,11 +30,44 @@
       std::chrono::milliseconds timeout) = 0;
 };
 
+/** Ends an exchange from outside, at any point of it, by closing its
+ * connection. Used on the thread that runs the exchange. */
+class Abort {
+ public:
+  /** Closes the connection, now or as soon as there is one. */
+  void Now();
+  [[nodiscard]] bool requested() const { return requested_; }
+
+  /** For the exchange: what closes it; null once it is over. */
+  void Attach(std::function<void()> close);
+
+ private:
+  bool requested_ = false;
+  std::function<void()> close_;
+};
+
+struct OpenOptions {
+  /** Until the head of the answer is read, connecting included. */
+  std::chrono::milliseconds timeout{30'000};
+  std::chrono::milliseconds connect_timeout{30'000};
+  /** Never on a kept connection: it may be closed just as the request is sent,
+   * and then nobody can say whether the request has run. */
+  bool fresh_connection = false;
+  std::shared_ptr<Abort> abort;
+};
+
+struct ClientOptions {
+  /** Far below the time after which servers close idle connections: a request
+   * is not sent into a connection that is just being closed. A shorter
+   * `Keep-Alive` of the server goes before it. */
+  std::chrono::milliseconds max_idle_time{5000};
+};
+
 /** Calls one server. Keeps idle connections for reuse; safe on many threads. */
 class Client {
  public:
   /** @param address "ip:port". */
-  explicit Client(std::string address);
+  explicit Client(std::string address, ClientOptions options = {});
   ~Client();
 
   Client(const Client&) = delete;
@@ -53,6 +88,11 @@
    */
   core::Task<std::unique_ptr<ResponseStream>> Open(
       Request request, std::chrono::milliseconds timeout);
+  core::Task<std::unique_ptr<ResponseStream>> Open(Request request,
+                                                   OpenOptions options);
+
+  /** @return Connections opened so far. */
+  [[nodiscard]] std::int64_t connections_opened() const;
 
  private:
   struct State;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -61,15 +61,63 @@
   return request;
 }
 
+/** Watches a socket for its peer's close while a request is being answered. */
+class CloseWatch final : public std::enable_shared_from_this<CloseWatch> {
+ public:
+  CloseWatch(tcp::socket& socket, std::function<void()> callback)
+      : socket_(socket), callback_(std::move(callback)) {}
+
+  void Arm() {
+    socket_.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const beast::error_code& ec) {
+          if (!ec && self->callback_) self->Look();
+        });
+  }
+
+  /** The answer is over: nothing is called any more. */
+  void Stop() {
+    callback_ = nullptr;
+    beast::error_code ignored;
+    socket_.cancel(ignored);
+  }
+
+ private:
+  void Look() {
+    char c = 0;
+    const auto n =
+        ::recv(socket_.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    // More bytes hide a later close, and waiting again would return at once.
+    if (n > 0) return;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      Arm();
+      return;
+    }
+    std::exchange(callback_, nullptr)();
+  }
+
+  tcp::socket& socket_;
+  std::function<void()> callback_;
+};
+
 /** Writes one answer to a connection. */
 class BeastWriter final : public ResponseWriter {
  public:
+  /** @param leaving Looked at when the head is written. */
   BeastWriter(beast::tcp_stream& stream, unsigned version, bool keep_alive,
+              const std::atomic<bool>& leaving,
               std::chrono::milliseconds write_timeout)
       : stream_(stream),
         version_(version),
         keep_alive_(keep_alive),
+        leaving_(leaving),
         write_timeout_(write_timeout) {}
+  ~BeastWriter() override {
+    if (watch_) watch_->Stop();
+  }
+
+  BeastWriter(const BeastWriter&) = delete;
+  BeastWriter& operator=(const BeastWriter&) = delete;
 
   Task<> Send(Response response) override {
     started_ = true;
@@ -133,6 +181,14 @@
     return n <= 0 && !silent;
   }
 
+  void WhenCallerGone(std::function<void()> callback) override {
+    if (watch_) std::exchange(watch_, nullptr)->Stop();
+    if (!callback) return;
+    watch_ =
+        std::make_shared<CloseWatch>(stream_.socket(), std::move(callback));
+    watch_->Arm();
+  }
+
   [[nodiscard]] bool finished() const { return finished_; }
   [[nodiscard]] bool keep_alive() const { return keep_alive_; }
   void CloseAfterThis() { keep_alive_ = false; }
@@ -140,6 +196,7 @@
  private:
   template <typename Message>
   void Fill(Message& out, const ResponseHead& head) {
+    if (leaving_) keep_alive_ = false;
     out.version(version_);
     out.result(static_cast<unsigned>(head.status));
     for (const Header& header : head.headers) {
@@ -158,10 +215,12 @@
   beast::tcp_stream& stream_;
   const unsigned version_;
   bool keep_alive_;
+  const std::atomic<bool>& leaving_;
   const std::chrono::milliseconds write_timeout_;
   bool started_ = false;
   bool finished_ = false;
   bool chunked_ = false;
+  std::shared_ptr<CloseWatch> watch_;
 };
 
 Response ProblemResponse(const core::Error& error,
@@ -216,10 +275,12 @@
 
   asio::strand<core::Executor> strand;
   tcp::acceptor acceptor;
-  const ServerLimits limits;
+  std::mutex limits_mutex;
+  ServerLimits limits;
   const Handler handler;
   const core::Logger& log;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> leaving{false};
   std::atomic<int> in_progress{0};
   std::mutex connections_mutex;
   std::set<std::shared_ptr<Connection>> connections;
@@ -229,8 +290,32 @@
   Task<bool> ServeOne(Connection& connection, beast::flat_buffer& buf);
   Task<> Answer(const Request& request, BeastWriter& writer);
   Task<> Refuse(Connection& connection, const core::Error& error);
+
+  ServerLimits CurrentLimits() {
+    const std::lock_guard lock(limits_mutex);
+    return limits;
+  }
 };
 
+namespace {
+
+/** Waits for the first byte of the next request. @return False if none came. */
+Task<bool> AwaitRequest(Connection& connection, beast::flat_buffer& buf,
+                        std::chrono::milliseconds idle_timeout) {
+  if (buf.size() > 0) co_return true;
+  constexpr std::size_t kFirstReadBytes = 4096;
+  connection.stream.expires_after(idle_timeout);
+  connection.idle = true;
+  const auto [ec, n] = co_await connection.stream.async_read_some(
+      buf.prepare(kFirstReadBytes), kTuple);
+  connection.idle = false;
+  if (ec) co_return false;
+  buf.commit(n);
+  co_return true;
+}
+
+}  // namespace
+
 Task<> Server::State::AcceptLoop() {
   const auto self = shared_from_this();
   while (!stopping) {
@@ -244,6 +329,7 @@
     }
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    core::NoticeDeadPeer(socket);
     const auto executor = socket.get_executor();
     auto connection = std::make_shared<Connection>(std::move(socket));
     {
@@ -274,14 +360,16 @@
 /** @return True if the connection can carry another request. */
 Task<bool> Server::State::ServeOne(Connection& connection,
                                    beast::flat_buffer& buf) {
+  const ServerLimits now = CurrentLimits();
+  if (!co_await AwaitRequest(connection, buf, now.idle_timeout)) {
+    co_return false;
+  }
   beast::http::request_parser<beast::http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-  parser.body_limit(limits.max_body_bytes);
-  connection.stream.expires_after(limits.read_timeout);
-  connection.idle = true;
+  parser.header_limit(static_cast<std::uint32_t>(now.max_header_bytes));
+  parser.body_limit(now.max_body_bytes);
+  connection.stream.expires_after(now.read_timeout);
   auto [ec, n] = co_await beast::http::async_read_header(connection.stream, buf,
                                                          parser, kTuple);
-  connection.idle = false;
   if (!ec && parser.get()[beast::http::field::expect] == "100-continue") {
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
@@ -289,6 +377,7 @@
         connection.stream, asio::buffer(kContinue), kTuple);
   }
   if (!ec) {
+    connection.stream.expires_after(now.read_timeout);
     std::tie(ec, n) = co_await beast::http::async_read(connection.stream, buf,
                                                        parser, kTuple);
   }
@@ -301,7 +390,7 @@
   }
   const BeastRequest in = parser.release();
   BeastWriter writer(connection.stream, in.version(),
-                     in.keep_alive() && !stopping, limits.write_timeout);
+                     in.keep_alive() && !stopping, leaving, now.write_timeout);
   ++in_progress;
   co_await Answer(FromBeast(in), writer);
   --in_progress;
@@ -342,7 +431,8 @@
  * stopped sending: closing earlier would reset the connection under it. */
 Task<> Server::State::Refuse(Connection& connection, const core::Error& error) {
   constexpr unsigned kHttp11 = 11;
-  BeastWriter writer(connection.stream, kHttp11, false, limits.write_timeout);
+  BeastWriter writer(connection.stream, kHttp11, false, leaving,
+                     CurrentLimits().write_timeout);
   co_await writer.Send(ProblemResponse(error, ""));
   beast::error_code ec;
   connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -387,6 +477,13 @@
   }
 }
 
+void Server::SetLimits(const ServerLimits& limits) {
+  const std::lock_guard lock(state_->limits_mutex);
+  state_->limits = limits;
+}
+
+void Server::AnnounceLeaving() { state_->leaving = true; }
+
 int Server::in_progress() const { return state_->in_progress; }
 
 }  // namespace sapphire::http
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -39,6 +39,14 @@
 
   /** @return True if the caller has closed its connection. */
   [[nodiscard]] virtual bool CallerGone() { return false; }
+
+  /**
+   * Calls `callback` once, on the connection's strand, when the caller closes
+   * its connection while the handler still runs. A caller that has sent more
+   * bytes meanwhile can't be watched: then only a failing write tells. An
+   * empty callback ends the watch.
+   */
+  virtual void WhenCallerGone(std::function<void()> /*callback*/) {}
 };
 
 /** Thrown by a handler to close the connection at once, without an answer. */
@@ -50,7 +58,9 @@
 struct ServerLimits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 1024 * 1024;
-  /** How long a connection may idle, or take to send its request. */
+  /** How long a connection may idle between two requests. */
+  std::chrono::milliseconds idle_timeout{60'000};
+  /** How long the header fields of a request, and then its body, may take. */
   std::chrono::milliseconds read_timeout{60'000};
   /** How long one write may be stuck before the caller counts as gone. */
   std::chrono::milliseconds write_timeout{30'000};
@@ -84,6 +94,13 @@
   /** @return "ip:port" as bound. */
   [[nodiscard]] std::string address() const;
 
+  /** Changes the limits for requests that are not yet being read. */
+  void SetLimits(const ServerLimits& limits);
+
+  /** Answers carry `Connection: close` from now on. Connections are still
+   * accepted and read, so that no caller meets a closed one unannounced. */
+  void AnnounceLeaving();
+
   /** Takes no further connections and closes idle ones; requests in progress
    * go on, with `Connection: close`. */
   void StopAccepting();
--- /dev/null
+++ b/src/orders/endpoint_base.h
@@ -0,0 +1,61 @@
+/** @file endpoint_base.h All parts of the process beside an engine. */
+#ifndef SAPPHIRE_ORDERS_ENDPOINT_BASE_H_
+#define SAPPHIRE_ORDERS_ENDPOINT_BASE_H_
+
+#include <functional>
+#include <string>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "external/key_value_base.h"
+#include "link/link_base.h"
+#include "orders/endpoint_service_base.h"
+#include "orders/engine_desk_base.h"
+#include "orders/engine_port_base.h"
+#include "routing/routing_table_base.h"
+#include "routing/store_follower_base.h"
+
+namespace sapphire::orders {
+
+struct EndpointOptions {
+  core::VmId vm;
+  core::ZoneId zone;
+  std::string link_listen;
+  std::string configuration_key;
+  DeskOptions desk;
+};
+
+/** @throws core::Error for what can't be used. */
+using ReadConfiguration =
+    std::function<routing::Configuration(const std::string& value)>;
+
+/** One thread. */
+class Endpoint {
+ public:
+  /** @pre All references outlive it. */
+  Endpoint(const core::Executor& executor, EndpointOptions options,
+           ReadConfiguration read_configuration, EnginePort& engine,
+           external::KeyValueStore& store, const core::Clock& clock,
+           const core::Logger& log);
+
+  void Start();
+
+ private:
+  void Adopt(const std::string& value);
+  routing::FollowHooks Hooks();
+
+  const EndpointOptions options_;
+  const ReadConfiguration read_configuration_;
+  const core::Executor executor_;
+  const core::Logger& log_;
+  routing::ConfigurationHolder configuration_;
+  EngineDesk desk_;
+  EndpointService service_;
+  link::LinkNode links_;
+  routing::StoreFollower follower_;
+};
+
+}  // namespace sapphire::orders
+
+#endif  // SAPPHIRE_ORDERS_ENDPOINT_BASE_H_
--- /dev/null
+++ b/src/orders/engine_desk.cc
@@ -0,0 +1,360 @@
+/** @file engine_desk.cc Gives one engine its orders. */
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "orders/engine_desk_base.h"
+#include "orders/fence_func.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::orders {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Pause before an order of unknown outcome is given again. */
+constexpr milliseconds kRepeatPause{150};
+/** A load that the engine has accepted and neither shows nor refuses. */
+constexpr milliseconds kLoadLimit{30'000};
+/** A report older than this tells entries nothing. */
+constexpr milliseconds kFreshReport{1500};
+/** Places of an engine whose service is not configured yet. */
+constexpr int kUnknownPlaces = 1;
+
+std::string_view NameOf(OrderKind kind) {
+  return kind == OrderKind::kLoad ? "load" : "unload";
+}
+
+std::int64_t PerThousandSeconds(double per_second) {
+  return static_cast<std::int64_t>(per_second * 1000);
+}
+
+std::vector<std::string> Names(const std::set<core::ModelId>& models) {
+  std::vector<std::string> names;
+  names.reserve(models.size());
+  for (const core::ModelId& it : models) names.push_back(it.value());
+  return names;
+}
+
+}  // namespace
+
+EngineDesk::EngineDesk(DeskOptions options, EnginePort& engine,
+                       external::KeyValueStore& store,
+                       const routing::ConfigurationHolder& configuration,
+                       const core::Clock& clock, const core::Logger& log)
+    : options_(std::move(options)),
+      engine_(engine),
+      store_(store),
+      configuration_(configuration),
+      clock_(clock),
+      log_(log),
+      usage_(clock) {}
+
+core::Task<> EngineDesk::Run() {
+  bool reachable = true;
+  while (true) {
+    std::string failure;
+    try {
+      co_await Look();
+    } catch (const Error& e) {
+      failure = e.what();
+    }
+    if (failure.empty() != reachable) {
+      reachable = failure.empty();
+      log_.Event(reachable ? LogLevel::kInfo : LogLevel::kWarning,
+                 LogCategory::kReplica,
+                 reachable ? "engine_regained" : "engine_lost",
+                 {{"engine", options_.engine_address}, {"error", failure}});
+      changed_.Notify();
+    }
+    co_await core::SleepFor(options_.look_interval);
+  }
+}
+
+core::Task<> EngineDesk::Look() {
+  report_ = co_await engine_.Report();
+  report_time_ = clock_.Now();
+  Settle();
+  changed_.Notify();
+}
+
+core::Task<> EngineDesk::Ensure(ModelWish wish) {
+  CheckInstance(wish.instance);
+  if (!Holds(wish.model, core::AdapterId())) {
+    // Known to entries from now on, so that none of them asks another engine.
+    const core::SteadyTime free =
+        wishes_.empty() ? clock_.Now()
+                        : std::max(wishes_.back().ready, clock_.Now());
+    wishes_.push_back({wish.model, free + LoadTime(wish.model)});
+    changed_.Notify();
+    std::exception_ptr failure;
+    try {
+      co_await EnsureModel(wish);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    const auto it = std::ranges::find(wishes_, wish.model, &OpenWish::model);
+    if (it != wishes_.end()) wishes_.erase(it);
+    changed_.Notify();
+    if (failure) std::rethrow_exception(failure);
+  }
+  if (!wish.adapter.empty()) co_await EnsureAdapter(wish);
+}
+
+core::Task<> EngineDesk::EnsureModel(const ModelWish& wish) {
+  co_await model_lane_.Await();
+  const OrderLane::Turn turn(model_lane_);
+  if (clock_.Now() >= wish.deadline) {
+    throw Error(ErrorCode::kTimedOut, "nobody waits for the model any more");
+  }
+  co_await Look();
+  if (Holds(wish.model, core::AdapterId())) co_return;
+  co_await MakeRoom(wish);
+  EngineOrder load;
+  load.model = wish.model;
+  load.instance = wish.instance;
+  co_await CarryOut(load, wish.deadline);
+  const UsedPart part{wish.model, core::AdapterId()};
+  usage_.NoteWanted(part);
+}
+
+core::Task<> EngineDesk::MakeRoom(const ModelWish& wish) {
+  while (!ModelFits(State(), wish.model)) {
+    const auto victim = ChooseUnload(State(), wish.evict, wish.model);
+    if (!victim) {
+      throw Error(ErrorCode::kNoCapacity, "every model here is in use");
+    }
+    EngineOrder unload;
+    unload.kind = OrderKind::kUnload;
+    unload.model = *victim;
+    unload.instance = wish.instance;
+    co_await CarryOut(unload, wish.deadline);
+  }
+}
+
+core::Task<> EngineDesk::EnsureAdapter(const ModelWish& wish) {
+  co_await adapter_lane_.Await();
+  const OrderLane::Turn turn(adapter_lane_);
+  co_await Look();
+  while (!Holds(wish.model, wish.adapter) &&
+         !AdapterFits(State(), wish.model)) {
+    const auto victim = ChooseAdapterUnload(State());
+    if (!victim) {
+      throw Error(ErrorCode::kNoCapacity, "every adapter here is in use");
+    }
+    EngineOrder unload;
+    unload.kind = OrderKind::kUnload;
+    unload.model = victim->model;
+    unload.adapter = victim->adapter;
+    unload.instance = wish.instance;
+    co_await CarryOut(unload, wish.deadline);
+  }
+  EngineOrder load;
+  load.model = wish.model;
+  load.adapter = wish.adapter;
+  load.instance = wish.instance;
+  co_await CarryOut(load, wish.deadline);
+  const UsedPart part{wish.model, wish.adapter};
+  usage_.NoteWanted(part);
+}
+
+/** Gives an order until the engine shows its effect. */
+core::Task<> EngineDesk::CarryOut(EngineOrder order,
+                                  core::SteadyTime deadline) {
+  const core::SteadyTime began = clock_.Now();
+  bool accepted = false;
+  while (true) {
+    co_await Look();
+    if (IsDone(order)) break;
+    if (clock_.Now() - began > kLoadLimit) {
+      throw Error(ErrorCode::kLoadFailed, "the order has shown no effect");
+    }
+    // An accepted order goes on also when nobody waits any more.
+    if (!accepted && clock_.Now() >= deadline) {
+      throw Error(ErrorCode::kTimedOut, "the order was not accepted in time");
+    }
+    if (accepted && IsOver(order)) {
+      throw Error(ErrorCode::kLoadFailed, "the engine gave the order up");
+    }
+    if (!accepted && !report_.order_in_progress) {
+      order.expected_count = report_.order_count;
+      accepted = co_await GiveOnce(order);
+    }
+    co_await core::SleepFor(options_.busy_look_interval);
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "order_done",
+             {{"order", NameOf(order.kind)},
+              {"model", order.model},
+              {"adapter", order.adapter},
+              {"instance", order.instance},
+              {"order_count", report_.order_count},
+              {"took_ms", std::chrono::duration_cast<milliseconds>(
+                              clock_.Now() - began)}});
+}
+
+/** @return True if the engine has accepted the order. */
+core::Task<bool> EngineDesk::GiveOnce(EngineOrder order) {
+  order.fence = co_await Fence();
+  open_orders_.push_back({order, clock_.Now()});
+  std::optional<OrderAnswer> answer;
+  std::optional<Error> failure;
+  try {
+    answer = co_await engine_.Give(order);
+  } catch (const Error& e) {
+    failure = e;
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "order_given",
+             {{"order", NameOf(order.kind)},
+              {"model", order.model},
+              {"adapter", order.adapter},
+              {"instance", order.instance},
+              {"order_count", order.expected_count},
+              {"fence", order.fence},
+              {"answer", answer ? static_cast<int>(*answer) : -1},
+              {"error", failure ? failure->what() : ""}});
+  const bool unknown = failure && failure->code() == ErrorCode::kOutcomeUnknown;
+  if (!unknown && (!answer || *answer != OrderAnswer::kAccepted)) {
+    open_orders_.pop_back();
+  }
+  if (unknown) {
+    co_await core::SleepFor(kRepeatPause);
+    co_return false;
+  }
+  if (failure) throw Error(*failure);
+  if (*answer == OrderAnswer::kOtherInstance) {
+    throw Error(ErrorCode::kEngineRefusedOrder, "the engine has restarted");
+  }
+  co_return *answer == OrderAnswer::kAccepted;
+}
+
+core::Task<std::int64_t> EngineDesk::Fence() {
+  if (fence_ == 0) {
+    fence_ =
+        co_await TakeFence(store_, options_.engine_address, options_.holder);
+    log_.Event(LogLevel::kInfo, LogCategory::kReplica, "fence_taken",
+               {{"fence", fence_}});
+  }
+  co_return fence_;
+}
+
+void EngineDesk::Settle() {
+  std::erase_if(open_orders_,
+                [this](const OpenOrder& it) { return IsOver(it.order); });
+}
+
+bool EngineDesk::IsOver(const EngineOrder& order) const {
+  if (order.instance != instance_) return true;
+  if (IsDone(order)) return true;
+  // Another order was accepted since: this one was it, or is void.
+  if (report_.order_count <= order.expected_count) return false;
+  const bool coming =
+      std::ranges::any_of(report_.coming, [&order](const ComingAdapter& it) {
+        return it.model == order.model && it.adapter == order.adapter;
+      });
+  return !report_.order_in_progress && !coming;
+}
+
+bool EngineDesk::IsDone(const EngineOrder& order) const {
+  return Holds(order.model, order.adapter) == (order.kind == OrderKind::kLoad);
+}
+
+bool EngineDesk::Holds(const core::ModelId& model,
+                       const core::AdapterId& adapter) const {
+  return std::ranges::any_of(report_.models, [&](const fleet::HeldModel& it) {
+    return it.model == model &&
+           (adapter.empty() || it.adapters.contains(adapter));
+  });
+}
+
+MemoryState EngineDesk::State() const {
+  MemoryState state;
+  state.spec = Spec();
+  if (state.spec == nullptr) {
+    throw Error(ErrorCode::kNotConfigured, "the service is not configured");
+  }
+  state.report = &report_;
+  state.usage = &usage_;
+  for (const OpenOrder& it : open_orders_) {
+    if (it.order.kind == OrderKind::kLoad) state.open_loads.push_back(it.order);
+  }
+  state.now = clock_.Now();
+  return state;
+}
+
+const routing::EngineSpec* EngineDesk::Spec() const {
+  const auto table = configuration_.current();
+  if (table == nullptr) return nullptr;
+  const routing::Service* service = table->FindService(options_.service);
+  if (service == nullptr || !service->engine) return nullptr;
+  return &*service->engine;
+}
+
+milliseconds EngineDesk::LoadTime(const core::ModelId& model) const {
+  const routing::EngineSpec* spec = Spec();
+  if (spec == nullptr || !spec->models.contains(model)) return milliseconds(0);
+  const policy::LoadTimes& times = spec->models.at(model).load_times;
+  if (report_.copies.in_memory.contains(model)) return times.memory;
+  if (report_.copies.on_disk.contains(model)) return times.disk;
+  return times.remote;
+}
+
+void EngineDesk::CheckInstance(const fleet::InstanceId& instance) {
+  if (instance == instance_) return;
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_instance",
+             {{"was", instance_}, {"now", instance}});
+  instance_ = instance;
+}
+
+std::vector<gen::ReplicaReport> EngineDesk::Replicas() const {
+  std::vector<gen::ReplicaReport> replicas;
+  for (const fleet::HeldModel& held : report_.models) {
+    const Usage usage = usage_.Of({held.model, core::AdapterId()});
+    gen::ReplicaReport replica;
+    replica.model = held.model.value();
+    replica.state = gen::ReplicaState::READY;
+    replica.running = usage.running;
+    replica.demand_per_1000_s = PerThousandSeconds(usage.demand);
+    for (const core::AdapterId& it : held.adapters) {
+      replica.adapters.push_back(it.value());
+    }
+    replicas.push_back(std::move(replica));
+  }
+  for (const OpenWish& wish : wishes_) {
+    gen::ReplicaReport replica;
+    replica.model = wish.model.value();
+    replica.state = gen::ReplicaState::LOADING;
+    replicas.push_back(std::move(replica));
+  }
+  return replicas;
+}
+
+gen::EndpointReport EngineDesk::Snapshot() const {
+  gen::EndpointReport out;
+  out.endpoint = options_.holder;
+  out.engine_instance = instance_.value();
+  out.engine_up = report_time_ && clock_.Now() - *report_time_ < kFreshReport;
+  out.order_count = report_.order_count;
+  out.running = report_.running;
+  out.waiting = report_.waiting;
+  out.kv_tokens_used = report_.kv_used;
+  out.kv_tokens_total = report_.kv_total;
+  const routing::EngineSpec* spec = Spec();
+  out.max_running = spec == nullptr ? kUnknownPlaces : spec->max_running;
+  out.replicas = Replicas();
+  out.memory_tier = Names(report_.copies.in_memory);
+  out.disk_tier = Names(report_.copies.on_disk);
+  core::SteadyTime ready = clock_.Now();
+  for (const OpenWish& wish : wishes_) ready = std::max(ready, wish.ready);
+  out.loading_left_ms =
+      std::chrono::duration_cast<milliseconds>(ready - clock_.Now()).count();
+  if (!wishes_.empty()) out.loading_model = wishes_.front().model.value();
+  return out;
+}
+
+}  // namespace sapphire::orders
