--- /dev/null
+++ b/src/orders/engine_desk_base.h
@@ -0,0 +1,134 @@
+/** @file engine_desk_base.h Gives one engine its orders. */
+#ifndef SAPPHIRE_ORDERS_ENGINE_DESK_BASE_H_
+#define SAPPHIRE_ORDERS_ENGINE_DESK_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/signal_base.h"
+#include "core/task_type.h"
+#include "external/key_value_base.h"
+#include "gen/link_types.h"
+#include "orders/engine_port_base.h"
+#include "orders/memory_plan_func.h"
+#include "orders/model_usage_base.h"
+#include "orders/order_lane_base.h"
+#include "routing/routing_table_base.h"
+
+namespace sapphire::orders {
+
+struct DeskOptions {
+  /** Name of this process in orders. */
+  std::string holder;
+  /** The engine's address, for the fence's key. */
+  std::string engine_address;
+  core::ServiceId service;
+  /** Between two looks at an engine that has nothing to do for us. */
+  std::chrono::milliseconds look_interval{250};
+  /** Between two looks while an order is carried out: an unload takes 10 ms, a
+   * load from memory a second. */
+  std::chrono::milliseconds busy_look_interval{30};
+};
+
+/** A model that somebody waits for. */
+struct ModelWish {
+  core::ModelId model;
+  /** Empty: the model itself. */
+  core::AdapterId adapter;
+  /** The start of the engine that is meant. */
+  fleet::InstanceId instance;
+  /** What the asking entry would drop for it. */
+  std::vector<core::ModelId> evict;
+  core::SteadyTime deadline;
+};
+
+/**
+ * The only giver of orders to the engine beside it. One thread.
+ *
+ * An order whose answer is lost may be carried out seconds later. Two guards:
+ * each order names how many the engine has accepted, so a late copy is void as
+ * soon as another order was accepted; and until that shows, what the lost order
+ * would load counts as taken memory, so nothing is ordered over the limit.
+ */
+class EngineDesk {
+ public:
+  /** @pre All references outlive the desk. */
+  EngineDesk(DeskOptions options, EnginePort& engine,
+             external::KeyValueStore& store,
+             const routing::ConfigurationHolder& configuration,
+             const core::Clock& clock, const core::Logger& log);
+
+  /** Looks at the engine for as long as the process runs. */
+  core::Task<> Run();
+
+  /**
+   * Has a model (and adapter) loaded; returns once it can serve.
+   * @throws core::Error with the reason.
+   */
+  core::Task<> Ensure(ModelWish wish);
+
+  /** @return The state of the engine, for entries. */
+  [[nodiscard]] gen::EndpointReport Snapshot() const;
+
+  [[nodiscard]] ModelUsage& usage() { return usage_; }
+
+  /** Moves on every change of the snapshot. */
+  [[nodiscard]] core::Signal& changed() { return changed_; }
+
+ private:
+  /** An order that was given and is not yet seen to be over. */
+  struct OpenOrder {
+    EngineOrder order;
+    core::SteadyTime given;
+  };
+  /** A wish in progress, for the snapshot. */
+  struct OpenWish {
+    core::ModelId model;
+    core::SteadyTime ready;
+  };
+
+  core::Task<> Look();
+  core::Task<> EnsureModel(const ModelWish& wish);
+  core::Task<> EnsureAdapter(const ModelWish& wish);
+  core::Task<> MakeRoom(const ModelWish& wish);
+  core::Task<> CarryOut(EngineOrder order, core::SteadyTime deadline);
+  core::Task<bool> GiveOnce(EngineOrder order);
+  core::Task<std::int64_t> Fence();
+  void Settle();
+  [[nodiscard]] bool IsOver(const EngineOrder& order) const;
+  [[nodiscard]] bool IsDone(const EngineOrder& order) const;
+  [[nodiscard]] bool Holds(const core::ModelId& model,
+                           const core::AdapterId& adapter) const;
+  [[nodiscard]] MemoryState State() const;
+  [[nodiscard]] const routing::EngineSpec* Spec() const;
+  [[nodiscard]] std::chrono::milliseconds LoadTime(
+      const core::ModelId& model) const;
+  [[nodiscard]] std::vector<gen::ReplicaReport> Replicas() const;
+  void CheckInstance(const fleet::InstanceId& instance);
+
+  const DeskOptions options_;
+  EnginePort& engine_;
+  external::KeyValueStore& store_;
+  const routing::ConfigurationHolder& configuration_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  ModelUsage usage_;
+  core::Signal changed_;
+  OrderLane model_lane_;
+  OrderLane adapter_lane_;
+  EngineReport report_;
+  std::optional<core::SteadyTime> report_time_;
+  std::vector<OpenOrder> open_orders_;
+  std::vector<OpenWish> wishes_;
+  fleet::InstanceId instance_;
+  std::int64_t fence_ = 0;
+};
+
+}  // namespace sapphire::orders
+
+#endif  // SAPPHIRE_ORDERS_ENGINE_DESK_BASE_H_
--- /dev/null
+++ b/src/orders/memory_plan.cc
@@ -0,0 +1,130 @@
+/** @file memory_plan.cc What an engine drops so that an order fits. */
+#include <algorithm>
+
+#include "orders/memory_plan_func.h"
+
+namespace sapphire::orders {
+
+namespace {
+
+/** A model just loaded is about to be used; entries tell of it a moment later.
+ */
+constexpr std::chrono::milliseconds kJustLoaded{1500};
+/** An adapter of a request in progress is told of within two usage reports. */
+constexpr std::chrono::milliseconds kJustUsed{700};
+
+bool UsedWithin(const Usage& usage, core::SteadyTime now,
+                std::chrono::milliseconds time) {
+  if (usage.running > 0) return true;
+  return usage.last_begun && now - *usage.last_begun < time;
+}
+
+std::int64_t AdapterBytes(const routing::EngineSpec& spec,
+                          const core::ModelId& model) {
+  const auto it = spec.models.find(model);
+  return it == spec.models.end() ? 0 : it->second.adapter_bytes;
+}
+
+/** @return True if the report already counts this load. */
+bool Holds(const EngineReport& report, const EngineOrder& order) {
+  return std::ranges::any_of(report.models, [&](const fleet::HeldModel& it) {
+    return it.model == order.model &&
+           (order.adapter.empty() || it.adapters.contains(order.adapter));
+  });
+}
+
+std::int64_t OpenBytes(const MemoryState& state, const EngineOrder& load) {
+  if (Holds(*state.report, load)) return 0;
+  return load.adapter.empty() ? BytesOf(*state.spec, load.model)
+                              : AdapterBytes(*state.spec, load.model);
+}
+
+int AdaptersTaken(const MemoryState& state) {
+  auto taken = state.report->coming.size();
+  for (const fleet::HeldModel& it : state.report->models) {
+    taken += it.adapters.size();
+  }
+  taken += static_cast<std::size_t>(
+      std::ranges::count_if(state.open_loads, [&](const EngineOrder& it) {
+        return !it.adapter.empty() && !Holds(*state.report, it);
+      }));
+  return static_cast<int>(taken);
+}
+
+}  // namespace
+
+std::int64_t BytesOf(const routing::EngineSpec& spec,
+                     const core::ModelId& model) {
+  const auto it = spec.models.find(model);
+  if (it != spec.models.end()) return it->second.bytes;
+  std::int64_t largest = 0;
+  for (const auto& [id, known] : spec.models) {
+    largest = std::max(largest, known.bytes);
+  }
+  return largest;
+}
+
+std::int64_t BytesTaken(const MemoryState& state) {
+  std::int64_t taken = 0;
+  for (const EngineOrder& it : state.open_loads) taken += OpenBytes(state, it);
+  for (const fleet::HeldModel& it : state.report->models) {
+    taken += BytesOf(*state.spec, it.model);
+    taken += static_cast<std::int64_t>(it.adapters.size()) *
+             AdapterBytes(*state.spec, it.model);
+  }
+  for (const ComingAdapter& it : state.report->coming) {
+    taken += AdapterBytes(*state.spec, it.model);
+  }
+  return taken;
+}
+
+bool ModelFits(const MemoryState& state, const core::ModelId& model) {
+  return BytesTaken(state) + BytesOf(*state.spec, model) <=
+         state.spec->memory_bytes;
+}
+
+std::optional<core::ModelId> ChooseUnload(
+    const MemoryState& state, const std::vector<core::ModelId>& preferred,
+    const core::ModelId& keep) {
+  const fleet::HeldModel* best = nullptr;
+  double best_demand = 0;
+  for (const fleet::HeldModel& it : state.report->models) {
+    const Usage usage = state.usage->Of({it.model, core::AdapterId()});
+    if (it.model == keep) continue;
+    if (UsedWithin(usage, state.now, kJustLoaded)) continue;
+    const bool wished =
+        std::ranges::find(preferred, it.model) != preferred.end();
+    // A wish goes before any demand.
+    const double demand = wished ? -1.0 : usage.demand;
+    if (best != nullptr && demand >= best_demand) continue;
+    best = &it;
+    best_demand = demand;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->model;
+}
+
+bool AdapterFits(const MemoryState& state, const core::ModelId& model) {
+  if (AdaptersTaken(state) >= state.spec->max_adapters) return false;
+  return BytesTaken(state) + AdapterBytes(*state.spec, model) <=
+         state.spec->memory_bytes;
+}
+
+std::optional<ComingAdapter> ChooseAdapterUnload(const MemoryState& state) {
+  std::optional<ComingAdapter> best;
+  core::SteadyTime best_used;
+  for (const fleet::HeldModel& held : state.report->models) {
+    for (const core::AdapterId& adapter : held.adapters) {
+      const Usage usage = state.usage->Of({held.model, adapter});
+      if (UsedWithin(usage, state.now, kJustUsed)) continue;
+      const core::SteadyTime used =
+          usage.last_begun.value_or(core::SteadyTime());
+      if (best && used >= best_used) continue;
+      best = ComingAdapter{held.model, adapter};
+      best_used = used;
+    }
+  }
+  return best;
+}
+
+}  // namespace sapphire::orders
--- /dev/null
+++ b/src/policy/replica_choice.cc
@@ -0,0 +1,104 @@
+/** @file replica_choice.cc Which of the engines that hold a model serves a
+ * request. */
+#include <algorithm>
+
+#include "policy/replica_choice_func.h"
+
+namespace sapphire::policy {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Bytes between zones cost operators money: worth a little lateness, less
+ * than one full batch step more. */
+constexpr milliseconds kOtherZone{8};
+/** A request behind a full engine waits for a whole other request. */
+constexpr milliseconds kFullEngine{1500};
+/** What a certain failure would cost: the time of a second try. */
+constexpr milliseconds kFailure{1200};
+/** Slower than any busy engine, better than none. */
+constexpr milliseconds kWarmUp{300};
+/** A first byte that takes longer than this makes an engine doubtful. */
+constexpr milliseconds kUsualSilence{600};
+/** Share of the tokens in use above which requests are pushed out. */
+constexpr double kTightMemory = 0.9;
+/** Share of its places above which an engine counts as filling up. */
+constexpr double kFilling = 0.5;
+/** Requests a second from which a model shall survive the loss of an engine. */
+constexpr double kBusyModel = 1.0;
+
+milliseconds Millis(double ms) {
+  return milliseconds(static_cast<milliseconds::rep>(ms));
+}
+
+double Fullness(const ReplicaCandidate& candidate) {
+  const int load = candidate.running + candidate.waiting;
+  return static_cast<double>(load) / std::max(candidate.max_running, 1);
+}
+
+bool MemoryIsTight(const ReplicaCandidate& candidate, const RequestSize& size) {
+  if (candidate.kv_total == 0) return false;
+  const auto after = static_cast<double>(
+      candidate.kv_used + size.prompt_tokens + size.max_output_tokens);
+  return after > kTightMemory * static_cast<double>(candidate.kv_total);
+}
+
+/** Time of the work itself and of the queue before it. */
+milliseconds WorkTime(const ReplicaCandidate& candidate,
+                      const RequestSize& size, const EnginePace& pace) {
+  if (size.service_time.count() > 0) {
+    return Millis(Fullness(candidate) *
+                  static_cast<double>(size.service_time.count()));
+  }
+  const auto unread =
+      std::max<std::int64_t>(size.prompt_tokens - candidate.known_tokens, 0);
+  // Each request at work makes a step longer; those that wait are read first.
+  const double reading =
+      static_cast<double>(unread) * (1.0 + candidate.waiting);
+  const double steps = 1.0 + Fullness(candidate);
+  return Millis(reading / pace.prompt_tokens_per_ms +
+                steps * static_cast<double>(pace.step.count()));
+}
+
+}  // namespace
+
+milliseconds ExpectedCost(const ReplicaCandidate& candidate,
+                          const RequestSize& size, const EnginePace& pace) {
+  milliseconds cost = WorkTime(candidate, size, pace);
+  if (!candidate.same_zone) cost += kOtherZone;
+  if (Fullness(candidate) >= 1.0) cost += kFullEngine;
+  if (MemoryIsTight(candidate, size)) cost += kFullEngine;
+  if (candidate.warming_up) cost += kWarmUp;
+  cost +=
+      Millis(candidate.failure_rate * static_cast<double>(kFailure.count()));
+  // The failure met: an engine that takes requests and never answers. Nothing
+  // fails for a while, but its oldest request grows older than any usual one.
+  if (candidate.oldest_silence > kUsualSilence)
+    cost += candidate.oldest_silence;
+  return cost;
+}
+
+std::optional<std::size_t> ChooseReplica(
+    std::span<const ReplicaCandidate> candidates, const RequestSize& size,
+    const EnginePace& pace) {
+  std::optional<std::size_t> best;
+  milliseconds best_cost{0};
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const milliseconds cost = ExpectedCost(candidates[i], size, pace);
+    if (best && cost >= best_cost) continue;
+    best = i;
+    best_cost = cost;
+  }
+  return best;
+}
+
+bool NeedsAnotherReplica(std::span<const ReplicaCandidate> candidates,
+                         double demand_per_second) {
+  if (candidates.size() == 1 && demand_per_second > kBusyModel) return true;
+  return std::ranges::all_of(candidates, [](const ReplicaCandidate& it) {
+    return Fullness(it) > kFilling || MemoryIsTight(it, RequestSize());
+  });
+}
+
+}  // namespace sapphire::policy
--- /dev/null
+++ b/src/policy/replica_choice_test.cc
@@ -0,0 +1,76 @@
+/** @file replica_choice_test.cc Tests of the choice between replicas. */
+#define BOOST_TEST_MODULE replica_choice
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "policy/replica_choice_func.h"
+
+namespace sapphire::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+ReplicaCandidate Idle(bool same_zone) {
+  ReplicaCandidate candidate;
+  candidate.same_zone = same_zone;
+  candidate.max_running = 64;
+  candidate.kv_total = 130'000;
+  return candidate;
+}
+
+constexpr RequestSize kMeanDraft{1460, 80, milliseconds(0)};
+
+std::optional<std::size_t> Choose(
+    const std::vector<ReplicaCandidate>& candidates) {
+  return ChooseReplica(candidates, kMeanDraft, EnginePace());
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(NearestOfTwoIdleEnginesIsTaken) {
+  BOOST_TEST(!Choose({}).has_value());
+  BOOST_TEST(*Choose({Idle(false), Idle(true)}) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AFullNearEngineYieldsToAnIdleFarOne) {
+  ReplicaCandidate full = Idle(true);
+  full.running = 64;
+  BOOST_TEST(*Choose({full, Idle(false)}) == 1);
+}
+
+/** A prompt of 1460 tokens takes 73 ms to read: more than another zone. */
+BOOST_AUTO_TEST_CASE(AnEngineThatHasReadThePromptIsWorthAnotherZone) {
+  ReplicaCandidate reader = Idle(false);
+  reader.known_tokens = 1200;
+  BOOST_TEST(*Choose({Idle(true), reader}) == 1);
+}
+
+/**
+ * Callers of one zone wait for good: an engine takes their requests and never
+ * answers, while its health is good and it looks idle, so it is chosen again.
+ */
+BOOST_AUTO_TEST_CASE(ASilentEngineIsLeftAlone) {
+  ReplicaCandidate silent = Idle(true);
+  silent.oldest_silence = milliseconds(2000);
+  BOOST_TEST(*Choose({silent, Idle(false)}) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnEngineThatFailsPartOfItsRequestsIsLeftAlone) {
+  ReplicaCandidate failing = Idle(true);
+  failing.failure_rate = 0.4;
+  BOOST_TEST(*Choose({failing, Idle(false)}) == 1);
+}
+
+/** Busy models survive the loss of an engine; rare ones do not take two. */
+BOOST_AUTO_TEST_CASE(OnlyBusyModelsAndFullEnginesAskForAnotherReplica) {
+  const std::vector<ReplicaCandidate> one = {Idle(true)};
+  BOOST_TEST(!NeedsAnotherReplica(one, 0.03));
+  BOOST_TEST(NeedsAnotherReplica(one, 5.0));
+  std::vector<ReplicaCandidate> two = {Idle(true), Idle(true)};
+  BOOST_TEST(!NeedsAnotherReplica(two, 5.0));
+  two[0].running = two[1].running = 40;
+  BOOST_TEST(NeedsAnotherReplica(two, 5.0));
+}
+
+}  // namespace sapphire::policy
--- /dev/null
+++ b/src/policy/wake_up.cc
@@ -0,0 +1,83 @@
+/** @file wake_up.cc Which engine wakes a model that none holds. */
+#include <algorithm>
+
+#include "policy/placement_func.h"
+#include "policy/wake_up_func.h"
+
+namespace sapphire::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** How long a dropped model would have stayed useful. Origin: with 36 places
+ * for 65 models and a wake-up a second, a place changes hands about this often.
+ */
+constexpr double kHorizonSeconds = 15;
+/** A replica among several is missed less than the last one. */
+constexpr double kSpareReplica = 0.1;
+/** A busy engine is slower for everybody: a tie breaker. */
+constexpr milliseconds kPerRunning{2};
+constexpr milliseconds kOtherZone{20};
+
+/** @return What dropping a model costs its callers, in milliseconds of wait. */
+double EvictionCost(const ResidentModel& resident, const LoadTimes& loads) {
+  const double last = resident.other_replicas > 0 ? kSpareReplica : 1.0;
+  return last * resident.demand * kHorizonSeconds *
+         static_cast<double>(loads.disk.count());
+}
+
+struct Room {
+  std::vector<core::ModelId> evict;
+  double cost = 0;
+};
+
+/** @return What to drop so that `bytes` fit, cheapest first. */
+std::optional<Room> MakeRoom(std::int64_t bytes, const LoadTimes& loads,
+                             const WakeUpCandidate& candidate) {
+  std::int64_t free = candidate.memory_bytes;
+  std::vector<const ResidentModel*> idle;
+  for (const ResidentModel& resident : candidate.residents) {
+    free -= resident.bytes;
+    if (resident.running == 0) idle.push_back(&resident);
+  }
+  std::ranges::stable_sort(idle, {}, [&loads](const ResidentModel* it) {
+    return EvictionCost(*it, loads);
+  });
+  Room room;
+  for (const ResidentModel* it : idle) {
+    if (free >= bytes) break;
+    free += it->bytes;
+    room.evict.push_back(it->model);
+    room.cost += EvictionCost(*it, loads);
+  }
+  if (free < bytes) return std::nullopt;
+  return room;
+}
+
+}  // namespace
+
+std::optional<WakeUpPlan> ChooseWakeUp(
+    std::int64_t bytes, const LoadTimes& loads,
+    std::span<const WakeUpCandidate> candidates) {
+  std::optional<WakeUpPlan> best;
+  double best_cost = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const WakeUpCandidate& candidate = candidates[i];
+    auto room = MakeRoom(bytes, loads, candidate);
+    if (!room) continue;
+    const milliseconds ready_in =
+        candidate.order_left + LoadTimeFrom(loads, candidate.tier);
+    double cost = static_cast<double>(ready_in.count()) + room->cost;
+    cost += static_cast<double>((candidate.running * kPerRunning).count());
+    if (!candidate.same_zone) cost += static_cast<double>(kOtherZone.count());
+    if (best && cost >= best_cost) continue;
+    const milliseconds eviction_cost(
+        static_cast<milliseconds::rep>(room->cost));
+    best = WakeUpPlan{i, std::move(room->evict), ready_in, eviction_cost};
+    best_cost = cost;
+  }
+  return best;
+}
+
+}  // namespace sapphire::policy
--- /dev/null
+++ b/src/routing/routing_table.cc
@@ -0,0 +1,76 @@
+/** @file routing_table.cc The configuration in force, ready for lookups. */
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "routing/routing_table_base.h"
+
+namespace sapphire::routing {
+
+namespace {
+
+/** @return The host in lower case, without its port. */
+std::string PlainHost(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos && host.find(']', colon) == host.npos) {
+    host = host.substr(0, colon);
+  }
+  std::string plain(host);
+  std::ranges::transform(plain, plain.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return plain;
+}
+
+}  // namespace
+
+RoutingTable::RoutingTable(Configuration configuration)
+    : configuration_(std::move(configuration)) {
+  for (const Route& route : configuration_.routes) {
+    by_host_[PlainHost(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::ranges::stable_sort(routes, [](const Route* a, const Route* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
+  }
+}
+
+const Route* RoutingTable::Find(std::string_view host,
+                                std::string_view path) const {
+  const auto it = by_host_.find(PlainHost(host));
+  if (it == by_host_.end()) return nullptr;
+  const auto matches = [path](const Route* route) {
+    return path.starts_with(route->prefix);
+  };
+  const auto found = std::ranges::find_if(it->second, matches);
+  return found == it->second.end() ? nullptr : *found;
+}
+
+const Service* RoutingTable::FindService(const core::ServiceId& id) const {
+  const auto it = configuration_.services.find(id);
+  return it == configuration_.services.end() ? nullptr : &it->second;
+}
+
+const core::ServiceId& ChooseService(const Route& route, double point) {
+  double total = 0;
+  for (const ServiceShare& share : route.services) total += share.weight;
+  double left = point * total;
+  for (const ServiceShare& share : route.services) {
+    if (left < share.weight) return share.service;
+    left -= share.weight;
+  }
+  return route.services.back().service;
+}
+
+bool ConfigurationHolder::Adopt(Configuration configuration) {
+  if (configuration.version <= version()) return false;
+  current_ = std::make_shared<const RoutingTable>(std::move(configuration));
+  return true;
+}
+
+std::int64_t ConfigurationHolder::version() const {
+  return current_ == nullptr ? 0 : current_->configuration().version;
+}
+
+}  // namespace sapphire::routing
--- /dev/null
+++ b/src/routing/routing_table_test.cc
@@ -0,0 +1,63 @@
+/** @file routing_table_test.cc Tests of routes and the holder of versions. */
+#define BOOST_TEST_MODULE routing_table
+#include <boost/test/unit_test.hpp>
+
+#include "routing/routing_table_base.h"
+
+namespace sapphire::routing {
+
+namespace {
+
+Route MakeRoute(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.prefix = prefix;
+  route.services = {{core::ServiceId("s"), 1}};
+  return route;
+}
+
+Configuration WithVersion(std::int64_t version) {
+  Configuration configuration;
+  configuration.version = version;
+  return configuration;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostWins) {
+  Configuration configuration;
+  configuration.routes = {MakeRoute("a.example", "/x/"),
+                          MakeRoute("a.example", "/x/y/"),
+                          MakeRoute("b.example", "/x/y/z/")};
+  const RoutingTable table(configuration);
+  BOOST_TEST(table.Find("a.example", "/x/y/z/1")->prefix == "/x/y/");
+  BOOST_TEST(table.Find("A.example:80", "/x/1")->prefix == "/x/");
+  BOOST_TEST(table.Find("a.example", "/x") == nullptr);
+  BOOST_TEST(table.Find("c.example", "/x/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(WeightsSplitRequests) {
+  Route route;
+  route.services = {{core::ServiceId("big"), 90},
+                    {core::ServiceId("small"), 10}};
+  BOOST_TEST(ChooseService(route, 0.0).value() == "big");
+  BOOST_TEST(ChooseService(route, 0.89).value() == "big");
+  BOOST_TEST(ChooseService(route, 0.91).value() == "small");
+  BOOST_TEST(ChooseService(route, 1.0).value() == "small");
+}
+
+/**
+ * A caller gets an answer by the new version, then one by the old.
+ * The entry reads the store again after an outage and is given a stale copy.
+ */
+BOOST_AUTO_TEST_CASE(AnOlderVersionNeverTakesThePlaceOfANewerOne) {
+  ConfigurationHolder holder;
+  BOOST_TEST(holder.current() == nullptr);
+  BOOST_TEST(holder.Adopt(WithVersion(7)));
+  BOOST_TEST(!holder.Adopt(WithVersion(5)));
+  BOOST_TEST(!holder.Adopt(WithVersion(7)));
+  BOOST_TEST(holder.version() == 7);
+}
+
+}  // namespace sapphire::routing
--- /dev/null
+++ b/src/routing/store_follower.cc
@@ -0,0 +1,94 @@
+/** @file store_follower.cc Follows the keys under a prefix of the store. */
+#include <exception>
+#include <utility>
+
+#include "core/task_func.h"
+#include "routing/store_follower_base.h"
+
+namespace sapphire::routing {
+
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+/** How long after an outage a removed entry may come back by itself. */
+constexpr std::chrono::seconds kReturnTime{2};
+
+}  // namespace
+
+StoreFollower::StoreFollower(FollowOptions options, FollowHooks hooks,
+                             external::KeyValueStore& store,
+                             const core::Clock& clock, const core::Logger& log)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      store_(store),
+      clock_(clock),
+      log_(log) {}
+
+core::Task<> StoreFollower::Run() {
+  while (true) {
+    std::string failure;
+    try {
+      if (revision_) {
+        co_await WatchOnce();
+      } else {
+        co_await ListAll();
+      }
+    } catch (const std::exception& e) {
+      failure = e.what();
+    }
+    if (failure.empty()) continue;
+    NoteFailure(failure);
+    co_await core::SleepFor(options_.retry_pause);
+  }
+}
+
+core::Task<> StoreFollower::ListAll() {
+  external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
+  NoteAnswer();
+  hooks_.listed(std::move(snapshot.entries), JustAfterOutage());
+  revision_ = snapshot.revision;
+}
+
+core::Task<> StoreFollower::WatchOnce() {
+  external::WatchBatch batch =
+      co_await store_.Watch(options_.prefix, *revision_, options_.watch_wait);
+  NoteAnswer();
+  if (batch.gap) {
+    log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
+               {{"prefix", options_.prefix}, {"revision", *revision_}});
+    revision_.reset();
+    co_return;
+  }
+  for (external::KvEvent& event : batch.events) {
+    hooks_.changed(std::move(event), JustAfterOutage());
+  }
+  revision_ = std::max(*revision_, batch.revision);
+  if (!batch.events.empty()) co_await core::SleepFor(options_.gather);
+}
+
+void StoreFollower::NoteFailure(const std::string& what) {
+  revision_.reset();
+  if (failing_since_) return;
+  failing_since_ = clock_.Now();
+  log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "store_lost",
+             {{"prefix", options_.prefix}, {"error", what}});
+}
+
+void StoreFollower::NoteAnswer() {
+  last_answer_ = clock_.Now();
+  if (!failing_since_) return;
+  const auto away =
+      std::chrono::duration_cast<core::Millis>(*last_answer_ - *failing_since_);
+  failing_since_.reset();
+  if (away > options_.outage_after) outage_ended_ = last_answer_;
+  log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
+             {{"prefix", options_.prefix}, {"away_ms", away}});
+}
+
+bool StoreFollower::JustAfterOutage() const {
+  return outage_ended_ && clock_.Now() - *outage_ended_ < kReturnTime;
+}
+
+}  // namespace sapphire::routing
--- /dev/null
+++ b/src/routing/store_follower_base.h
@@ -0,0 +1,82 @@
+/** @file store_follower_base.h Follows the keys under a prefix of the store. */
+#ifndef SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
+#define SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "external/key_value_base.h"
+
+namespace sapphire::routing {
+
+struct FollowOptions {
+  std::string prefix;
+  /** How long one watch waits. Long: each call to the store is paid for. */
+  std::chrono::milliseconds watch_wait{20'000};
+  /** Pause after a batch of changes, so that changes that come together cost
+   * one call. */
+  std::chrono::milliseconds gather{100};
+  /** Pause before a failed call is tried again. Half a second from each VM is
+   * far below what the store takes and found again well within two seconds. */
+  std::chrono::milliseconds retry_pause{400};
+  /** A store that failed for longer than this was away: entries may have
+   * lapsed meanwhile. */
+  std::chrono::milliseconds outage_after{1000};
+};
+
+/** What is done with what is seen. */
+struct FollowHooks {
+  /** A whole listing. @param after_outage The store was away before it. */
+  std::function<void(std::vector<external::KvEntry>, bool after_outage)> listed;
+  /** One change. @param after_outage The store was away just before it. */
+  std::function<void(external::KvEvent, bool after_outage)> changed;
+};
+
+/**
+ * Lists, then watches, for as long as the process runs. Every call has a
+ * time-out, and after any failure or gap everything is listed anew: a watch
+ * that was cut, or whose history is gone, may have missed changes.
+ */
+class StoreFollower {
+ public:
+  /** @pre The store, `clock` and `log` outlive the follower. */
+  StoreFollower(FollowOptions options, FollowHooks hooks,
+                external::KeyValueStore& store, const core::Clock& clock,
+                const core::Logger& log);
+
+  /** Never returns. */
+  core::Task<> Run();
+
+  /** @return When the store last answered, if it ever did. */
+  [[nodiscard]] std::optional<core::SteadyTime> last_answer() const {
+    return last_answer_;
+  }
+
+ private:
+  core::Task<> ListAll();
+  core::Task<> WatchOnce();
+  void NoteFailure(const std::string& what);
+  void NoteAnswer();
+  [[nodiscard]] bool JustAfterOutage() const;
+
+  const FollowOptions options_;
+  const FollowHooks hooks_;
+  external::KeyValueStore& store_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  /** Changes after this revision are still to come; nothing: list first. */
+  std::optional<std::int64_t> revision_;
+  std::optional<core::SteadyTime> last_answer_;
+  std::optional<core::SteadyTime> failing_since_;
+  std::optional<core::SteadyTime> outage_ended_;
+};
+
+}  // namespace sapphire::routing
+
+#endif  // SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
--- /dev/null
+++ b/src/serving/dispatcher.cc
@@ -0,0 +1,467 @@
+/** @file dispatcher.cc Takes a caller's request to its final answer. */
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "serving/dispatcher_base.h"
+
+namespace sapphire::serving {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using routing::RequestKind;
+
+namespace {
+
+/** The engine's own answer to a passed deadline is on its way then. */
+constexpr milliseconds kDeadlineGrace{80};
+/** Longest wait between two looks at the fleet. */
+constexpr milliseconds kLookAgain{100};
+/** When to come back if nothing better is known. */
+constexpr milliseconds kSoon{500};
+/** Least time in which a request can still be served. */
+constexpr milliseconds kLeastTime{30};
+/** Without a word for this long in its middle, a stream goes on elsewhere:
+ * ten times the usual pause of a full engine, below what callers bear. */
+constexpr milliseconds kStreamSilence{1500};
+/** A first byte later than this many objectives is not waited for, if the
+ * request may run again. */
+constexpr int kObjectivesToFirstByte = 2;
+constexpr milliseconds kFirstByteSlack{500};
+/** Part of the time left that the first try of an idempotent request gets. */
+constexpr double kFirstTryShare = 0.5;
+/** Repeats after an engine's own failure leave half of the budget to those
+ * after lost engines. */
+constexpr double kFailureReserve = 0.5;
+/** Idle time of connections to engines: engines close them after 1.5 s. */
+constexpr milliseconds kEngineIdle{900};
+constexpr int kMaxRank = 9;
+constexpr double kHashRange = 18446744073709551616.0;
+
+std::string_view NameOf(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kServed:
+      return "served";
+    case ExchangeEnd::kEngineFailed:
+      return "engine_failed";
+    case ExchangeEnd::kNotRun:
+      return "not_run";
+    case ExchangeEnd::kLost:
+      return "lost";
+    case ExchangeEnd::kCutMidway:
+      return "cut_midway";
+    case ExchangeEnd::kCallerLeft:
+      return "caller_left";
+  }
+  return "";
+}
+
+fleet::SendResult ResultOf(const ExchangeResult& result) {
+  switch (result.end) {
+    case ExchangeEnd::kServed:
+      return fleet::SendResult::kServed;
+    case ExchangeEnd::kNotRun:
+      return fleet::SendResult::kRefused;
+    case ExchangeEnd::kCallerLeft:
+      return fleet::SendResult::kAbandoned;
+    default:
+      return fleet::SendResult::kFailed;
+  }
+}
+
+}  // namespace
+
+namespace {
+
+/** Ends the send in progress when the caller closes its connection. */
+class LeaveWatch {
+ public:
+  explicit LeaveWatch(CallerSide& caller) : caller_(caller) {
+    caller.writer.WhenCallerGone([&caller] {
+      caller.left = true;
+      if (caller.abort) caller.abort->Now();
+    });
+  }
+  ~LeaveWatch() { caller_.writer.WhenCallerGone({}); }
+  LeaveWatch(const LeaveWatch&) = delete;
+  LeaveWatch& operator=(const LeaveWatch&) = delete;
+
+ private:
+  CallerSide& caller_;
+};
+
+}  // namespace
+
+/** A request on its way. */
+struct Dispatcher::Work {
+  Work(CallerRequest caller_request, http::ResponseWriter& writer,
+       core::SteadyTime now)
+      : request(std::move(caller_request)),
+        caller(writer, request.last_event),
+        arrived(now) {}
+
+  CallerRequest request;
+  CallerSide caller;
+  core::SteadyTime arrived;
+  core::SteadyTime deadline;
+  std::shared_ptr<const routing::RoutingTable> table;
+  const routing::Route* route = nullptr;
+  const routing::Service* service = nullptr;
+  /** Engines that failed or refused it. */
+  std::set<fleet::InstanceId> avoid;
+  /** Engines that may have run it. */
+  int runs = 0;
+  int sends = 0;
+  std::optional<core::SteadyTime> first_byte;
+  fleet::InstanceId engine;
+  int status = 0;
+  std::string outcome;
+  std::string reason;
+};
+
+Dispatcher::Dispatcher(DispatchOptions options, DispatchParts parts)
+    : options_(options), parts_(parts) {}
+
+core::Task<> Dispatcher::Serve(const http::Request& request,
+                               http::ResponseWriter& writer) {
+  Work work(parts_.caller_wire.Decode(request), writer, parts_.clock.Now());
+  const LeaveWatch watch(work.caller);
+  std::optional<Error> refusal;
+  std::optional<http::ConnectionCut> cut;
+  try {
+    Check(work);
+    co_await Run(work);
+  } catch (const Error& e) {
+    refusal = e;
+  } catch (const http::ConnectionCut& e) {
+    cut = e;
+  }
+  if (refusal) co_await Refuse(work, *refusal);
+  LogEnd(work);
+  if (cut) throw http::ConnectionCut(*cut);
+}
+
+void Dispatcher::Check(Work& work) const {
+  work.deadline = work.arrived + work.request.time_to_wait;
+  work.table = parts_.configuration.current();
+  if (work.table == nullptr) {
+    throw Error(ErrorCode::kNotConfigured, "", kSoon);
+  }
+  const std::string& target = work.request.forward.target;
+  work.route = work.table->Find(work.request.host, http::PathOf(target));
+  if (work.route == nullptr) throw Error(ErrorCode::kUnknownPath, target);
+  if (refuse_long_ && work.route->kind == RequestKind::kStream) {
+    throw Error(ErrorCode::kLeaving, "", milliseconds(0));
+  }
+  work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
+  Resolve(work);
+}
+
+/** Finds the service and what it offers. */
+void Dispatcher::Resolve(Work& work) const {
+  const double point =
+      static_cast<double>(core::HashOf(work.request.id.value())) / kHashRange;
+  const core::ServiceId& id = routing::ChooseService(*work.route, point);
+  work.service = work.table->FindService(id);
+  if (work.service == nullptr) {
+    throw Error(ErrorCode::kUnknownService, id.value());
+  }
+  if (!work.service->engine) {
+    work.request.model = core::ModelId();
+    work.request.adapter = core::AdapterId();
+    return;
+  }
+  const auto& models = work.service->engine->models;
+  if (!models.contains(work.request.model)) {
+    throw Error(ErrorCode::kUnknownModel, work.request.model.value());
+  }
+}
+
+core::Task<> Dispatcher::Run(Work& work) {
+  BudgetOf(work.service->id).CountRequest();
+  bool over = false;
+  while (!over) over = co_await Attempt(work);
+}
+
+/** Sends the request once. @return True if it has its final answer. */
+core::Task<bool> Dispatcher::Attempt(Work& work) {
+  work.engine = co_await Choose(work);
+  if (work.caller.left) {
+    work.outcome = "caller_left";
+    co_return true;
+  }
+  const fleet::EngineEntry* engine = parts_.registry.Find(work.engine);
+  if (engine == nullptr) co_return false;
+  const std::shared_ptr<http::Client> client = ClientOf(*engine);
+  const fleet::SentPart part{work.request.model, work.request.adapter};
+  const fleet::SendTicket ticket = parts_.loads.Begin(work.engine, part);
+  SendOptions send;
+  send.instance = work.engine;
+  send.time_left = Left(work);
+  send.rank = std::clamp(work.route->rank, 0, kMaxRank);
+  send.last_event = work.caller.events.last_event();
+  ++work.sends;
+  const bool is_stream = work.route->kind == RequestKind::kStream;
+  FirstByteHook first_byte = [this, &work, ticket] {
+    parts_.loads.NoteAnswer(ticket);
+    NotePrefix(work);
+    if (!work.first_byte) work.first_byte = parts_.clock.Now();
+  };
+  ExchangeResult result = co_await RunExchange(
+      *client, parts_.engine_wire, work.request, send, LimitsOf(work),
+      is_stream, work.caller, parts_.clock, std::move(first_byte));
+  parts_.loads.End(ticket, ResultOf(result));
+  work.caller.abort = nullptr;
+  work.outcome = NameOf(result.end);
+  work.reason = result.reason;
+  co_return co_await Conclude(work, std::move(result));
+}
+
+/** The engine has read the prompt now. */
+void Dispatcher::NotePrefix(const Work& work) {
+  std::vector<std::uint64_t> hashes;
+  for (const PromptPart& part : work.request.prompt_parts) {
+    hashes.push_back(part.hash);
+  }
+  parts_.loads.NotePrefix(work.engine, work.request.model, hashes);
+}
+
+ExchangeLimits Dispatcher::LimitsOf(const Work& work) const {
+  ExchangeLimits limits;
+  limits.deadline = work.deadline + kDeadlineGrace;
+  limits.first_byte = Left(work) + kDeadlineGrace;
+  limits.pause = limits.first_byte;
+  limits.fresh_connection =
+      work.route->kind == RequestKind::kNonIdempotent ||
+      (work.route->kind == RequestKind::kStream && !work.route->resumable);
+  const bool last = work.runs + 1 >= work.route->max_engines;
+  if (last || limits.fresh_connection) return limits;
+  if (work.route->kind == RequestKind::kStream) {
+    const milliseconds usual =
+        kObjectivesToFirstByte * work.route->objective + kFirstByteSlack;
+    limits.first_byte = std::min(limits.first_byte, usual);
+    limits.pause = std::min(limits.pause, kStreamSilence);
+  } else {
+    const auto share = static_cast<milliseconds::rep>(
+        static_cast<double>(Left(work).count()) * kFirstTryShare);
+    limits.first_byte = std::min(limits.first_byte, milliseconds(share));
+  }
+  return limits;
+}
+
+/** @return True if the request has its final answer now. */
+core::Task<bool> Dispatcher::Conclude(Work& work, ExchangeResult result) {
+  const bool may_have_run = result.end != ExchangeEnd::kNotRun;
+  if (may_have_run) ++work.runs;
+  switch (result.end) {
+    case ExchangeEnd::kServed:
+      work.status = 200;
+      co_return true;
+    case ExchangeEnd::kCallerLeft:
+      co_return true;
+    default:
+      break;
+  }
+  parts_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "send_failed",
+                   {{"request", work.request.id},
+                    {"instance", work.engine},
+                    {"end", work.outcome},
+                    {"reason", work.reason},
+                    {"sends", work.sends},
+                    {"left_ms", Left(work)}});
+  work.avoid.insert(work.engine);
+  const bool can_repeat = !may_have_run || MayRunAgain(work);
+  const double reserve =
+      result.end == ExchangeEnd::kEngineFailed ? kFailureReserve : 0.0;
+  if (can_repeat && Left(work) > kLeastTime && TakeRepeat(work, reserve)) {
+    co_return false;
+  }
+  if (result.failure && !work.caller.begun) {
+    co_await Answer(work, std::move(*result.failure));
+    co_return true;
+  }
+  if (work.caller.begun) {
+    // The caller sees that the stream has no end.
+    throw http::ConnectionCut(result.reason);
+  }
+  if (work.runs == 0) throw Error(ErrorCode::kNoEndpoint, result.reason, kSoon);
+  throw Error(
+      result.timed_out ? ErrorCode::kTimedOut : ErrorCode::kOutcomeUnknown,
+      result.reason);
+}
+
+bool Dispatcher::MayRunAgain(const Work& work) const {
+  if (work.runs >= work.route->max_engines) return false;
+  if (work.route->kind == RequestKind::kIdempotent) return true;
+  return work.route->kind == RequestKind::kStream && work.route->resumable;
+}
+
+/** Waits until an engine can take the request. */
+core::Task<fleet::InstanceId> Dispatcher::Choose(Work& work) {
+  while (true) {
+    if (work.caller.left) co_return fleet::InstanceId();
+    const std::uint64_t seen = parts_.feed.changed().epoch();
+    if (const auto engine = ChooseNow(work)) co_return *engine;
+    const milliseconds ready_in = WakeModel(work);
+    const milliseconds left = Left(work);
+    if (ready_in + kLeastTime > left) {
+      throw Error(
+          work.runs == 0 ? ErrorCode::kNoCapacity : ErrorCode::kOutcomeUnknown,
+          "no engine can serve it in its time", std::max(ready_in, kSoon));
+    }
+    co_await parts_.feed.changed().Wait(seen, std::min(kLookAgain, left));
+  }
+}
+
+/** @return The best engine that can take it now. */
+std::optional<fleet::InstanceId> Dispatcher::ChooseNow(Work& work) {
+  std::vector<FoundReplica> found =
+      parts_.finder.Find(work.service->id, work.request, work.avoid);
+  if (found.empty() && work.request.model.empty()) {
+    // All have failed or refused it: any that is there may do by now.
+    found = parts_.finder.Find(work.service->id, work.request, {});
+  }
+  const WakeTarget target{work.service->id, work.request.model,
+                          work.request.adapter};
+  if (const auto loaded = parts_.waker.JustLoaded(target)) {
+    const bool listed = std::ranges::any_of(found, [&](const FoundReplica& it) {
+      return it.instance == *loaded && it.has_adapter;
+    });
+    const fleet::EngineEntry* engine = parts_.registry.Find(*loaded);
+    if (!listed && engine != nullptr && !engine->draining &&
+        !work.avoid.contains(*loaded)) {
+      return *loaded;
+    }
+  }
+  std::vector<policy::ReplicaCandidate> views;
+  std::vector<fleet::InstanceId> instances;
+  std::vector<policy::ReplicaCandidate> holders;
+  for (const FoundReplica& it : found) {
+    holders.push_back(it.view);
+    if (!it.has_adapter) continue;
+    views.push_back(it.view);
+    instances.push_back(it.instance);
+  }
+  policy::RequestSize size;
+  size.prompt_tokens = work.request.prompt_tokens;
+  size.max_output_tokens = work.request.max_output_tokens;
+  if (work.request.model.empty()) size.service_time = work.route->objective;
+  if (!work.request.model.empty() && !holders.empty()) {
+    const double demand =
+        parts_.finder.Demand(work.service->id, work.request.model);
+    if (policy::NeedsAnotherReplica(holders, demand)) {
+      parts_.waker.AddReplica(*work.service, work.request.model);
+    }
+  }
+  const auto best = policy::ChooseReplica(views, size, options_.pace);
+  if (best) return instances[*best];
+  const auto holder = policy::ChooseReplica(holders, size, options_.pace);
+  if (holder) {
+    parts_.waker.WakeAdapter(work.service->id, found[*holder].instance,
+                             work.request.model, work.request.adapter,
+                             work.request.id);
+  }
+  return std::nullopt;
+}
+
+/** Has the model loaded. @return When it is expected to serve. */
+milliseconds Dispatcher::WakeModel(Work& work) {
+  const Error nowhere(
+      work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
+      "no engine can be reached", kSoon);
+  if (work.request.model.empty()) throw Error(nowhere);
+  const bool held =
+      !parts_.finder.Find(work.service->id, work.request, work.avoid).empty();
+  if (held) return milliseconds(0);
+  const auto ready =
+      parts_.waker.Wake(*work.service, work.request.model, work.request.id);
+  if (!ready) throw Error(nowhere);
+  return *ready;
+}
+
+core::Task<> Dispatcher::Answer(Work& work, http::Response response) {
+  work.status = response.head.status;
+  try {
+    co_await work.caller.writer.Send(std::move(response));
+  } catch (const http::TransportError& e) {
+    work.outcome = "caller_left";
+    work.reason = e.what();
+  }
+}
+
+core::Task<> Dispatcher::Refuse(Work& work, const Error& error) {
+  if (work.caller.left) {
+    work.outcome = "caller_left";
+    co_return;
+  }
+  work.outcome = core::InfoOf(error.code()).name;
+  work.reason = error.detail();
+  http::Response response = parts_.caller_wire.Refusal(error, work.request.id);
+  co_await Answer(work, std::move(response));
+}
+
+milliseconds Dispatcher::Left(const Work& work) const {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      work.deadline - parts_.clock.Now());
+  return std::max(left, milliseconds(0));
+}
+
+bool Dispatcher::TakeRepeat(const Work& work, double reserve) {
+  return BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
+}
+
+policy::RepeatBudget& Dispatcher::BudgetOf(const core::ServiceId& service) {
+  const auto it = budgets_.find(service);
+  if (it != budgets_.end()) return it->second;
+  policy::RepeatBudget budget(options_.repeats, parts_.clock);
+  return budgets_.emplace(service, std::move(budget)).first->second;
+}
+
+std::shared_ptr<http::Client> Dispatcher::ClientOf(
+    const fleet::EngineEntry& engine) {
+  std::shared_ptr<http::Client>& client = clients_[engine.instance];
+  if (!client) {
+    http::ClientOptions options;
+    options.max_idle_time = kEngineIdle;
+    client = std::make_shared<http::Client>(engine.address, options);
+  }
+  return client;
+}
+
+void Dispatcher::Forget() {
+  std::set<fleet::InstanceId> alive;
+  for (const auto& [instance, engine] : parts_.registry.engines()) {
+    alive.insert(instance);
+  }
+  parts_.loads.Forget(alive);
+  std::erase_if(clients_,
+                [&alive](const auto& it) { return !alive.contains(it.first); });
+}
+
+void Dispatcher::LogEnd(const Work& work) const {
+  const core::SteadyTime now = parts_.clock.Now();
+  const auto since = [&work](core::SteadyTime time) {
+    return std::chrono::duration_cast<milliseconds>(time - work.arrived);
+  };
+  parts_.log.Event(
+      LogLevel::kInfo, LogCategory::kRequest, "request_end",
+      {{"request", work.request.id},
+       {"route", work.route == nullptr ? "" : work.route->name},
+       {"model", work.request.model},
+       {"adapter", work.request.adapter},
+       {"config",
+        work.table == nullptr ? 0 : work.table->configuration().version},
+       {"instance", work.engine},
+       {"sends", work.sends},
+       {"status", work.status},
+       {"outcome", work.outcome},
+       {"reason", work.reason},
+       {"first_byte_ms", since(work.first_byte.value_or(work.arrived))},
+       {"total_ms", since(now)}});
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/dispatcher_base.h
@@ -0,0 +1,93 @@
+/** @file dispatcher_base.h Takes a caller's request to its final answer. */
+#ifndef SAPPHIRE_SERVING_DISPATCHER_BASE_H_
+#define SAPPHIRE_SERVING_DISPATCHER_BASE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "fleet/endpoint_feed_base.h"
+#include "fleet/engine_loads_base.h"
+#include "fleet/engine_registry_base.h"
+#include "http/client_base.h"
+#include "http/server_base.h"
+#include "policy/repeat_budget_base.h"
+#include "routing/routing_table_base.h"
+#include "serving/caller_type.h"
+#include "serving/exchange_base.h"
+#include "serving/model_waker_base.h"
+#include "serving/replica_finder_base.h"
+
+namespace sapphire::serving {
+
+struct DispatchOptions {
+  policy::RepeatLimits repeats;
+  policy::EnginePace pace;
+};
+
+/** What the dispatcher works with; all outlive it. */
+struct DispatchParts {
+  const routing::ConfigurationHolder& configuration;
+  const fleet::EngineRegistry& registry;
+  fleet::EngineLoads& loads;
+  fleet::EndpointFeed& feed;
+  const ReplicaFinder& finder;
+  ModelWaker& waker;
+  const CallerWire& caller_wire;
+  const EngineWire& engine_wire;
+  const core::Clock& clock;
+  const core::Logger& log;
+};
+
+/** One thread. */
+class Dispatcher {
+ public:
+  Dispatcher(DispatchOptions options, DispatchParts parts);
+
+  /** Handles one request; always gives it a final answer. */
+  core::Task<> Serve(const http::Request& request,
+                     http::ResponseWriter& writer);
+
+  /** New requests that take long are refused from now on: they would be cut
+   * when the process ends. */
+  void RefuseLongRequests() { refuse_long_ = true; }
+
+  /** Forgets what it keeps of engines that are gone. */
+  void Forget();
+
+ private:
+  struct Work;
+
+  core::Task<> Run(Work& work);
+  core::Task<bool> Attempt(Work& work);
+  core::Task<fleet::InstanceId> Choose(Work& work);
+  std::optional<fleet::InstanceId> ChooseNow(Work& work);
+  milliseconds WakeModel(Work& work);
+  core::Task<bool> Conclude(Work& work, ExchangeResult result);
+  core::Task<> Answer(Work& work, http::Response response);
+  core::Task<> Refuse(Work& work, const core::Error& error);
+  void NotePrefix(const Work& work);
+  void Check(Work& work) const;
+  void Resolve(Work& work) const;
+  [[nodiscard]] ExchangeLimits LimitsOf(const Work& work) const;
+  [[nodiscard]] bool MayRunAgain(const Work& work) const;
+  [[nodiscard]] milliseconds Left(const Work& work) const;
+  bool TakeRepeat(const Work& work, double reserve);
+  policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
+  std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
+  void LogEnd(const Work& work) const;
+
+  const DispatchOptions options_;
+  const DispatchParts parts_;
+  std::map<core::ServiceId, policy::RepeatBudget> budgets_;
+  std::map<fleet::InstanceId, std::shared_ptr<http::Client>> clients_;
+  bool refuse_long_ = false;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_DISPATCHER_BASE_H_
--- /dev/null
+++ b/src/serving/event_splitter_test.cc
@@ -0,0 +1,38 @@
+/** @file event_splitter_test.cc Tests of cutting a stream of events. */
+#define BOOST_TEST_MODULE event_splitter
+#include <boost/test/unit_test.hpp>
+
+#include "serving/event_splitter_base.h"
+
+namespace sapphire::serving {
+
+BOOST_AUTO_TEST_CASE(OnlyWholeEventsPass) {
+  EventSplitter splitter(std::nullopt);
+  BOOST_TEST(splitter.Add("id: 1\ndata: a") == "");
+  BOOST_TEST(splitter.Add("\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+  BOOST_TEST(*splitter.last_event() == 1);
+  BOOST_TEST(splitter.Add("data: b\r\n\r\n") == "id: 2\ndata: b\r\n\r\n");
+  BOOST_TEST(*splitter.last_event() == 2);
+  BOOST_TEST(splitter.TakeRest() == "");
+}
+
+/**
+ * A caller sees half an event, then the same event again.
+ * The first engine ends in the middle of event 2; the stream goes on at a
+ * second engine, which begins one event too early.
+ */
+BOOST_AUTO_TEST_CASE(ASecondRunJoinsWithoutTornOrDoubledEvents) {
+  EventSplitter splitter(std::nullopt);
+  BOOST_TEST(splitter.Add("id: 1\ndata: a\n\nid: 2\nda") ==
+             "id: 1\ndata: a\n\n");
+  splitter.StartRun();
+  BOOST_TEST(splitter.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") ==
+             "id: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(AResumedCallerGetsNothingTwice) {
+  EventSplitter splitter(7);
+  BOOST_TEST(splitter.Add("id: 7\n\nid: 8\n\n") == "id: 8\n\n");
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/exchange.cc
@@ -0,0 +1,233 @@
+/** @file exchange.cc One send of a request to one engine. */
+#include <algorithm>
+#include <utility>
+
+#include "serving/exchange_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+/** An engine on a near VM takes a connection in a few milliseconds. */
+constexpr milliseconds kConnectLimit{400};
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+/** @return True for statuses that promise callers that nothing has run. */
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooMany || status == kUnavailable;
+}
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+/** What one read of an answer gave. */
+struct PartRead {
+  /** Nothing: the answer is whole, or `error` says why not. */
+  std::optional<std::string> bytes;
+  std::string error;
+  bool timed_out = false;
+};
+
+core::Task<PartRead> ReadPart(http::ResponseStream& stream,
+                              milliseconds timeout) {
+  PartRead read;
+  try {
+    read.bytes = co_await stream.Read(timeout);
+  } catch (const http::TransportError& e) {
+    read.error = e.what();
+    read.timed_out = e.timed_out();
+  }
+  co_return read;
+}
+
+/** Runs one send; holds what its steps share. */
+class Exchange {
+ public:
+  Exchange(http::Client& engine, const EngineWire& wire,
+           const CallerRequest& request, ExchangeLimits limits,
+           CallerSide& caller, const core::Clock& clock,
+           FirstByteHook first_byte)
+      : engine_(engine),
+        wire_(wire),
+        request_(request),
+        limits_(limits),
+        caller_(caller),
+        clock_(clock),
+        first_byte_(std::move(first_byte)) {}
+
+  core::Task<ExchangeResult> Run(SendOptions send, bool is_stream) {
+    std::optional<ExchangeResult> failure = co_await Open(std::move(send));
+    if (failure) co_return *failure;
+    answer_ = wire_.Read(stream_->head());
+    if (const auto wrong = JudgeHead()) co_return *wrong;
+    if (is_stream && IsSuccess(answer_.status)) co_return co_await Relay();
+    co_return co_await PassWhole();
+  }
+
+ private:
+  core::Task<std::optional<ExchangeResult>> Open(SendOptions send) {
+    http::OpenOptions options;
+    options.timeout = std::min(limits_.first_byte, Left());
+    options.connect_timeout = kConnectLimit;
+    options.fresh_connection = limits_.fresh_connection;
+    options.abort = std::make_shared<http::Abort>();
+    caller_.abort = options.abort;
+    http::Request out = wire_.Compose(request_, send);
+    std::optional<ExchangeResult> failure;
+    try {
+      stream_ = co_await engine_.Open(std::move(out), std::move(options));
+    } catch (const http::TransportError& e) {
+      failure =
+          Failed(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
+                 e.what(), e.timed_out());
+    }
+    co_return failure;
+  }
+
+  /** @return The end of the send, if its head alone decides it. */
+  std::optional<ExchangeResult> JudgeHead() {
+    if (answer_.not_run || answer_.status == kMisdirected) {
+      return Failed(ExchangeEnd::kNotRun,
+                    "refused with " + std::to_string(answer_.status), false);
+    }
+    // The failure met: an engine's second answer to an earlier request stands
+    // where the next answer is due. Its id tells it.
+    if (!answer_.id.empty() && answer_.id != request_.id) {
+      return Failed(ExchangeEnd::kLost, "an answer to another request", false);
+    }
+    if (IsSuccess(answer_.status) && !answer_.genuine) {
+      return Failed(ExchangeEnd::kLost, "no answer of an engine", false);
+    }
+    // Passed on, it would promise what the engine has not said.
+    if (PromisesNotRun(answer_.status)) {
+      return Failed(ExchangeEnd::kLost,
+                    "status " + std::to_string(answer_.status) +
+                        " without a word on whether it has run",
+                    false);
+    }
+    return std::nullopt;
+  }
+
+  /** Reads the whole body first: a cut answer is never passed on. */
+  core::Task<ExchangeResult> PassWhole() {
+    http::Response response;
+    response.head = answer_.to_caller;
+    while (true) {
+      PartRead read = co_await ReadPart(*stream_, Left());
+      if (!read.error.empty()) {
+        co_return Failed(ExchangeEnd::kLost, read.error, read.timed_out);
+      }
+      if (!read.bytes) break;
+      response.body += *read.bytes;
+    }
+    first_byte_();
+    if (!IsSuccess(answer_.status)) {
+      ExchangeResult result =
+          Failed(ExchangeEnd::kEngineFailed,
+                 "status " + std::to_string(answer_.status), false);
+      result.failure = std::move(response);
+      co_return result;
+    }
+    co_return co_await Send(std::move(response));
+  }
+
+  core::Task<ExchangeResult> Send(http::Response response) {
+    ExchangeResult result = Failed(ExchangeEnd::kServed, "", false);
+    try {
+      co_await caller_.writer.Send(std::move(response));
+    } catch (const http::TransportError& e) {
+      result = Failed(ExchangeEnd::kCallerLeft, e.what(), false);
+    }
+    co_return result;
+  }
+
+  /** Passes a stream on as it comes, whole events only. */
+  core::Task<ExchangeResult> Relay() {
+    caller_.events.StartRun();
+    bool first = true;
+    while (true) {
+      const milliseconds limit = first ? limits_.first_byte : limits_.pause;
+      PartRead read = co_await ReadPart(*stream_, std::min(limit, Left()));
+      if (!read.error.empty()) {
+        co_return Failed(
+            caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost,
+            read.error, read.timed_out);
+      }
+      const bool over = !read.bytes.has_value();
+      std::string bytes =
+          over ? caller_.events.TakeRest() : caller_.events.Add(*read.bytes);
+      if (first && !over) {
+        first = false;
+        first_byte_();
+      }
+      const std::string failure = co_await Write(bytes, over);
+      if (!failure.empty()) {
+        co_return Failed(ExchangeEnd::kCallerLeft, failure, false);
+      }
+      if (over) co_return Failed(ExchangeEnd::kServed, "", false);
+    }
+  }
+
+  /** @return Why the caller can't be written to; empty if it can. */
+  core::Task<std::string> Write(const std::string& bytes, bool over) {
+    std::string failure;
+    try {
+      if (!caller_.begun && (!bytes.empty() || over)) {
+        caller_.begun = true;
+        http::ResponseHead head = answer_.to_caller;
+        co_await caller_.writer.Begin(std::move(head));
+      }
+      if (!bytes.empty()) co_await caller_.writer.Write(bytes);
+      if (over) co_await caller_.writer.End();
+    } catch (const http::TransportError& e) {
+      failure = e.what();
+    }
+    co_return failure;
+  }
+
+  [[nodiscard]] ExchangeResult Failed(ExchangeEnd end, std::string reason,
+                                      bool timed_out) const {
+    ExchangeResult result;
+    result.end = caller_.left ? ExchangeEnd::kCallerLeft : end;
+    result.reason = std::move(reason);
+    result.timed_out = timed_out;
+    return result;
+  }
+
+  [[nodiscard]] milliseconds Left() const {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        limits_.deadline - clock_.Now());
+    return std::max(left, milliseconds(1));
+  }
+
+  http::Client& engine_;
+  const EngineWire& wire_;
+  const CallerRequest& request_;
+  const ExchangeLimits limits_;
+  CallerSide& caller_;
+  const core::Clock& clock_;
+  FirstByteHook first_byte_;
+  std::unique_ptr<http::ResponseStream> stream_;
+  EngineAnswer answer_;
+};
+
+}  // namespace
+
+core::Task<ExchangeResult> RunExchange(
+    http::Client& engine, const EngineWire& wire, const CallerRequest& request,
+    SendOptions send, ExchangeLimits limits, bool is_stream, CallerSide& caller,
+    const core::Clock& clock, FirstByteHook first_byte) {
+  Exchange exchange(engine, wire, request, limits, caller, clock,
+                    std::move(first_byte));
+  co_return co_await exchange.Run(std::move(send), is_stream);
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/front.cc
@@ -0,0 +1,255 @@
+/** @file front.cc All parts of an entry that sends to engines itself. */
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "serving/front_base.h"
+
+namespace sapphire::serving {
+
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kHousekeeping{250};
+constexpr milliseconds kLeavePoll{20};
+/** A balancer asks once a second and goes by two answers: new connections may
+ * come for this long after we have stopped being ready. */
+constexpr milliseconds kBalancerLag{2500};
+/** Long requests that come this much before the end would be cut. */
+constexpr milliseconds kLongRequest{5000};
+/** Left for the end of the process itself. */
+constexpr milliseconds kLastMoments{300};
+/** Engines change often while models are loaded: a call for each change would
+ * cost more than it tells, as endpoints tell of it themselves. */
+constexpr milliseconds kEngineGather{500};
+
+link::LinkOptions LinkOptionsOf(const FrontOptions& options) {
+  link::LinkOptions links;
+  links.self.vm = options.vm.value();
+  links.self.zone = options.zone.value();
+  links.self.role = gen::Role::ENTRY;
+  links.self.incarnation = core::RandomPositive();
+  return links;
+}
+
+/** An entry takes no calls. */
+core::Task<> RefuseCall(const std::shared_ptr<link::Call>& /*call*/,
+                        const gen::Message& /*first*/) {
+  throw core::Error(core::ErrorCode::kMalformedRequest,
+                    "an entry takes no calls");
+  co_return;
+}
+
+link::VersionHooks NoVersions() {
+  link::VersionHooks hooks;
+  hooks.current = [] { return std::int64_t{0}; };
+  hooks.newer_seen = [](const std::shared_ptr<link::Link>&, std::int64_t) {};
+  return hooks;
+}
+
+routing::FollowOptions FollowOptionsOf(const std::string& prefix) {
+  routing::FollowOptions options;
+  options.prefix = prefix;
+  return options;
+}
+
+routing::FollowOptions EngineFollowOptions(const std::string& prefix) {
+  routing::FollowOptions options = FollowOptionsOf(prefix);
+  options.gather = kEngineGather;
+  return options;
+}
+
+DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
+                      const fleet::EngineRegistry& registry,
+                      fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
+                      const ReplicaFinder& finder, ModelWaker& waker,
+                      const CallerWire& caller_wire,
+                      const EngineWire& engine_wire, const core::Clock& clock,
+                      const core::Logger& log) {
+  return {configuration, registry,    loads,       feed,  finder,
+          waker,         caller_wire, engine_wire, clock, log};
+}
+
+http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
+  http::ServerLimits out;
+  out.max_header_bytes = limits.max_header_bytes;
+  out.max_body_bytes = limits.max_body_bytes;
+  out.read_timeout = limits.header_timeout;
+  out.idle_timeout = limits.idle_timeout;
+  return out;
+}
+
+}  // namespace
+
+Front::Front(const core::Executor& executor, FrontOptions options,
+             StoreLayout layout, external::KeyValueStore& store,
+             const CallerWire& caller_wire, const EngineWire& engine_wire,
+             const core::Clock& clock, const core::Logger& log)
+    : options_(std::move(options)),
+      layout_(std::move(layout)),
+      executor_(executor),
+      clock_(clock),
+      log_(log),
+      registry_(fleet::RegistryOptions(), clock, log),
+      loads_(clock),
+      links_(executor, LinkOptionsOf(options_), RefuseCall, NoVersions(), clock,
+             log),
+      feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
+      finder_(options_.zone, registry_, feed_, loads_, clock),
+      waker_(finder_, feed_, executor, clock, log),
+      dispatcher_(options_.dispatch,
+                  PartsOf(configuration_, registry_, loads_, feed_, finder_,
+                          waker_, caller_wire, engine_wire, clock, log)),
+      configuration_follower_(FollowOptionsOf(layout_.configuration_key),
+                              ConfigurationHooks(), store, clock, log),
+      engine_follower_(EngineFollowOptions(layout_.engine_prefix),
+                       EngineHooks(), store, clock, log),
+      server_(
+          executor, options_.listen, http::ServerLimits(),
+          [this](const http::Request& request, http::ResponseWriter& writer) {
+            return dispatcher_.Serve(request, writer);
+          },
+          log),
+      ready_server_(
+          executor, options_.ready_listen, http::ServerLimits(),
+          [this](const http::Request& request, http::ResponseWriter& writer) {
+            return AnswerReady(request, writer);
+          },
+          log) {}
+
+void Front::Start() {
+  links_.Listen(options_.link_listen);
+  server_.Start();
+  ready_server_.Start();
+  core::Spawn(executor_, log_, "follow_configuration",
+              [this] { return configuration_follower_.Run(); });
+  core::Spawn(executor_, log_, "follow_engines",
+              [this] { return engine_follower_.Run(); });
+  core::Spawn(executor_, log_, "keep_house", [this] { return KeepHouse(); });
+}
+
+bool Front::Ready() const {
+  return !leaving_ && configuration_.current() != nullptr;
+}
+
+core::Task<> Front::AnswerReady(const http::Request& request,
+                                http::ResponseWriter& writer) {
+  const bool asked = http::PathOf(request.target) == options_.ready_path;
+  const int status = asked && Ready() ? kOk : kUnavailable;
+  http::Response response = http::MakeResponse(status, "text/plain", "");
+  co_await writer.Send(std::move(response));
+}
+
+routing::FollowHooks Front::ConfigurationHooks() {
+  routing::FollowHooks hooks;
+  hooks.listed = [this](std::vector<external::KvEntry> entries, bool) {
+    for (const external::KvEntry& it : entries) AdoptConfiguration(it);
+  };
+  hooks.changed = [this](external::KvEvent event, bool) {
+    if (!event.value) return;
+    AdoptConfiguration({event.key, *event.value, event.revision});
+  };
+  return hooks;
+}
+
+void Front::AdoptConfiguration(const external::KvEntry& entry) {
+  if (entry.key != layout_.configuration_key) return;
+  std::string failure;
+  bool adopted = false;
+  try {
+    adopted = configuration_.Adopt(layout_.read_configuration(entry.value));
+  } catch (const core::Error& e) {
+    // What was in force before stays.
+    failure = e.what();
+  }
+  if (adopted) {
+    server_.SetLimits(
+        ServerLimitsOf(configuration_.current()->configuration().limits));
+  }
+  log_.Event(failure.empty() ? LogLevel::kInfo : LogLevel::kError,
+             LogCategory::kConfig,
+             adopted ? "config_in_force" : "config_passed_over",
+             {{"config", configuration_.version()},
+              {"revision", entry.revision},
+              {"error", failure}});
+}
+
+routing::FollowHooks Front::EngineHooks() {
+  routing::FollowHooks hooks;
+  hooks.listed = [this](std::vector<external::KvEntry> entries,
+                        bool after_outage) {
+    std::vector<fleet::EngineEntry> engines;
+    for (const external::KvEntry& it : entries) {
+      try {
+        engines.push_back(layout_.read_engine(it.key, it.value));
+      } catch (const core::Error& e) {
+        log_.Event(LogLevel::kError, LogCategory::kReplica, "engine_unreadable",
+                   {{"key", it.key}, {"error", e.what()}});
+      }
+    }
+    registry_.Replace(std::move(engines), after_outage);
+    FollowEngines();
+  };
+  hooks.changed = [this](external::KvEvent event, bool after_outage) {
+    if (event.value) {
+      PutEngine(event.key, *event.value);
+    } else {
+      registry_.Remove(layout_.instance_of(event.key), after_outage);
+    }
+    FollowEngines();
+  };
+  return hooks;
+}
+
+void Front::PutEngine(const std::string& key, const std::string& value) {
+  try {
+    registry_.Put(layout_.read_engine(key, value));
+  } catch (const core::Error& e) {
+    log_.Event(LogLevel::kError, LogCategory::kReplica, "engine_unreadable",
+               {{"key", key}, {"error", e.what()}});
+  }
+}
+
+/** Only engines of model services have an endpoint process beside them. */
+void Front::FollowEngines() {
+  const auto table = configuration_.current();
+  if (table == nullptr) return;
+  for (const auto& [instance, engine] : registry_.engines()) {
+    const routing::Service* service = table->FindService(engine.service);
+    if (service != nullptr && service->engine) feed_.Follow(instance);
+  }
+}
+
+core::Task<> Front::KeepHouse() {
+  while (true) {
+    registry_.Expire();
+    FollowEngines();
+    dispatcher_.Forget();
+    co_await core::SleepFor(kHousekeeping);
+  }
+}
+
+core::Task<> Front::Leave() {
+  const core::SteadyTime began = clock_.Now();
+  const core::SteadyTime end = began + options_.leave_limit - kLastMoments;
+  leaving_ = true;
+  server_.AnnounceLeaving();
+  log_.Event(LogLevel::kInfo, LogCategory::kProcess, "leaving",
+             {{"in_progress", server_.in_progress()}});
+  while (clock_.Now() < end) {
+    const bool balanced = clock_.Now() - began >= kBalancerLag;
+    if (balanced && server_.in_progress() == 0) break;
+    if (end - clock_.Now() < kLongRequest) dispatcher_.RefuseLongRequests();
+    co_await core::SleepFor(kLeavePoll);
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kProcess, "left",
+             {{"in_progress", server_.in_progress()}});
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/front_base.h
@@ -0,0 +1,102 @@
+/** @file front_base.h All parts of an entry that sends to engines itself. */
+#ifndef SAPPHIRE_SERVING_FRONT_BASE_H_
+#define SAPPHIRE_SERVING_FRONT_BASE_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "external/key_value_base.h"
+#include "fleet/endpoint_feed_base.h"
+#include "fleet/engine_loads_base.h"
+#include "fleet/engine_registry_base.h"
+#include "http/server_base.h"
+#include "link/link_base.h"
+#include "routing/routing_table_base.h"
+#include "routing/store_follower_base.h"
+#include "serving/dispatcher_base.h"
+#include "serving/model_waker_base.h"
+#include "serving/replica_finder_base.h"
+
+namespace sapphire::serving {
+
+/** Where things lie in the store and how they are read. */
+struct StoreLayout {
+  std::string configuration_key;
+  std::string engine_prefix;
+  /** @throws core::Error for what can't be used. */
+  std::function<routing::Configuration(const std::string& value)>
+      read_configuration;
+  std::function<fleet::EngineEntry(const std::string& key,
+                                   const std::string& value)>
+      read_engine;
+  /** The engine that a key names. */
+  std::function<fleet::InstanceId(const std::string& key)> instance_of;
+};
+
+struct FrontOptions {
+  core::VmId vm;
+  core::ZoneId zone;
+  /** For callers; for the balancer's question whether we are ready. */
+  std::string listen;
+  std::string ready_listen;
+  std::string ready_path;
+  std::string link_listen;
+  fleet::FeedOptions feed;
+  DispatchOptions dispatch;
+  /** Until the process is killed after it was asked to leave. */
+  milliseconds leave_limit{8000};
+};
+
+/** One thread. */
+class Front {
+ public:
+  /** @pre All references outlive the front. */
+  Front(const core::Executor& executor, FrontOptions options,
+        StoreLayout layout, external::KeyValueStore& store,
+        const CallerWire& caller_wire, const EngineWire& engine_wire,
+        const core::Clock& clock, const core::Logger& log);
+
+  void Start();
+
+  /** Leaves without cutting an answer; returns when the process may end. */
+  core::Task<> Leave();
+
+ private:
+  [[nodiscard]] bool Ready() const;
+  core::Task<> AnswerReady(const http::Request& request,
+                           http::ResponseWriter& writer);
+  void AdoptConfiguration(const external::KvEntry& entry);
+  void PutEngine(const std::string& key, const std::string& value);
+  void FollowEngines();
+  core::Task<> KeepHouse();
+  routing::FollowHooks ConfigurationHooks();
+  routing::FollowHooks EngineHooks();
+
+  const FrontOptions options_;
+  const StoreLayout layout_;
+  const core::Executor executor_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  routing::ConfigurationHolder configuration_;
+  fleet::EngineRegistry registry_;
+  fleet::EngineLoads loads_;
+  link::LinkNode links_;
+  fleet::EndpointFeed feed_;
+  ReplicaFinder finder_;
+  ModelWaker waker_;
+  Dispatcher dispatcher_;
+  routing::StoreFollower configuration_follower_;
+  routing::StoreFollower engine_follower_;
+  http::Server server_;
+  http::Server ready_server_;
+  bool leaving_ = false;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_FRONT_BASE_H_
--- /dev/null
+++ b/src/serving/model_waker.cc
@@ -0,0 +1,200 @@
+/** @file model_waker.cc Has models loaded that requests wait for. */
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "serving/model_waker_base.h"
+
+namespace sapphire::serving {
+
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+/** Longest load; an endpoint that has not answered by then is given up. */
+constexpr milliseconds kLoadLimit{20'000};
+/** An engine that failed to load a model is not asked for it again so soon. */
+constexpr milliseconds kAvoidAfterFailure{2000};
+/** Between two tries to add a replica of one model. */
+constexpr milliseconds kReplicaPause{3000};
+/** A further replica must not make callers of others wait longer than this. */
+constexpr milliseconds kReplicaWorth{4000};
+constexpr milliseconds kAdapterTime{30};
+/** An endpoint's report follows its answer within two report pauses. */
+constexpr milliseconds kReportLag{500};
+
+}  // namespace
+
+ModelWaker::ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
+                       const core::Executor& executor, const core::Clock& clock,
+                       const core::Logger& log)
+    : finder_(finder),
+      feed_(feed),
+      executor_(executor),
+      clock_(clock),
+      log_(log) {}
+
+std::optional<milliseconds> ModelWaker::OnItsWay(
+    const WakeTarget& target) const {
+  const auto it = pending_.find(target);
+  if (it != pending_.end()) {
+    const auto left = it->second.ready - clock_.Now();
+    return std::max(std::chrono::duration_cast<milliseconds>(left),
+                    milliseconds(0));
+  }
+  const auto coming = finder_.FindComing(target.service, target.model);
+  if (coming.empty()) return std::nullopt;
+  return std::ranges::min(coming, {}, &ComingModel::ready_in).ready_in;
+}
+
+std::optional<policy::WakeUpPlan> ModelWaker::Plan(
+    const routing::Service& service, const core::ModelId& model,
+    std::vector<FoundWaker>& wakers) const {
+  const WakeTarget target{service.id, model, core::AdapterId()};
+  std::erase_if(wakers, [&](const FoundWaker& it) {
+    return FailedLately(target, it.instance);
+  });
+  std::vector<policy::WakeUpCandidate> views;
+  for (const FoundWaker& it : wakers) {
+    policy::WakeUpCandidate view = it.view;
+    // What was asked a moment ago is not in the endpoint's report yet.
+    for (const auto& [other, pending] : pending_) {
+      if (pending.instance != it.instance || !other.adapter.empty()) continue;
+      const auto left = std::chrono::duration_cast<milliseconds>(pending.ready -
+                                                                 clock_.Now());
+      view.order_left = std::max(view.order_left, left);
+    }
+    views.push_back(std::move(view));
+  }
+  const routing::ModelSpec& spec = service.engine->models.at(model);
+  return policy::ChooseWakeUp(spec.bytes, spec.load_times, views);
+}
+
+std::optional<milliseconds> ModelWaker::Wake(const routing::Service& service,
+                                             const core::ModelId& model,
+                                             const core::RequestId& request) {
+  const WakeTarget target{service.id, model, core::AdapterId()};
+  if (const auto left = OnItsWay(target)) return left;
+  std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
+  const auto plan = Plan(service, model, wakers);
+  if (!plan) {
+    log_.Event(
+        LogLevel::kInfo, LogCategory::kRequest, "wake_impossible",
+        {{"request", request}, {"model", model}, {"endpoints", wakers.size()}});
+    return std::nullopt;
+  }
+  const fleet::InstanceId instance = wakers[plan->engine].instance;
+  log_.Event(LogLevel::kInfo, LogCategory::kRequest, "wake",
+             {{"request", request},
+              {"model", model},
+              {"instance", instance},
+              {"tier", static_cast<int>(wakers[plan->engine].view.tier)},
+              {"ready_in_ms", plan->ready_in},
+              {"evict", plan->evict.size()},
+              {"eviction_cost_ms", plan->eviction_cost}});
+  Start(target, instance, plan->evict, plan->ready_in);
+  return plan->ready_in;
+}
+
+void ModelWaker::WakeAdapter(const core::ServiceId& service,
+                             const fleet::InstanceId& instance,
+                             const core::ModelId& model,
+                             const core::AdapterId& adapter,
+                             const core::RequestId& request) {
+  const WakeTarget target{service, model, adapter};
+  if (pending_.contains(target)) return;
+  log_.Event(LogLevel::kInfo, LogCategory::kRequest, "wake_adapter",
+             {{"request", request},
+              {"model", model},
+              {"adapter", adapter},
+              {"instance", instance}});
+  Start(target, instance, {}, kAdapterTime);
+}
+
+void ModelWaker::AddReplica(const routing::Service& service,
+                            const core::ModelId& model) {
+  const WakeTarget target{service.id, model, core::AdapterId()};
+  const auto asked = replica_asked_.find(target);
+  const core::SteadyTime now = clock_.Now();
+  if (asked != replica_asked_.end() && now - asked->second < kReplicaPause) {
+    return;
+  }
+  replica_asked_[target] = now;
+  if (OnItsWay(target)) return;
+  std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
+  const auto plan = Plan(service, model, wakers);
+  if (!plan || plan->eviction_cost > kReplicaWorth) return;
+  const fleet::InstanceId instance = wakers[plan->engine].instance;
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "add_replica",
+             {{"model", model},
+              {"instance", instance},
+              {"demand", finder_.Demand(service.id, model)},
+              {"ready_in_ms", plan->ready_in},
+              {"eviction_cost_ms", plan->eviction_cost}});
+  Start(target, instance, plan->evict, plan->ready_in);
+}
+
+void ModelWaker::Start(const WakeTarget& target,
+                       const fleet::InstanceId& instance,
+                       std::vector<core::ModelId> evict,
+                       milliseconds ready_in) {
+  pending_[target] = Pending{instance, clock_.Now() + ready_in};
+  core::Spawn(executor_, log_, "load_model",
+              [this, target, instance, evict = std::move(evict)] {
+                return Load(target, instance, evict);
+              });
+}
+
+core::Task<> ModelWaker::Load(WakeTarget target, fleet::InstanceId instance,
+                              std::vector<core::ModelId> evict) {
+  gen::EnsureModel wish;
+  wish.service_id = target.service.value();
+  wish.model = target.model.value();
+  wish.adapter = target.adapter.value();
+  wish.engine_instance = instance.value();
+  wish.remaining_ms = kLoadLimit.count();
+  for (const core::ModelId& it : evict) wish.evict.push_back(it.value());
+  const core::SteadyTime began = clock_.Now();
+  std::string failure;
+  try {
+    co_await feed_.Ensure(instance, std::move(wish), kLoadLimit);
+  } catch (const std::exception& e) {
+    failure = e.what();
+  }
+  pending_.erase(target);
+  if (failure.empty()) {
+    failures_.erase(target);
+    loaded_[target] = Ending{instance, clock_.Now()};
+  } else {
+    failures_[target] = Ending{instance, clock_.Now()};
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica,
+             failure.empty() ? "woken" : "wake_failed",
+             {{"model", target.model},
+              {"adapter", target.adapter},
+              {"instance", instance},
+              {"took_ms",
+               std::chrono::duration_cast<milliseconds>(clock_.Now() - began)},
+              {"error", failure}});
+  changed_.Notify();
+}
+
+std::optional<fleet::InstanceId> ModelWaker::JustLoaded(
+    const WakeTarget& target) const {
+  const auto it = loaded_.find(target);
+  if (it == loaded_.end()) return std::nullopt;
+  if (clock_.Now() - it->second.at > kReportLag) return std::nullopt;
+  return it->second.instance;
+}
+
+bool ModelWaker::FailedLately(const WakeTarget& target,
+                              const fleet::InstanceId& instance) const {
+  const auto it = failures_.find(target);
+  return it != failures_.end() && it->second.instance == instance &&
+         clock_.Now() - it->second.at < kAvoidAfterFailure;
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/model_waker_base.h
@@ -0,0 +1,104 @@
+/** @file model_waker_base.h Has models loaded that requests wait for. */
+#ifndef SAPPHIRE_SERVING_MODEL_WAKER_BASE_H_
+#define SAPPHIRE_SERVING_MODEL_WAKER_BASE_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/signal_base.h"
+#include "core/task_type.h"
+#include "fleet/endpoint_feed_base.h"
+#include "policy/wake_up_func.h"
+#include "routing/route_type.h"
+#include "serving/replica_finder_base.h"
+
+namespace sapphire::serving {
+
+/** A model, or an adapter of a model, that is to be loaded. */
+struct WakeTarget {
+  core::ServiceId service;
+  core::ModelId model;
+  core::AdapterId adapter;
+
+  friend auto operator<=>(const WakeTarget&, const WakeTarget&) = default;
+};
+
+/**
+ * Asks endpoints to load. All entries see the same reports and choose by the
+ * same rules, so that two of them that want one model at one time mostly ask
+ * the same endpoint, which loads it once; nobody has to be asked first, and no
+ * entry's end delays a wake-up.
+ */
+class ModelWaker {
+ public:
+  /** @pre All references outlive the waker. */
+  ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
+
+  /**
+   * Has a model loaded, unless it is on its way.
+   * @return When it is expected to serve; nothing if no engine can take it.
+   */
+  std::optional<milliseconds> Wake(const routing::Service& service,
+                                   const core::ModelId& model,
+                                   const core::RequestId& request);
+
+  /** Has an adapter loaded at an engine that holds its model. */
+  void WakeAdapter(const core::ServiceId& service,
+                   const fleet::InstanceId& instance,
+                   const core::ModelId& model, const core::AdapterId& adapter,
+                   const core::RequestId& request);
+
+  /** Has one more replica loaded if that hurts no other model. */
+  void AddReplica(const routing::Service& service, const core::ModelId& model);
+
+  /** @return The engine that has just loaded it: its endpoint's next report,
+   * which shows it, may still be on its way. */
+  [[nodiscard]] std::optional<fleet::InstanceId> JustLoaded(
+      const WakeTarget& target) const;
+
+  /** Moves when a wake-up has ended, well or not. */
+  [[nodiscard]] core::Signal& changed() { return changed_; }
+
+ private:
+  struct Pending {
+    fleet::InstanceId instance;
+    core::SteadyTime ready;
+  };
+  /** How the latest wake-up of a model ended, where and when. */
+  struct Ending {
+    fleet::InstanceId instance;
+    core::SteadyTime at;
+  };
+
+  std::optional<milliseconds> OnItsWay(const WakeTarget& target) const;
+  std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
+                                         const core::ModelId& model,
+                                         std::vector<FoundWaker>& wakers) const;
+  void Start(const WakeTarget& target, const fleet::InstanceId& instance,
+             std::vector<core::ModelId> evict, milliseconds ready_in);
+  core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
+                    std::vector<core::ModelId> evict);
+  [[nodiscard]] bool FailedLately(const WakeTarget& target,
+                                  const fleet::InstanceId& instance) const;
+
+  const ReplicaFinder& finder_;
+  fleet::EndpointFeed& feed_;
+  const core::Executor executor_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  core::Signal changed_;
+  std::map<WakeTarget, Pending> pending_;
+  std::map<WakeTarget, Ending> failures_;
+  std::map<WakeTarget, Ending> loaded_;
+  std::map<WakeTarget, core::SteadyTime> replica_asked_;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_MODEL_WAKER_BASE_H_
--- a/standin/engine_stand_in.cc
+++ b/standin/engine_stand_in.cc
@@ -12,8 +12,8 @@
 
 namespace sapphire::standin {
 
-using platform::EngineOrder;
-using platform::OrderKind;
+using external::EngineOrder;
+using external::OrderKind;
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
--- a/standin/engine_stand_in_base.h
+++ b/standin/engine_stand_in_base.h
@@ -34,7 +34,7 @@
 
   core::Task<> ServeOrder(const http::Request& request,
                           http::ResponseWriter& writer);
-  core::Task<bool> CarryOut(const platform::EngineOrder& order,
+  core::Task<bool> CarryOut(const external::EngineOrder& order,
                             std::int64_t incarnation);
   core::Task<bool> LoadRemote(const std::string& checkpoint, std::int64_t bytes,
                               std::int64_t incarnation);
--- a/standin/engine_stand_in_test.cc
+++ b/standin/engine_stand_in_test.cc
@@ -5,8 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/task_func.h"
-#include "platform/platform_func.h"
-#include "platform/test_runner_base.h"
+#include "external/external_func.h"
+#include "external/test_runner_base.h"
 #include "standin/engine_stand_in_base.h"
 #include "standin/engine_wire_func.h"
 #include "standin/host_base.h"
@@ -18,8 +18,8 @@
 namespace json = boost::json;
 using core::ErrorCode;
 using core::Millis;
-using platform::EngineOrder;
-using platform::OrderKind;
+using external::EngineOrder;
+using external::OrderKind;
 
 constexpr Millis kTimeout{20'000};
 constexpr std::int64_t kWeights = 1000;
@@ -42,7 +42,7 @@
                return std::make_unique<EngineStandIn>(context, options);
              }),
         client(host.address()),
-        engine(platform::MakeHttpEngine(host.address(), kTimeout)) {}
+        engine(external::MakeHttpEngine(host.address(), kTimeout)) {}
 
   static EngineOrder Order(OrderKind kind, const std::string& model,
                            std::int64_t fence) {
@@ -94,8 +94,8 @@
 
   Host host;
   http::Client client;
-  std::unique_ptr<platform::Engine> engine;
-  platform::TestRunner runner;
+  std::unique_ptr<external::Engine> engine;
+  external::TestRunner runner;
 };
 
 core::Task<std::string> ReadAll(http::ResponseStream& stream) {
@@ -127,7 +127,7 @@
   const auto status = runner.Run(engine->Status());
   BOOST_TEST(status.models.at(0).weight_bytes == kWeights);
   BOOST_TEST(status.models.at(0).adapters.at(0).adapter.value() == "a");
-  BOOST_TEST((status.models.at(0).state == platform::EngineModelState::kReady));
+  BOOST_TEST((status.models.at(0).state == external::EngineModelState::kReady));
   BOOST_TEST(status.memory_tier.at(0).value() == "m");
   BOOST_TEST(!Give(OrderKind::kUnloadModel, "m", 1).has_value());
   BOOST_TEST(runner.Run(engine->Status()).models.empty());
--- a/standin/engine_state.cc
+++ b/standin/engine_state.cc
@@ -8,11 +8,11 @@
 
 namespace sapphire::standin {
 
-using platform::EngineAdapter;
-using platform::EngineModel;
-using platform::EngineModelState;
-using platform::EngineOrder;
-using platform::OrderKind;
+using external::EngineAdapter;
+using external::EngineModel;
+using external::EngineModelState;
+using external::EngineOrder;
+using external::OrderKind;
 
 namespace {
 
@@ -68,9 +68,9 @@
   return incarnation_;
 }
 
-platform::EngineStatus EngineState::Status() const {
+external::EngineStatus EngineState::Status() const {
   const std::lock_guard lock(mutex_);
-  platform::EngineStatus status;
+  external::EngineStatus status;
   status.incarnation = incarnation_;
   status.memory_bytes = options_.memory_bytes;
   status.honours_fencing = options_.honours_fencing;
--- a/standin/engine_state_base.h
+++ b/standin/engine_state_base.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "core/clock_base.h"
-#include "platform/engine_base.h"
+#include "external/engine_base.h"
 #include "standin/engine_type.h"
 #include "standin/prefix_cache_base.h"
 
@@ -58,15 +58,15 @@
   EngineState(EngineOptions options, const core::Clock& clock);
 
   [[nodiscard]] std::int64_t incarnation() const;
-  [[nodiscard]] platform::EngineStatus Status() const;
+  [[nodiscard]] external::EngineStatus Status() const;
   [[nodiscard]] EngineRecord Record() const;
 
   /** Judges an order; one to be carried out is in progress until EndOrder. */
-  OrderStart BeginOrder(const platform::EngineOrder& order);
+  OrderStart BeginOrder(const external::EngineOrder& order);
 
   /** Ends an order in progress.
    * @param incarnation Of its beginning: a crash in between voids it. */
-  void EndOrder(const platform::EngineOrder& order, std::int64_t incarnation,
+  void EndOrder(const external::EngineOrder& order, std::int64_t incarnation,
                 bool carried_out);
 
   [[nodiscard]] CheckpointTier TierOf(const std::string& checkpoint) const;
@@ -86,7 +86,7 @@
 
  private:
   struct Held {
-    platform::EngineModel model;
+    external::EngineModel model;
     std::size_t stay = 0;  ///< Its place among the record's replicas.
     std::int64_t running_kv_bytes = 0;
     PrefixCache prefixes;
@@ -101,25 +101,25 @@
   };
 
   // All of these are called with the lock held.
-  OrderVerdict Judge(const platform::EngineOrder& order) const;
-  OrderVerdict JudgeLoad(const platform::EngineOrder& order) const;
-  OrderVerdict JudgeUnload(const platform::EngineOrder& order) const;
-  OrderVerdict JudgeAdapter(const platform::EngineOrder& order) const;
-  void Apply(const platform::EngineOrder& order);
-  void BeginLoad(const platform::EngineOrder& order);
+  OrderVerdict Judge(const external::EngineOrder& order) const;
+  OrderVerdict JudgeLoad(const external::EngineOrder& order) const;
+  OrderVerdict JudgeUnload(const external::EngineOrder& order) const;
+  OrderVerdict JudgeAdapter(const external::EngineOrder& order) const;
+  void Apply(const external::EngineOrder& order);
+  void BeginLoad(const external::EngineOrder& order);
   void BeginUnload(const std::string& model);
-  void EndLoad(const platform::EngineOrder& order, bool carried_out);
+  void EndLoad(const external::EngineOrder& order, bool carried_out);
   void Drop(const std::string& model, ReplicaEnd end);
-  void BeginAdapterLoad(const platform::EngineOrder& order);
-  void EndAdapterLoad(const platform::EngineOrder& order, bool carried_out);
-  void RemoveAdapter(const platform::EngineOrder& order);
+  void BeginAdapterLoad(const external::EngineOrder& order);
+  void EndAdapterLoad(const external::EngineOrder& order, bool carried_out);
+  void RemoveAdapter(const external::EngineOrder& order);
   Held* FindUsable(const GenerateCall& call);
   [[nodiscard]] std::int64_t KvBytesOf(const GenerateCall& call) const;
   Admission StartRun(const GenerateCall& call, Held& held,
                      std::int64_t kv_bytes);
   void Stop(std::int64_t ticket, RunOutcome outcome);
   void StopAll(const std::string& model, RunOutcome outcome);
-  void NoteRefusal(const platform::EngineOrder& order, OrderVerdict verdict);
+  void NoteRefusal(const external::EngineOrder& order, OrderVerdict verdict);
   void NoteMemory(const std::string& cause);
   [[nodiscard]] std::int64_t UsedBytes() const;
   [[nodiscard]] bool IsUsable(const Held& held, const std::string& id) const;
--- a/standin/engine_wire.cc
+++ b/standin/engine_wire.cc
@@ -7,17 +7,17 @@
 
 #include "core/error_type.h"
 #include "core/random_func.h"
-#include "platform/json_func.h"
+#include "external/json_func.h"
 #include "standin/engine_wire_func.h"
 
 namespace sapphire::standin {
 
 namespace json = boost::json;
-using platform::EngineOrder;
-using platform::IntegerOr;
-using platform::OrderKind;
-using platform::StringAt;
-using platform::StringOr;
+using external::EngineOrder;
+using external::IntegerOr;
+using external::OrderKind;
+using external::StringAt;
+using external::StringOr;
 
 namespace {
 
@@ -49,9 +49,9 @@
 /** @return The messages' contents, one a line. */
 std::string PromptOfChat(const json::object& body) {
   std::string prompt;
-  for (const json::value& it : platform::ArrayAt(body, "messages")) {
+  for (const json::value& it : external::ArrayAt(body, "messages")) {
     if (!prompt.empty()) prompt += '\n';
-    prompt += StringAt(platform::AsObject(it, "messages"), "content");
+    prompt += StringAt(external::AsObject(it, "messages"), "content");
   }
   return prompt;
 }
@@ -68,9 +68,9 @@
   return array;
 }
 
-json::object ToJson(const platform::EngineModel& model) {
+json::object ToJson(const external::EngineModel& model) {
   json::array adapters;
-  for (const platform::EngineAdapter& it : model.adapters) {
+  for (const external::EngineAdapter& it : model.adapters) {
     json::object adapter;
     adapter["adapter"] = it.adapter.value();
     adapter["bytes"] = it.bytes;
@@ -219,7 +219,7 @@
 }  // namespace
 
 EngineOrder ParseOrder(std::string_view body) {
-  const json::object object = platform::ParseObject(body);
+  const json::object object = external::ParseObject(body);
   EngineOrder order;
   order.kind = ParseKind(StringAt(object, "kind"));
   order.model = core::ModelId(StringAt(object, "model"));
@@ -232,7 +232,7 @@
 }
 
 GenerateCall ParseCall(const http::Request& request) {
-  const json::object body = platform::ParseObject(request.body);
+  const json::object body = external::ParseObject(request.body);
   GenerateCall call;
   const auto id = http::FindHeader(request.headers, "X-Request-Id");
   call.request_id = id ? std::string(*id) : core::RandomHexId();
@@ -244,11 +244,11 @@
     FailField("max_tokens", "is out of range");
   }
   call.max_tokens = static_cast<int>(tokens);
-  call.stream = platform::BooleanOr(body, "stream", false);
+  call.stream = external::BooleanOr(body, "stream", false);
   return call;
 }
 
-std::string StatusJson(const platform::EngineStatus& status) {
+std::string StatusJson(const external::EngineStatus& status) {
   json::object object;
   object["incarnation"] = status.incarnation;
   object["memory_bytes"] = status.memory_bytes;
--- a/standin/engine_wire_func.h
+++ b/standin/engine_wire_func.h
@@ -5,20 +5,20 @@
 #include <string>
 #include <string_view>
 
+#include "external/engine_base.h"
 #include "http/http_type.h"
-#include "platform/engine_base.h"
 #include "standin/engine_type.h"
 
 namespace sapphire::standin {
 
 /** @throws core::Error kMalformedRequest naming the field. */
-platform::EngineOrder ParseOrder(std::string_view body);
+external::EngineOrder ParseOrder(std::string_view body);
 
 /** Reads a completion's or a chat completion's request.
  * @throws core::Error kMalformedRequest naming the field. */
 GenerateCall ParseCall(const http::Request& request);
 
-std::string StatusJson(const platform::EngineStatus& status);
+std::string StatusJson(const external::EngineStatus& status);
 
 std::string RecordJson(const EngineRecord& record);
 
--- a/standin/fault.cc
+++ b/standin/fault.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/json_func.h"
+#include "external/json_func.h"
 #include "standin/fault_base.h"
 
 namespace sapphire::standin {
@@ -54,7 +54,7 @@
 }
 
 void Faults::SetJson(std::string_view text) {
-  const json::object object = platform::ParseObject(text);
+  const json::object object = external::ParseObject(text);
   const std::lock_guard lock(mutex_);
   auto changed = switches_;
   for (const auto& [name, value] : object) {
--- a/standin/kv_stand_in.cc
+++ b/standin/kv_stand_in.cc
@@ -6,15 +6,15 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
-#include "platform/json_func.h"
+#include "external/json_func.h"
 #include "standin/kv_stand_in_base.h"
 
 namespace sapphire::standin {
 
 namespace json = boost::json;
-using platform::IntegerAt;
-using platform::KvEntry;
-using platform::StringAt;
+using external::IntegerAt;
+using external::KvEntry;
+using external::StringAt;
 
 namespace {
 
@@ -44,7 +44,7 @@
   return ToJson(*entry);
 }
 
-json::value ToJson(const platform::KvEvent& event) {
+json::value ToJson(const external::KvEvent& event) {
   json::object object;
   object["key"] = event.key;
   if (event.value) {
@@ -56,7 +56,7 @@
   return object;
 }
 
-json::object ToJson(const platform::CasResult& result) {
+json::object ToJson(const external::CasResult& result) {
   json::object object;
   object["swapped"] = result.swapped;
   if (result.swapped) {
@@ -67,9 +67,9 @@
   return object;
 }
 
-json::object ToJson(const platform::WatchBatch& batch) {
+json::object ToJson(const external::WatchBatch& batch) {
   json::array events;
-  for (const platform::KvEvent& it : batch.events) events.push_back(ToJson(it));
+  for (const external::KvEvent& it : batch.events) events.push_back(ToJson(it));
   json::object object;
   object["revision"] = batch.revision;
   object["gap"] = batch.gap;
@@ -92,7 +92,7 @@
 bool WritesUnder(const http::Request& request, const std::string& prefix) {
   const std::string_view path = http::PathOf(request.target);
   if (path != "/cas" && path != "/delete") return false;
-  return StringAt(platform::ParseObject(request.body), "key")
+  return StringAt(external::ParseObject(request.body), "key")
       .starts_with(prefix);
 }
 
@@ -106,18 +106,18 @@
 /** Carries out a write; the answer as JSON. */
 json::object ApplyTo(KvStore& store, const http::Request& request) {
   const std::string_view path = http::PathOf(request.target);
-  const json::object body = platform::ParseObject(request.body);
+  const json::object body = external::ParseObject(request.body);
   json::object answer;
   if (path == "/cas") {
     return ToJson(store.CompareAndSwap(
         StringAt(body, "key"), IntegerAt(body, "expected"),
-        StringAt(body, "value"), platform::StringOr(body, "lease", "")));
+        StringAt(body, "value"), external::StringOr(body, "lease", "")));
   }
   if (path == "/delete") {
     answer["deleted"] =
         store.DeleteIf(StringAt(body, "key"), IntegerAt(body, "expected"));
   } else if (path == "/lease") {
-    const platform::KvLease lease =
+    const external::KvLease lease =
         store.GrantLease(core::Millis(IntegerAt(body, "ttl_ms")));
     answer["id"] = lease.id;
     answer["ttl_ms"] = lease.time_to_live.count();
@@ -200,7 +200,7 @@
   const std::int64_t after = NumberInQuery(request, "after");
   const core::SteadyTime deadline =
       context_.clock.Now() + core::Millis(NumberInQuery(request, "wait_ms"));
-  platform::WatchBatch batch;
+  external::WatchBatch batch;
   while (true) {
     const std::uint64_t seen = changed_.epoch();
     {
--- a/standin/kv_stand_in_base.h
+++ b/standin/kv_stand_in_base.h
@@ -58,7 +58,7 @@
   core::Task<> ApplyLate(http::Request request);
   std::string Apply(const http::Request& request);
   void Count(const std::string& path, bool is_write);
-  void ShowOld(std::optional<platform::KvEntry>& entry, const std::string& key);
+  void ShowOld(std::optional<external::KvEntry>& entry, const std::string& key);
   std::chrono::milliseconds WaitUntil(core::SteadyTime deadline) const;
 
   Pacer read_pacer_;
--- a/standin/kv_stand_in_test.cc
+++ b/standin/kv_stand_in_test.cc
@@ -4,8 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/task_func.h"
-#include "platform/platform_func.h"
-#include "platform/test_runner_base.h"
+#include "external/external_func.h"
+#include "external/test_runner_base.h"
 #include "standin/host_base.h"
 #include "standin/kv_stand_in_base.h"
 
@@ -14,7 +14,7 @@
 
 using core::ErrorCode;
 using core::Millis;
-using platform::KvEntry;
+using external::KvEntry;
 
 struct Fixture {
   Fixture()
@@ -22,7 +22,7 @@
              [](const StandInContext& context) {
                return std::make_unique<KvStandIn>(context, KvOptions{});
              }),
-        store(platform::MakeHttpKeyValueStore(host.address(), Millis(5000))) {}
+        store(external::MakeHttpKeyValueStore(host.address(), Millis(5000))) {}
 
   void SetFaults(const std::string& json) {
     // Through the wire, as a bench does it.
@@ -32,7 +32,7 @@
                200);
   }
 
-  platform::CasResult Swap(std::int64_t expected, const std::string& value) {
+  external::CasResult Swap(std::int64_t expected, const std::string& value) {
     return runner.Run(store->CompareAndSwap("k", expected, value, ""));
   }
 
@@ -47,8 +47,8 @@
   }
 
   Host host;
-  std::unique_ptr<platform::KeyValueStore> store;
-  platform::TestRunner runner;
+  std::unique_ptr<external::KeyValueStore> store;
+  external::TestRunner runner;
 };
 
 BOOST_FIXTURE_TEST_CASE(ServesTheWholeInterface, Fixture) {
--- a/standin/kv_store.cc
+++ b/standin/kv_store.cc
@@ -8,11 +8,11 @@
 
 namespace sapphire::standin {
 
-using platform::CasResult;
-using platform::KvEntry;
-using platform::KvEvent;
-using platform::KvLease;
-using platform::WatchBatch;
+using external::CasResult;
+using external::KvEntry;
+using external::KvEvent;
+using external::KvLease;
+using external::WatchBatch;
 
 KvStore::KvStore(std::size_t history_limit, const core::Clock& clock)
     : history_limit_(history_limit), clock_(clock) {}
--- a/standin/kv_store_base.h
+++ b/standin/kv_store_base.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "core/clock_base.h"
-#include "platform/key_value_base.h"
+#include "external/key_value_base.h"
 
 namespace sapphire::standin {
 
@@ -30,20 +30,20 @@
 
   [[nodiscard]] std::int64_t revision() const { return revision_; }
 
-  std::optional<platform::KvEntry> Get(const std::string& key);
-  std::vector<platform::KvEntry> List(const std::string& prefix);
+  std::optional<external::KvEntry> Get(const std::string& key);
+  std::vector<external::KvEntry> List(const std::string& prefix);
 
   /** @return The value that stood at the key before its newest. */
-  std::optional<platform::KvEntry> Previous(const std::string& key);
+  std::optional<external::KvEntry> Previous(const std::string& key);
 
   /** @throws core::Error kMalformedRequest if the lease doesn't live. */
-  platform::CasResult CompareAndSwap(const std::string& key,
+  external::CasResult CompareAndSwap(const std::string& key,
                                      std::int64_t expected,
                                      const std::string& value,
                                      const std::string& lease_id);
   bool DeleteIf(const std::string& key, std::int64_t expected);
 
-  platform::KvLease GrantLease(std::chrono::milliseconds time_to_live);
+  external::KvLease GrantLease(std::chrono::milliseconds time_to_live);
   bool KeepAlive(const std::string& lease_id);
 
   /** Ends all leases. */
@@ -53,12 +53,12 @@
   [[nodiscard]] std::optional<core::SteadyTime> NextExpiry() const;
 
   /** @return The changes after `after`; with a gap if some are forgotten. */
-  platform::WatchBatch ChangesAfter(std::string_view prefix,
+  external::WatchBatch ChangesAfter(std::string_view prefix,
                                     std::int64_t after);
 
  private:
   struct Item {
-    platform::KvEntry entry;
+    external::KvEntry entry;
     std::string lease_id;
   };
   struct Lease {
@@ -71,7 +71,7 @@
   void Put(const std::string& key, const std::string& value,
            const std::string& lease_id);
   void Delete(const std::string& key);
-  void Remember(platform::KvEvent event);
+  void Remember(external::KvEvent event);
 
   const std::size_t history_limit_;
   const core::Clock& clock_;
@@ -79,9 +79,9 @@
   /** The newest change that the history has lost. */
   std::int64_t forgotten_ = 0;
   std::map<std::string, Item> items_;
-  std::map<std::string, platform::KvEntry> previous_;
+  std::map<std::string, external::KvEntry> previous_;
   std::map<std::string, Lease> leases_;
-  std::deque<platform::KvEvent> history_;
+  std::deque<external::KvEvent> history_;
 };
 
 }  // namespace sapphire::standin
--- a/standin/services_stand_in_test.cc
+++ b/standin/services_stand_in_test.cc
@@ -6,8 +6,8 @@
 #include <set>
 
 #include "core/task_func.h"
-#include "platform/platform_func.h"
-#include "platform/test_runner_base.h"
+#include "external/external_func.h"
+#include "external/test_runner_base.h"
 #include "standin/host_base.h"
 #include "standin/plain_stand_in_base.h"
 #include "standin/vms_stand_in_base.h"
@@ -44,7 +44,7 @@
 
   Host host;
   http::Client client;
-  platform::TestRunner runner;
+  external::TestRunner runner;
 };
 
 struct Weights : Service {
@@ -79,15 +79,15 @@
 };
 
 BOOST_FIXTURE_TEST_CASE(VmListLags, Vms) {
-  const auto list = platform::MakeHttpVmList(host.address(), kTimeout);
+  const auto list = external::MakeHttpVmList(host.address(), kTimeout);
   SetFaults(R"({"lag_ms":60000})");
   BOOST_TEST(Call("POST", "/vms", kOneVm).head.status == 200);
   BOOST_TEST(runner.Run(list->Read()).empty());
   SetFaults(R"({"lag_ms":0})");
   const auto vms = runner.Run(list->Read());
   BOOST_TEST(vms.at(0).vm.value() == "e1");
-  BOOST_TEST((vms.at(0).role == platform::VmRole::kEndpoint));
-  BOOST_TEST((vms.at(0).state == platform::VmState::kLeaving));
+  BOOST_TEST((vms.at(0).role == external::VmRole::kEndpoint));
+  BOOST_TEST((vms.at(0).state == external::VmState::kLeaving));
   BOOST_TEST(Call("POST", "/vms", R"({"vms":[{}]})").head.status == 400);
 }
 
--- a/standin/vms_stand_in.cc
+++ b/standin/vms_stand_in.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "core/error_type.h"
-#include "platform/json_func.h"
+#include "external/json_func.h"
 #include "standin/vms_stand_in_base.h"
 
 namespace sapphire::standin {
@@ -21,11 +21,11 @@
 
 /** @throws core::Error kMalformedRequest if a field of a VM is missing. */
 void CheckList(const std::string& list) {
-  const json::object object = platform::ParseObject(list);
-  for (const json::value& it : platform::ArrayAt(object, "vms")) {
-    const json::object& vm = platform::AsObject(it, "vms");
+  const json::object object = external::ParseObject(list);
+  for (const json::value& it : external::ArrayAt(object, "vms")) {
+    const json::object& vm = external::AsObject(it, "vms");
     for (const char* field : {"vm", "zone", "role", "state", "link_address"}) {
-      platform::StringAt(vm, field);
+      external::StringAt(vm, field);
     }
   }
 }
