--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -113,38 +113,58 @@
   if (clock_.Now() >= wish.deadline) {
     throw Error(ErrorCode::kTimedOut, "nobody waits for the model any more");
   }
-  co_await Look();
-  if (Holds(wish.model, core::AdapterId())) co_return;
-  co_await MakeRoom(wish);
   EngineOrder load;
   load.model = wish.model;
   load.instance = wish.instance;
+  co_await AwaitIdle(wish.deadline);
+  while (!IsDone(load) && !Fits(load)) {
+    EngineOrder unload;
+    unload.kind = OrderKind::kUnload;
+    unload.model = ModelToUnload(wish);
+    unload.instance = wish.instance;
+    co_await CarryOut(unload, wish.deadline);
+  }
   co_await CarryOut(load, wish.deadline);
   const UsedPart part{wish.model, core::AdapterId()};
   usage_.NoteWanted(part);
 }
 
-core::Task<> EngineDesk::MakeRoom(const ModelWish& wish) {
-  while (!ModelFits(State(), wish.model)) {
-    const auto victim = ChooseUnload(State(), wish.evict, wish.model);
-    if (!victim) {
-      throw Error(ErrorCode::kNoCapacity, "every model here is in use");
+/**
+ * Waits until the engine carries out no order. The failure met: a process that
+ * was restarted finds an engine that still loads what the one before ordered;
+ * the report does not list that model yet, and the room it takes looks free.
+ */
+core::Task<> EngineDesk::AwaitIdle(core::SteadyTime deadline) {
+  co_await Look();
+  while (report_.order_in_progress) {
+    if (clock_.Now() >= deadline) {
+      throw Error(ErrorCode::kTimedOut, "the engine is busy with an order");
     }
-    EngineOrder unload;
-    unload.kind = OrderKind::kUnload;
-    unload.model = *victim;
-    unload.instance = wish.instance;
-    co_await CarryOut(unload, wish.deadline);
+    co_await core::SleepFor(options_.busy_look_interval);
+    co_await Look();
   }
 }
 
+core::ModelId EngineDesk::ModelToUnload(const ModelWish& wish) const {
+  const EngineOrder none;
+  const auto victim = ChooseUnload(State(none), wish.evict, wish.model);
+  if (!victim) {
+    throw Error(ErrorCode::kNoCapacity, "every model here is in use");
+  }
+  return *victim;
+}
+
 core::Task<> EngineDesk::EnsureAdapter(const ModelWish& wish) {
   co_await adapter_lane_.Await();
   const OrderLane::Turn turn(adapter_lane_);
+  EngineOrder load;
+  load.model = wish.model;
+  load.adapter = wish.adapter;
+  load.instance = wish.instance;
   co_await Look();
-  while (!Holds(wish.model, wish.adapter) &&
-         !AdapterFits(State(), wish.model)) {
-    const auto victim = ChooseAdapterUnload(State());
+  while (!IsDone(load) && !Fits(load)) {
+    const EngineOrder none;
+    const auto victim = ChooseAdapterUnload(State(none));
     if (!victim) {
       throw Error(ErrorCode::kNoCapacity, "every adapter here is in use");
     }
@@ -155,10 +175,6 @@
     unload.instance = wish.instance;
     co_await CarryOut(unload, wish.deadline);
   }
-  EngineOrder load;
-  load.model = wish.model;
-  load.adapter = wish.adapter;
-  load.instance = wish.instance;
   co_await CarryOut(load, wish.deadline);
   const UsedPart part{wish.model, wish.adapter};
   usage_.NoteWanted(part);
@@ -182,7 +198,13 @@
     if (accepted && IsOver(order)) {
       throw Error(ErrorCode::kLoadFailed, "the engine gave the order up");
     }
-    if (!accepted && !report_.order_in_progress) {
+    const bool can_give =
+        !report_.order_in_progress || !order.adapter.empty();
+    if (!accepted && can_give) {
+      // Judged on the report that the order goes by, not on an older one.
+      if (!Fits(order)) {
+        throw Error(ErrorCode::kOverMemory, "the room is taken meanwhile");
+      }
       order.expected_count = report_.order_count;
       accepted = co_await GiveOnce(order);
     }
@@ -272,7 +294,15 @@
   });
 }
 
-MemoryState EngineDesk::State() const {
+bool EngineDesk::Fits(const EngineOrder& order) const {
+  if (order.kind == OrderKind::kUnload) return true;
+  const MemoryState state = State(order);
+  return order.adapter.empty() ? ModelFits(state, order.model)
+                               : AdapterFits(state, order.model);
+}
+
+/** @param but Not counted among the open loads. */
+MemoryState EngineDesk::State(const EngineOrder& but) const {
   MemoryState state;
   state.spec = Spec();
   if (state.spec == nullptr) {
@@ -281,7 +311,10 @@
   state.report = &report_;
   state.usage = &usage_;
   for (const OpenOrder& it : open_orders_) {
-    if (it.order.kind == OrderKind::kLoad) state.open_loads.push_back(it.order);
+    if (it.order.kind != OrderKind::kLoad) continue;
+    const bool same =
+        it.order.model == but.model && it.order.adapter == but.adapter;
+    if (!same) state.open_loads.push_back(it.order);
   }
   state.now = clock_.Now();
   return state;
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -95,7 +95,8 @@
   core::Task<> Look();
   core::Task<> EnsureModel(const ModelWish& wish);
   core::Task<> EnsureAdapter(const ModelWish& wish);
-  core::Task<> MakeRoom(const ModelWish& wish);
+  core::Task<> AwaitIdle(core::SteadyTime deadline);
+  [[nodiscard]] core::ModelId ModelToUnload(const ModelWish& wish) const;
   core::Task<> CarryOut(EngineOrder order, core::SteadyTime deadline);
   core::Task<bool> GiveOnce(EngineOrder order);
   core::Task<std::int64_t> Fence();
@@ -104,7 +105,8 @@
   [[nodiscard]] bool IsDone(const EngineOrder& order) const;
   [[nodiscard]] bool Holds(const core::ModelId& model,
                            const core::AdapterId& adapter) const;
-  [[nodiscard]] MemoryState State() const;
+  [[nodiscard]] bool Fits(const EngineOrder& order) const;
+  [[nodiscard]] MemoryState State(const EngineOrder& but) const;
   [[nodiscard]] const routing::EngineSpec* Spec() const;
   [[nodiscard]] std::chrono::milliseconds LoadTime(
       const core::ModelId& model) const;
--- /dev/null
+++ b/src/orders/engine_desk_test.cc
@@ -0,0 +1,184 @@
+/** @file engine_desk_test.cc Tests of the orders to one engine.
+ *
+ * The engine has room for three models, as the engines of the operators' sheets.
+ */
+#define BOOST_TEST_MODULE engine_desk
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "orders/engine_desk_base.h"
+#include "orders/testing_engine.h"
+
+namespace sapphire::orders {
+
+namespace {
+
+using entry::testing::RunTask;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kGigabyte = 1'000'000'000;
+constexpr std::int64_t kMemory = 230 * kGigabyte;
+constexpr std::int64_t kModel = 70 * kGigabyte;
+const core::ServiceId kService("drafts");
+
+routing::Configuration MakeConfiguration() {
+  routing::Service service;
+  service.id = kService;
+  service.engine.emplace();
+  service.engine->memory_bytes = kMemory;
+  service.engine->max_adapters = 8;
+  service.engine->max_running = 64;
+  for (const char* name : {"a", "b", "c", "d", "e"}) {
+    routing::ModelSpec model;
+    model.id = core::ModelId(name);
+    model.bytes = kModel;
+    service.engine->models[model.id] = model;
+  }
+  routing::Configuration configuration;
+  configuration.version = 1;
+  configuration.services[service.id] = service;
+  return configuration;
+}
+
+DeskOptions Options() {
+  DeskOptions options;
+  options.holder = "vm-1";
+  options.engine_address = "10.0.0.1:80";
+  options.service = kService;
+  options.busy_look_interval = milliseconds(5);
+  return options;
+}
+
+/** A desk beside a testing engine. */
+struct Rig {
+  Rig() : log({"endpoint", core::VmId("vm-1"), core::ZoneId("z")},
+              core::LogLevel::kError, clock) {
+    configuration.Adopt(MakeConfiguration());
+    Restart();
+  }
+
+  /** A new process in the place of the one before. */
+  void Restart() {
+    desk = std::make_unique<EngineDesk>(Options(), engine, store, configuration,
+                                        clock, log);
+  }
+
+  /** @return Empty, or the error's name. */
+  std::string Ensure(const std::string& model, milliseconds timeout,
+                     const std::string& instance = "i-1") {
+    ModelWish wish;
+    wish.model = core::ModelId(model);
+    wish.instance = fleet::InstanceId(instance);
+    wish.deadline = clock.Now() + timeout;
+    return RunTask(io, Ended(std::move(wish)));
+  }
+
+  core::Task<std::string> Ended(ModelWish wish) {
+    std::string error;
+    try {
+      co_await desk->Ensure(std::move(wish));
+    } catch (const core::Error& e) {
+      error = core::InfoOf(e.code()).name;
+    }
+    co_return error;
+  }
+
+  /** Lets real time pass. */
+  void Pass(milliseconds time) { RunTask(io, Sleep(time)); }
+
+  static core::Task<bool> Sleep(milliseconds time) {
+    co_await core::SleepFor(time);
+    co_return true;
+  }
+
+  boost::asio::io_context io;
+  core::SystemClock clock;
+  core::ManualClock store_clock;
+  entry::testing::MemoryKeyValue store{store_clock};
+  core::Logger log;
+  routing::ConfigurationHolder configuration;
+  TestingEngine engine{kMemory, kModel};
+  std::unique_ptr<EngineDesk> desk;
+};
+
+constexpr milliseconds kEnough{3000};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(AFourthModelTakesTheRoomOfAnUnusedOne) {
+  Rig rig;
+  for (const char* it : {"a", "b", "c", "d"}) {
+    BOOST_TEST(rig.Ensure(it, kEnough) == "");
+    // What was just loaded stays a moment for those who waited for it.
+    rig.Pass(milliseconds(600));
+  }
+  BOOST_TEST(rig.engine.Holds("d"));
+  BOOST_TEST(!rig.engine.over_memory);
+}
+
+/**
+ * An engine crashes and everything on it is lost.
+ * The endpoint process is killed while its engine loads a model and started
+ * again. The engine's report does not list a model that is still loading, so
+ * its room looks free, and the new process orders a fourth model onto it.
+ */
+BOOST_AUTO_TEST_CASE(ARestartedProcessCountsTheLoadInProgress) {
+  Rig rig;
+  rig.engine.Hold("a");
+  rig.engine.Hold("b");
+  rig.engine.load_time = milliseconds(400);
+  ModelWish wish;
+  wish.model = core::ModelId("c");
+  wish.instance = rig.engine.instance;
+  wish.deadline = rig.clock.Now() + kEnough;
+  entry::testing::Outcome<std::string> lost;
+  entry::testing::StartTask(rig.io, rig.Ended(wish), lost);
+  rig.Pass(milliseconds(100));
+  const std::unique_ptr<EngineDesk> killed = std::move(rig.desk);
+  rig.Restart();
+  BOOST_TEST(rig.Ensure("d", kEnough) == "");
+  BOOST_TEST(!rig.engine.over_memory);
+}
+
+/**
+ * An engine crashes and everything on it is lost.
+ * The answer to an order is lost, the order is carried out later, and in the
+ * meantime the room that it takes is given to another model.
+ */
+BOOST_AUTO_TEST_CASE(ALostOrderThatIsCarriedOutLateNeverOverfillsTheEngine) {
+  Rig rig;
+  rig.engine.Hold("a");
+  rig.engine.Hold("b");
+  rig.engine.lose_next_answer = true;
+  BOOST_TEST(rig.Ensure("c", milliseconds(100)) != "");
+  BOOST_TEST(rig.Ensure("d", kEnough) == "");
+  rig.Pass(milliseconds(500));
+  BOOST_TEST(!rig.engine.over_memory);
+}
+
+BOOST_AUTO_TEST_CASE(ALostOrderIsGivenAgainAndItsLateCopyIsVoid) {
+  Rig rig;
+  rig.engine.lose_next_answer = true;
+  BOOST_TEST(rig.Ensure("a", kEnough) == "");
+  BOOST_TEST(rig.engine.orders_given == 2);
+  rig.Pass(milliseconds(500));
+  BOOST_TEST(rig.engine.Holds("a"));
+}
+
+/** Entries may still know the engine's last start: nothing is ordered then. */
+BOOST_AUTO_TEST_CASE(AnOrderForAnEarlierStartIsRefused) {
+  Rig rig;
+  rig.engine.instance = fleet::InstanceId("i-2");
+  BOOST_TEST(rig.Ensure("a", kEnough) == "engine_refused_order");
+  BOOST_TEST(!rig.engine.Holds("a"));
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-2") == "");
+}
+
+}  // namespace sapphire::orders
--- /dev/null
+++ b/src/orders/testing_engine.h
@@ -0,0 +1,110 @@
+/** @file testing_engine.h An engine in memory that keeps the order protocol. */
+#ifndef SAPPHIRE_ORDERS_TESTING_ENGINE_H_
+#define SAPPHIRE_ORDERS_TESTING_ENGINE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/error_type.h"
+#include "orders/engine_port_base.h"
+
+namespace sapphire::orders {
+
+/** One thread. Loads take real time; what is lost or late is switched. */
+class TestingEngine final : public EnginePort {
+ public:
+  TestingEngine(std::int64_t memory_bytes, std::int64_t model_bytes)
+      : memory_bytes_(memory_bytes), model_bytes_(model_bytes) {}
+
+  core::Task<EngineReport> Report() override {
+    Advance();
+    co_return report_;
+  }
+
+  core::Task<OrderAnswer> Give(EngineOrder order) override {
+    Advance();
+    ++orders_given;
+    if (lose_next_answer) {
+      lose_next_answer = false;
+      late_.push_back({order, Now() + late_by});
+      throw core::Error(core::ErrorCode::kOutcomeUnknown, "no answer");
+    }
+    co_return Take(order);
+  }
+
+  /** The next order gets no answer and is carried out `late_by` later. */
+  bool lose_next_answer = false;
+  std::chrono::milliseconds late_by{300};
+  std::chrono::milliseconds load_time{60};
+  fleet::InstanceId instance{"i-1"};
+  int orders_given = 0;
+  /** It was ordered over its memory, which crashes a real one. */
+  bool over_memory = false;
+
+  void Hold(const std::string& model) {
+    fleet::HeldModel held;
+    held.model = core::ModelId(model);
+    report_.models.push_back(held);
+  }
+
+  [[nodiscard]] bool Holds(const std::string& model) {
+    Advance();
+    return std::ranges::any_of(report_.models, [&](const auto& it) {
+      return it.model.value() == model;
+    });
+  }
+
+ private:
+  struct Late {
+    EngineOrder order;
+    core::SteadyTime at;
+  };
+
+  static core::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+  OrderAnswer Take(const EngineOrder& order) {
+    if (order.instance != instance) return OrderAnswer::kOtherInstance;
+    if (order.expected_count != report_.order_count || loading_) {
+      return OrderAnswer::kBusy;
+    }
+    ++report_.order_count;
+    if (order.kind == OrderKind::kUnload) {
+      std::erase_if(report_.models,
+                    [&](const auto& it) { return it.model == order.model; });
+      return OrderAnswer::kAccepted;
+    }
+    const auto held = static_cast<std::int64_t>(report_.models.size());
+    over_memory = over_memory || (held + 1) * model_bytes_ > memory_bytes_;
+    loading_ = Late{order, Now() + load_time};
+    report_.order_in_progress = true;
+    return OrderAnswer::kAccepted;
+  }
+
+  void Advance() {
+    for (const Late& it : std::exchange(late_, {})) {
+      if (Now() < it.at) {
+        late_.push_back(it);
+      } else {
+        Take(it.order);
+      }
+    }
+    if (!loading_ || Now() < loading_->at) return;
+    Hold(loading_->order.model.value());
+    loading_.reset();
+    report_.order_in_progress = false;
+  }
+
+  const std::int64_t memory_bytes_;
+  const std::int64_t model_bytes_;
+  EngineReport report_;
+  std::optional<Late> loading_;
+  std::vector<Late> late_;
+};
+
+}  // namespace sapphire::orders
+
+#endif  // SAPPHIRE_ORDERS_TESTING_ENGINE_H_
