--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -198,9 +198,9 @@
     if (accepted && IsOver(order)) {
       throw Error(ErrorCode::kLoadFailed, "the engine gave the order up");
     }
-    const bool can_give =
-        !report_.order_in_progress || !order.adapter.empty();
-    if (!accepted && can_give) {
+    // An engine refuses any order, also for an adapter, while it carries one
+    // out: asking meanwhile had half of all orders refused.
+    if (!accepted && !report_.order_in_progress) {
       // Judged on the report that the order goes by, not on an older one.
       if (!Fits(order)) {
         throw Error(ErrorCode::kOverMemory, "the room is taken meanwhile");
