--- a/src/routing/route_type.h
+++ b/src/routing/route_type.h
@@ -44,6 +44,9 @@
   milliseconds objective{0};
   /** Longest pause between two events of a stream that is still on time. */
   milliseconds max_pause{0};
+  /** A caller gives a stream up that has been silent for this long, also before
+   * its first event. */
+  milliseconds patience{0};
   /** Engines that one request may run on. */
   int max_engines = 1;
   /** 0 is the most urgent. */
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -307,7 +307,7 @@
     const std::uint64_t seen = parts_.feed.changed().epoch();
     if (const auto engine = ChooseNow(work)) co_return *engine;
     const milliseconds ready_in = WakeModel(work);
-    const milliseconds left = Left(work);
+    const milliseconds left = std::min(Left(work), PatienceLeft(work));
     if (ready_in + kLeastTime > left) {
       throw Error(
           work.runs == 0 ? ErrorCode::kNoCapacity : ErrorCode::kOutcomeUnknown,
@@ -410,6 +410,15 @@
   return std::max(left, milliseconds(0));
 }
 
+/** @return How long the caller still waits for a first event. */
+milliseconds Dispatcher::PatienceLeft(const Work& work) const {
+  if (work.route->kind != RequestKind::kStream) return Left(work);
+  const core::SteadyTime end = work.arrived + work.route->patience;
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(end - parts_.clock.Now());
+  return std::max(left, milliseconds(0));
+}
+
 bool Dispatcher::TakeRepeat(const Work& work, double reserve) {
   return BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
 }
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -76,6 +76,7 @@
   [[nodiscard]] ExchangeLimits LimitsOf(const Work& work) const;
   [[nodiscard]] bool MayRunAgain(const Work& work) const;
   [[nodiscard]] milliseconds Left(const Work& work) const;
+  [[nodiscard]] milliseconds PatienceLeft(const Work& work) const;
   bool TakeRepeat(const Work& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
   std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
