--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -223,7 +223,8 @@
 /** @return True if the engine has accepted the order. */
 core::Task<bool> EngineDesk::GiveOnce(EngineOrder order) {
   order.fence = co_await Fence();
-  open_orders_.push_back({order, clock_.Now()});
+  const std::int64_t number = next_order_++;
+  open_orders_.push_back({number, order});
   std::optional<OrderAnswer> answer;
   std::optional<Error> failure;
   try {
@@ -242,7 +243,10 @@
               {"error", failure ? failure->what() : ""}});
   const bool unknown = failure && failure->code() == ErrorCode::kOutcomeUnknown;
   if (!unknown && (!answer || *answer != OrderAnswer::kAccepted)) {
-    open_orders_.pop_back();
+    // Its place in the list has moved if orders before it, or it, are over.
+    std::erase_if(open_orders_, [number](const OpenOrder& it) {
+      return it.number == number;
+    });
   }
   if (unknown) {
     co_await core::SleepFor(kRepeatPause);
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -83,8 +83,8 @@
  private:
   /** An order that was given and is not yet seen to be over. */
   struct OpenOrder {
+    std::int64_t number = 0;
     EngineOrder order;
-    core::SteadyTime given;
   };
   /** A wish in progress, for the snapshot. */
   struct OpenWish {
@@ -126,6 +126,7 @@
   EngineReport report_;
   std::optional<core::SteadyTime> report_time_;
   std::vector<OpenOrder> open_orders_;
+  std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
   fleet::InstanceId instance_;
   std::int64_t fence_ = 0;
--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -54,6 +54,7 @@
   options.engine_address = "10.0.0.1:80";
   options.service = kService;
   options.busy_look_interval = milliseconds(5);
+  options.look_interval = milliseconds(10);
   return options;
 }
 
@@ -174,6 +175,29 @@
   BOOST_TEST(rig.engine.Holds("a"));
 }
 
+/**
+ * An endpoint process ends with spoiled memory, and its engine wakes no model
+ * until it is started again.
+ * While the answer to an order is on its way, a look at the engine finds that
+ * order over, as the engine has restarted; then the answer, a refusal, takes the
+ * order off the list of open ones a second time.
+ */
+BOOST_AUTO_TEST_CASE(ARefusalOfAnOrderThatIsOverAlreadyIsHarmless) {
+  Rig rig;
+  rig.engine.answer_delay = milliseconds(100);
+  core::Spawn(rig.io.get_executor(), rig.log, "look",
+              [&rig] { return rig.desk->Run(); });
+  ModelWish wish;
+  wish.model = core::ModelId("a");
+  wish.instance = fleet::InstanceId("i-0");
+  wish.deadline = rig.clock.Now() + kEnough;
+  entry::testing::Outcome<std::string> refused;
+  entry::testing::StartTask(rig.io, rig.Ended(wish), refused);
+  rig.Pass(milliseconds(50));
+  BOOST_TEST(rig.Ensure("b", kEnough) == "");
+  BOOST_TEST(*refused.value == "engine_refused_order");
+}
+
 /** Entries may still know the engine's last start: nothing is ordered then. */
 BOOST_AUTO_TEST_CASE(AnOrderForAnEarlierStartIsRefused) {
   Rig rig;
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -10,6 +10,7 @@
 
 #include "core/clock_base.h"
 #include "core/error_type.h"
+#include "core/task_func.h"
 #include "orders/engine_port_base.h"
 
 namespace sapphire::orders {
@@ -26,8 +27,9 @@
   }
 
   core::Task<OrderAnswer> Give(EngineOrder order) override {
-    Advance();
     ++orders_given;
+    if (answer_delay.count() > 0) co_await core::SleepFor(answer_delay);
+    Advance();
     if (lose_next_answer) {
       lose_next_answer = false;
       late_.push_back({order, Now() + late_by});
@@ -40,6 +42,8 @@
   bool lose_next_answer = false;
   std::chrono::milliseconds late_by{300};
   std::chrono::milliseconds load_time{60};
+  /** How long the engine takes to answer an order. */
+  std::chrono::milliseconds answer_delay{0};
   fleet::InstanceId instance{"i-1"};
   int orders_given = 0;
   /** It was ordered over its memory, which crashes a real one. */
