--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -179,8 +179,8 @@
  * An endpoint process ends with spoiled memory, and its engine wakes no model
  * until it is started again.
  * While the answer to an order is on its way, a look at the engine finds that
- * order over, as the engine has restarted; then the answer, a refusal, takes the
- * order off the list of open ones a second time.
+ * order over, as the engine has restarted; then the answer, a refusal, takes
+ * the order off the list of open ones a second time.
  */
 BOOST_AUTO_TEST_CASE(ARefusalOfAnOrderThatIsOverAlreadyIsHarmless) {
   Rig rig;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -102,11 +102,14 @@
        core::SteadyTime now)
       : request(std::move(caller_request)),
         caller(writer, request.last_event),
-        arrived(now) {}
+        arrived(now),
+        heard(now) {}
 
   CallerRequest request;
   CallerSide caller;
   core::SteadyTime arrived;
+  /** When the caller last got a part of a stream, or asked. */
+  core::SteadyTime heard;
   core::SteadyTime deadline;
   std::shared_ptr<const routing::RoutingTable> table;
   const routing::Route* route = nullptr;
@@ -131,18 +134,23 @@
   Work work(parts_.caller_wire.Decode(request), writer, parts_.clock.Now());
   const LeaveWatch watch(work.caller);
   std::optional<Error> refusal;
-  std::optional<http::ConnectionCut> cut;
   try {
     Check(work);
     co_await Run(work);
   } catch (const Error& e) {
     refusal = e;
-  } catch (const http::ConnectionCut& e) {
-    cut = e;
   }
-  if (refusal) co_await Refuse(work, *refusal);
+  if (refusal) {
+    work.outcome = core::InfoOf(refusal->code()).name;
+    work.reason = refusal->detail();
+  }
+  if (work.caller.left) work.outcome = "caller_left";
+  // In the middle of a stream no other answer can be given: the caller sees
+  // that the stream has no end.
+  const bool cut = refusal && work.caller.begun;
+  if (refusal && !cut && !work.caller.left) co_await Refuse(work, *refusal);
   LogEnd(work);
-  if (cut) throw http::ConnectionCut(*cut);
+  if (cut) throw http::ConnectionCut(refusal->detail());
 }
 
 void Dispatcher::Check(Work& work) const {
@@ -274,6 +282,7 @@
                     {"sends", work.sends},
                     {"left_ms", Left(work)}});
   work.avoid.insert(work.engine);
+  if (work.caller.begun) work.heard = parts_.clock.Now();
   const bool can_repeat = !may_have_run || MayRunAgain(work);
   const double reserve =
       result.end == ExchangeEnd::kEngineFailed ? kFailureReserve : 0.0;
@@ -284,10 +293,6 @@
     co_await Answer(work, std::move(*result.failure));
     co_return true;
   }
-  if (work.caller.begun) {
-    // The caller sees that the stream has no end.
-    throw http::ConnectionCut(result.reason);
-  }
   if (work.runs == 0) throw Error(ErrorCode::kNoEndpoint, result.reason, kSoon);
   throw Error(
       result.timed_out ? ErrorCode::kTimedOut : ErrorCode::kOutcomeUnknown,
@@ -394,12 +399,6 @@
 }
 
 core::Task<> Dispatcher::Refuse(Work& work, const Error& error) {
-  if (work.caller.left) {
-    work.outcome = "caller_left";
-    co_return;
-  }
-  work.outcome = core::InfoOf(error.code()).name;
-  work.reason = error.detail();
   http::Response response = parts_.caller_wire.Refusal(error, work.request.id);
   co_await Answer(work, std::move(response));
 }
@@ -413,7 +412,7 @@
 /** @return How long the caller still waits for a first event. */
 milliseconds Dispatcher::PatienceLeft(const Work& work) const {
   if (work.route->kind != RequestKind::kStream) return Left(work);
-  const core::SteadyTime end = work.arrived + work.route->patience;
+  const core::SteadyTime end = work.heard + work.route->patience;
   const auto left =
       std::chrono::duration_cast<milliseconds>(end - parts_.clock.Now());
   return std::max(left, milliseconds(0));
--- /dev/null
+++ b/src/serving/dispatcher_rig_test.h
@@ -0,0 +1,295 @@
+/** @file dispatcher_rig_test.h A dispatcher with engines on loopback. */
+#ifndef SAPPHIRE_SERVING_DISPATCHER_RIG_TEST_H_
+#define SAPPHIRE_SERVING_DISPATCHER_RIG_TEST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/task_func.h"
+#include "entry/testing_loop.h"
+#include "http/server_base.h"
+#include "serving/dispatcher_base.h"
+
+namespace sapphire::serving::testing {
+
+inline constexpr milliseconds kObjective{1000};
+inline const core::ServiceId kDrafts("drafts");
+inline const core::ServiceId kPlain("plain");
+
+/** A wire of its own: fields are named as what they hold. */
+class TestCallerWire final : public CallerWire {
+ public:
+  [[nodiscard]] CallerRequest Decode(
+      const http::Request& request) const override {
+    CallerRequest out;
+    out.id = core::RequestId(Field(request, "id"));
+    out.host = "test.example";
+    out.time_to_wait = milliseconds(std::stoll(Field(request, "wait")));
+    out.model = core::ModelId(Field(request, "model"));
+    out.forward = request;
+    return out;
+  }
+  [[nodiscard]] http::Response Refusal(const core::Error& error,
+                                       const core::RequestId&) const override {
+    return http::MakeResponse(core::InfoOf(error.code()).http_status,
+                              "text/plain", "");
+  }
+
+ private:
+  static std::string Field(const http::Request& request,
+                           std::string_view name) {
+    return std::string(http::FindHeader(request.headers, name).value_or(""));
+  }
+};
+
+class TestEngineWire final : public EngineWire {
+ public:
+  [[nodiscard]] http::Request Compose(
+      const CallerRequest& request, const SendOptions& options) const override {
+    http::Request out = request.forward;
+    if (options.last_event) {
+      out.headers.push_back({"after", std::to_string(*options.last_event)});
+    }
+    return out;
+  }
+  [[nodiscard]] EngineAnswer Read(
+      const http::ResponseHead& head) const override {
+    EngineAnswer answer;
+    answer.status = head.status;
+    answer.not_run = http::FindHeader(head.headers, "not-run").has_value();
+    answer.genuine = http::FindHeader(head.headers, "genuine").has_value();
+    answer.id = core::RequestId(
+        std::string(http::FindHeader(head.headers, "id").value_or("")));
+    answer.to_caller.status = head.status;
+    return answer;
+  }
+};
+
+/** Keeps what a caller would see. */
+class RecordingWriter final : public http::ResponseWriter {
+ public:
+  core::Task<> Send(http::Response response) override {
+    ++answers;
+    status = response.head.status;
+    body = std::move(response.body);
+    whole = true;
+    co_return;
+  }
+  core::Task<> Begin(http::ResponseHead head) override {
+    ++answers;
+    status = head.status;
+    co_return;
+  }
+  core::Task<> Write(std::string_view data) override {
+    body += data;
+    co_return;
+  }
+  core::Task<> End() override {
+    whole = true;
+    co_return;
+  }
+  [[nodiscard]] bool started() const override { return answers > 0; }
+  void WhenCallerGone(std::function<void()> callback) override {
+    leave = std::move(callback);
+  }
+
+  /** Heads written: a caller must see one. */
+  int answers = 0;
+  int status = 0;
+  std::string body;
+  bool whole = false;
+  /** The connection was cut, so that the answer does not look whole. */
+  bool cut = false;
+  std::function<void()> leave;
+};
+
+/** One engine on loopback. */
+struct TestEngine {
+  TestEngine(boost::asio::io_context& io, http::Handler handler,
+             const core::Logger& log)
+      : server(
+            io.get_executor(), "127.0.0.1:0", http::ServerLimits(),
+            [this, handler](const http::Request& request,
+                            http::ResponseWriter& writer) {
+              requests.push_back(request);
+              return handler(request, writer);
+            },
+            log) {
+    server.Start();
+  }
+  std::vector<http::Request> requests;
+  http::Server server;
+};
+
+/** Answers with these parts, then as `whole` says. */
+inline http::Handler Streaming(std::vector<std::string> parts, bool whole) {
+  return [parts = std::move(parts), whole](
+             const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    http::ResponseHead head;
+    head.headers.push_back({"genuine", "1"});
+    head.headers.push_back(
+        {"id", std::string(*http::FindHeader(request.headers, "id"))});
+    co_await writer.Begin(head);
+    for (const std::string& it : parts) co_await writer.Write(it);
+    if (!whole) throw http::ConnectionCut("test");
+    co_await writer.End();
+  };
+}
+
+/** Answers with a status, and whether it has run. */
+inline http::Handler Answering(int status, bool not_run, std::string body) {
+  return [=](const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    http::Response response = http::MakeResponse(status, "text/plain", body);
+    response.head.headers.push_back({"genuine", "1"});
+    response.head.headers.push_back(
+        {"id", std::string(*http::FindHeader(request.headers, "id"))});
+    if (not_run) response.head.headers.push_back({"not-run", "1"});
+    co_await writer.Send(std::move(response));
+  };
+}
+
+/** Takes requests and never answers. */
+inline http::Handler Silent() {
+  return [](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+    co_await core::SleepFor(std::chrono::seconds(60));
+  };
+}
+
+class Rig {
+ public:
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock),
+        registry(fleet::RegistryOptions(), clock, log),
+        loads(clock),
+        links(io.get_executor(), link::LinkOptions(), nullptr, Hooks(), clock,
+              log),
+        feed(fleet::FeedOptions(), links, registry, loads, io.get_executor(),
+             clock, log),
+        finder(core::ZoneId("z"), registry, feed, loads, clock),
+        waker(finder, feed, io.get_executor(), clock, log),
+        dispatcher(DispatchOptions(), Parts()) {
+    Configure(2);
+  }
+
+  /** @param max_engines Engines that one request may run on. */
+  void Configure(int max_engines) {
+    routing::Configuration next;
+    next.version = configuration.version() + 1;
+    next.routes = {
+        MakeRoute("/stream/", routing::RequestKind::kStream, kDrafts, true),
+        MakeRoute("/once/", routing::RequestKind::kNonIdempotent, kPlain,
+                  false),
+        MakeRoute("/safe/", routing::RequestKind::kIdempotent, kPlain, false)};
+    for (routing::Route& route : next.routes) route.max_engines = max_engines;
+    routing::Service drafts;
+    drafts.id = kDrafts;
+    drafts.engine.emplace();
+    drafts.engine->models[core::ModelId("m")].id = core::ModelId("m");
+    next.services[kDrafts] = drafts;
+    next.services[kPlain].id = kPlain;
+    configuration.Adopt(std::move(next));
+  }
+
+  /** Engines are preferred in the order in which they are added. */
+  TestEngine& AddEngine(const core::ServiceId& service, http::Handler handler) {
+    engines.push_back(
+        std::make_unique<TestEngine>(io, std::move(handler), log));
+    fleet::EngineEntry entry;
+    entry.instance = fleet::InstanceId("i-" + std::to_string(engines.size()));
+    entry.service = service;
+    entry.address = engines.back()->server.address();
+    entry.zone = core::ZoneId(engines.size() == 1 ? "z" : "other");
+    entry.max_running = 8;
+    fleet::HeldModel held;
+    held.model = core::ModelId("m");
+    entry.models.push_back(held);
+    registry.Put(std::move(entry));
+    return *engines.back();
+  }
+
+  /** Serves one request to its end. */
+  void Serve(const std::string& path, milliseconds wait,
+             RecordingWriter& writer) {
+    entry::testing::RunTask(io, ServeTask(path, wait, writer));
+  }
+
+  core::Task<bool> ServeTask(std::string path, milliseconds wait,
+                             RecordingWriter& writer) {
+    http::Request request;
+    request.method = "POST";
+    request.target = path + "1";
+    request.headers = {{"id", "r-" + std::to_string(++requests_)},
+                       {"wait", std::to_string(wait.count())},
+                       {"model", "m"}};
+    try {
+      co_await dispatcher.Serve(request, writer);
+    } catch (const http::ConnectionCut&) {
+      writer.cut = true;
+    }
+    co_return true;
+  }
+
+  /** Lets real time pass. */
+  void Pass(milliseconds time) { entry::testing::RunTask(io, Sleep(time)); }
+
+  static core::Task<bool> Sleep(milliseconds time) {
+    co_await core::SleepFor(time);
+    co_return true;
+  }
+
+  boost::asio::io_context io;
+  core::SystemClock clock;
+  core::Logger log;
+  routing::ConfigurationHolder configuration;
+  fleet::EngineRegistry registry;
+  fleet::EngineLoads loads;
+  link::LinkNode links;
+  fleet::EndpointFeed feed;
+  ReplicaFinder finder;
+  ModelWaker waker;
+  TestCallerWire caller_wire;
+  TestEngineWire engine_wire;
+  Dispatcher dispatcher;
+  std::vector<std::unique_ptr<TestEngine>> engines;
+
+ private:
+  static link::VersionHooks Hooks() {
+    link::VersionHooks hooks;
+    hooks.current = [] { return std::int64_t{0}; };
+    return hooks;
+  }
+
+  DispatchParts Parts() {
+    return {configuration, registry,    loads,       feed,  finder,
+            waker,         caller_wire, engine_wire, clock, log};
+  }
+
+  static routing::Route MakeRoute(const std::string& prefix,
+                                  routing::RequestKind kind,
+                                  const core::ServiceId& service,
+                                  bool resumable) {
+    routing::Route route;
+    route.name = prefix;
+    route.host = "test.example";
+    route.prefix = prefix;
+    route.kind = kind;
+    route.services = {{service, 1}};
+    route.timeout = milliseconds(5000);
+    route.objective = kObjective;
+    route.patience = milliseconds(4000);
+    route.resumable = resumable;
+    return route;
+  }
+
+  int requests_ = 0;
+};
+
+}  // namespace sapphire::serving::testing
+
+#endif  // SAPPHIRE_SERVING_DISPATCHER_RIG_TEST_H_
--- /dev/null
+++ b/src/serving/dispatcher_test.cc
@@ -0,0 +1,157 @@
+/** @file dispatcher_test.cc Tests of a request's way to its final answer. */
+#define BOOST_TEST_MODULE dispatcher
+#include <boost/test/unit_test.hpp>
+
+#include "serving/dispatcher_rig_test.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using namespace testing;
+
+constexpr milliseconds kWait{3000};
+constexpr int kOk = 200;
+constexpr int kFailed = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kTimedOut = 504;
+
+const std::string kFirst = "id: 1\ndata: a\n\n";
+const std::string kSecond = "id: 2\ndata: b\n\n";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(AWholeStreamIsPassedOn) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.status == kOk);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+}
+
+/**
+ * A caller's stream stops halfway.
+ * The engine ends in the middle of the second event; the stream goes on at
+ * another engine after the last whole one, within the same answer.
+ */
+BOOST_AUTO_TEST_CASE(ABrokenStreamGoesOnAtAnotherEngine) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Streaming({kFirst, "id: 2\nda"}, false));
+  TestEngine& other = rig.AddEngine(kDrafts, Streaming({kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.answers == 1);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(*http::FindHeader(other.requests.at(0).headers, "after") == "1");
+}
+
+/**
+ * A caller reads an error page in the middle of a stream.
+ * The stream breaks and no other engine can go on with it; the refusal was
+ * written as a second answer into the first.
+ */
+BOOST_AUTO_TEST_CASE(AStreamThatCannotGoOnIsCut) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Streaming({kFirst}, false));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.answers == 1);
+  BOOST_TEST(caller.body == kFirst);
+  BOOST_TEST(caller.cut);
+  BOOST_TEST(!caller.whole);
+}
+
+BOOST_AUTO_TEST_CASE(AnEngineThatDidNotRunItYieldsToAnother) {
+  Rig rig;
+  rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
+  rig.AddEngine(kPlain, Answering(kOk, false, "done"));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(caller.status == kOk);
+  BOOST_TEST(caller.body == "done");
+}
+
+/**
+ * A confirmation is booked twice.
+ * The engine runs it and its answer is lost; a second engine would run it
+ * again.
+ */
+BOOST_AUTO_TEST_CASE(ANonIdempotentRequestIsNeverSentTwice) {
+  Rig rig;
+  rig.AddEngine(kPlain, Streaming({"half"}, false));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "done"));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(caller.status == kBadGateway);
+  BOOST_TEST(other.requests.empty());
+}
+
+/** A 503 would tell the caller that nothing has run, and it may have. */
+BOOST_AUTO_TEST_CASE(AnEnginesPromiseIsNotInvented) {
+  Rig rig;
+  rig.AddEngine(kPlain, Answering(kUnavailable, false, ""));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(caller.status == kBadGateway);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdempotentRequestIsTriedAtAnotherEngine) {
+  Rig rig;
+  rig.AddEngine(kPlain, Silent());
+  rig.AddEngine(kPlain, Answering(kOk, false, "done"));
+  RecordingWriter caller;
+  rig.Serve("/safe/", milliseconds(600), caller);
+  BOOST_TEST(caller.status == kOk);
+}
+
+BOOST_AUTO_TEST_CASE(AnEnginesOwnFailureIsPassedOnUnchanged) {
+  Rig rig;
+  rig.AddEngine(kPlain, Answering(kFailed, false, "its own words"));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(caller.status == kFailed);
+  BOOST_TEST(caller.body == "its own words");
+}
+
+BOOST_AUTO_TEST_CASE(TheFinalAnswerComesAtTheDeadline) {
+  Rig rig;
+  rig.AddEngine(kPlain, Silent());
+  RecordingWriter caller;
+  const core::SteadyTime began = rig.clock.Now();
+  rig.Serve("/once/", milliseconds(200), caller);
+  BOOST_TEST(caller.status == kTimedOut);
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(600)));
+}
+
+/** The engine's connection is closed, which ends its work. */
+BOOST_AUTO_TEST_CASE(ACallerWhoLeavesEndsTheSend) {
+  Rig rig;
+  rig.AddEngine(kPlain, Silent());
+  RecordingWriter caller;
+  entry::testing::Outcome<bool> served;
+  entry::testing::StartTask(rig.io, rig.ServeTask("/once/", kWait, caller),
+                            served);
+  rig.Pass(milliseconds(100));
+  BOOST_TEST(rig.engines[0]->requests.size() == 1);
+  const core::SteadyTime leaving = rig.clock.Now();
+  caller.leave();
+  BOOST_TEST(entry::testing::RunUntil(
+      rig.io, [&] { return served.value.has_value(); }));
+  BOOST_TEST((rig.clock.Now() - leaving < milliseconds(500)));
+  BOOST_TEST(caller.answers == 0);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAnEngineTheAnswerIsARefusal) {
+  Rig rig;
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(caller.status == kUnavailable);
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.status == kUnavailable);
+}
+
+}  // namespace sapphire::serving
