--- a/src/policy/replica_choice.cc
+++ b/src/policy/replica_choice.cc
@@ -28,8 +28,14 @@
 constexpr milliseconds kUsualSilence{600};
 /** Share of the tokens in use above which requests are pushed out. */
 constexpr double kTightMemory = 0.9;
-/** Share of its places above which an engine counts as filling up. */
-constexpr double kFilling = 0.5;
+/** Requests at work on one engine above which another shall help. Origin: at
+ * 8 drafts of 2 s each, reading their prompts takes 29 % of the engine's time,
+ * and two that come together already make a pause of 150 ms for all; engines
+ * with 30 and more made half of all streams late by their pauses. */
+constexpr int kFilling = 8;
+/** From here streams pause too long: worth a load from the weight store, which
+ * holds up an engine's other loads for 9 s or, in company, 18 s. */
+constexpr int kCrowded = 24;
 /** Requests a second from which a model shall survive the loss of an engine. */
 constexpr double kBusyModel = 1.0;
 
@@ -99,12 +105,19 @@
   return best;
 }
 
-bool NeedsAnotherReplica(std::span<const ReplicaCandidate> candidates,
-                         double demand_per_second) {
-  if (candidates.size() == 1 && demand_per_second > kBusyModel) return true;
-  return std::ranges::all_of(candidates, [](const ReplicaCandidate& it) {
-    return Fullness(it) > kFilling || MemoryIsTight(it, RequestSize());
-  });
+ReplicaNeed NeedForReplica(std::span<const ReplicaCandidate> candidates,
+                           double demand_per_second) {
+  const auto all_above = [candidates](int limit) {
+    return std::ranges::all_of(candidates, [limit](const auto& it) {
+      return it.running + it.waiting > limit ||
+             MemoryIsTight(it, RequestSize());
+    });
+  };
+  if (all_above(kCrowded)) return ReplicaNeed::kUrgent;
+  if (all_above(kFilling)) return ReplicaNeed::kUseful;
+  const bool alone = candidates.size() == 1;
+  return alone && demand_per_second > kBusyModel ? ReplicaNeed::kUseful
+                                                 : ReplicaNeed::kNone;
 }
 
 }  // namespace sapphire::policy
--- a/src/policy/replica_choice_func.h
+++ b/src/policy/replica_choice_func.h
@@ -61,12 +61,19 @@
     std::span<const ReplicaCandidate> candidates, const RequestSize& size,
     const EnginePace& pace);
 
+/** How much one more replica of a model is wanted. */
+enum class ReplicaNeed {
+  kNone,
+  kUseful,  ///< Worth a load from a near copy.
+  kUrgent,  ///< Worth any load.
+};
+
 /**
- * @return True if the engines that hold a model are so full that one more
- *   should load it before callers wait.
+ * Judges whether one more engine should load a model before callers wait: the
+ * engines that hold it fill up, or it is busy and stands on one alone.
  */
-bool NeedsAnotherReplica(std::span<const ReplicaCandidate> candidates,
-                         double demand_per_second);
+ReplicaNeed NeedForReplica(std::span<const ReplicaCandidate> candidates,
+                           double demand_per_second);
 
 }  // namespace sapphire::policy
 
--- a/src/policy/replica_choice_test.cc
+++ b/src/policy/replica_choice_test.cc
@@ -63,14 +63,25 @@
 }
 
 /** Busy models survive the loss of an engine; rare ones do not take two. */
-BOOST_AUTO_TEST_CASE(OnlyBusyModelsAndFullEnginesAskForAnotherReplica) {
+BOOST_AUTO_TEST_CASE(OnlyABusyModelStandsOnTwoEngines) {
   const std::vector<ReplicaCandidate> one = {Idle(true)};
-  BOOST_TEST(!NeedsAnotherReplica(one, 0.03));
-  BOOST_TEST(NeedsAnotherReplica(one, 5.0));
+  BOOST_TEST((NeedForReplica(one, 0.03) == ReplicaNeed::kNone));
+  BOOST_TEST((NeedForReplica(one, 5.0) == ReplicaNeed::kUseful));
+}
+
+/**
+ * A model that is asked for 9 times a second on two engines: each works on 30
+ * to 45 drafts at once, and half of all streams pause for over 300 ms.
+ */
+BOOST_AUTO_TEST_CASE(CrowdedEnginesCallForAnother) {
   std::vector<ReplicaCandidate> two = {Idle(true), Idle(true)};
-  BOOST_TEST(!NeedsAnotherReplica(two, 5.0));
-  two[0].running = two[1].running = 40;
-  BOOST_TEST(NeedsAnotherReplica(two, 5.0));
+  BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kNone));
+  two[0].running = 43;
+  BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kNone));
+  two[1].running = 12;
+  BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kUseful));
+  two[1].running = 32;
+  BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kUrgent));
 }
 
 }  // namespace sapphire::policy
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -358,9 +358,8 @@
   if (!work.request.model.empty() && !holders.empty()) {
     const double demand =
         parts_.finder.Demand(work.service->id, work.request.model);
-    if (policy::NeedsAnotherReplica(holders, demand)) {
-      parts_.waker.AddReplica(*work.service, work.request.model);
-    }
+    parts_.waker.AddReplica(*work.service, work.request.model,
+                            policy::NeedForReplica(holders, demand));
   }
   const auto best = policy::ChooseReplica(views, size, options_.pace);
   if (best) return instances[*best];
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -19,7 +19,7 @@
 /** An engine that failed to load a model is not asked for it again so soon. */
 constexpr milliseconds kAvoidAfterFailure{2000};
 /** Between two tries to add a replica of one model. */
-constexpr milliseconds kReplicaPause{3000};
+constexpr milliseconds kReplicaPause{1500};
 /** A further replica must not make callers of others wait longer than this. */
 constexpr milliseconds kReplicaWorth{4000};
 constexpr milliseconds kAdapterTime{30};
@@ -115,7 +115,9 @@
 }
 
 void ModelWaker::AddReplica(const routing::Service& service,
-                            const core::ModelId& model) {
+                            const core::ModelId& model,
+                            policy::ReplicaNeed need) {
+  if (need == policy::ReplicaNeed::kNone) return;
   const WakeTarget target{service.id, model, core::AdapterId()};
   const auto asked = replica_asked_.find(target);
   const core::SteadyTime now = clock_.Now();
@@ -125,6 +127,12 @@
   replica_asked_[target] = now;
   if (OnItsWay(target)) return;
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
+  if (need != policy::ReplicaNeed::kUrgent) {
+    std::erase_if(wakers, [](const FoundWaker& it) {
+      return it.view.tier == policy::Tier::kRemote ||
+             it.view.order_left.count() > 0;
+    });
+  }
   const auto plan = Plan(service, model, wakers);
   if (!plan || plan->eviction_cost > kReplicaWorth) return;
   const fleet::InstanceId instance = wakers[plan->engine].instance;
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -54,8 +54,9 @@
                    const core::ModelId& model, const core::AdapterId& adapter,
                    const core::RequestId& request);
 
-  /** Has one more replica loaded if that hurts no other model. */
-  void AddReplica(const routing::Service& service, const core::ModelId& model);
+  /** Has one more replica loaded, as far as the need for it is worth it. */
+  void AddReplica(const routing::Service& service, const core::ModelId& model,
+                  policy::ReplicaNeed need);
 
   /** @return The engine that has just loaded it: its endpoint's next report,
    * which shows it, may still be on its way. */
