--- a/src/fleet/endpoint_feed.cc
+++ b/src/fleet/endpoint_feed.cc
@@ -90,11 +90,21 @@
   }
 }
 
-const EndpointState* EndpointFeed::Find(const InstanceId& instance) const {
+const EndpointState* EndpointFeed::Fresh(const InstanceId& instance) const {
   const auto it = states_.find(instance);
   if (it == states_.end()) return nullptr;
   if (clock_.Now() - it->second.at > options_.fresh) return nullptr;
-  return it->second.report.engine_up ? &it->second : nullptr;
+  return &it->second;
+}
+
+const EndpointState* EndpointFeed::Find(const InstanceId& instance) const {
+  const EndpointState* state = Fresh(instance);
+  return state != nullptr && state->report.engine_up ? state : nullptr;
+}
+
+bool EndpointFeed::EngineDown(const InstanceId& instance) const {
+  const EndpointState* state = Fresh(instance);
+  return state != nullptr && !state->report.engine_up;
 }
 
 core::Task<> EndpointFeed::Ensure(InstanceId instance, gen::EnsureModel wish,
--- a/src/fleet/endpoint_feed_base.h
+++ b/src/fleet/endpoint_feed_base.h
@@ -54,6 +54,9 @@
   /** @return The newest report about this start of the engine, if fresh. */
   [[nodiscard]] const EndpointState* Find(const InstanceId& instance) const;
 
+  /** @return True if the endpoint says that its engine does not answer. */
+  [[nodiscard]] bool EngineDown(const InstanceId& instance) const;
+
   /**
    * Asks an endpoint to have a model loaded.
    * @throws core::Error
@@ -71,6 +74,7 @@
   core::Task<> FollowOne(InstanceId instance);
   core::Task<> Subscribe(InstanceId instance);
   core::Task<> SendUsage(std::shared_ptr<link::Call> call, InstanceId instance);
+  [[nodiscard]] const EndpointState* Fresh(const InstanceId& instance) const;
   [[nodiscard]] std::string LinkAddress(const InstanceId& instance) const;
 
   const FeedOptions options_;
--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -15,6 +15,11 @@
 /** A rate that nothing confirms halves in this time, so that an engine left
  * alone for its failures is tried again. */
 constexpr double kForgiveSeconds = 4;
+/** An engine that took no connection is tried again after this: a crashed one
+ * is back after some seconds. */
+constexpr std::chrono::milliseconds kTryAgain{1000};
+/** Reports of endpoints are behind their engines by this much at most. */
+constexpr std::chrono::milliseconds kReportLag{400};
 /** Prompt parts remembered an engine; each costs some 100 bytes. */
 constexpr std::size_t kMaxPrefixes = 512;
 
@@ -84,6 +89,30 @@
       clock_.Now() - silent->second.at);
 }
 
+void EngineLoads::NoteUnreachable(const InstanceId& instance) {
+  loads_[instance].unreachable = clock_.Now();
+}
+
+bool EngineLoads::Unreachable(const InstanceId& instance) const {
+  const auto it = loads_.find(instance);
+  if (it == loads_.end() || !it->second.unreachable) return false;
+  return clock_.Now() - *it->second.unreachable < kTryAgain;
+}
+
+void EngineLoads::NoteLacking(const InstanceId& instance,
+                              const SentPart& part) {
+  loads_[instance].lacking[part] = clock_.Now();
+}
+
+bool EngineLoads::Lacks(const InstanceId& instance,
+                        const SentPart& part) const {
+  const auto it = loads_.find(instance);
+  if (it == loads_.end()) return false;
+  const auto lacking = it->second.lacking.find(part);
+  if (lacking == it->second.lacking.end()) return false;
+  return clock_.Now() - lacking->second < kReportLag;
+}
+
 void EngineLoads::NotePrefix(const InstanceId& instance,
                              const core::ModelId& model,
                              const std::vector<std::uint64_t>& part_hashes) {
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -59,6 +60,19 @@
   [[nodiscard]] std::chrono::milliseconds OldestSilence(
       const InstanceId& instance) const;
 
+  /** No connection could be made. */
+  void NoteUnreachable(const InstanceId& instance);
+
+  /** @return True if it was so a moment ago: no sense in trying at once. */
+  [[nodiscard]] bool Unreachable(const InstanceId& instance) const;
+
+  /** The engine said that it does not hold this. */
+  void NoteLacking(const InstanceId& instance, const SentPart& part);
+
+  /** @return True if it was so a moment ago: reports are behind it. */
+  [[nodiscard]] bool Lacks(const InstanceId& instance,
+                           const SentPart& part) const;
+
   /** Notes the prompt parts that an engine has read, newest last. */
   void NotePrefix(const InstanceId& instance, const core::ModelId& model,
                   const std::vector<std::uint64_t>& part_hashes);
@@ -87,6 +101,8 @@
   struct Load {
     std::map<std::int64_t, Sent> sent;
     std::map<SentPart, Part> parts;
+    std::optional<core::SteadyTime> unreachable;
+    std::map<SentPart, core::SteadyTime> lacking;
     double failure_rate = 0;
     core::SteadyTime last_result;
     /** Hashes of model and prompt parts read there, and when. */
--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -14,7 +14,13 @@
                                const core::Logger& log)
     : options_(options), clock_(clock), log_(log) {}
 
+void EngineRegistry::NoteReplaced(const InstanceId& instance) {
+  replaced_.insert(instance);
+  Drop(instance, "replaced");
+}
+
 void EngineRegistry::Put(EngineEntry entry) {
+  if (replaced_.contains(entry.instance)) return;
   ++generation_;
   missing_.erase(entry.instance);
   const auto it = engines_.find(entry.instance);
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
    */
   void Remove(const InstanceId& instance, bool after_outage);
 
+  /** Another start answers at the engine's address: this one will not be back,
+   * whatever a late entry of it says. */
+  void NoteReplaced(const InstanceId& instance);
+
   /**
    * Takes over a listing of all entries.
    * @param after_outage True if the store was out of reach before: entries that
@@ -67,6 +72,7 @@
   std::map<InstanceId, EngineEntry> engines_;
   /** When each engine that is missing from the store counts as gone. */
   std::map<InstanceId, core::SteadyTime> missing_;
+  std::set<InstanceId> replaced_;
   std::int64_t generation_ = 0;
 };
 
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -57,7 +57,6 @@
       usage_(clock) {}
 
 core::Task<> EngineDesk::Run() {
-  bool reachable = true;
   while (true) {
     std::string failure;
     try {
@@ -65,8 +64,9 @@
     } catch (const Error& e) {
       failure = e.what();
     }
-    if (failure.empty() != reachable) {
-      reachable = failure.empty();
+    const bool reachable = failure.empty();
+    if (reachable != engine_up_) {
+      engine_up_ = reachable;
       log_.Event(reachable ? LogLevel::kInfo : LogLevel::kWarning,
                  LogCategory::kReplica,
                  reachable ? "engine_regained" : "engine_lost",
@@ -375,7 +375,8 @@
   gen::EndpointReport out;
   out.endpoint = options_.holder;
   out.engine_instance = instance_.value();
-  out.engine_up = report_time_ && clock_.Now() - *report_time_ < kFreshReport;
+  out.engine_up = engine_up_ && report_time_ &&
+                  clock_.Now() - *report_time_ < kFreshReport;
   out.order_count = report_.order_count;
   out.running = report_.running;
   out.waiting = report_.waiting;
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -129,6 +129,8 @@
   std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
   fleet::InstanceId instance_;
+  /** The last look at the engine was answered. */
+  bool engine_up_ = true;
   std::int64_t fence_ = 0;
 };
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -223,6 +223,9 @@
       *client, parts_.engine_wire, work.request, send, LimitsOf(work),
       is_stream, work.caller, parts_.clock, std::move(first_byte));
   parts_.loads.End(ticket, ResultOf(result));
+  if (result.unreachable) parts_.loads.NoteUnreachable(work.engine);
+  if (result.replaced) parts_.registry.NoteReplaced(work.engine);
+  if (result.lacks_model) parts_.loads.NoteLacking(work.engine, part);
   work.caller.abort = nullptr;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -32,7 +32,7 @@
 /** What the dispatcher works with; all outlive it. */
 struct DispatchParts {
   const routing::ConfigurationHolder& configuration;
-  const fleet::EngineRegistry& registry;
+  fleet::EngineRegistry& registry;
   fleet::EngineLoads& loads;
   fleet::EndpointFeed& feed;
   const ReplicaFinder& finder;
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -90,6 +90,50 @@
   BOOST_TEST(other.requests.empty());
 }
 
+/**
+ * Callers are refused although an engine could serve them.
+ * An engine has crashed and takes no connections; its entry stays for seconds.
+ * Each request finds that out by itself and uses up the repeats of all.
+ */
+BOOST_AUTO_TEST_CASE(AnEngineThatTakesNoConnectionIsPassedOver) {
+  Rig rig;
+  rig.AddEngine(kPlain, Answering(kOk, false, "gone"));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "done"));
+  rig.engines.erase(rig.engines.begin());
+  rig.Pass(milliseconds(20));
+  for (int i = 0; i < 20; ++i) {
+    RecordingWriter caller;
+    rig.Serve("/once/", kWait, caller);
+    BOOST_TEST(caller.status == kOk);
+  }
+  BOOST_TEST(other.requests.size() == 20);
+  BOOST_TEST(rig.loads.Unreachable(fleet::InstanceId("i-1")));
+}
+
+/**
+ * The same with an engine that was started again at its address: it refuses
+ * what was meant for its last start.
+ */
+BOOST_AUTO_TEST_CASE(AReplacedEngineIsForgotten) {
+  Rig rig;
+  constexpr int kMisdirected = 421;
+  http::Handler restarted = [](const http::Request&,
+                               http::ResponseWriter& writer) -> core::Task<> {
+    http::Response response = http::MakeResponse(kMisdirected, "text/plain", "");
+    response.head.headers.push_back({"instance", "i-9"});
+    co_await writer.Send(std::move(response));
+  };
+  TestEngine& first = rig.AddEngine(kPlain, restarted);
+  rig.AddEngine(kPlain, Answering(kOk, false, "done"));
+  for (int i = 0; i < 3; ++i) {
+    RecordingWriter caller;
+    rig.Serve("/once/", kWait, caller);
+    BOOST_TEST(caller.status == kOk);
+  }
+  BOOST_TEST(first.requests.size() == 1);
+  BOOST_TEST(rig.registry.Find(fleet::InstanceId("i-1")) == nullptr);
+}
+
 /** A 503 would tell the caller that nothing has run, and it may have. */
 BOOST_AUTO_TEST_CASE(AnEnginesPromiseIsNotInvented) {
   Rig rig;
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -64,6 +64,7 @@
         first_byte_(std::move(first_byte)) {}
 
   core::Task<ExchangeResult> Run(SendOptions send, bool is_stream) {
+    meant_ = send.instance;
     std::optional<ExchangeResult> failure = co_await Open(std::move(send));
     if (failure) co_return *failure;
     answer_ = wire_.Read(stream_->head());
@@ -86,8 +87,9 @@
       stream_ = co_await engine_.Open(std::move(out), std::move(options));
     } catch (const http::TransportError& e) {
       failure =
-          Failed(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
-                 e.what(), e.timed_out());
+          Failed(e.may_have_run() ? ExchangeEnd::kLost                                        : ExchangeEnd::kNotRun,
+                       e.what(), e.timed_out());
+      failure->unreachable = !e.may_have_run();
     }
     co_return failure;
   }
@@ -95,8 +97,14 @@
   /** @return The end of the send, if its head alone decides it. */
   std::optional<ExchangeResult> JudgeHead() {
     if (answer_.not_run || answer_.status == kMisdirected) {
-      return Failed(ExchangeEnd::kNotRun,
-                    "refused with " + std::to_string(answer_.status), false);
+      ExchangeResult refused =
+          Failed(ExchangeEnd::kNotRun,
+                 "refused with " + std::to_string(answer_.status), false);
+      const bool misdirected = answer_.status == kMisdirected;
+      refused.replaced = misdirected && !answer_.instance.empty() &&
+                         answer_.instance != meant_;
+      refused.lacks_model = misdirected && !refused.replaced;
+      return refused;
     }
     // The failure met: an engine's second answer to an earlier request stands
     // where the next answer is due. Its id tells it.
@@ -217,6 +225,7 @@
   FirstByteHook first_byte_;
   std::unique_ptr<http::ResponseStream> stream_;
   EngineAnswer answer_;
+  fleet::InstanceId meant_;
 };
 
 }  // namespace
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -36,6 +36,12 @@
   std::optional<http::Response> failure;
   /** Our own time limit ended it. */
   bool timed_out = false;
+  /** No connection could be made: the engine is down or cut off. */
+  bool unreachable = false;
+  /** Another start of the engine answered: the one that was meant is gone. */
+  bool replaced = false;
+  /** It does not hold the model, whatever was known of it. */
+  bool lacks_model = false;
 };
 
 /** The caller's side of a request, over all sends. */
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -66,7 +66,7 @@
 }
 
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
-                      const fleet::EngineRegistry& registry,
+                      fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
                       const ReplicaFinder& finder, ModelWaker& waker,
                       const CallerWire& caller_wire,
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -79,12 +79,17 @@
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service || engine.draining) continue;
     if (avoid.contains(instance)) continue;
+    if (loads_.Unreachable(instance) || feed_.EngineDown(instance)) continue;
+    if (loads_.Lacks(instance, {request.model, core::AdapterId()})) continue;
     FoundReplica replica{instance, View(engine, request), true};
     if (!request.model.empty()) {
       const Holding holding = HoldingOf(engine, feed_.Find(instance),
                                         request.model, request.adapter);
       if (!holding.model) continue;
-      replica.has_adapter = request.adapter.empty() || holding.adapter;
+      const bool lacks =
+          loads_.Lacks(instance, {request.model, request.adapter});
+      replica.has_adapter =
+          request.adapter.empty() || (holding.adapter && !lacks);
     }
     found.push_back(std::move(replica));
   }
