--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -66,6 +66,8 @@
               "The engine died while the request ran"},
     ErrorInfo{kEngineRefusedOrder, "engine_refused_order", 503, kNotRun,
               "The engine refused the order"},
+    ErrorInfo{kEngineReplaced, "engine_replaced", 503, kNotRun,
+              "The engine has been started again since"},
     ErrorInfo{kEngineUnavailable, "engine_unavailable", 503, kNotRun,
               "The engine can't be reached"},
     ErrorInfo{kTimedOut, "timed_out", 504, kUnknown,
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -43,6 +43,7 @@
   kLoadFailed,
   kEngineCrashed,
   kEngineRefusedOrder,
+  kEngineReplaced,
   kEngineUnavailable,
   kTimedOut,
   kOutcomeUnknown,
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -254,7 +254,7 @@
   }
   if (failure) throw Error(*failure);
   if (*answer == OrderAnswer::kOtherInstance) {
-    throw Error(ErrorCode::kEngineRefusedOrder, "the engine has restarted");
+    throw Error(ErrorCode::kEngineReplaced, "the engine has restarted");
   }
   co_return *answer == OrderAnswer::kAccepted;
 }
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -29,10 +29,12 @@
 }  // namespace
 
 ModelWaker::ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
+                       fleet::EngineRegistry& registry,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
     : finder_(finder),
       feed_(feed),
+      registry_(registry),
       executor_(executor),
       clock_(clock),
       log_(log) {}
@@ -169,8 +171,11 @@
   std::string failure;
   try {
     co_await feed_.Ensure(instance, std::move(wish), kLoadLimit);
-  } catch (const std::exception& e) {
+  } catch (const core::Error& e) {
     failure = e.what();
+    if (e.code() == core::ErrorCode::kEngineReplaced) {
+      registry_.NoteReplaced(instance);
+    }
   }
   pending_.erase(target);
   if (failure.empty()) {
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -37,7 +37,7 @@
  public:
   /** @pre All references outlive the waker. */
   ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
-             const core::Executor& executor, const core::Clock& clock,
+             fleet::EngineRegistry& registry, const core::Executor& executor, const core::Clock& clock,
              const core::Logger& log);
 
   /**
@@ -90,6 +90,7 @@
 
   const ReplicaFinder& finder_;
   fleet::EndpointFeed& feed_;
+  fleet::EngineRegistry& registry_;
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
