--- a/src/core/command_line.cc
+++ b/src/core/command_line.cc
@@ -26,6 +26,11 @@
 
 }  // namespace
 
+Settings ReadSettings(std::span<const SettingDef> table,
+                      const std::string& path) {
+  return ParseSettings(table, ReadFile(path), path);
+}
+
 CommandLine ParseCommandLine(int argc, char** argv, std::string_view purpose,
                              std::span<const SettingDef> table) {
   CLI::App app{std::string(purpose)};
@@ -50,12 +55,12 @@
     if (path.empty()) {
       throw Error(ErrorCode::kBadSettings, "--config FILE is required");
     }
-    Settings settings = ParseSettings(table, ReadFile(path), path);
+    Settings settings = ReadSettings(table, path);
     if (check) {
       fmt::print("{}: ok\n", path);
       return ExitWith(0);
     }
-    return CommandLine{std::nullopt, std::move(settings)};
+    return CommandLine{std::nullopt, std::move(settings), path};
   } catch (const Error& e) {
     fmt::print(stderr, "{}\n", e.what());
     return ExitWith(kExitBadSettings);
--- a/src/core/daemon_func.h
+++ b/src/core/daemon_func.h
@@ -32,6 +32,18 @@
 using DaemonBody =
     std::function<int(const Settings&, const Logger&, const Clock&)>;
 
+/** What a daemon that takes over changed settings is given. */
+struct DaemonSetup {
+  const Settings& settings;
+  /** Reads the settings file again. @throws Error kBadSettings */
+  std::function<Settings()> read_again;
+  Logger& log;
+  const Clock& clock;
+};
+
+/** As DaemonBody. */
+using ReloadingBody = std::function<int(const DaemonSetup&)>;
+
 /**
  * Reads the command line and the settings, makes clock and logger, and runs the
  * body. Bad settings, also those found when ports are opened, are printed.
@@ -40,6 +52,10 @@
 int RunDaemon(int argc, char** argv, const DaemonInfo& info,
               const DaemonBody& body);
 
+/** The same for a daemon that takes over changed settings. */
+int RunReloadingDaemon(int argc, char** argv, const DaemonInfo& info,
+                       const ReloadingBody& body);
+
 /** Runs the context on `threads` threads, this one included, until it stops. */
 void RunOnThreads(boost::asio::io_context& context, std::int64_t threads);
 
--- a/src/core/log_base.h
+++ b/src/core/log_base.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
 #include <initializer_list>
 #include <mutex>
 #include <string>
@@ -57,6 +58,9 @@
   /** @pre `clock` outlives the logger. */
   Logger(LogIdentity identity, LogLevel threshold, const Clock& clock);
 
+  /** Changes the level below which events are not written. */
+  void SetThreshold(LogLevel threshold) { threshold_ = threshold; }
+
   /**
    * Writes one line: time, process, VM, zone, level, category, event, fields.
    * Request ids go into the field "request".
@@ -66,7 +70,7 @@
 
  private:
   const LogIdentity identity_;
-  const LogLevel threshold_;
+  std::atomic<LogLevel> threshold_;
   const Clock& clock_;
   mutable std::mutex write_mutex_;
 };
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -126,6 +126,15 @@
 
 }  // namespace
 
+std::vector<std::string> Settings::Changes(const Settings& other) const {
+  std::vector<std::string> names;
+  for (const auto& [name, value] : values_) {
+    const auto it = other.values_.find(name);
+    if (it == other.values_.end() || it->second != value) names.push_back(name);
+  }
+  return names;
+}
+
 Settings ParseSettings(std::span<const SettingDef> table, std::string_view text,
                        std::string_view file) {
   const toml::table parsed = ParseToml(text, file);
--- a/src/core/settings_func.h
+++ b/src/core/settings_func.h
@@ -23,6 +23,10 @@
 Settings ParseSettings(std::span<const SettingDef> table, std::string_view toml,
                        std::string_view file_name);
 
+/** Reads a settings file by a table. @throws Error kBadSettings */
+Settings ReadSettings(std::span<const SettingDef> table,
+                      const std::string& path);
+
 /** @return The table as a Markdown reference. */
 std::string SettingsReference(std::span<const SettingDef> table);
 
--- a/src/core/settings_type.h
+++ b/src/core/settings_type.h
@@ -46,6 +46,11 @@
   [[nodiscard]] bool Boolean(std::string_view name) const;
   [[nodiscard]] const std::vector<std::string>& StringList(
       std::string_view name) const;
+  friend bool operator==(const Settings&, const Settings&) = default;
+
+  /** @return The names whose values differ. @pre Both are of one table. */
+  [[nodiscard]] std::vector<std::string> Changes(const Settings& other) const;
+
   /** @pre The row's unit is "ms". */
   [[nodiscard]] std::chrono::milliseconds Millis(std::string_view name) const;
 
@@ -58,6 +63,8 @@
   /** Set if the program has to end now, with this exit code. */
   std::optional<int> exit_code;
   std::optional<Settings> settings;
+  /** The settings file. */
+  std::string path;
 };
 
 }  // namespace sapphire::core
--- /dev/null
+++ b/src/core/settings_watch.cc
@@ -0,0 +1,68 @@
+/** @file settings_watch.cc Takes over a changed settings file. */
+#include <fmt/ranges.h>
+
+#include <csignal>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/settings_watch_base.h"
+#include "core/task_func.h"
+
+namespace sapphire::core {
+
+namespace {
+
+/** A file that changed without a signal is in force this much later. */
+constexpr std::chrono::seconds kLookInterval{5};
+
+}  // namespace
+
+SettingsWatch::SettingsWatch(boost::asio::io_context& context,
+                             Settings settings, Read read, Apply apply,
+                             const Logger& log)
+    : context_(context),
+      signals_(context, SIGHUP),
+      settings_(std::move(settings)),
+      read_(std::move(read)),
+      apply_(std::move(apply)),
+      log_(log) {}
+
+void SettingsWatch::Start() {
+  AwaitSignal();
+  Spawn(context_.get_executor(), log_, "watch_settings",
+        [this] { return LookNowAndThen(); });
+}
+
+void SettingsWatch::AwaitSignal() {
+  signals_.async_wait([this](const auto& ec, int /*signal*/) {
+    if (ec) return;
+    Look("signal");
+    AwaitSignal();
+  });
+}
+
+Task<> SettingsWatch::LookNowAndThen() {
+  while (true) {
+    co_await SleepFor(kLookInterval);
+    Look("interval");
+  }
+}
+
+void SettingsWatch::Look(std::string_view cause) {
+  try {
+    Settings now = read_();
+    const std::vector<std::string> changes = now.Changes(settings_);
+    if (!changes.empty()) apply_(now);
+    if (!changes.empty() || cause == "signal") {
+      log_.Event(LogLevel::kInfo, LogCategory::kProcess, "settings_read",
+                 {{"cause", cause},
+                  {"changed", fmt::format("{}", fmt::join(changes, ","))}});
+    }
+    settings_ = std::move(now);
+  } catch (const Error& e) {
+    log_.Event(LogLevel::kError, LogCategory::kProcess, "settings_refused",
+               {{"cause", cause}, {"error", e.what()}});
+  }
+}
+
+}  // namespace sapphire::core
--- /dev/null
+++ b/src/core/settings_watch_test.cc
@@ -0,0 +1,56 @@
+/** @file settings_watch_test.cc Tests of taking over a changed settings file.
+ */
+#define BOOST_TEST_MODULE settings_watch
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <string>
+
+#include "core/settings_func.h"
+#include "core/settings_row_func.h"
+#include "core/settings_watch_base.h"
+
+namespace sapphire::core {
+
+namespace {
+
+constexpr std::array kTable = {TextRow("name", "", "A name")};
+
+}  // namespace
+
+/**
+ * A caller's answer is cut in the middle: SIGHUP says that the settings file
+ * has changed, and a process that does not expect it ends at once.
+ */
+BOOST_AUTO_TEST_CASE(ASignalReadsTheFileAndBadSettingsChangeNothing) {
+  boost::asio::io_context io;
+  const SystemClock clock;
+  const Logger log({"test", VmId("vm"), ZoneId("z")}, LogLevel::kError, clock);
+  std::string text = "name = 'a'";
+  std::string applied;
+  int reads = 0;
+  const auto read = [&] {
+    ++reads;
+    return ParseSettings(kTable, text, "test.toml");
+  };
+  SettingsWatch watch(
+      io, read(), read,
+      [&](const Settings& now) { applied = now.String("name"); }, log);
+  watch.Start();
+  const auto hang_up = [&] {
+    const int before = reads;
+    std::raise(SIGHUP);
+    while (reads == before) io.run_one();
+  };
+  hang_up();
+  BOOST_TEST(applied.empty());
+  text = "name = 'b'";
+  hang_up();
+  BOOST_TEST(applied == "b");
+  text = "name = 7";
+  hang_up();
+  BOOST_TEST(applied == "b");
+}
+
+}  // namespace sapphire::core
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -375,8 +375,8 @@
   gen::EndpointReport out;
   out.endpoint = options_.holder;
   out.engine_instance = instance_.value();
-  out.engine_up = engine_up_ && report_time_ &&
-                  clock_.Now() - *report_time_ < kFreshReport;
+  out.engine_up =
+      engine_up_ && report_time_ && clock_.Now() - *report_time_ < kFreshReport;
   out.order_count = report_.order_count;
   out.running = report_.running;
   out.waiting = report_.waiting;
--- a/src/policy/repeat_budget_base.h
+++ b/src/policy/repeat_budget_base.h
@@ -32,6 +32,8 @@
   /** @pre `clock` outlives the budget. */
   RepeatBudget(RepeatLimits limits, const core::Clock& clock);
 
+  void SetLimits(const RepeatLimits& limits) { limits_ = limits; }
+
   /** A request of a caller has come. */
   void CountRequest();
 
@@ -46,7 +48,7 @@
  private:
   void Forget();
 
-  const RepeatLimits limits_;
+  RepeatLimits limits_;
   const core::Clock& clock_;
   std::deque<core::SteadyTime> requests_;
   std::deque<core::SteadyTime> repeats_;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kLookAgain{100};
 /** When to come back if nothing better is known. */
 constexpr milliseconds kSoon{500};
+/** Most streams end within this: 57 events of three tokens in 2 s on an engine
+ * that is not crowded, twice that on one that is. */
+constexpr milliseconds kUsualStream{4500};
 /** Least time in which a request can still be served. */
 constexpr milliseconds kLeastTime{30};
 /** Without a word for this long in its middle, a stream goes on elsewhere:
@@ -162,9 +165,7 @@
   const std::string& target = work.request.forward.target;
   work.route = work.table->Find(work.request.host, http::PathOf(target));
   if (work.route == nullptr) throw Error(ErrorCode::kUnknownPath, target);
-  if (refuse_long_ && work.route->kind == RequestKind::kStream) {
-    throw Error(ErrorCode::kLeaving, "", milliseconds(0));
-  }
+  CheckEnd(work);
   work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
   Resolve(work);
 }
@@ -312,6 +313,7 @@
 core::Task<fleet::InstanceId> Dispatcher::Choose(Work& work) {
   while (true) {
     if (work.caller.left) co_return fleet::InstanceId();
+    CheckEnd(work);
     const std::uint64_t seen = parts_.feed.changed().epoch();
     if (const auto engine = ChooseNow(work)) co_return *engine;
     const milliseconds ready_in = WakeModel(work);
@@ -420,6 +422,24 @@
   return std::max(left, milliseconds(0));
 }
 
+/**
+ * The failure met: a leaving process takes a request from a connection that is
+ * still open, waits for its model, and ends before it has answered; the caller
+ * sees a closed connection and does not know whether to ask again.
+ */
+void Dispatcher::CheckEnd(const Work& work) const {
+  if (!end_) return;
+  const bool is_stream = work.route->kind == RequestKind::kStream;
+  // What an engine has begun is tried to the last.
+  milliseconds needed = kLeastTime;
+  if (work.sends == 0) {
+    needed = is_stream ? kUsualStream : work.route->timeout;
+  }
+  if (parts_.clock.Now() + needed < *end_) return;
+  throw Error(work.runs == 0 ? ErrorCode::kLeaving : ErrorCode::kOutcomeUnknown,
+              "the process ends", milliseconds(0));
+}
+
 bool Dispatcher::TakeRepeat(const Work& work, double reserve) {
   return BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
 }
@@ -442,6 +462,11 @@
   return client;
 }
 
+void Dispatcher::SetRepeatLimits(const policy::RepeatLimits& limits) {
+  options_.repeats = limits;
+  for (auto& [service, budget] : budgets_) budget.SetLimits(limits);
+}
+
 void Dispatcher::Forget() {
   std::set<fleet::InstanceId> alive;
   for (const auto& [instance, engine] : parts_.registry.engines()) {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -52,9 +52,14 @@
   core::Task<> Serve(const http::Request& request,
                      http::ResponseWriter& writer);
 
-  /** New requests that take long are refused from now on: they would be cut
-   * when the process ends. */
-  void RefuseLongRequests() { refuse_long_ = true; }
+  /**
+   * The process ends at `end`: what could not be answered whole by then is
+   * refused, before it is sent to an engine.
+   */
+  void EndAt(core::SteadyTime end) { end_ = end; }
+
+  /** Puts other limits of repeats in force. */
+  void SetRepeatLimits(const policy::RepeatLimits& limits);
 
   /** Forgets what it keeps of engines that are gone. */
   void Forget();
@@ -77,16 +82,17 @@
   [[nodiscard]] bool MayRunAgain(const Work& work) const;
   [[nodiscard]] milliseconds Left(const Work& work) const;
   [[nodiscard]] milliseconds PatienceLeft(const Work& work) const;
+  void CheckEnd(const Work& work) const;
   bool TakeRepeat(const Work& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
   std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
   void LogEnd(const Work& work) const;
 
-  const DispatchOptions options_;
+  DispatchOptions options_;
   const DispatchParts parts_;
   std::map<core::ServiceId, policy::RepeatBudget> budgets_;
   std::map<fleet::InstanceId, std::shared_ptr<http::Client>> clients_;
-  bool refuse_long_ = false;
+  std::optional<core::SteadyTime> end_;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -119,7 +119,8 @@
   constexpr int kMisdirected = 421;
   http::Handler restarted = [](const http::Request&,
                                http::ResponseWriter& writer) -> core::Task<> {
-    http::Response response = http::MakeResponse(kMisdirected, "text/plain", "");
+    http::Response response =
+        http::MakeResponse(kMisdirected, "text/plain", "");
     response.head.headers.push_back({"instance", "i-9"});
     co_await writer.Send(std::move(response));
   };
@@ -189,6 +190,20 @@
   BOOST_TEST(caller.answers == 0);
 }
 
+/**
+ * A caller's connection is closed without an answer around a planned stop.
+ * A leaving process takes a stream that can't end before the process does.
+ */
+BOOST_AUTO_TEST_CASE(ALeavingProcessRefusesWhatItCannotEnd) {
+  Rig rig;
+  TestEngine& engine = rig.AddEngine(kDrafts, Streaming({kFirst}, true));
+  rig.dispatcher.EndAt(rig.clock.Now() + milliseconds(1000));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.status == kUnavailable);
+  BOOST_TEST(engine.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(WithoutAnEngineTheAnswerIsARefusal) {
   Rig rig;
   RecordingWriter caller;
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -87,8 +87,8 @@
       stream_ = co_await engine_.Open(std::move(out), std::move(options));
     } catch (const http::TransportError& e) {
       failure =
-          Failed(e.may_have_run() ? ExchangeEnd::kLost                                        : ExchangeEnd::kNotRun,
-                       e.what(), e.timed_out());
+          Failed(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
+                 e.what(), e.timed_out());
       failure->unreachable = !e.may_have_run();
     }
     co_return failure;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -21,8 +21,6 @@
 /** A balancer asks once a second and goes by two answers: new connections may
  * come for this long after we have stopped being ready. */
 constexpr milliseconds kBalancerLag{2500};
-/** Long requests that come this much before the end would be cut. */
-constexpr milliseconds kLongRequest{5000};
 /** Left for the end of the process itself. */
 constexpr milliseconds kLastMoments{300};
 /** Engines change often while models are loaded: a call for each change would
@@ -239,13 +237,13 @@
   const core::SteadyTime began = clock_.Now();
   const core::SteadyTime end = began + options_.leave_limit - kLastMoments;
   leaving_ = true;
+  dispatcher_.EndAt(end);
   server_.AnnounceLeaving();
   log_.Event(LogLevel::kInfo, LogCategory::kProcess, "leaving",
              {{"in_progress", server_.in_progress()}});
   while (clock_.Now() < end) {
     const bool balanced = clock_.Now() - began >= kBalancerLag;
     if (balanced && server_.in_progress() == 0) break;
-    if (end - clock_.Now() < kLongRequest) dispatcher_.RefuseLongRequests();
     co_await core::SleepFor(kLeavePoll);
   }
   log_.Event(LogLevel::kInfo, LogCategory::kProcess, "left",
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -63,6 +63,10 @@
 
   void Start();
 
+  void SetRepeatLimits(const policy::RepeatLimits& limits) {
+    dispatcher_.SetRepeatLimits(limits);
+  }
+
   /** Leaves without cutting an answer; returns when the process may end. */
   core::Task<> Leave();
 
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -37,8 +37,8 @@
  public:
   /** @pre All references outlive the waker. */
   ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
-             fleet::EngineRegistry& registry, const core::Executor& executor, const core::Clock& clock,
-             const core::Logger& log);
+             fleet::EngineRegistry& registry, const core::Executor& executor,
+             const core::Clock& clock, const core::Logger& log);
 
   /**
    * Has a model loaded, unless it is on its way.
