--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -3102,6 +3102,10 @@
 void EndpointReport::__set_engine_instance(const std::string& val) {
   this->engine_instance = val;
 }
+
+void EndpointReport::__set_store_load_ms(const int64_t val) {
+  this->store_load_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -3334,6 +3338,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_load_ms);
+          this->__isset.store_load_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3459,6 +3471,10 @@
   xfer += oprot->writeString(this->engine_instance);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_load_ms", ::apache::thrift::protocol::T_I64, 22);
+  xfer += oprot->writeI64(this->store_load_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3487,6 +3503,7 @@
   swap(a.kv_tokens_total, b.kv_tokens_total);
   swap(a.entries, b.entries);
   swap(a.engine_instance, b.engine_instance);
+  swap(a.store_load_ms, b.store_load_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -3512,6 +3529,7 @@
   kv_tokens_total = other111.kv_tokens_total;
   entries = other111.entries;
   engine_instance = other111.engine_instance;
+  store_load_ms = other111.store_load_ms;
   __isset = other111.__isset;
 }
 EndpointReport::EndpointReport(EndpointReport&& other112) noexcept {
@@ -3536,6 +3554,7 @@
   kv_tokens_total = other112.kv_tokens_total;
   entries = other112.entries;
   engine_instance = std::move(other112.engine_instance);
+  store_load_ms = other112.store_load_ms;
   __isset = other112.__isset;
 }
 EndpointReport& EndpointReport::operator=(const EndpointReport& other113) {
@@ -3560,6 +3579,7 @@
   kv_tokens_total = other113.kv_tokens_total;
   entries = other113.entries;
   engine_instance = other113.engine_instance;
+  store_load_ms = other113.store_load_ms;
   __isset = other113.__isset;
   return *this;
 }
@@ -3585,6 +3605,7 @@
   kv_tokens_total = other114.kv_tokens_total;
   entries = other114.entries;
   engine_instance = std::move(other114.engine_instance);
+  store_load_ms = other114.store_load_ms;
   __isset = other114.__isset;
   return *this;
 }
@@ -3612,6 +3633,7 @@
   out << ", " << "kv_tokens_total=" << to_string(kv_tokens_total);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "store_load_ms=" << to_string(store_load_ms);
   out << ")";
 }
 
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -1254,7 +1254,7 @@
 std::ostream& operator<<(std::ostream& out, const Subscribe& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false), order_count(false), loading_model(false), loading_left_ms(false), waiting(false), kv_tokens_used(false), kv_tokens_total(false), entries(false), engine_instance(false) {}
+  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false), order_count(false), loading_model(false), loading_left_ms(false), waiting(false), kv_tokens_used(false), kv_tokens_total(false), entries(false), engine_instance(false), store_load_ms(false) {}
   bool endpoint :1;
   bool zone :1;
   bool incarnation :1;
@@ -1276,6 +1276,7 @@
   bool kv_tokens_total :1;
   bool entries :1;
   bool engine_instance :1;
+  bool store_load_ms :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -1303,7 +1304,8 @@
                    kv_tokens_used(0),
                    kv_tokens_total(0),
                    entries(0),
-                   engine_instance() {
+                   engine_instance(),
+                   store_load_ms(0) {
   }
 
   virtual ~EndpointReport() noexcept;
@@ -1328,6 +1330,7 @@
   int64_t kv_tokens_total;
   int32_t entries;
   std::string engine_instance;
+  int64_t store_load_ms;
 
   _EndpointReport__isset __isset;
 
@@ -1373,6 +1376,8 @@
 
   void __set_engine_instance(const std::string& val);
 
+  void __set_store_load_ms(const int64_t val);
+
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -1417,6 +1422,8 @@
       return false;
     if (!(engine_instance == rhs.engine_instance))
       return false;
+    if (!(store_load_ms == rhs.store_load_ms))
+      return false;
     return true;
   }
   bool operator != (const EndpointReport &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -171,6 +171,8 @@
   20: i32 entries
   // The start of the engine that this report is about, as far as known.
   21: string engine_instance
+  // What the latest load from the weight store took here; 0: none lately.
+  22: i64 store_load_ms
 }
 
 // Entry to endpoint, on the call that Subscribe opened: what this entry sends
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds kLoadLimit{30'000};
 /** A report older than this tells entries nothing. */
 constexpr milliseconds kFreshReport{1500};
+/** How long the time of a load from the weight store tells of the next. */
+constexpr std::chrono::seconds kStoreLoadFresh{15};
+/** An overdue load is expected to take this part of its time so far more. */
+constexpr int kOverdueShare = 3;
 /** Places of an engine whose service is not configured yet. */
 constexpr int kUnknownPlaces = 1;
 
@@ -91,7 +95,7 @@
     const core::SteadyTime free =
         wishes_.empty() ? clock_.Now()
                         : std::max(wishes_.back().ready, clock_.Now());
-    wishes_.push_back({wish.model, free + LoadTime(wish.model)});
+    wishes_.push_back({wish.model, free, free + LoadTime(wish.model)});
     changed_.Notify();
     std::exception_ptr failure;
     try {
@@ -124,7 +128,13 @@
     unload.instance = wish.instance;
     co_await CarryOut(unload, wish.deadline);
   }
+  const bool from_store = !HasCopy(wish.model);
+  const core::SteadyTime began = clock_.Now();
   co_await CarryOut(load, wish.deadline);
+  const core::SteadyTime now = clock_.Now();
+  if (from_store) {
+    store_load_ = {std::chrono::duration_cast<milliseconds>(now - began), now};
+  }
   const UsedPart part{wish.model, core::AdapterId()};
   usage_.NoteWanted(part);
 }
@@ -341,6 +351,28 @@
   return times.remote;
 }
 
+bool EngineDesk::HasCopy(const core::ModelId& model) const {
+  return report_.copies.in_memory.contains(model) ||
+         report_.copies.on_disk.contains(model);
+}
+
+/** @return Until the last wish here is expected to be met. */
+milliseconds EngineDesk::OrdersLeft() const {
+  const core::SteadyTime now = clock_.Now();
+  milliseconds left{0};
+  for (const OpenWish& wish : wishes_) {
+    const auto usual =
+        std::chrono::duration_cast<milliseconds>(wish.ready - now);
+    // One that takes longer than usual is likely to take longer still: a load
+    // from the weight store in company takes twice its time.
+    const auto overdue =
+        std::chrono::duration_cast<milliseconds>(now - wish.began) /
+        kOverdueShare;
+    left = std::max(left, usual.count() > 0 ? usual : overdue);
+  }
+  return left;
+}
+
 void EngineDesk::CheckInstance(const fleet::InstanceId& instance) {
   if (instance == instance_) return;
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_instance",
@@ -387,10 +419,10 @@
   out.replicas = Replicas();
   out.memory_tier = Names(report_.copies.in_memory);
   out.disk_tier = Names(report_.copies.on_disk);
-  core::SteadyTime ready = clock_.Now();
-  for (const OpenWish& wish : wishes_) ready = std::max(ready, wish.ready);
-  out.loading_left_ms =
-      std::chrono::duration_cast<milliseconds>(ready - clock_.Now()).count();
+  out.loading_left_ms = OrdersLeft().count();
+  if (store_load_ && clock_.Now() - store_load_->at < kStoreLoadFresh) {
+    out.store_load_ms = store_load_->took.count();
+  }
   if (!wishes_.empty()) out.loading_model = wishes_.front().model.value();
   return out;
 }
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -89,8 +89,14 @@
   /** A wish in progress, for the snapshot. */
   struct OpenWish {
     core::ModelId model;
+    core::SteadyTime began;
     core::SteadyTime ready;
   };
+  /** The latest load from the weight store. */
+  struct StoreLoad {
+    std::chrono::milliseconds took{0};
+    core::SteadyTime at;
+  };
 
   core::Task<> Look();
   core::Task<> EnsureModel(const ModelWish& wish);
@@ -110,6 +116,8 @@
   [[nodiscard]] const routing::EngineSpec* Spec() const;
   [[nodiscard]] std::chrono::milliseconds LoadTime(
       const core::ModelId& model) const;
+  [[nodiscard]] bool HasCopy(const core::ModelId& model) const;
+  [[nodiscard]] std::chrono::milliseconds OrdersLeft() const;
   [[nodiscard]] std::vector<gen::ReplicaReport> Replicas() const;
   void CheckInstance(const fleet::InstanceId& instance);
 
@@ -128,6 +136,7 @@
   std::vector<OpenOrder> open_orders_;
   std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
+  std::optional<StoreLoad> store_load_;
   fleet::InstanceId instance_;
   /** The last look at the engine was answered. */
   bool engine_up_ = true;
--- a/src/policy/wake_up.cc
+++ b/src/policy/wake_up.cc
@@ -19,6 +19,10 @@
 /** A busy engine is slower for everybody: a tie breaker. */
 constexpr milliseconds kPerRunning{2};
 constexpr milliseconds kOtherZone{20};
+/** A load from the weight store holds an engine's one order at a time for four
+ * times as long as one from disk; half of that time somebody else would wake a
+ * model there. */
+constexpr double kDeskShare = 0.5;
 
 /** @return What dropping a model costs its callers, in milliseconds of wait. */
 double EvictionCost(const ResidentModel& resident, const LoadTimes& loads) {
@@ -70,6 +74,10 @@
         candidate.order_left + LoadTimeFrom(loads, candidate.tier);
     double cost = static_cast<double>(ready_in.count()) + room->cost;
     cost += static_cast<double>((candidate.running * kPerRunning).count());
+    if (candidate.tier == Tier::kRemote) {
+      cost +=
+          kDeskShare * static_cast<double>((loads.remote - loads.disk).count());
+    }
     if (!candidate.same_zone) cost += static_cast<double>(kOtherZone.count());
     if (best && cost >= best_cost) continue;
     const milliseconds eviction_cost(
--- a/src/policy/wake_up_test.cc
+++ b/src/policy/wake_up_test.cc
@@ -60,6 +60,20 @@
   BOOST_TEST(plan->engine == 1);
 }
 
+/**
+ * Wake-ups of 2 s become wake-ups of 9 to 18 s, one after the other: a copy is
+ * on the disk of one engine only, its order desk is busy for seconds, and a
+ * load from the weight store elsewhere makes the next desk busy for longer
+ * still.
+ */
+BOOST_AUTO_TEST_CASE(ABusyDeskWithACopyIsWaitedForBeforeTheWeightStore) {
+  WakeUpCandidate busy = FullEngine(Tier::kDisk, 0, 0, 0);
+  busy.order_left = milliseconds(8000);
+  BOOST_TEST(Choose({busy, FullEngine(Tier::kRemote, 0, 0, 0)})->engine == 0);
+  busy.order_left = milliseconds(16'000);
+  BOOST_TEST(Choose({busy, FullEngine(Tier::kRemote, 0, 0, 0)})->engine == 1);
+}
+
 /**
  * Callers of a busy model wait seconds: it was dropped for a rare one, as its
  * engine had the rare model's copy in memory.
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -174,7 +174,7 @@
         feed(fleet::FeedOptions(), links, registry, loads, io.get_executor(),
              clock, log),
         finder(core::ZoneId("z"), registry, feed, loads, clock),
-        waker(finder, feed, registry, io.get_executor(), clock, log),
+        waker(finder, feed, registry, loads, io.get_executor(), clock, log),
         dispatcher(DispatchOptions(), Parts()) {
     Configure(2);
   }
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -30,11 +30,13 @@
 
 ModelWaker::ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
                        fleet::EngineRegistry& registry,
+                       fleet::EngineLoads& loads,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
     : finder_(finder),
       feed_(feed),
       registry_(registry),
+      loads_(loads),
       executor_(executor),
       clock_(clock),
       log_(log) {}
@@ -72,7 +74,9 @@
     views.push_back(std::move(view));
   }
   const routing::ModelSpec& spec = service.engine->models.at(model);
-  return policy::ChooseWakeUp(spec.bytes, spec.load_times, views);
+  policy::LoadTimes loads = spec.load_times;
+  loads.remote = std::max(loads.remote, finder_.StoreLoadTime(service.id));
+  return policy::ChooseWakeUp(spec.bytes, loads, views);
 }
 
 std::optional<milliseconds> ModelWaker::Wake(const routing::Service& service,
@@ -176,13 +180,16 @@
     if (e.code() == core::ErrorCode::kEngineReplaced) {
       registry_.NoteReplaced(instance);
     }
+    if (e.code() == core::ErrorCode::kEngineUnavailable ||
+        e.code() == core::ErrorCode::kLinkLost) {
+      loads_.NoteUnreachable(instance);
+    }
   }
   pending_.erase(target);
   if (failure.empty()) {
-    failures_.erase(target);
     loaded_[target] = Ending{instance, clock_.Now()};
   } else {
-    failures_[target] = Ending{instance, clock_.Now()};
+    failures_[{target, instance}] = clock_.Now();
   }
   log_.Event(LogLevel::kInfo, LogCategory::kReplica,
              failure.empty() ? "woken" : "wake_failed",
@@ -205,9 +212,9 @@
 
 bool ModelWaker::FailedLately(const WakeTarget& target,
                               const fleet::InstanceId& instance) const {
-  const auto it = failures_.find(target);
-  return it != failures_.end() && it->second.instance == instance &&
-         clock_.Now() - it->second.at < kAvoidAfterFailure;
+  const auto it = failures_.find({target, instance});
+  return it != failures_.end() &&
+         clock_.Now() - it->second < kAvoidAfterFailure;
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -37,8 +37,9 @@
  public:
   /** @pre All references outlive the waker. */
   ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
-             fleet::EngineRegistry& registry, const core::Executor& executor,
-             const core::Clock& clock, const core::Logger& log);
+             fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
 
   /**
    * Has a model loaded, unless it is on its way.
@@ -71,7 +72,14 @@
     fleet::InstanceId instance;
     core::SteadyTime ready;
   };
-  /** How the latest wake-up of a model ended, where and when. */
+  /** A wake-up at one engine. */
+  struct Try {
+    WakeTarget target;
+    fleet::InstanceId instance;
+
+    friend auto operator<=>(const Try&, const Try&) = default;
+  };
+  /** Where and when the latest wake-up of a model ended well. */
   struct Ending {
     fleet::InstanceId instance;
     core::SteadyTime at;
@@ -91,12 +99,13 @@
   const ReplicaFinder& finder_;
   fleet::EndpointFeed& feed_;
   fleet::EngineRegistry& registry_;
+  fleet::EngineLoads& loads_;
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
   core::Signal changed_;
   std::map<WakeTarget, Pending> pending_;
-  std::map<WakeTarget, Ending> failures_;
+  std::map<Try, core::SteadyTime> failures_;
   std::map<WakeTarget, Ending> loaded_;
   std::map<WakeTarget, core::SteadyTime> replica_asked_;
 };
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -132,6 +132,7 @@
   std::vector<const fleet::EngineEntry*> engines;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service.id || engine.draining) continue;
+    if (loads_.Unreachable(instance)) continue;
     const fleet::EndpointState* state = feed_.Find(instance);
     if (state == nullptr) continue;
     engines.push_back(&engine);
@@ -187,6 +188,18 @@
   return coming;
 }
 
+milliseconds ReplicaFinder::StoreLoadTime(
+    const core::ServiceId& service) const {
+  milliseconds longest{0};
+  for (const auto& [instance, engine] : registry_.engines()) {
+    if (engine.service != service) continue;
+    const fleet::EndpointState* state = feed_.Find(instance);
+    if (state == nullptr) continue;
+    longest = std::max(longest, milliseconds(state->report.store_load_ms));
+  }
+  return longest;
+}
+
 double ReplicaFinder::Demand(const core::ServiceId& service,
                              const core::ModelId& model) const {
   double demand = 0;
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -57,6 +57,11 @@
   [[nodiscard]] std::vector<ComingModel> FindComing(
       const core::ServiceId& service, const core::ModelId& model) const;
 
+  /** @return What loads from the weight store take now, if any endpoint has
+   * seen one lately; they take longer in company. */
+  [[nodiscard]] milliseconds StoreLoadTime(
+      const core::ServiceId& service) const;
+
   /** @return Requests a second for a model, over all entries. */
   [[nodiscard]] double Demand(const core::ServiceId& service,
                               const core::ModelId& model) const;
