--- a/src/fleet/endpoint_feed_base.h
+++ b/src/fleet/endpoint_feed_base.h
@@ -67,6 +67,11 @@
   /** @return How many entries follow the fleet, this one included. */
   [[nodiscard]] int entries() const;
 
+  /** @return Endpoints that are followed, in reach or not. */
+  [[nodiscard]] int followed() const {
+    return static_cast<int>(followed_.size());
+  }
+
   /** Moves on every report. */
   [[nodiscard]] core::Signal& changed() { return changed_; }
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -153,7 +153,7 @@
   // that the stream has no end.
   const bool cut = refusal && work.caller.begun;
   if (refusal && !cut && !work.caller.left) co_await Refuse(work, *refusal);
-  LogEnd(work);
+  NoteEnd(work);
   if (cut) throw http::ConnectionCut(refusal->detail());
 }
 
@@ -231,6 +231,7 @@
   work.caller.abort = nullptr;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
+  parts_.metrics.SendEnded(work.outcome);
   co_return co_await Conclude(work, std::move(result));
 }
 
@@ -442,7 +443,10 @@
 }
 
 bool Dispatcher::TakeRepeat(const Work& work, double reserve) {
-  return BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
+  const bool allowed =
+      BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
+  parts_.metrics.RepeatAsked(allowed);
+  return allowed;
 }
 
 policy::RepeatBudget& Dispatcher::BudgetOf(const core::ServiceId& service) {
@@ -478,11 +482,17 @@
                 [&alive](const auto& it) { return !alive.contains(it.first); });
 }
 
-void Dispatcher::LogEnd(const Work& work) const {
+void Dispatcher::NoteEnd(const Work& work) const {
   const core::SteadyTime now = parts_.clock.Now();
   const auto since = [&work](core::SteadyTime time) {
     return std::chrono::duration_cast<milliseconds>(time - work.arrived);
   };
+  if (work.route != nullptr) {
+    parts_.metrics.RequestEnded(work.route->kind, work.outcome, since(now));
+    if (work.first_byte) {
+      parts_.metrics.FirstByte(work.route->kind, since(*work.first_byte));
+    }
+  }
   parts_.log.Event(
       LogLevel::kInfo, LogCategory::kRequest, "request_end",
       {{"request", work.request.id},
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -19,6 +19,7 @@
 #include "routing/routing_table_base.h"
 #include "serving/caller_type.h"
 #include "serving/exchange_base.h"
+#include "serving/front_metrics_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
 
@@ -39,6 +40,7 @@
   ModelWaker& waker;
   const CallerWire& caller_wire;
   const EngineWire& engine_wire;
+  FrontMetrics& metrics;
   const core::Clock& clock;
   const core::Logger& log;
 };
@@ -86,7 +88,7 @@
   bool TakeRepeat(const Work& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
   std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
-  void LogEnd(const Work& work) const;
+  void NoteEnd(const Work& work) const;
 
   DispatchOptions options_;
   const DispatchParts parts_;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -174,7 +174,8 @@
         feed(fleet::FeedOptions(), links, registry, loads, io.get_executor(),
              clock, log),
         finder(core::ZoneId("z"), registry, feed, loads, clock),
-        waker(finder, feed, registry, loads, io.get_executor(), clock, log),
+        waker(finder, feed, registry, loads, metrics, io.get_executor(), clock,
+              log),
         dispatcher(DispatchOptions(), Parts()) {
     Configure(2);
   }
@@ -253,6 +254,7 @@
   fleet::EngineLoads loads;
   link::LinkNode links;
   fleet::EndpointFeed feed;
+  FrontMetrics metrics;
   ReplicaFinder finder;
   ModelWaker waker;
   TestCallerWire caller_wire;
@@ -268,8 +270,8 @@
   }
 
   DispatchParts Parts() {
-    return {configuration, registry,    loads,       feed,  finder,
-            waker,         caller_wire, engine_wire, clock, log};
+    return {configuration, registry,    loads,   feed,  finder, waker,
+            caller_wire,   engine_wire, metrics, clock, log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -68,10 +68,10 @@
                       fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
                       const ReplicaFinder& finder, ModelWaker& waker,
                       const CallerWire& caller_wire,
-                      const EngineWire& engine_wire, const core::Clock& clock,
-                      const core::Logger& log) {
-  return {configuration, registry,    loads,       feed,  finder,
-          waker,         caller_wire, engine_wire, clock, log};
+                      const EngineWire& engine_wire, FrontMetrics& metrics,
+                      const core::Clock& clock, const core::Logger& log) {
+  return {configuration, registry,    loads,   feed,  finder, waker,
+          caller_wire,   engine_wire, metrics, clock, log};
 }
 
 http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
@@ -94,20 +94,25 @@
       executor_(executor),
       clock_(clock),
       log_(log),
+      store_(store,
+             [this](std::string_view kind, std::string_view outcome) {
+               metrics_.StoreCall(kind, outcome);
+             }),
       registry_(fleet::RegistryOptions(), clock, log),
       loads_(clock),
       links_(executor, LinkOptionsOf(options_), RefuseCall, NoVersions(), clock,
              log),
       feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
       finder_(options_.zone, registry_, feed_, loads_, clock),
-      waker_(finder_, feed_, registry_, loads_, executor, clock, log),
-      dispatcher_(options_.dispatch,
-                  PartsOf(configuration_, registry_, loads_, feed_, finder_,
-                          waker_, caller_wire, engine_wire, clock, log)),
+      waker_(finder_, feed_, registry_, loads_, metrics_, executor, clock, log),
+      dispatcher_(
+          options_.dispatch,
+          PartsOf(configuration_, registry_, loads_, feed_, finder_, waker_,
+                  caller_wire, engine_wire, metrics_, clock, log)),
       configuration_follower_(FollowOptionsOf(layout_.configuration_key),
-                              ConfigurationHooks(), store, clock, log),
+                              ConfigurationHooks(), store_, clock, log),
       engine_follower_(EngineFollowOptions(layout_.engine_prefix),
-                       EngineHooks(), store, clock, log),
+                       EngineHooks(), store_, clock, log),
       server_(
           executor, options_.listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
@@ -119,12 +124,19 @@
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return AnswerReady(request, writer);
           },
+          log),
+      metrics_server_(
+          executor, options_.metrics_listen, http::ServerLimits(),
+          [this](const http::Request&, http::ResponseWriter& writer) {
+            return AnswerMetrics(writer);
+          },
           log) {}
 
 void Front::Start() {
   links_.Listen(options_.link_listen);
   server_.Start();
   ready_server_.Start();
+  metrics_server_.Start();
   core::Spawn(executor_, log_, "follow_configuration",
               [this] { return configuration_follower_.Run(); });
   core::Spawn(executor_, log_, "follow_engines",
@@ -136,6 +148,31 @@
   return !leaving_ && configuration_.current() != nullptr;
 }
 
+FrontLevels Front::Levels() const {
+  const auto age = [this](std::optional<core::SteadyTime> answered) {
+    if (!answered) return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(clock_.Now() - *answered);
+  };
+  FrontLevels levels;
+  levels.config_version = configuration_.version();
+  levels.requests_in_progress = server_.in_progress();
+  levels.engines_known = static_cast<int>(registry_.engines().size());
+  levels.endpoints_followed = feed_.followed();
+  levels.entries = feed_.entries();
+  levels.ready = Ready();
+  levels.configuration_age = age(configuration_follower_.last_answer());
+  levels.engines_age = age(engine_follower_.last_answer());
+  levels.log = log_.counters();
+  return levels;
+}
+
+core::Task<> Front::AnswerMetrics(http::ResponseWriter& writer) {
+  static constexpr std::string_view kType = "text/plain; version=0.0.4";
+  http::Response response =
+      http::MakeResponse(kOk, kType, metrics_.Text(Levels()));
+  co_await writer.Send(std::move(response));
+}
+
 core::Task<> Front::AnswerReady(const http::Request& request,
                                 http::ResponseWriter& writer) {
   const bool asked = http::PathOf(request.target) == options_.ready_path;
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -10,6 +10,7 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
+#include "external/counting_store_base.h"
 #include "external/key_value_base.h"
 #include "fleet/endpoint_feed_base.h"
 #include "fleet/engine_loads_base.h"
@@ -48,6 +49,8 @@
   std::string link_listen;
   fleet::FeedOptions feed;
   DispatchOptions dispatch;
+  /** For whoever collects metrics. */
+  std::string metrics_listen;
   /** Until the process is killed after it was asked to leave. */
   milliseconds leave_limit{8000};
 };
@@ -72,6 +75,8 @@
 
  private:
   [[nodiscard]] bool Ready() const;
+  [[nodiscard]] FrontLevels Levels() const;
+  core::Task<> AnswerMetrics(http::ResponseWriter& writer);
   core::Task<> AnswerReady(const http::Request& request,
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
@@ -86,6 +91,8 @@
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
+  FrontMetrics metrics_;
+  external::CountingStore store_;
   routing::ConfigurationHolder configuration_;
   fleet::EngineRegistry registry_;
   fleet::EngineLoads loads_;
@@ -98,6 +105,7 @@
   routing::StoreFollower engine_follower_;
   http::Server server_;
   http::Server ready_server_;
+  http::Server metrics_server_;
   bool leaving_ = false;
 };
 
--- /dev/null
+++ b/src/serving/front_metrics.cc
@@ -0,0 +1,146 @@
+/** @file front_metrics.cc What an entry that sends to engines counts. */
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include "serving/front_metrics_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using Seconds = std::chrono::duration<double>;
+
+const prometheus::Histogram::BucketBoundaries kSeconds = {
+    0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 8, 12, 20, 35};
+
+std::string NameOf(routing::RequestKind kind) {
+  switch (kind) {
+    case routing::RequestKind::kIdempotent:
+      return "idempotent";
+    case routing::RequestKind::kNonIdempotent:
+      return "non_idempotent";
+    case routing::RequestKind::kStream:
+      return "stream";
+  }
+  return "";
+}
+
+std::string NameOf(policy::Tier tier) {
+  switch (tier) {
+    case policy::Tier::kMemory:
+      return "memory";
+    case policy::Tier::kDisk:
+      return "disk";
+    case policy::Tier::kRemote:
+      return "remote";
+  }
+  return "";
+}
+
+}  // namespace
+
+struct FrontMetrics::State {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Histogram>& requests =
+      BuildHistogram()
+          .Name("sapphire_front_request_seconds")
+          .Help("Requests from arrival to end, by kind and outcome")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& first_bytes =
+      BuildHistogram()
+          .Name("sapphire_front_first_byte_seconds")
+          .Help("From arrival to the first byte of an engine's answer")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& wake_ups =
+      BuildHistogram()
+          .Name("sapphire_front_wake_up_seconds")
+          .Help("Wake-ups asked of endpoints, by checkpoint tier and outcome")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& sends =
+      BuildCounter()
+          .Name("sapphire_front_sends_total")
+          .Help("Sends of requests to engines, by their end")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& repeats =
+      BuildCounter()
+          .Name("sapphire_front_repeats_total")
+          .Help("Repeats asked of the shared budget, by answer")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& store_calls =
+      BuildCounter()
+          .Name("sapphire_front_store_calls_total")
+          .Help("Calls to the store, by kind and outcome")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& levels =
+      BuildGauge()
+          .Name("sapphire_front_level")
+          .Help("Levels of this entry, by name")
+          .Register(registry);
+};
+
+FrontMetrics::FrontMetrics() : state_(std::make_unique<State>()) {}
+FrontMetrics::~FrontMetrics() = default;
+
+void FrontMetrics::RequestEnded(routing::RequestKind kind,
+                                std::string_view outcome,
+                                std::chrono::milliseconds took) {
+  state_->requests
+      .Add({{"kind", NameOf(kind)}, {"outcome", std::string(outcome)}},
+           kSeconds)
+      .Observe(Seconds(took).count());
+}
+
+void FrontMetrics::FirstByte(routing::RequestKind kind,
+                             std::chrono::milliseconds waited) {
+  state_->first_bytes.Add({{"kind", NameOf(kind)}}, kSeconds)
+      .Observe(Seconds(waited).count());
+}
+
+void FrontMetrics::SendEnded(std::string_view end) {
+  state_->sends.Add({{"end", std::string(end)}}).Increment();
+}
+
+void FrontMetrics::RepeatAsked(bool allowed) {
+  state_->repeats.Add({{"answer", allowed ? "allowed" : "refused"}})
+      .Increment();
+}
+
+void FrontMetrics::WakeUpEnded(policy::Tier tier, std::string_view outcome,
+                               std::chrono::milliseconds took) {
+  state_->wake_ups
+      .Add({{"tier", NameOf(tier)}, {"outcome", std::string(outcome)}},
+           kSeconds)
+      .Observe(Seconds(took).count());
+}
+
+void FrontMetrics::StoreCall(std::string_view kind, std::string_view outcome) {
+  state_->store_calls
+      .Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+std::string FrontMetrics::Text(const FrontLevels& levels) {
+  const auto set = [this](const char* name, auto value) {
+    state_->levels.Add({{"name", name}}).Set(static_cast<double>(value));
+  };
+  set("config_version", levels.config_version);
+  set("requests_in_progress", levels.requests_in_progress);
+  set("engines_known", levels.engines_known);
+  set("endpoints_followed", levels.endpoints_followed);
+  set("entries", levels.entries);
+  set("ready", levels.ready);
+  set("configuration_age_ms", levels.configuration_age.count());
+  set("engines_age_ms", levels.engines_age.count());
+  set("log_lines", levels.log.lines);
+  set("log_bytes", levels.log.bytes);
+  set("log_lines_dropped", levels.log.dropped);
+  return prometheus::TextSerializer().Serialize(state_->registry.Collect());
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/front_metrics_base.h
@@ -0,0 +1,61 @@
+/** @file front_metrics_base.h What an entry that sends to engines counts. */
+#ifndef SAPPHIRE_SERVING_FRONT_METRICS_BASE_H_
+#define SAPPHIRE_SERVING_FRONT_METRICS_BASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/log_sink_base.h"
+#include "policy/placement_type.h"
+#include "routing/route_type.h"
+
+namespace sapphire::serving {
+
+/** Levels read when the metrics are asked for. */
+struct FrontLevels {
+  std::int64_t config_version = 0;
+  int requests_in_progress = 0;
+  int engines_known = 0;
+  int endpoints_followed = 0;
+  int entries = 0;
+  bool ready = false;
+  /** Age of what the store last told. */
+  std::chrono::milliseconds configuration_age{0};
+  std::chrono::milliseconds engines_age{0};
+  core::LogSinkCounters log;
+};
+
+/** No label grows with models, callers or engines. Safe on several threads. */
+class FrontMetrics {
+ public:
+  FrontMetrics();
+  ~FrontMetrics();
+  FrontMetrics(const FrontMetrics&) = delete;
+  FrontMetrics& operator=(const FrontMetrics&) = delete;
+
+  /** @param outcome As in the log's request_end. */
+  void RequestEnded(routing::RequestKind kind, std::string_view outcome,
+                    std::chrono::milliseconds took);
+  void FirstByte(routing::RequestKind kind, std::chrono::milliseconds waited);
+  /** @param end As in the log's send_failed, or "served". */
+  void SendEnded(std::string_view end);
+  void RepeatAsked(bool allowed);
+  /** @param outcome "ok" or the error's name. */
+  void WakeUpEnded(policy::Tier tier, std::string_view outcome,
+                   std::chrono::milliseconds took);
+  void StoreCall(std::string_view kind, std::string_view outcome);
+
+  /** @return Everything, in the Prometheus text format. */
+  std::string Text(const FrontLevels& levels);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_FRONT_METRICS_BASE_H_
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -30,13 +30,14 @@
 
 ModelWaker::ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
                        fleet::EngineRegistry& registry,
-                       fleet::EngineLoads& loads,
+                       fleet::EngineLoads& loads, FrontMetrics& metrics,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
     : finder_(finder),
       feed_(feed),
       registry_(registry),
       loads_(loads),
+      metrics_(metrics),
       executor_(executor),
       clock_(clock),
       log_(log) {}
@@ -101,7 +102,9 @@
               {"ready_in_ms", plan->ready_in},
               {"evict", plan->evict.size()},
               {"eviction_cost_ms", plan->eviction_cost}});
-  Start(target, instance, plan->evict, plan->ready_in);
+  const policy::Tier tier = wakers[plan->engine].view.tier;
+  const core::SteadyTime ready = clock_.Now() + plan->ready_in;
+  Start(target, Pending{instance, ready, tier}, plan->evict);
   return plan->ready_in;
 }
 
@@ -117,7 +120,8 @@
               {"model", model},
               {"adapter", adapter},
               {"instance", instance}});
-  Start(target, instance, {}, kAdapterTime);
+  const core::SteadyTime ready = clock_.Now() + kAdapterTime;
+  Start(target, Pending{instance, ready, policy::Tier::kMemory}, {});
 }
 
 void ModelWaker::AddReplica(const routing::Service& service,
@@ -148,14 +152,15 @@
               {"demand", finder_.Demand(service.id, model)},
               {"ready_in_ms", plan->ready_in},
               {"eviction_cost_ms", plan->eviction_cost}});
-  Start(target, instance, plan->evict, plan->ready_in);
+  const policy::Tier tier = wakers[plan->engine].view.tier;
+  const core::SteadyTime ready = now + plan->ready_in;
+  Start(target, Pending{instance, ready, tier}, plan->evict);
 }
 
-void ModelWaker::Start(const WakeTarget& target,
-                       const fleet::InstanceId& instance,
-                       std::vector<core::ModelId> evict,
-                       milliseconds ready_in) {
-  pending_[target] = Pending{instance, clock_.Now() + ready_in};
+void ModelWaker::Start(const WakeTarget& target, Pending pending,
+                       std::vector<core::ModelId> evict) {
+  const fleet::InstanceId instance = pending.instance;
+  pending_[target] = std::move(pending);
   core::Spawn(executor_, log_, "load_model",
               [this, target, instance, evict = std::move(evict)] {
                 return Load(target, instance, evict);
@@ -173,10 +178,12 @@
   for (const core::ModelId& it : evict) wish.evict.push_back(it.value());
   const core::SteadyTime began = clock_.Now();
   std::string failure;
+  std::string_view outcome = "ok";
   try {
     co_await feed_.Ensure(instance, std::move(wish), kLoadLimit);
   } catch (const core::Error& e) {
     failure = e.what();
+    outcome = core::InfoOf(e.code()).name;
     if (e.code() == core::ErrorCode::kEngineReplaced) {
       registry_.NoteReplaced(instance);
     }
@@ -185,6 +192,9 @@
       loads_.NoteUnreachable(instance);
     }
   }
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(clock_.Now() - began);
+  metrics_.WakeUpEnded(pending_[target].tier, outcome, took);
   pending_.erase(target);
   if (failure.empty()) {
     loaded_[target] = Ending{instance, clock_.Now()};
@@ -196,8 +206,7 @@
              {{"model", target.model},
               {"adapter", target.adapter},
               {"instance", instance},
-              {"took_ms",
-               std::chrono::duration_cast<milliseconds>(clock_.Now() - began)},
+              {"took_ms", took},
               {"error", failure}});
   changed_.Notify();
 }
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -14,6 +14,7 @@
 #include "fleet/endpoint_feed_base.h"
 #include "policy/wake_up_func.h"
 #include "routing/route_type.h"
+#include "serving/front_metrics_base.h"
 #include "serving/replica_finder_base.h"
 
 namespace sapphire::serving {
@@ -38,8 +39,8 @@
   /** @pre All references outlive the waker. */
   ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
              fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
-             const core::Executor& executor, const core::Clock& clock,
-             const core::Logger& log);
+             FrontMetrics& metrics, const core::Executor& executor,
+             const core::Clock& clock, const core::Logger& log);
 
   /**
    * Has a model loaded, unless it is on its way.
@@ -71,6 +72,7 @@
   struct Pending {
     fleet::InstanceId instance;
     core::SteadyTime ready;
+    policy::Tier tier = policy::Tier::kRemote;
   };
   /** A wake-up at one engine. */
   struct Try {
@@ -89,8 +91,8 @@
   std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
                                          const core::ModelId& model,
                                          std::vector<FoundWaker>& wakers) const;
-  void Start(const WakeTarget& target, const fleet::InstanceId& instance,
-             std::vector<core::ModelId> evict, milliseconds ready_in);
+  void Start(const WakeTarget& target, Pending pending,
+             std::vector<core::ModelId> evict);
   core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
                     std::vector<core::ModelId> evict);
   [[nodiscard]] bool FailedLately(const WakeTarget& target,
@@ -100,6 +102,7 @@
   fleet::EndpointFeed& feed_;
   fleet::EngineRegistry& registry_;
   fleet::EngineLoads& loads_;
+  FrontMetrics& metrics_;
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
