--- /dev/null
+++ b/scripts/events_check.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Compares the event names in the code of the road on the platform with docs/OPERATIONS.md.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+in_code=$(cat src/{serving,orders,fleet,routing}/*.cc platform/*.cc src/core/{settings_watch,log_sink,task}.cc |
+  tr '\n' ' ' | grep -oE '(LogCategory::k[A-Za-z]+, *[^;{]*|event=)"?[a-z_]+"?[^;{]*' |
+  grep -oE '"[a-z]+_[a-z_]+"|"(wake|woken|started|leaving|left)"|event=[a-z_]+' |
+  sed -E 's/event=//; s/"//g' | sort -u)
+status=0
+for event in $in_code; do
+  grep -q "\`$event\`" docs/OPERATIONS.md || { echo "docs/OPERATIONS.md: event $event is missing"; status=1; }
+done
+for event in $(sed -n '/^## Events/,/^## /p' docs/OPERATIONS.md | grep -oE '^\| `[a-z_]+`' | tr -d '|` '); do
+  grep -qx "$event" <<< "$in_code" || { echo "docs/OPERATIONS.md: event $event is not in the code"; status=1; }
+done
+exit $status
--- a/src/external/counting_store.cc
+++ b/src/external/counting_store.cc
@@ -28,6 +28,10 @@
   return Counted("list", store_.List(std::move(prefix)));
 }
 
+Task<KvSnapshot> CountingStore::Snapshot(std::string prefix) {
+  return Counted("list", store_.Snapshot(std::move(prefix)));
+}
+
 Task<CasResult> CountingStore::CompareAndSwap(std::string key,
                                               std::int64_t expected,
                                               std::string value,
--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -34,7 +34,7 @@
 SendTicket EngineLoads::Begin(const InstanceId& instance,
                               const SentPart& part) {
   Load& load = loads_[instance];
-  const SendTicket ticket{instance, next_number_++};
+  SendTicket ticket{instance, next_number_++};
   load.sent[ticket.number] = Sent{part, clock_.Now(), false};
   Part& counts = load.parts[part];
   ++counts.running;
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "core/clock_base.h"
@@ -30,7 +31,9 @@
   core::ModelId model;
   core::AdapterId adapter;
 
-  friend auto operator<=>(const SentPart&, const SentPart&) = default;
+  friend bool operator<(const SentPart& a, const SentPart& b) {
+    return std::tie(a.model, a.adapter) < std::tie(b.model, b.adapter);
+  }
 };
 
 /** One request at an engine. */
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -108,7 +108,9 @@
     changed_.Notify();
     if (failure) std::rethrow_exception(failure);
   }
-  if (!wish.adapter.empty()) co_await EnsureAdapter(wish);
+  if (!wish.adapter.empty()) {
+    co_await EnsureAdapter(wish);
+  }
 }
 
 core::Task<> EngineDesk::EnsureModel(const ModelWish& wish) {
--- a/src/orders/model_usage_base.h
+++ b/src/orders/model_usage_base.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "core/clock_base.h"
 #include "core/id_type.h"
@@ -29,7 +30,9 @@
   core::ModelId model;
   core::AdapterId adapter;
 
-  friend auto operator<=>(const UsedPart&, const UsedPart&) = default;
+  friend bool operator<(const UsedPart& a, const UsedPart& b) {
+    return std::tie(a.model, a.adapter) < std::tie(b.model, b.adapter);
+  }
 };
 
 /** Adds up what the entries say they send to one engine. One thread. */
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -28,7 +28,7 @@
 
   core::Task<OrderAnswer> Give(EngineOrder order) override {
     ++orders_given;
-    if (answer_delay.count() > 0) co_await core::SleepFor(answer_delay);
+    co_await core::SleepFor(answer_delay);
     Advance();
     if (lose_next_answer) {
       lose_next_answer = false;
--- a/src/policy/replica_choice.cc
+++ b/src/policy/replica_choice.cc
@@ -36,6 +36,9 @@
 /** From here streams pause too long: worth a load from the weight store, which
  * holds up an engine's other loads for 9 s or, in company, 18 s. */
 constexpr int kCrowded = 24;
+/** Requests a second below which a crowd on an engine is not a model's own:
+ * rare models are asked for every half minute, 0.03 a second. */
+constexpr double kOftenAsked = 0.4;
 /** Requests a second from which a model shall survive the loss of an engine. */
 constexpr double kBusyModel = 1.0;
 
@@ -86,8 +89,8 @@
       Millis(candidate.failure_rate * static_cast<double>(kFailure.count()));
   // The failure met: an engine that takes requests and never answers. Nothing
   // fails for a while, but its oldest request grows older than any usual one.
-  if (candidate.oldest_silence > kUsualSilence)
-    cost += candidate.oldest_silence;
+  const bool silent = candidate.oldest_silence > kUsualSilence;
+  if (silent) cost += candidate.oldest_silence;
   return cost;
 }
 
@@ -113,6 +116,9 @@
              MemoryIsTight(it, RequestSize());
     });
   };
+  // A rare model beside a busy one sees a crowded engine, too; a replica of it
+  // would take the place of a model that somebody asks for.
+  if (demand_per_second < kOftenAsked) return ReplicaNeed::kNone;
   if (all_above(kCrowded)) return ReplicaNeed::kUrgent;
   if (all_above(kFilling)) return ReplicaNeed::kUseful;
   const bool alone = candidates.size() == 1;
--- a/src/policy/replica_choice_test.cc
+++ b/src/policy/replica_choice_test.cc
@@ -82,6 +82,8 @@
   BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kUseful));
   two[1].running = 32;
   BOOST_TEST((NeedForReplica(two, 9.0) == ReplicaNeed::kUrgent));
+  // The crowd is another model's: a rare one gains nothing by a replica.
+  BOOST_TEST((NeedForReplica(two, 0.1) == ReplicaNeed::kNone));
 }
 
 }  // namespace sapphire::policy
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -59,13 +59,16 @@
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
                {{"prefix", options_.prefix}, {"revision", *revision_}});
     revision_.reset();
+    // A store whose history is short may have a gap again at once.
+    co_await core::SleepFor(options_.gather);
     co_return;
   }
   for (external::KvEvent& event : batch.events) {
     hooks_.changed(std::move(event), JustAfterOutage());
   }
   revision_ = std::max(*revision_, batch.revision);
-  if (!batch.events.empty()) co_await core::SleepFor(options_.gather);
+  if (batch.events.empty()) co_return;
+  co_await core::SleepFor(options_.gather);
 }
 
 void StoreFollower::NoteFailure(const std::string& what) {
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -152,7 +152,9 @@
   // In the middle of a stream no other answer can be given: the caller sees
   // that the stream has no end.
   const bool cut = refusal && work.caller.begun;
-  if (refusal && !cut && !work.caller.left) co_await Refuse(work, *refusal);
+  if (refusal && !cut && !work.caller.left) {
+    co_await Refuse(work, *refusal);
+  }
   NoteEnd(work);
   if (cut) throw http::ConnectionCut(refusal->detail());
 }
@@ -194,7 +196,9 @@
 core::Task<> Dispatcher::Run(Work& work) {
   BudgetOf(work.service->id).CountRequest();
   bool over = false;
-  while (!over) over = co_await Attempt(work);
+  while (!over) {
+    over = co_await Attempt(work);
+  }
 }
 
 /** Sends the request once. @return True if it has its final answer. */
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -136,7 +136,9 @@
     head.headers.push_back(
         {"id", std::string(*http::FindHeader(request.headers, "id"))});
     co_await writer.Begin(head);
-    for (const std::string& it : parts) co_await writer.Write(it);
+    for (const std::string& it : parts) {
+      co_await writer.Write(it);
+    }
     if (!whole) throw http::ConnectionCut("test");
     co_await writer.End();
   };
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -8,7 +8,14 @@
 
 namespace {
 
-using namespace testing;
+using testing::Answering;
+using testing::kDrafts;
+using testing::kPlain;
+using testing::RecordingWriter;
+using testing::Rig;
+using testing::Silent;
+using testing::Streaming;
+using testing::TestEngine;
 
 constexpr milliseconds kWait{3000};
 constexpr int kOk = 200;
--- a/src/serving/event_splitter.cc
+++ b/src/serving/event_splitter.cc
@@ -46,7 +46,8 @@
   std::string whole;
   std::size_t begin = 0;
   while (true) {
-    const std::string_view left = std::string_view(rest_).substr(begin);
+    const std::string_view all = rest_;
+    const std::string_view left = all.substr(begin);
     const std::size_t size = EndOfEvent(left);
     if (size == 0) break;
     if (Accept(left.substr(0, size))) whole += left.substr(0, size);
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -69,7 +69,9 @@
     if (failure) co_return *failure;
     answer_ = wire_.Read(stream_->head());
     if (const auto wrong = JudgeHead()) co_return *wrong;
-    if (is_stream && IsSuccess(answer_.status)) co_return co_await Relay();
+    if (is_stream && IsSuccess(answer_.status)) {
+      co_return co_await Relay();
+    }
     co_return co_await PassWhole();
   }
 
@@ -193,8 +195,12 @@
         http::ResponseHead head = answer_.to_caller;
         co_await caller_.writer.Begin(std::move(head));
       }
-      if (!bytes.empty()) co_await caller_.writer.Write(bytes);
-      if (over) co_await caller_.writer.End();
+      if (!bytes.empty()) {
+        co_await caller_.writer.Write(bytes);
+      }
+      if (over) {
+        co_await caller_.writer.End();
+      }
     } catch (const http::TransportError& e) {
       failure = e.what();
     }
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "core/clock_base.h"
@@ -25,7 +26,10 @@
   core::ModelId model;
   core::AdapterId adapter;
 
-  friend auto operator<=>(const WakeTarget&, const WakeTarget&) = default;
+  friend bool operator<(const WakeTarget& a, const WakeTarget& b) {
+    return std::tie(a.service, a.model, a.adapter) <
+           std::tie(b.service, b.model, b.adapter);
+  }
 };
 
 /**
@@ -79,7 +83,9 @@
     WakeTarget target;
     fleet::InstanceId instance;
 
-    friend auto operator<=>(const Try&, const Try&) = default;
+    friend bool operator<(const Try& a, const Try& b) {
+      return std::tie(a.target, a.instance) < std::tie(b.target, b.instance);
+    }
   };
   /** Where and when the latest wake-up of a model ended well. */
   struct Ending {
