--- a/src/link/link_base.h
+++ b/src/link/link_base.h
@@ -76,6 +76,9 @@
   std::function<void(std::shared_ptr<Link>, std::int64_t version)> newer_seen;
 };
 
+/** @return Hooks of a process that carries no configuration on its links. */
+VersionHooks NoVersions();
+
 /** All links of one process. */
 class LinkNode {
  public:
--- a/src/link/link_type.cc
+++ b/src/link/link_type.cc
@@ -1,9 +1,9 @@
 /** @file link_type.cc Refusals as errors, and names of messages. */
-#include "link/link_type.h"
-
 #include <array>
 #include <string_view>
 
+#include "link/link_base.h"
+
 namespace sapphire::link {
 
 gen::Refusal ToRefusal(const core::Error& error) {
@@ -63,4 +63,11 @@
   return "empty";
 }
 
+VersionHooks NoVersions() {
+  VersionHooks hooks;
+  hooks.current = [] { return std::int64_t{0}; };
+  hooks.newer_seen = [](const std::shared_ptr<Link>&, std::int64_t) {};
+  return hooks;
+}
+
 }  // namespace sapphire::link
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -8,9 +8,6 @@
 
 namespace sapphire::orders {
 
-using core::LogCategory;
-using core::LogLevel;
-
 namespace {
 
 link::LinkOptions LinkOptionsOf(const EndpointOptions& options) {
@@ -22,13 +19,6 @@
   return links;
 }
 
-link::VersionHooks NoVersions() {
-  link::VersionHooks hooks;
-  hooks.current = [] { return std::int64_t{0}; };
-  hooks.newer_seen = [](const std::shared_ptr<link::Link>&, std::int64_t) {};
-  return hooks;
-}
-
 routing::FollowOptions FollowOptionsOf(const EndpointOptions& options) {
   routing::FollowOptions follow;
   follow.prefix = options.configuration_key;
@@ -38,9 +28,9 @@
 }  // namespace
 
 Endpoint::Endpoint(const core::Executor& executor, EndpointOptions options,
-                   ReadConfiguration read_configuration, EnginePort& engine,
-                   external::KeyValueStore& store, const core::Clock& clock,
-                   const core::Logger& log)
+                   routing::ReadConfiguration read_configuration,
+                   EnginePort& engine, external::KeyValueStore& store,
+                   const core::Clock& clock, const core::Logger& log)
     : options_(std::move(options)),
       read_configuration_(std::move(read_configuration)),
       executor_(executor),
@@ -52,7 +42,7 @@
           [this](std::shared_ptr<link::Call> call, gen::Message first) {
             return service_.Answer(std::move(call), std::move(first));
           },
-          NoVersions(), clock, log),
+          link::NoVersions(), clock, log),
       follower_(FollowOptionsOf(options_), Hooks(), store, clock, log) {}
 
 void Endpoint::Start() {
@@ -64,29 +54,17 @@
 }
 
 routing::FollowHooks Endpoint::Hooks() {
+  const auto adopt = [this](const external::KvEntry& entry) {
+    routing::AdoptDocument(configuration_, read_configuration_, entry, log_);
+  };
   routing::FollowHooks hooks;
-  hooks.listed = [this](std::vector<external::KvEntry> entries, bool) {
-    for (const external::KvEntry& it : entries) Adopt(it.value);
+  hooks.listed = [adopt](std::vector<external::KvEntry> entries, bool) {
+    for (const external::KvEntry& it : entries) adopt(it);
   };
-  hooks.changed = [this](external::KvEvent event, bool) {
-    if (event.value) Adopt(*event.value);
+  hooks.changed = [adopt](external::KvEvent event, bool) {
+    if (event.value) adopt({event.key, *event.value, event.revision});
   };
   return hooks;
 }
 
-void Endpoint::Adopt(const std::string& value) {
-  std::string failure;
-  bool adopted = false;
-  try {
-    adopted = configuration_.Adopt(read_configuration_(value));
-  } catch (const core::Error& e) {
-    // What was in force before stays.
-    failure = e.what();
-  }
-  log_.Event(failure.empty() ? LogLevel::kInfo : LogLevel::kError,
-             LogCategory::kConfig,
-             adopted ? "config_in_force" : "config_passed_over",
-             {{"config", configuration_.version()}, {"error", failure}});
-}
-
 }  // namespace sapphire::orders
--- a/src/orders/endpoint_base.h
+++ b/src/orders/endpoint_base.h
@@ -2,7 +2,6 @@
 #ifndef SAPPHIRE_ORDERS_ENDPOINT_BASE_H_
 #define SAPPHIRE_ORDERS_ENDPOINT_BASE_H_
 
-#include <functional>
 #include <string>
 
 #include "core/clock_base.h"
@@ -26,27 +25,22 @@
   DeskOptions desk;
 };
 
-/** @throws core::Error for what can't be used. */
-using ReadConfiguration =
-    std::function<routing::Configuration(const std::string& value)>;
-
 /** One thread. */
 class Endpoint {
  public:
   /** @pre All references outlive it. */
   Endpoint(const core::Executor& executor, EndpointOptions options,
-           ReadConfiguration read_configuration, EnginePort& engine,
+           routing::ReadConfiguration read_configuration, EnginePort& engine,
            external::KeyValueStore& store, const core::Clock& clock,
            const core::Logger& log);
 
   void Start();
 
  private:
-  void Adopt(const std::string& value);
   routing::FollowHooks Hooks();
 
   const EndpointOptions options_;
-  const ReadConfiguration read_configuration_;
+  const routing::ReadConfiguration read_configuration_;
   const core::Executor executor_;
   const core::Logger& log_;
   routing::ConfigurationHolder configuration_;
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -3,6 +3,7 @@
 #include <cctype>
 #include <utility>
 
+#include "core/error_type.h"
 #include "routing/routing_table_base.h"
 
 namespace sapphire::routing {
@@ -73,4 +74,22 @@
   return current_ == nullptr ? 0 : current_->configuration().version;
 }
 
+bool AdoptDocument(ConfigurationHolder& holder, const ReadConfiguration& read,
+                   const external::KvEntry& document, const core::Logger& log) {
+  std::string failure;
+  bool adopted = false;
+  try {
+    adopted = holder.Adopt(read(document.value));
+  } catch (const core::Error& e) {
+    failure = e.what();
+  }
+  log.Event(failure.empty() ? core::LogLevel::kInfo : core::LogLevel::kError,
+            core::LogCategory::kConfig,
+            adopted ? "config_in_force" : "config_passed_over",
+            {{"config", holder.version()},
+             {"revision", document.revision},
+             {"error", failure}});
+  return adopted;
+}
+
 }  // namespace sapphire::routing
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -3,12 +3,15 @@
 #define SAPPHIRE_ROUTING_ROUTING_TABLE_BASE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/log_base.h"
+#include "external/key_value_base.h"
 #include "routing/route_type.h"
 
 namespace sapphire::routing {
@@ -68,6 +71,17 @@
   std::shared_ptr<const RoutingTable> current_;
 };
 
+/** @throws core::Error for a text that can't be used. */
+using ReadConfiguration = std::function<Configuration(const std::string& text)>;
+
+/**
+ * Takes a document of the store over if it is newer, and logs it. One that
+ * can't be used changes nothing: what was in force stays.
+ * @return True if it took the place of the one in force.
+ */
+bool AdoptDocument(ConfigurationHolder& holder, const ReadConfiguration& read,
+                   const external::KvEntry& document, const core::Logger& log);
+
 }  // namespace sapphire::routing
 
 #endif  // SAPPHIRE_ROUTING_ROUTING_TABLE_BASE_H_
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -171,8 +171,8 @@
             core::LogLevel::kError, clock),
         registry(fleet::RegistryOptions(), clock, log),
         loads(clock),
-        links(io.get_executor(), link::LinkOptions(), nullptr, Hooks(), clock,
-              log),
+        links(io.get_executor(), link::LinkOptions(), nullptr,
+              link::NoVersions(), clock, log),
         feed(fleet::FeedOptions(), links, registry, loads, io.get_executor(),
              clock, log),
         finder(core::ZoneId("z"), registry, feed, loads, clock),
@@ -265,12 +265,6 @@
   std::vector<std::unique_ptr<TestEngine>> engines;
 
  private:
-  static link::VersionHooks Hooks() {
-    link::VersionHooks hooks;
-    hooks.current = [] { return std::int64_t{0}; };
-    return hooks;
-  }
-
   DispatchParts Parts() {
     return {configuration, registry,    loads,   feed,  finder, waker,
             caller_wire,   engine_wire, metrics, clock, log};
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -44,13 +44,6 @@
   co_return;
 }
 
-link::VersionHooks NoVersions() {
-  link::VersionHooks hooks;
-  hooks.current = [] { return std::int64_t{0}; };
-  hooks.newer_seen = [](const std::shared_ptr<link::Link>&, std::int64_t) {};
-  return hooks;
-}
-
 routing::FollowOptions FollowOptionsOf(const std::string& prefix) {
   routing::FollowOptions options;
   options.prefix = prefix;
@@ -100,8 +93,8 @@
              }),
       registry_(fleet::RegistryOptions(), clock, log),
       loads_(clock),
-      links_(executor, LinkOptionsOf(options_), RefuseCall, NoVersions(), clock,
-             log),
+      links_(executor, LinkOptionsOf(options_), RefuseCall, link::NoVersions(),
+             clock, log),
       feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
       finder_(options_.zone, registry_, feed_, loads_, clock),
       waker_(finder_, feed_, registry_, loads_, metrics_, executor, clock, log),
@@ -195,24 +188,11 @@
 
 void Front::AdoptConfiguration(const external::KvEntry& entry) {
   if (entry.key != layout_.configuration_key) return;
-  std::string failure;
-  bool adopted = false;
-  try {
-    adopted = configuration_.Adopt(layout_.read_configuration(entry.value));
-  } catch (const core::Error& e) {
-    // What was in force before stays.
-    failure = e.what();
-  }
-  if (adopted) {
-    server_.SetLimits(
-        ServerLimitsOf(configuration_.current()->configuration().limits));
-  }
-  log_.Event(failure.empty() ? LogLevel::kInfo : LogLevel::kError,
-             LogCategory::kConfig,
-             adopted ? "config_in_force" : "config_passed_over",
-             {{"config", configuration_.version()},
-              {"revision", entry.revision},
-              {"error", failure}});
+  const bool adopted = routing::AdoptDocument(
+      configuration_, layout_.read_configuration, entry, log_);
+  if (!adopted) return;
+  server_.SetLimits(
+      ServerLimitsOf(configuration_.current()->configuration().limits));
 }
 
 routing::FollowHooks Front::EngineHooks() {
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -30,8 +30,7 @@
   std::string configuration_key;
   std::string engine_prefix;
   /** @throws core::Error for what can't be used. */
-  std::function<routing::Configuration(const std::string& value)>
-      read_configuration;
+  routing::ReadConfiguration read_configuration;
   std::function<fleet::EngineEntry(const std::string& key,
                                    const std::string& value)>
       read_engine;
