--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -16,6 +16,12 @@
 
 /** Longest load; an endpoint that has not answered by then is given up. */
 constexpr milliseconds kLoadLimit{20'000};
+/** A wake-up that takes longer than this may be overtaken by another: a load
+ * from disk takes 2 s. */
+constexpr milliseconds kSlowWakeUp{3000};
+/** Engines register, and endpoints are reached, within this after a start. */
+constexpr milliseconds kGettingToKnow{3000};
+constexpr milliseconds kLookSoon{500};
 /** An engine that failed to load a model is not asked for it again so soon. */
 constexpr milliseconds kAvoidAfterFailure{2000};
 /** Between two tries to add a replica of one model. */
@@ -40,6 +46,7 @@
       metrics_(metrics),
       executor_(executor),
       clock_(clock),
+      began_(clock.Now()),
       log_(log) {}
 
 std::optional<milliseconds> ModelWaker::OnItsWay(
@@ -84,9 +91,19 @@
                                              const core::ModelId& model,
                                              const core::RequestId& request) {
   const WakeTarget target{service.id, model, core::AdapterId()};
-  if (const auto left = OnItsWay(target)) return left;
+  const auto left = OnItsWay(target);
+  if (left && *left < kSlowWakeUp) return left;
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
   const auto plan = Plan(service, model, wakers);
+  // The failure met: an entry that has just started knows few endpoints yet and
+  // begins a load of 9 s from the weight store; for as long every caller of the
+  // model is refused, although another engine, heard of a moment later, would
+  // wake it from its disk in 2 s.
+  const bool faster = plan && left && plan->ready_in + kSlowWakeUp < *left;
+  if (left && !faster) return left;
+  const bool from_store =
+      plan && wakers[plan->engine].view.tier == policy::Tier::kRemote;
+  if (from_store && clock_.Now() - began_ < kGettingToKnow) return kLookSoon;
   if (!plan) {
     log_.Event(
         LogLevel::kInfo, LogCategory::kRequest, "wake_impossible",
@@ -160,14 +177,16 @@
 void ModelWaker::Start(const WakeTarget& target, Pending pending,
                        std::vector<core::ModelId> evict) {
   const fleet::InstanceId instance = pending.instance;
+  const policy::Tier tier = pending.tier;
   pending_[target] = std::move(pending);
   core::Spawn(executor_, log_, "load_model",
-              [this, target, instance, evict = std::move(evict)] {
-                return Load(target, instance, evict);
+              [this, target, instance, tier, evict = std::move(evict)] {
+                return Load(target, instance, tier, evict);
               });
 }
 
 core::Task<> ModelWaker::Load(WakeTarget target, fleet::InstanceId instance,
+                              policy::Tier tier,
                               std::vector<core::ModelId> evict) {
   gen::EnsureModel wish;
   wish.service_id = target.service.value();
@@ -194,8 +213,11 @@
   }
   const auto took =
       std::chrono::duration_cast<milliseconds>(clock_.Now() - began);
-  metrics_.WakeUpEnded(pending_[target].tier, outcome, took);
-  pending_.erase(target);
+  metrics_.WakeUpEnded(tier, outcome, took);
+  const auto pending = pending_.find(target);
+  const bool replaced =
+      pending == pending_.end() || pending->second.instance != instance;
+  if (!replaced) pending_.erase(pending);
   if (failure.empty()) {
     loaded_[target] = Ending{instance, clock_.Now()};
   } else {
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -100,7 +100,7 @@
   void Start(const WakeTarget& target, Pending pending,
              std::vector<core::ModelId> evict);
   core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
-                    std::vector<core::ModelId> evict);
+                    policy::Tier tier, std::vector<core::ModelId> evict);
   [[nodiscard]] bool FailedLately(const WakeTarget& target,
                                   const fleet::InstanceId& instance) const;
 
@@ -111,6 +111,7 @@
   FrontMetrics& metrics_;
   const core::Executor executor_;
   const core::Clock& clock_;
+  const core::SteadyTime began_;
   const core::Logger& log_;
   core::Signal changed_;
   std::map<WakeTarget, Pending> pending_;
