--- a/src/orders/model_usage.cc
+++ b/src/fleet/model_usage.cc
@@ -1,9 +1,9 @@
 /** @file model_usage.cc Which models of one engine are in use. */
 #include <cmath>
 
-#include "orders/model_usage_base.h"
+#include "fleet/model_usage_base.h"
 
-namespace sapphire::orders {
+namespace sapphire::fleet {
 
 namespace {
 
@@ -58,4 +58,4 @@
   return demand.per_second * std::exp(-age.count() / kAverageSeconds);
 }
 
-}  // namespace sapphire::orders
+}  // namespace sapphire::fleet
--- a/src/orders/model_usage_base.h
+++ b/src/fleet/model_usage_base.h
@@ -1,6 +1,6 @@
 /** @file model_usage_base.h Which models of one engine are in use. */
-#ifndef SAPPHIRE_ORDERS_MODEL_USAGE_BASE_H_
-#define SAPPHIRE_ORDERS_MODEL_USAGE_BASE_H_
+#ifndef SAPPHIRE_FLEET_MODEL_USAGE_BASE_H_
+#define SAPPHIRE_FLEET_MODEL_USAGE_BASE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include "core/id_type.h"
 #include "gen/link_types.h"
 
-namespace sapphire::orders {
+namespace sapphire::fleet {
 
 /** Use of a model or adapter, over all entries. */
 struct Usage {
@@ -71,6 +71,6 @@
   std::map<UsedPart, Demand> demand_;
 };
 
-}  // namespace sapphire::orders
+}  // namespace sapphire::fleet
 
-#endif  // SAPPHIRE_ORDERS_MODEL_USAGE_BASE_H_
+#endif  // SAPPHIRE_FLEET_MODEL_USAGE_BASE_H_
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -137,7 +137,7 @@
   if (from_store) {
     store_load_ = {std::chrono::duration_cast<milliseconds>(now - began), now};
   }
-  const UsedPart part{wish.model, core::AdapterId()};
+  const fleet::UsedPart part{wish.model, core::AdapterId()};
   usage_.NoteWanted(part);
 }
 
@@ -188,7 +188,7 @@
     co_await CarryOut(unload, wish.deadline);
   }
   co_await CarryOut(load, wish.deadline);
-  const UsedPart part{wish.model, wish.adapter};
+  const fleet::UsedPart part{wish.model, wish.adapter};
   usage_.NoteWanted(part);
 }
 
@@ -385,7 +385,7 @@
 std::vector<gen::ReplicaReport> EngineDesk::Replicas() const {
   std::vector<gen::ReplicaReport> replicas;
   for (const fleet::HeldModel& held : report_.models) {
-    const Usage usage = usage_.Of({held.model, core::AdapterId()});
+    const fleet::Usage usage = usage_.Of({held.model, core::AdapterId()});
     gen::ReplicaReport replica;
     replica.model = held.model.value();
     replica.state = gen::ReplicaState::READY;
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -13,10 +13,10 @@
 #include "core/signal_base.h"
 #include "core/task_type.h"
 #include "external/key_value_base.h"
+#include "fleet/model_usage_base.h"
 #include "gen/link_types.h"
 #include "orders/engine_port_base.h"
 #include "orders/memory_plan_func.h"
-#include "orders/model_usage_base.h"
 #include "orders/order_lane_base.h"
 #include "routing/routing_table_base.h"
 
@@ -75,7 +75,7 @@
   /** @return The state of the engine, for entries. */
   [[nodiscard]] gen::EndpointReport Snapshot() const;
 
-  [[nodiscard]] ModelUsage& usage() { return usage_; }
+  [[nodiscard]] fleet::ModelUsage& usage() { return usage_; }
 
   /** Moves on every change of the snapshot. */
   [[nodiscard]] core::Signal& changed() { return changed_; }
@@ -127,7 +127,7 @@
   const routing::ConfigurationHolder& configuration_;
   const core::Clock& clock_;
   const core::Logger& log_;
-  ModelUsage usage_;
+  fleet::ModelUsage usage_;
   core::Signal changed_;
   OrderLane model_lane_;
   OrderLane adapter_lane_;
--- a/src/orders/memory_plan.cc
+++ b/src/orders/memory_plan.cc
@@ -13,7 +13,7 @@
 /** An adapter of a request in progress is told of within two usage reports. */
 constexpr std::chrono::milliseconds kJustUsed{700};
 
-bool UsedWithin(const Usage& usage, core::SteadyTime now,
+bool UsedWithin(const fleet::Usage& usage, core::SteadyTime now,
                 std::chrono::milliseconds time) {
   if (usage.running > 0) return true;
   return usage.last_begun && now - *usage.last_begun < time;
@@ -89,7 +89,7 @@
   const fleet::HeldModel* best = nullptr;
   double best_demand = 0;
   for (const fleet::HeldModel& it : state.report->models) {
-    const Usage usage = state.usage->Of({it.model, core::AdapterId()});
+    const fleet::Usage usage = state.usage->Of({it.model, core::AdapterId()});
     if (it.model == keep) continue;
     if (UsedWithin(usage, state.now, kJustLoaded)) continue;
     const bool wished =
@@ -115,7 +115,7 @@
   core::SteadyTime best_used;
   for (const fleet::HeldModel& held : state.report->models) {
     for (const core::AdapterId& adapter : held.adapters) {
-      const Usage usage = state.usage->Of({held.model, adapter});
+      const fleet::Usage usage = state.usage->Of({held.model, adapter});
       if (UsedWithin(usage, state.now, kJustUsed)) continue;
       const core::SteadyTime used =
           usage.last_begun.value_or(core::SteadyTime());
--- a/src/orders/memory_plan_func.h
+++ b/src/orders/memory_plan_func.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "core/clock_base.h"
+#include "fleet/model_usage_base.h"
 #include "orders/engine_port_base.h"
-#include "orders/model_usage_base.h"
 #include "routing/route_type.h"
 
 namespace sapphire::orders {
@@ -17,7 +17,7 @@
 struct MemoryState {
   const routing::EngineSpec* spec = nullptr;
   const EngineReport* report = nullptr;
-  const ModelUsage* usage = nullptr;
+  const fleet::ModelUsage* usage = nullptr;
   /** Loads that the report does not show yet: on their way, in progress, or of
    * unknown outcome. Each may still take its memory. */
   std::vector<EngineOrder> open_loads;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -195,6 +195,7 @@
 
 core::Task<> Dispatcher::Run(Work& work) {
   BudgetOf(work.service->id).CountRequest();
+  if (work.service->engine) parts_.waker.NoteAsked(work.request.model);
   bool over = false;
   while (!over) {
     over = co_await Attempt(work);
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -22,6 +22,14 @@
 /** Engines register, and endpoints are reached, within this after a start. */
 constexpr milliseconds kGettingToKnow{3000};
 constexpr milliseconds kLookSoon{500};
+/** Requests a second from which a model counts as busy: rare ones are asked for
+ * every half minute. */
+constexpr double kOftenAsked = 0.4;
+/** Loads of rare models from the weight store at once. Origin: it serves 4 at
+ * full speed; the others stay free for busy models. */
+constexpr int kLanesForRareModels = 2;
+/** A rare model that has to let others go first waits its turn and its load. */
+constexpr int kLaneTurns = 2;
 /** An engine that failed to load a model is not asked for it again so soon. */
 constexpr milliseconds kAvoidAfterFailure{2000};
 /** Between two tries to add a replica of one model. */
@@ -47,6 +55,7 @@
       executor_(executor),
       clock_(clock),
       began_(clock.Now()),
+      asked_(clock),
       log_(log) {}
 
 std::optional<milliseconds> ModelWaker::OnItsWay(
@@ -87,6 +96,18 @@
   return policy::ChooseWakeUp(spec.bytes, loads, views);
 }
 
+/**
+ * The failure met: engines are lost, rare models are fetched from the weight
+ * store in company, each load takes 16 s instead of 9 s and blocks the desk of
+ * an engine that has a busy model on its disk.
+ */
+bool ModelWaker::LanesAreForOthers(const routing::Service& service,
+                                   const core::ModelId& model) const {
+  const double asked_here = asked_.Of({model, core::AdapterId()}).demand;
+  if (asked_here * feed_.entries() > kOftenAsked) return false;
+  return finder_.StoreLoads(service.id) >= kLanesForRareModels;
+}
+
 std::optional<milliseconds> ModelWaker::Wake(const routing::Service& service,
                                              const core::ModelId& model,
                                              const core::RequestId& request) {
@@ -104,6 +125,9 @@
   const bool from_store =
       plan && wakers[plan->engine].view.tier == policy::Tier::kRemote;
   if (from_store && clock_.Now() - began_ < kGettingToKnow) return kLookSoon;
+  if (from_store && LanesAreForOthers(service, model)) {
+    return kLaneTurns * plan->ready_in;
+  }
   if (!plan) {
     log_.Event(
         LogLevel::kInfo, LogCategory::kRequest, "wake_impossible",
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -13,6 +13,7 @@
 #include "core/signal_base.h"
 #include "core/task_type.h"
 #include "fleet/endpoint_feed_base.h"
+#include "fleet/model_usage_base.h"
 #include "policy/wake_up_func.h"
 #include "routing/route_type.h"
 #include "serving/front_metrics_base.h"
@@ -46,6 +47,11 @@
              FrontMetrics& metrics, const core::Executor& executor,
              const core::Clock& clock, const core::Logger& log);
 
+  /** A caller has asked for the model, whether it is loaded or not. */
+  void NoteAsked(const core::ModelId& model) {
+    asked_.NoteWanted({model, core::AdapterId()});
+  }
+
   /**
    * Has a model loaded, unless it is on its way.
    * @return When it is expected to serve; nothing if no engine can take it.
@@ -93,6 +99,8 @@
     core::SteadyTime at;
   };
 
+  [[nodiscard]] bool LanesAreForOthers(const routing::Service& service,
+                                       const core::ModelId& model) const;
   std::optional<milliseconds> OnItsWay(const WakeTarget& target) const;
   std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
                                          const core::ModelId& model,
@@ -114,6 +122,8 @@
   const core::SteadyTime began_;
   const core::Logger& log_;
   core::Signal changed_;
+  /** What callers ask this entry for. */
+  fleet::ModelUsage asked_;
   std::map<WakeTarget, Pending> pending_;
   std::map<Try, core::SteadyTime> failures_;
   std::map<WakeTarget, Ending> loaded_;
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -31,6 +31,7 @@
             },
             link::NoVersions(), clock, log) {
     report.engine_up = true;
+    report.entries = 1;
     address = links.Listen(listen);
   }
 
@@ -167,4 +168,29 @@
   BOOST_TEST(near.wishes == 1);
 }
 
+/**
+ * Callers of a busy model are refused for 16 s: rare models that are on no disk
+ * any more are fetched in company, and the weight store serves four at once.
+ */
+BOOST_AUTO_TEST_CASE(RareModelsLeaveTheWeightStoreToBusyOnes) {
+  Rig rig;
+  rig.waker_clock.Advance(std::chrono::seconds(4));
+  rig.endpoint.report.loading_model = "other";
+  rig.AwaitReports(3);
+  const std::size_t colon = rig.endpoint.address.rfind(':');
+  TestEndpoint second(rig.io, rig.clock, rig.log,
+                      "127.0.0.2" + rig.endpoint.address.substr(colon));
+  second.report.loading_model = "another";
+  rig.AddEngine("i-2", "127.0.0.2:1");
+  entry::testing::RunUntil(rig.io, [&] {
+    return rig.feed.Find(fleet::InstanceId("i-2")) != nullptr;
+  });
+  rig.waker.NoteAsked(kModel);
+  BOOST_TEST(
+      (*rig.waker.Wake(rig.service, kModel, kRequest) > milliseconds(16'000)));
+  for (int i = 0; i < 10; ++i) rig.waker.NoteAsked(kModel);
+  BOOST_TEST(
+      (*rig.waker.Wake(rig.service, kModel, kRequest) == milliseconds(8600)));
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -200,6 +200,18 @@
   return longest;
 }
 
+int ReplicaFinder::StoreLoads(const core::ServiceId& service) const {
+  int loads = 0;
+  for (const auto& [instance, engine] : registry_.engines()) {
+    if (engine.service != service) continue;
+    const fleet::EndpointState* state = feed_.Find(instance);
+    if (state == nullptr || state->report.loading_model.empty()) continue;
+    const core::ModelId loading(state->report.loading_model);
+    if (TierOf(state->report, loading) == policy::Tier::kRemote) ++loads;
+  }
+  return loads;
+}
+
 double ReplicaFinder::Demand(const core::ServiceId& service,
                              const core::ModelId& model) const {
   double demand = 0;
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -62,6 +62,9 @@
   [[nodiscard]] milliseconds StoreLoadTime(
       const core::ServiceId& service) const;
 
+  /** @return How many engines load from the weight store now. */
+  [[nodiscard]] int StoreLoads(const core::ServiceId& service) const;
+
   /** @return Requests a second for a model, over all entries. */
   [[nodiscard]] double Demand(const core::ServiceId& service,
                               const core::ModelId& model) const;
