--- a/src/entry/sapphire_entry_main.cc
+++ b/src/entry/sapphire_entry_main.cc
@@ -13,23 +13,12 @@
 #include "entry/entry_settings_base.h"
 #include "external/counting_store_base.h"
 #include "external/external_func.h"
+#include "policy/placement_func.h"
 
 namespace sapphire::entry {
 
 namespace {
 
-std::string_view TierName(policy::Tier tier) {
-  switch (tier) {
-    case policy::Tier::kMemory:
-      return "memory";
-    case policy::Tier::kDisk:
-      return "disk";
-    case policy::Tier::kRemote:
-      return "remote";
-  }
-  return "";
-}
-
 link::LinkOptions LinkOptionsFrom(const core::Settings& settings) {
   link::LinkOptions options;
   options.self.vm = settings.String("vm");
@@ -49,7 +38,7 @@
   options.gone_grace = settings.Millis("gone_grace_ms");
   options.cold_start_seen = [&metrics](policy::Tier tier,
                                        std::chrono::milliseconds waited) {
-    metrics.ColdStart(TierName(tier), waited);
+    metrics.ColdStart(policy::TierName(tier), waited);
   };
   return options;
 }
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -379,4 +379,16 @@
   return ranked;
 }
 
+std::string_view TierName(Tier tier) {
+  switch (tier) {
+    case Tier::kMemory:
+      return "memory";
+    case Tier::kDisk:
+      return "disk";
+    case Tier::kRemote:
+      return "remote";
+  }
+  return "";
+}
+
 }  // namespace sapphire::policy
--- a/src/policy/placement_func.h
+++ b/src/policy/placement_func.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_POLICY_PLACEMENT_FUNC_H_
 
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "policy/placement_type.h"
@@ -23,6 +24,9 @@
 /** @return The tier this endpoint would load `model` from. */
 Tier TierAt(const EndpointView& endpoint, const core::ModelId& model);
 
+/** @return "memory", "disk" or "remote". */
+std::string_view TierName(Tier tier);
+
 /** @return The expected load time from `tier`. */
 Millis LoadTimeFrom(const LoadTimes& loads, Tier tier);
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -6,6 +6,7 @@
 #include "core/random_func.h"
 #include "core/task_func.h"
 #include "serving/dispatcher_base.h"
+#include "serving/send_limits_func.h"
 
 namespace sapphire::serving {
 
@@ -17,8 +18,6 @@
 
 namespace {
 
-/** The engine's own answer to a passed deadline is on its way then. */
-constexpr milliseconds kDeadlineGrace{80};
 /** Longest wait between two looks at the fleet. */
 constexpr milliseconds kLookAgain{100};
 /** When to come back if nothing better is known. */
@@ -29,15 +28,6 @@
 constexpr milliseconds kUsualStream{5200};
 /** Least time in which a request can still be served. */
 constexpr milliseconds kLeastTime{30};
-/** Without a word for this long in its middle, a stream goes on elsewhere:
- * ten times the usual pause of a full engine, below what callers bear. */
-constexpr milliseconds kStreamSilence{1500};
-/** A first byte later than this many objectives is not waited for, if the
- * request may run again. */
-constexpr int kObjectivesToFirstByte = 2;
-constexpr milliseconds kFirstByteSlack{500};
-/** Part of the time left that the first try of an idempotent request gets. */
-constexpr double kFirstTryShare = 0.5;
 /** Repeats after an engine's own failure leave half of the budget to those
  * after lost engines. */
 constexpr double kFailureReserve = 0.5;
@@ -227,7 +217,8 @@
     if (!work.first_byte) work.first_byte = parts_.clock.Now();
   };
   ExchangeResult result = co_await RunExchange(
-      *client, parts_.engine_wire, work.request, send, LimitsOf(work),
+      *client, parts_.engine_wire, work.request, send,
+      LimitsOfSend({work.route, work.deadline, Left(work), work.runs}),
       is_stream, work.caller, parts_.clock, std::move(first_byte));
   parts_.loads.End(ticket, ResultOf(result));
   if (result.unreachable) parts_.loads.NoteUnreachable(work.engine);
@@ -249,29 +240,6 @@
   parts_.loads.NotePrefix(work.engine, work.request.model, hashes);
 }
 
-ExchangeLimits Dispatcher::LimitsOf(const Work& work) const {
-  ExchangeLimits limits;
-  limits.deadline = work.deadline + kDeadlineGrace;
-  limits.first_byte = Left(work) + kDeadlineGrace;
-  limits.pause = limits.first_byte;
-  limits.fresh_connection =
-      work.route->kind == RequestKind::kNonIdempotent ||
-      (work.route->kind == RequestKind::kStream && !work.route->resumable);
-  const bool last = work.runs + 1 >= work.route->max_engines;
-  if (last || limits.fresh_connection) return limits;
-  if (work.route->kind == RequestKind::kStream) {
-    const milliseconds usual =
-        kObjectivesToFirstByte * work.route->objective + kFirstByteSlack;
-    limits.first_byte = std::min(limits.first_byte, usual);
-    limits.pause = std::min(limits.pause, kStreamSilence);
-  } else {
-    const auto share = static_cast<milliseconds::rep>(
-        static_cast<double>(Left(work).count()) * kFirstTryShare);
-    limits.first_byte = std::min(limits.first_byte, milliseconds(share));
-  }
-  return limits;
-}
-
 /** @return True if the request has its final answer now. */
 core::Task<bool> Dispatcher::Conclude(Work& work, ExchangeResult result) {
   const bool may_have_run = result.end != ExchangeEnd::kNotRun;
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -80,7 +80,6 @@
   void NotePrefix(const Work& work);
   void Check(Work& work) const;
   void Resolve(Work& work) const;
-  [[nodiscard]] ExchangeLimits LimitsOf(const Work& work) const;
   [[nodiscard]] bool MayRunAgain(const Work& work) const;
   [[nodiscard]] milliseconds Left(const Work& work) const;
   [[nodiscard]] milliseconds PatienceLeft(const Work& work) const;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -5,6 +5,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "policy/placement_func.h"
 #include "serving/front_metrics_base.h"
 
 namespace sapphire::serving {
@@ -31,18 +32,6 @@
   return "";
 }
 
-std::string NameOf(policy::Tier tier) {
-  switch (tier) {
-    case policy::Tier::kMemory:
-      return "memory";
-    case policy::Tier::kDisk:
-      return "disk";
-    case policy::Tier::kRemote:
-      return "remote";
-  }
-  return "";
-}
-
 }  // namespace
 
 struct FrontMetrics::State {
@@ -114,7 +103,8 @@
 void FrontMetrics::WakeUpEnded(policy::Tier tier, std::string_view outcome,
                                std::chrono::milliseconds took) {
   state_->wake_ups
-      .Add({{"tier", NameOf(tier)}, {"outcome", std::string(outcome)}},
+      .Add({{"tier", std::string(policy::TierName(tier))},
+            {"outcome", std::string(outcome)}},
            kSeconds)
       .Observe(Seconds(took).count());
 }
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -5,6 +5,7 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
+#include "policy/placement_func.h"
 #include "serving/model_waker_base.h"
 
 namespace sapphire::serving {
@@ -139,7 +140,7 @@
              {{"request", request},
               {"model", model},
               {"instance", instance},
-              {"tier", static_cast<int>(wakers[plan->engine].view.tier)},
+              {"tier", policy::TierName(wakers[plan->engine].view.tier)},
               {"ready_in_ms", plan->ready_in},
               {"evict", plan->evict.size()},
               {"eviction_cost_ms", plan->eviction_cost}});
