--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -1,5 +1,6 @@
 /** @file dispatcher.cc Takes a caller's request to its final answer. */
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/error_type.h"
@@ -54,6 +55,14 @@
   return "";
 }
 
+std::vector<policy::ReplicaCandidate> ViewsOf(
+    const std::vector<FoundReplica>& found) {
+  std::vector<policy::ReplicaCandidate> views;
+  views.reserve(found.size());
+  for (const FoundReplica& it : found) views.push_back(it.view);
+  return views;
+}
+
 fleet::SendResult ResultOf(const ExchangeResult& result) {
   switch (result.end) {
     case ExchangeEnd::kServed:
@@ -216,10 +225,11 @@
     NotePrefix(work);
     if (!work.first_byte) work.first_byte = parts_.clock.Now();
   };
+  const SendState state{work.route, work.deadline, Left(work), work.runs};
+  const ExchangeLimits limits = LimitsOfSend(state);
   ExchangeResult result = co_await RunExchange(
-      *client, parts_.engine_wire, work.request, send,
-      LimitsOfSend({work.route, work.deadline, Left(work), work.runs}),
-      is_stream, work.caller, parts_.clock, std::move(first_byte));
+      *client, parts_.engine_wire, work.request, send, limits, is_stream,
+      work.caller, parts_.clock, std::move(first_byte));
   parts_.loads.End(ticket, ResultOf(result));
   if (result.unreachable) parts_.loads.NoteUnreachable(work.engine);
   if (result.replaced) parts_.registry.NoteReplaced(work.engine);
@@ -310,46 +320,56 @@
     // All have failed or refused it: any that is there may do by now.
     found = parts_.finder.Find(work.service->id, work.request, {});
   }
+  if (auto loaded = JustLoaded(work, found)) return loaded;
+  if (!work.request.model.empty()) WatchCrowd(work, found);
+  std::vector<FoundReplica> ready;
+  std::ranges::copy_if(found, std::back_inserter(ready),
+                       &FoundReplica::has_adapter);
+  if (auto best = Cheapest(work, ready)) return best;
+  if (const auto holder = Cheapest(work, found)) {
+    parts_.waker.WakeAdapter(work.service->id, *holder, work.request.model,
+                             work.request.adapter, work.request.id);
+  }
+  return std::nullopt;
+}
+
+/** @return The engine that has just loaded the model, if no report has told so
+ * yet. */
+std::optional<fleet::InstanceId> Dispatcher::JustLoaded(
+    const Work& work, const std::vector<FoundReplica>& found) const {
   const WakeTarget target{work.service->id, work.request.model,
                           work.request.adapter};
-  if (const auto loaded = parts_.waker.JustLoaded(target)) {
-    const bool listed = std::ranges::any_of(found, [&](const FoundReplica& it) {
-      return it.instance == *loaded && it.has_adapter;
-    });
-    const fleet::EngineEntry* engine = parts_.registry.Find(*loaded);
-    if (!listed && engine != nullptr && !engine->draining &&
-        !work.avoid.contains(*loaded)) {
-      return *loaded;
-    }
-  }
-  std::vector<policy::ReplicaCandidate> views;
-  std::vector<fleet::InstanceId> instances;
-  std::vector<policy::ReplicaCandidate> holders;
-  for (const FoundReplica& it : found) {
-    holders.push_back(it.view);
-    if (!it.has_adapter) continue;
-    views.push_back(it.view);
-    instances.push_back(it.instance);
-  }
+  auto loaded = parts_.waker.JustLoaded(target);
+  if (!loaded || work.avoid.contains(*loaded)) return std::nullopt;
+  const bool told = std::ranges::any_of(found, [&](const FoundReplica& it) {
+    return it.instance == *loaded && it.has_adapter;
+  });
+  const fleet::EngineEntry* engine = parts_.registry.Find(*loaded);
+  if (told || engine == nullptr || engine->draining) return std::nullopt;
+  return loaded;
+}
+
+/** Has one more engine load a model whose engines are crowded. */
+void Dispatcher::WatchCrowd(const Work& work,
+                            const std::vector<FoundReplica>& holders) {
+  if (holders.empty()) return;
+  const std::vector<policy::ReplicaCandidate> views = ViewsOf(holders);
+  const double demand =
+      parts_.finder.Demand(work.service->id, work.request.model);
+  parts_.waker.AddReplica(*work.service, work.request.model,
+                          policy::NeedForReplica(views, demand));
+}
+
+std::optional<fleet::InstanceId> Dispatcher::Cheapest(
+    const Work& work, const std::vector<FoundReplica>& found) const {
+  const std::vector<policy::ReplicaCandidate> views = ViewsOf(found);
   policy::RequestSize size;
   size.prompt_tokens = work.request.prompt_tokens;
   size.max_output_tokens = work.request.max_output_tokens;
   if (work.request.model.empty()) size.service_time = work.route->objective;
-  if (!work.request.model.empty() && !holders.empty()) {
-    const double demand =
-        parts_.finder.Demand(work.service->id, work.request.model);
-    parts_.waker.AddReplica(*work.service, work.request.model,
-                            policy::NeedForReplica(holders, demand));
-  }
   const auto best = policy::ChooseReplica(views, size, options_.pace);
-  if (best) return instances[*best];
-  const auto holder = policy::ChooseReplica(holders, size, options_.pace);
-  if (holder) {
-    parts_.waker.WakeAdapter(work.service->id, found[*holder].instance,
-                             work.request.model, work.request.adapter,
-                             work.request.id);
-  }
-  return std::nullopt;
+  if (!best) return std::nullopt;
+  return found[*best].instance;
 }
 
 /** Has the model loaded. @return When it is expected to serve. */
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -73,6 +73,11 @@
   core::Task<bool> Attempt(Work& work);
   core::Task<fleet::InstanceId> Choose(Work& work);
   std::optional<fleet::InstanceId> ChooseNow(Work& work);
+  std::optional<fleet::InstanceId> JustLoaded(
+      const Work& work, const std::vector<FoundReplica>& found) const;
+  void WatchCrowd(const Work& work, const std::vector<FoundReplica>& holders);
+  std::optional<fleet::InstanceId> Cheapest(
+      const Work& work, const std::vector<FoundReplica>& found) const;
   milliseconds WakeModel(Work& work);
   core::Task<bool> Conclude(Work& work, ExchangeResult result);
   core::Task<> Answer(Work& work, http::Response response);
