--- a/src/contract/config_pull.cc
+++ b/src/contract/config_pull.cc
@@ -106,7 +106,7 @@
 
   /** Starts a pull unless one runs; called for every frame of a newer peer. */
   void NewerSeen(const std::shared_ptr<link::Link>& link) {
-    if (Resting(link->peer().vm) || pulling.exchange(true)) return;
+    if (Resting(link->peer().vm) || !Begin(link)) return;
     core::Spawn(executor, log, "config_pull",
                 [self = shared_from_this(), link] { return Run(self, link); });
   }
@@ -125,7 +125,7 @@
     }
     const core::VmId peer = link->peer().vm;
     if (!failure.empty()) self->SetResting(peer, true);
-    self->pulling = false;
+    self->End();
     if (failure.empty()) co_return;
     self->log.Event(LogLevel::kWarning, LogCategory::kConfig,
                     "config_pull_failed", {{"peer", peer}, {"error", failure}});
@@ -133,6 +133,31 @@
     self->SetResting(peer, false);
   }
 
+  /** @return True if a pull may start; else its peer is asked afterwards. */
+  bool Begin(const std::shared_ptr<link::Link>& link) {
+    const std::lock_guard lock(mutex);
+    if (pulling) {
+      missed = link;
+      return false;
+    }
+    pulling = true;
+    return true;
+  }
+
+  // Guards against a version that is told of while a pull is ending: the peer
+  // tells it once, and without this the process stays behind until the peer
+  // sends its next frame.
+  void End() {
+    std::shared_ptr<link::Link> again;
+    {
+      const std::lock_guard lock(mutex);
+      pulling = false;
+      again = std::exchange(missed, nullptr);
+    }
+    if (again == nullptr || again->lost()) return;
+    if (again->peer().config_version > holder.version()) NewerSeen(again);
+  }
+
   bool Resting(const core::VmId& peer) {
     const std::lock_guard lock(mutex);
     return resting.contains(peer);
@@ -164,8 +189,10 @@
   ConfigHolder& holder;
   PartCache& parts;
   const core::Logger& log;
-  std::atomic<bool> pulling = false;
   std::mutex mutex;
+  bool pulling = false;
+  /** The last peer that told of a newer version during a pull. */
+  std::shared_ptr<link::Link> missed;
   /** Peers that are not asked for now. */
   std::set<core::VmId> resting;
 };
