Requests that crash engines are refused by every entry after the second crash

Cause: this road did not recognise a request that crashes each engine that begins to run it; its caller sends it again to any entry, and engine after engine restarts. Change: CrashWatch suspects a request whose connection to the engine ended without an answer and asks whether the engine still takes connections; counts are shared through the quarantine in the store, which moves from src/entry to src/crash and is one copy for both roads. The quarantine watches from the store's revision (from 0 it would list for ever) and writes on a signal instead of looking 20 times a second. Ruled out: counting every lost answer (engines that reset connections live); timeouts (a silent engine has not crashed). Tests: ARequestThatCrashesEnginesReachesNoThirdOne failed before the check (3 engines reached, last answer 502; now 2 and a refusal), crash_watch_test.

--- a/src/entry/quarantine.cc
+++ b/src/crash/quarantine.cc
@@ -4,9 +4,9 @@
 
 #include "core/error_type.h"
 #include "core/random_func.h"
-#include "entry/quarantine_base.h"
+#include "crash/quarantine_base.h"
 
-namespace sapphire::entry {
+namespace sapphire::crash {
 
 namespace json = boost::json;
 
@@ -123,4 +123,4 @@
   if (it->second.running.empty()) tracker_.records.erase(it);
 }
 
-}  // namespace sapphire::entry
+}  // namespace sapphire::crash
--- a/src/entry/quarantine_base.h
+++ b/src/crash/quarantine_base.h
@@ -1,6 +1,6 @@
 /** @file quarantine_base.h Requests that crash engines, by fingerprint. */
-#ifndef SAPPHIRE_ENTRY_QUARANTINE_BASE_H_
-#define SAPPHIRE_ENTRY_QUARANTINE_BASE_H_
+#ifndef SAPPHIRE_CRASH_QUARANTINE_BASE_H_
+#define SAPPHIRE_CRASH_QUARANTINE_BASE_H_
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 #include "core/id_type.h"
 #include "policy/crash_func.h"
 
-namespace sapphire::entry {
+namespace sapphire::crash {
 
 /** The crashes seen under one fingerprint, as kept in the platform. */
 struct CrashRecord {
@@ -89,6 +89,6 @@
   std::map<std::int64_t, CrashRecord> records_;
 };
 
-}  // namespace sapphire::entry
+}  // namespace sapphire::crash
 
-#endif  // SAPPHIRE_ENTRY_QUARANTINE_BASE_H_
+#endif  // SAPPHIRE_CRASH_QUARANTINE_BASE_H_
--- a/src/entry/quarantine_store.cc
+++ b/src/crash/quarantine_store.cc
@@ -7,14 +7,17 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
-#include "entry/quarantine_store_base.h"
+#include "crash/quarantine_store_base.h"
 
-namespace sapphire::entry {
+namespace sapphire::crash {
 
 namespace {
 
 constexpr std::string_view kPrefix = "quarantine/";
-constexpr core::Millis kFlushInterval{50};
+/** Changes of one crash come together: they are gathered for this long. */
+constexpr core::Millis kGather{50};
+/** Without a change, the writer looks whether it has to stop this often. */
+constexpr core::Millis kIdleLook{5000};
 constexpr core::Millis kRetryPause{1000};
 constexpr core::Millis kWatchWait{10000};
 /** A fingerprint without a crash for this long is forgotten. */
@@ -54,11 +57,17 @@
               [self = shared_from_this()] { return self->Flush(); });
 }
 
-void QuarantineStore::Stop() { stopped_ = true; }
+void QuarantineStore::Stop() {
+  stopped_ = true;
+  changed_.Notify();
+}
 
 void QuarantineStore::NoteChanged(std::int64_t fingerprint) {
-  const std::lock_guard lock(mutex_);
-  dirty_.insert(fingerprint);
+  {
+    const std::lock_guard lock(mutex_);
+    dirty_.insert(fingerprint);
+  }
+  changed_.Notify();
 }
 
 std::set<std::int64_t> QuarantineStore::TakeDirty() {
@@ -88,12 +97,12 @@
 
 core::Task<std::int64_t> QuarantineStore::ReadAll() {
   const std::set<std::int64_t> known = quarantine_->Fingerprints();
-  const std::vector<external::KvEntry> entries =
-      co_await store_.List(std::string(kPrefix));
+  // Failure: watching from revision 0 when nothing is kept yet asks for history
+  // that the store has dropped; it says so, and all is read again, for ever.
+  const external::KvSnapshot snapshot =
+      co_await store_.Snapshot(std::string(kPrefix));
   std::set<std::int64_t> listed;
-  std::int64_t revision = 0;
-  for (const external::KvEntry& entry : entries) {
-    revision = std::max(revision, entry.revision);
+  for (const external::KvEntry& entry : snapshot.entries) {
     TakeEntry(entry.key, entry.value);
     if (const auto it = FingerprintIn(entry.key)) listed.insert(*it);
   }
@@ -103,8 +112,8 @@
     if (listed.contains(fingerprint) || IsDirty(fingerprint)) continue;
     quarantine_->Drop(fingerprint);
   }
-  co_await DeleteExpired(entries);
-  co_return revision;
+  co_await DeleteExpired(snapshot.entries);
+  co_return snapshot.revision;
 }
 
 core::Task<> QuarantineStore::DeleteExpired(
@@ -157,13 +166,15 @@
 
 core::Task<> QuarantineStore::Flush() {
   while (!stopped_) {
+    const std::uint64_t seen = changed_.epoch();
     bool failed = false;
     for (const std::int64_t fingerprint : TakeDirty()) {
       if (co_await SaveOne(fingerprint)) continue;
       NoteChanged(fingerprint);
       failed = true;
     }
-    co_await core::SleepFor(failed ? kRetryPause : kFlushInterval);
+    if (!failed) co_await changed_.Wait(seen, kIdleLook);
+    co_await core::SleepFor(failed ? kRetryPause : kGather);
   }
 }
 
@@ -207,4 +218,4 @@
   co_return swap.swapped;
 }
 
-}  // namespace sapphire::entry
+}  // namespace sapphire::crash
--- a/src/entry/quarantine_store_base.h
+++ b/src/crash/quarantine_store_base.h
@@ -1,6 +1,6 @@
 /** @file quarantine_store_base.h Keeps the quarantine in the platform. */
-#ifndef SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
-#define SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
+#ifndef SAPPHIRE_CRASH_QUARANTINE_STORE_BASE_H_
+#define SAPPHIRE_CRASH_QUARANTINE_STORE_BASE_H_
 
 #include <atomic>
 #include <chrono>
@@ -13,11 +13,12 @@
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
+#include "core/signal_base.h"
 #include "core/task_type.h"
-#include "entry/quarantine_base.h"
+#include "crash/quarantine_base.h"
 #include "external/key_value_base.h"
 
-namespace sapphire::entry {
+namespace sapphire::crash {
 
 /**
  * Shares the quarantine between entries through the key-value service, so that
@@ -63,11 +64,12 @@
   const core::Logger& log_;
   std::atomic<bool> stopped_{false};
   std::atomic<bool> first_read_done_{false};
+  core::Signal changed_;
   mutable std::mutex mutex_;
   /** Fingerprints whose crashes here are not yet written. */
   std::set<std::int64_t> dirty_;
 };
 
-}  // namespace sapphire::entry
+}  // namespace sapphire::crash
 
-#endif  // SAPPHIRE_ENTRY_QUARANTINE_STORE_BASE_H_
+#endif  // SAPPHIRE_CRASH_QUARANTINE_STORE_BASE_H_
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -120,9 +120,9 @@
       log(log_arg),
       started_at(clock_arg.Now()),
       fleet(clock_arg),
-      quarantine(std::make_shared<Quarantine>(clock_arg)),
-      quarantine_store(std::make_shared<QuarantineStore>(executor, quarantine,
-                                                         store, clock, log)),
+      quarantine(std::make_shared<crash::Quarantine>(clock_arg)),
+      quarantine_store(std::make_shared<crash::QuarantineStore>(
+          executor, quarantine, store, clock, log)),
       ledger_cleanup(std::make_shared<LedgerCleanup>(
           executor,
           LedgerCleanupOptions{.self = options.self,
--- a/src/entry/home_decide.cc
+++ b/src/entry/home_decide.cc
@@ -284,7 +284,7 @@
   }
   const auto address = fleet.AddressOf(decision.endpoint);
   if (!address) return Step::kHeld;
-  const Verdict verdict = quarantine->Judge(request.fingerprint);
+  const crash::Verdict verdict = quarantine->Judge(request.fingerprint);
   // Failure: copies of one request are sent at once and kill an engine each
   // before the first crash is known. Until one has run to its end, no more
   // engines run it than may die of it.
--- a/src/entry/home_state_base.h
+++ b/src/entry/home_state_base.h
@@ -13,12 +13,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "crash/quarantine_base.h"
+#include "crash/quarantine_store_base.h"
 #include "entry/fleet_view_base.h"
 #include "entry/home_base.h"
 #include "entry/ledger_cleanup_base.h"
 #include "entry/model_queue_base.h"
-#include "entry/quarantine_base.h"
-#include "entry/quarantine_store_base.h"
 
 namespace sapphire::entry {
 
@@ -142,8 +142,8 @@
   const core::SteadyTime started_at;
   std::atomic<bool> stopped{false};
   FleetView fleet;
-  const std::shared_ptr<Quarantine> quarantine;
-  const std::shared_ptr<QuarantineStore> quarantine_store;
+  const std::shared_ptr<crash::Quarantine> quarantine;
+  const std::shared_ptr<crash::QuarantineStore> quarantine_store;
   const std::shared_ptr<LedgerCleanup> ledger_cleanup;
   std::vector<Shard> shards;
   std::atomic<std::int64_t> next_slot_id{1};
--- a/src/entry/home_test.cc
+++ b/src/entry/home_test.cc
@@ -2,8 +2,8 @@
 #define BOOST_TEST_MODULE entry_home
 #include <boost/test/unit_test.hpp>
 
+#include "crash/quarantine_base.h"
 #include "entry/fleet_fake_base.h"
-#include "entry/quarantine_base.h"
 
 namespace sapphire::entry::fake {
 
@@ -279,7 +279,8 @@
   fleet.store.down = false;
   BOOST_REQUIRE(Eventually(
       [&] { return fleet.store.Find("quarantine/666").has_value(); }));
-  const auto kept = DecodeCrashes(fleet.store.Find("quarantine/666")->value);
+  const auto kept =
+      crash::DecodeCrashes(fleet.store.Find("quarantine/666")->value);
   BOOST_TEST(kept.crashes.size() == 2U);
 }
 
--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -87,9 +87,11 @@
     co_return Peek(key);
   }
 
-  core::Task<std::vector<external::KvEntry>> List(std::string) override {
+  core::Task<std::vector<external::KvEntry>> List(std::string prefix) override {
     co_await Step();
-    co_return std::vector<external::KvEntry>();
+    std::vector<external::KvEntry> found;
+    for (const std::string& key : Keys(prefix)) found.push_back(*Peek(key));
+    co_return found;
   }
 
   core::Task<external::CasResult> CompareAndSwap(std::string key,
@@ -119,6 +121,7 @@
       co_return false;
     }
     entries_.erase(it);
+    history_.push_back({key, std::nullopt, ++revision_});
     co_return true;
   }
 
@@ -148,10 +151,7 @@
     while (batch.events.empty() && clock_.Now() < end) {
       co_await core::SleepFor(std::chrono::milliseconds(1));
       co_await Step();
-      const auto entry = Peek(prefix);
-      if (entry && entry->revision > revision && !mute_watches) {
-        batch.events.push_back({prefix, entry->value, entry->revision});
-      }
+      if (!mute_watches) batch.events = ChangesSince(prefix, revision);
     }
     batch.revision = revision_;
     co_return batch;
@@ -172,6 +172,16 @@
     throw core::Error(core::ErrorCode::kPlatformUnavailable, "down");
   }
 
+  [[nodiscard]] std::vector<external::KvEvent> ChangesSince(
+      const std::string& prefix, std::int64_t revision) const {
+    std::vector<external::KvEvent> found;
+    for (const external::KvEvent& it : history_) {
+      const bool wanted = it.key.starts_with(prefix) && it.revision > revision;
+      if (wanted) found.push_back(it);
+    }
+    return found;
+  }
+
   external::CasResult Swap(const std::string& key, std::int64_t expected,
                            const std::string& value) {
     const auto current = Peek(key);
@@ -180,11 +190,13 @@
     }
     ++revision_;
     entries_[key] = {key, value, revision_};
+    history_.push_back({key, value, revision_});
     return {true, revision_, std::nullopt};
   }
 
   core::ManualClock& clock_;
   std::map<std::string, external::KvEntry> entries_;
+  std::vector<external::KvEvent> history_;
   std::vector<LateWrite> late_;
   std::int64_t revision_ = 0;
 };
--- /dev/null
+++ b/src/serving/crash_watch.cc
@@ -0,0 +1,112 @@
+/** @file crash_watch.cc Refuses requests that crash engines. */
+#include <chrono>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/random_func.h"
+#include "core/task_func.h"
+#include "http/probe_func.h"
+#include "serving/crash_watch_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+/** A crashed engine's port is closed within this. */
+constexpr milliseconds kUntilPortCloses{50};
+/** An engine on a near VM takes or refuses a connection in milliseconds. */
+constexpr milliseconds kProbeLimit{400};
+/** A request that engines can't bear crashes them as they begin to run it; one
+ * whose answer has come for longer is not what ended the engine. */
+constexpr milliseconds kBeginning{1000};
+/** Callers of a refused request gain nothing by asking again soon. */
+constexpr milliseconds kComeBack{60'000};
+/** Keeps the sign bit out of a hash. */
+constexpr int kSignBit = 1;
+
+}  // namespace
+
+std::int64_t FingerprintOf(const CallerRequest& request) {
+  std::uint64_t hash = core::HashOf(request.forward.method);
+  hash = core::HashOf(request.forward.target, hash);
+  hash = core::HashOf(request.forward.body, hash);
+  return static_cast<std::int64_t>(hash >> kSignBit);
+}
+
+CrashWatch::CrashWatch(external::KeyValueStore& store,
+                       fleet::EngineLoads& loads,
+                       const core::Executor& executor, const core::Clock& clock,
+                       const core::Logger& log)
+    : loads_(loads),
+      executor_(executor),
+      clock_(clock),
+      log_(log),
+      quarantine_(std::make_shared<crash::Quarantine>(clock)),
+      quarantine_store_(std::make_shared<crash::QuarantineStore>(
+          executor, quarantine_, store, clock, log)) {}
+
+void CrashWatch::Start() { quarantine_store_->Start(); }
+
+void CrashWatch::Check(std::int64_t fingerprint) const {
+  if (!quarantine_->Judge(fingerprint).IsQuarantined()) return;
+  throw core::Error(core::ErrorCode::kQuarantined,
+                    "this request has crashed two engines", kComeBack);
+}
+
+void CrashWatch::Begin(WatchedSend& send) {
+  send.number = next_number_++;
+  quarantine_->RecordDispatch(send.fingerprint, send.number,
+                              core::EndpointId(send.instance.value()));
+}
+
+void CrashWatch::End(const WatchedSend& send, const ExchangeResult& result,
+                     std::optional<core::SteadyTime> first_byte) {
+  if (!IsSuspicious(result, first_byte)) {
+    NoteEnd(send, result.end == ExchangeEnd::kServed);
+    return;
+  }
+  core::Spawn(executor_, log_, "inspect_engine",
+              [this, send] { return Inspect(send); });
+}
+
+bool CrashWatch::IsSuspicious(
+    const ExchangeResult& result,
+    std::optional<core::SteadyTime> first_byte) const {
+  const bool broken =
+      result.end == ExchangeEnd::kLost || result.end == ExchangeEnd::kCutMidway;
+  // An engine that is silent has not crashed: its connections would have ended.
+  if (!broken || result.timed_out) return false;
+  return !first_byte || clock_.Now() - *first_byte < kBeginning;
+}
+
+core::Task<> CrashWatch::Inspect(WatchedSend send) {
+  co_await core::SleepFor(kUntilPortCloses);
+  const auto probe = co_await http::Probe(send.address, kProbeLimit);
+  if (probe != http::ProbeResult::kRefused) {
+    NoteEnd(send, false);
+    co_return;
+  }
+  loads_.NoteUnreachable(send.instance);
+  NoteCrash(send);
+}
+
+void CrashWatch::NoteEnd(const WatchedSend& send, bool completed) {
+  const bool cleared =
+      quarantine_->RecordEnd(send.fingerprint, send.number, completed);
+  if (cleared) quarantine_store_->NoteChanged(send.fingerprint);
+}
+
+void CrashWatch::NoteCrash(const WatchedSend& send) {
+  const bool counted =
+      quarantine_->RecordCrash(send.fingerprint, send.number, send.model);
+  if (counted) quarantine_store_->NoteChanged(send.fingerprint);
+  log_.Event(core::LogLevel::kWarning, core::LogCategory::kRequest,
+             "engine_crashed",
+             {{"request", send.request},
+              {"instance", send.instance},
+              {"model", send.model},
+              {"fingerprint", send.fingerprint},
+              {"crashes", quarantine_->Judge(send.fingerprint).crashes}});
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/crash_watch_base.h
@@ -0,0 +1,88 @@
+/** @file crash_watch_base.h Refuses requests that crash engines. */
+#ifndef SAPPHIRE_SERVING_CRASH_WATCH_BASE_H_
+#define SAPPHIRE_SERVING_CRASH_WATCH_BASE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "crash/quarantine_base.h"
+#include "crash/quarantine_store_base.h"
+#include "external/key_value_base.h"
+#include "fleet/engine_loads_base.h"
+#include "fleet/engine_type.h"
+#include "serving/caller_type.h"
+#include "serving/exchange_base.h"
+
+namespace sapphire::serving {
+
+/** @return What a repeat of the same request by its caller has in common with
+ * it: method, target and body. */
+std::int64_t FingerprintOf(const CallerRequest& request);
+
+/** One send, as the watch knows it. */
+struct WatchedSend {
+  std::int64_t fingerprint = 0;
+  std::int64_t number = 0;
+  core::RequestId request;
+  core::ModelId model;
+  fleet::InstanceId instance;
+  /** "ip:port" of the engine. */
+  std::string address;
+};
+
+/**
+ * Refuses requests that have crashed two engines, whichever entries sent them.
+ *
+ * The failure met: one request crashes each engine that begins to run it, and
+ * its caller sends it again, to any entry; users of all models there wait while
+ * engine after engine restarts. A send whose connection ends without an answer
+ * puts its request under suspicion; it counts as a crash if the engine then
+ * refuses connections. Counts are shared through the store. A request that runs
+ * to its end clears itself, so that those that were merely beside it are not
+ * blamed. One thread.
+ */
+class CrashWatch {
+ public:
+  /** @pre All references outlive the watch and its tasks. */
+  CrashWatch(external::KeyValueStore& store, fleet::EngineLoads& loads,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
+
+  /** Begins to follow what other entries saw. */
+  void Start();
+
+  /** @throws core::Error kQuarantined if the request crashes engines. */
+  void Check(std::int64_t fingerprint) const;
+
+  /** A request is sent; gives the send its number. */
+  void Begin(WatchedSend& send);
+
+  /** @param first_byte When the engine began to answer, if it did. */
+  void End(const WatchedSend& send, const ExchangeResult& result,
+           std::optional<core::SteadyTime> first_byte);
+
+ private:
+  [[nodiscard]] bool IsSuspicious(
+      const ExchangeResult& result,
+      std::optional<core::SteadyTime> first_byte) const;
+  core::Task<> Inspect(WatchedSend send);
+  void NoteEnd(const WatchedSend& send, bool completed);
+  void NoteCrash(const WatchedSend& send);
+
+  fleet::EngineLoads& loads_;
+  const core::Executor executor_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  const std::shared_ptr<crash::Quarantine> quarantine_;
+  const std::shared_ptr<crash::QuarantineStore> quarantine_store_;
+  std::int64_t next_number_ = 1;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_CRASH_WATCH_BASE_H_
--- /dev/null
+++ b/src/serving/crash_watch_test.cc
@@ -0,0 +1,181 @@
+/** @file crash_watch_test.cc Tests of refusing requests that crash engines. */
+#define BOOST_TEST_MODULE crash_watch
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "core/error_type.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "serving/crash_watch_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/** Longer than a look at the engine and the writing of a crash take. */
+constexpr milliseconds kSettled{400};
+const std::string kDeadly = "deadly prompt";
+const std::string kHarmless = "harmless prompt";
+
+CallerRequest RequestOf(const std::string& body) {
+  CallerRequest request;
+  request.id = core::RequestId(body);
+  request.model = core::ModelId("m");
+  request.forward.method = "POST";
+  request.forward.target = "/drafts/1";
+  request.forward.body = body;
+  return request;
+}
+
+ExchangeResult EndedAs(ExchangeEnd end) {
+  ExchangeResult result;
+  result.end = end;
+  return result;
+}
+
+/** A port on loopback that takes connections until it is closed. */
+struct Port {
+  explicit Port(boost::asio::io_context& io)
+      : acceptor(io,
+                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+  tcp::acceptor acceptor;
+  std::string address;
+};
+
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock) {}
+
+  /** An entry of its own, on the same store. */
+  std::unique_ptr<CrashWatch> MakeWatch() {
+    auto watch = std::make_unique<CrashWatch>(store, loads, io.get_executor(),
+                                              clock, log);
+    watch->Start();
+    return watch;
+  }
+
+  /** Sends a request from an entry to an engine; it ends as `end` says. */
+  void Send(CrashWatch& watch, const std::string& body,
+            const std::string& instance, const std::string& address,
+            ExchangeEnd end) {
+    const CallerRequest request = RequestOf(body);
+    WatchedSend send;
+    send.fingerprint = FingerprintOf(request);
+    send.request = request.id;
+    send.model = request.model;
+    send.instance = fleet::InstanceId(instance);
+    send.address = address;
+    watch.Begin(send);
+    watch.End(send, EndedAs(end), std::nullopt);
+    Pass(kSettled);
+  }
+
+  void Pass(milliseconds time) { entry::testing::RunTask(io, Sleep(time)); }
+
+  static core::Task<bool> Sleep(milliseconds time) {
+    co_await core::SleepFor(time);
+    co_return true;
+  }
+
+  static bool Refuses(const CrashWatch& watch, const std::string& body) {
+    try {
+      watch.Check(FingerprintOf(RequestOf(body)));
+    } catch (const core::Error& e) {
+      return e.code() == core::ErrorCode::kQuarantined;
+    }
+    return false;
+  }
+
+  boost::asio::io_context io;
+  core::SystemClock clock;
+  core::ManualClock store_clock;
+  core::Logger log;
+  entry::testing::MemoryKeyValue store{store_clock};
+  fleet::EngineLoads loads{clock};
+};
+
+/** @return The address of a port that was open once and is not any more. */
+std::string ClosedPort(boost::asio::io_context& io) { return Port(io).address; }
+
+}  // namespace
+
+/**
+ * Users of all models wait while one engine after the other restarts.
+ * One request crashes each engine that begins to run it; its caller sends it
+ * again, each time to another entry, and no entry sees two crashes itself.
+ */
+BOOST_AUTO_TEST_CASE(ARequestThatCrashedTwoEnginesIsRefusedByEveryEntry) {
+  Rig rig;
+  const auto one = rig.MakeWatch();
+  const auto two = rig.MakeWatch();
+  const auto three = rig.MakeWatch();
+  const std::string dead = ClosedPort(rig.io);
+  rig.Send(*one, kDeadly, "i-1", dead, ExchangeEnd::kLost);
+  BOOST_TEST(!Rig::Refuses(*three, kDeadly));
+  rig.Send(*two, kDeadly, "i-2", dead, ExchangeEnd::kLost);
+  BOOST_TEST(Rig::Refuses(*one, kDeadly));
+  BOOST_TEST(Rig::Refuses(*two, kDeadly));
+  BOOST_TEST(Rig::Refuses(*three, kDeadly));
+  BOOST_TEST(!Rig::Refuses(*three, kHarmless));
+}
+
+/**
+ * A caller is refused for good although its request is sound.
+ * It ran beside a request that crashed the engine, was sent again and ended
+ * well; when the next engine crashed under it, that counted as its second time.
+ */
+BOOST_AUTO_TEST_CASE(ARequestThatEndsWellIsClearedForEveryEntry) {
+  Rig rig;
+  const auto one = rig.MakeWatch();
+  const auto two = rig.MakeWatch();
+  const std::string dead = ClosedPort(rig.io);
+  rig.Send(*one, kHarmless, "i-1", dead, ExchangeEnd::kLost);
+  rig.Send(*two, kHarmless, "i-2", dead, ExchangeEnd::kServed);
+  rig.Send(*one, kHarmless, "i-3", dead, ExchangeEnd::kCutMidway);
+  BOOST_TEST(!Rig::Refuses(*one, kHarmless));
+  BOOST_TEST(!Rig::Refuses(*two, kHarmless));
+}
+
+/**
+ * Callers are refused although no engine has crashed.
+ * A faulty engine resets connections now and then and goes on serving.
+ */
+BOOST_AUTO_TEST_CASE(ALostAnswerOfALivingEngineIsNoCrash) {
+  Rig rig;
+  const auto watch = rig.MakeWatch();
+  const Port engine(rig.io);
+  for (int i = 0; i < 3; ++i) {
+    rig.Send(*watch, kHarmless, "i-1", engine.address, ExchangeEnd::kLost);
+  }
+  BOOST_TEST(!Rig::Refuses(*watch, kHarmless));
+  BOOST_TEST(rig.store.Keys("quarantine/").empty());
+}
+
+/**
+ * A sound request is blamed for crashes it did not make.
+ * Its answer had been coming for seconds when the engine crashed.
+ */
+BOOST_AUTO_TEST_CASE(ALongAnswerIsNotSuspected) {
+  Rig rig;
+  const auto watch = rig.MakeWatch();
+  WatchedSend send;
+  send.fingerprint = FingerprintOf(RequestOf(kHarmless));
+  send.instance = fleet::InstanceId("i-1");
+  send.address = ClosedPort(rig.io);
+  watch->Begin(send);
+  const core::SteadyTime long_ago = rig.clock.Now() - std::chrono::seconds(3);
+  watch->End(send, EndedAs(ExchangeEnd::kCutMidway), long_ago);
+  rig.Pass(kSettled);
+  BOOST_TEST(rig.store.Keys("quarantine/").empty());
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -18,10 +18,13 @@
 #include "policy/repeat_budget_base.h"
 #include "routing/routing_table_base.h"
 #include "serving/caller_type.h"
+#include "serving/crash_watch_base.h"
+#include "serving/engine_chooser_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
+#include "serving/request_work_type.h"
 
 namespace sapphire::serving {
 
@@ -38,6 +41,7 @@
   fleet::EndpointFeed& feed;
   const ReplicaFinder& finder;
   ModelWaker& waker;
+  CrashWatch& crash_watch;
   const CallerWire& caller_wire;
   const EngineWire& engine_wire;
   FrontMetrics& metrics;
@@ -58,7 +62,7 @@
    * The process ends at `end`: what could not be answered whole by then is
    * refused, before it is sent to an engine.
    */
-  void EndAt(core::SteadyTime end) { end_ = end; }
+  void EndAt(core::SteadyTime end) { chooser_.EndAt(end); }
 
   /** Puts other limits of repeats in force. */
   void SetRepeatLimits(const policy::RepeatLimits& limits);
@@ -67,38 +71,25 @@
   void Forget();
 
  private:
-  struct Work;
-
-  core::Task<> Run(Work& work);
-  core::Task<bool> Attempt(Work& work);
-  core::Task<fleet::InstanceId> Choose(Work& work);
-  std::optional<fleet::InstanceId> ChooseNow(Work& work);
-  std::optional<fleet::InstanceId> JustLoaded(
-      const Work& work, const std::vector<FoundReplica>& found) const;
-  void WatchCrowd(const Work& work, const std::vector<FoundReplica>& holders);
-  std::optional<fleet::InstanceId> Cheapest(
-      const Work& work, const std::vector<FoundReplica>& found) const;
-  milliseconds WakeModel(Work& work);
-  core::Task<bool> Conclude(Work& work, ExchangeResult result);
-  core::Task<> Answer(Work& work, http::Response response);
-  core::Task<> Refuse(Work& work, const core::Error& error);
-  void NotePrefix(const Work& work);
-  void Check(Work& work) const;
-  void Resolve(Work& work) const;
-  [[nodiscard]] bool MayRunAgain(const Work& work) const;
-  [[nodiscard]] milliseconds Left(const Work& work) const;
-  [[nodiscard]] milliseconds PatienceLeft(const Work& work) const;
-  void CheckEnd(const Work& work) const;
-  bool TakeRepeat(const Work& work, double reserve);
+  core::Task<> Run(RequestWork& work);
+  core::Task<bool> Attempt(RequestWork& work);
+  core::Task<bool> Conclude(RequestWork& work, ExchangeResult result);
+  core::Task<> Answer(RequestWork& work, http::Response response);
+  core::Task<> Refuse(RequestWork& work, const core::Error& error);
+  void NotePrefix(const RequestWork& work);
+  void Check(RequestWork& work) const;
+  void Resolve(RequestWork& work) const;
+  [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
+  bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
   std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
-  void NoteEnd(const Work& work) const;
+  void NoteEnd(const RequestWork& work) const;
 
   DispatchOptions options_;
   const DispatchParts parts_;
+  EngineChooser chooser_;
   std::map<core::ServiceId, policy::RepeatBudget> budgets_;
   std::map<fleet::InstanceId, std::shared_ptr<http::Client>> clients_;
-  std::optional<core::SteadyTime> end_;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/task_func.h"
+#include "entry/testing_key_value.h"
 #include "entry/testing_loop.h"
 #include "http/server_base.h"
 #include "serving/dispatcher_base.h"
@@ -178,6 +179,8 @@
         finder(core::ZoneId("z"), registry, feed, loads, clock),
         waker(finder, feed, registry, loads, metrics, io.get_executor(), clock,
               log),
+        store(store_clock),
+        crash_watch(store, loads, io.get_executor(), clock, log),
         dispatcher(DispatchOptions(), Parts()) {
     Configure(2);
   }
@@ -259,6 +262,9 @@
   FrontMetrics metrics;
   ReplicaFinder finder;
   ModelWaker waker;
+  core::ManualClock store_clock;
+  entry::testing::MemoryKeyValue store;
+  CrashWatch crash_watch;
   TestCallerWire caller_wire;
   TestEngineWire engine_wire;
   Dispatcher dispatcher;
@@ -266,8 +272,8 @@
 
  private:
   DispatchParts Parts() {
-    return {configuration, registry,    loads,   feed,  finder, waker,
-            caller_wire,   engine_wire, metrics, clock, log};
+    return {configuration, registry,    loads,       feed,    finder, waker,
+            crash_watch,   caller_wire, engine_wire, metrics, clock,  log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -1,5 +1,6 @@
 /** @file dispatcher_test.cc Tests of a request's way to its final answer. */
 #define BOOST_TEST_MODULE dispatcher
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "serving/dispatcher_rig_test.h"
@@ -18,7 +19,10 @@
 using testing::TestEngine;
 
 constexpr milliseconds kWait{3000};
+/** A look at the engine after its connection has ended takes less. */
+constexpr milliseconds kCrashNoticed{200};
 constexpr int kOk = 200;
+constexpr int kUnprocessable = 422;
 constexpr int kFailed = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -211,6 +215,37 @@
   BOOST_TEST(engine.requests.empty());
 }
 
+/**
+ * Users of all models wait while engine after engine restarts.
+ * Each engine crashes as it begins to run one request; its caller sends it
+ * again and again.
+ */
+BOOST_AUTO_TEST_CASE(ARequestThatCrashesEnginesReachesNoThirdOne) {
+  Rig rig;
+  rig.Configure(1);
+  rig.crash_watch.Start();
+  const http::Handler crash = [&rig](const http::Request&,
+                                     http::ResponseWriter&) -> core::Task<> {
+    for (const auto& it : rig.engines) {
+      if (!it->requests.empty()) it->server.StopAccepting();
+    }
+    throw http::ConnectionCut("the engine crashes");
+    co_return;
+  };
+  for (int i = 0; i < 3; ++i) rig.AddEngine(kPlain, crash);
+  std::vector<int> statuses;
+  for (int i = 0; i < 3; ++i) {
+    RecordingWriter caller;
+    rig.Serve("/once/", kWait, caller);
+    statuses.push_back(caller.status);
+    rig.Pass(kCrashNoticed);
+  }
+  const auto reached = std::ranges::count_if(
+      rig.engines, [](const auto& it) { return !it->requests.empty(); });
+  BOOST_TEST(reached == 2);
+  BOOST_TEST(statuses.back() == kUnprocessable);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutAnEngineTheAnswerIsARefusal) {
   Rig rig;
   RecordingWriter caller;
--- /dev/null
+++ b/src/serving/engine_chooser.cc
@@ -0,0 +1,167 @@
+/** @file engine_chooser.cc Finds the engine that runs a request. */
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "core/error_type.h"
+#include "serving/engine_chooser_base.h"
+
+namespace sapphire::serving {
+
+using core::Error;
+using core::ErrorCode;
+using routing::RequestKind;
+
+namespace {
+
+/** Longest wait between two looks at the fleet. */
+constexpr milliseconds kLookAgain{100};
+/** Nearly all streams end within this: 57 events of three tokens take 2 s on an
+ * idle engine, up to 5 s on a crowded one. With 8 s to leave, streams are taken
+ * for as long as balancers may still send new connections. */
+constexpr milliseconds kUsualStream{5200};
+
+std::vector<policy::ReplicaCandidate> ViewsOf(
+    const std::vector<FoundReplica>& found) {
+  std::vector<policy::ReplicaCandidate> views;
+  views.reserve(found.size());
+  for (const FoundReplica& it : found) views.push_back(it.view);
+  return views;
+}
+
+}  // namespace
+
+EngineChooser::EngineChooser(policy::EnginePace pace,
+                             fleet::EngineRegistry& registry,
+                             fleet::EndpointFeed& feed,
+                             const ReplicaFinder& finder, ModelWaker& waker,
+                             const core::Clock& clock)
+    : pace_(pace),
+      registry_(registry),
+      feed_(feed),
+      finder_(finder),
+      waker_(waker),
+      clock_(clock) {}
+
+/** Waits until an engine can take the request. */
+core::Task<fleet::InstanceId> EngineChooser::Choose(RequestWork& work) {
+  while (true) {
+    if (work.caller.left) co_return fleet::InstanceId();
+    CheckEnd(work);
+    const std::uint64_t seen = feed_.changed().epoch();
+    if (const auto engine = ChooseNow(work)) co_return *engine;
+    const milliseconds ready_in = WakeModel(work);
+    const milliseconds left =
+        std::min(TimeLeft(work, clock_.Now()), PatienceLeft(work));
+    if (ready_in + kLeastTime > left) {
+      throw Error(
+          work.runs == 0 ? ErrorCode::kNoCapacity : ErrorCode::kOutcomeUnknown,
+          "no engine can serve it in its time", std::max(ready_in, kSoon));
+    }
+    co_await feed_.changed().Wait(seen, std::min(kLookAgain, left));
+  }
+}
+
+/** @return The best engine that can take it now. */
+std::optional<fleet::InstanceId> EngineChooser::ChooseNow(RequestWork& work) {
+  std::vector<FoundReplica> found =
+      finder_.Find(work.service->id, work.request, work.avoid);
+  if (found.empty() && work.request.model.empty()) {
+    // All have failed or refused it: any that is there may do by now.
+    found = finder_.Find(work.service->id, work.request, {});
+  }
+  if (auto loaded = JustLoaded(work, found)) return loaded;
+  if (!work.request.model.empty()) WatchCrowd(work, found);
+  std::vector<FoundReplica> ready;
+  std::ranges::copy_if(found, std::back_inserter(ready),
+                       &FoundReplica::has_adapter);
+  if (auto best = Cheapest(work, ready)) return best;
+  if (const auto holder = Cheapest(work, found)) {
+    waker_.WakeAdapter(work.service->id, *holder, work.request.model,
+                       work.request.adapter, work.request.id);
+  }
+  return std::nullopt;
+}
+
+/** @return The engine that has just loaded the model, if no report has told so
+ * yet. */
+std::optional<fleet::InstanceId> EngineChooser::JustLoaded(
+    const RequestWork& work, const std::vector<FoundReplica>& found) const {
+  const WakeTarget target{work.service->id, work.request.model,
+                          work.request.adapter};
+  auto loaded = waker_.JustLoaded(target);
+  if (!loaded || work.avoid.contains(*loaded)) return std::nullopt;
+  const bool told = std::ranges::any_of(found, [&](const FoundReplica& it) {
+    return it.instance == *loaded && it.has_adapter;
+  });
+  const fleet::EngineEntry* engine = registry_.Find(*loaded);
+  if (told || engine == nullptr || engine->draining) return std::nullopt;
+  return loaded;
+}
+
+/** Has one more engine load a model whose engines are crowded. */
+void EngineChooser::WatchCrowd(const RequestWork& work,
+                               const std::vector<FoundReplica>& holders) {
+  if (holders.empty()) return;
+  const std::vector<policy::ReplicaCandidate> views = ViewsOf(holders);
+  const double demand = finder_.Demand(work.service->id, work.request.model);
+  waker_.AddReplica(*work.service, work.request.model,
+                    policy::NeedForReplica(views, demand));
+}
+
+std::optional<fleet::InstanceId> EngineChooser::Cheapest(
+    const RequestWork& work, const std::vector<FoundReplica>& found) const {
+  const std::vector<policy::ReplicaCandidate> views = ViewsOf(found);
+  policy::RequestSize size;
+  size.prompt_tokens = work.request.prompt_tokens;
+  size.max_output_tokens = work.request.max_output_tokens;
+  if (work.request.model.empty()) size.service_time = work.route->objective;
+  const auto best = policy::ChooseReplica(views, size, pace_);
+  if (!best) return std::nullopt;
+  return found[*best].instance;
+}
+
+/** Has the model loaded. @return When it is expected to serve. */
+milliseconds EngineChooser::WakeModel(RequestWork& work) {
+  const Error nowhere(
+      work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
+      "no engine can be reached", kSoon);
+  if (work.request.model.empty()) throw Error(nowhere);
+  const bool held =
+      !finder_.Find(work.service->id, work.request, work.avoid).empty();
+  if (held) return milliseconds(0);
+  const auto ready =
+      waker_.Wake(*work.service, work.request.model, work.request.id);
+  if (!ready) throw Error(nowhere);
+  return *ready;
+}
+
+/** @return How long the caller still waits for a first event. */
+milliseconds EngineChooser::PatienceLeft(const RequestWork& work) const {
+  if (work.route->kind != RequestKind::kStream)
+    return TimeLeft(work, clock_.Now());
+  const core::SteadyTime end = work.heard + work.route->patience;
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(end - clock_.Now());
+  return std::max(left, milliseconds(0));
+}
+
+/**
+ * The failure met: a leaving process takes a request from a connection that is
+ * still open, waits for its model, and ends before it has answered; the caller
+ * sees a closed connection and does not know whether to ask again.
+ */
+void EngineChooser::CheckEnd(const RequestWork& work) const {
+  if (!end_) return;
+  const bool is_stream = work.route->kind == RequestKind::kStream;
+  // What an engine has begun is tried to the last.
+  milliseconds needed = kLeastTime;
+  if (work.sends == 0) {
+    needed = is_stream ? kUsualStream : work.route->timeout;
+  }
+  if (clock_.Now() + needed < *end_) return;
+  throw Error(work.runs == 0 ? ErrorCode::kLeaving : ErrorCode::kOutcomeUnknown,
+              "the process ends", milliseconds(0));
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/engine_chooser_base.h
@@ -0,0 +1,68 @@
+/** @file engine_chooser_base.h Finds the engine that runs a request. */
+#ifndef SAPPHIRE_SERVING_ENGINE_CHOOSER_BASE_H_
+#define SAPPHIRE_SERVING_ENGINE_CHOOSER_BASE_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/task_type.h"
+#include "fleet/endpoint_feed_base.h"
+#include "fleet/engine_registry_base.h"
+#include "policy/replica_choice_func.h"
+#include "serving/model_waker_base.h"
+#include "serving/replica_finder_base.h"
+#include "serving/request_work_type.h"
+
+namespace sapphire::serving {
+
+/** Least time in which a request can still be served. */
+inline constexpr milliseconds kLeastTime{30};
+/** When to come back if nothing better is known. */
+inline constexpr milliseconds kSoon{500};
+
+/** Chooses among engines that hold the model, has it loaded if none does, and
+ * refuses what can't be served in its time. One thread. */
+class EngineChooser {
+ public:
+  /** @pre All references outlive the chooser. */
+  EngineChooser(policy::EnginePace pace, fleet::EngineRegistry& registry,
+                fleet::EndpointFeed& feed, const ReplicaFinder& finder,
+                ModelWaker& waker, const core::Clock& clock);
+
+  /**
+   * Waits until an engine can take the request.
+   * @return The engine; none if the caller has left.
+   * @throws core::Error if it can't be served in its time.
+   */
+  core::Task<fleet::InstanceId> Choose(RequestWork& work);
+
+  /** The process ends at `end`. */
+  void EndAt(core::SteadyTime end) { end_ = end; }
+
+  /** @throws core::Error if the process ends before the request would. */
+  void CheckEnd(const RequestWork& work) const;
+
+ private:
+  std::optional<fleet::InstanceId> ChooseNow(RequestWork& work);
+  std::optional<fleet::InstanceId> JustLoaded(
+      const RequestWork& work, const std::vector<FoundReplica>& found) const;
+  void WatchCrowd(const RequestWork& work,
+                  const std::vector<FoundReplica>& holders);
+  std::optional<fleet::InstanceId> Cheapest(
+      const RequestWork& work, const std::vector<FoundReplica>& found) const;
+  milliseconds WakeModel(RequestWork& work);
+  [[nodiscard]] milliseconds PatienceLeft(const RequestWork& work) const;
+
+  const policy::EnginePace pace_;
+  fleet::EngineRegistry& registry_;
+  fleet::EndpointFeed& feed_;
+  const ReplicaFinder& finder_;
+  ModelWaker& waker_;
+  const core::Clock& clock_;
+  std::optional<core::SteadyTime> end_;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_ENGINE_CHOOSER_BASE_H_
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -60,11 +60,11 @@
                       fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
                       const ReplicaFinder& finder, ModelWaker& waker,
-                      const CallerWire& caller_wire,
+                      CrashWatch& crash_watch, const CallerWire& caller_wire,
                       const EngineWire& engine_wire, FrontMetrics& metrics,
                       const core::Clock& clock, const core::Logger& log) {
-  return {configuration, registry,    loads,   feed,  finder, waker,
-          caller_wire,   engine_wire, metrics, clock, log};
+  return {configuration, registry,    loads,       feed,    finder, waker,
+          crash_watch,   caller_wire, engine_wire, metrics, clock,  log};
 }
 
 http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
@@ -98,10 +98,11 @@
       feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
       finder_(options_.zone, registry_, feed_, loads_, clock),
       waker_(finder_, feed_, registry_, loads_, metrics_, executor, clock, log),
-      dispatcher_(
-          options_.dispatch,
-          PartsOf(configuration_, registry_, loads_, feed_, finder_, waker_,
-                  caller_wire, engine_wire, metrics_, clock, log)),
+      crash_watch_(store_, loads_, executor_, clock, log),
+      dispatcher_(options_.dispatch,
+                  PartsOf(configuration_, registry_, loads_, feed_, finder_,
+                          waker_, crash_watch_, caller_wire, engine_wire,
+                          metrics_, clock, log)),
       configuration_follower_(FollowOptionsOf(layout_.configuration_key),
                               ConfigurationHooks(), store_, clock, log),
       engine_follower_(EngineFollowOptions(layout_.engine_prefix),
@@ -130,6 +131,7 @@
   server_.Start();
   ready_server_.Start();
   metrics_server_.Start();
+  crash_watch_.Start();
   core::Spawn(executor_, log_, "follow_configuration",
               [this] { return configuration_follower_.Run(); });
   core::Spawn(executor_, log_, "follow_engines",
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -19,6 +19,7 @@
 #include "link/link_base.h"
 #include "routing/routing_table_base.h"
 #include "routing/store_follower_base.h"
+#include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
@@ -99,6 +100,7 @@
   fleet::EndpointFeed feed_;
   ReplicaFinder finder_;
   ModelWaker waker_;
+  CrashWatch crash_watch_;
   Dispatcher dispatcher_;
   routing::StoreFollower configuration_follower_;
   routing::StoreFollower engine_follower_;
