An entry survives a report that grows too old while it chooses a wake-up

Cause: FindWakers looked up each endpoint's report twice; on a slow VM the report was fresh at the first look and too old at the second, which found none, and the process read through a null pointer. Change: one look-up an engine and call. Ruled out: the streams' sockets and the link's connections, by reading. Test: AReportThatAgesDuringTheChoiceIsBorne ended by the same signal before.

--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -20,6 +20,24 @@
 const core::ModelId kModel("m");
 const core::RequestId kRequest("r");
 
+/** The machine's clock; from a point on, time passes at each look at it. */
+class AgeingClock final : public core::Clock {
+ public:
+  [[nodiscard]] core::SteadyTime Now() const override {
+    passed_ += step;
+    return system_.Now() + passed_;
+  }
+  [[nodiscard]] core::WallTime WallNow() const override {
+    return system_.WallNow();
+  }
+
+  milliseconds step{0};
+
+ private:
+  core::SystemClock system_;
+  mutable milliseconds passed_{0};
+};
+
 /** An endpoint process that reports what it is told and never ends a load. */
 struct TestEndpoint {
   TestEndpoint(boost::asio::io_context& io, const core::Clock& clock,
@@ -110,7 +128,7 @@
   }
 
   boost::asio::io_context io;
-  core::SystemClock clock;
+  AgeingClock clock;
   core::ManualClock waker_clock;
   core::Logger log;
   fleet::EngineRegistry registry;
@@ -168,6 +186,19 @@
   BOOST_TEST(near.wishes == 1);
 }
 
+/**
+ * An entry ends in the middle of its callers' streams.
+ * The VM is slow: an endpoint's report is fresh as a wake-up begins to look at
+ * the engines, and too old a moment later, in the same look.
+ */
+BOOST_AUTO_TEST_CASE(AReportThatAgesDuringTheChoiceIsBorne) {
+  Rig rig;
+  rig.waker_clock.Advance(std::chrono::seconds(4));
+  rig.clock.step = milliseconds(1000);
+  const auto wakers = rig.finder.FindWakers(rig.service, kModel);
+  BOOST_TEST(wakers.size() == 1);
+}
+
 /**
  * Callers of a busy model are refused for 16 s: rare models that are on no disk
  * any more are fetched in company, and the weight store serves four at once.
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -49,6 +49,12 @@
   return policy::Tier::kRemote;
 }
 
+/** An engine and what its endpoint said last. */
+struct ReportedEngine {
+  const fleet::EngineEntry* engine = nullptr;
+  const gen::EndpointReport* report = nullptr;
+};
+
 /** Replicas and demand of each model, over all engines of a service. */
 struct ModelTotals {
   int replicas = 0;
@@ -129,28 +135,31 @@
 std::vector<FoundWaker> ReplicaFinder::FindWakers(
     const routing::Service& service, const core::ModelId& model) const {
   std::map<std::string, ModelTotals> totals;
-  std::vector<const fleet::EngineEntry*> engines;
+  // Each report is looked up once. The failure met: between two look-ups of one
+  // engine its report grew too old, the second found none, and the process
+  // died.
+  std::vector<ReportedEngine> engines;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service.id || engine.draining) continue;
     if (loads_.Unreachable(instance)) continue;
     const fleet::EndpointState* state = feed_.Find(instance);
     if (state == nullptr) continue;
-    engines.push_back(&engine);
+    engines.push_back({&engine, &state->report});
     for (const gen::ReplicaReport& it : state->report.replicas) {
       ++totals[it.model].replicas;
       totals[it.model].demand += PerSecond(it.demand_per_1000_s);
     }
   }
   std::vector<FoundWaker> found;
-  for (const fleet::EngineEntry* engine : engines) {
-    const gen::EndpointReport& report = feed_.Find(engine->instance)->report;
+  for (const ReportedEngine& reported : engines) {
+    const gen::EndpointReport& report = *reported.report;
     FoundWaker waker;
-    waker.instance = engine->instance;
+    waker.instance = reported.engine->instance;
     waker.view.tier = TierOf(report, model);
     waker.view.order_left = milliseconds(report.loading_left_ms);
     waker.view.memory_bytes = service.engine->memory_bytes;
     waker.view.running = report.running;
-    waker.view.same_zone = engine->zone == zone_;
+    waker.view.same_zone = reported.engine->zone == zone_;
     bool holds = false;
     for (const gen::ReplicaReport& it : report.replicas) {
       holds = holds || it.model == model.value();
