Endpoints serve counters and histograms; the report for entries is a module of its own

Cause: on-call engineers could ask entries for metrics, endpoints not; answers of orders stood in logs as numbers. Change: DeskMetrics (wishes by tier and outcome, orders by answer, engine losses, store calls, levels) on metrics_listen; order_given names its answer. What entries are told of an engine leaves engine_desk.cc for desk_report.cc (432 -> 360 lines); families of metrics and the metrics answer stand once. Test: MetricsTellOfLostAnswersAndOfWishes.

--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -36,8 +36,7 @@
   const auto path = http::PathOf(request.target);
   if (path == "/metrics") {
     co_await writer.Send(
-        http::MakeResponse(kOk, "text/plain; version=0.0.4",
-                           metrics.Text(endpoint.CurrentLevels())));
+        http::MetricsResponse(metrics.Text(endpoint.CurrentLevels())));
   } else if (path == "/healthz") {
     co_await writer.Send(http::MakeResponse(kOk, "text/plain", "ok\n"));
   } else if (path == "/readyz") {
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -20,7 +20,6 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr milliseconds kDrainPoll{20};
-constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
 
 /** Counts a scope in an atomic. */
 class Counted {
@@ -163,8 +162,7 @@
 Task<> Entry::AnswerPlainPath(std::string path, http::ResponseWriter& writer) {
   http::Response response;
   if (path == "/metrics") {
-    response =
-        http::MakeResponse(kOk, kMetricsType, metrics_.Text(CurrentLevels()));
+    response = http::MetricsResponse(metrics_.Text(CurrentLevels()));
   } else if (path == "/readyz" && !Ready()) {
     response = http::MakeResponse(kUnavailable, "text/plain", "not ready\n");
   } else {
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -90,6 +90,11 @@
   return encoded;
 }
 
+Response MetricsResponse(std::string text) {
+  constexpr int kOk = 200;
+  return MakeResponse(kOk, "text/plain; version=0.0.4", std::move(text));
+}
+
 Response MakeResponse(int status, std::string_view content_type,
                       std::string body) {
   Response response;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -69,6 +69,9 @@
 /** @return `text` with percent escapes and '+' undone. */
 std::string UrlDecode(std::string_view text);
 
+/** @return An answer with metrics in the Prometheus text format. */
+Response MetricsResponse(std::string text);
+
 /** @return An answer of this type and body. */
 Response MakeResponse(int status, std::string_view content_type,
                       std::string body);
--- /dev/null
+++ b/src/orders/desk_metrics.cc
@@ -0,0 +1,82 @@
+/** @file desk_metrics.cc What the process beside an engine counts. */
+#include <prometheus/text_serializer.h>
+
+#include "core/metric_family_func.h"
+#include "orders/desk_metrics_base.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::orders {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** An adapter takes 10 to 30 ms, a load from the weight store 9 to 20 s. */
+const prometheus::Histogram::BucketBoundaries kSeconds = {
+    0.03, 0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 8, 12, 20, 30};
+
+}  // namespace
+
+struct DeskMetrics::State {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Histogram>& wishes = core::AddHistograms(
+      registry, "sapphire_desk_wish_seconds",
+      "Models and adapters asked for, until they serve, by tier and outcome");
+  prometheus::Family<prometheus::Counter>& orders =
+      core::AddCounters(registry, "sapphire_desk_orders_total",
+                        "Orders to the engine, by kind and answer");
+  prometheus::Family<prometheus::Counter>& engine_losses =
+      core::AddCounters(registry, "sapphire_desk_engine_losses_total",
+                        "Times that the engine stopped answering");
+  prometheus::Family<prometheus::Counter>& store_calls =
+      core::AddCounters(registry, "sapphire_desk_store_calls_total",
+                        "Calls to the store, by kind and outcome");
+  prometheus::Family<prometheus::Gauge>& levels =
+      core::AddGauges(registry, "sapphire_desk_level",
+                      "Levels of this process and its engine, by name");
+};
+
+DeskMetrics::DeskMetrics() : state_(std::make_unique<State>()) {}
+DeskMetrics::~DeskMetrics() = default;
+
+void DeskMetrics::WishEnded(policy::Tier tier, std::string_view outcome,
+                            std::chrono::milliseconds took) {
+  state_->wishes
+      .Add({{"tier", std::string(policy::TierName(tier))},
+            {"outcome", std::string(outcome)}},
+           kSeconds)
+      .Observe(Seconds(took).count());
+}
+
+void DeskMetrics::OrderGiven(std::string_view kind, std::string_view answer) {
+  state_->orders
+      .Add({{"kind", std::string(kind)}, {"answer", std::string(answer)}})
+      .Increment();
+}
+
+void DeskMetrics::EngineLost() { state_->engine_losses.Add({}).Increment(); }
+
+void DeskMetrics::StoreCall(std::string_view kind, std::string_view outcome) {
+  core::CountCall(state_->store_calls, kind, outcome);
+}
+
+std::string DeskMetrics::Text(const DeskLevels& levels) {
+  const auto set = [this](const char* name, auto value) {
+    state_->levels.Add({{"name", name}}).Set(static_cast<double>(value));
+  };
+  set("config_version", levels.config_version);
+  set("entries", levels.entries);
+  set("engine_up", levels.engine_up);
+  set("report_age_ms", levels.report_age.count());
+  set("running", levels.running);
+  set("waiting", levels.waiting);
+  set("kv_tokens_used", levels.kv_tokens_used);
+  set("wishes", levels.wishes);
+  set("open_orders", levels.open_orders);
+  set("log_lines", levels.log.lines);
+  set("log_bytes", levels.log.bytes);
+  set("log_lines_dropped", levels.log.dropped);
+  return prometheus::TextSerializer().Serialize(state_->registry.Collect());
+}
+
+}  // namespace sapphire::orders
--- /dev/null
+++ b/src/orders/desk_report.cc
@@ -0,0 +1,119 @@
+/** @file desk_report.cc What entries are told of an engine. */
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "orders/desk_report_func.h"
+#include "policy/placement_func.h"
+
+namespace sapphire::orders {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** How long the time of a load from the weight store tells of the next. */
+constexpr std::chrono::seconds kStoreLoadFresh{15};
+/** An overdue load is expected to take this part of its time so far more. */
+constexpr int kOverdueShare = 3;
+/** Places of an engine whose service is not configured yet. */
+constexpr int kUnknownPlaces = 1;
+
+std::int64_t PerThousandSeconds(double per_second) {
+  return static_cast<std::int64_t>(per_second * 1000);
+}
+
+std::vector<std::string> Names(const std::set<core::ModelId>& models) {
+  std::vector<std::string> names;
+  names.reserve(models.size());
+  for (const core::ModelId& it : models) names.push_back(it.value());
+  return names;
+}
+
+gen::ReplicaReport HeldReplica(const fleet::HeldModel& held,
+                               const fleet::ModelUsage& usages) {
+  const fleet::Usage usage = usages.Of({held.model, core::AdapterId()});
+  gen::ReplicaReport replica;
+  replica.model = held.model.value();
+  replica.state = gen::ReplicaState::READY;
+  replica.running = usage.running;
+  replica.demand_per_1000_s = PerThousandSeconds(usage.demand);
+  for (const core::AdapterId& it : held.adapters) {
+    replica.adapters.push_back(it.value());
+  }
+  return replica;
+}
+
+gen::ReplicaReport ComingReplica(const OpenWish& wish) {
+  gen::ReplicaReport replica;
+  replica.model = wish.model.value();
+  replica.state = gen::ReplicaState::LOADING;
+  return replica;
+}
+
+/** @return Until the last wish here is expected to be met. */
+milliseconds TimeOfWishes(std::span<const OpenWish> wishes,
+                          core::SteadyTime now) {
+  milliseconds left{0};
+  for (const OpenWish& wish : wishes) {
+    const auto usual =
+        std::chrono::duration_cast<milliseconds>(wish.ready - now);
+    // One that takes longer than usual is likely to take longer still: a load
+    // from the weight store in company takes twice its time.
+    const auto overdue =
+        std::chrono::duration_cast<milliseconds>(now - wish.began) /
+        kOverdueShare;
+    left = std::max(left, usual.count() > 0 ? usual : overdue);
+  }
+  return left;
+}
+
+}  // namespace
+
+policy::Tier TierOf(const EngineReport& engine, const core::ModelId& model) {
+  if (engine.copies.in_memory.contains(model)) return policy::Tier::kMemory;
+  if (engine.copies.on_disk.contains(model)) return policy::Tier::kDisk;
+  return policy::Tier::kRemote;
+}
+
+milliseconds LoadTime(const EngineReport& engine,
+                      const routing::EngineSpec* spec,
+                      const core::ModelId& model) {
+  if (spec == nullptr || !spec->models.contains(model)) return milliseconds(0);
+  return policy::LoadTimeFrom(spec->models.at(model).load_times,
+                              TierOf(engine, model));
+}
+
+gen::EndpointReport MakeReport(const DeskView& view) {
+  const EngineReport& engine = *view.engine;
+  gen::EndpointReport out;
+  out.endpoint = view.holder;
+  out.engine_instance = view.instance.value();
+  out.engine_up = view.engine_up;
+  out.order_count = engine.order_count;
+  out.running = engine.running;
+  out.waiting = engine.waiting;
+  out.kv_tokens_used = engine.kv_used;
+  out.kv_tokens_total = engine.kv_total;
+  out.max_running =
+      view.spec == nullptr ? kUnknownPlaces : view.spec->max_running;
+  for (const fleet::HeldModel& it : engine.models) {
+    out.replicas.push_back(HeldReplica(it, *view.usage));
+  }
+  for (const OpenWish& it : view.wishes) {
+    out.replicas.push_back(ComingReplica(it));
+  }
+  out.memory_tier = Names(engine.copies.in_memory);
+  out.disk_tier = Names(engine.copies.on_disk);
+  out.loading_left_ms = TimeOfWishes(view.wishes, view.now).count();
+  const bool fresh =
+      view.store_load && view.now - view.store_load->at < kStoreLoadFresh;
+  if (fresh) out.store_load_ms = view.store_load->took.count();
+  if (!view.wishes.empty()) {
+    out.loading_model = view.wishes.front().model.value();
+  }
+  return out;
+}
+
+}  // namespace sapphire::orders
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -35,7 +35,12 @@
       read_configuration_(std::move(read_configuration)),
       executor_(executor),
       log_(log),
-      desk_(options_.desk, engine, store, configuration_, clock, log),
+      store_(store,
+             [this](std::string_view kind, std::string_view outcome) {
+               metrics_.StoreCall(kind, outcome);
+             }),
+      desk_(options_.desk, engine, store_, configuration_, metrics_, clock,
+            log),
       service_(EndpointServiceOptions(), desk_, executor, clock, log),
       links_(
           executor, LinkOptionsOf(options_),
@@ -43,16 +48,30 @@
             return service_.Answer(std::move(call), std::move(first));
           },
           link::NoVersions(), clock, log),
-      follower_(FollowOptionsOf(options_), Hooks(), store, clock, log) {}
+      follower_(FollowOptionsOf(options_), Hooks(), store_, clock, log),
+      metrics_server_(
+          executor, options_.metrics_listen, http::ServerLimits(),
+          [this](const http::Request&, http::ResponseWriter& writer) {
+            return AnswerMetrics(writer);
+          },
+          log) {}
 
 void Endpoint::Start() {
   links_.Listen(options_.link_listen);
+  metrics_server_.Start();
   core::Spawn(executor_, log_, "follow_configuration",
               [this] { return follower_.Run(); });
   core::Spawn(executor_, log_, "look_at_engine",
               [this] { return desk_.Run(); });
 }
 
+core::Task<> Endpoint::AnswerMetrics(http::ResponseWriter& writer) {
+  DeskLevels levels = desk_.Levels();
+  levels.entries = service_.entries();
+  http::Response response = http::MetricsResponse(metrics_.Text(levels));
+  co_await writer.Send(std::move(response));
+}
+
 routing::FollowHooks Endpoint::Hooks() {
   const auto adopt = [this](const external::KvEntry& entry) {
     routing::AdoptDocument(configuration_, read_configuration_, entry, log_);
--- a/src/orders/endpoint_base.h
+++ b/src/orders/endpoint_base.h
@@ -7,8 +7,11 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
+#include "external/counting_store_base.h"
 #include "external/key_value_base.h"
+#include "http/server_base.h"
 #include "link/link_base.h"
+#include "orders/desk_metrics_base.h"
 #include "orders/endpoint_service_base.h"
 #include "orders/engine_desk_base.h"
 #include "orders/engine_port_base.h"
@@ -22,6 +25,8 @@
   core::ZoneId zone;
   std::string link_listen;
   std::string configuration_key;
+  /** For whoever collects metrics. */
+  std::string metrics_listen;
   DeskOptions desk;
 };
 
@@ -38,16 +43,20 @@
 
  private:
   routing::FollowHooks Hooks();
+  core::Task<> AnswerMetrics(http::ResponseWriter& writer);
 
   const EndpointOptions options_;
   const routing::ReadConfiguration read_configuration_;
   const core::Executor executor_;
   const core::Logger& log_;
+  DeskMetrics metrics_;
+  external::CountingStore store_;
   routing::ConfigurationHolder configuration_;
   EngineDesk desk_;
   EndpointService service_;
   link::LinkNode links_;
   routing::StoreFollower follower_;
+  http::Server metrics_server_;
 };
 
 }  // namespace sapphire::orders
--- a/src/orders/endpoint_service_base.h
+++ b/src/orders/endpoint_service_base.h
@@ -32,6 +32,9 @@
   /** The handler of a link: takes Subscribe and EnsureModel. */
   core::Task<> Answer(std::shared_ptr<link::Call> call, gen::Message first);
 
+  /** @return Entries that follow the endpoint. */
+  [[nodiscard]] int entries() const { return entries_; }
+
  private:
   core::Task<> Report(std::shared_ptr<link::Call> call);
   core::Task<> TakeUsage(std::shared_ptr<link::Call> call, std::int64_t entry);
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -24,26 +24,22 @@
 constexpr milliseconds kLoadLimit{30'000};
 /** A report older than this tells entries nothing. */
 constexpr milliseconds kFreshReport{1500};
-/** How long the time of a load from the weight store tells of the next. */
-constexpr std::chrono::seconds kStoreLoadFresh{15};
-/** An overdue load is expected to take this part of its time so far more. */
-constexpr int kOverdueShare = 3;
-/** Places of an engine whose service is not configured yet. */
-constexpr int kUnknownPlaces = 1;
-
 std::string_view NameOf(OrderKind kind) {
   return kind == OrderKind::kLoad ? "load" : "unload";
 }
 
-std::int64_t PerThousandSeconds(double per_second) {
-  return static_cast<std::int64_t>(per_second * 1000);
-}
-
-std::vector<std::string> Names(const std::set<core::ModelId>& models) {
-  std::vector<std::string> names;
-  names.reserve(models.size());
-  for (const core::ModelId& it : models) names.push_back(it.value());
-  return names;
+std::string_view NameOf(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      return "accepted";
+    case OrderAnswer::kAlreadyDone:
+      return "already_done";
+    case OrderAnswer::kBusy:
+      return "busy";
+    case OrderAnswer::kOtherInstance:
+      return "other_instance";
+  }
+  return "";
 }
 
 }  // namespace
@@ -51,11 +47,13 @@
 EngineDesk::EngineDesk(DeskOptions options, EnginePort& engine,
                        external::KeyValueStore& store,
                        const routing::ConfigurationHolder& configuration,
-                       const core::Clock& clock, const core::Logger& log)
+                       DeskMetrics& metrics, const core::Clock& clock,
+                       const core::Logger& log)
     : options_(std::move(options)),
       engine_(engine),
       store_(store),
       configuration_(configuration),
+      metrics_(metrics),
       clock_(clock),
       log_(log),
       usage_(clock) {}
@@ -71,6 +69,7 @@
     const bool reachable = failure.empty();
     if (reachable != engine_up_) {
       engine_up_ = reachable;
+      if (!reachable) metrics_.EngineLost();
       log_.Event(reachable ? LogLevel::kInfo : LogLevel::kWarning,
                  LogCategory::kReplica,
                  reachable ? "engine_regained" : "engine_lost",
@@ -89,13 +88,31 @@
 }
 
 core::Task<> EngineDesk::Ensure(ModelWish wish) {
+  const core::SteadyTime began = clock_.Now();
+  const policy::Tier tier = TierOf(report_, wish.model);
+  const auto ended = [&](std::string_view outcome) {
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - began);
+    metrics_.WishEnded(tier, outcome, took);
+  };
+  try {
+    co_await Fulfil(wish);
+  } catch (const Error& e) {
+    ended(core::InfoOf(e.code()).name);
+    throw;
+  }
+  ended("ok");
+}
+
+core::Task<> EngineDesk::Fulfil(const ModelWish& wish) {
   CheckInstance(wish.instance);
   if (!Holds(wish.model, core::AdapterId())) {
     // Known to entries from now on, so that none of them asks another engine.
     const core::SteadyTime free =
         wishes_.empty() ? clock_.Now()
                         : std::max(wishes_.back().ready, clock_.Now());
-    wishes_.push_back({wish.model, free, free + LoadTime(wish.model)});
+    wishes_.push_back(
+        {wish.model, free, free + LoadTime(report_, Spec(), wish.model)});
     changed_.Notify();
     std::exception_ptr failure;
     try {
@@ -130,7 +147,7 @@
     unload.instance = wish.instance;
     co_await CarryOut(unload, wish.deadline);
   }
-  const bool from_store = !HasCopy(wish.model);
+  const bool from_store = TierOf(report_, wish.model) == policy::Tier::kRemote;
   const core::SteadyTime began = clock_.Now();
   co_await CarryOut(load, wish.deadline);
   const core::SteadyTime now = clock_.Now();
@@ -251,8 +268,10 @@
               {"instance", order.instance},
               {"order_count", order.expected_count},
               {"fence", order.fence},
-              {"answer", answer ? static_cast<int>(*answer) : -1},
+              {"answer", answer ? NameOf(*answer) : "no_answer"},
               {"error", failure ? failure->what() : ""}});
+  metrics_.OrderGiven(NameOf(order.kind),
+                      answer ? NameOf(*answer) : "no_answer");
   const bool unknown = failure && failure->code() == ErrorCode::kOutcomeUnknown;
   if (!unknown && (!answer || *answer != OrderAnswer::kAccepted)) {
     // Its place in the list has moved if orders before it, or it, are over.
@@ -344,37 +363,6 @@
   return &*service->engine;
 }
 
-milliseconds EngineDesk::LoadTime(const core::ModelId& model) const {
-  const routing::EngineSpec* spec = Spec();
-  if (spec == nullptr || !spec->models.contains(model)) return milliseconds(0);
-  const policy::LoadTimes& times = spec->models.at(model).load_times;
-  if (report_.copies.in_memory.contains(model)) return times.memory;
-  if (report_.copies.on_disk.contains(model)) return times.disk;
-  return times.remote;
-}
-
-bool EngineDesk::HasCopy(const core::ModelId& model) const {
-  return report_.copies.in_memory.contains(model) ||
-         report_.copies.on_disk.contains(model);
-}
-
-/** @return Until the last wish here is expected to be met. */
-milliseconds EngineDesk::OrdersLeft() const {
-  const core::SteadyTime now = clock_.Now();
-  milliseconds left{0};
-  for (const OpenWish& wish : wishes_) {
-    const auto usual =
-        std::chrono::duration_cast<milliseconds>(wish.ready - now);
-    // One that takes longer than usual is likely to take longer still: a load
-    // from the weight store in company takes twice its time.
-    const auto overdue =
-        std::chrono::duration_cast<milliseconds>(now - wish.began) /
-        kOverdueShare;
-    left = std::max(left, usual.count() > 0 ? usual : overdue);
-  }
-  return left;
-}
-
 void EngineDesk::CheckInstance(const fleet::InstanceId& instance) {
   if (instance == instance_) return;
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_instance",
@@ -382,51 +370,40 @@
   instance_ = instance;
 }
 
-std::vector<gen::ReplicaReport> EngineDesk::Replicas() const {
-  std::vector<gen::ReplicaReport> replicas;
-  for (const fleet::HeldModel& held : report_.models) {
-    const fleet::Usage usage = usage_.Of({held.model, core::AdapterId()});
-    gen::ReplicaReport replica;
-    replica.model = held.model.value();
-    replica.state = gen::ReplicaState::READY;
-    replica.running = usage.running;
-    replica.demand_per_1000_s = PerThousandSeconds(usage.demand);
-    for (const core::AdapterId& it : held.adapters) {
-      replica.adapters.push_back(it.value());
-    }
-    replicas.push_back(std::move(replica));
-  }
-  for (const OpenWish& wish : wishes_) {
-    gen::ReplicaReport replica;
-    replica.model = wish.model.value();
-    replica.state = gen::ReplicaState::LOADING;
-    replicas.push_back(std::move(replica));
-  }
-  return replicas;
+bool EngineDesk::IsEngineUp() const {
+  return engine_up_ && report_time_ &&
+         clock_.Now() - *report_time_ < kFreshReport;
 }
 
 gen::EndpointReport EngineDesk::Snapshot() const {
-  gen::EndpointReport out;
-  out.endpoint = options_.holder;
-  out.engine_instance = instance_.value();
-  out.engine_up =
-      engine_up_ && report_time_ && clock_.Now() - *report_time_ < kFreshReport;
-  out.order_count = report_.order_count;
-  out.running = report_.running;
-  out.waiting = report_.waiting;
-  out.kv_tokens_used = report_.kv_used;
-  out.kv_tokens_total = report_.kv_total;
-  const routing::EngineSpec* spec = Spec();
-  out.max_running = spec == nullptr ? kUnknownPlaces : spec->max_running;
-  out.replicas = Replicas();
-  out.memory_tier = Names(report_.copies.in_memory);
-  out.disk_tier = Names(report_.copies.on_disk);
-  out.loading_left_ms = OrdersLeft().count();
-  if (store_load_ && clock_.Now() - store_load_->at < kStoreLoadFresh) {
-    out.store_load_ms = store_load_->took.count();
+  DeskView view;
+  view.holder = options_.holder;
+  view.instance = instance_;
+  view.engine_up = IsEngineUp();
+  view.engine = &report_;
+  view.usage = &usage_;
+  view.spec = Spec();
+  view.wishes = wishes_;
+  view.store_load = store_load_;
+  view.now = clock_.Now();
+  return MakeReport(view);
+}
+
+DeskLevels EngineDesk::Levels() const {
+  DeskLevels levels;
+  levels.config_version = configuration_.version();
+  levels.engine_up = IsEngineUp();
+  if (report_time_) {
+    levels.report_age =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - *report_time_);
   }
-  if (!wishes_.empty()) out.loading_model = wishes_.front().model.value();
-  return out;
+  levels.running = report_.running;
+  levels.waiting = report_.waiting;
+  levels.kv_tokens_used = report_.kv_used;
+  levels.wishes = static_cast<int>(wishes_.size());
+  levels.open_orders = static_cast<int>(open_orders_.size());
+  levels.log = log_.counters();
+  return levels;
 }
 
 }  // namespace sapphire::orders
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -15,6 +15,8 @@
 #include "external/key_value_base.h"
 #include "fleet/model_usage_base.h"
 #include "gen/link_types.h"
+#include "orders/desk_metrics_base.h"
+#include "orders/desk_report_func.h"
 #include "orders/engine_port_base.h"
 #include "orders/memory_plan_func.h"
 #include "orders/order_lane_base.h"
@@ -61,7 +63,8 @@
   EngineDesk(DeskOptions options, EnginePort& engine,
              external::KeyValueStore& store,
              const routing::ConfigurationHolder& configuration,
-             const core::Clock& clock, const core::Logger& log);
+             DeskMetrics& metrics, const core::Clock& clock,
+             const core::Logger& log);
 
   /** Looks at the engine for as long as the process runs. */
   core::Task<> Run();
@@ -75,6 +78,9 @@
   /** @return The state of the engine, for entries. */
   [[nodiscard]] gen::EndpointReport Snapshot() const;
 
+  /** @return Levels for the metrics; `entries` is not known here. */
+  [[nodiscard]] DeskLevels Levels() const;
+
   [[nodiscard]] fleet::ModelUsage& usage() { return usage_; }
 
   /** Moves on every change of the snapshot. */
@@ -86,19 +92,8 @@
     std::int64_t number = 0;
     EngineOrder order;
   };
-  /** A wish in progress, for the snapshot. */
-  struct OpenWish {
-    core::ModelId model;
-    core::SteadyTime began;
-    core::SteadyTime ready;
-  };
-  /** The latest load from the weight store. */
-  struct StoreLoad {
-    std::chrono::milliseconds took{0};
-    core::SteadyTime at;
-  };
-
   core::Task<> Look();
+  core::Task<> Fulfil(const ModelWish& wish);
   core::Task<> EnsureModel(const ModelWish& wish);
   core::Task<> EnsureAdapter(const ModelWish& wish);
   core::Task<> AwaitIdle(core::SteadyTime deadline);
@@ -114,17 +109,14 @@
   [[nodiscard]] bool Fits(const EngineOrder& order) const;
   [[nodiscard]] MemoryState State(const EngineOrder& but) const;
   [[nodiscard]] const routing::EngineSpec* Spec() const;
-  [[nodiscard]] std::chrono::milliseconds LoadTime(
-      const core::ModelId& model) const;
-  [[nodiscard]] bool HasCopy(const core::ModelId& model) const;
-  [[nodiscard]] std::chrono::milliseconds OrdersLeft() const;
-  [[nodiscard]] std::vector<gen::ReplicaReport> Replicas() const;
+  [[nodiscard]] bool IsEngineUp() const;
   void CheckInstance(const fleet::InstanceId& instance);
 
   const DeskOptions options_;
   EnginePort& engine_;
   external::KeyValueStore& store_;
   const routing::ConfigurationHolder& configuration_;
+  DeskMetrics& metrics_;
   const core::Clock& clock_;
   const core::Logger& log_;
   fleet::ModelUsage usage_;
--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -70,7 +70,7 @@
   /** A new process in the place of the one before. */
   void Restart() {
     desk = std::make_unique<EngineDesk>(Options(), engine, store, configuration,
-                                        clock, log);
+                                        metrics, clock, log);
   }
 
   /** @return Empty, or the error's name. */
@@ -107,6 +107,7 @@
   entry::testing::MemoryKeyValue store{store_clock};
   core::Logger log;
   routing::ConfigurationHolder configuration;
+  DeskMetrics metrics;
   TestingEngine engine{kMemory, kModel};
   std::unique_ptr<EngineDesk> desk;
 };
@@ -207,4 +208,24 @@
   BOOST_TEST(rig.Ensure("a", kEnough, "i-2") == "");
 }
 
+/**
+ * Callers are refused for seconds and on-call engineers see no reason.
+ * The engine is given an order whose answer is lost; the metrics of the process
+ * beside it must tell that, and how long the wish took in the end.
+ */
+BOOST_AUTO_TEST_CASE(MetricsTellOfLostAnswersAndOfWishes) {
+  Rig rig;
+  rig.engine.lose_next_answer = true;
+  BOOST_TEST(rig.Ensure("a", milliseconds(2000)).empty());
+  const std::string text = rig.metrics.Text(rig.desk->Levels());
+  const auto has = [&text](const std::string& line) {
+    return text.find(line) != std::string::npos;
+  };
+  BOOST_TEST(has("sapphire_desk_orders_total{answer=\"no_answer\","
+                 "kind=\"load\"} 1"));
+  BOOST_TEST(has("sapphire_desk_wish_seconds_count{outcome=\"ok\","
+                 "tier=\"remote\"} 1"));
+  BOOST_TEST(has("sapphire_desk_level{name=\"config_version\"} 1"));
+}
+
 }  // namespace sapphire::orders
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -162,9 +162,7 @@
 }
 
 core::Task<> Front::AnswerMetrics(http::ResponseWriter& writer) {
-  static constexpr std::string_view kType = "text/plain; version=0.0.4";
-  http::Response response =
-      http::MakeResponse(kOk, kType, metrics_.Text(Levels()));
+  http::Response response = http::MetricsResponse(metrics_.Text(Levels()));
   co_await writer.Send(std::move(response));
 }
 
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -1,10 +1,7 @@
 /** @file front_metrics.cc What an entry that sends to engines counts. */
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/metric_family_func.h"
 #include "policy/placement_func.h"
 #include "serving/front_metrics_base.h"
 
@@ -12,9 +9,6 @@
 
 namespace {
 
-using prometheus::BuildCounter;
-using prometheus::BuildGauge;
-using prometheus::BuildHistogram;
 using Seconds = std::chrono::duration<double>;
 
 const prometheus::Histogram::BucketBoundaries kSeconds = {
@@ -37,40 +31,25 @@
 struct FrontMetrics::State {
   prometheus::Registry registry;
   prometheus::Family<prometheus::Histogram>& requests =
-      BuildHistogram()
-          .Name("sapphire_front_request_seconds")
-          .Help("Requests from arrival to end, by kind and outcome")
-          .Register(registry);
-  prometheus::Family<prometheus::Histogram>& first_bytes =
-      BuildHistogram()
-          .Name("sapphire_front_first_byte_seconds")
-          .Help("From arrival to the first byte of an engine's answer")
-          .Register(registry);
-  prometheus::Family<prometheus::Histogram>& wake_ups =
-      BuildHistogram()
-          .Name("sapphire_front_wake_up_seconds")
-          .Help("Wake-ups asked of endpoints, by checkpoint tier and outcome")
-          .Register(registry);
+      core::AddHistograms(registry, "sapphire_front_request_seconds",
+                          "Requests from arrival to end, by kind and outcome");
+  prometheus::Family<prometheus::Histogram>& first_bytes = core::AddHistograms(
+      registry, "sapphire_front_first_byte_seconds",
+      "From arrival to the first byte of an engine's answer");
+  prometheus::Family<prometheus::Histogram>& wake_ups = core::AddHistograms(
+      registry, "sapphire_front_wake_up_seconds",
+      "Wake-ups asked of endpoints, by checkpoint tier and outcome");
   prometheus::Family<prometheus::Counter>& sends =
-      BuildCounter()
-          .Name("sapphire_front_sends_total")
-          .Help("Sends of requests to engines, by their end")
-          .Register(registry);
+      core::AddCounters(registry, "sapphire_front_sends_total",
+                        "Sends of requests to engines, by their end");
   prometheus::Family<prometheus::Counter>& repeats =
-      BuildCounter()
-          .Name("sapphire_front_repeats_total")
-          .Help("Repeats asked of the shared budget, by answer")
-          .Register(registry);
+      core::AddCounters(registry, "sapphire_front_repeats_total",
+                        "Repeats asked of the shared budget, by answer");
   prometheus::Family<prometheus::Counter>& store_calls =
-      BuildCounter()
-          .Name("sapphire_front_store_calls_total")
-          .Help("Calls to the store, by kind and outcome")
-          .Register(registry);
-  prometheus::Family<prometheus::Gauge>& levels =
-      BuildGauge()
-          .Name("sapphire_front_level")
-          .Help("Levels of this entry, by name")
-          .Register(registry);
+      core::AddCounters(registry, "sapphire_front_store_calls_total",
+                        "Calls to the store, by kind and outcome");
+  prometheus::Family<prometheus::Gauge>& levels = core::AddGauges(
+      registry, "sapphire_front_level", "Levels of this entry, by name");
 };
 
 FrontMetrics::FrontMetrics() : state_(std::make_unique<State>()) {}
@@ -110,9 +89,7 @@
 }
 
 void FrontMetrics::StoreCall(std::string_view kind, std::string_view outcome) {
-  state_->store_calls
-      .Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
-      .Increment();
+  core::CountCall(state_->store_calls, kind, outcome);
 }
 
 std::string FrontMetrics::Text(const FrontLevels& levels) {
