--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -63,11 +63,12 @@
 
 }  // namespace
 
-Logger::Logger(LogIdentity identity, LogLevel threshold, const Clock& clock)
+Logger::Logger(LogIdentity identity, LogLevel threshold, const Clock& clock,
+               int fd)
     : identity_(std::move(identity)),
       threshold_(threshold),
       clock_(clock),
-      sink_(std::make_unique<LogSink>(STDOUT_FILENO, kMaxWaiting)) {}
+      sink_(std::make_unique<LogSink>(fd, kMaxWaiting)) {}
 
 void Logger::Event(LogLevel level, LogCategory category, std::string_view event,
                    std::initializer_list<LogField> fields) const {
--- a/src/core/log_base.h
+++ b/src/core/log_base.h
@@ -53,11 +53,17 @@
   ZoneId zone;
 };
 
+inline constexpr int kStandardOutput = 1;
+
 /** Writes events; safe to use from several threads. */
 class Logger {
  public:
-  /** Lines go to standard output; see LogSink. @pre `clock` outlives it. */
-  Logger(LogIdentity identity, LogLevel threshold, const Clock& clock);
+  /**
+   * @param fd Where lines go; see LogSink.
+   * @pre `clock` outlives it.
+   */
+  Logger(LogIdentity identity, LogLevel threshold, const Clock& clock,
+         int fd = kStandardOutput);
 
   /** @return What was written and dropped so far. */
   [[nodiscard]] LogSinkCounters counters() const { return sink_->counters(); }
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -167,9 +167,10 @@
 
 class Rig {
  public:
-  Rig()
-      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
-            core::LogLevel::kError, clock),
+  explicit Rig(core::LogLevel level = core::LogLevel::kError,
+               int log_fd = core::kStandardOutput)
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")}, level, clock,
+            log_fd),
         registry(fleet::RegistryOptions(), clock, log),
         loads(clock),
         links(io.get_executor(), link::LinkOptions(), nullptr,
