--- a/src/orders/desk_report.cc
+++ b/src/orders/desk_report.cc
@@ -52,25 +52,44 @@
   return replica;
 }
 
+/** @return How long something goes on that began then and usually ends then. */
+milliseconds ExpectedLeft(core::SteadyTime began, core::SteadyTime usual_end,
+                          core::SteadyTime now) {
+  const auto usual = std::chrono::duration_cast<milliseconds>(usual_end - now);
+  if (usual.count() > 0) return usual;
+  // What takes longer than usual is likely to take longer still: a load from
+  // the weight store in company takes twice its time.
+  return std::chrono::duration_cast<milliseconds>(now - began) / kOverdueShare;
+}
+
 /** @return Until the last wish here is expected to be met. */
 milliseconds TimeOfWishes(std::span<const OpenWish> wishes,
                           core::SteadyTime now) {
   milliseconds left{0};
   for (const OpenWish& wish : wishes) {
-    const auto usual =
-        std::chrono::duration_cast<milliseconds>(wish.ready - now);
-    // One that takes longer than usual is likely to take longer still: a load
-    // from the weight store in company takes twice its time.
-    const auto overdue =
-        std::chrono::duration_cast<milliseconds>(now - wish.began) /
-        kOverdueShare;
-    left = std::max(left, usual.count() > 0 ? usual : overdue);
+    left = std::max(left, ExpectedLeft(wish.began, wish.ready, now));
   }
   return left;
 }
 
+milliseconds LongestLoad(const routing::EngineSpec* spec) {
+  milliseconds longest{0};
+  if (spec == nullptr) return longest;
+  for (const auto& [id, model] : spec->models) {
+    longest = std::max(longest, model.load_times.remote);
+  }
+  return longest;
+}
+
 }  // namespace
 
+milliseconds ForeignOrderLeft(std::optional<core::SteadyTime> since,
+                              const routing::EngineSpec* spec,
+                              core::SteadyTime now) {
+  if (!since) return milliseconds(0);
+  return ExpectedLeft(*since, *since + LongestLoad(spec), now);
+}
+
 policy::Tier TierOf(const EngineReport& engine, const core::ModelId& model) {
   if (engine.copies.in_memory.contains(model)) return policy::Tier::kMemory;
   if (engine.copies.on_disk.contains(model)) return policy::Tier::kDisk;
@@ -106,7 +125,10 @@
   }
   out.memory_tier = Names(engine.copies.in_memory);
   out.disk_tier = Names(engine.copies.on_disk);
-  out.loading_left_ms = TimeOfWishes(view.wishes, view.now).count();
+  const milliseconds left =
+      std::max(TimeOfWishes(view.wishes, view.now),
+               ForeignOrderLeft(view.foreign_order, view.spec, view.now));
+  out.loading_left_ms = left.count();
   const bool fresh =
       view.store_load && view.now - view.store_load->at < kStoreLoadFresh;
   if (fresh) out.store_load_ms = view.store_load->took.count();
--- a/src/orders/desk_report_func.h
+++ b/src/orders/desk_report_func.h
@@ -40,12 +40,22 @@
   const routing::EngineSpec* spec = nullptr;
   std::span<const OpenWish> wishes;
   std::optional<StoreLoad> store_load;
+  /** Since when the engine carries out an order that is not the desk's. */
+  std::optional<core::SteadyTime> foreign_order;
   core::SteadyTime now;
 };
 
 /** @return The state of the engine, for entries. */
 gen::EndpointReport MakeReport(const DeskView& view);
 
+/**
+ * @return How long an order that the desk did not give may still hold up its
+ *   own: as long as the longest load, which nobody here knows better.
+ */
+std::chrono::milliseconds ForeignOrderLeft(
+    std::optional<core::SteadyTime> since, const routing::EngineSpec* spec,
+    core::SteadyTime now);
+
 /** @return The nearest copy of a model that is not held. */
 policy::Tier TierOf(const EngineReport& engine, const core::ModelId& model);
 
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -84,6 +84,7 @@
   report_ = co_await engine_.Report();
   report_time_ = clock_.Now();
   Settle();
+  NoteForeignOrder();
   changed_.Notify();
 }
 
@@ -108,9 +109,9 @@
   CheckInstance(wish.instance);
   if (!Holds(wish.model, core::AdapterId())) {
     // Known to entries from now on, so that none of them asks another engine.
-    const core::SteadyTime free =
-        wishes_.empty() ? clock_.Now()
-                        : std::max(wishes_.back().ready, clock_.Now());
+    const core::SteadyTime now = clock_.Now();
+    core::SteadyTime free = now + ForeignOrderLeft(foreign_order_, Spec(), now);
+    if (!wishes_.empty()) free = std::max(free, wishes_.back().ready);
     wishes_.push_back(
         {wish.model, free, free + LoadTime(report_, Spec(), wish.model)});
     changed_.Notify();
@@ -300,6 +301,20 @@
   co_return fence_;
 }
 
+/**
+ * The failure met: everything was stopped while engines loaded from the weight
+ * store; the new process beside such an engine can give it no order for many
+ * seconds, but entries saw an idle desk, asked it, and their callers waited
+ * until their patience was over.
+ */
+void EngineDesk::NoteForeignOrder() {
+  if (!report_.order_in_progress || !open_orders_.empty()) {
+    foreign_order_.reset();
+  } else if (!foreign_order_) {
+    foreign_order_ = clock_.Now();
+  }
+}
+
 void EngineDesk::Settle() {
   std::erase_if(open_orders_,
                 [this](const OpenOrder& it) { return IsOver(it.order); });
@@ -385,6 +400,7 @@
   view.spec = Spec();
   view.wishes = wishes_;
   view.store_load = store_load_;
+  view.foreign_order = foreign_order_;
   view.now = clock_.Now();
   return MakeReport(view);
 }
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -102,6 +102,7 @@
   core::Task<bool> GiveOnce(EngineOrder order);
   core::Task<std::int64_t> Fence();
   void Settle();
+  void NoteForeignOrder();
   [[nodiscard]] bool IsOver(const EngineOrder& order) const;
   [[nodiscard]] bool IsDone(const EngineOrder& order) const;
   [[nodiscard]] bool Holds(const core::ModelId& model,
@@ -129,6 +130,9 @@
   std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
   std::optional<StoreLoad> store_load_;
+  /** Since when the engine carries out an order of somebody else: of the
+   * process that was here before. */
+  std::optional<core::SteadyTime> foreign_order_;
   fleet::InstanceId instance_;
   /** The last look at the engine was answered. */
   bool engine_up_ = true;
--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -27,6 +27,7 @@
 constexpr std::int64_t kGigabyte = 1'000'000'000;
 constexpr std::int64_t kMemory = 230 * kGigabyte;
 constexpr std::int64_t kModel = 70 * kGigabyte;
+constexpr milliseconds kRemoteLoad{9000};
 const core::ServiceId kService("drafts");
 
 routing::Configuration MakeConfiguration() {
@@ -40,6 +41,7 @@
     routing::ModelSpec model;
     model.id = core::ModelId(name);
     model.bytes = kModel;
+    model.load_times.remote = kRemoteLoad;
     service.engine->models[model.id] = model;
   }
   routing::Configuration configuration;
@@ -208,6 +210,32 @@
   BOOST_TEST(rig.Ensure("a", kEnough, "i-2") == "");
 }
 
+/**
+ * After everything was stopped, callers of a model wait until their patience is
+ * over, beside idle engines.
+ * An engine still loads what the process before had ordered; the new process
+ * can give it no order, but told entries of an idle desk.
+ */
+BOOST_AUTO_TEST_CASE(AnOrderOfTheProcessBeforeCountsAsWork) {
+  Rig rig;
+  rig.engine.load_time = milliseconds(400);
+  ModelWish wish;
+  wish.model = core::ModelId("c");
+  wish.instance = rig.engine.instance;
+  wish.deadline = rig.clock.Now() + kEnough;
+  entry::testing::Outcome<std::string> lost;
+  entry::testing::StartTask(rig.io, rig.Ended(wish), lost);
+  rig.Pass(milliseconds(100));
+  const std::unique_ptr<EngineDesk> killed = std::move(rig.desk);
+  rig.Restart();
+  core::Spawn(rig.io.get_executor(), rig.log, "look",
+              [&rig] { return rig.desk->Run(); });
+  rig.Pass(milliseconds(50));
+  BOOST_TEST(rig.desk->Snapshot().loading_left_ms > kRemoteLoad.count() - 1000);
+  rig.Pass(milliseconds(500));
+  BOOST_TEST(rig.desk->Snapshot().loading_left_ms == 0);
+}
+
 /**
  * Callers are refused for seconds and on-call engineers see no reason.
  * The engine is given an order whose answer is lost; the metrics of the process
@@ -221,10 +249,12 @@
   const auto has = [&text](const std::string& line) {
     return text.find(line) != std::string::npos;
   };
-  BOOST_TEST(has("sapphire_desk_orders_total{answer=\"no_answer\","
-                 "kind=\"load\"} 1"));
-  BOOST_TEST(has("sapphire_desk_wish_seconds_count{outcome=\"ok\","
-                 "tier=\"remote\"} 1"));
+  BOOST_TEST(
+      has("sapphire_desk_orders_total{answer=\"no_answer\","
+          "kind=\"load\"} 1"));
+  BOOST_TEST(
+      has("sapphire_desk_wish_seconds_count{outcome=\"ok\","
+          "tier=\"remote\"} 1"));
   BOOST_TEST(has("sapphire_desk_level{name=\"config_version\"} 1"));
 }
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -119,7 +119,7 @@
   const std::string& target = work.request.forward.target;
   work.route = work.table->Find(work.request.host, http::PathOf(target));
   if (work.route == nullptr) throw Error(ErrorCode::kUnknownPath, target);
-  chooser_.CheckEnd(work);
+  chooser_.CheckEnd(work, milliseconds(0));
   work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
   Resolve(work);
   parts_.crash_watch.Check(work.fingerprint);
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -16,6 +16,8 @@
 
 /** Longest wait between two looks at the fleet. */
 constexpr milliseconds kLookAgain{100};
+/** An engine that takes its next order within this is as good as free. */
+constexpr milliseconds kOrderSoon{300};
 /** Nearly all streams end within this: 57 events of three tokens take 2 s on an
  * idle engine, up to 5 s on a crowded one. With 8 s to leave, streams are taken
  * for as long as balancers may still send new connections. */
@@ -47,10 +49,11 @@
 core::Task<fleet::InstanceId> EngineChooser::Choose(RequestWork& work) {
   while (true) {
     if (work.caller.left) co_return fleet::InstanceId();
-    CheckEnd(work);
+    CheckEnd(work, milliseconds(0));
     const std::uint64_t seen = feed_.changed().epoch();
     if (const auto engine = ChooseNow(work)) co_return *engine;
     const milliseconds ready_in = WakeModel(work);
+    CheckEnd(work, ready_in);
     const milliseconds left =
         std::min(TimeLeft(work, clock_.Now()), PatienceLeft(work));
     if (ready_in + kLeastTime > left) {
@@ -76,13 +79,30 @@
   std::ranges::copy_if(found, std::back_inserter(ready),
                        &FoundReplica::has_adapter);
   if (auto best = Cheapest(work, ready)) return best;
-  if (const auto holder = Cheapest(work, found)) {
-    waker_.WakeAdapter(work.service->id, *holder, work.request.model,
-                       work.request.adapter, work.request.id);
-  }
+  WakeAdapter(work, std::move(found));
   return std::nullopt;
 }
 
+/**
+ * Has the adapter loaded where its model is. The failure met: an engine takes
+ * no order for an adapter while it loads a model; callers of the adapter waited
+ * 9 s for it and were refused, while other engines that hold the model would
+ * have had the adapter in 30 ms.
+ */
+void EngineChooser::WakeAdapter(const RequestWork& work,
+                                std::vector<FoundReplica> holders) {
+  const WakeTarget target{work.service->id, work.request.model,
+                          work.request.adapter};
+  std::erase_if(holders, [&](const FoundReplica& it) {
+    return it.order_left > kOrderSoon ||
+           waker_.FailedLately(target, it.instance);
+  });
+  const auto holder = Cheapest(work, holders);
+  if (!holder) return;
+  waker_.WakeAdapter(target.service, *holder, target.model, target.adapter,
+                     work.request.id);
+}
+
 /** @return The engine that has just loaded the model, if no report has told so
  * yet. */
 std::optional<fleet::InstanceId> EngineChooser::JustLoaded(
@@ -127,9 +147,11 @@
       work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
       "no engine can be reached", kSoon);
   if (work.request.model.empty()) throw Error(nowhere);
-  const bool held =
-      !finder_.Find(work.service->id, work.request, work.avoid).empty();
-  if (held) return milliseconds(0);
+  const std::vector<FoundReplica> held =
+      finder_.Find(work.service->id, work.request, work.avoid);
+  if (!held.empty()) {
+    return std::ranges::min(held, {}, &FoundReplica::order_left).order_left;
+  }
   const auto ready =
       waker_.Wake(*work.service, work.request.model, work.request.id);
   if (!ready) throw Error(nowhere);
@@ -151,13 +173,13 @@
  * still open, waits for its model, and ends before it has answered; the caller
  * sees a closed connection and does not know whether to ask again.
  */
-void EngineChooser::CheckEnd(const RequestWork& work) const {
+void EngineChooser::CheckEnd(const RequestWork& work, milliseconds wait) const {
   if (!end_) return;
   const bool is_stream = work.route->kind == RequestKind::kStream;
   // What an engine has begun is tried to the last.
-  milliseconds needed = kLeastTime;
+  milliseconds needed = wait + kLeastTime;
   if (work.sends == 0) {
-    needed = is_stream ? kUsualStream : work.route->timeout;
+    needed = wait + (is_stream ? kUsualStream : work.route->timeout);
   }
   if (clock_.Now() + needed < *end_) return;
   throw Error(work.runs == 0 ? ErrorCode::kLeaving : ErrorCode::kOutcomeUnknown,
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -40,8 +40,11 @@
   /** The process ends at `end`. */
   void EndAt(core::SteadyTime end) { end_ = end; }
 
-  /** @throws core::Error if the process ends before the request would. */
-  void CheckEnd(const RequestWork& work) const;
+  /**
+   * @param wait Until the request can be sent.
+   * @throws core::Error if the process ends before the request would.
+   */
+  void CheckEnd(const RequestWork& work, milliseconds wait) const;
 
  private:
   std::optional<fleet::InstanceId> ChooseNow(RequestWork& work);
@@ -51,6 +54,7 @@
                   const std::vector<FoundReplica>& holders);
   std::optional<fleet::InstanceId> Cheapest(
       const RequestWork& work, const std::vector<FoundReplica>& found) const;
+  void WakeAdapter(const RequestWork& work, std::vector<FoundReplica> holders);
   milliseconds WakeModel(RequestWork& work);
   [[nodiscard]] milliseconds PatienceLeft(const RequestWork& work) const;
 
--- /dev/null
+++ b/src/serving/engine_chooser_test.cc
@@ -0,0 +1,124 @@
+/** @file engine_chooser_test.cc Tests of the choice of an engine, with
+ * endpoints on loopback. */
+#define BOOST_TEST_MODULE engine_chooser
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/error_type.h"
+#include "serving/dispatcher_rig_test.h"
+#include "serving/engine_chooser_base.h"
+#include "serving/waker_rig_test.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using testing::kModel;
+using testing::kService;
+using testing::RecordingWriter;
+using testing::TestEndpoint;
+
+const core::AdapterId kAdapter("a1");
+
+gen::ReplicaReport ReadyReplica() {
+  gen::ReplicaReport replica;
+  replica.model = kModel.value();
+  replica.state = gen::ReplicaState::READY;
+  return replica;
+}
+
+/** A chooser beside the rig of wake-ups. */
+struct Rig : testing::WakerRig {
+  Rig() : chooser(policy::EnginePace(), registry, feed, finder, waker, clock) {
+    waker_clock.Advance(std::chrono::seconds(4));
+    route.kind = routing::RequestKind::kStream;
+    route.patience = milliseconds(16'000);
+    request.model = kModel;
+    request.id = core::RequestId("r");
+  }
+
+  /** Starts to choose; callers wait `wait`. */
+  void Start(milliseconds wait) {
+    work = std::make_unique<RequestWork>(request, writer, clock.Now());
+    work->deadline = work->arrived + wait;
+    work->route = &route;
+    work->service = &service;
+    entry::testing::StartTask(io, Ended(), outcome);
+  }
+
+  core::Task<std::string> Ended() {
+    std::string error = "ok";
+    try {
+      co_await chooser.Choose(*work);
+    } catch (const core::Error& e) {
+      error = core::InfoOf(e.code()).name;
+    }
+    co_return error;
+  }
+
+  EngineChooser chooser;
+  routing::Route route;
+  CallerRequest request;
+  RecordingWriter writer;
+  std::unique_ptr<RequestWork> work;
+  entry::testing::Outcome<std::string> outcome;
+};
+
+}  // namespace
+
+/**
+ * Callers of an adapter wait 9 s and are refused.
+ * The engine that looks cheapest loads a model and takes no order meanwhile;
+ * another one that holds the model would have the adapter in 30 ms.
+ */
+BOOST_AUTO_TEST_CASE(AnAdapterIsLoadedWhereAnOrderIsTaken) {
+  Rig rig;
+  rig.endpoint.report.replicas = {ReadyReplica()};
+  rig.endpoint.report.loading_left_ms = 9000;
+  const std::size_t colon = rig.endpoint.address.rfind(':');
+  TestEndpoint idle(rig.io, rig.clock, rig.log,
+                    "127.0.0.2" + rig.endpoint.address.substr(colon));
+  idle.report.replicas = {ReadyReplica()};
+  idle.report.running = 5;
+  rig.AddEngine("i-2", "127.0.0.2:1");
+  rig.AwaitReports(6);
+  rig.request.adapter = kAdapter;
+  rig.Start(milliseconds(1000));
+  entry::testing::RunUntil(
+      rig.io, [&] { return idle.wishes > 0 || rig.outcome.value; });
+  BOOST_TEST(idle.wishes == 1);
+  BOOST_TEST(rig.endpoint.wishes == 0);
+}
+
+/** Where no engine takes an order in time, the caller is told at once. */
+BOOST_AUTO_TEST_CASE(AnAdapterThatComesTooLateIsRefusedAtOnce) {
+  Rig rig;
+  rig.endpoint.report.replicas = {ReadyReplica()};
+  rig.endpoint.report.loading_left_ms = 9000;
+  rig.AwaitReports(3);
+  rig.request.adapter = kAdapter;
+  rig.Start(milliseconds(4000));
+  entry::testing::RunUntil(rig.io,
+                           [&] { return rig.outcome.value.has_value(); });
+  BOOST_TEST(*rig.outcome.value == "no_capacity");
+  BOOST_TEST((rig.clock.Now() - rig.work->arrived < milliseconds(1000)));
+}
+
+/**
+ * A caller waits 8 s for an answer and is refused then.
+ * Its entry leaves and ends before the model could have been loaded; it waits
+ * for the model all the same until the process is about to end.
+ */
+BOOST_AUTO_TEST_CASE(ALeavingProcessDoesNotWaitForWhatComesTooLate) {
+  Rig rig;
+  rig.chooser.EndAt(rig.clock.Now() + std::chrono::seconds(7));
+  rig.Start(milliseconds(20'000));
+  entry::testing::RunUntil(rig.io,
+                           [&] { return rig.outcome.value.has_value(); });
+  BOOST_TEST(*rig.outcome.value == "leaving");
+  BOOST_TEST((rig.clock.Now() - rig.work->arrived < milliseconds(1000)));
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -38,6 +38,11 @@
 /** A further replica must not make callers of others wait longer than this. */
 constexpr milliseconds kReplicaWorth{4000};
 constexpr milliseconds kAdapterTime{30};
+/** Longest wait for an adapter; no caller waits longer than some seconds. */
+constexpr milliseconds kAdapterLimit{3000};
+/** A wake-up that is this much later than it should be is not counted on: four
+ * reports of its endpoint have come since. */
+constexpr milliseconds kOverdue{1000};
 /** An endpoint's report follows its answer within two report pauses. */
 constexpr milliseconds kReportLag{500};
 
@@ -63,10 +68,11 @@
     const WakeTarget& target) const {
   const auto it = pending_.find(target);
   if (it != pending_.end()) {
-    const auto left = it->second.ready - clock_.Now();
-    return std::max(std::chrono::duration_cast<milliseconds>(left),
-                    milliseconds(0));
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        it->second.ready - clock_.Now());
+    if (left > -kOverdue) return std::max(left, milliseconds(0));
   }
+  if (!target.adapter.empty()) return std::nullopt;
   const auto coming = finder_.FindComing(target.service, target.model);
   if (coming.empty()) return std::nullopt;
   return std::ranges::min(coming, {}, &ComingModel::ready_in).ready_in;
@@ -115,6 +121,7 @@
   const WakeTarget target{service.id, model, core::AdapterId()};
   const auto left = OnItsWay(target);
   if (left && *left < kSlowWakeUp) return left;
+  if (!left) GiveUpOverdue(target);
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
   const auto plan = Plan(service, model, wakers);
   // The failure met: an entry that has just started knows few endpoints yet and
@@ -150,13 +157,32 @@
   return plan->ready_in;
 }
 
+/**
+ * The failure met: an endpoint takes a wish and its engine carries out the
+ * order of a process that was there before, or its answer never comes; all
+ * callers of the model waited for it until their patience was over, beside idle
+ * engines.
+ */
+void ModelWaker::GiveUpOverdue(const WakeTarget& target) {
+  const auto it = pending_.find(target);
+  if (it == pending_.end()) return;
+  const fleet::InstanceId instance = it->second.instance;
+  log_.Event(LogLevel::kWarning, LogCategory::kReplica, "wake_overdue",
+             {{"model", target.model},
+              {"adapter", target.adapter},
+              {"instance", instance}});
+  failures_[{target, instance}] = clock_.Now();
+  pending_.erase(it);
+}
+
 void ModelWaker::WakeAdapter(const core::ServiceId& service,
                              const fleet::InstanceId& instance,
                              const core::ModelId& model,
                              const core::AdapterId& adapter,
                              const core::RequestId& request) {
   const WakeTarget target{service, model, adapter};
-  if (pending_.contains(target)) return;
+  if (OnItsWay(target)) return;
+  GiveUpOverdue(target);
   log_.Event(LogLevel::kInfo, LogCategory::kRequest, "wake_adapter",
              {{"request", request},
               {"model", model},
@@ -177,9 +203,13 @@
     return;
   }
   replica_asked_[target] = now;
-  if (OnItsWay(target)) return;
+  const auto left = OnItsWay(target);
+  if (left && *left < kSlowWakeUp) return;
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
-  if (need != policy::ReplicaNeed::kUrgent) {
+  // The failure met: a load from the weight store is on its way for 20 s, an
+  // engine that has the model on its disk comes back meanwhile and is not
+  // asked, and all callers crowd on the few engines that hold the model.
+  if (left || need != policy::ReplicaNeed::kUrgent) {
     std::erase_if(wakers, [](const FoundWaker& it) {
       return it.view.tier == policy::Tier::kRemote ||
              it.view.order_left.count() > 0;
@@ -218,13 +248,15 @@
   wish.model = target.model.value();
   wish.adapter = target.adapter.value();
   wish.engine_instance = instance.value();
-  wish.remaining_ms = kLoadLimit.count();
+  const milliseconds limit =
+      target.adapter.empty() ? kLoadLimit : kAdapterLimit;
+  wish.remaining_ms = limit.count();
   for (const core::ModelId& it : evict) wish.evict.push_back(it.value());
   const core::SteadyTime began = clock_.Now();
   std::string failure;
   std::string_view outcome = "ok";
   try {
-    co_await feed_.Ensure(instance, std::move(wish), kLoadLimit);
+    co_await feed_.Ensure(instance, std::move(wish), limit);
   } catch (const core::Error& e) {
     failure = e.what();
     outcome = core::InfoOf(e.code()).name;
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -75,6 +75,10 @@
   [[nodiscard]] std::optional<fleet::InstanceId> JustLoaded(
       const WakeTarget& target) const;
 
+  /** @return True if the engine could not load it a moment ago. */
+  [[nodiscard]] bool FailedLately(const WakeTarget& target,
+                                  const fleet::InstanceId& instance) const;
+
   /** Moves when a wake-up has ended, well or not. */
   [[nodiscard]] core::Signal& changed() { return changed_; }
 
@@ -105,12 +109,11 @@
   std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
                                          const core::ModelId& model,
                                          std::vector<FoundWaker>& wakers) const;
+  void GiveUpOverdue(const WakeTarget& target);
   void Start(const WakeTarget& target, Pending pending,
              std::vector<core::ModelId> evict);
   core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
                     policy::Tier tier, std::vector<core::ModelId> evict);
-  [[nodiscard]] bool FailedLately(const WakeTarget& target,
-                                  const fleet::InstanceId& instance) const;
 
   const ReplicaFinder& finder_;
   fleet::EndpointFeed& feed_;
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -87,11 +87,17 @@
     if (avoid.contains(instance)) continue;
     if (loads_.Unreachable(instance) || feed_.EngineDown(instance)) continue;
     if (loads_.Lacks(instance, {request.model, core::AdapterId()})) continue;
-    FoundReplica replica{instance, View(engine, request), true};
+    FoundReplica replica;
+    replica.instance = instance;
+    replica.view = View(engine, request);
     if (!request.model.empty()) {
-      const Holding holding = HoldingOf(engine, feed_.Find(instance),
-                                        request.model, request.adapter);
+      const fleet::EndpointState* state = feed_.Find(instance);
+      const Holding holding =
+          HoldingOf(engine, state, request.model, request.adapter);
       if (!holding.model) continue;
+      if (state != nullptr) {
+        replica.order_left = milliseconds(state->report.loading_left_ms);
+      }
       const bool lacks =
           loads_.Lacks(instance, {request.model, request.adapter});
       replica.has_adapter =
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -22,6 +22,8 @@
   policy::ReplicaCandidate view;
   /** It holds the adapter too, or none is asked for. */
   bool has_adapter = true;
+  /** Until its engine, which takes one order at a time, takes another. */
+  milliseconds order_left{0};
 };
 
 /** An engine that could load a model. */
--- a/tests/relay.cc
+++ b/tests/relay.cc
@@ -1,4 +1,4 @@
-/** @file relay.cc A TCP relay that can cut a link one way or both ways. */
+/** @file relay.cc A TCP relay that cuts, delays and resets connections. */
 #include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -8,8 +8,11 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
 
 #include "core/address_func.h"
+#include "core/task_func.h"
 #include "core/task_type.h"
 #include "tests/relay_base.h"
 
@@ -25,13 +28,21 @@
 
 using Socket = std::shared_ptr<tcp::socket>;
 
-Task<> Pump(Socket from, Socket to, std::shared_ptr<std::atomic<bool>> cut) {
+/** What happens to the bytes of one direction. */
+struct Treatment {
+  std::atomic<bool> cut{false};
+  std::atomic<std::int64_t> delay_ms{0};
+};
+
+Task<> Pump(Socket from, Socket to, std::shared_ptr<Treatment> treatment) {
   std::array<char, 16384> buf;
   while (true) {
     const auto [ec, n] =
         co_await from->async_read_some(asio::buffer(buf), kTuple);
     if (ec) break;
-    if (*cut) continue;
+    if (treatment->cut) continue;
+    const std::chrono::milliseconds delay(treatment->delay_ms.load());
+    if (delay.count() > 0) co_await core::SleepFor(delay);
     const auto [write_ec, written] =
         co_await asio::async_write(*to, asio::buffer(buf.data(), n), kTuple);
     if (write_ec) break;
@@ -49,6 +60,23 @@
         acceptor(strand),
         target(core::ParseAddress(target_address)) {}
 
+  void ResetAll() {
+    for (const std::weak_ptr<tcp::socket>& it : std::exchange(sockets, {})) {
+      const Socket socket = it.lock();
+      if (!socket || !socket->is_open()) continue;
+      boost::system::error_code ignored;
+      // Closing with a zero linger time resets the connection.
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+  void Accept() {
+    asio::co_spawn(
+        strand, [self = shared_from_this()] { return self->AcceptLoop(); },
+        asio::detached);
+  }
+
   Task<> AcceptLoop() {
     const auto self = shared_from_this();
     while (true) {
@@ -59,24 +87,27 @@
       const auto far = std::make_shared<tcp::socket>(strand);
       const auto [far_ec] = co_await far->async_connect(target, kTuple);
       if (far_ec) continue;
-      asio::co_spawn(strand, Pump(near, far, cut_to), asio::detached);
-      asio::co_spawn(strand, Pump(far, near, cut_from), asio::detached);
+      std::erase_if(sockets, [](const auto& it) { return it.expired(); });
+      sockets.insert(sockets.end(), {near, far});
+      asio::co_spawn(strand, Pump(near, far, to_target), asio::detached);
+      asio::co_spawn(strand, Pump(far, near, from_target), asio::detached);
     }
   }
 
   asio::strand<asio::io_context::executor_type> strand;
   tcp::acceptor acceptor;
   const tcp::endpoint target;
-  const std::shared_ptr<std::atomic<bool>> cut_to =
-      std::make_shared<std::atomic<bool>>(false);
-  const std::shared_ptr<std::atomic<bool>> cut_from =
-      std::make_shared<std::atomic<bool>>(false);
+  std::string closed_address;
+  std::vector<std::weak_ptr<tcp::socket>> sockets;
+  const std::shared_ptr<Treatment> to_target = std::make_shared<Treatment>();
+  const std::shared_ptr<Treatment> from_target = std::make_shared<Treatment>();
 };
 
-Relay::Relay(asio::io_context& io, const std::string& target)
+Relay::Relay(asio::io_context& io, const std::string& target,
+             const std::string& listen)
     : state_(std::make_shared<State>(io, target)) {
-  core::ListenOn(state_->acceptor, "127.0.0.1:0");
-  asio::co_spawn(state_->strand, state_->AcceptLoop(), asio::detached);
+  core::ListenOn(state_->acceptor, listen);
+  state_->Accept();
 }
 
 Relay::~Relay() {
@@ -91,8 +122,34 @@
 }
 
 void Relay::Cut(bool to_target, bool from_target) {
-  *state_->cut_to = to_target;
-  *state_->cut_from = from_target;
+  state_->to_target->cut = to_target;
+  state_->from_target->cut = from_target;
+}
+
+void Relay::Delay(std::chrono::milliseconds delay) {
+  state_->to_target->delay_ms = delay.count();
+  state_->from_target->delay_ms = delay.count();
+}
+
+void Relay::Reset() {
+  asio::post(state_->strand, [state = state_] { state->ResetAll(); });
+}
+
+void Relay::Close() {
+  asio::post(state_->strand, [state = state_] {
+    boost::system::error_code ignored;
+    state->closed_address = core::AddressText(state->acceptor);
+    state->acceptor.close(ignored);
+    state->ResetAll();
+  });
+}
+
+void Relay::Reopen() {
+  asio::post(state_->strand, [state = state_] {
+    if (state->acceptor.is_open()) return;
+    core::ListenOn(state->acceptor, state->closed_address);
+    state->Accept();
+  });
 }
 
 }  // namespace sapphire::tests
