--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -75,6 +75,20 @@
                                         metrics, clock, log);
   }
 
+  /** The process is killed while its engine loads a model, and started again.
+   * @return What is left of the killed one. */
+  std::unique_ptr<EngineDesk> RestartDuringLoad(const std::string& model) {
+    ModelWish wish;
+    wish.model = core::ModelId(model);
+    wish.instance = engine.instance;
+    wish.deadline = clock.Now() + milliseconds(3000);
+    entry::testing::StartTask(io, Ended(wish), lost);
+    Pass(milliseconds(100));
+    std::unique_ptr<EngineDesk> killed = std::move(desk);
+    Restart();
+    return killed;
+  }
+
   /** @return Empty, or the error's name. */
   std::string Ensure(const std::string& model, milliseconds timeout,
                      const std::string& instance = "i-1") {
@@ -112,6 +126,7 @@
   DeskMetrics metrics;
   TestingEngine engine{kMemory, kModel};
   std::unique_ptr<EngineDesk> desk;
+  entry::testing::Outcome<std::string> lost;
 };
 
 constexpr milliseconds kEnough{3000};
@@ -140,15 +155,7 @@
   rig.engine.Hold("a");
   rig.engine.Hold("b");
   rig.engine.load_time = milliseconds(400);
-  ModelWish wish;
-  wish.model = core::ModelId("c");
-  wish.instance = rig.engine.instance;
-  wish.deadline = rig.clock.Now() + kEnough;
-  entry::testing::Outcome<std::string> lost;
-  entry::testing::StartTask(rig.io, rig.Ended(wish), lost);
-  rig.Pass(milliseconds(100));
-  const std::unique_ptr<EngineDesk> killed = std::move(rig.desk);
-  rig.Restart();
+  const auto killed = rig.RestartDuringLoad("c");
   BOOST_TEST(rig.Ensure("d", kEnough) == "");
   BOOST_TEST(!rig.engine.over_memory);
 }
@@ -219,15 +226,7 @@
 BOOST_AUTO_TEST_CASE(AnOrderOfTheProcessBeforeCountsAsWork) {
   Rig rig;
   rig.engine.load_time = milliseconds(400);
-  ModelWish wish;
-  wish.model = core::ModelId("c");
-  wish.instance = rig.engine.instance;
-  wish.deadline = rig.clock.Now() + kEnough;
-  entry::testing::Outcome<std::string> lost;
-  entry::testing::StartTask(rig.io, rig.Ended(wish), lost);
-  rig.Pass(milliseconds(100));
-  const std::unique_ptr<EngineDesk> killed = std::move(rig.desk);
-  rig.Restart();
+  const auto killed = rig.RestartDuringLoad("c");
   core::Spawn(rig.io.get_executor(), rig.log, "look",
               [&rig] { return rig.desk->Run(); });
   rig.Pass(milliseconds(50));
--- a/src/serving/engine_chooser_test.cc
+++ b/src/serving/engine_chooser_test.cc
@@ -18,7 +18,6 @@
 using testing::kModel;
 using testing::kService;
 using testing::RecordingWriter;
-using testing::TestEndpoint;
 
 const core::AdapterId kAdapter("a1");
 
@@ -77,18 +76,15 @@
   Rig rig;
   rig.endpoint.report.replicas = {ReadyReplica()};
   rig.endpoint.report.loading_left_ms = 9000;
-  const std::size_t colon = rig.endpoint.address.rfind(':');
-  TestEndpoint idle(rig.io, rig.clock, rig.log,
-                    "127.0.0.2" + rig.endpoint.address.substr(colon));
-  idle.report.replicas = {ReadyReplica()};
-  idle.report.running = 5;
-  rig.AddEngine("i-2", "127.0.0.2:1");
+  const auto idle = rig.AddNearEndpoint();
+  idle->report.replicas = {ReadyReplica()};
+  idle->report.running = 5;
   rig.AwaitReports(6);
   rig.request.adapter = kAdapter;
   rig.Start(milliseconds(1000));
   entry::testing::RunUntil(
-      rig.io, [&] { return idle.wishes > 0 || rig.outcome.value; });
-  BOOST_TEST(idle.wishes == 1);
+      rig.io, [&] { return idle->wishes > 0 || rig.outcome.value; });
+  BOOST_TEST(idle->wishes == 1);
   BOOST_TEST(rig.endpoint.wishes == 0);
 }
 
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -12,7 +12,6 @@
 
 using testing::kModel;
 using testing::kRequest;
-using testing::TestEndpoint;
 using Rig = testing::WakerRig;
 
 }  // namespace
@@ -45,18 +44,11 @@
   rig.waker.Wake(rig.service, kModel, kRequest);
   BOOST_TEST(
       (*rig.waker.Wake(rig.service, kModel, kRequest) == milliseconds(8600)));
-  const std::size_t colon = rig.endpoint.address.rfind(':');
-  TestEndpoint near(rig.io, rig.clock, rig.log,
-                    "127.0.0.2" + rig.endpoint.address.substr(colon));
-  near.report.disk_tier = {kModel.value()};
-  rig.AddEngine("i-2", "127.0.0.2:1");
-  entry::testing::RunUntil(rig.io, [&] {
-    return rig.feed.Find(fleet::InstanceId("i-2")) != nullptr;
-  });
+  const auto near = rig.AddNearEndpoint();
   BOOST_TEST(
       (*rig.waker.Wake(rig.service, kModel, kRequest) == milliseconds(2000)));
   rig.AwaitReports(3);
-  BOOST_TEST(near.wishes == 1);
+  BOOST_TEST(near->wishes == 1);
 }
 
 /**
@@ -81,14 +73,10 @@
   rig.waker_clock.Advance(std::chrono::seconds(4));
   rig.endpoint.report.loading_model = "other";
   rig.AwaitReports(3);
-  const std::size_t colon = rig.endpoint.address.rfind(':');
-  TestEndpoint second(rig.io, rig.clock, rig.log,
-                      "127.0.0.2" + rig.endpoint.address.substr(colon));
-  second.report.loading_model = "another";
-  rig.AddEngine("i-2", "127.0.0.2:1");
-  entry::testing::RunUntil(rig.io, [&] {
-    return rig.feed.Find(fleet::InstanceId("i-2")) != nullptr;
-  });
+  const auto second = rig.AddNearEndpoint();
+  second->report.disk_tier.clear();
+  second->report.loading_model = "another";
+  rig.AwaitReports(4);
   rig.waker.NoteAsked(kModel);
   BOOST_TEST(
       (*rig.waker.Wake(rig.service, kModel, kRequest) > milliseconds(16'000)));
@@ -107,20 +95,13 @@
   rig.endpoint.report.disk_tier = {kModel.value()};
   rig.AwaitReports(3);
   rig.waker.Wake(rig.service, kModel, kRequest);
-  const std::size_t colon = rig.endpoint.address.rfind(':');
-  TestEndpoint other(rig.io, rig.clock, rig.log,
-                     "127.0.0.2" + rig.endpoint.address.substr(colon));
-  other.report.disk_tier = {kModel.value()};
-  rig.AddEngine("i-2", "127.0.0.2:1");
-  entry::testing::RunUntil(rig.io, [&] {
-    return rig.feed.Find(fleet::InstanceId("i-2")) != nullptr;
-  });
+  const auto other = rig.AddNearEndpoint();
   rig.waker_clock.Advance(std::chrono::seconds(4));
   BOOST_TEST(
       (*rig.waker.Wake(rig.service, kModel, kRequest) == milliseconds(2000)));
   rig.AwaitReports(3);
   BOOST_TEST(rig.endpoint.wishes == 1);
-  BOOST_TEST(other.wishes == 1);
+  BOOST_TEST(other->wishes == 1);
 }
 
 /**
@@ -132,19 +113,12 @@
   Rig rig;
   rig.waker_clock.Advance(std::chrono::seconds(4));
   rig.waker.AddReplica(rig.service, kModel, policy::ReplicaNeed::kUrgent);
-  const std::size_t colon = rig.endpoint.address.rfind(':');
-  TestEndpoint near(rig.io, rig.clock, rig.log,
-                    "127.0.0.2" + rig.endpoint.address.substr(colon));
-  near.report.disk_tier = {kModel.value()};
-  rig.AddEngine("i-2", "127.0.0.2:1");
-  entry::testing::RunUntil(rig.io, [&] {
-    return rig.feed.Find(fleet::InstanceId("i-2")) != nullptr;
-  });
+  const auto near = rig.AddNearEndpoint();
   rig.waker_clock.Advance(std::chrono::seconds(2));
   rig.waker.AddReplica(rig.service, kModel, policy::ReplicaNeed::kUseful);
   rig.AwaitReports(3);
   BOOST_TEST(rig.endpoint.wishes == 1);
-  BOOST_TEST(near.wishes == 1);
+  BOOST_TEST(near->wishes == 1);
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/waker_rig_test.h
+++ b/src/serving/waker_rig_test.h
@@ -111,6 +111,18 @@
     feed.Follow(fleet::InstanceId(instance));
   }
 
+  /** A second engine, whose endpoint has the model on its disk. */
+  std::unique_ptr<TestEndpoint> AddNearEndpoint() {
+    const std::size_t colon = endpoint.address.rfind(':');
+    auto near = std::make_unique<TestEndpoint>(
+        io, clock, log, "127.0.0.2" + endpoint.address.substr(colon));
+    near->report.disk_tier = {kModel.value()};
+    AddEngine("i-2", "127.0.0.2:1");
+    entry::testing::RunUntil(
+        io, [&] { return feed.Find(fleet::InstanceId("i-2")) != nullptr; });
+    return near;
+  }
+
   static fleet::FeedOptions FeedOptions(const TestEndpoint& endpoint) {
     fleet::FeedOptions options;
     const std::size_t colon = endpoint.address.rfind(':');
--- a/tests/process.cc
+++ b/tests/process.cc
@@ -26,6 +26,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of the test itself would stay open in the child: a port that the
+  // test closes would still be taken, a connection that it resets still alive.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> argv;
   argv.reserve(args.size() + 1);
   for (const std::string& arg : args) {
