A model that many wait for wakes on several engines at once

Change: while a model is being woken, an entry where three or more wait for it takes the same of all entries and has it loaded on up to four engines with near copies (policy::EnginesForWaiting). Wake-ups on their way are kept by engine. Tests: AModelThatManyWaitForWakesOnSeveralEngines, AModelThatFewWaitForWakesOnOneEngine, ACrowdThatWaitsIsSharedBySeveralEngines.

--- a/src/policy/replica_choice.cc
+++ b/src/policy/replica_choice.cc
@@ -36,6 +36,11 @@
 /** From here streams pause too long: worth a load from the weight store, which
  * holds up an engine's other loads for 9 s or, in company, 18 s. */
 constexpr int kCrowded = 24;
+/** Engines that a model wakes on at once, at most. Origin: the busiest model of
+ * the operators' sheets, 30 % of 20 drafts a second, with the two seconds of
+ * its load gathers 12 to 40 requests; four engines take them at 3 to 10 each.
+ */
+constexpr int kMostAtOnce = 4;
 /** Requests a second below which a crowd on an engine is not a model's own:
  * rare models are asked for every half minute, 0.03 a second. */
 constexpr double kOftenAsked = 0.4;
@@ -126,4 +131,8 @@
                                                  : ReplicaNeed::kNone;
 }
 
+int EnginesForWaiting(int waiting) {
+  return std::clamp(waiting / kFilling, 1, kMostAtOnce);
+}
+
 }  // namespace sapphire::policy
--- a/src/policy/replica_choice_func.h
+++ b/src/policy/replica_choice_func.h
@@ -75,6 +75,16 @@
 ReplicaNeed NeedForReplica(std::span<const ReplicaCandidate> candidates,
                            double demand_per_second);
 
+/**
+ * Judges on how many engines a model shall wake at once. Pattern: everything
+ * was stopped, or demand has moved to a model that no engine holds; requests
+ * for it gather for the two seconds of its load and all meet the first engine
+ * that has it.
+ * @param waiting Requests that wait for the model, over all entries.
+ * @return At least 1.
+ */
+int EnginesForWaiting(int waiting);
+
 }  // namespace sapphire::policy
 
 #endif  // SAPPHIRE_POLICY_REPLICA_CHOICE_FUNC_H_
--- a/src/policy/replica_choice_test.cc
+++ b/src/policy/replica_choice_test.cc
@@ -86,4 +86,15 @@
   BOOST_TEST((NeedForReplica(two, 0.1) == ReplicaNeed::kNone));
 }
 
+/**
+ * Pattern: a crowd gathers while a model loads. Seven requests are few enough
+ * for one engine (as kFilling says); more are shared, by four engines at most.
+ */
+BOOST_AUTO_TEST_CASE(ACrowdThatWaitsIsSharedBySeveralEngines) {
+  BOOST_TEST(EnginesForWaiting(0) == 1);
+  BOOST_TEST(EnginesForWaiting(7) == 1);
+  BOOST_TEST(EnginesForWaiting(20) == 2);
+  BOOST_TEST(EnginesForWaiting(200) == 4);
+}
+
 }  // namespace sapphire::policy
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -18,6 +18,9 @@
 constexpr milliseconds kLookAgain{100};
 /** An engine that takes its next order within this is as good as free. */
 constexpr milliseconds kOrderSoon{300};
+/** Requests that wait here from which the same is assumed of each entry: a rare
+ * model is asked for every half minute, so that three at once are no chance. */
+constexpr int kTellingWaiters = 3;
 /** Nearly all streams end within this: 57 events of three tokens take 2 s on an
  * idle engine, up to 5 s on a crowded one. With 8 s to leave, streams are taken
  * for as long as balancers may still send new connections. */
@@ -31,6 +34,26 @@
   return views;
 }
 
+/** Counts a request that waits for a model. Shares the counts: at the end of
+ * the process a suspended request may be ended after its chooser. */
+class Waiting {
+ public:
+  Waiting(std::shared_ptr<WaitingCounts> counts, core::ModelId model)
+      : counts_(std::move(counts)), model_(std::move(model)) {
+    ++(*counts_)[model_];
+  }
+  ~Waiting() {
+    const auto it = counts_->find(model_);
+    if (--it->second == 0) counts_->erase(it);
+  }
+  Waiting(const Waiting&) = delete;
+  Waiting& operator=(const Waiting&) = delete;
+
+ private:
+  const std::shared_ptr<WaitingCounts> counts_;
+  const core::ModelId model_;
+};
+
 }  // namespace
 
 EngineChooser::EngineChooser(policy::EnginePace pace,
@@ -61,6 +84,7 @@
           work.runs == 0 ? ErrorCode::kNoCapacity : ErrorCode::kOutcomeUnknown,
           "no engine can serve it in its time", std::max(ready_in, kSoon));
     }
+    const Waiting waiting(waiting_, work.request.model);
     co_await feed_.changed().Wait(seen, std::min(kLookAgain, left));
   }
 }
@@ -141,6 +165,19 @@
   return found[*best].instance;
 }
 
+/** Has a model loaded on further engines while it is being woken, if so many
+ * wait for it that the first engine would be crowded at once. */
+void EngineChooser::WakeForWaiting(const RequestWork& work) {
+  const auto it = waiting_->find(work.request.model);
+  const int here = it == waiting_->end() ? 0 : it->second;
+  // One or two that come together say nothing of the other entries.
+  if (here < kTellingWaiters) return;
+  const int engines = policy::EnginesForWaiting(here * feed_.entries());
+  if (engines == 1) return;
+  waker_.AddReplica(*work.service, work.request.model,
+                    policy::ReplicaNeed::kUseful, engines);
+}
+
 /** Has the model loaded. @return When it is expected to serve. */
 milliseconds EngineChooser::WakeModel(RequestWork& work) {
   const Error nowhere(
@@ -155,6 +192,7 @@
   const auto ready =
       waker_.Wake(*work.service, work.request.model, work.request.id);
   if (!ready) throw Error(nowhere);
+  WakeForWaiting(work);
   return *ready;
 }
 
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -2,6 +2,8 @@
 #ifndef SAPPHIRE_SERVING_ENGINE_CHOOSER_BASE_H_
 #define SAPPHIRE_SERVING_ENGINE_CHOOSER_BASE_H_
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -21,6 +23,9 @@
 /** When to come back if nothing better is known. */
 inline constexpr milliseconds kSoon{500};
 
+/** Requests of this entry that wait for a model that no engine holds. */
+using WaitingCounts = std::map<core::ModelId, int>;
+
 /** Chooses among engines that hold the model, has it loaded if none does, and
  * refuses what can't be served in its time. One thread. */
 class EngineChooser {
@@ -55,6 +60,7 @@
   std::optional<fleet::InstanceId> Cheapest(
       const RequestWork& work, const std::vector<FoundReplica>& found) const;
   void WakeAdapter(const RequestWork& work, std::vector<FoundReplica> holders);
+  void WakeForWaiting(const RequestWork& work);
   milliseconds WakeModel(RequestWork& work);
   [[nodiscard]] milliseconds PatienceLeft(const RequestWork& work) const;
 
@@ -65,6 +71,8 @@
   ModelWaker& waker_;
   const core::Clock& clock_;
   std::optional<core::SteadyTime> end_;
+  const std::shared_ptr<WaitingCounts> waiting_ =
+      std::make_shared<WaitingCounts>();
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/engine_chooser_test.cc
+++ b/src/serving/engine_chooser_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/error_type.h"
 #include "serving/dispatcher_rig_test.h"
@@ -44,13 +45,13 @@
     work->deadline = work->arrived + wait;
     work->route = &route;
     work->service = &service;
-    entry::testing::StartTask(io, Ended(), outcome);
+    entry::testing::StartTask(io, Ended(*work), outcome);
   }
 
-  core::Task<std::string> Ended() {
+  core::Task<std::string> Ended(RequestWork& one) {
     std::string error = "ok";
     try {
-      co_await chooser.Choose(*work);
+      co_await chooser.Choose(one);
     } catch (const core::Error& e) {
       error = core::InfoOf(e.code()).name;
     }
@@ -102,6 +103,39 @@
   BOOST_TEST((rig.clock.Now() - rig.work->arrived < milliseconds(1000)));
 }
 
+/**
+ * After everything was stopped, callers of the busiest model pause and wait for
+ * eight seconds.
+ * No engine holds it; all that gather during its load of two seconds meet the
+ * one engine that has it then.
+ */
+BOOST_AUTO_TEST_CASE(AModelThatManyWaitForWakesOnSeveralEngines) {
+  Rig rig;
+  rig.endpoint.report.disk_tier = {kModel.value()};
+  const auto near = rig.AddNearEndpoint();
+  rig.AwaitReports(6);
+  std::vector<std::unique_ptr<RequestWork>> works;
+  for (int i = 0; i < 20; ++i) {
+    rig.Start(milliseconds(10'000));
+    works.push_back(std::move(rig.work));
+    rig.AwaitReports(1);
+  }
+  rig.AwaitReports(20);
+  BOOST_TEST(rig.endpoint.wishes == 1);
+  BOOST_TEST(near->wishes == 1);
+}
+
+/** Few callers are served by one engine: the others' room stays as it is. */
+BOOST_AUTO_TEST_CASE(AModelThatFewWaitForWakesOnOneEngine) {
+  Rig rig;
+  rig.endpoint.report.disk_tier = {kModel.value()};
+  const auto near = rig.AddNearEndpoint();
+  rig.AwaitReports(6);
+  rig.Start(milliseconds(10'000));
+  rig.AwaitReports(20);
+  BOOST_TEST(rig.endpoint.wishes + near->wishes == 1);
+}
+
 /**
  * A caller waits 8 s for an answer and is refused then.
  * Its entry leaves and ends before the model could have been loaded; it waits
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -64,16 +64,27 @@
       asked_(clock),
       log_(log) {}
 
+std::vector<ComingModel> ModelWaker::Coming(const WakeTarget& target) const {
+  std::vector<ComingModel> coming;
+  if (target.adapter.empty()) {
+    coming = finder_.FindComing(target.service, target.model);
+  }
+  for (const auto& [asked, pending] : pending_) {
+    const bool same = !(asked.target < target) && !(target < asked.target);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(pending.ready - clock_.Now());
+    if (!same || left <= -kOverdue) continue;
+    std::erase_if(coming, [&asked = asked](const ComingModel& it) {
+      return it.instance == asked.instance;
+    });
+    coming.push_back({asked.instance, std::max(left, milliseconds(0))});
+  }
+  return coming;
+}
+
 std::optional<milliseconds> ModelWaker::OnItsWay(
     const WakeTarget& target) const {
-  const auto it = pending_.find(target);
-  if (it != pending_.end()) {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        it->second.ready - clock_.Now());
-    if (left > -kOverdue) return std::max(left, milliseconds(0));
-  }
-  if (!target.adapter.empty()) return std::nullopt;
-  const auto coming = finder_.FindComing(target.service, target.model);
+  const std::vector<ComingModel> coming = Coming(target);
   if (coming.empty()) return std::nullopt;
   return std::ranges::min(coming, {}, &ComingModel::ready_in).ready_in;
 }
@@ -89,8 +100,9 @@
   for (const FoundWaker& it : wakers) {
     policy::WakeUpCandidate view = it.view;
     // What was asked a moment ago is not in the endpoint's report yet.
-    for (const auto& [other, pending] : pending_) {
-      if (pending.instance != it.instance || !other.adapter.empty()) continue;
+    for (const auto& [asked, pending] : pending_) {
+      if (asked.instance != it.instance) continue;
+      if (!asked.target.adapter.empty()) continue;
       const auto left = std::chrono::duration_cast<milliseconds>(pending.ready -
                                                                  clock_.Now());
       view.order_left = std::max(view.order_left, left);
@@ -153,7 +165,7 @@
               {"eviction_cost_ms", plan->eviction_cost}});
   const policy::Tier tier = wakers[plan->engine].view.tier;
   const core::SteadyTime ready = clock_.Now() + plan->ready_in;
-  Start(target, Pending{instance, ready, tier}, plan->evict);
+  Start({target, instance}, Pending{ready, tier}, plan->evict);
   return plan->ready_in;
 }
 
@@ -164,15 +176,18 @@
  * engines.
  */
 void ModelWaker::GiveUpOverdue(const WakeTarget& target) {
-  const auto it = pending_.find(target);
-  if (it == pending_.end()) return;
-  const fleet::InstanceId instance = it->second.instance;
-  log_.Event(LogLevel::kWarning, LogCategory::kReplica, "wake_overdue",
-             {{"model", target.model},
-              {"adapter", target.adapter},
-              {"instance", instance}});
-  failures_[{target, instance}] = clock_.Now();
-  pending_.erase(it);
+  const core::SteadyTime now = clock_.Now();
+  std::erase_if(pending_, [&](const auto& it) {
+    const auto& [asked, pending] = it;
+    const bool same = !(asked.target < target) && !(target < asked.target);
+    if (!same || now < pending.ready + kOverdue) return false;
+    log_.Event(LogLevel::kWarning, LogCategory::kReplica, "wake_overdue",
+               {{"model", target.model},
+                {"adapter", target.adapter},
+                {"instance", asked.instance}});
+    failures_[asked] = now;
+    return true;
+  });
 }
 
 void ModelWaker::WakeAdapter(const core::ServiceId& service,
@@ -189,32 +204,37 @@
               {"adapter", adapter},
               {"instance", instance}});
   const core::SteadyTime ready = clock_.Now() + kAdapterTime;
-  Start(target, Pending{instance, ready, policy::Tier::kMemory}, {});
+  Start({target, instance}, Pending{ready, policy::Tier::kMemory}, {});
 }
 
 void ModelWaker::AddReplica(const routing::Service& service,
                             const core::ModelId& model,
-                            policy::ReplicaNeed need) {
+                            policy::ReplicaNeed need, int at_once) {
   if (need == policy::ReplicaNeed::kNone) return;
   const WakeTarget target{service.id, model, core::AdapterId()};
   const auto asked = replica_asked_.find(target);
   const core::SteadyTime now = clock_.Now();
-  if (asked != replica_asked_.end() && now - asked->second < kReplicaPause) {
-    return;
-  }
+  const milliseconds pause = at_once > 1 ? kReportLag : kReplicaPause;
+  if (asked != replica_asked_.end() && now - asked->second < pause) return;
   replica_asked_[target] = now;
-  const auto left = OnItsWay(target);
-  if (left && *left < kSlowWakeUp) return;
+  const std::vector<ComingModel> coming = Coming(target);
+  const auto soon = std::ranges::count_if(
+      coming, [](const ComingModel& it) { return it.ready_in < kSlowWakeUp; });
+  if (soon >= at_once) return;
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
   // The failure met: a load from the weight store is on its way for 20 s, an
   // engine that has the model on its disk comes back meanwhile and is not
   // asked, and all callers crowd on the few engines that hold the model.
-  if (left || need != policy::ReplicaNeed::kUrgent) {
+  if (!coming.empty() || need != policy::ReplicaNeed::kUrgent) {
     std::erase_if(wakers, [](const FoundWaker& it) {
       return it.view.tier == policy::Tier::kRemote ||
              it.view.order_left.count() > 0;
     });
   }
+  // One that this entry has asked a moment ago does not report it yet.
+  std::erase_if(wakers, [&](const FoundWaker& it) {
+    return pending_.contains({target, it.instance});
+  });
   const auto plan = Plan(service, model, wakers);
   if (!plan || plan->eviction_cost > kReplicaWorth) return;
   const fleet::InstanceId instance = wakers[plan->engine].instance;
@@ -222,21 +242,20 @@
              {{"model", model},
               {"instance", instance},
               {"demand", finder_.Demand(service.id, model)},
+              {"at_once", at_once},
               {"ready_in_ms", plan->ready_in},
               {"eviction_cost_ms", plan->eviction_cost}});
   const policy::Tier tier = wakers[plan->engine].view.tier;
   const core::SteadyTime ready = now + plan->ready_in;
-  Start(target, Pending{instance, ready, tier}, plan->evict);
+  Start({target, instance}, Pending{ready, tier}, plan->evict);
 }
 
-void ModelWaker::Start(const WakeTarget& target, Pending pending,
+void ModelWaker::Start(const Try& asked, Pending pending,
                        std::vector<core::ModelId> evict) {
-  const fleet::InstanceId instance = pending.instance;
-  const policy::Tier tier = pending.tier;
-  pending_[target] = std::move(pending);
+  pending_[asked] = pending;
   core::Spawn(executor_, log_, "load_model",
-              [this, target, instance, tier, evict = std::move(evict)] {
-                return Load(target, instance, tier, evict);
+              [this, asked, tier = pending.tier, evict = std::move(evict)] {
+                return Load(asked.target, asked.instance, tier, evict);
               });
 }
 
@@ -271,10 +290,7 @@
   const auto took =
       std::chrono::duration_cast<milliseconds>(clock_.Now() - began);
   metrics_.WakeUpEnded(tier, outcome, took);
-  const auto pending = pending_.find(target);
-  const bool replaced =
-      pending == pending_.end() || pending->second.instance != instance;
-  if (!replaced) pending_.erase(pending);
+  pending_.erase({target, instance});
   if (failure.empty()) {
     loaded_[target] = Ending{instance, clock_.Now()};
   } else {
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -66,9 +66,12 @@
                    const core::ModelId& model, const core::AdapterId& adapter,
                    const core::RequestId& request);
 
-  /** Has one more replica loaded, as far as the need for it is worth it. */
+  /**
+   * Has one more replica loaded, as far as the need for it is worth it.
+   * @param at_once So many may be on their way together.
+   */
   void AddReplica(const routing::Service& service, const core::ModelId& model,
-                  policy::ReplicaNeed need);
+                  policy::ReplicaNeed need, int at_once = 1);
 
   /** @return The engine that has just loaded it: its endpoint's next report,
    * which shows it, may still be on its way. */
@@ -84,7 +87,6 @@
 
  private:
   struct Pending {
-    fleet::InstanceId instance;
     core::SteadyTime ready;
     policy::Tier tier = policy::Tier::kRemote;
   };
@@ -105,12 +107,15 @@
 
   [[nodiscard]] bool LanesAreForOthers(const routing::Service& service,
                                        const core::ModelId& model) const;
+  /** @return Where it is being loaded, as far as endpoints tell or this entry
+   * has asked. */
+  [[nodiscard]] std::vector<ComingModel> Coming(const WakeTarget& target) const;
   std::optional<milliseconds> OnItsWay(const WakeTarget& target) const;
   std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
                                          const core::ModelId& model,
                                          std::vector<FoundWaker>& wakers) const;
   void GiveUpOverdue(const WakeTarget& target);
-  void Start(const WakeTarget& target, Pending pending,
+  void Start(const Try& asked, Pending pending,
              std::vector<core::ModelId> evict);
   core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
                     policy::Tier tier, std::vector<core::ModelId> evict);
@@ -127,7 +132,7 @@
   core::Signal changed_;
   /** What callers ask this entry for. */
   fleet::ModelUsage asked_;
-  std::map<WakeTarget, Pending> pending_;
+  std::map<Try, Pending> pending_;
   std::map<Try, core::SteadyTime> failures_;
   std::map<WakeTarget, Ending> loaded_;
   std::map<WakeTarget, core::SteadyTime> replica_asked_;
