Entries notice a silent store within four seconds; endpoints give up orders that a crash forgot

A watch of an entry waits 3 s now; - an engine crashed in the middle of a load and was back before a look failed; the process beside it waited for an order that nobody carried out. Ruled out: keep-alive probes (they show dead connections, not a silent server).

--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -22,6 +22,9 @@
 constexpr milliseconds kRepeatPause{150};
 /** A load that the engine has accepted and neither shows nor refuses. */
 constexpr milliseconds kLoadLimit{30'000};
+/** The engine's report shows an accepted order within this: it is as of some
+ * hundred milliseconds ago at most. */
+constexpr milliseconds kCountShown{1000};
 /** A report older than this tells entries nothing. */
 constexpr milliseconds kFreshReport{1500};
 std::string_view NameOf(OrderKind kind) {
@@ -215,9 +218,19 @@
                                   core::SteadyTime deadline) {
   const core::SteadyTime began = clock_.Now();
   bool accepted = false;
+  core::SteadyTime accepted_at;
   while (true) {
     co_await Look();
     if (IsDone(order)) break;
+    // The failure met: the engine crashes in the middle of a load and is back
+    // before a look at it fails; the order is forgotten with its count, and all
+    // orders here waited 30 s for it.
+    const bool forgotten = accepted &&
+                           report_.order_count <= order.expected_count &&
+                           clock_.Now() - accepted_at > kCountShown;
+    if (forgotten) {
+      throw Error(ErrorCode::kLoadFailed, "the engine has forgotten the order");
+    }
     if (clock_.Now() - began > kLoadLimit) {
       throw Error(ErrorCode::kLoadFailed, "the order has shown no effect");
     }
@@ -237,6 +250,7 @@
       }
       order.expected_count = report_.order_count;
       accepted = co_await GiveOnce(order);
+      accepted_at = clock_.Now();
     }
     co_await core::SleepFor(options_.busy_look_interval);
   }
--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -208,6 +208,24 @@
   BOOST_TEST(*refused.value == "engine_replaced");
 }
 
+/**
+ * Callers of all models on an engine's disk are refused for 30 s.
+ * The engine crashes in the middle of a load and is back at once; the process
+ * beside it waits for the load that nobody carries out any more.
+ */
+BOOST_AUTO_TEST_CASE(AnOrderThatACrashForgotIsGivenUpSoon) {
+  Rig rig;
+  rig.engine.load_time = milliseconds(400);
+  const auto began = rig.clock.Now();
+  core::Spawn(rig.io.get_executor(), rig.log, "crash",
+              [&rig]() -> core::Task<> {
+                co_await core::SleepFor(milliseconds(100));
+                rig.engine.Restart();
+              });
+  BOOST_TEST(rig.Ensure("a", kEnough) == "load_failed");
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(2000)));
+}
+
 /** Entries may still know the engine's last start: nothing is ordered then. */
 BOOST_AUTO_TEST_CASE(AnOrderForAnEarlierStartIsRefused) {
   Rig rig;
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -55,6 +55,13 @@
     report_.models.push_back(held);
   }
 
+  /** Crashes and is back at once, empty; reports do not tell its start. */
+  void Restart() {
+    report_ = EngineReport();
+    loading_.reset();
+    late_.clear();
+  }
+
   [[nodiscard]] bool Holds(const std::string& model) {
     Advance();
     return std::ranges::any_of(report_.models, [&](const auto& it) {
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -14,6 +14,15 @@
 
 namespace {
 
+/**
+ * How long a watch of an entry waits. The failure met: the store falls silent
+ * while a watch waits and forgets it; the connection lives on, and with waits of
+ * 20 s entries sent requests to engines that had left, and refused callers of
+ * new ones, for as long. An engine that leaves gets nothing new after 2 s, in
+ * which a disturbance of 3 s may be left out: the wait and the second after which
+ * the call is given up fit in. Costs 13 calls a watch and minute.
+ */
+constexpr milliseconds kWatchWait{3000};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr milliseconds kHousekeeping{250};
@@ -47,6 +56,7 @@
 routing::FollowOptions FollowOptionsOf(const std::string& prefix) {
   routing::FollowOptions options;
   options.prefix = prefix;
+  options.watch_wait = kWatchWait;
   return options;
 }
 
