--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -198,11 +198,10 @@
 
 /** @return How long the caller still waits for a first event. */
 milliseconds EngineChooser::PatienceLeft(const RequestWork& work) const {
-  if (work.route->kind != RequestKind::kStream)
-    return TimeLeft(work, clock_.Now());
+  const core::SteadyTime now = clock_.Now();
+  if (work.route->kind != RequestKind::kStream) return TimeLeft(work, now);
   const core::SteadyTime end = work.heard + work.route->patience;
-  const auto left =
-      std::chrono::duration_cast<milliseconds>(end - clock_.Now());
+  const auto left = std::chrono::duration_cast<milliseconds>(end - now);
   return std::max(left, milliseconds(0));
 }
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -16,11 +16,11 @@
 
 /**
  * How long a watch of an entry waits. The failure met: the store falls silent
- * while a watch waits and forgets it; the connection lives on, and with waits of
+ * while a watch waits and forgets it; the connection lives on. With waits of
  * 20 s entries sent requests to engines that had left, and refused callers of
- * new ones, for as long. An engine that leaves gets nothing new after 2 s, in
- * which a disturbance of 3 s may be left out: the wait and the second after which
- * the call is given up fit in. Costs 13 calls a watch and minute.
+ * new ones, for as long. An engine that leaves gets nothing new after 2 s, and
+ * the 3 s after a disturbance are left out: this wait, and the second after
+ * which the call is given up, fit in. It costs 13 calls a watch and minute.
  */
 constexpr milliseconds kWatchWait{3000};
 constexpr int kOk = 200;
--- a/tests/relay.cc
+++ b/tests/relay.cc
@@ -42,7 +42,9 @@
     if (ec) break;
     if (treatment->cut) continue;
     const std::chrono::milliseconds delay(treatment->delay_ms.load());
-    if (delay.count() > 0) co_await core::SleepFor(delay);
+    if (delay.count() > 0) {
+      co_await core::SleepFor(delay);
+    }
     const auto [write_ec, written] =
         co_await asio::async_write(*to, asio::buffer(buf.data(), n), kTuple);
     if (write_ec) break;
