--- a/src/policy/wake_up.cc
+++ b/src/policy/wake_up.cc
@@ -97,8 +97,10 @@
         candidate.order_left + LoadTimeFrom(loads, candidate.tier);
     double cost = static_cast<double>(ready_in.count()) + room->cost;
     cost += static_cast<double>((candidate.running * kPerRunning).count());
-    cost += BlockedAdaptersCost(candidate, loads);
     if (candidate.tier == Tier::kRemote) {
+      // Counted for loads from disk too, it moved wake-ups away from engines
+      // with room: quiet days served 0.03 to 0.05 less.
+      cost += BlockedAdaptersCost(candidate, loads);
       cost +=
           kDeskShare * static_cast<double>((loads.remote - loads.disk).count());
     }
