--- a/src/serving/waker_rig_test.h
+++ b/src/serving/waker_rig_test.h
@@ -39,13 +39,15 @@
 /** An endpoint process that reports what it is told and never ends a load. */
 struct TestEndpoint {
   TestEndpoint(boost::asio::io_context& io, const core::Clock& clock,
-               const core::Logger& log, const std::string& listen)
-      : links(
+               const core::Logger& logger, const std::string& listen)
+      : executor(io.get_executor()),
+        log(logger),
+        links(
             io.get_executor(), Options(),
             [this](std::shared_ptr<link::Call> call, gen::Message first) {
               return Answer(std::move(call), std::move(first));
             },
-            link::NoVersions(), clock, log) {
+            link::NoVersions(), clock, logger) {
     report.engine_up = true;
     report.entries = 1;
     address = links.Listen(listen);
@@ -62,6 +64,8 @@
       ++wishes;
       co_await core::SleepFor(std::chrono::seconds(60));
     }
+    core::Spawn(executor, log, "take_usage",
+                [this, call] { return TakeUsage(call); });
     while (!call->ended()) {
       gen::Message message;
       message.__set_endpoint_report(report);
@@ -70,10 +74,22 @@
     }
   }
 
+  core::Task<> TakeUsage(std::shared_ptr<link::Call> call) {
+    while (!call->ended()) {
+      const gen::Message message =
+          co_await call->Receive(std::chrono::seconds(60));
+      if (message.__isset.usage_report) ++usages;
+    }
+  }
+
+  const core::Executor executor;
+  const core::Logger& log;
   link::LinkNode links;
   gen::EndpointReport report;
   std::string address;
   int wishes = 0;
+  /** Reports of use that came. */
+  int usages = 0;
 };
 
 struct WakerRig {
