--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -19,7 +19,7 @@
 /** An engine that takes its next order within this is as good as free. */
 constexpr milliseconds kOrderSoon{300};
 /** Requests that wait here from which the same is assumed of each entry: a rare
- * model is asked for every half minute, so that three at once are no chance. */
+ * model is asked for every half minute, so three at once are no coincidence. */
 constexpr int kTellingWaiters = 3;
 /** Nearly all streams end within this: 57 events of three tokens take 2 s on an
  * idle engine, up to 5 s on a crowded one. With 8 s to leave, streams are taken
