--- a/platform/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -11,7 +11,7 @@
 #include "soak_plan_func.h"
 #include "soak_world_base.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 namespace {
 
@@ -66,8 +66,8 @@
 
 }  // namespace
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
 int main(int argc, char** argv) {
-  return sapphire::platform::soak::Main(argc, argv);
+  return sapphire::deploy::soak::Main(argc, argv);
 }
--- a/platform/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -8,8 +8,13 @@
 #include "soak_caller_base.h"
 #include "soak_engine_base.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
+using platform::kDeadline;
+using platform::kModel;
+using platform::kRequestId;
+using platform::kStamp;
+using platform::kTokenCount;
 using routing::RequestKind;
 
 namespace {
@@ -144,4 +149,4 @@
       body != whole || !http::FindHeader(head.headers, kStamp).has_value();
 }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -1,6 +1,6 @@
 /** @file soak_caller_base.h Callers that send, leave and check answers. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_CALLER_BASE_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_CALLER_BASE_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_CALLER_BASE_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_CALLER_BASE_H_
 
 #include <memory>
 #include <random>
@@ -11,7 +11,7 @@
 #include "http/client_base.h"
 #include "soak_type.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 inline constexpr std::string_view kHost = "soak.example";
 inline constexpr std::string_view kStreamPath = "/stream/";
@@ -55,6 +55,6 @@
   int sent_ = 0;
 };
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_CALLER_BASE_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_CALLER_BASE_H_
--- a/platform/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -8,9 +8,17 @@
 #include "platform/wire_names.h"
 #include "soak_engine_base.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 namespace json = boost::json;
+using platform::kExpectInstance;
+using platform::kInstance;
+using platform::kLastEvent;
+using platform::kModel;
+using platform::kNotRun;
+using platform::kRequestId;
+using platform::kStamp;
+using platform::kTokenCount;
 
 namespace {
 
@@ -229,4 +237,4 @@
   if (end) std::rethrow_exception(end);
 }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -1,6 +1,6 @@
 /** @file soak_engine_base.h An engine of the platform, for soaks. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_ENGINE_BASE_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_ENGINE_BASE_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_ENGINE_BASE_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_ENGINE_BASE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
@@ -14,7 +14,7 @@
 #include "http/server_base.h"
 #include "soak_type.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 /** A request with this body crashes each engine that begins to run it. */
 inline constexpr std::string_view kDeadlyBody = "deadly";
@@ -81,6 +81,6 @@
   http::Server server_;
 };
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_ENGINE_BASE_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_ENGINE_BASE_H_
--- a/platform/soak/soak_judge.cc
+++ b/deploy/soak/soak_judge.cc
@@ -6,7 +6,7 @@
 
 #include "soak_judge_func.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 namespace {
 
@@ -155,4 +155,4 @@
                             record.orders.size(), record.deadly_crashes);
 }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_judge_func.h
+++ b/deploy/soak/soak_judge_func.h
@@ -1,13 +1,13 @@
 /** @file soak_judge_func.h Whether a soak's promises were kept. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_JUDGE_FUNC_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_JUDGE_FUNC_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_JUDGE_FUNC_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_JUDGE_FUNC_H_
 
 #include <string>
 #include <vector>
 
 #include "soak_type.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 /** Of the attempts sent in the quiet time at the end, at least this part is
  * served. */
@@ -24,6 +24,6 @@
 /** @return How many attempts ended which way. */
 std::string Summary(const SoakRecord& record);
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_JUDGE_FUNC_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_JUDGE_FUNC_H_
--- a/platform/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -6,7 +6,7 @@
 
 #include "soak_plan_func.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 namespace {
 
@@ -72,4 +72,4 @@
   return text;
 }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_plan_func.h
+++ b/deploy/soak/soak_plan_func.h
@@ -1,10 +1,10 @@
 /** @file soak_plan_func.h Draws the faults of a soak from a seed. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_PLAN_FUNC_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_PLAN_FUNC_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_PLAN_FUNC_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_PLAN_FUNC_H_
 
 #include "soak_type.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 /**
  * Faults come in series, and series overlap. The same seed and sizes give the
@@ -16,6 +16,6 @@
 /** @return One line a fault. */
 std::string Describe(const SoakPlan& plan);
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_PLAN_FUNC_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_PLAN_FUNC_H_
--- a/platform/soak/soak_player_test.h
+++ b/deploy/soak/soak_player_test.h
@@ -1,6 +1,6 @@
 /** @file soak_player_test.h Plays one seed of the soak in a test. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_PLAYER_TEST_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_PLAYER_TEST_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_PLAYER_TEST_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_PLAYER_TEST_H_
 
 #include <unistd.h>
 
@@ -12,7 +12,7 @@
 #include "soak_plan_func.h"
 #include "soak_world_base.h"
 
-namespace sapphire::platform::soak::testing {
+namespace sapphire::deploy::soak::testing {
 
 /** Loopback subnets for tests that run side by side. */
 inline constexpr int kSubnets = 200;
@@ -38,6 +38,6 @@
   }
 }
 
-}  // namespace sapphire::platform::soak::testing
+}  // namespace sapphire::deploy::soak::testing
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_PLAYER_TEST_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_PLAYER_TEST_H_
--- a/platform/soak/soak_regression_test.cc
+++ b/deploy/soak/soak_regression_test.cc
@@ -4,7 +4,7 @@
 
 #include "soak_player_test.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 using testing::PlaySeed;
 
@@ -22,4 +22,4 @@
  */
 BOOST_AUTO_TEST_CASE(AnOrderLostInACrashHoldsNothingUp) { PlaySeed(131); }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -5,7 +5,7 @@
 
 #include "soak_player_test.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 BOOST_AUTO_TEST_CASE(ASeedIsDrawnTheSameWayEachTime) {
   SoakPlan plan;
@@ -17,4 +17,4 @@
 
 BOOST_AUTO_TEST_CASE(AShortSoakKeepsItsPromises) { testing::PlaySeed(1); }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -1,6 +1,6 @@
 /** @file soak_type.h What a soak plays, and what it records. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_TYPE_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_TYPE_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_TYPE_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_TYPE_H_
 
 #include <array>
 #include <chrono>
@@ -13,7 +13,7 @@
 #include "core/clock_base.h"
 #include "routing/route_type.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 using std::chrono::milliseconds;
 
@@ -131,6 +131,6 @@
   core::SteadyTime quiet_from;
 };
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_TYPE_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_TYPE_H_
--- a/platform/soak/soak_world.cc
+++ b/deploy/soak/soak_world.cc
@@ -9,7 +9,7 @@
 #include "core/task_func.h"
 #include "soak_world_base.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 namespace json = boost::json;
 
@@ -406,12 +406,13 @@
     relay.Reset();
     co_return;
   }
-  store_.trouble = fault.kind == FaultKind::kStoreBusy ? testing::Trouble::kBusy
+  store_.trouble = fault.kind == FaultKind::kStoreBusy
+                       ? platform::testing::Trouble::kBusy
                    : fault.kind == FaultKind::kStoreSilent
-                       ? testing::Trouble::kSilent
-                       : testing::Trouble::kAnswerLost;
+                       ? platform::testing::Trouble::kSilent
+                       : platform::testing::Trouble::kAnswerLost;
   co_await core::SleepFor(fault.length);
-  store_.trouble = testing::Trouble::kNone;
+  store_.trouble = platform::testing::Trouble::kNone;
 }
 
 void SoakWorld::DisturbEntry(int number, milliseconds length) {
@@ -435,4 +436,4 @@
   }
 }
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
--- a/platform/soak/soak_world_base.h
+++ b/deploy/soak/soak_world_base.h
@@ -1,6 +1,6 @@
 /** @file soak_world_base.h Plays a soak with real programs on this machine. */
-#ifndef SAPPHIRE_PLATFORM_SOAK_SOAK_WORLD_BASE_H_
-#define SAPPHIRE_PLATFORM_SOAK_SOAK_WORLD_BASE_H_
+#ifndef SAPPHIRE_DEPLOY_SOAK_SOAK_WORLD_BASE_H_
+#define SAPPHIRE_DEPLOY_SOAK_SOAK_WORLD_BASE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -17,7 +17,7 @@
 #include "tests/process_base.h"
 #include "tests/relay_base.h"
 
-namespace sapphire::platform::soak {
+namespace sapphire::deploy::soak {
 
 struct SoakOptions {
   /** Where the programs are. */
@@ -90,7 +90,7 @@
   core::SystemClock clock_;
   core::Logger log_;
   SoakRecord record_;
-  testing::TestingStore store_;
+  platform::testing::TestingStore store_;
   std::vector<std::string> models_;
   std::vector<std::unique_ptr<EngineVm>> engines_;
   std::vector<std::unique_ptr<EntryVm>> entries_;
@@ -101,6 +101,6 @@
   bool over_ = false;
 };
 
-}  // namespace sapphire::platform::soak
+}  // namespace sapphire::deploy::soak
 
-#endif  // SAPPHIRE_PLATFORM_SOAK_SOAK_WORLD_BASE_H_
+#endif  // SAPPHIRE_DEPLOY_SOAK_SOAK_WORLD_BASE_H_
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 [ "${1:-}" = --check ] && mode=(--dry-run --Werror)
-find src platform standin bench tests demo -name '*.cc' -o -name '*.h' | xargs -r clang-format "${mode[@]}"
+find src platform standin bench tests demo deploy -name '*.cc' -o -name '*.h' | xargs -r clang-format "${mode[@]}"
