--- a/src/crash/quarantine_store.cc
+++ b/src/crash/quarantine_store.cc
@@ -173,7 +173,9 @@
       NoteChanged(fingerprint);
       failed = true;
     }
-    if (!failed) co_await changed_.Wait(seen, kIdleLook);
+    if (!failed) {
+      co_await changed_.Wait(seen, kIdleLook);
+    }
     co_await core::SleepFor(failed ? kRetryPause : kGather);
   }
 }
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -61,8 +61,8 @@
       executor_(executor),
       clock_(clock),
       began_(clock.Now()),
-      asked_(clock),
-      log_(log) {}
+      log_(log),
+      asked_(clock) {}
 
 std::vector<ComingModel> ModelWaker::Coming(const WakeTarget& target) const {
   std::vector<ComingModel> coming;
