--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -338,6 +338,7 @@
        {"outcome", work.outcome},
        {"reason", work.reason},
        {"first_byte_ms", since(work.first_byte.value_or(work.arrived))},
+       {"longest_pause_ms", work.caller.longest_pause},
        {"total_ms", since(now)}});
 }
 
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -196,6 +196,7 @@
         co_await caller_.writer.Begin(std::move(head));
       }
       if (!bytes.empty()) {
+        NotePause();
         co_await caller_.writer.Write(bytes);
       }
       if (over) {
@@ -207,6 +208,17 @@
     co_return failure;
   }
 
+  /** A part is passed on now. */
+  void NotePause() {
+    const core::SteadyTime now = clock_.Now();
+    if (caller_.last_part != core::SteadyTime()) {
+      const auto pause = std::chrono::duration_cast<milliseconds>(
+          now - caller_.last_part);
+      caller_.longest_pause = std::max(caller_.longest_pause, pause);
+    }
+    caller_.last_part = now;
+  }
+
   [[nodiscard]] ExchangeResult Failed(ExchangeEnd end, std::string reason,
                                       bool timed_out) const {
     ExchangeResult result;
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -57,6 +57,10 @@
   EventSplitter events;
   /** Closes the send in progress. */
   std::shared_ptr<http::Abort> abort;
+  /** When the last part of a stream was passed on, and the longest pause
+   * between two parts so far, over all sends. */
+  core::SteadyTime last_part;
+  milliseconds longest_pause{0};
 };
 
 /** Limits of one send. */
