--- a/deploy/soak/soak_world.cc
+++ b/deploy/soak/soak_world.cc
@@ -206,8 +206,11 @@
       json::serialize(json::object{{"service", vm.service},
                                    {"address", vm.address},
                                    {"zone", "z"},
+                                   {"version", "v1"},
                                    {"slots", vm.service == kPlain ? 6 : 64},
                                    {"state", draining ? "draining" : "ready"},
+                                   {"coldLeftMs", 0},
+                                   {"seq", ++entries_written_},
                                    {"models", models}}));
 }
 
--- a/deploy/soak/soak_world_base.h
+++ b/deploy/soak/soak_world_base.h
@@ -98,6 +98,7 @@
   std::int64_t version_ = 0;
   int routes_ = 0;
   int instances_ = 0;
+  int entries_written_ = 0;
   bool over_ = false;
 };
 
--- a/src/fleet/endpoint_feed.cc
+++ b/src/fleet/endpoint_feed.cc
@@ -7,6 +7,7 @@
 #include "core/error_type.h"
 #include "core/task_func.h"
 #include "fleet/endpoint_feed_base.h"
+#include "fleet/instance_func.h"
 
 namespace sapphire::fleet {
 
@@ -21,6 +22,13 @@
 
 }  // namespace
 
+bool IsOfOtherStart(const gen::EndpointReport& report,
+                    const InstanceId& followed) {
+  const auto told = BirthOf(InstanceId(report.engine_instance));
+  const auto meant = BirthOf(followed);
+  return told && meant && *told != *meant;
+}
+
 EndpointFeed::EndpointFeed(FeedOptions options, link::LinkNode& links,
                            const EngineRegistry& registry, EngineLoads& loads,
                            const core::Executor& executor,
@@ -78,6 +86,7 @@
     state.report = message.endpoint_report;
     state.at = clock_.Now();
     state.own_running = loads_.Running(instance);
+    state.of_other_start = IsOfOtherStart(state.report, instance);
     changed_.Notify();
   }
   call->Cancel();
@@ -137,6 +146,7 @@
   const auto it = states_.find(instance);
   if (it == states_.end()) return nullptr;
   if (clock_.Now() - it->second.at > options_.fresh) return nullptr;
+  if (it->second.of_other_start) return nullptr;
   return &it->second;
 }
 
--- a/src/fleet/endpoint_feed_base.h
+++ b/src/fleet/endpoint_feed_base.h
@@ -24,8 +24,15 @@
   core::SteadyTime at;
   /** Requests from here that the report counts in. */
   int own_running = 0;
+  /** The engine tells its endpoint that it is another start than the one that
+   * is followed: the report says nothing of the latter. */
+  bool of_other_start = false;
 };
 
+/** @return True if the report is about another start of the engine. */
+[[nodiscard]] bool IsOfOtherStart(const gen::EndpointReport& report,
+                                  const InstanceId& followed);
+
 struct FeedOptions {
   /** Port on which endpoint processes listen for links, on the engine's VM. */
   std::uint16_t link_port = 0;
--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "fleet/engine_registry_base.h"
+#include "fleet/instance_func.h"
 
 namespace sapphire::fleet {
 
@@ -15,17 +16,57 @@
     : options_(options), clock_(clock), log_(log) {}
 
 void EngineRegistry::NoteReplaced(const InstanceId& instance) {
-  replaced_.insert(instance);
+  replaced_.insert_or_assign(instance, clock_.Now());
   Drop(instance, "replaced");
+  // What was in doubt beside it has no rival any more.
+  const auto doubted = doubted_.find(EngineOf(instance));
+  if (doubted == doubted_.end()) return;
+  EngineEntry entry = std::move(doubted->second.entry);
+  Accept(std::move(entry));
+}
+
+bool EngineRegistry::IsReplaced(const InstanceId& instance) const {
+  const auto it = replaced_.find(instance);
+  return it != replaced_.end() &&
+         clock_.Now() - it->second < options_.replaced_for;
+}
+
+InstanceId EngineRegistry::StartOf(const EngineId& engine) const {
+  const auto it = starts_.find(engine);
+  return it == starts_.end() ? InstanceId() : it->second;
 }
 
 void EngineRegistry::Put(EngineEntry entry) {
-  if (replaced_.contains(entry.instance)) return;
+  if (IsReplaced(entry.instance)) return;
+  const EngineId engine = EngineOf(entry.instance);
+  const InstanceId known = StartOf(engine);
+  const auto known_born = BirthOf(known);
+  const auto born = BirthOf(entry.instance);
+  // An engine that tells when it started always does: another wrote this.
+  if (known_born && !born) {
+    PutUnreadable(engine);
+    return;
+  }
+  if (known_born && *born < *known_born) {
+    log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_doubted",
+               {{"instance", entry.instance}, {"known", known}});
+    doubted_.insert_or_assign(engine, Doubted{std::move(entry), clock_.Now()});
+    return;
+  }
+  Accept(std::move(entry));
+}
+
+void EngineRegistry::Accept(EngineEntry entry) {
+  const EngineId engine = EngineOf(entry.instance);
+  doubted_.erase(engine);
+  const InstanceId known = StartOf(engine);
+  if (!known.empty() && known != entry.instance) Drop(known, "restarted");
   ++generation_;
   missing_.erase(entry.instance);
+  starts_.insert_or_assign(engine, entry.instance);
   const auto it = engines_.find(entry.instance);
-  const bool known = it != engines_.end();
-  if (!known || it->second.draining != entry.draining) {
+  const bool is_known = it != engines_.end();
+  if (!is_known || it->second.draining != entry.draining) {
     log_.Event(LogLevel::kInfo, LogCategory::kReplica,
                entry.draining ? "engine_draining" : "engine_known",
                {{"instance", entry.instance},
@@ -36,7 +77,14 @@
   engines_.insert_or_assign(entry.instance, std::move(entry));
 }
 
-void EngineRegistry::Remove(const InstanceId& instance, bool after_outage) {
+void EngineRegistry::PutUnreadable(const EngineId& engine) {
+  doubted_.erase(engine);
+  Drop(StartOf(engine), "entry_unreadable");
+}
+
+void EngineRegistry::Remove(const EngineId& engine, bool after_outage) {
+  doubted_.erase(engine);
+  const InstanceId instance = StartOf(engine);
   if (after_outage && engines_.contains(instance)) {
     missing_.try_emplace(instance, clock_.Now() + options_.return_grace);
     return;
@@ -46,14 +94,14 @@
 
 void EngineRegistry::Replace(std::vector<EngineEntry> entries,
                              bool after_outage) {
-  std::set<InstanceId> listed;
+  std::set<EngineId> listed;
   for (EngineEntry& entry : entries) {
-    listed.insert(entry.instance);
+    listed.insert(EngineOf(entry.instance));
     Put(std::move(entry));
   }
   std::vector<InstanceId> absent;
   for (const auto& [instance, entry] : engines_) {
-    if (!listed.contains(instance)) absent.push_back(instance);
+    if (!listed.contains(EngineOf(instance))) absent.push_back(instance);
   }
   const core::SteadyTime gone_at = clock_.Now() + options_.return_grace;
   for (const InstanceId& instance : absent) {
@@ -66,11 +114,22 @@
 }
 
 void EngineRegistry::Expire() {
+  const core::SteadyTime now = clock_.Now();
   std::vector<InstanceId> gone;
   for (const auto& [instance, gone_at] : missing_) {
-    if (clock_.Now() >= gone_at) gone.push_back(instance);
+    if (now >= gone_at) gone.push_back(instance);
   }
   for (const InstanceId& instance : gone) Drop(instance, "not_back_in_time");
+  std::vector<EngineEntry> believed;
+  for (const auto& [engine, doubted] : doubted_) {
+    if (now - doubted.since >= options_.doubt) {
+      believed.push_back(doubted.entry);
+    }
+  }
+  for (EngineEntry& entry : believed) Accept(std::move(entry));
+  std::erase_if(replaced_, [&](const auto& it) {
+    return now - it.second >= options_.replaced_for;
+  });
 }
 
 const EngineEntry* EngineRegistry::Find(const InstanceId& instance) const {
@@ -81,6 +140,7 @@
 void EngineRegistry::Drop(const InstanceId& instance, std::string_view reason) {
   missing_.erase(instance);
   if (engines_.erase(instance) == 0) return;
+  starts_.erase(EngineOf(instance));
   ++generation_;
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_gone",
              {{"instance", instance}, {"reason", reason}});
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -20,6 +20,13 @@
   /** An engine that is missing from the first listing after the store was away
    * counts as gone after this long: until then it may register again. */
   std::chrono::milliseconds return_grace{2000};
+  /** A start that seems to be before the one that is known is believed after
+   * this long without a word of the latter: engines write their entries about
+   * every second, and one whose entry was overwritten writes it anew. */
+  std::chrono::milliseconds doubt{2500};
+  /** An engine that another one answered for is not taken up again for this
+   * long: entries of engines that are gone stay for three heartbeats. */
+  std::chrono::milliseconds replaced_for{5000};
 };
 
 /** Engines that have registered and have not gone. One thread. */
@@ -29,15 +36,28 @@
   EngineRegistry(RegistryOptions options, const core::Clock& clock,
                  const core::Logger& log);
 
-  /** An engine has registered or changed its entry. */
+  /**
+   * An engine has registered or changed its entry. A later start under the same
+   * name takes the place of the one before.
+   *
+   * The failure met: a last entry of an earlier start arrives after that of the
+   * new one. It would bring back holdings that are gone with the restart; it is
+   * held back until the new start has been silent for `doubt`. Were it dropped,
+   * an engine whose clock was set back would be locked out.
+   */
   void Put(EngineEntry entry);
+  /**
+   * The engine's entry can't be read, or was written by somebody else: there is
+   * no engine to use until a sound entry takes its place.
+   */
+  void PutUnreadable(const EngineId& engine);
 
   /**
    * An entry was removed: the engine is gone.
    * @param after_outage The store was away just before: the entry may have
    *   lapsed with it, and comes back within the grace if the engine lives.
    */
-  void Remove(const InstanceId& instance, bool after_outage);
+  void Remove(const EngineId& engine, bool after_outage);
 
   /** Another start answers at the engine's address: this one will not be back,
    * whatever a late entry of it says. */
@@ -50,7 +70,8 @@
    */
   void Replace(std::vector<EngineEntry> entries, bool after_outage);
 
-  /** Drops engines whose grace has passed. Call it now and then. */
+  /** Drops engines whose grace has passed and believes what was in doubt. Call
+   * it now and then. */
   void Expire();
 
   /** @return Every engine, draining ones too, by instance. */
@@ -64,7 +85,17 @@
   [[nodiscard]] std::int64_t generation() const { return generation_; }
 
  private:
+  /** An entry that seems older than what is known. */
+  struct Doubted {
+    EngineEntry entry;
+    core::SteadyTime since;
+  };
+
+  void Accept(EngineEntry entry);
   void Drop(const InstanceId& instance, std::string_view reason);
+  [[nodiscard]] bool IsReplaced(const InstanceId& instance) const;
+  /** @return The start that is known under this name; empty if none is. */
+  [[nodiscard]] InstanceId StartOf(const EngineId& engine) const;
 
   const RegistryOptions options_;
   const core::Clock& clock_;
@@ -72,7 +103,10 @@
   std::map<InstanceId, EngineEntry> engines_;
   /** When each engine that is missing from the store counts as gone. */
   std::map<InstanceId, core::SteadyTime> missing_;
-  std::set<InstanceId> replaced_;
+  std::map<EngineId, InstanceId> starts_;
+  std::map<EngineId, Doubted> doubted_;
+  /** When another start answered for each of these. */
+  std::map<InstanceId, core::SteadyTime> replaced_;
   std::int64_t generation_ = 0;
 };
 
--- a/src/fleet/engine_type.h
+++ b/src/fleet/engine_type.h
@@ -11,12 +11,10 @@
 
 #include "core/clock_base.h"
 #include "core/id_type.h"
+#include "fleet/instance_type.h"
 
 namespace sapphire::fleet {
 
-/** One start of an engine: a restarted engine has another one. */
-using InstanceId = core::StrongId<struct InstanceTag>;
-
 /** A model that an engine holds in its accelerators. */
 struct HeldModel {
   core::ModelId model;
@@ -43,8 +41,6 @@
   bool draining = false;
   /** How much longer it is slow after its start. */
   std::chrono::milliseconds warm_up_left{0};
-  /** Orders it has accepted since its start; tells the newer of two reports. */
-  std::int64_t order_count = 0;
   std::vector<HeldModel> models;
   NearCopies copies;
 };
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -4,6 +4,7 @@
 
 #include "core/error_type.h"
 #include "core/task_func.h"
+#include "fleet/instance_func.h"
 #include "orders/engine_desk_base.h"
 #include "orders/fence_func.h"
 #include "policy/placement_func.h"
@@ -25,6 +26,9 @@
 /** The engine's report shows an accepted order within this: it is as of some
  * hundred milliseconds ago at most. */
 constexpr milliseconds kCountShown{1000};
+/** An order whose answer was lost is carried out within this, if at all.
+ * Origin: operators have seen 12 s. */
+constexpr milliseconds kLatestOrder{15'000};
 /** A report older than this tells entries nothing. */
 constexpr milliseconds kFreshReport{1500};
 std::string_view NameOf(OrderKind kind) {
@@ -86,6 +90,9 @@
 core::Task<> EngineDesk::Look() {
   report_ = co_await engine_.Report();
   report_time_ = clock_.Now();
+  if (report_.born && !instance_.empty()) {
+    NoteInstance(fleet::MakeInstance(fleet::EngineOf(instance_), report_.born));
+  }
   Settle();
   NoteForeignOrder();
   changed_.Notify();
@@ -109,7 +116,7 @@
 }
 
 core::Task<> EngineDesk::Fulfil(const ModelWish& wish) {
-  CheckInstance(wish.instance);
+  co_await CheckInstance(wish.instance);
   if (!Holds(wish.model, core::AdapterId())) {
     // Known to entries from now on, so that none of them asks another engine.
     const core::SteadyTime now = clock_.Now();
@@ -221,6 +228,9 @@
   core::SteadyTime accepted_at;
   while (true) {
     co_await Look();
+    if (IsOtherStart(order.instance)) {
+      throw Error(ErrorCode::kEngineReplaced, "the engine has restarted");
+    }
     if (IsDone(order)) break;
     // The failure met: the engine crashes in the middle of a load and is back
     // before a look at it fails; the order is forgotten with its count, and all
@@ -268,7 +278,7 @@
 core::Task<bool> EngineDesk::GiveOnce(EngineOrder order) {
   order.fence = co_await Fence();
   const std::int64_t number = next_order_++;
-  open_orders_.push_back({number, order});
+  open_orders_.push_back({number, order, clock_.Now()});
   std::optional<OrderAnswer> answer;
   std::optional<Error> failure;
   try {
@@ -331,11 +341,27 @@
 
 void EngineDesk::Settle() {
   std::erase_if(open_orders_,
-                [this](const OpenOrder& it) { return IsOver(it.order); });
+                [this](const OpenOrder& it) { return IsOver(it); });
+}
+
+/**
+ * The failure met: an order gets no answer, the engine starts again under its
+ * name, and the late copy arrives there as soon as the new start, which counts
+ * from zero, has accepted as many orders. Taken for void with the old start, it
+ * was loaded into memory that looked free.
+ */
+bool EngineDesk::IsOver(const OpenOrder& open) const {
+  if (!IsOtherStart(open.order.instance)) return IsOver(open.order);
+  if (IsDone(open.order)) return true;
+  const bool passed = report_.order_count > open.order.expected_count &&
+                      !report_.order_in_progress;
+  return passed || clock_.Now() - open.given > kLatestOrder;
 }
 
 bool EngineDesk::IsOver(const EngineOrder& order) const {
-  if (order.instance != instance_) return true;
+  const bool other_engine =
+      fleet::EngineOf(order.instance) != fleet::EngineOf(instance_);
+  if (other_engine) return true;
   if (IsDone(order)) return true;
   // Another order was accepted since: this one was it, or is void.
   if (report_.order_count <= order.expected_count) return false;
@@ -392,7 +418,26 @@
   return &*service->engine;
 }
 
-void EngineDesk::CheckInstance(const fleet::InstanceId& instance) {
+/**
+ * The failure met: an entry that has not heard of a restart wishes a model at
+ * the start before. The new one has the same name, so it would take the order,
+ * which goes by memory and a count that are no more.
+ */
+core::Task<> EngineDesk::CheckInstance(fleet::InstanceId meant) {
+  if (IsOtherStart(meant)) co_await Look();
+  if (IsOtherStart(meant)) {
+    throw Error(ErrorCode::kEngineReplaced, "the engine has restarted");
+  }
+  NoteInstance(meant);
+}
+
+/** @return True if the engine tells that it is another start than this. */
+bool EngineDesk::IsOtherStart(const fleet::InstanceId& instance) const {
+  const auto born = fleet::BirthOf(instance);
+  return born && report_.born && *born != *report_.born;
+}
+
+void EngineDesk::NoteInstance(const fleet::InstanceId& instance) {
   if (instance == instance_) return;
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_instance",
              {{"was", instance_}, {"now", instance}});
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -91,6 +91,7 @@
   struct OpenOrder {
     std::int64_t number = 0;
     EngineOrder order;
+    core::SteadyTime given;
   };
   core::Task<> Look();
   core::Task<> Fulfil(const ModelWish& wish);
@@ -104,6 +105,8 @@
   void Settle();
   void NoteForeignOrder();
   [[nodiscard]] bool IsOver(const EngineOrder& order) const;
+  [[nodiscard]] bool IsOver(const OpenOrder& open) const;
+  [[nodiscard]] bool IsOtherStart(const fleet::InstanceId& instance) const;
   [[nodiscard]] bool IsDone(const EngineOrder& order) const;
   [[nodiscard]] bool Holds(const core::ModelId& model,
                            const core::AdapterId& adapter) const;
@@ -111,7 +114,8 @@
   [[nodiscard]] MemoryState State(const EngineOrder& but) const;
   [[nodiscard]] const routing::EngineSpec* Spec() const;
   [[nodiscard]] bool IsEngineUp() const;
-  void CheckInstance(const fleet::InstanceId& instance);
+  core::Task<> CheckInstance(fleet::InstanceId meant);
+  void NoteInstance(const fleet::InstanceId& instance);
 
   const DeskOptions options_;
   EnginePort& engine_;
@@ -133,6 +137,7 @@
   /** Since when the engine carries out an order of somebody else: of the
    * process that was here before. */
   std::optional<core::SteadyTime> foreign_order_;
+  /** The start of the engine that entries mean, or that it tells itself. */
   fleet::InstanceId instance_;
   /** The last look at the engine was answered. */
   bool engine_up_ = true;
--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -133,6 +133,10 @@
 
 constexpr milliseconds kEnough{3000};
 
+fleet::EngineBirth At(int seconds) {
+  return fleet::EngineBirth(std::chrono::seconds(seconds));
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(AFourthModelTakesTheRoomOfAnUnusedOne) {
@@ -237,6 +241,62 @@
   BOOST_TEST(rig.Ensure("a", kEnough, "i-2") == "");
 }
 
+/**
+ * The same where the engine keeps its name: only the time of its start tells
+ * that what the entry means is gone. It takes orders under that name, so the
+ * process beside it has to refuse.
+ */
+BOOST_AUTO_TEST_CASE(AnOrderForAnEarlierStartOfTheNameIsRefused) {
+  Rig rig;
+  rig.engine.TellBirth(At(20));
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-1@10000") == "engine_replaced");
+  BOOST_TEST(rig.engine.orders_given == 0);
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-1@20000") == "");
+  BOOST_TEST(rig.desk->Snapshot().engine_instance == "i-1@20000");
+}
+
+/**
+ * An engine crashes and everything on it is lost.
+ * The answer to an order is lost; the engine starts again under its name,
+ * counts its orders anew and takes the late copy, as its number fits; the room
+ * was given to other models meanwhile.
+ */
+BOOST_AUTO_TEST_CASE(ALateOrderForAnEarlierStartNeverOverfillsTheNewOne) {
+  Rig rig;
+  rig.engine.TellBirth(At(10));
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-1@10000") == "");
+  rig.engine.lose_next_answer = true;
+  rig.engine.late_by = milliseconds(700);
+  BOOST_TEST(rig.Ensure("c", milliseconds(100), "i-1@10000") != "");
+  rig.engine.RestartAt(At(20));
+  rig.engine.Hold("b");
+  rig.engine.Hold("d");
+  BOOST_TEST(rig.Ensure("e", kEnough, "i-1@20000") == "");
+  rig.Pass(milliseconds(1000));
+  BOOST_TEST(rig.engine.Holds("e"));
+  BOOST_TEST(!rig.engine.over_memory);
+}
+
+/**
+ * Callers of a model wait for a load that nobody carries out.
+ * The engine starts again under its name in the middle of it; its order count,
+ * which starts anew, has passed the old one already by an order of another.
+ */
+BOOST_AUTO_TEST_CASE(ARestartUnderItsNameEndsALoad) {
+  Rig rig;
+  rig.engine.TellBirth(At(10));
+  rig.engine.load_time = milliseconds(400);
+  const auto began = rig.clock.Now();
+  core::Spawn(rig.io.get_executor(), rig.log, "crash",
+              [&rig]() -> core::Task<> {
+                co_await core::SleepFor(milliseconds(100));
+                rig.engine.RestartAt(At(20));
+              });
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-1@10000") == "engine_replaced");
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(1000)));
+  BOOST_TEST(rig.Ensure("a", kEnough, "i-1@20000") == "");
+}
+
 /**
  * After everything was stopped, callers of a model wait until their patience is
  * over, beside idle engines.
--- a/src/orders/engine_port_base.h
+++ b/src/orders/engine_port_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_ORDERS_ENGINE_PORT_BASE_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -20,6 +21,8 @@
 
 /** What the engine says of itself now. */
 struct EngineReport {
+  /** When it started; nothing if it does not tell. */
+  std::optional<fleet::EngineBirth> born;
   bool order_in_progress = false;
   /** Orders accepted since the engine's start. */
   std::int64_t order_count = 0;
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -11,6 +11,7 @@
 #include "core/clock_base.h"
 #include "core/error_type.h"
 #include "core/task_func.h"
+#include "fleet/instance_func.h"
 #include "orders/engine_port_base.h"
 
 namespace sapphire::orders {
@@ -62,6 +63,17 @@
     late_.clear();
   }
 
+  /** Tells from now on that it started then. */
+  void TellBirth(fleet::EngineBirth born) { report_.born = born; }
+
+  /** Crashes and is back at once under its name, empty and counting anew. What
+   * is late on its way still arrives. */
+  void RestartAt(fleet::EngineBirth born) {
+    report_ = EngineReport();
+    report_.born = born;
+    loading_.reset();
+  }
+
   [[nodiscard]] bool Holds(const std::string& model) {
     Advance();
     return std::ranges::any_of(report_.models, [&](const auto& it) {
@@ -78,7 +90,8 @@
   static core::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
   OrderAnswer Take(const EngineOrder& order) {
-    if (order.instance != instance) return OrderAnswer::kOtherInstance;
+    if (fleet::EngineOf(order.instance) != fleet::EngineOf(instance))
+      return OrderAnswer::kOtherInstance;
     if (order.expected_count != report_.order_count || loading_) {
       return OrderAnswer::kBusy;
     }
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -61,8 +61,8 @@
   bool not_run = false;
   /** It bears the mark of an engine: no other program made it. */
   bool genuine = false;
-  /** The start of the engine that answers; empty if it names none. */
-  fleet::InstanceId instance;
+  /** The engine that answers; empty if it names none. */
+  fleet::EngineId engine;
   /** The request it answers; empty if it names none. */
   core::RequestId id;
   /** What the caller gets. */
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -64,7 +64,7 @@
     answer.genuine = http::FindHeader(head.headers, "genuine").has_value();
     answer.id = core::RequestId(
         std::string(http::FindHeader(head.headers, "id").value_or("")));
-    answer.instance = fleet::InstanceId(
+    answer.engine = fleet::EngineId(
         std::string(http::FindHeader(head.headers, "instance").value_or("")));
     answer.to_caller.status = head.status;
     return answer;
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/instance_func.h"
 #include "serving/exchange_base.h"
 
 namespace sapphire::serving {
@@ -103,8 +104,8 @@
           Failed(ExchangeEnd::kNotRun,
                  "refused with " + std::to_string(answer_.status), false);
       const bool misdirected = answer_.status == kMisdirected;
-      refused.replaced = misdirected && !answer_.instance.empty() &&
-                         answer_.instance != meant_;
+      refused.replaced = misdirected && !answer_.engine.empty() &&
+                         answer_.engine != fleet::EngineOf(meant_);
       refused.lacks_model = misdirected && !refused.replaced;
       return refused;
     }
@@ -212,8 +213,8 @@
   void NotePause() {
     const core::SteadyTime now = clock_.Now();
     if (caller_.last_part != core::SteadyTime()) {
-      const auto pause = std::chrono::duration_cast<milliseconds>(
-          now - caller_.last_part);
+      const auto pause =
+          std::chrono::duration_cast<milliseconds>(now - caller_.last_part);
       caller_.longest_pause = std::max(caller_.longest_pause, pause);
     }
     caller_.last_part = now;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -1,5 +1,6 @@
 /** @file front.cc All parts of an entry that sends to engines itself. */
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "core/error_type.h"
@@ -35,6 +36,8 @@
 /** Engines change often while models are loaded: a call for each change would
  * cost more than it tells, as endpoints tell of it themselves. */
 constexpr milliseconds kEngineGather{500};
+/** Between two log lines on entries that can't be read. */
+constexpr milliseconds kUnreadablePause{1000};
 
 link::LinkOptions LinkOptionsOf(const FrontOptions& options) {
   link::LinkOptions links;
@@ -213,9 +216,8 @@
     for (const external::KvEntry& it : entries) {
       try {
         engines.push_back(layout_.read_engine(it.key, it.value));
-      } catch (const core::Error& e) {
-        log_.Event(LogLevel::kError, LogCategory::kReplica, "engine_unreadable",
-                   {{"key", it.key}, {"error", e.what()}});
+      } catch (const std::exception& e) {
+        NoteUnreadable(it.key, e.what());
       }
     }
     registry_.Replace(std::move(engines), after_outage);
@@ -225,7 +227,7 @@
     if (event.value) {
       PutEngine(event.key, *event.value);
     } else {
-      registry_.Remove(layout_.instance_of(event.key), after_outage);
+      registry_.Remove(layout_.engine_of(event.key), after_outage);
     }
     FollowEngines();
   };
@@ -235,12 +237,31 @@
 void Front::PutEngine(const std::string& key, const std::string& value) {
   try {
     registry_.Put(layout_.read_engine(key, value));
-  } catch (const core::Error& e) {
-    log_.Event(LogLevel::kError, LogCategory::kReplica, "engine_unreadable",
-               {{"key", key}, {"error", e.what()}});
+  } catch (const std::exception& e) {
+    NoteUnreadable(key, e.what());
+    registry_.PutUnreadable(layout_.engine_of(key));
   }
 }
 
+/**
+ * An entry may come from another writer and hold anything: such a one names no
+ * engine to use, and the others hold. A writer that repeats itself fills the
+ * log with one line a second.
+ */
+void Front::NoteUnreadable(const std::string& key, const char* why) {
+  const core::SteadyTime now = clock_.Now();
+  ++unreadable_;
+  if (unreadable_logged_ && now - *unreadable_logged_ < kUnreadablePause) {
+    return;
+  }
+  unreadable_logged_ = now;
+  constexpr std::size_t kLongestKey = 200;
+  log_.Event(LogLevel::kWarning, LogCategory::kReplica, "engine_unreadable",
+             {{"key", key.substr(0, kLongestKey)},
+              {"error", why},
+              {"so_far", unreadable_}});
+}
+
 /** Only engines of model services have an endpoint process beside them. */
 void Front::FollowEngines() {
   const auto table = configuration_.current();
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -3,8 +3,10 @@
 #define SAPPHIRE_SERVING_FRONT_BASE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/clock_base.h"
@@ -36,7 +38,7 @@
                                    const std::string& value)>
       read_engine;
   /** The engine that a key names. */
-  std::function<fleet::InstanceId(const std::string& key)> instance_of;
+  std::function<fleet::EngineId(const std::string& key)> engine_of;
 };
 
 struct FrontOptions {
@@ -81,6 +83,7 @@
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
   void PutEngine(const std::string& key, const std::string& value);
+  void NoteUnreadable(const std::string& key, const char* why);
   void FollowEngines();
   core::Task<> KeepHouse();
   routing::FollowHooks ConfigurationHooks();
@@ -108,6 +111,10 @@
   http::Server ready_server_;
   http::Server metrics_server_;
   bool leaving_ = false;
+  /** Entries of engines that could not be read, and when that was last logged.
+   */
+  std::int64_t unreadable_ = 0;
+  std::optional<core::SteadyTime> unreadable_logged_;
 };
 
 }  // namespace sapphire::serving
