A silent send is given up only for an engine that can go on with it; engines whose streams all pause count as silent

Change: SilenceWatch asks, while an engine is silent, whether another one could take the request and a repeat is allowed; only then the send ends. Without one the model is woken on a further engine meanwhile. An engine all of whose streams from here have paused counts as silent, so a frozen one gets no new requests. A send that found no connection has not arrived and takes no repeat.

--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -35,7 +35,8 @@
                               const SentPart& part) {
   Load& load = loads_[instance];
   SendTicket ticket{instance, next_number_++};
-  load.sent[ticket.number] = Sent{part, clock_.Now(), false};
+  const core::SteadyTime now = clock_.Now();
+  load.sent[ticket.number] = Sent{part, now, false, now};
   Part& counts = load.parts[part];
   ++counts.running;
   ++counts.begun;
@@ -48,6 +49,12 @@
   if (it != load.sent.end()) it->second.answered = true;
 }
 
+void EngineLoads::NoteHeard(const SendTicket& ticket) {
+  Load& load = loads_[ticket.instance];
+  const auto it = load.sent.find(ticket.number);
+  if (it != load.sent.end()) it->second.heard = clock_.Now();
+}
+
 void EngineLoads::End(const SendTicket& ticket, SendResult result) {
   Load& load = loads_[ticket.instance];
   const auto it = load.sent.find(ticket.number);
@@ -78,15 +85,21 @@
 
 std::chrono::milliseconds EngineLoads::OldestSilence(
     const InstanceId& instance) const {
-  std::chrono::milliseconds oldest{0};
   const auto it = loads_.find(instance);
-  if (it == loads_.end()) return oldest;
-  // Numbers grow with time: the first without an answer is the oldest.
-  const auto silent = std::ranges::find_if(
-      it->second.sent, [](const auto& sent) { return !sent.second.answered; });
-  if (silent == it->second.sent.end()) return oldest;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      clock_.Now() - silent->second.at);
+  const core::SteadyTime now = clock_.Now();
+  core::SteadyTime asked = now;
+  std::optional<core::SteadyTime> heard;
+  if (it == loads_.end()) return std::chrono::milliseconds(0);
+  for (const auto& [number, sent] : it->second.sent) {
+    if (sent.answered) {
+      heard = std::max(heard.value_or(sent.heard), sent.heard);
+    } else {
+      asked = std::min(asked, sent.at);
+    }
+  }
+  const core::SteadyTime silent_since = std::min(asked, heard.value_or(now));
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                               silent_since);
 }
 
 void EngineLoads::NoteUnreachable(const InstanceId& instance) {
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -51,6 +51,8 @@
   SendTicket Begin(const InstanceId& instance, const SentPart& part);
   /** The first byte of the answer has come. */
   void NoteAnswer(const SendTicket& ticket);
+  /** A part of the answer has come. */
+  void NoteHeard(const SendTicket& ticket);
   void End(const SendTicket& ticket, SendResult result);
 
   /** @return Requests in progress there, from here. */
@@ -59,7 +61,15 @@
   /** @return Share of the latest requests that failed, 0 to 1. */
   [[nodiscard]] double FailureRate(const InstanceId& instance) const;
 
-  /** @return How long the oldest request without a first byte waits. */
+  /**
+   * @return How long the oldest request without a first byte waits, or how long
+   *   no stream there has given a part, whichever is longer.
+   *
+   * The failure met: an engine's VM freezes, or its connections go silent, with
+   * streams at work; new requests were sent there until the first of them had
+   * waited long enough to tell, and stayed at work there after their callers
+   * had left.
+   */
   [[nodiscard]] std::chrono::milliseconds OldestSilence(
       const InstanceId& instance) const;
 
@@ -96,6 +106,8 @@
     SentPart part;
     core::SteadyTime at;
     bool answered = false;
+    /** When the last part came; its begin before that. */
+    core::SteadyTime heard;
   };
   struct Part {
     int running = 0;
--- a/src/policy/replica_choice.cc
+++ b/src/policy/replica_choice.cc
@@ -94,11 +94,14 @@
       Millis(candidate.failure_rate * static_cast<double>(kFailure.count()));
   // The failure met: an engine that takes requests and never answers. Nothing
   // fails for a while, but its oldest request grows older than any usual one.
-  const bool silent = candidate.oldest_silence > kUsualSilence;
-  if (silent) cost += candidate.oldest_silence;
+  if (IsSilent(candidate)) cost += candidate.oldest_silence;
   return cost;
 }
 
+bool IsSilent(const ReplicaCandidate& candidate) {
+  return candidate.oldest_silence > kUsualSilence;
+}
+
 std::optional<std::size_t> ChooseReplica(
     std::span<const ReplicaCandidate> candidates, const RequestSize& size,
     const EnginePace& pace) {
--- a/src/policy/replica_choice_func.h
+++ b/src/policy/replica_choice_func.h
@@ -26,7 +26,8 @@
   std::int64_t known_tokens = 0;
   /** Share of the latest requests from here that failed, 0 to 1. */
   double failure_rate = 0;
-  /** How long the oldest request from here waits for its first byte. */
+  /** How long the oldest request from here waits for its first byte, or how
+   * long all streams from here have paused. */
   std::chrono::milliseconds oldest_silence{0};
   /** It is still slow after its start. */
   bool warming_up = false;
@@ -56,6 +57,9 @@
                                        const RequestSize& size,
                                        const EnginePace& pace);
 
+/** @return True if the engine has been silent for longer than a busy one is. */
+bool IsSilent(const ReplicaCandidate& candidate);
+
 /** @return The index of the cheapest candidate; nothing if there is none. */
 std::optional<std::size_t> ChooseReplica(
     std::span<const ReplicaCandidate> candidates, const RequestSize& size,
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -180,17 +180,20 @@
   send.last_event = work.caller.events.last_event();
   ++work.sends;
   const bool is_stream = work.route->kind == RequestKind::kStream;
-  FirstByteHook first_byte = [this, &work, ticket] {
+  ExchangeHooks hooks;
+  hooks.first_byte = [this, &work, ticket] {
     parts_.loads.NoteAnswer(ticket);
     NotePrefix(work);
     if (!work.first_byte) work.first_byte = parts_.clock.Now();
   };
+  hooks.heard = [this, ticket] { parts_.loads.NoteHeard(ticket); };
+  hooks.give_up = [this, &work] { return GiveUp(work); };
   const SendState state{work.route, work.deadline,
                         TimeLeft(work, parts_.clock.Now()), work.runs};
   const ExchangeLimits limits = LimitsOfSend(state);
   ExchangeResult result = co_await RunExchange(
       *client, parts_.engine_wire, work.request, send, limits, is_stream,
-      work.caller, parts_.clock, std::move(first_byte));
+      work.caller, parts_.clock, std::move(hooks));
   parts_.loads.End(ticket, ResultOf(result));
   parts_.crash_watch.End(watched, result, work.first_byte);
   if (result.unreachable) parts_.loads.NoteUnreachable(work.engine);
@@ -238,8 +241,11 @@
   const bool can_repeat = !may_have_run || MayRunAgain(work);
   const double reserve =
       result.end == ExchangeEnd::kEngineFailed ? kFailureReserve : 0.0;
+  // One that found no connection has not arrived anywhere: no repeat.
+  const bool granted =
+      std::exchange(work.repeat_granted, false) || result.unreachable;
   if (can_repeat && TimeLeft(work, parts_.clock.Now()) > kLeastTime &&
-      TakeRepeat(work, reserve)) {
+      (granted || TakeRepeat(work, reserve))) {
     co_return false;
   }
   if (result.failure && !work.caller.begun) {
@@ -252,6 +258,17 @@
       result.reason);
 }
 
+/** @return True if a silent request goes to another engine now; the repeat that
+ * this needs is taken then. */
+bool Dispatcher::GiveUp(RequestWork& work) {
+  if (!chooser_.HasOther(work)) {
+    chooser_.WakeOther(work);
+    return false;
+  }
+  work.repeat_granted = TakeRepeat(work, 0.0);
+  return work.repeat_granted;
+}
+
 bool Dispatcher::MayRunAgain(const RequestWork& work) const {
   if (work.runs >= work.route->max_engines) return false;
   if (work.route->kind == RequestKind::kIdempotent) return true;
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -79,6 +79,7 @@
   void NotePrefix(const RequestWork& work);
   void Check(RequestWork& work) const;
   void Resolve(RequestWork& work) const;
+  bool GiveUp(RequestWork& work);
   [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
   bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -145,6 +145,25 @@
   };
 }
 
+/** Streams these parts whole, with a pause after the first. */
+inline http::Handler Pausing(std::vector<std::string> parts,
+                             milliseconds pause) {
+  return [parts = std::move(parts), pause](
+             const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    http::ResponseHead head;
+    head.headers.push_back({"genuine", "1"});
+    head.headers.push_back(
+        {"id", std::string(*http::FindHeader(request.headers, "id"))});
+    co_await writer.Begin(head);
+    for (const std::string& it : parts) {
+      co_await writer.Write(it);
+      if (it == parts.front()) co_await core::SleepFor(pause);
+    }
+    co_await writer.End();
+  };
+}
+
 /** Answers with a status, and whether it has run. */
 inline http::Handler Answering(int status, bool not_run, std::string body) {
   return [=](const http::Request& request,
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -12,6 +12,7 @@
 using testing::Answering;
 using testing::kDrafts;
 using testing::kPlain;
+using testing::Pausing;
 using testing::RecordingWriter;
 using testing::Rig;
 using testing::Silent;
@@ -19,6 +20,8 @@
 using testing::TestEngine;
 
 constexpr milliseconds kWait{3000};
+/** Longer than a stream is usually silent, shorter than callers bear. */
+constexpr milliseconds kLongPause{1900};
 /** A look at the engine after its connection has ended takes less. */
 constexpr milliseconds kCrashNoticed{200};
 constexpr int kOk = 200;
@@ -76,6 +79,33 @@
   BOOST_TEST(!caller.whole);
 }
 
+/**
+ * A caller's stream is cut although its engine would have ended it.
+ * A crowded engine pauses for longer than usual; no other engine holds the
+ * model, and the send was ended all the same.
+ */
+BOOST_AUTO_TEST_CASE(ASilentStreamThatCannotGoElsewhereIsWaitedFor) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, kLongPause));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+}
+
+/** With another engine that holds the model it goes on there, after the last
+ * whole event. */
+BOOST_AUTO_TEST_CASE(ASilentStreamGoesOnAtAnotherEngine) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, 2 * kWait));
+  TestEngine& other = rig.AddEngine(kDrafts, Streaming({kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(*http::FindHeader(other.requests.at(0).headers, "after") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(AnEngineThatDidNotRunItYieldsToAnother) {
   Rig rig;
   rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -1,6 +1,7 @@
 /** @file engine_chooser.cc Finds the engine that runs a request. */
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "core/error_type.h"
@@ -196,6 +197,27 @@
   return *ready;
 }
 
+bool EngineChooser::HasOther(const RequestWork& work) const {
+  std::set<fleet::InstanceId> avoid = work.avoid;
+  avoid.insert(work.engine);
+  const std::vector<FoundReplica> found =
+      finder_.Find(work.service->id, work.request, avoid);
+  return std::ranges::any_of(found, [](const FoundReplica& it) {
+    return it.has_adapter && !policy::IsSilent(it.view);
+  });
+}
+
+void EngineChooser::WakeOther(const RequestWork& work) {
+  if (work.request.model.empty()) return;
+  std::set<fleet::InstanceId> avoid = work.avoid;
+  avoid.insert(work.engine);
+  const bool is_held =
+      !finder_.Find(work.service->id, work.request, avoid).empty();
+  if (is_held) return;
+  waker_.AddReplica(*work.service, work.request.model,
+                    policy::ReplicaNeed::kUseful);
+}
+
 /** @return How long the caller still waits for a first event. */
 milliseconds EngineChooser::PatienceLeft(const RequestWork& work) const {
   const core::SteadyTime now = clock_.Now();
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -42,6 +42,14 @@
    */
   core::Task<fleet::InstanceId> Choose(RequestWork& work);
 
+  /** @return True if an engine other than the one at work, and none that has
+   * failed it, could take the request now. */
+  [[nodiscard]] bool HasOther(const RequestWork& work) const;
+
+  /** Has the model loaded on one more engine, for a request whose own engine is
+   * silent. */
+  void WakeOther(const RequestWork& work);
+
   /** The process ends at `end`. */
   void EndAt(core::SteadyTime end) { end_ = end; }
 
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -1,9 +1,12 @@
 /** @file exchange.cc One send of a request to one engine. */
 #include <algorithm>
+#include <boost/asio/this_coro.hpp>
+#include <memory>
 #include <utility>
 
 #include "fleet/instance_func.h"
 #include "serving/exchange_base.h"
+#include "serving/silence_watch_base.h"
 
 namespace sapphire::serving {
 
@@ -54,15 +57,16 @@
  public:
   Exchange(http::Client& engine, const EngineWire& wire,
            const CallerRequest& request, ExchangeLimits limits,
-           CallerSide& caller, const core::Clock& clock,
-           FirstByteHook first_byte)
+           CallerSide& caller, const core::Clock& clock, ExchangeHooks hooks,
+           const core::Executor& executor)
       : engine_(engine),
         wire_(wire),
         request_(request),
         limits_(limits),
         caller_(caller),
         clock_(clock),
-        first_byte_(std::move(first_byte)) {}
+        hooks_(std::move(hooks)),
+        watch_(executor, hooks_.give_up, [abort = abort_] { abort->Now(); }) {}
 
   core::Task<ExchangeResult> Run(SendOptions send, bool is_stream) {
     meant_ = send.instance;
@@ -79,11 +83,12 @@
  private:
   core::Task<std::optional<ExchangeResult>> Open(SendOptions send) {
     http::OpenOptions options;
-    options.timeout = std::min(limits_.first_byte, Left());
+    options.timeout = Left();
     options.connect_timeout = kConnectLimit;
     options.fresh_connection = limits_.fresh_connection;
-    options.abort = std::make_shared<http::Abort>();
-    caller_.abort = options.abort;
+    options.abort = abort_;
+    caller_.abort = abort_;
+    watch_.Restart(limits_.first_byte_silence);
     http::Request out = wire_.Compose(request_, send);
     std::optional<ExchangeResult> failure;
     try {
@@ -92,7 +97,7 @@
       failure =
           Failed(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
                  e.what(), e.timed_out());
-      failure->unreachable = !e.may_have_run();
+      failure->unreachable = !e.may_have_run() && !watch_.gave_up();
     }
     co_return failure;
   }
@@ -139,7 +144,7 @@
       if (!read.bytes) break;
       response.body += *read.bytes;
     }
-    first_byte_();
+    hooks_.first_byte();
     if (!IsSuccess(answer_.status)) {
       ExchangeResult result =
           Failed(ExchangeEnd::kEngineFailed,
@@ -165,8 +170,7 @@
     caller_.events.StartRun();
     bool first = true;
     while (true) {
-      const milliseconds limit = first ? limits_.first_byte : limits_.pause;
-      PartRead read = co_await ReadPart(*stream_, std::min(limit, Left()));
+      PartRead read = co_await ReadPart(*stream_, Left());
       if (!read.error.empty()) {
         co_return Failed(
             caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost,
@@ -175,9 +179,13 @@
       const bool over = !read.bytes.has_value();
       std::string bytes =
           over ? caller_.events.TakeRest() : caller_.events.Add(*read.bytes);
+      if (!over) {
+        watch_.Restart(limits_.pause);
+        hooks_.heard();
+      }
       if (first && !over) {
         first = false;
-        first_byte_();
+        hooks_.first_byte();
       }
       const std::string failure = co_await Write(bytes, over);
       if (!failure.empty()) {
@@ -225,7 +233,8 @@
     ExchangeResult result;
     result.end = caller_.left ? ExchangeEnd::kCallerLeft : end;
     result.reason = std::move(reason);
-    result.timed_out = timed_out;
+    result.timed_out = timed_out || watch_.gave_up();
+    if (watch_.gave_up()) result.reason = "given up for its silence";
     return result;
   }
 
@@ -241,7 +250,9 @@
   const ExchangeLimits limits_;
   CallerSide& caller_;
   const core::Clock& clock_;
-  FirstByteHook first_byte_;
+  const ExchangeHooks hooks_;
+  const std::shared_ptr<http::Abort> abort_ = std::make_shared<http::Abort>();
+  SilenceWatch watch_;
   std::unique_ptr<http::ResponseStream> stream_;
   EngineAnswer answer_;
   fleet::InstanceId meant_;
@@ -252,9 +263,10 @@
 core::Task<ExchangeResult> RunExchange(
     http::Client& engine, const EngineWire& wire, const CallerRequest& request,
     SendOptions send, ExchangeLimits limits, bool is_stream, CallerSide& caller,
-    const core::Clock& clock, FirstByteHook first_byte) {
+    const core::Clock& clock, ExchangeHooks hooks) {
+  const core::Executor executor = co_await boost::asio::this_coro::executor;
   Exchange exchange(engine, wire, request, limits, caller, clock,
-                    std::move(first_byte));
+                    std::move(hooks), executor);
   co_return co_await exchange.Run(std::move(send), is_stream);
 }
 
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -34,7 +34,7 @@
   std::string reason;
   /** With kEngineFailed: the engine's own answer. */
   std::optional<http::Response> failure;
-  /** Our own time limit ended it. */
+  /** Our own time limit ended it, or it was given up for its silence. */
   bool timed_out = false;
   /** No connection could be made: the engine is down or cut off. */
   bool unreachable = false;
@@ -67,15 +67,23 @@
 struct ExchangeLimits {
   /** When the caller has to have its final answer. */
   core::SteadyTime deadline;
-  /** Longest wait for the first byte, and between two parts of a stream. */
-  milliseconds first_byte{0};
+  /** Usual longest silence before the first byte, and between two parts of a
+   * stream: after it, another engine is asked for. Zero: it never is. */
+  milliseconds first_byte_silence{0};
   milliseconds pause{0};
   /** A request that must not run twice goes on a fresh connection. */
   bool fresh_connection = false;
 };
 
-/** Called once, with the first byte of the engine's answer. */
-using FirstByteHook = std::function<void()>;
+/** What a send tells while it lasts. */
+struct ExchangeHooks {
+  /** Called once, with the first byte of the engine's answer. */
+  std::function<void()> first_byte;
+  /** Called with each part of it. */
+  std::function<void()> heard;
+  /** Asked while the engine is silent: shall the send be given up? */
+  std::function<bool()> give_up;
+};
 
 /**
  * Sends a request to an engine and passes its answer on: a whole body at once,
@@ -84,7 +92,7 @@
 core::Task<ExchangeResult> RunExchange(
     http::Client& engine, const EngineWire& wire, const CallerRequest& request,
     SendOptions send, ExchangeLimits limits, bool is_stream, CallerSide& caller,
-    const core::Clock& clock, FirstByteHook first_byte);
+    const core::Clock& clock, ExchangeHooks hooks);
 
 }  // namespace sapphire::serving
 
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -45,6 +45,8 @@
   /** Engines that may have run it. */
   int runs = 0;
   int sends = 0;
+  /** One more send has been allowed already. */
+  bool repeat_granted = false;
   std::optional<core::SteadyTime> first_byte;
   fleet::InstanceId engine;
   int status = 0;
--- a/src/serving/send_limits.cc
+++ b/src/serving/send_limits.cc
@@ -11,11 +11,11 @@
 
 /** The engine's own answer to a passed deadline is on its way then. */
 constexpr milliseconds kDeadlineGrace{80};
-/** Without a word for this long in its middle, a stream goes on elsewhere:
- * ten times the usual pause of a full engine, below what callers bear. */
+/** Without a word for this long in its middle, a stream goes on elsewhere if it
+ * can: ten times the usual pause of a full engine, below what callers bear. */
 constexpr milliseconds kStreamSilence{1500};
-/** A first byte later than this many objectives is not waited for, if the
- * request may run again. */
+/** When a first byte is later than this many objectives, the request goes
+ * elsewhere if it can. */
 constexpr int kObjectivesToFirstByte = 2;
 constexpr milliseconds kFirstByteSlack{500};
 /** Part of the time left that the first try of an idempotent request gets. */
@@ -28,8 +28,6 @@
   const bool is_stream = route.kind == RequestKind::kStream;
   ExchangeLimits limits;
   limits.deadline = state.deadline + kDeadlineGrace;
-  limits.first_byte = state.left + kDeadlineGrace;
-  limits.pause = limits.first_byte;
   limits.fresh_connection = route.kind == RequestKind::kNonIdempotent ||
                             (is_stream && !route.resumable);
   const bool last = state.runs + 1 >= route.max_engines;
@@ -37,13 +35,13 @@
   if (is_stream) {
     const milliseconds usual =
         kObjectivesToFirstByte * route.objective + kFirstByteSlack;
-    limits.first_byte = std::min(limits.first_byte, usual);
-    limits.pause = std::min(limits.pause, kStreamSilence);
+    limits.first_byte_silence = usual;
+    limits.pause = kStreamSilence;
     return limits;
   }
   const auto share = static_cast<milliseconds::rep>(
       static_cast<double>(state.left.count()) * kFirstTryShare);
-  limits.first_byte = std::min(limits.first_byte, milliseconds(share));
+  limits.first_byte_silence = milliseconds(share);
   return limits;
 }
 
--- a/src/serving/send_limits_func.h
+++ b/src/serving/send_limits_func.h
@@ -20,9 +20,8 @@
 };
 
 /**
- * A send that may be tried again elsewhere is given up when its engine is
- * silent for longer than usual; the last one may take all the time that is
- * left.
+ * A send that may be tried again elsewhere goes there when its engine is silent
+ * for longer than usual; the last one may take all the time that is left.
  */
 ExchangeLimits LimitsOfSend(const SendState& state);
 
--- /dev/null
+++ b/src/serving/silence_watch.cc
@@ -0,0 +1,64 @@
+/** @file silence_watch.cc Gives a silent send up for a better one. */
+#include <utility>
+
+#include "serving/silence_watch_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+/** Between two questions while the silence lasts: endpoints report a loaded
+ * model within this. */
+constexpr std::chrono::milliseconds kAskAgain{200};
+
+}  // namespace
+
+/** Shared with the timer's handler, which may run after the watch has ended. */
+struct SilenceWatch::State : std::enable_shared_from_this<State> {
+  State(const core::Executor& executor, std::function<bool()> ask,
+        std::function<void()> end)
+      : timer(executor), give_up(std::move(ask)), abort(std::move(end)) {}
+
+  void Wait(std::chrono::milliseconds time) {
+    timer.expires_after(time);
+    timer.async_wait([self = shared_from_this()](const auto& ec) {
+      if (!ec && !self->over) self->Ask();
+    });
+  }
+
+  void Ask() {
+    if (!give_up()) {
+      Wait(kAskAgain);
+      return;
+    }
+    over = true;
+    gave_up = true;
+    abort();
+  }
+
+  boost::asio::steady_timer timer;
+  const std::function<bool()> give_up;
+  const std::function<void()> abort;
+  bool over = false;
+  bool gave_up = false;
+};
+
+SilenceWatch::SilenceWatch(const core::Executor& executor,
+                           std::function<bool()> give_up,
+                           std::function<void()> abort)
+    : state_(std::make_shared<State>(executor, std::move(give_up),
+                                     std::move(abort))) {}
+
+SilenceWatch::~SilenceWatch() {
+  state_->over = true;
+  state_->timer.cancel();
+}
+
+void SilenceWatch::Restart(std::chrono::milliseconds silence) {
+  if (state_->over || silence.count() == 0) return;
+  state_->Wait(silence);
+}
+
+bool SilenceWatch::gave_up() const { return state_->gave_up; }
+
+}  // namespace sapphire::serving
