--- a/src/orders/desk_report.cc
+++ b/src/orders/desk_report.cc
@@ -35,13 +35,24 @@
   return names;
 }
 
+/** Told of a model of which no use is known. */
+constexpr milliseconds kLongIdle{3'600'000};
+
+milliseconds IdleTime(const fleet::Usage& usage, core::SteadyTime now) {
+  if (usage.running > 0) return milliseconds(0);
+  if (!usage.last_begun) return kLongIdle;
+  return std::chrono::duration_cast<milliseconds>(now - *usage.last_begun);
+}
+
 gen::ReplicaReport HeldReplica(const fleet::HeldModel& held,
-                               const fleet::ModelUsage& usages) {
+                               const fleet::ModelUsage& usages,
+                               core::SteadyTime now) {
   const fleet::Usage usage = usages.Of({held.model, core::AdapterId()});
   gen::ReplicaReport replica;
   replica.model = held.model.value();
   replica.state = gen::ReplicaState::READY;
   replica.running = usage.running;
+  replica.idle_ms = IdleTime(usage, now).count();
   replica.demand_per_1000_s = PerThousandSeconds(usage.demand);
   for (const core::AdapterId& it : held.adapters) {
     replica.adapters.push_back(it.value());
@@ -136,7 +147,7 @@
   out.max_running =
       view.spec == nullptr ? kUnknownPlaces : view.spec->max_running;
   for (const fleet::HeldModel& it : engine.models) {
-    out.replicas.push_back(HeldReplica(it, *view.usage));
+    out.replicas.push_back(HeldReplica(it, *view.usage, view.now));
   }
   for (const OpenWish& it : view.wishes) {
     out.replicas.push_back(ComingReplica(it));
--- a/src/orders/memory_plan.cc
+++ b/src/orders/memory_plan.cc
@@ -2,14 +2,12 @@
 #include <algorithm>
 
 #include "orders/memory_plan_func.h"
+#include "policy/wake_up_func.h"
 
 namespace sapphire::orders {
 
 namespace {
 
-/** A model just loaded is about to be used; entries tell of it a moment later.
- */
-constexpr std::chrono::milliseconds kJustLoaded{1500};
 /** An adapter of a request in progress is told of within two usage reports. */
 constexpr std::chrono::milliseconds kJustUsed{700};
 
@@ -91,7 +89,7 @@
   for (const fleet::HeldModel& it : state.report->models) {
     const fleet::Usage usage = state.usage->Of({it.model, core::AdapterId()});
     if (it.model == keep) continue;
-    if (UsedWithin(usage, state.now, kJustLoaded)) continue;
+    if (UsedWithin(usage, state.now, policy::kKeptAfterUse)) continue;
     const bool wished =
         std::ranges::find(preferred, it.model) != preferred.end();
     // A wish goes before any demand.
--- a/src/policy/wake_up.cc
+++ b/src/policy/wake_up.cc
@@ -66,7 +66,8 @@
   std::vector<const ResidentModel*> idle;
   for (const ResidentModel& resident : candidate.residents) {
     free -= resident.bytes;
-    if (resident.running == 0) idle.push_back(&resident);
+    const bool is_kept = resident.running > 0 || resident.just_used;
+    if (!is_kept) idle.push_back(&resident);
   }
   std::ranges::stable_sort(idle, {}, [&loads](const ResidentModel* it) {
     return EvictionCost(*it, loads);
--- a/src/policy/wake_up_func.h
+++ b/src/policy/wake_up_func.h
@@ -14,12 +14,19 @@
 
 namespace sapphire::policy {
 
+/** A model that was loaded for somebody, or asked for, within this is kept:
+ * entries tell of requests a moment later. The process beside the engine
+ * refuses to drop it, so whoever chooses has to go by the same. */
+inline constexpr std::chrono::milliseconds kKeptAfterUse{1500};
+
 /** A model that an engine holds and could drop. */
 struct ResidentModel {
   core::ModelId model;
   std::int64_t bytes = 0;
   /** Requests in progress: an unload would wait for them. */
   int running = 0;
+  /** Loaded, or asked for, within kKeptAfterUse. */
+  bool just_used = false;
   /** Requests a second for it, over all engines. */
   double demand = 0;
   /** Other engines that hold it too. */
--- a/src/policy/wake_up_test.cc
+++ b/src/policy/wake_up_test.cc
@@ -97,6 +97,18 @@
   BOOST_TEST(!Choose({engine}).has_value());
 }
 
+/**
+ * Callers of a rare model are refused beside idle engines.
+ * An entry takes a model that was asked for a moment ago for one to drop; the
+ * process beside the engine refuses, and the next choice is the weight store.
+ */
+BOOST_AUTO_TEST_CASE(AModelAskedForAMomentAgoStays) {
+  WakeUpCandidate kept = FullEngine(Tier::kMemory, 0, 0, 0);
+  for (ResidentModel& resident : kept.residents) resident.just_used = true;
+  const auto plan = Choose({kept, FullEngine(Tier::kDisk, 0, 0, 0)});
+  BOOST_TEST(plan->engine == 1);
+}
+
 BOOST_AUTO_TEST_CASE(FreeRoomDropsNothing) {
   WakeUpCandidate engine = FullEngine(Tier::kDisk, 0, 0, 0);
   engine.residents.pop_back();
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -179,6 +179,7 @@
       // One on its way is wanted by somebody: as good as in use.
       const bool coming = it.state != gen::ReplicaState::READY;
       resident.running = coming ? 1 : it.running;
+      resident.just_used = it.idle_ms < policy::kKeptAfterUse.count();
       resident.demand = totals[it.model].demand;
       resident.other_replicas = totals[it.model].replicas - 1;
       waker.view.residents.push_back(std::move(resident));
