--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -21,8 +21,9 @@
 
 /** Pause before an order of unknown outcome is given again. */
 constexpr milliseconds kRepeatPause{150};
-/** A load that the engine has accepted and neither shows nor refuses. */
-constexpr milliseconds kLoadLimit{30'000};
+/** A load that the engine has accepted and neither shows nor refuses. Loads
+ * from the weight store take a minute when several engines load there. */
+constexpr milliseconds kLoadLimit{120'000};
 /** The engine's report shows an accepted order within this: it is as of some
  * hundred milliseconds ago at most. */
 constexpr milliseconds kCountShown{1000};
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -117,8 +117,8 @@
   void GiveUpOverdue(const WakeTarget& target);
   void Start(const Try& asked, Pending pending,
              std::vector<core::ModelId> evict);
-  core::Task<> Load(WakeTarget target, fleet::InstanceId instance,
-                    policy::Tier tier, std::vector<core::ModelId> evict);
+  core::Task<> Load(Try asked, Pending pending,
+                    std::vector<core::ModelId> evict);
 
   const ReplicaFinder& finder_;
   fleet::EndpointFeed& feed_;
