--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -179,6 +179,7 @@
   send.rank = std::clamp(work.route->rank, 0, kMaxRank);
   send.last_event = work.caller.events.last_event();
   ++work.sends;
+  if (!work.first_send) work.first_send = parts_.clock.Now();
   const bool is_stream = work.route->kind == RequestKind::kStream;
   ExchangeHooks hooks;
   hooks.first_byte = [this, &work, ticket] {
@@ -354,8 +355,13 @@
        {"status", work.status},
        {"outcome", work.outcome},
        {"reason", work.reason},
+       {"first_send_ms", since(work.first_send.value_or(work.arrived))},
        {"first_byte_ms", since(work.first_byte.value_or(work.arrived))},
+       {"objective_ms",
+        work.route == nullptr ? milliseconds(0) : work.route->objective},
        {"longest_pause_ms", work.caller.longest_pause},
+       {"max_pause_ms",
+        work.route == nullptr ? milliseconds(0) : work.route->max_pause},
        {"total_ms", since(now)}});
 }
 
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -121,4 +121,56 @@
   BOOST_TEST(near->wishes == 1);
 }
 
+/**
+ * All callers of a rare model are refused for a minute, beside a copy on a
+ * disk. The engine with the copy has no room for a moment: what it holds was
+ * loaded for somebody just now. The weight store was asked instead, where loads
+ * take 13 to 60 s in company, and nobody looked at the disk again meanwhile.
+ */
+BOOST_AUTO_TEST_CASE(ACopyWithoutRoomForAMomentIsWaitedFor) {
+  testing::WakerRig rig;
+  rig.waker_clock.Advance(std::chrono::seconds(4));
+  const core::ModelId large("large");
+  routing::ModelSpec& spec = rig.service.engine->models[large];
+  spec.id = large;
+  spec.bytes = rig.service.engine->memory_bytes;
+  const auto near = rig.AddNearEndpoint();
+  gen::ReplicaReport held;
+  held.model = large.value();
+  held.state = gen::ReplicaState::READY;
+  held.idle_ms = 200;
+  near->report.replicas = {held};
+  rig.AwaitReports(4);
+  const auto soon = rig.waker.Wake(rig.service, kModel, kRequest);
+  BOOST_TEST((*soon < milliseconds(1000)));
+  rig.AwaitReports(3);
+  BOOST_TEST(rig.endpoint.wishes == 0);
+  BOOST_TEST(near->wishes == 0);
+  near->report.replicas.front().idle_ms = 2000;
+  rig.AwaitReports(4);
+  BOOST_TEST(
+      (*rig.waker.Wake(rig.service, kModel, kRequest) == milliseconds(2000)));
+  rig.AwaitReports(3);
+  BOOST_TEST(near->wishes == 1);
+}
+
+/**
+ * Loads from the weight store that would take 13 s take a minute.
+ * The store serves one at full speed and nobody tells; each further load slows
+ * down those before it. A load that took much longer than one alone does is the
+ * sign not to begin another, also for a model that is asked for often.
+ */
+BOOST_AUTO_TEST_CASE(ACrowdedWeightStoreGetsNoFurtherLoad) {
+  testing::WakerRig rig;
+  rig.waker_clock.Advance(std::chrono::seconds(4));
+  rig.endpoint.report.loading_model = "other";
+  rig.endpoint.report.store_load_ms = 20'000;
+  rig.AwaitReports(4);
+  for (int i = 0; i < 20; ++i) rig.waker.NoteAsked(kModel);
+  const auto turn = rig.waker.Wake(rig.service, kModel, kRequest);
+  BOOST_TEST((*turn >= milliseconds(40'000)));
+  rig.AwaitReports(3);
+  BOOST_TEST(rig.endpoint.wishes == 0);
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -47,6 +47,7 @@
   int sends = 0;
   /** One more send has been allowed already. */
   bool repeat_granted = false;
+  std::optional<core::SteadyTime> first_send;
   std::optional<core::SteadyTime> first_byte;
   fleet::InstanceId engine;
   int status = 0;
--- a/src/timeline/sapphire_timeline_main.cc
+++ b/src/timeline/sapphire_timeline_main.cc
@@ -12,6 +12,7 @@
 
 #include "timeline/clock_skew_func.h"
 #include "timeline/log_reader_func.h"
+#include "timeline/losses_func.h"
 #include "timeline/render_func.h"
 
 namespace {
@@ -27,6 +28,8 @@
   std::string svg_file;
   std::string html_file;
   bool keep_clocks = false;
+  /** The account of lost requests in place of the time line. */
+  bool losses = false;
 };
 
 void AddOptions(CLI::App& app, Options& options) {
@@ -40,6 +43,8 @@
                  "Also write a page with the picture and the events");
   app.add_flag("--keep-clocks", options.keep_clocks,
                "Take the VMs' clocks as they are");
+  app.add_flag("--losses", options.losses,
+               "Show why requests were refused, failed or late");
 }
 
 timeline::ReadLog ReadFile(const std::string& name) {
@@ -77,6 +82,13 @@
       return event.request.value() != options.request;
     });
   }
+  if (options.losses) {
+    const timeline::LossAccount account = timeline::AccountLosses(events);
+    fmt::print("{}", options.format == "json"
+                         ? timeline::RenderLossesJson(account)
+                         : timeline::RenderLosses(account));
+    return;
+  }
   if (!options.svg_file.empty()) {
     WriteFile(options.svg_file, timeline::RenderSvg(events));
   }
