--- a/src/policy/wake_up.cc
+++ b/src/policy/wake_up.cc
@@ -57,11 +57,11 @@
  * @return Until the last of the requests in progress has ended: of n that end
  *   at random, after the harmonic number of n times their mean.
  */
-milliseconds DrainTime(int running, const RunTimes& runs) {
+milliseconds DrainTime(int running, milliseconds mean_run) {
   double times = 0;
   for (int i = 1; i <= running; ++i) times += 1.0 / i;
   return milliseconds(static_cast<milliseconds::rep>(
-      times * static_cast<double>(runs.mean.count())));
+      times * static_cast<double>(mean_run.count())));
 }
 
 /** A model that could make way. */
@@ -86,13 +86,13 @@
  *   took 13 s and more, and all callers of the model were refused meanwhile.
  */
 std::vector<Victim> VictimsOf(const WakeUpCandidate& candidate,
-                              const LoadTimes& loads, const RunTimes& runs) {
+                              const LoadTimes& loads, milliseconds mean_run) {
   std::vector<Victim> victims;
   for (const ResidentModel& it : candidate.residents) {
     const bool wanted = it.running == 0 && it.just_used;
     if (it.changing || wanted) continue;
     victims.push_back(
-        {&it, EvictionCost(it, loads), DrainTime(it.running, runs)});
+        {&it, EvictionCost(it, loads), DrainTime(it.running, mean_run)});
   }
   std::ranges::stable_sort(victims, {}, [](const Victim& it) {
     return it.cost + static_cast<double>(it.wait.count());
@@ -102,12 +102,12 @@
 
 /** @return What to drop so that `bytes` fit. */
 std::optional<Room> MakeRoom(std::int64_t bytes, const LoadTimes& loads,
-                             const RunTimes& runs,
+                             milliseconds mean_run,
                              const WakeUpCandidate& candidate) {
   std::int64_t free = candidate.memory_bytes;
   for (const ResidentModel& it : candidate.residents) free -= it.bytes;
   Room room;
-  for (const Victim& it : VictimsOf(candidate, loads, runs)) {
+  for (const Victim& it : VictimsOf(candidate, loads, mean_run)) {
     if (free >= bytes) break;
     free += it.resident->bytes;
     room.evict.push_back(it.resident->model);
@@ -121,13 +121,13 @@
 }  // namespace
 
 std::optional<WakeUpPlan> ChooseWakeUp(
-    std::int64_t bytes, const LoadTimes& loads, const RunTimes& runs,
+    std::int64_t bytes, const LoadTimes& loads, milliseconds mean_run,
     std::span<const WakeUpCandidate> candidates) {
   std::optional<WakeUpPlan> best;
   double best_cost = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const WakeUpCandidate& candidate = candidates[i];
-    auto room = MakeRoom(bytes, loads, runs, candidate);
+    auto room = MakeRoom(bytes, loads, mean_run, candidate);
     if (!room) continue;
     const milliseconds ready_in = std::max(candidate.order_left, room->wait) +
                                   LoadTimeFrom(loads, candidate.tier);
--- a/src/policy/wake_up_func.h
+++ b/src/policy/wake_up_func.h
@@ -48,13 +48,6 @@
   bool same_zone = false;
 };
 
-/** How long requests of a model run, for the time that an unload waits. */
-struct RunTimes {
-  /** Origin: a draft of 42 to 58 events takes 1.7 to 2.3 s on engines that are
-   * not crowded; what an entry has seen itself takes its place. */
-  std::chrono::milliseconds mean{2000};
-};
-
 struct WakeUpPlan {
   /** Index of the candidate. */
   std::size_t engine = 0;
@@ -73,10 +66,12 @@
  * residents' adapters, as an engine carries out one order at a time. A model
  * with requests in progress can make way once they have ended.
  * @param bytes Weights of the model.
+ * @param mean_run How long a request in progress usually runs.
  * @return Nothing if no engine can make room.
  */
 std::optional<WakeUpPlan> ChooseWakeUp(
-    std::int64_t bytes, const LoadTimes& loads, const RunTimes& runs,
+    std::int64_t bytes, const LoadTimes& loads,
+    std::chrono::milliseconds mean_run,
     std::span<const WakeUpCandidate> candidates);
 
 }  // namespace sapphire::policy
--- a/src/policy/wake_up_test.cc
+++ b/src/policy/wake_up_test.cc
@@ -22,6 +22,8 @@
 constexpr LoadTimes kLoads{milliseconds(1100), milliseconds(2000),
                            milliseconds(8600), milliseconds(30)};
 
+constexpr milliseconds kMeanRun{2000};
+
 ResidentModel Resident(const std::string& name, double demand) {
   ResidentModel resident;
   resident.model = core::ModelId(name);
@@ -40,7 +42,7 @@
 }
 
 std::optional<WakeUpPlan> Choose(const std::vector<WakeUpCandidate>& engines) {
-  return ChooseWakeUp(kModel, kLoads, RunTimes(), engines);
+  return ChooseWakeUp(kModel, kLoads, kMeanRun, engines);
 }
 
 }  // namespace
@@ -110,7 +112,7 @@
   const auto plan = Choose({FullEngine(Tier::kRemote, 0, 0, 0), engine});
   BOOST_TEST(plan->engine == 1);
   BOOST_TEST(plan->evict.front().value() == "b");
-  BOOST_TEST((plan->ready_in == RunTimes().mean + kLoads.disk));
+  BOOST_TEST((plan->ready_in == kMeanRun + kLoads.disk));
   for (ResidentModel& resident : engine.residents) resident.changing = true;
   BOOST_TEST(!Choose({engine}).has_value());
 }
