--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -444,7 +444,9 @@
  * which goes by memory and a count that are no more.
  */
 core::Task<> EngineDesk::CheckInstance(fleet::InstanceId meant) {
-  if (IsOtherStart(meant)) co_await Look();
+  if (IsOtherStart(meant)) {
+    co_await Look();
+  }
   if (IsOtherStart(meant)) {
     throw Error(ErrorCode::kEngineReplaced, "the engine has restarted");
   }
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -90,8 +90,9 @@
   static core::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
   OrderAnswer Take(const EngineOrder& order) {
-    if (fleet::EngineOf(order.instance) != fleet::EngineOf(instance))
-      return OrderAnswer::kOtherInstance;
+    const bool other_engine =
+        fleet::EngineOf(order.instance) != fleet::EngineOf(instance);
+    if (other_engine) return OrderAnswer::kOtherInstance;
     if (order.expected_count != report_.order_count || loading_) {
       return OrderAnswer::kBusy;
     }
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -158,7 +158,9 @@
     co_await writer.Begin(head);
     for (const std::string& it : parts) {
       co_await writer.Write(it);
-      if (it == parts.front()) co_await core::SleepFor(pause);
+      if (it == parts.front()) {
+        co_await core::SleepFor(pause);
+      }
     }
     co_await writer.End();
   };
