Engines in reach without room for a moment are waited for

Cause: a caller was refused at once when all that the engines hold was being loaded or unloaded or had just been loaded; half a second later there was room. Test of the waker.

--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -148,6 +148,7 @@
   if (left && *left < kSlowWakeUp) return left;
   if (!left) GiveUpOverdue(target);
   std::vector<FoundWaker> wakers = finder_.FindWakers(service, model);
+  const std::size_t in_reach = wakers.size();
   const bool is_near = std::ranges::any_of(wakers, [](const FoundWaker& it) {
     return it.view.tier != policy::Tier::kRemote;
   });
@@ -172,8 +173,11 @@
   if (!plan) {
     log_.Event(
         LogLevel::kInfo, LogCategory::kRequest, "wake_impossible",
-        {{"request", request}, {"model", model}, {"endpoints", wakers.size()}});
-    return std::nullopt;
+        {{"request", request}, {"model", model}, {"endpoints", in_reach}});
+    // The failure met: all that the engines hold was being loaded or unloaded,
+    // or had just been loaded for somebody; the caller was refused at once, and
+    // half a second later there was room.
+    return in_reach > 0 ? std::optional(kLookSoon) : std::nullopt;
   }
   const fleet::InstanceId instance = wakers[plan->engine].instance;
   log_.Event(LogLevel::kInfo, LogCategory::kRequest, "wake",
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -54,7 +54,8 @@
 
   /**
    * Has a model loaded, unless it is on its way.
-   * @return When it is expected to serve; nothing if no engine can take it.
+   * @return When it is expected to serve, or when to look again if no engine
+   *   has room now; nothing if none is in reach.
    */
   std::optional<milliseconds> Wake(const routing::Service& service,
                                    const core::ModelId& model,
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -154,6 +154,33 @@
   BOOST_TEST(near->wishes == 1);
 }
 
+/**
+ * A caller of a rare model is refused although its model could serve in time.
+ * Whatever the engines hold was loaded for somebody a moment ago, so that none
+ * can make room; half a second later one can.
+ */
+BOOST_AUTO_TEST_CASE(EnginesWithoutRoomForAMomentAreNoReasonToRefuse) {
+  testing::WakerRig rig;
+  rig.waker_clock.Advance(std::chrono::seconds(4));
+  const core::ModelId large("large");
+  routing::ModelSpec& spec = rig.service.engine->models[large];
+  spec.id = large;
+  spec.bytes = rig.service.engine->memory_bytes;
+  gen::ReplicaReport held;
+  held.model = large.value();
+  held.state = gen::ReplicaState::READY;
+  held.idle_ms = 200;
+  rig.endpoint.report.replicas = {held};
+  rig.AwaitReports(4);
+  const auto soon = rig.waker.Wake(rig.service, kModel, kRequest);
+  BOOST_TEST(soon.has_value());
+  BOOST_TEST((soon.value_or(milliseconds(0)) < milliseconds(1000)));
+  BOOST_TEST(rig.endpoint.wishes == 0);
+  // Without any engine in reach there is nothing to wait for.
+  rig.registry.Remove(fleet::EngineId("i-1"), false);
+  BOOST_TEST(!rig.waker.Wake(rig.service, kModel, kRequest).has_value());
+}
+
 /**
  * Loads from the weight store that would take 13 s take a minute.
  * The store serves one at full speed and nobody tells; each further load slows
