--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -60,11 +60,6 @@
   const auto it = load.sent.find(ticket.number);
   if (it == load.sent.end()) return;
   --load.parts[it->second.part].running;
-  const bool is_model = !it->second.part.model.empty();
-  if (is_model && result == SendResult::kServed) {
-    run_time_.Note(std::chrono::duration_cast<std::chrono::milliseconds>(
-        clock_.Now() - it->second.at));
-  }
   load.sent.erase(it);
   if (result == SendResult::kAbandoned || result == SendResult::kRefused) {
     return;
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -15,7 +15,6 @@
 #include "core/clock_base.h"
 #include "fleet/engine_type.h"
 #include "gen/link_types.h"
-#include "policy/run_time_base.h"
 
 namespace sapphire::fleet {
 
@@ -74,10 +73,6 @@
   [[nodiscard]] std::chrono::milliseconds OldestSilence(
       const InstanceId& instance) const;
 
-  /** @return How long requests of models run, by those that ended well. */
-  [[nodiscard]] std::chrono::milliseconds MeanRun() const {
-    return run_time_.mean();
-  }
   /** No connection could be made. */
   void NoteUnreachable(const InstanceId& instance);
 
@@ -132,7 +127,6 @@
 
   const core::Clock& clock_;
   std::map<InstanceId, Load> loads_;
-  policy::RunTimeEstimate run_time_;
   std::int64_t next_number_ = 1;
 };
 
--- a/src/orders/desk_report.cc
+++ b/src/orders/desk_report.cc
@@ -148,8 +148,6 @@
       view.spec == nullptr ? kUnknownPlaces : view.spec->max_running;
   for (const fleet::HeldModel& it : engine.models) {
     out.replicas.push_back(HeldReplica(it, *view.usage, view.now));
-    if (it.model != view.unloading) continue;
-    out.replicas.back().state = gen::ReplicaState::UNLOADING;
   }
   for (const OpenWish& it : view.wishes) {
     out.replicas.push_back(ComingReplica(it));
--- a/src/orders/desk_report_func.h
+++ b/src/orders/desk_report_func.h
@@ -39,9 +39,6 @@
   /** Null while the service is not configured. */
   const routing::EngineSpec* spec = nullptr;
   std::span<const OpenWish> wishes;
-  /** A model that is being unloaded, once its requests have ended; empty: none.
-   */
-  core::ModelId unloading;
   std::optional<StoreLoad> store_load;
   /** Since when the engine carries out an order that is not the desk's. */
   std::optional<core::SteadyTime> foreign_order;
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -152,7 +152,7 @@
     unload.kind = OrderKind::kUnload;
     unload.model = ModelToUnload(wish);
     unload.instance = wish.instance;
-    co_await Unload(unload, wish.deadline);
+    co_await CarryOut(unload, wish.deadline);
   }
   const bool from_store = TierOf(report_, wish.model) == policy::Tier::kRemote;
   const core::SteadyTime began = clock_.Now();
@@ -165,25 +165,6 @@
   usage_.NoteWanted(part);
 }
 
-/**
- * Unloads a model. Entries are told before the order is given: the engine takes
- * no more requests for it from then on, also while it waits for those in
- * progress.
- */
-core::Task<> EngineDesk::Unload(EngineOrder order, core::SteadyTime deadline) {
-  unloading_ = order.model;
-  changed_.Notify();
-  std::exception_ptr failure;
-  try {
-    co_await CarryOut(std::move(order), deadline);
-  } catch (...) {
-    failure = std::current_exception();
-  }
-  unloading_ = core::ModelId();
-  changed_.Notify();
-  if (failure) std::rethrow_exception(failure);
-}
-
 /**
  * Waits until the engine carries out no order. The failure met: a process that
  * was restarted finds an engine that still loads what the one before ordered;
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -96,7 +96,6 @@
   core::Task<> Look();
   core::Task<> Fulfil(const ModelWish& wish);
   core::Task<> EnsureModel(const ModelWish& wish);
-  core::Task<> Unload(EngineOrder order, core::SteadyTime deadline);
   core::Task<> EnsureAdapter(const ModelWish& wish);
   core::Task<> AwaitIdle(core::SteadyTime deadline);
   [[nodiscard]] core::ModelId ModelToUnload(const ModelWish& wish) const;
@@ -134,8 +133,6 @@
   std::vector<OpenOrder> open_orders_;
   std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
-  /** The model that is being unloaded; empty: none. */
-  core::ModelId unloading_;
   std::optional<StoreLoad> store_load_;
   /** Since when the engine carries out an order of somebody else: of the
    * process that was here before. */
--- a/src/orders/engine_desk_state.cc
+++ b/src/orders/engine_desk_state.cc
@@ -145,7 +145,6 @@
   view.usage = &usage_;
   view.spec = Spec();
   view.wishes = wishes_;
-  view.unloading = unloading_;
   view.store_load = store_load_;
   view.foreign_order = foreign_order_;
   view.now = clock_.Now();
--- a/src/orders/memory_plan.cc
+++ b/src/orders/memory_plan.cc
@@ -86,28 +86,19 @@
     const core::ModelId& keep) {
   const fleet::HeldModel* best = nullptr;
   double best_demand = 0;
-  std::optional<core::ModelId> in_use;
-  int fewest = 0;
   for (const fleet::HeldModel& it : state.report->models) {
     const fleet::Usage usage = state.usage->Of({it.model, core::AdapterId()});
     if (it.model == keep) continue;
+    if (UsedWithin(usage, state.now, policy::kKeptAfterUse)) continue;
     const bool wished =
         std::ranges::find(preferred, it.model) != preferred.end();
-    if (UsedWithin(usage, state.now, policy::kKeptAfterUse)) {
-      const bool fewer = !in_use || usage.running < fewest;
-      if (wished && usage.running > 0 && fewer) {
-        in_use = it.model;
-        fewest = usage.running;
-      }
-      continue;
-    }
     // A wish goes before any demand.
     const double demand = wished ? -1.0 : usage.demand;
     if (best != nullptr && demand >= best_demand) continue;
     best = &it;
     best_demand = demand;
   }
-  if (best == nullptr) return in_use;
+  if (best == nullptr) return std::nullopt;
   return best->model;
 }
 
--- a/src/orders/memory_plan_func.h
+++ b/src/orders/memory_plan_func.h
@@ -38,9 +38,8 @@
  * @param preferred Models that an entry, which sees the whole fleet, would
  * drop.
  * @param keep Never dropped.
- * @return The next model to unload: one that is not in use and was not loaded a
- *   moment ago for somebody, else one of `preferred` that is in use, with the
- *   fewest requests; nothing if there is none.
+ * @return The next model to unload: not in use, and not loaded a moment ago for
+ *   somebody; nothing if there is none.
  */
 std::optional<core::ModelId> ChooseUnload(
     const MemoryState& state, const std::vector<core::ModelId>& preferred,
--- a/src/policy/wake_up.cc
+++ b/src/policy/wake_up.cc
@@ -36,12 +36,13 @@
  *   missing there is refused, 135 requests in one case.
  */
 double BlockedAdaptersCost(const WakeUpCandidate& candidate,
-                           const LoadTimes& loads,
-                           std::chrono::duration<double> blocked) {
+                           const LoadTimes& loads) {
   double demand_here = 0;
   for (const ResidentModel& it : candidate.residents) {
     if (it.has_adapters) demand_here += it.demand / (1.0 + it.other_replicas);
   }
+  const std::chrono::duration<double> blocked =
+      LoadTimeFrom(loads, candidate.tier);
   return demand_here * blocked.count() * kMissingAdapter *
          static_cast<double>(loads.disk.count());
 }
@@ -53,66 +54,30 @@
          static_cast<double>(loads.disk.count());
 }
 
-/**
- * @return Until the last of the requests in progress has ended: of n that end
- *   at random, after the harmonic number of n times their mean.
- */
-milliseconds DrainTime(int running, milliseconds mean_run) {
-  double times = 0;
-  for (int i = 1; i <= running; ++i) times += 1.0 / i;
-  return milliseconds(static_cast<milliseconds::rep>(
-      times * static_cast<double>(mean_run.count())));
-}
-
-/** A model that could make way. */
-struct Victim {
-  const ResidentModel* resident = nullptr;
-  /** What its callers lose. */
-  double cost = 0;
-  /** Until it can be dropped. */
-  milliseconds wait{0};
-};
-
 struct Room {
   std::vector<core::ModelId> evict;
   double cost = 0;
-  milliseconds wait{0};
 };
 
-/**
- * @return What can be dropped, cheapest first. The failure met: every engine
- *   with a copy of a rare model on its disk had a request in progress for each
- *   model that it held; the load from the weight store that was begun instead
- *   took 13 s and more, and all callers of the model were refused meanwhile.
- */
-std::vector<Victim> VictimsOf(const WakeUpCandidate& candidate,
-                              const LoadTimes& loads, milliseconds mean_run) {
-  std::vector<Victim> victims;
-  for (const ResidentModel& it : candidate.residents) {
-    const bool wanted = it.running == 0 && it.just_used;
-    if (it.changing || wanted) continue;
-    victims.push_back(
-        {&it, EvictionCost(it, loads), DrainTime(it.running, mean_run)});
-  }
-  std::ranges::stable_sort(victims, {}, [](const Victim& it) {
-    return it.cost + static_cast<double>(it.wait.count());
-  });
-  return victims;
-}
-
-/** @return What to drop so that `bytes` fit. */
+/** @return What to drop so that `bytes` fit, cheapest first. */
 std::optional<Room> MakeRoom(std::int64_t bytes, const LoadTimes& loads,
-                             milliseconds mean_run,
                              const WakeUpCandidate& candidate) {
   std::int64_t free = candidate.memory_bytes;
-  for (const ResidentModel& it : candidate.residents) free -= it.bytes;
+  std::vector<const ResidentModel*> idle;
+  for (const ResidentModel& resident : candidate.residents) {
+    free -= resident.bytes;
+    const bool is_kept = resident.running > 0 || resident.just_used;
+    if (!is_kept) idle.push_back(&resident);
+  }
+  std::ranges::stable_sort(idle, {}, [&loads](const ResidentModel* it) {
+    return EvictionCost(*it, loads);
+  });
   Room room;
-  for (const Victim& it : VictimsOf(candidate, loads, mean_run)) {
+  for (const ResidentModel* it : idle) {
     if (free >= bytes) break;
-    free += it.resident->bytes;
-    room.evict.push_back(it.resident->model);
-    room.cost += it.cost;
-    room.wait = std::max(room.wait, it.wait);
+    free += it->bytes;
+    room.evict.push_back(it->model);
+    room.cost += EvictionCost(*it, loads);
   }
   if (free < bytes) return std::nullopt;
   return room;
@@ -121,27 +86,25 @@
 }  // namespace
 
 std::optional<WakeUpPlan> ChooseWakeUp(
-    std::int64_t bytes, const LoadTimes& loads, milliseconds mean_run,
+    std::int64_t bytes, const LoadTimes& loads,
     std::span<const WakeUpCandidate> candidates) {
   std::optional<WakeUpPlan> best;
   double best_cost = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const WakeUpCandidate& candidate = candidates[i];
-    auto room = MakeRoom(bytes, loads, mean_run, candidate);
+    auto room = MakeRoom(bytes, loads, candidate);
     if (!room) continue;
-    const milliseconds ready_in = std::max(candidate.order_left, room->wait) +
-                                  LoadTimeFrom(loads, candidate.tier);
+    const milliseconds ready_in =
+        candidate.order_left + LoadTimeFrom(loads, candidate.tier);
     double cost = static_cast<double>(ready_in.count()) + room->cost;
     cost += static_cast<double>((candidate.running * kPerRunning).count());
-    milliseconds blocked = room->wait;
     if (candidate.tier == Tier::kRemote) {
       // Counted for loads from disk too, it moved wake-ups away from engines
       // with room: quiet days served 0.03 to 0.05 less.
-      blocked += loads.remote;
+      cost += BlockedAdaptersCost(candidate, loads);
       cost +=
           kDeskShare * static_cast<double>((loads.remote - loads.disk).count());
     }
-    cost += BlockedAdaptersCost(candidate, loads, blocked);
     if (!candidate.same_zone) cost += static_cast<double>(kOtherZone.count());
     if (best && cost >= best_cost) continue;
     const milliseconds eviction_cost(
--- a/src/policy/wake_up_func.h
+++ b/src/policy/wake_up_func.h
@@ -23,10 +23,8 @@
 struct ResidentModel {
   core::ModelId model;
   std::int64_t bytes = 0;
-  /** Requests in progress: an unload waits for them. */
+  /** Requests in progress: an unload would wait for them. */
   int running = 0;
-  /** It is being loaded or unloaded: nothing to drop. */
-  bool changing = false;
   /** Loaded, or asked for, within kKeptAfterUse. */
   bool just_used = false;
   /** Requests a second for it, over all engines. */
@@ -63,15 +61,12 @@
  * The cost of an engine is when the model is ready there, plus what dropping
  * its residents costs others: the reload times their demand over the time they
  * would likely have stayed; plus what the load itself costs the callers of its
- * residents' adapters, as an engine carries out one order at a time. A model
- * with requests in progress can make way once they have ended.
+ * residents' adapters, as an engine carries out one order at a time.
  * @param bytes Weights of the model.
- * @param mean_run How long a request in progress usually runs.
- * @return Nothing if no engine can make room.
+ * @return Nothing if no engine can make room without interrupting requests.
  */
 std::optional<WakeUpPlan> ChooseWakeUp(
     std::int64_t bytes, const LoadTimes& loads,
-    std::chrono::milliseconds mean_run,
     std::span<const WakeUpCandidate> candidates);
 
 }  // namespace sapphire::policy
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -118,7 +118,7 @@
   const routing::ModelSpec& spec = service.engine->models.at(model);
   policy::LoadTimes loads = spec.load_times;
   loads.remote = std::max(loads.remote, finder_.StoreLoadTime(service.id));
-  return policy::ChooseWakeUp(spec.bytes, loads, loads_.MeanRun(), views);
+  return policy::ChooseWakeUp(spec.bytes, loads, views);
 }
 
 /**
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -176,8 +176,9 @@
         resident.bytes = spec->second.bytes;
         resident.has_adapters = spec->second.adapters > 0;
       }
-      resident.changing = it.state != gen::ReplicaState::READY;
-      resident.running = it.running;
+      // One on its way is wanted by somebody: as good as in use.
+      const bool coming = it.state != gen::ReplicaState::READY;
+      resident.running = coming ? 1 : it.running;
       resident.just_used = it.idle_ms < policy::kKeptAfterUse.count();
       resident.demand = totals[it.model].demand;
       resident.other_replicas = totals[it.model].replicas - 1;
