Engines' entries are followed by an object of their own; a line and a level for engines that are held

Change: EngineFollower takes the hooks out of Front, without a change of logic; event engine_held with the time left, level engines_held.

--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -86,7 +86,7 @@
   doubted_.erase(engine);
   const InstanceId instance = StartOf(engine);
   if (after_outage && engines_.contains(instance)) {
-    missing_.try_emplace(instance, clock_.Now() + options_.return_grace);
+    Hold(instance, clock_.Now() + options_.return_grace);
     return;
   }
   Drop(instance, "entry_removed");
@@ -106,7 +106,7 @@
   const core::SteadyTime gone_at = clock_.Now() + options_.return_grace;
   for (const InstanceId& instance : absent) {
     if (after_outage) {
-      missing_.try_emplace(instance, gone_at);
+      Hold(instance, gone_at);
     } else {
       Drop(instance, "not_listed");
     }
@@ -137,6 +137,15 @@
   return it == engines_.end() ? nullptr : &it->second;
 }
 
+void EngineRegistry::Hold(const InstanceId& instance,
+                          core::SteadyTime gone_at) {
+  if (!missing_.try_emplace(instance, gone_at).second) return;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      gone_at - clock_.Now());
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_held",
+             {{"instance", instance}, {"left_ms", left}});
+}
+
 void EngineRegistry::Drop(const InstanceId& instance, std::string_view reason) {
   missing_.erase(instance);
   if (engines_.erase(instance) == 0) return;
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -79,6 +79,9 @@
     return engines_;
   }
 
+  /** @return How many are still used though the store does not name them. */
+  [[nodiscard]] int held() const { return static_cast<int>(missing_.size()); }
+
   [[nodiscard]] const EngineEntry* Find(const InstanceId& instance) const;
 
   /** Counts every change; readers compare it to see that nothing moved. */
@@ -92,6 +95,8 @@
   };
 
   void Accept(EngineEntry entry);
+  /** Keeps an engine that the store does not name in use until `gone_at`. */
+  void Hold(const InstanceId& instance, core::SteadyTime gone_at);
   void Drop(const InstanceId& instance, std::string_view reason);
   [[nodiscard]] bool IsReplaced(const InstanceId& instance) const;
   /** @return The start that is known under this name; empty if none is. */
--- /dev/null
+++ b/src/serving/engine_follower.cc
@@ -0,0 +1,99 @@
+/** @file engine_follower.cc Keeps the registry of engines up to date. */
+#include <chrono>
+#include <exception>
+#include <utility>
+
+#include "serving/engine_follower_base.h"
+
+namespace sapphire::serving {
+
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+/** Between two log lines on entries that can't be read. */
+constexpr std::chrono::milliseconds kUnreadablePause{1000};
+/** Of a key in a log line. */
+constexpr std::size_t kLongestKey = 200;
+
+}  // namespace
+
+EngineFollower::EngineFollower(routing::FollowOptions options,
+                               const StoreLayout& layout,
+                               fleet::EngineRegistry& registry,
+                               external::KeyValueStore& store,
+                               std::function<void()> changed,
+                               const core::Clock& clock,
+                               const core::Logger& log)
+    : layout_(layout),
+      registry_(registry),
+      changed_(std::move(changed)),
+      clock_(clock),
+      log_(log),
+      follower_(std::move(options), Hooks(), store, clock, log) {}
+
+routing::FollowHooks EngineFollower::Hooks() {
+  routing::FollowHooks hooks;
+  hooks.listed = [this](std::vector<external::KvEntry> entries,
+                        bool after_outage) {
+    TakeListing(entries, after_outage);
+    changed_();
+  };
+  hooks.changed = [this](external::KvEvent event, bool after_outage) {
+    TakeChange(event, after_outage);
+    changed_();
+  };
+  return hooks;
+}
+
+void EngineFollower::TakeListing(const std::vector<external::KvEntry>& entries,
+                                 bool after_outage) {
+  std::vector<fleet::EngineEntry> engines;
+  for (const external::KvEntry& it : entries) {
+    try {
+      engines.push_back(layout_.read_engine(it.key, it.value));
+    } catch (const std::exception& e) {
+      NoteUnreadable(it.key, e.what());
+    }
+  }
+  registry_.Replace(std::move(engines), after_outage);
+}
+
+void EngineFollower::TakeChange(const external::KvEvent& event,
+                                bool after_outage) {
+  if (event.value) {
+    Put(event.key, *event.value);
+  } else {
+    registry_.Remove(layout_.engine_of(event.key), after_outage);
+  }
+}
+
+void EngineFollower::Put(const std::string& key, const std::string& value) {
+  try {
+    registry_.Put(layout_.read_engine(key, value));
+  } catch (const std::exception& e) {
+    NoteUnreadable(key, e.what());
+    registry_.PutUnreadable(layout_.engine_of(key));
+  }
+}
+
+/**
+ * An entry may come from another writer and hold anything: such a one names no
+ * engine to use, and the others hold. A writer that repeats itself fills the
+ * log with one line a second.
+ */
+void EngineFollower::NoteUnreadable(const std::string& key, const char* why) {
+  const core::SteadyTime now = clock_.Now();
+  ++unreadable_;
+  if (unreadable_logged_ && now - *unreadable_logged_ < kUnreadablePause) {
+    return;
+  }
+  unreadable_logged_ = now;
+  log_.Event(LogLevel::kWarning, LogCategory::kReplica, "engine_unreadable",
+             {{"key", key.substr(0, kLongestKey)},
+              {"error", why},
+              {"so_far", unreadable_}});
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/engine_follower_base.h
@@ -0,0 +1,62 @@
+/** @file engine_follower_base.h Keeps the registry of engines up to date. */
+#ifndef SAPPHIRE_SERVING_ENGINE_FOLLOWER_BASE_H_
+#define SAPPHIRE_SERVING_ENGINE_FOLLOWER_BASE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "external/key_value_base.h"
+#include "fleet/engine_registry_base.h"
+#include "routing/store_follower_base.h"
+#include "serving/store_layout_type.h"
+
+namespace sapphire::serving {
+
+/** Takes engines' entries from the store into the registry. One thread. */
+class EngineFollower {
+ public:
+  /**
+   * @param changed Called after each change of the registry.
+   * @pre All references outlive the follower.
+   */
+  EngineFollower(routing::FollowOptions options, const StoreLayout& layout,
+                 fleet::EngineRegistry& registry,
+                 external::KeyValueStore& store, std::function<void()> changed,
+                 const core::Clock& clock, const core::Logger& log);
+
+  /** Never returns. */
+  core::Task<> Run() { return follower_.Run(); }
+
+  /** @return When the store last answered, if it ever did. */
+  [[nodiscard]] std::optional<core::SteadyTime> last_answer() const {
+    return follower_.last_answer();
+  }
+
+ private:
+  routing::FollowHooks Hooks();
+  void TakeListing(const std::vector<external::KvEntry>& entries,
+                   bool after_outage);
+  void TakeChange(const external::KvEvent& event, bool after_outage);
+  void Put(const std::string& key, const std::string& value);
+  void NoteUnreadable(const std::string& key, const char* why);
+
+  const StoreLayout& layout_;
+  fleet::EngineRegistry& registry_;
+  const std::function<void()> changed_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  /** Entries that could not be read, and when that was last logged. */
+  std::int64_t unreadable_ = 0;
+  std::optional<core::SteadyTime> unreadable_logged_;
+  routing::StoreFollower follower_;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_ENGINE_FOLLOWER_BASE_H_
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -36,8 +36,6 @@
 /** Engines change often while models are loaded: a call for each change would
  * cost more than it tells, as endpoints tell of it themselves. */
 constexpr milliseconds kEngineGather{500};
-/** Between two log lines on entries that can't be read. */
-constexpr milliseconds kUnreadablePause{1000};
 
 link::LinkOptions LinkOptionsOf(const FrontOptions& options) {
   link::LinkOptions links;
@@ -118,8 +116,9 @@
                           metrics_, clock, log)),
       configuration_follower_(FollowOptionsOf(layout_.configuration_key),
                               ConfigurationHooks(), store_, clock, log),
-      engine_follower_(EngineFollowOptions(layout_.engine_prefix),
-                       EngineHooks(), store_, clock, log),
+      engine_follower_(
+          EngineFollowOptions(layout_.engine_prefix), layout_, registry_,
+          store_, [this] { FollowEngines(); }, clock, log),
       server_(
           executor, options_.listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
@@ -165,6 +164,7 @@
   levels.config_version = configuration_.version();
   levels.requests_in_progress = server_.in_progress();
   levels.engines_known = static_cast<int>(registry_.engines().size());
+  levels.engines_held = registry_.held();
   levels.endpoints_followed = feed_.followed();
   levels.entries = feed_.entries();
   levels.ready = Ready();
@@ -208,60 +208,6 @@
       ServerLimitsOf(configuration_.current()->configuration().limits));
 }
 
-routing::FollowHooks Front::EngineHooks() {
-  routing::FollowHooks hooks;
-  hooks.listed = [this](std::vector<external::KvEntry> entries,
-                        bool after_outage) {
-    std::vector<fleet::EngineEntry> engines;
-    for (const external::KvEntry& it : entries) {
-      try {
-        engines.push_back(layout_.read_engine(it.key, it.value));
-      } catch (const std::exception& e) {
-        NoteUnreadable(it.key, e.what());
-      }
-    }
-    registry_.Replace(std::move(engines), after_outage);
-    FollowEngines();
-  };
-  hooks.changed = [this](external::KvEvent event, bool after_outage) {
-    if (event.value) {
-      PutEngine(event.key, *event.value);
-    } else {
-      registry_.Remove(layout_.engine_of(event.key), after_outage);
-    }
-    FollowEngines();
-  };
-  return hooks;
-}
-
-void Front::PutEngine(const std::string& key, const std::string& value) {
-  try {
-    registry_.Put(layout_.read_engine(key, value));
-  } catch (const std::exception& e) {
-    NoteUnreadable(key, e.what());
-    registry_.PutUnreadable(layout_.engine_of(key));
-  }
-}
-
-/**
- * An entry may come from another writer and hold anything: such a one names no
- * engine to use, and the others hold. A writer that repeats itself fills the
- * log with one line a second.
- */
-void Front::NoteUnreadable(const std::string& key, const char* why) {
-  const core::SteadyTime now = clock_.Now();
-  ++unreadable_;
-  if (unreadable_logged_ && now - *unreadable_logged_ < kUnreadablePause) {
-    return;
-  }
-  unreadable_logged_ = now;
-  constexpr std::size_t kLongestKey = 200;
-  log_.Event(LogLevel::kWarning, LogCategory::kReplica, "engine_unreadable",
-             {{"key", key.substr(0, kLongestKey)},
-              {"error", why},
-              {"so_far", unreadable_}});
-}
-
 /** Only engines of model services have an endpoint process beside them. */
 void Front::FollowEngines() {
   const auto table = configuration_.current();
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,24 +22,13 @@
 #include "routing/store_follower_base.h"
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
+#include "serving/engine_follower_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
+#include "serving/store_layout_type.h"
 
 namespace sapphire::serving {
 
-/** Where things lie in the store and how they are read. */
-struct StoreLayout {
-  std::string configuration_key;
-  std::string engine_prefix;
-  /** @throws core::Error for what can't be used. */
-  routing::ReadConfiguration read_configuration;
-  std::function<fleet::EngineEntry(const std::string& key,
-                                   const std::string& value)>
-      read_engine;
-  /** The engine that a key names. */
-  std::function<fleet::EngineId(const std::string& key)> engine_of;
-};
-
 struct FrontOptions {
   core::VmId vm;
   core::ZoneId zone;
@@ -82,12 +70,9 @@
   core::Task<> AnswerReady(const http::Request& request,
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
-  void PutEngine(const std::string& key, const std::string& value);
-  void NoteUnreadable(const std::string& key, const char* why);
   void FollowEngines();
   core::Task<> KeepHouse();
   routing::FollowHooks ConfigurationHooks();
-  routing::FollowHooks EngineHooks();
 
   const FrontOptions options_;
   const StoreLayout layout_;
@@ -106,15 +91,11 @@
   CrashWatch crash_watch_;
   Dispatcher dispatcher_;
   routing::StoreFollower configuration_follower_;
-  routing::StoreFollower engine_follower_;
+  EngineFollower engine_follower_;
   http::Server server_;
   http::Server ready_server_;
   http::Server metrics_server_;
   bool leaving_ = false;
-  /** Entries of engines that could not be read, and when that was last logged.
-   */
-  std::int64_t unreadable_ = 0;
-  std::optional<core::SteadyTime> unreadable_logged_;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -99,6 +99,7 @@
   set("config_version", levels.config_version);
   set("requests_in_progress", levels.requests_in_progress);
   set("engines_known", levels.engines_known);
+  set("engines_held", levels.engines_held);
   set("endpoints_followed", levels.endpoints_followed);
   set("entries", levels.entries);
   set("ready", levels.ready);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -19,6 +19,8 @@
   std::int64_t config_version = 0;
   int requests_in_progress = 0;
   int engines_known = 0;
+  /** Of these, those that the store does not name and that are still used. */
+  int engines_held = 0;
   int endpoints_followed = 0;
   int entries = 0;
   bool ready = false;
