A test that fails: how long an entry goes on using an engine that has left

Cause: each wait of an entry (for a change, an answer, the next try, entries that lapsed) is within the bound after a disturbance; their sum is not. Change: the follower of engines' entries is played in simulated time, the return in every phase of its calls. Its settings move to follow.cc.

--- /dev/null
+++ b/src/serving/engine_follower_test.cc
@@ -0,0 +1,362 @@
+/** @file engine_follower_test.cc Tests of how long an entry goes on using an
+ * engine that has left, in simulated time. */
+#define BOOST_TEST_MODULE engine_follower
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "entry/testing_loop.h"
+#include "fleet/instance_func.h"
+#include "serving/engine_follower_base.h"
+#include "serving/follow_func.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using core::SteadyTime;
+using std::chrono::milliseconds;
+
+/** Operators' bound: this long after a disturbance an entry keeps all promises
+ * with a time again. */
+constexpr milliseconds kSettled{3000};
+/** Operators' bound: an engine that leaves gets nothing new after this. */
+constexpr milliseconds kLeaveLimit{2000};
+/** Living engines whose entries lapsed with the store are back by then. */
+constexpr milliseconds kHeartbeat{1200};
+constexpr milliseconds kCallLimit{1000};
+/** How often an entry looks what has expired. */
+constexpr milliseconds kHousekeeping{250};
+constexpr milliseconds kStep{10};
+const std::string kPrefix = "engines/";
+const std::string kKey = kPrefix + "i-1";
+const fleet::InstanceId kEngine =
+    fleet::MakeInstance(fleet::EngineId("i-1"), std::nullopt);
+
+SteadyTime At(milliseconds time) { return SteadyTime(time); }
+
+/** Something that happens to the store's contents by itself. */
+struct Planned {
+  SteadyTime at;
+  std::string key;
+  /** Nothing: the key goes. */
+  std::optional<std::string> value;
+};
+
+/** Time passes in here only; all that waits on real time is set to nothing. */
+struct World {
+  explicit World(fleet::EngineRegistry& engines, core::ManualClock& time)
+      : registry(engines), clock(time) {}
+
+  void Pass(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kStep) {
+      clock.Advance(kStep);
+      ApplyDue();
+      if (clock.Now() - kept_house >= kHousekeeping) {
+        kept_house = clock.Now();
+        registry.Expire();
+      }
+      const fleet::EngineEntry* engine = registry.Find(kEngine);
+      const bool used = engine != nullptr && !engine->draining;
+      if (used) last_used = clock.Now();
+      if (!used && clock.Now() > first_use) unused.push_back(clock.Now());
+    }
+  }
+
+  void ApplyDue() {
+    while (!plan.empty() && plan.front().at <= clock.Now()) {
+      Planned due = std::move(plan.front());
+      plan.erase(plan.begin());
+      ++revision;
+      events.push_back({due.key, due.value, revision});
+      if (due.value) {
+        values.insert_or_assign(
+            due.key, external::KvEntry{due.key, *due.value, revision});
+      } else {
+        values.erase(due.key);
+      }
+    }
+  }
+
+  [[nodiscard]] bool Away() const {
+    return clock.Now() >= away_from && clock.Now() < away_until;
+  }
+
+  fleet::EngineRegistry& registry;
+  core::ManualClock& clock;
+  std::vector<Planned> plan;
+  std::map<std::string, external::KvEntry> values;
+  std::vector<external::KvEvent> events;
+  std::int64_t revision = 1;
+  /** The entry does not reach the store. */
+  SteadyTime away_from = SteadyTime::max();
+  SteadyTime away_until = SteadyTime::max();
+  /** Connections of that time are silent for good; new ones work. */
+  SteadyTime silenced_at = SteadyTime::max();
+  /** Pauses of the follower between two calls. */
+  milliseconds retry_pause{0};
+  milliseconds gather{0};
+  SteadyTime kept_house;
+  SteadyTime first_use = SteadyTime::max();
+  SteadyTime last_used;
+  /** When the engine was not used, after its first use. */
+  std::vector<SteadyTime> unused;
+};
+
+/** A store whose calls take simulated time. */
+class SimulatedStore final : public external::KeyValueStore {
+ public:
+  explicit SimulatedStore(World& world) : world_(world) {}
+
+  core::Task<std::optional<external::KvEntry>> Get(std::string) override {
+    throw Unexpected();
+  }
+  core::Task<std::vector<external::KvEntry>> List(std::string) override {
+    throw Unexpected();
+  }
+  core::Task<external::CasResult> CompareAndSwap(std::string, std::int64_t,
+                                                 std::string,
+                                                 std::string) override {
+    throw Unexpected();
+  }
+  core::Task<bool> DeleteIf(std::string, std::int64_t) override {
+    throw Unexpected();
+  }
+  core::Task<external::KvLease> GrantLease(milliseconds) override {
+    throw Unexpected();
+  }
+  core::Task<bool> KeepAlive(std::string) override { throw Unexpected(); }
+
+  core::Task<external::KvSnapshot> Snapshot(std::string) override {
+    co_await LetOthersRun();
+    PauseBeforeCall();
+    if (world_.Away()) Fail(kCallLimit);
+    external::KvSnapshot snapshot;
+    snapshot.revision = world_.revision;
+    for (const auto& [key, entry] : world_.values) {
+      snapshot.entries.push_back(entry);
+    }
+    world_.Pass(kStep);
+    co_return snapshot;
+  }
+
+  core::Task<external::WatchBatch> Watch(std::string, std::int64_t revision,
+                                         milliseconds wait) override {
+    co_await LetOthersRun();
+    PauseBeforeCall();
+    const SteadyTime began = world_.clock.Now();
+    const SteadyTime answer_due = began + wait;
+    external::WatchBatch batch;
+    while (batch.events.empty() && world_.clock.Now() < answer_due) {
+      world_.Pass(kStep);
+      const SteadyTime now = world_.clock.Now();
+      const bool silenced =
+          began < world_.silenced_at && now >= world_.silenced_at;
+      if (world_.Away() || silenced) {
+        Fail(std::chrono::duration_cast<milliseconds>(answer_due - now) +
+             kCallLimit);
+      }
+      for (const external::KvEvent& it : world_.events) {
+        if (it.revision > revision) batch.events.push_back(it);
+      }
+    }
+    batch.revision = world_.revision;
+    had_events_ = !batch.events.empty();
+    co_return batch;
+  }
+
+ private:
+  static core::Error Unexpected() {
+    return core::Error(core::ErrorCode::kInternal, "no such call here");
+  }
+
+  /** Real calls suspend; without it one loop would never give way. */
+  static core::Task<> LetOthersRun() {
+    co_await core::SleepFor(milliseconds(0));
+  }
+
+  void PauseBeforeCall() {
+    if (std::exchange(failed_, false)) world_.Pass(world_.retry_pause);
+    if (std::exchange(had_events_, false)) world_.Pass(world_.gather);
+  }
+
+  [[noreturn]] void Fail(milliseconds after) {
+    world_.Pass(after);
+    failed_ = true;
+    throw core::Error(core::ErrorCode::kPlatformUnavailable, "no answer");
+  }
+
+  World& world_;
+  bool failed_ = false;
+  bool had_events_ = false;
+};
+
+/** An entry's view of one engine, which registers at the start. */
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm-1"), core::ZoneId("z")},
+            core::LogLevel::kError, clock),
+        registry(fleet::RegistryOptions(), clock, log),
+        world(registry, clock),
+        store(world),
+        layout(MakeLayout()),
+        follower(
+            MakeOptions(), layout, registry, store, [] {}, clock, log) {
+    world.plan.push_back({At(milliseconds(100)), kKey, "ready"});
+    world.first_use = At(milliseconds(900));
+  }
+
+  static StoreLayout MakeLayout() {
+    StoreLayout out;
+    out.engine_prefix = kPrefix;
+    out.read_engine = [](const std::string& /*key*/, const std::string& value) {
+      fleet::EngineEntry entry;
+      entry.instance = kEngine;
+      entry.address = "10.0.0.9:80";
+      entry.draining = value == "draining";
+      return entry;
+    };
+    out.engine_of = [](const std::string& key) {
+      return fleet::EngineId(key.substr(kPrefix.size()));
+    };
+    return out;
+  }
+
+  /** Those of the product, but that pauses pass in the simulated world. */
+  routing::FollowOptions MakeOptions() {
+    routing::FollowOptions options = EngineFollowOptions(kPrefix);
+    world.retry_pause = std::exchange(options.retry_pause, milliseconds(0));
+    world.gather = std::exchange(options.gather, milliseconds(0));
+    return options;
+  }
+
+  void Plan(SteadyTime at, std::optional<std::string> value) {
+    world.plan.push_back({at, kKey, std::move(value)});
+  }
+
+  void PlayUntil(SteadyTime end) {
+    core::Spawn(io.get_executor(), log, "follow",
+                [this] { return follower.Run(); });
+    BOOST_TEST(entry::testing::RunUntil(
+        io, [this, end] { return clock.Now() >= end; }));
+  }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log;
+  fleet::EngineRegistry registry;
+  World world;
+  SimulatedStore store;
+  StoreLayout layout;
+  EngineFollower follower;
+};
+
+/** Phases of an event against the follower's calls: its longest cycle is a
+ * watch without a change. */
+std::vector<milliseconds> Phases() {
+  constexpr milliseconds kStepOfPhase{50};
+  constexpr milliseconds kCycle{3600};
+  std::vector<milliseconds> phases;
+  for (milliseconds it{0}; it < kCycle; it += kStepOfPhase) {
+    phases.push_back(it);
+  }
+  return phases;
+}
+
+}  // namespace
+
+/**
+ * A request reaches an engine that left 12 s before.
+ * An entry loses its path to the store; the engine leaves without a word, its
+ * entry goes, and it serves on. The path is back, the entry finds out after up
+ * to 1.4 s, and then kept using for 2 s more what the first listing did not
+ * name: the two times were each within the bound, their sum was not. Shown by
+ * an entry that had listed 14 engines and still used 15.
+ */
+BOOST_AUTO_TEST_CASE(AnEngineThatLeftBehindACutIsNotUsedOnceItHasSettled) {
+  for (const milliseconds phase : Phases()) {
+    Rig rig;
+    const SteadyTime back = At(milliseconds(13'000) + phase);
+    rig.world.away_from = At(milliseconds(1000));
+    rig.world.away_until = back;
+    rig.Plan(At(milliseconds(4000)), std::nullopt);
+    rig.PlayUntil(back + 2 * kSettled);
+    BOOST_TEST((rig.world.last_used <= back + kSettled),
+               "phase " << phase.count());
+  }
+}
+
+/**
+ * The same for an engine that leaves just after the path is back.
+ * What goes while the store is coming back was given 2 s from its own removal
+ * on, not from the return.
+ */
+BOOST_AUTO_TEST_CASE(AnEngineThatLeavesJustAfterACutIsNotUsedForLong) {
+  for (const milliseconds phase : Phases()) {
+    Rig rig;
+    const SteadyTime back = At(milliseconds(13'000) + phase);
+    const SteadyTime left = back + milliseconds(1900);
+    rig.world.away_from = At(milliseconds(1000));
+    rig.world.away_until = back;
+    rig.Plan(left, std::nullopt);
+    rig.PlayUntil(back + 2 * kSettled);
+    const SteadyTime limit = std::max(back + kSettled, left + kLeaveLimit);
+    BOOST_TEST((rig.world.last_used <= limit), "phase " << phase.count());
+  }
+}
+
+/**
+ * Requests reach an engine that has left.
+ * The connection on which the entry waits for changes falls silent for good,
+ * without a reset, and the engine leaves just then. New connections work, but
+ * the entry waited 3 s for a change, 1 s for the answer and 0.4 s before it
+ * asked anew.
+ */
+BOOST_AUTO_TEST_CASE(AWatchOnASilentConnectionIsGivenUpInTime) {
+  for (const milliseconds phase : Phases()) {
+    Rig rig;
+    const SteadyTime silent = At(milliseconds(5000) + phase);
+    rig.world.silenced_at = silent;
+    rig.Plan(silent, std::nullopt);
+    rig.PlayUntil(silent + 2 * kSettled);
+    BOOST_TEST((rig.world.last_used <= silent + kSettled),
+               "phase " << phase.count());
+  }
+}
+
+/**
+ * Callers are refused although every engine lives.
+ * Entries lapse while the store is away; living engines write theirs anew with
+ * their next heartbeat after its return.
+ */
+BOOST_AUTO_TEST_CASE(AnEngineWhoseEntryLapsedWithTheStoreIsUsedOn) {
+  for (const milliseconds phase : Phases()) {
+    Rig rig;
+    const SteadyTime back = At(milliseconds(13'000) + phase);
+    rig.world.away_from = At(milliseconds(1000));
+    rig.world.away_until = back;
+    rig.Plan(At(milliseconds(4000)), std::nullopt);
+    rig.Plan(back + kHeartbeat, "ready");
+    rig.PlayUntil(back + 2 * kSettled);
+    BOOST_TEST(rig.world.unused.empty(), "phase " << phase.count());
+  }
+}
+
+/** A watch may be cut at any time; that is no outage, and what is gone then is
+ * gone. */
+BOOST_AUTO_TEST_CASE(AnEngineThatLeavesInReachIsNotUsedAfterItsNotice) {
+  Rig rig;
+  const SteadyTime left = At(milliseconds(5000));
+  rig.Plan(left, std::nullopt);
+  rig.PlayUntil(left + kSettled);
+  BOOST_TEST((rig.world.last_used < left + milliseconds(1000)));
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -6,6 +6,7 @@
 #include "core/error_type.h"
 #include "core/random_func.h"
 #include "core/task_func.h"
+#include "serving/follow_func.h"
 #include "serving/front_base.h"
 
 namespace sapphire::serving {
@@ -15,15 +16,6 @@
 
 namespace {
 
-/**
- * How long a watch of an entry waits. The failure met: the store falls silent
- * while a watch waits and forgets it; the connection lives on. With waits of
- * 20 s entries sent requests to engines that had left, and refused callers of
- * new ones, for as long. An engine that leaves gets nothing new after 2 s, and
- * the 3 s after a disturbance are left out: this wait, and the second after
- * which the call is given up, fit in. It costs 13 calls a watch and minute.
- */
-constexpr milliseconds kWatchWait{3000};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr milliseconds kHousekeeping{250};
@@ -33,9 +25,6 @@
 constexpr milliseconds kBalancerLag{2500};
 /** Left for the end of the process itself. */
 constexpr milliseconds kLastMoments{300};
-/** Engines change often while models are loaded: a call for each change would
- * cost more than it tells, as endpoints tell of it themselves. */
-constexpr milliseconds kEngineGather{500};
 
 link::LinkOptions LinkOptionsOf(const FrontOptions& options) {
   link::LinkOptions links;
@@ -54,19 +43,6 @@
   co_return;
 }
 
-routing::FollowOptions FollowOptionsOf(const std::string& prefix) {
-  routing::FollowOptions options;
-  options.prefix = prefix;
-  options.watch_wait = kWatchWait;
-  return options;
-}
-
-routing::FollowOptions EngineFollowOptions(const std::string& prefix) {
-  routing::FollowOptions options = FollowOptionsOf(prefix);
-  options.gather = kEngineGather;
-  return options;
-}
-
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
                       fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
@@ -114,8 +90,9 @@
                   PartsOf(configuration_, registry_, loads_, feed_, finder_,
                           waker_, crash_watch_, caller_wire, engine_wire,
                           metrics_, clock, log)),
-      configuration_follower_(FollowOptionsOf(layout_.configuration_key),
-                              ConfigurationHooks(), store_, clock, log),
+      configuration_follower_(
+          ConfigurationFollowOptions(layout_.configuration_key),
+          ConfigurationHooks(), store_, clock, log),
       engine_follower_(
           EngineFollowOptions(layout_.engine_prefix), layout_, registry_,
           store_, [this] { FollowEngines(); }, clock, log),
