All waits of what follows the store are cut from one bound

Cause: after its path to the store came back an entry could take 1.4 s to find it (limit of a listing, pause) and then held every engine that the listing did not name for 2 s more, looking each 0.25 s: 3.65 s, where operators allow 3 s. A change removed after the return was held 2 s from its own removal. A watch on a silent connection was noticed after 4.9 s, that of deadly requests after 12 s. Change: Freshness, one bound (the deployment's, a setting); what watches and entries that lapsed may wait follows from it. The wait for lapsed entries ends a time after the last failed call began, not after the first answer.

--- a/src/crash/quarantine_store.cc
+++ b/src/crash/quarantine_store.cc
@@ -18,8 +18,6 @@
 constexpr core::Millis kGather{50};
 /** Without a change, the writer looks whether it has to stop this often. */
 constexpr core::Millis kIdleLook{5000};
-constexpr core::Millis kRetryPause{1000};
-constexpr core::Millis kWatchWait{10000};
 /** A fingerprint without a crash for this long is forgotten. */
 constexpr std::chrono::hours kKeptFor{7 * 24};
 
@@ -41,11 +39,13 @@
 
 QuarantineStore::QuarantineStore(const core::Executor& executor,
                                  std::shared_ptr<Quarantine> quarantine,
+                                 QuarantineTiming timing,
                                  external::KeyValueStore& store,
                                  const core::Clock& clock,
                                  const core::Logger& log)
     : executor_(executor),
       quarantine_(std::move(quarantine)),
+      timing_(timing),
       store_(store),
       clock_(clock),
       log_(log) {}
@@ -91,7 +91,7 @@
                  "quarantine_unread", {{"error", e.what()}});
     }
     first_read_done_ = true;
-    co_await core::SleepFor(kRetryPause);
+    co_await core::SleepFor(timing_.retry_pause);
   }
 }
 
@@ -131,8 +131,8 @@
 
 core::Task<> QuarantineStore::WatchFrom(std::int64_t revision) {
   while (!stopped_) {
-    const external::WatchBatch batch =
-        co_await store_.Watch(std::string(kPrefix), revision, kWatchWait);
+    const external::WatchBatch batch = co_await store_.Watch(
+        std::string(kPrefix), revision, timing_.watch_wait);
     // Failure: the watch skipped changes. It says so; all is read again.
     if (batch.gap) co_return;
     for (const external::KvEvent& event : batch.events) TakeEvent(event);
@@ -176,7 +176,7 @@
     if (!failed) {
       co_await changed_.Wait(seen, kIdleLook);
     }
-    co_await core::SleepFor(failed ? kRetryPause : kGather);
+    co_await core::SleepFor(failed ? timing_.retry_pause : kGather);
   }
 }
 
--- a/src/crash/quarantine_store_base.h
+++ b/src/crash/quarantine_store_base.h
@@ -20,6 +20,14 @@
 
 namespace sapphire::crash {
 
+/** How the store's entries are followed. */
+struct QuarantineTiming {
+  /** How long a watch waits for a change. */
+  core::Millis watch_wait{10'000};
+  /** Between a failed call and the next. */
+  core::Millis retry_pause{1000};
+};
+
 /**
  * Shares the quarantine between entries through the key-value service, so that
  * it outlives a home and is known to the next one. While the service is down
@@ -30,8 +38,8 @@
   /** @pre All references outlive the store's coroutines. */
   QuarantineStore(const core::Executor& executor,
                   std::shared_ptr<Quarantine> quarantine,
-                  external::KeyValueStore& store, const core::Clock& clock,
-                  const core::Logger& log);
+                  QuarantineTiming timing, external::KeyValueStore& store,
+                  const core::Clock& clock, const core::Logger& log);
 
   /** Begins to follow and to write. */
   void Start();
@@ -59,6 +67,7 @@
 
   const core::Executor executor_;
   const std::shared_ptr<Quarantine> quarantine_;
+  const QuarantineTiming timing_;
   external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
--- a/src/entry/home.cc
+++ b/src/entry/home.cc
@@ -122,7 +122,7 @@
       fleet(clock_arg),
       quarantine(std::make_shared<crash::Quarantine>(clock_arg)),
       quarantine_store(std::make_shared<crash::QuarantineStore>(
-          executor, quarantine, store, clock, log)),
+          executor, quarantine, crash::QuarantineTiming(), store, clock, log)),
       ledger_cleanup(std::make_shared<LedgerCleanup>(
           executor,
           LedgerCleanupOptions{.self = options.self,
--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -48,14 +48,35 @@
     return;
   }
   if (known_born && *born < *known_born) {
-    log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_doubted",
-               {{"instance", entry.instance}, {"known", known}});
-    doubted_.insert_or_assign(engine, Doubted{std::move(entry), clock_.Now()});
+    Doubt(std::move(entry), known);
     return;
   }
   Accept(std::move(entry));
 }
 
+void EngineRegistry::Doubt(EngineEntry entry, const InstanceId& known) {
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_doubted",
+             {{"instance", entry.instance},
+              {"known", known},
+              {"draining", entry.draining}});
+  // The failure met: a notice to leave was held back for longer than an engine
+  // may be used after it. Whichever start it is of, nothing new goes there; if
+  // the known one lives, its next entry takes this back.
+  if (entry.draining) {
+    engines_.at(known).draining = true;
+    ++generation_;
+  }
+  const EngineId engine = EngineOf(entry.instance);
+  const auto [it, first] =
+      doubted_.try_emplace(engine, Doubted{entry, clock_.Now()});
+  if (first) return;
+  // It has written on while the known start was silent: the wait goes on.
+  if (it->second.entry.instance != entry.instance) {
+    it->second.since = clock_.Now();
+  }
+  it->second.entry = std::move(entry);
+}
+
 void EngineRegistry::Accept(EngineEntry entry) {
   const EngineId engine = EngineOf(entry.instance);
   doubted_.erase(engine);
@@ -82,18 +103,19 @@
   Drop(StartOf(engine), "entry_unreadable");
 }
 
-void EngineRegistry::Remove(const EngineId& engine, bool after_outage) {
+void EngineRegistry::Remove(const EngineId& engine,
+                            std::optional<core::SteadyTime> lapse_end) {
   doubted_.erase(engine);
   const InstanceId instance = StartOf(engine);
-  if (after_outage && engines_.contains(instance)) {
-    Hold(instance, clock_.Now() + options_.return_grace);
+  if (lapse_end && engines_.contains(instance)) {
+    Hold(instance, *lapse_end);
     return;
   }
   Drop(instance, "entry_removed");
 }
 
 void EngineRegistry::Replace(std::vector<EngineEntry> entries,
-                             bool after_outage) {
+                             std::optional<core::SteadyTime> lapse_end) {
   std::set<EngineId> listed;
   for (EngineEntry& entry : entries) {
     listed.insert(EngineOf(entry.instance));
@@ -103,10 +125,9 @@
   for (const auto& [instance, entry] : engines_) {
     if (!listed.contains(EngineOf(instance))) absent.push_back(instance);
   }
-  const core::SteadyTime gone_at = clock_.Now() + options_.return_grace;
   for (const InstanceId& instance : absent) {
-    if (after_outage) {
-      Hold(instance, gone_at);
+    if (lapse_end) {
+      Hold(instance, *lapse_end);
     } else {
       Drop(instance, "not_listed");
     }
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -17,9 +17,6 @@
 namespace sapphire::fleet {
 
 struct RegistryOptions {
-  /** An engine that is missing from the first listing after the store was away
-   * counts as gone after this long: until then it may register again. */
-  std::chrono::milliseconds return_grace{2000};
   /** A start that seems to be before the one that is known is believed after
    * this long without a word of the latter: engines write their entries about
    * every second, and one whose entry was overwritten writes it anew. */
@@ -54,10 +51,12 @@
 
   /**
    * An entry was removed: the engine is gone.
-   * @param after_outage The store was away just before: the entry may have
-   *   lapsed with it, and comes back within the grace if the engine lives.
+   * @param lapse_end If the store was away just before, the entry may have
+   *   lapsed with it: until then the engine is used on, as it may register
+   *   again.
    */
-  void Remove(const EngineId& engine, bool after_outage);
+  void Remove(const EngineId& engine,
+              std::optional<core::SteadyTime> lapse_end);
 
   /** Another start answers at the engine's address: this one will not be back,
    * whatever a late entry of it says. */
@@ -65,13 +64,13 @@
 
   /**
    * Takes over a listing of all entries.
-   * @param after_outage True if the store was out of reach before: entries that
-   *   lapsed meanwhile may come back, so what is missing stays for the grace.
+   * @param lapse_end As for Remove, of engines that the listing does not name.
    */
-  void Replace(std::vector<EngineEntry> entries, bool after_outage);
+  void Replace(std::vector<EngineEntry> entries,
+               std::optional<core::SteadyTime> lapse_end);
 
-  /** Drops engines whose grace has passed and believes what was in doubt. Call
-   * it now and then. */
+  /** Drops engines that have not registered again and believes what was in
+   * doubt. Call it now and then. */
   void Expire();
 
   /** @return Every engine, draining ones too, by instance. */
@@ -95,6 +94,8 @@
   };
 
   void Accept(EngineEntry entry);
+  /** Keeps an entry that seems older than the `known` start back. */
+  void Doubt(EngineEntry entry, const InstanceId& known);
   /** Keeps an engine that the store does not name in use until `gone_at`. */
   void Hold(const InstanceId& instance, core::SteadyTime gone_at);
   void Drop(const InstanceId& instance, std::string_view reason);
@@ -106,7 +107,7 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::map<InstanceId, EngineEntry> engines_;
-  /** When each engine that is missing from the store counts as gone. */
+  /** When each engine that the store does not name counts as gone. */
   std::map<InstanceId, core::SteadyTime> missing_;
   std::map<EngineId, InstanceId> starts_;
   std::map<EngineId, Doubted> doubted_;
--- a/src/fleet/engine_registry_test.cc
+++ b/src/fleet/engine_registry_test.cc
@@ -163,6 +163,36 @@
   BOOST_TEST((rig.Used() == silent));
 }
 
+/**
+ * Requests reach an engine that has said that it leaves.
+ * Its machine's clock was set back while it restarted, so its entries seem to
+ * be of the start before and are held back for 2.5 s, longer than an engine
+ * that leaves may still be used.
+ */
+BOOST_AUTO_TEST_CASE(ANoticeToLeaveIsNotHeldBack) {
+  Rig rig;
+  rig.registry.Put(EntryOf(Start(20)));
+  EngineEntry leaving = EntryOf(Start(10));
+  leaving.draining = true;
+  rig.registry.Put(leaving);
+  BOOST_TEST(rig.registry.Find(Start(20))->draining);
+  // It was a late entry of the start before: the living one writes its own.
+  rig.registry.Put(EntryOf(Start(20)));
+  BOOST_TEST(!rig.registry.Find(Start(20))->draining);
+}
+
+/** The same, and it writes several entries meanwhile: each began the wait anew.
+ */
+BOOST_AUTO_TEST_CASE(AStartInDoubtThatWritesOnIsBelievedInTheEnd) {
+  Rig rig;
+  rig.registry.Put(EntryOf(Start(20)));
+  for (int i = 0; i < 3; ++i) {
+    rig.registry.Put(EntryOf(Start(10)));
+    rig.Pass(milliseconds(1200));
+  }
+  BOOST_TEST((rig.Used() == Start(10)));
+}
+
 /**
  * Callers are sent to an address that somebody else has written.
  * Another writer overwrites an engine's entry: it names no engine to use until
@@ -190,13 +220,13 @@
 BOOST_AUTO_TEST_CASE(ARestartWhileTheStoreWasAwayIsNoLoss) {
   Rig rig;
   rig.registry.Put(EntryOf(Start(10)));
-  rig.registry.Remove(kEngine, true);
+  rig.registry.Remove(kEngine, rig.clock.Now() + milliseconds(2000));
   BOOST_TEST((rig.Used() == Start(10)));
   rig.registry.Put(EntryOf(Start(20)));
   rig.Pass(milliseconds(5000));
   BOOST_TEST((rig.Used() == Start(20)));
   // And one that is not listed any more after an outage goes after its grace.
-  rig.registry.Replace({}, true);
+  rig.registry.Replace({}, rig.clock.Now() + milliseconds(2000));
   BOOST_TEST((rig.Used() == Start(20)));
   rig.Pass(milliseconds(2000));
   BOOST_TEST((rig.Used() == InstanceId()));
@@ -206,7 +236,7 @@
   Rig rig;
   rig.registry.Put(EntryOf(Start(10)));
   rig.registry.Put(EntryOf(Start(20)));
-  rig.registry.Remove(kEngine, false);
+  rig.registry.Remove(kEngine, std::nullopt);
   BOOST_TEST((rig.Used() == InstanceId()));
   // The clock may have been set back by now: no rival, no doubt.
   rig.registry.Put(EntryOf(Start(15)));
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -82,9 +82,7 @@
   std::mutex mutex;
   std::vector<Idle> idle;
 
-  ~State() {
-    for (const Idle& it : idle) ::close(it.fd);
-  }
+  ~State() { DropIdle(); }
 
   /** @return A usable idle descriptor, or -1. */
   int TakeIdle() {
@@ -99,6 +97,12 @@
     return -1;
   }
 
+  void DropIdle() {
+    const std::lock_guard lock(mutex);
+    for (const Idle& it : idle) ::close(it.fd);
+    idle.clear();
+  }
+
   void GiveBack(tcp::socket socket, std::chrono::milliseconds usable_for) {
     beast::error_code ec;
     const int fd = socket.release(ec);
@@ -249,6 +253,8 @@
 
 const std::string& Client::address() const { return state_->address; }
 
+void Client::DropIdle() { state_->DropIdle(); }
+
 std::int64_t Client::connections_opened() const {
   return state_->connections_opened;
 }
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -91,6 +91,13 @@
   core::Task<std::unique_ptr<ResponseStream>> Open(Request request,
                                                    OpenOptions options);
 
+  /**
+   * Closes the idle connections. For a caller whose call was not answered: what
+   * has silenced one connection has often silenced all, and each would cost
+   * another call its time limit.
+   */
+  void DropIdle();
+
   /** @return Connections opened so far. */
   [[nodiscard]] std::int64_t connections_opened() const;
 
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -77,10 +77,11 @@
     routing::AdoptDocument(configuration_, read_configuration_, entry, log_);
   };
   routing::FollowHooks hooks;
-  hooks.listed = [adopt](std::vector<external::KvEntry> entries, bool) {
+  hooks.listed = [adopt](std::vector<external::KvEntry> entries,
+                         routing::LapseEnd) {
     for (const external::KvEntry& it : entries) adopt(it);
   };
-  hooks.changed = [adopt](external::KvEvent event, bool) {
+  hooks.changed = [adopt](external::KvEvent event, routing::LapseEnd) {
     if (event.value) adopt({event.key, *event.value, event.revision});
   };
   return hooks;
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -1,4 +1,5 @@
 /** @file store_follower.cc Follows the keys under a prefix of the store. */
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-/** How long after an outage a removed entry may come back by itself. */
+/** Living engines whose entries lapsed are back this long after the store. */
 constexpr std::chrono::seconds kReturnTime{2};
 
 }  // namespace
@@ -45,13 +46,15 @@
 }
 
 core::Task<> StoreFollower::ListAll() {
+  call_began_ = clock_.Now();
   external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
   NoteAnswer();
-  hooks_.listed(std::move(snapshot.entries), JustAfterOutage());
+  hooks_.listed(std::move(snapshot.entries), CurrentLapseEnd());
   revision_ = snapshot.revision;
 }
 
 core::Task<> StoreFollower::WatchOnce() {
+  call_began_ = clock_.Now();
   external::WatchBatch batch =
       co_await store_.Watch(options_.prefix, *revision_, options_.watch_wait);
   NoteAnswer();
@@ -64,7 +67,7 @@
     co_return;
   }
   for (external::KvEvent& event : batch.events) {
-    hooks_.changed(std::move(event), JustAfterOutage());
+    hooks_.changed(std::move(event), CurrentLapseEnd());
   }
   revision_ = std::max(*revision_, batch.revision);
   if (batch.events.empty()) co_return;
@@ -73,6 +76,7 @@
 
 void StoreFollower::NoteFailure(const std::string& what) {
   revision_.reset();
+  failed_call_began_ = call_began_;
   if (failing_since_) return;
   failing_since_ = clock_.Now();
   log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "store_lost",
@@ -85,13 +89,17 @@
   const auto away =
       std::chrono::duration_cast<core::Millis>(*last_answer_ - *failing_since_);
   failing_since_.reset();
-  if (away > options_.outage_after) outage_ended_ = last_answer_;
+  if (away > options_.outage_after) {
+    lapse_end_ = std::min(failed_call_began_ + options_.lapse_wait,
+                          *last_answer_ + kReturnTime);
+  }
   log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
              {{"prefix", options_.prefix}, {"away_ms", away}});
 }
 
-bool StoreFollower::JustAfterOutage() const {
-  return outage_ended_ && clock_.Now() - *outage_ended_ < kReturnTime;
+LapseEnd StoreFollower::CurrentLapseEnd() const {
+  if (lapse_end_ && clock_.Now() < *lapse_end_) return lapse_end_;
+  return std::nullopt;
 }
 
 }  // namespace sapphire::routing
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -28,14 +28,26 @@
   /** A store that failed for longer than this was away: entries may have
    * lapsed meanwhile. */
   std::chrono::milliseconds outage_after{1000};
+  /**
+   * After an outage, entries that lapsed with the store are waited for until
+   * this long after the last call that failed began: the store was away at that
+   * time, so it has returned since. Counted from the first answer, which comes
+   * up to a failed call and a pause after the return, the wait outlasted what
+   * operators allow.
+   */
+  std::chrono::milliseconds lapse_wait{2000};
 };
 
+/** Until then entries that lapsed while the store was away may come back by
+ * themselves; nothing: it was not away, and what is missing is gone. */
+using LapseEnd = std::optional<core::SteadyTime>;
+
 /** What is done with what is seen. */
 struct FollowHooks {
-  /** A whole listing. @param after_outage The store was away before it. */
-  std::function<void(std::vector<external::KvEntry>, bool after_outage)> listed;
-  /** One change. @param after_outage The store was away just before it. */
-  std::function<void(external::KvEvent, bool after_outage)> changed;
+  /** A whole listing. */
+  std::function<void(std::vector<external::KvEntry>, LapseEnd)> listed;
+  /** One change. */
+  std::function<void(external::KvEvent, LapseEnd)> changed;
 };
 
 /**
@@ -63,7 +75,7 @@
   core::Task<> WatchOnce();
   void NoteFailure(const std::string& what);
   void NoteAnswer();
-  [[nodiscard]] bool JustAfterOutage() const;
+  [[nodiscard]] LapseEnd CurrentLapseEnd() const;
 
   const FollowOptions options_;
   const FollowHooks hooks_;
@@ -74,7 +86,10 @@
   std::optional<std::int64_t> revision_;
   std::optional<core::SteadyTime> last_answer_;
   std::optional<core::SteadyTime> failing_since_;
-  std::optional<core::SteadyTime> outage_ended_;
+  /** When the newest call began, and the newest one that failed. */
+  core::SteadyTime call_began_;
+  core::SteadyTime failed_call_began_;
+  LapseEnd lapse_end_;
 };
 
 }  // namespace sapphire::routing
--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -33,7 +33,8 @@
   return static_cast<std::int64_t>(hash >> kSignBit);
 }
 
-CrashWatch::CrashWatch(external::KeyValueStore& store,
+CrashWatch::CrashWatch(crash::QuarantineTiming timing,
+                       external::KeyValueStore& store,
                        fleet::EngineLoads& loads,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
@@ -43,7 +44,7 @@
       log_(log),
       quarantine_(std::make_shared<crash::Quarantine>(clock)),
       quarantine_store_(std::make_shared<crash::QuarantineStore>(
-          executor, quarantine_, store, clock, log)) {}
+          executor, quarantine_, timing, store, clock, log)) {}
 
 void CrashWatch::Start() { quarantine_store_->Start(); }
 
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -49,9 +49,9 @@
 class CrashWatch {
  public:
   /** @pre All references outlive the watch and its tasks. */
-  CrashWatch(external::KeyValueStore& store, fleet::EngineLoads& loads,
-             const core::Executor& executor, const core::Clock& clock,
-             const core::Logger& log);
+  CrashWatch(crash::QuarantineTiming timing, external::KeyValueStore& store,
+             fleet::EngineLoads& loads, const core::Executor& executor,
+             const core::Clock& clock, const core::Logger& log);
 
   /** Begins to follow what other entries saw. */
   void Start();
--- a/src/serving/crash_watch_test.cc
+++ b/src/serving/crash_watch_test.cc
@@ -57,8 +57,8 @@
 
   /** An entry of its own, on the same store. */
   std::unique_ptr<CrashWatch> MakeWatch() {
-    auto watch = std::make_unique<CrashWatch>(store, loads, io.get_executor(),
-                                              clock, log);
+    auto watch = std::make_unique<CrashWatch>(
+        crash::QuarantineTiming(), store, loads, io.get_executor(), clock, log);
     watch->Start();
     return watch;
   }
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -202,7 +202,8 @@
         waker(finder, feed, registry, loads, metrics, io.get_executor(), clock,
               log),
         store(store_clock),
-        crash_watch(store, loads, io.get_executor(), clock, log),
+        crash_watch(crash::QuarantineTiming(), store, loads, io.get_executor(),
+                    clock, log),
         dispatcher(DispatchOptions(), Parts()) {
     Configure(2);
   }
--- a/src/serving/engine_follower.cc
+++ b/src/serving/engine_follower.cc
@@ -36,19 +36,19 @@
 routing::FollowHooks EngineFollower::Hooks() {
   routing::FollowHooks hooks;
   hooks.listed = [this](std::vector<external::KvEntry> entries,
-                        bool after_outage) {
-    TakeListing(entries, after_outage);
+                        routing::LapseEnd lapse_end) {
+    TakeListing(entries, lapse_end);
     changed_();
   };
-  hooks.changed = [this](external::KvEvent event, bool after_outage) {
-    TakeChange(event, after_outage);
+  hooks.changed = [this](external::KvEvent event, routing::LapseEnd lapse_end) {
+    TakeChange(event, lapse_end);
     changed_();
   };
   return hooks;
 }
 
 void EngineFollower::TakeListing(const std::vector<external::KvEntry>& entries,
-                                 bool after_outage) {
+                                 routing::LapseEnd lapse_end) {
   std::vector<fleet::EngineEntry> engines;
   for (const external::KvEntry& it : entries) {
     try {
@@ -57,15 +57,15 @@
       NoteUnreadable(it.key, e.what());
     }
   }
-  registry_.Replace(std::move(engines), after_outage);
+  registry_.Replace(std::move(engines), lapse_end);
 }
 
 void EngineFollower::TakeChange(const external::KvEvent& event,
-                                bool after_outage) {
+                                routing::LapseEnd lapse_end) {
   if (event.value) {
     Put(event.key, *event.value);
   } else {
-    registry_.Remove(layout_.engine_of(event.key), after_outage);
+    registry_.Remove(layout_.engine_of(event.key), lapse_end);
   }
 }
 
--- a/src/serving/engine_follower_base.h
+++ b/src/serving/engine_follower_base.h
@@ -41,8 +41,8 @@
  private:
   routing::FollowHooks Hooks();
   void TakeListing(const std::vector<external::KvEntry>& entries,
-                   bool after_outage);
-  void TakeChange(const external::KvEvent& event, bool after_outage);
+                   routing::LapseEnd lapse_end);
+  void TakeChange(const external::KvEvent& event, routing::LapseEnd lapse_end);
   void Put(const std::string& key, const std::string& value);
   void NoteUnreadable(const std::string& key, const char* why);
 
--- a/src/serving/engine_follower_test.cc
+++ b/src/serving/engine_follower_test.cc
@@ -32,8 +32,6 @@
 /** Living engines whose entries lapsed with the store are back by then. */
 constexpr milliseconds kHeartbeat{1200};
 constexpr milliseconds kCallLimit{1000};
-/** How often an entry looks what has expired. */
-constexpr milliseconds kHousekeeping{250};
 constexpr milliseconds kStep{10};
 const std::string kPrefix = "engines/";
 const std::string kKey = kPrefix + "i-1";
@@ -183,18 +181,16 @@
   }
 
   void PauseBeforeCall() {
-    if (std::exchange(failed_, false)) world_.Pass(world_.retry_pause);
     if (std::exchange(had_events_, false)) world_.Pass(world_.gather);
   }
 
+  /** Takes the follower's pause too: the next call begins after it. */
   [[noreturn]] void Fail(milliseconds after) {
-    world_.Pass(after);
-    failed_ = true;
+    world_.Pass(after + world_.retry_pause);
     throw core::Error(core::ErrorCode::kPlatformUnavailable, "no answer");
   }
 
   World& world_;
-  bool failed_ = false;
   bool had_events_ = false;
 };
 
@@ -231,7 +227,8 @@
 
   /** Those of the product, but that pauses pass in the simulated world. */
   routing::FollowOptions MakeOptions() {
-    routing::FollowOptions options = EngineFollowOptions(kPrefix);
+    routing::FollowOptions options =
+        EngineFollowOptions(kPrefix, Freshness{kSettled, kCallLimit});
     world.retry_pause = std::exchange(options.retry_pause, milliseconds(0));
     world.gather = std::exchange(options.gather, milliseconds(0));
     return options;
--- a/src/serving/follow_func.h
+++ b/src/serving/follow_func.h
@@ -2,19 +2,41 @@
 #ifndef SAPPHIRE_SERVING_FOLLOW_FUNC_H_
 #define SAPPHIRE_SERVING_FOLLOW_FUNC_H_
 
+#include <chrono>
 #include <string>
 
+#include "crash/quarantine_store_base.h"
 #include "routing/store_follower_base.h"
 
 namespace sapphire::serving {
 
+/**
+ * How old an entry's beliefs may be. The failure met: a request reached an
+ * engine 12 s after it had left. The waits of a follower (for a change, an
+ * answer, the next try, entries that lapsed) were each within the bound, their
+ * sum was not. All of them are therefore cut from this one bound.
+ */
+struct Freshness {
+  /** This long after a disturbance all that follows the store is up to date. */
+  std::chrono::milliseconds bound{3000};
+  /** Limit of one call to the store, besides what a watch waits. */
+  std::chrono::milliseconds call_limit{1000};
+};
+
+/** How often an entry drops what has expired. */
+inline constexpr std::chrono::milliseconds kHousekeeping{250};
+
 /** @return How an entry follows the configuration. */
 [[nodiscard]] routing::FollowOptions ConfigurationFollowOptions(
-    const std::string& key);
+    const std::string& key, const Freshness& freshness);
 
 /** @return How an entry follows engines' entries. */
 [[nodiscard]] routing::FollowOptions EngineFollowOptions(
-    const std::string& prefix);
+    const std::string& prefix, const Freshness& freshness);
+
+/** @return How an entry follows requests that crash engines. */
+[[nodiscard]] crash::QuarantineTiming QuarantineFollowTiming(
+    const Freshness& freshness);
 
 }  // namespace sapphire::serving
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -6,7 +6,6 @@
 #include "core/error_type.h"
 #include "core/random_func.h"
 #include "core/task_func.h"
-#include "serving/follow_func.h"
 #include "serving/front_base.h"
 
 namespace sapphire::serving {
@@ -18,7 +17,6 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-constexpr milliseconds kHousekeeping{250};
 constexpr milliseconds kLeavePoll{20};
 /** A balancer asks once a second and goes by two answers: new connections may
  * come for this long after we have stopped being ready. */
@@ -85,17 +83,19 @@
       feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
       finder_(options_.zone, registry_, feed_, loads_, clock),
       waker_(finder_, feed_, registry_, loads_, metrics_, executor, clock, log),
-      crash_watch_(store_, loads_, executor_, clock, log),
+      crash_watch_(QuarantineFollowTiming(options_.freshness), store_, loads_,
+                   executor_, clock, log),
       dispatcher_(options_.dispatch,
                   PartsOf(configuration_, registry_, loads_, feed_, finder_,
                           waker_, crash_watch_, caller_wire, engine_wire,
                           metrics_, clock, log)),
       configuration_follower_(
-          ConfigurationFollowOptions(layout_.configuration_key),
+          ConfigurationFollowOptions(layout_.configuration_key,
+                                     options_.freshness),
           ConfigurationHooks(), store_, clock, log),
       engine_follower_(
-          EngineFollowOptions(layout_.engine_prefix), layout_, registry_,
-          store_, [this] { FollowEngines(); }, clock, log),
+          EngineFollowOptions(layout_.engine_prefix, options_.freshness),
+          layout_, registry_, store_, [this] { FollowEngines(); }, clock, log),
       server_(
           executor, options_.listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
@@ -166,10 +166,11 @@
 
 routing::FollowHooks Front::ConfigurationHooks() {
   routing::FollowHooks hooks;
-  hooks.listed = [this](std::vector<external::KvEntry> entries, bool) {
+  hooks.listed = [this](std::vector<external::KvEntry> entries,
+                        routing::LapseEnd) {
     for (const external::KvEntry& it : entries) AdoptConfiguration(it);
   };
-  hooks.changed = [this](external::KvEvent event, bool) {
+  hooks.changed = [this](external::KvEvent event, routing::LapseEnd) {
     if (!event.value) return;
     AdoptConfiguration({event.key, *event.value, event.revision});
   };
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -23,6 +23,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
+#include "serving/follow_func.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
 #include "serving/store_layout_type.h"
@@ -41,6 +42,7 @@
   DispatchOptions dispatch;
   /** For whoever collects metrics. */
   std::string metrics_listen;
+  Freshness freshness;
   /** Until the process is killed after it was asked to leave. */
   milliseconds leave_limit{8000};
 };
--- a/src/serving/log_trail_test.cc
+++ b/src/serving/log_trail_test.cc
@@ -82,7 +82,7 @@
   const LogFile file;
   Rig rig(core::LogLevel::kInfo, file.fd());
   rig.AddEngine(kDrafts, Streaming({}, true));
-  rig.registry.Remove(fleet::EngineId("i-1"), false);
+  rig.registry.Remove(fleet::EngineId("i-1"), std::nullopt);
   RecordingWriter caller;
   rig.Serve("/stream/", kWait, caller);
 
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -177,7 +177,7 @@
   BOOST_TEST((soon.value_or(milliseconds(0)) < milliseconds(1000)));
   BOOST_TEST(rig.endpoint.wishes == 0);
   // Without any engine in reach there is nothing to wait for.
-  rig.registry.Remove(fleet::EngineId("i-1"), false);
+  rig.registry.Remove(fleet::EngineId("i-1"), std::nullopt);
   BOOST_TEST(!rig.waker.Wake(rig.service, kModel, kRequest).has_value());
 }
 
