--- a/src/orders/engine_desk_test.cc
+++ b/src/orders/engine_desk_test.cc
@@ -97,6 +97,14 @@
     return RunTask(io, Ended(WishFor(model, timeout, instance)));
   }
 
+  std::string EnsureAdapter(const std::string& model,
+                            const std::string& adapter, milliseconds timeout,
+                            const std::string& instance) {
+    ModelWish wish = WishFor(model, timeout, instance);
+    wish.adapter = core::AdapterId(adapter);
+    return RunTask(io, Ended(std::move(wish)));
+  }
+
   [[nodiscard]] ModelWish WishFor(const std::string& model,
                                   milliseconds timeout,
                                   const std::string& instance = "i-1") const {
@@ -303,6 +311,29 @@
   BOOST_TEST(rig.Ensure("a", kEnough, "i-1@20000") == "");
 }
 
+/**
+ * Callers of an adapter wait for a load that nobody carries out.
+ * The engine starts again under its name while the adapter loads: the adapter,
+ * and the model that it belongs to, are gone with the start before.
+ */
+BOOST_AUTO_TEST_CASE(ARestartUnderItsNameEndsTheLoadOfAnAdapter) {
+  Rig rig;
+  rig.engine.TellBirth(At(10));
+  BOOST_TEST(rig.EnsureAdapter("a", "x", kEnough, "i-1@10000") == "");
+  rig.engine.load_time = milliseconds(400);
+  const auto began = rig.clock.Now();
+  core::Spawn(rig.io.get_executor(), rig.log, "crash",
+              [&rig]() -> core::Task<> {
+                co_await core::SleepFor(milliseconds(100));
+                rig.engine.RestartAt(At(20));
+              });
+  BOOST_TEST(rig.EnsureAdapter("a", "y", kEnough, "i-1@10000") ==
+             "engine_replaced");
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(1000)));
+  rig.engine.load_time = milliseconds(60);
+  BOOST_TEST(rig.EnsureAdapter("a", "y", kEnough, "i-1@20000") == "");
+}
+
 /**
  * After everything was stopped, callers of a model wait until their patience is
  * over, beside idle engines.
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -72,6 +72,7 @@
     report_ = EngineReport();
     report_.born = born;
     loading_.reset();
+    adapters_.clear();
   }
 
   [[nodiscard]] bool Holds(const std::string& model) {
@@ -96,6 +97,7 @@
     if (order.expected_count != report_.order_count || loading_) {
       return OrderAnswer::kBusy;
     }
+    if (!order.adapter.empty()) return TakeAdapter(order);
     ++report_.order_count;
     if (order.kind == OrderKind::kUnload) {
       std::erase_if(report_.models,
@@ -109,7 +111,42 @@
     return OrderAnswer::kAccepted;
   }
 
+  /** An adapter loads beside requests: its engine does not count as busy. */
+  OrderAnswer TakeAdapter(const EngineOrder& order) {
+    if (HeldOf(order.model) == nullptr) return OrderAnswer::kBusy;
+    ++report_.order_count;
+    adapters_.push_back({order, Now() + load_time});
+    ShowComing();
+    return OrderAnswer::kAccepted;
+  }
+
+  fleet::HeldModel* HeldOf(const core::ModelId& model) {
+    const auto it =
+        std::ranges::find(report_.models, model, &fleet::HeldModel::model);
+    return it == report_.models.end() ? nullptr : &*it;
+  }
+
+  void AdvanceAdapters() {
+    for (const Late& it : std::exchange(adapters_, {})) {
+      fleet::HeldModel* held = HeldOf(it.order.model);
+      if (Now() < it.at) {
+        adapters_.push_back(it);
+      } else if (held != nullptr) {
+        held->adapters.insert(it.order.adapter);
+      }
+    }
+    ShowComing();
+  }
+
+  void ShowComing() {
+    report_.coming.clear();
+    for (const Late& it : adapters_) {
+      report_.coming.push_back({it.order.model, it.order.adapter});
+    }
+  }
+
   void Advance() {
+    AdvanceAdapters();
     for (const Late& it : std::exchange(late_, {})) {
       if (Now() < it.at) {
         late_.push_back(it);
@@ -128,6 +165,7 @@
   EngineReport report_;
   std::optional<Late> loading_;
   std::vector<Late> late_;
+  std::vector<Late> adapters_;
 };
 
 }  // namespace sapphire::orders
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -2,7 +2,13 @@
 #define BOOST_TEST_MODULE dispatcher
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
+#include "fleet/instance_func.h"
 #include "serving/dispatcher_rig_test.h"
 
 namespace sapphire::serving {
@@ -34,6 +40,25 @@
 const std::string kFirst = "id: 1\ndata: a\n\n";
 const std::string kSecond = "id: 2\ndata: b\n\n";
 
+/** Writes `before` and crashes; the registry then knows a later start of the
+ * same name at the same address, which answers with `after`. */
+http::Handler CrashingOnce(Rig& rig, const std::vector<std::string>& before,
+                           const std::vector<std::string>& after) {
+  auto crashed = std::make_shared<bool>(false);
+  return [&rig, crashed, first = Streaming(before, false),
+          second = Streaming(after, true)](
+             const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    if (std::exchange(*crashed, true)) return second(request, writer);
+    fleet::EngineEntry entry = rig.registry.engines().begin()->second;
+    entry.instance =
+        fleet::MakeInstance(fleet::EngineOf(entry.instance),
+                            fleet::EngineBirth(std::chrono::seconds(20)));
+    rig.registry.Put(std::move(entry));
+    return first(request, writer);
+  };
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(AWholeStreamIsPassedOn) {
@@ -106,6 +131,38 @@
   BOOST_TEST(*http::FindHeader(other.requests.at(0).headers, "after") == "1");
 }
 
+/**
+ * A caller's stream stops halfway although its engine is back.
+ * The engine crashes in the middle and starts again under its name, as another
+ * start: the stream goes on there, after the last whole event.
+ */
+BOOST_AUTO_TEST_CASE(AStreamGoesOnAtALaterStartOfItsEngine) {
+  Rig rig;
+  TestEngine& engine =
+      rig.AddEngine(kDrafts, CrashingOnce(rig, {kFirst}, {kSecond}));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.answers == 1);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(*http::FindHeader(engine.requests.at(1).headers, "after") == "1");
+}
+
+/**
+ * A caller is charged twice.
+ * An engine crashes after it has begun a request that must not run twice, and
+ * starts again under its name. The new start knows nothing of it; that proves
+ * nothing of the one before.
+ */
+BOOST_AUTO_TEST_CASE(ALaterStartOfItsEngineIsNoProofThatItHasNotRun) {
+  Rig rig;
+  TestEngine& engine = rig.AddEngine(kPlain, CrashingOnce(rig, {}, {"done"}));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(engine.requests.size() == 1U);
+  BOOST_TEST(caller.status == kBadGateway);
+}
+
 BOOST_AUTO_TEST_CASE(AnEngineThatDidNotRunItYieldsToAnother) {
   Rig rig;
   rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
