--- a/src/timeline/losses.cc
+++ b/src/timeline/losses.cc
@@ -189,11 +189,6 @@
   return loss;
 }
 
-std::int64_t SecondOf(const Loss& loss, const LossAccount& account) {
-  const auto since = loss.time - account.losses.front().time;
-  return std::chrono::duration_cast<std::chrono::seconds>(since).count();
-}
-
 }  // namespace
 
 std::string_view NameOf(LossCause cause) {
@@ -213,6 +208,11 @@
   return "";
 }
 
+std::int64_t SecondOf(const Loss& loss, const LossAccount& account) {
+  const auto since = loss.time - account.losses.front().time;
+  return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
 LossAccount AccountLosses(const std::vector<Event>& events) {
   LossAccount account;
   Trail trail;
--- a/src/timeline/losses_func.h
+++ b/src/timeline/losses_func.h
@@ -4,6 +4,7 @@
 #define SAPPHIRE_TIMELINE_LOSSES_FUNC_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,6 +72,12 @@
 /** @return A JSON document with each loss and the sums. */
 std::string RenderLossesJson(const LossAccount& account);
 
+/** @return Bars of seconds, stacked by cause, with a legend. */
+std::string RenderLossesSvg(const LossAccount& account);
+
+/** @return Whole seconds since the first loss of the account. */
+std::int64_t SecondOf(const Loss& loss, const LossAccount& account);
+
 }  // namespace sapphire::timeline
 
 #endif  // SAPPHIRE_TIMELINE_LOSSES_FUNC_H_
--- a/src/timeline/losses_test.cc
+++ b/src/timeline/losses_test.cc
@@ -93,4 +93,19 @@
              std::string::npos);
 }
 
+/** A second with two causes has a bar of two parts; both stand in the legend.
+ */
+BOOST_AUTO_TEST_CASE(ThePictureShowsEachSecondAndCause) {
+  const LossAccount account =
+      AccountOf({End(kPaused), End(kSlow), End(kSlow), End(kInTime)});
+  const std::string svg = RenderLossesSvg(account);
+  BOOST_TEST(svg.find("3 of 4 requests lost") != std::string::npos);
+  BOOST_TEST(svg.find("<title>second 0: 2 slow_first_token</title>") !=
+             std::string::npos);
+  BOOST_TEST(svg.find("<title>second 0: 1 pause</title>") != std::string::npos);
+  BOOST_TEST(svg.find(">pause 1</text>") != std::string::npos);
+  BOOST_TEST(RenderLossesSvg(LossAccount()).find("0 of 0") !=
+             std::string::npos);
+}
+
 }  // namespace sapphire::timeline
--- a/src/timeline/sapphire_timeline_main.cc
+++ b/src/timeline/sapphire_timeline_main.cc
@@ -44,7 +44,8 @@
   app.add_flag("--keep-clocks", options.keep_clocks,
                "Take the VMs' clocks as they are");
   app.add_flag("--losses", options.losses,
-               "Show why requests were refused, failed or late");
+               "Show why requests were refused, failed or late; --svg draws "
+               "them over time");
 }
 
 timeline::ReadLog ReadFile(const std::string& name) {
@@ -84,6 +85,9 @@
   }
   if (options.losses) {
     const timeline::LossAccount account = timeline::AccountLosses(events);
+    if (!options.svg_file.empty()) {
+      WriteFile(options.svg_file, timeline::RenderLossesSvg(account));
+    }
     fmt::print("{}", options.format == "json"
                          ? timeline::RenderLossesJson(account)
                          : timeline::RenderLosses(account));
