Entries tell of work that keeps their thread from its sockets

Cause: streams pause, and no line told whether the engine or the entry was the cause. Change: StallWatch: a histogram by work and a line a second for 5 ms or more; a timer that fires late stands for what has no name.

--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -72,6 +72,9 @@
       executor_(executor),
       clock_(clock),
       log_(log),
+      stalls_([this](std::string_view work,
+                     milliseconds took) { metrics_.Stalled(work, took); },
+              clock, log),
       store_(store,
              [this](std::string_view kind, std::string_view outcome) {
                metrics_.StoreCall(kind, outcome);
@@ -152,7 +155,12 @@
 }
 
 core::Task<> Front::AnswerMetrics(http::ResponseWriter& writer) {
-  http::Response response = http::MetricsResponse(metrics_.Text(Levels()));
+  std::string text;
+  {
+    const core::StallWatch::Span span(stalls_, "metrics");
+    text = metrics_.Text(Levels());
+  }
+  http::Response response = http::MetricsResponse(std::move(text));
   co_await writer.Send(std::move(response));
 }
 
@@ -179,6 +187,7 @@
 
 void Front::AdoptConfiguration(const external::KvEntry& entry) {
   if (entry.key != layout_.configuration_key) return;
+  const core::StallWatch::Span span(stalls_, "configuration");
   const bool adopted = routing::AdoptDocument(
       configuration_, layout_.read_configuration, entry, log_);
   if (!adopted) return;
@@ -198,10 +207,17 @@
 
 core::Task<> Front::KeepHouse() {
   while (true) {
-    registry_.Expire();
-    FollowEngines();
-    dispatcher_.Forget();
+    {
+      const core::StallWatch::Span span(stalls_, "housekeeping");
+      registry_.Expire();
+      FollowEngines();
+      dispatcher_.Forget();
+    }
+    const core::SteadyTime due = clock_.Now() + kHousekeeping;
     co_await core::SleepFor(kHousekeeping);
+    // Whatever held the thread up meanwhile has held up this timer too.
+    stalls_.Note("any",
+                 std::chrono::duration_cast<milliseconds>(clock_.Now() - due));
   }
 }
 
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -10,6 +10,7 @@
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
+#include "core/stall_watch_base.h"
 #include "core/task_type.h"
 #include "external/counting_store_base.h"
 #include "external/key_value_base.h"
@@ -82,6 +83,7 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   FrontMetrics metrics_;
+  core::StallWatch stalls_;
   external::CountingStore store_;
   routing::ConfigurationHolder configuration_;
   fleet::EngineRegistry registry_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -14,6 +14,9 @@
 const prometheus::Histogram::BucketBoundaries kSeconds = {
     0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 8, 12, 20, 35};
 
+const prometheus::Histogram::BucketBoundaries kStallSeconds = {
+    0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1};
+
 std::string NameOf(routing::RequestKind kind) {
   switch (kind) {
     case routing::RequestKind::kIdempotent:
@@ -39,6 +42,9 @@
   prometheus::Family<prometheus::Histogram>& wake_ups = core::AddHistograms(
       registry, "sapphire_front_wake_up_seconds",
       "Wake-ups asked of endpoints, by checkpoint tier and outcome");
+  prometheus::Family<prometheus::Histogram>& stalls =
+      core::AddHistograms(registry, "sapphire_front_stall_seconds",
+                          "Work that kept the thread from its sockets");
   prometheus::Family<prometheus::Counter>& sends =
       core::AddCounters(registry, "sapphire_front_sends_total",
                         "Sends of requests to engines, by their end");
@@ -92,6 +98,12 @@
   core::CountCall(state_->store_calls, kind, outcome);
 }
 
+void FrontMetrics::Stalled(std::string_view work,
+                           std::chrono::milliseconds took) {
+  state_->stalls.Add({{"work", std::string(work)}}, kStallSeconds)
+      .Observe(Seconds(took).count());
+}
+
 std::string FrontMetrics::Text(const FrontLevels& levels) {
   const auto set = [this](const char* name, auto value) {
     state_->levels.Add({{"name", name}}).Set(static_cast<double>(value));
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -48,6 +48,8 @@
   /** @param outcome "ok" or the error's name. */
   void WakeUpEnded(policy::Tier tier, std::string_view outcome,
                    std::chrono::milliseconds took);
+  /** Work kept the thread from its sockets. */
+  void Stalled(std::string_view work, std::chrono::milliseconds took);
   void StoreCall(std::string_view kind, std::string_view outcome);
 
   /** @return Everything, in the Prometheus text format. */
