--- /dev/null
+++ b/deploy/soak/soak_faults.cc
@@ -0,0 +1,210 @@
+/** @file soak_faults.cc Injects a soak's faults from outside its programs. */
+#include <csignal>
+#include <string>
+
+#include "core/task_func.h"
+#include "soak_world_base.h"
+
+namespace sapphire::deploy::soak {
+
+namespace {
+
+/** The platform's three heartbeats without a word. */
+constexpr milliseconds kSilenceLimit{3600};
+/** How long an engine serves on after it said that it leaves. */
+constexpr milliseconds kServesOn{4000};
+constexpr milliseconds kGrace{8000};
+constexpr milliseconds kPoll{20};
+constexpr milliseconds kDelay{150};
+
+}  // namespace
+
+core::Task<> SoakWorld::Inject(Fault fault) {
+  if (fault.kind <= FaultKind::kEntryReload) {
+    co_await InjectEntry(fault);
+  } else if (fault.kind < FaultKind::kStoreBusy ||
+             fault.kind == FaultKind::kEngineLeave) {
+    co_await InjectEngine(fault);
+  } else {
+    co_await InjectStore(fault);
+  }
+}
+
+core::Task<> SoakWorld::InjectEntry(Fault fault) {
+  EntryVm& entry = *entries_.at(static_cast<std::size_t>(fault.target));
+  if (entry.leaving) co_return;
+  switch (fault.kind) {
+    case FaultKind::kEntryKill:
+      DisturbEntry(fault.target, milliseconds(1000));
+      entry.process->Signal(SIGKILL);
+      entry.process->WaitForExit(kGrace);
+      StartEntry(entry);
+      break;
+    case FaultKind::kEntryPause:
+      DisturbEntry(fault.target, fault.length);
+      entry.process->Signal(SIGSTOP);
+      co_await core::SleepFor(fault.length);
+      entry.process->Signal(SIGCONT);
+      break;
+    case FaultKind::kEntryStop:
+      co_await StopEntry(fault.target);
+      break;
+    default:
+      entry.process->Signal(SIGHUP);
+  }
+}
+
+/** Callers go on using their connections until the process is gone. */
+core::Task<> SoakWorld::StopEntry(int number) {
+  EntryVm& entry = *entries_.at(static_cast<std::size_t>(number));
+  entry.leaving = true;
+  const core::SteadyTime began = clock_.Now();
+  entry.process->Signal(SIGTERM);
+  while (!entry.process->WaitForExit(milliseconds(0)) &&
+         clock_.Now() - began < kGrace) {
+    co_await core::SleepFor(kPoll);
+  }
+  entry.process->Signal(SIGKILL);
+  entry.process->WaitForExit(kGrace);
+  DisturbEntry(number, milliseconds(1000));
+  StartEntry(entry);
+  entry.leaving = false;
+}
+
+core::Task<> SoakWorld::InjectEngine(Fault fault) {
+  EngineVm& vm = *engines_.at(static_cast<std::size_t>(fault.target));
+  if (vm.down) co_return;
+  switch (fault.kind) {
+    case FaultKind::kEndpointKill:
+      vm.process->Signal(SIGKILL);
+      vm.process->WaitForExit(kGrace);
+      StartEndpoint(vm);
+      break;
+    case FaultKind::kEndpointPause:
+      vm.process->Signal(SIGSTOP);
+      co_await core::SleepFor(fault.length);
+      vm.process->Signal(SIGCONT);
+      break;
+    case FaultKind::kEngineCrash:
+      co_await CrashEngine(vm, fault.length);
+      break;
+    case FaultKind::kEngineDrain:
+      co_await DrainEngine(vm, kServesOn);
+      break;
+    case FaultKind::kEngineLeave:
+      co_await LeaveEngine(vm, fault.length);
+      break;
+    case FaultKind::kEngineReset:
+      vm.relay->Reset();
+      break;
+    case FaultKind::kEngineDelay:
+      vm.relay->Delay(kDelay);
+      co_await core::SleepFor(fault.length);
+      vm.relay->Delay(milliseconds(0));
+      break;
+    default:
+      // What a caller's leaving ends can't be told through a cut.
+      DisturbAllEntries(fault.length);
+      vm.relay->Cut(fault.kind == FaultKind::kEngineCut, true);
+      co_await core::SleepFor(fault.length);
+      vm.relay->Cut(false, false);
+      // What was swallowed is missing in the middle of answers.
+      vm.relay->Reset();
+  }
+}
+
+core::Task<> SoakWorld::CrashEngine(EngineVm& vm, milliseconds down) {
+  if (vm.down) co_return;
+  vm.down = true;
+  vm.relay->Close();
+  vm.engine->Crash();
+  core::Spawn(io_.get_executor(), log_, "forget",
+              [this, instance = vm.engine->instance()] {
+                return ForgetSilent(instance);
+              });
+  co_await core::SleepFor(down);
+  vm.engine->Restart(NextInstance());
+  vm.relay->Reopen();
+  Register(vm, false);
+  vm.down = false;
+}
+
+core::Task<> SoakWorld::ForgetSilent(std::string instance) {
+  co_await core::SleepFor(kSilenceLimit);
+  Remove("servers/" + instance);
+}
+
+core::Task<> SoakWorld::DrainEngine(EngineVm& vm, milliseconds serves_on) {
+  vm.down = true;
+  Register(vm, true);
+  const std::string instance = vm.engine->instance();
+  record_.drainings.push_back({instance, clock_.Now()});
+  co_await core::SleepFor(serves_on);
+  co_await ReplaceEngine(vm);
+}
+
+core::Task<> SoakWorld::LeaveEngine(EngineVm& vm, milliseconds serves_on) {
+  vm.down = true;
+  const std::string instance = vm.engine->instance();
+  Remove("servers/" + instance);
+  record_.drainings.push_back({instance, clock_.Now()});
+  co_await core::SleepFor(serves_on);
+  co_await ReplaceEngine(vm);
+}
+
+/** The engine ends, and another starts in its place. */
+core::Task<> SoakWorld::ReplaceEngine(EngineVm& vm) {
+  const std::string instance = vm.engine->instance();
+  vm.relay->Close();
+  vm.engine->Restart(NextInstance());
+  Remove("servers/" + instance);
+  co_await core::SleepFor(kPoll);
+  vm.relay->Reopen();
+  Register(vm, false);
+  vm.down = false;
+}
+
+core::Task<> SoakWorld::InjectStore(Fault fault) {
+  if (fault.kind == FaultKind::kConfigChange) {
+    ++routes_;
+    WriteConfiguration();
+    co_return;
+  }
+  const bool of_one_entry = fault.kind == FaultKind::kStoreCut ||
+                            fault.kind == FaultKind::kStorePartition;
+  if (of_one_entry) {
+    co_await CutStore(fault);
+    co_return;
+  }
+  const core::SteadyTime now = clock_.Now();
+  record_.store_disturbed.push_back({now, now + fault.length});
+  store_.trouble = fault.kind == FaultKind::kStoreBusy
+                       ? platform::testing::Trouble::kBusy
+                   : fault.kind == FaultKind::kStoreSilent
+                       ? platform::testing::Trouble::kSilent
+                       : platform::testing::Trouble::kAnswerLost;
+  co_await core::SleepFor(fault.length);
+  store_.trouble = platform::testing::Trouble::kNone;
+}
+
+core::Task<> SoakWorld::CutStore(Fault fault) {
+  const core::SteadyTime now = clock_.Now();
+  record_.store_out_of_reach[fault.target].push_back({now, now + fault.length});
+  tests::Relay& relay =
+      *entries_.at(static_cast<std::size_t>(fault.target))->store;
+  relay.Cut(true, true);
+  co_await core::SleepFor(fault.length);
+  relay.Cut(false, false);
+  if (fault.kind == FaultKind::kStoreCut) relay.Reset();
+}
+
+void SoakWorld::DisturbEntry(int number, milliseconds length) {
+  const core::SteadyTime now = clock_.Now();
+  record_.entry_disturbed[number].push_back({now, now + length});
+}
+
+void SoakWorld::DisturbAllEntries(milliseconds length) {
+  for (int i = 0; i < plan_.entries; ++i) DisturbEntry(i, length);
+}
+
+}  // namespace sapphire::deploy::soak
