--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -17,6 +17,8 @@
 
 /** Loopback subnets for soaks that run side by side. */
 constexpr int kSubnets = 200;
+/** Two in 12 s, so that some overlap with the other faults. */
+constexpr int kDepartures = 2;
 
 /** Plays the plan's seed and prints how it went.
  * @return True if all promises were kept. */
@@ -52,7 +54,7 @@
   app.add_option("--entries", plan.entries, "Entries");
   app.add_option("--engines", plan.engines, "Model engines and endpoints");
   app.add_option("--callers", plan.callers, "Callers");
-  plan.departures = 2;
+  plan.departures = kDepartures;
   app.add_option("--departures", plan.departures,
                  "Times that an entry loses the store while engines leave");
   app.add_option("--bin", bin_dir, "Where the programs are");
--- a/src/serving/engine_follower_test.cc
+++ b/src/serving/engine_follower_test.cc
@@ -234,6 +234,14 @@
     return options;
   }
 
+  /** The path to the store is lost for twelve seconds and the phase.
+   * @return When it is back. */
+  SteadyTime CutUntil(milliseconds phase) {
+    world.away_from = At(milliseconds(1000));
+    world.away_until = At(milliseconds(13'000) + phase);
+    return world.away_until;
+  }
+
   void Plan(SteadyTime at, std::optional<std::string> value) {
     world.plan.push_back({at, kKey, std::move(value)});
   }
@@ -280,9 +288,7 @@
 BOOST_AUTO_TEST_CASE(AnEngineThatLeftBehindACutIsNotUsedOnceItHasSettled) {
   for (const milliseconds phase : Phases()) {
     Rig rig;
-    const SteadyTime back = At(milliseconds(13'000) + phase);
-    rig.world.away_from = At(milliseconds(1000));
-    rig.world.away_until = back;
+    const SteadyTime back = rig.CutUntil(phase);
     rig.Plan(At(milliseconds(4000)), std::nullopt);
     rig.PlayUntil(back + 2 * kSettled);
     BOOST_TEST((rig.world.last_used <= back + kSettled),
@@ -298,10 +304,8 @@
 BOOST_AUTO_TEST_CASE(AnEngineThatLeavesJustAfterACutIsNotUsedForLong) {
   for (const milliseconds phase : Phases()) {
     Rig rig;
-    const SteadyTime back = At(milliseconds(13'000) + phase);
+    const SteadyTime back = rig.CutUntil(phase);
     const SteadyTime left = back + milliseconds(1900);
-    rig.world.away_from = At(milliseconds(1000));
-    rig.world.away_until = back;
     rig.Plan(left, std::nullopt);
     rig.PlayUntil(back + 2 * kSettled);
     const SteadyTime limit = std::max(back + kSettled, left + kLeaveLimit);
@@ -336,9 +340,7 @@
 BOOST_AUTO_TEST_CASE(AnEngineWhoseEntryLapsedWithTheStoreIsUsedOn) {
   for (const milliseconds phase : Phases()) {
     Rig rig;
-    const SteadyTime back = At(milliseconds(13'000) + phase);
-    rig.world.away_from = At(milliseconds(1000));
-    rig.world.away_until = back;
+    const SteadyTime back = rig.CutUntil(phase);
     rig.Plan(At(milliseconds(4000)), std::nullopt);
     rig.Plan(back + kHeartbeat, "ready");
     rig.PlayUntil(back + 2 * kSettled);
