A test waits until its restarted entry has read the older head

Traced: an entry that has read no head yet refuses all at once; with the store held back right after the restart all ten requests of the burst came back with not_configured within milliseconds, so the check after them can run before the first read. The burst then shows nothing. Change: the case waits for the older version first; the checks after the burst stand as they were.

--- a/tests/config_force_test.cc
+++ b/tests/config_force_test.cc
@@ -436,6 +436,10 @@
   signal_others(SIGSTOP);
   deployment.fleet.RestartEntry("entry-2");
   deployment.fleet.PublishVms();
+  // Until it has read the older head it refuses everything, and the burst would
+  // be over before it has shown anything.
+  BOOST_REQUIRE(Eventually(
+      [&] { return deployment.VersionAt("entry-2") == version - 1; }));
   deployment.fleet.endpoint(frozen).process->Signal(SIGCONT);
   std::vector<std::future<Reply>> burst;
   for (int i = 0; i < 10; ++i) {
