--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -2309,6 +2309,195 @@
 }
 
 
+ResidentUse::~ResidentUse() noexcept {
+}
+
+
+void ResidentUse::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void ResidentUse::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void ResidentUse::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void ResidentUse::__set_demand_per_1000_s(const int64_t val) {
+  this->demand_per_1000_s = val;
+}
+
+void ResidentUse::__set_idle_ms(const int64_t val) {
+  this->idle_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ResidentUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ResidentUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demand_per_1000_s);
+          this->__isset.demand_per_1000_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_ms);
+          this->__isset.idle_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ResidentUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ResidentUse");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand_per_1000_s", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->demand_per_1000_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->idle_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ResidentUse &a, ResidentUse &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.adapter, b.adapter);
+  swap(a.running, b.running);
+  swap(a.demand_per_1000_s, b.demand_per_1000_s);
+  swap(a.idle_ms, b.idle_ms);
+  swap(a.__isset, b.__isset);
+}
+
+ResidentUse::ResidentUse(const ResidentUse& other64) {
+  model = other64.model;
+  adapter = other64.adapter;
+  running = other64.running;
+  demand_per_1000_s = other64.demand_per_1000_s;
+  idle_ms = other64.idle_ms;
+  __isset = other64.__isset;
+}
+ResidentUse::ResidentUse(ResidentUse&& other65) noexcept {
+  model = std::move(other65.model);
+  adapter = std::move(other65.adapter);
+  running = other65.running;
+  demand_per_1000_s = other65.demand_per_1000_s;
+  idle_ms = other65.idle_ms;
+  __isset = other65.__isset;
+}
+ResidentUse& ResidentUse::operator=(const ResidentUse& other66) {
+  model = other66.model;
+  adapter = other66.adapter;
+  running = other66.running;
+  demand_per_1000_s = other66.demand_per_1000_s;
+  idle_ms = other66.idle_ms;
+  __isset = other66.__isset;
+  return *this;
+}
+ResidentUse& ResidentUse::operator=(ResidentUse&& other67) noexcept {
+  model = std::move(other67.model);
+  adapter = std::move(other67.adapter);
+  running = other67.running;
+  demand_per_1000_s = other67.demand_per_1000_s;
+  idle_ms = other67.idle_ms;
+  __isset = other67.__isset;
+  return *this;
+}
+void ResidentUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ResidentUse(";
+  out << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "demand_per_1000_s=" << to_string(demand_per_1000_s);
+  out << ", " << "idle_ms=" << to_string(idle_ms);
+  out << ")";
+}
+
+
 EnsureModel::~EnsureModel() noexcept {
 }
 
@@ -2340,6 +2529,10 @@
 void EnsureModel::__set_engine_instance(const std::string& val) {
   this->engine_instance = val;
 }
+
+void EnsureModel::__set_resident_use(const std::vector<ResidentUse> & val) {
+  this->resident_use = val;
+}
 std::ostream& operator<<(std::ostream& out, const EnsureModel& obj)
 {
   obj.printTo(out);
@@ -2412,14 +2605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evict.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->evict.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->evict.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += iprot->readString(this->evict[_i68]);
+              xfer += iprot->readString(this->evict[_i72]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2436,6 +2629,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->resident_use.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->resident_use.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->resident_use[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.resident_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2476,10 +2689,10 @@
   xfer += oprot->writeFieldBegin("evict", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evict.size()));
-    std::vector<std::string> ::const_iterator _iter69;
-    for (_iter69 = this->evict.begin(); _iter69 != this->evict.end(); ++_iter69)
+    std::vector<std::string> ::const_iterator _iter78;
+    for (_iter78 = this->evict.begin(); _iter78 != this->evict.end(); ++_iter78)
     {
-      xfer += oprot->writeString((*_iter69));
+      xfer += oprot->writeString((*_iter78));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2489,6 +2702,18 @@
   xfer += oprot->writeString(this->engine_instance);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("resident_use", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resident_use.size()));
+    std::vector<ResidentUse> ::const_iterator _iter79;
+    for (_iter79 = this->resident_use.begin(); _iter79 != this->resident_use.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2503,49 +2728,54 @@
   swap(a.keep_alive_ms, b.keep_alive_ms);
   swap(a.evict, b.evict);
   swap(a.engine_instance, b.engine_instance);
+  swap(a.resident_use, b.resident_use);
   swap(a.__isset, b.__isset);
 }
 
-EnsureModel::EnsureModel(const EnsureModel& other70) {
-  service_id = other70.service_id;
-  model = other70.model;
-  adapter = other70.adapter;
-  remaining_ms = other70.remaining_ms;
-  keep_alive_ms = other70.keep_alive_ms;
-  evict = other70.evict;
-  engine_instance = other70.engine_instance;
-  __isset = other70.__isset;
-}
-EnsureModel::EnsureModel(EnsureModel&& other71) noexcept {
-  service_id = std::move(other71.service_id);
-  model = std::move(other71.model);
-  adapter = std::move(other71.adapter);
-  remaining_ms = other71.remaining_ms;
-  keep_alive_ms = other71.keep_alive_ms;
-  evict = std::move(other71.evict);
-  engine_instance = std::move(other71.engine_instance);
-  __isset = other71.__isset;
-}
-EnsureModel& EnsureModel::operator=(const EnsureModel& other72) {
-  service_id = other72.service_id;
-  model = other72.model;
-  adapter = other72.adapter;
-  remaining_ms = other72.remaining_ms;
-  keep_alive_ms = other72.keep_alive_ms;
-  evict = other72.evict;
-  engine_instance = other72.engine_instance;
-  __isset = other72.__isset;
+EnsureModel::EnsureModel(const EnsureModel& other80) {
+  service_id = other80.service_id;
+  model = other80.model;
+  adapter = other80.adapter;
+  remaining_ms = other80.remaining_ms;
+  keep_alive_ms = other80.keep_alive_ms;
+  evict = other80.evict;
+  engine_instance = other80.engine_instance;
+  resident_use = other80.resident_use;
+  __isset = other80.__isset;
+}
+EnsureModel::EnsureModel(EnsureModel&& other81) noexcept {
+  service_id = std::move(other81.service_id);
+  model = std::move(other81.model);
+  adapter = std::move(other81.adapter);
+  remaining_ms = other81.remaining_ms;
+  keep_alive_ms = other81.keep_alive_ms;
+  evict = std::move(other81.evict);
+  engine_instance = std::move(other81.engine_instance);
+  resident_use = std::move(other81.resident_use);
+  __isset = other81.__isset;
+}
+EnsureModel& EnsureModel::operator=(const EnsureModel& other82) {
+  service_id = other82.service_id;
+  model = other82.model;
+  adapter = other82.adapter;
+  remaining_ms = other82.remaining_ms;
+  keep_alive_ms = other82.keep_alive_ms;
+  evict = other82.evict;
+  engine_instance = other82.engine_instance;
+  resident_use = other82.resident_use;
+  __isset = other82.__isset;
   return *this;
 }
-EnsureModel& EnsureModel::operator=(EnsureModel&& other73) noexcept {
-  service_id = std::move(other73.service_id);
-  model = std::move(other73.model);
-  adapter = std::move(other73.adapter);
-  remaining_ms = other73.remaining_ms;
-  keep_alive_ms = other73.keep_alive_ms;
-  evict = std::move(other73.evict);
-  engine_instance = std::move(other73.engine_instance);
-  __isset = other73.__isset;
+EnsureModel& EnsureModel::operator=(EnsureModel&& other83) noexcept {
+  service_id = std::move(other83.service_id);
+  model = std::move(other83.model);
+  adapter = std::move(other83.adapter);
+  remaining_ms = other83.remaining_ms;
+  keep_alive_ms = other83.keep_alive_ms;
+  evict = std::move(other83.evict);
+  engine_instance = std::move(other83.engine_instance);
+  resident_use = std::move(other83.resident_use);
+  __isset = other83.__isset;
   return *this;
 }
 void EnsureModel::printTo(std::ostream& out) const {
@@ -2558,6 +2788,7 @@
   out << ", " << "keep_alive_ms=" << to_string(keep_alive_ms);
   out << ", " << "evict=" << to_string(evict);
   out << ", " << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "resident_use=" << to_string(resident_use);
   out << ")";
 }
 
@@ -2654,26 +2885,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelReady::ModelReady(const ModelReady& other74) {
-  model = other74.model;
-  adapter = other74.adapter;
-  __isset = other74.__isset;
+ModelReady::ModelReady(const ModelReady& other84) {
+  model = other84.model;
+  adapter = other84.adapter;
+  __isset = other84.__isset;
 }
-ModelReady::ModelReady(ModelReady&& other75) noexcept {
-  model = std::move(other75.model);
-  adapter = std::move(other75.adapter);
-  __isset = other75.__isset;
+ModelReady::ModelReady(ModelReady&& other85) noexcept {
+  model = std::move(other85.model);
+  adapter = std::move(other85.adapter);
+  __isset = other85.__isset;
 }
-ModelReady& ModelReady::operator=(const ModelReady& other76) {
-  model = other76.model;
-  adapter = other76.adapter;
-  __isset = other76.__isset;
+ModelReady& ModelReady::operator=(const ModelReady& other86) {
+  model = other86.model;
+  adapter = other86.adapter;
+  __isset = other86.__isset;
   return *this;
 }
-ModelReady& ModelReady::operator=(ModelReady&& other77) noexcept {
-  model = std::move(other77.model);
-  adapter = std::move(other77.adapter);
-  __isset = other77.__isset;
+ModelReady& ModelReady::operator=(ModelReady&& other87) noexcept {
+  model = std::move(other87.model);
+  adapter = std::move(other87.adapter);
+  __isset = other87.__isset;
   return *this;
 }
 void ModelReady::printTo(std::ostream& out) const {
@@ -2754,9 +2985,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast78;
-          xfer += iprot->readI32(ecast78);
-          this->state = static_cast<ReplicaState::type>(ecast78);
+          int32_t ecast88;
+          xfer += iprot->readI32(ecast88);
+          this->state = static_cast<ReplicaState::type>(ecast88);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2782,14 +3013,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->adapters.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->adapters.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += iprot->readString(this->adapters[_i83]);
+              xfer += iprot->readString(this->adapters[_i93]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2850,10 +3081,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter84;
-    for (_iter84 = this->adapters.begin(); _iter84 != this->adapters.end(); ++_iter84)
+    std::vector<std::string> ::const_iterator _iter94;
+    for (_iter94 = this->adapters.begin(); _iter94 != this->adapters.end(); ++_iter94)
     {
-      xfer += oprot->writeString((*_iter84));
+      xfer += oprot->writeString((*_iter94));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2884,46 +3115,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaReport::ReplicaReport(const ReplicaReport& other85) {
-  model = other85.model;
-  state = other85.state;
-  running = other85.running;
-  idle_ms = other85.idle_ms;
-  adapters = other85.adapters;
-  bytes = other85.bytes;
-  demand_per_1000_s = other85.demand_per_1000_s;
-  __isset = other85.__isset;
-}
-ReplicaReport::ReplicaReport(ReplicaReport&& other86) noexcept {
-  model = std::move(other86.model);
-  state = other86.state;
-  running = other86.running;
-  idle_ms = other86.idle_ms;
-  adapters = std::move(other86.adapters);
-  bytes = other86.bytes;
-  demand_per_1000_s = other86.demand_per_1000_s;
-  __isset = other86.__isset;
-}
-ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other87) {
-  model = other87.model;
-  state = other87.state;
-  running = other87.running;
-  idle_ms = other87.idle_ms;
-  adapters = other87.adapters;
-  bytes = other87.bytes;
-  demand_per_1000_s = other87.demand_per_1000_s;
-  __isset = other87.__isset;
+ReplicaReport::ReplicaReport(const ReplicaReport& other95) {
+  model = other95.model;
+  state = other95.state;
+  running = other95.running;
+  idle_ms = other95.idle_ms;
+  adapters = other95.adapters;
+  bytes = other95.bytes;
+  demand_per_1000_s = other95.demand_per_1000_s;
+  __isset = other95.__isset;
+}
+ReplicaReport::ReplicaReport(ReplicaReport&& other96) noexcept {
+  model = std::move(other96.model);
+  state = other96.state;
+  running = other96.running;
+  idle_ms = other96.idle_ms;
+  adapters = std::move(other96.adapters);
+  bytes = other96.bytes;
+  demand_per_1000_s = other96.demand_per_1000_s;
+  __isset = other96.__isset;
+}
+ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other97) {
+  model = other97.model;
+  state = other97.state;
+  running = other97.running;
+  idle_ms = other97.idle_ms;
+  adapters = other97.adapters;
+  bytes = other97.bytes;
+  demand_per_1000_s = other97.demand_per_1000_s;
+  __isset = other97.__isset;
   return *this;
 }
-ReplicaReport& ReplicaReport::operator=(ReplicaReport&& other88) noexcept {
-  model = std::move(other88.model);
-  state = other88.state;
-  running = other88.running;
-  idle_ms = other88.idle_ms;
-  adapters = std::move(other88.adapters);
-  bytes = other88.bytes;
-  demand_per_1000_s = other88.demand_per_1000_s;
-  __isset = other88.__isset;
+ReplicaReport& ReplicaReport::operator=(ReplicaReport&& other98) noexcept {
+  model = std::move(other98.model);
+  state = other98.state;
+  running = other98.running;
+  idle_ms = other98.idle_ms;
+  adapters = std::move(other98.adapters);
+  bytes = other98.bytes;
+  demand_per_1000_s = other98.demand_per_1000_s;
+  __isset = other98.__isset;
   return *this;
 }
 void ReplicaReport::printTo(std::ostream& out) const {
@@ -2994,18 +3225,18 @@
   (void) b;
 }
 
-Subscribe::Subscribe(const Subscribe& other89) noexcept {
-  (void) other89;
+Subscribe::Subscribe(const Subscribe& other99) noexcept {
+  (void) other99;
 }
-Subscribe::Subscribe(Subscribe&& other90) noexcept {
-  (void) other90;
+Subscribe::Subscribe(Subscribe&& other100) noexcept {
+  (void) other100;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other91) noexcept {
-  (void) other91;
+Subscribe& Subscribe::operator=(const Subscribe& other101) noexcept {
+  (void) other101;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other92) noexcept {
-  (void) other92;
+Subscribe& Subscribe::operator=(Subscribe&& other102) noexcept {
+  (void) other102;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -3070,42 +3301,6 @@
 void EndpointReport::__set_engine_up(const bool val) {
   this->engine_up = val;
 }
-
-void EndpointReport::__set_order_count(const int64_t val) {
-  this->order_count = val;
-}
-
-void EndpointReport::__set_loading_model(const std::string& val) {
-  this->loading_model = val;
-}
-
-void EndpointReport::__set_loading_left_ms(const int64_t val) {
-  this->loading_left_ms = val;
-}
-
-void EndpointReport::__set_waiting(const int32_t val) {
-  this->waiting = val;
-}
-
-void EndpointReport::__set_kv_tokens_used(const int64_t val) {
-  this->kv_tokens_used = val;
-}
-
-void EndpointReport::__set_kv_tokens_total(const int64_t val) {
-  this->kv_tokens_total = val;
-}
-
-void EndpointReport::__set_entries(const int32_t val) {
-  this->entries = val;
-}
-
-void EndpointReport::__set_engine_instance(const std::string& val) {
-  this->engine_instance = val;
-}
-
-void EndpointReport::__set_store_load_ms(const int64_t val) {
-  this->store_load_ms = val;
-}
 std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
 {
   obj.printTo(out);
@@ -3210,14 +3405,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->replicas.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->replicas.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->replicas[_i97].read(iprot);
+              xfer += this->replicas[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3230,14 +3425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memory_tier.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->memory_tier.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->memory_tier.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readString(this->memory_tier[_i102]);
+              xfer += iprot->readString(this->memory_tier[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3250,14 +3445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->disk_tier.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->disk_tier.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->disk_tier.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += iprot->readString(this->disk_tier[_i107]);
+              xfer += iprot->readString(this->disk_tier[_i117]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3274,63 +3469,393 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->order_count);
-          this->__isset.order_count = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
         break;
-      case 15:
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointReport");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memory_bytes", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->memory_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserved_bytes", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->reserved_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_running", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->max_running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<ReplicaReport> ::const_iterator _iter118;
+    for (_iter118 = this->replicas.begin(); _iter118 != this->replicas.end(); ++_iter118)
+    {
+      xfer += (*_iter118).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memory_tier", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->memory_tier.size()));
+    std::vector<std::string> ::const_iterator _iter119;
+    for (_iter119 = this->memory_tier.begin(); _iter119 != this->memory_tier.end(); ++_iter119)
+    {
+      xfer += oprot->writeString((*_iter119));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("disk_tier", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->disk_tier.size()));
+    std::vector<std::string> ::const_iterator _iter120;
+    for (_iter120 = this->disk_tier.begin(); _iter120 != this->disk_tier.end(); ++_iter120)
+    {
+      xfer += oprot->writeString((*_iter120));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine_up", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->engine_up);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointReport &a, EndpointReport &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.zone, b.zone);
+  swap(a.incarnation, b.incarnation);
+  swap(a.leaving, b.leaving);
+  swap(a.kind, b.kind);
+  swap(a.memory_bytes, b.memory_bytes);
+  swap(a.reserved_bytes, b.reserved_bytes);
+  swap(a.running, b.running);
+  swap(a.max_running, b.max_running);
+  swap(a.replicas, b.replicas);
+  swap(a.memory_tier, b.memory_tier);
+  swap(a.disk_tier, b.disk_tier);
+  swap(a.engine_up, b.engine_up);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointReport::EndpointReport(const EndpointReport& other121) {
+  endpoint = other121.endpoint;
+  zone = other121.zone;
+  incarnation = other121.incarnation;
+  leaving = other121.leaving;
+  kind = other121.kind;
+  memory_bytes = other121.memory_bytes;
+  reserved_bytes = other121.reserved_bytes;
+  running = other121.running;
+  max_running = other121.max_running;
+  replicas = other121.replicas;
+  memory_tier = other121.memory_tier;
+  disk_tier = other121.disk_tier;
+  engine_up = other121.engine_up;
+  __isset = other121.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other122) noexcept {
+  endpoint = std::move(other122.endpoint);
+  zone = std::move(other122.zone);
+  incarnation = other122.incarnation;
+  leaving = other122.leaving;
+  kind = std::move(other122.kind);
+  memory_bytes = other122.memory_bytes;
+  reserved_bytes = other122.reserved_bytes;
+  running = other122.running;
+  max_running = other122.max_running;
+  replicas = std::move(other122.replicas);
+  memory_tier = std::move(other122.memory_tier);
+  disk_tier = std::move(other122.disk_tier);
+  engine_up = other122.engine_up;
+  __isset = other122.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other123) {
+  endpoint = other123.endpoint;
+  zone = other123.zone;
+  incarnation = other123.incarnation;
+  leaving = other123.leaving;
+  kind = other123.kind;
+  memory_bytes = other123.memory_bytes;
+  reserved_bytes = other123.reserved_bytes;
+  running = other123.running;
+  max_running = other123.max_running;
+  replicas = other123.replicas;
+  memory_tier = other123.memory_tier;
+  disk_tier = other123.disk_tier;
+  engine_up = other123.engine_up;
+  __isset = other123.__isset;
+  return *this;
+}
+EndpointReport& EndpointReport::operator=(EndpointReport&& other124) noexcept {
+  endpoint = std::move(other124.endpoint);
+  zone = std::move(other124.zone);
+  incarnation = other124.incarnation;
+  leaving = other124.leaving;
+  kind = std::move(other124.kind);
+  memory_bytes = other124.memory_bytes;
+  reserved_bytes = other124.reserved_bytes;
+  running = other124.running;
+  max_running = other124.max_running;
+  replicas = std::move(other124.replicas);
+  memory_tier = std::move(other124.memory_tier);
+  disk_tier = std::move(other124.disk_tier);
+  engine_up = other124.engine_up;
+  __isset = other124.__isset;
+  return *this;
+}
+void EndpointReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointReport(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "memory_bytes=" << to_string(memory_bytes);
+  out << ", " << "reserved_bytes=" << to_string(reserved_bytes);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "max_running=" << to_string(max_running);
+  out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "memory_tier=" << to_string(memory_tier);
+  out << ", " << "disk_tier=" << to_string(disk_tier);
+  out << ", " << "engine_up=" << to_string(engine_up);
+  out << ")";
+}
+
+
+EntryPresence::~EntryPresence() noexcept {
+}
+
+
+void EntryPresence::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void EntryPresence::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void EntryPresence::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const EntryPresence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EntryPresence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->loading_model);
-          this->__isset.loading_model = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->loading_left_ms);
-          this->__isset.loading_left_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->waiting);
-          this->__isset.waiting = true;
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->kv_tokens_used);
-          this->__isset.kv_tokens_used = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->kv_tokens_total);
-          this->__isset.kv_tokens_total = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 20:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->entries);
-          this->__isset.entries = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
         break;
-      case 21:
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryPresence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryPresence");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EntryPresence &a, EntryPresence &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.zone, b.zone);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+EntryPresence::EntryPresence(const EntryPresence& other125) {
+  vm = other125.vm;
+  zone = other125.zone;
+  address = other125.address;
+  __isset = other125.__isset;
+}
+EntryPresence::EntryPresence(EntryPresence&& other126) noexcept {
+  vm = std::move(other126.vm);
+  zone = std::move(other126.zone);
+  address = std::move(other126.address);
+  __isset = other126.__isset;
+}
+EntryPresence& EntryPresence::operator=(const EntryPresence& other127) {
+  vm = other127.vm;
+  zone = other127.zone;
+  address = other127.address;
+  __isset = other127.__isset;
+  return *this;
+}
+EntryPresence& EntryPresence::operator=(EntryPresence&& other128) noexcept {
+  vm = std::move(other128.vm);
+  zone = std::move(other128.zone);
+  address = std::move(other128.address);
+  __isset = other128.__isset;
+  return *this;
+}
+void EntryPresence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EntryPresence(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+EngineUse::~EngineUse() noexcept {
+}
+
+
+void EngineUse::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
+}
+
+void EngineUse::__set_parts(const std::vector<ResidentUse> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->engine_instance);
           this->__isset.engine_instance = true;
@@ -3338,10 +3863,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 22:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->store_load_ms);
-          this->__isset.store_load_ms = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->parts.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
+            {
+              xfer += this->parts[_i133].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3358,313 +3895,97 @@
   return xfer;
 }
 
-uint32_t EndpointReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EngineUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EndpointReport");
-
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->endpoint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->zone);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->leaving);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("EngineUse");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->kind);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("memory_bytes", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->memory_bytes);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reserved_bytes", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->reserved_bytes);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->running);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("max_running", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->max_running);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 10);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaReport> ::const_iterator _iter108;
-    for (_iter108 = this->replicas.begin(); _iter108 != this->replicas.end(); ++_iter108)
-    {
-      xfer += (*_iter108).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("memory_tier", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->memory_tier.size()));
-    std::vector<std::string> ::const_iterator _iter109;
-    for (_iter109 = this->memory_tier.begin(); _iter109 != this->memory_tier.end(); ++_iter109)
-    {
-      xfer += oprot->writeString((*_iter109));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine_instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("disk_tier", ::apache::thrift::protocol::T_LIST, 12);
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->disk_tier.size()));
-    std::vector<std::string> ::const_iterator _iter110;
-    for (_iter110 = this->disk_tier.begin(); _iter110 != this->disk_tier.end(); ++_iter110)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<ResidentUse> ::const_iterator _iter134;
+    for (_iter134 = this->parts.begin(); _iter134 != this->parts.end(); ++_iter134)
     {
-      xfer += oprot->writeString((*_iter110));
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engine_up", ::apache::thrift::protocol::T_BOOL, 13);
-  xfer += oprot->writeBool(this->engine_up);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("order_count", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->order_count);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("loading_model", ::apache::thrift::protocol::T_STRING, 15);
-  xfer += oprot->writeString(this->loading_model);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("loading_left_ms", ::apache::thrift::protocol::T_I64, 16);
-  xfer += oprot->writeI64(this->loading_left_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 17);
-  xfer += oprot->writeI32(this->waiting);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("kv_tokens_used", ::apache::thrift::protocol::T_I64, 18);
-  xfer += oprot->writeI64(this->kv_tokens_used);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("kv_tokens_total", ::apache::thrift::protocol::T_I64, 19);
-  xfer += oprot->writeI64(this->kv_tokens_total);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 20);
-  xfer += oprot->writeI32(this->entries);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 21);
-  xfer += oprot->writeString(this->engine_instance);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("store_load_ms", ::apache::thrift::protocol::T_I64, 22);
-  xfer += oprot->writeI64(this->store_load_ms);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(EndpointReport &a, EndpointReport &b) {
+void swap(EngineUse &a, EngineUse &b) {
   using ::std::swap;
-  swap(a.endpoint, b.endpoint);
-  swap(a.zone, b.zone);
-  swap(a.incarnation, b.incarnation);
-  swap(a.leaving, b.leaving);
-  swap(a.kind, b.kind);
-  swap(a.memory_bytes, b.memory_bytes);
-  swap(a.reserved_bytes, b.reserved_bytes);
-  swap(a.running, b.running);
-  swap(a.max_running, b.max_running);
-  swap(a.replicas, b.replicas);
-  swap(a.memory_tier, b.memory_tier);
-  swap(a.disk_tier, b.disk_tier);
-  swap(a.engine_up, b.engine_up);
-  swap(a.order_count, b.order_count);
-  swap(a.loading_model, b.loading_model);
-  swap(a.loading_left_ms, b.loading_left_ms);
-  swap(a.waiting, b.waiting);
-  swap(a.kv_tokens_used, b.kv_tokens_used);
-  swap(a.kv_tokens_total, b.kv_tokens_total);
-  swap(a.entries, b.entries);
   swap(a.engine_instance, b.engine_instance);
-  swap(a.store_load_ms, b.store_load_ms);
+  swap(a.parts, b.parts);
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other111) {
-  endpoint = other111.endpoint;
-  zone = other111.zone;
-  incarnation = other111.incarnation;
-  leaving = other111.leaving;
-  kind = other111.kind;
-  memory_bytes = other111.memory_bytes;
-  reserved_bytes = other111.reserved_bytes;
-  running = other111.running;
-  max_running = other111.max_running;
-  replicas = other111.replicas;
-  memory_tier = other111.memory_tier;
-  disk_tier = other111.disk_tier;
-  engine_up = other111.engine_up;
-  order_count = other111.order_count;
-  loading_model = other111.loading_model;
-  loading_left_ms = other111.loading_left_ms;
-  waiting = other111.waiting;
-  kv_tokens_used = other111.kv_tokens_used;
-  kv_tokens_total = other111.kv_tokens_total;
-  entries = other111.entries;
-  engine_instance = other111.engine_instance;
-  store_load_ms = other111.store_load_ms;
-  __isset = other111.__isset;
-}
-EndpointReport::EndpointReport(EndpointReport&& other112) noexcept {
-  endpoint = std::move(other112.endpoint);
-  zone = std::move(other112.zone);
-  incarnation = other112.incarnation;
-  leaving = other112.leaving;
-  kind = std::move(other112.kind);
-  memory_bytes = other112.memory_bytes;
-  reserved_bytes = other112.reserved_bytes;
-  running = other112.running;
-  max_running = other112.max_running;
-  replicas = std::move(other112.replicas);
-  memory_tier = std::move(other112.memory_tier);
-  disk_tier = std::move(other112.disk_tier);
-  engine_up = other112.engine_up;
-  order_count = other112.order_count;
-  loading_model = std::move(other112.loading_model);
-  loading_left_ms = other112.loading_left_ms;
-  waiting = other112.waiting;
-  kv_tokens_used = other112.kv_tokens_used;
-  kv_tokens_total = other112.kv_tokens_total;
-  entries = other112.entries;
-  engine_instance = std::move(other112.engine_instance);
-  store_load_ms = other112.store_load_ms;
-  __isset = other112.__isset;
-}
-EndpointReport& EndpointReport::operator=(const EndpointReport& other113) {
-  endpoint = other113.endpoint;
-  zone = other113.zone;
-  incarnation = other113.incarnation;
-  leaving = other113.leaving;
-  kind = other113.kind;
-  memory_bytes = other113.memory_bytes;
-  reserved_bytes = other113.reserved_bytes;
-  running = other113.running;
-  max_running = other113.max_running;
-  replicas = other113.replicas;
-  memory_tier = other113.memory_tier;
-  disk_tier = other113.disk_tier;
-  engine_up = other113.engine_up;
-  order_count = other113.order_count;
-  loading_model = other113.loading_model;
-  loading_left_ms = other113.loading_left_ms;
-  waiting = other113.waiting;
-  kv_tokens_used = other113.kv_tokens_used;
-  kv_tokens_total = other113.kv_tokens_total;
-  entries = other113.entries;
-  engine_instance = other113.engine_instance;
-  store_load_ms = other113.store_load_ms;
-  __isset = other113.__isset;
+EngineUse::EngineUse(const EngineUse& other135) {
+  engine_instance = other135.engine_instance;
+  parts = other135.parts;
+  __isset = other135.__isset;
+}
+EngineUse::EngineUse(EngineUse&& other136) noexcept {
+  engine_instance = std::move(other136.engine_instance);
+  parts = std::move(other136.parts);
+  __isset = other136.__isset;
+}
+EngineUse& EngineUse::operator=(const EngineUse& other137) {
+  engine_instance = other137.engine_instance;
+  parts = other137.parts;
+  __isset = other137.__isset;
   return *this;
 }
-EndpointReport& EndpointReport::operator=(EndpointReport&& other114) noexcept {
-  endpoint = std::move(other114.endpoint);
-  zone = std::move(other114.zone);
-  incarnation = other114.incarnation;
-  leaving = other114.leaving;
-  kind = std::move(other114.kind);
-  memory_bytes = other114.memory_bytes;
-  reserved_bytes = other114.reserved_bytes;
-  running = other114.running;
-  max_running = other114.max_running;
-  replicas = std::move(other114.replicas);
-  memory_tier = std::move(other114.memory_tier);
-  disk_tier = std::move(other114.disk_tier);
-  engine_up = other114.engine_up;
-  order_count = other114.order_count;
-  loading_model = std::move(other114.loading_model);
-  loading_left_ms = other114.loading_left_ms;
-  waiting = other114.waiting;
-  kv_tokens_used = other114.kv_tokens_used;
-  kv_tokens_total = other114.kv_tokens_total;
-  entries = other114.entries;
-  engine_instance = std::move(other114.engine_instance);
-  store_load_ms = other114.store_load_ms;
-  __isset = other114.__isset;
+EngineUse& EngineUse::operator=(EngineUse&& other138) noexcept {
+  engine_instance = std::move(other138.engine_instance);
+  parts = std::move(other138.parts);
+  __isset = other138.__isset;
   return *this;
 }
-void EndpointReport::printTo(std::ostream& out) const {
+void EngineUse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EndpointReport(";
-  out << "endpoint=" << to_string(endpoint);
-  out << ", " << "zone=" << to_string(zone);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "leaving=" << to_string(leaving);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "memory_bytes=" << to_string(memory_bytes);
-  out << ", " << "reserved_bytes=" << to_string(reserved_bytes);
-  out << ", " << "running=" << to_string(running);
-  out << ", " << "max_running=" << to_string(max_running);
-  out << ", " << "replicas=" << to_string(replicas);
-  out << ", " << "memory_tier=" << to_string(memory_tier);
-  out << ", " << "disk_tier=" << to_string(disk_tier);
-  out << ", " << "engine_up=" << to_string(engine_up);
-  out << ", " << "order_count=" << to_string(order_count);
-  out << ", " << "loading_model=" << to_string(loading_model);
-  out << ", " << "loading_left_ms=" << to_string(loading_left_ms);
-  out << ", " << "waiting=" << to_string(waiting);
-  out << ", " << "kv_tokens_used=" << to_string(kv_tokens_used);
-  out << ", " << "kv_tokens_total=" << to_string(kv_tokens_total);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "engine_instance=" << to_string(engine_instance);
-  out << ", " << "store_load_ms=" << to_string(store_load_ms);
+  out << "EngineUse(";
+  out << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "parts=" << to_string(parts);
   out << ")";
 }
 
 
-ModelUsage::~ModelUsage() noexcept {
+ComingLoad::~ComingLoad() noexcept {
 }
 
 
-void ModelUsage::__set_model(const std::string& val) {
-  this->model = val;
+void ComingLoad::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
 }
 
-void ModelUsage::__set_adapter(const std::string& val) {
-  this->adapter = val;
+void ComingLoad::__set_model(const std::string& val) {
+  this->model = val;
 }
 
-void ModelUsage::__set_running(const int32_t val) {
-  this->running = val;
+void ComingLoad::__set_ready_in_ms(const int64_t val) {
+  this->ready_in_ms = val;
 }
 
-void ModelUsage::__set_begun(const int64_t val) {
-  this->begun = val;
+void ComingLoad::__set_from_weight_store(const bool val) {
+  this->from_weight_store = val;
 }
-std::ostream& operator<<(std::ostream& out, const ModelUsage& obj)
+std::ostream& operator<<(std::ostream& out, const ComingLoad& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ModelUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ComingLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3687,32 +4008,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->model);
-          this->__isset.model = true;
+          xfer += iprot->readString(this->engine_instance);
+          this->__isset.engine_instance = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->adapter);
-          this->__isset.adapter = true;
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->running);
-          this->__isset.running = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ready_in_ms);
+          this->__isset.ready_in_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->begun);
-          this->__isset.begun = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->from_weight_store);
+          this->__isset.from_weight_store = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3729,25 +4050,25 @@
   return xfer;
 }
 
-uint32_t ModelUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ComingLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ModelUsage");
+  xfer += oprot->writeStructBegin("ComingLoad");
 
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine_instance);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldBegin("ready_in_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ready_in_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->begun);
+  xfer += oprot->writeFieldBegin("from_weight_store", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->from_weight_store);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3755,71 +4076,87 @@
   return xfer;
 }
 
-void swap(ModelUsage &a, ModelUsage &b) {
+void swap(ComingLoad &a, ComingLoad &b) {
   using ::std::swap;
+  swap(a.engine_instance, b.engine_instance);
   swap(a.model, b.model);
-  swap(a.adapter, b.adapter);
-  swap(a.running, b.running);
-  swap(a.begun, b.begun);
+  swap(a.ready_in_ms, b.ready_in_ms);
+  swap(a.from_weight_store, b.from_weight_store);
   swap(a.__isset, b.__isset);
 }
 
-ModelUsage::ModelUsage(const ModelUsage& other115) {
-  model = other115.model;
-  adapter = other115.adapter;
-  running = other115.running;
-  begun = other115.begun;
-  __isset = other115.__isset;
-}
-ModelUsage::ModelUsage(ModelUsage&& other116) noexcept {
-  model = std::move(other116.model);
-  adapter = std::move(other116.adapter);
-  running = other116.running;
-  begun = other116.begun;
-  __isset = other116.__isset;
-}
-ModelUsage& ModelUsage::operator=(const ModelUsage& other117) {
-  model = other117.model;
-  adapter = other117.adapter;
-  running = other117.running;
-  begun = other117.begun;
-  __isset = other117.__isset;
+ComingLoad::ComingLoad(const ComingLoad& other139) {
+  engine_instance = other139.engine_instance;
+  model = other139.model;
+  ready_in_ms = other139.ready_in_ms;
+  from_weight_store = other139.from_weight_store;
+  __isset = other139.__isset;
+}
+ComingLoad::ComingLoad(ComingLoad&& other140) noexcept {
+  engine_instance = std::move(other140.engine_instance);
+  model = std::move(other140.model);
+  ready_in_ms = other140.ready_in_ms;
+  from_weight_store = other140.from_weight_store;
+  __isset = other140.__isset;
+}
+ComingLoad& ComingLoad::operator=(const ComingLoad& other141) {
+  engine_instance = other141.engine_instance;
+  model = other141.model;
+  ready_in_ms = other141.ready_in_ms;
+  from_weight_store = other141.from_weight_store;
+  __isset = other141.__isset;
   return *this;
 }
-ModelUsage& ModelUsage::operator=(ModelUsage&& other118) noexcept {
-  model = std::move(other118.model);
-  adapter = std::move(other118.adapter);
-  running = other118.running;
-  begun = other118.begun;
-  __isset = other118.__isset;
+ComingLoad& ComingLoad::operator=(ComingLoad&& other142) noexcept {
+  engine_instance = std::move(other142.engine_instance);
+  model = std::move(other142.model);
+  ready_in_ms = other142.ready_in_ms;
+  from_weight_store = other142.from_weight_store;
+  __isset = other142.__isset;
   return *this;
 }
-void ModelUsage::printTo(std::ostream& out) const {
+void ComingLoad::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ModelUsage(";
-  out << "model=" << to_string(model);
-  out << ", " << "adapter=" << to_string(adapter);
-  out << ", " << "running=" << to_string(running);
-  out << ", " << "begun=" << to_string(begun);
+  out << "ComingLoad(";
+  out << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "ready_in_ms=" << to_string(ready_in_ms);
+  out << ", " << "from_weight_store=" << to_string(from_weight_store);
   out << ")";
 }
 
 
-UsageReport::~UsageReport() noexcept {
+EntryRecord::~EntryRecord() noexcept {
+}
+
+
+void EntryRecord::__set_entry(const std::string& val) {
+  this->entry = val;
+}
+
+void EntryRecord::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EntryRecord::__set_uses(const std::vector<EngineUse> & val) {
+  this->uses = val;
 }
 
+void EntryRecord::__set_loads(const std::vector<ComingLoad> & val) {
+  this->loads = val;
+}
 
-void UsageReport::__set_models(const std::vector<ModelUsage> & val) {
-  this->models = val;
+void EntryRecord::__set_store_load_ms(const int64_t val) {
+  this->store_load_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const UsageReport& obj)
+std::ostream& operator<<(std::ostream& out, const EntryRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t UsageReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EntryRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3841,21 +4178,65 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entry);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->uses.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
+            {
+              xfer += this->uses[_i147].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->models.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->models.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            this->loads.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->loads.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->models[_i123].read(iprot);
+              xfer += this->loads[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.models = true;
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_load_ms);
+          this->__isset.store_load_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3872,56 +4253,104 @@
   return xfer;
 }
 
-uint32_t UsageReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EntryRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("UsageReport");
+  xfer += oprot->writeStructBegin("EntryRecord");
+
+  xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->entry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<EngineUse> ::const_iterator _iter153;
+    for (_iter153 = this->uses.begin(); _iter153 != this->uses.end(); ++_iter153)
+    {
+      xfer += (*_iter153).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUsage> ::const_iterator _iter124;
-    for (_iter124 = this->models.begin(); _iter124 != this->models.end(); ++_iter124)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<ComingLoad> ::const_iterator _iter154;
+    for (_iter154 = this->loads.begin(); _iter154 != this->loads.end(); ++_iter154)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_load_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->store_load_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(UsageReport &a, UsageReport &b) {
+void swap(EntryRecord &a, EntryRecord &b) {
   using ::std::swap;
-  swap(a.models, b.models);
+  swap(a.entry, b.entry);
+  swap(a.number, b.number);
+  swap(a.uses, b.uses);
+  swap(a.loads, b.loads);
+  swap(a.store_load_ms, b.store_load_ms);
   swap(a.__isset, b.__isset);
 }
 
-UsageReport::UsageReport(const UsageReport& other125) {
-  models = other125.models;
-  __isset = other125.__isset;
-}
-UsageReport::UsageReport(UsageReport&& other126) noexcept {
-  models = std::move(other126.models);
-  __isset = other126.__isset;
-}
-UsageReport& UsageReport::operator=(const UsageReport& other127) {
-  models = other127.models;
-  __isset = other127.__isset;
+EntryRecord::EntryRecord(const EntryRecord& other155) {
+  entry = other155.entry;
+  number = other155.number;
+  uses = other155.uses;
+  loads = other155.loads;
+  store_load_ms = other155.store_load_ms;
+  __isset = other155.__isset;
+}
+EntryRecord::EntryRecord(EntryRecord&& other156) noexcept {
+  entry = std::move(other156.entry);
+  number = other156.number;
+  uses = std::move(other156.uses);
+  loads = std::move(other156.loads);
+  store_load_ms = other156.store_load_ms;
+  __isset = other156.__isset;
+}
+EntryRecord& EntryRecord::operator=(const EntryRecord& other157) {
+  entry = other157.entry;
+  number = other157.number;
+  uses = other157.uses;
+  loads = other157.loads;
+  store_load_ms = other157.store_load_ms;
+  __isset = other157.__isset;
   return *this;
 }
-UsageReport& UsageReport::operator=(UsageReport&& other128) noexcept {
-  models = std::move(other128.models);
-  __isset = other128.__isset;
+EntryRecord& EntryRecord::operator=(EntryRecord&& other158) noexcept {
+  entry = std::move(other158.entry);
+  number = other158.number;
+  uses = std::move(other158.uses);
+  loads = std::move(other158.loads);
+  store_load_ms = other158.store_load_ms;
+  __isset = other158.__isset;
   return *this;
 }
-void UsageReport::printTo(std::ostream& out) const {
+void EntryRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "UsageReport(";
-  out << "models=" << to_string(models);
+  out << "EntryRecord(";
+  out << "entry=" << to_string(entry);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "store_load_ms=" << to_string(store_load_ms);
   out << ")";
 }
 
@@ -3980,18 +4409,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other129) noexcept {
-  (void) other129;
+Drain::Drain(const Drain& other159) noexcept {
+  (void) other159;
 }
-Drain::Drain(Drain&& other130) noexcept {
-  (void) other130;
+Drain::Drain(Drain&& other160) noexcept {
+  (void) other160;
 }
-Drain& Drain::operator=(const Drain& other131) noexcept {
-  (void) other131;
+Drain& Drain::operator=(const Drain& other161) noexcept {
+  (void) other161;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other132) noexcept {
-  (void) other132;
+Drain& Drain::operator=(Drain&& other162) noexcept {
+  (void) other162;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -4076,22 +4505,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other133) noexcept {
-  running = other133.running;
-  __isset = other133.__isset;
+DrainState::DrainState(const DrainState& other163) noexcept {
+  running = other163.running;
+  __isset = other163.__isset;
 }
-DrainState::DrainState(DrainState&& other134) noexcept {
-  running = other134.running;
-  __isset = other134.__isset;
+DrainState::DrainState(DrainState&& other164) noexcept {
+  running = other164.running;
+  __isset = other164.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other135) noexcept {
-  running = other135.running;
-  __isset = other135.__isset;
+DrainState& DrainState::operator=(const DrainState& other165) noexcept {
+  running = other165.running;
+  __isset = other165.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other136) noexcept {
-  running = other136.running;
-  __isset = other136.__isset;
+DrainState& DrainState::operator=(DrainState&& other166) noexcept {
+  running = other166.running;
+  __isset = other166.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -4153,14 +4582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->have_parts.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->have_parts.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += iprot->readString(this->have_parts[_i141]);
+              xfer += iprot->readString(this->have_parts[_i171]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4193,10 +4622,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter142;
-    for (_iter142 = this->have_parts.begin(); _iter142 != this->have_parts.end(); ++_iter142)
+    std::vector<std::string> ::const_iterator _iter172;
+    for (_iter172 = this->have_parts.begin(); _iter172 != this->have_parts.end(); ++_iter172)
     {
-      xfer += oprot->writeString((*_iter142));
+      xfer += oprot->writeString((*_iter172));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4214,26 +4643,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other143) {
-  have_version = other143.have_version;
-  have_parts = other143.have_parts;
-  __isset = other143.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other173) {
+  have_version = other173.have_version;
+  have_parts = other173.have_parts;
+  __isset = other173.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other144) noexcept {
-  have_version = other144.have_version;
-  have_parts = std::move(other144.have_parts);
-  __isset = other144.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other174) noexcept {
+  have_version = other174.have_version;
+  have_parts = std::move(other174.have_parts);
+  __isset = other174.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other145) {
-  have_version = other145.have_version;
-  have_parts = other145.have_parts;
-  __isset = other145.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other175) {
+  have_version = other175.have_version;
+  have_parts = other175.have_parts;
+  __isset = other175.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other146) noexcept {
-  have_version = other146.have_version;
-  have_parts = std::move(other146.have_parts);
-  __isset = other146.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other176) noexcept {
+  have_version = other176.have_version;
+  have_parts = std::move(other176.have_parts);
+  __isset = other176.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -4337,26 +4766,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other147) {
-  hash = other147.hash;
-  data = other147.data;
-  __isset = other147.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other177) {
+  hash = other177.hash;
+  data = other177.data;
+  __isset = other177.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other148) noexcept {
-  hash = std::move(other148.hash);
-  data = std::move(other148.data);
-  __isset = other148.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other178) noexcept {
+  hash = std::move(other178.hash);
+  data = std::move(other178.data);
+  __isset = other178.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other149) {
-  hash = other149.hash;
-  data = other149.data;
-  __isset = other149.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other179) {
+  hash = other179.hash;
+  data = other179.data;
+  __isset = other179.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other150) noexcept {
-  hash = std::move(other150.hash);
-  data = std::move(other150.data);
-  __isset = other150.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other180) noexcept {
+  hash = std::move(other180.hash);
+  data = std::move(other180.data);
+  __isset = other180.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -4435,14 +4864,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->part_hashes.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->part_hashes.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += iprot->readString(this->part_hashes[_i155]);
+              xfer += iprot->readString(this->part_hashes[_i185]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4455,14 +4884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->parts.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->parts.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->parts[_i160].read(iprot);
+              xfer += this->parts[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4499,10 +4928,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter161;
-    for (_iter161 = this->part_hashes.begin(); _iter161 != this->part_hashes.end(); ++_iter161)
+    std::vector<std::string> ::const_iterator _iter191;
+    for (_iter191 = this->part_hashes.begin(); _iter191 != this->part_hashes.end(); ++_iter191)
     {
-      xfer += oprot->writeString((*_iter161));
+      xfer += oprot->writeString((*_iter191));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4511,10 +4940,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter162;
-    for (_iter162 = this->parts.begin(); _iter162 != this->parts.end(); ++_iter162)
+    std::vector<ConfigPart> ::const_iterator _iter192;
+    for (_iter192 = this->parts.begin(); _iter192 != this->parts.end(); ++_iter192)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4534,34 +4963,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other163) {
-  version = other163.version;
-  plan_id = other163.plan_id;
-  part_hashes = other163.part_hashes;
-  parts = other163.parts;
-  __isset = other163.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other164) noexcept {
-  version = other164.version;
-  plan_id = std::move(other164.plan_id);
-  part_hashes = std::move(other164.part_hashes);
-  parts = std::move(other164.parts);
-  __isset = other164.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other165) {
-  version = other165.version;
-  plan_id = other165.plan_id;
-  part_hashes = other165.part_hashes;
-  parts = other165.parts;
-  __isset = other165.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other193) {
+  version = other193.version;
+  plan_id = other193.plan_id;
+  part_hashes = other193.part_hashes;
+  parts = other193.parts;
+  __isset = other193.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other194) noexcept {
+  version = other194.version;
+  plan_id = std::move(other194.plan_id);
+  part_hashes = std::move(other194.part_hashes);
+  parts = std::move(other194.parts);
+  __isset = other194.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other195) {
+  version = other195.version;
+  plan_id = other195.plan_id;
+  part_hashes = other195.part_hashes;
+  parts = other195.parts;
+  __isset = other195.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other166) noexcept {
-  version = other166.version;
-  plan_id = std::move(other166.plan_id);
-  part_hashes = std::move(other166.part_hashes);
-  parts = std::move(other166.parts);
-  __isset = other166.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other196) noexcept {
+  version = other196.version;
+  plan_id = std::move(other196.plan_id);
+  part_hashes = std::move(other196.part_hashes);
+  parts = std::move(other196.parts);
+  __isset = other196.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -4688,11 +5117,6 @@
   this->config_parts = val;
 __isset.config_parts = true;
 }
-
-void Message::__set_usage_report(const UsageReport& val) {
-  this->usage_report = val;
-__isset.usage_report = true;
-}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -4897,14 +5321,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 23:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->usage_report.read(iprot);
-          this->__isset.usage_report = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5032,11 +5448,6 @@
     xfer += this->config_parts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.usage_report) {
-    xfer += oprot->writeFieldBegin("usage_report", ::apache::thrift::protocol::T_STRUCT, 23);
-    xfer += this->usage_report.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5066,114 +5477,109 @@
   swap(a.drain_state, b.drain_state);
   swap(a.config_pull, b.config_pull);
   swap(a.config_parts, b.config_parts);
-  swap(a.usage_report, b.usage_report);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other167) {
-  hello = other167.hello;
-  heartbeat = other167.heartbeat;
-  credit = other167.credit;
-  cancel = other167.cancel;
-  refusal = other167.refusal;
-  place = other167.place;
-  placed = other167.placed;
-  place_done = other167.place_done;
-  run = other167.run;
-  run_head = other167.run_head;
-  chunk = other167.chunk;
-  run_end = other167.run_end;
-  void_attempt = other167.void_attempt;
-  attempt_state = other167.attempt_state;
-  ensure_model = other167.ensure_model;
-  model_ready = other167.model_ready;
-  subscribe = other167.subscribe;
-  endpoint_report = other167.endpoint_report;
-  drain = other167.drain;
-  drain_state = other167.drain_state;
-  config_pull = other167.config_pull;
-  config_parts = other167.config_parts;
-  usage_report = other167.usage_report;
-  __isset = other167.__isset;
-}
-Message::Message(Message&& other168) noexcept {
-  hello = std::move(other168.hello);
-  heartbeat = std::move(other168.heartbeat);
-  credit = std::move(other168.credit);
-  cancel = std::move(other168.cancel);
-  refusal = std::move(other168.refusal);
-  place = std::move(other168.place);
-  placed = std::move(other168.placed);
-  place_done = std::move(other168.place_done);
-  run = std::move(other168.run);
-  run_head = std::move(other168.run_head);
-  chunk = std::move(other168.chunk);
-  run_end = std::move(other168.run_end);
-  void_attempt = std::move(other168.void_attempt);
-  attempt_state = std::move(other168.attempt_state);
-  ensure_model = std::move(other168.ensure_model);
-  model_ready = std::move(other168.model_ready);
-  subscribe = std::move(other168.subscribe);
-  endpoint_report = std::move(other168.endpoint_report);
-  drain = std::move(other168.drain);
-  drain_state = std::move(other168.drain_state);
-  config_pull = std::move(other168.config_pull);
-  config_parts = std::move(other168.config_parts);
-  usage_report = std::move(other168.usage_report);
-  __isset = other168.__isset;
-}
-Message& Message::operator=(const Message& other169) {
-  hello = other169.hello;
-  heartbeat = other169.heartbeat;
-  credit = other169.credit;
-  cancel = other169.cancel;
-  refusal = other169.refusal;
-  place = other169.place;
-  placed = other169.placed;
-  place_done = other169.place_done;
-  run = other169.run;
-  run_head = other169.run_head;
-  chunk = other169.chunk;
-  run_end = other169.run_end;
-  void_attempt = other169.void_attempt;
-  attempt_state = other169.attempt_state;
-  ensure_model = other169.ensure_model;
-  model_ready = other169.model_ready;
-  subscribe = other169.subscribe;
-  endpoint_report = other169.endpoint_report;
-  drain = other169.drain;
-  drain_state = other169.drain_state;
-  config_pull = other169.config_pull;
-  config_parts = other169.config_parts;
-  usage_report = other169.usage_report;
-  __isset = other169.__isset;
+Message::Message(const Message& other197) {
+  hello = other197.hello;
+  heartbeat = other197.heartbeat;
+  credit = other197.credit;
+  cancel = other197.cancel;
+  refusal = other197.refusal;
+  place = other197.place;
+  placed = other197.placed;
+  place_done = other197.place_done;
+  run = other197.run;
+  run_head = other197.run_head;
+  chunk = other197.chunk;
+  run_end = other197.run_end;
+  void_attempt = other197.void_attempt;
+  attempt_state = other197.attempt_state;
+  ensure_model = other197.ensure_model;
+  model_ready = other197.model_ready;
+  subscribe = other197.subscribe;
+  endpoint_report = other197.endpoint_report;
+  drain = other197.drain;
+  drain_state = other197.drain_state;
+  config_pull = other197.config_pull;
+  config_parts = other197.config_parts;
+  __isset = other197.__isset;
+}
+Message::Message(Message&& other198) noexcept {
+  hello = std::move(other198.hello);
+  heartbeat = std::move(other198.heartbeat);
+  credit = std::move(other198.credit);
+  cancel = std::move(other198.cancel);
+  refusal = std::move(other198.refusal);
+  place = std::move(other198.place);
+  placed = std::move(other198.placed);
+  place_done = std::move(other198.place_done);
+  run = std::move(other198.run);
+  run_head = std::move(other198.run_head);
+  chunk = std::move(other198.chunk);
+  run_end = std::move(other198.run_end);
+  void_attempt = std::move(other198.void_attempt);
+  attempt_state = std::move(other198.attempt_state);
+  ensure_model = std::move(other198.ensure_model);
+  model_ready = std::move(other198.model_ready);
+  subscribe = std::move(other198.subscribe);
+  endpoint_report = std::move(other198.endpoint_report);
+  drain = std::move(other198.drain);
+  drain_state = std::move(other198.drain_state);
+  config_pull = std::move(other198.config_pull);
+  config_parts = std::move(other198.config_parts);
+  __isset = other198.__isset;
+}
+Message& Message::operator=(const Message& other199) {
+  hello = other199.hello;
+  heartbeat = other199.heartbeat;
+  credit = other199.credit;
+  cancel = other199.cancel;
+  refusal = other199.refusal;
+  place = other199.place;
+  placed = other199.placed;
+  place_done = other199.place_done;
+  run = other199.run;
+  run_head = other199.run_head;
+  chunk = other199.chunk;
+  run_end = other199.run_end;
+  void_attempt = other199.void_attempt;
+  attempt_state = other199.attempt_state;
+  ensure_model = other199.ensure_model;
+  model_ready = other199.model_ready;
+  subscribe = other199.subscribe;
+  endpoint_report = other199.endpoint_report;
+  drain = other199.drain;
+  drain_state = other199.drain_state;
+  config_pull = other199.config_pull;
+  config_parts = other199.config_parts;
+  __isset = other199.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other170) noexcept {
-  hello = std::move(other170.hello);
-  heartbeat = std::move(other170.heartbeat);
-  credit = std::move(other170.credit);
-  cancel = std::move(other170.cancel);
-  refusal = std::move(other170.refusal);
-  place = std::move(other170.place);
-  placed = std::move(other170.placed);
-  place_done = std::move(other170.place_done);
-  run = std::move(other170.run);
-  run_head = std::move(other170.run_head);
-  chunk = std::move(other170.chunk);
-  run_end = std::move(other170.run_end);
-  void_attempt = std::move(other170.void_attempt);
-  attempt_state = std::move(other170.attempt_state);
-  ensure_model = std::move(other170.ensure_model);
-  model_ready = std::move(other170.model_ready);
-  subscribe = std::move(other170.subscribe);
-  endpoint_report = std::move(other170.endpoint_report);
-  drain = std::move(other170.drain);
-  drain_state = std::move(other170.drain_state);
-  config_pull = std::move(other170.config_pull);
-  config_parts = std::move(other170.config_parts);
-  usage_report = std::move(other170.usage_report);
-  __isset = other170.__isset;
+Message& Message::operator=(Message&& other200) noexcept {
+  hello = std::move(other200.hello);
+  heartbeat = std::move(other200.heartbeat);
+  credit = std::move(other200.credit);
+  cancel = std::move(other200.cancel);
+  refusal = std::move(other200.refusal);
+  place = std::move(other200.place);
+  placed = std::move(other200.placed);
+  place_done = std::move(other200.place_done);
+  run = std::move(other200.run);
+  run_head = std::move(other200.run_head);
+  chunk = std::move(other200.chunk);
+  run_end = std::move(other200.run_end);
+  void_attempt = std::move(other200.void_attempt);
+  attempt_state = std::move(other200.attempt_state);
+  ensure_model = std::move(other200.ensure_model);
+  model_ready = std::move(other200.model_ready);
+  subscribe = std::move(other200.subscribe);
+  endpoint_report = std::move(other200.endpoint_report);
+  drain = std::move(other200.drain);
+  drain_state = std::move(other200.drain_state);
+  config_pull = std::move(other200.config_pull);
+  config_parts = std::move(other200.config_parts);
+  __isset = other200.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -5201,7 +5607,6 @@
   out << ", " << "drain_state="; (__isset.drain_state ? (out << to_string(drain_state)) : (out << "<null>"));
   out << ", " << "config_pull="; (__isset.config_pull ? (out << to_string(config_pull)) : (out << "<null>"));
   out << ", " << "config_parts="; (__isset.config_parts ? (out << to_string(config_parts)) : (out << "<null>"));
-  out << ", " << "usage_report="; (__isset.usage_report ? (out << to_string(usage_report)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5332,34 +5737,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other171) {
-  call = other171.call;
-  from_opener = other171.from_opener;
-  config_version = other171.config_version;
-  message = other171.message;
-  __isset = other171.__isset;
-}
-Frame::Frame(Frame&& other172) noexcept {
-  call = other172.call;
-  from_opener = other172.from_opener;
-  config_version = other172.config_version;
-  message = std::move(other172.message);
-  __isset = other172.__isset;
-}
-Frame& Frame::operator=(const Frame& other173) {
-  call = other173.call;
-  from_opener = other173.from_opener;
-  config_version = other173.config_version;
-  message = other173.message;
-  __isset = other173.__isset;
+Frame::Frame(const Frame& other201) {
+  call = other201.call;
+  from_opener = other201.from_opener;
+  config_version = other201.config_version;
+  message = other201.message;
+  __isset = other201.__isset;
+}
+Frame::Frame(Frame&& other202) noexcept {
+  call = other202.call;
+  from_opener = other202.from_opener;
+  config_version = other202.config_version;
+  message = std::move(other202.message);
+  __isset = other202.__isset;
+}
+Frame& Frame::operator=(const Frame& other203) {
+  call = other203.call;
+  from_opener = other203.from_opener;
+  config_version = other203.config_version;
+  message = other203.message;
+  __isset = other203.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other174) noexcept {
-  call = other174.call;
-  from_opener = other174.from_opener;
-  config_version = other174.config_version;
-  message = std::move(other174.message);
-  __isset = other174.__isset;
+Frame& Frame::operator=(Frame&& other204) noexcept {
+  call = other204.call;
+  from_opener = other204.from_opener;
+  config_version = other204.config_version;
+  message = std::move(other204.message);
+  __isset = other204.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -92,6 +92,8 @@
 
 class AttemptState;
 
+class ResidentUse;
+
 class EnsureModel;
 
 class ModelReady;
@@ -102,9 +104,13 @@
 
 class EndpointReport;
 
-class ModelUsage;
+class EntryPresence;
+
+class EngineUse;
+
+class ComingLoad;
 
-class UsageReport;
+class EntryRecord;
 
 class Drain;
 
@@ -992,8 +998,81 @@
 
 std::ostream& operator<<(std::ostream& out, const AttemptState& obj);
 
+typedef struct _ResidentUse__isset {
+  _ResidentUse__isset() : model(false), adapter(false), running(false), demand_per_1000_s(false), idle_ms(false) {}
+  bool model :1;
+  bool adapter :1;
+  bool running :1;
+  bool demand_per_1000_s :1;
+  bool idle_ms :1;
+} _ResidentUse__isset;
+
+class ResidentUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  ResidentUse(const ResidentUse&);
+  ResidentUse(ResidentUse&&) noexcept;
+  ResidentUse& operator=(const ResidentUse&);
+  ResidentUse& operator=(ResidentUse&&) noexcept;
+  ResidentUse() noexcept
+              : model(),
+                adapter(),
+                running(0),
+                demand_per_1000_s(0),
+                idle_ms(0) {
+  }
+
+  virtual ~ResidentUse() noexcept;
+  std::string model;
+  std::string adapter;
+  int32_t running;
+  int64_t demand_per_1000_s;
+  int64_t idle_ms;
+
+  _ResidentUse__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_adapter(const std::string& val);
+
+  void __set_running(const int32_t val);
+
+  void __set_demand_per_1000_s(const int64_t val);
+
+  void __set_idle_ms(const int64_t val);
+
+  bool operator == (const ResidentUse & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(demand_per_1000_s == rhs.demand_per_1000_s))
+      return false;
+    if (!(idle_ms == rhs.idle_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ResidentUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ResidentUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ResidentUse &a, ResidentUse &b);
+
+std::ostream& operator<<(std::ostream& out, const ResidentUse& obj);
+
 typedef struct _EnsureModel__isset {
-  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(true), evict(false), engine_instance(false) {}
+  _EnsureModel__isset() : service_id(false), model(false), adapter(false), remaining_ms(false), keep_alive_ms(true), evict(false), engine_instance(false), resident_use(false) {}
   bool service_id :1;
   bool model :1;
   bool adapter :1;
@@ -1001,6 +1080,7 @@
   bool keep_alive_ms :1;
   bool evict :1;
   bool engine_instance :1;
+  bool resident_use :1;
 } _EnsureModel__isset;
 
 class EnsureModel : public virtual ::apache::thrift::TBase {
@@ -1027,6 +1107,7 @@
   int64_t keep_alive_ms;
   std::vector<std::string>  evict;
   std::string engine_instance;
+  std::vector<ResidentUse>  resident_use;
 
   _EnsureModel__isset __isset;
 
@@ -1044,6 +1125,8 @@
 
   void __set_engine_instance(const std::string& val);
 
+  void __set_resident_use(const std::vector<ResidentUse> & val);
+
   bool operator == (const EnsureModel & rhs) const
   {
     if (!(service_id == rhs.service_id))
@@ -1060,6 +1143,8 @@
       return false;
     if (!(engine_instance == rhs.engine_instance))
       return false;
+    if (!(resident_use == rhs.resident_use))
+      return false;
     return true;
   }
   bool operator != (const EnsureModel &rhs) const {
@@ -1254,7 +1339,7 @@
 std::ostream& operator<<(std::ostream& out, const Subscribe& obj);
 
 typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false), order_count(false), loading_model(false), loading_left_ms(false), waiting(false), kv_tokens_used(false), kv_tokens_total(false), entries(false), engine_instance(false), store_load_ms(false) {}
+  _EndpointReport__isset() : endpoint(false), zone(false), incarnation(false), leaving(false), kind(false), memory_bytes(false), reserved_bytes(false), running(false), max_running(false), replicas(false), memory_tier(false), disk_tier(false), engine_up(false) {}
   bool endpoint :1;
   bool zone :1;
   bool incarnation :1;
@@ -1268,15 +1353,6 @@
   bool memory_tier :1;
   bool disk_tier :1;
   bool engine_up :1;
-  bool order_count :1;
-  bool loading_model :1;
-  bool loading_left_ms :1;
-  bool waiting :1;
-  bool kv_tokens_used :1;
-  bool kv_tokens_total :1;
-  bool entries :1;
-  bool engine_instance :1;
-  bool store_load_ms :1;
 } _EndpointReport__isset;
 
 class EndpointReport : public virtual ::apache::thrift::TBase {
@@ -1296,16 +1372,7 @@
                    reserved_bytes(0),
                    running(0),
                    max_running(0),
-                   engine_up(0),
-                   order_count(0),
-                   loading_model(),
-                   loading_left_ms(0),
-                   waiting(0),
-                   kv_tokens_used(0),
-                   kv_tokens_total(0),
-                   entries(0),
-                   engine_instance(),
-                   store_load_ms(0) {
+                   engine_up(0) {
   }
 
   virtual ~EndpointReport() noexcept;
@@ -1322,15 +1389,6 @@
   std::vector<std::string>  memory_tier;
   std::vector<std::string>  disk_tier;
   bool engine_up;
-  int64_t order_count;
-  std::string loading_model;
-  int64_t loading_left_ms;
-  int32_t waiting;
-  int64_t kv_tokens_used;
-  int64_t kv_tokens_total;
-  int32_t entries;
-  std::string engine_instance;
-  int64_t store_load_ms;
 
   _EndpointReport__isset __isset;
 
@@ -1360,24 +1418,6 @@
 
   void __set_engine_up(const bool val);
 
-  void __set_order_count(const int64_t val);
-
-  void __set_loading_model(const std::string& val);
-
-  void __set_loading_left_ms(const int64_t val);
-
-  void __set_waiting(const int32_t val);
-
-  void __set_kv_tokens_used(const int64_t val);
-
-  void __set_kv_tokens_total(const int64_t val);
-
-  void __set_entries(const int32_t val);
-
-  void __set_engine_instance(const std::string& val);
-
-  void __set_store_load_ms(const int64_t val);
-
   bool operator == (const EndpointReport & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -1406,31 +1446,123 @@
       return false;
     if (!(engine_up == rhs.engine_up))
       return false;
-    if (!(order_count == rhs.order_count))
-      return false;
-    if (!(loading_model == rhs.loading_model))
-      return false;
-    if (!(loading_left_ms == rhs.loading_left_ms))
-      return false;
-    if (!(waiting == rhs.waiting))
-      return false;
-    if (!(kv_tokens_used == rhs.kv_tokens_used))
+    return true;
+  }
+  bool operator != (const EndpointReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointReport &a, EndpointReport &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
+
+typedef struct _EntryPresence__isset {
+  _EntryPresence__isset() : vm(false), zone(false), address(false) {}
+  bool vm :1;
+  bool zone :1;
+  bool address :1;
+} _EntryPresence__isset;
+
+class EntryPresence : public virtual ::apache::thrift::TBase {
+ public:
+
+  EntryPresence(const EntryPresence&);
+  EntryPresence(EntryPresence&&) noexcept;
+  EntryPresence& operator=(const EntryPresence&);
+  EntryPresence& operator=(EntryPresence&&) noexcept;
+  EntryPresence() noexcept
+                : vm(),
+                  zone(),
+                  address() {
+  }
+
+  virtual ~EntryPresence() noexcept;
+  std::string vm;
+  std::string zone;
+  std::string address;
+
+  _EntryPresence__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const EntryPresence & rhs) const
+  {
+    if (!(vm == rhs.vm))
       return false;
-    if (!(kv_tokens_total == rhs.kv_tokens_total))
+    if (!(zone == rhs.zone))
       return false;
-    if (!(entries == rhs.entries))
+    if (!(address == rhs.address))
       return false;
+    return true;
+  }
+  bool operator != (const EntryPresence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryPresence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EntryPresence &a, EntryPresence &b);
+
+std::ostream& operator<<(std::ostream& out, const EntryPresence& obj);
+
+typedef struct _EngineUse__isset {
+  _EngineUse__isset() : engine_instance(false), parts(false) {}
+  bool engine_instance :1;
+  bool parts :1;
+} _EngineUse__isset;
+
+class EngineUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineUse(const EngineUse&);
+  EngineUse(EngineUse&&) noexcept;
+  EngineUse& operator=(const EngineUse&);
+  EngineUse& operator=(EngineUse&&) noexcept;
+  EngineUse() noexcept
+            : engine_instance() {
+  }
+
+  virtual ~EngineUse() noexcept;
+  std::string engine_instance;
+  std::vector<ResidentUse>  parts;
+
+  _EngineUse__isset __isset;
+
+  void __set_engine_instance(const std::string& val);
+
+  void __set_parts(const std::vector<ResidentUse> & val);
+
+  bool operator == (const EngineUse & rhs) const
+  {
     if (!(engine_instance == rhs.engine_instance))
       return false;
-    if (!(store_load_ms == rhs.store_load_ms))
+    if (!(parts == rhs.parts))
       return false;
     return true;
   }
-  bool operator != (const EndpointReport &rhs) const {
+  bool operator != (const EngineUse &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const EndpointReport & ) const;
+  bool operator < (const EngineUse & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1438,65 +1570,65 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(EndpointReport &a, EndpointReport &b);
+void swap(EngineUse &a, EngineUse &b);
 
-std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
+std::ostream& operator<<(std::ostream& out, const EngineUse& obj);
 
-typedef struct _ModelUsage__isset {
-  _ModelUsage__isset() : model(false), adapter(false), running(false), begun(false) {}
+typedef struct _ComingLoad__isset {
+  _ComingLoad__isset() : engine_instance(false), model(false), ready_in_ms(false), from_weight_store(false) {}
+  bool engine_instance :1;
   bool model :1;
-  bool adapter :1;
-  bool running :1;
-  bool begun :1;
-} _ModelUsage__isset;
+  bool ready_in_ms :1;
+  bool from_weight_store :1;
+} _ComingLoad__isset;
 
-class ModelUsage : public virtual ::apache::thrift::TBase {
+class ComingLoad : public virtual ::apache::thrift::TBase {
  public:
 
-  ModelUsage(const ModelUsage&);
-  ModelUsage(ModelUsage&&) noexcept;
-  ModelUsage& operator=(const ModelUsage&);
-  ModelUsage& operator=(ModelUsage&&) noexcept;
-  ModelUsage() noexcept
-             : model(),
-               adapter(),
-               running(0),
-               begun(0) {
+  ComingLoad(const ComingLoad&);
+  ComingLoad(ComingLoad&&) noexcept;
+  ComingLoad& operator=(const ComingLoad&);
+  ComingLoad& operator=(ComingLoad&&) noexcept;
+  ComingLoad() noexcept
+             : engine_instance(),
+               model(),
+               ready_in_ms(0),
+               from_weight_store(0) {
   }
 
-  virtual ~ModelUsage() noexcept;
+  virtual ~ComingLoad() noexcept;
+  std::string engine_instance;
   std::string model;
-  std::string adapter;
-  int32_t running;
-  int64_t begun;
+  int64_t ready_in_ms;
+  bool from_weight_store;
 
-  _ModelUsage__isset __isset;
+  _ComingLoad__isset __isset;
 
-  void __set_model(const std::string& val);
+  void __set_engine_instance(const std::string& val);
 
-  void __set_adapter(const std::string& val);
+  void __set_model(const std::string& val);
 
-  void __set_running(const int32_t val);
+  void __set_ready_in_ms(const int64_t val);
 
-  void __set_begun(const int64_t val);
+  void __set_from_weight_store(const bool val);
 
-  bool operator == (const ModelUsage & rhs) const
+  bool operator == (const ComingLoad & rhs) const
   {
-    if (!(model == rhs.model))
+    if (!(engine_instance == rhs.engine_instance))
       return false;
-    if (!(adapter == rhs.adapter))
+    if (!(model == rhs.model))
       return false;
-    if (!(running == rhs.running))
+    if (!(ready_in_ms == rhs.ready_in_ms))
       return false;
-    if (!(begun == rhs.begun))
+    if (!(from_weight_store == rhs.from_weight_store))
       return false;
     return true;
   }
-  bool operator != (const ModelUsage &rhs) const {
+  bool operator != (const ComingLoad &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ModelUsage & ) const;
+  bool operator < (const ComingLoad & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1504,43 +1636,70 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ModelUsage &a, ModelUsage &b);
+void swap(ComingLoad &a, ComingLoad &b);
 
-std::ostream& operator<<(std::ostream& out, const ModelUsage& obj);
+std::ostream& operator<<(std::ostream& out, const ComingLoad& obj);
 
-typedef struct _UsageReport__isset {
-  _UsageReport__isset() : models(false) {}
-  bool models :1;
-} _UsageReport__isset;
+typedef struct _EntryRecord__isset {
+  _EntryRecord__isset() : entry(false), number(false), uses(false), loads(false), store_load_ms(false) {}
+  bool entry :1;
+  bool number :1;
+  bool uses :1;
+  bool loads :1;
+  bool store_load_ms :1;
+} _EntryRecord__isset;
 
-class UsageReport : public virtual ::apache::thrift::TBase {
+class EntryRecord : public virtual ::apache::thrift::TBase {
  public:
 
-  UsageReport(const UsageReport&);
-  UsageReport(UsageReport&&) noexcept;
-  UsageReport& operator=(const UsageReport&);
-  UsageReport& operator=(UsageReport&&) noexcept;
-  UsageReport() noexcept {
-  }
+  EntryRecord(const EntryRecord&);
+  EntryRecord(EntryRecord&&) noexcept;
+  EntryRecord& operator=(const EntryRecord&);
+  EntryRecord& operator=(EntryRecord&&) noexcept;
+  EntryRecord() noexcept
+              : entry(),
+                number(0),
+                store_load_ms(0) {
+  }
+
+  virtual ~EntryRecord() noexcept;
+  std::string entry;
+  int64_t number;
+  std::vector<EngineUse>  uses;
+  std::vector<ComingLoad>  loads;
+  int64_t store_load_ms;
+
+  _EntryRecord__isset __isset;
 
-  virtual ~UsageReport() noexcept;
-  std::vector<ModelUsage>  models;
+  void __set_entry(const std::string& val);
 
-  _UsageReport__isset __isset;
+  void __set_number(const int64_t val);
 
-  void __set_models(const std::vector<ModelUsage> & val);
+  void __set_uses(const std::vector<EngineUse> & val);
 
-  bool operator == (const UsageReport & rhs) const
+  void __set_loads(const std::vector<ComingLoad> & val);
+
+  void __set_store_load_ms(const int64_t val);
+
+  bool operator == (const EntryRecord & rhs) const
   {
-    if (!(models == rhs.models))
+    if (!(entry == rhs.entry))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(store_load_ms == rhs.store_load_ms))
       return false;
     return true;
   }
-  bool operator != (const UsageReport &rhs) const {
+  bool operator != (const EntryRecord &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const UsageReport & ) const;
+  bool operator < (const EntryRecord & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1548,9 +1707,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(UsageReport &a, UsageReport &b);
+void swap(EntryRecord &a, EntryRecord &b);
 
-std::ostream& operator<<(std::ostream& out, const UsageReport& obj);
+std::ostream& operator<<(std::ostream& out, const EntryRecord& obj);
 
 
 class Drain : public virtual ::apache::thrift::TBase {
@@ -1798,7 +1957,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigParts& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false), usage_report(false) {}
+  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool credit :1;
@@ -1821,7 +1980,6 @@
   bool drain_state :1;
   bool config_pull :1;
   bool config_parts :1;
-  bool usage_report :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1857,7 +2015,6 @@
   DrainState drain_state;
   ConfigPull config_pull;
   ConfigParts config_parts;
-  UsageReport usage_report;
 
   _Message__isset __isset;
 
@@ -1905,8 +2062,6 @@
 
   void __set_config_parts(const ConfigParts& val);
 
-  void __set_usage_report(const UsageReport& val);
-
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1997,10 +2152,6 @@
       return false;
     else if (__isset.config_parts && !(config_parts == rhs.config_parts))
       return false;
-    if (__isset.usage_report != rhs.__isset.usage_report)
-      return false;
-    else if (__isset.usage_report && !(usage_report == rhs.usage_report))
-      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -108,6 +108,19 @@
 struct VoidAttempt { 1: string attempt_id }
 struct AttemptState { 1: bool started, 2: i64 incarnation }
 
+// Use of something that an engine holds, as far as the asking entry knows.
+struct ResidentUse {
+  1: string model
+  // Empty: the model itself.
+  2: string adapter
+  // Requests in progress, of all entries.
+  3: i32 running
+  // Requests that began lately, per 1000 seconds.
+  4: i64 demand_per_1000_s
+  // Since the last one began; negative: none is known.
+  5: i64 idle_ms
+}
+
 // Home to endpoint: have the model (and adapter) loaded. Answered by
 // ModelReady or Refusal.
 struct EnsureModel {
@@ -121,6 +134,8 @@
   6: list<string> evict
   // The start of the engine that is meant: the order is void for another one.
   7: string engine_instance
+  // What the asking entry knows of the use of all that the engine holds.
+  8: list<ResidentUse> resident_use
 }
 struct ModelReady { 1: string model, 2: string adapter }
 
@@ -158,34 +173,32 @@
   11: list<string> memory_tier
   12: list<string> disk_tier
   13: bool engine_up
-  // Orders that the engine has accepted since its start.
-  14: i64 order_count
-  // The model being loaded, and when the load is expected to end.
-  15: string loading_model
-  16: i64 loading_left_ms
-  // Requests that wait inside the engine, tokens in use and at most.
-  17: i32 waiting
-  18: i64 kv_tokens_used
-  19: i64 kv_tokens_total
-  // Entries that follow this endpoint: how many share what all share.
-  20: i32 entries
-  // The start of the engine that this report is about, as far as known.
-  21: string engine_instance
-  // What the latest load from the weight store took here; 0: none lately.
-  22: i64 store_load_ms
 }
 
-// Entry to endpoint, on the call that Subscribe opened: what this entry sends
-// to the engine, so that nothing in use is unloaded.
-struct ModelUsage {
-  1: string model
-  2: string adapter
-  // Requests in progress now.
-  3: i32 running
-  // Requests begun since the entry started.
-  4: i64 begun
+// An entry that runs, in the key-value service under its lease: where the
+// others send it datagrams.
+struct EntryPresence { 1: string vm, 2: string zone, 3: string address }
+
+// What an entry sends to engines, and which models it is having loaded: one
+// datagram to another entry. Absolute, so that a lost one does no harm.
+struct EngineUse { 1: string engine_instance, 2: list<ResidentUse> parts }
+struct ComingLoad {
+  1: string engine_instance
+  2: string model
+  3: i64 ready_in_ms
+  4: bool from_weight_store
+}
+struct EntryRecord {
+  // The key of the sender's EntryPresence: names one start of an entry.
+  1: string entry
+  // Counts the sender's datagrams: one that was overtaken is passed over.
+  2: i64 number
+  3: list<EngineUse> uses
+  4: list<ComingLoad> loads
+  // What the latest load from the weight store took that this entry asked for;
+  // 0: none lately.
+  5: i64 store_load_ms
 }
-struct UsageReport { 1: list<ModelUsage> models }
 
 // Operators' drain of one endpoint. Answered by DrainState.
 struct Drain {}
@@ -227,7 +240,6 @@
   20: optional DrainState drain_state
   21: optional ConfigPull config_pull
   22: optional ConfigParts config_parts
-  23: optional UsageReport usage_report
 }
 
 struct Frame {
--- a/src/crash/quarantine_store.cc
+++ b/src/crash/quarantine_store.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kPrefix = "quarantine/";
 /** Changes of one crash come together: they are gathered for this long. */
 constexpr core::Millis kGather{50};
 /** Without a change, the writer looks whether it has to stop this often. */
@@ -22,12 +21,12 @@
 constexpr std::chrono::hours kKeptFor{7 * 24};
 
 std::string KeyOf(std::int64_t fingerprint) {
-  return std::string(kPrefix) + std::to_string(fingerprint);
+  return std::string(kQuarantinePrefix) + std::to_string(fingerprint);
 }
 
 std::optional<std::int64_t> FingerprintIn(std::string_view key) {
-  if (!key.starts_with(kPrefix)) return std::nullopt;
-  key.remove_prefix(kPrefix.size());
+  if (!key.starts_with(kQuarantinePrefix)) return std::nullopt;
+  key.remove_prefix(kQuarantinePrefix.size());
   std::int64_t fingerprint = 0;
   const auto [end, ec] =
       std::from_chars(key.data(), key.data() + key.size(), fingerprint);
@@ -53,6 +52,10 @@
 void QuarantineStore::Start() {
   core::Spawn(executor_, log_, "quarantine_follow",
               [self = shared_from_this()] { return self->Follow(); });
+  StartWriting();
+}
+
+void QuarantineStore::StartWriting() {
   core::Spawn(executor_, log_, "quarantine_flush",
               [self = shared_from_this()] { return self->Flush(); });
 }
@@ -96,13 +99,19 @@
 }
 
 core::Task<std::int64_t> QuarantineStore::ReadAll() {
-  const std::set<std::int64_t> known = quarantine_->Fingerprints();
   // Failure: watching from revision 0 when nothing is kept yet asks for history
   // that the store has dropped; it says so, and all is read again, for ever.
   const external::KvSnapshot snapshot =
-      co_await store_.Snapshot(std::string(kPrefix));
+      co_await store_.Snapshot(std::string(kQuarantinePrefix));
+  TakeListing(snapshot.entries);
+  co_return snapshot.revision;
+}
+
+void QuarantineStore::TakeListing(
+    const std::vector<external::KvEntry>& entries) {
+  const std::set<std::int64_t> known = quarantine_->Fingerprints();
   std::set<std::int64_t> listed;
-  for (const external::KvEntry& entry : snapshot.entries) {
+  for (const external::KvEntry& entry : entries) {
     TakeEntry(entry.key, entry.value);
     if (const auto it = FingerprintIn(entry.key)) listed.insert(*it);
   }
@@ -112,8 +121,10 @@
     if (listed.contains(fingerprint) || IsDirty(fingerprint)) continue;
     quarantine_->Drop(fingerprint);
   }
-  co_await DeleteExpired(snapshot.entries);
-  co_return snapshot.revision;
+  core::Spawn(executor_, log_, "quarantine_expire",
+              [self = shared_from_this(), entries] {
+                return self->DeleteExpired(entries);
+              });
 }
 
 core::Task<> QuarantineStore::DeleteExpired(
@@ -132,7 +143,7 @@
 core::Task<> QuarantineStore::WatchFrom(std::int64_t revision) {
   while (!stopped_) {
     const external::WatchBatch batch = co_await store_.Watch(
-        std::string(kPrefix), revision, timing_.watch_wait);
+        std::string(kQuarantinePrefix), revision, timing_.watch_wait);
     // Failure: the watch skipped changes. It says so; all is read again.
     if (batch.gap) co_return;
     for (const external::KvEvent& event : batch.events) TakeEvent(event);
--- a/src/crash/quarantine_store_base.h
+++ b/src/crash/quarantine_store_base.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock_base.h"
@@ -20,6 +21,9 @@
 
 namespace sapphire::crash {
 
+/** Keys of all entries. */
+inline constexpr std::string_view kQuarantinePrefix = "quarantine/";
+
 /** How the store's entries are followed. */
 struct QuarantineTiming {
   /** How long a watch waits for a change. */
@@ -43,8 +47,16 @@
 
   /** Begins to follow and to write. */
   void Start();
+  /** Begins to write; what is to be followed is given from outside. */
+  void StartWriting();
   void Stop();
 
+  /** These are all entries under kQuarantinePrefix. */
+  void TakeListing(const std::vector<external::KvEntry>& entries);
+
+  /** An entry under kQuarantinePrefix has changed. */
+  void TakeEvent(const external::KvEvent& event);
+
   /** Says that a fingerprint's crashes changed here. */
   void NoteChanged(std::int64_t fingerprint);
 
@@ -56,7 +68,6 @@
   core::Task<> Follow();
   core::Task<std::int64_t> ReadAll();
   core::Task<> WatchFrom(std::int64_t revision);
-  void TakeEvent(const external::KvEvent& event);
   void TakeEntry(const std::string& key, const std::string& value);
   core::Task<> Flush();
   core::Task<bool> SaveOne(std::int64_t fingerprint);
--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -55,9 +56,13 @@
 
   /** Ends all leases: what was written under one is gone. */
   void LapseLeases() {
-    std::erase_if(entries_, [](const auto& item) {
-      return item.first.starts_with("plans/");
+    lease_alive_ = false;
+    std::erase_if(entries_, [this](const auto& item) {
+      return leased_.contains(item.first);
     });
+    for (const std::string& key : std::exchange(leased_, {})) {
+      history_.push_back({key, std::nullopt, ++revision_});
+    }
   }
 
   [[nodiscard]] std::optional<external::KvEntry> Peek(
@@ -97,8 +102,9 @@
   core::Task<external::CasResult> CompareAndSwap(std::string key,
                                                  std::int64_t expected,
                                                  std::string value,
-                                                 std::string) override {
+                                                 std::string lease) override {
     co_await Step();
+    if (!lease.empty()) leased_.insert(key);
     if (key == "config/head" && !head_faults.empty()) {
       if (down_after_fault) down = true;
       const WriteFault fault = head_faults.front();
@@ -128,12 +134,13 @@
   core::Task<external::KvLease> GrantLease(
       std::chrono::milliseconds time_to_live) override {
     co_await Step();
+    lease_alive_ = true;
     co_return external::KvLease{"lease", time_to_live};
   }
 
   core::Task<bool> KeepAlive(std::string) override {
     co_await Step();
-    co_return true;
+    co_return lease_alive_;
   }
 
   core::Task<external::WatchBatch> Watch(
@@ -198,6 +205,9 @@
   std::map<std::string, external::KvEntry> entries_;
   std::vector<external::KvEvent> history_;
   std::vector<LateWrite> late_;
+  /** Keys that were written under a lease. */
+  std::set<std::string> leased_;
+  bool lease_alive_ = true;
   std::int64_t revision_ = 0;
 };
 
--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -2,6 +2,7 @@
  * went. */
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "core/random_func.h"
 #include "fleet/engine_loads_base.h"
@@ -18,11 +19,18 @@
 /** An engine that took no connection is tried again after this: a crashed one
  * is back after some seconds. */
 constexpr std::chrono::milliseconds kTryAgain{1000};
-/** Reports of endpoints are behind their engines by this much at most. */
-constexpr std::chrono::milliseconds kReportLag{400};
+/** Engines' entries are behind them by this much at most: they write every
+ * second or so, and what follows the store gathers as long. */
+constexpr std::chrono::milliseconds kEntryLag{2500};
 /** Prompt parts remembered an engine; each costs some 100 bytes. */
 constexpr std::size_t kMaxPrefixes = 512;
 
+/** A request for an adapter uses its model too. */
+std::vector<UsedPart> PartsOf(const UsedPart& part) {
+  if (part.adapter.empty()) return {part};
+  return {part, UsedPart{part.model, core::AdapterId()}};
+}
+
 std::uint64_t PrefixKey(const core::ModelId& model, std::uint64_t part) {
   return core::HashOf(model.value(), part);
 }
@@ -32,34 +40,37 @@
 EngineLoads::EngineLoads(const core::Clock& clock) : clock_(clock) {}
 
 SendTicket EngineLoads::Begin(const InstanceId& instance,
-                              const SentPart& part) {
-  Load& load = loads_[instance];
+                              const UsedPart& part) {
+  Load& load = At(instance);
   SendTicket ticket{instance, next_number_++};
   const core::SteadyTime now = clock_.Now();
   load.sent[ticket.number] = Sent{part, now, false, now};
-  Part& counts = load.parts[part];
-  ++counts.running;
-  ++counts.begun;
+  for (const UsedPart& it : PartsOf(part)) {
+    load.usage.NoteBegun(it);
+    load.usage.AddRunning(it, 1);
+  }
   return ticket;
 }
 
 void EngineLoads::NoteAnswer(const SendTicket& ticket) {
-  Load& load = loads_[ticket.instance];
+  Load& load = At(ticket.instance);
   const auto it = load.sent.find(ticket.number);
   if (it != load.sent.end()) it->second.answered = true;
 }
 
 void EngineLoads::NoteHeard(const SendTicket& ticket) {
-  Load& load = loads_[ticket.instance];
+  Load& load = At(ticket.instance);
   const auto it = load.sent.find(ticket.number);
   if (it != load.sent.end()) it->second.heard = clock_.Now();
 }
 
 void EngineLoads::End(const SendTicket& ticket, SendResult result) {
-  Load& load = loads_[ticket.instance];
+  Load& load = At(ticket.instance);
   const auto it = load.sent.find(ticket.number);
   if (it == load.sent.end()) return;
-  --load.parts[it->second.part].running;
+  for (const UsedPart& part : PartsOf(it->second.part)) {
+    load.usage.AddRunning(part, -1);
+  }
   load.sent.erase(it);
   if (result == SendResult::kAbandoned || result == SendResult::kRefused) {
     return;
@@ -103,7 +114,7 @@
 }
 
 void EngineLoads::NoteUnreachable(const InstanceId& instance) {
-  loads_[instance].unreachable = clock_.Now();
+  At(instance).unreachable = clock_.Now();
 }
 
 bool EngineLoads::Unreachable(const InstanceId& instance) const {
@@ -113,23 +124,42 @@
 }
 
 void EngineLoads::NoteLacking(const InstanceId& instance,
-                              const SentPart& part) {
-  loads_[instance].lacking[part] = clock_.Now();
+                              const UsedPart& part) {
+  Load& load = At(instance);
+  load.lacking[part] = clock_.Now();
+  load.loaded.erase(part);
+}
+
+void EngineLoads::NoteLoaded(const InstanceId& instance, const UsedPart& part) {
+  Load& load = At(instance);
+  for (const UsedPart& it : PartsOf(part)) {
+    load.loaded[it] = clock_.Now();
+    load.lacking.erase(it);
+  }
+}
+
+bool EngineLoads::HasLoaded(const InstanceId& instance,
+                            const UsedPart& part) const {
+  const auto it = loads_.find(instance);
+  if (it == loads_.end()) return false;
+  const auto loaded = it->second.loaded.find(part);
+  if (loaded == it->second.loaded.end()) return false;
+  return clock_.Now() - loaded->second < kEntryLag;
 }
 
 bool EngineLoads::Lacks(const InstanceId& instance,
-                        const SentPart& part) const {
+                        const UsedPart& part) const {
   const auto it = loads_.find(instance);
   if (it == loads_.end()) return false;
   const auto lacking = it->second.lacking.find(part);
   if (lacking == it->second.lacking.end()) return false;
-  return clock_.Now() - lacking->second < kReportLag;
+  return clock_.Now() - lacking->second < kEntryLag;
 }
 
 void EngineLoads::NotePrefix(const InstanceId& instance,
                              const core::ModelId& model,
                              const std::vector<std::uint64_t>& part_hashes) {
-  Load& load = loads_[instance];
+  Load& load = At(instance);
   for (const std::uint64_t part : part_hashes) {
     const std::uint64_t key = PrefixKey(model, part);
     if (!load.prefixes.contains(key)) load.prefix_order.push_back(key);
@@ -153,27 +183,24 @@
   return static_cast<std::size_t>(unknown - part_hashes.begin());
 }
 
-gen::UsageReport EngineLoads::UsageOf(const InstanceId& instance) const {
-  gen::UsageReport report;
+Usage EngineLoads::UseOf(const InstanceId& instance,
+                         const UsedPart& part) const {
   const auto it = loads_.find(instance);
-  if (it == loads_.end()) return report;
-  std::map<SentPart, Part> parts = it->second.parts;
-  for (const auto& [part, counts] : it->second.parts) {
-    if (part.adapter.empty()) continue;
-    // A request for an adapter uses its model too.
-    Part& model = parts[SentPart{part.model, core::AdapterId()}];
-    model.running += counts.running;
-    model.begun += counts.begun;
-  }
-  for (const auto& [part, counts] : parts) {
-    gen::ModelUsage usage;
-    usage.model = part.model.value();
-    usage.adapter = part.adapter.value();
-    usage.running = counts.running;
-    usage.begun = counts.begun;
-    report.models.push_back(std::move(usage));
+  return it == loads_.end() ? Usage() : it->second.usage.Of(part);
+}
+
+std::map<InstanceId, UsageTable> EngineLoads::RecentUse(
+    std::chrono::milliseconds time) const {
+  std::map<InstanceId, UsageTable> uses;
+  for (const auto& [instance, load] : loads_) {
+    UsageTable table = load.usage.Recent(time);
+    if (!table.empty()) uses.emplace(instance, std::move(table));
   }
-  return report;
+  return uses;
+}
+
+EngineLoads::Load& EngineLoads::At(const InstanceId& instance) {
+  return loads_.try_emplace(instance, clock_).first->second;
 }
 
 void EngineLoads::Forget(const std::set<InstanceId>& alive) {
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -9,12 +9,12 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "core/clock_base.h"
 #include "fleet/engine_type.h"
-#include "gen/link_types.h"
+#include "fleet/model_usage_base.h"
+#include "fleet/usage_type.h"
 
 namespace sapphire::fleet {
 
@@ -26,16 +26,6 @@
   kAbandoned,  ///< Ended from our side: the caller left or time ran out.
 };
 
-/** What is sent: a model and adapter, both empty for a plain service. */
-struct SentPart {
-  core::ModelId model;
-  core::AdapterId adapter;
-
-  friend bool operator<(const SentPart& a, const SentPart& b) {
-    return std::tie(a.model, a.adapter) < std::tie(b.model, b.adapter);
-  }
-};
-
 /** One request at an engine. */
 struct SendTicket {
   InstanceId instance;
@@ -48,7 +38,7 @@
   /** @pre `clock` outlives it. */
   explicit EngineLoads(const core::Clock& clock);
 
-  SendTicket Begin(const InstanceId& instance, const SentPart& part);
+  SendTicket Begin(const InstanceId& instance, const UsedPart& part);
   /** The first byte of the answer has come. */
   void NoteAnswer(const SendTicket& ticket);
   /** A part of the answer has come. */
@@ -79,12 +69,23 @@
   /** @return True if it was so a moment ago: no sense in trying at once. */
   [[nodiscard]] bool Unreachable(const InstanceId& instance) const;
 
+  /** @return What this entry itself uses there. */
+  [[nodiscard]] Usage UseOf(const InstanceId& instance,
+                            const UsedPart& part) const;
+
   /** The engine said that it does not hold this. */
-  void NoteLacking(const InstanceId& instance, const SentPart& part);
+  void NoteLacking(const InstanceId& instance, const UsedPart& part);
+
+  /** The engine has loaded it. */
+  void NoteLoaded(const InstanceId& instance, const UsedPart& part);
 
-  /** @return True if it was so a moment ago: reports are behind it. */
+  /** @return True if it was so a moment ago: its entry is behind it. */
+  [[nodiscard]] bool HasLoaded(const InstanceId& instance,
+                               const UsedPart& part) const;
+
+  /** @return True if it was so a moment ago: its entry is behind it. */
   [[nodiscard]] bool Lacks(const InstanceId& instance,
-                           const SentPart& part) const;
+                           const UsedPart& part) const;
 
   /** Notes the prompt parts that an engine has read, newest last. */
   void NotePrefix(const InstanceId& instance, const core::ModelId& model,
@@ -95,29 +96,29 @@
       const InstanceId& instance, const core::ModelId& model,
       const std::vector<std::uint64_t>& part_hashes) const;
 
-  /** @return What an endpoint is told of the use of its engine. */
-  [[nodiscard]] gen::UsageReport UsageOf(const InstanceId& instance) const;
+  /** @return What is in progress from here, or began within `time`. */
+  [[nodiscard]] std::map<InstanceId, UsageTable> RecentUse(
+      std::chrono::milliseconds time) const;
 
   /** Forgets engines that are not in `alive` and have nothing in progress. */
   void Forget(const std::set<InstanceId>& alive);
 
  private:
   struct Sent {
-    SentPart part;
+    UsedPart part;
     core::SteadyTime at;
     bool answered = false;
     /** When the last part came; its begin before that. */
     core::SteadyTime heard;
   };
-  struct Part {
-    int running = 0;
-    std::int64_t begun = 0;
-  };
   struct Load {
+    explicit Load(const core::Clock& clock) : usage(clock) {}
+
     std::map<std::int64_t, Sent> sent;
-    std::map<SentPart, Part> parts;
+    ModelUsage usage;
     std::optional<core::SteadyTime> unreachable;
-    std::map<SentPart, core::SteadyTime> lacking;
+    std::map<UsedPart, core::SteadyTime> lacking;
+    std::map<UsedPart, core::SteadyTime> loaded;
     double failure_rate = 0;
     core::SteadyTime last_result;
     /** Hashes of model and prompt parts read there, and when. */
@@ -125,6 +126,8 @@
     std::deque<std::uint64_t> prefix_order;
   };
 
+  Load& At(const InstanceId& instance);
+
   const core::Clock& clock_;
   std::map<InstanceId, Load> loads_;
   std::int64_t next_number_ = 1;
--- /dev/null
+++ b/src/fleet/entry_board.cc
@@ -0,0 +1,229 @@
+/** @file entry_board.cc What the entries tell each other of the engines. */
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "fleet/entry_board_base.h"
+#include "fleet/entry_message_func.h"
+
+namespace sapphire::fleet {
+
+using core::LogCategory;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Entries that are assumed to share a limit until all have been heard of: more
+ * than a small site has, so that the limit holds meanwhile. */
+constexpr int kAssumedEntries = 8;
+constexpr std::chrono::seconds kAllHeardOf{5};
+/**
+ * An entry whose presence is gone counts among those that share a limit for
+ * this long. The failure met: the store is away, leases lapse with it, and
+ * right after its return each entry takes the whole limit for itself.
+ */
+constexpr std::chrono::seconds kCountedOn{15};
+/** What an entry had in progress is over if it is silent for longer: streams
+ * last seconds, and in the largest fleets an entry is heard of every few. */
+constexpr std::chrono::seconds kSilent{15};
+/** A load that is overdue by this is not counted on. */
+constexpr milliseconds kOverdue{1000};
+/** How long the time of a load from the weight store tells of the next. */
+constexpr std::chrono::seconds kStoreLoadFresh{15};
+/** A demand below this, requests a second, is none. */
+constexpr double kNoDemand = 0.001;
+
+}  // namespace
+
+EntryBoard::EntryBoard(std::string self, const EngineLoads& loads,
+                       const core::Clock& clock, const core::Logger& log)
+    : self_(std::move(self)),
+      loads_(loads),
+      clock_(clock),
+      log_(log),
+      began_(clock.Now()) {}
+
+void EntryBoard::SetEntries(
+    const std::map<std::string, gen::EntryPresence>& entries) {
+  std::vector<std::string> missing;
+  for (const auto& [entry, state] : entries_) {
+    if (!entries.contains(entry)) missing.push_back(entry);
+  }
+  for (const std::string& it : missing) RemoveEntry(it);
+  for (const auto& [entry, presence] : entries) PutEntry(entry, presence);
+}
+
+void EntryBoard::PutEntry(const std::string& entry,
+                          const gen::EntryPresence& presence) {
+  if (entry == self_) return;
+  const auto [it, is_new] = entries_.try_emplace(entry);
+  it->second.presence = presence;
+  if (!is_new) return;
+  gone_.erase(entry);
+  log_.Event(LogLevel::kInfo, LogCategory::kLink, "entry_known",
+             {{"entry", entry},
+              {"address", presence.address},
+              {"entries", entries()}});
+}
+
+void EntryBoard::RemoveEntry(const std::string& entry) {
+  const auto it = entries_.find(entry);
+  if (it == entries_.end()) return;
+  ClearRunning(it->second);
+  EraseLoads(entry);
+  entries_.erase(it);
+  gone_[entry] = clock_.Now();
+  log_.Event(LogLevel::kInfo, LogCategory::kLink, "entry_gone",
+             {{"entry", entry}, {"entries", entries()}});
+}
+
+void EntryBoard::Take(const gen::EntryRecord& record) {
+  const auto it = entries_.find(record.entry);
+  if (it == entries_.end() || record.number <= it->second.number) return;
+  EntryState& state = it->second;
+  state.number = record.number;
+  state.at = clock_.Now();
+  state.store_load = milliseconds(record.store_load_ms);
+  TakeShares(record, state);
+  TakeLoads(record);
+}
+
+/** What the record does not name is not in progress; its demand fades. */
+void EntryBoard::TakeShares(const gen::EntryRecord& record, EntryState& state) {
+  ClearRunning(state);
+  const core::SteadyTime now = clock_.Now();
+  for (const gen::EngineUse& use : record.uses) {
+    for (const gen::ResidentUse& it : use.parts) {
+      SetShare(state, {InstanceId(use.engine_instance), PartOf(it)},
+               ReadUse(it, now));
+    }
+  }
+  std::erase_if(state.shares, [now](const auto& it) {
+    const Share& share = it.second;
+    return share.running == 0 &&
+           DecayedDemand(share.demand, now - share.at) < kNoDemand;
+  });
+}
+
+void EntryBoard::SetShare(EntryState& state, const EnginePart& part,
+                          const Usage& usage) {
+  const core::SteadyTime now = clock_.Now();
+  Share& share = state.shares[part];
+  ModelUsage& sum = UsageAt(part.first);
+  sum.AddRunning(part.second, usage.running - share.running);
+  sum.AddDemand(part.second,
+                usage.demand - DecayedDemand(share.demand, now - share.at));
+  if (usage.last_begun) sum.NoteLastBegun(part.second, *usage.last_begun);
+  share = Share{usage.running, usage.demand, now};
+}
+
+void EntryBoard::ClearRunning(EntryState& state) {
+  for (auto& [part, share] : state.shares) {
+    if (share.running == 0) continue;
+    UsageAt(part.first).AddRunning(part.second, -share.running);
+    share.running = 0;
+  }
+}
+
+void EntryBoard::TakeLoads(const gen::EntryRecord& record) {
+  EraseLoads(record.entry);
+  const core::SteadyTime now = clock_.Now();
+  for (const gen::ComingLoad& it : record.loads) {
+    const InstanceId instance(it.engine_instance);
+    loads_at_[instance][record.entry].push_back(
+        {instance, core::ModelId(it.model), now + milliseconds(it.ready_in_ms),
+         it.from_weight_store});
+  }
+}
+
+void EntryBoard::SetOwnLoads(std::vector<ComingLoad> loads) {
+  EraseLoads(self_);
+  for (ComingLoad& it : loads) {
+    loads_at_[it.instance][self_].push_back(std::move(it));
+  }
+}
+
+void EntryBoard::EraseLoads(const std::string& entry) {
+  for (auto& [instance, by_entry] : loads_at_) by_entry.erase(entry);
+  std::erase_if(loads_at_, [](const auto& it) { return it.second.empty(); });
+}
+
+void EntryBoard::Forget(const std::set<InstanceId>& alive) {
+  const core::SteadyTime now = clock_.Now();
+  for (auto& [entry, state] : entries_) {
+    if (now - state.at < kSilent) continue;
+    ClearRunning(state);
+    EraseLoads(entry);
+  }
+  std::erase_if(engines_, [&alive](const auto& it) {
+    return !alive.contains(it.first) && it.second.running() == 0;
+  });
+  std::erase_if(
+      gone_, [now](const auto& it) { return now - it.second >= kCountedOn; });
+}
+
+int EntryBoard::entries() const {
+  const core::SteadyTime now = clock_.Now();
+  const auto just_gone = std::ranges::count_if(
+      gone_, [now](const auto& it) { return now - it.second < kCountedOn; });
+  const int known =
+      1 + static_cast<int>(entries_.size()) + static_cast<int>(just_gone);
+  return now - began_ < kAllHeardOf ? std::max(known, kAssumedEntries) : known;
+}
+
+std::vector<std::string> EntryBoard::Addresses() const {
+  std::vector<std::string> addresses;
+  addresses.reserve(entries_.size());
+  for (const auto& [entry, state] : entries_) {
+    addresses.push_back(state.presence.address);
+  }
+  return addresses;
+}
+
+int EntryBoard::Running(const InstanceId& instance) const {
+  const auto it = engines_.find(instance);
+  const int others = it == engines_.end() ? 0 : it->second.running();
+  return others + loads_.Running(instance);
+}
+
+Usage EntryBoard::UseOf(const InstanceId& instance,
+                        const UsedPart& part) const {
+  Usage usage = loads_.UseOf(instance, part);
+  const auto it = engines_.find(instance);
+  if (it == engines_.end()) return usage;
+  const Usage others = it->second.Of(part);
+  usage.running += others.running;
+  usage.demand += others.demand;
+  usage.last_begun = std::max(usage.last_begun, others.last_begun);
+  return usage;
+}
+
+std::vector<ComingLoad> EntryBoard::ComingAt(const InstanceId& instance) const {
+  std::vector<ComingLoad> coming;
+  const auto loads = loads_at_.find(instance);
+  if (loads == loads_at_.end()) return coming;
+  const core::SteadyTime now = clock_.Now();
+  for (const auto& [entry, of_entry] : loads->second) {
+    std::ranges::copy_if(
+        of_entry, std::back_inserter(coming),
+        [now](const ComingLoad& it) { return now < it.ready + kOverdue; });
+  }
+  return coming;
+}
+
+milliseconds EntryBoard::StoreLoadTime() const {
+  milliseconds longest{0};
+  const core::SteadyTime now = clock_.Now();
+  for (const auto& [entry, state] : entries_) {
+    if (now - state.at > kStoreLoadFresh) continue;
+    longest = std::max(longest, state.store_load);
+  }
+  return longest;
+}
+
+ModelUsage& EntryBoard::UsageAt(const InstanceId& instance) {
+  return engines_.try_emplace(instance, clock_).first->second;
+}
+
+}  // namespace sapphire::fleet
--- /dev/null
+++ b/src/fleet/entry_board_test.cc
@@ -0,0 +1,187 @@
+/** @file entry_board_test.cc Tests of what entries tell each other. */
+#define BOOST_TEST_MODULE entry_board
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+
+#include "core/error_type.h"
+#include "fleet/entry_board_base.h"
+#include "fleet/entry_message_func.h"
+
+namespace sapphire::fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const InstanceId kEngine("i-1");
+const UsedPart kModel{core::ModelId("m"), core::AdapterId()};
+const UsedPart kAdapter{core::ModelId("m"), core::AdapterId("a1")};
+
+/** A board, and other entries that tell it. */
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock),
+        loads(clock),
+        board("self", loads, clock, log) {}
+
+  void Know(const std::string& entry) {
+    gen::EntryPresence presence;
+    presence.address = entry + ":1";
+    board.PutEntry(entry, presence);
+  }
+
+  /** An entry tells of its use of the model at the engine. */
+  void Tell(const std::string& entry, std::int64_t number, int running,
+            double demand) {
+    Usage usage;
+    usage.running = running;
+    usage.demand = demand;
+    usage.last_begun = clock.Now();
+    gen::EngineUse use;
+    use.engine_instance = kEngine.value();
+    use.parts.push_back(TellUse(kModel, usage, clock.Now()));
+    gen::EntryRecord record;
+    record.entry = entry;
+    record.number = number;
+    record.uses.push_back(use);
+    board.Take(record);
+  }
+
+  /** An entry tells that it uses nothing. */
+  void TellNothing(const std::string& entry, std::int64_t number) {
+    gen::EntryRecord record;
+    record.entry = entry;
+    record.number = number;
+    board.Take(record);
+  }
+
+  core::ManualClock clock;
+  core::Logger log;
+  EngineLoads loads;
+  EntryBoard board;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(UseOfAllEntriesAddsUp) {
+  Rig rig;
+  rig.Know("b");
+  rig.Know("c");
+  rig.Tell("b", 1, 2, 0.5);
+  rig.Tell("c", 1, 3, 1.0);
+  rig.loads.Begin(kEngine, kAdapter);
+  BOOST_TEST(rig.board.Running(kEngine) == 6);
+  const Usage usage = rig.board.UseOf(kEngine, kModel);
+  // A request for an adapter uses its model too.
+  BOOST_TEST(usage.running == 6);
+  BOOST_TEST(usage.demand > 1.5);
+  BOOST_TEST(rig.board.UseOf(kEngine, kAdapter).running == 1);
+}
+
+/**
+ * An engine looks busier with each second, and nobody is sent there any more.
+ * Each record says all that its entry has in progress: a later one replaces it,
+ * one that comes twice or out of turn counts nothing.
+ */
+BOOST_AUTO_TEST_CASE(ARecordReplacesTheOneBefore) {
+  Rig rig;
+  rig.Know("b");
+  rig.Tell("b", 1, 2, 0.5);
+  rig.Tell("b", 3, 1, 0.4);
+  rig.Tell("b", 3, 1, 0.4);
+  rig.Tell("b", 2, 9, 9.0);
+  BOOST_TEST(rig.board.Running(kEngine) == 1);
+  BOOST_TEST(rig.board.UseOf(kEngine, kModel).demand < 0.41);
+  rig.TellNothing("b", 4);
+  BOOST_TEST(rig.board.Running(kEngine) == 0);
+  // Demand fades, as no request has to be in progress for it.
+  BOOST_TEST(rig.board.UseOf(kEngine, kModel).demand > 0.39);
+  rig.clock.Advance(std::chrono::seconds(60));
+  BOOST_TEST(rig.board.UseOf(kEngine, kModel).demand < 0.01);
+}
+
+/**
+ * An engine looks busy for good though it is idle.
+ * An entry was killed, or is cut off, with streams in progress there.
+ */
+BOOST_AUTO_TEST_CASE(WhatAnEntryThatIsGoneHadInProgressIsOver) {
+  Rig rig;
+  rig.Know("b");
+  rig.Know("c");
+  rig.Tell("b", 1, 2, 0.5);
+  rig.Tell("c", 1, 4, 0.5);
+  rig.board.RemoveEntry("b");
+  BOOST_TEST(rig.board.Running(kEngine) == 4);
+  rig.clock.Advance(std::chrono::seconds(16));
+  rig.board.Forget({kEngine});
+  BOOST_TEST(rig.board.Running(kEngine) == 0);
+}
+
+/** Whoever is not in the store's list may be of another deployment. */
+BOOST_AUTO_TEST_CASE(ARecordOfAStrangerCountsNothing) {
+  Rig rig;
+  rig.Tell("stranger", 1, 5, 1.0);
+  BOOST_TEST(rig.board.Running(kEngine) == 0);
+}
+
+/**
+ * A service gets more repeats than operators allow, right after the store is
+ * back. All leases lapsed with it, so each entry saw itself alone and took the
+ * whole limit.
+ */
+BOOST_AUTO_TEST_CASE(EntriesThatLapsedWithTheStoreShareTheLimitOn) {
+  Rig rig;
+  rig.clock.Advance(std::chrono::seconds(10));
+  for (int i = 0; i < 9; ++i) rig.Know("e" + std::to_string(i));
+  BOOST_TEST(rig.board.entries() == 10);
+  rig.board.SetEntries({});
+  BOOST_TEST(rig.board.entries() == 10);
+  rig.clock.Advance(std::chrono::seconds(16));
+  BOOST_TEST(rig.board.entries() == 1);
+}
+
+/** Right after a start nobody has been heard of: a few are assumed. */
+BOOST_AUTO_TEST_CASE(AnEntryThatHasJustStartedIsNotAlone) {
+  Rig rig;
+  BOOST_TEST(rig.board.entries() > 4);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsOfOtherEntriesAreCountedUntilTheyAreOverdue) {
+  Rig rig;
+  rig.Know("b");
+  gen::ComingLoad load;
+  load.engine_instance = kEngine.value();
+  load.model = "m";
+  load.ready_in_ms = 2000;
+  gen::EntryRecord record;
+  record.entry = "b";
+  record.number = 1;
+  record.loads.push_back(load);
+  rig.board.Take(record);
+  BOOST_TEST(rig.board.ComingAt(kEngine).size() == 1);
+  rig.clock.Advance(milliseconds(3500));
+  BOOST_TEST(rig.board.ComingAt(kEngine).empty());
+}
+
+/** Datagrams come from anybody: what is no record ends no process. */
+BOOST_AUTO_TEST_CASE(BytesThatAreNoRecordAreRefused) {
+  gen::EntryRecord record;
+  record.entry = "entries/vm@1";
+  record.number = 7;
+  BOOST_TEST(DecodeRecord(Encode(record)).number == 7);
+  BOOST_CHECK_THROW(DecodeRecord("GET / HTTP/1.1"), core::Error);
+  BOOST_CHECK_THROW(DecodeRecord(""), core::Error);
+}
+
+/** Nothing is sent to an address that can't be one. */
+BOOST_AUTO_TEST_CASE(APresenceWithoutAnAddressIsRefused) {
+  gen::EntryPresence presence;
+  presence.address = "10.0.0.1:7380";
+  BOOST_TEST(DecodePresence(Encode(presence)).address == "10.0.0.1:7380");
+  presence.address = "nowhere";
+  BOOST_CHECK_THROW(DecodePresence(Encode(presence)), core::Error);
+}
+
+}  // namespace sapphire::fleet
--- /dev/null
+++ b/src/fleet/entry_message.cc
@@ -0,0 +1,104 @@
+/** @file entry_message.cc What entries tell each other, as bytes. */
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+
+#include "core/address_func.h"
+#include "core/error_type.h"
+#include "fleet/entry_message_func.h"
+
+namespace sapphire::fleet {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr double kPerThousandSeconds = 1000;
+/** Told of a part of which no use is known. */
+constexpr std::int64_t kNeverUsed = -1;
+
+template <typename T>
+std::string EncodeAny(const T& message) {
+  const auto buf = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buf);
+  message.write(&protocol);
+  return buf->getBufferAsString();
+}
+
+template <typename T>
+T DecodeAny(std::string_view bytes) {
+  // TMemoryBuffer takes a mutable pointer, but only reads in OBSERVE mode.
+  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+  const auto buf = std::make_shared<TMemoryBuffer>(
+      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+  TCompactProtocol protocol(buf);
+  T message;
+  try {
+    message.read(&protocol);
+  } catch (const apache::thrift::TException& e) {
+    throw core::Error(core::ErrorCode::kMalformedRequest,
+                      std::string("message of an entry: ") + e.what());
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string Encode(const gen::EntryPresence& presence) {
+  return EncodeAny(presence);
+}
+
+std::string Encode(const gen::EntryRecord& record) { return EncodeAny(record); }
+
+gen::EntryPresence DecodePresence(std::string_view bytes) {
+  gen::EntryPresence presence = DecodeAny<gen::EntryPresence>(bytes);
+  core::ParseAddress(presence.address);
+  return presence;
+}
+
+gen::EntryRecord DecodeRecord(std::string_view bytes) {
+  gen::EntryRecord record = DecodeAny<gen::EntryRecord>(bytes);
+  // Some bytes that are no record read as one without any field.
+  if (record.entry.empty()) {
+    throw core::Error(core::ErrorCode::kMalformedRequest,
+                      "message of an entry: names no entry");
+  }
+  return record;
+}
+
+gen::ResidentUse TellUse(const UsedPart& part, const Usage& usage,
+                         core::SteadyTime now) {
+  gen::ResidentUse told;
+  told.model = part.model.value();
+  told.adapter = part.adapter.value();
+  told.running = usage.running;
+  told.demand_per_1000_s =
+      static_cast<std::int64_t>(usage.demand * kPerThousandSeconds);
+  told.idle_ms = kNeverUsed;
+  if (usage.last_begun) {
+    const auto idle =
+        std::chrono::duration_cast<milliseconds>(now - *usage.last_begun);
+    told.idle_ms = idle.count();
+  }
+  return told;
+}
+
+Usage ReadUse(const gen::ResidentUse& told, core::SteadyTime now) {
+  Usage usage;
+  usage.running = std::max(told.running, 0);
+  usage.demand =
+      static_cast<double>(told.demand_per_1000_s) / kPerThousandSeconds;
+  if (told.idle_ms >= 0) usage.last_begun = now - milliseconds(told.idle_ms);
+  return usage;
+}
+
+UsedPart PartOf(const gen::ResidentUse& told) {
+  return {core::ModelId(told.model), core::AdapterId(told.adapter)};
+}
+
+}  // namespace sapphire::fleet
--- a/src/link/connection.cc
+++ b/src/link/connection.cc
@@ -60,7 +60,9 @@
 
 Connection::Connection(std::shared_ptr<NodeContext> context,
                        asio::ip::tcp::socket socket)
-    : context_(std::move(context)), socket_(std::move(socket)) {}
+    : context_(std::move(context)),
+      socket_(std::move(socket)),
+      last_call_(context_->clock.Now()) {}
 
 Task<> Connection::Start() {
   const auto self = shared_from_this();
@@ -224,6 +226,10 @@
       Close(LinkLost("the peer is silent"));
       break;
     }
+    if (IsIdle()) {
+      Close(LinkLost("no call for long"));
+      break;
+    }
     SendHeartbeat();
   }
 }
@@ -237,6 +243,13 @@
   return context_->clock.Now() - last > context_->options.dead_after;
 }
 
+bool Connection::IsIdle() const {
+  const core::Millis limit = context_->options.idle_close;
+  if (limit.count() == 0) return false;
+  const std::lock_guard lock(mutex_);
+  return calls_.empty() && context_->clock.Now() - last_call_ > limit;
+}
+
 void Connection::SendHeartbeat() {
   gen::Message message;
   message.__set_heartbeat(gen::Heartbeat());
@@ -262,6 +275,7 @@
 void Connection::Forget(const CallKey& key) {
   const std::lock_guard lock(mutex_);
   calls_.erase(key);
+  last_call_ = context_->clock.Now();
 }
 
 PeerInfo Connection::peer() const {
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -91,6 +91,7 @@
   void Dispatch(const CallKey& key, gen::Message message);
   void AcceptCall(const CallKey& key, gen::Message first);
   [[nodiscard]] bool PeerIsSilent() const;
+  [[nodiscard]] bool IsIdle() const;
 
   const std::shared_ptr<NodeContext> context_;
   boost::asio::ip::tcp::socket socket_;
@@ -103,6 +104,8 @@
   PeerInfo peer_;
   std::map<CallKey, std::shared_ptr<CallState>> calls_;
   std::int64_t next_call_ = 1;
+  /** When the last call ended; before that, when the link was made. */
+  core::SteadyTime last_call_;
   /** Newest call id taken from the peer. */
   std::int64_t newest_accepted_ = 0;
   std::string outgoing_;
--- a/src/link/link_test.cc
+++ b/src/link/link_test.cc
@@ -225,6 +225,39 @@
   BOOST_TEST((Run(FailureOf("stream", kLong)) == ErrorCode::kLeaving));
 }
 
+/**
+ * Entries and endpoints spend their time on heartbeats.
+ * Each entry asks each endpoint now and then, and every link once made stays:
+ * 100 entries before 160 engines beat 64,000 times a second. A link that
+ * nobody uses is closed, one with a call in progress stays, and the next call
+ * makes a new one.
+ */
+BOOST_FIXTURE_TEST_CASE(ALinkThatNobodyUsesIsClosed, Fixture) {
+  LinkOptions options = Options("asking");
+  options.idle_close = milliseconds(200);
+  LinkNode asking(
+      io.get_executor(), options,
+      [](std::shared_ptr<Call>, gen::Message) -> Task<> { co_return; },
+      NoVersions(), clock, log);
+  const auto ask = [&]() -> Task<int> {
+    const auto call = co_await asking.Open(address, RunMessage("stream", 1));
+    co_await call->Receive(kLong);
+    co_return 1;
+  };
+  BOOST_TEST(Run(ask()) == 1);
+  BOOST_TEST(Eventually([&] { return asking.Peers().empty(); }));
+  BOOST_TEST(Run(ask()) == 1);
+  const auto wait = [&]() -> Task<std::shared_ptr<Call>> {
+    co_return co_await asking.Open(address, RunMessage("wait"));
+  };
+  const std::shared_ptr<Call> held = Run(wait());
+  std::this_thread::sleep_for(milliseconds(600));
+  BOOST_TEST(asking.Peers().size() == 1);
+  held->Cancel();
+  BOOST_TEST(Eventually([&] { return asking.Peers().empty(); }));
+  asking.Close();
+}
+
 // Something that is no peer connects and sends rubbish, or a length of 4 GB.
 // It is closed; the node goes on.
 BOOST_FIXTURE_TEST_CASE(RubbishClosesOnlyItsOwnLink, Fixture) {
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -33,6 +33,10 @@
   /** Without a frame for this long a link counts as lost. */
   std::chrono::milliseconds dead_after{2000};
   std::chrono::milliseconds connect_timeout{1000};
+  /** A link without a call for this long is closed; 0: never. Processes that
+   * ask each other now and then keep no link for it: hundreds of them would
+   * send heartbeats to hundreds. */
+  std::chrono::milliseconds idle_close{0};
   /** Messages a sender may have outstanding on one call. */
   int window = 64;
   /** Longest frame accepted, bytes. */
--- a/src/orders/desk_metrics.cc
+++ b/src/orders/desk_metrics.cc
@@ -65,7 +65,6 @@
     state_->levels.Add({{"name", name}}).Set(static_cast<double>(value));
   };
   set("config_version", levels.config_version);
-  set("entries", levels.entries);
   set("engine_up", levels.engine_up);
   set("report_age_ms", levels.report_age.count());
   set("running", levels.running);
--- a/src/orders/desk_metrics_base.h
+++ b/src/orders/desk_metrics_base.h
@@ -16,8 +16,6 @@
 /** Levels read when the metrics are asked for. */
 struct DeskLevels {
   std::int64_t config_version = 0;
-  /** Entries that follow this endpoint. */
-  int entries = 0;
   bool engine_up = false;
   /** Age of the engine's last report. */
   std::chrono::milliseconds report_age{0};
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -41,14 +41,14 @@
              }),
       desk_(options_.desk, engine, store_, configuration_, metrics_, clock,
             log),
-      service_(EndpointServiceOptions(), desk_, executor, clock, log),
+      service_(desk_, clock),
       links_(
           executor, LinkOptionsOf(options_),
           [this](std::shared_ptr<link::Call> call, gen::Message first) {
             return service_.Answer(std::move(call), std::move(first));
           },
           link::NoVersions(), clock, log),
-      follower_(FollowOptionsOf(options_), Hooks(), store_, clock, log),
+      follower_(FollowOptionsOf(options_), {Hooks()}, store_, clock, log),
       metrics_server_(
           executor, options_.metrics_listen, http::ServerLimits(),
           [this](const http::Request&, http::ResponseWriter& writer) {
@@ -66,9 +66,8 @@
 }
 
 core::Task<> Endpoint::AnswerMetrics(http::ResponseWriter& writer) {
-  DeskLevels levels = desk_.Levels();
-  levels.entries = service_.entries();
-  http::Response response = http::MetricsResponse(metrics_.Text(levels));
+  http::Response response =
+      http::MetricsResponse(metrics_.Text(desk_.Levels()));
   co_await writer.Send(std::move(response));
 }
 
@@ -77,6 +76,7 @@
     routing::AdoptDocument(configuration_, read_configuration_, entry, log_);
   };
   routing::FollowHooks hooks;
+  hooks.prefix = options_.configuration_key;
   hooks.listed = [adopt](std::vector<external::KvEntry> entries,
                          routing::LapseEnd) {
     for (const external::KvEntry& it : entries) adopt(it);
--- a/src/orders/engine_desk.cc
+++ b/src/orders/engine_desk.cc
@@ -27,6 +27,10 @@
 /** The engine's report shows an accepted order within this: it is as of some
  * hundred milliseconds ago at most. */
 constexpr milliseconds kCountShown{1000};
+/** A wish that would wait for longer than this for other orders is refused: a
+ * load from a disk takes up to 2 s. */
+constexpr milliseconds kLongestQueue{2500};
+
 std::string_view NameOf(OrderKind kind) {
   return kind == OrderKind::kLoad ? "load" : "unload";
 }
@@ -58,8 +62,7 @@
       configuration_(configuration),
       metrics_(metrics),
       clock_(clock),
-      log_(log),
-      usage_(clock) {}
+      log_(log) {}
 
 core::Task<> EngineDesk::Run() {
   while (true) {
@@ -77,7 +80,6 @@
                  LogCategory::kReplica,
                  reachable ? "engine_regained" : "engine_lost",
                  {{"engine", options_.engine_address}, {"error", failure}});
-      changed_.Notify();
     }
     co_await core::SleepFor(options_.look_interval);
   }
@@ -91,7 +93,6 @@
   }
   Settle();
   NoteForeignOrder();
-  changed_.Notify();
 }
 
 core::Task<> EngineDesk::Ensure(ModelWish wish) {
@@ -113,14 +114,15 @@
 
 core::Task<> EngineDesk::Fulfil(const ModelWish& wish) {
   co_await CheckInstance(wish.instance);
+  co_await Look();
+  use_ = wish.use;
   if (!Holds(wish.model, core::AdapterId())) {
-    // Known to entries from now on, so that none of them asks another engine.
+    CheckQueue(wish);
     const core::SteadyTime now = clock_.Now();
     core::SteadyTime free = now + ForeignOrderLeft(foreign_order_, Spec(), now);
     if (!wishes_.empty()) free = std::max(free, wishes_.back().ready);
     wishes_.push_back(
         {wish.model, free, free + LoadTime(report_, Spec(), wish.model)});
-    changed_.Notify();
     std::exception_ptr failure;
     try {
       co_await EnsureModel(wish);
@@ -129,7 +131,6 @@
     }
     const auto it = std::ranges::find(wishes_, wish.model, &OpenWish::model);
     if (it != wishes_.end()) wishes_.erase(it);
-    changed_.Notify();
     if (failure) std::rethrow_exception(failure);
   }
   if (!wish.adapter.empty()) {
@@ -154,15 +155,27 @@
     unload.instance = wish.instance;
     co_await CarryOut(unload, wish.deadline);
   }
-  const bool from_store = TierOf(report_, wish.model) == policy::Tier::kRemote;
-  const core::SteadyTime began = clock_.Now();
   co_await CarryOut(load, wish.deadline);
+  wanted_[{wish.model, core::AdapterId()}] = clock_.Now();
+}
+
+/**
+ * The failure met: everything was stopped while engines loaded from the weight
+ * store, or another entry has just begun such a load; callers waited here until
+ * their patience was over, beside idle engines. Refused now, the wish goes to
+ * another engine. One for the same model waits with those before it.
+ */
+void EngineDesk::CheckQueue(const ModelWish& wish) const {
+  const bool is_coming =
+      std::ranges::find(wishes_, wish.model, &OpenWish::model) != wishes_.end();
+  if (is_coming) return;
   const core::SteadyTime now = clock_.Now();
-  if (from_store) {
-    store_load_ = {std::chrono::duration_cast<milliseconds>(now - began), now};
-  }
-  const fleet::UsedPart part{wish.model, core::AdapterId()};
-  usage_.NoteWanted(part);
+  const milliseconds left =
+      std::max(TimeOfWishes(wishes_, now),
+               ForeignOrderLeft(foreign_order_, Spec(), now));
+  if (left <= kLongestQueue) return;
+  throw Error(ErrorCode::kNoCapacity, "the engine is busy with other orders",
+              left);
 }
 
 /**
@@ -173,9 +186,16 @@
 core::Task<> EngineDesk::AwaitIdle(core::SteadyTime deadline) {
   co_await Look();
   while (report_.order_in_progress) {
-    if (clock_.Now() >= deadline) {
+    const core::SteadyTime now = clock_.Now();
+    if (now >= deadline) {
       throw Error(ErrorCode::kTimedOut, "the engine is busy with an order");
     }
+    // Taken for a load from a disk at first; it is none.
+    const milliseconds left = ForeignOrderLeft(foreign_order_, Spec(), now);
+    if (left > kLongestQueue) {
+      throw Error(ErrorCode::kNoCapacity,
+                  "the engine is busy with an order from before", left);
+    }
     co_await core::SleepFor(options_.busy_look_interval);
     co_await Look();
   }
@@ -212,8 +232,7 @@
     co_await CarryOut(unload, wish.deadline);
   }
   co_await CarryOut(load, wish.deadline);
-  const fleet::UsedPart part{wish.model, wish.adapter};
-  usage_.NoteWanted(part);
+  wanted_[{wish.model, wish.adapter}] = clock_.Now();
 }
 
 /** Gives an order until the engine shows its effect. */
--- a/src/orders/engine_desk_base.h
+++ b/src/orders/engine_desk_base.h
@@ -4,22 +4,21 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
-#include "core/signal_base.h"
 #include "core/task_type.h"
 #include "external/key_value_base.h"
-#include "fleet/model_usage_base.h"
-#include "gen/link_types.h"
+#include "fleet/usage_type.h"
 #include "orders/desk_metrics_base.h"
-#include "orders/desk_report_func.h"
 #include "orders/engine_port_base.h"
 #include "orders/memory_plan_func.h"
 #include "orders/order_lane_base.h"
+#include "orders/order_time_func.h"
 #include "routing/routing_table_base.h"
 
 namespace sapphire::orders {
@@ -31,7 +30,7 @@
   std::string engine_address;
   core::ServiceId service;
   /** Between two looks at an engine that has nothing to do for us. */
-  std::chrono::milliseconds look_interval{250};
+  std::chrono::milliseconds look_interval{2000};
   /** Between two looks while an order is carried out: an unload takes 10 ms, a
    * load from memory a second. */
   std::chrono::milliseconds busy_look_interval{30};
@@ -46,6 +45,8 @@
   fleet::InstanceId instance;
   /** What the asking entry would drop for it. */
   std::vector<core::ModelId> evict;
+  /** What it knows of the use of all that the engine holds. */
+  fleet::UsageTable use;
   core::SteadyTime deadline;
 };
 
@@ -75,17 +76,9 @@
    */
   core::Task<> Ensure(ModelWish wish);
 
-  /** @return The state of the engine, for entries. */
-  [[nodiscard]] gen::EndpointReport Snapshot() const;
-
-  /** @return Levels for the metrics; `entries` is not known here. */
+  /** @return Levels for the metrics. */
   [[nodiscard]] DeskLevels Levels() const;
 
-  [[nodiscard]] fleet::ModelUsage& usage() { return usage_; }
-
-  /** Moves on every change of the snapshot. */
-  [[nodiscard]] core::Signal& changed() { return changed_; }
-
  private:
   /** An order that was given and is not yet seen to be over. */
   struct OpenOrder {
@@ -96,6 +89,7 @@
   core::Task<> Look();
   core::Task<> Fulfil(const ModelWish& wish);
   core::Task<> EnsureModel(const ModelWish& wish);
+  void CheckQueue(const ModelWish& wish) const;
   core::Task<> EnsureAdapter(const ModelWish& wish);
   core::Task<> AwaitIdle(core::SteadyTime deadline);
   [[nodiscard]] core::ModelId ModelToUnload(const ModelWish& wish) const;
@@ -124,8 +118,10 @@
   DeskMetrics& metrics_;
   const core::Clock& clock_;
   const core::Logger& log_;
-  fleet::ModelUsage usage_;
-  core::Signal changed_;
+  /** As the latest wish told it. */
+  fleet::UsageTable use_;
+  /** When something was last loaded for somebody. */
+  std::map<fleet::UsedPart, core::SteadyTime> wanted_;
   OrderLane model_lane_;
   OrderLane adapter_lane_;
   EngineReport report_;
@@ -133,7 +129,6 @@
   std::vector<OpenOrder> open_orders_;
   std::int64_t next_order_ = 1;
   std::vector<OpenWish> wishes_;
-  std::optional<StoreLoad> store_load_;
   /** Since when the engine carries out an order of somebody else: of the
    * process that was here before. */
   std::optional<core::SteadyTime> foreign_order_;
--- a/src/orders/engine_desk_state.cc
+++ b/src/orders/engine_desk_state.cc
@@ -84,7 +84,11 @@
     throw Error(ErrorCode::kNotConfigured, "the service is not configured");
   }
   state.report = &report_;
-  state.usage = &usage_;
+  state.use = use_;
+  for (const auto& [part, at] : wanted_) {
+    fleet::Usage& usage = state.use[part];
+    usage.last_begun = std::max(usage.last_begun, std::optional(at));
+  }
   for (const OpenOrder& it : open_orders_) {
     if (it.order.kind != OrderKind::kLoad) continue;
     const bool same =
@@ -136,21 +140,6 @@
          clock_.Now() - *report_time_ < kFreshReport;
 }
 
-gen::EndpointReport EngineDesk::Snapshot() const {
-  DeskView view;
-  view.holder = options_.holder;
-  view.instance = instance_;
-  view.engine_up = IsEngineUp();
-  view.engine = &report_;
-  view.usage = &usage_;
-  view.spec = Spec();
-  view.wishes = wishes_;
-  view.store_load = store_load_;
-  view.foreign_order = foreign_order_;
-  view.now = clock_.Now();
-  return MakeReport(view);
-}
-
 DeskLevels EngineDesk::Levels() const {
   DeskLevels levels;
   levels.config_version = configuration_.version();
--- a/src/orders/memory_plan.cc
+++ b/src/orders/memory_plan.cc
@@ -8,9 +8,14 @@
 
 namespace {
 
-/** An adapter of a request in progress is told of within two usage reports. */
+/** An adapter that was loaded for somebody this lately is about to be used. */
 constexpr std::chrono::milliseconds kJustUsed{700};
 
+fleet::Usage UseOf(const MemoryState& state, const fleet::UsedPart& part) {
+  const auto it = state.use.find(part);
+  return it == state.use.end() ? fleet::Usage() : it->second;
+}
+
 bool UsedWithin(const fleet::Usage& usage, core::SteadyTime now,
                 std::chrono::milliseconds time) {
   if (usage.running > 0) return true;
@@ -87,7 +92,7 @@
   const fleet::HeldModel* best = nullptr;
   double best_demand = 0;
   for (const fleet::HeldModel& it : state.report->models) {
-    const fleet::Usage usage = state.usage->Of({it.model, core::AdapterId()});
+    const fleet::Usage usage = UseOf(state, {it.model, core::AdapterId()});
     if (it.model == keep) continue;
     if (UsedWithin(usage, state.now, policy::kKeptAfterUse)) continue;
     const bool wished =
@@ -113,7 +118,7 @@
   core::SteadyTime best_used;
   for (const fleet::HeldModel& held : state.report->models) {
     for (const core::AdapterId& adapter : held.adapters) {
-      const fleet::Usage usage = state.usage->Of({held.model, adapter});
+      const fleet::Usage usage = UseOf(state, {held.model, adapter});
       if (UsedWithin(usage, state.now, kJustUsed)) continue;
       const core::SteadyTime used =
           usage.last_begun.value_or(core::SteadyTime());
--- a/src/orders/memory_plan_func.h
+++ b/src/orders/memory_plan_func.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/clock_base.h"
-#include "fleet/model_usage_base.h"
+#include "fleet/usage_type.h"
 #include "orders/engine_port_base.h"
 #include "routing/route_type.h"
 
@@ -17,7 +17,8 @@
 struct MemoryState {
   const routing::EngineSpec* spec = nullptr;
   const EngineReport* report = nullptr;
-  const fleet::ModelUsage* usage = nullptr;
+  /** As far as the asking entry knows; what is missing is not used. */
+  fleet::UsageTable use;
   /** Loads that the report does not show yet: on their way, in progress, or of
    * unknown outcome. Each may still take its memory. */
   std::vector<EngineOrder> open_loads;
--- a/src/orders/desk_report_func.h
+++ b/src/orders/order_time_func.h
@@ -1,15 +1,12 @@
-/** @file desk_report_func.h What entries are told of an engine. */
-#ifndef SAPPHIRE_ORDERS_DESK_REPORT_FUNC_H_
-#define SAPPHIRE_ORDERS_DESK_REPORT_FUNC_H_
+/** @file order_time_func.h How long orders take. */
+#ifndef SAPPHIRE_ORDERS_ORDER_TIME_FUNC_H_
+#define SAPPHIRE_ORDERS_ORDER_TIME_FUNC_H_
 
 #include <chrono>
 #include <optional>
 #include <span>
-#include <string>
 
 #include "core/clock_base.h"
-#include "fleet/model_usage_base.h"
-#include "gen/link_types.h"
 #include "orders/engine_port_base.h"
 #include "policy/placement_type.h"
 #include "routing/route_type.h"
@@ -23,31 +20,6 @@
   core::SteadyTime ready;
 };
 
-/** The latest load from the weight store. */
-struct StoreLoad {
-  std::chrono::milliseconds took{0};
-  core::SteadyTime at;
-};
-
-/** What a report is made of. */
-struct DeskView {
-  std::string holder;
-  fleet::InstanceId instance;
-  bool engine_up = false;
-  const EngineReport* engine = nullptr;
-  const fleet::ModelUsage* usage = nullptr;
-  /** Null while the service is not configured. */
-  const routing::EngineSpec* spec = nullptr;
-  std::span<const OpenWish> wishes;
-  std::optional<StoreLoad> store_load;
-  /** Since when the engine carries out an order that is not the desk's. */
-  std::optional<core::SteadyTime> foreign_order;
-  core::SteadyTime now;
-};
-
-/** @return The state of the engine, for entries. */
-gen::EndpointReport MakeReport(const DeskView& view);
-
 /**
  * @return How long an order that the desk did not give may still hold up its
  *   own: first taken for a load from disk, which most are, then for one from
@@ -57,6 +29,10 @@
     std::optional<core::SteadyTime> since, const routing::EngineSpec* spec,
     core::SteadyTime now);
 
+/** @return Until the last of these is expected to be met. */
+std::chrono::milliseconds TimeOfWishes(std::span<const OpenWish> wishes,
+                                       core::SteadyTime now);
+
 /** @return The nearest copy of a model that is not held. */
 policy::Tier TierOf(const EngineReport& engine, const core::ModelId& model);
 
@@ -68,4 +44,4 @@
 
 }  // namespace sapphire::orders
 
-#endif  // SAPPHIRE_ORDERS_DESK_REPORT_FUNC_H_
+#endif  // SAPPHIRE_ORDERS_ORDER_TIME_FUNC_H_
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -1,6 +1,7 @@
-/** @file store_follower.cc Follows the keys under a prefix of the store. */
+/** @file store_follower.cc Follows keys of the store by one watch. */
 #include <algorithm>
 #include <exception>
+#include <iterator>
 #include <utility>
 
 #include "core/task_func.h"
@@ -16,9 +17,20 @@
 /** Living engines whose entries lapsed are back this long after the store. */
 constexpr std::chrono::seconds kReturnTime{2};
 
+std::vector<external::KvEntry> UnderPrefix(
+    const std::vector<external::KvEntry>& entries, const std::string& prefix) {
+  std::vector<external::KvEntry> found;
+  std::ranges::copy_if(entries, std::back_inserter(found),
+                       [&prefix](const external::KvEntry& it) {
+                         return it.key.starts_with(prefix);
+                       });
+  return found;
+}
+
 }  // namespace
 
-StoreFollower::StoreFollower(FollowOptions options, FollowHooks hooks,
+StoreFollower::StoreFollower(FollowOptions options,
+                             std::vector<FollowHooks> hooks,
                              external::KeyValueStore& store,
                              const core::Clock& clock, const core::Logger& log)
     : options_(std::move(options)),
@@ -49,7 +61,9 @@
   call_began_ = clock_.Now();
   external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
   NoteAnswer();
-  hooks_.listed(std::move(snapshot.entries), CurrentLapseEnd());
+  for (const FollowHooks& it : hooks_) {
+    it.listed(UnderPrefix(snapshot.entries, it.prefix), CurrentLapseEnd());
+  }
   revision_ = snapshot.revision;
 }
 
@@ -67,13 +81,23 @@
     co_return;
   }
   for (external::KvEvent& event : batch.events) {
-    hooks_.changed(std::move(event), CurrentLapseEnd());
+    TakeChange(std::move(event));
   }
   revision_ = std::max(*revision_, batch.revision);
   if (batch.events.empty()) co_return;
   co_await core::SleepFor(options_.gather);
 }
 
+void StoreFollower::TakeChange(external::KvEvent event) {
+  const auto hooks =
+      std::ranges::find_if(hooks_, [&event](const FollowHooks& it) {
+        return event.key.starts_with(it.prefix);
+      });
+  if (hooks != hooks_.end()) {
+    hooks->changed(std::move(event), CurrentLapseEnd());
+  }
+}
+
 void StoreFollower::NoteFailure(const std::string& what) {
   revision_.reset();
   failed_call_began_ = call_began_;
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -1,4 +1,4 @@
-/** @file store_follower_base.h Follows the keys under a prefix of the store. */
+/** @file store_follower_base.h Follows keys of the store by one watch. */
 #ifndef SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
 #define SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
 
@@ -16,6 +16,7 @@
 namespace sapphire::routing {
 
 struct FollowOptions {
+  /** Of all keys that are followed; empty: the whole store. */
   std::string prefix;
   /** How long one watch waits. Long: each call to the store is paid for. */
   std::chrono::milliseconds watch_wait{20'000};
@@ -42,9 +43,10 @@
  * themselves; nothing: it was not away, and what is missing is gone. */
 using LapseEnd = std::optional<core::SteadyTime>;
 
-/** What is done with what is seen. */
+/** What is done with what is seen of the keys under one prefix. */
 struct FollowHooks {
-  /** A whole listing. */
+  std::string prefix;
+  /** A whole listing of them. */
   std::function<void(std::vector<external::KvEntry>, LapseEnd)> listed;
   /** One change. */
   std::function<void(external::KvEvent, LapseEnd)> changed;
@@ -53,12 +55,14 @@
 /**
  * Lists, then watches, for as long as the process runs. Every call has a
  * time-out, and after any failure or gap everything is listed anew: a watch
- * that was cut, or whose history is gone, may have missed changes.
+ * that was cut, or whose history is gone, may have missed changes. One watch
+ * serves all that a process follows: a watch a subject cost hundreds of VMs as
+ * many calls again for each of them.
  */
 class StoreFollower {
  public:
   /** @pre The store, `clock` and `log` outlive the follower. */
-  StoreFollower(FollowOptions options, FollowHooks hooks,
+  StoreFollower(FollowOptions options, std::vector<FollowHooks> hooks,
                 external::KeyValueStore& store, const core::Clock& clock,
                 const core::Logger& log);
 
@@ -73,12 +77,13 @@
  private:
   core::Task<> ListAll();
   core::Task<> WatchOnce();
+  void TakeChange(external::KvEvent event);
   void NoteFailure(const std::string& what);
   void NoteAnswer();
   [[nodiscard]] LapseEnd CurrentLapseEnd() const;
 
   const FollowOptions options_;
-  const FollowHooks hooks_;
+  const std::vector<FollowHooks> hooks_;
   external::KeyValueStore& store_;
   const core::Clock& clock_;
   const core::Logger& log_;
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -69,6 +69,15 @@
   http::ResponseHead to_caller;
 };
 
+/** How busy an engine says that it is. */
+struct EngineLoad {
+  int running = 0;
+  /** Requests that wait inside it. */
+  int waiting = 0;
+  std::int64_t kv_tokens_used = 0;
+  std::int64_t kv_tokens_total = 0;
+};
+
 /** Translates what callers send and get. */
 class CallerWire {
  public:
@@ -89,6 +98,11 @@
       const CallerRequest& request, const SendOptions& options) const = 0;
   [[nodiscard]] virtual EngineAnswer Read(
       const http::ResponseHead& head) const = 0;
+  /** @return The question how busy an engine is. */
+  [[nodiscard]] virtual http::Request LoadQuestion() const = 0;
+  /** @throws core::Error for an answer that can't be read. */
+  [[nodiscard]] virtual EngineLoad ReadLoad(
+      const http::Response& answer) const = 0;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -33,8 +33,7 @@
   return static_cast<std::int64_t>(hash >> kSignBit);
 }
 
-CrashWatch::CrashWatch(crash::QuarantineTiming timing,
-                       external::KeyValueStore& store,
+CrashWatch::CrashWatch(external::KeyValueStore& store,
                        fleet::EngineLoads& loads,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
@@ -44,9 +43,23 @@
       log_(log),
       quarantine_(std::make_shared<crash::Quarantine>(clock)),
       quarantine_store_(std::make_shared<crash::QuarantineStore>(
-          executor, quarantine_, timing, store, clock, log)) {}
-
-void CrashWatch::Start() { quarantine_store_->Start(); }
+          executor, quarantine_, crash::QuarantineTiming(), store, clock,
+          log)) {}
+
+void CrashWatch::Start() { quarantine_store_->StartWriting(); }
+
+routing::FollowHooks CrashWatch::Hooks() {
+  routing::FollowHooks hooks;
+  hooks.prefix = crash::kQuarantinePrefix;
+  hooks.listed = [this](std::vector<external::KvEntry> entries,
+                        routing::LapseEnd) {
+    quarantine_store_->TakeListing(entries);
+  };
+  hooks.changed = [this](external::KvEvent event, routing::LapseEnd) {
+    quarantine_store_->TakeEvent(event);
+  };
+  return hooks;
+}
 
 void CrashWatch::Check(std::int64_t fingerprint) const {
   if (!quarantine_->Judge(fingerprint).IsQuarantined()) return;
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -15,6 +15,7 @@
 #include "external/key_value_base.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_type.h"
+#include "routing/store_follower_base.h"
 #include "serving/caller_type.h"
 #include "serving/exchange_base.h"
 
@@ -49,13 +50,17 @@
 class CrashWatch {
  public:
   /** @pre All references outlive the watch and its tasks. */
-  CrashWatch(crash::QuarantineTiming timing, external::KeyValueStore& store,
-             fleet::EngineLoads& loads, const core::Executor& executor,
-             const core::Clock& clock, const core::Logger& log);
+  CrashWatch(external::KeyValueStore& store, fleet::EngineLoads& loads,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
 
   /** Begins to follow what other entries saw. */
   void Start();
 
+  /** @return What takes in crashes that other entries have written.
+   * @pre The watch outlives whoever calls them. */
+  [[nodiscard]] routing::FollowHooks Hooks();
+
   /** @throws core::Error kQuarantined if the request crashes engines. */
   void Check(std::int64_t fingerprint) const;
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -22,8 +22,6 @@
 /** Repeats after an engine's own failure leave half of the budget to those
  * after lost engines. */
 constexpr double kFailureReserve = 0.5;
-/** Idle time of connections to engines: engines close them after 1.5 s. */
-constexpr milliseconds kEngineIdle{900};
 constexpr int kMaxRank = 9;
 constexpr double kHashRange = 18446744073709551616.0;
 
@@ -80,8 +78,8 @@
 Dispatcher::Dispatcher(DispatchOptions options, DispatchParts parts)
     : options_(options),
       parts_(parts),
-      chooser_(options.pace, parts.registry, parts.feed, parts.finder,
-               parts.waker, parts.clock) {}
+      chooser_(options.pace, parts.registry, parts.board, parts.gauges,
+               parts.finder, parts.waker, parts.clock) {}
 
 core::Task<> Dispatcher::Serve(const http::Request& request,
                                http::ResponseWriter& writer) {
@@ -163,8 +161,8 @@
   }
   const fleet::EngineEntry* engine = parts_.registry.Find(work.engine);
   if (engine == nullptr) co_return false;
-  const std::shared_ptr<http::Client> client = ClientOf(*engine);
-  const fleet::SentPart part{work.request.model, work.request.adapter};
+  const std::shared_ptr<http::Client> client = parts_.clients.Of(*engine);
+  const fleet::UsedPart part{work.request.model, work.request.adapter};
   const fleet::SendTicket ticket = parts_.loads.Begin(work.engine, part);
   WatchedSend watched;
   watched.fingerprint = work.fingerprint;
@@ -293,7 +291,7 @@
 
 bool Dispatcher::TakeRepeat(const RequestWork& work, double reserve) {
   const bool allowed =
-      BudgetOf(work.service->id).TakeRepeat(parts_.feed.entries(), reserve);
+      BudgetOf(work.service->id).TakeRepeat(parts_.board.entries(), reserve);
   parts_.metrics.RepeatAsked(allowed);
   return allowed;
 }
@@ -305,17 +303,6 @@
   return budgets_.emplace(service, std::move(budget)).first->second;
 }
 
-std::shared_ptr<http::Client> Dispatcher::ClientOf(
-    const fleet::EngineEntry& engine) {
-  std::shared_ptr<http::Client>& client = clients_[engine.instance];
-  if (!client) {
-    http::ClientOptions options;
-    options.max_idle_time = kEngineIdle;
-    client = std::make_shared<http::Client>(engine.address, options);
-  }
-  return client;
-}
-
 void Dispatcher::SetRepeatLimits(const policy::RepeatLimits& limits) {
   options_.repeats = limits;
   for (auto& [service, budget] : budgets_) budget.SetLimits(limits);
@@ -327,8 +314,9 @@
     alive.insert(instance);
   }
   parts_.loads.Forget(alive);
-  std::erase_if(clients_,
-                [&alive](const auto& it) { return !alive.contains(it.first); });
+  parts_.board.Forget(alive);
+  parts_.clients.Forget(alive);
+  parts_.gauges.Forget(alive);
 }
 
 void Dispatcher::NoteEnd(const RequestWork& work) const {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -10,9 +10,9 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
-#include "fleet/endpoint_feed_base.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
+#include "fleet/entry_board_base.h"
 #include "http/client_base.h"
 #include "http/server_base.h"
 #include "policy/repeat_budget_base.h"
@@ -20,8 +20,10 @@
 #include "serving/caller_type.h"
 #include "serving/crash_watch_base.h"
 #include "serving/engine_chooser_base.h"
+#include "serving/engine_clients_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
+#include "serving/load_gauges_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
 #include "serving/request_work_type.h"
@@ -38,7 +40,9 @@
   const routing::ConfigurationHolder& configuration;
   fleet::EngineRegistry& registry;
   fleet::EngineLoads& loads;
-  fleet::EndpointFeed& feed;
+  fleet::EntryBoard& board;
+  EngineClients& clients;
+  LoadGauges& gauges;
   const ReplicaFinder& finder;
   ModelWaker& waker;
   CrashWatch& crash_watch;
@@ -83,14 +87,12 @@
   [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
   bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
-  std::shared_ptr<http::Client> ClientOf(const fleet::EngineEntry& engine);
   void NoteEnd(const RequestWork& work) const;
 
   DispatchOptions options_;
   const DispatchParts parts_;
   EngineChooser chooser_;
   std::map<core::ServiceId, policy::RepeatBudget> budgets_;
-  std::map<fleet::InstanceId, std::shared_ptr<http::Client>> clients_;
 };
 
 }  // namespace sapphire::serving
