--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -27,6 +27,23 @@
  * for as long as balancers may still send new connections. */
 constexpr milliseconds kUsualStream{5200};
 
+/** Below so many requests at work an engine's streams do not pause, whichever
+ * of them is chosen. */
+constexpr int kBusyEnough = 4;
+/** What entries told is gone by up to this age; engines themselves tell of some
+ * hundred milliseconds ago. */
+constexpr milliseconds kAgeToGoBy{250};
+/** Engines that are asked for one request. */
+constexpr std::size_t kGauged = 3;
+
+policy::RequestSize SizeOf(const RequestWork& work) {
+  policy::RequestSize size;
+  size.prompt_tokens = work.request.prompt_tokens;
+  size.max_output_tokens = work.request.max_output_tokens;
+  if (work.request.model.empty()) size.service_time = work.route->objective;
+  return size;
+}
+
 std::vector<policy::ReplicaCandidate> ViewsOf(
     const std::vector<FoundReplica>& found) {
   std::vector<policy::ReplicaCandidate> views;
@@ -59,12 +76,13 @@
 
 EngineChooser::EngineChooser(policy::EnginePace pace,
                              fleet::EngineRegistry& registry,
-                             fleet::EndpointFeed& feed,
+                             const fleet::EntryBoard& board, LoadGauges& gauges,
                              const ReplicaFinder& finder, ModelWaker& waker,
                              const core::Clock& clock)
     : pace_(pace),
       registry_(registry),
-      feed_(feed),
+      board_(board),
+      gauges_(gauges),
       finder_(finder),
       waker_(waker),
       clock_(clock) {}
@@ -74,7 +92,8 @@
   while (true) {
     if (work.caller.left) co_return fleet::InstanceId();
     CheckEnd(work, milliseconds(0));
-    const std::uint64_t seen = feed_.changed().epoch();
+    const std::uint64_t seen = waker_.changed().epoch();
+    co_await GaugeCrowded(work);
     if (const auto engine = ChooseNow(work)) co_return *engine;
     const milliseconds ready_in = WakeModel(work);
     CheckEnd(work, ready_in);
@@ -86,10 +105,33 @@
           "no engine can serve it in its time", std::max(ready_in, kSoon));
     }
     const Waiting waiting(waiting_, work.request.model);
-    co_await feed_.changed().Wait(seen, std::min(kLookAgain, left));
+    co_await waker_.changed().Wait(seen, std::min(kLookAgain, left));
   }
 }
 
+/**
+ * Asks the likeliest engines how busy they are, if that may matter. The failure
+ * met: entries know of each other's requests only seconds later, all send to
+ * the engine that looked idle, and its streams pause.
+ */
+core::Task<> EngineChooser::GaugeCrowded(const RequestWork& work) {
+  if (work.request.model.empty() || board_.Age() <= kAgeToGoBy) co_return;
+  std::vector<FoundReplica> found =
+      finder_.Find(work.service->id, work.request, work.avoid);
+  std::erase_if(found, [](const FoundReplica& it) { return !it.has_adapter; });
+  if (found.size() < 2) co_return;
+  const policy::RequestSize size = SizeOf(work);
+  std::ranges::sort(found, {}, [&](const FoundReplica& it) {
+    return policy::ExpectedCost(it.view, size, pace_);
+  });
+  if (found.front().view.running < kBusyEnough) co_return;
+  std::vector<fleet::InstanceId> asked;
+  for (const FoundReplica& it : found) {
+    if (asked.size() < kGauged) asked.push_back(it.instance);
+  }
+  co_await gauges_.Refresh(std::move(asked));
+}
+
 /** @return The best engine that can take it now. */
 std::optional<fleet::InstanceId> EngineChooser::ChooseNow(RequestWork& work) {
   std::vector<FoundReplica> found =
@@ -98,7 +140,6 @@
     // All have failed or refused it: any that is there may do by now.
     found = finder_.Find(work.service->id, work.request, {});
   }
-  if (auto loaded = JustLoaded(work, found)) return loaded;
   if (!work.request.model.empty()) WatchCrowd(work, found);
   std::vector<FoundReplica> ready;
   std::ranges::copy_if(found, std::back_inserter(ready),
@@ -128,22 +169,6 @@
                      work.request.id);
 }
 
-/** @return The engine that has just loaded the model, if no report has told so
- * yet. */
-std::optional<fleet::InstanceId> EngineChooser::JustLoaded(
-    const RequestWork& work, const std::vector<FoundReplica>& found) const {
-  const WakeTarget target{work.service->id, work.request.model,
-                          work.request.adapter};
-  auto loaded = waker_.JustLoaded(target);
-  if (!loaded || work.avoid.contains(*loaded)) return std::nullopt;
-  const bool told = std::ranges::any_of(found, [&](const FoundReplica& it) {
-    return it.instance == *loaded && it.has_adapter;
-  });
-  const fleet::EngineEntry* engine = registry_.Find(*loaded);
-  if (told || engine == nullptr || engine->draining) return std::nullopt;
-  return loaded;
-}
-
 /** Has one more engine load a model whose engines are crowded. */
 void EngineChooser::WatchCrowd(const RequestWork& work,
                                const std::vector<FoundReplica>& holders) {
@@ -157,11 +182,7 @@
 std::optional<fleet::InstanceId> EngineChooser::Cheapest(
     const RequestWork& work, const std::vector<FoundReplica>& found) const {
   const std::vector<policy::ReplicaCandidate> views = ViewsOf(found);
-  policy::RequestSize size;
-  size.prompt_tokens = work.request.prompt_tokens;
-  size.max_output_tokens = work.request.max_output_tokens;
-  if (work.request.model.empty()) size.service_time = work.route->objective;
-  const auto best = policy::ChooseReplica(views, size, pace_);
+  const auto best = policy::ChooseReplica(views, SizeOf(work), pace_);
   if (!best) return std::nullopt;
   return found[*best].instance;
 }
@@ -173,7 +194,7 @@
   const int here = it == waiting_->end() ? 0 : it->second;
   // One or two that come together say nothing of the other entries.
   if (here < kTellingWaiters) return;
-  const int engines = policy::EnginesForWaiting(here * feed_.entries());
+  const int engines = policy::EnginesForWaiting(here * board_.entries());
   if (engines == 1) return;
   waker_.AddReplica(*work.service, work.request.model,
                     policy::ReplicaNeed::kUseful, engines);
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -9,9 +9,10 @@
 
 #include "core/clock_base.h"
 #include "core/task_type.h"
-#include "fleet/endpoint_feed_base.h"
 #include "fleet/engine_registry_base.h"
+#include "fleet/entry_board_base.h"
 #include "policy/replica_choice_func.h"
+#include "serving/load_gauges_base.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
 #include "serving/request_work_type.h"
@@ -32,8 +33,9 @@
  public:
   /** @pre All references outlive the chooser. */
   EngineChooser(policy::EnginePace pace, fleet::EngineRegistry& registry,
-                fleet::EndpointFeed& feed, const ReplicaFinder& finder,
-                ModelWaker& waker, const core::Clock& clock);
+                const fleet::EntryBoard& board, LoadGauges& gauges,
+                const ReplicaFinder& finder, ModelWaker& waker,
+                const core::Clock& clock);
 
   /**
    * Waits until an engine can take the request.
@@ -60,9 +62,8 @@
   void CheckEnd(const RequestWork& work, milliseconds wait) const;
 
  private:
+  core::Task<> GaugeCrowded(const RequestWork& work);
   std::optional<fleet::InstanceId> ChooseNow(RequestWork& work);
-  std::optional<fleet::InstanceId> JustLoaded(
-      const RequestWork& work, const std::vector<FoundReplica>& found) const;
   void WatchCrowd(const RequestWork& work,
                   const std::vector<FoundReplica>& holders);
   std::optional<fleet::InstanceId> Cheapest(
@@ -74,7 +75,8 @@
 
   const policy::EnginePace pace_;
   fleet::EngineRegistry& registry_;
-  fleet::EndpointFeed& feed_;
+  const fleet::EntryBoard& board_;
+  LoadGauges& gauges_;
   const ReplicaFinder& finder_;
   ModelWaker& waker_;
   const core::Clock& clock_;
--- a/src/serving/engine_follower.cc
+++ b/src/serving/engine_follower.cc
@@ -19,10 +19,8 @@
 
 }  // namespace
 
-EngineFollower::EngineFollower(routing::FollowOptions options,
-                               const StoreLayout& layout,
+EngineFollower::EngineFollower(const StoreLayout& layout,
                                fleet::EngineRegistry& registry,
-                               external::KeyValueStore& store,
                                std::function<void()> changed,
                                const core::Clock& clock,
                                const core::Logger& log)
@@ -30,11 +28,11 @@
       registry_(registry),
       changed_(std::move(changed)),
       clock_(clock),
-      log_(log),
-      follower_(std::move(options), Hooks(), store, clock, log) {}
+      log_(log) {}
 
 routing::FollowHooks EngineFollower::Hooks() {
   routing::FollowHooks hooks;
+  hooks.prefix = layout_.engine_prefix;
   hooks.listed = [this](std::vector<external::KvEntry> entries,
                         routing::LapseEnd lapse_end) {
     TakeListing(entries, lapse_end);
--- a/src/serving/engine_follower_base.h
+++ b/src/serving/engine_follower_base.h
@@ -10,7 +10,6 @@
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
-#include "core/task_type.h"
 #include "external/key_value_base.h"
 #include "fleet/engine_registry_base.h"
 #include "routing/store_follower_base.h"
@@ -18,28 +17,22 @@
 
 namespace sapphire::serving {
 
-/** Takes engines' entries from the store into the registry. One thread. */
+/** Takes engines' entries, as what follows the store sees them, into the
+ * registry. One thread. */
 class EngineFollower {
  public:
   /**
    * @param changed Called after each change of the registry.
    * @pre All references outlive the follower.
    */
-  EngineFollower(routing::FollowOptions options, const StoreLayout& layout,
-                 fleet::EngineRegistry& registry,
-                 external::KeyValueStore& store, std::function<void()> changed,
-                 const core::Clock& clock, const core::Logger& log);
+  EngineFollower(const StoreLayout& layout, fleet::EngineRegistry& registry,
+                 std::function<void()> changed, const core::Clock& clock,
+                 const core::Logger& log);
 
-  /** Never returns. */
-  core::Task<> Run() { return follower_.Run(); }
-
-  /** @return When the store last answered, if it ever did. */
-  [[nodiscard]] std::optional<core::SteadyTime> last_answer() const {
-    return follower_.last_answer();
-  }
+  /** @pre The follower outlives whoever calls them. */
+  [[nodiscard]] routing::FollowHooks Hooks();
 
  private:
-  routing::FollowHooks Hooks();
   void TakeListing(const std::vector<external::KvEntry>& entries,
                    routing::LapseEnd lapse_end);
   void TakeChange(const external::KvEvent& event, routing::LapseEnd lapse_end);
@@ -54,7 +47,6 @@
   /** Entries that could not be read, and when that was last logged. */
   std::int64_t unreadable_ = 0;
   std::optional<core::SteadyTime> unreadable_logged_;
-  routing::StoreFollower follower_;
 };
 
 }  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/entry_gossip_test.cc
@@ -0,0 +1,117 @@
+/** @file entry_gossip_test.cc Tests of what entries tell each other, over real
+ * datagrams on loopback. */
+#define BOOST_TEST_MODULE entry_gossip
+#include <boost/asio/ip/udp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/address_func.h"
+#include "fleet/entry_message_func.h"
+#include "serving/entry_gossip_base.h"
+#include "serving/waker_rig_test.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using testing::kModel;
+using testing::WakerRig;
+
+/** The other entries' common ear. */
+struct Ear {
+  explicit Ear(asio::io_context& io)
+      : socket(io, udp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    socket.non_blocking(true);
+    address = "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+  }
+
+  /** @return All that has come since the last call. */
+  std::vector<gen::EntryRecord> TakeAll() {
+    std::vector<gen::EntryRecord> taken;
+    std::string buf(60'000, ' ');
+    boost::system::error_code ec;
+    while (true) {
+      const std::size_t n = socket.receive(asio::buffer(buf), 0, ec);
+      if (ec) return taken;
+      taken.push_back(fleet::DecodeRecord(std::string_view(buf.data(), n)));
+    }
+  }
+
+  udp::socket socket;
+  std::string address;
+};
+
+struct Rig : WakerRig {
+  explicit Rig(int others) : ear(io) {
+    std::map<std::string, gen::EntryPresence> entries;
+    for (int i = 0; i < others; ++i) {
+      entries["entries/" + std::to_string(i)].address = ear.address;
+    }
+    board.SetEntries(entries);
+    GossipOptions options;
+    options.entry = "self";
+    options.listen = "127.0.0.1:0";
+    gossip = std::make_unique<EntryGossip>(options, loads, board, waker,
+                                           io.get_executor(), waker_clock, log);
+  }
+
+  void Pass(milliseconds time) { entry::testing::RunTask(io, Sleep(time)); }
+
+  Ear ear;
+  std::unique_ptr<EntryGossip> gossip;
+};
+
+const fleet::InstanceId kEngine("i-1");
+
+}  // namespace
+
+/**
+ * Callers' streams pause at a hundred entries: entries and the processes beside
+ * engines spend their time on tens of thousands of reports a second.
+ * Pattern: many entries with requests in progress. What one of them sends does
+ * not grow with their number.
+ */
+BOOST_AUTO_TEST_CASE(WhatAnEntryTellsDoesNotGrowWithTheirNumber) {
+  for (const int others : {4, 100}) {
+    Rig rig(others);
+    rig.loads.Begin(kEngine, {kModel, core::AdapterId()});
+    rig.gossip->Start();
+    rig.Pass(milliseconds(1000));
+    const std::size_t n = rig.ear.TakeAll().size();
+    // One each 50 ms; a busy machine sends fewer.
+    BOOST_TEST(n >= 1);
+    BOOST_TEST(n <= 21);
+  }
+}
+
+/** An entry with nothing to tell says so to each of the others, then nothing.
+ */
+BOOST_AUTO_TEST_CASE(AnIdleEntryFallsSilent) {
+  Rig rig(2);
+  rig.gossip->Start();
+  rig.Pass(milliseconds(600));
+  BOOST_TEST(rig.ear.TakeAll().size() == 2);
+  rig.loads.Begin(kEngine, {kModel, core::AdapterId()});
+  rig.Pass(milliseconds(300));
+  const std::vector<gen::EntryRecord> told = rig.ear.TakeAll();
+  BOOST_REQUIRE(!told.empty());
+  BOOST_REQUIRE(told.back().uses.size() == 1);
+  BOOST_TEST(told.back().uses.front().parts.front().running == 1);
+}
+
+/** Loads that this entry has asked for are told, with what is left of them. */
+BOOST_AUTO_TEST_CASE(LoadsOnTheirWayAreTold) {
+  Rig rig(1);
+  rig.waker.Wake(rig.service, kModel, testing::kRequest);
+  const gen::EntryRecord record = rig.gossip->Record();
+  BOOST_REQUIRE(record.loads.size() == 1);
+  BOOST_TEST(record.loads.front().model == kModel.value());
+  BOOST_TEST(record.loads.front().from_weight_store);
+  BOOST_TEST(record.loads.front().ready_in_ms == 8600);
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/follow.cc
+++ b/src/serving/follow.cc
@@ -9,9 +9,14 @@
 
 using std::chrono::milliseconds;
 
-/** Engines change often while models are loaded: a call for each change would
- * cost more than it tells, as endpoints tell of it themselves. */
-constexpr milliseconds kEngineGather{500};
+/** In a large fleet something changes all the time: a call for each change
+ * would cost more than it tells. */
+constexpr milliseconds kLeastGather{300};
+constexpr milliseconds kMostGather{1500};
+/** Of the bound, half is for what may go wrong (a silent store, its next try,
+ * entries that lapsed), and some more. */
+constexpr int kGatherShare = 2;
+constexpr milliseconds kLessGather{1000};
 /** For the listing that follows a failed call, and for timers that fire late.
  */
 constexpr milliseconds kRest{100};
@@ -37,20 +42,10 @@
 
 }  // namespace
 
-routing::FollowOptions ConfigurationFollowOptions(const std::string& key,
-                                                  const Freshness& freshness) {
+routing::FollowOptions StoreFollowOptions(const Freshness& freshness) {
   routing::FollowOptions options;
-  options.prefix = key;
-  options.watch_wait =
-      WatchWait(freshness, options.gather, options.retry_pause);
-  return options;
-}
-
-routing::FollowOptions EngineFollowOptions(const std::string& prefix,
-                                           const Freshness& freshness) {
-  routing::FollowOptions options;
-  options.prefix = prefix;
-  options.gather = kEngineGather;
+  options.gather = std::clamp(freshness.bound / kGatherShare - kLessGather,
+                              kLeastGather, kMostGather);
   options.watch_wait =
       WatchWait(freshness, options.gather, options.retry_pause);
   // What is held is dropped at the next look, and a request chosen just before
@@ -60,11 +55,4 @@
   return options;
 }
 
-crash::QuarantineTiming QuarantineFollowTiming(const Freshness& freshness) {
-  crash::QuarantineTiming timing;
-  timing.retry_pause = routing::FollowOptions().retry_pause;
-  timing.watch_wait = WatchWait(freshness, milliseconds(0), timing.retry_pause);
-  return timing;
-}
-
 }  // namespace sapphire::serving
--- a/src/serving/follow_func.h
+++ b/src/serving/follow_func.h
@@ -3,9 +3,7 @@
 #define SAPPHIRE_SERVING_FOLLOW_FUNC_H_
 
 #include <chrono>
-#include <string>
 
-#include "crash/quarantine_store_base.h"
 #include "routing/store_follower_base.h"
 
 namespace sapphire::serving {
@@ -26,16 +24,9 @@
 /** How often an entry drops what has expired. */
 inline constexpr std::chrono::milliseconds kHousekeeping{250};
 
-/** @return How an entry follows the configuration. */
-[[nodiscard]] routing::FollowOptions ConfigurationFollowOptions(
-    const std::string& key, const Freshness& freshness);
-
-/** @return How an entry follows engines' entries. */
-[[nodiscard]] routing::FollowOptions EngineFollowOptions(
-    const std::string& prefix, const Freshness& freshness);
-
-/** @return How an entry follows requests that crash engines. */
-[[nodiscard]] crash::QuarantineTiming QuarantineFollowTiming(
+/** @return How an entry follows the configuration, the engines, the other
+ * entries and requests that crash engines. */
+[[nodiscard]] routing::FollowOptions StoreFollowOptions(
     const Freshness& freshness);
 
 }  // namespace sapphire::serving
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -1,11 +1,15 @@
 /** @file front.cc All parts of an entry that sends to engines itself. */
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <exception>
+#include <map>
 #include <utility>
 
 #include "core/error_type.h"
 #include "core/random_func.h"
 #include "core/task_func.h"
+#include "fleet/entry_message_func.h"
 #include "serving/front_base.h"
 
 namespace sapphire::serving {
@@ -21,6 +25,8 @@
 /** A balancer asks once a second and goes by two answers: new connections may
  * come for this long after we have stopped being ready. */
 constexpr milliseconds kBalancerLag{2500};
+/** A link to an endpoint without a wish for this long is closed. */
+constexpr milliseconds kIdleLink{3000};
 /** Left for the end of the process itself. */
 constexpr milliseconds kLastMoments{300};
 
@@ -29,6 +35,7 @@
   links.self.vm = options.vm.value();
   links.self.zone = options.zone.value();
   links.self.role = gen::Role::ENTRY;
+  links.idle_close = kIdleLink;
   links.self.incarnation = core::RandomPositive();
   return links;
 }
@@ -43,13 +50,40 @@
 
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
                       fleet::EngineRegistry& registry,
-                      fleet::EngineLoads& loads, fleet::EndpointFeed& feed,
+                      fleet::EngineLoads& loads, fleet::EntryBoard& board,
+                      EngineClients& clients, LoadGauges& gauges,
                       const ReplicaFinder& finder, ModelWaker& waker,
                       CrashWatch& crash_watch, const CallerWire& caller_wire,
                       const EngineWire& engine_wire, FrontMetrics& metrics,
                       const core::Clock& clock, const core::Logger& log) {
-  return {configuration, registry,    loads,       feed,    finder, waker,
-          crash_watch,   caller_wire, engine_wire, metrics, clock,  log};
+  return {configuration, registry, loads, board,       clients,
+          gauges,        finder,   waker, crash_watch, caller_wire,
+          engine_wire,   metrics,  clock, log};
+}
+
+/** Two starts of an entry never share a key. */
+std::string PresenceKeyOf(const FrontOptions& options) {
+  return fmt::format("{}{}@{}", fleet::kEntryPrefix, options.vm.value(),
+                     core::RandomHexId());
+}
+
+PresenceOptions PresenceOptionsOf(const FrontOptions& options,
+                                  std::string key) {
+  gen::EntryPresence presence;
+  presence.vm = options.vm.value();
+  presence.zone = options.zone.value();
+  presence.address = options.link_listen;
+  PresenceOptions out;
+  out.key = std::move(key);
+  out.value = fleet::Encode(presence);
+  return out;
+}
+
+GossipOptions GossipOptionsOf(const FrontOptions& options, std::string key) {
+  GossipOptions gossip;
+  gossip.entry = std::move(key);
+  gossip.listen = options.link_listen;
+  return gossip;
 }
 
 http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
@@ -81,24 +115,28 @@
              }),
       registry_(fleet::RegistryOptions(), clock, log),
       loads_(clock),
+      presence_key_(PresenceKeyOf(options_)),
+      board_(presence_key_, loads_, clock, log),
       links_(executor, LinkOptionsOf(options_), RefuseCall, link::NoVersions(),
              clock, log),
-      feed_(options_.feed, links_, registry_, loads_, executor, clock, log),
-      finder_(options_.zone, registry_, feed_, loads_, clock),
-      waker_(finder_, feed_, registry_, loads_, metrics_, executor, clock, log),
-      crash_watch_(QuarantineFollowTiming(options_.freshness), store_, loads_,
-                   executor_, clock, log),
+      calls_(options_.endpoint_link_port, links_, registry_),
+      gauges_(engine_wire, clients_, registry_, loads_, executor, clock, log),
+      finder_(options_.zone, registry_, board_, loads_, gauges_, clock),
+      waker_(finder_, calls_, board_, registry_, loads_, metrics_, executor,
+             clock, log),
+      crash_watch_(store_, loads_, executor_, clock, log),
       dispatcher_(options_.dispatch,
-                  PartsOf(configuration_, registry_, loads_, feed_, finder_,
-                          waker_, crash_watch_, caller_wire, engine_wire,
-                          metrics_, clock, log)),
-      configuration_follower_(
-          ConfigurationFollowOptions(layout_.configuration_key,
-                                     options_.freshness),
-          ConfigurationHooks(), store_, clock, log),
+                  PartsOf(configuration_, registry_, loads_, board_, clients_,
+                          gauges_, finder_, waker_, crash_watch_, caller_wire,
+                          engine_wire, metrics_, clock, log)),
+      presence_(PresenceOptionsOf(options_, presence_key_), store_, clock, log),
+      gossip_(GossipOptionsOf(options_, presence_key_), loads_, board_, waker_,
+              executor, clock, log),
       engine_follower_(
-          EngineFollowOptions(layout_.engine_prefix, options_.freshness),
-          layout_, registry_, store_, [this] { FollowEngines(); }, clock, log),
+          layout_, registry_, [this] { waker_.changed().Notify(); }, clock,
+          log),
+      store_follower_(StoreFollowOptions(options_.freshness), AllHooks(),
+                      store_, clock, log),
       server_(
           executor, options_.listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
@@ -124,10 +162,11 @@
   ready_server_.Start();
   metrics_server_.Start();
   crash_watch_.Start();
-  core::Spawn(executor_, log_, "follow_configuration",
-              [this] { return configuration_follower_.Run(); });
-  core::Spawn(executor_, log_, "follow_engines",
-              [this] { return engine_follower_.Run(); });
+  core::Spawn(executor_, log_, "follow_store",
+              [this] { return store_follower_.Run(); });
+  gossip_.Start();
+  core::Spawn(executor_, log_, "keep_presence",
+              [this] { return presence_.Run(); });
   core::Spawn(executor_, log_, "keep_house", [this] { return KeepHouse(); });
 }
 
@@ -145,11 +184,9 @@
   levels.requests_in_progress = server_.in_progress();
   levels.engines_known = static_cast<int>(registry_.engines().size());
   levels.engines_held = registry_.held();
-  levels.endpoints_followed = feed_.followed();
-  levels.entries = feed_.entries();
+  levels.entries = board_.entries();
   levels.ready = Ready();
-  levels.configuration_age = age(configuration_follower_.last_answer());
-  levels.engines_age = age(engine_follower_.last_answer());
+  levels.store_age = age(store_follower_.last_answer());
   levels.log = log_.counters();
   return levels;
 }
@@ -172,8 +209,14 @@
   co_await writer.Send(std::move(response));
 }
 
+std::vector<routing::FollowHooks> Front::AllHooks() {
+  return {ConfigurationHooks(), engine_follower_.Hooks(), EntryHooks(),
+          crash_watch_.Hooks()};
+}
+
 routing::FollowHooks Front::ConfigurationHooks() {
   routing::FollowHooks hooks;
+  hooks.prefix = layout_.configuration_key;
   hooks.listed = [this](std::vector<external::KvEntry> entries,
                         routing::LapseEnd) {
     for (const external::KvEntry& it : entries) AdoptConfiguration(it);
@@ -195,14 +238,44 @@
       ServerLimitsOf(configuration_.current()->configuration().limits));
 }
 
-/** Only engines of model services have an endpoint process beside them. */
-void Front::FollowEngines() {
-  const auto table = configuration_.current();
-  if (table == nullptr) return;
-  for (const auto& [instance, engine] : registry_.engines()) {
-    const routing::Service* service = table->FindService(engine.service);
-    if (service != nullptr && service->engine) feed_.Follow(instance);
+routing::FollowHooks Front::EntryHooks() {
+  routing::FollowHooks hooks;
+  hooks.prefix = fleet::kEntryPrefix;
+  hooks.listed = [this](std::vector<external::KvEntry> entries,
+                        routing::LapseEnd) { TakeEntries(entries); };
+  hooks.changed = [this](external::KvEvent event, routing::LapseEnd) {
+    TakeEntry(event);
+  };
+  return hooks;
+}
+
+void Front::TakeEntries(const std::vector<external::KvEntry>& entries) {
+  std::map<std::string, gen::EntryPresence> known;
+  for (const external::KvEntry& it : entries) {
+    auto presence = ReadPresence(it.key, it.value);
+    if (presence) known.emplace(it.key, std::move(*presence));
+  }
+  board_.SetEntries(known);
+}
+
+void Front::TakeEntry(const external::KvEvent& event) {
+  if (!event.value) {
+    board_.RemoveEntry(event.key);
+    return;
+  }
+  const auto presence = ReadPresence(event.key, *event.value);
+  if (presence) board_.PutEntry(event.key, *presence);
+}
+
+std::optional<gen::EntryPresence> Front::ReadPresence(
+    const std::string& key, const std::string& value) const {
+  try {
+    return fleet::DecodePresence(value);
+  } catch (const core::Error& e) {
+    log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
+               "presence_unreadable", {{"key", key}, {"error", e.what()}});
   }
+  return std::nullopt;
 }
 
 core::Task<> Front::KeepHouse() {
@@ -210,7 +283,6 @@
     {
       const core::StallWatch::Span span(stalls_, "housekeeping");
       registry_.Expire();
-      FollowEngines();
       dispatcher_.Forget();
     }
     const core::SteadyTime due = clock_.Now() + kHousekeeping;
@@ -229,6 +301,7 @@
   server_.AnnounceLeaving();
   log_.Event(LogLevel::kInfo, LogCategory::kProcess, "leaving",
              {{"in_progress", server_.in_progress()}});
+  co_await presence_.Withdraw();
   while (clock_.Now() < end) {
     const bool balanced = clock_.Now() - began >= kBalancerLag;
     if (balanced && server_.in_progress() == 0) break;
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -14,9 +14,10 @@
 #include "core/task_type.h"
 #include "external/counting_store_base.h"
 #include "external/key_value_base.h"
-#include "fleet/endpoint_feed_base.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
+#include "fleet/entry_board_base.h"
+#include "fleet/order_calls_base.h"
 #include "http/server_base.h"
 #include "link/link_base.h"
 #include "routing/routing_table_base.h"
@@ -24,6 +25,8 @@
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
+#include "serving/entry_gossip_base.h"
+#include "serving/entry_presence_base.h"
 #include "serving/follow_func.h"
 #include "serving/model_waker_base.h"
 #include "serving/replica_finder_base.h"
@@ -39,7 +42,8 @@
   std::string ready_listen;
   std::string ready_path;
   std::string link_listen;
-  fleet::FeedOptions feed;
+  /** Port on which endpoint processes listen for links, on the engine's VM. */
+  std::uint16_t endpoint_link_port = 0;
   DispatchOptions dispatch;
   /** For whoever collects metrics. */
   std::string metrics_listen;
@@ -73,9 +77,14 @@
   core::Task<> AnswerReady(const http::Request& request,
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
-  void FollowEngines();
   core::Task<> KeepHouse();
+  std::vector<routing::FollowHooks> AllHooks();
   routing::FollowHooks ConfigurationHooks();
+  routing::FollowHooks EntryHooks();
+  void TakeEntries(const std::vector<external::KvEntry>& entries);
+  void TakeEntry(const external::KvEvent& event);
+  [[nodiscard]] std::optional<gen::EntryPresence> ReadPresence(
+      const std::string& key, const std::string& value) const;
 
   const FrontOptions options_;
   const StoreLayout layout_;
@@ -88,14 +97,20 @@
   routing::ConfigurationHolder configuration_;
   fleet::EngineRegistry registry_;
   fleet::EngineLoads loads_;
+  const std::string presence_key_;
+  fleet::EntryBoard board_;
   link::LinkNode links_;
-  fleet::EndpointFeed feed_;
+  fleet::OrderCalls calls_;
+  EngineClients clients_;
+  LoadGauges gauges_;
   ReplicaFinder finder_;
   ModelWaker waker_;
   CrashWatch crash_watch_;
   Dispatcher dispatcher_;
-  routing::StoreFollower configuration_follower_;
+  EntryPresence presence_;
+  EntryGossip gossip_;
   EngineFollower engine_follower_;
+  routing::StoreFollower store_follower_;
   http::Server server_;
   http::Server ready_server_;
   http::Server metrics_server_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -112,11 +112,9 @@
   set("requests_in_progress", levels.requests_in_progress);
   set("engines_known", levels.engines_known);
   set("engines_held", levels.engines_held);
-  set("endpoints_followed", levels.endpoints_followed);
   set("entries", levels.entries);
   set("ready", levels.ready);
-  set("configuration_age_ms", levels.configuration_age.count());
-  set("engines_age_ms", levels.engines_age.count());
+  set("store_age_ms", levels.store_age.count());
   set("log_lines", levels.log.lines);
   set("log_bytes", levels.log.bytes);
   set("log_lines_dropped", levels.log.dropped);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -21,12 +21,10 @@
   int engines_known = 0;
   /** Of these, those that the store does not name and that are still used. */
   int engines_held = 0;
-  int endpoints_followed = 0;
   int entries = 0;
   bool ready = false;
   /** Age of what the store last told. */
-  std::chrono::milliseconds configuration_age{0};
-  std::chrono::milliseconds engines_age{0};
+  std::chrono::milliseconds store_age{0};
   core::LogSinkCounters log;
 };
 
--- /dev/null
+++ b/src/serving/load_gauges.cc
@@ -0,0 +1,94 @@
+/** @file load_gauges.cc How busy engines are, asked when it matters. */
+#include <algorithm>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "core/task_func.h"
+#include "serving/load_gauges_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+/** Engines tell of some hundred milliseconds ago: asking oftener tells little.
+ */
+constexpr milliseconds kAskAgain{250};
+/** An answer that takes longer is not waited for: the request goes by what is
+ * known. */
+constexpr milliseconds kAnswerLimit{60};
+/** Streams last seconds: what was said is gone by for this long. */
+constexpr milliseconds kFresh{1500};
+
+}  // namespace
+
+LoadGauges::LoadGauges(const EngineWire& wire, EngineClients& clients,
+                       const fleet::EngineRegistry& registry,
+                       const fleet::EngineLoads& loads,
+                       const core::Executor& executor, const core::Clock& clock,
+                       const core::Logger& log)
+    : wire_(wire),
+      clients_(clients),
+      registry_(registry),
+      loads_(loads),
+      executor_(executor),
+      clock_(clock),
+      log_(log) {}
+
+core::Task<> LoadGauges::Refresh(std::vector<fleet::InstanceId> instances) {
+  const core::SteadyTime now = clock_.Now();
+  std::erase_if(instances, [&](const fleet::InstanceId& it) {
+    const auto gauge = gauges_.find(it);
+    return gauge != gauges_.end() && now - gauge->second.at < kAskAgain;
+  });
+  for (const fleet::InstanceId& it : instances) {
+    if (!asking_.insert(it).second) continue;
+    core::Spawn(executor_, log_, "gauge_engine",
+                [this, it] { return AskOne(it); });
+  }
+  const core::SteadyTime end = now + kAnswerLimit;
+  while (clock_.Now() < end) {
+    const std::uint64_t seen = answered_.epoch();
+    const bool open = std::ranges::any_of(
+        instances, [this](const auto& it) { return asking_.contains(it); });
+    if (!open) co_return;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - clock_.Now());
+    co_await answered_.Wait(seen, std::max(left, milliseconds(1)));
+  }
+}
+
+core::Task<> LoadGauges::AskOne(fleet::InstanceId instance) {
+  std::string failure;
+  const fleet::EngineEntry* engine = registry_.Find(instance);
+  if (engine != nullptr) {
+    const std::shared_ptr<http::Client> client = clients_.Of(*engine);
+    try {
+      http::Request question = wire_.LoadQuestion();
+      const http::Response answer =
+          co_await client->Fetch(std::move(question), kAnswerLimit);
+      gauges_[instance] = LoadGauge{wire_.ReadLoad(answer), clock_.Now(),
+                                    loads_.Running(instance)};
+    } catch (const std::exception& e) {
+      failure = e.what();
+    }
+  }
+  asking_.erase(instance);
+  answered_.Notify();
+  if (failure.empty()) co_return;
+  log_.Event(core::LogLevel::kDebug, core::LogCategory::kReplica,
+             "engine_ungauged", {{"instance", instance}, {"error", failure}});
+}
+
+const LoadGauge* LoadGauges::Find(const fleet::InstanceId& instance) const {
+  const auto it = gauges_.find(instance);
+  if (it == gauges_.end()) return nullptr;
+  return clock_.Now() - it->second.at < kFresh ? &it->second : nullptr;
+}
+
+void LoadGauges::Forget(const std::set<fleet::InstanceId>& alive) {
+  std::erase_if(gauges_,
+                [&alive](const auto& it) { return !alive.contains(it.first); });
+}
+
+}  // namespace sapphire::serving
--- /dev/null
+++ b/src/serving/load_gauges_test.cc
@@ -0,0 +1,130 @@
+/** @file load_gauges_test.cc Tests of asking engines how busy they are. */
+#define BOOST_TEST_MODULE load_gauges
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "serving/dispatcher_rig_test.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using testing::Answering;
+using testing::kDrafts;
+using testing::RecordingWriter;
+using testing::Rig;
+using testing::Silent;
+using testing::Streaming;
+using testing::TestEngine;
+
+constexpr int kOk = 200;
+constexpr milliseconds kWait{3000};
+
+/** Streams a draft; tells of so much load when it is asked. */
+http::Handler Busy(int running) {
+  return [running](const http::Request& request,
+                   http::ResponseWriter& writer) -> core::Task<> {
+    if (request.target == "/load") {
+      http::Response response =
+          http::MakeResponse(kOk, "text/plain", std::to_string(running));
+      co_await writer.Send(std::move(response));
+      co_return;
+    }
+    const http::Handler stream = Streaming({"id: 1\n\n"}, true);
+    co_await stream(request, writer);
+  };
+}
+
+/** Other entries, and how much each has in progress at the engines. */
+struct LargeRig : Rig {
+  /** So many entries that what they tell is seconds old. */
+  void KnowOthers(const std::vector<int>& running) {
+    std::map<std::string, gen::EntryPresence> entries;
+    for (int i = 0; i < 100; ++i) entries["e" + std::to_string(i)] = {};
+    board.SetEntries(entries);
+    gen::EntryRecord record;
+    record.entry = "e0";
+    record.number = 1;
+    for (std::size_t i = 0; i < running.size(); ++i) {
+      gen::ResidentUse use;
+      use.model = "m";
+      use.running = running[i];
+      gen::EngineUse at;
+      at.engine_instance = "i-" + std::to_string(i + 1);
+      at.parts.push_back(use);
+      record.uses.push_back(at);
+    }
+    board.Take(record);
+  }
+
+  static int Drafts(const TestEngine& engine) {
+    return static_cast<int>(std::ranges::count_if(
+        engine.requests,
+        [](const http::Request& it) { return it.target != "/load"; }));
+  }
+};
+
+}  // namespace
+
+/**
+ * Streams pause on one engine while others idle.
+ * Pattern: a hundred entries, each of which goes by what the others told some
+ * seconds ago; all of them send to the engine that was idle then. Asked itself,
+ * it says that it is busy now.
+ */
+BOOST_AUTO_TEST_CASE(AnEngineThatHasFilledUpMeanwhileIsPassedOver) {
+  LargeRig rig;
+  const TestEngine& filled = rig.AddEngine(kDrafts, Busy(20));
+  const TestEngine& emptied = rig.AddEngine(kDrafts, Busy(1));
+  rig.KnowOthers({5, 7});
+  RecordingWriter writer;
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST(writer.whole);
+  BOOST_TEST(LargeRig::Drafts(filled) == 0);
+  BOOST_TEST(LargeRig::Drafts(emptied) == 1);
+}
+
+/** Engines with hardly any work are not asked: it costs more than it tells. */
+BOOST_AUTO_TEST_CASE(IdleEnginesAreNotAsked) {
+  LargeRig rig;
+  const TestEngine& first = rig.AddEngine(kDrafts, Busy(0));
+  const TestEngine& second = rig.AddEngine(kDrafts, Busy(0));
+  rig.KnowOthers({1, 1});
+  RecordingWriter writer;
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST(first.requests.size() + second.requests.size() == 1);
+}
+
+/** In a small fleet what entries tell is fresh: nobody has to be asked. */
+BOOST_AUTO_TEST_CASE(InASmallFleetNobodyIsAsked) {
+  Rig rig;
+  const TestEngine& first = rig.AddEngine(kDrafts, Busy(9));
+  const TestEngine& second = rig.AddEngine(kDrafts, Busy(9));
+  for (int i = 0; i < 9; ++i) {
+    for (const char* it : {"i-1", "i-2"}) {
+      rig.loads.Begin(fleet::InstanceId(it),
+                      {core::ModelId("m"), core::AdapterId()});
+    }
+  }
+  RecordingWriter writer;
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST(first.requests.size() + second.requests.size() == 1);
+}
+
+/**
+ * Callers wait for engines that are asked and say nothing.
+ * A question that is not answered soon is not waited for.
+ */
+BOOST_AUTO_TEST_CASE(ASilentEngineHoldsUpNoRequest) {
+  LargeRig rig;
+  rig.AddEngine(kDrafts, Silent());
+  const TestEngine& sound = rig.AddEngine(kDrafts, Busy(1));
+  rig.KnowOthers({9, 6});
+  RecordingWriter writer;
+  const auto began = rig.clock.Now();
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(1000)));
+  BOOST_TEST(LargeRig::Drafts(sound) == 1);
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/model_waker_base.h
+++ b/src/serving/model_waker_base.h
@@ -12,8 +12,9 @@
 #include "core/log_base.h"
 #include "core/signal_base.h"
 #include "core/task_type.h"
-#include "fleet/endpoint_feed_base.h"
+#include "fleet/entry_board_base.h"
 #include "fleet/model_usage_base.h"
+#include "fleet/order_calls_base.h"
 #include "policy/wake_up_func.h"
 #include "routing/route_type.h"
 #include "serving/front_metrics_base.h"
@@ -34,22 +35,24 @@
 };
 
 /**
- * Asks endpoints to load. All entries see the same reports and choose by the
+ * Asks endpoints to load. All entries see the same engines and choose by the
  * same rules, so that two of them that want one model at one time mostly ask
  * the same endpoint, which loads it once; nobody has to be asked first, and no
- * entry's end delays a wake-up.
+ * entry's end delays a wake-up. What is on its way is told to the other
+ * entries, who ask the same endpoint and so hear of its end at once.
  */
 class ModelWaker {
  public:
   /** @pre All references outlive the waker. */
-  ModelWaker(const ReplicaFinder& finder, fleet::EndpointFeed& feed,
-             fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
-             FrontMetrics& metrics, const core::Executor& executor,
-             const core::Clock& clock, const core::Logger& log);
+  ModelWaker(const ReplicaFinder& finder, fleet::OrderCalls& calls,
+             fleet::EntryBoard& board, fleet::EngineRegistry& registry,
+             fleet::EngineLoads& loads, FrontMetrics& metrics,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
 
   /** A caller has asked for the model, whether it is loaded or not. */
   void NoteAsked(const core::ModelId& model) {
-    asked_.NoteWanted({model, core::AdapterId()});
+    asked_.NoteBegun({model, core::AdapterId()});
   }
 
   /**
@@ -74,22 +77,27 @@
   void AddReplica(const routing::Service& service, const core::ModelId& model,
                   policy::ReplicaNeed need, int at_once = 1);
 
-  /** @return The engine that has just loaded it: its endpoint's next report,
-   * which shows it, may still be on its way. */
-  [[nodiscard]] std::optional<fleet::InstanceId> JustLoaded(
-      const WakeTarget& target) const;
-
   /** @return True if the engine could not load it a moment ago. */
   [[nodiscard]] bool FailedLately(const WakeTarget& target,
                                   const fleet::InstanceId& instance) const;
 
-  /** Moves when a wake-up has ended, well or not. */
+  /** Moves when a wake-up has ended, well or not, and when the engines have
+   * changed. */
   [[nodiscard]] core::Signal& changed() { return changed_; }
 
+  /** @return The loads that this entry has asked for. */
+  [[nodiscard]] std::vector<fleet::ComingLoad> Asked() const;
+
+  /** @return What the latest load from the weight store took that this entry
+   * asked for; 0 if none ended lately. */
+  [[nodiscard]] milliseconds OwnStoreLoad() const;
+
  private:
   struct Pending {
     core::SteadyTime ready;
     policy::Tier tier = policy::Tier::kRemote;
+    /** Another entry has asked for it before. */
+    bool joined = false;
   };
   /** A wake-up at one engine. */
   struct Try {
@@ -100,16 +108,18 @@
       return std::tie(a.target, a.instance) < std::tie(b.target, b.instance);
     }
   };
-  /** Where and when the latest wake-up of a model ended well. */
-  struct Ending {
-    fleet::InstanceId instance;
+  /** The latest load from the weight store. */
+  struct StoreLoad {
+    milliseconds took{0};
     core::SteadyTime at;
   };
 
+  [[nodiscard]] milliseconds StoreLoadTime() const;
+  void Join(const WakeTarget& target);
   [[nodiscard]] bool LanesAreForOthers(const routing::Service& service,
                                        const core::ModelId& model) const;
-  /** @return Where it is being loaded, as far as endpoints tell or this entry
-   * has asked. */
+  /** @return Where it is being loaded, as far as entries tell or this one has
+   * asked. */
   [[nodiscard]] std::vector<ComingModel> Coming(const WakeTarget& target) const;
   std::optional<milliseconds> OnItsWay(const WakeTarget& target) const;
   std::optional<policy::WakeUpPlan> Plan(const routing::Service& service,
@@ -121,8 +131,15 @@
   core::Task<> Load(Try asked, Pending pending,
                     std::vector<core::ModelId> evict);
 
+  [[nodiscard]] gen::EnsureModel WishOf(const Try& asked,
+                                        const std::vector<core::ModelId>& evict,
+                                        milliseconds limit) const;
+  void NoteLoaded(const Try& asked, const Pending& pending,
+                  const std::vector<core::ModelId>& evict, milliseconds took);
+
   const ReplicaFinder& finder_;
-  fleet::EndpointFeed& feed_;
+  fleet::OrderCalls& calls_;
+  fleet::EntryBoard& board_;
   fleet::EngineRegistry& registry_;
   fleet::EngineLoads& loads_;
   FrontMetrics& metrics_;
@@ -131,11 +148,11 @@
   const core::SteadyTime began_;
   const core::Logger& log_;
   core::Signal changed_;
+  std::optional<StoreLoad> store_load_;
   /** What callers ask this entry for. */
   fleet::ModelUsage asked_;
   std::map<Try, Pending> pending_;
   std::map<Try, core::SteadyTime> failures_;
-  std::map<WakeTarget, Ending> loaded_;
   std::map<WakeTarget, core::SteadyTime> replica_asked_;
 };
 
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -9,99 +9,65 @@
 
 namespace {
 
-/** What an engine holds of a model. */
-struct Holding {
-  bool model = false;
-  bool adapter = false;
-};
-
-/** The endpoint beside the engine knows best; without it the engine's own
- * entry serves. */
-Holding HoldingOf(const fleet::EngineEntry& engine,
-                  const fleet::EndpointState* state, const core::ModelId& model,
-                  const core::AdapterId& adapter) {
-  Holding holding;
-  if (state != nullptr) {
-    for (const gen::ReplicaReport& it : state->report.replicas) {
-      if (it.model != model.value()) continue;
-      if (it.state != gen::ReplicaState::READY) continue;
-      holding.model = true;
-      holding.adapter =
-          std::ranges::find(it.adapters, adapter.value()) != it.adapters.end();
-    }
-    return holding;
-  }
-  for (const fleet::HeldModel& it : engine.models) {
-    if (it.model != model) continue;
-    holding.model = true;
-    holding.adapter = it.adapters.contains(adapter);
-  }
-  return holding;
+const fleet::HeldModel* FindHeld(const fleet::EngineEntry& engine,
+                                 const core::ModelId& model) {
+  const auto it =
+      std::ranges::find(engine.models, model, &fleet::HeldModel::model);
+  return it == engine.models.end() ? nullptr : &*it;
 }
 
-policy::Tier TierOf(const gen::EndpointReport& report,
+policy::Tier TierOf(const fleet::EngineEntry& engine,
                     const core::ModelId& model) {
-  const auto has = [&model](const std::vector<std::string>& names) {
-    return std::ranges::find(names, model.value()) != names.end();
-  };
-  if (has(report.memory_tier)) return policy::Tier::kMemory;
-  if (has(report.disk_tier)) return policy::Tier::kDisk;
+  if (engine.copies.in_memory.contains(model)) return policy::Tier::kMemory;
+  if (engine.copies.on_disk.contains(model)) return policy::Tier::kDisk;
   return policy::Tier::kRemote;
 }
 
-/** An engine and what its endpoint said last. */
-struct ReportedEngine {
-  const fleet::EngineEntry* engine = nullptr;
-  const gen::EndpointReport* report = nullptr;
-};
-
 /** Replicas and demand of each model, over all engines of a service. */
 struct ModelTotals {
   int replicas = 0;
   double demand = 0;
 };
 
-double PerSecond(std::int64_t per_1000_s) {
-  return static_cast<double>(per_1000_s) / 1000;
-}
-
 }  // namespace
 
 ReplicaFinder::ReplicaFinder(core::ZoneId zone,
                              const fleet::EngineRegistry& registry,
-                             const fleet::EndpointFeed& feed,
+                             const fleet::EntryBoard& board,
                              const fleet::EngineLoads& loads,
-                             const core::Clock& clock)
+                             const LoadGauges& gauges, const core::Clock& clock)
     : zone_(std::move(zone)),
       registry_(registry),
-      feed_(feed),
+      board_(board),
       loads_(loads),
+      gauges_(gauges),
       clock_(clock) {}
 
 std::vector<FoundReplica> ReplicaFinder::Find(
     const core::ServiceId& service, const CallerRequest& request,
     const std::set<fleet::InstanceId>& avoid) const {
   std::vector<FoundReplica> found;
+  const fleet::UsedPart model{request.model, core::AdapterId()};
+  const fleet::UsedPart part{request.model, request.adapter};
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service || engine.draining) continue;
-    if (avoid.contains(instance)) continue;
-    if (loads_.Unreachable(instance) || feed_.EngineDown(instance)) continue;
-    if (loads_.Lacks(instance, {request.model, core::AdapterId()})) continue;
+    // Of hundreds of engines few hold the model: asked first.
+    const fleet::HeldModel* held = FindHeld(engine, request.model);
+    const bool names_model = !request.model.empty();
+    const bool holds = held != nullptr || loads_.HasLoaded(instance, model);
+    if (names_model && !holds) continue;
+    if (avoid.contains(instance) || loads_.Unreachable(instance)) continue;
+    if (loads_.Lacks(instance, model)) continue;
     FoundReplica replica;
     replica.instance = instance;
     replica.view = View(engine, request);
-    if (!request.model.empty()) {
-      const fleet::EndpointState* state = feed_.Find(instance);
-      const Holding holding =
-          HoldingOf(engine, state, request.model, request.adapter);
-      if (!holding.model) continue;
-      if (state != nullptr) {
-        replica.order_left = milliseconds(state->report.loading_left_ms);
-      }
-      const bool lacks =
-          loads_.Lacks(instance, {request.model, request.adapter});
-      replica.has_adapter =
-          request.adapter.empty() || (holding.adapter && !lacks);
+    if (names_model) {
+      replica.order_left = OrderLeft(instance);
+      const bool listed =
+          held != nullptr && held->adapters.contains(request.adapter);
+      const bool has = (listed && !loads_.Lacks(instance, part)) ||
+                       loads_.HasLoaded(instance, part);
+      replica.has_adapter = request.adapter.empty() || has;
     }
     found.push_back(std::move(replica));
   }
@@ -113,19 +79,19 @@
   policy::ReplicaCandidate view;
   view.same_zone = engine.zone == zone_;
   view.max_running = engine.max_running;
-  view.running = loads_.Running(engine.instance);
+  view.running = board_.Running(engine.instance);
+  const LoadGauge* gauge = gauges_.Find(engine.instance);
+  if (gauge != nullptr) {
+    // It counts our own requests as they were when it was asked.
+    const int others = gauge->load.running - gauge->own_running;
+    view.running = loads_.Running(engine.instance) + std::max(others, 0);
+    view.waiting = gauge->load.waiting;
+    view.kv_used = gauge->load.kv_tokens_used;
+    view.kv_total = gauge->load.kv_tokens_total;
+  }
   view.failure_rate = loads_.FailureRate(engine.instance);
   view.oldest_silence = loads_.OldestSilence(engine.instance);
   view.warming_up = engine.warm_up_left.count() > 0;
-  const fleet::EndpointState* state = feed_.Find(engine.instance);
-  if (state != nullptr) {
-    // The report counts our own requests as they were when it came.
-    const int others = state->report.running - state->own_running;
-    view.running += std::max(others, 0);
-    view.waiting = state->report.waiting;
-    view.kv_used = state->report.kv_tokens_used;
-    view.kv_total = state->report.kv_tokens_total;
-  }
   std::vector<std::uint64_t> hashes;
   for (const PromptPart& part : request.prompt_parts) {
     hashes.push_back(part.hash);
@@ -138,53 +104,82 @@
   return view;
 }
 
+/** @return Until the loads are over that entries have asked for there. */
+milliseconds ReplicaFinder::OrderLeft(const fleet::InstanceId& instance) const {
+  milliseconds left{0};
+  for (const fleet::ComingLoad& it : board_.ComingAt(instance)) {
+    const auto one =
+        std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
+    left = std::max(left, one);
+  }
+  return left;
+}
+
+std::vector<policy::ResidentModel> ReplicaFinder::Residents(
+    const fleet::EngineEntry& engine, const routing::EngineSpec& spec) const {
+  std::vector<policy::ResidentModel> residents;
+  const auto resident_of = [&spec](const core::ModelId& model) {
+    policy::ResidentModel resident;
+    resident.model = model;
+    const auto it = spec.models.find(model);
+    if (it == spec.models.end()) return resident;
+    resident.bytes = it->second.bytes;
+    resident.has_adapters = it->second.adapters > 0;
+    return resident;
+  };
+  const core::SteadyTime now = clock_.Now();
+  for (const fleet::HeldModel& it : engine.models) {
+    policy::ResidentModel resident = resident_of(it.model);
+    const fleet::Usage usage =
+        board_.UseOf(engine.instance, {it.model, core::AdapterId()});
+    resident.running = usage.running;
+    resident.just_used =
+        usage.last_begun && now - *usage.last_begun < policy::kKeptAfterUse;
+    resident.demand = usage.demand;
+    residents.push_back(std::move(resident));
+  }
+  for (const fleet::ComingLoad& it : board_.ComingAt(engine.instance)) {
+    if (FindHeld(engine, it.model) != nullptr) continue;
+    // One on its way is wanted by somebody: as good as in use.
+    policy::ResidentModel resident = resident_of(it.model);
+    resident.running = 1;
+    residents.push_back(std::move(resident));
+  }
+  return residents;
+}
+
 std::vector<FoundWaker> ReplicaFinder::FindWakers(
     const routing::Service& service, const core::ModelId& model) const {
-  std::map<std::string, ModelTotals> totals;
-  // Each report is looked up once. The failure met: between two look-ups of one
-  // engine its report grew too old, the second found none, and the process
-  // died.
-  std::vector<ReportedEngine> engines;
+  std::map<core::ModelId, ModelTotals> totals;
+  std::vector<FoundWaker> found;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service.id || engine.draining) continue;
     if (loads_.Unreachable(instance)) continue;
-    const fleet::EndpointState* state = feed_.Find(instance);
-    if (state == nullptr) continue;
-    engines.push_back({&engine, &state->report});
-    for (const gen::ReplicaReport& it : state->report.replicas) {
+    FoundWaker waker;
+    waker.instance = instance;
+    waker.view.tier = TierOf(engine, model);
+    waker.view.order_left = OrderLeft(instance);
+    waker.view.memory_bytes = service.engine->memory_bytes;
+    waker.view.running = board_.Running(instance);
+    waker.view.same_zone = engine.zone == zone_;
+    waker.view.residents = Residents(engine, *service.engine);
+    for (const policy::ResidentModel& it : waker.view.residents) {
       ++totals[it.model].replicas;
-      totals[it.model].demand += PerSecond(it.demand_per_1000_s);
+      totals[it.model].demand += it.demand;
     }
+    found.push_back(std::move(waker));
   }
-  std::vector<FoundWaker> found;
-  for (const ReportedEngine& reported : engines) {
-    const gen::EndpointReport& report = *reported.report;
-    FoundWaker waker;
-    waker.instance = reported.engine->instance;
-    waker.view.tier = TierOf(report, model);
-    waker.view.order_left = milliseconds(report.loading_left_ms);
-    waker.view.memory_bytes = service.engine->memory_bytes;
-    waker.view.running = report.running;
-    waker.view.same_zone = reported.engine->zone == zone_;
-    bool holds = false;
-    for (const gen::ReplicaReport& it : report.replicas) {
-      holds = holds || it.model == model.value();
-      policy::ResidentModel resident;
-      resident.model = core::ModelId(it.model);
-      const auto spec = service.engine->models.find(resident.model);
-      if (spec != service.engine->models.end()) {
-        resident.bytes = spec->second.bytes;
-        resident.has_adapters = spec->second.adapters > 0;
-      }
-      // One on its way is wanted by somebody: as good as in use.
-      const bool coming = it.state != gen::ReplicaState::READY;
-      resident.running = coming ? 1 : it.running;
-      resident.just_used = it.idle_ms < policy::kKeptAfterUse.count();
-      resident.demand = totals[it.model].demand;
-      resident.other_replicas = totals[it.model].replicas - 1;
-      waker.view.residents.push_back(std::move(resident));
+  std::erase_if(found, [&model](const FoundWaker& waker) {
+    return std::ranges::any_of(waker.view.residents,
+                               [&model](const policy::ResidentModel& it) {
+                                 return it.model == model;
+                               });
+  });
+  for (FoundWaker& waker : found) {
+    for (policy::ResidentModel& it : waker.view.residents) {
+      it.demand = totals[it.model].demand;
+      it.other_replicas = totals[it.model].replicas - 1;
     }
-    if (!holds) found.push_back(std::move(waker));
   }
   return found;
 }
@@ -194,37 +189,24 @@
   std::vector<ComingModel> coming;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service || engine.draining) continue;
-    const fleet::EndpointState* state = feed_.Find(instance);
-    if (state == nullptr) continue;
-    for (const gen::ReplicaReport& it : state->report.replicas) {
-      if (it.model != model.value()) continue;
-      if (it.state != gen::ReplicaState::LOADING) continue;
-      coming.push_back({instance, milliseconds(state->report.loading_left_ms)});
+    for (const fleet::ComingLoad& it : board_.ComingAt(instance)) {
+      if (it.model != model) continue;
+      const auto left =
+          std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
+      coming.push_back({instance, std::max(left, milliseconds(0))});
     }
   }
   return coming;
 }
 
-milliseconds ReplicaFinder::StoreLoadTime(
-    const core::ServiceId& service) const {
-  milliseconds longest{0};
-  for (const auto& [instance, engine] : registry_.engines()) {
-    if (engine.service != service) continue;
-    const fleet::EndpointState* state = feed_.Find(instance);
-    if (state == nullptr) continue;
-    longest = std::max(longest, milliseconds(state->report.store_load_ms));
-  }
-  return longest;
-}
-
 int ReplicaFinder::StoreLoads(const core::ServiceId& service) const {
   int loads = 0;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service) continue;
-    const fleet::EndpointState* state = feed_.Find(instance);
-    if (state == nullptr || state->report.loading_model.empty()) continue;
-    const core::ModelId loading(state->report.loading_model);
-    if (TierOf(state->report, loading) == policy::Tier::kRemote) ++loads;
+    const std::vector<fleet::ComingLoad> coming = board_.ComingAt(instance);
+    const bool from_store = std::ranges::any_of(
+        coming, [](const auto& it) { return it.from_weight_store; });
+    if (from_store) ++loads;
   }
   return loads;
 }
@@ -234,13 +216,26 @@
   double demand = 0;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service) continue;
-    const fleet::EndpointState* state = feed_.Find(instance);
-    if (state == nullptr) continue;
-    for (const gen::ReplicaReport& it : state->report.replicas) {
-      if (it.model == model.value()) demand += PerSecond(it.demand_per_1000_s);
-    }
+    if (FindHeld(engine, model) == nullptr) continue;
+    demand += board_.UseOf(instance, {model, core::AdapterId()}).demand;
   }
   return demand;
 }
 
+fleet::UsageTable ReplicaFinder::UseAt(
+    const fleet::InstanceId& instance) const {
+  fleet::UsageTable table;
+  const fleet::EngineEntry* engine = registry_.Find(instance);
+  if (engine == nullptr) return table;
+  for (const fleet::HeldModel& held : engine->models) {
+    const fleet::UsedPart model{held.model, core::AdapterId()};
+    table[model] = board_.UseOf(instance, model);
+    for (const core::AdapterId& adapter : held.adapters) {
+      const fleet::UsedPart part{held.model, adapter};
+      table[part] = board_.UseOf(instance, part);
+    }
+  }
+  return table;
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -6,13 +6,14 @@
 #include <vector>
 
 #include "core/clock_base.h"
-#include "fleet/endpoint_feed_base.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
+#include "fleet/entry_board_base.h"
 #include "policy/replica_choice_func.h"
 #include "policy/wake_up_func.h"
 #include "routing/route_type.h"
 #include "serving/caller_type.h"
+#include "serving/load_gauges_base.h"
 
 namespace sapphire::serving {
 
@@ -38,35 +39,37 @@
   milliseconds ready_in{0};
 };
 
-/** Joins the registry, the endpoints' reports and our own sends. One thread. */
+/** Joins the registry, what entries tell each other and our own sends. One
+ * thread. */
 class ReplicaFinder {
  public:
   /** @pre All references outlive the finder. */
   ReplicaFinder(core::ZoneId zone, const fleet::EngineRegistry& registry,
-                const fleet::EndpointFeed& feed,
-                const fleet::EngineLoads& loads, const core::Clock& clock);
+                const fleet::EntryBoard& board, const fleet::EngineLoads& loads,
+                const LoadGauges& gauges, const core::Clock& clock);
 
   /** @return Engines of a plain service, or those that hold the model. */
   [[nodiscard]] std::vector<FoundReplica> Find(
       const core::ServiceId& service, const CallerRequest& request,
       const std::set<fleet::InstanceId>& avoid) const;
 
-  /** @return Engines whose endpoint is in reach and that do not hold it. */
+  /** @return Engines that do not hold it and can be reached, as far as known.
+   */
   [[nodiscard]] std::vector<FoundWaker> FindWakers(
       const routing::Service& service, const core::ModelId& model) const;
 
-  /** @return Where the model is being loaded, as far as endpoints tell. */
+  /** @return Where the model is being loaded, as far as entries tell. */
   [[nodiscard]] std::vector<ComingModel> FindComing(
       const core::ServiceId& service, const core::ModelId& model) const;
 
-  /** @return What loads from the weight store take now, if any endpoint has
-   * seen one lately; they take longer in company. */
-  [[nodiscard]] milliseconds StoreLoadTime(
-      const core::ServiceId& service) const;
-
-  /** @return How many engines load from the weight store now. */
+  /** @return How many engines load from the weight store now, as far as entries
+   * tell. */
   [[nodiscard]] int StoreLoads(const core::ServiceId& service) const;
 
+  /** @return Use of all that the engine holds, of all entries. */
+  [[nodiscard]] fleet::UsageTable UseAt(
+      const fleet::InstanceId& instance) const;
+
   /** @return Requests a second for a model, over all entries. */
   [[nodiscard]] double Demand(const core::ServiceId& service,
                               const core::ModelId& model) const;
@@ -75,10 +78,15 @@
   [[nodiscard]] policy::ReplicaCandidate View(
       const fleet::EngineEntry& engine, const CallerRequest& request) const;
 
+  [[nodiscard]] std::vector<policy::ResidentModel> Residents(
+      const fleet::EngineEntry& engine, const routing::EngineSpec& spec) const;
+  [[nodiscard]] milliseconds OrderLeft(const fleet::InstanceId& instance) const;
+
   const core::ZoneId zone_;
   const fleet::EngineRegistry& registry_;
-  const fleet::EndpointFeed& feed_;
+  const fleet::EntryBoard& board_;
   const fleet::EngineLoads& loads_;
+  const LoadGauges& gauges_;
   const core::Clock& clock_;
 };
 
