An entry that can't read the store asks the engines themselves, by turns

Hypothesis: asked 20 times a second, whatever their number, engines tell it what they hold. Change: while the store fails, one engine each 50 ms is asked, and its holdings go by its answer; the question names the start that is meant.

--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -134,6 +134,16 @@
   }
 }
 
+void EngineRegistry::NoteHoldings(const InstanceId& instance,
+                                  std::vector<HeldModel> models,
+                                  NearCopies copies) {
+  const auto it = engines_.find(instance);
+  if (it == engines_.end()) return;
+  it->second.models = std::move(models);
+  it->second.copies = std::move(copies);
+  ++generation_;
+}
+
 void EngineRegistry::Expire() {
   const core::SteadyTime now = clock_.Now();
   std::vector<InstanceId> gone;
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -62,6 +62,11 @@
    * whatever a late entry of it says. */
   void NoteReplaced(const InstanceId& instance);
 
+  /** What the engine itself says that it holds, while its entry can't be read.
+   */
+  void NoteHoldings(const InstanceId& instance, std::vector<HeldModel> models,
+                    NearCopies copies);
+
   /**
    * Takes over a listing of all entries.
    * @param lapse_end As for Remove, of engines that the listing does not name.
--- a/src/fleet/entry_board.cc
+++ b/src/fleet/entry_board.cc
@@ -212,6 +212,15 @@
   return coming;
 }
 
+milliseconds EntryBoard::OrderLeft(const InstanceId& instance) const {
+  const core::SteadyTime now = clock_.Now();
+  core::SteadyTime free = now;
+  for (const ComingLoad& it : ComingAt(instance)) {
+    free = std::max(free, it.ready);
+  }
+  return std::chrono::duration_cast<milliseconds>(free - now);
+}
+
 milliseconds EntryBoard::StoreLoadTime() const {
   milliseconds longest{0};
   const core::SteadyTime now = clock_.Now();
--- a/src/fleet/entry_board_base.h
+++ b/src/fleet/entry_board_base.h
@@ -80,6 +80,10 @@
   [[nodiscard]] Usage UseOf(const InstanceId& instance,
                             const UsedPart& part) const;
 
+  /** @return Until the engine takes an order, as far as known. */
+  [[nodiscard]] std::chrono::milliseconds OrderLeft(
+      const InstanceId& instance) const;
+
   /** @return Loads at this engine that entries have asked for. */
   [[nodiscard]] std::vector<ComingLoad> ComingAt(
       const InstanceId& instance) const;
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -74,6 +74,9 @@
     return last_answer_;
   }
 
+  /** @return True from a failed call until the next answer. */
+  [[nodiscard]] bool failing() const { return failing_since_.has_value(); }
+
  private:
   core::Task<> ListAll();
   core::Task<> WatchOnce();
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -69,13 +69,15 @@
   http::ResponseHead to_caller;
 };
 
-/** How busy an engine says that it is. */
-struct EngineLoad {
+/** What an engine says of itself when it is asked. */
+struct EngineState {
   int running = 0;
   /** Requests that wait inside it. */
   int waiting = 0;
   std::int64_t kv_tokens_used = 0;
   std::int64_t kv_tokens_total = 0;
+  std::vector<fleet::HeldModel> models;
+  fleet::NearCopies copies;
 };
 
 /** Translates what callers send and get. */
@@ -98,10 +100,12 @@
       const CallerRequest& request, const SendOptions& options) const = 0;
   [[nodiscard]] virtual EngineAnswer Read(
       const http::ResponseHead& head) const = 0;
-  /** @return The question how busy an engine is. */
-  [[nodiscard]] virtual http::Request LoadQuestion() const = 0;
+  /** @return The question how busy an engine is and what it holds; another
+   * start than `instance` does not answer it. */
+  [[nodiscard]] virtual http::Request StateQuestion(
+      const fleet::InstanceId& instance) const = 0;
   /** @throws core::Error for an answer that can't be read. */
-  [[nodiscard]] virtual EngineLoad ReadLoad(
+  [[nodiscard]] virtual EngineState ReadState(
       const http::Response& answer) const = 0;
 };
 
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -69,16 +69,23 @@
     answer.to_caller.status = head.status;
     return answer;
   }
-  [[nodiscard]] http::Request LoadQuestion() const override {
+  [[nodiscard]] http::Request StateQuestion(
+      const fleet::InstanceId&) const override {
     http::Request request;
     request.target = "/load";
     return request;
   }
-  [[nodiscard]] EngineLoad ReadLoad(
+  [[nodiscard]] EngineState ReadState(
       const http::Response& answer) const override {
-    EngineLoad load;
-    load.running = std::stoi(answer.body);
-    return load;
+    EngineState state;
+    // "RUNNING", or "RUNNING MODEL" if it holds that one.
+    state.running = std::stoi(answer.body);
+    const std::size_t space = answer.body.find(' ');
+    if (space != std::string::npos) {
+      state.models.push_back(
+          {core::ModelId(answer.body.substr(space + 1)), 0, {}});
+    }
+    return state;
   }
 };
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -165,6 +165,9 @@
   core::Spawn(executor_, log_, "follow_store",
               [this] { return store_follower_.Run(); });
   gossip_.Start();
+  core::Spawn(executor_, log_, "ask_engines", [this] {
+    return gauges_.AskByTurns([this] { return store_follower_.failing(); });
+  });
   core::Spawn(executor_, log_, "keep_presence",
               [this] { return presence_.Run(); });
   core::Spawn(executor_, log_, "keep_house", [this] { return KeepHouse(); });
--- a/src/serving/load_gauges.cc
+++ b/src/serving/load_gauges.cc
@@ -17,14 +17,16 @@
 /** An answer that takes longer is not waited for: the request goes by what is
  * known. */
 constexpr milliseconds kAnswerLimit{60};
+/** Between two questions by turns. */
+constexpr milliseconds kTurn{50};
 /** Streams last seconds: what was said is gone by for this long. */
 constexpr milliseconds kFresh{1500};
 
 }  // namespace
 
 LoadGauges::LoadGauges(const EngineWire& wire, EngineClients& clients,
-                       const fleet::EngineRegistry& registry,
-                       const fleet::EngineLoads& loads,
+                       fleet::EngineRegistry& registry,
+                       fleet::EngineLoads& loads,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
     : wire_(wire),
@@ -60,18 +62,10 @@
 
 core::Task<> LoadGauges::AskOne(fleet::InstanceId instance) {
   std::string failure;
-  const fleet::EngineEntry* engine = registry_.Find(instance);
-  if (engine != nullptr) {
-    const std::shared_ptr<http::Client> client = clients_.Of(*engine);
-    try {
-      http::Request question = wire_.LoadQuestion();
-      const http::Response answer =
-          co_await client->Fetch(std::move(question), kAnswerLimit);
-      gauges_[instance] = LoadGauge{wire_.ReadLoad(answer), clock_.Now(),
-                                    loads_.Running(instance)};
-    } catch (const std::exception& e) {
-      failure = e.what();
-    }
+  try {
+    co_await Ask(instance);
+  } catch (const std::exception& e) {
+    failure = e.what();
   }
   asking_.erase(instance);
   answered_.Notify();
@@ -80,6 +74,55 @@
              "engine_ungauged", {{"instance", instance}, {"error", failure}});
 }
 
+/** @throws what keeps the engine from being asked. */
+core::Task<> LoadGauges::Ask(fleet::InstanceId instance) {
+  const fleet::EngineEntry* engine = registry_.Find(instance);
+  if (engine == nullptr) co_return;
+  const std::shared_ptr<http::Client> client = clients_.Of(*engine);
+  http::Request question = wire_.StateQuestion(instance);
+  const http::Response answer =
+      co_await client->Fetch(std::move(question), kAnswerLimit);
+  gauges_[instance] = LoadGauge{wire_.ReadState(answer), clock_.Now(),
+                                loads_.Running(instance)};
+}
+
+core::Task<> LoadGauges::AskByTurns(std::function<bool()> blind) {
+  while (true) {
+    const auto next = blind() ? NextInTurn() : std::nullopt;
+    if (next && asking_.insert(*next).second) {
+      core::Spawn(executor_, log_, "ask_engine",
+                  [this, it = *next] { return AskHoldings(it); });
+    }
+    co_await core::SleepFor(kTurn);
+  }
+}
+
+core::Task<> LoadGauges::AskHoldings(fleet::InstanceId instance) {
+  co_await AskOne(instance);
+  const auto it = gauges_.find(instance);
+  const bool answered =
+      it != gauges_.end() && clock_.Now() - it->second.at < kAskAgain;
+  if (!answered) co_return;
+  registry_.NoteHoldings(instance, it->second.state.models,
+                         it->second.state.copies);
+}
+
+/** @return The engine of a model service whose turn it is. */
+std::optional<fleet::InstanceId> LoadGauges::NextInTurn() {
+  const auto& engines = registry_.engines();
+  auto it = engines.upper_bound(turn_);
+  for (std::size_t i = 0; i < engines.size(); ++i, ++it) {
+    if (it == engines.end()) it = engines.begin();
+    const fleet::EngineEntry& engine = it->second;
+    const bool of_model_service =
+        !engine.models.empty() || !engine.copies.on_disk.empty();
+    if (!of_model_service) continue;
+    turn_ = it->first;
+    return turn_;
+  }
+  return std::nullopt;
+}
+
 const LoadGauge* LoadGauges::Find(const fleet::InstanceId& instance) const {
   const auto it = gauges_.find(instance);
   if (it == gauges_.end()) return nullptr;
--- a/src/serving/load_gauges_base.h
+++ b/src/serving/load_gauges_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_SERVING_LOAD_GAUGES_BASE_H_
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,7 +23,7 @@
 
 /** What an engine said of its load. */
 struct LoadGauge {
-  EngineLoad load;
+  EngineState state;
   core::SteadyTime at;
   /** Requests from here that it counts in. */
   int own_running = 0;
@@ -38,9 +39,18 @@
  public:
   /** @pre All references outlive it. */
   LoadGauges(const EngineWire& wire, EngineClients& clients,
-             const fleet::EngineRegistry& registry,
-             const fleet::EngineLoads& loads, const core::Executor& executor,
-             const core::Clock& clock, const core::Logger& log);
+             fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
+             const core::Executor& executor, const core::Clock& clock,
+             const core::Logger& log);
+
+  /**
+   * While `blind` says that the store can't be read, asks the engines of model
+   * services by turns, so many a second whatever their number, and takes from
+   * them what they hold. The failure met: an entry that the store turned away
+   * for 9 s sent requests to engines that had dropped the model or were gone,
+   * and had models loaded that were ready elsewhere.
+   */
+  core::Task<> AskByTurns(std::function<bool()> blind);
 
   /** Asks those of the engines that were not asked a moment ago; waits for
    * their answers, but not long. */
@@ -54,11 +64,14 @@
 
  private:
   core::Task<> AskOne(fleet::InstanceId instance);
+  core::Task<> Ask(fleet::InstanceId instance);
+  core::Task<> AskHoldings(fleet::InstanceId instance);
+  [[nodiscard]] std::optional<fleet::InstanceId> NextInTurn();
 
   const EngineWire& wire_;
   EngineClients& clients_;
-  const fleet::EngineRegistry& registry_;
-  const fleet::EngineLoads& loads_;
+  fleet::EngineRegistry& registry_;
+  fleet::EngineLoads& loads_;
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
@@ -66,6 +79,8 @@
   /** Asked and not answered yet. */
   std::set<fleet::InstanceId> asking_;
   core::Signal answered_;
+  /** The engine that was asked last by turns. */
+  fleet::InstanceId turn_;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/load_gauges_test.cc
+++ b/src/serving/load_gauges_test.cc
@@ -127,4 +127,39 @@
   BOOST_TEST(LargeRig::Drafts(sound) == 1);
 }
 
+/**
+ * Callers are refused, or wait for a load, beside an engine that has their
+ * model. The store turns this entry away for seconds, so that it does not hear
+ * of loads and unloads; engines are asked themselves meanwhile, by turns. While
+ * the store tells, nobody is asked.
+ */
+BOOST_AUTO_TEST_CASE(AnEntryThatCannotReadTheStoreAsksTheEngines) {
+  Rig rig;
+  const http::Handler changed =
+      [](const http::Request&, http::ResponseWriter& writer) -> core::Task<> {
+    co_await writer.Send(http::MakeResponse(kOk, "text/plain", "3 other"));
+  };
+  const TestEngine& first = rig.AddEngine(kDrafts, changed);
+  const TestEngine& second = rig.AddEngine(kDrafts, changed);
+  const TestEngine& plain = rig.AddEngine(testing::kPlain, changed);
+  fleet::EngineEntry without = *rig.registry.Find(fleet::InstanceId("i-3"));
+  without.models.clear();
+  rig.registry.Put(without);
+  bool blind = false;
+  core::Spawn(rig.io.get_executor(), rig.log, "ask",
+              [&] { return rig.gauges.AskByTurns([&] { return blind; }); });
+  rig.Pass(milliseconds(300));
+  BOOST_TEST(first.requests.empty());
+  blind = true;
+  rig.Pass(milliseconds(600));
+  for (const char* it : {"i-1", "i-2"}) {
+    const fleet::EngineEntry* engine = rig.registry.Find(fleet::InstanceId(it));
+    BOOST_REQUIRE(engine->models.size() == 1);
+    BOOST_TEST(engine->models.front().model.value() == "other");
+  }
+  // One question each 50 ms, however many engines there are.
+  BOOST_TEST(first.requests.size() + second.requests.size() <= 13);
+  BOOST_TEST(plain.requests.empty());
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -62,7 +62,7 @@
     replica.instance = instance;
     replica.view = View(engine, request);
     if (names_model) {
-      replica.order_left = OrderLeft(instance);
+      replica.order_left = board_.OrderLeft(instance);
       const bool listed =
           held != nullptr && held->adapters.contains(request.adapter);
       const bool has = (listed && !loads_.Lacks(instance, part)) ||
@@ -83,11 +83,11 @@
   const LoadGauge* gauge = gauges_.Find(engine.instance);
   if (gauge != nullptr) {
     // It counts our own requests as they were when it was asked.
-    const int others = gauge->load.running - gauge->own_running;
+    const int others = gauge->state.running - gauge->own_running;
     view.running = loads_.Running(engine.instance) + std::max(others, 0);
-    view.waiting = gauge->load.waiting;
-    view.kv_used = gauge->load.kv_tokens_used;
-    view.kv_total = gauge->load.kv_tokens_total;
+    view.waiting = gauge->state.waiting;
+    view.kv_used = gauge->state.kv_tokens_used;
+    view.kv_total = gauge->state.kv_tokens_total;
   }
   view.failure_rate = loads_.FailureRate(engine.instance);
   view.oldest_silence = loads_.OldestSilence(engine.instance);
@@ -104,17 +104,6 @@
   return view;
 }
 
-/** @return Until the loads are over that entries have asked for there. */
-milliseconds ReplicaFinder::OrderLeft(const fleet::InstanceId& instance) const {
-  milliseconds left{0};
-  for (const fleet::ComingLoad& it : board_.ComingAt(instance)) {
-    const auto one =
-        std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
-    left = std::max(left, one);
-  }
-  return left;
-}
-
 std::vector<policy::ResidentModel> ReplicaFinder::Residents(
     const fleet::EngineEntry& engine, const routing::EngineSpec& spec) const {
   std::vector<policy::ResidentModel> residents;
@@ -158,7 +147,7 @@
     FoundWaker waker;
     waker.instance = instance;
     waker.view.tier = TierOf(engine, model);
-    waker.view.order_left = OrderLeft(instance);
+    waker.view.order_left = board_.OrderLeft(instance);
     waker.view.memory_bytes = service.engine->memory_bytes;
     waker.view.running = board_.Running(instance);
     waker.view.same_zone = engine.zone == zone_;
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -80,7 +80,6 @@
 
   [[nodiscard]] std::vector<policy::ResidentModel> Residents(
       const fleet::EngineEntry& engine, const routing::EngineSpec& spec) const;
-  [[nodiscard]] milliseconds OrderLeft(const fleet::InstanceId& instance) const;
 
   const core::ZoneId zone_;
   const fleet::EngineRegistry& registry_;
--- a/src/serving/waker_rig_test.h
+++ b/src/serving/waker_rig_test.h
@@ -86,8 +86,11 @@
   [[nodiscard]] EngineAnswer Read(const http::ResponseHead&) const override {
     return {};
   }
-  [[nodiscard]] http::Request LoadQuestion() const override { return {}; }
-  [[nodiscard]] EngineLoad ReadLoad(const http::Response&) const override {
+  [[nodiscard]] http::Request StateQuestion(
+      const fleet::InstanceId&) const override {
+    return {};
+  }
+  [[nodiscard]] EngineState ReadState(const http::Response&) const override {
     return {};
   }
 };
