What engines hold is worked out at most each 250 ms; waiters look each 200 ms

Change: one view for all looks within 250 ms, remade when the registry or this entry's own loads change; loads on their way are found by what is loading, not by all engines.

--- a/src/fleet/entry_board.cc
+++ b/src/fleet/entry_board.cc
@@ -138,6 +138,7 @@
 }
 
 void EntryBoard::SetOwnLoads(std::vector<ComingLoad> loads) {
+  ++loads_generation_;
   EraseLoads(self_);
   for (ComingLoad& it : loads) {
     loads_at_[it.instance][self_].push_back(std::move(it));
@@ -212,6 +213,16 @@
   return coming;
 }
 
+std::vector<ComingLoad> EntryBoard::ComingOf(const core::ModelId& model) const {
+  std::vector<ComingLoad> coming;
+  for (const auto& [instance, loads] : loads_at_) {
+    std::ranges::copy_if(
+        ComingAt(instance), std::back_inserter(coming),
+        [&model](const ComingLoad& it) { return it.model == model; });
+  }
+  return coming;
+}
+
 milliseconds EntryBoard::OrderLeft(const InstanceId& instance) const {
   const core::SteadyTime now = clock_.Now();
   core::SteadyTime free = now;
--- a/src/fleet/entry_board_base.h
+++ b/src/fleet/entry_board_base.h
@@ -88,6 +88,15 @@
   [[nodiscard]] std::vector<ComingLoad> ComingAt(
       const InstanceId& instance) const;
 
+  /** @return Loads of the model that entries have asked for, at any engine. */
+  [[nodiscard]] std::vector<ComingLoad> ComingOf(
+      const core::ModelId& model) const;
+
+  /** Counts changes of the loads that this entry asks for. */
+  [[nodiscard]] std::int64_t loads_generation() const {
+    return loads_generation_;
+  }
+
   /** @return What the latest loads from the weight store took that other
    * entries asked for, the longest of them; 0 if none ended lately. They take
    * longer in company. */
@@ -130,6 +139,7 @@
   /** What each entry has asked for, by engine. */
   std::map<InstanceId, std::map<std::string, std::vector<ComingLoad>>>
       loads_at_;
+  std::int64_t loads_generation_ = 0;
 };
 
 }  // namespace sapphire::fleet
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -15,8 +15,9 @@
 
 namespace {
 
-/** Longest wait between two looks at the fleet. */
-constexpr milliseconds kLookAgain{100};
+/** Longest wait between two looks at the fleet, if nothing that is known of it
+ * changes: for what only time changes. */
+constexpr milliseconds kLookAgain{200};
 /** An engine that takes its next order within this is as good as free. */
 constexpr milliseconds kOrderSoon{300};
 /** Requests that wait here from which the same is assumed of each entry: a rare
--- a/src/serving/model_waker_test.cc
+++ b/src/serving/model_waker_test.cc
@@ -283,4 +283,36 @@
   BOOST_TEST(rig.endpoint.last_wish.resident_use.front().idle_ms == 0);
 }
 
+/**
+ * A new configuration is in force seconds late on the smallest entries.
+ * Pattern: ten requests wait for rare models, each looks several times a
+ * second, and each look worked out what 160 engines hold and who uses it. Use
+ * is looked at anew after 250 ms only; what engines hold, and what this entry
+ * has asked for, counts at once.
+ */
+BOOST_AUTO_TEST_CASE(WhatEnginesHoldIsNotWorkedOutForEachWaiter) {
+  Rig rig;
+  const core::ModelId other("other");
+  rig.Describe([&other](fleet::EngineEntry& it) {
+    it.models.push_back({other, 0, {}});
+  });
+  const auto running = [&rig] {
+    const auto wakers = rig.finder.FindWakers(rig.service, kModel);
+    return wakers.front().view.residents.front().running;
+  };
+  BOOST_TEST(running() == 0);
+  rig.loads.Begin(fleet::InstanceId("i-1"), {other, core::AdapterId()});
+  BOOST_TEST(running() == 0);
+  rig.waker_clock.Advance(milliseconds(250));
+  BOOST_TEST(running() == 1);
+  rig.Describe([](fleet::EngineEntry& it) {
+    it.models.push_back({core::ModelId("third"), 0, {}});
+  });
+  const auto wakers = rig.finder.FindWakers(rig.service, kModel);
+  BOOST_TEST(wakers.front().view.residents.size() == 2);
+  rig.waker.Wake(rig.service, kModel, kRequest);
+  // The engine takes its load now: it holds the model as good as already.
+  BOOST_TEST(rig.finder.FindWakers(rig.service, kModel).empty());
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -23,6 +23,10 @@
   return policy::Tier::kRemote;
 }
 
+/** What engines hold and how much of it is in use is worked out anew after
+ * this. */
+constexpr milliseconds kViewsFresh{250};
+
 /** Replicas and demand of each model, over all engines of a service. */
 struct ModelTotals {
   int replicas = 0;
@@ -139,15 +143,45 @@
 
 std::vector<FoundWaker> ReplicaFinder::FindWakers(
     const routing::Service& service, const core::ModelId& model) const {
-  std::map<core::ModelId, ModelTotals> totals;
   std::vector<FoundWaker> found;
+  for (const FoundWaker& it : WakersOf(service)) {
+    const bool holds = std::ranges::any_of(
+        it.view.residents, [&model](const policy::ResidentModel& resident) {
+          return resident.model == model;
+        });
+    if (holds || loads_.Unreachable(it.instance)) continue;
+    const fleet::EngineEntry* engine = registry_.Find(it.instance);
+    if (engine == nullptr || engine->draining) continue;
+    FoundWaker waker = it;
+    waker.view.tier = TierOf(*engine, model);
+    waker.view.order_left = board_.OrderLeft(it.instance);
+    found.push_back(std::move(waker));
+  }
+  return found;
+}
+
+const std::vector<FoundWaker>& ReplicaFinder::WakersOf(
+    const routing::Service& service) const {
+  const core::SteadyTime now = clock_.Now();
+  const bool fresh = views_.service == service.id &&
+                     now - views_.at < kViewsFresh &&
+                     views_.registry_generation == registry_.generation() &&
+                     views_.loads_generation == board_.loads_generation();
+  if (!fresh) {
+    views_ = {service.id, MakeWakers(service), now, registry_.generation(),
+              board_.loads_generation()};
+  }
+  return views_.wakers;
+}
+
+std::vector<FoundWaker> ReplicaFinder::MakeWakers(
+    const routing::Service& service) const {
+  std::map<core::ModelId, ModelTotals> totals;
+  std::vector<FoundWaker> made;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (engine.service != service.id || engine.draining) continue;
-    if (loads_.Unreachable(instance)) continue;
     FoundWaker waker;
     waker.instance = instance;
-    waker.view.tier = TierOf(engine, model);
-    waker.view.order_left = board_.OrderLeft(instance);
     waker.view.memory_bytes = service.engine->memory_bytes;
     waker.view.running = board_.Running(instance);
     waker.view.same_zone = engine.zone == zone_;
@@ -156,34 +190,28 @@
       ++totals[it.model].replicas;
       totals[it.model].demand += it.demand;
     }
-    found.push_back(std::move(waker));
+    made.push_back(std::move(waker));
   }
-  std::erase_if(found, [&model](const FoundWaker& waker) {
-    return std::ranges::any_of(waker.view.residents,
-                               [&model](const policy::ResidentModel& it) {
-                                 return it.model == model;
-                               });
-  });
-  for (FoundWaker& waker : found) {
+  for (FoundWaker& waker : made) {
     for (policy::ResidentModel& it : waker.view.residents) {
       it.demand = totals[it.model].demand;
       it.other_replicas = totals[it.model].replicas - 1;
     }
   }
-  return found;
+  return made;
 }
 
 std::vector<ComingModel> ReplicaFinder::FindComing(
     const core::ServiceId& service, const core::ModelId& model) const {
   std::vector<ComingModel> coming;
-  for (const auto& [instance, engine] : registry_.engines()) {
-    if (engine.service != service || engine.draining) continue;
-    for (const fleet::ComingLoad& it : board_.ComingAt(instance)) {
-      if (it.model != model) continue;
-      const auto left =
-          std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
-      coming.push_back({instance, std::max(left, milliseconds(0))});
-    }
+  for (const fleet::ComingLoad& it : board_.ComingOf(model)) {
+    const fleet::EngineEntry* engine = registry_.Find(it.instance);
+    const bool counts =
+        engine != nullptr && engine->service == service && !engine->draining;
+    if (!counts) continue;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
+    coming.push_back({it.instance, std::max(left, milliseconds(0))});
   }
   return coming;
 }
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -53,7 +53,9 @@
       const core::ServiceId& service, const CallerRequest& request,
       const std::set<fleet::InstanceId>& avoid) const;
 
-  /** @return Engines that do not hold it and can be reached, as far as known.
+  /**
+   * @return Engines that do not hold it and can be reached, as far as known.
+   *   What it rests on is up to 250 ms old, but for loads that entries ask for.
    */
   [[nodiscard]] std::vector<FoundWaker> FindWakers(
       const routing::Service& service, const core::ModelId& model) const;
@@ -78,6 +80,20 @@
   [[nodiscard]] policy::ReplicaCandidate View(
       const fleet::EngineEntry& engine, const CallerRequest& request) const;
 
+  /** All engines of a service, as wake-ups see them. */
+  struct WakerViews {
+    core::ServiceId service;
+    std::vector<FoundWaker> wakers;
+    core::SteadyTime at;
+    /** What it was made from. */
+    std::int64_t registry_generation = -1;
+    std::int64_t loads_generation = -1;
+  };
+
+  const std::vector<FoundWaker>& WakersOf(
+      const routing::Service& service) const;
+  [[nodiscard]] std::vector<FoundWaker> MakeWakers(
+      const routing::Service& service) const;
   [[nodiscard]] std::vector<policy::ResidentModel> Residents(
       const fleet::EngineEntry& engine, const routing::EngineSpec& spec) const;
 
@@ -87,6 +103,12 @@
   const fleet::EngineLoads& loads_;
   const LoadGauges& gauges_;
   const core::Clock& clock_;
+  /**
+   * The failure met: each of ten requests that wait for models had all that 160
+   * engines hold worked out ten times a second; on an entry with a tenth of a
+   * core everything else came seconds late, a new configuration too.
+   */
+  mutable WakerViews views_;
 };
 
 }  // namespace sapphire::serving
