--- a/src/serving/entry_gossip_base.h
+++ b/src/serving/entry_gossip_base.h
@@ -69,7 +69,7 @@
   std::int64_t number_ = 0;
   /** Whose turn it is, among the others. */
   std::size_t turn_ = 0;
-  /** The last record told of nothing. */
+  /** Turns since there was something to tell. */
   std::size_t idle_turns_ = 0;
   std::int64_t failures_ = 0;
   std::optional<core::SteadyTime> failure_logged_;
--- a/src/serving/entry_presence.cc
+++ b/src/serving/entry_presence.cc
@@ -12,8 +12,8 @@
 
 EntryPresence::EntryPresence(PresenceOptions options,
                              external::KeyValueStore& store,
-                             const core::Clock& clock, const core::Logger& log)
-    : options_(std::move(options)), store_(store), clock_(clock), log_(log) {}
+                             const core::Logger& log)
+    : options_(std::move(options)), store_(store), log_(log) {}
 
 core::Task<> EntryPresence::Run() {
   while (!withdrawn_) {
--- a/src/serving/entry_presence_base.h
+++ b/src/serving/entry_presence_base.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <string>
 
-#include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
 #include "external/key_value_base.h"
@@ -30,7 +29,7 @@
  public:
   /** @pre All references outlive it. */
   EntryPresence(PresenceOptions options, external::KeyValueStore& store,
-                const core::Clock& clock, const core::Logger& log);
+                const core::Logger& log);
 
   /** Returns once the presence is withdrawn. */
   core::Task<> Run();
@@ -43,7 +42,6 @@
 
   const PresenceOptions options_;
   external::KeyValueStore& store_;
-  const core::Clock& clock_;
   const core::Logger& log_;
   /** Empty: there is none, or it has ended. */
   std::string lease_;
--- a/src/serving/entry_presence_test.cc
+++ b/src/serving/entry_presence_test.cc
@@ -19,7 +19,7 @@
   Rig()
       : log({"entry", core::VmId("vm"), core::ZoneId("z")},
             core::LogLevel::kError, clock),
-        presence(Options(), store, clock, log) {
+        presence(Options(), store, log) {
     core::Spawn(io.get_executor(), log, "keep_presence",
                 [this] { return presence.Run(); });
   }
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -129,7 +129,7 @@
                   PartsOf(configuration_, registry_, loads_, board_, clients_,
                           gauges_, finder_, waker_, crash_watch_, caller_wire,
                           engine_wire, metrics_, clock, log)),
-      presence_(PresenceOptionsOf(options_, presence_key_), store_, clock, log),
+      presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       gossip_(GossipOptionsOf(options_, presence_key_), loads_, board_, waker_,
               executor, clock, log),
       engine_follower_(
--- a/src/serving/model_waker.cc
+++ b/src/serving/model_waker.cc
@@ -107,6 +107,7 @@
     return FailedLately(target, it.instance);
   });
   std::vector<policy::WakeUpCandidate> views;
+  views.reserve(wakers.size());
   for (const FoundWaker& it : wakers) {
     views.push_back(it.view);
   }
