Measure calls to the store and the age of what follows it

Cause: the metrics of the incident could not tell a late answer of the store from a busy thread: no time, no size of a call, and an age since the last answer instead of the age of what the answer told. Change: a histogram of calls and a counter of bytes by kind, the view's age as a level and a histogram, and an event when an answer comes so late that the view was older than its bound. A watch that waited in vain vouches for the end of its wait, any other answer for the begin of its call.

--- a/src/external/counting_store.cc
+++ b/src/external/counting_store.cc
@@ -8,14 +8,44 @@
 
 using core::Task;
 
+namespace {
+
+template <typename T>
+std::int64_t BytesOf(const T& /*answer*/) {
+  return 0;
+}
+
+std::int64_t BytesOf(const KvSnapshot& snapshot) {
+  std::int64_t bytes = 0;
+  for (const KvEntry& it : snapshot.entries) {
+    bytes += static_cast<std::int64_t>(it.value.size());
+  }
+  return bytes;
+}
+
+std::int64_t BytesOf(const WatchBatch& batch) {
+  std::int64_t bytes = 0;
+  for (const KvEvent& it : batch.events) {
+    if (it.value) bytes += static_cast<std::int64_t>(it.value->size());
+  }
+  return bytes;
+}
+
+}  // namespace
+
 template <typename T>
 Task<T> CountingStore::Counted(std::string_view kind, Task<T> call) {
+  const core::SteadyTime began = clock_.Now();
+  const auto took = [this, began] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() -
+                                                                 began);
+  };
   try {
     T result = co_await std::move(call);
-    observer_(kind, "ok");
+    observer_({kind, "ok", took(), BytesOf(result)});
     co_return result;
   } catch (const core::Error& e) {
-    observer_(kind, core::InfoOf(e.code()).name);
+    observer_({kind, core::InfoOf(e.code()).name, took(), 0});
     throw;
   }
 }
--- a/src/external/counting_store_base.h
+++ b/src/external/counting_store_base.h
@@ -2,26 +2,39 @@
 #ifndef SAPPHIRE_EXTERNAL_COUNTING_STORE_BASE_H_
 #define SAPPHIRE_EXTERNAL_COUNTING_STORE_BASE_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "core/clock_base.h"
 #include "external/key_value_base.h"
 
 namespace sapphire::external {
 
-/** Passes every call on and counts it by kind and outcome. */
+/** One call to the store that has ended. */
+struct StoreCall {
+  std::string_view kind;
+  /** "ok" or the error's name. */
+  std::string_view outcome;
+  /** From the call to the parsed answer, what a watch waits included. */
+  std::chrono::milliseconds took{0};
+  /** Of all values in the answer, decoded. */
+  std::int64_t bytes = 0;
+};
+
+/** Passes every call on and tells of its end. */
 class CountingStore final : public KeyValueStore {
  public:
-  /** Told of each call: its kind, and "ok" or the error's name. */
-  using Observer =
-      std::function<void(std::string_view kind, std::string_view outcome)>;
+  using Observer = std::function<void(const StoreCall& call)>;
 
-  /** @pre `store` outlives this. */
-  CountingStore(KeyValueStore& store, Observer observer)
-      : store_(store), observer_(std::move(observer)) {}
+  /** @pre `store` and `clock` outlive this. */
+  CountingStore(KeyValueStore& store, Observer observer,
+                const core::Clock& clock)
+      : store_(store), observer_(std::move(observer)), clock_(clock) {}
 
   core::Task<std::optional<KvEntry>> Get(std::string key) override;
   core::Task<std::vector<KvEntry>> List(std::string prefix) override;
@@ -42,6 +55,7 @@
 
   KeyValueStore& store_;
   const Observer observer_;
+  const core::Clock& clock_;
 };
 
 }  // namespace sapphire::external
--- a/src/orders/controller_metrics.cc
+++ b/src/orders/controller_metrics.cc
@@ -61,9 +61,8 @@
   state_->engine_losses.Add({}).Increment();
 }
 
-void ControllerMetrics::StoreCall(std::string_view kind,
-                                  std::string_view outcome) {
-  core::CountCall(state_->store_calls, kind, outcome);
+void ControllerMetrics::StoreCall(const external::StoreCall& call) {
+  core::CountCall(state_->store_calls, call.kind, call.outcome);
 }
 
 std::string ControllerMetrics::Text(const ControllerLevels& levels) {
--- a/src/orders/controller_metrics_base.h
+++ b/src/orders/controller_metrics_base.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/log_sink_base.h"
+#include "external/counting_store_base.h"
 #include "policy/placement_type.h"
 
 namespace sapphire::orders {
@@ -44,7 +45,7 @@
   /** @param answer As in the log's order_given. */
   void OrderGiven(std::string_view kind, std::string_view answer);
   void EngineLost();
-  void StoreCall(std::string_view kind, std::string_view outcome);
+  void StoreCall(const external::StoreCall& call);
 
   /** @return Everything, in the Prometheus text format. */
   std::string Text(const ControllerLevels& levels);
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -35,10 +35,10 @@
       read_configuration_(std::move(read_configuration)),
       executor_(executor),
       log_(log),
-      store_(store,
-             [this](std::string_view kind, std::string_view outcome) {
-               metrics_.StoreCall(kind, outcome);
-             }),
+      store_(
+          store,
+          [this](const external::StoreCall& call) { metrics_.StoreCall(call); },
+          clock),
       controller_(options_.controller, engine, store_, configuration_, metrics_,
                   clock, log),
       service_(controller_, clock),
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -60,7 +60,7 @@
 core::Task<> StoreFollower::ListAll() {
   call_began_ = clock_.Now();
   external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
-  NoteAnswer();
+  NoteAnswer(call_began_);
   for (const FollowHooks& it : hooks_) {
     it.listed(UnderPrefix(snapshot.entries, it.prefix), CurrentLapseEnd());
   }
@@ -71,7 +71,9 @@
   call_began_ = clock_.Now();
   external::WatchBatch batch =
       co_await store_.Watch(options_.prefix, *revision_, options_.watch_wait);
-  NoteAnswer();
+  // Without a change the store has answered only after the whole wait.
+  const bool waited = !batch.gap && batch.events.empty();
+  NoteAnswer(waited ? call_began_ + options_.watch_wait : call_began_);
   if (batch.gap) {
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
                {{"prefix", options_.prefix}, {"revision", *revision_}});
@@ -107,7 +109,8 @@
              {{"prefix", options_.prefix}, {"error", what}});
 }
 
-void StoreFollower::NoteAnswer() {
+void StoreFollower::NoteAnswer(core::SteadyTime as_of) {
+  NoteRenewal(as_of);
   last_answer_ = clock_.Now();
   if (!failing_since_) return;
   const auto away =
@@ -121,6 +124,18 @@
              {{"prefix", options_.prefix}, {"away_ms", away}});
 }
 
+void StoreFollower::NoteRenewal(core::SteadyTime as_of) {
+  const core::SteadyTime now = clock_.Now();
+  const core::SteadyTime before = current_as_of_.value_or(as_of);
+  const auto age = std::chrono::duration_cast<core::Millis>(now - before);
+  current_as_of_ = std::min(as_of, now);
+  options_.renewed(age);
+  if (failing_since_ || age < options_.late_after) return;
+  const auto took = std::chrono::duration_cast<core::Millis>(now - call_began_);
+  log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "view_late",
+             {{"prefix", options_.prefix}, {"age_ms", age}, {"call_ms", took}});
+}
+
 LapseEnd StoreFollower::CurrentLapseEnd() const {
   if (lapse_end_ && clock_.Now() < *lapse_end_) return lapse_end_;
   return std::nullopt;
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -26,6 +26,11 @@
   /** Pause before a failed call is tried again. Half a second from each VM is
    * far below what the store takes and found again well within two seconds. */
   std::chrono::milliseconds retry_pause{400};
+  /** Told of each answer: how old the view had become until it came. */
+  std::function<void(std::chrono::milliseconds age)> renewed =
+      [](std::chrono::milliseconds) {};
+  /** A view that gets older than this while calls are answered is logged. */
+  std::chrono::milliseconds late_after{30'000};
   /** A store that failed for longer than this was away: entries may have
    * lapsed meanwhile. */
   std::chrono::milliseconds outage_after{1000};
@@ -74,6 +79,15 @@
     return last_answer_;
   }
 
+  /**
+   * @return All changes up to this time are known, if the store ever answered:
+   *   when the call began whose answer came last, or when its wait ended
+   *   without a change.
+   */
+  [[nodiscard]] std::optional<core::SteadyTime> current_as_of() const {
+    return current_as_of_;
+  }
+
   /** @return True from a failed call until the next answer. */
   [[nodiscard]] bool failing() const { return failing_since_.has_value(); }
 
@@ -82,7 +96,9 @@
   core::Task<> WatchOnce();
   void TakeChange(external::KvEvent event);
   void NoteFailure(const std::string& what);
-  void NoteAnswer();
+  /** @param as_of The answer tells of all changes up to this time. */
+  void NoteAnswer(core::SteadyTime as_of);
+  void NoteRenewal(core::SteadyTime as_of);
   [[nodiscard]] LapseEnd CurrentLapseEnd() const;
 
   const FollowOptions options_;
@@ -93,6 +109,7 @@
   /** Changes after this revision are still to come; nothing: list first. */
   std::optional<std::int64_t> revision_;
   std::optional<core::SteadyTime> last_answer_;
+  std::optional<core::SteadyTime> current_as_of_;
   std::optional<core::SteadyTime> failing_since_;
   /** When the newest call began, and the newest one that failed. */
   core::SteadyTime call_began_;
--- a/src/serving/follow.cc
+++ b/src/serving/follow.cc
@@ -50,6 +50,7 @@
   // is on its way for some milliseconds.
   options.lapse_wait =
       std::max(freshness.bound - kHousekeeping - kRest, milliseconds(0));
+  options.late_after = freshness.bound;
   return options;
 }
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -105,6 +105,13 @@
   return refresh;
 }
 
+routing::FollowOptions FollowOptionsOf(const Freshness& freshness,
+                                       FrontMetrics& metrics) {
+  routing::FollowOptions follow = StoreFollowOptions(freshness);
+  follow.renewed = [&metrics](milliseconds age) { metrics.ViewRenewed(age); };
+  return follow;
+}
+
 http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
   http::ServerLimits out;
   out.max_header_bytes = limits.max_header_bytes;
@@ -128,10 +135,10 @@
       stalls_([this](std::string_view work,
                      milliseconds took) { metrics_.Stalled(work, took); },
               clock, log),
-      store_(store,
-             [this](std::string_view kind, std::string_view outcome) {
-               metrics_.StoreCall(kind, outcome);
-             }),
+      store_(
+          store,
+          [this](const external::StoreCall& call) { metrics_.StoreCall(call); },
+          clock),
       registry_(fleet::RegistryOptions(), clock, log),
       loads_(clock),
       presence_key_(PresenceKeyOf(options_)),
@@ -174,7 +181,7 @@
       engine_follower_(
           layout_, registry_, [this] { loader_.changed().Notify(); }, clock,
           log),
-      store_follower_(StoreFollowOptions(options_.freshness), AllHooks(),
+      store_follower_(FollowOptionsOf(options_.freshness, metrics_), AllHooks(),
                       store_, clock, log),
       server_(
           executor, options_.listen, http::ServerLimits(),
@@ -239,6 +246,7 @@
   levels.coordinators_suspected = quota_client_.suspected();
   levels.ready = Ready();
   levels.store_age = age(store_follower_.last_answer());
+  levels.view_age = age(store_follower_.current_as_of());
   levels.log = log_.counters();
   return levels;
 }
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -63,6 +63,15 @@
   prometheus::Family<prometheus::Counter>& quotas = core::AddCounters(
       registry, "sapphire_front_quota_decisions_total",
       "Requests charged to quotas, by organisation, bucket and answer");
+  prometheus::Family<prometheus::Histogram>& store_times = core::AddHistograms(
+      registry, "sapphire_front_store_call_seconds",
+      "Calls to the store, by kind, what a watch waits included");
+  prometheus::Family<prometheus::Counter>& store_bytes =
+      core::AddCounters(registry, "sapphire_front_store_bytes_total",
+                        "Values read from the store, by kind of call");
+  prometheus::Family<prometheus::Histogram>& view_ages = core::AddHistograms(
+      registry, "sapphire_front_view_age_seconds",
+      "Age of what follows the store at the moment an answer renews it");
   std::set<core::OrganisationId> organisations;
   prometheus::Family<prometheus::Gauge>& levels = core::AddGauges(
       registry, "sapphire_front_level", "Levels of this entry, by name");
@@ -117,8 +126,16 @@
       .Observe(Seconds(took).count());
 }
 
-void FrontMetrics::StoreCall(std::string_view kind, std::string_view outcome) {
-  core::CountCall(state_->store_calls, kind, outcome);
+void FrontMetrics::StoreCall(const external::StoreCall& call) {
+  core::CountCall(state_->store_calls, call.kind, call.outcome);
+  state_->store_times.Add({{"kind", std::string(call.kind)}}, kSeconds)
+      .Observe(Seconds(call.took).count());
+  state_->store_bytes.Add({{"kind", std::string(call.kind)}})
+      .Increment(static_cast<double>(call.bytes));
+}
+
+void FrontMetrics::ViewRenewed(std::chrono::milliseconds age) {
+  state_->view_ages.Add({}, kSeconds).Observe(Seconds(age).count());
 }
 
 void FrontMetrics::Stalled(std::string_view work,
@@ -139,6 +156,7 @@
   set("coordinators_suspected", levels.coordinators_suspected);
   set("ready", levels.ready);
   set("store_age_ms", levels.store_age.count());
+  set("view_age_ms", levels.view_age.count());
   set("log_lines", levels.log.lines);
   set("log_bytes", levels.log.bytes);
   set("log_lines_dropped", levels.log.dropped);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -10,6 +10,7 @@
 
 #include "core/id_type.h"
 #include "core/log_sink_base.h"
+#include "external/counting_store_base.h"
 #include "policy/placement_type.h"
 #include "routing/route_type.h"
 
@@ -28,6 +29,8 @@
   bool ready = false;
   /** Age of what the store last told. */
   std::chrono::milliseconds store_age{0};
+  /** Changes in the store that are younger may not be known here. */
+  std::chrono::milliseconds view_age{0};
   core::LogSinkCounters log;
 };
 
@@ -56,7 +59,9 @@
                    std::chrono::milliseconds took);
   /** Work kept the thread from its sockets. */
   void Stalled(std::string_view work, std::chrono::milliseconds took);
-  void StoreCall(std::string_view kind, std::string_view outcome);
+  void StoreCall(const external::StoreCall& call);
+  /** What follows the store was this old when an answer renewed it. */
+  void ViewRenewed(std::chrono::milliseconds age);
 
   /** @return Everything, in the Prometheus text format. */
   std::string Text(const FrontLevels& levels);
