Read answers in pieces of 16 KB instead of 512 bytes

Callers saw: requests reached engines 4.0 to 5.3 s after they had left, and requests were handled by a configuration that had been replaced 8 s before, on the large site with nothing disturbed between entry and store. Cause: the HTTP client's buffer has room for 512 bytes when it is new, and Beast reads no more at a time than there is room for. Each read waits for its turn behind all other work of the entry's thread. A watch's answer of 100 KB takes 200 turns, the configuration of the large site 800; with its 0.09 of a core used up an entry needs 10 to 40 ms a turn. No time limit ends this, as a piece that is there is read after the limit too. Why it works: what an answer costs in turns no longer grows with its size, up to some ten pieces for the largest.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -131,6 +131,9 @@
         max_idle_time_(max_idle_time),
         abort_(std::move(abort)) {
     parser_.body_limit(boost::none);
+    // Beast reads no more at a time than the buffer has room for, and a new
+    // one has room for 512 bytes.
+    buf_.reserve(kReadBytes);
     if (abort_) {
       abort_->Attach([this] { stream_.close(); });
     }
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <future>
+#include <string>
 #include <thread>
 
 #include "core/address_func.h"
@@ -119,6 +121,59 @@
   BOOST_TEST(response.body.find("\"request_id\":\"r1\"") != std::string::npos);
 }
 
+/** Sends one answer in one piece to the first who connects. */
+class OneAnswer {
+ public:
+  explicit OneAnswer(std::string answer)
+      : acceptor_(io_, core::ParseAddress("127.0.0.1:0")),
+        thread_([this, text = std::move(answer)] { Send(text); }) {}
+  ~OneAnswer() { thread_.join(); }
+
+  [[nodiscard]] std::string address() const {
+    return core::AddressText(acceptor_);
+  }
+  void AwaitSent() { sent_.get_future().wait(); }
+
+ private:
+  void Send(const std::string& text) {
+    asio::ip::tcp::socket socket = acceptor_.accept();
+    asio::read(socket, asio::buffer(request_, 1));
+    asio::write(socket, asio::buffer(text));
+    sent_.set_value();
+    boost::system::error_code ec;
+    asio::read(socket, asio::buffer(request_), ec);
+  }
+
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::array<char, 4096> request_{};
+  std::promise<void> sent_;
+  std::thread thread_;
+};
+
+Task<int> CountParts(Client& client, OneAnswer& peer) {
+  Request request;
+  const auto stream = co_await client.Open(std::move(request), kLong);
+  peer.AwaitSent();
+  int parts = 0;
+  while (true) {
+    const auto part = co_await stream->Read(kLong);
+    if (!part) co_return parts;
+    ++parts;
+  }
+}
+
+/** Guards against answers of the store that take seconds on a busy thread, as
+ * each small read waits for its turn. */
+BOOST_FIXTURE_TEST_CASE(AnswerThatHasArrivedIsReadInFewTurns, Fixture) {
+  constexpr std::size_t kBody = 48 * 1024;
+  OneAnswer peer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) +
+                 "\r\n\r\n" + std::string(kBody, 'x'));
+  Client reader(peer.address());
+  const int parts = Run(CountParts(reader, peer));
+  BOOST_TEST(parts <= 8);
+}
+
 // An engine dies in the middle of an answer. The caller must not take the
 // half for the whole: the chunked body ends without its last chunk, which
 // every HTTP client reports as an error.
