--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -62,9 +62,10 @@
             settings.String("kv"), settings.Millis("kv_timeout_ms"))),
         counting_store_(
             *store_,
-            [this](std::string_view kind, std::string_view outcome) {
-              metrics_.KeyValueCall(kind, outcome);
-            }),
+            [this](const external::StoreCall& call) {
+              metrics_.KeyValueCall(call.kind, call.outcome);
+            },
+            clock),
         endpoint_(context_.get_executor(), OptionsFrom(settings), *engine_,
                   counting_store_, clock, log, metrics_),
         signals_(context_, SIGTERM, SIGINT),
--- a/src/entry/sapphire_entry_main.cc
+++ b/src/entry/sapphire_entry_main.cc
@@ -78,9 +78,10 @@
             settings.String("vm_list"), settings.Millis("vm_list_timeout_ms"))),
         counting_store_(
             *store_,
-            [this](std::string_view kind, std::string_view outcome) {
-              metrics_.KeyValueCall(kind, outcome);
-            }),
+            [this](const external::StoreCall& call) {
+              metrics_.KeyValueCall(call.kind, call.outcome);
+            },
+            clock),
         entry_(context_.get_executor(), OptionsFrom(settings, metrics_),
                counting_store_, *vm_list_, clock, log, metrics_),
         signals_(context_, SIGTERM, SIGINT) {}
