--- a/bench/sapphire_quota_bench_main.cc
+++ b/bench/sapphire_quota_bench_main.cc
@@ -64,7 +64,8 @@
   for (int i = 0; i < kRequests; ++i) {
     const organisation::Organisation* it =
         directory.Find(organisation::ApiKey(KeyOf(i % kOrganisations)));
-    client.Take(it->id, {1, {it->quota.per_second, it->quota.burst}}, 1,
+    client.Take(quota::QuotaId(it->id.value()),
+                {1, {it->quota.per_second, it->quota.burst}}, 1,
                 [](const quota::QuotaDecision&) {});
   }
   const std::chrono::duration<double, std::micro> took =
--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -4157,6 +4157,129 @@
 }
 
 
+EngineLimit::~EngineLimit() noexcept {
+}
+
+
+void EngineLimit::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
+}
+
+void EngineLimit::__set_per_second(const double val) {
+  this->per_second = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine_instance);
+          this->__isset.engine_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineLimit");
+
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine_instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineLimit &a, EngineLimit &b) {
+  using ::std::swap;
+  swap(a.engine_instance, b.engine_instance);
+  swap(a.per_second, b.per_second);
+  swap(a.__isset, b.__isset);
+}
+
+EngineLimit::EngineLimit(const EngineLimit& other143) {
+  engine_instance = other143.engine_instance;
+  per_second = other143.per_second;
+  __isset = other143.__isset;
+}
+EngineLimit::EngineLimit(EngineLimit&& other144) noexcept {
+  engine_instance = std::move(other144.engine_instance);
+  per_second = other144.per_second;
+  __isset = other144.__isset;
+}
+EngineLimit& EngineLimit::operator=(const EngineLimit& other145) {
+  engine_instance = other145.engine_instance;
+  per_second = other145.per_second;
+  __isset = other145.__isset;
+  return *this;
+}
+EngineLimit& EngineLimit::operator=(EngineLimit&& other146) noexcept {
+  engine_instance = std::move(other146.engine_instance);
+  per_second = other146.per_second;
+  __isset = other146.__isset;
+  return *this;
+}
+void EngineLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineLimit(";
+  out << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "per_second=" << to_string(per_second);
+  out << ")";
+}
+
+
 EntryRecord::~EntryRecord() noexcept {
 }
 
@@ -4180,6 +4303,10 @@
 void EntryRecord::__set_store_load_ms(const int64_t val) {
   this->store_load_ms = val;
 }
+
+void EntryRecord::__set_limits(const std::vector<EngineLimit> & val) {
+  this->limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryRecord& obj)
 {
   obj.printTo(out);
@@ -4228,14 +4355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->uses.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->uses.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->uses[_i147].read(iprot);
+              xfer += this->uses[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4248,14 +4375,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->loads.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->loads.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->loads[_i152].read(iprot);
+              xfer += this->loads[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4272,6 +4399,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->limits.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += this->limits[_i161].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4300,10 +4447,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<EngineUse> ::const_iterator _iter153;
-    for (_iter153 = this->uses.begin(); _iter153 != this->uses.end(); ++_iter153)
+    std::vector<EngineUse> ::const_iterator _iter162;
+    for (_iter162 = this->uses.begin(); _iter162 != this->uses.end(); ++_iter162)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4312,10 +4459,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ComingLoad> ::const_iterator _iter154;
-    for (_iter154 = this->loads.begin(); _iter154 != this->loads.end(); ++_iter154)
+    std::vector<ComingLoad> ::const_iterator _iter163;
+    for (_iter163 = this->loads.begin(); _iter163 != this->loads.end(); ++_iter163)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4325,6 +4472,18 @@
   xfer += oprot->writeI64(this->store_load_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<EngineLimit> ::const_iterator _iter164;
+    for (_iter164 = this->limits.begin(); _iter164 != this->limits.end(); ++_iter164)
+    {
+      xfer += (*_iter164).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4337,41 +4496,46 @@
   swap(a.uses, b.uses);
   swap(a.loads, b.loads);
   swap(a.store_load_ms, b.store_load_ms);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-EntryRecord::EntryRecord(const EntryRecord& other155) {
-  entry = other155.entry;
-  number = other155.number;
-  uses = other155.uses;
-  loads = other155.loads;
-  store_load_ms = other155.store_load_ms;
-  __isset = other155.__isset;
-}
-EntryRecord::EntryRecord(EntryRecord&& other156) noexcept {
-  entry = std::move(other156.entry);
-  number = other156.number;
-  uses = std::move(other156.uses);
-  loads = std::move(other156.loads);
-  store_load_ms = other156.store_load_ms;
-  __isset = other156.__isset;
-}
-EntryRecord& EntryRecord::operator=(const EntryRecord& other157) {
-  entry = other157.entry;
-  number = other157.number;
-  uses = other157.uses;
-  loads = other157.loads;
-  store_load_ms = other157.store_load_ms;
-  __isset = other157.__isset;
+EntryRecord::EntryRecord(const EntryRecord& other165) {
+  entry = other165.entry;
+  number = other165.number;
+  uses = other165.uses;
+  loads = other165.loads;
+  store_load_ms = other165.store_load_ms;
+  limits = other165.limits;
+  __isset = other165.__isset;
+}
+EntryRecord::EntryRecord(EntryRecord&& other166) noexcept {
+  entry = std::move(other166.entry);
+  number = other166.number;
+  uses = std::move(other166.uses);
+  loads = std::move(other166.loads);
+  store_load_ms = other166.store_load_ms;
+  limits = std::move(other166.limits);
+  __isset = other166.__isset;
+}
+EntryRecord& EntryRecord::operator=(const EntryRecord& other167) {
+  entry = other167.entry;
+  number = other167.number;
+  uses = other167.uses;
+  loads = other167.loads;
+  store_load_ms = other167.store_load_ms;
+  limits = other167.limits;
+  __isset = other167.__isset;
   return *this;
 }
-EntryRecord& EntryRecord::operator=(EntryRecord&& other158) noexcept {
-  entry = std::move(other158.entry);
-  number = other158.number;
-  uses = std::move(other158.uses);
-  loads = std::move(other158.loads);
-  store_load_ms = other158.store_load_ms;
-  __isset = other158.__isset;
+EntryRecord& EntryRecord::operator=(EntryRecord&& other168) noexcept {
+  entry = std::move(other168.entry);
+  number = other168.number;
+  uses = std::move(other168.uses);
+  loads = std::move(other168.loads);
+  store_load_ms = other168.store_load_ms;
+  limits = std::move(other168.limits);
+  __isset = other168.__isset;
   return *this;
 }
 void EntryRecord::printTo(std::ostream& out) const {
@@ -4382,6 +4546,7 @@
   out << ", " << "uses=" << to_string(uses);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "store_load_ms=" << to_string(store_load_ms);
+  out << ", " << "limits=" << to_string(limits);
   out << ")";
 }
 
@@ -4398,16 +4563,16 @@
   this->number = val;
 }
 
-void QuotaAsk::__set_organisation(const std::string& val) {
-  this->organisation = val;
+void QuotaAsk::__set_quota(const std::string& val) {
+  this->quota = val;
 }
 
 void QuotaAsk::__set_units(const double val) {
   this->units = val;
 }
 
-void QuotaAsk::__set_config_version(const int64_t val) {
-  this->config_version = val;
+void QuotaAsk::__set_version(const int64_t val) {
+  this->version = val;
 }
 
 void QuotaAsk::__set_units_per_second(const double val) {
@@ -4467,8 +4632,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->organisation);
-          this->__isset.organisation = true;
+          xfer += iprot->readString(this->quota);
+          this->__isset.quota = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4483,8 +4648,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->config_version);
-          this->__isset.config_version = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4538,16 +4703,16 @@
   xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldBegin("quota", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->quota);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("units", ::apache::thrift::protocol::T_DOUBLE, 4);
   xfer += oprot->writeDouble(this->units);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("units_per_second", ::apache::thrift::protocol::T_DOUBLE, 6);
@@ -4571,59 +4736,59 @@
   using ::std::swap;
   swap(a.entry, b.entry);
   swap(a.number, b.number);
-  swap(a.organisation, b.organisation);
+  swap(a.quota, b.quota);
   swap(a.units, b.units);
-  swap(a.config_version, b.config_version);
+  swap(a.version, b.version);
   swap(a.units_per_second, b.units_per_second);
   swap(a.burst, b.burst);
   swap(a.wait_ms, b.wait_ms);
   swap(a.__isset, b.__isset);
 }
 
-QuotaAsk::QuotaAsk(const QuotaAsk& other159) {
-  entry = other159.entry;
-  number = other159.number;
-  organisation = other159.organisation;
-  units = other159.units;
-  config_version = other159.config_version;
-  units_per_second = other159.units_per_second;
-  burst = other159.burst;
-  wait_ms = other159.wait_ms;
-  __isset = other159.__isset;
-}
-QuotaAsk::QuotaAsk(QuotaAsk&& other160) noexcept {
-  entry = std::move(other160.entry);
-  number = other160.number;
-  organisation = std::move(other160.organisation);
-  units = other160.units;
-  config_version = other160.config_version;
-  units_per_second = other160.units_per_second;
-  burst = other160.burst;
-  wait_ms = other160.wait_ms;
-  __isset = other160.__isset;
-}
-QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other161) {
-  entry = other161.entry;
-  number = other161.number;
-  organisation = other161.organisation;
-  units = other161.units;
-  config_version = other161.config_version;
-  units_per_second = other161.units_per_second;
-  burst = other161.burst;
-  wait_ms = other161.wait_ms;
-  __isset = other161.__isset;
+QuotaAsk::QuotaAsk(const QuotaAsk& other169) {
+  entry = other169.entry;
+  number = other169.number;
+  quota = other169.quota;
+  units = other169.units;
+  version = other169.version;
+  units_per_second = other169.units_per_second;
+  burst = other169.burst;
+  wait_ms = other169.wait_ms;
+  __isset = other169.__isset;
+}
+QuotaAsk::QuotaAsk(QuotaAsk&& other170) noexcept {
+  entry = std::move(other170.entry);
+  number = other170.number;
+  quota = std::move(other170.quota);
+  units = other170.units;
+  version = other170.version;
+  units_per_second = other170.units_per_second;
+  burst = other170.burst;
+  wait_ms = other170.wait_ms;
+  __isset = other170.__isset;
+}
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other171) {
+  entry = other171.entry;
+  number = other171.number;
+  quota = other171.quota;
+  units = other171.units;
+  version = other171.version;
+  units_per_second = other171.units_per_second;
+  burst = other171.burst;
+  wait_ms = other171.wait_ms;
+  __isset = other171.__isset;
   return *this;
 }
-QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other162) noexcept {
-  entry = std::move(other162.entry);
-  number = other162.number;
-  organisation = std::move(other162.organisation);
-  units = other162.units;
-  config_version = other162.config_version;
-  units_per_second = other162.units_per_second;
-  burst = other162.burst;
-  wait_ms = other162.wait_ms;
-  __isset = other162.__isset;
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other172) noexcept {
+  entry = std::move(other172.entry);
+  number = other172.number;
+  quota = std::move(other172.quota);
+  units = other172.units;
+  version = other172.version;
+  units_per_second = other172.units_per_second;
+  burst = other172.burst;
+  wait_ms = other172.wait_ms;
+  __isset = other172.__isset;
   return *this;
 }
 void QuotaAsk::printTo(std::ostream& out) const {
@@ -4631,9 +4796,9 @@
   out << "QuotaAsk(";
   out << "entry=" << to_string(entry);
   out << ", " << "number=" << to_string(number);
-  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "quota=" << to_string(quota);
   out << ", " << "units=" << to_string(units);
-  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "version=" << to_string(version);
   out << ", " << "units_per_second=" << to_string(units_per_second);
   out << ", " << "burst=" << to_string(burst);
   out << ", " << "wait_ms=" << to_string(wait_ms);
@@ -4714,9 +4879,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast163;
-          xfer += iprot->readI32(ecast163);
-          this->verdict = static_cast<QuotaVerdict::type>(ecast163);
+          int32_t ecast173;
+          xfer += iprot->readI32(ecast173);
+          this->verdict = static_cast<QuotaVerdict::type>(ecast173);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4803,42 +4968,42 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaAnswer::QuotaAnswer(const QuotaAnswer& other164) {
-  entry = other164.entry;
-  number = other164.number;
-  verdict = other164.verdict;
-  delay_ms = other164.delay_ms;
-  coordinator = other164.coordinator;
-  coordinator_address = other164.coordinator_address;
-  __isset = other164.__isset;
-}
-QuotaAnswer::QuotaAnswer(QuotaAnswer&& other165) noexcept {
-  entry = std::move(other165.entry);
-  number = other165.number;
-  verdict = other165.verdict;
-  delay_ms = other165.delay_ms;
-  coordinator = std::move(other165.coordinator);
-  coordinator_address = std::move(other165.coordinator_address);
-  __isset = other165.__isset;
-}
-QuotaAnswer& QuotaAnswer::operator=(const QuotaAnswer& other166) {
-  entry = other166.entry;
-  number = other166.number;
-  verdict = other166.verdict;
-  delay_ms = other166.delay_ms;
-  coordinator = other166.coordinator;
-  coordinator_address = other166.coordinator_address;
-  __isset = other166.__isset;
+QuotaAnswer::QuotaAnswer(const QuotaAnswer& other174) {
+  entry = other174.entry;
+  number = other174.number;
+  verdict = other174.verdict;
+  delay_ms = other174.delay_ms;
+  coordinator = other174.coordinator;
+  coordinator_address = other174.coordinator_address;
+  __isset = other174.__isset;
+}
+QuotaAnswer::QuotaAnswer(QuotaAnswer&& other175) noexcept {
+  entry = std::move(other175.entry);
+  number = other175.number;
+  verdict = other175.verdict;
+  delay_ms = other175.delay_ms;
+  coordinator = std::move(other175.coordinator);
+  coordinator_address = std::move(other175.coordinator_address);
+  __isset = other175.__isset;
+}
+QuotaAnswer& QuotaAnswer::operator=(const QuotaAnswer& other176) {
+  entry = other176.entry;
+  number = other176.number;
+  verdict = other176.verdict;
+  delay_ms = other176.delay_ms;
+  coordinator = other176.coordinator;
+  coordinator_address = other176.coordinator_address;
+  __isset = other176.__isset;
   return *this;
 }
-QuotaAnswer& QuotaAnswer::operator=(QuotaAnswer&& other167) noexcept {
-  entry = std::move(other167.entry);
-  number = other167.number;
-  verdict = other167.verdict;
-  delay_ms = other167.delay_ms;
-  coordinator = std::move(other167.coordinator);
-  coordinator_address = std::move(other167.coordinator_address);
-  __isset = other167.__isset;
+QuotaAnswer& QuotaAnswer::operator=(QuotaAnswer&& other177) noexcept {
+  entry = std::move(other177.entry);
+  number = other177.number;
+  verdict = other177.verdict;
+  delay_ms = other177.delay_ms;
+  coordinator = std::move(other177.coordinator);
+  coordinator_address = std::move(other177.coordinator_address);
+  __isset = other177.__isset;
   return *this;
 }
 void QuotaAnswer::printTo(std::ostream& out) const {
@@ -4872,6 +5037,16 @@
   this->quota_answer = val;
 __isset.quota_answer = true;
 }
+
+void EntryDatagram::__set_engine_ask(const QuotaAsk& val) {
+  this->engine_ask = val;
+__isset.engine_ask = true;
+}
+
+void EntryDatagram::__set_engine_answer(const QuotaAnswer& val) {
+  this->engine_answer = val;
+__isset.engine_answer = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryDatagram& obj)
 {
   obj.printTo(out);
@@ -4924,6 +5099,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engine_ask.read(iprot);
+          this->__isset.engine_ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engine_answer.read(iprot);
+          this->__isset.engine_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4956,6 +5147,16 @@
     xfer += this->quota_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.engine_ask) {
+    xfer += oprot->writeFieldBegin("engine_ask", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->engine_ask.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.engine_answer) {
+    xfer += oprot->writeFieldBegin("engine_answer", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->engine_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4966,33 +5167,43 @@
   swap(a.record, b.record);
   swap(a.quota_ask, b.quota_ask);
   swap(a.quota_answer, b.quota_answer);
+  swap(a.engine_ask, b.engine_ask);
+  swap(a.engine_answer, b.engine_answer);
   swap(a.__isset, b.__isset);
 }
 
-EntryDatagram::EntryDatagram(const EntryDatagram& other168) {
-  record = other168.record;
-  quota_ask = other168.quota_ask;
-  quota_answer = other168.quota_answer;
-  __isset = other168.__isset;
+EntryDatagram::EntryDatagram(const EntryDatagram& other178) {
+  record = other178.record;
+  quota_ask = other178.quota_ask;
+  quota_answer = other178.quota_answer;
+  engine_ask = other178.engine_ask;
+  engine_answer = other178.engine_answer;
+  __isset = other178.__isset;
 }
-EntryDatagram::EntryDatagram(EntryDatagram&& other169) noexcept {
-  record = std::move(other169.record);
-  quota_ask = std::move(other169.quota_ask);
-  quota_answer = std::move(other169.quota_answer);
-  __isset = other169.__isset;
+EntryDatagram::EntryDatagram(EntryDatagram&& other179) noexcept {
+  record = std::move(other179.record);
+  quota_ask = std::move(other179.quota_ask);
+  quota_answer = std::move(other179.quota_answer);
+  engine_ask = std::move(other179.engine_ask);
+  engine_answer = std::move(other179.engine_answer);
+  __isset = other179.__isset;
 }
-EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other170) {
-  record = other170.record;
-  quota_ask = other170.quota_ask;
-  quota_answer = other170.quota_answer;
-  __isset = other170.__isset;
+EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other180) {
+  record = other180.record;
+  quota_ask = other180.quota_ask;
+  quota_answer = other180.quota_answer;
+  engine_ask = other180.engine_ask;
+  engine_answer = other180.engine_answer;
+  __isset = other180.__isset;
   return *this;
 }
-EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other171) noexcept {
-  record = std::move(other171.record);
-  quota_ask = std::move(other171.quota_ask);
-  quota_answer = std::move(other171.quota_answer);
-  __isset = other171.__isset;
+EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other181) noexcept {
+  record = std::move(other181.record);
+  quota_ask = std::move(other181.quota_ask);
+  quota_answer = std::move(other181.quota_answer);
+  engine_ask = std::move(other181.engine_ask);
+  engine_answer = std::move(other181.engine_answer);
+  __isset = other181.__isset;
   return *this;
 }
 void EntryDatagram::printTo(std::ostream& out) const {
@@ -5001,6 +5212,8 @@
   out << "record="; (__isset.record ? (out << to_string(record)) : (out << "<null>"));
   out << ", " << "quota_ask="; (__isset.quota_ask ? (out << to_string(quota_ask)) : (out << "<null>"));
   out << ", " << "quota_answer="; (__isset.quota_answer ? (out << to_string(quota_answer)) : (out << "<null>"));
+  out << ", " << "engine_ask="; (__isset.engine_ask ? (out << to_string(engine_ask)) : (out << "<null>"));
+  out << ", " << "engine_answer="; (__isset.engine_answer ? (out << to_string(engine_answer)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5059,18 +5272,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other172) noexcept {
-  (void) other172;
+Drain::Drain(const Drain& other182) noexcept {
+  (void) other182;
 }
-Drain::Drain(Drain&& other173) noexcept {
-  (void) other173;
+Drain::Drain(Drain&& other183) noexcept {
+  (void) other183;
 }
-Drain& Drain::operator=(const Drain& other174) noexcept {
-  (void) other174;
+Drain& Drain::operator=(const Drain& other184) noexcept {
+  (void) other184;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other175) noexcept {
-  (void) other175;
+Drain& Drain::operator=(Drain&& other185) noexcept {
+  (void) other185;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -5155,22 +5368,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other176) noexcept {
-  running = other176.running;
-  __isset = other176.__isset;
+DrainState::DrainState(const DrainState& other186) noexcept {
+  running = other186.running;
+  __isset = other186.__isset;
 }
-DrainState::DrainState(DrainState&& other177) noexcept {
-  running = other177.running;
-  __isset = other177.__isset;
+DrainState::DrainState(DrainState&& other187) noexcept {
+  running = other187.running;
+  __isset = other187.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other178) noexcept {
-  running = other178.running;
-  __isset = other178.__isset;
+DrainState& DrainState::operator=(const DrainState& other188) noexcept {
+  running = other188.running;
+  __isset = other188.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other179) noexcept {
-  running = other179.running;
-  __isset = other179.__isset;
+DrainState& DrainState::operator=(DrainState&& other189) noexcept {
+  running = other189.running;
+  __isset = other189.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -5232,14 +5445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->have_parts.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->have_parts.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += iprot->readString(this->have_parts[_i184]);
+              xfer += iprot->readString(this->have_parts[_i194]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5272,10 +5485,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter185;
-    for (_iter185 = this->have_parts.begin(); _iter185 != this->have_parts.end(); ++_iter185)
+    std::vector<std::string> ::const_iterator _iter195;
+    for (_iter195 = this->have_parts.begin(); _iter195 != this->have_parts.end(); ++_iter195)
     {
-      xfer += oprot->writeString((*_iter185));
+      xfer += oprot->writeString((*_iter195));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5293,26 +5506,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other186) {
-  have_version = other186.have_version;
-  have_parts = other186.have_parts;
-  __isset = other186.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other196) {
+  have_version = other196.have_version;
+  have_parts = other196.have_parts;
+  __isset = other196.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other187) noexcept {
-  have_version = other187.have_version;
-  have_parts = std::move(other187.have_parts);
-  __isset = other187.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other197) noexcept {
+  have_version = other197.have_version;
+  have_parts = std::move(other197.have_parts);
+  __isset = other197.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other188) {
-  have_version = other188.have_version;
-  have_parts = other188.have_parts;
-  __isset = other188.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other198) {
+  have_version = other198.have_version;
+  have_parts = other198.have_parts;
+  __isset = other198.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other189) noexcept {
-  have_version = other189.have_version;
-  have_parts = std::move(other189.have_parts);
-  __isset = other189.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other199) noexcept {
+  have_version = other199.have_version;
+  have_parts = std::move(other199.have_parts);
+  __isset = other199.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -5416,26 +5629,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other190) {
-  hash = other190.hash;
-  data = other190.data;
-  __isset = other190.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other200) {
+  hash = other200.hash;
+  data = other200.data;
+  __isset = other200.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other191) noexcept {
-  hash = std::move(other191.hash);
-  data = std::move(other191.data);
-  __isset = other191.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other201) noexcept {
+  hash = std::move(other201.hash);
+  data = std::move(other201.data);
+  __isset = other201.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other192) {
-  hash = other192.hash;
-  data = other192.data;
-  __isset = other192.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other202) {
+  hash = other202.hash;
+  data = other202.data;
+  __isset = other202.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other193) noexcept {
-  hash = std::move(other193.hash);
-  data = std::move(other193.data);
-  __isset = other193.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other203) noexcept {
+  hash = std::move(other203.hash);
+  data = std::move(other203.data);
+  __isset = other203.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -5514,14 +5727,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->part_hashes.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->part_hashes.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readString(this->part_hashes[_i198]);
+              xfer += iprot->readString(this->part_hashes[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5534,14 +5747,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->parts.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->parts.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->parts[_i203].read(iprot);
+              xfer += this->parts[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5578,10 +5791,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter204;
-    for (_iter204 = this->part_hashes.begin(); _iter204 != this->part_hashes.end(); ++_iter204)
+    std::vector<std::string> ::const_iterator _iter214;
+    for (_iter214 = this->part_hashes.begin(); _iter214 != this->part_hashes.end(); ++_iter214)
     {
-      xfer += oprot->writeString((*_iter204));
+      xfer += oprot->writeString((*_iter214));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5590,10 +5803,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter205;
-    for (_iter205 = this->parts.begin(); _iter205 != this->parts.end(); ++_iter205)
+    std::vector<ConfigPart> ::const_iterator _iter215;
+    for (_iter215 = this->parts.begin(); _iter215 != this->parts.end(); ++_iter215)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5613,34 +5826,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other206) {
-  version = other206.version;
-  plan_id = other206.plan_id;
-  part_hashes = other206.part_hashes;
-  parts = other206.parts;
-  __isset = other206.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other207) noexcept {
-  version = other207.version;
-  plan_id = std::move(other207.plan_id);
-  part_hashes = std::move(other207.part_hashes);
-  parts = std::move(other207.parts);
-  __isset = other207.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other208) {
-  version = other208.version;
-  plan_id = other208.plan_id;
-  part_hashes = other208.part_hashes;
-  parts = other208.parts;
-  __isset = other208.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other216) {
+  version = other216.version;
+  plan_id = other216.plan_id;
+  part_hashes = other216.part_hashes;
+  parts = other216.parts;
+  __isset = other216.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other217) noexcept {
+  version = other217.version;
+  plan_id = std::move(other217.plan_id);
+  part_hashes = std::move(other217.part_hashes);
+  parts = std::move(other217.parts);
+  __isset = other217.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other218) {
+  version = other218.version;
+  plan_id = other218.plan_id;
+  part_hashes = other218.part_hashes;
+  parts = other218.parts;
+  __isset = other218.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other209) noexcept {
-  version = other209.version;
-  plan_id = std::move(other209.plan_id);
-  part_hashes = std::move(other209.part_hashes);
-  parts = std::move(other209.parts);
-  __isset = other209.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other219) noexcept {
+  version = other219.version;
+  plan_id = std::move(other219.plan_id);
+  part_hashes = std::move(other219.part_hashes);
+  parts = std::move(other219.parts);
+  __isset = other219.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -6130,106 +6343,106 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other210) {
-  hello = other210.hello;
-  heartbeat = other210.heartbeat;
-  credit = other210.credit;
-  cancel = other210.cancel;
-  refusal = other210.refusal;
-  place = other210.place;
-  placed = other210.placed;
-  place_done = other210.place_done;
-  run = other210.run;
-  run_head = other210.run_head;
-  chunk = other210.chunk;
-  run_end = other210.run_end;
-  void_attempt = other210.void_attempt;
-  attempt_state = other210.attempt_state;
-  ensure_model = other210.ensure_model;
-  model_ready = other210.model_ready;
-  subscribe = other210.subscribe;
-  endpoint_report = other210.endpoint_report;
-  drain = other210.drain;
-  drain_state = other210.drain_state;
-  config_pull = other210.config_pull;
-  config_parts = other210.config_parts;
-  __isset = other210.__isset;
-}
-Message::Message(Message&& other211) noexcept {
-  hello = std::move(other211.hello);
-  heartbeat = std::move(other211.heartbeat);
-  credit = std::move(other211.credit);
-  cancel = std::move(other211.cancel);
-  refusal = std::move(other211.refusal);
-  place = std::move(other211.place);
-  placed = std::move(other211.placed);
-  place_done = std::move(other211.place_done);
-  run = std::move(other211.run);
-  run_head = std::move(other211.run_head);
-  chunk = std::move(other211.chunk);
-  run_end = std::move(other211.run_end);
-  void_attempt = std::move(other211.void_attempt);
-  attempt_state = std::move(other211.attempt_state);
-  ensure_model = std::move(other211.ensure_model);
-  model_ready = std::move(other211.model_ready);
-  subscribe = std::move(other211.subscribe);
-  endpoint_report = std::move(other211.endpoint_report);
-  drain = std::move(other211.drain);
-  drain_state = std::move(other211.drain_state);
-  config_pull = std::move(other211.config_pull);
-  config_parts = std::move(other211.config_parts);
-  __isset = other211.__isset;
-}
-Message& Message::operator=(const Message& other212) {
-  hello = other212.hello;
-  heartbeat = other212.heartbeat;
-  credit = other212.credit;
-  cancel = other212.cancel;
-  refusal = other212.refusal;
-  place = other212.place;
-  placed = other212.placed;
-  place_done = other212.place_done;
-  run = other212.run;
-  run_head = other212.run_head;
-  chunk = other212.chunk;
-  run_end = other212.run_end;
-  void_attempt = other212.void_attempt;
-  attempt_state = other212.attempt_state;
-  ensure_model = other212.ensure_model;
-  model_ready = other212.model_ready;
-  subscribe = other212.subscribe;
-  endpoint_report = other212.endpoint_report;
-  drain = other212.drain;
-  drain_state = other212.drain_state;
-  config_pull = other212.config_pull;
-  config_parts = other212.config_parts;
-  __isset = other212.__isset;
+Message::Message(const Message& other220) {
+  hello = other220.hello;
+  heartbeat = other220.heartbeat;
+  credit = other220.credit;
+  cancel = other220.cancel;
+  refusal = other220.refusal;
+  place = other220.place;
+  placed = other220.placed;
+  place_done = other220.place_done;
+  run = other220.run;
+  run_head = other220.run_head;
+  chunk = other220.chunk;
+  run_end = other220.run_end;
+  void_attempt = other220.void_attempt;
+  attempt_state = other220.attempt_state;
+  ensure_model = other220.ensure_model;
+  model_ready = other220.model_ready;
+  subscribe = other220.subscribe;
+  endpoint_report = other220.endpoint_report;
+  drain = other220.drain;
+  drain_state = other220.drain_state;
+  config_pull = other220.config_pull;
+  config_parts = other220.config_parts;
+  __isset = other220.__isset;
+}
+Message::Message(Message&& other221) noexcept {
+  hello = std::move(other221.hello);
+  heartbeat = std::move(other221.heartbeat);
+  credit = std::move(other221.credit);
+  cancel = std::move(other221.cancel);
+  refusal = std::move(other221.refusal);
+  place = std::move(other221.place);
+  placed = std::move(other221.placed);
+  place_done = std::move(other221.place_done);
+  run = std::move(other221.run);
+  run_head = std::move(other221.run_head);
+  chunk = std::move(other221.chunk);
+  run_end = std::move(other221.run_end);
+  void_attempt = std::move(other221.void_attempt);
+  attempt_state = std::move(other221.attempt_state);
+  ensure_model = std::move(other221.ensure_model);
+  model_ready = std::move(other221.model_ready);
+  subscribe = std::move(other221.subscribe);
+  endpoint_report = std::move(other221.endpoint_report);
+  drain = std::move(other221.drain);
+  drain_state = std::move(other221.drain_state);
+  config_pull = std::move(other221.config_pull);
+  config_parts = std::move(other221.config_parts);
+  __isset = other221.__isset;
+}
+Message& Message::operator=(const Message& other222) {
+  hello = other222.hello;
+  heartbeat = other222.heartbeat;
+  credit = other222.credit;
+  cancel = other222.cancel;
+  refusal = other222.refusal;
+  place = other222.place;
+  placed = other222.placed;
+  place_done = other222.place_done;
+  run = other222.run;
+  run_head = other222.run_head;
+  chunk = other222.chunk;
+  run_end = other222.run_end;
+  void_attempt = other222.void_attempt;
+  attempt_state = other222.attempt_state;
+  ensure_model = other222.ensure_model;
+  model_ready = other222.model_ready;
+  subscribe = other222.subscribe;
+  endpoint_report = other222.endpoint_report;
+  drain = other222.drain;
+  drain_state = other222.drain_state;
+  config_pull = other222.config_pull;
+  config_parts = other222.config_parts;
+  __isset = other222.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other213) noexcept {
-  hello = std::move(other213.hello);
-  heartbeat = std::move(other213.heartbeat);
-  credit = std::move(other213.credit);
-  cancel = std::move(other213.cancel);
-  refusal = std::move(other213.refusal);
-  place = std::move(other213.place);
-  placed = std::move(other213.placed);
-  place_done = std::move(other213.place_done);
-  run = std::move(other213.run);
-  run_head = std::move(other213.run_head);
-  chunk = std::move(other213.chunk);
-  run_end = std::move(other213.run_end);
-  void_attempt = std::move(other213.void_attempt);
-  attempt_state = std::move(other213.attempt_state);
-  ensure_model = std::move(other213.ensure_model);
-  model_ready = std::move(other213.model_ready);
-  subscribe = std::move(other213.subscribe);
-  endpoint_report = std::move(other213.endpoint_report);
-  drain = std::move(other213.drain);
-  drain_state = std::move(other213.drain_state);
-  config_pull = std::move(other213.config_pull);
-  config_parts = std::move(other213.config_parts);
-  __isset = other213.__isset;
+Message& Message::operator=(Message&& other223) noexcept {
+  hello = std::move(other223.hello);
+  heartbeat = std::move(other223.heartbeat);
+  credit = std::move(other223.credit);
+  cancel = std::move(other223.cancel);
+  refusal = std::move(other223.refusal);
+  place = std::move(other223.place);
+  placed = std::move(other223.placed);
+  place_done = std::move(other223.place_done);
+  run = std::move(other223.run);
+  run_head = std::move(other223.run_head);
+  chunk = std::move(other223.chunk);
+  run_end = std::move(other223.run_end);
+  void_attempt = std::move(other223.void_attempt);
+  attempt_state = std::move(other223.attempt_state);
+  ensure_model = std::move(other223.ensure_model);
+  model_ready = std::move(other223.model_ready);
+  subscribe = std::move(other223.subscribe);
+  endpoint_report = std::move(other223.endpoint_report);
+  drain = std::move(other223.drain);
+  drain_state = std::move(other223.drain_state);
+  config_pull = std::move(other223.config_pull);
+  config_parts = std::move(other223.config_parts);
+  __isset = other223.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -6387,34 +6600,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other214) {
-  call = other214.call;
-  from_opener = other214.from_opener;
-  config_version = other214.config_version;
-  message = other214.message;
-  __isset = other214.__isset;
-}
-Frame::Frame(Frame&& other215) noexcept {
-  call = other215.call;
-  from_opener = other215.from_opener;
-  config_version = other215.config_version;
-  message = std::move(other215.message);
-  __isset = other215.__isset;
-}
-Frame& Frame::operator=(const Frame& other216) {
-  call = other216.call;
-  from_opener = other216.from_opener;
-  config_version = other216.config_version;
-  message = other216.message;
-  __isset = other216.__isset;
+Frame::Frame(const Frame& other224) {
+  call = other224.call;
+  from_opener = other224.from_opener;
+  config_version = other224.config_version;
+  message = other224.message;
+  __isset = other224.__isset;
+}
+Frame::Frame(Frame&& other225) noexcept {
+  call = other225.call;
+  from_opener = other225.from_opener;
+  config_version = other225.config_version;
+  message = std::move(other225.message);
+  __isset = other225.__isset;
+}
+Frame& Frame::operator=(const Frame& other226) {
+  call = other226.call;
+  from_opener = other226.from_opener;
+  config_version = other226.config_version;
+  message = other226.message;
+  __isset = other226.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other217) noexcept {
-  call = other217.call;
-  from_opener = other217.from_opener;
-  config_version = other217.config_version;
-  message = std::move(other217.message);
-  __isset = other217.__isset;
+Frame& Frame::operator=(Frame&& other227) noexcept {
+  call = other227.call;
+  from_opener = other227.from_opener;
+  config_version = other227.config_version;
+  message = std::move(other227.message);
+  __isset = other227.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -124,6 +124,8 @@
 
 class ComingLoad;
 
+class EngineLimit;
+
 class EntryRecord;
 
 class QuotaAsk;
@@ -1660,13 +1662,66 @@
 
 std::ostream& operator<<(std::ostream& out, const ComingLoad& obj);
 
+typedef struct _EngineLimit__isset {
+  _EngineLimit__isset() : engine_instance(false), per_second(false) {}
+  bool engine_instance :1;
+  bool per_second :1;
+} _EngineLimit__isset;
+
+class EngineLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineLimit(const EngineLimit&);
+  EngineLimit(EngineLimit&&) noexcept;
+  EngineLimit& operator=(const EngineLimit&);
+  EngineLimit& operator=(EngineLimit&&) noexcept;
+  EngineLimit() noexcept
+              : engine_instance(),
+                per_second(0) {
+  }
+
+  virtual ~EngineLimit() noexcept;
+  std::string engine_instance;
+  double per_second;
+
+  _EngineLimit__isset __isset;
+
+  void __set_engine_instance(const std::string& val);
+
+  void __set_per_second(const double val);
+
+  bool operator == (const EngineLimit & rhs) const
+  {
+    if (!(engine_instance == rhs.engine_instance))
+      return false;
+    if (!(per_second == rhs.per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineLimit &a, EngineLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineLimit& obj);
+
 typedef struct _EntryRecord__isset {
-  _EntryRecord__isset() : entry(false), number(false), uses(false), loads(false), store_load_ms(false) {}
+  _EntryRecord__isset() : entry(false), number(false), uses(false), loads(false), store_load_ms(false), limits(false) {}
   bool entry :1;
   bool number :1;
   bool uses :1;
   bool loads :1;
   bool store_load_ms :1;
+  bool limits :1;
 } _EntryRecord__isset;
 
 class EntryRecord : public virtual ::apache::thrift::TBase {
@@ -1688,6 +1743,7 @@
   std::vector<EngineUse>  uses;
   std::vector<ComingLoad>  loads;
   int64_t store_load_ms;
+  std::vector<EngineLimit>  limits;
 
   _EntryRecord__isset __isset;
 
@@ -1701,6 +1757,8 @@
 
   void __set_store_load_ms(const int64_t val);
 
+  void __set_limits(const std::vector<EngineLimit> & val);
+
   bool operator == (const EntryRecord & rhs) const
   {
     if (!(entry == rhs.entry))
@@ -1713,6 +1771,8 @@
       return false;
     if (!(store_load_ms == rhs.store_load_ms))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const EntryRecord &rhs) const {
@@ -1732,12 +1792,12 @@
 std::ostream& operator<<(std::ostream& out, const EntryRecord& obj);
 
 typedef struct _QuotaAsk__isset {
-  _QuotaAsk__isset() : entry(false), number(false), organisation(false), units(false), config_version(false), units_per_second(false), burst(false), wait_ms(false) {}
+  _QuotaAsk__isset() : entry(false), number(false), quota(false), units(false), version(false), units_per_second(false), burst(false), wait_ms(false) {}
   bool entry :1;
   bool number :1;
-  bool organisation :1;
+  bool quota :1;
   bool units :1;
-  bool config_version :1;
+  bool version :1;
   bool units_per_second :1;
   bool burst :1;
   bool wait_ms :1;
@@ -1753,9 +1813,9 @@
   QuotaAsk() noexcept
            : entry(),
              number(0),
-             organisation(),
+             quota(),
              units(0),
-             config_version(0),
+             version(0),
              units_per_second(0),
              burst(0),
              wait_ms(0) {
@@ -1764,9 +1824,9 @@
   virtual ~QuotaAsk() noexcept;
   std::string entry;
   int64_t number;
-  std::string organisation;
+  std::string quota;
   double units;
-  int64_t config_version;
+  int64_t version;
   double units_per_second;
   double burst;
   int64_t wait_ms;
@@ -1777,11 +1837,11 @@
 
   void __set_number(const int64_t val);
 
-  void __set_organisation(const std::string& val);
+  void __set_quota(const std::string& val);
 
   void __set_units(const double val);
 
-  void __set_config_version(const int64_t val);
+  void __set_version(const int64_t val);
 
   void __set_units_per_second(const double val);
 
@@ -1795,11 +1855,11 @@
       return false;
     if (!(number == rhs.number))
       return false;
-    if (!(organisation == rhs.organisation))
+    if (!(quota == rhs.quota))
       return false;
     if (!(units == rhs.units))
       return false;
-    if (!(config_version == rhs.config_version))
+    if (!(version == rhs.version))
       return false;
     if (!(units_per_second == rhs.units_per_second))
       return false;
@@ -1910,10 +1970,12 @@
 std::ostream& operator<<(std::ostream& out, const QuotaAnswer& obj);
 
 typedef struct _EntryDatagram__isset {
-  _EntryDatagram__isset() : record(false), quota_ask(false), quota_answer(false) {}
+  _EntryDatagram__isset() : record(false), quota_ask(false), quota_answer(false), engine_ask(false), engine_answer(false) {}
   bool record :1;
   bool quota_ask :1;
   bool quota_answer :1;
+  bool engine_ask :1;
+  bool engine_answer :1;
 } _EntryDatagram__isset;
 
 class EntryDatagram : public virtual ::apache::thrift::TBase {
@@ -1930,6 +1992,8 @@
   EntryRecord record;
   QuotaAsk quota_ask;
   QuotaAnswer quota_answer;
+  QuotaAsk engine_ask;
+  QuotaAnswer engine_answer;
 
   _EntryDatagram__isset __isset;
 
@@ -1939,6 +2003,10 @@
 
   void __set_quota_answer(const QuotaAnswer& val);
 
+  void __set_engine_ask(const QuotaAsk& val);
+
+  void __set_engine_answer(const QuotaAnswer& val);
+
   bool operator == (const EntryDatagram & rhs) const
   {
     if (__isset.record != rhs.__isset.record)
@@ -1953,6 +2021,14 @@
       return false;
     else if (__isset.quota_answer && !(quota_answer == rhs.quota_answer))
       return false;
+    if (__isset.engine_ask != rhs.__isset.engine_ask)
+      return false;
+    else if (__isset.engine_ask && !(engine_ask == rhs.engine_ask))
+      return false;
+    if (__isset.engine_answer != rhs.__isset.engine_answer)
+      return false;
+    else if (__isset.engine_answer && !(engine_answer == rhs.engine_answer))
+      return false;
     return true;
   }
   bool operator != (const EntryDatagram &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -188,6 +188,7 @@
   3: i64 ready_in_ms
   4: bool from_weight_store
 }
+struct EngineLimit { 1: string engine_instance, 2: double per_second }
 struct EntryRecord {
   // The key of the sender's EntryPresence: names one start of an entry.
   1: string entry
@@ -198,19 +199,22 @@
   // What the latest load from the weight store took that this entry asked for;
   // 0: none lately.
   5: i64 store_load_ms
+  // What engines have named to this entry lately.
+  6: list<EngineLimit> limits
 }
 
-// Asks the coordinator of an organisation for units of its quota. Answered by
+// Asks the coordinator of a quota for units of it. Answered by
 // QuotaAnswer; a repeated ask has the same number and is charged once.
 struct QuotaAsk {
   // The key of the sender's EntryPresence.
   1: string entry
   2: i64 number
-  3: string organisation
+  // What the quota limits, by the name that all entries use for it.
+  3: string quota
   // 0 asks for a sign of life; below 0 gives back and is not answered.
   4: double units
-  // The limit, as the sender's configuration has it.
-  5: i64 config_version
+  // The limit as the sender knows it; the highest version holds.
+  5: i64 version
   6: double units_per_second
   7: double burst
   // The request waits so long for the quota to have room.
@@ -233,6 +237,9 @@
   1: optional EntryRecord record
   2: optional QuotaAsk quota_ask
   3: optional QuotaAnswer quota_answer
+  // The same for requests to an engine that has named a limit.
+  4: optional QuotaAsk engine_ask
+  5: optional QuotaAnswer engine_answer
 }
 
 // Operators' drain of one endpoint. Answered by DrainState.
--- /dev/null
+++ b/src/fleet/engine_limits.cc
@@ -0,0 +1,102 @@
+/** @file engine_limits.cc How many requests a second engines take. */
+#include <algorithm>
+
+#include "fleet/engine_limits_base.h"
+
+namespace sapphire::fleet {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A limit that was named within this is told to peers. */
+constexpr milliseconds kToldFor{5000};
+/** What a peer told holds on for this long. Peers of a large fleet are heard of
+ * every few seconds. */
+constexpr milliseconds kTrustedFor{10'000};
+
+}  // namespace
+
+LimitChange EngineLimits::Apply(const InstanceId& instance,
+                                const LimitNotice& notice,
+                                core::SteadyTime sent) {
+  if (notice.unreadable) return LimitChange::kNone;
+  const core::SteadyTime now = clock_.Now();
+  if (notice.per_second) {
+    Limit& limit = limits_[instance];
+    const bool is_new = limit.named != notice.per_second;
+    limit.named = notice.per_second;
+    limit.named_at = now;
+    limit.ended_at.reset();
+    return is_new ? LimitChange::kNamed : LimitChange::kNone;
+  }
+  const auto it = limits_.find(instance);
+  if (it == limits_.end()) return LimitChange::kNone;
+  Limit& limit = it->second;
+  const bool had_limit = RateOf(limit).has_value();
+  if (limit.named && sent < limit.named_at) return LimitChange::kNone;
+  if (limit.told && sent < limit.told_at) return LimitChange::kNone;
+  limit.named.reset();
+  limit.told.reset();
+  limit.ended_at = now;
+  limit.closed_until = now;
+  return had_limit ? LimitChange::kEnded : LimitChange::kNone;
+}
+
+void EngineLimits::ApplyTold(const InstanceId& instance, double per_second) {
+  const core::SteadyTime now = clock_.Now();
+  Limit& limit = limits_[instance];
+  // A peer may tell of a limit for a while after it has ended.
+  if (limit.ended_at && now - *limit.ended_at < kToldFor) return;
+  limit.told = per_second;
+  limit.told_at = now;
+}
+
+std::optional<double> EngineLimits::RateOf(const InstanceId& instance) const {
+  const auto it = limits_.find(instance);
+  if (it == limits_.end()) return std::nullopt;
+  return RateOf(it->second);
+}
+
+std::optional<double> EngineLimits::RateOf(const Limit& limit) const {
+  if (limit.named) return limit.named;
+  if (limit.told && clock_.Now() - limit.told_at < kTrustedFor) {
+    return limit.told;
+  }
+  return std::nullopt;
+}
+
+void EngineLimits::Close(const InstanceId& instance, milliseconds time) {
+  limits_[instance].closed_until = clock_.Now() + time;
+}
+
+milliseconds EngineLimits::ClosedFor(const InstanceId& instance) const {
+  const auto it = limits_.find(instance);
+  if (it == limits_.end()) return milliseconds(0);
+  const auto left =
+      std::chrono::ceil<milliseconds>(it->second.closed_until - clock_.Now());
+  return std::max(left, milliseconds(0));
+}
+
+std::map<InstanceId, double> EngineLimits::NamedLately() const {
+  std::map<InstanceId, double> lately;
+  for (const auto& [instance, limit] : limits_) {
+    if (limit.named && clock_.Now() - limit.named_at < kToldFor) {
+      lately.emplace(instance, *limit.named);
+    }
+  }
+  return lately;
+}
+
+int EngineLimits::limited() const {
+  return static_cast<int>(std::ranges::count_if(
+      limits_,
+      [this](const auto& it) { return RateOf(it.second).has_value(); }));
+}
+
+void EngineLimits::Forget(const std::set<InstanceId>& alive) {
+  std::erase_if(limits_,
+                [&alive](const auto& it) { return !alive.contains(it.first); });
+}
+
+}  // namespace sapphire::fleet
--- /dev/null
+++ b/src/fleet/engine_limits_test.cc
@@ -0,0 +1,86 @@
+/** @file engine_limits_test.cc Tests of the limits that engines name. */
+#define BOOST_TEST_MODULE engine_limits
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/engine_limits_base.h"
+
+namespace sapphire::fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const InstanceId kEngine("i-1");
+
+struct Rig {
+  core::ManualClock clock;
+  EngineLimits limits{clock};
+
+  LimitChange Answer(LimitNotice notice, core::SteadyTime sent) {
+    return limits.Apply(kEngine, notice, sent);
+  }
+};
+
+}  // namespace
+
+/** Guards against an old answer that ends a limit which came after it. */
+BOOST_AUTO_TEST_CASE(AnswerThatWasOvertakenDoesNotEndALimit) {
+  Rig rig;
+  const core::SteadyTime before = rig.clock.Now();
+  rig.clock.Advance(milliseconds(100));
+  BOOST_TEST((rig.Answer({2.0}, before) == LimitChange::kNamed));
+  BOOST_TEST((rig.Answer({}, before) == LimitChange::kNone));
+  BOOST_TEST(*rig.limits.RateOf(kEngine) == 2.0);
+  BOOST_TEST((rig.Answer({}, rig.clock.Now()) == LimitChange::kEnded));
+  BOOST_TEST(!rig.limits.RateOf(kEngine));
+}
+
+/** Guards against a limit that is lost when its next notice can't be read. */
+BOOST_AUTO_TEST_CASE(UnreadableNoticeChangesNothing) {
+  Rig rig;
+  rig.Answer({2.0}, rig.clock.Now());
+  BOOST_TEST((rig.Answer({std::nullopt, true}, rig.clock.Now()) ==
+              LimitChange::kNone));
+  BOOST_TEST(*rig.limits.RateOf(kEngine) == 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(LowerLimitTakesThePlaceOfAHigherOne) {
+  Rig rig;
+  rig.Answer({2.0}, rig.clock.Now());
+  BOOST_TEST((rig.Answer({0.5}, rig.clock.Now()) == LimitChange::kNamed));
+  BOOST_TEST((rig.Answer({0.5}, rig.clock.Now()) == LimitChange::kNone));
+  BOOST_TEST(*rig.limits.RateOf(kEngine) == 0.5);
+}
+
+/** Guards against peers that keep a limit up among themselves after its end. */
+BOOST_AUTO_TEST_CASE(LimitThatAPeerToldEndsByItself) {
+  Rig rig;
+  rig.limits.ApplyTold(kEngine, 3.0);
+  BOOST_TEST(*rig.limits.RateOf(kEngine) == 3.0);
+  BOOST_TEST(rig.limits.NamedLately().empty());
+  rig.clock.Advance(milliseconds(10'000));
+  BOOST_TEST(!rig.limits.RateOf(kEngine));
+}
+
+/** Guards against a peer that has not yet heard of a limit's end. */
+BOOST_AUTO_TEST_CASE(OwnAnswerCountsMoreThanALateWordOfAPeer) {
+  Rig rig;
+  rig.Answer({2.0}, rig.clock.Now());
+  rig.clock.Advance(milliseconds(10));
+  rig.Answer({}, rig.clock.Now());
+  rig.limits.ApplyTold(kEngine, 2.0);
+  BOOST_TEST(!rig.limits.RateOf(kEngine));
+}
+
+BOOST_AUTO_TEST_CASE(EngineIsClosedForAWhileAndForgottenWhenItIsGone) {
+  Rig rig;
+  rig.limits.Close(kEngine, milliseconds(300));
+  BOOST_TEST((rig.limits.ClosedFor(kEngine) == milliseconds(300)));
+  rig.clock.Advance(milliseconds(300));
+  BOOST_TEST((rig.limits.ClosedFor(kEngine) == milliseconds(0)));
+  rig.Answer({2.0}, rig.clock.Now());
+  rig.limits.Forget({});
+  BOOST_TEST(rig.limits.limited() == 0);
+}
+
+}  // namespace sapphire::fleet
--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -37,7 +37,8 @@
 
 }  // namespace
 
-EngineLoads::EngineLoads(const core::Clock& clock) : clock_(clock) {}
+EngineLoads::EngineLoads(const core::Clock& clock)
+    : clock_(clock), limits_(clock) {}
 
 SendTicket EngineLoads::Begin(const InstanceId& instance,
                               const UsedPart& part) {
@@ -204,6 +205,7 @@
 }
 
 void EngineLoads::Forget(const std::set<InstanceId>& alive) {
+  limits_.Forget(alive);
   std::erase_if(loads_, [&alive](const auto& it) {
     return !alive.contains(it.first) && it.second.sent.empty();
   });
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/clock_base.h"
+#include "fleet/engine_limits_base.h"
 #include "fleet/engine_type.h"
 #include "fleet/model_usage_base.h"
 #include "fleet/usage_type.h"
@@ -38,6 +39,10 @@
   /** @pre `clock` outlives it. */
   explicit EngineLoads(const core::Clock& clock);
 
+  /** @return How many requests engines take. */
+  [[nodiscard]] EngineLimits& limits() { return limits_; }
+  [[nodiscard]] const EngineLimits& limits() const { return limits_; }
+
   SendTicket Begin(const InstanceId& instance, const UsedPart& part);
   /** The first byte of the answer has come. */
   void NoteAnswer(const SendTicket& ticket);
@@ -126,6 +131,7 @@
   Load& At(const InstanceId& instance);
 
   const core::Clock& clock_;
+  EngineLimits limits_;
   std::map<InstanceId, Load> loads_;
   std::int64_t next_number_ = 1;
 };
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -41,8 +41,8 @@
       began_(clock.Now()),
       coordinator_(options_.rules, clock) {}
 
-void QuotaClient::Take(const core::OrganisationId& id,
-                       const OrganisationLimit& limit, double cost, Done done) {
+void QuotaClient::Take(const QuotaId& id, const SharedLimit& limit, double cost,
+                       Done done) {
   const core::SteadyTime now = clock_.Now();
   const auto denial = denials_.find(id);
   if (denial != denials_.end() && now < denial->second.until) {
@@ -120,9 +120,9 @@
   gen::QuotaAsk ask;
   ask.entry = options_.entry;
   ask.number = number;
-  ask.organisation = pending.id.value();
+  ask.quota = pending.id.value();
   ask.units = pending.cost;
-  ask.config_version = pending.limit.version;
+  ask.version = pending.limit.version;
   ask.units_per_second = pending.limit.limit.per_second;
   ask.burst = pending.limit.limit.burst;
   ask.wait_ms = options_.wait_limit.count();
@@ -131,8 +131,8 @@
   send_(pending.address, datagram);
 }
 
-void QuotaClient::GiveBack(const core::OrganisationId& id,
-                           const OrganisationLimit& limit, double cost) {
+void QuotaClient::GiveBack(const QuotaId& id, const SharedLimit& limit,
+                           double cost) {
   const fleet::Peer* coordinator = FindCoordinator(id);
   if (coordinator == nullptr) {
     coordinator_.GiveBack(id, cost);
@@ -148,7 +148,7 @@
 
 void QuotaClient::OnAsk(const gen::QuotaAsk& ask, const std::string& address) {
   if (ask.units < 0) {
-    coordinator_.GiveBack(core::OrganisationId(ask.organisation), -ask.units);
+    coordinator_.GiveBack(QuotaId(ask.quota), -ask.units);
     return;
   }
   const auto key = std::pair(ask.entry, ask.number);
@@ -167,7 +167,7 @@
   answer.number = ask.number;
   answer.verdict = gen::QuotaVerdict::GRANTED;
   if (ask.units == 0) return answer;
-  const core::OrganisationId id(ask.organisation);
+  const QuotaId id(ask.quota);
   const fleet::Peer* better = FindCoordinator(id);
   if (better != nullptr) {
     answer.verdict = gen::QuotaVerdict::NOT_COORDINATOR;
@@ -177,8 +177,7 @@
     Probe(*better);
     return answer;
   }
-  const OrganisationLimit limit{ask.config_version,
-                                {ask.units_per_second, ask.burst}};
+  const SharedLimit limit{ask.version, {ask.units_per_second, ask.burst}};
   const View& view = CurrentView();
   const QuotaDecision decision = coordinator_.Take(
       id, limit, ask.units, {view.heard_share, view.generation},
@@ -284,7 +283,7 @@
   if (!is_new && heard && *heard >= it->second) it->second = pending.sent;
   log_.Event(LogLevel::kWarning, LogCategory::kLink, "quota_unanswered",
              {{"entry", pending.entry},
-              {"organisation", pending.id},
+              {"quota", pending.id},
               {"since_ms", std::chrono::duration_cast<milliseconds>(
                                clock_.Now() - it->second)},
               {"suspected", IsSuspected(pending.entry)}});
@@ -304,9 +303,8 @@
       [this](const auto& it) { return IsSuspected(it.first); }));
 }
 
-/** @return The entry that coordinates the organisation; null: this one. */
-const fleet::Peer* QuotaClient::FindCoordinator(
-    const core::OrganisationId& id) {
+/** @return The entry that coordinates the quota; null: this one. */
+const fleet::Peer* QuotaClient::FindCoordinator(const QuotaId& id) {
   const View& view = CurrentView();
   const fleet::Peer* best = nullptr;
   std::uint64_t best_rank = core::HashOf(id.value(), core::HashOf(options_.vm));
--- a/src/quota/quota_client_base.h
+++ b/src/quota/quota_client_base.h
@@ -40,7 +40,7 @@
 };
 
 /**
- * Each organisation with a limit has one coordinating entry: the first by
+ * Each quota has one coordinating entry: the first by
  * rendezvous hashing among the entries that are not suspected. The others ask
  * it for each request, by datagram. Where it can't be reached, an entry goes by
  * an even share of the limit, so that the sum over all entries holds whatever
@@ -60,12 +60,11 @@
               Send send, const core::Clock& clock, const core::Logger& log);
 
   /** Takes units of the quota. @param done Called once, perhaps at once. */
-  void Take(const core::OrganisationId& id, const OrganisationLimit& limit,
-            double cost, Done done);
+  void Take(const QuotaId& id, const SharedLimit& limit, double cost,
+            Done done);
 
   /** Gives back what a request did not use. */
-  void GiveBack(const core::OrganisationId& id, const OrganisationLimit& limit,
-                double cost);
+  void GiveBack(const QuotaId& id, const SharedLimit& limit, double cost);
 
   /** @param address Where the answer goes. */
   void OnAsk(const gen::QuotaAsk& ask, const std::string& address);
@@ -80,8 +79,8 @@
   /** Drops what is no longer needed. */
   void Forget();
 
-  /** @return Units in the bucket that this entry keeps of the organisation. */
-  [[nodiscard]] double LevelOf(const core::OrganisationId& id) const {
+  /** @return Units in the bucket that this entry keeps of the quota. */
+  [[nodiscard]] double LevelOf(const QuotaId& id) const {
     return coordinator_.LevelOf(id);
   }
 
@@ -90,8 +89,8 @@
 
  private:
   struct Pending {
-    core::OrganisationId id;
-    OrganisationLimit limit;
+    QuotaId id;
+    SharedLimit limit;
     double cost = 0;
     core::SteadyTime began;
     /** Who was asked; empty: nobody, it waits for another coordinator. */
@@ -137,8 +136,8 @@
   /** An ask that was given up, whose answer may still come. */
   struct Abandoned {
     core::SteadyTime at;
-    core::OrganisationId id;
-    OrganisationLimit limit;
+    QuotaId id;
+    SharedLimit limit;
     double cost = 0;
   };
 
@@ -146,7 +145,7 @@
   [[nodiscard]] double HeardShare(const View& view) const;
   [[nodiscard]] bool IsIsolated();
   [[nodiscard]] bool IsSuspected(const std::string& entry) const;
-  const fleet::Peer* FindCoordinator(const core::OrganisationId& id);
+  const fleet::Peer* FindCoordinator(const QuotaId& id);
   void Dispatch(Pending pending);
   void Ask(Pending pending);
   void Park(Pending pending);
@@ -166,8 +165,8 @@
   const core::Logger& log_;
   const core::SteadyTime began_;
   QuotaCoordinator coordinator_;
-  std::map<core::OrganisationId, Share> shares_;
-  std::map<core::OrganisationId, Denial> denials_;
+  std::map<QuotaId, Share> shares_;
+  std::map<QuotaId, Denial> denials_;
   std::int64_t number_ = 0;
   std::map<std::int64_t, Pending> pending_;
   std::map<std::int64_t, Abandoned> abandoned_;
--- a/src/quota/quota_client_test.cc
+++ b/src/quota/quota_client_test.cc
@@ -16,23 +16,22 @@
 constexpr double kExcess = 1.1;
 constexpr double kSlackRequests = 7;
 constexpr double kCost = 1500;
-const core::OrganisationId kOrganisation("draft-house");
+const QuotaId kOrganisation("draft-house");
 
-OrganisationLimit Limit(double per_second, double burst,
-                        std::int64_t version = 1) {
+SharedLimit Limit(double per_second, double burst, std::int64_t version = 1) {
   return {version, {per_second, burst}};
 }
 
-double WindowLimit(const OrganisationLimit& limit) {
+double WindowLimit(const SharedLimit& limit) {
   return limit.limit.per_second * 8 + limit.limit.burst;
 }
 
-double Bound(const OrganisationLimit& limit) {
+double Bound(const SharedLimit& limit) {
   return WindowLimit(limit) * kExcess + kSlackRequests * kCost;
 }
 
 /** Requests at `entries` by turns, `per_second` units of them. */
-void Load(QuotaRig& rig, const OrganisationLimit& limit, double per_second,
+void Load(QuotaRig& rig, const SharedLimit& limit, double per_second,
           milliseconds time, std::size_t entries) {
   const milliseconds pause(
       std::max<int>(10, static_cast<int>(kCost / per_second * 1000)));
@@ -60,7 +59,7 @@
 
 /** Guards against a limit that is enforced by each entry for itself. */
 BOOST_AUTO_TEST_CASE(AFloodIsHeldAtTheLimitWhereverItArrives) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   for (const std::size_t entries : {1U, 2U, 22U}) {
     QuotaRig rig(22);
     rig.Pass(seconds(2));
@@ -73,7 +72,7 @@
 /** Guards against an excess of one request at each entry: a small limit is
  * less than that. */
 BOOST_AUTO_TEST_CASE(ASmallLimitHoldsOverManyEntries) {
-  const OrganisationLimit limit = Limit(2600, 2600);
+  const SharedLimit limit = Limit(2600, 2600);
   QuotaRig rig(22);
   rig.Pass(seconds(2));
   Load(rig, limit, 20'000, seconds(16), 22);
@@ -81,7 +80,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(LimitsInRequestsWithoutABurstHold) {
-  const OrganisationLimit limit = Limit(10, 0);
+  const SharedLimit limit = Limit(10, 0);
   QuotaRig rig(3);
   rig.Pass(seconds(2));
   for (int i = 0; i < 800; ++i) {
@@ -95,7 +94,7 @@
 /** Guards against callers who are refused until the store notices that the
  * coordinator has died. */
 BOOST_AUTO_TEST_CASE(AnotherEntryCoordinatesWithinASecondOfADeath) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   QuotaRig rig(22);
   rig.Pass(seconds(3));
   const std::size_t first = rig.CoordinatorOf(kOrganisation);
@@ -115,7 +114,7 @@
 /** Guards against two coordinators at full rate: one is frozen, another takes
  * over, the first thaws with its old bucket. */
 BOOST_AUTO_TEST_CASE(AFrozenCoordinatorBringsNoSecondLimit) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   QuotaRig rig(22);
   rig.Pass(seconds(3));
   Load(rig, limit, 130'000, seconds(8), 22);
@@ -129,7 +128,7 @@
 
 /** Guards against entries that grant the whole limit once they are cut off. */
 BOOST_AUTO_TEST_CASE(EntriesThatAreCutOffGoByTheirShare) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   QuotaRig rig(22);
   rig.Pass(seconds(3));
   Load(rig, limit, 130'000, seconds(8), 22);
@@ -144,7 +143,7 @@
 /** Guards against the whole limit at each entry while leases lapse with the
  * store: entries that still talk to each other go on sharing. */
 BOOST_AUTO_TEST_CASE(TheLimitHoldsWhileAllLeasesHaveLapsed) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   QuotaRig rig(22);
   rig.Pass(seconds(3));
   Load(rig, limit, 130'000, seconds(8), 22);
@@ -157,7 +156,7 @@
 
 /** Guards against a burst of its own for each entry that joins. */
 BOOST_AUTO_TEST_CASE(ManyEntriesThatJoinAtOnceBringNoMore) {
-  const OrganisationLimit limit = Limit(30'000, 30'000);
+  const SharedLimit limit = Limit(30'000, 30'000);
   QuotaRig rig(22);
   rig.Pass(seconds(3));
   Load(rig, limit, 130'000, seconds(8), 22);
@@ -180,8 +179,8 @@
 
 /** Guards against an old limit that goes on: it is far above the new one. */
 BOOST_AUTO_TEST_CASE(ALoweredLimitBindsAtOnce) {
-  const OrganisationLimit before = Limit(60'000, 60'000, 1);
-  const OrganisationLimit after = Limit(5000, 5000, 2);
+  const SharedLimit before = Limit(60'000, 60'000, 1);
+  const SharedLimit after = Limit(5000, 5000, 2);
   QuotaRig rig(5);
   rig.Pass(seconds(3));
   Load(rig, before, 60'000, seconds(8), 5);
@@ -213,7 +212,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(WhatDidNotRunIsGivenBack) {
-  const OrganisationLimit limit = Limit(1500, 0);
+  const SharedLimit limit = Limit(1500, 0);
   QuotaRig rig(3);
   rig.Pass(seconds(3));
   for (int i = 0; i < 50; ++i) {
@@ -234,9 +233,9 @@
   gen::QuotaAsk ask;
   ask.entry = rig.At(1 - first).entry;
   ask.number = 77;
-  ask.organisation = kOrganisation.value();
+  ask.quota = kOrganisation.value();
   ask.units = kCost;
-  ask.config_version = 1;
+  ask.version = 1;
   ask.units_per_second = 1500;
   ask.burst = 0;
   coordinator.OnAsk(ask, "at nobody");
@@ -249,7 +248,7 @@
 BOOST_AUTO_TEST_CASE(ALargeRequestIsPaidOffAfterwards) {
   core::ManualClock clock;
   QuotaCoordinator coordinator({kWindow, 0, 0}, clock);
-  const OrganisationLimit limit = Limit(1000, 500);
+  const SharedLimit limit = Limit(1000, 500);
   const auto take = [&](double cost) {
     return coordinator
         .Take(kOrganisation, limit, cost, Mandate(), milliseconds(0))
@@ -265,7 +264,7 @@
 BOOST_AUTO_TEST_CASE(AShortDebtDelaysRequestsInsteadOfRefusingThem) {
   core::ManualClock clock;
   QuotaCoordinator coordinator({kWindow, 0, 0}, clock);
-  const OrganisationLimit limit = Limit(1000, 0);
+  const SharedLimit limit = Limit(1000, 0);
   const auto take = [&](milliseconds wait) {
     return coordinator.Take(kOrganisation, limit, 150, Mandate(), wait);
   };
@@ -281,7 +280,7 @@
 BOOST_AUTO_TEST_CASE(ANewCoordinatorStartsWithPartOfWhatIsBorne) {
   core::ManualClock clock;
   QuotaCoordinator coordinator({kWindow, 0.1, 1000}, clock);
-  const OrganisationLimit limit = Limit(1000, 1000);
+  const SharedLimit limit = Limit(1000, 1000);
   int granted = 0;
   for (int i = 0; i < 20; ++i) {
     const QuotaDecision decision =
@@ -296,7 +295,7 @@
 BOOST_AUTO_TEST_CASE(RetryAfterNamesWhenThereIsRoom) {
   core::ManualClock clock;
   QuotaCoordinator coordinator({kWindow, 0, 0}, clock);
-  const OrganisationLimit limit = Limit(1000, 0);
+  const SharedLimit limit = Limit(1000, 0);
   BOOST_TEST(
       coordinator.Take(kOrganisation, limit, 4000, Mandate(), milliseconds(0))
           .granted);
--- a/src/quota/quota_coordinator.cc
+++ b/src/quota/quota_coordinator.cc
@@ -1,4 +1,4 @@
-/** @file quota_coordinator.cc The buckets of organisations that an entry
+/** @file quota_coordinator.cc The buckets of quotas that an entry
  * coordinates. */
 #include <algorithm>
 #include <cmath>
@@ -35,9 +35,9 @@
   return {pace, state.limit.limit.burst + pace * Seconds(kUnasked).count()};
 }
 
-QuotaDecision QuotaCoordinator::Take(const core::OrganisationId& id,
-                                     const OrganisationLimit& limit,
-                                     double cost, const Mandate& mandate,
+QuotaDecision QuotaCoordinator::Take(const QuotaId& id,
+                                     const SharedLimit& limit, double cost,
+                                     const Mandate& mandate,
                                      milliseconds wait) {
   const core::SteadyTime now = clock_.Now();
   State& state = StateOf(id, limit, mandate);
@@ -68,9 +68,9 @@
 
 /** A bucket whose entry may not have been the only one to coordinate starts
  * empty: another one may have handed out the burst. */
-QuotaCoordinator::State& QuotaCoordinator::StateOf(
-    const core::OrganisationId& id, const OrganisationLimit& limit,
-    const Mandate& mandate) {
+QuotaCoordinator::State& QuotaCoordinator::StateOf(const QuotaId& id,
+                                                   const SharedLimit& limit,
+                                                   const Mandate& mandate) {
   const core::SteadyTime now = clock_.Now();
   const auto [it, is_new] = states_.try_emplace(id);
   State& state = it->second;
@@ -102,7 +102,7 @@
   return std::chrono::ceil<milliseconds>(offer - now);
 }
 
-void QuotaCoordinator::GiveBack(const core::OrganisationId& id, double cost) {
+void QuotaCoordinator::GiveBack(const QuotaId& id, double cost) {
   const auto it = states_.find(id);
   if (it == states_.end()) return;
   State& state = it->second;
@@ -118,7 +118,7 @@
   });
 }
 
-double QuotaCoordinator::LevelOf(const core::OrganisationId& id) const {
+double QuotaCoordinator::LevelOf(const QuotaId& id) const {
   const auto it = states_.find(id);
   return it == states_.end() ? 0 : it->second.bucket.level;
 }
--- a/src/quota/quota_coordinator_base.h
+++ b/src/quota/quota_coordinator_base.h
@@ -1,4 +1,4 @@
-/** @file quota_coordinator_base.h The buckets of organisations that an entry
+/** @file quota_coordinator_base.h The buckets of quotas that an entry
  * coordinates. */
 #ifndef SAPPHIRE_QUOTA_QUOTA_COORDINATOR_BASE_H_
 #define SAPPHIRE_QUOTA_QUOTA_COORDINATOR_BASE_H_
@@ -20,33 +20,32 @@
   std::int64_t generation = 0;
 };
 
-/** One bucket an organisation. One thread. */
+/** One bucket a quota. One thread. */
 class QuotaCoordinator {
  public:
   /** @pre `clock` outlives it. */
   QuotaCoordinator(const QuotaRules& rules, const core::Clock& clock);
 
   /**
-   * Takes `cost` from the bucket of the organisation.
+   * Takes `cost` from the bucket of the quota.
    * @param limit Adopted unless a newer configuration's is known.
    * @param wait How long the request may be delayed.
    */
-  QuotaDecision Take(const core::OrganisationId& id,
-                     const OrganisationLimit& limit, double cost,
+  QuotaDecision Take(const QuotaId& id, const SharedLimit& limit, double cost,
                      const Mandate& mandate, milliseconds wait);
 
   /** Gives back what a request did not use. */
-  void GiveBack(const core::OrganisationId& id, double cost);
+  void GiveBack(const QuotaId& id, double cost);
 
   /** Drops buckets that nobody has asked for in a while. */
   void Forget();
 
   /** @return Units in the bucket; 0 if there is none. */
-  [[nodiscard]] double LevelOf(const core::OrganisationId& id) const;
+  [[nodiscard]] double LevelOf(const QuotaId& id) const;
 
  private:
   struct State {
-    OrganisationLimit limit;
+    SharedLimit limit;
     /** Spreads the use over the window. */
     TokenBucket bucket;
     /** Bounds the use in the window. */
@@ -57,7 +56,7 @@
     std::int64_t generation = 0;
   };
 
-  State& StateOf(const core::OrganisationId& id, const OrganisationLimit& limit,
+  State& StateOf(const QuotaId& id, const SharedLimit& limit,
                  const Mandate& mandate);
   [[nodiscard]] double WindowLimit(const State& state) const;
   [[nodiscard]] BucketLimit PaceOf(const State& state) const;
@@ -66,7 +65,7 @@
 
   const QuotaRules rules_;
   const core::Clock& clock_;
-  std::map<core::OrganisationId, State> states_;
+  std::map<QuotaId, State> states_;
 };
 
 }  // namespace sapphire::quota
--- a/src/quota/quota_property_test.cc
+++ b/src/quota/quota_property_test.cc
@@ -20,7 +20,7 @@
 constexpr double kCost = 1500;
 /** Seeds played unless QUOTA_SEEDS names another number. */
 constexpr int kSeeds = 40;
-const core::OrganisationId kOrganisation("draft-house");
+const QuotaId kOrganisation("draft-house");
 
 /** Draws; the standard distributions differ between libraries. */
 class Draw {
@@ -117,7 +117,7 @@
 
   Draw draw_;
   QuotaRig rig_;
-  OrganisationLimit limit_;
+  SharedLimit limit_;
   double flood_ = 0;
   std::size_t targets_ = 1;
   int joined_ = 0;
--- a/src/quota/quota_rig_test.h
+++ b/src/quota/quota_rig_test.h
@@ -26,24 +26,30 @@
 /** Units that operators bear beyond a limit. */
 inline constexpr double kSlack = 10'500;
 
+/** @return Options of organisations' quotas. */
+inline QuotaClientOptions OrganisationOptions() {
+  QuotaClientOptions options;
+  options.rules = {milliseconds(8000), 0.1, kSlack};
+  return options;
+}
+
 /** One entry: its view of the others and its quota client. */
 struct TestEntry {
-  TestEntry(const std::string& key, const std::string& vm_name,
-            QuotaClient::Send send, const core::Clock& clock,
-            const core::Logger& log)
+  TestEntry(QuotaClientOptions options, const std::string& key,
+            const std::string& vm_name, QuotaClient::Send send,
+            const core::Clock& clock, const core::Logger& log)
       : entry(key),
         vm(vm_name),
         loads(clock),
         peer_table(key, loads, clock, log),
-        client(OptionsOf(key, vm_name), peer_table, std::move(send), clock,
-               log) {}
+        client(OptionsOf(std::move(options), key, vm_name), peer_table,
+               std::move(send), clock, log) {}
 
-  static QuotaClientOptions OptionsOf(const std::string& key,
+  static QuotaClientOptions OptionsOf(QuotaClientOptions options,
+                                      const std::string& key,
                                       const std::string& vm_name) {
-    QuotaClientOptions options;
     options.entry = key;
     options.vm = vm_name;
-    options.rules = {milliseconds(8000), 0.1, kSlack};
     return options;
   }
 
@@ -69,9 +75,11 @@
  */
 class QuotaRig {
  public:
-  explicit QuotaRig(int entries)
+  explicit QuotaRig(int entries,
+                    QuotaClientOptions options = OrganisationOptions())
       : log({"entry", core::VmId("vm"), core::ZoneId("z")},
-            core::LogLevel::kError, clock) {
+            core::LogLevel::kError, clock),
+        options_(std::move(options)) {
     clock.Advance(std::chrono::seconds(1000));
     for (int i = 0; i < entries; ++i) Start("vm-" + std::to_string(i));
     TellAllOfAll();
@@ -82,7 +90,7 @@
     const std::string key = "entries/" + vm + "@" + std::to_string(++starts_);
     const std::string from = AddressOf(key);
     entries.push_back(std::make_unique<TestEntry>(
-        key, vm,
+        options_, key, vm,
         [this, from](const std::string& to,
                      const gen::EntryDatagram& datagram) {
           wire_.push_back({from, to, datagram});
@@ -111,7 +119,7 @@
   TestEntry& At(std::size_t i) { return *entries.at(i); }
 
   /** @return The entry that coordinates for most of the others. */
-  std::size_t CoordinatorOf(const core::OrganisationId& id) {
+  std::size_t CoordinatorOf(const QuotaId& id) {
     for (std::size_t i = 0; i < entries.size(); ++i) {
       bool decides = false;
       At(i).client.Take(id, {0, {1, 0}}, 0,
@@ -124,8 +132,8 @@
   }
 
   /** A request of `cost` arrives at an entry. */
-  void Request(std::size_t i, const core::OrganisationId& id,
-               const OrganisationLimit& limit, double cost) {
+  void Request(std::size_t i, const QuotaId& id, const SharedLimit& limit,
+               double cost) {
     ++asked;
     const core::SteadyTime now = clock.Now();
     At(i).client.Take(id, limit, cost,
@@ -238,6 +246,7 @@
     }
   }
 
+  const QuotaClientOptions options_;
   std::deque<Datagram> wire_;
   int starts_ = 0;
   int steps_ = 0;
--- a/src/quota/quota_type.h
+++ b/src/quota/quota_type.h
@@ -1,4 +1,4 @@
-/** @file quota_type.h Limits of organisations and answers to who asks. */
+/** @file quota_type.h Limits that all entries share and answers to who asks. */
 #ifndef SAPPHIRE_QUOTA_QUOTA_TYPE_H_
 #define SAPPHIRE_QUOTA_QUOTA_TYPE_H_
 
@@ -14,12 +14,13 @@
 
 using std::chrono::milliseconds;
 
-/**
- * The limit of an organisation, as one configuration has it: in any window, the
- * rate times the window and the burst.
- */
-struct OrganisationLimit {
-  /** Of the configuration; a higher one takes the place of a lower one. */
+/** What a quota limits, as all entries name it: an organisation, an engine. */
+using QuotaId = core::StrongId<struct QuotaTag>;
+
+/** A limit over all entries: in any window, the rate times the window and the
+ * burst. */
+struct SharedLimit {
+  /** A higher one takes the place of a lower one. */
   std::int64_t version = 0;
   BucketLimit limit;
 };
@@ -30,14 +31,14 @@
   milliseconds window{8000};
   /** Part of a limit. */
   double excess = 0;
-  /** Units on top, of any organisation. */
+  /** Units on top, of any quota. */
   double slack = 0;
 };
 
 /** Whose bucket decided. */
 enum class QuotaSource {
-  kUnlimited,    ///< The organisation has no limit.
-  kSelf,         ///< This entry coordinates the organisation.
+  kUnlimited,    ///< There is no limit.
+  kSelf,         ///< This entry coordinates the quota.
   kCoordinator,  ///< Another entry does.
   kDenial,       ///< A denial of a moment ago still holds.
   kShare,        ///< This entry's share, as the coordinator can't be reached.
@@ -60,7 +61,7 @@
   return "";
 }
 
-/** Whether a request is within its organisation's quota. */
+/** Whether a request is within a quota. */
 struct QuotaDecision {
   bool granted = false;
   QuotaSource source = QuotaSource::kUnlimited;
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -10,6 +10,7 @@
 
 #include "core/error_type.h"
 #include "core/id_type.h"
+#include "fleet/engine_limits_base.h"
 #include "fleet/engine_type.h"
 #include "http/http_type.h"
 #include "organisation/organisation_type.h"
@@ -76,6 +77,8 @@
   fleet::EngineId engine;
   /** The request it answers; empty if it names none. */
   core::RequestId id;
+  /** How many requests the engine takes. */
+  fleet::LimitNotice limit;
   /** What the caller gets. */
   http::ResponseHead to_caller;
 };
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -261,10 +261,13 @@
 /** Sends the request once. @return True if it has its final answer. */
 core::Task<bool> Dispatcher::Attempt(RequestWork& work) {
   work.engine = co_await chooser_.Choose(work);
+  const bool may_enter = work.caller.left || co_await parts_.engine_gate.Enter(
+                                                 work.engine, work.request.id);
   if (work.caller.left) {
     work.outcome = "caller_left";
     co_return true;
   }
+  if (!may_enter) co_return false;
   CheckKeyAgain(work);
   const fleet::EngineEntry* engine = parts_.registry.Find(work.engine);
   if (engine == nullptr) co_return false;
@@ -289,6 +292,12 @@
   if (!work.first_send) work.first_send = parts_.clock.Now();
   const bool is_stream = work.route->kind == RequestKind::kStream;
   ExchangeHooks hooks;
+  hooks.answered = [this, instance = work.engine,
+                    sent = parts_.clock.Now()](const EngineAnswer& answer) {
+    // A refusal may be made before the engine knows of its limit.
+    if (!answer.genuine && !answer.limit.per_second) return;
+    parts_.engine_gate.Apply(instance, answer.limit, sent);
+  };
   hooks.first_byte = [this, &work, ticket] {
     parts_.loads.NoteAnswer(ticket);
     NotePrefix(work);
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -70,6 +70,9 @@
         std::string(http::FindHeader(head.headers, "id").value_or("")));
     answer.engine = fleet::EngineId(
         std::string(http::FindHeader(head.headers, "instance").value_or("")));
+    if (const auto rate = http::FindHeader(head.headers, "takes-per-second")) {
+      answer.limit.per_second = std::stod(std::string(*rate));
+    }
     answer.to_caller.status = head.status;
     return answer;
   }
@@ -231,6 +234,10 @@
             {"self", "vm"}, peer_table,
             [](const std::string&, const gen::EntryDatagram&) {}, clock, log),
         quota(quota_client),
+        engine_quota_client(
+            EngineQuotaOptionsOfSelf(), peer_table,
+            [](const std::string&, const gen::EntryDatagram&) {}, clock, log),
+        engine_gate(loads.limits(), engine_quota_client, metrics, log),
         refresh(
             {"config", milliseconds(5000), milliseconds(1000)}, store,
             [this](const external::KvEntry&) {
@@ -332,6 +339,8 @@
   CrashWatch crash_watch;
   quota::QuotaClient quota_client;
   QuotaGate quota;
+  quota::QuotaClient engine_quota_client;
+  EngineGate engine_gate;
   /** What reading the newest configuration does. */
   std::function<void()> reread;
   ConfigurationRefresh refresh;
@@ -346,13 +355,20 @@
   std::string key;
 
  private:
+  static quota::QuotaClientOptions EngineQuotaOptionsOfSelf() {
+    quota::QuotaClientOptions options = EngineQuotaOptions();
+    options.entry = "self";
+    options.vm = "vm";
+    return options;
+  }
+
   DispatchParts Parts() {
     return {configuration, refresh,     [this] { return keys_confirmed; },
-            quota,         registry,    loads,
-            peer_table,    clients,     gauges,
-            finder,        loader,      crash_watch,
-            caller_wire,   engine_wire, metrics,
-            clock,         log};
+            quota,         engine_gate, registry,
+            loads,         peer_table,  clients,
+            gauges,        finder,      loader,
+            crash_watch,   caller_wire, engine_wire,
+            metrics,       clock,       log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kLookAgain{200};
 /** An engine that takes its next order within this is as good as free. */
 constexpr milliseconds kOrderSoon{300};
+/** A model whose engines are closed no longer than this is not loaded on
+ * another one. */
+constexpr milliseconds kOpensSoon{500};
 /** Requests that wait here from which the same is assumed of each entry: a rare
  * model is asked for every half minute, so three at once are no coincidence. */
 constexpr int kTellingWaiters = 3;
@@ -107,10 +110,17 @@
           "no engine can serve it in its time", std::max(ready_in, kSoon));
     }
     const Waiting waiting(waiting_, work.request.model);
-    co_await loader_.changed().Wait(seen, std::min(kLookAgain, left));
+    co_await loader_.changed().Wait(seen, std::min(NextLook(work), left));
   }
 }
 
+/** @return Until a look at the fleet is due though no change was told of. */
+milliseconds EngineChooser::NextLook(const RequestWork& work) const {
+  const auto opening =
+      finder_.FirstOpening(work.service->id, work.request, work.avoid);
+  return std::min(opening.value_or(kLookAgain), kLookAgain);
+}
+
 /**
  * Asks the likeliest engines how busy they are, if that may matter. The failure
  * met: entries know of each other's requests only seconds later, all send to
@@ -205,17 +215,24 @@
   const Error nowhere(
       work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
       "no engine can be reached", kSoon);
-  if (work.request.model.empty()) throw Error(nowhere);
+  const auto opening =
+      finder_.FirstOpening(work.service->id, work.request, work.avoid);
+  if (work.request.model.empty()) {
+    if (opening) return *opening;
+    throw Error(nowhere);
+  }
   const std::vector<FoundReplica> held =
       finder_.Find(work.service->id, work.request, work.avoid);
   if (!held.empty()) {
     return std::ranges::min(held, {}, &FoundReplica::order_left).order_left;
   }
+  if (opening && *opening <= kOpensSoon) return *opening;
   const auto ready =
       loader_.Wake(*work.service, work.request.model, work.request.id);
-  if (!ready) throw Error(nowhere);
-  WakeForWaiting(work);
-  return *ready;
+  if (!ready && !opening) throw Error(nowhere);
+  if (ready) WakeForWaiting(work);
+  return std::min(ready.value_or(milliseconds::max()),
+                  opening.value_or(milliseconds::max()));
 }
 
 bool EngineChooser::HasOther(const RequestWork& work) const {
--- /dev/null
+++ b/src/serving/engine_gate.cc
@@ -0,0 +1,102 @@
+/** @file engine_gate.cc Keeps requests within the rates that engines name. */
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/task_func.h"
+#include "serving/engine_gate_base.h"
+#include "serving/quota_gate_base.h"
+
+namespace sapphire::serving {
+
+using core::LogCategory;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** An engine that takes nothing is asked now and then whether it still does. */
+constexpr double kLeastPerSecond = 0.05;
+constexpr double kMostPerSecond = 1e6;
+/** Requests at once, besides those of the rate. */
+constexpr double kBurst = 1;
+/** Over which operators count an engine's requests. */
+constexpr milliseconds kWindow{4000};
+/** A closed engine is left alone for at least this. */
+constexpr milliseconds kLeastClosed{20};
+/** Other engines may do: a coordinator that does not answer is not waited for
+ * as long as that of an organisation. */
+constexpr milliseconds kAnswerLimit{100};
+constexpr milliseconds kFailoverLimit{250};
+
+/** Entries that know different limits of an engine use different buckets. */
+quota::QuotaId QuotaOf(const fleet::InstanceId& instance, double per_second) {
+  return quota::QuotaId(fmt::format("{}#{}", instance.value(), per_second));
+}
+
+}  // namespace
+
+quota::SharedLimit EngineQuotaLimit(double per_second) {
+  quota::SharedLimit limit;
+  limit.limit.per_second =
+      std::clamp(per_second, kLeastPerSecond, kMostPerSecond);
+  limit.limit.burst = kBurst;
+  return limit;
+}
+
+quota::QuotaClientOptions EngineQuotaOptions() {
+  quota::QuotaClientOptions options;
+  options.rules.window = kWindow;
+  options.answer_limit = kAnswerLimit;
+  options.failover_limit = kFailoverLimit;
+  return options;
+}
+
+EngineGate::EngineGate(fleet::EngineLimits& limits, quota::QuotaClient& client,
+                       FrontMetrics& metrics, const core::Logger& log)
+    : limits_(limits), client_(client), metrics_(metrics), log_(log) {}
+
+core::Task<bool> EngineGate::Enter(fleet::InstanceId instance,
+                                   core::RequestId request) {
+  const auto per_second = limits_.RateOf(instance);
+  if (!per_second) co_return true;
+  const quota::QuotaDecision decision =
+      co_await TakeFrom(client_, QuotaOf(instance, *per_second),
+                        EngineQuotaLimit(*per_second), 1);
+  metrics_.EngineLimitAsked(NameOf(decision.source), decision.granted);
+  if (decision.granted) {
+    if (decision.delay > milliseconds(0)) {
+      co_await core::SleepFor(decision.delay);
+    }
+    co_return true;
+  }
+  const milliseconds closed = std::max(decision.delay, kLeastClosed);
+  limits_.Close(instance, closed);
+  log_.Event(LogLevel::kInfo, LogCategory::kRequest, "engine_limit_reached",
+             {{"request", request},
+              {"instance", instance},
+              {"per_second", *per_second},
+              {"source", NameOf(decision.source)},
+              {"closed_ms", closed}});
+  co_return false;
+}
+
+void EngineGate::Apply(const fleet::InstanceId& instance,
+                       const fleet::LimitNotice& notice,
+                       core::SteadyTime sent) {
+  if (notice.unreadable) {
+    log_.Event(LogLevel::kWarning, LogCategory::kReplica,
+               "engine_limit_unreadable", {{"instance", instance}});
+  }
+  const fleet::LimitChange change = limits_.Apply(instance, notice, sent);
+  if (change == fleet::LimitChange::kNone) return;
+  const bool named = change == fleet::LimitChange::kNamed;
+  log_.Event(
+      LogLevel::kInfo, LogCategory::kReplica,
+      named ? "engine_limit_named" : "engine_limit_ended",
+      {{"instance", instance}, {"per_second", notice.per_second.value_or(0)}});
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/engine_limit_test.cc
+++ b/src/serving/engine_limit_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "quota/quota_rig_test.h"
 #include "serving/dispatcher_rig_test.h"
 
 namespace sapphire::serving {
@@ -13,6 +14,43 @@
 using testing::RecordingWriter;
 using testing::Rig;
 
+/** Over which operators count an engine's requests. */
+constexpr milliseconds kWindow{4000};
+
+/** @return The most that operators bear in one window. */
+double Allowed(double per_second) {
+  constexpr double kFactor = 1.5;
+  constexpr double kExtra = 5;
+  constexpr double kSeconds = 4;
+  return kFactor * per_second * kSeconds + kExtra;
+}
+
+/** All entries of a fleet want an engine all the time. */
+class Fleet {
+ public:
+  Fleet(int entries, double per_second)
+      : rig(entries, EngineQuotaOptions()),
+        limit_(EngineQuotaLimit(per_second)) {
+    rig.Pass(milliseconds(3000));
+  }
+
+  void Want(milliseconds time) {
+    constexpr milliseconds kPause{20};
+    for (milliseconds gone{0}; gone < time; gone += kPause) {
+      next_ = (next_ + 1) % rig.entries.size();
+      rig.Request(next_, kEngine, limit_, 1);
+      rig.Pass(kPause);
+    }
+  }
+
+  quota::testing::QuotaRig rig;
+  const quota::QuotaId kEngine{"engine#1"};
+
+ private:
+  const quota::SharedLimit limit_;
+  std::size_t next_ = 0;
+};
+
 /** Answers with the rate that the engine takes. */
 http::Handler NamingLimit(std::string per_second) {
   return [per_second](const http::Request& request,
@@ -43,4 +81,85 @@
   BOOST_TEST(limited.requests.size() <= kAllowedAtOnce);
 }
 
+/** Guards against callers that are told nothing, or too late, when the only
+ * engine of a service has used up its limit. */
+BOOST_AUTO_TEST_CASE(CallerOfAnEngineThatIsUsedUpIsServedLaterOrToldWhen) {
+  Rig rig;
+  const auto& limited = rig.AddEngine(testing::kPlain, NamingLimit("2"));
+  for (int i = 0; i < 6; ++i) {
+    RecordingWriter writer;
+    rig.Serve("/safe/", milliseconds(1500), writer);
+    BOOST_TEST((writer.status == 200 || writer.status == 503));
+  }
+  BOOST_TEST(limited.requests.size() >= 3U);
+  RecordingWriter hurried;
+  rig.Serve("/safe/", milliseconds(40), hurried);
+  BOOST_TEST(hurried.status == 503);
+}
+
+/** Guards against an engine that stays limited after it has stopped to say so.
+ */
+BOOST_AUTO_TEST_CASE(AnswerWithoutALimitEndsIt) {
+  Rig rig;
+  const http::Handler in_need = NamingLimit("1");
+  const http::Handler well = testing::Answering(200, false, "");
+  bool is_in_need = true;
+  rig.AddEngine(testing::kPlain, [&](const http::Request& request,
+                                     http::ResponseWriter& writer) {
+    return is_in_need ? in_need(request, writer) : well(request, writer);
+  });
+  RecordingWriter first;
+  rig.Serve("/safe/", milliseconds(2000), first);
+  BOOST_TEST(rig.loads.limits().limited() == 1);
+  is_in_need = false;
+  RecordingWriter second;
+  rig.Serve("/safe/", milliseconds(3000), second);
+  BOOST_TEST(second.status == 200);
+  BOOST_TEST(rig.loads.limits().limited() == 0);
+}
+
+/** Guards against entries that each use an engine's whole limit. */
+BOOST_AUTO_TEST_CASE(AllEntriesTogetherKeepAnEnginesLimit) {
+  for (const int entries : {1, 2, 5, 22, 103}) {
+    for (const double per_second : {0.0, 0.2, 1.0, 7.5, 40.0}) {
+      Fleet fleet(entries, per_second);
+      fleet.Want(milliseconds(12'000));
+      BOOST_TEST(fleet.rig.MostInWindow(kWindow) <= Allowed(per_second),
+                 entries << " entries, " << per_second << " a second");
+    }
+  }
+}
+
+/** Guards against a limit that is used for the most part only by chance. */
+BOOST_AUTO_TEST_CASE(EntriesUseWhatAnEngineTakes) {
+  constexpr double kPerSecond = 5;
+  Fleet fleet(5, kPerSecond);
+  fleet.Want(milliseconds(12'000));
+  BOOST_TEST(fleet.rig.Granted() >= kPerSecond * 11);
+}
+
+/** Guards against two entries that coordinate one engine's limit: the one that
+ * does ends, is back, freezes, or others join. */
+BOOST_AUTO_TEST_CASE(LimitHoldsWhileEntriesComeAndGo) {
+  constexpr double kPerSecond = 1;
+  for (const int entries : {5, 22}) {
+    Fleet fleet(entries, kPerSecond);
+    fleet.Want(milliseconds(5000));
+    const std::string vm =
+        fleet.rig.At(fleet.rig.CoordinatorOf(fleet.kEngine)).vm;
+    fleet.rig.Kill(vm);
+    fleet.Want(milliseconds(3000));
+    fleet.rig.Start(vm);
+    fleet.rig.TellAllOfAll();
+    fleet.Want(milliseconds(3000));
+    for (int i = 0; i < entries; ++i) {
+      fleet.rig.Start("new-" + std::to_string(i));
+    }
+    fleet.rig.TellAllOfAll();
+    fleet.Want(milliseconds(5000));
+    BOOST_TEST(fleet.rig.MostInWindow(kWindow) <= Allowed(kPerSecond),
+               entries << " entries");
+  }
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -73,6 +73,7 @@
     std::optional<ExchangeResult> failure = co_await Open(std::move(send));
     if (failure) co_return *failure;
     answer_ = wire_.Read(stream_->head());
+    if (answer_.genuine || answer_.not_run) hooks_.answered(answer_);
     if (const auto wrong = JudgeHead()) co_return *wrong;
     if (is_stream && IsSuccess(answer_.status)) {
       co_return co_await Relay();
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -77,6 +77,9 @@
 
 /** What a send tells while it lasts. */
 struct ExchangeHooks {
+  /** Called with the head of an answer of the engine. */
+  std::function<void(const EngineAnswer& answer)> answered =
+      [](const EngineAnswer&) {};
   /** Called once, with the first byte of the engine's answer. */
   std::function<void()> first_byte;
   /** Called with each part of it. */
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -51,7 +51,7 @@
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
                       ConfigurationRefresh& refresh,
                       std::function<bool()> keys_confirmed, QuotaGate& quota,
-                      fleet::EngineRegistry& registry,
+                      EngineGate& engine_gate, fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::PeerTable& peer_table,
                       EngineClients& clients, LoadGauges& gauges,
                       const ReplicaFinder& finder, ModelLoader& loader,
@@ -59,11 +59,11 @@
                       const EngineWire& engine_wire, FrontMetrics& metrics,
                       const core::Clock& clock, const core::Logger& log) {
   return {configuration, refresh,     std::move(keys_confirmed),
-          quota,         registry,    loads,
-          peer_table,    clients,     gauges,
-          finder,        loader,      crash_watch,
-          caller_wire,   engine_wire, metrics,
-          clock,         log};
+          quota,         engine_gate, registry,
+          loads,         peer_table,  clients,
+          gauges,        finder,      loader,
+          crash_watch,   caller_wire, engine_wire,
+          metrics,       clock,       log};
 }
 
 /** Two starts of an entry never share a key. */
@@ -99,6 +99,24 @@
   return quota;
 }
 
+quota::QuotaClientOptions EngineQuotaOptionsOf(const FrontOptions& options,
+                                               std::string key) {
+  quota::QuotaClientOptions quota = EngineQuotaOptions();
+  quota.entry = std::move(key);
+  quota.vm = options.vm.value();
+  return quota;
+}
+
+/** @return The datagram of a quota client as one on engines' limits. */
+gen::EntryDatagram ForEngines(const gen::EntryDatagram& datagram) {
+  gen::EntryDatagram out;
+  if (datagram.__isset.quota_ask) out.__set_engine_ask(datagram.quota_ask);
+  if (datagram.__isset.quota_answer) {
+    out.__set_engine_answer(datagram.quota_answer);
+  }
+  return out;
+}
+
 RefreshOptions RefreshOptionsOf(const StoreLayout& layout) {
   RefreshOptions refresh;
   refresh.key = layout.configuration_key;
@@ -164,6 +182,14 @@
           },
           clock, log),
       quota_(quota_client_),
+      engine_quota_client_(
+          EngineQuotaOptionsOf(options_, presence_key_), peer_table_,
+          [this](const std::string& address,
+                 const gen::EntryDatagram& datagram) {
+            channel_.Send(address, ForEngines(datagram));
+          },
+          clock, log),
+      engine_gate_(loads_.limits(), engine_quota_client_, metrics_, log),
       refresh_(
           RefreshOptionsOf(layout_), store_,
           [this](const external::KvEntry& it) { AdoptConfiguration(it); },
@@ -172,8 +198,8 @@
           options_.dispatch,
           PartsOf(
               configuration_, refresh_, [this] { return KeysConfirmed(); },
-              quota_, registry_, loads_, peer_table_, clients_, gauges_,
-              finder_, loader_, crash_watch_, caller_wire, engine_wire,
+              quota_, engine_gate_, registry_, loads_, peer_table_, clients_,
+              gauges_, finder_, loader_, crash_watch_, caller_wire, engine_wire,
               metrics_, clock, log)),
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
@@ -242,6 +268,7 @@
   levels.requests_in_progress = server_.in_progress();
   levels.engines_known = static_cast<int>(registry_.engines().size());
   levels.engines_held = registry_.held();
+  levels.engines_limited = loads_.limits().limited();
   levels.entries = peer_table_.entries();
   levels.coordinators_suspected = quota_client_.suspected();
   levels.ready = Ready();
@@ -296,12 +323,33 @@
   if (!adopted) return;
   server_.SetLimits(
       ServerLimitsOf(configuration_.current()->configuration().limits));
-  broadcaster_.SetHeartbeats(configuration_.current()->HasOrganisations());
+  UpdateHeartbeats();
+}
+
+/** Entries that share a limit have to know which of them live. */
+void Front::UpdateHeartbeats() {
+  const auto table = configuration_.current();
+  const bool has_quotas = table != nullptr && table->HasOrganisations();
+  broadcaster_.SetHeartbeats(has_quotas || loads_.limits().limited() > 0);
 }
 
 void Front::OnDatagram(const gen::EntryDatagram& datagram,
                        const std::string& address) {
-  if (datagram.__isset.record) peer_table_.Take(datagram.record);
+  if (datagram.__isset.record) {
+    peer_table_.Take(datagram.record);
+    for (const gen::EngineLimit& it : datagram.record.limits) {
+      loads_.limits().ApplyTold(fleet::InstanceId(it.engine_instance),
+                                it.per_second);
+    }
+  }
+  if (datagram.__isset.engine_ask) {
+    peer_table_.NoteHeard(datagram.engine_ask.entry);
+    engine_quota_client_.OnAsk(datagram.engine_ask, address);
+  }
+  if (datagram.__isset.engine_answer) {
+    peer_table_.NoteHeard(datagram.engine_answer.entry);
+    engine_quota_client_.OnAnswer(datagram.engine_answer);
+  }
   if (datagram.__isset.quota_ask) {
     peer_table_.NoteHeard(datagram.quota_ask.entry);
     quota_client_.OnAsk(datagram.quota_ask, address);
@@ -360,6 +408,9 @@
       dispatcher_.Forget();
       quota_client_.Tick();
       quota_client_.Forget();
+      engine_quota_client_.Tick();
+      engine_quota_client_.Forget();
+      UpdateHeartbeats();
     }
     const core::SteadyTime due = clock_.Now() + kHousekeeping;
     co_await core::SleepFor(kHousekeeping);
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -27,6 +27,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
+#include "serving/engine_gate_base.h"
 #include "serving/entry_presence_base.h"
 #include "serving/follow_func.h"
 #include "serving/load_broadcaster_base.h"
@@ -83,6 +84,7 @@
   core::Task<> AnswerReady(const http::Request& request,
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
+  void UpdateHeartbeats();
   void OnDatagram(const gen::EntryDatagram& datagram,
                   const std::string& address);
   [[nodiscard]] bool KeysConfirmed() const;
@@ -118,6 +120,9 @@
   PeerChannel channel_;
   quota::QuotaClient quota_client_;
   QuotaGate quota_;
+  /** Shares the limits that engines name. */
+  quota::QuotaClient engine_quota_client_;
+  EngineGate engine_gate_;
   ConfigurationRefresh refresh_;
   Dispatcher dispatcher_;
   EntryPresence presence_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -72,6 +72,9 @@
   prometheus::Family<prometheus::Histogram>& view_ages = core::AddHistograms(
       registry, "sapphire_front_view_age_seconds",
       "Age of what follows the store at the moment an answer renews it");
+  prometheus::Family<prometheus::Counter>& engine_limits = core::AddCounters(
+      registry, "sapphire_front_engine_limit_decisions_total",
+      "Sends asked of the limits that engines name, by bucket and answer");
   std::set<core::OrganisationId> organisations;
   prometheus::Family<prometheus::Gauge>& levels = core::AddGauges(
       registry, "sapphire_front_level", "Levels of this entry, by name");
@@ -117,6 +120,13 @@
       .Increment();
 }
 
+void FrontMetrics::EngineLimitAsked(std::string_view source, bool granted) {
+  state_->engine_limits
+      .Add({{"bucket", std::string(source)},
+            {"answer", granted ? "granted" : "denied"}})
+      .Increment();
+}
+
 void FrontMetrics::WakeUpEnded(policy::Tier tier, std::string_view outcome,
                                std::chrono::milliseconds took) {
   state_->wake_ups
@@ -152,6 +162,7 @@
   set("requests_in_progress", levels.requests_in_progress);
   set("engines_known", levels.engines_known);
   set("engines_held", levels.engines_held);
+  set("engines_limited", levels.engines_limited);
   set("entries", levels.entries);
   set("coordinators_suspected", levels.coordinators_suspected);
   set("ready", levels.ready);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -24,6 +24,8 @@
   /** Of these, those that the store does not name and that are still used. */
   int engines_held = 0;
   int entries = 0;
+  /** Engines that have named a limit. */
+  int engines_limited = 0;
   /** Coordinators of quotas that are passed over. */
   int coordinators_suspected = 0;
   bool ready = false;
@@ -54,6 +56,9 @@
    * are counted together. */
   void QuotaDecided(const core::OrganisationId& id, std::string_view source,
                     bool granted);
+  /** A send to an engine that has named a limit was asked for.
+   * @param source Whose bucket decided. */
+  void EngineLimitAsked(std::string_view source, bool granted);
   /** @param outcome "ok" or the error's name. */
   void WakeUpEnded(policy::Tier tier, std::string_view outcome,
                    std::chrono::milliseconds took);
--- a/src/serving/load_broadcaster.cc
+++ b/src/serving/load_broadcaster.cc
@@ -60,7 +60,8 @@
   RefreshPeers();
   if (addresses_.empty()) return;
   gen::EntryRecord record = Record();
-  const bool is_idle = record.uses.empty() && record.loads.empty();
+  const bool is_idle =
+      record.uses.empty() && record.loads.empty() && record.limits.empty();
   // Each of the others has to hear once that nothing is in progress any more.
   idle_turns_ = is_idle ? idle_turns_ + 1 : 0;
   if (!heartbeats_ && idle_turns_ > addresses_.size()) return;
@@ -106,6 +107,12 @@
     load.from_weight_store = it.from_weight_store;
     record.loads.push_back(std::move(load));
   }
+  for (const auto& [instance, per_second] : loads_.limits().NamedLately()) {
+    gen::EngineLimit limit;
+    limit.engine_instance = instance.value();
+    limit.per_second = per_second;
+    record.limits.push_back(std::move(limit));
+  }
   record.store_load_ms = loader_.OwnStoreLoad().count();
   return record;
 }
--- a/src/serving/quota_gate.cc
+++ b/src/serving/quota_gate.cc
@@ -9,15 +9,19 @@
 
 namespace {
 
-quota::OrganisationLimit LimitOf(const organisation::Organisation& organisation,
-                                 std::int64_t version) {
-  quota::OrganisationLimit limit;
+quota::SharedLimit LimitOf(const organisation::Organisation& organisation,
+                           std::int64_t version) {
+  quota::SharedLimit limit;
   limit.version = version;
   limit.limit.per_second = organisation.quota.per_second;
   limit.limit.burst = organisation.quota.burst;
   return limit;
 }
 
+quota::QuotaId QuotaOf(const organisation::Organisation& organisation) {
+  return quota::QuotaId(organisation.id.value());
+}
+
 /** A decision on its way. Shared: the request may end before it comes. */
 struct Awaited {
   std::optional<quota::QuotaDecision> decision;
@@ -26,30 +30,37 @@
 
 }  // namespace
 
+core::Task<quota::QuotaDecision> TakeFrom(quota::QuotaClient& client,
+                                          quota::QuotaId id,
+                                          quota::SharedLimit limit,
+                                          double cost) {
+  const auto awaited = std::make_shared<Awaited>();
+  client.Take(id, limit, cost, [awaited](const quota::QuotaDecision& decision) {
+    awaited->decision = decision;
+    awaited->changed.Notify();
+  });
+  while (!awaited->decision) {
+    const std::uint64_t seen = awaited->changed.epoch();
+    if (co_await awaited->changed.Wait(seen, client.TickPause())) continue;
+    client.Tick();
+  }
+  co_return *awaited->decision;
+}
+
 core::Task<quota::QuotaDecision> QuotaGate::Take(
     organisation::Organisation organisation, std::int64_t version,
     double cost) {
   if (!organisation.quota.IsLimited()) {
     co_return quota::QuotaDecision{true, quota::QuotaSource::kUnlimited, {}};
   }
-  const auto awaited = std::make_shared<Awaited>();
-  client_.Take(organisation.id, LimitOf(organisation, version), cost,
-               [awaited](const quota::QuotaDecision& decision) {
-                 awaited->decision = decision;
-                 awaited->changed.Notify();
-               });
-  while (!awaited->decision) {
-    const std::uint64_t seen = awaited->changed.epoch();
-    if (co_await awaited->changed.Wait(seen, client_.TickPause())) continue;
-    client_.Tick();
-  }
-  co_return *awaited->decision;
+  co_return co_await TakeFrom(client_, QuotaOf(organisation),
+                              LimitOf(organisation, version), cost);
 }
 
 void QuotaGate::GiveBack(const organisation::Organisation& organisation,
                          std::int64_t version, double cost) {
   if (!organisation.quota.IsLimited()) return;
-  client_.GiveBack(organisation.id, LimitOf(organisation, version), cost);
+  client_.GiveBack(QuotaOf(organisation), LimitOf(organisation, version), cost);
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/quota_gate_base.h
+++ b/src/serving/quota_gate_base.h
@@ -10,7 +10,14 @@
 
 namespace sapphire::serving {
 
-/** Waits for the quota client's decisions. One thread. */
+/** Takes units of a quota and waits for the decision. @pre `client` outlives
+ * the call. */
+core::Task<quota::QuotaDecision> TakeFrom(quota::QuotaClient& client,
+                                          quota::QuotaId id,
+                                          quota::SharedLimit limit,
+                                          double cost);
+
+/** Charges requests to their organisations. One thread. */
 class QuotaGate {
  public:
   /** @pre `client` outlives it. */
@@ -28,7 +35,7 @@
                 std::int64_t version, double cost);
 
   [[nodiscard]] double LevelOf(const core::OrganisationId& id) const {
-    return client_.LevelOf(id);
+    return client_.LevelOf(quota::QuotaId(id.value()));
   }
 
  private:
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -47,25 +47,34 @@
       gauges_(gauges),
       clock_(clock) {}
 
+bool ReplicaFinder::Serves(const fleet::EngineEntry& engine,
+                           const core::ServiceId& service,
+                           const CallerRequest& request,
+                           const std::set<fleet::InstanceId>& avoid) const {
+  if (engine.service != service || engine.draining) return false;
+  const fleet::UsedPart model{request.model, core::AdapterId()};
+  // Of hundreds of engines few hold the model: asked first.
+  const bool holds = request.model.empty() ||
+                     FindHeld(engine, request.model) != nullptr ||
+                     loads_.HasLoaded(engine.instance, model);
+  return holds && !avoid.contains(engine.instance) &&
+         !loads_.Unreachable(engine.instance) &&
+         !loads_.Lacks(engine.instance, model);
+}
+
 std::vector<FoundReplica> ReplicaFinder::Find(
     const core::ServiceId& service, const CallerRequest& request,
     const std::set<fleet::InstanceId>& avoid) const {
   std::vector<FoundReplica> found;
-  const fleet::UsedPart model{request.model, core::AdapterId()};
   const fleet::UsedPart part{request.model, request.adapter};
   for (const auto& [instance, engine] : registry_.engines()) {
-    if (engine.service != service || engine.draining) continue;
-    // Of hundreds of engines few hold the model: asked first.
-    const fleet::HeldModel* held = FindHeld(engine, request.model);
-    const bool names_model = !request.model.empty();
-    const bool holds = held != nullptr || loads_.HasLoaded(instance, model);
-    if (names_model && !holds) continue;
-    if (avoid.contains(instance) || loads_.Unreachable(instance)) continue;
-    if (loads_.Lacks(instance, model)) continue;
+    if (!Serves(engine, service, request, avoid)) continue;
+    if (loads_.limits().ClosedFor(instance) > milliseconds(0)) continue;
     FoundReplica replica;
     replica.instance = instance;
     replica.view = View(engine, request);
-    if (names_model) {
+    if (!request.model.empty()) {
+      const fleet::HeldModel* held = FindHeld(engine, request.model);
       replica.order_left = peer_table_.OrderLeft(instance);
       const bool listed =
           held != nullptr && held->adapters.contains(request.adapter);
@@ -78,6 +87,19 @@
   return found;
 }
 
+std::optional<milliseconds> ReplicaFinder::FirstOpening(
+    const core::ServiceId& service, const CallerRequest& request,
+    const std::set<fleet::InstanceId>& avoid) const {
+  std::optional<milliseconds> first;
+  for (const auto& [instance, engine] : registry_.engines()) {
+    const milliseconds closed = loads_.limits().ClosedFor(instance);
+    if (closed == milliseconds(0)) continue;
+    if (!Serves(engine, service, request, avoid)) continue;
+    if (!first || closed < *first) first = closed;
+  }
+  return first;
+}
+
 policy::ReplicaCandidate ReplicaFinder::View(
     const fleet::EngineEntry& engine, const CallerRequest& request) const {
   policy::ReplicaCandidate view;
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_SERVING_REPLICA_FINDER_BASE_H_
 #define SAPPHIRE_SERVING_REPLICA_FINDER_BASE_H_
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -54,6 +55,12 @@
       const core::ServiceId& service, const CallerRequest& request,
       const std::set<fleet::InstanceId>& avoid) const;
 
+  /** @return Until the first engine opens that Find leaves out only as its
+   * limit is used up; nothing if there is none. */
+  [[nodiscard]] std::optional<milliseconds> FirstOpening(
+      const core::ServiceId& service, const CallerRequest& request,
+      const std::set<fleet::InstanceId>& avoid) const;
+
   /**
    * @return Engines that do not hold it and can be reached, as far as known.
    *   What it rests on is up to 250 ms old, but for loads that entries ask for.
@@ -78,6 +85,11 @@
                               const core::ModelId& model) const;
 
  private:
+  /** @return True if the engine serves the model, whatever its limit. */
+  [[nodiscard]] bool Serves(const fleet::EngineEntry& engine,
+                            const core::ServiceId& service,
+                            const CallerRequest& request,
+                            const std::set<fleet::InstanceId>& avoid) const;
   [[nodiscard]] policy::ReplicaCandidate View(
       const fleet::EngineEntry& engine, const CallerRequest& request) const;
 
