--- a/src/serving/engine_limit_test.cc
+++ b/src/serving/engine_limit_test.cc
@@ -1,7 +1,10 @@
 /** @file engine_limit_test.cc Tests of engines that name how many requests a
  * second they take. */
 #define BOOST_TEST_MODULE engine_limit
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
 #include <string>
 
 #include "quota/quota_rig_test.h"
@@ -14,6 +17,8 @@
 using testing::RecordingWriter;
 using testing::Rig;
 
+/** Orders of faults played unless LIMIT_SEEDS names another number. */
+constexpr int kSeeds = 12;
 /** Over which operators count an engine's requests. */
 constexpr milliseconds kWindow{4000};
 
@@ -38,11 +43,38 @@
     constexpr milliseconds kPause{20};
     for (milliseconds gone{0}; gone < time; gone += kPause) {
       next_ = (next_ + 1) % rig.entries.size();
-      rig.Request(next_, kEngine, limit_, 1);
+      if (!rig.At(next_).frozen) rig.Request(next_, kEngine, limit_, 1);
       rig.Pass(kPause);
     }
   }
 
+  /** One fault; the one before ends. */
+  void Strike(std::mt19937& random) {
+    for (const auto& it : rig.entries) it->frozen = false;
+    rig.cut = [](const std::string&, const std::string&) { return false; };
+    rig.TellAllOfAll();
+    const std::size_t coordinator = rig.CoordinatorOf(kEngine);
+    const std::string vm = rig.At(coordinator).vm;
+    switch (random() % 4) {
+      case 0:
+        rig.At(coordinator).frozen = true;
+        break;
+      case 1:
+        rig.Kill(vm);
+        rig.Start(vm);
+        rig.TellAllOfAll();
+        break;
+      case 2:
+        rig.cut = [vm](const std::string& a, const std::string& b) {
+          return a == vm || b == vm;
+        };
+        break;
+      default:
+        rig.Start("joined-" + std::to_string(random()));
+        rig.TellAllOfAll();
+    }
+  }
+
   quota::testing::QuotaRig rig;
   const quota::QuotaId kEngine{"engine#1"};
 
@@ -162,4 +194,25 @@
   }
 }
 
+/** Guards against two entries that coordinate one engine's limit, whatever
+ * happens to entries in whatever order. */
+BOOST_AUTO_TEST_CASE(LimitHoldsInEachOrderOfFaults) {
+  const char* text = std::getenv("LIMIT_SEEDS");
+  const int seeds = text == nullptr ? kSeeds : std::atoi(text);
+  constexpr int kFaults = 6;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const double per_second = std::array{1.0, 4.0, 15.0}[random() % 3];
+    Fleet fleet(std::array{2, 5, 22}[random() % 3], per_second);
+    fleet.Want(milliseconds(3000));
+    for (int i = 0; i < kFaults; ++i) {
+      fleet.Strike(random);
+      fleet.Want(milliseconds(4000));
+    }
+    BOOST_TEST(fleet.rig.MostInWindow(kWindow) <= Allowed(per_second),
+               "seed " << seed << ": " << fleet.rig.MostInWindow(kWindow)
+                       << " at " << per_second << " a second");
+  }
+}
+
 }  // namespace sapphire::serving
