--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <exception>
-#include <map>
 #include <utility>
 
 #include "core/error_type.h"
@@ -204,6 +203,7 @@
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
                    loader_, channel_, executor, clock, log),
+      entry_follower_(peer_table_, log),
       engine_follower_(
           layout_, registry_, [this] { loader_.changed().Notify(); }, clock,
           log),
@@ -297,8 +297,8 @@
 }
 
 std::vector<routing::FollowHooks> Front::AllHooks() {
-  return {ConfigurationHooks(), engine_follower_.Hooks(), EntryHooks(),
-          crash_watch_.Hooks()};
+  return {ConfigurationHooks(), engine_follower_.Hooks(),
+          entry_follower_.Hooks(), crash_watch_.Hooks()};
 }
 
 routing::FollowHooks Front::ConfigurationHooks() {
@@ -360,46 +360,6 @@
   }
 }
 
-routing::FollowHooks Front::EntryHooks() {
-  routing::FollowHooks hooks;
-  hooks.prefix = fleet::kEntryPrefix;
-  hooks.listed = [this](std::vector<external::KvEntry> entries,
-                        routing::LapseEnd) { TakeEntries(entries); };
-  hooks.changed = [this](external::KvEvent event, routing::LapseEnd) {
-    TakeEntry(event);
-  };
-  return hooks;
-}
-
-void Front::TakeEntries(const std::vector<external::KvEntry>& entries) {
-  std::map<std::string, gen::EntryPresence> known;
-  for (const external::KvEntry& it : entries) {
-    auto presence = ReadPresence(it.key, it.value);
-    if (presence) known.emplace(it.key, std::move(*presence));
-  }
-  peer_table_.SetEntries(known);
-}
-
-void Front::TakeEntry(const external::KvEvent& event) {
-  if (!event.value) {
-    peer_table_.RemoveEntry(event.key);
-    return;
-  }
-  const auto presence = ReadPresence(event.key, *event.value);
-  if (presence) peer_table_.PutEntry(event.key, *presence);
-}
-
-std::optional<gen::EntryPresence> Front::ReadPresence(
-    const std::string& key, const std::string& value) const {
-  try {
-    return fleet::DecodePresence(value);
-  } catch (const core::Error& e) {
-    log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
-               "presence_unreadable", {{"key", key}, {"error", e.what()}});
-  }
-  return std::nullopt;
-}
-
 core::Task<> Front::RunMaintenance() {
   while (true) {
     {
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -28,6 +28,7 @@
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
 #include "serving/engine_gate_base.h"
+#include "serving/entry_follower_base.h"
 #include "serving/entry_presence_base.h"
 #include "serving/follow_func.h"
 #include "serving/load_broadcaster_base.h"
@@ -91,11 +92,6 @@
   core::Task<> RunMaintenance();
   std::vector<routing::FollowHooks> AllHooks();
   routing::FollowHooks ConfigurationHooks();
-  routing::FollowHooks EntryHooks();
-  void TakeEntries(const std::vector<external::KvEntry>& entries);
-  void TakeEntry(const external::KvEvent& event);
-  [[nodiscard]] std::optional<gen::EntryPresence> ReadPresence(
-      const std::string& key, const std::string& value) const;
 
   const FrontOptions options_;
   const StoreLayout layout_;
@@ -127,6 +123,7 @@
   Dispatcher dispatcher_;
   EntryPresence presence_;
   LoadBroadcaster broadcaster_;
+  EntryFollower entry_follower_;
   EngineFollower engine_follower_;
   routing::StoreFollower store_follower_;
   http::Server server_;
