--- a/src/fleet/engine_limits.cc
+++ b/src/fleet/engine_limits.cc
@@ -39,7 +39,7 @@
   limit.named.reset();
   limit.told.reset();
   limit.ended_at = now;
-  limit.closed_until = now;
+  limit.throttled_until = now;
   return had_limit ? LimitChange::kEnded : LimitChange::kNone;
 }
 
@@ -66,15 +66,15 @@
   return std::nullopt;
 }
 
-void EngineLimits::Close(const InstanceId& instance, milliseconds time) {
-  limits_[instance].closed_until = clock_.Now() + time;
+void EngineLimits::Throttle(const InstanceId& instance, milliseconds time) {
+  limits_[instance].throttled_until = clock_.Now() + time;
 }
 
-milliseconds EngineLimits::ClosedFor(const InstanceId& instance) const {
+milliseconds EngineLimits::ThrottledFor(const InstanceId& instance) const {
   const auto it = limits_.find(instance);
   if (it == limits_.end()) return milliseconds(0);
-  const auto left =
-      std::chrono::ceil<milliseconds>(it->second.closed_until - clock_.Now());
+  const auto left = std::chrono::ceil<milliseconds>(it->second.throttled_until -
+                                                    clock_.Now());
   return std::max(left, milliseconds(0));
 }
 
--- a/src/fleet/engine_limits_base.h
+++ b/src/fleet/engine_limits_base.h
@@ -25,7 +25,7 @@
 enum class LimitChange { kNone, kNamed, kEnded };
 
 /** Limits that engines have named, to this entry or to its peers, and engines
- * that are closed for a moment as their limit is used up. One thread. */
+ * that are throttled for a moment as their limit is used up. One thread. */
 class EngineLimits {
  public:
   /** @pre `clock` outlives it. */
@@ -47,9 +47,9 @@
   [[nodiscard]] std::optional<double> RateOf(const InstanceId& instance) const;
 
   /** No request goes to the engine for this long. */
-  void Close(const InstanceId& instance, std::chrono::milliseconds time);
-  /** @return How long the engine is closed; 0 if it is open. */
-  [[nodiscard]] std::chrono::milliseconds ClosedFor(
+  void Throttle(const InstanceId& instance, std::chrono::milliseconds time);
+  /** @return How long the engine is still throttled; 0: it is not. */
+  [[nodiscard]] std::chrono::milliseconds ThrottledFor(
       const InstanceId& instance) const;
 
   /** @return What engines have named to this entry lately, for its peers. */
@@ -71,7 +71,7 @@
     /** Told by a peer. */
     std::optional<double> told;
     core::SteadyTime told_at;
-    core::SteadyTime closed_until;
+    core::SteadyTime throttled_until;
   };
 
   [[nodiscard]] std::optional<double> RateOf(const Limit& limit) const;
--- a/src/fleet/engine_limits_test.cc
+++ b/src/fleet/engine_limits_test.cc
@@ -72,12 +72,12 @@
   BOOST_TEST(!rig.limits.RateOf(kEngine));
 }
 
-BOOST_AUTO_TEST_CASE(EngineIsClosedForAWhileAndForgottenWhenItIsGone) {
+BOOST_AUTO_TEST_CASE(EngineIsThrottledForAWhileAndForgottenWhenItIsGone) {
   Rig rig;
-  rig.limits.Close(kEngine, milliseconds(300));
-  BOOST_TEST((rig.limits.ClosedFor(kEngine) == milliseconds(300)));
+  rig.limits.Throttle(kEngine, milliseconds(300));
+  BOOST_TEST((rig.limits.ThrottledFor(kEngine) == milliseconds(300)));
   rig.clock.Advance(milliseconds(300));
-  BOOST_TEST((rig.limits.ClosedFor(kEngine) == milliseconds(0)));
+  BOOST_TEST((rig.limits.ThrottledFor(kEngine) == milliseconds(0)));
   rig.Answer({2.0}, rig.clock.Now());
   rig.limits.Forget({});
   BOOST_TEST(rig.limits.limited() == 0);
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -261,13 +261,14 @@
 /** Sends the request once. @return True if it has its final answer. */
 core::Task<bool> Dispatcher::Attempt(RequestWork& work) {
   work.engine = co_await chooser_.Choose(work);
-  const bool may_enter = work.caller.left || co_await parts_.engine_gate.Enter(
-                                                 work.engine, work.request.id);
+  const bool may_send =
+      work.caller.left ||
+      co_await parts_.rate_limiter.Acquire(work.engine, work.request.id);
   if (work.caller.left) {
     work.outcome = "caller_left";
     co_return true;
   }
-  if (!may_enter) co_return false;
+  if (!may_send) co_return false;
   CheckKeyAgain(work);
   const fleet::EngineEntry* engine = parts_.registry.Find(work.engine);
   if (engine == nullptr) co_return false;
@@ -296,7 +297,7 @@
                     sent = parts_.clock.Now()](const EngineAnswer& answer) {
     // A refusal may be made before the engine knows of its limit.
     if (!answer.genuine && !answer.limit.per_second) return;
-    parts_.engine_gate.Apply(instance, answer.limit, sent);
+    parts_.rate_limiter.Apply(instance, answer.limit, sent);
   };
   hooks.first_byte = [this, &work, ticket] {
     parts_.loads.NoteAnswer(ticket);
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -23,7 +23,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/engine_chooser_base.h"
 #include "serving/engine_clients_base.h"
-#include "serving/engine_gate_base.h"
+#include "serving/engine_rate_limiter_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
 #include "serving/load_gauges_base.h"
@@ -54,7 +54,7 @@
   /** False while strict revocation forbids to go by the configuration. */
   std::function<bool()> keys_confirmed;
   QuotaGate& quota;
-  EngineGate& engine_gate;
+  EngineRateLimiter& rate_limiter;
   fleet::EngineRegistry& registry;
   fleet::EngineLoads& loads;
   fleet::PeerTable& peer_table;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -237,7 +237,7 @@
         engine_quota_client(
             EngineQuotaOptionsOfSelf(), peer_table,
             [](const std::string&, const gen::EntryDatagram&) {}, clock, log),
-        engine_gate(loads.limits(), engine_quota_client, metrics, log),
+        rate_limiter(loads.limits(), engine_quota_client, metrics, log),
         refresh(
             {"config", milliseconds(5000), milliseconds(1000)}, store,
             [this](const external::KvEntry&) {
@@ -340,7 +340,7 @@
   quota::QuotaClient quota_client;
   QuotaGate quota;
   quota::QuotaClient engine_quota_client;
-  EngineGate engine_gate;
+  EngineRateLimiter rate_limiter;
   /** What reading the newest configuration does. */
   std::function<void()> reread;
   ConfigurationRefresh refresh;
@@ -363,12 +363,12 @@
   }
 
   DispatchParts Parts() {
-    return {configuration, refresh,     [this] { return keys_confirmed; },
-            quota,         engine_gate, registry,
-            loads,         peer_table,  clients,
-            gauges,        finder,      loader,
-            crash_watch,   caller_wire, engine_wire,
-            metrics,       clock,       log};
+    return {configuration, refresh,      [this] { return keys_confirmed; },
+            quota,         rate_limiter, registry,
+            loads,         peer_table,   clients,
+            gauges,        finder,       loader,
+            crash_watch,   caller_wire,  engine_wire,
+            metrics,       clock,        log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -21,9 +21,9 @@
 constexpr milliseconds kLookAgain{200};
 /** An engine that takes its next order within this is as good as free. */
 constexpr milliseconds kOrderSoon{300};
-/** A model whose engines are closed no longer than this is not loaded on
+/** A model whose engines are throttled no longer than this is not loaded on
  * another one. */
-constexpr milliseconds kOpensSoon{500};
+constexpr milliseconds kShortThrottle{500};
 /** Requests that wait here from which the same is assumed of each entry: a rare
  * model is asked for every half minute, so three at once are no coincidence. */
 constexpr int kTellingWaiters = 3;
@@ -116,9 +116,9 @@
 
 /** @return Until a look at the fleet is due though no change was told of. */
 milliseconds EngineChooser::NextLook(const RequestWork& work) const {
-  const auto opening =
-      finder_.FirstOpening(work.service->id, work.request, work.avoid);
-  return std::min(opening.value_or(kLookAgain), kLookAgain);
+  const auto unthrottled =
+      finder_.FirstUnthrottled(work.service->id, work.request, work.avoid);
+  return std::min(unthrottled.value_or(kLookAgain), kLookAgain);
 }
 
 /**
@@ -215,10 +215,10 @@
   const Error nowhere(
       work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
       "no engine can be reached", kSoon);
-  const auto opening =
-      finder_.FirstOpening(work.service->id, work.request, work.avoid);
+  const auto unthrottled =
+      finder_.FirstUnthrottled(work.service->id, work.request, work.avoid);
   if (work.request.model.empty()) {
-    if (opening) return *opening;
+    if (unthrottled) return *unthrottled;
     throw Error(nowhere);
   }
   const std::vector<FoundReplica> held =
@@ -226,13 +226,13 @@
   if (!held.empty()) {
     return std::ranges::min(held, {}, &FoundReplica::order_left).order_left;
   }
-  if (opening && *opening <= kOpensSoon) return *opening;
+  if (unthrottled && *unthrottled <= kShortThrottle) return *unthrottled;
   const auto ready =
       loader_.Wake(*work.service, work.request.model, work.request.id);
-  if (!ready && !opening) throw Error(nowhere);
+  if (!ready && !unthrottled) throw Error(nowhere);
   if (ready) WakeForWaiting(work);
   return std::min(ready.value_or(milliseconds::max()),
-                  opening.value_or(milliseconds::max()));
+                  unthrottled.value_or(milliseconds::max()));
 }
 
 bool EngineChooser::HasOther(const RequestWork& work) const {
--- a/src/serving/engine_gate.cc
+++ b/src/serving/engine_rate_limiter.cc
@@ -1,4 +1,5 @@
-/** @file engine_gate.cc Keeps requests within the rates that engines name. */
+/** @file engine_rate_limiter.cc Keeps requests within the rates that engines
+ * name. */
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -6,7 +7,7 @@
 #include <utility>
 
 #include "core/task_func.h"
-#include "serving/engine_gate_base.h"
+#include "serving/engine_rate_limiter_base.h"
 #include "serving/quota_gate_base.h"
 
 namespace sapphire::serving {
@@ -24,8 +25,8 @@
 constexpr double kBurst = 1;
 /** Over which operators count an engine's requests. */
 constexpr milliseconds kWindow{4000};
-/** A closed engine is left alone for at least this. */
-constexpr milliseconds kLeastClosed{20};
+/** A throttled engine is left alone for at least this. */
+constexpr milliseconds kLeastThrottle{20};
 /** Other engines may do: a coordinator that does not answer is not waited for
  * as long as that of an organisation. */
 constexpr milliseconds kAnswerLimit{100};
@@ -54,12 +55,14 @@
   return options;
 }
 
-EngineGate::EngineGate(fleet::EngineLimits& limits, quota::QuotaClient& client,
-                       FrontMetrics& metrics, const core::Logger& log)
+EngineRateLimiter::EngineRateLimiter(fleet::EngineLimits& limits,
+                                     quota::QuotaClient& client,
+                                     FrontMetrics& metrics,
+                                     const core::Logger& log)
     : limits_(limits), client_(client), metrics_(metrics), log_(log) {}
 
-core::Task<bool> EngineGate::Enter(fleet::InstanceId instance,
-                                   core::RequestId request) {
+core::Task<bool> EngineRateLimiter::Acquire(fleet::InstanceId instance,
+                                            core::RequestId request) {
   const auto per_second = limits_.RateOf(instance);
   if (!per_second) co_return true;
   const quota::QuotaDecision decision =
@@ -72,20 +75,20 @@
     }
     co_return true;
   }
-  const milliseconds closed = std::max(decision.delay, kLeastClosed);
-  limits_.Close(instance, closed);
+  const milliseconds time = std::max(decision.delay, kLeastThrottle);
+  limits_.Throttle(instance, time);
   log_.Event(LogLevel::kInfo, LogCategory::kRequest, "engine_limit_reached",
              {{"request", request},
               {"instance", instance},
               {"per_second", *per_second},
               {"source", NameOf(decision.source)},
-              {"closed_ms", closed}});
+              {"throttled_ms", time}});
   co_return false;
 }
 
-void EngineGate::Apply(const fleet::InstanceId& instance,
-                       const fleet::LimitNotice& notice,
-                       core::SteadyTime sent) {
+void EngineRateLimiter::Apply(const fleet::InstanceId& instance,
+                              const fleet::LimitNotice& notice,
+                              core::SteadyTime sent) {
   if (notice.unreadable) {
     log_.Event(LogLevel::kWarning, LogCategory::kReplica,
                "engine_limit_unreadable", {{"instance", instance}});
--- a/src/serving/engine_gate_base.h
+++ b/src/serving/engine_rate_limiter_base.h
@@ -1,7 +1,8 @@
-/** @file engine_gate_base.h Keeps requests within the rates that engines name.
+/** @file engine_rate_limiter_base.h Keeps requests within the rates that
+ * engines name.
  */
-#ifndef SAPPHIRE_SERVING_ENGINE_GATE_BASE_H_
-#define SAPPHIRE_SERVING_ENGINE_GATE_BASE_H_
+#ifndef SAPPHIRE_SERVING_ENGINE_RATE_LIMITER_BASE_H_
+#define SAPPHIRE_SERVING_ENGINE_RATE_LIMITER_BASE_H_
 
 #include "core/log_base.h"
 #include "core/task_type.h"
@@ -18,17 +19,17 @@
 quota::SharedLimit EngineQuotaLimit(double per_second);
 
 /** An engine's rate is a quota that all entries share. One thread. */
-class EngineGate {
+class EngineRateLimiter {
  public:
   /** @pre All references outlive the gate. */
-  EngineGate(fleet::EngineLimits& limits, quota::QuotaClient& client,
-             FrontMetrics& metrics, const core::Logger& log);
+  EngineRateLimiter(fleet::EngineLimits& limits, quota::QuotaClient& client,
+                    FrontMetrics& metrics, const core::Logger& log);
 
   /**
    * Asks to send one request to the engine.
-   * @return False if its limit is used up: it is closed for a while.
+   * @return False if its limit is used up: it is throttled for a while.
    */
-  core::Task<bool> Enter(fleet::InstanceId instance, core::RequestId request);
+  core::Task<bool> Acquire(fleet::InstanceId instance, core::RequestId request);
 
   /** Takes what an answer says of the engine's limit. */
   void Apply(const fleet::InstanceId& instance,
@@ -43,4 +44,4 @@
 
 }  // namespace sapphire::serving
 
-#endif  // SAPPHIRE_SERVING_ENGINE_GATE_BASE_H_
+#endif  // SAPPHIRE_SERVING_ENGINE_RATE_LIMITER_BASE_H_
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -50,19 +50,20 @@
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
                       ConfigurationRefresh& refresh,
                       std::function<bool()> keys_confirmed, QuotaGate& quota,
-                      EngineGate& engine_gate, fleet::EngineRegistry& registry,
+                      EngineRateLimiter& rate_limiter,
+                      fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::PeerTable& peer_table,
                       EngineClients& clients, LoadGauges& gauges,
                       const ReplicaFinder& finder, ModelLoader& loader,
                       CrashWatch& crash_watch, const CallerWire& caller_wire,
                       const EngineWire& engine_wire, FrontMetrics& metrics,
                       const core::Clock& clock, const core::Logger& log) {
-  return {configuration, refresh,     std::move(keys_confirmed),
-          quota,         engine_gate, registry,
-          loads,         peer_table,  clients,
-          gauges,        finder,      loader,
-          crash_watch,   caller_wire, engine_wire,
-          metrics,       clock,       log};
+  return {configuration, refresh,      std::move(keys_confirmed),
+          quota,         rate_limiter, registry,
+          loads,         peer_table,   clients,
+          gauges,        finder,       loader,
+          crash_watch,   caller_wire,  engine_wire,
+          metrics,       clock,        log};
 }
 
 /** Two starts of an entry never share a key. */
@@ -188,7 +189,7 @@
             channel_.Send(address, ForEngines(datagram));
           },
           clock, log),
-      engine_gate_(loads_.limits(), engine_quota_client_, metrics_, log),
+      rate_limiter_(loads_.limits(), engine_quota_client_, metrics_, log),
       refresh_(
           RefreshOptionsOf(layout_), store_,
           [this](const external::KvEntry& it) { AdoptConfiguration(it); },
@@ -197,7 +198,7 @@
           options_.dispatch,
           PartsOf(
               configuration_, refresh_, [this] { return KeysConfirmed(); },
-              quota_, engine_gate_, registry_, loads_, peer_table_, clients_,
+              quota_, rate_limiter_, registry_, loads_, peer_table_, clients_,
               gauges_, finder_, loader_, crash_watch_, caller_wire, engine_wire,
               metrics_, clock, log)),
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -27,7 +27,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
-#include "serving/engine_gate_base.h"
+#include "serving/engine_rate_limiter_base.h"
 #include "serving/entry_follower_base.h"
 #include "serving/entry_presence_base.h"
 #include "serving/follow_func.h"
@@ -118,7 +118,7 @@
   QuotaGate quota_;
   /** Shares the limits that engines name. */
   quota::QuotaClient engine_quota_client_;
-  EngineGate engine_gate_;
+  EngineRateLimiter rate_limiter_;
   ConfigurationRefresh refresh_;
   Dispatcher dispatcher_;
   EntryPresence presence_;
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -69,7 +69,7 @@
   const fleet::UsedPart part{request.model, request.adapter};
   for (const auto& [instance, engine] : registry_.engines()) {
     if (!Serves(engine, service, request, avoid)) continue;
-    if (loads_.limits().ClosedFor(instance) > milliseconds(0)) continue;
+    if (loads_.limits().ThrottledFor(instance) > milliseconds(0)) continue;
     FoundReplica replica;
     replica.instance = instance;
     replica.view = View(engine, request);
@@ -87,15 +87,15 @@
   return found;
 }
 
-std::optional<milliseconds> ReplicaFinder::FirstOpening(
+std::optional<milliseconds> ReplicaFinder::FirstUnthrottled(
     const core::ServiceId& service, const CallerRequest& request,
     const std::set<fleet::InstanceId>& avoid) const {
   std::optional<milliseconds> first;
   for (const auto& [instance, engine] : registry_.engines()) {
-    const milliseconds closed = loads_.limits().ClosedFor(instance);
-    if (closed == milliseconds(0)) continue;
+    const milliseconds left = loads_.limits().ThrottledFor(instance);
+    if (left == milliseconds(0)) continue;
     if (!Serves(engine, service, request, avoid)) continue;
-    if (!first || closed < *first) first = closed;
+    if (!first || left < *first) first = left;
   }
   return first;
 }
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -55,9 +55,9 @@
       const core::ServiceId& service, const CallerRequest& request,
       const std::set<fleet::InstanceId>& avoid) const;
 
-  /** @return Until the first engine opens that Find leaves out only as its
-   * limit is used up; nothing if there is none. */
-  [[nodiscard]] std::optional<milliseconds> FirstOpening(
+  /** @return Until the first engine may be sent to that Find leaves out only as
+   * it is throttled; nothing if there is none. */
+  [[nodiscard]] std::optional<milliseconds> FirstUnthrottled(
       const core::ServiceId& service, const CallerRequest& request,
       const std::set<fleet::InstanceId>& avoid) const;
 
