--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -57,6 +57,11 @@
   plan.departures = kDepartures;
   app.add_option("--departures", plan.departures,
                  "Times that an entry loses the store while engines leave");
+  app.add_option("--unattended", plan.unattended,
+                 "Model engines without a process beside them");
+  app.add_option("--endpoint-losses", plan.endpoint_losses,
+                 "Times that the process beside an engine is gone for 24 s or "
+                 "more; needs 40 s of traffic");
   app.add_flag("--organisations", plan.organisations,
                "Callers have keys; some are revoked, one quota is exceeded");
   app.add_option("--bin", bin_dir, "Where the programs are");
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -126,6 +126,7 @@
   seen.instance = instance_;
   seen.holder = external::StringAt(order, "holder");
   seen.fence = external::IntegerAt(order, "fence");
+  seen.at = clock_.Now();
   record_.orders.push_back(seen);
   const int status = TakeOrder(order);
   co_await writer.Send(http::MakeResponse(status, "application/json", "{}"));
--- a/deploy/soak/soak_faults.cc
+++ b/deploy/soak/soak_faults.cc
@@ -23,7 +23,8 @@
   if (fault.kind <= FaultKind::kEntryReload) {
     co_await InjectEntry(fault);
   } else if (fault.kind < FaultKind::kStoreBusy ||
-             fault.kind == FaultKind::kEngineLeave) {
+             fault.kind == FaultKind::kEngineLeave ||
+             fault.kind == FaultKind::kEndpointLost) {
     co_await InjectEngine(fault);
   } else {
     co_await InjectStore(fault);
@@ -73,18 +74,14 @@
 
 core::Task<> SoakWorld::InjectEngine(Fault fault) {
   EngineVm& vm = *engines_.at(static_cast<std::size_t>(fault.target));
+  if (fault.kind == FaultKind::kEndpointKill ||
+      fault.kind == FaultKind::kEndpointPause ||
+      fault.kind == FaultKind::kEndpointLost) {
+    co_await InjectEndpoint(fault);
+    co_return;
+  }
   if (vm.down) co_return;
   switch (fault.kind) {
-    case FaultKind::kEndpointKill:
-      vm.process->Signal(SIGKILL);
-      vm.process->WaitForExit(kGrace);
-      StartEndpoint(vm);
-      break;
-    case FaultKind::kEndpointPause:
-      vm.process->Signal(SIGSTOP);
-      co_await core::SleepFor(fault.length);
-      vm.process->Signal(SIGCONT);
-      break;
     case FaultKind::kEngineCrash:
       co_await CrashEngine(vm, fault.length);
       break;
@@ -113,6 +110,27 @@
   }
 }
 
+core::Task<> SoakWorld::InjectEndpoint(Fault fault) {
+  EngineVm& vm = *engines_.at(static_cast<std::size_t>(fault.target));
+  const bool lost = fault.kind == FaultKind::kEndpointLost;
+  // Only a long loss goes on while the engine itself is down.
+  if (!vm.process || vm.endpoint_lost || (vm.down && !lost)) co_return;
+  if (fault.kind == FaultKind::kEndpointPause) {
+    vm.process->Signal(SIGSTOP);
+    co_await core::SleepFor(fault.length);
+    vm.process->Signal(SIGCONT);
+    co_return;
+  }
+  vm.process->Signal(SIGKILL);
+  vm.process->WaitForExit(kGrace);
+  if (lost) {
+    vm.endpoint_lost = true;
+    co_await core::SleepFor(fault.length);
+    vm.endpoint_lost = false;
+  }
+  StartEndpoint(vm);
+}
+
 core::Task<> SoakWorld::CrashEngine(EngineVm& vm, milliseconds down) {
   if (vm.down) co_return;
   vm.down = true;
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -27,6 +27,10 @@
 
 constexpr std::uint64_t kRevocationStream = 0x7265'766f'6b65;
 constexpr int kRevocations = 4;
+constexpr std::uint64_t kEndpointLossStream = 0x6c6f'7374;
+/** Long enough for an entry to take the engine over, and orders to follow. */
+constexpr milliseconds kLeastLoss{24'000};
+constexpr milliseconds kMostLoss{30'000};
 
 bool IsOfEntry(FaultKind kind) {
   return kind <= FaultKind::kEntryReload || kind == FaultKind::kStoreCut;
@@ -84,6 +88,20 @@
   }
 }
 
+/** The process beside an engine is gone until after an entry has taken the
+ * engine over. */
+void DrawEndpointLosses(SoakPlan& plan) {
+  Draw draw(plan.seed ^ kEndpointLossStream);
+  for (int i = 0; i < plan.endpoint_losses; ++i) {
+    Fault loss;
+    loss.kind = FaultKind::kEndpointLost;
+    loss.length = draw.Between(kLeastLoss, kMostLoss);
+    loss.at = draw.Between(milliseconds(0), plan.length - loss.length);
+    loss.target = plan.unattended + draw.Below(plan.engines - plan.unattended);
+    plan.faults.push_back(loss);
+  }
+}
+
 }  // namespace
 
 SoakPlan DrawFaults(SoakPlan plan) {
@@ -105,6 +123,7 @@
   }
   DrawDepartures(plan);
   if (plan.organisations) DrawRevocations(plan);
+  DrawEndpointLosses(plan);
   std::ranges::stable_sort(plan.faults, {}, &Fault::at);
   return plan;
 }
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -39,17 +39,19 @@
   kStorePartition,  ///< As kStoreCut, but connections of that time stay silent.
   kEngineLeave,     ///< Its entry goes without a word; it serves on.
   kKeyRevoke,       ///< An organisation's key is replaced by another.
+  kEndpointLost,    ///< SIGKILL, started again after the fault's length.
 };
 
 /** Kinds of which every seed draws. */
 inline constexpr int kDrawnKinds = 17;
 
-inline constexpr std::array<std::string_view, 20> kFaultNames = {
+inline constexpr std::array<std::string_view, 21> kFaultNames = {
     "entry_kill",    "entry_pause",     "entry_stop",          "entry_reload",
     "endpoint_kill", "endpoint_pause",  "engine_crash",        "engine_drain",
     "engine_reset",  "engine_delay",    "engine_silent",       "engine_cut",
     "store_busy",    "store_silent",    "store_loses_answers", "store_cut",
-    "config_change", "store_partition", "engine_leave",        "key_revoke"};
+    "config_change", "store_partition", "engine_leave",        "key_revoke",
+    "endpoint_lost"};
 
 struct Fault {
   FaultKind kind = FaultKind::kEntryKill;
@@ -69,6 +71,10 @@
   int callers = 16;
   /** Times that an entry loses the store while engines leave without a word. */
   int departures = 0;
+  /** Model engines, the first ones, without a process beside them. */
+  int unattended = 0;
+  /** Times that the process beside an engine is gone for long. */
+  int endpoint_losses = 0;
   /** Callers have keys, some are taken away, and one quota is exceeded. */
   bool organisations = false;
   /** Of traffic with faults; a quiet time follows. */
@@ -132,6 +138,7 @@
   std::string instance;
   std::string holder;
   std::int64_t fence = 0;
+  core::SteadyTime at;
 };
 
 /** All that callers and engines saw. */
--- a/deploy/soak/soak_world_base.h
+++ b/deploy/soak/soak_world_base.h
@@ -51,8 +51,10 @@
     std::string address;
     std::unique_ptr<SoakEngine> engine;
     std::unique_ptr<tests::Relay> relay;
+    /** Null: it has none. */
     std::unique_ptr<tests::Process> process;
     bool down = false;
+    bool endpoint_lost = false;
   };
   struct EntryVm {
     std::string vm;
@@ -77,6 +79,7 @@
   core::Task<> Inject(Fault fault);
   core::Task<> InjectEntry(Fault fault);
   core::Task<> InjectEngine(Fault fault);
+  core::Task<> InjectEndpoint(Fault fault);
   core::Task<> InjectStore(Fault fault);
   core::Task<> CrashEngine(EngineVm& vm, milliseconds down);
   core::Task<> DrainEngine(EngineVm& vm, milliseconds serves_on);
--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -2947,6 +2947,305 @@
 }
 
 
+EngineHolder::~EngineHolder() noexcept {
+}
+
+
+void EngineHolder::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void EngineHolder::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineHolder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineHolder");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineHolder &a, EngineHolder &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+EngineHolder::EngineHolder(const EngineHolder& other88) {
+  vm = other88.vm;
+  address = other88.address;
+  __isset = other88.__isset;
+}
+EngineHolder::EngineHolder(EngineHolder&& other89) noexcept {
+  vm = std::move(other89.vm);
+  address = std::move(other89.address);
+  __isset = other89.__isset;
+}
+EngineHolder& EngineHolder::operator=(const EngineHolder& other90) {
+  vm = other90.vm;
+  address = other90.address;
+  __isset = other90.__isset;
+  return *this;
+}
+EngineHolder& EngineHolder::operator=(EngineHolder&& other91) noexcept {
+  vm = std::move(other91.vm);
+  address = std::move(other91.address);
+  __isset = other91.__isset;
+  return *this;
+}
+void EngineHolder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineHolder(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+ReleaseEngine::~ReleaseEngine() noexcept {
+}
+
+
+void ReleaseEngine::__set_engine_address(const std::string& val) {
+  this->engine_address = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReleaseEngine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReleaseEngine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine_address);
+          this->__isset.engine_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReleaseEngine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReleaseEngine");
+
+  xfer += oprot->writeFieldBegin("engine_address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReleaseEngine &a, ReleaseEngine &b) {
+  using ::std::swap;
+  swap(a.engine_address, b.engine_address);
+  swap(a.__isset, b.__isset);
+}
+
+ReleaseEngine::ReleaseEngine(const ReleaseEngine& other92) {
+  engine_address = other92.engine_address;
+  __isset = other92.__isset;
+}
+ReleaseEngine::ReleaseEngine(ReleaseEngine&& other93) noexcept {
+  engine_address = std::move(other93.engine_address);
+  __isset = other93.__isset;
+}
+ReleaseEngine& ReleaseEngine::operator=(const ReleaseEngine& other94) {
+  engine_address = other94.engine_address;
+  __isset = other94.__isset;
+  return *this;
+}
+ReleaseEngine& ReleaseEngine::operator=(ReleaseEngine&& other95) noexcept {
+  engine_address = std::move(other95.engine_address);
+  __isset = other95.__isset;
+  return *this;
+}
+void ReleaseEngine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReleaseEngine(";
+  out << "engine_address=" << to_string(engine_address);
+  out << ")";
+}
+
+
+EngineReleased::~EngineReleased() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const EngineReleased& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineReleased::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineReleased::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineReleased");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineReleased &a, EngineReleased &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+EngineReleased::EngineReleased(const EngineReleased& other96) noexcept {
+  (void) other96;
+}
+EngineReleased::EngineReleased(EngineReleased&& other97) noexcept {
+  (void) other97;
+}
+EngineReleased& EngineReleased::operator=(const EngineReleased& other98) noexcept {
+  (void) other98;
+  return *this;
+}
+EngineReleased& EngineReleased::operator=(EngineReleased&& other99) noexcept {
+  (void) other99;
+  return *this;
+}
+void EngineReleased::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineReleased(";
+  out << ")";
+}
+
+
 ReplicaReport::~ReplicaReport() noexcept {
 }
 
@@ -3016,9 +3315,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast88;
-          xfer += iprot->readI32(ecast88);
-          this->state = static_cast<ReplicaState::type>(ecast88);
+          int32_t ecast100;
+          xfer += iprot->readI32(ecast100);
+          this->state = static_cast<ReplicaState::type>(ecast100);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3044,14 +3343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->adapters.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->adapters.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += iprot->readString(this->adapters[_i93]);
+              xfer += iprot->readString(this->adapters[_i105]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3112,10 +3411,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter94;
-    for (_iter94 = this->adapters.begin(); _iter94 != this->adapters.end(); ++_iter94)
+    std::vector<std::string> ::const_iterator _iter106;
+    for (_iter106 = this->adapters.begin(); _iter106 != this->adapters.end(); ++_iter106)
     {
-      xfer += oprot->writeString((*_iter94));
+      xfer += oprot->writeString((*_iter106));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3146,46 +3445,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaReport::ReplicaReport(const ReplicaReport& other95) {
-  model = other95.model;
-  state = other95.state;
-  running = other95.running;
-  idle_ms = other95.idle_ms;
-  adapters = other95.adapters;
-  bytes = other95.bytes;
-  demand_per_1000_s = other95.demand_per_1000_s;
-  __isset = other95.__isset;
-}
-ReplicaReport::ReplicaReport(ReplicaReport&& other96) noexcept {
-  model = std::move(other96.model);
-  state = other96.state;
-  running = other96.running;
-  idle_ms = other96.idle_ms;
-  adapters = std::move(other96.adapters);
-  bytes = other96.bytes;
-  demand_per_1000_s = other96.demand_per_1000_s;
-  __isset = other96.__isset;
-}
-ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other97) {
-  model = other97.model;
-  state = other97.state;
-  running = other97.running;
-  idle_ms = other97.idle_ms;
-  adapters = other97.adapters;
-  bytes = other97.bytes;
-  demand_per_1000_s = other97.demand_per_1000_s;
-  __isset = other97.__isset;
+ReplicaReport::ReplicaReport(const ReplicaReport& other107) {
+  model = other107.model;
+  state = other107.state;
+  running = other107.running;
+  idle_ms = other107.idle_ms;
+  adapters = other107.adapters;
+  bytes = other107.bytes;
+  demand_per_1000_s = other107.demand_per_1000_s;
+  __isset = other107.__isset;
+}
+ReplicaReport::ReplicaReport(ReplicaReport&& other108) noexcept {
+  model = std::move(other108.model);
+  state = other108.state;
+  running = other108.running;
+  idle_ms = other108.idle_ms;
+  adapters = std::move(other108.adapters);
+  bytes = other108.bytes;
+  demand_per_1000_s = other108.demand_per_1000_s;
+  __isset = other108.__isset;
+}
+ReplicaReport& ReplicaReport::operator=(const ReplicaReport& other109) {
+  model = other109.model;
+  state = other109.state;
+  running = other109.running;
+  idle_ms = other109.idle_ms;
+  adapters = other109.adapters;
+  bytes = other109.bytes;
+  demand_per_1000_s = other109.demand_per_1000_s;
+  __isset = other109.__isset;
   return *this;
 }
-ReplicaReport& ReplicaReport::operator=(ReplicaReport&& other98) noexcept {
-  model = std::move(other98.model);
-  state = other98.state;
-  running = other98.running;
-  idle_ms = other98.idle_ms;
-  adapters = std::move(other98.adapters);
-  bytes = other98.bytes;
-  demand_per_1000_s = other98.demand_per_1000_s;
-  __isset = other98.__isset;
+ReplicaReport& ReplicaReport::operator=(ReplicaReport&& other110) noexcept {
+  model = std::move(other110.model);
+  state = other110.state;
+  running = other110.running;
+  idle_ms = other110.idle_ms;
+  adapters = std::move(other110.adapters);
+  bytes = other110.bytes;
+  demand_per_1000_s = other110.demand_per_1000_s;
+  __isset = other110.__isset;
   return *this;
 }
 void ReplicaReport::printTo(std::ostream& out) const {
@@ -3256,18 +3555,18 @@
   (void) b;
 }
 
-Subscribe::Subscribe(const Subscribe& other99) noexcept {
-  (void) other99;
+Subscribe::Subscribe(const Subscribe& other111) noexcept {
+  (void) other111;
 }
-Subscribe::Subscribe(Subscribe&& other100) noexcept {
-  (void) other100;
+Subscribe::Subscribe(Subscribe&& other112) noexcept {
+  (void) other112;
 }
-Subscribe& Subscribe::operator=(const Subscribe& other101) noexcept {
-  (void) other101;
+Subscribe& Subscribe::operator=(const Subscribe& other113) noexcept {
+  (void) other113;
   return *this;
 }
-Subscribe& Subscribe::operator=(Subscribe&& other102) noexcept {
-  (void) other102;
+Subscribe& Subscribe::operator=(Subscribe&& other114) noexcept {
+  (void) other114;
   return *this;
 }
 void Subscribe::printTo(std::ostream& out) const {
@@ -3436,14 +3735,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->replicas.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->replicas.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->replicas[_i107].read(iprot);
+              xfer += this->replicas[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3456,14 +3755,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memory_tier.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->memory_tier.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->memory_tier.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += iprot->readString(this->memory_tier[_i112]);
+              xfer += iprot->readString(this->memory_tier[_i124]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3476,14 +3775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->disk_tier.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->disk_tier.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->disk_tier.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += iprot->readString(this->disk_tier[_i117]);
+              xfer += iprot->readString(this->disk_tier[_i129]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3556,10 +3855,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaReport> ::const_iterator _iter118;
-    for (_iter118 = this->replicas.begin(); _iter118 != this->replicas.end(); ++_iter118)
+    std::vector<ReplicaReport> ::const_iterator _iter130;
+    for (_iter130 = this->replicas.begin(); _iter130 != this->replicas.end(); ++_iter130)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter130).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3568,10 +3867,10 @@
   xfer += oprot->writeFieldBegin("memory_tier", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->memory_tier.size()));
-    std::vector<std::string> ::const_iterator _iter119;
-    for (_iter119 = this->memory_tier.begin(); _iter119 != this->memory_tier.end(); ++_iter119)
+    std::vector<std::string> ::const_iterator _iter131;
+    for (_iter131 = this->memory_tier.begin(); _iter131 != this->memory_tier.end(); ++_iter131)
     {
-      xfer += oprot->writeString((*_iter119));
+      xfer += oprot->writeString((*_iter131));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3580,10 +3879,10 @@
   xfer += oprot->writeFieldBegin("disk_tier", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->disk_tier.size()));
-    std::vector<std::string> ::const_iterator _iter120;
-    for (_iter120 = this->disk_tier.begin(); _iter120 != this->disk_tier.end(); ++_iter120)
+    std::vector<std::string> ::const_iterator _iter132;
+    for (_iter132 = this->disk_tier.begin(); _iter132 != this->disk_tier.end(); ++_iter132)
     {
-      xfer += oprot->writeString((*_iter120));
+      xfer += oprot->writeString((*_iter132));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3616,70 +3915,70 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other121) {
-  endpoint = other121.endpoint;
-  zone = other121.zone;
-  incarnation = other121.incarnation;
-  leaving = other121.leaving;
-  kind = other121.kind;
-  memory_bytes = other121.memory_bytes;
-  reserved_bytes = other121.reserved_bytes;
-  running = other121.running;
-  max_running = other121.max_running;
-  replicas = other121.replicas;
-  memory_tier = other121.memory_tier;
-  disk_tier = other121.disk_tier;
-  engine_up = other121.engine_up;
-  __isset = other121.__isset;
-}
-EndpointReport::EndpointReport(EndpointReport&& other122) noexcept {
-  endpoint = std::move(other122.endpoint);
-  zone = std::move(other122.zone);
-  incarnation = other122.incarnation;
-  leaving = other122.leaving;
-  kind = std::move(other122.kind);
-  memory_bytes = other122.memory_bytes;
-  reserved_bytes = other122.reserved_bytes;
-  running = other122.running;
-  max_running = other122.max_running;
-  replicas = std::move(other122.replicas);
-  memory_tier = std::move(other122.memory_tier);
-  disk_tier = std::move(other122.disk_tier);
-  engine_up = other122.engine_up;
-  __isset = other122.__isset;
-}
-EndpointReport& EndpointReport::operator=(const EndpointReport& other123) {
-  endpoint = other123.endpoint;
-  zone = other123.zone;
-  incarnation = other123.incarnation;
-  leaving = other123.leaving;
-  kind = other123.kind;
-  memory_bytes = other123.memory_bytes;
-  reserved_bytes = other123.reserved_bytes;
-  running = other123.running;
-  max_running = other123.max_running;
-  replicas = other123.replicas;
-  memory_tier = other123.memory_tier;
-  disk_tier = other123.disk_tier;
-  engine_up = other123.engine_up;
-  __isset = other123.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other133) {
+  endpoint = other133.endpoint;
+  zone = other133.zone;
+  incarnation = other133.incarnation;
+  leaving = other133.leaving;
+  kind = other133.kind;
+  memory_bytes = other133.memory_bytes;
+  reserved_bytes = other133.reserved_bytes;
+  running = other133.running;
+  max_running = other133.max_running;
+  replicas = other133.replicas;
+  memory_tier = other133.memory_tier;
+  disk_tier = other133.disk_tier;
+  engine_up = other133.engine_up;
+  __isset = other133.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other134) noexcept {
+  endpoint = std::move(other134.endpoint);
+  zone = std::move(other134.zone);
+  incarnation = other134.incarnation;
+  leaving = other134.leaving;
+  kind = std::move(other134.kind);
+  memory_bytes = other134.memory_bytes;
+  reserved_bytes = other134.reserved_bytes;
+  running = other134.running;
+  max_running = other134.max_running;
+  replicas = std::move(other134.replicas);
+  memory_tier = std::move(other134.memory_tier);
+  disk_tier = std::move(other134.disk_tier);
+  engine_up = other134.engine_up;
+  __isset = other134.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other135) {
+  endpoint = other135.endpoint;
+  zone = other135.zone;
+  incarnation = other135.incarnation;
+  leaving = other135.leaving;
+  kind = other135.kind;
+  memory_bytes = other135.memory_bytes;
+  reserved_bytes = other135.reserved_bytes;
+  running = other135.running;
+  max_running = other135.max_running;
+  replicas = other135.replicas;
+  memory_tier = other135.memory_tier;
+  disk_tier = other135.disk_tier;
+  engine_up = other135.engine_up;
+  __isset = other135.__isset;
   return *this;
 }
-EndpointReport& EndpointReport::operator=(EndpointReport&& other124) noexcept {
-  endpoint = std::move(other124.endpoint);
-  zone = std::move(other124.zone);
-  incarnation = other124.incarnation;
-  leaving = other124.leaving;
-  kind = std::move(other124.kind);
-  memory_bytes = other124.memory_bytes;
-  reserved_bytes = other124.reserved_bytes;
-  running = other124.running;
-  max_running = other124.max_running;
-  replicas = std::move(other124.replicas);
-  memory_tier = std::move(other124.memory_tier);
-  disk_tier = std::move(other124.disk_tier);
-  engine_up = other124.engine_up;
-  __isset = other124.__isset;
+EndpointReport& EndpointReport::operator=(EndpointReport&& other136) noexcept {
+  endpoint = std::move(other136.endpoint);
+  zone = std::move(other136.zone);
+  incarnation = other136.incarnation;
+  leaving = other136.leaving;
+  kind = std::move(other136.kind);
+  memory_bytes = other136.memory_bytes;
+  reserved_bytes = other136.reserved_bytes;
+  running = other136.running;
+  max_running = other136.max_running;
+  replicas = std::move(other136.replicas);
+  memory_tier = std::move(other136.memory_tier);
+  disk_tier = std::move(other136.disk_tier);
+  engine_up = other136.engine_up;
+  __isset = other136.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -3811,30 +4110,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryPresence::EntryPresence(const EntryPresence& other125) {
-  vm = other125.vm;
-  zone = other125.zone;
-  address = other125.address;
-  __isset = other125.__isset;
+EntryPresence::EntryPresence(const EntryPresence& other137) {
+  vm = other137.vm;
+  zone = other137.zone;
+  address = other137.address;
+  __isset = other137.__isset;
 }
-EntryPresence::EntryPresence(EntryPresence&& other126) noexcept {
-  vm = std::move(other126.vm);
-  zone = std::move(other126.zone);
-  address = std::move(other126.address);
-  __isset = other126.__isset;
+EntryPresence::EntryPresence(EntryPresence&& other138) noexcept {
+  vm = std::move(other138.vm);
+  zone = std::move(other138.zone);
+  address = std::move(other138.address);
+  __isset = other138.__isset;
 }
-EntryPresence& EntryPresence::operator=(const EntryPresence& other127) {
-  vm = other127.vm;
-  zone = other127.zone;
-  address = other127.address;
-  __isset = other127.__isset;
+EntryPresence& EntryPresence::operator=(const EntryPresence& other139) {
+  vm = other139.vm;
+  zone = other139.zone;
+  address = other139.address;
+  __isset = other139.__isset;
   return *this;
 }
-EntryPresence& EntryPresence::operator=(EntryPresence&& other128) noexcept {
-  vm = std::move(other128.vm);
-  zone = std::move(other128.zone);
-  address = std::move(other128.address);
-  __isset = other128.__isset;
+EntryPresence& EntryPresence::operator=(EntryPresence&& other140) noexcept {
+  vm = std::move(other140.vm);
+  zone = std::move(other140.zone);
+  address = std::move(other140.address);
+  __isset = other140.__isset;
   return *this;
 }
 void EntryPresence::printTo(std::ostream& out) const {
@@ -3898,14 +4197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->parts.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->parts.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->parts[_i133].read(iprot);
+              xfer += this->parts[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3938,10 +4237,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ResidentUse> ::const_iterator _iter134;
-    for (_iter134 = this->parts.begin(); _iter134 != this->parts.end(); ++_iter134)
+    std::vector<ResidentUse> ::const_iterator _iter146;
+    for (_iter146 = this->parts.begin(); _iter146 != this->parts.end(); ++_iter146)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3959,26 +4258,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineUse::EngineUse(const EngineUse& other135) {
-  engine_instance = other135.engine_instance;
-  parts = other135.parts;
-  __isset = other135.__isset;
+EngineUse::EngineUse(const EngineUse& other147) {
+  engine_instance = other147.engine_instance;
+  parts = other147.parts;
+  __isset = other147.__isset;
 }
-EngineUse::EngineUse(EngineUse&& other136) noexcept {
-  engine_instance = std::move(other136.engine_instance);
-  parts = std::move(other136.parts);
-  __isset = other136.__isset;
+EngineUse::EngineUse(EngineUse&& other148) noexcept {
+  engine_instance = std::move(other148.engine_instance);
+  parts = std::move(other148.parts);
+  __isset = other148.__isset;
 }
-EngineUse& EngineUse::operator=(const EngineUse& other137) {
-  engine_instance = other137.engine_instance;
-  parts = other137.parts;
-  __isset = other137.__isset;
+EngineUse& EngineUse::operator=(const EngineUse& other149) {
+  engine_instance = other149.engine_instance;
+  parts = other149.parts;
+  __isset = other149.__isset;
   return *this;
 }
-EngineUse& EngineUse::operator=(EngineUse&& other138) noexcept {
-  engine_instance = std::move(other138.engine_instance);
-  parts = std::move(other138.parts);
-  __isset = other138.__isset;
+EngineUse& EngineUse::operator=(EngineUse&& other150) noexcept {
+  engine_instance = std::move(other150.engine_instance);
+  parts = std::move(other150.parts);
+  __isset = other150.__isset;
   return *this;
 }
 void EngineUse::printTo(std::ostream& out) const {
@@ -4116,34 +4415,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingLoad::ComingLoad(const ComingLoad& other139) {
-  engine_instance = other139.engine_instance;
-  model = other139.model;
-  ready_in_ms = other139.ready_in_ms;
-  from_weight_store = other139.from_weight_store;
-  __isset = other139.__isset;
-}
-ComingLoad::ComingLoad(ComingLoad&& other140) noexcept {
-  engine_instance = std::move(other140.engine_instance);
-  model = std::move(other140.model);
-  ready_in_ms = other140.ready_in_ms;
-  from_weight_store = other140.from_weight_store;
-  __isset = other140.__isset;
-}
-ComingLoad& ComingLoad::operator=(const ComingLoad& other141) {
-  engine_instance = other141.engine_instance;
-  model = other141.model;
-  ready_in_ms = other141.ready_in_ms;
-  from_weight_store = other141.from_weight_store;
-  __isset = other141.__isset;
+ComingLoad::ComingLoad(const ComingLoad& other151) {
+  engine_instance = other151.engine_instance;
+  model = other151.model;
+  ready_in_ms = other151.ready_in_ms;
+  from_weight_store = other151.from_weight_store;
+  __isset = other151.__isset;
+}
+ComingLoad::ComingLoad(ComingLoad&& other152) noexcept {
+  engine_instance = std::move(other152.engine_instance);
+  model = std::move(other152.model);
+  ready_in_ms = other152.ready_in_ms;
+  from_weight_store = other152.from_weight_store;
+  __isset = other152.__isset;
+}
+ComingLoad& ComingLoad::operator=(const ComingLoad& other153) {
+  engine_instance = other153.engine_instance;
+  model = other153.model;
+  ready_in_ms = other153.ready_in_ms;
+  from_weight_store = other153.from_weight_store;
+  __isset = other153.__isset;
   return *this;
 }
-ComingLoad& ComingLoad::operator=(ComingLoad&& other142) noexcept {
-  engine_instance = std::move(other142.engine_instance);
-  model = std::move(other142.model);
-  ready_in_ms = other142.ready_in_ms;
-  from_weight_store = other142.from_weight_store;
-  __isset = other142.__isset;
+ComingLoad& ComingLoad::operator=(ComingLoad&& other154) noexcept {
+  engine_instance = std::move(other154.engine_instance);
+  model = std::move(other154.model);
+  ready_in_ms = other154.ready_in_ms;
+  from_weight_store = other154.from_weight_store;
+  __isset = other154.__isset;
   return *this;
 }
 void ComingLoad::printTo(std::ostream& out) const {
@@ -4249,26 +4548,26 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineLimit::EngineLimit(const EngineLimit& other143) {
-  engine_instance = other143.engine_instance;
-  per_second = other143.per_second;
-  __isset = other143.__isset;
+EngineLimit::EngineLimit(const EngineLimit& other155) {
+  engine_instance = other155.engine_instance;
+  per_second = other155.per_second;
+  __isset = other155.__isset;
 }
-EngineLimit::EngineLimit(EngineLimit&& other144) noexcept {
-  engine_instance = std::move(other144.engine_instance);
-  per_second = other144.per_second;
-  __isset = other144.__isset;
+EngineLimit::EngineLimit(EngineLimit&& other156) noexcept {
+  engine_instance = std::move(other156.engine_instance);
+  per_second = other156.per_second;
+  __isset = other156.__isset;
 }
-EngineLimit& EngineLimit::operator=(const EngineLimit& other145) {
-  engine_instance = other145.engine_instance;
-  per_second = other145.per_second;
-  __isset = other145.__isset;
+EngineLimit& EngineLimit::operator=(const EngineLimit& other157) {
+  engine_instance = other157.engine_instance;
+  per_second = other157.per_second;
+  __isset = other157.__isset;
   return *this;
 }
-EngineLimit& EngineLimit::operator=(EngineLimit&& other146) noexcept {
-  engine_instance = std::move(other146.engine_instance);
-  per_second = other146.per_second;
-  __isset = other146.__isset;
+EngineLimit& EngineLimit::operator=(EngineLimit&& other158) noexcept {
+  engine_instance = std::move(other158.engine_instance);
+  per_second = other158.per_second;
+  __isset = other158.__isset;
   return *this;
 }
 void EngineLimit::printTo(std::ostream& out) const {
@@ -4355,14 +4654,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->uses.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->uses.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->uses[_i151].read(iprot);
+              xfer += this->uses[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4375,14 +4674,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->loads.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->loads.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->loads[_i156].read(iprot);
+              xfer += this->loads[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4403,14 +4702,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->limits.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->limits.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->limits[_i161].read(iprot);
+              xfer += this->limits[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4447,10 +4746,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<EngineUse> ::const_iterator _iter162;
-    for (_iter162 = this->uses.begin(); _iter162 != this->uses.end(); ++_iter162)
+    std::vector<EngineUse> ::const_iterator _iter174;
+    for (_iter174 = this->uses.begin(); _iter174 != this->uses.end(); ++_iter174)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4459,10 +4758,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ComingLoad> ::const_iterator _iter163;
-    for (_iter163 = this->loads.begin(); _iter163 != this->loads.end(); ++_iter163)
+    std::vector<ComingLoad> ::const_iterator _iter175;
+    for (_iter175 = this->loads.begin(); _iter175 != this->loads.end(); ++_iter175)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4475,10 +4774,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<EngineLimit> ::const_iterator _iter164;
-    for (_iter164 = this->limits.begin(); _iter164 != this->limits.end(); ++_iter164)
+    std::vector<EngineLimit> ::const_iterator _iter176;
+    for (_iter176 = this->limits.begin(); _iter176 != this->limits.end(); ++_iter176)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4500,42 +4799,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryRecord::EntryRecord(const EntryRecord& other165) {
-  entry = other165.entry;
-  number = other165.number;
-  uses = other165.uses;
-  loads = other165.loads;
-  store_load_ms = other165.store_load_ms;
-  limits = other165.limits;
-  __isset = other165.__isset;
-}
-EntryRecord::EntryRecord(EntryRecord&& other166) noexcept {
-  entry = std::move(other166.entry);
-  number = other166.number;
-  uses = std::move(other166.uses);
-  loads = std::move(other166.loads);
-  store_load_ms = other166.store_load_ms;
-  limits = std::move(other166.limits);
-  __isset = other166.__isset;
-}
-EntryRecord& EntryRecord::operator=(const EntryRecord& other167) {
-  entry = other167.entry;
-  number = other167.number;
-  uses = other167.uses;
-  loads = other167.loads;
-  store_load_ms = other167.store_load_ms;
-  limits = other167.limits;
-  __isset = other167.__isset;
+EntryRecord::EntryRecord(const EntryRecord& other177) {
+  entry = other177.entry;
+  number = other177.number;
+  uses = other177.uses;
+  loads = other177.loads;
+  store_load_ms = other177.store_load_ms;
+  limits = other177.limits;
+  __isset = other177.__isset;
+}
+EntryRecord::EntryRecord(EntryRecord&& other178) noexcept {
+  entry = std::move(other178.entry);
+  number = other178.number;
+  uses = std::move(other178.uses);
+  loads = std::move(other178.loads);
+  store_load_ms = other178.store_load_ms;
+  limits = std::move(other178.limits);
+  __isset = other178.__isset;
+}
+EntryRecord& EntryRecord::operator=(const EntryRecord& other179) {
+  entry = other179.entry;
+  number = other179.number;
+  uses = other179.uses;
+  loads = other179.loads;
+  store_load_ms = other179.store_load_ms;
+  limits = other179.limits;
+  __isset = other179.__isset;
   return *this;
 }
-EntryRecord& EntryRecord::operator=(EntryRecord&& other168) noexcept {
-  entry = std::move(other168.entry);
-  number = other168.number;
-  uses = std::move(other168.uses);
-  loads = std::move(other168.loads);
-  store_load_ms = other168.store_load_ms;
-  limits = std::move(other168.limits);
-  __isset = other168.__isset;
+EntryRecord& EntryRecord::operator=(EntryRecord&& other180) noexcept {
+  entry = std::move(other180.entry);
+  number = other180.number;
+  uses = std::move(other180.uses);
+  loads = std::move(other180.loads);
+  store_load_ms = other180.store_load_ms;
+  limits = std::move(other180.limits);
+  __isset = other180.__isset;
   return *this;
 }
 void EntryRecord::printTo(std::ostream& out) const {
@@ -4745,50 +5044,50 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaAsk::QuotaAsk(const QuotaAsk& other169) {
-  entry = other169.entry;
-  number = other169.number;
-  quota = other169.quota;
-  units = other169.units;
-  version = other169.version;
-  units_per_second = other169.units_per_second;
-  burst = other169.burst;
-  wait_ms = other169.wait_ms;
-  __isset = other169.__isset;
-}
-QuotaAsk::QuotaAsk(QuotaAsk&& other170) noexcept {
-  entry = std::move(other170.entry);
-  number = other170.number;
-  quota = std::move(other170.quota);
-  units = other170.units;
-  version = other170.version;
-  units_per_second = other170.units_per_second;
-  burst = other170.burst;
-  wait_ms = other170.wait_ms;
-  __isset = other170.__isset;
-}
-QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other171) {
-  entry = other171.entry;
-  number = other171.number;
-  quota = other171.quota;
-  units = other171.units;
-  version = other171.version;
-  units_per_second = other171.units_per_second;
-  burst = other171.burst;
-  wait_ms = other171.wait_ms;
-  __isset = other171.__isset;
+QuotaAsk::QuotaAsk(const QuotaAsk& other181) {
+  entry = other181.entry;
+  number = other181.number;
+  quota = other181.quota;
+  units = other181.units;
+  version = other181.version;
+  units_per_second = other181.units_per_second;
+  burst = other181.burst;
+  wait_ms = other181.wait_ms;
+  __isset = other181.__isset;
+}
+QuotaAsk::QuotaAsk(QuotaAsk&& other182) noexcept {
+  entry = std::move(other182.entry);
+  number = other182.number;
+  quota = std::move(other182.quota);
+  units = other182.units;
+  version = other182.version;
+  units_per_second = other182.units_per_second;
+  burst = other182.burst;
+  wait_ms = other182.wait_ms;
+  __isset = other182.__isset;
+}
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other183) {
+  entry = other183.entry;
+  number = other183.number;
+  quota = other183.quota;
+  units = other183.units;
+  version = other183.version;
+  units_per_second = other183.units_per_second;
+  burst = other183.burst;
+  wait_ms = other183.wait_ms;
+  __isset = other183.__isset;
   return *this;
 }
-QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other172) noexcept {
-  entry = std::move(other172.entry);
-  number = other172.number;
-  quota = std::move(other172.quota);
-  units = other172.units;
-  version = other172.version;
-  units_per_second = other172.units_per_second;
-  burst = other172.burst;
-  wait_ms = other172.wait_ms;
-  __isset = other172.__isset;
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other184) noexcept {
+  entry = std::move(other184.entry);
+  number = other184.number;
+  quota = std::move(other184.quota);
+  units = other184.units;
+  version = other184.version;
+  units_per_second = other184.units_per_second;
+  burst = other184.burst;
+  wait_ms = other184.wait_ms;
+  __isset = other184.__isset;
   return *this;
 }
 void QuotaAsk::printTo(std::ostream& out) const {
@@ -4879,9 +5178,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast173;
-          xfer += iprot->readI32(ecast173);
-          this->verdict = static_cast<QuotaVerdict::type>(ecast173);
+          int32_t ecast185;
+          xfer += iprot->readI32(ecast185);
+          this->verdict = static_cast<QuotaVerdict::type>(ecast185);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4968,42 +5267,42 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaAnswer::QuotaAnswer(const QuotaAnswer& other174) {
-  entry = other174.entry;
-  number = other174.number;
-  verdict = other174.verdict;
-  delay_ms = other174.delay_ms;
-  coordinator = other174.coordinator;
-  coordinator_address = other174.coordinator_address;
-  __isset = other174.__isset;
-}
-QuotaAnswer::QuotaAnswer(QuotaAnswer&& other175) noexcept {
-  entry = std::move(other175.entry);
-  number = other175.number;
-  verdict = other175.verdict;
-  delay_ms = other175.delay_ms;
-  coordinator = std::move(other175.coordinator);
-  coordinator_address = std::move(other175.coordinator_address);
-  __isset = other175.__isset;
-}
-QuotaAnswer& QuotaAnswer::operator=(const QuotaAnswer& other176) {
-  entry = other176.entry;
-  number = other176.number;
-  verdict = other176.verdict;
-  delay_ms = other176.delay_ms;
-  coordinator = other176.coordinator;
-  coordinator_address = other176.coordinator_address;
-  __isset = other176.__isset;
+QuotaAnswer::QuotaAnswer(const QuotaAnswer& other186) {
+  entry = other186.entry;
+  number = other186.number;
+  verdict = other186.verdict;
+  delay_ms = other186.delay_ms;
+  coordinator = other186.coordinator;
+  coordinator_address = other186.coordinator_address;
+  __isset = other186.__isset;
+}
+QuotaAnswer::QuotaAnswer(QuotaAnswer&& other187) noexcept {
+  entry = std::move(other187.entry);
+  number = other187.number;
+  verdict = other187.verdict;
+  delay_ms = other187.delay_ms;
+  coordinator = std::move(other187.coordinator);
+  coordinator_address = std::move(other187.coordinator_address);
+  __isset = other187.__isset;
+}
+QuotaAnswer& QuotaAnswer::operator=(const QuotaAnswer& other188) {
+  entry = other188.entry;
+  number = other188.number;
+  verdict = other188.verdict;
+  delay_ms = other188.delay_ms;
+  coordinator = other188.coordinator;
+  coordinator_address = other188.coordinator_address;
+  __isset = other188.__isset;
   return *this;
 }
-QuotaAnswer& QuotaAnswer::operator=(QuotaAnswer&& other177) noexcept {
-  entry = std::move(other177.entry);
-  number = other177.number;
-  verdict = other177.verdict;
-  delay_ms = other177.delay_ms;
-  coordinator = std::move(other177.coordinator);
-  coordinator_address = std::move(other177.coordinator_address);
-  __isset = other177.__isset;
+QuotaAnswer& QuotaAnswer::operator=(QuotaAnswer&& other189) noexcept {
+  entry = std::move(other189.entry);
+  number = other189.number;
+  verdict = other189.verdict;
+  delay_ms = other189.delay_ms;
+  coordinator = std::move(other189.coordinator);
+  coordinator_address = std::move(other189.coordinator_address);
+  __isset = other189.__isset;
   return *this;
 }
 void QuotaAnswer::printTo(std::ostream& out) const {
@@ -5172,38 +5471,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryDatagram::EntryDatagram(const EntryDatagram& other178) {
-  record = other178.record;
-  quota_ask = other178.quota_ask;
-  quota_answer = other178.quota_answer;
-  engine_ask = other178.engine_ask;
-  engine_answer = other178.engine_answer;
-  __isset = other178.__isset;
-}
-EntryDatagram::EntryDatagram(EntryDatagram&& other179) noexcept {
-  record = std::move(other179.record);
-  quota_ask = std::move(other179.quota_ask);
-  quota_answer = std::move(other179.quota_answer);
-  engine_ask = std::move(other179.engine_ask);
-  engine_answer = std::move(other179.engine_answer);
-  __isset = other179.__isset;
-}
-EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other180) {
-  record = other180.record;
-  quota_ask = other180.quota_ask;
-  quota_answer = other180.quota_answer;
-  engine_ask = other180.engine_ask;
-  engine_answer = other180.engine_answer;
-  __isset = other180.__isset;
+EntryDatagram::EntryDatagram(const EntryDatagram& other190) {
+  record = other190.record;
+  quota_ask = other190.quota_ask;
+  quota_answer = other190.quota_answer;
+  engine_ask = other190.engine_ask;
+  engine_answer = other190.engine_answer;
+  __isset = other190.__isset;
+}
+EntryDatagram::EntryDatagram(EntryDatagram&& other191) noexcept {
+  record = std::move(other191.record);
+  quota_ask = std::move(other191.quota_ask);
+  quota_answer = std::move(other191.quota_answer);
+  engine_ask = std::move(other191.engine_ask);
+  engine_answer = std::move(other191.engine_answer);
+  __isset = other191.__isset;
+}
+EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other192) {
+  record = other192.record;
+  quota_ask = other192.quota_ask;
+  quota_answer = other192.quota_answer;
+  engine_ask = other192.engine_ask;
+  engine_answer = other192.engine_answer;
+  __isset = other192.__isset;
   return *this;
 }
-EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other181) noexcept {
-  record = std::move(other181.record);
-  quota_ask = std::move(other181.quota_ask);
-  quota_answer = std::move(other181.quota_answer);
-  engine_ask = std::move(other181.engine_ask);
-  engine_answer = std::move(other181.engine_answer);
-  __isset = other181.__isset;
+EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other193) noexcept {
+  record = std::move(other193.record);
+  quota_ask = std::move(other193.quota_ask);
+  quota_answer = std::move(other193.quota_answer);
+  engine_ask = std::move(other193.engine_ask);
+  engine_answer = std::move(other193.engine_answer);
+  __isset = other193.__isset;
   return *this;
 }
 void EntryDatagram::printTo(std::ostream& out) const {
@@ -5272,18 +5571,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other182) noexcept {
-  (void) other182;
+Drain::Drain(const Drain& other194) noexcept {
+  (void) other194;
 }
-Drain::Drain(Drain&& other183) noexcept {
-  (void) other183;
+Drain::Drain(Drain&& other195) noexcept {
+  (void) other195;
 }
-Drain& Drain::operator=(const Drain& other184) noexcept {
-  (void) other184;
+Drain& Drain::operator=(const Drain& other196) noexcept {
+  (void) other196;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other185) noexcept {
-  (void) other185;
+Drain& Drain::operator=(Drain&& other197) noexcept {
+  (void) other197;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -5368,22 +5667,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other186) noexcept {
-  running = other186.running;
-  __isset = other186.__isset;
+DrainState::DrainState(const DrainState& other198) noexcept {
+  running = other198.running;
+  __isset = other198.__isset;
 }
-DrainState::DrainState(DrainState&& other187) noexcept {
-  running = other187.running;
-  __isset = other187.__isset;
+DrainState::DrainState(DrainState&& other199) noexcept {
+  running = other199.running;
+  __isset = other199.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other188) noexcept {
-  running = other188.running;
-  __isset = other188.__isset;
+DrainState& DrainState::operator=(const DrainState& other200) noexcept {
+  running = other200.running;
+  __isset = other200.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other189) noexcept {
-  running = other189.running;
-  __isset = other189.__isset;
+DrainState& DrainState::operator=(DrainState&& other201) noexcept {
+  running = other201.running;
+  __isset = other201.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -5445,14 +5744,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size190;
-            ::apache::thrift::protocol::TType _etype193;
-            xfer += iprot->readListBegin(_etype193, _size190);
-            this->have_parts.resize(_size190);
-            uint32_t _i194;
-            for (_i194 = 0; _i194 < _size190; ++_i194)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->have_parts.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += iprot->readString(this->have_parts[_i194]);
+              xfer += iprot->readString(this->have_parts[_i206]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5485,10 +5784,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter195;
-    for (_iter195 = this->have_parts.begin(); _iter195 != this->have_parts.end(); ++_iter195)
+    std::vector<std::string> ::const_iterator _iter207;
+    for (_iter207 = this->have_parts.begin(); _iter207 != this->have_parts.end(); ++_iter207)
     {
-      xfer += oprot->writeString((*_iter195));
+      xfer += oprot->writeString((*_iter207));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5506,26 +5805,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other196) {
-  have_version = other196.have_version;
-  have_parts = other196.have_parts;
-  __isset = other196.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other208) {
+  have_version = other208.have_version;
+  have_parts = other208.have_parts;
+  __isset = other208.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other197) noexcept {
-  have_version = other197.have_version;
-  have_parts = std::move(other197.have_parts);
-  __isset = other197.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other209) noexcept {
+  have_version = other209.have_version;
+  have_parts = std::move(other209.have_parts);
+  __isset = other209.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other198) {
-  have_version = other198.have_version;
-  have_parts = other198.have_parts;
-  __isset = other198.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other210) {
+  have_version = other210.have_version;
+  have_parts = other210.have_parts;
+  __isset = other210.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other199) noexcept {
-  have_version = other199.have_version;
-  have_parts = std::move(other199.have_parts);
-  __isset = other199.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other211) noexcept {
+  have_version = other211.have_version;
+  have_parts = std::move(other211.have_parts);
+  __isset = other211.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -5629,26 +5928,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other200) {
-  hash = other200.hash;
-  data = other200.data;
-  __isset = other200.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other212) {
+  hash = other212.hash;
+  data = other212.data;
+  __isset = other212.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other201) noexcept {
-  hash = std::move(other201.hash);
-  data = std::move(other201.data);
-  __isset = other201.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other213) noexcept {
+  hash = std::move(other213.hash);
+  data = std::move(other213.data);
+  __isset = other213.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other202) {
-  hash = other202.hash;
-  data = other202.data;
-  __isset = other202.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other214) {
+  hash = other214.hash;
+  data = other214.data;
+  __isset = other214.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other203) noexcept {
-  hash = std::move(other203.hash);
-  data = std::move(other203.data);
-  __isset = other203.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other215) noexcept {
+  hash = std::move(other215.hash);
+  data = std::move(other215.data);
+  __isset = other215.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -5727,14 +6026,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->part_hashes.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->part_hashes.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += iprot->readString(this->part_hashes[_i208]);
+              xfer += iprot->readString(this->part_hashes[_i220]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5747,14 +6046,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->parts.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->parts.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += this->parts[_i213].read(iprot);
+              xfer += this->parts[_i225].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5791,10 +6090,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter214;
-    for (_iter214 = this->part_hashes.begin(); _iter214 != this->part_hashes.end(); ++_iter214)
+    std::vector<std::string> ::const_iterator _iter226;
+    for (_iter226 = this->part_hashes.begin(); _iter226 != this->part_hashes.end(); ++_iter226)
     {
-      xfer += oprot->writeString((*_iter214));
+      xfer += oprot->writeString((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5803,10 +6102,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter215;
-    for (_iter215 = this->parts.begin(); _iter215 != this->parts.end(); ++_iter215)
+    std::vector<ConfigPart> ::const_iterator _iter227;
+    for (_iter227 = this->parts.begin(); _iter227 != this->parts.end(); ++_iter227)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5826,34 +6125,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other216) {
-  version = other216.version;
-  plan_id = other216.plan_id;
-  part_hashes = other216.part_hashes;
-  parts = other216.parts;
-  __isset = other216.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other217) noexcept {
-  version = other217.version;
-  plan_id = std::move(other217.plan_id);
-  part_hashes = std::move(other217.part_hashes);
-  parts = std::move(other217.parts);
-  __isset = other217.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other218) {
-  version = other218.version;
-  plan_id = other218.plan_id;
-  part_hashes = other218.part_hashes;
-  parts = other218.parts;
-  __isset = other218.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other228) {
+  version = other228.version;
+  plan_id = other228.plan_id;
+  part_hashes = other228.part_hashes;
+  parts = other228.parts;
+  __isset = other228.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other229) noexcept {
+  version = other229.version;
+  plan_id = std::move(other229.plan_id);
+  part_hashes = std::move(other229.part_hashes);
+  parts = std::move(other229.parts);
+  __isset = other229.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other230) {
+  version = other230.version;
+  plan_id = other230.plan_id;
+  part_hashes = other230.part_hashes;
+  parts = other230.parts;
+  __isset = other230.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other219) noexcept {
-  version = other219.version;
-  plan_id = std::move(other219.plan_id);
-  part_hashes = std::move(other219.part_hashes);
-  parts = std::move(other219.parts);
-  __isset = other219.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other231) noexcept {
+  version = other231.version;
+  plan_id = std::move(other231.plan_id);
+  part_hashes = std::move(other231.part_hashes);
+  parts = std::move(other231.parts);
+  __isset = other231.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -5980,6 +6279,16 @@
   this->config_parts = val;
 __isset.config_parts = true;
 }
+
+void Message::__set_release_engine(const ReleaseEngine& val) {
+  this->release_engine = val;
+__isset.release_engine = true;
+}
+
+void Message::__set_engine_released(const EngineReleased& val) {
+  this->engine_released = val;
+__isset.engine_released = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -6184,6 +6493,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->release_engine.read(iprot);
+          this->__isset.release_engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->engine_released.read(iprot);
+          this->__isset.engine_released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6311,6 +6636,16 @@
     xfer += this->config_parts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.release_engine) {
+    xfer += oprot->writeFieldBegin("release_engine", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->release_engine.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.engine_released) {
+    xfer += oprot->writeFieldBegin("engine_released", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->engine_released.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6340,109 +6675,119 @@
   swap(a.drain_state, b.drain_state);
   swap(a.config_pull, b.config_pull);
   swap(a.config_parts, b.config_parts);
+  swap(a.release_engine, b.release_engine);
+  swap(a.engine_released, b.engine_released);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other220) {
-  hello = other220.hello;
-  heartbeat = other220.heartbeat;
-  credit = other220.credit;
-  cancel = other220.cancel;
-  refusal = other220.refusal;
-  place = other220.place;
-  placed = other220.placed;
-  place_done = other220.place_done;
-  run = other220.run;
-  run_head = other220.run_head;
-  chunk = other220.chunk;
-  run_end = other220.run_end;
-  void_attempt = other220.void_attempt;
-  attempt_state = other220.attempt_state;
-  ensure_model = other220.ensure_model;
-  model_ready = other220.model_ready;
-  subscribe = other220.subscribe;
-  endpoint_report = other220.endpoint_report;
-  drain = other220.drain;
-  drain_state = other220.drain_state;
-  config_pull = other220.config_pull;
-  config_parts = other220.config_parts;
-  __isset = other220.__isset;
-}
-Message::Message(Message&& other221) noexcept {
-  hello = std::move(other221.hello);
-  heartbeat = std::move(other221.heartbeat);
-  credit = std::move(other221.credit);
-  cancel = std::move(other221.cancel);
-  refusal = std::move(other221.refusal);
-  place = std::move(other221.place);
-  placed = std::move(other221.placed);
-  place_done = std::move(other221.place_done);
-  run = std::move(other221.run);
-  run_head = std::move(other221.run_head);
-  chunk = std::move(other221.chunk);
-  run_end = std::move(other221.run_end);
-  void_attempt = std::move(other221.void_attempt);
-  attempt_state = std::move(other221.attempt_state);
-  ensure_model = std::move(other221.ensure_model);
-  model_ready = std::move(other221.model_ready);
-  subscribe = std::move(other221.subscribe);
-  endpoint_report = std::move(other221.endpoint_report);
-  drain = std::move(other221.drain);
-  drain_state = std::move(other221.drain_state);
-  config_pull = std::move(other221.config_pull);
-  config_parts = std::move(other221.config_parts);
-  __isset = other221.__isset;
-}
-Message& Message::operator=(const Message& other222) {
-  hello = other222.hello;
-  heartbeat = other222.heartbeat;
-  credit = other222.credit;
-  cancel = other222.cancel;
-  refusal = other222.refusal;
-  place = other222.place;
-  placed = other222.placed;
-  place_done = other222.place_done;
-  run = other222.run;
-  run_head = other222.run_head;
-  chunk = other222.chunk;
-  run_end = other222.run_end;
-  void_attempt = other222.void_attempt;
-  attempt_state = other222.attempt_state;
-  ensure_model = other222.ensure_model;
-  model_ready = other222.model_ready;
-  subscribe = other222.subscribe;
-  endpoint_report = other222.endpoint_report;
-  drain = other222.drain;
-  drain_state = other222.drain_state;
-  config_pull = other222.config_pull;
-  config_parts = other222.config_parts;
-  __isset = other222.__isset;
+Message::Message(const Message& other232) {
+  hello = other232.hello;
+  heartbeat = other232.heartbeat;
+  credit = other232.credit;
+  cancel = other232.cancel;
+  refusal = other232.refusal;
+  place = other232.place;
+  placed = other232.placed;
+  place_done = other232.place_done;
+  run = other232.run;
+  run_head = other232.run_head;
+  chunk = other232.chunk;
+  run_end = other232.run_end;
+  void_attempt = other232.void_attempt;
+  attempt_state = other232.attempt_state;
+  ensure_model = other232.ensure_model;
+  model_ready = other232.model_ready;
+  subscribe = other232.subscribe;
+  endpoint_report = other232.endpoint_report;
+  drain = other232.drain;
+  drain_state = other232.drain_state;
+  config_pull = other232.config_pull;
+  config_parts = other232.config_parts;
+  release_engine = other232.release_engine;
+  engine_released = other232.engine_released;
+  __isset = other232.__isset;
+}
+Message::Message(Message&& other233) noexcept {
+  hello = std::move(other233.hello);
+  heartbeat = std::move(other233.heartbeat);
+  credit = std::move(other233.credit);
+  cancel = std::move(other233.cancel);
+  refusal = std::move(other233.refusal);
+  place = std::move(other233.place);
+  placed = std::move(other233.placed);
+  place_done = std::move(other233.place_done);
+  run = std::move(other233.run);
+  run_head = std::move(other233.run_head);
+  chunk = std::move(other233.chunk);
+  run_end = std::move(other233.run_end);
+  void_attempt = std::move(other233.void_attempt);
+  attempt_state = std::move(other233.attempt_state);
+  ensure_model = std::move(other233.ensure_model);
+  model_ready = std::move(other233.model_ready);
+  subscribe = std::move(other233.subscribe);
+  endpoint_report = std::move(other233.endpoint_report);
+  drain = std::move(other233.drain);
+  drain_state = std::move(other233.drain_state);
+  config_pull = std::move(other233.config_pull);
+  config_parts = std::move(other233.config_parts);
+  release_engine = std::move(other233.release_engine);
+  engine_released = std::move(other233.engine_released);
+  __isset = other233.__isset;
+}
+Message& Message::operator=(const Message& other234) {
+  hello = other234.hello;
+  heartbeat = other234.heartbeat;
+  credit = other234.credit;
+  cancel = other234.cancel;
+  refusal = other234.refusal;
+  place = other234.place;
+  placed = other234.placed;
+  place_done = other234.place_done;
+  run = other234.run;
+  run_head = other234.run_head;
+  chunk = other234.chunk;
+  run_end = other234.run_end;
+  void_attempt = other234.void_attempt;
+  attempt_state = other234.attempt_state;
+  ensure_model = other234.ensure_model;
+  model_ready = other234.model_ready;
+  subscribe = other234.subscribe;
+  endpoint_report = other234.endpoint_report;
+  drain = other234.drain;
+  drain_state = other234.drain_state;
+  config_pull = other234.config_pull;
+  config_parts = other234.config_parts;
+  release_engine = other234.release_engine;
+  engine_released = other234.engine_released;
+  __isset = other234.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other223) noexcept {
-  hello = std::move(other223.hello);
-  heartbeat = std::move(other223.heartbeat);
-  credit = std::move(other223.credit);
-  cancel = std::move(other223.cancel);
-  refusal = std::move(other223.refusal);
-  place = std::move(other223.place);
-  placed = std::move(other223.placed);
-  place_done = std::move(other223.place_done);
-  run = std::move(other223.run);
-  run_head = std::move(other223.run_head);
-  chunk = std::move(other223.chunk);
-  run_end = std::move(other223.run_end);
-  void_attempt = std::move(other223.void_attempt);
-  attempt_state = std::move(other223.attempt_state);
-  ensure_model = std::move(other223.ensure_model);
-  model_ready = std::move(other223.model_ready);
-  subscribe = std::move(other223.subscribe);
-  endpoint_report = std::move(other223.endpoint_report);
-  drain = std::move(other223.drain);
-  drain_state = std::move(other223.drain_state);
-  config_pull = std::move(other223.config_pull);
-  config_parts = std::move(other223.config_parts);
-  __isset = other223.__isset;
+Message& Message::operator=(Message&& other235) noexcept {
+  hello = std::move(other235.hello);
+  heartbeat = std::move(other235.heartbeat);
+  credit = std::move(other235.credit);
+  cancel = std::move(other235.cancel);
+  refusal = std::move(other235.refusal);
+  place = std::move(other235.place);
+  placed = std::move(other235.placed);
+  place_done = std::move(other235.place_done);
+  run = std::move(other235.run);
+  run_head = std::move(other235.run_head);
+  chunk = std::move(other235.chunk);
+  run_end = std::move(other235.run_end);
+  void_attempt = std::move(other235.void_attempt);
+  attempt_state = std::move(other235.attempt_state);
+  ensure_model = std::move(other235.ensure_model);
+  model_ready = std::move(other235.model_ready);
+  subscribe = std::move(other235.subscribe);
+  endpoint_report = std::move(other235.endpoint_report);
+  drain = std::move(other235.drain);
+  drain_state = std::move(other235.drain_state);
+  config_pull = std::move(other235.config_pull);
+  config_parts = std::move(other235.config_parts);
+  release_engine = std::move(other235.release_engine);
+  engine_released = std::move(other235.engine_released);
+  __isset = other235.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -6470,6 +6815,8 @@
   out << ", " << "drain_state="; (__isset.drain_state ? (out << to_string(drain_state)) : (out << "<null>"));
   out << ", " << "config_pull="; (__isset.config_pull ? (out << to_string(config_pull)) : (out << "<null>"));
   out << ", " << "config_parts="; (__isset.config_parts ? (out << to_string(config_parts)) : (out << "<null>"));
+  out << ", " << "release_engine="; (__isset.release_engine ? (out << to_string(release_engine)) : (out << "<null>"));
+  out << ", " << "engine_released="; (__isset.engine_released ? (out << to_string(engine_released)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6600,34 +6947,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other224) {
-  call = other224.call;
-  from_opener = other224.from_opener;
-  config_version = other224.config_version;
-  message = other224.message;
-  __isset = other224.__isset;
-}
-Frame::Frame(Frame&& other225) noexcept {
-  call = other225.call;
-  from_opener = other225.from_opener;
-  config_version = other225.config_version;
-  message = std::move(other225.message);
-  __isset = other225.__isset;
-}
-Frame& Frame::operator=(const Frame& other226) {
-  call = other226.call;
-  from_opener = other226.from_opener;
-  config_version = other226.config_version;
-  message = other226.message;
-  __isset = other226.__isset;
+Frame::Frame(const Frame& other236) {
+  call = other236.call;
+  from_opener = other236.from_opener;
+  config_version = other236.config_version;
+  message = other236.message;
+  __isset = other236.__isset;
+}
+Frame::Frame(Frame&& other237) noexcept {
+  call = other237.call;
+  from_opener = other237.from_opener;
+  config_version = other237.config_version;
+  message = std::move(other237.message);
+  __isset = other237.__isset;
+}
+Frame& Frame::operator=(const Frame& other238) {
+  call = other238.call;
+  from_opener = other238.from_opener;
+  config_version = other238.config_version;
+  message = other238.message;
+  __isset = other238.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other227) noexcept {
-  call = other227.call;
-  from_opener = other227.from_opener;
-  config_version = other227.config_version;
-  message = std::move(other227.message);
-  __isset = other227.__isset;
+Frame& Frame::operator=(Frame&& other239) noexcept {
+  call = other239.call;
+  from_opener = other239.from_opener;
+  config_version = other239.config_version;
+  message = std::move(other239.message);
+  __isset = other239.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -112,6 +112,12 @@
 
 class ModelReady;
 
+class EngineHolder;
+
+class ReleaseEngine;
+
+class EngineReleased;
+
 class ReplicaReport;
 
 class Subscribe;
@@ -1237,6 +1243,136 @@
 
 std::ostream& operator<<(std::ostream& out, const ModelReady& obj);
 
+typedef struct _EngineHolder__isset {
+  _EngineHolder__isset() : vm(false), address(false) {}
+  bool vm :1;
+  bool address :1;
+} _EngineHolder__isset;
+
+class EngineHolder : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineHolder(const EngineHolder&);
+  EngineHolder(EngineHolder&&) noexcept;
+  EngineHolder& operator=(const EngineHolder&);
+  EngineHolder& operator=(EngineHolder&&) noexcept;
+  EngineHolder() noexcept
+               : vm(),
+                 address() {
+  }
+
+  virtual ~EngineHolder() noexcept;
+  std::string vm;
+  std::string address;
+
+  _EngineHolder__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const EngineHolder & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineHolder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineHolder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineHolder &a, EngineHolder &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineHolder& obj);
+
+typedef struct _ReleaseEngine__isset {
+  _ReleaseEngine__isset() : engine_address(false) {}
+  bool engine_address :1;
+} _ReleaseEngine__isset;
+
+class ReleaseEngine : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReleaseEngine(const ReleaseEngine&);
+  ReleaseEngine(ReleaseEngine&&) noexcept;
+  ReleaseEngine& operator=(const ReleaseEngine&);
+  ReleaseEngine& operator=(ReleaseEngine&&) noexcept;
+  ReleaseEngine() noexcept
+                : engine_address() {
+  }
+
+  virtual ~ReleaseEngine() noexcept;
+  std::string engine_address;
+
+  _ReleaseEngine__isset __isset;
+
+  void __set_engine_address(const std::string& val);
+
+  bool operator == (const ReleaseEngine & rhs) const
+  {
+    if (!(engine_address == rhs.engine_address))
+      return false;
+    return true;
+  }
+  bool operator != (const ReleaseEngine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReleaseEngine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReleaseEngine &a, ReleaseEngine &b);
+
+std::ostream& operator<<(std::ostream& out, const ReleaseEngine& obj);
+
+
+class EngineReleased : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineReleased(const EngineReleased&) noexcept;
+  EngineReleased(EngineReleased&&) noexcept;
+  EngineReleased& operator=(const EngineReleased&) noexcept;
+  EngineReleased& operator=(EngineReleased&&) noexcept;
+  EngineReleased() noexcept {
+  }
+
+  virtual ~EngineReleased() noexcept;
+
+  bool operator == (const EngineReleased & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const EngineReleased &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineReleased & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineReleased &a, EngineReleased &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineReleased& obj);
+
 typedef struct _ReplicaReport__isset {
   _ReplicaReport__isset() : model(false), state(false), running(false), idle_ms(false), adapters(false), bytes(false), demand_per_1000_s(false) {}
   bool model :1;
@@ -2293,7 +2429,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigParts& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false) {}
+  _Message__isset() : hello(false), heartbeat(false), credit(false), cancel(false), refusal(false), place(false), placed(false), place_done(false), run(false), run_head(false), chunk(false), run_end(false), void_attempt(false), attempt_state(false), ensure_model(false), model_ready(false), subscribe(false), endpoint_report(false), drain(false), drain_state(false), config_pull(false), config_parts(false), release_engine(false), engine_released(false) {}
   bool hello :1;
   bool heartbeat :1;
   bool credit :1;
@@ -2316,6 +2452,8 @@
   bool drain_state :1;
   bool config_pull :1;
   bool config_parts :1;
+  bool release_engine :1;
+  bool engine_released :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -2351,6 +2489,8 @@
   DrainState drain_state;
   ConfigPull config_pull;
   ConfigParts config_parts;
+  ReleaseEngine release_engine;
+  EngineReleased engine_released;
 
   _Message__isset __isset;
 
@@ -2398,6 +2538,10 @@
 
   void __set_config_parts(const ConfigParts& val);
 
+  void __set_release_engine(const ReleaseEngine& val);
+
+  void __set_engine_released(const EngineReleased& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2488,6 +2632,14 @@
       return false;
     else if (__isset.config_parts && !(config_parts == rhs.config_parts))
       return false;
+    if (__isset.release_engine != rhs.__isset.release_engine)
+      return false;
+    else if (__isset.release_engine && !(release_engine == rhs.release_engine))
+      return false;
+    if (__isset.engine_released != rhs.__isset.engine_released)
+      return false;
+    else if (__isset.engine_released && !(engine_released == rhs.engine_released))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -139,6 +139,19 @@
 }
 struct ModelReady { 1: string model, 2: string adapter }
 
+// The process that may give an engine its orders, in the key-value service
+// under its lease.
+struct EngineHolder {
+  1: string vm
+  // Where it takes EnsureModel: "ip:port" of its links.
+  2: string address
+}
+
+// The process beside an engine asks its holder on another VM to give the engine
+// up. Answered by EngineReleased once no order of the holder is open.
+struct ReleaseEngine { 1: string engine_address }
+struct EngineReleased {}
+
 enum ReplicaState { LOADING = 1, READY = 2, DRAINING = 3, UNLOADING = 4 }
 
 struct ReplicaReport {
@@ -282,6 +295,8 @@
   20: optional DrainState drain_state
   21: optional ConfigPull config_pull
   22: optional ConfigParts config_parts
+  23: optional ReleaseEngine release_engine
+  24: optional EngineReleased engine_released
 }
 
 struct Frame {
--- a/src/core/clock_base.h
+++ b/src/core/clock_base.h
@@ -2,6 +2,8 @@
 #ifndef SAPPHIRE_CORE_CLOCK_BASE_H_
 #define SAPPHIRE_CORE_CLOCK_BASE_H_
 
+#include <time.h>
+
 #include <atomic>
 #include <chrono>
 
@@ -26,8 +28,13 @@
 /** The machine's clocks. */
 class SystemClock final : public Clock {
  public:
+  /** Counts the time for which the machine was suspended, which the steady
+   * clock of the library leaves out: leases end meanwhile. */
   [[nodiscard]] SteadyTime Now() const override {
-    return std::chrono::steady_clock::now();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return SteadyTime(std::chrono::seconds(now.tv_sec) +
+                      std::chrono::nanoseconds(now.tv_nsec));
   }
   [[nodiscard]] WallTime WallNow() const override {
     return std::chrono::system_clock::now();
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -74,6 +74,8 @@
               "The engine refused the order"},
     ErrorInfo{kEngineReplaced, "engine_replaced", 503, kNotRun,
               "The engine has been started again since"},
+    ErrorInfo{kNotHolder, "not_holder", 503, kNotRun,
+              "This process may not give the engine orders now"},
     ErrorInfo{kEngineUnavailable, "engine_unavailable", 503, kNotRun,
               "The engine can't be reached"},
     ErrorInfo{kTimedOut, "timed_out", 504, kUnknown,
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -47,6 +47,7 @@
   kEngineCrashed,
   kEngineRefusedOrder,
   kEngineReplaced,
+  kNotHolder,
   kEngineUnavailable,
   kTimedOut,
   kOutcomeUnknown,
--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -6,7 +6,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,13 +55,8 @@
 
   /** Ends all leases: what was written under one is gone. */
   void LapseLeases() {
-    lease_alive_ = false;
-    std::erase_if(entries_, [this](const auto& item) {
-      return leased_.contains(item.first);
-    });
-    for (const std::string& key : std::exchange(leased_, {})) {
-      history_.push_back({key, std::nullopt, ++revision_});
-    }
+    leases_.clear();
+    DropUnleased();
   }
 
   [[nodiscard]] std::optional<external::KvEntry> Peek(
@@ -104,7 +98,6 @@
                                                  std::string value,
                                                  std::string lease) override {
     co_await Step();
-    if (!lease.empty()) leased_.insert(key);
     if (key == "config/head" && !head_faults.empty()) {
       if (down_after_fault) down = true;
       const WriteFault fault = head_faults.front();
@@ -115,7 +108,12 @@
       }
       throw core::Error(core::ErrorCode::kPlatformUnknownOutcome, "lost");
     }
-    co_return Swap(key, expected, value);
+    if (!lease.empty() && !leases_.contains(lease)) {
+      throw core::Error(core::ErrorCode::kPlatformUnavailable, "no such lease");
+    }
+    external::CasResult result = Swap(key, expected, value);
+    if (result.swapped) lease_of_[key] = lease;
+    co_return result;
   }
 
   core::Task<bool> DeleteIf(std::string key, std::int64_t expected) override {
@@ -134,13 +132,17 @@
   core::Task<external::KvLease> GrantLease(
       std::chrono::milliseconds time_to_live) override {
     co_await Step();
-    lease_alive_ = true;
-    co_return external::KvLease{"lease", time_to_live};
+    const std::string id = "lease-" + std::to_string(++granted_);
+    leases_[id] = {time_to_live, clock_.Now() + time_to_live};
+    co_return external::KvLease{id, time_to_live};
   }
 
-  core::Task<bool> KeepAlive(std::string) override {
+  core::Task<bool> KeepAlive(std::string id) override {
     co_await Step();
-    co_return lease_alive_;
+    const auto it = leases_.find(id);
+    if (it == leases_.end()) co_return false;
+    it->second.end = clock_.Now() + it->second.time_to_live;
+    co_return true;
   }
 
   core::Task<external::WatchBatch> Watch(
@@ -171,9 +173,32 @@
     std::string value;
   };
 
+  struct Lease {
+    std::chrono::milliseconds time_to_live{0};
+    core::SteadyTime end;
+  };
+
+  /** Ends leases whose time is over. */
+  void ExpireLeases() {
+    const core::SteadyTime now = clock_.Now();
+    std::erase_if(leases_,
+                  [now](const auto& it) { return now >= it.second.end; });
+    DropUnleased();
+  }
+
+  void DropUnleased() {
+    for (const auto& [key, lease] : std::map(lease_of_)) {
+      if (lease.empty() || leases_.contains(lease)) continue;
+      lease_of_.erase(key);
+      if (entries_.erase(key) == 0) continue;
+      history_.push_back({key, std::nullopt, ++revision_});
+    }
+  }
+
   /** Lets other coroutines run between any two calls of one caller. */
   core::Task<> Step() {
     clock_.Advance(std::chrono::milliseconds(1));
+    ExpireLeases();
     co_await core::SleepFor(std::chrono::milliseconds(0));
     if (!down) co_return;
     throw core::Error(core::ErrorCode::kPlatformUnavailable, "down");
@@ -205,9 +230,10 @@
   std::map<std::string, external::KvEntry> entries_;
   std::vector<external::KvEvent> history_;
   std::vector<LateWrite> late_;
-  /** Keys that were written under a lease. */
-  std::set<std::string> leased_;
-  bool lease_alive_ = true;
+  std::map<std::string, Lease> leases_;
+  /** The lease that each key was last written under; empty: none. */
+  std::map<std::string, std::string> lease_of_;
+  int granted_ = 0;
   std::int64_t revision_ = 0;
 };
 
--- /dev/null
+++ b/src/fleet/engine_holders.cc
@@ -0,0 +1,77 @@
+/** @file engine_holders.cc Which process may give each engine orders, by the
+ * leases in the store. */
+#include <string_view>
+#include <utility>
+
+#include "fleet/engine_holders_base.h"
+
+namespace sapphire::fleet {
+
+using core::LogCategory;
+using core::LogLevel;
+
+namespace {
+
+std::string_view HostOf(std::string_view address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+/** A holder beside its engine is the rule: hundreds of lines at each start. */
+LogLevel LevelOf(const std::string& engine, const EngineHolder& holder) {
+  const bool is_beside = HostOf(engine) == HostOf(holder.address);
+  return is_beside ? LogLevel::kDebug : LogLevel::kInfo;
+}
+
+}  // namespace
+
+EngineHolders::EngineHolders(const core::Clock& clock, const core::Logger& log)
+    : clock_(clock), log_(log) {}
+
+void EngineHolders::ReplaceAll(std::map<std::string, EngineHolder> holders) {
+  if (!first_listing_) first_listing_ = clock_.Now();
+  const std::map<std::string, EngineHolder> before = holders_;
+  for (const auto& [engine, holder] : before) {
+    if (!holders.contains(engine)) Remove(engine);
+  }
+  for (auto& [engine, holder] : holders) Put(engine, std::move(holder));
+}
+
+void EngineHolders::Put(const std::string& engine, EngineHolder holder) {
+  vacated_.erase(engine);
+  const EngineHolder* known = Find(engine);
+  const bool is_new = known == nullptr || known->address != holder.address;
+  if (is_new) {
+    log_.Event(LevelOf(engine, holder), LogCategory::kReplica,
+               "engine_holder_known",
+               {{"engine", engine},
+                {"holder", holder.vm},
+                {"holder_address", holder.address},
+                {"fence", holder.revision}});
+  }
+  holders_.insert_or_assign(engine, std::move(holder));
+}
+
+void EngineHolders::Remove(const std::string& engine) {
+  const auto it = holders_.find(engine);
+  if (it == holders_.end()) return;
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_holder_gone",
+             {{"engine", engine},
+              {"holder", it->second.vm},
+              {"fence", it->second.revision}});
+  holders_.erase(it);
+  vacated_.insert_or_assign(engine, clock_.Now());
+}
+
+const EngineHolder* EngineHolders::Find(const std::string& engine) const {
+  const auto it = holders_.find(engine);
+  return it == holders_.end() ? nullptr : &it->second;
+}
+
+std::optional<core::SteadyTime> EngineHolders::VacantSince(
+    const std::string& engine) const {
+  if (Find(engine) != nullptr) return std::nullopt;
+  const auto it = vacated_.find(engine);
+  return it == vacated_.end() ? first_listing_ : it->second;
+}
+
+}  // namespace sapphire::fleet
--- a/src/fleet/entry_message.cc
+++ b/src/fleet/entry_message.cc
@@ -57,6 +57,16 @@
   return EncodeAny(datagram);
 }
 
+std::string Encode(const gen::EngineHolder& holder) {
+  return EncodeAny(holder);
+}
+
+gen::EngineHolder DecodeEngineHolder(std::string_view bytes) {
+  gen::EngineHolder holder = DecodeAny<gen::EngineHolder>(bytes);
+  core::ParseAddress(holder.address);
+  return holder;
+}
+
 gen::EntryPresence DecodePresence(std::string_view bytes) {
   gen::EntryPresence presence = DecodeAny<gen::EntryPresence>(bytes);
   core::ParseAddress(presence.address);
--- a/src/link/link_type.cc
+++ b/src/link/link_type.cc
@@ -56,6 +56,8 @@
       Row{set.drain_state, "drain_state"},
       Row{set.config_pull, "config_pull"},
       Row{set.config_parts, "config_parts"},
+      Row{set.release_engine, "release_engine"},
+      Row{set.engine_released, "engine_released"},
   };
   for (const Row& row : rows) {
     if (row.is_set) return std::string(row.name);
--- a/src/orders/controller_metrics.cc
+++ b/src/orders/controller_metrics.cc
@@ -1,6 +1,9 @@
 /** @file controller_metrics.cc What the process beside an engine counts. */
 #include <prometheus/text_serializer.h>
 
+#include <string>
+#include <vector>
+
 #include "core/metric_family_func.h"
 #include "orders/controller_metrics_base.h"
 #include "policy/placement_func.h"
@@ -65,6 +68,14 @@
   core::CountCall(state_->store_calls, call.kind, call.outcome);
 }
 
+std::string ControllerMetrics::CounterText() {
+  std::vector<prometheus::MetricFamily> families = state_->registry.Collect();
+  std::erase_if(families, [](const prometheus::MetricFamily& it) {
+    return it.type == prometheus::MetricType::Gauge;
+  });
+  return prometheus::TextSerializer().Serialize(families);
+}
+
 std::string ControllerMetrics::Text(const ControllerLevels& levels) {
   const auto set = [this](const char* name, auto value) {
     state_->levels.Add({{"name", name}}).Set(static_cast<double>(value));
--- a/src/orders/controller_metrics_base.h
+++ b/src/orders/controller_metrics_base.h
@@ -47,6 +47,9 @@
   void EngineLost();
   void StoreCall(const external::StoreCall& call);
 
+  /** @return Counters and histograms, in the Prometheus text format. */
+  std::string CounterText();
+
   /** @return Everything, in the Prometheus text format. */
   std::string Text(const ControllerLevels& levels);
 
--- /dev/null
+++ b/src/orders/controller_pool_base.h
@@ -0,0 +1,124 @@
+/** @file controller_pool_base.h Orders engines that have no process beside
+ * them. */
+#ifndef SAPPHIRE_ORDERS_CONTROLLER_POOL_BASE_H_
+#define SAPPHIRE_ORDERS_CONTROLLER_POOL_BASE_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/clock_base.h"
+#include "core/log_base.h"
+#include "core/task_type.h"
+#include "fleet/engine_holders_base.h"
+#include "fleet/engine_registry_base.h"
+#include "fleet/peer_table_base.h"
+#include "orders/controller_metrics_base.h"
+#include "orders/engine_controller_base.h"
+#include "orders/engine_leases_base.h"
+#include "routing/routing_table_base.h"
+
+namespace sapphire::orders {
+
+struct PoolOptions {
+  /** Name of this VM. */
+  std::string vm;
+  /** "ip:port" of this process's links. */
+  std::string address;
+  /** An engine is taken when it has had no holder for this long: the process
+   * beside it comes first. */
+  std::chrono::milliseconds claim_after{4000};
+  /** The lease of an engine that has not been registered for this long is given
+   * back: one that has crashed is back sooner. */
+  std::chrono::milliseconds gone_after{10'000};
+  /** Reports from another VM are some hundred milliseconds old, and each is a
+   * request to the engine. */
+  std::chrono::milliseconds busy_look_interval{150};
+  /** An order whose answer was lost may be carried out for almost as long. */
+  std::chrono::milliseconds release_limit{20'000};
+};
+
+/**
+ * One controller for each engine whose lease this entry holds. Of the entries,
+ * one takes the lease of an engine without holder: the first by rendezvous
+ * hashing. It gives the lease back when the process beside the engine asks.
+ *
+ * One thread.
+ */
+class ControllerPool {
+ public:
+  /** @pre All references outlive the pool. */
+  ControllerPool(PoolOptions options, MakeEnginePort make_port,
+                 EngineLeases& leases, const fleet::EngineRegistry& registry,
+                 const fleet::EngineHolders& holders,
+                 const fleet::PeerTable& peer_table,
+                 const routing::ConfigurationHolder& configuration,
+                 ControllerMetrics& metrics, const core::Executor& executor,
+                 const core::Clock& clock, const core::Logger& log);
+
+  /** Takes and drops engines. Call it now and then. */
+  void Maintain();
+
+  /** @throws core::Error kNotHolder if the engine is not ordered from here. */
+  std::shared_ptr<EngineController> Find(const fleet::InstanceId& instance);
+
+  /** Gives the engine's lease back once no order is open. */
+  core::Task<> Release(std::string engine);
+
+  /** Gives all leases back and takes no others. */
+  void Leave();
+
+ private:
+  /** An engine that is ordered from here. */
+  struct Member {
+    Member(std::unique_ptr<EnginePort> engine_port, ControllerOptions options,
+           const EngineLeases& leases,
+           const routing::ConfigurationHolder& configuration,
+           ControllerMetrics& metrics, const core::Clock& clock,
+           const core::Logger& log)
+        : port(std::move(engine_port)),
+          controller(std::move(options), *port, leases, configuration, metrics,
+                     clock, log) {}
+
+    const std::unique_ptr<EnginePort> port;
+    EngineController controller;
+    bool releasing = false;
+  };
+
+  void NoteSeen(const std::map<std::string, core::ServiceId>& engines);
+  void DropLost();
+  void ClaimVacant(const std::map<std::string, core::ServiceId>& engines);
+  [[nodiscard]] std::map<std::string, core::ServiceId> ModelEngines() const;
+  [[nodiscard]] bool ShouldClaim(const std::string& engine) const;
+  [[nodiscard]] bool IsFirst(const std::string& engine) const;
+  void StartRelease(const std::string& engine);
+  [[nodiscard]] std::shared_ptr<Member> MakeMember(
+      const std::string& engine, const core::ServiceId& service) const;
+
+  const PoolOptions options_;
+  const MakeEnginePort make_port_;
+  EngineLeases& leases_;
+  const fleet::EngineRegistry& registry_;
+  const fleet::EngineHolders& holders_;
+  const fleet::PeerTable& peer_table_;
+  const routing::ConfigurationHolder& configuration_;
+  ControllerMetrics& metrics_;
+  const core::Executor executor_;
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  std::map<std::string, std::shared_ptr<Member>> members_;
+  /** When each engine was first seen, and last. */
+  struct Seen {
+    core::SteadyTime first;
+    core::SteadyTime last;
+  };
+  std::map<std::string, Seen> seen_;
+  /** When leases were given back: their keys' end is seen a moment later. */
+  std::map<std::string, core::SteadyTime> released_;
+  bool leaving_ = false;
+};
+
+}  // namespace sapphire::orders
+
+#endif  // SAPPHIRE_ORDERS_CONTROLLER_POOL_BASE_H_
--- /dev/null
+++ b/src/orders/controller_pool_test.cc
@@ -0,0 +1,303 @@
+/** @file controller_pool_test.cc Tests of entries that order engines. */
+#define BOOST_TEST_MODULE controller_pool
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/error_type.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "fleet/entry_message_func.h"
+#include "orders/controller_pool_base.h"
+#include "orders/testing_engine.h"
+
+namespace sapphire::orders {
+
+namespace {
+
+using entry::testing::RunTask;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kGigabyte = 1'000'000'000;
+const std::string kEngine("10.0.0.9:80");
+const fleet::InstanceId kInstance("i-1");
+const core::ServiceId kService("drafts");
+const core::ModelId kModel("a");
+
+routing::Configuration MakeConfiguration() {
+  routing::Service service;
+  service.id = kService;
+  service.engine.emplace();
+  service.engine->memory_bytes = 230 * kGigabyte;
+  routing::ModelSpec& model = service.engine->models[kModel];
+  model.id = kModel;
+  model.bytes = 70 * kGigabyte;
+  routing::Configuration configuration;
+  configuration.version = 1;
+  configuration.services[service.id] = service;
+  return configuration;
+}
+
+/** The engine of the test behind a port of its own. */
+class SharedPort final : public EnginePort {
+ public:
+  explicit SharedPort(TestingEngine& engine) : engine_(engine) {}
+  core::Task<EngineReport> Report() override { return engine_.Report(); }
+  core::Task<OrderAnswer> Give(EngineOrder order) override {
+    return engine_.Give(std::move(order));
+  }
+
+ private:
+  TestingEngine& engine_;
+};
+
+core::Task<> LeaveToHolder(const gen::EngineHolder& /*holder*/,
+                           const std::string& /*engine*/) {
+  co_return;
+}
+
+LeaseOptions LeaseOf(const std::string& vm, const std::string& address) {
+  LeaseOptions options;
+  options.self.vm = vm;
+  options.self.address = address;
+  return options;
+}
+
+/** One entry's part in ordering engines. */
+struct TestEntry {
+  TestEntry(const std::string& vm, const std::string& address,
+            external::KeyValueStore& store, TestingEngine& engine,
+            const routing::ConfigurationHolder& configuration,
+            const core::Executor& executor, const core::Clock& clock,
+            const core::Logger& log)
+      : registry(fleet::RegistryOptions(), clock, log),
+        loads(clock),
+        peer_table("entries/" + vm, loads, clock, log),
+        holders(clock, log),
+        leases(LeaseOf(vm, address), LeaveToHolder, store, clock, log),
+        pool(
+            PoolOf(vm, address),
+            [&engine](const std::string&) {
+              return std::make_unique<SharedPort>(engine);
+            },
+            leases, registry, holders, peer_table, configuration, metrics,
+            executor, clock, log) {}
+
+  static PoolOptions PoolOf(const std::string& vm, const std::string& address) {
+    PoolOptions options;
+    options.vm = vm;
+    options.address = address;
+    options.busy_look_interval = milliseconds(5);
+    return options;
+  }
+
+  fleet::EngineRegistry registry;
+  fleet::EngineLoads loads;
+  fleet::PeerTable peer_table;
+  fleet::EngineHolders holders;
+  EngineLeases leases;
+  ControllerMetrics metrics;
+  ControllerPool pool;
+};
+
+/** Entries, an engine and the store; time passes only when the test lets it. */
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock) {
+    clock.Advance(seconds(1000));
+    configuration.Adopt(MakeConfiguration());
+    AddEntry("front-1", "10.0.0.1:81");
+    AddEntry("front-2", "10.0.0.2:81");
+  }
+
+  void AddEntry(const std::string& vm, const std::string& address) {
+    auto entry =
+        std::make_unique<TestEntry>(vm, address, store, engine, configuration,
+                                    io.get_executor(), clock, log);
+    fleet::EngineEntry described;
+    described.instance = kInstance;
+    described.service = kService;
+    described.address = kEngine;
+    entry->registry.Put(described);
+    entries.push_back(std::move(entry));
+    presences["entries/" + vm].vm = vm;
+    for (const auto& it : entries) it->peer_table.SetEntries(presences);
+  }
+
+  /** Second by second all entries follow the store, keep their leases and look
+   * after their engines. */
+  void Pass(seconds time) {
+    for (seconds gone{0}; gone < time; gone += seconds(1)) {
+      clock.Advance(seconds(1));
+      // Leases end with calls to the store.
+      RunTask(io, store.List(""));
+      for (const auto& it : entries) {
+        RunTask(io, it->leases.KeepOnce());
+        it->holders.ReplaceAll(Holders());
+        it->pool.Maintain();
+      }
+    }
+  }
+
+  std::map<std::string, fleet::EngineHolder> Holders() {
+    std::map<std::string, fleet::EngineHolder> holders;
+    for (const std::string& key : store.Keys(fleet::kEngineLeasePrefix)) {
+      const auto entry = *store.Peek(key);
+      const gen::EngineHolder read = fleet::DecodeEngineHolder(entry.value);
+      holders[key.substr(fleet::kEngineLeasePrefix.size())] = {
+          read.vm, read.address, entry.revision};
+    }
+    return holders;
+  }
+
+  /** @return The entries that the engine is ordered from. */
+  std::vector<TestEntry*> Holding() {
+    std::vector<TestEntry*> holding;
+    for (const auto& it : entries) {
+      if (it->leases.Holds(kEngine)) holding.push_back(it.get());
+    }
+    return holding;
+  }
+
+  /** @return Empty, or the error's name. */
+  std::string Ensure(TestEntry& entry) {
+    return RunTask(io, [](Rig& rig, TestEntry& it) -> core::Task<std::string> {
+      LoadRequest load_request;
+      load_request.model = kModel;
+      load_request.instance = kInstance;
+      load_request.deadline = rig.clock.Now() + seconds(60);
+      std::string error;
+      try {
+        const auto controller = it.pool.Find(kInstance);
+        co_await controller->Ensure(load_request);
+      } catch (const core::Error& e) {
+        error = core::InfoOf(e.code()).name;
+      }
+      co_return error;
+    }(*this, entry));
+  }
+
+  void Release(TestEntry& entry) {
+    RunTask(io, [](ControllerPool& pool) -> core::Task<bool> {
+      co_await pool.Release(kEngine);
+      co_return true;
+    }(entry.pool));
+  }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log;
+  entry::testing::MemoryKeyValue store{clock};
+  TestingEngine engine{230 * kGigabyte, 70 * kGigabyte};
+  routing::ConfigurationHolder configuration;
+  std::vector<std::unique_ptr<TestEntry>> entries;
+  std::map<std::string, gen::EntryPresence> presences;
+};
+
+}  // namespace
+
+/** Guards against models that are refused for good at an engine which has no
+ * process beside it. */
+BOOST_AUTO_TEST_CASE(OneEntryOrdersAnEngineWithoutAProcessBesideIt) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  BOOST_REQUIRE(rig.Holding().size() == 1);
+  BOOST_TEST(rig.Ensure(*rig.Holding().front()) == "");
+  BOOST_TEST(rig.engine.Holds("a"));
+  for (const auto& it : rig.entries) {
+    if (it->leases.Holds(kEngine)) continue;
+    BOOST_TEST(rig.Ensure(*it) == "not_holder");
+  }
+}
+
+/** Guards against entries that take engines from the processes beside them. */
+BOOST_AUTO_TEST_CASE(AnEngineWithAProcessBesideItIsLeftAlone) {
+  Rig rig;
+  EngineLeases endpoint(LeaseOf("side-1", "10.0.0.9:81"), LeaveToHolder,
+                        rig.store, rig.clock, rig.log);
+  endpoint.Want(kEngine);
+  RunTask(rig.io, endpoint.KeepOnce());
+  rig.Pass(seconds(12));
+  BOOST_TEST(rig.Holding().empty());
+  // The process is gone; its lease ends.
+  rig.Pass(seconds(15));
+  BOOST_TEST(rig.Holding().size() == 1);
+}
+
+/** Guards against an entry that takes an engine back which it has just given to
+ * the process beside it, as its view of the store is old. */
+BOOST_AUTO_TEST_CASE(AReleasedEngineIsNotTakenAgainAtOnce) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  TestEntry& holder = *rig.Holding().front();
+  const auto old_view = rig.Holders();
+  rig.Release(holder);
+  BOOST_TEST(rig.store.Keys(fleet::kEngineLeasePrefix).empty());
+  holder.holders.ReplaceAll(old_view);
+  holder.pool.Maintain();
+  BOOST_TEST(holder.leases.Wanted().empty());
+  BOOST_TEST(rig.Ensure(holder) == "not_holder");
+}
+
+/** Guards against loads that are cut short: an order in progress ends before
+ * the engine changes hands. */
+BOOST_AUTO_TEST_CASE(AnEngineIsReleasedAfterItsOrder) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  TestEntry& holder = *rig.Holding().front();
+  rig.engine.load_time = milliseconds(300);
+  std::string loaded = "not ended";
+  core::Spawn(rig.io.get_executor(), rig.log, "load", [&]() -> core::Task<> {
+    const auto controller = holder.pool.Find(kInstance);
+    LoadRequest load_request;
+    load_request.model = kModel;
+    load_request.instance = kInstance;
+    load_request.deadline = rig.clock.Now() + seconds(60);
+    co_await controller->Ensure(load_request);
+    loaded = "";
+  });
+  RunTask(rig.io, []() -> core::Task<bool> {
+    co_await core::SleepFor(milliseconds(100));
+    co_return true;
+  }());
+  rig.Release(holder);
+  BOOST_TEST(loaded == "");
+  BOOST_TEST(rig.engine.Holds("a"));
+}
+
+/** Guards against engines that nobody orders for as long as the lease of an
+ * entry lasts that was killed and started again. */
+BOOST_AUTO_TEST_CASE(ARestartedEntryTakesItsEnginesBackAtOnce) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  const TestEntry* holder = rig.Holding().front();
+  const bool is_first = holder == rig.entries.front().get();
+  rig.entries.erase(rig.entries.begin() + (is_first ? 0 : 1));
+  rig.AddEntry(is_first ? "front-1" : "front-2",
+               is_first ? "10.0.0.1:81" : "10.0.0.2:81");
+  rig.Pass(seconds(2));
+  BOOST_REQUIRE(rig.Holding().size() == 1);
+  BOOST_TEST(rig.Holding().front() == rig.entries.back().get());
+  BOOST_TEST(rig.Ensure(*rig.Holding().front()) == "");
+}
+
+/** Guards against an engine that is given up while it restarts. */
+BOOST_AUTO_TEST_CASE(AnEngineThatCrashesIsKept) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  TestEntry& holder = *rig.Holding().front();
+  for (const auto& it : rig.entries) {
+    it->registry.Remove(fleet::EngineId("i-1"), std::nullopt);
+  }
+  rig.Pass(seconds(5));
+  BOOST_TEST(holder.leases.Holds(kEngine));
+  rig.Pass(seconds(10));
+  BOOST_TEST(!holder.leases.Holds(kEngine));
+}
+
+}  // namespace sapphire::orders
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -1,4 +1,7 @@
 /** @file endpoint.cc All parts of the process beside an engine. */
+#include <chrono>
+#include <memory>
+#include <string>
 #include <utility>
 
 #include "core/error_type.h"
@@ -10,6 +13,9 @@
 
 namespace {
 
+/** How long a holder is waited for before it is asked again. */
+constexpr std::chrono::milliseconds kReleaseLimit{1500};
+
 link::LinkOptions LinkOptionsOf(const EndpointOptions& options) {
   link::LinkOptions links;
   links.self.vm = options.vm.value();
@@ -19,6 +25,27 @@
   return links;
 }
 
+/** @return The engine's address as it registers it: it is on this VM, whatever
+ * way leads there from here. */
+std::string RegisteredAddress(const std::string& engine,
+                              const std::string& link_listen) {
+  return link_listen.substr(0, link_listen.rfind(':')) +
+         engine.substr(engine.rfind(':'));
+}
+
+EndpointOptions WithRegisteredAddress(EndpointOptions options) {
+  options.controller.engine_address =
+      RegisteredAddress(options.controller.engine_address, options.link_listen);
+  return options;
+}
+
+LeaseOptions LeaseOptionsOf(const EndpointOptions& options) {
+  LeaseOptions leases = options.leases;
+  leases.self.vm = options.vm.value();
+  leases.self.address = options.link_listen;
+  return leases;
+}
+
 routing::FollowOptions FollowOptionsOf(const EndpointOptions& options) {
   routing::FollowOptions follow;
   follow.prefix = options.configuration_key;
@@ -31,7 +58,7 @@
                    routing::ReadConfiguration read_configuration,
                    EnginePort& engine, external::KeyValueStore& store,
                    const core::Clock& clock, const core::Logger& log)
-    : options_(std::move(options)),
+    : options_(WithRegisteredAddress(std::move(options))),
       read_configuration_(std::move(read_configuration)),
       executor_(executor),
       log_(log),
@@ -39,9 +66,15 @@
           store,
           [this](const external::StoreCall& call) { metrics_.StoreCall(call); },
           clock),
-      controller_(options_.controller, engine, store_, configuration_, metrics_,
-                  clock, log),
-      service_(controller_, clock),
+      leases_(
+          LeaseOptionsOf(options_),
+          [this](const gen::EngineHolder& holder, const std::string& address) {
+            return AskRelease(holder, address);
+          },
+          store_, clock, log),
+      controller_(options_.controller, engine, leases_, configuration_,
+                  metrics_, clock, log),
+      service_(ServiceParts(), clock),
       links_(
           executor, LinkOptionsOf(options_),
           [this](std::shared_ptr<link::Call> call, gen::Message first) {
@@ -63,6 +96,43 @@
               [this] { return follower_.Run(); });
   core::Spawn(executor_, log_, "look_at_engine",
               [this] { return controller_.Run(); });
+  leases_.Want(options_.controller.engine_address);
+  core::Spawn(executor_, log_, "keep_leases", [this] { return leases_.Run(); });
+}
+
+OrderServiceParts Endpoint::ServiceParts() {
+  OrderServiceParts parts;
+  parts.find = [this](const fleet::InstanceId&) {
+    // The controller lives as long as the calls.
+    return std::shared_ptr<EngineController>(std::shared_ptr<void>(),
+                                             &controller_);
+  };
+  parts.release = [](std::string engine) -> core::Task<> {
+    throw core::Error(core::ErrorCode::kMalformedRequest,
+                      engine + " is ordered from beside it");
+    co_return;
+  };
+  return parts;
+}
+
+/** Asks an entry that took the engine while this process was away. */
+core::Task<> Endpoint::AskRelease(gen::EngineHolder holder,
+                                  std::string engine) {
+  gen::ReleaseEngine ask;
+  ask.engine_address = engine;
+  gen::Message first;
+  first.__set_release_engine(ask);
+  std::string failure;
+  try {
+    const std::shared_ptr<link::Call> call =
+        co_await links_.Open(holder.address, std::move(first));
+    co_await call->Receive(kReleaseLimit);
+  } catch (const core::Error& e) {
+    failure = e.what();
+  }
+  log_.Event(core::LogLevel::kInfo, core::LogCategory::kReplica,
+             "engine_release_asked",
+             {{"engine", engine}, {"holder", holder.vm}, {"error", failure}});
 }
 
 core::Task<> Endpoint::AnswerMetrics(http::ResponseWriter& writer) {
--- a/src/orders/endpoint_base.h
+++ b/src/orders/endpoint_base.h
@@ -12,9 +12,10 @@
 #include "http/server_base.h"
 #include "link/link_base.h"
 #include "orders/controller_metrics_base.h"
-#include "orders/endpoint_service_base.h"
 #include "orders/engine_controller_base.h"
+#include "orders/engine_leases_base.h"
 #include "orders/engine_port_base.h"
+#include "orders/order_service_base.h"
 #include "routing/routing_table_base.h"
 #include "routing/store_follower_base.h"
 
@@ -28,6 +29,7 @@
   /** For whoever collects metrics. */
   std::string metrics_listen;
   ControllerOptions controller;
+  LeaseOptions leases;
 };
 
 /** One thread. */
@@ -43,6 +45,8 @@
 
  private:
   routing::FollowHooks Hooks();
+  OrderServiceParts ServiceParts();
+  core::Task<> AskRelease(gen::EngineHolder holder, std::string engine);
   core::Task<> AnswerMetrics(http::ResponseWriter& writer);
 
   const EndpointOptions options_;
@@ -52,8 +56,9 @@
   ControllerMetrics metrics_;
   external::CountingStore store_;
   routing::ConfigurationHolder configuration_;
+  EngineLeases leases_;
   EngineController controller_;
-  EndpointService service_;
+  OrderService service_;
   link::LinkNode links_;
   routing::StoreFollower follower_;
   http::Server metrics_server_;
--- a/src/orders/engine_controller.cc
+++ b/src/orders/engine_controller.cc
@@ -6,7 +6,6 @@
 #include "core/task_func.h"
 #include "fleet/instance_func.h"
 #include "orders/engine_controller_base.h"
-#include "orders/fence_func.h"
 #include "policy/placement_func.h"
 
 namespace sapphire::orders {
@@ -27,6 +26,8 @@
 /** The engine's report shows an accepted order within this: it is as of some
  * hundred milliseconds ago at most. */
 constexpr milliseconds kCountShown{1000};
+/** Between two looks whether orders are open. */
+constexpr milliseconds kQuietPause{100};
 /** A load request that would wait for longer than this for other orders is
  * refused: a load from a disk takes up to 2 s. */
 constexpr milliseconds kLongestQueue{2500};
@@ -52,14 +53,13 @@
 }  // namespace
 
 EngineController::EngineController(
-    ControllerOptions options, EnginePort& engine,
-    external::KeyValueStore& store,
+    ControllerOptions options, EnginePort& engine, const EngineLeases& leases,
     const routing::ConfigurationHolder& configuration,
     ControllerMetrics& metrics, const core::Clock& clock,
     const core::Logger& log)
     : options_(std::move(options)),
       engine_(engine),
-      store_(store),
+      leases_(leases),
       configuration_(configuration),
       metrics_(metrics),
       clock_(clock),
@@ -67,31 +67,40 @@
 
 core::Task<> EngineController::Run() {
   while (true) {
-    std::string failure;
-    try {
-      co_await Look();
-    } catch (const Error& e) {
-      failure = e.what();
-    }
-    const bool reachable = failure.empty();
-    if (reachable != engine_up_) {
-      engine_up_ = reachable;
-      if (!reachable) metrics_.EngineLost();
-      log_.Event(reachable ? LogLevel::kInfo : LogLevel::kWarning,
-                 LogCategory::kReplica,
-                 reachable ? "engine_regained" : "engine_lost",
-                 {{"engine", options_.engine_address}, {"error", failure}});
-    }
+    co_await TryLook();
     co_await core::SleepFor(options_.look_interval);
   }
 }
 
+core::Task<> EngineController::TryLook() {
+  std::string failure;
+  try {
+    co_await Look();
+  } catch (const Error& e) {
+    failure = e.what();
+  }
+  const bool reachable = failure.empty();
+  if (reachable == engine_up_) co_return;
+  engine_up_ = reachable;
+  if (!reachable) metrics_.EngineLost();
+  log_.Event(reachable ? LogLevel::kInfo : LogLevel::kWarning,
+             LogCategory::kReplica,
+             reachable ? "engine_regained" : "engine_lost",
+             {{"engine", options_.engine_address}, {"error", failure}});
+}
+
 core::Task<> EngineController::Look() {
-  report_ = co_await engine_.Report();
+  EngineReport report = co_await engine_.Report();
+  // Two answers may overtake each other.
+  const bool overtaken = report.born && report.born == report_.born &&
+                         report.order_count < report_.order_count;
+  if (overtaken) co_return;
+  report_ = std::move(report);
   report_time_ = clock_.Now();
   if (report_.born && !instance_.empty()) {
     NoteInstance(fleet::MakeInstance(fleet::EngineOf(instance_), report_.born));
   }
+  NoteOwnCount();
   Settle();
   NoteForeignOrder();
 }
@@ -104,18 +113,33 @@
         std::chrono::duration_cast<milliseconds>(clock_.Now() - began);
     metrics_.LoadRequestEnded(tier, outcome, took);
   };
+  ++in_progress_;
+  std::optional<Error> failure;
   try {
     co_await Fulfil(load_request);
   } catch (const Error& e) {
-    ended(core::InfoOf(e.code()).name);
-    throw;
+    failure = e;
+  }
+  --in_progress_;
+  ended(failure ? core::InfoOf(failure->code()).name : "ok");
+  if (failure) throw Error(*failure);
+}
+
+core::Task<> EngineController::AwaitQuiet(milliseconds limit) {
+  const core::SteadyTime end = clock_.Now() + limit;
+  const auto is_quiet = [this] {
+    return in_progress_ == 0 && open_orders_.empty();
+  };
+  while (!is_quiet() && clock_.Now() < end) {
+    co_await core::SleepFor(kQuietPause);
+    co_await TryLook();
   }
-  ended("ok");
 }
 
 core::Task<> EngineController::Fulfil(const LoadRequest& load_request) {
   co_await CheckInstance(load_request.instance);
   co_await Look();
+  co_await AwaitTurn(load_request.deadline);
   use_ = load_request.use;
   if (!Holds(load_request.model, core::AdapterId())) {
     CheckQueue(load_request);
@@ -294,7 +318,7 @@
 
 /** @return True if the engine has accepted the order. */
 core::Task<bool> EngineController::GiveOnce(EngineOrder order) {
-  order.fence = co_await Fence();
+  order.fence = leases_.Fence(options_.engine_address, IsUntouched());
   const std::int64_t number = next_order_++;
   open_orders_.push_back({number, order, clock_.Now()});
   std::optional<OrderAnswer> answer;
@@ -333,14 +357,35 @@
   co_return *answer == OrderAnswer::kAccepted;
 }
 
-core::Task<std::int64_t> EngineController::Fence() {
-  if (fence_ == 0) {
-    fence_ =
-        co_await TakeFence(store_, options_.engine_address, options_.holder);
-    log_.Event(LogLevel::kInfo, LogCategory::kReplica, "fence_taken",
-               {{"fence", fence_}});
+/** Waits until no order of a holder before, on another VM, can be so recent
+ * that two VMs would seem to order by turns. */
+core::Task<> EngineController::AwaitTurn(core::SteadyTime deadline) {
+  const milliseconds left =
+      leases_.TurnLeft(options_.engine_address, IsUntouched());
+  if (left == milliseconds(0)) co_return;
+  if (clock_.Now() + left >= deadline) {
+    throw Error(ErrorCode::kNoCapacity, "the engine has just changed hands",
+                left);
   }
-  co_return fence_;
+  co_await core::SleepFor(left);
+  co_await Look();
+}
+
+/** @return True if the engine has accepted no order of another process since
+ * this one last could give it orders. */
+bool EngineController::IsUntouched() const {
+  if (!options_.reports_are_current || !report_time_) return false;
+  if (report_.order_count == 0) return true;
+  return own_count_ && own_count_->born == report_.born &&
+         own_count_->order_count == report_.order_count;
+}
+
+void EngineController::NoteOwnCount() {
+  const std::string& engine = options_.engine_address;
+  const bool may_order =
+      leases_.Holds(engine) &&
+      leases_.TurnLeft(engine, IsUntouched()) == milliseconds(0);
+  if (may_order) own_count_ = OwnCount{report_.born, report_.order_count};
 }
 
 /**
--- a/src/orders/engine_controller_base.h
+++ b/src/orders/engine_controller_base.h
@@ -12,9 +12,9 @@
 #include "core/clock_base.h"
 #include "core/log_base.h"
 #include "core/task_type.h"
-#include "external/key_value_base.h"
 #include "fleet/usage_type.h"
 #include "orders/controller_metrics_base.h"
+#include "orders/engine_leases_base.h"
 #include "orders/engine_port_base.h"
 #include "orders/memory_plan_func.h"
 #include "orders/order_lane_base.h"
@@ -24,9 +24,7 @@
 namespace sapphire::orders {
 
 struct ControllerOptions {
-  /** Name of this process in orders. */
-  std::string holder;
-  /** The engine's address, for the fence's key. */
+  /** Names the engine's lease. */
   std::string engine_address;
   core::ServiceId service;
   /** Between two looks at an engine that has nothing to do for us. */
@@ -34,6 +32,8 @@
   /** Between two looks while an order is carried out: an unload takes 10 ms, a
    * load from memory a second. */
   std::chrono::milliseconds busy_look_interval{30};
+  /** The engine's reports tell of now: they come from the same VM. */
+  bool reports_are_current = true;
 };
 
 /** A model that somebody waits for. */
@@ -51,7 +51,8 @@
 };
 
 /**
- * The only giver of orders to the engine beside it. One thread.
+ * Gives an engine orders while this process holds the engine's lease. One
+ * thread.
  *
  * An order whose answer is lost may be carried out seconds later. Two guards:
  * each order names how many the engine has accepted, so a late copy is void as
@@ -62,7 +63,7 @@
  public:
   /** @pre All references outlive the controller. */
   EngineController(ControllerOptions options, EnginePort& engine,
-                   external::KeyValueStore& store,
+                   const EngineLeases& leases,
                    const routing::ConfigurationHolder& configuration,
                    ControllerMetrics& metrics, const core::Clock& clock,
                    const core::Logger& log);
@@ -79,6 +80,10 @@
   /** @return Levels for the metrics. */
   [[nodiscard]] ControllerLevels Levels() const;
 
+  /** Waits until no load request is in progress and no order is open, but not
+   * for longer than the limit. */
+  core::Task<> AwaitQuiet(std::chrono::milliseconds limit);
+
  private:
   /** An order that was given and is not yet seen to be over. */
   struct OpenOrder {
@@ -87,6 +92,7 @@
     core::SteadyTime given;
   };
   core::Task<> Look();
+  core::Task<> TryLook();
   core::Task<> Fulfil(const LoadRequest& load_request);
   core::Task<> EnsureModel(const LoadRequest& load_request);
   void CheckQueue(const LoadRequest& load_request) const;
@@ -96,7 +102,9 @@
       const LoadRequest& load_request) const;
   core::Task<> CarryOut(EngineOrder order, core::SteadyTime deadline);
   core::Task<bool> GiveOnce(EngineOrder order);
-  core::Task<std::int64_t> Fence();
+  core::Task<> AwaitTurn(core::SteadyTime deadline);
+  [[nodiscard]] bool IsUntouched() const;
+  void NoteOwnCount();
   void Settle();
   void NoteForeignOrder();
   [[nodiscard]] bool IsOver(const EngineOrder& order) const;
@@ -114,7 +122,7 @@
 
   const ControllerOptions options_;
   EnginePort& engine_;
-  external::KeyValueStore& store_;
+  const EngineLeases& leases_;
   const routing::ConfigurationHolder& configuration_;
   ControllerMetrics& metrics_;
   const core::Clock& clock_;
@@ -137,7 +145,14 @@
   fleet::InstanceId instance_;
   /** The last look at the engine was answered. */
   bool engine_up_ = true;
-  std::int64_t fence_ = 0;
+  /** Load requests in progress. */
+  int in_progress_ = 0;
+  /** The engine as it was last seen while orders could be given from here. */
+  struct OwnCount {
+    std::optional<fleet::EngineBirth> born;
+    std::int64_t order_count = 0;
+  };
+  std::optional<OwnCount> own_count_;
 };
 
 }  // namespace sapphire::orders
--- /dev/null
+++ b/src/orders/engine_leases.cc
@@ -0,0 +1,246 @@
+/** @file engine_leases.cc Keeps this process the only one that orders an
+ * engine. */
+#include <algorithm>
+#include <utility>
+
+#include "core/error_type.h"
+#include "core/task_func.h"
+#include "fleet/entry_message_func.h"
+#include "orders/engine_leases_base.h"
+
+namespace sapphire::orders {
+
+using core::Error;
+using core::ErrorCode;
+using core::LogCategory;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** The last order of the holder before may have been sent just before its lease
+ * ended, and have been on its way for some time. */
+constexpr milliseconds kTurnMargin{500};
+
+std::string KeyOf(const std::string& engine) {
+  return std::string(fleet::kEngineLeasePrefix) + engine;
+}
+
+}  // namespace
+
+EngineLeases::EngineLeases(LeaseOptions options, AskRelease ask_release,
+                           external::KeyValueStore& store,
+                           const core::Clock& clock, const core::Logger& log)
+    : options_(std::move(options)),
+      ask_release_(std::move(ask_release)),
+      store_(store),
+      clock_(clock),
+      log_(log) {}
+
+core::Task<> EngineLeases::Run() {
+  while (true) {
+    const std::uint64_t seen = wanted_changed_.epoch();
+    std::string failure;
+    bool all_held = false;
+    try {
+      all_held = co_await KeepOnce();
+    } catch (const Error& e) {
+      failure = e.what();
+    }
+    NoteFailure(failure);
+    co_await wanted_changed_.Wait(
+        seen, all_held ? options_.renew_pause : options_.retry_pause);
+  }
+}
+
+core::Task<bool> EngineLeases::KeepOnce() {
+  if (engines_.empty()) co_return true;
+  co_await KeepStoreLease();
+  bool all_held = true;
+  for (const std::string& engine : Wanted()) {
+    const auto it = engines_.find(engine);
+    const bool is_current = it != engines_.end() && it->second.revision != 0 &&
+                            it->second.lease == lease_;
+    if (is_current) continue;
+    if (!co_await TryClaim(engine)) all_held = false;
+  }
+  co_return all_held;
+}
+
+/** Renews the lease of the store; a new one takes the place of one that has
+ * ended. */
+core::Task<> EngineLeases::KeepStoreLease() {
+  const core::SteadyTime began = clock_.Now();
+  if (!lease_.empty()) {
+    const bool alive = co_await store_.KeepAlive(lease_);
+    if (alive) {
+      valid_until_ = began + granted_ - options_.margin;
+      co_return;
+    }
+    NoteLeaseEnded();
+  }
+  const core::SteadyTime asked = clock_.Now();
+  const external::KvLease lease =
+      co_await store_.GrantLease(options_.time_to_live);
+  lease_ = lease.id;
+  granted_ = lease.time_to_live;
+  valid_until_ = asked + granted_ - options_.margin;
+}
+
+void EngineLeases::NoteLeaseEnded() {
+  for (auto& [engine, held] : engines_) {
+    if (held.lease == lease_) held.ended_lease_until = valid_until_;
+  }
+  lease_.clear();
+}
+
+/** A key that can't be claimed does not keep the others from being claimed. */
+core::Task<bool> EngineLeases::TryClaim(std::string engine) {
+  std::string failure;
+  try {
+    co_return co_await Claim(engine);
+  } catch (const Error& e) {
+    failure = e.what();
+  }
+  log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "engine_lease_failed",
+             {{"engine", engine}, {"error", failure}});
+  co_return false;
+}
+
+/** @return True if the engine's key is this process's now. */
+core::Task<bool> EngineLeases::Claim(std::string engine) {
+  external::CasResult result = co_await WriteKey(engine, 0);
+  if (result.swapped) co_return co_await Keep(engine, result.revision, false);
+  if (!result.current) co_return false;
+  const gen::EngineHolder holder =
+      fleet::DecodeEngineHolder(result.current->value);
+  if (holder.address == options_.self.address) {
+    // Of an earlier process here, or a write whose answer was lost.
+    result = co_await WriteKey(engine, result.current->revision);
+    if (!result.swapped) co_return false;
+    co_return co_await Keep(engine, result.revision, true);
+  }
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_lease_taken",
+             {{"engine", engine},
+              {"holder", holder.vm},
+              {"fence", result.current->revision}});
+  const auto it = engines_.find(engine);
+  if (it != engines_.end()) {
+    it->second.revision = 0;
+    it->second.was_others = true;
+  }
+  co_await ask_release_(holder, engine);
+  result = co_await WriteKey(engine, 0);
+  if (!result.swapped) co_return false;
+  co_return co_await Keep(engine, result.revision, false);
+}
+
+core::Task<external::CasResult> EngineLeases::WriteKey(std::string engine,
+                                                       std::int64_t expected) {
+  return store_.CompareAndSwap(KeyOf(engine), expected,
+                               fleet::Encode(options_.self), lease_);
+}
+
+/** Keeps a key that was written, or takes it back if nobody wants it any more.
+ * @return True if it is kept. */
+core::Task<bool> EngineLeases::Keep(std::string engine, std::int64_t revision,
+                                    bool same_vm) {
+  if (engines_.contains(engine)) {
+    NoteHeld(engine, revision, same_vm);
+    co_return true;
+  }
+  co_await store_.DeleteIf(KeyOf(engine), revision);
+  co_return false;
+}
+
+/** @param same_vm The process before was on this VM, and has ended. */
+void EngineLeases::NoteHeld(const std::string& engine, std::int64_t revision,
+                            bool same_vm) {
+  const core::SteadyTime now = clock_.Now();
+  Held& held = engines_.at(engine);
+  const bool unbroken = held.revision != 0 && now < ValidUntil(held);
+  if (!unbroken)
+    held.turn = same_vm ? now : now + options_.turn_gap + kTurnMargin;
+  held.revision = revision;
+  held.lease = lease_;
+  const auto turn_left =
+      std::chrono::duration_cast<milliseconds>(held.turn - now);
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_lease_held",
+             {{"engine", engine},
+              {"fence", revision},
+              {"same_vm", same_vm},
+              {"unbroken", unbroken},
+              {"turn_left_ms", std::max(turn_left, milliseconds(0))}});
+}
+
+void EngineLeases::NoteFailure(const std::string& failure) {
+  const bool failed = !failure.empty();
+  if (failed == failing_) return;
+  failing_ = failed;
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(valid_until_ - clock_.Now());
+  log_.Event(failed ? LogLevel::kWarning : LogLevel::kInfo,
+             LogCategory::kPlatform,
+             failed ? "engine_leases_lost" : "engine_leases_regained",
+             {{"left_ms", left}, {"error", failure}});
+}
+
+void EngineLeases::Want(const std::string& engine) {
+  if (engines_.try_emplace(engine).second) wanted_changed_.Notify();
+}
+
+core::Task<> EngineLeases::Release(std::string engine) {
+  const auto it = engines_.find(engine);
+  if (it == engines_.end()) co_return;
+  const std::int64_t revision = it->second.revision;
+  engines_.erase(it);
+  if (revision == 0) co_return;
+  log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_lease_released",
+             {{"engine", engine}, {"fence", revision}});
+  co_await store_.DeleteIf(KeyOf(engine), revision);
+}
+
+void EngineLeases::Forget(const std::string& engine) { engines_.erase(engine); }
+
+std::vector<std::string> EngineLeases::Wanted() const {
+  std::vector<std::string> wanted;
+  for (const auto& [engine, held] : engines_) wanted.push_back(engine);
+  return wanted;
+}
+
+core::SteadyTime EngineLeases::ValidUntil(const Held& held) const {
+  return held.lease == lease_ ? valid_until_ : held.ended_lease_until;
+}
+
+bool EngineLeases::Holds(const std::string& engine) const {
+  const auto it = engines_.find(engine);
+  return it != engines_.end() && it->second.revision != 0 &&
+         clock_.Now() < ValidUntil(it->second);
+}
+
+const EngineLeases::Held& EngineLeases::Require(
+    const std::string& engine) const {
+  if (!Holds(engine)) {
+    throw Error(ErrorCode::kNotHolder, engine + ": its lease is not held here");
+  }
+  return engines_.at(engine);
+}
+
+milliseconds EngineLeases::TurnLeft(const std::string& engine,
+                                    bool untouched) const {
+  const Held& held = Require(engine);
+  if (untouched && !held.was_others) return milliseconds(0);
+  const auto left = std::chrono::ceil<milliseconds>(held.turn - clock_.Now());
+  return std::max(left, milliseconds(0));
+}
+
+std::int64_t EngineLeases::Fence(const std::string& engine,
+                                 bool untouched) const {
+  if (TurnLeft(engine, untouched) > milliseconds(0)) {
+    throw Error(ErrorCode::kNotHolder,
+                engine + ": the VM before may still have ordered");
+  }
+  return Require(engine).revision;
+}
+
+}  // namespace sapphire::orders
--- /dev/null
+++ b/src/orders/engine_leases_test.cc
@@ -0,0 +1,249 @@
+/** @file engine_leases_test.cc Tests of the leases of engines. */
+#define BOOST_TEST_MODULE engine_leases
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/error_type.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "orders/engine_leases_base.h"
+
+namespace sapphire::orders {
+
+namespace {
+
+using entry::testing::RunTask;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kEngine("10.0.0.1:80");
+constexpr milliseconds kTurnGap{3000};
+
+/** The process beside the engine, an entry, and their store. Time passes only
+ * when the test lets it. */
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock) {
+    clock.Advance(seconds(1000));
+  }
+
+  std::unique_ptr<EngineLeases> Start(const std::string& vm,
+                                      const std::string& address) {
+    LeaseOptions options;
+    options.self.vm = vm;
+    options.self.address = address;
+    options.turn_gap = kTurnGap;
+    auto leases = std::make_unique<EngineLeases>(
+        options,
+        [this](const gen::EngineHolder& holder, const std::string&) {
+          return NoteAsked(holder.vm);
+        },
+        store, clock, log);
+    leases->Want(kEngine);
+    return leases;
+  }
+
+  std::unique_ptr<EngineLeases> StartEndpoint() {
+    return Start("side-1", "10.0.0.1:81");
+  }
+  std::unique_ptr<EngineLeases> StartEntry() {
+    return Start("front-1", "10.0.0.2:81");
+  }
+
+  core::Task<> NoteAsked(std::string holder) {
+    asked = std::move(holder);
+    co_return;
+  }
+
+  /** @return True if all that is wanted is held; false also on a failure. */
+  bool Keep(EngineLeases& leases) {
+    try {
+      return RunTask(io, leases.KeepOnce());
+    } catch (const core::Error&) {
+      return false;
+    }
+  }
+
+  /** Lets time pass; each of them renews once a second, as far as it can. */
+  void Pass(seconds time, std::initializer_list<EngineLeases*> alive) {
+    for (seconds gone{0}; gone < time; gone += seconds(1)) {
+      clock.Advance(seconds(1));
+      for (EngineLeases* it : alive) Keep(*it);
+      Check(alive);
+    }
+  }
+
+  /** Two holders never may order at the same time. */
+  void Check(std::initializer_list<EngineLeases*> all) const {
+    int may_order = 0;
+    for (const EngineLeases* it : all) may_order += MayOrder(*it) ? 1 : 0;
+    BOOST_TEST(may_order <= 1);
+  }
+
+  static bool MayOrder(const EngineLeases& leases) {
+    return FenceOf(leases).has_value();
+  }
+
+  static std::optional<std::int64_t> FenceOf(const EngineLeases& leases) {
+    try {
+      return leases.Fence(kEngine, false);
+    } catch (const core::Error&) {
+      return std::nullopt;
+    }
+  }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log;
+  entry::testing::MemoryKeyValue store{clock};
+  /** Who was last asked to give the engine up. */
+  std::string asked;
+};
+
+}  // namespace
+
+/** Guards against an engine that nobody can order once its process is gone. */
+BOOST_AUTO_TEST_CASE(AnEntryOrdersAnEngineWhoseProcessIsGone) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  BOOST_TEST(rig.MayOrder(*endpoint));
+  const auto entry = rig.StartEntry();
+  rig.Pass(seconds(12), {entry.get()});
+  BOOST_TEST(!rig.MayOrder(*entry));
+  rig.Pass(seconds(8), {entry.get()});
+  BOOST_TEST(rig.MayOrder(*entry));
+}
+
+/** Guards against orders of a process that was frozen while its lease ended. */
+BOOST_AUTO_TEST_CASE(AProcessThatWakesAfterItsLeaseEndedOrdersNothing) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  const auto before = rig.FenceOf(*endpoint);
+  const auto entry = rig.StartEntry();
+  rig.Pass(seconds(20), {entry.get()});
+  BOOST_TEST(!rig.MayOrder(*endpoint));
+  rig.Pass(seconds(5), {entry.get(), endpoint.get()});
+  BOOST_TEST(!rig.MayOrder(*endpoint));
+  BOOST_TEST(rig.asked == "front-1");
+  BOOST_TEST(*rig.FenceOf(*entry) > *before);
+}
+
+/** Guards against orders by turns: the last one of the process before and the
+ * first one of the next are apart. */
+BOOST_AUTO_TEST_CASE(TheNextHolderWaitsForItsTurn) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  const auto entry = rig.StartEntry();
+  core::SteadyTime last = rig.clock.Now();
+  while (!rig.MayOrder(*entry)) {
+    rig.clock.Advance(milliseconds(100));
+    rig.Keep(*entry);
+    if (rig.MayOrder(*endpoint)) last = rig.clock.Now();
+    BOOST_REQUIRE((rig.clock.Now() - last < seconds(60)));
+  }
+  BOOST_TEST((rig.clock.Now() - last >= kTurnGap));
+}
+
+/** Guards against an engine that stays with an entry after its own process is
+ * back. */
+BOOST_AUTO_TEST_CASE(AReleasedEngineGoesBackToTheProcessBesideIt) {
+  Rig rig;
+  const auto entry = rig.StartEntry();
+  rig.Pass(seconds(5), {entry.get()});
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(2), {entry.get(), endpoint.get()});
+  BOOST_TEST(rig.asked == "front-1");
+  RunTask(rig.io, [](EngineLeases& it) -> core::Task<bool> {
+    co_await it.Release(kEngine);
+    co_return true;
+  }(*entry));
+  rig.Keep(*endpoint);
+  BOOST_TEST(endpoint->Holds(kEngine));
+  BOOST_TEST(!rig.MayOrder(*endpoint));
+  rig.Pass(seconds(4), {entry.get(), endpoint.get()});
+  BOOST_TEST(rig.MayOrder(*endpoint));
+}
+
+/** Guards against refused loads after each restart of the process beside an
+ * engine: nobody else can have ordered, as its lease still stands. */
+BOOST_AUTO_TEST_CASE(ARestartedProcessTakesItsLeaseBackAtOnce) {
+  Rig rig;
+  auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  const auto before = rig.FenceOf(*endpoint);
+  endpoint = rig.StartEndpoint();
+  rig.Keep(*endpoint);
+  BOOST_TEST(rig.MayOrder(*endpoint));
+  BOOST_TEST(*rig.FenceOf(*endpoint) > *before);
+}
+
+/** Guards against refused loads at each start: nobody has ordered an engine
+ * that has accepted no order yet. */
+BOOST_AUTO_TEST_CASE(AnUntouchedEngineIsOrderedAtOnce) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Keep(*endpoint);
+  BOOST_TEST((endpoint->TurnLeft(kEngine, false) > milliseconds(0)));
+  BOOST_TEST((endpoint->TurnLeft(kEngine, true) == milliseconds(0)));
+}
+
+/** Guards against refused loads while the store is away. */
+BOOST_AUTO_TEST_CASE(AnOutageOfTheStoreLeavesTheHolderInPlace) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  rig.store.down = true;
+  rig.Pass(seconds(9), {endpoint.get()});
+  BOOST_TEST(rig.MayOrder(*endpoint));
+  rig.store.down = false;
+  rig.Pass(seconds(1), {endpoint.get()});
+  BOOST_TEST(rig.MayOrder(*endpoint));
+}
+
+/** Guards against orders of two processes after a long outage in which leases
+ * went on to run out. */
+BOOST_AUTO_TEST_CASE(ALongOutageEndsTheRightToOrder) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  rig.store.down = true;
+  rig.Pass(seconds(15), {endpoint.get()});
+  BOOST_TEST(!rig.MayOrder(*endpoint));
+  rig.store.down = false;
+  const auto entry = rig.StartEntry();
+  rig.Pass(seconds(10), {entry.get(), endpoint.get()});
+  BOOST_TEST(rig.MayOrder(*entry));
+  BOOST_TEST(!rig.MayOrder(*endpoint));
+}
+
+/** Guards against refused loads after a lapse that the holder has bridged. */
+BOOST_AUTO_TEST_CASE(ALapseThatTheHolderBridgesCostsNoTurn) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  rig.Pass(seconds(5), {endpoint.get()});
+  rig.store.LapseLeases();
+  rig.Keep(*endpoint);
+  BOOST_TEST(rig.MayOrder(*endpoint));
+}
+
+/** Guards against a lease that is renewed for good though nobody wants it. */
+BOOST_AUTO_TEST_CASE(ALeaseThatIsNotWantedAnyMoreIsGivenBack) {
+  Rig rig;
+  const auto entry = rig.StartEntry();
+  entry::testing::Outcome<bool> claim;
+  entry::testing::StartTask(rig.io, entry->KeepOnce(), claim);
+  rig.io.restart();
+  rig.io.run_one();
+  entry->Forget(kEngine);
+  while (!claim.value && !claim.failure) rig.io.run_one();
+  BOOST_TEST(rig.store.Keys("engine-leases/").empty());
+}
+
+}  // namespace sapphire::orders
--- a/src/orders/engine_port_base.h
+++ b/src/orders/engine_port_base.h
@@ -1,10 +1,13 @@
-/** @file engine_port_base.h The engine beside an endpoint, as orders see it. */
+/** @file engine_port_base.h An engine, as orders see it. */
 #ifndef SAPPHIRE_ORDERS_ENGINE_PORT_BASE_H_
 #define SAPPHIRE_ORDERS_ENGINE_PORT_BASE_H_
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/id_type.h"
@@ -74,6 +77,10 @@
   virtual core::Task<OrderAnswer> Give(EngineOrder order) = 0;
 };
 
+/** Makes the port to the engine at an address, "ip:port". */
+using MakeEnginePort =
+    std::function<std::unique_ptr<EnginePort>(const std::string& address)>;
+
 }  // namespace sapphire::orders
 
 #endif  // SAPPHIRE_ORDERS_ENGINE_PORT_BASE_H_
--- a/src/orders/endpoint_service.cc
+++ b/src/orders/order_service.cc
@@ -1,17 +1,16 @@
-/** @file endpoint_service.cc Answers the entries' calls for one engine. */
+/** @file order_service.cc Answers calls for the engines that this process
+ * orders. */
 #include <chrono>
 #include <utility>
 
 #include "core/error_type.h"
 #include "fleet/entry_message_func.h"
-#include "orders/endpoint_service_base.h"
+#include "orders/order_service_base.h"
 
 namespace sapphire::orders {
 
 using std::chrono::milliseconds;
 
-namespace {
-
 LoadRequest ReadLoadRequest(const gen::EnsureModel& told,
                             core::SteadyTime now) {
   LoadRequest load_request;
@@ -26,26 +25,34 @@
   return load_request;
 }
 
-}  // namespace
+OrderService::OrderService(OrderServiceParts parts, const core::Clock& clock)
+    : parts_(std::move(parts)), clock_(clock) {}
 
-EndpointService::EndpointService(EngineController& controller,
-                                 const core::Clock& clock)
-    : controller_(controller), clock_(clock) {}
+core::Task<> OrderService::Answer(std::shared_ptr<link::Call> call,
+                                  gen::Message first) {
+  gen::Message answer = co_await AnswerTo(std::move(first));
+  co_await call->Send(std::move(answer));
+}
 
-core::Task<> EndpointService::Answer(std::shared_ptr<link::Call> call,
-                                     gen::Message first) {
+core::Task<gen::Message> OrderService::AnswerTo(gen::Message first) {
+  gen::Message answer;
+  if (first.__isset.release_engine) {
+    co_await parts_.release(first.release_engine.engine_address);
+    answer.__set_engine_released(gen::EngineReleased());
+    co_return answer;
+  }
   if (!first.__isset.ensure_model) {
     throw core::Error(core::ErrorCode::kMalformedRequest,
-                      link::KindOf(first) + " is not for an endpoint");
+                      link::KindOf(first) + " is not for who orders engines");
   }
   const gen::EnsureModel& told = first.ensure_model;
-  co_await controller_.Ensure(ReadLoadRequest(told, clock_.Now()));
+  const auto controller = parts_.find(fleet::InstanceId(told.engine_instance));
+  co_await controller->Ensure(ReadLoadRequest(told, clock_.Now()));
   gen::ModelReady ready;
   ready.model = told.model;
   ready.adapter = told.adapter;
-  gen::Message message;
-  message.__set_model_ready(ready);
-  co_await call->Send(std::move(message));
+  answer.__set_model_ready(ready);
+  co_return answer;
 }
 
 }  // namespace sapphire::orders
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -212,29 +212,38 @@
 
 /** Has the model loaded. @return When it is expected to serve. */
 milliseconds EngineChooser::WakeModel(RequestWork& work) {
-  const Error nowhere(
-      work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
-      "no engine can be reached", kSoon);
   const auto unthrottled =
       finder_.FirstUnthrottled(work.service->id, work.request, work.avoid);
   if (work.request.model.empty()) {
     if (unthrottled) return *unthrottled;
-    throw Error(nowhere);
+    RefuseNowhere(work);
   }
   const std::vector<FoundReplica> held =
       finder_.Find(work.service->id, work.request, work.avoid);
-  if (!held.empty()) {
+  const bool may_serve =
+      std::ranges::any_of(held, [this](const FoundReplica& it) {
+        return it.has_adapter || loader_.CanOrder(it.instance);
+      });
+  if (may_serve) {
     return std::ranges::min(held, {}, &FoundReplica::order_left).order_left;
   }
   if (unthrottled && *unthrottled <= kShortThrottle) return *unthrottled;
   const auto ready =
       loader_.Wake(*work.service, work.request.model, work.request.id);
-  if (!ready && !unthrottled) throw Error(nowhere);
+  if (!ready && !unthrottled) RefuseNowhere(work);
   if (ready) WakeForWaiting(work);
   return std::min(ready.value_or(milliseconds::max()),
                   unthrottled.value_or(milliseconds::max()));
 }
 
+/** Refuses a request that no engine can serve. @throws core::Error */
+void EngineChooser::RefuseNowhere(const RequestWork& work) const {
+  const auto reachable = loader_.FirstReachable(work.service->id);
+  throw Error(
+      work.runs == 0 ? ErrorCode::kNoEndpoint : ErrorCode::kOutcomeUnknown,
+      "no engine can be reached", std::max(reachable.value_or(kSoon), kSoon));
+}
+
 bool EngineChooser::HasOther(const RequestWork& work) const {
   std::set<fleet::InstanceId> avoid = work.avoid;
   avoid.insert(work.engine);
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -71,6 +71,7 @@
   void WakeAdapter(const RequestWork& work, std::vector<FoundReplica> holders);
   void WakeForWaiting(const RequestWork& work);
   milliseconds WakeModel(RequestWork& work);
+  [[noreturn]] void RefuseNowhere(const RequestWork& work) const;
   [[nodiscard]] milliseconds NextLook(const RequestWork& work) const;
   [[nodiscard]] milliseconds IdleTimeLeft(const RequestWork& work) const;
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -39,14 +39,44 @@
   return links;
 }
 
-/** An entry takes no calls. */
-core::Task<> RefuseCall(const std::shared_ptr<link::Call>& /*call*/,
-                        const gen::Message& /*first*/) {
-  throw core::Error(core::ErrorCode::kMalformedRequest,
-                    "an entry takes no calls");
+orders::LeaseOptions LeaseOptionsOf(const FrontOptions& options) {
+  orders::LeaseOptions leases = options.leases;
+  leases.self.vm = options.vm.value();
+  leases.self.address = options.link_listen;
+  return leases;
+}
+
+/** An entry leaves an engine to another process that orders it. */
+core::Task<> LeaveToHolder(const gen::EngineHolder& /*holder*/,
+                           const std::string& /*engine*/) {
   co_return;
 }
 
+orders::PoolOptions PoolOptionsOf(const FrontOptions& options) {
+  orders::PoolOptions pool;
+  pool.vm = options.vm.value();
+  pool.address = options.link_listen;
+  return pool;
+}
+
+orders::OrderServiceParts OrderServicePartsOf(orders::ControllerPool& pool) {
+  orders::OrderServiceParts parts;
+  parts.find = [&pool](const fleet::InstanceId& instance) {
+    return pool.Find(instance);
+  };
+  parts.release = [&pool](std::string engine) {
+    return pool.Release(std::move(engine));
+  };
+  return parts;
+}
+
+fleet::OrderCallOptions OrderCallOptionsOf(const FrontOptions& options) {
+  fleet::OrderCallOptions calls;
+  calls.self = options.link_listen;
+  calls.endpoint_port = options.endpoint_link_port;
+  return calls;
+}
+
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
                       ConfigurationRefresh& refresh,
                       std::function<bool()> keys_confirmed, QuotaGate& quota,
@@ -144,7 +174,8 @@
 Front::Front(const core::Executor& executor, FrontOptions options,
              StoreLayout layout, external::KeyValueStore& store,
              const CallerWire& caller_wire, const EngineWire& engine_wire,
-             const core::Clock& clock, const core::Logger& log)
+             orders::MakeEnginePort make_engine_port, const core::Clock& clock,
+             const core::Logger& log)
     : options_(std::move(options)),
       layout_(std::move(layout)),
       executor_(executor),
@@ -161,9 +192,22 @@
       loads_(clock),
       presence_key_(PresenceKeyOf(options_)),
       peer_table_(presence_key_, loads_, clock, log),
-      links_(executor, LinkOptionsOf(options_), RefuseCall, link::NoVersions(),
-             clock, log),
-      calls_(options_.endpoint_link_port, links_, registry_),
+      holders_(clock, log),
+      leases_(LeaseOptionsOf(options_), LeaveToHolder, store_, clock, log),
+      pool_(PoolOptionsOf(options_), std::move(make_engine_port), leases_,
+            registry_, holders_, peer_table_, configuration_,
+            controller_metrics_, executor, clock, log),
+      order_service_(OrderServicePartsOf(pool_), clock),
+      links_(
+          executor, LinkOptionsOf(options_),
+          [this](std::shared_ptr<link::Call> call, gen::Message first) {
+            return order_service_.Answer(std::move(call), std::move(first));
+          },
+          link::NoVersions(), clock, log),
+      calls_(
+          OrderCallOptionsOf(options_),
+          [this](gen::EnsureModel it) { return EnsureHere(std::move(it)); },
+          links_, registry_, holders_, clock, log),
       gauges_(engine_wire, clients_, registry_, loads_, executor, clock, log),
       finder_(options_.zone, registry_, peer_table_, loads_, gauges_, clock),
       loader_(finder_, calls_, peer_table_, registry_, loads_, metrics_,
@@ -205,6 +249,7 @@
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
                    loader_, channel_, executor, clock, log),
       entry_follower_(peer_table_, log),
+      holder_follower_(holders_, log),
       engine_follower_(
           layout_, registry_, [this] { loader_.changed().Notify(); }, clock,
           log),
@@ -244,6 +289,7 @@
   });
   core::Spawn(executor_, log_, "keep_presence",
               [this] { return presence_.Run(); });
+  core::Spawn(executor_, log_, "keep_leases", [this] { return leases_.Run(); });
   core::Spawn(executor_, log_, "run_maintenance",
               [this] { return RunMaintenance(); });
 }
@@ -283,7 +329,7 @@
   std::string text;
   {
     const core::StallWatch::Span span(stalls_, "metrics");
-    text = metrics_.Text(Levels());
+    text = metrics_.Text(Levels()) + controller_metrics_.CounterText();
   }
   http::Response response = http::MetricsResponse(std::move(text));
   co_await writer.Send(std::move(response));
@@ -299,7 +345,16 @@
 
 std::vector<routing::FollowHooks> Front::AllHooks() {
   return {ConfigurationHooks(), engine_follower_.Hooks(),
-          entry_follower_.Hooks(), crash_watch_.Hooks()};
+          entry_follower_.Hooks(), holder_follower_.Hooks(),
+          crash_watch_.Hooks()};
+}
+
+/** Has a model loaded at an engine that this entry orders. */
+core::Task<> Front::EnsureHere(gen::EnsureModel load_request) {
+  const auto controller =
+      pool_.Find(fleet::InstanceId(load_request.engine_instance));
+  co_await controller->Ensure(
+      orders::ReadLoadRequest(load_request, clock_.Now()));
 }
 
 routing::FollowHooks Front::ConfigurationHooks() {
@@ -367,6 +422,8 @@
       const core::StallWatch::Span span(stalls_, "housekeeping");
       registry_.Expire();
       dispatcher_.Forget();
+      calls_.Forget();
+      pool_.Maintain();
       quota_client_.Tick();
       quota_client_.Forget();
       engine_quota_client_.Tick();
@@ -389,6 +446,7 @@
   server_.AnnounceLeaving();
   log_.Event(LogLevel::kInfo, LogCategory::kProcess, "leaving",
              {{"in_progress", server_.in_progress()}});
+  pool_.Leave();
   co_await presence_.Withdraw();
   while (clock_.Now() < end) {
     const bool balanced = clock_.Now() - began >= kBalancerLag;
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -14,12 +14,18 @@
 #include "core/task_type.h"
 #include "external/counting_store_base.h"
 #include "external/key_value_base.h"
+#include "fleet/engine_holders_base.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
 #include "fleet/order_calls_base.h"
 #include "fleet/peer_table_base.h"
 #include "http/server_base.h"
 #include "link/link_base.h"
+#include "orders/controller_metrics_base.h"
+#include "orders/controller_pool_base.h"
+#include "orders/engine_leases_base.h"
+#include "orders/engine_port_base.h"
+#include "orders/order_service_base.h"
 #include "quota/quota_client_base.h"
 #include "routing/routing_table_base.h"
 #include "routing/store_follower_base.h"
@@ -31,6 +37,7 @@
 #include "serving/entry_follower_base.h"
 #include "serving/entry_presence_base.h"
 #include "serving/follow_func.h"
+#include "serving/holder_follower_base.h"
 #include "serving/load_broadcaster_base.h"
 #include "serving/model_loader_base.h"
 #include "serving/peer_channel_base.h"
@@ -56,6 +63,8 @@
   Freshness freshness;
   RevocationRule revocation;
   quota::QuotaRules quota;
+  /** Of the engines that entries order. */
+  orders::LeaseOptions leases;
   /** Until the process is killed after it was asked to leave. */
   milliseconds leave_limit{8000};
 };
@@ -67,7 +76,8 @@
   Front(const core::Executor& executor, FrontOptions options,
         StoreLayout layout, external::KeyValueStore& store,
         const CallerWire& caller_wire, const EngineWire& engine_wire,
-        const core::Clock& clock, const core::Logger& log);
+        orders::MakeEnginePort make_engine_port, const core::Clock& clock,
+        const core::Logger& log);
 
   void Start();
 
@@ -90,6 +100,7 @@
                   const std::string& address);
   [[nodiscard]] bool KeysConfirmed() const;
   core::Task<> RunMaintenance();
+  core::Task<> EnsureHere(gen::EnsureModel load_request);
   std::vector<routing::FollowHooks> AllHooks();
   routing::FollowHooks ConfigurationHooks();
 
@@ -106,6 +117,11 @@
   fleet::EngineLoads loads_;
   const std::string presence_key_;
   fleet::PeerTable peer_table_;
+  fleet::EngineHolders holders_;
+  orders::ControllerMetrics controller_metrics_;
+  orders::EngineLeases leases_;
+  orders::ControllerPool pool_;
+  orders::OrderService order_service_;
   link::LinkNode links_;
   fleet::OrderCalls calls_;
   EngineClients clients_;
@@ -124,6 +140,7 @@
   EntryPresence presence_;
   LoadBroadcaster broadcaster_;
   EntryFollower entry_follower_;
+  HolderFollower holder_follower_;
   EngineFollower engine_follower_;
   routing::StoreFollower store_follower_;
   http::Server server_;
--- /dev/null
+++ b/src/serving/holder_follower_base.h
@@ -0,0 +1,38 @@
+/** @file holder_follower_base.h Keeps the table of engines' holders up to date.
+ */
+#ifndef SAPPHIRE_SERVING_HOLDER_FOLLOWER_BASE_H_
+#define SAPPHIRE_SERVING_HOLDER_FOLLOWER_BASE_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/log_base.h"
+#include "external/key_value_base.h"
+#include "fleet/engine_holders_base.h"
+#include "routing/store_follower_base.h"
+
+namespace sapphire::serving {
+
+/** Takes engines' leases, as what follows the store sees them, into the table
+ * of holders. One thread. */
+class HolderFollower {
+ public:
+  /** @pre All references outlive the follower. */
+  HolderFollower(fleet::EngineHolders& holders, const core::Logger& log);
+
+  /** @pre The follower outlives whoever calls them. */
+  [[nodiscard]] routing::FollowHooks Hooks();
+
+ private:
+  void TakeListing(const std::vector<external::KvEntry>& entries);
+  void TakeChange(const external::KvEvent& event);
+  [[nodiscard]] std::optional<fleet::EngineHolder> Read(
+      const external::KvEntry& entry) const;
+
+  fleet::EngineHolders& holders_;
+  const core::Logger& log_;
+};
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_HOLDER_FOLLOWER_BASE_H_
--- a/src/serving/model_loader_base.h
+++ b/src/serving/model_loader_base.h
@@ -77,7 +77,18 @@
   void AddReplica(const routing::Service& service, const core::ModelId& model,
                   policy::ReplicaNeed need, int at_once = 1);
 
-  /** @return True if the engine could not load it a moment ago. */
+  /** @return False if whoever orders the engine can't be reached now. */
+  [[nodiscard]] bool CanOrder(const fleet::InstanceId& instance) const {
+    return calls_.UnreachableFor(instance) == milliseconds(0);
+  }
+
+  /** @return Until a process that orders engines of the service and can't be
+   * reached now is asked again; nothing if all can be. */
+  [[nodiscard]] std::optional<milliseconds> FirstReachable(
+      const core::ServiceId& service) const;
+
+  /** @return True if the engine could not load it a moment ago, or can't be
+   * ordered now. */
   [[nodiscard]] bool FailedLately(const LoadTarget& target,
                                   const fleet::InstanceId& instance) const;
 
@@ -114,6 +125,8 @@
     core::SteadyTime at;
   };
 
+  [[nodiscard]] std::vector<FoundLoader> FindLoaders(
+      const routing::Service& service, const core::ModelId& model) const;
   [[nodiscard]] milliseconds StoreLoadTime() const;
   void Join(const LoadTarget& target);
   [[nodiscard]] bool LanesAreForOthers(const routing::Service& service,
--- a/src/serving/model_loader_test.cc
+++ b/src/serving/model_loader_test.cc
@@ -315,4 +315,51 @@
   BOOST_TEST(rig.finder.FindLoaders(rig.service, kModel).empty());
 }
 
+/** Guards against a request a moment to a process that can't be reached: its
+ * engine's callers are told at once when to come back. */
+BOOST_AUTO_TEST_CASE(AnUnreachableControllerIsLeftAloneForAWhile) {
+  Rig rig;
+  rig.Describe([](fleet::EngineEntry& it) { it.address = "127.0.0.9:1"; });
+  rig.loader.Wake(rig.service, kModel, kRequest);
+  rig.Settle();
+  const fleet::InstanceId engine("i-1");
+  BOOST_TEST(!rig.loader.CanOrder(engine));
+  BOOST_TEST(!rig.loader.Wake(rig.service, kModel, kRequest).has_value());
+  BOOST_TEST((*rig.loader.FirstReachable(kService) == milliseconds(1000)));
+  rig.loader_clock.Advance(milliseconds(2100));
+  BOOST_TEST(rig.loader.Wake(rig.service, kModel, kRequest).has_value());
+  rig.Settle();
+  BOOST_TEST((*rig.loader.FirstReachable(kService) == milliseconds(2000)));
+}
+
+/** Guards against callers that are refused by an engine which works: only the
+ * process that gives it orders is gone. */
+BOOST_AUTO_TEST_CASE(AnEngineServesOnWithoutItsController) {
+  Rig rig;
+  rig.Describe([](fleet::EngineEntry& it) {
+    it.address = "127.0.0.9:1";
+    it.models.push_back({core::ModelId("held"), 1, {}});
+  });
+  rig.loader.Wake(rig.service, kModel, kRequest);
+  rig.Settle();
+  BOOST_TEST(!rig.loads.Unreachable(fleet::InstanceId("i-1")));
+}
+
+/** Guards against callers that wait out the pause of a holder which is gone: a
+ * new one is asked at once. */
+BOOST_AUTO_TEST_CASE(ANewHolderIsAskedAtOnce) {
+  Rig rig;
+  rig.Describe([](fleet::EngineEntry& it) { it.address = "127.0.0.9:1"; });
+  rig.loader.Wake(rig.service, kModel, kRequest);
+  rig.Settle();
+  const fleet::InstanceId engine("i-1");
+  BOOST_TEST(!rig.loader.CanOrder(engine));
+  rig.holders.Put("127.0.0.9:1", {"vm-2", rig.endpoint.address, 7});
+  BOOST_TEST(rig.loader.CanOrder(engine));
+  rig.loader_clock.Advance(milliseconds(2100));
+  rig.loader.Wake(rig.service, kModel, kRequest);
+  rig.Settle();
+  BOOST_TEST(rig.endpoint.load_requests == 1);
+}
+
 }  // namespace sapphire::serving
