Read asks and answers on engines' limits

What callers saw: requests to an engine that had named a limit waited 150 to 800 ms and were refused below the limit.

Cause: DecodeDatagram takes a datagram only if one of record, quota_ask or quota_answer names its sender. Asks on engines' limits travel in fields of their own, so every receiver refused them; each entry went by its even share of the limit. Found while reading the decoder for another message.

EachKindOfDatagramIsRead fails before ("names no entry").

The rigs that test the limits hand datagrams over without encoding them, which is why no test showed it.

--- a/src/fleet/entry_message.cc
+++ b/src/fleet/entry_message.cc
@@ -79,7 +79,9 @@
   const bool has_sender =
       (datagram.__isset.record && !datagram.record.entry.empty()) ||
       (datagram.__isset.quota_ask && !datagram.quota_ask.entry.empty()) ||
-      (datagram.__isset.quota_answer && !datagram.quota_answer.entry.empty());
+      (datagram.__isset.quota_answer && !datagram.quota_answer.entry.empty()) ||
+      (datagram.__isset.engine_ask && !datagram.engine_ask.entry.empty()) ||
+      (datagram.__isset.engine_answer && !datagram.engine_answer.entry.empty());
   if (!has_sender) {
     throw core::Error(core::ErrorCode::kMalformedRequest,
                       "message of an entry: names no entry");
--- a/src/fleet/peer_table_test.cc
+++ b/src/fleet/peer_table_test.cc
@@ -223,4 +223,23 @@
   BOOST_TEST(rig.peer_table.Peers().front().entry == "entries/vm-1@a");
 }
 
+/** Guards against asks on engines' limits that no entry ever takes: each kind
+ * of datagram is read. */
+BOOST_AUTO_TEST_CASE(EachKindOfDatagramIsRead) {
+  gen::QuotaAsk ask;
+  ask.entry = "a";
+  ask.number = 7;
+  gen::QuotaAnswer answer;
+  answer.entry = "a";
+  answer.number = 7;
+  std::vector<gen::EntryDatagram> datagrams(4);
+  datagrams[0].__set_quota_ask(ask);
+  datagrams[1].__set_quota_answer(answer);
+  datagrams[2].__set_engine_ask(ask);
+  datagrams[3].__set_engine_answer(answer);
+  for (const gen::EntryDatagram& it : datagrams) {
+    BOOST_TEST((DecodeDatagram(Encode(it)) == it));
+  }
+}
+
 }  // namespace sapphire::fleet
