Refuse at a planned stop what no engine has run

What callers saw: connections closed without an answer around a SIGTERM.

Cause: EngineChooser refuses in time what could not end before the process does, but only while nothing was sent. A request that was sent and turned away counted as begun and was tried to the last: it waited for a load until 30 ms before the process ended, looked again up to 200 ms later, and its refusal never left the process.

Change: what no engine has run is refused as if it had not been sent. What has run keeps its last chance, but its wait ends 300 ms before the process.

--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -302,6 +302,36 @@
   BOOST_TEST(engine.requests.empty());
 }
 
+/** Guards against connections that are closed without an answer at a planned
+ * stop: no engine has run the request, and none will before the process ends.
+ */
+BOOST_AUTO_TEST_CASE(ALeavingProcessRefusesWhatNoEngineHasRun) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Answering(kUnavailable, true, ""));
+  fleet::EngineEntry loading;
+  loading.instance = fleet::InstanceId("i-loading");
+  loading.service = kDrafts;
+  loading.address = "127.0.0.1:1";
+  rig.registry.Put(loading);
+  rig.peer_table.SetEntries({{"other", gen::EntryPresence()}});
+  gen::ComingLoad load;
+  load.engine_instance = "i-loading";
+  load.model = "m";
+  load.ready_in_ms = 2000;
+  gen::EntryRecord record;
+  record.entry = "other";
+  record.number = 1;
+  record.loads.push_back(load);
+  rig.peer_table.Take(record);
+  const core::SteadyTime began = rig.clock.Now();
+  rig.dispatcher.EndAt(began + milliseconds(6000));
+  RecordingWriter caller;
+  rig.Serve("/stream/", milliseconds(20'000), caller);
+  BOOST_TEST(caller.status == kUnavailable);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST((rig.clock.Now() - began < milliseconds(1000)));
+}
+
 /**
  * Users of all models wait while engine after engine restarts.
  * Each engine crashes as it begins to run one request; its caller sends it
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -32,6 +32,10 @@
  * for as long as balancers may still send new connections. */
 constexpr milliseconds kUsualStream{5200};
 
+/** An answer that is made this long before the process ends still leaves it: a
+ * busy VM needs some hundred milliseconds. */
+constexpr milliseconds kLastAnswer{300};
+
 /** Below so many requests at work an engine's streams do not pause, whichever
  * of them is chosen. */
 constexpr int kBusyEnough = 4;
@@ -110,10 +114,19 @@
           "no engine can serve it in its time", std::max(ready_in, kSoon));
     }
     const Waiting waiting(waiting_, work.request.model);
-    co_await loader_.changed().Wait(seen, std::min(NextLook(work), left));
+    const milliseconds pause = std::min({NextLook(work), left, TimeToEnd()});
+    co_await loader_.changed().Wait(seen, pause);
   }
 }
 
+/** @return Until the last answers are due before the process ends. */
+milliseconds EngineChooser::TimeToEnd() const {
+  if (!end_) return milliseconds::max();
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      *end_ - kLastAnswer - clock_.Now());
+  return std::max(left, milliseconds(1));
+}
+
 /** @return Until a look at the fleet is due though no change was told of. */
 milliseconds EngineChooser::NextLook(const RequestWork& work) const {
   const auto unthrottled =
@@ -282,8 +295,8 @@
   if (!end_) return;
   const bool is_stream = work.route->kind == RequestKind::kStream;
   // What an engine has begun is tried to the last.
-  milliseconds needed = wait + kLeastTime;
-  if (work.sends == 0) {
+  milliseconds needed = wait + kLastAnswer;
+  if (work.runs == 0) {
     needed = wait + (is_stream ? kUsualStream : work.route->timeout);
   }
   if (clock_.Now() + needed < *end_) return;
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -72,6 +72,7 @@
   void WakeForWaiting(const RequestWork& work);
   milliseconds WakeModel(RequestWork& work);
   [[noreturn]] void RefuseNowhere(const RequestWork& work) const;
+  [[nodiscard]] milliseconds TimeToEnd() const;
   [[nodiscard]] milliseconds NextLook(const RequestWork& work) const;
   [[nodiscard]] milliseconds IdleTimeLeft(const RequestWork& work) const;
 
