Repair two dangling references in the rig of the quota tests

CoordinatorOf gave Take a callback with a reference to its local variable; an ask that is parked or redirected was answered later, into a dead frame. Kill took the name of a VM by reference, also that of the entry that it erases, and went on comparing with it.

AddressSanitizer stops on both before.

--- a/src/quota/quota_rig_test.h
+++ b/src/quota/quota_rig_test.h
@@ -99,8 +99,9 @@
     return *entries.back();
   }
 
-  /** The entry ends without a word; its presence stays. */
-  void Kill(const std::string& vm) {
+  /** The entry ends without a word; its presence stays.
+   * @param vm By value: it may be the name that the entry itself has. */
+  void Kill(std::string vm) {
     std::erase_if(entries, [&vm](const auto& it) { return it->vm == vm; });
   }
 
@@ -121,12 +122,12 @@
   /** @return The entry that coordinates for most of the others. */
   std::size_t CoordinatorOf(const QuotaId& id) {
     for (std::size_t i = 0; i < entries.size(); ++i) {
-      bool decides = false;
-      At(i).client.Take(id, {0, {1, 0}}, 0,
-                        [&decides](const QuotaDecision& it) {
-                          decides = it.source == QuotaSource::kSelf;
-                        });
-      if (decides) return i;
+      // Shared: an ask that waits is answered after this call.
+      const auto decides = std::make_shared<bool>(false);
+      At(i).client.Take(id, {0, {1, 0}}, 0, [decides](const QuotaDecision& it) {
+        *decides = it.source == QuotaSource::kSelf;
+      });
+      if (*decides) return i;
     }
     return 0;
   }
