Let a leaving entry order its engines to its end

Cause: the entry gave all leases back at SIGTERM. Its restart is the first by rendezvous hashing again, and waits for an engine's own process.

Change: the leases run out instead, and orders go on; the next process on the VM takes over at once. An engine that an entry held last is taken after half a second, as it has no process beside it.

ALeavingEntryOrdersToItsEnd fails before.

--- a/src/fleet/engine_holders.cc
+++ b/src/fleet/engine_holders.cc
@@ -16,10 +16,13 @@
   return address.substr(0, address.rfind(':'));
 }
 
+bool IsBeside(const std::string& engine, const EngineHolder& holder) {
+  return HostOf(engine) == HostOf(holder.address);
+}
+
 /** A holder beside its engine is the rule: hundreds of lines at each start. */
 LogLevel LevelOf(const std::string& engine, const EngineHolder& holder) {
-  const bool is_beside = HostOf(engine) == HostOf(holder.address);
-  return is_beside ? LogLevel::kDebug : LogLevel::kInfo;
+  return IsBeside(engine, holder) ? LogLevel::kDebug : LogLevel::kInfo;
 }
 
 }  // namespace
@@ -37,7 +40,7 @@
 }
 
 void EngineHolders::Put(const std::string& engine, EngineHolder holder) {
-  vacated_.erase(engine);
+  ended_.erase(engine);
   const EngineHolder* known = Find(engine);
   const bool is_new = known == nullptr || known->address != holder.address;
   if (is_new) {
@@ -58,8 +61,9 @@
              {{"engine", engine},
               {"holder", it->second.vm},
               {"fence", it->second.revision}});
+  const Ended ended{clock_.Now(), IsBeside(engine, it->second)};
   holders_.erase(it);
-  vacated_.insert_or_assign(engine, clock_.Now());
+  ended_.insert_or_assign(engine, ended);
 }
 
 const EngineHolder* EngineHolders::Find(const std::string& engine) const {
@@ -70,8 +74,13 @@
 std::optional<core::SteadyTime> EngineHolders::VacantSince(
     const std::string& engine) const {
   if (Find(engine) != nullptr) return std::nullopt;
-  const auto it = vacated_.find(engine);
-  return it == vacated_.end() ? first_listing_ : it->second;
+  const auto it = ended_.find(engine);
+  return it == ended_.end() ? first_listing_ : it->second.at;
+}
+
+bool EngineHolders::WasOrderedByEntry(const std::string& engine) const {
+  const auto it = ended_.find(engine);
+  return it != ended_.end() && !it->second.was_beside;
 }
 
 }  // namespace sapphire::fleet
--- a/src/fleet/engine_holders_base.h
+++ b/src/fleet/engine_holders_base.h
@@ -36,6 +36,10 @@
   /** @return The holder; nothing if none is known. */
   [[nodiscard]] const EngineHolder* Find(const std::string& engine) const;
 
+  /** @return True if the engine's last known holder was on another VM than the
+   * engine. */
+  [[nodiscard]] bool WasOrderedByEntry(const std::string& engine) const;
+
   /** @return Since when the engine is known to have no holder; nothing if it
    * has one, or before the store was read. */
   [[nodiscard]] std::optional<core::SteadyTime> VacantSince(
@@ -45,8 +49,12 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::map<std::string, EngineHolder> holders_;
-  /** When leases of these ended. */
-  std::map<std::string, core::SteadyTime> vacated_;
+  /** A lease that has ended. */
+  struct Ended {
+    core::SteadyTime at;
+    bool was_beside = true;
+  };
+  std::map<std::string, Ended> ended_;
   /** When the store was first read. */
   std::optional<core::SteadyTime> first_listing_;
 };
--- a/src/orders/controller_pool.cc
+++ b/src/orders/controller_pool.cc
@@ -103,7 +103,10 @@
   const auto vacant = holders_.VacantSince(engine);
   if (!vacant) return false;
   const core::SteadyTime since = std::max(*vacant, seen_.at(engine).first);
-  return clock_.Now() - since >= options_.claim_after && IsFirst(engine);
+  const auto wait = holders_.WasOrderedByEntry(engine)
+                        ? options_.claim_after_entry
+                        : options_.claim_after;
+  return clock_.Now() - since >= wait && IsFirst(engine);
 }
 
 /** @return True if this entry is the first of all for the engine, by rendezvous
@@ -169,7 +172,7 @@
 
 void ControllerPool::Leave() {
   leaving_ = true;
-  for (const std::string& engine : leases_.Wanted()) StartRelease(engine);
+  leases_.StopRenewing();
 }
 
 }  // namespace sapphire::orders
--- a/src/orders/controller_pool_base.h
+++ b/src/orders/controller_pool_base.h
@@ -29,6 +29,8 @@
   /** An engine is taken when it has had no holder for this long: the process
    * beside it comes first. */
   std::chrono::milliseconds claim_after{4000};
+  /** The same if an entry held it last: there is no process beside it. */
+  std::chrono::milliseconds claim_after_entry{500};
   /** The lease of an engine that has not been registered for this long is given
    * back: one that has crashed is back sooner. */
   std::chrono::milliseconds gone_after{10'000};
@@ -66,7 +68,9 @@
   /** Gives the engine's lease back once no order is open. */
   core::Task<> Release(std::string engine);
 
-  /** Gives all leases back and takes no others. */
+  /** Takes no further engines and lets the leases run out. Orders go on until
+   * the process ends; the next one on this VM takes them over at once, another
+   * VM's entry once they have ended. */
   void Leave();
 
  private:
--- a/src/orders/controller_pool_test.cc
+++ b/src/orders/controller_pool_test.cc
@@ -129,6 +129,13 @@
     for (const auto& it : entries) it->peer_table.SetEntries(presences);
   }
 
+  /** The entry's presence ends. */
+  void Withdraw(const TestEntry& entry) {
+    const bool is_first = &entry == entries.front().get();
+    presences.erase(is_first ? "entries/front-1" : "entries/front-2");
+    for (const auto& it : entries) it->peer_table.SetEntries(presences);
+  }
+
   /** Second by second all entries follow the store, keep their leases and look
    * after their engines. */
   void Pass(seconds time) {
@@ -286,6 +293,21 @@
   BOOST_TEST(rig.Ensure(*rig.Holding().front()) == "");
 }
 
+/** Guards against loads that are refused at each planned restart of an entry:
+ * it orders to its end, and the next process on its VM goes on at once. */
+BOOST_AUTO_TEST_CASE(ALeavingEntryOrdersToItsEnd) {
+  Rig rig;
+  rig.Pass(seconds(10));
+  TestEntry& holder = *rig.Holding().front();
+  holder.pool.Leave();
+  rig.Withdraw(holder);
+  rig.Pass(seconds(8));
+  BOOST_TEST(rig.Ensure(holder) == "");
+  rig.Pass(seconds(20));
+  BOOST_REQUIRE(rig.Holding().size() == 1);
+  BOOST_TEST(rig.Holding().front() != &holder);
+}
+
 /** Guards against an engine that is given up while it restarts. */
 BOOST_AUTO_TEST_CASE(AnEngineThatCrashesIsKept) {
   Rig rig;
--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -54,7 +54,7 @@
 }
 
 core::Task<bool> EngineLeases::KeepOnce() {
-  if (engines_.empty()) co_return true;
+  if (engines_.empty() || !renewing_) co_return true;
   co_await KeepStoreLease();
   bool all_held = true;
   for (const std::string& engine : Wanted()) {
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -61,6 +61,9 @@
   /** One round of Run. @return True if all that is wanted is held. */
   core::Task<bool> KeepOnce();
 
+  /** Lets what is held run out. */
+  void StopRenewing() { renewing_ = false; }
+
   /** Has the engine's lease taken and kept. */
   void Want(const std::string& engine);
 
@@ -131,6 +134,7 @@
   core::SteadyTime valid_until_;
   core::Signal wanted_changed_;
   bool failing_ = false;
+  bool renewing_ = true;
 };
 
 }  // namespace sapphire::orders
