Refuse requests at an entry that is behind the store

The lateness was logged (view_late), and the entry sent all the same.

Change: while the view is older than its bound though no call has failed, requests that have not run are refused with configuration_stale, before anything is decided and again before each send. A store that does not answer is no such case: nobody can know more then.

AnEntryBehindTheStoreSendsNothing and AFollowerThatIsHeldUpIsLate ask for what the code before did not have.

--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -136,6 +136,11 @@
              {{"prefix", options_.prefix}, {"age_ms", age}, {"call_ms", took}});
 }
 
+bool StoreFollower::IsLate() const {
+  return current_as_of_ && !failing_since_ &&
+         clock_.Now() - *current_as_of_ > options_.late_after;
+}
+
 LapseEnd StoreFollower::CurrentLapseEnd() const {
   if (lapse_end_ && clock_.Now() < *lapse_end_) return lapse_end_;
   return std::nullopt;
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -88,6 +88,10 @@
     return current_as_of_;
   }
 
+  /** @return True if the view is older than it may be though no call has
+   * failed: this process itself is too busy to follow. */
+  [[nodiscard]] bool IsLate() const;
+
   /** @return True from a failed call until the next answer. */
   [[nodiscard]] bool failing() const { return failing_since_.has_value(); }
 
--- /dev/null
+++ b/src/routing/store_follower_test.cc
@@ -0,0 +1,72 @@
+/** @file store_follower_test.cc Tests of how far a follower is behind. */
+#define BOOST_TEST_MODULE store_follower
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "core/task_func.h"
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "routing/store_follower_base.h"
+
+namespace sapphire::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Time passes with calls to the store, and when the test says so. */
+struct Rig {
+  Rig()
+      : log({"entry", core::VmId("vm"), core::ZoneId("z")},
+            core::LogLevel::kError, clock),
+        follower(Options(), {}, store, clock, log) {
+    core::Spawn(io.get_executor(), log, "follow",
+                [this] { return follower.Run(); });
+  }
+
+  static FollowOptions Options() {
+    FollowOptions options;
+    options.watch_wait = milliseconds(20);
+    options.retry_pause = milliseconds(1);
+    options.late_after = milliseconds(3000);
+    return options;
+  }
+
+  bool Until(const std::function<bool()>& done) {
+    return entry::testing::RunUntil(io, done);
+  }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log;
+  entry::testing::MemoryKeyValue store{clock};
+  StoreFollower follower;
+};
+
+}  // namespace
+
+/** Guards against a process that has no time to follow the store and goes by
+ * what it knew: no call has failed. */
+BOOST_AUTO_TEST_CASE(AFollowerThatIsHeldUpIsLate) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.Until([&] { return rig.follower.last_answer().has_value(); }));
+  BOOST_TEST(!rig.follower.IsLate());
+  rig.clock.Advance(seconds(4));
+  BOOST_TEST(rig.follower.IsLate());
+  BOOST_TEST(rig.Until([&] { return !rig.follower.IsLate(); }));
+}
+
+/** Guards against refusals while the store is away: nobody can know more. */
+BOOST_AUTO_TEST_CASE(AFollowerWithoutItsStoreIsNotLate) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.Until([&] { return rig.follower.last_answer().has_value(); }));
+  rig.store.down = true;
+  BOOST_REQUIRE(rig.Until([&] { return rig.follower.failing(); }));
+  rig.clock.Advance(seconds(10));
+  BOOST_TEST(!rig.follower.IsLate());
+}
+
+}  // namespace sapphire::routing
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -123,11 +123,20 @@
   work.route = work.table->Find(work.request.host, http::PathOf(target));
   if (work.route == nullptr) throw Error(ErrorCode::kUnknownPath, target);
   chooser_.CheckEnd(work, milliseconds(0));
+  CheckView(work);
   work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
   Resolve(work);
   parts_.crash_watch.Check(work.fingerprint);
 }
 
+/** Guards against sends by routes and to engines that are no more: an entry
+ * that is behind the store can't know. */
+void Dispatcher::CheckView(const RequestWork& work) const {
+  if (work.runs > 0 || !parts_.view.is_late()) return;
+  throw Error(ErrorCode::kConfigurationStale, "this entry is behind the store",
+              kSoon);
+}
+
 /**
  * Finds whose request it is. A key that is not known yet may have been added a
  * moment ago: the newest configuration is read before the caller is turned
@@ -138,7 +147,7 @@
   const bool needs_key =
       work.table->HasOrganisations() && !work.route->is_public;
   if (!needs_key) co_return;
-  if (!parts_.keys_confirmed()) {
+  if (!parts_.view.keys_confirmed()) {
     throw Error(ErrorCode::kConfigurationStale, "", kSoon);
   }
   if (work.organisation != nullptr) co_return;
@@ -269,6 +278,7 @@
     co_return true;
   }
   if (!may_send) co_return false;
+  CheckView(work);
   CheckKeyAgain(work);
   const fleet::EngineEntry* engine = parts_.registry.Find(work.engine);
   if (engine == nullptr) co_return false;
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -47,12 +47,19 @@
   policy::EnginePace pace;
 };
 
+/** What is known of how far this entry follows the store. */
+struct StoreView {
+  /** False while strict revocation forbids to go by the configuration. */
+  std::function<bool()> keys_confirmed;
+  /** True while the entry is behind by more than operators allow. */
+  std::function<bool()> is_late;
+};
+
 /** What the dispatcher works with; all outlive it. */
 struct DispatchParts {
   const routing::ConfigurationHolder& configuration;
   ConfigurationRefresh& refresh;
-  /** False while strict revocation forbids to go by the configuration. */
-  std::function<bool()> keys_confirmed;
+  StoreView view;
   QuotaGate& quota;
   EngineRateLimiter& rate_limiter;
   fleet::EngineRegistry& registry;
@@ -99,6 +106,7 @@
   core::Task<> Refuse(RequestWork& work, const core::Error& error);
   void NotePrefix(const RequestWork& work);
   void Check(RequestWork& work) const;
+  void CheckView(const RequestWork& work) const;
   core::Task<> Authenticate(RequestWork& work);
   void Identify(RequestWork& work) const;
   void CheckKeyAgain(RequestWork& work) const;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -348,6 +348,7 @@
   std::function<void()> reread;
   ConfigurationRefresh refresh;
   bool keys_confirmed = true;
+  bool view_is_late = false;
   TestCallerWire caller_wire;
   Dispatcher dispatcher;
   std::vector<std::unique_ptr<TestEngine>> engines;
@@ -366,12 +367,12 @@
   }
 
   DispatchParts Parts() {
-    return {configuration, refresh,      [this] { return keys_confirmed; },
-            quota,         rate_limiter, registry,
-            loads,         peer_table,   clients,
-            gauges,        finder,       loader,
-            crash_watch,   caller_wire,  engine_wire,
-            metrics,       clock,        log};
+    const StoreView view{[this] { return keys_confirmed; },
+                         [this] { return view_is_late; }};
+    return {configuration, refresh, view,        quota,       rate_limiter,
+            registry,      loads,   peer_table,  clients,     gauges,
+            finder,        loader,  crash_watch, caller_wire, engine_wire,
+            metrics,       clock,   log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -332,6 +332,22 @@
   BOOST_TEST((rig.clock.Now() - began < milliseconds(1000)));
 }
 
+/** Guards against requests that go to engines which have left: an entry without
+ * processor time is behind the store, and knows neither. */
+BOOST_AUTO_TEST_CASE(AnEntryBehindTheStoreSendsNothing) {
+  Rig rig;
+  TestEngine& engine = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  rig.view_is_late = true;
+  RecordingWriter refused;
+  rig.Serve("/safe/", kWait, refused);
+  BOOST_TEST(refused.status == kUnavailable);
+  BOOST_TEST(engine.requests.empty());
+  rig.view_is_late = false;
+  RecordingWriter served;
+  rig.Serve("/safe/", kWait, served);
+  BOOST_TEST(served.status == kOk);
+}
+
 /**
  * Users of all models wait while engine after engine restarts.
  * Each engine crashes as it begins to run one request; its caller sends it
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -78,9 +78,8 @@
 }
 
 DispatchParts PartsOf(const routing::ConfigurationHolder& configuration,
-                      ConfigurationRefresh& refresh,
-                      std::function<bool()> keys_confirmed, QuotaGate& quota,
-                      EngineRateLimiter& rate_limiter,
+                      ConfigurationRefresh& refresh, StoreView view,
+                      QuotaGate& quota, EngineRateLimiter& rate_limiter,
                       fleet::EngineRegistry& registry,
                       fleet::EngineLoads& loads, fleet::PeerTable& peer_table,
                       EngineClients& clients, LoadGauges& gauges,
@@ -88,12 +87,11 @@
                       CrashWatch& crash_watch, const CallerWire& caller_wire,
                       const EngineWire& engine_wire, FrontMetrics& metrics,
                       const core::Clock& clock, const core::Logger& log) {
-  return {configuration, refresh,      std::move(keys_confirmed),
-          quota,         rate_limiter, registry,
-          loads,         peer_table,   clients,
-          gauges,        finder,       loader,
-          crash_watch,   caller_wire,  engine_wire,
-          metrics,       clock,        log};
+  return {configuration, refresh,     std::move(view), quota,
+          rate_limiter,  registry,    loads,           peer_table,
+          clients,       gauges,      finder,          loader,
+          crash_watch,   caller_wire, engine_wire,     metrics,
+          clock,         log};
 }
 
 /** Two starts of an entry never share a key. */
@@ -238,13 +236,11 @@
           RefreshOptionsOf(layout_), store_,
           [this](const external::KvEntry& it) { AdoptConfiguration(it); },
           clock, log),
-      dispatcher_(
-          options_.dispatch,
-          PartsOf(
-              configuration_, refresh_, [this] { return KeysConfirmed(); },
-              quota_, rate_limiter_, registry_, loads_, peer_table_, clients_,
-              gauges_, finder_, loader_, crash_watch_, caller_wire, engine_wire,
-              metrics_, clock, log)),
+      dispatcher_(options_.dispatch,
+                  PartsOf(configuration_, refresh_, View(), quota_,
+                          rate_limiter_, registry_, loads_, peer_table_,
+                          clients_, gauges_, finder_, loader_, crash_watch_,
+                          caller_wire, engine_wire, metrics_, clock, log)),
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
                    loader_, channel_, executor, clock, log),
@@ -298,6 +294,13 @@
   return !leaving_ && configuration_.current() != nullptr && KeysConfirmed();
 }
 
+StoreView Front::View() {
+  StoreView view;
+  view.keys_confirmed = [this] { return KeysConfirmed(); };
+  view.is_late = [this] { return store_follower_.IsLate(); };
+  return view;
+}
+
 /** Guards against keys that were revoked while the store can't be read. */
 bool Front::KeysConfirmed() const {
   if (!options_.revocation.strict) return true;
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -99,6 +99,7 @@
   void OnDatagram(const gen::EntryDatagram& datagram,
                   const std::string& address);
   [[nodiscard]] bool KeysConfirmed() const;
+  StoreView View();
   core::Task<> RunMaintenance();
   core::Task<> EnsureHere(gen::EnsureModel load_request);
   std::vector<routing::FollowHooks> AllHooks();
