--- a/src/fleet/engine_holders_base.h
+++ b/src/fleet/engine_holders_base.h
@@ -46,14 +46,15 @@
       const std::string& engine) const;
 
  private:
-  const core::Clock& clock_;
-  const core::Logger& log_;
-  std::map<std::string, EngineHolder> holders_;
   /** A lease that has ended. */
   struct Ended {
     core::SteadyTime at;
     bool was_beside = true;
   };
+
+  const core::Clock& clock_;
+  const core::Logger& log_;
+  std::map<std::string, EngineHolder> holders_;
   std::map<std::string, Ended> ended_;
   /** When the store was first read. */
   std::optional<core::SteadyTime> first_listing_;
--- a/src/orders/engine_controller_base.h
+++ b/src/orders/engine_controller_base.h
@@ -91,6 +91,12 @@
     EngineOrder order;
     core::SteadyTime given;
   };
+  /** The engine as it was last seen while orders could be given from here. */
+  struct OwnCount {
+    std::optional<fleet::EngineBirth> born;
+    std::int64_t order_count = 0;
+  };
+
   core::Task<> Look();
   core::Task<> TryLook();
   core::Task<> Fulfil(const LoadRequest& load_request);
@@ -147,11 +153,6 @@
   bool engine_up_ = true;
   /** Load requests in progress. */
   int in_progress_ = 0;
-  /** The engine as it was last seen while orders could be given from here. */
-  struct OwnCount {
-    std::optional<fleet::EngineBirth> born;
-    std::int64_t order_count = 0;
-  };
   std::optional<OwnCount> own_count_;
 };
 
