Do not take a model for a busy one by a single request

Cause: two loads of rare models at a time may take the weight store. A model counts as busy if the requests at one entry, times the number of entries, are more than 0.4 a second. A request counts 1/15 a second, so from six entries on a single one made any model a busy one, and nothing was held back.

Change: a single request says nothing of how often others ask; requests at one entry are multiplied only above 0.1 a second.

OneRequestAmongManyEntriesDoesNotMakeAModelBusy fails before: the load begins at once.

--- a/src/serving/loader_rig_test.h
+++ b/src/serving/loader_rig_test.h
@@ -3,8 +3,11 @@
 #ifndef SAPPHIRE_SERVING_LOADER_RIG_TEST_H_
 #define SAPPHIRE_SERVING_LOADER_RIG_TEST_H_
 
+#include <fmt/format.h>
+
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -167,6 +170,19 @@
     return near;
   }
 
+  /** A fleet of so many entries, this one included. */
+  void SetEntries(int count) {
+    std::map<std::string, gen::EntryPresence> others;
+    for (int i = 1; i < count; ++i) {
+      gen::EntryPresence other;
+      other.address = fmt::format("127.0.1.{}:1", i);
+      others.emplace(i == 1 ? kOther : fmt::format("entries/{}", i), other);
+    }
+    peer_table.SetEntries(others);
+    // All entries have been heard of.
+    loader_clock.Advance(std::chrono::seconds(6));
+  }
+
   /** The other entry tells of its use and loads. */
   void Hear(gen::EntryRecord record) {
     record.entry = kOther;
--- a/src/serving/model_loader.cc
+++ b/src/serving/model_loader.cc
@@ -30,6 +30,9 @@
 /** Requests a second from which a model counts as busy: rare ones are asked for
  * every half minute. */
 constexpr double kOftenAsked = 0.4;
+/** Requests a second here, above which the whole fleet's are estimated from
+ * them. A single request leaves less. */
+constexpr double kAskedMoreThanOnce = 0.1;
 /** Loads of rare models from the weight store at once. Origin: it serves 4 at
  * full speed; the others stay free for busy models. */
 constexpr int kLanesForRareModels = 2;
@@ -152,9 +155,13 @@
   const milliseconds alone = service.engine->models.at(model).load_times.remote;
   const auto crowded = kCrowdedStore * std::chrono::duration<double>(alone);
   if (StoreLoadTime() > crowded) return true;
+  return loads >= kLanesForRareModels && !IsOftenAsked(model);
+}
+
+bool ModelLoader::IsOftenAsked(const core::ModelId& model) const {
   const double asked_here = asked_.Of({model, core::AdapterId()}).demand;
-  if (asked_here * peer_table_.entries() > kOftenAsked) return false;
-  return loads >= kLanesForRareModels;
+  return asked_here > kAskedMoreThanOnce &&
+         asked_here * peer_table_.entries() > kOftenAsked;
 }
 
 std::optional<milliseconds> ModelLoader::Wake(const routing::Service& service,
--- a/src/serving/model_loader_base.h
+++ b/src/serving/model_loader_base.h
@@ -131,6 +131,7 @@
   void Join(const LoadTarget& target);
   [[nodiscard]] bool LanesAreForOthers(const routing::Service& service,
                                        const core::ModelId& model) const;
+  [[nodiscard]] bool IsOftenAsked(const core::ModelId& model) const;
   /** @return Where it is being loaded, as far as entries tell or this one has
    * asked. */
   [[nodiscard]] std::vector<ComingModel> Coming(const LoadTarget& target) const;
--- a/src/serving/model_loader_test.cc
+++ b/src/serving/model_loader_test.cc
@@ -89,6 +89,26 @@
       (*rig.loader.Wake(rig.service, kModel, kRequest) == milliseconds(8700)));
 }
 
+/**
+ * Callers of models on disks are refused: each engine waits for the weight
+ * store. One request for a rare model at one of many entries was multiplied by
+ * their number, so that every model counted as a busy one.
+ */
+BOOST_AUTO_TEST_CASE(OneRequestAmongManyEntriesDoesNotMakeAModelBusy) {
+  Rig rig;
+  rig.SetEntries(40);
+  rig.AddNearEndpoint(
+      [](fleet::EngineEntry& it) { it.copies.on_disk.clear(); });
+  rig.HearOfStoreLoad("i-1", "other", milliseconds(100));
+  rig.HearOfStoreLoad("i-2", "another", milliseconds(100));
+  rig.loader.NoteAsked(kModel);
+  BOOST_TEST(
+      (*rig.loader.Wake(rig.service, kModel, kRequest) > milliseconds(16'000)));
+  rig.loader.NoteAsked(kModel);
+  BOOST_TEST(
+      (*rig.loader.Wake(rig.service, kModel, kRequest) == milliseconds(8700)));
+}
+
 /**
  * Callers of a model wait until their patience is over, beside idle engines.
  * An endpoint was asked to load it and neither does so nor says that it can't.
