--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -110,7 +110,9 @@
 /** @return True if the engine's key is this process's now. */
 core::Task<bool> EngineLeases::Claim(std::string engine) {
   external::CasResult result = co_await WriteKey(engine, 0);
-  if (result.swapped) co_return co_await Keep(engine, result.revision, false);
+  if (result.swapped) {
+    co_return co_await Keep(engine, result.revision, false);
+  }
   if (!result.current) co_return false;
   const gen::EngineHolder holder =
       fleet::DecodeEngineHolder(result.current->value);
@@ -159,8 +161,9 @@
   const core::SteadyTime now = clock_.Now();
   Held& held = engines_.at(engine);
   const bool unbroken = held.revision != 0 && now < ValidUntil(held);
-  if (!unbroken)
+  if (!unbroken) {
     held.turn = same_vm ? now : now + options_.turn_gap + kTurnMargin;
+  }
   held.revision = revision;
   held.lease = lease_;
   const auto turn_left =
--- a/src/quota/quota_client_view.cc
+++ b/src/quota/quota_client_view.cc
@@ -124,6 +124,7 @@
   }
   std::ranges::sort(ranked, std::greater<>());
   std::vector<const fleet::Peer*> peers;
+  peers.reserve(ranked.size());
   for (const auto& [rank, peer] : ranked) peers.push_back(peer);
   return peers;
 }
