Give each soak a loopback subnet of its own

Cause: a soak's subnet was its process id modulo 200. Processes 30690, still playing, and 31090 got the same one (both leave 90).

Change: a soak takes the first subnet whose lock, a listening socket, is free. TwoSoaksNeverShareASubnet names the case.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -1,6 +1,5 @@
 /** @file sapphire_soak_main.cc Runs seeds of the fault soak. */
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
@@ -15,8 +14,6 @@
 
 namespace {
 
-/** Loopback subnets for soaks that run side by side. */
-constexpr int kSubnets = 200;
 /** Two in 12 s, so that some overlap with the other faults. */
 constexpr int kDepartures = 2;
 
@@ -28,7 +25,6 @@
   SoakOptions options;
   options.bin_dir = bin_dir;
   options.directory = fmt::format("{}/seed-{}", logs, plan.seed);
-  options.subnet = 20 + ::getpid() % kSubnets;
   std::filesystem::create_directories(options.directory);
   const SoakRecord record = SoakWorld(options, drawn).Play();
   const std::vector<std::string> broken = Judge(record);
--- a/deploy/soak/soak_player_test.h
+++ b/deploy/soak/soak_player_test.h
@@ -14,8 +14,6 @@
 
 namespace sapphire::deploy::soak::testing {
 
-/** Loopback subnets for tests that run side by side. */
-inline constexpr int kSubnets = 200;
 /** Tests run beside others, on machines of any speed. */
 inline constexpr double kServedInTests = 0.7;
 /** Half a second below what is judged: a busy machine runs timers late, and
@@ -30,7 +28,6 @@
   options.directory = (std::filesystem::temp_directory_path() /
                        ("soak-" + std::to_string(::getpid())))
                           .string();
-  options.subnet = 20 + ::getpid() % kSubnets;
   options.fresh_within = kFreshInTests;
   std::filesystem::create_directories(options.directory);
   SoakRecord record = SoakWorld(options, drawn).Play();
--- /dev/null
+++ b/deploy/soak/soak_subnet_test.cc
@@ -0,0 +1,21 @@
+/** @file soak_subnet_test.cc Soaks that run side by side. */
+#define BOOST_TEST_MODULE soak_subnet
+#include <boost/test/unit_test.hpp>
+
+#include "soak_subnet_base.h"
+
+namespace sapphire::deploy::soak {
+
+namespace {
+
+/** A soak fails to start: another one whose process id is the same modulo the
+ * number of subnets listens on its addresses. */
+BOOST_AUTO_TEST_CASE(TwoSoaksNeverShareASubnet) {
+  const SoakSubnet one(90);
+  const SoakSubnet other(290);
+  BOOST_TEST(one.Ip(5, 1) != other.Ip(5, 1));
+}
+
+}  // namespace
+
+}  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_world.cc
+++ b/deploy/soak/soak_world.cc
@@ -1,8 +1,10 @@
 /** @file soak_world.cc Plays a soak with real programs on this machine. */
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
+#include <string>
 #include <utility>
 
 #include "core/task_func.h"
@@ -57,6 +59,7 @@
 
 SoakWorld::SoakWorld(SoakOptions options, SoakPlan plan)
     : options_(std::move(options)),
+      subnet_(::getpid()),
       plan_(std::move(plan)),
       log_({"soak", core::VmId("soak"), core::ZoneId("z")},
            core::LogLevel::kError, clock_),
@@ -70,7 +73,7 @@
 }
 
 std::string SoakWorld::Ip(int part, int number) const {
-  return fmt::format("127.{}.{}.{}", options_.subnet, part, number);
+  return subnet_.Ip(part, number);
 }
 
 void SoakWorld::AddEngine(int number) {
@@ -139,9 +142,8 @@
 
 void SoakWorld::StartEndpoint(EngineVm& vm) {
   const std::string ip = vm.address.substr(0, vm.address.rfind(':'));
-  const std::string behind = "127." + std::to_string(options_.subnet) + "." +
-                             std::to_string(kBehindRelayPart) +
-                             ip.substr(ip.rfind('.'));
+  const int host = std::stoi(ip.substr(ip.rfind('.') + 1));
+  const std::string behind = Ip(kBehindRelayPart, host);
   const std::string path = fmt::format("{}/{}.toml", options_.directory, vm.vm);
   std::ofstream(path) << fmt::format(
       "vm = \"{}\"\nzone = \"z\"\nlisten = \"{}:{}\"\n"
--- a/deploy/soak/soak_world_base.h
+++ b/deploy/soak/soak_world_base.h
@@ -13,6 +13,7 @@
 #include "platform/testing_store.h"
 #include "soak_caller_base.h"
 #include "soak_engine_base.h"
+#include "soak_subnet_base.h"
 #include "soak_type.h"
 #include "tests/process_base.h"
 #include "tests/relay_base.h"
@@ -24,8 +25,6 @@
   std::string bin_dir;
   /** Exists; gets settings and logs. */
   std::string directory;
-  /** Second part of the loopback addresses in use: 127.SUBNET.x.y. */
-  int subnet = 1;
   /** What entries are told of how fresh their beliefs have to be. */
   milliseconds fresh_within{3000};
 };
@@ -94,6 +93,7 @@
   void NoteEnds();
 
   const SoakOptions options_;
+  const SoakSubnet subnet_;
   const SoakPlan plan_;
   boost::asio::io_context io_;
   core::SystemClock clock_;
