Pass over the end of a silence that an answer has ended

The entry gave the send up 28 ms after the engine had begun to answer; the engine that it turned to refused.

Cause: SilenceWatch sets its timer anew with each piece of an answer. If the end of the wait and the answer are handled in one turn of the loop, the wait ends without an error though it was set anew, and the send is given up.

Change: each wait has a number; only the last one asks.

AnAnswerAtTheEndOfTheSilenceCounts fails before (given up), and passed 200 times in a row after. No other timer of ours is set anew under a handler.

--- a/src/serving/silence_watch.cc
+++ b/src/serving/silence_watch.cc
@@ -21,9 +21,13 @@
 
   void Wait(std::chrono::milliseconds time) {
     timer.expires_after(time);
-    timer.async_wait([self = shared_from_this()](const auto& ec) {
-      if (!ec && !self->over) self->Ask();
-    });
+    timer.async_wait(
+        [self = shared_from_this(), wait = ++waits](const auto& ec) {
+          // A wait that has ended can't be cancelled any more, only passed
+          // over.
+          const bool is_last = wait == self->waits;
+          if (!ec && !self->over && is_last) self->Ask();
+        });
   }
 
   void Ask() {
@@ -37,6 +41,7 @@
   }
 
   boost::asio::steady_timer timer;
+  int waits = 0;
   const std::function<bool()> give_up;
   const std::function<void()> abort;
   bool over = false;
--- /dev/null
+++ b/src/serving/silence_watch_test.cc
@@ -0,0 +1,52 @@
+/** @file silence_watch_test.cc Silent sends are given up; others are not. */
+#define BOOST_TEST_MODULE silence_watch
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+
+#include "serving/silence_watch_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A caller's stream is cut as its engine begins to answer: on a busy VM the
+ * end of the silence and the answer are handled in one turn of the loop. */
+BOOST_AUTO_TEST_CASE(AnAnswerAtTheEndOfTheSilenceCounts) {
+  boost::asio::io_context io;
+  int asked = 0;
+  int aborted = 0;
+  SilenceWatch watch(
+      io.get_executor(),
+      [&asked] {
+        ++asked;
+        return true;
+      },
+      [&aborted] { ++aborted; });
+  watch.Restart(milliseconds(1));
+  std::this_thread::sleep_for(milliseconds(20));
+  boost::asio::post(io, [&watch] { watch.Restart(std::chrono::hours(1)); });
+  io.poll();
+  BOOST_TEST(asked == 0);
+  BOOST_TEST(aborted == 0);
+}
+
+/** A request is held by an engine that never speaks. */
+BOOST_AUTO_TEST_CASE(ASilentSendIsGivenUp) {
+  boost::asio::io_context io;
+  int aborted = 0;
+  SilenceWatch watch(
+      io.get_executor(), [] { return true; }, [&aborted] { ++aborted; });
+  watch.Restart(milliseconds(1));
+  io.run();
+  BOOST_TEST(aborted == 1);
+  BOOST_TEST(watch.gave_up());
+}
+
+}  // namespace
+
+}  // namespace sapphire::serving
