Log why a send ended in silence and why it was not sent again

Cause: a stream that was closed in the middle left no trace of who had ended its send. send_failed gave the reason, but not how long the engine had been silent, the limit, the delay of the event loop, or whether the caller already had a part of the answer; nothing said why no other engine was asked, nor that a connection was closed midway.

Change: send_failed has silent_ms, silence_limit_ms, timer_delay_ms, relayed_bytes and retry (granted, or why not); request_end has cut. The decision on a retry is a function of its own, taken before the line is written. Behaviour is unchanged.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -45,6 +45,20 @@
   return "";
 }
 
+std::string_view NameOf(RetryDecision decision) {
+  switch (decision) {
+    case RetryDecision::kGranted:
+      return "granted";
+    case RetryDecision::kMayNotRunAgain:
+      return "may_not_run_again";
+    case RetryDecision::kNoTime:
+      return "no_time";
+    case RetryDecision::kNoBudget:
+      return "no_budget";
+  }
+  return "";
+}
+
 fleet::SendResult ResultOf(const ExchangeResult& result) {
   switch (result.end) {
     case ExchangeEnd::kServed:
@@ -104,13 +118,13 @@
   if (work.caller.left) work.outcome = "caller_left";
   // Once a stream has begun, no other answer can be sent: the connection is
   // closed so that the caller sees an incomplete stream.
-  const bool cut = refusal && work.caller.begun;
-  if (refusal && !cut && !work.caller.left) {
+  work.cut = refusal && work.caller.begun;
+  if (refusal && !work.cut && !work.caller.left) {
     co_await Refuse(work, *refusal);
   }
   RefundUnused(work);
   ReportEnd(work);
-  if (cut) throw http::ConnectionCut(refusal->detail());
+  if (work.cut) throw http::ConnectionCut(refusal->detail());
 }
 
 /** Sets the request's deadline, configuration, route and service, and refuses
@@ -364,26 +378,22 @@
     default:
       break;
   }
+  work.avoid.insert(work.engine);
+  if (work.caller.begun) work.received = deps_.clock.Now();
+  const RetryDecision retry = DecideRetry(work, result);
   deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "send_failed",
                   {{"request", work.request.id},
                    {"instance", work.engine},
                    {"end", work.outcome},
                    {"reason", work.reason},
                    {"sends", work.sends},
-                   {"left_ms", TimeLeft(work, deps_.clock.Now())}});
-  work.avoid.insert(work.engine);
-  if (work.caller.begun) work.received = deps_.clock.Now();
-  const bool can_repeat = !may_have_run || MayRunAgain(work);
-  const double reserve =
-      result.end == ExchangeEnd::kEngineFailed ? kFailureReserve : 0.0;
-  // Without a connection the send never arrived, so it does not count as a
-  // retry.
-  const bool granted =
-      std::exchange(work.repeat_granted, false) || result.unreachable;
-  if (can_repeat && TimeLeft(work, deps_.clock.Now()) > kMinTimeLeft &&
-      (granted || TakeRepeat(work, reserve))) {
-    co_return false;
-  }
+                   {"left_ms", TimeLeft(work, deps_.clock.Now())},
+                   {"silent_ms", result.silence.silent},
+                   {"silence_limit_ms", result.silence.limit},
+                   {"timer_delay_ms", result.silence.timer_delay},
+                   {"relayed_bytes", result.relayed},
+                   {"retry", NameOf(retry)}});
+  if (retry == RetryDecision::kGranted) co_return false;
   if (result.failure && !work.caller.begun) {
     co_await Answer(work, std::move(*result.failure));
     co_return true;
@@ -396,6 +406,26 @@
       result.reason);
 }
 
+/** Decides whether a request whose send has failed is sent again; takes the
+ * retry from the budget. */
+RetryDecision Dispatcher::DecideRetry(RequestWork& work,
+                                      const ExchangeResult& result) {
+  const bool granted = std::exchange(work.repeat_granted, false);
+  if (result.end != ExchangeEnd::kNotRun && !MayRunAgain(work)) {
+    return RetryDecision::kMayNotRunAgain;
+  }
+  if (TimeLeft(work, deps_.clock.Now()) <= kMinTimeLeft) {
+    return RetryDecision::kNoTime;
+  }
+  // Without a connection the send never arrived, so it does not count as a
+  // retry.
+  if (granted || result.unreachable) return RetryDecision::kGranted;
+  const double reserve =
+      result.end == ExchangeEnd::kEngineFailed ? kFailureReserve : 0.0;
+  return TakeRepeat(work, reserve) ? RetryDecision::kGranted
+                                   : RetryDecision::kNoBudget;
+}
+
 /** Decides whether a request whose engine is silent moves to another engine
  * now; if so, takes the retry from the budget. */
 bool Dispatcher::ShouldGiveUp(RequestWork& work) {
@@ -486,6 +516,7 @@
        {"status", work.status},
        {"outcome", work.outcome},
        {"reason", work.reason},
+       {"cut", work.cut},
        {"first_send_ms", since(work.first_send.value_or(work.arrived))},
        {"first_byte_ms", since(work.first_byte.value_or(work.arrived))},
        {"objective_ms",
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -79,6 +79,9 @@
   const core::Logger& log;
 };
 
+/** Whether a request whose send has failed is sent again, or why not. */
+enum class RetryDecision { kGranted, kMayNotRunAgain, kNoTime, kNoBudget };
+
 /** Serves callers' HTTP requests: checks, authenticates and charges them, and
  * sends them to engines by HTTP. Unlike entry::Dispatcher, it chooses the
  * engines itself, from this entry's view of the fleet. Not thread-safe. */
@@ -116,6 +119,7 @@
   void RefundUnused(const RequestWork& work);
   void ResolveService(RequestWork& work) const;
   bool ShouldGiveUp(RequestWork& work);
+  RetryDecision DecideRetry(RequestWork& work, const ExchangeResult& result);
   [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
   bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -68,8 +68,9 @@
         caller_(caller),
         clock_(clock),
         hooks_(std::move(hooks)),
-        watch_(executor, hooks_.should_give_up,
-               [abort = abort_] { abort->Now(); }) {}
+        watch_(
+            executor, hooks_.should_give_up, [abort = abort_] { abort->Now(); },
+            clock) {}
 
   core::Task<ExchangeResult> Run(SendOptions send, bool is_stream) {
     addressed_ = send.instance;
@@ -213,6 +214,7 @@
       if (!bytes.empty()) {
         UpdateLongestPause();
         co_await caller_.writer.Write(bytes);
+        relayed_ += bytes.size();
       }
       if (over) {
         co_await caller_.writer.End();
@@ -241,6 +243,8 @@
     result.reason = std::move(reason);
     result.timed_out = timed_out || watch_.gave_up();
     if (watch_.gave_up()) result.reason = "given up for its silence";
+    result.silence = watch_.Report();
+    result.relayed = relayed_;
     return result;
   }
 
@@ -261,6 +265,7 @@
   SilenceWatch watch_;
   std::unique_ptr<http::ResponseStream> stream_;
   EngineAnswer answer_;
+  std::size_t relayed_ = 0;
   fleet::InstanceId addressed_;
 };
 
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_SERVING_EXCHANGE_BASE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "http/server_base.h"
 #include "serving/caller_type.h"
 #include "serving/event_splitter_base.h"
+#include "serving/silence_watch_base.h"
 
 namespace sapphire::serving {
 
@@ -43,6 +45,10 @@
   bool replaced = false;
   /** The engine does not hold the model, contrary to what was known. */
   bool lacks_model = false;
+  /** How long the engine was silent when the send ended, for the log. */
+  SilenceReport silence;
+  /** Bytes of this send's answer that were written to the caller. */
+  std::size_t relayed = 0;
 };
 
 /** The caller's connection and what was sent on it, over all sends. */
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -64,6 +64,8 @@
   int status = 0;
   std::string outcome;
   std::string reason;
+  /** True if the connection is closed in the middle of the answer. */
+  bool cut = false;
 };
 
 /** @return Time until the caller must have its final answer. */
--- a/src/serving/silence_watch.cc
+++ b/src/serving/silence_watch.cc
@@ -16,13 +16,16 @@
 /** Shared with the timer's handler, which may run after the watch has ended. */
 struct SilenceWatch::State : std::enable_shared_from_this<State> {
   State(const core::Executor& executor, std::function<bool()> ask,
-        std::function<void()> end)
+        std::function<void()> end, const core::Clock& steady_clock)
       : timer(executor),
         should_give_up(std::move(ask)),
-        abort(std::move(end)) {}
+        abort(std::move(end)),
+        clock(steady_clock),
+        last_received(clock.Now()) {}
 
   void Wait(std::chrono::milliseconds time) {
     timer.expires_after(time);
+    due = clock.Now() + time;
     timer.async_wait(
         [self = shared_from_this(), wait = ++waits](const auto& ec) {
           // A wait that has expired can't be cancelled any more, only ignored.
@@ -32,6 +35,7 @@
   }
 
   void Check() {
+    timer_delay = Since(due);
     if (!should_give_up()) {
       Wait(kRecheckInterval);
       return;
@@ -41,19 +45,30 @@
     abort();
   }
 
+  [[nodiscard]] std::chrono::milliseconds Since(core::SteadyTime time) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock.Now() -
+                                                                 time);
+  }
+
   boost::asio::steady_timer timer;
   int waits = 0;
   const std::function<bool()> should_give_up;
   const std::function<void()> abort;
+  const core::Clock& clock;
+  core::SteadyTime last_received;
+  core::SteadyTime due;
+  std::chrono::milliseconds limit{0};
+  std::chrono::milliseconds timer_delay{0};
   bool over = false;
   bool gave_up = false;
 };
 
 SilenceWatch::SilenceWatch(const core::Executor& executor,
                            std::function<bool()> should_give_up,
-                           std::function<void()> abort)
+                           std::function<void()> abort,
+                           const core::Clock& clock)
     : state_(std::make_shared<State>(executor, std::move(should_give_up),
-                                     std::move(abort))) {}
+                                     std::move(abort), clock)) {}
 
 SilenceWatch::~SilenceWatch() {
   state_->over = true;
@@ -61,10 +76,17 @@
 }
 
 void SilenceWatch::Restart(std::chrono::milliseconds silence) {
+  state_->last_received = state_->clock.Now();
+  state_->limit = silence;
   if (state_->over || silence.count() == 0) return;
   state_->Wait(silence);
 }
 
 bool SilenceWatch::gave_up() const { return state_->gave_up; }
 
+SilenceReport SilenceWatch::Report() const {
+  return {state_->Since(state_->last_received), state_->limit,
+          state_->timer_delay};
+}
+
 }  // namespace sapphire::serving
--- a/src/serving/silence_watch_base.h
+++ b/src/serving/silence_watch_base.h
@@ -7,10 +7,22 @@
 #include <functional>
 #include <memory>
 
+#include "core/clock_base.h"
 #include "core/task_type.h"
 
 namespace sapphire::serving {
 
+/** What a watch knows of the current silence, for the log. */
+struct SilenceReport {
+  /** Time since the engine last sent something; until then, since the send. */
+  std::chrono::milliseconds silent{0};
+  /** How long the engine may be silent; zero: without limit. */
+  std::chrono::milliseconds limit{0};
+  /** How much later than due the last timer of the watch was handled: the time
+   * for which the event loop was busy. */
+  std::chrono::milliseconds timer_delay{0};
+};
+
 /**
  * Calls `should_give_up` while an engine is silent.
  *
@@ -23,7 +35,7 @@
    * true, `abort` is called and the watch ends. */
   SilenceWatch(const core::Executor& executor,
                std::function<bool()> should_give_up,
-               std::function<void()> abort);
+               std::function<void()> abort, const core::Clock& clock);
   ~SilenceWatch();
   SilenceWatch(const SilenceWatch&) = delete;
   SilenceWatch& operator=(const SilenceWatch&) = delete;
@@ -37,6 +49,8 @@
   /** @return True if the send was given up. */
   [[nodiscard]] bool gave_up() const;
 
+  [[nodiscard]] SilenceReport Report() const;
+
  private:
   struct State;
   const std::shared_ptr<State> state_;
--- a/src/serving/silence_watch_test.cc
+++ b/src/serving/silence_watch_test.cc
@@ -19,6 +19,7 @@
  * event loop. */
 BOOST_AUTO_TEST_CASE(AnswerAtTimerExpiryKeepsTheSend) {
   boost::asio::io_context io;
+  const core::SystemClock clock;
   int asked = 0;
   int aborted = 0;
   SilenceWatch watch(
@@ -27,7 +28,7 @@
         ++asked;
         return true;
       },
-      [&aborted] { ++aborted; });
+      [&aborted] { ++aborted; }, clock);
   watch.Restart(milliseconds(1));
   std::this_thread::sleep_for(milliseconds(20));
   boost::asio::post(io, [&watch] { watch.Restart(std::chrono::hours(1)); });
@@ -39,9 +40,10 @@
 /** Guards against a request that is held by an engine that never answers. */
 BOOST_AUTO_TEST_CASE(ASilentSendIsGivenUp) {
   boost::asio::io_context io;
+  const core::SystemClock clock;
   int aborted = 0;
   SilenceWatch watch(
-      io.get_executor(), [] { return true; }, [&aborted] { ++aborted; });
+      io.get_executor(), [] { return true; }, [&aborted] { ++aborted; }, clock);
   watch.Restart(milliseconds(1));
   io.run();
   BOOST_TEST(aborted == 1);
