Count an answer that arrives while the event loop is busy

What callers saw: a stream was closed without its end. Its first event came 2.5 s after the request, and the connection was cut at once or 4 s later (LOST, large-stream-cut-after-shed).

Cause: the entry gives a silent send up by a timer, and only a part of the stream's body set the timer anew, not the head. On an entry whose event loop was busy, the head and the first event are read in the turn in which the expired timer is waiting. The first event completes by a posted handler, the timer's handler runs before it: the send is given up for its silence and its connection closed, and then the event, already in memory, goes to the caller. From there the caller can get no refusal: if the next engine sheds the request, its connection is closed in the middle of the answer.

The test puts the answer and the end of the wait into one busy turn: cut_midway 10 of 10 times before, served 10 of 10 after.

Change: the head of a stream's answer starts the wait anew. A timer that is handled late waits once more, so that what arrived while the loop was busy is handled first. Nothing is relayed of a send that was given up.

--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -76,6 +76,7 @@
     addressed_ = send.instance;
     std::optional<ExchangeResult> failure = co_await Open(std::move(send));
     if (failure) co_return *failure;
+    if (is_stream) watch_.Restart(limits_.pause);
     answer_ = wire_.Read(stream_->head());
     if (answer_.genuine || answer_.not_run) hooks_.head_received(answer_);
     if (const auto wrong = EvaluateHead()) co_return *wrong;
@@ -179,10 +180,11 @@
     while (true) {
       PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
       if (!read.error.empty()) {
-        co_return MakeResult(
-            caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost,
-            read.error, read.timed_out);
+        co_return MakeResult(EndOfBrokenStream(), read.error, read.timed_out);
       }
+      // Bytes that were received before the connection was closed may still be
+      // read after it; the request is on its way to another engine by then.
+      if (watch_.gave_up()) co_return MakeResult(EndOfBrokenStream(), "", true);
       const bool over = !read.bytes.has_value();
       std::string bytes = over ? caller_.events.TakeRemainder()
                                : caller_.events.Add(*read.bytes);
@@ -202,6 +204,10 @@
     }
   }
 
+  [[nodiscard]] ExchangeEnd EndOfBrokenStream() const {
+    return caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost;
+  }
+
   /** @return The error that prevents writing to the caller; empty if none. */
   core::Task<std::string> Write(const std::string& bytes, bool over) {
     std::string failure;
--- a/src/serving/silence_watch.cc
+++ b/src/serving/silence_watch.cc
@@ -10,6 +10,11 @@
 /** Pause between two calls of `should_give_up` during a silence: endpoints
  * report a loaded model within this time. */
 constexpr std::chrono::milliseconds kRecheckInterval{200};
+/** A timer that is handled later than this was held up by a busy event loop. */
+constexpr std::chrono::milliseconds kMaxTimerDelay{5};
+/** Wait after a delayed timer: what arrived while the loop was busy is handled
+ * within it. */
+constexpr std::chrono::milliseconds kCatchUpTime{20};
 
 }  // namespace
 
@@ -36,6 +41,13 @@
 
   void Check() {
     timer_delay = Since(due);
+    // The engine may have answered while the loop was busy.
+    const bool was_busy = timer_delay > kMaxTimerDelay;
+    if (was_busy && !std::exchange(caught_up, true)) {
+      Wait(kCatchUpTime);
+      return;
+    }
+    caught_up = false;
     if (!should_give_up()) {
       Wait(kRecheckInterval);
       return;
@@ -59,6 +71,8 @@
   core::SteadyTime due;
   std::chrono::milliseconds limit{0};
   std::chrono::milliseconds timer_delay{0};
+  /** True if the wait in progress is the one after a delayed timer. */
+  bool caught_up = false;
   bool over = false;
   bool gave_up = false;
 };
@@ -78,6 +92,7 @@
 void SilenceWatch::Restart(std::chrono::milliseconds silence) {
   state_->last_received = state_->clock.Now();
   state_->limit = silence;
+  state_->caught_up = false;
   if (state_->over || silence.count() == 0) return;
   state_->Wait(silence);
 }
