--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -1,5 +1,6 @@
 /** @file dispatcher.cc Handles a caller's request up to its final answer. */
 #include <algorithm>
+#include <boost/asio/this_coro.hpp>
 #include <iterator>
 #include <utility>
 
@@ -25,26 +26,10 @@
 constexpr double kFailureReserve = 0.5;
 constexpr int kMaxRank = 9;
 constexpr milliseconds kMinRetryAfter{50};
+/** A send ends by itself within this time after the request's deadline. */
+constexpr milliseconds kSendEndMargin{200};
 constexpr double kHashRange = 18446744073709551616.0;
 
-std::string_view NameOf(ExchangeEnd end) {
-  switch (end) {
-    case ExchangeEnd::kServed:
-      return "served";
-    case ExchangeEnd::kEngineFailed:
-      return "engine_failed";
-    case ExchangeEnd::kNotRun:
-      return "not_run";
-    case ExchangeEnd::kLost:
-      return "lost";
-    case ExchangeEnd::kCutMidway:
-      return "cut_midway";
-    case ExchangeEnd::kCallerLeft:
-      return "caller_left";
-  }
-  return "";
-}
-
 std::string_view NameOf(RetryDecision decision) {
   switch (decision) {
     case RetryDecision::kGranted:
@@ -59,26 +44,13 @@
   return "";
 }
 
-fleet::SendResult ResultOf(const ExchangeResult& result) {
-  switch (result.end) {
-    case ExchangeEnd::kServed:
-      return fleet::SendResult::kServed;
-    case ExchangeEnd::kNotRun:
-      return fleet::SendResult::kRefused;
-    case ExchangeEnd::kCallerLeft:
-      return fleet::SendResult::kAbandoned;
-    default:
-      return fleet::SendResult::kFailed;
-  }
-}
-
-/** Aborts the send in progress when the caller closes its connection. */
+/** Aborts the sends in progress when the caller closes its connection. */
 class DisconnectWatch {
  public:
   explicit DisconnectWatch(CallerConnection& caller) : caller_(caller) {
     caller.writer.OnCallerDisconnect([&caller] {
       caller.left = true;
-      if (caller.abort) caller.abort->Now();
+      for (const auto& it : caller.sends) it->Now();
     });
   }
   ~DisconnectWatch() { caller_.writer.OnCallerDisconnect({}); }
@@ -95,22 +67,28 @@
     : options_(options),
       deps_(parts),
       chooser_(options.pace, parts.registry, parts.peer_table, parts.gauges,
-               parts.finder, parts.loader, parts.clock) {}
+               parts.finder, parts.loader, parts.clock),
+      sender_({parts.rate_limiter, parts.registry, parts.loads, parts.clients,
+               parts.crash_watch, parts.engine_wire, parts.metrics,
+               parts.clock}) {}
 
 core::Task<> Dispatcher::Serve(const http::Request& request,
                                http::ResponseWriter& writer) {
-  RequestWork work(deps_.caller_wire.Decode(request), writer,
-                   deps_.clock.Now());
+  // Shared with the coroutine of a hedge, which may end after this one.
+  const auto shared = std::make_shared<RequestWork>(
+      deps_.caller_wire.Decode(request), writer, deps_.clock.Now());
+  RequestWork& work = *shared;
   const DisconnectWatch watch(work.caller);
   std::optional<Error> refusal;
   try {
     Check(work);
     co_await Authenticate(work);
     co_await ChargeQuota(work);
-    co_await Run(work);
+    co_await Run(shared);
   } catch (const Error& e) {
     refusal = e;
   }
+  CancelHedge(work);
   if (refusal) {
     work.outcome = core::InfoOf(refusal->code()).name;
     work.reason = refusal->detail();
@@ -275,12 +253,16 @@
   }
 }
 
-core::Task<> Dispatcher::Run(RequestWork& work) {
-  BudgetOf(work.service->id).CountRequest();
-  if (work.service->engine) deps_.loader.RecordRequest(work.request.model);
+core::Task<> Dispatcher::Run(SharedWork work) {
+  BudgetOf(work->service->id).CountRequest();
+  if (work->service->engine) deps_.loader.RecordRequest(work->request.model);
   bool over = false;
   while (!over) {
-    over = co_await Attempt(work);
+    if (work->hedge) {
+      over = co_await ContinueWithHedge(work);
+    } else {
+      over = co_await Attempt(work);
+    }
   }
 }
 
@@ -288,81 +270,58 @@
  * the request is over: it has its final answer, or the caller has left. False
  * if it is to be tried again, also if nothing was sent because the engine's
  * rate limit is used up or the engine is no longer registered. */
-core::Task<bool> Dispatcher::Attempt(RequestWork& work) {
-  work.engine = co_await chooser_.Choose(work);
-  const bool may_send = work.caller.left || co_await deps_.rate_limiter.Acquire(
-                                                work.engine, work.request.id);
-  if (work.caller.left) {
-    work.outcome = "caller_left";
+core::Task<bool> Dispatcher::Attempt(SharedWork work) {
+  work->engine = co_await chooser_.Choose(*work);
+  const bool may_send =
+      work->caller.left ||
+      co_await deps_.rate_limiter.Acquire(work->engine, work->request.id);
+  if (work->caller.left) {
+    work->outcome = "caller_left";
     co_return true;
   }
   if (!may_send) co_return false;
-  CheckStoreView(work);
-  RecheckKey(work);
-  const fleet::EngineEntry* engine = deps_.registry.Find(work.engine);
-  if (engine == nullptr) co_return false;
-  const std::shared_ptr<http::Client> client = deps_.clients.Of(*engine);
-  const fleet::ModelOrAdapter part{work.request.model, work.request.adapter};
-  const fleet::SendTicket ticket = deps_.loads.Begin(work.engine, part);
-  WatchedSend watched;
-  watched.fingerprint = work.fingerprint;
-  watched.request = work.request.id;
-  watched.model = work.request.model;
-  watched.instance = work.engine;
-  watched.address = engine->address;
-  deps_.crash_watch.Begin(watched);
-  SendOptions send;
-  send.instance = work.engine;
-  send.time_left = TimeLeft(work, deps_.clock.Now());
-  send.rank = work.rank;
-  send.pass_credentials = !work.identified_by->HasOrganisations();
-  if (work.organisation != nullptr) send.organisation = work.organisation->id;
-  send.last_event = work.caller.events.last_event();
-  ++work.sends;
-  if (!work.first_send) work.first_send = deps_.clock.Now();
-  const bool is_stream = work.route->kind == RequestKind::kStream;
-  ExchangeHooks hooks;
-  hooks.head_received = [this, instance = work.engine,
-                         sent = deps_.clock.Now()](const EngineAnswer& answer) {
-    // A refusal without a limit says nothing: it may have been sent before the
-    // engine knew its limit.
-    if (!answer.genuine && !answer.limit.per_second) return;
-    deps_.rate_limiter.Apply(instance, answer.limit, sent);
-  };
-  hooks.first_byte = [this, &work, ticket] {
-    deps_.loads.RecordFirstByte(ticket);
-    NotePrefix(work);
-    if (!work.first_byte) work.first_byte = deps_.clock.Now();
+  CheckStoreView(*work);
+  RecheckKey(*work);
+  const core::Executor executor = co_await boost::asio::this_coro::executor;
+  const auto send = BeginSend(work, work->engine, 0, executor);
+  if (send == nullptr) co_return false;
+  work->current = send;
+  const bool is_stream = work->route->kind == RequestKind::kStream;
+  auto result = co_await send->exchange->Open(send->options, is_stream);
+  if (!result) {
+    result = co_await send->exchange->Relay();
+  }
+  co_return co_await EndCurrentSend(*work, std::move(*result));
+}
+
+/** @param other_sends Sends of the request that are still in progress. */
+std::shared_ptr<EngineSend> Dispatcher::BeginSend(
+    const SharedWork& work, const fleet::InstanceId& engine, int other_sends,
+    const core::Executor& executor) {
+  // The callbacks are called while the send, and thus the work, exists.
+  RequestWork* const raw = work.get();
+  SendCallbacks callbacks;
+  callbacks.silent = [this, weak = std::weak_ptr(work), engine, executor] {
+    const SharedWork shared = weak.lock();
+    if (shared && shared->current && shared->current->engine == engine) {
+      OnSilence(shared, executor);
+    }
   };
-  hooks.received = [this, ticket] { deps_.loads.RecordAnswerPart(ticket); };
-  hooks.should_give_up = [this, &work] { return ShouldGiveUp(work); };
-  const SendState state{work.route, work.deadline,
-                        TimeLeft(work, deps_.clock.Now()), work.runs};
-  const ExchangeLimits limits = LimitsOfSend(state);
-  ExchangeResult result = co_await RunExchange(
-      *client, deps_.engine_wire, work.request, send, limits, is_stream,
-      work.caller, deps_.clock, std::move(hooks));
-  deps_.loads.End(ticket, ResultOf(result));
-  deps_.crash_watch.End(watched, result, work.first_byte);
-  if (result.unreachable) deps_.loads.MarkUnreachable(work.engine);
-  if (result.replaced) deps_.registry.MarkReplaced(work.engine);
-  if (result.lacks_model) deps_.loads.MarkLacking(work.engine, part);
-  work.caller.abort = nullptr;
+  callbacks.answered = [this, raw] { CancelHedge(*raw); };
+  return sender_.Begin(*work, engine, other_sends, std::move(callbacks),
+                       executor);
+}
+
+core::Task<bool> Dispatcher::EndCurrentSend(RequestWork& work,
+                                            ExchangeResult result) {
+  const std::shared_ptr<EngineSend> send = std::exchange(work.current, nullptr);
+  sender_.End(work, *send, result);
+  work.engine = send->engine;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
-  deps_.metrics.SendEnded(work.outcome);
   co_return co_await HandleResult(work, std::move(result));
 }
 
-/** Records that the engine has read the request's prompt. */
-void Dispatcher::NotePrefix(const RequestWork& work) {
-  std::vector<std::uint64_t> hashes;
-  for (const PromptPart& part : work.request.prompt_parts) {
-    hashes.push_back(part.hash);
-  }
-  deps_.loads.NotePrefix(work.engine, work.request.model, hashes);
-}
-
 /** Handles the result of a send. @return True if the request has its final
  * answer. */
 core::Task<bool> Dispatcher::HandleResult(RequestWork& work,
@@ -378,6 +337,8 @@
     default:
       break;
   }
+  // A hedge that was not sent yet might never be.
+  if (work.hedge && !work.hedge->send) CancelHedge(work);
   work.avoid.insert(work.engine);
   if (work.caller.begun) work.received = deps_.clock.Now();
   const RetryDecision retry = DecideRetry(work, result);
@@ -410,6 +371,7 @@
  * retry from the budget. */
 RetryDecision Dispatcher::DecideRetry(RequestWork& work,
                                       const ExchangeResult& result) {
+  if (work.hedge) return RetryDecision::kGranted;
   const bool granted = std::exchange(work.repeat_granted, false);
   if (result.end != ExchangeEnd::kNotRun && !MayRunAgain(work)) {
     return RetryDecision::kMayNotRunAgain;
@@ -426,15 +388,144 @@
                                    : RetryDecision::kNoBudget;
 }
 
-/** Decides whether a request whose engine is silent moves to another engine
- * now; if so, takes the retry from the budget. */
-bool Dispatcher::ShouldGiveUp(RequestWork& work) {
-  if (!chooser_.HasAlternative(work)) {
-    chooser_.LoadElsewhere(work);
-    return false;
+/** Sends a request whose engine is silent to another engine as well, if one can
+ * take it and the retry budget allows it. The first send goes on until that
+ * engine has taken the request: it may refuse, and then a stream that has begun
+ * could only be cut. */
+void Dispatcher::OnSilence(const SharedWork& work,
+                           const core::Executor& executor) {
+  if (work->hedge || work->runs + 1 >= work->route->max_engines) return;
+  if (!chooser_.FindAlternative(*work)) {
+    chooser_.LoadElsewhere(*work);
+    return;
+  }
+  if (!work->repeat_granted) work->repeat_granted = TakeRepeat(*work, 0.0);
+  if (!work->repeat_granted) return;
+  const auto hedge = std::make_shared<Hedge>();
+  work->hedge = hedge;
+  core::Spawn(executor, deps_.log, "send_hedge",
+              [this, work, hedge] { return RunHedge(work, hedge); });
+}
+
+/** Sends a hedge and waits until its engine has taken or refused it. */
+core::Task<> Dispatcher::RunHedge(SharedWork work,
+                                  std::shared_ptr<Hedge> hedge) {
+  hedge->send = co_await BeginHedge(work, *hedge);
+  if (hedge->send == nullptr) {
+    if (work->hedge == hedge) work->hedge = nullptr;
+    co_return;
+  }
+  const bool is_stream = work->route->kind == RequestKind::kStream;
+  Exchange& exchange = *hedge->send->exchange;
+  std::optional<ExchangeResult> failure =
+      co_await exchange.Open(hedge->send->options, is_stream);
+  const bool is_current = work->hedge == hedge;
+  if (is_current && work->current == nullptr) {
+    hedge->failure = std::move(failure);
+    hedge->state = HedgeState::kDecided;
+    hedge->decided.Notify();
+    co_return;
+  }
+  if (!is_current || failure || !exchange.succeeded()) {
+    if (!failure) {
+      failure = exchange.MakeResult(ExchangeEnd::kEngineFailed,
+                                    "an answer without success", false);
+    }
+    DropHedge(*work, hedge, *failure);
+    co_return;
+  }
+  hedge->state = HedgeState::kDecided;
+  work->current->exchange->Stop(StopReason::kSuperseded);
+}
+
+/** @return The send; null if the hedge is not sent after all. */
+core::Task<std::shared_ptr<EngineSend>> Dispatcher::BeginHedge(
+    SharedWork work, const Hedge& hedge) {
+  const auto engine = chooser_.FindAlternative(*work);
+  if (!engine) co_return nullptr;
+  const bool may_send =
+      co_await deps_.rate_limiter.Acquire(*engine, work->request.id);
+  if (!may_send || work->hedge.get() != &hedge || work->caller.left) {
+    co_return nullptr;
+  }
+  try {
+    CheckStoreView(*work);
+    RecheckKey(*work);
+  } catch (const Error& e) {
+    deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_skipped",
+                    {{"request", work->request.id}, {"reason", e.detail()}});
+    co_return nullptr;
+  }
+  const core::Executor executor = co_await boost::asio::this_coro::executor;
+  const auto send = BeginSend(work, *engine, 1, executor);
+  if (send == nullptr) co_return nullptr;
+  work->repeat_granted = false;
+  deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_sent",
+                  {{"request", work->request.id},
+                   {"instance", *engine},
+                   {"silent_instance", work->current->engine},
+                   {"sends", work->sends},
+                   {"left_ms", TimeLeft(*work, deps_.clock.Now())}});
+  co_return send;
+}
+
+/** Handles the end of a hedge while the request is served by another send. */
+void Dispatcher::DropHedge(RequestWork& work,
+                           const std::shared_ptr<Hedge>& hedge,
+                           const ExchangeResult& result) {
+  if (work.hedge == hedge) {
+    work.hedge = nullptr;
+    work.avoid.insert(hedge->send->engine);
+    if (result.end != ExchangeEnd::kNotRun) ++work.runs;
+    // Without a connection the hedge never arrived, so it does not count as a
+    // retry.
+    if (result.unreachable) work.repeat_granted = true;
+    deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_failed",
+                    {{"request", work.request.id},
+                     {"instance", hedge->send->engine},
+                     {"end", NameOf(result.end)},
+                     {"reason", result.reason}});
+  }
+  sender_.End(work, *hedge->send, result);
+}
+
+/** Ends a hedge that is not needed any more. */
+void Dispatcher::CancelHedge(RequestWork& work) {
+  const std::shared_ptr<Hedge> hedge = std::exchange(work.hedge, nullptr);
+  if (hedge == nullptr || hedge->send == nullptr) return;
+  // An engine that runs a stream has sent its head with the first event.
+  if (work.route->kind != RequestKind::kStream) ++work.runs;
+  deps_.log.Event(
+      LogLevel::kInfo, LogCategory::kRequest, "hedge_cancelled",
+      {{"request", work.request.id}, {"instance", hedge->send->engine}});
+  Exchange& exchange = *hedge->send->exchange;
+  exchange.Stop(StopReason::kCancelled);
+  if (hedge->state != HedgeState::kDecided) return;
+  sender_.End(work, *hedge->send,
+              exchange.MakeResult(ExchangeEnd::kCancelled, "", false));
+}
+
+/** Goes on with the hedge as the only send, after the first one has ended.
+ * @return As Attempt. */
+core::Task<bool> Dispatcher::ContinueWithHedge(SharedWork work) {
+  const std::shared_ptr<Hedge> hedge = work->hedge;
+  const core::SteadyTime end = work->deadline + kSendEndMargin;
+  while (hedge->state == HedgeState::kPending && deps_.clock.Now() < end) {
+    const auto left = std::chrono::ceil<milliseconds>(end - deps_.clock.Now());
+    co_await hedge->decided.Wait(hedge->decided.epoch(), left);
+  }
+  if (hedge->state == HedgeState::kPending) {
+    CancelHedge(*work);
+    throw Error(ErrorCode::kTimedOut, "no answer by the deadline");
+  }
+  work->hedge = nullptr;
+  work->current = hedge->send;
+  work->engine = hedge->send->engine;
+  std::optional<ExchangeResult> result = std::move(hedge->failure);
+  if (!result) {
+    result = co_await hedge->send->exchange->Relay();
   }
-  work.repeat_granted = TakeRepeat(work, 0.0);
-  return work.repeat_granted;
+  co_return co_await EndCurrentSend(*work, std::move(*result));
 }
 
 bool Dispatcher::MayRunAgain(const RequestWork& work) const {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
@@ -27,10 +28,12 @@
 #include "serving/engine_rate_limiter_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
+#include "serving/hedge_type.h"
 #include "serving/load_gauges_base.h"
 #include "serving/model_loader_base.h"
 #include "serving/quota_gate_base.h"
 #include "serving/replica_finder_base.h"
+#include "serving/request_sender_base.h"
 #include "serving/request_work_type.h"
 
 namespace sapphire::serving {
@@ -104,12 +107,19 @@
   void Forget();
 
  private:
-  core::Task<> Run(RequestWork& work);
-  core::Task<bool> Attempt(RequestWork& work);
+  using SharedWork = std::shared_ptr<RequestWork>;
+
+  core::Task<> Run(SharedWork work);
+  core::Task<bool> Attempt(SharedWork work);
+  core::Task<bool> ContinueWithHedge(SharedWork work);
+  std::shared_ptr<EngineSend> BeginSend(const SharedWork& work,
+                                        const fleet::InstanceId& engine,
+                                        int other_sends,
+                                        const core::Executor& executor);
+  core::Task<bool> EndCurrentSend(RequestWork& work, ExchangeResult result);
   core::Task<bool> HandleResult(RequestWork& work, ExchangeResult result);
   core::Task<> Answer(RequestWork& work, http::Response response);
   core::Task<> Refuse(RequestWork& work, const core::Error& error);
-  void NotePrefix(const RequestWork& work);
   void Check(RequestWork& work) const;
   void CheckStoreView(const RequestWork& work) const;
   core::Task<> Authenticate(RequestWork& work);
@@ -118,7 +128,13 @@
   core::Task<> ChargeQuota(RequestWork& work);
   void RefundUnused(const RequestWork& work);
   void ResolveService(RequestWork& work) const;
-  bool ShouldGiveUp(RequestWork& work);
+  void OnSilence(const SharedWork& work, const core::Executor& executor);
+  core::Task<> RunHedge(SharedWork work, std::shared_ptr<Hedge> hedge);
+  core::Task<std::shared_ptr<EngineSend>> BeginHedge(SharedWork work,
+                                                     const Hedge& hedge);
+  void DropHedge(RequestWork& work, const std::shared_ptr<Hedge>& hedge,
+                 const ExchangeResult& result);
+  void CancelHedge(RequestWork& work);
   RetryDecision DecideRetry(RequestWork& work, const ExchangeResult& result);
   [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
   bool TakeRepeat(const RequestWork& work, double reserve);
@@ -128,6 +144,7 @@
   DispatchOptions options_;
   const DispatcherDependencies deps_;
   EngineChooser chooser_;
+  RequestSender sender_;
   std::map<core::ServiceId, policy::RepeatBudget> budgets_;
 };
 
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -28,6 +28,11 @@
 constexpr milliseconds kWait{3000};
 /** Longer than a stream is usually silent, shorter than callers tolerate. */
 constexpr milliseconds kLongPause{1900};
+/** Longer than an engine's queue usually is: two objectives and the slack. */
+constexpr milliseconds kLongQueue{2700};
+constexpr milliseconds kLongWait{4800};
+/** Longer than it takes to close the connections to engines. */
+constexpr milliseconds kCloseNoticed{300};
 /** Longer than it takes to probe an engine whose connection has ended. */
 constexpr milliseconds kCrashNoticed{200};
 constexpr int kOk = 200;
@@ -40,6 +45,32 @@
 const std::string kFirst = "id: 1\ndata: a\n\n";
 const std::string kSecond = "id: 2\ndata: b\n\n";
 
+/** Streams these parts completely after a time in the engine's queue. */
+http::Handler StreamingAfter(milliseconds queue,
+                             const std::vector<std::string>& parts) {
+  return [queue, stream = Streaming(parts, true)](
+             const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    co_await core::SleepFor(queue);
+    co_await stream(request, writer);
+  };
+}
+
+/** Streams one part and crashes after a pause. */
+http::Handler BreakingOffAfter(milliseconds pause, const std::string& part) {
+  return [pause, part](const http::Request& request,
+                       http::ResponseWriter& writer) -> core::Task<> {
+    http::ResponseHead head;
+    head.headers.push_back({"genuine", "1"});
+    head.headers.push_back(
+        {"id", std::string(*http::FindHeader(request.headers, "id"))});
+    co_await writer.Begin(head);
+    co_await writer.Write(part);
+    co_await core::SleepFor(pause);
+    throw http::ConnectionCut("test");
+  };
+}
+
 /** Writes `before` and crashes; the registry then lists a later start of the
  * same engine at the same address, which answers with `after`. */
 http::Handler CrashingOnce(Rig& rig, const std::vector<std::string>& before,
@@ -125,6 +156,108 @@
   BOOST_TEST(*http::FindHeader(other.requests.at(0).headers, "after") == "1");
 }
 
+/** Guards against a stream that is closed in the middle: its engine pauses, and
+ * the engine that was to go on with it refuses. */
+BOOST_AUTO_TEST_CASE(SilentStreamGoesOnIfTheOtherEngineRefuses) {
+  Rig rig;
+  TestEngine& silent =
+      rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, kLongPause));
+  TestEngine& other = rig.AddEngine(kDrafts, Answering(kUnavailable, true, ""));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(silent.requests.size() == 1U);
+  BOOST_TEST(other.requests.size() == 1U);
+}
+
+/** Guards against a request that fails although its engine is about to answer:
+ * it was taken out of that engine's queue for another engine, which refuses. */
+BOOST_AUTO_TEST_CASE(QueuedRequestIsKeptIfTheOtherEngineRefuses) {
+  Rig rig;
+  rig.AddEngine(kDrafts, StreamingAfter(kLongQueue, {kFirst, kSecond}));
+  rig.AddEngine(kDrafts, Answering(kUnavailable, true, ""));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kLongWait, caller);
+  BOOST_TEST(caller.status == kOk);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+}
+
+/** Guards against two runs of one request: the silent engine answers before
+ * the other one does, which is to stop. */
+BOOST_AUTO_TEST_CASE(HedgeIsCancelledWhenTheFirstEngineAnswers) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, kLongPause));
+  TestEngine& other = rig.AddEngine(kDrafts, Silent());
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(other.requests.size() == 1U);
+  rig.Pass(kCloseNoticed);
+  BOOST_TEST(rig.loads.Running(fleet::InstanceId("i-2")) == 0);
+}
+
+/** Guards against a stream that is closed in the middle: its silent engine
+ * breaks off while another engine still has the request in its queue. */
+BOOST_AUTO_TEST_CASE(HedgeServesIfTheFirstEngineBreaksOff) {
+  Rig rig;
+  rig.AddEngine(kDrafts, BreakingOffAfter(kLongPause, kFirst));
+  TestEngine& other =
+      rig.AddEngine(kDrafts, StreamingAfter(kLongPause, {kSecond}));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kLongWait, caller);
+  BOOST_TEST(caller.answers == 1);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(other.requests.size() == 1U);
+}
+
+/** Guards against work for a caller that has left: two engines have its
+ * request. */
+BOOST_AUTO_TEST_CASE(DisconnectedCallerEndsTheHedge) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Silent());
+  TestEngine& other = rig.AddEngine(kDrafts, Silent());
+  RecordingWriter caller;
+  entry::testing::Outcome<bool> served;
+  entry::testing::StartTask(
+      rig.io, rig.ServeTask("/stream/", kLongWait, caller), served);
+  rig.Pass(kLongQueue);
+  BOOST_TEST(other.requests.size() == 1U);
+  caller.leave();
+  rig.Pass(kCloseNoticed);
+  BOOST_TEST(served.value.has_value());
+  BOOST_TEST(rig.loads.Running(fleet::InstanceId("i-1")) == 0);
+  BOOST_TEST(rig.loads.Running(fleet::InstanceId("i-2")) == 0);
+}
+
+/** Guards against more sends than the retry budget allows. */
+BOOST_AUTO_TEST_CASE(SilentStreamIsWaitedForWithoutRetryBudget) {
+  Rig rig;
+  rig.dispatcher.SetRepeatLimits({0, 0, kWait});
+  rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, kLongPause));
+  TestEngine& other = rig.AddEngine(kDrafts, Streaming({kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+  BOOST_TEST(other.requests.empty());
+}
+
+/** Guards against a request that runs on more engines than its route allows. */
+BOOST_AUTO_TEST_CASE(SilentStreamOfARouteWithOneEngineIsNotSentTwice) {
+  Rig rig;
+  rig.Configure(1);
+  rig.AddEngine(kDrafts, Pausing({kFirst, kSecond}, kLongPause));
+  TestEngine& other = rig.AddEngine(kDrafts, Streaming({kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(other.requests.empty());
+}
+
 /** Guards against a stream that stops although its engine is back: the engine
  * crashes and starts again under its name, as another instance, where the
  * stream resumes after the last complete event. */
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -271,14 +271,16 @@
       std::max(reachable.value_or(kDefaultRetryAfter), kDefaultRetryAfter));
 }
 
-bool EngineChooser::HasAlternative(const RequestWork& work) const {
+std::optional<fleet::InstanceId> EngineChooser::FindAlternative(
+    const RequestWork& work) const {
   std::set<fleet::InstanceId> avoid = work.avoid;
   avoid.insert(work.engine);
-  const std::vector<FoundReplica> found =
+  std::vector<FoundReplica> found =
       finder_.Find(work.service->id, work.request, avoid);
-  return std::ranges::any_of(found, [](const FoundReplica& it) {
-    return it.has_adapter && !policy::IsSilent(it.view);
+  std::erase_if(found, [](const FoundReplica& it) {
+    return !it.has_adapter || policy::IsSilent(it.view);
   });
+  return FindCheapest(work, found);
 }
 
 void EngineChooser::LoadElsewhere(const RequestWork& work) {
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -45,9 +45,11 @@
    */
   core::Task<fleet::InstanceId> Choose(RequestWork& work);
 
-  /** @return True if another engine than the current one, and none that has
-   * failed the request, could take it now. */
-  [[nodiscard]] bool HasAlternative(const RequestWork& work) const;
+  /** @return The best engine for a request whose current engine is silent:
+   * another one, which has not failed the request and is not silent itself;
+   * nullopt if there is none. */
+  [[nodiscard]] std::optional<fleet::InstanceId> FindAlternative(
+      const RequestWork& work) const;
 
   /** Requests a load of the model on one more engine, for a request whose
    * current engine is silent. */
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -1,6 +1,5 @@
 /** @file exchange.cc Sends a request to one engine, relays its answer. */
 #include <algorithm>
-#include <boost/asio/this_coro.hpp>
 #include <memory>
 #include <utility>
 
@@ -54,237 +53,229 @@
   co_return read;
 }
 
-/** Runs one send; holds the state that its steps share. */
-class Exchange {
- public:
-  Exchange(http::Client& engine, const EngineWire& wire,
-           const CallerRequest& request, ExchangeLimits limits,
-           CallerConnection& caller, const core::Clock& clock,
-           ExchangeHooks hooks, const core::Executor& executor)
-      : engine_(engine),
-        wire_(wire),
-        request_(request),
-        limits_(limits),
-        caller_(caller),
-        clock_(clock),
-        hooks_(std::move(hooks)),
-        watch_(
-            executor, hooks_.should_give_up, [abort = abort_] { abort->Now(); },
-            clock) {}
+}  // namespace
 
-  core::Task<ExchangeResult> Run(SendOptions send, bool is_stream) {
-    addressed_ = send.instance;
-    std::optional<ExchangeResult> failure = co_await Open(std::move(send));
-    if (failure) co_return *failure;
-    if (is_stream) watch_.Restart(limits_.pause);
-    answer_ = wire_.Read(stream_->head());
-    if (answer_.genuine || answer_.not_run) hooks_.head_received(answer_);
-    if (const auto wrong = EvaluateHead()) co_return *wrong;
-    if (is_stream && IsSuccess(answer_.status)) {
-      co_return co_await RelayStream();
-    }
-    co_return co_await RelayBody();
-  }
+Exchange::Exchange(http::Client& engine, const EngineWire& wire,
+                   const CallerRequest& request, ExchangeLimits limits,
+                   CallerConnection& caller, const core::Clock& clock,
+                   ExchangeHooks hooks, const core::Executor& executor)
+    : engine_(engine),
+      wire_(wire),
+      request_(request),
+      limits_(limits),
+      caller_(caller),
+      clock_(clock),
+      hooks_(std::move(hooks)),
+      watch_(executor, hooks_.silent, clock) {
+  caller_.sends.insert(abort_);
+}
 
- private:
-  core::Task<std::optional<ExchangeResult>> Open(SendOptions send) {
-    http::OpenOptions options;
-    options.timeout = TimeToDeadline();
-    options.connect_timeout = kConnectTimeout;
-    options.fresh_connection = limits_.fresh_connection;
-    options.abort = abort_;
-    caller_.abort = abort_;
-    watch_.Restart(limits_.first_byte_silence);
-    http::Request out = wire_.Compose(request_, send);
-    std::optional<ExchangeResult> failure;
-    try {
-      stream_ = co_await engine_.Open(std::move(out), std::move(options));
-    } catch (const http::TransportError& e) {
-      failure = MakeResult(
-          e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
-          e.what(), e.timed_out());
-      failure->unreachable = !e.may_have_run() && !watch_.gave_up();
-    }
+Exchange::~Exchange() { caller_.sends.erase(abort_); }
+
+core::Task<std::optional<ExchangeResult>> Exchange::Open(SendOptions send,
+                                                         bool is_stream) {
+  addressed_ = send.instance;
+  is_stream_ = is_stream;
+  http::OpenOptions options;
+  options.timeout = TimeToDeadline();
+  options.connect_timeout = kConnectTimeout;
+  options.fresh_connection = limits_.fresh_connection;
+  options.abort = abort_;
+  watch_.Restart(limits_.first_byte_silence);
+  http::Request out = wire_.Compose(request_, send);
+  try {
+    stream_ = co_await engine_.Open(std::move(out), std::move(options));
+  } catch (const http::TransportError& e) {
+    ExchangeResult failure =
+        MakeResult(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
+                   e.what(), e.timed_out());
+    failure.unreachable = !e.may_have_run() && stopped_ == StopReason::kNone;
     co_return failure;
   }
-
-  /** @return The result of the send, if the answer's head alone decides it. */
-  std::optional<ExchangeResult> EvaluateHead() {
-    if (answer_.not_run || answer_.status == kMisdirected) {
-      ExchangeResult refused =
-          MakeResult(ExchangeEnd::kNotRun,
-                     "refused with " + std::to_string(answer_.status), false);
-      const bool misdirected = answer_.status == kMisdirected;
-      refused.replaced = misdirected && !answer_.engine.empty() &&
-                         answer_.engine != fleet::EngineOf(addressed_);
-      refused.lacks_model = misdirected && !refused.replaced;
-      return refused;
-    }
-    // A duplicate answer to an earlier request may arrive on the connection.
-    if (!answer_.id.empty() && answer_.id != request_.id) {
-      return MakeResult(ExchangeEnd::kLost, "an answer to another request",
-                        false);
-    }
-    if (IsSuccess(answer_.status) && !answer_.genuine) {
-      return MakeResult(ExchangeEnd::kLost, "no answer of an engine", false);
-    }
-    // Relayed, the status would promise that the request has not run, which the
-    // engine did not say.
-    if (PromisesNotRun(answer_.status)) {
-      return MakeResult(ExchangeEnd::kLost,
-                        "status " + std::to_string(answer_.status) +
-                            " without a word on whether it has run",
-                        false);
-    }
-    return std::nullopt;
+  if (stopped_ != StopReason::kNone) {
+    co_return MakeResult(ExchangeEnd::kLost, "", true);
   }
+  if (is_stream_) watch_.Restart(limits_.pause);
+  answer_ = wire_.Read(stream_->head());
+  if (answer_.genuine || answer_.not_run) hooks_.head_received(answer_);
+  co_return EvaluateHead();
+}
 
-  /** Reads the complete body first, as a truncated answer is never relayed;
-   * only then calls `first_byte`. */
-  core::Task<ExchangeResult> RelayBody() {
-    http::Response response;
-    response.head = answer_.to_caller;
-    while (true) {
-      PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
-      if (!read.error.empty()) {
-        co_return MakeResult(ExchangeEnd::kLost, read.error, read.timed_out);
-      }
-      if (!read.bytes) break;
-      response.body += *read.bytes;
-    }
-    hooks_.first_byte();
-    if (!IsSuccess(answer_.status)) {
-      ExchangeResult result =
-          MakeResult(ExchangeEnd::kEngineFailed,
-                     "status " + std::to_string(answer_.status), false);
-      result.failure = std::move(response);
-      co_return result;
-    }
-    co_return co_await Send(std::move(response));
+core::Task<ExchangeResult> Exchange::Relay() {
+  if (is_stream_ && succeeded()) {
+    co_return co_await RelayStream();
   }
+  co_return co_await RelayBody();
+}
 
-  core::Task<ExchangeResult> Send(http::Response response) {
-    ExchangeResult result = MakeResult(ExchangeEnd::kServed, "", false);
-    try {
-      co_await caller_.writer.Send(std::move(response));
-    } catch (const http::TransportError& e) {
-      result = MakeResult(ExchangeEnd::kCallerLeft, e.what(), false);
-    }
-    co_return result;
+void Exchange::Stop(StopReason reason) {
+  stopped_ = reason;
+  abort_->Now();
+}
+
+bool Exchange::succeeded() const { return IsSuccess(answer_.status); }
+
+/** @return The result of the send, if the answer's head alone decides it. */
+std::optional<ExchangeResult> Exchange::EvaluateHead() const {
+  if (answer_.not_run || answer_.status == kMisdirected) {
+    ExchangeResult refused =
+        MakeResult(ExchangeEnd::kNotRun,
+                   "refused with " + std::to_string(answer_.status), false);
+    const bool misdirected = answer_.status == kMisdirected;
+    refused.replaced = misdirected && !answer_.engine.empty() &&
+                       answer_.engine != fleet::EngineOf(addressed_);
+    refused.lacks_model = misdirected && !refused.replaced;
+    return refused;
+  }
+  // A duplicate answer to an earlier request may arrive on the connection.
+  if (!answer_.id.empty() && answer_.id != request_.id) {
+    return MakeResult(ExchangeEnd::kLost, "an answer to another request",
+                      false);
   }
+  if (IsSuccess(answer_.status) && !answer_.genuine) {
+    return MakeResult(ExchangeEnd::kLost, "no answer of an engine", false);
+  }
+  // Relayed, the status would promise that the request has not run, which the
+  // engine did not say.
+  if (PromisesNotRun(answer_.status)) {
+    return MakeResult(ExchangeEnd::kLost,
+                      "status " + std::to_string(answer_.status) +
+                          " without a word on whether it has run",
+                      false);
+  }
+  return std::nullopt;
+}
 
-  /** Relays a stream as it arrives, complete events only. */
-  core::Task<ExchangeResult> RelayStream() {
-    caller_.events.StartRun();
-    bool first = true;
-    while (true) {
-      PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
-      if (!read.error.empty()) {
-        co_return MakeResult(EndOfBrokenStream(), read.error, read.timed_out);
-      }
-      // Bytes that were received before the connection was closed may still be
-      // read after it; the request is on its way to another engine by then.
-      if (watch_.gave_up()) co_return MakeResult(EndOfBrokenStream(), "", true);
-      const bool over = !read.bytes.has_value();
-      std::string bytes = over ? caller_.events.TakeRemainder()
-                               : caller_.events.Add(*read.bytes);
-      if (!over) {
-        watch_.Restart(limits_.pause);
-        hooks_.received();
-      }
-      if (first && !over) {
-        first = false;
-        hooks_.first_byte();
-      }
-      const std::string failure = co_await Write(bytes, over);
-      if (!failure.empty()) {
-        co_return MakeResult(ExchangeEnd::kCallerLeft, failure, false);
-      }
-      if (over) co_return MakeResult(ExchangeEnd::kServed, "", false);
+/** Reads the complete body first, as a truncated answer is never relayed;
+ * only then calls `first_byte`. */
+core::Task<ExchangeResult> Exchange::RelayBody() {
+  http::Response response;
+  response.head = answer_.to_caller;
+  while (true) {
+    PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
+    if (!read.error.empty()) {
+      co_return MakeResult(ExchangeEnd::kLost, read.error, read.timed_out);
     }
+    if (stopped_ != StopReason::kNone) {
+      co_return MakeResult(ExchangeEnd::kLost, "", true);
+    }
+    if (!read.bytes) break;
+    response.body += *read.bytes;
+  }
+  hooks_.first_byte();
+  if (!IsSuccess(answer_.status)) {
+    ExchangeResult result =
+        MakeResult(ExchangeEnd::kEngineFailed,
+                   "status " + std::to_string(answer_.status), false);
+    result.failure = std::move(response);
+    co_return result;
   }
+  co_return co_await SendBody(std::move(response));
+}
 
-  [[nodiscard]] ExchangeEnd EndOfBrokenStream() const {
-    return caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost;
+core::Task<ExchangeResult> Exchange::SendBody(http::Response response) {
+  ExchangeResult result = MakeResult(ExchangeEnd::kServed, "", false);
+  try {
+    co_await caller_.writer.Send(std::move(response));
+  } catch (const http::TransportError& e) {
+    result = MakeResult(ExchangeEnd::kCallerLeft, e.what(), false);
   }
+  co_return result;
+}
 
-  /** @return The error that prevents writing to the caller; empty if none. */
-  core::Task<std::string> Write(const std::string& bytes, bool over) {
-    std::string failure;
-    try {
-      if (!caller_.begun && (!bytes.empty() || over)) {
-        caller_.begun = true;
-        http::ResponseHead head = answer_.to_caller;
-        co_await caller_.writer.Begin(std::move(head));
-      }
-      if (!bytes.empty()) {
-        UpdateLongestPause();
-        co_await caller_.writer.Write(bytes);
-        relayed_ += bytes.size();
-      }
-      if (over) {
-        co_await caller_.writer.End();
-      }
-    } catch (const http::TransportError& e) {
-      failure = e.what();
+/** Relays a stream as it arrives, complete events only. */
+core::Task<ExchangeResult> Exchange::RelayStream() {
+  caller_.events.StartRun();
+  bool first = true;
+  while (true) {
+    PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
+    if (!read.error.empty()) {
+      co_return MakeResult(EndOfBrokenStream(), read.error, read.timed_out);
     }
-    co_return failure;
+    // Bytes that were received before the connection was closed may still be
+    // read after it; another engine answers the request by then.
+    if (stopped_ != StopReason::kNone) {
+      co_return MakeResult(EndOfBrokenStream(), "", true);
+    }
+    const bool over = !read.bytes.has_value();
+    std::string bytes =
+        over ? caller_.events.TakeRemainder() : caller_.events.Add(*read.bytes);
+    if (!over) watch_.Restart(limits_.pause);
+    hooks_.received();
+    if (first && !over) {
+      first = false;
+      hooks_.first_byte();
+    }
+    const std::string failure = co_await Write(bytes, over);
+    if (!failure.empty()) {
+      co_return MakeResult(ExchangeEnd::kCallerLeft, failure, false);
+    }
+    if (over) co_return MakeResult(ExchangeEnd::kServed, "", false);
   }
+}
+
+ExchangeEnd Exchange::EndOfBrokenStream() const {
+  return caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost;
+}
 
-  /** Updates the longest pause; called when a part is relayed. */
-  void UpdateLongestPause() {
-    const core::SteadyTime now = clock_.Now();
-    if (caller_.last_part != core::SteadyTime()) {
-      const auto pause =
-          std::chrono::duration_cast<milliseconds>(now - caller_.last_part);
-      caller_.longest_pause = std::max(caller_.longest_pause, pause);
+/** @return The error that prevents writing to the caller; empty if none. */
+core::Task<std::string> Exchange::Write(const std::string& bytes, bool over) {
+  std::string failure;
+  try {
+    if (!caller_.begun && (!bytes.empty() || over)) {
+      caller_.begun = true;
+      http::ResponseHead head = answer_.to_caller;
+      co_await caller_.writer.Begin(std::move(head));
+    }
+    if (!bytes.empty()) {
+      UpdateLongestPause();
+      co_await caller_.writer.Write(bytes);
+      relayed_ += bytes.size();
+    }
+    if (over) {
+      co_await caller_.writer.End();
     }
-    caller_.last_part = now;
+  } catch (const http::TransportError& e) {
+    failure = e.what();
   }
+  co_return failure;
+}
 
-  [[nodiscard]] ExchangeResult MakeResult(ExchangeEnd end, std::string reason,
-                                          bool timed_out) const {
-    ExchangeResult result;
-    result.end = caller_.left ? ExchangeEnd::kCallerLeft : end;
-    result.reason = std::move(reason);
-    result.timed_out = timed_out || watch_.gave_up();
-    if (watch_.gave_up()) result.reason = "given up for its silence";
-    result.silence = watch_.Report();
-    result.relayed = relayed_;
-    return result;
+/** Updates the longest pause; called when a part is relayed. */
+void Exchange::UpdateLongestPause() {
+  const core::SteadyTime now = clock_.Now();
+  if (caller_.last_part != core::SteadyTime()) {
+    const auto pause =
+        std::chrono::duration_cast<milliseconds>(now - caller_.last_part);
+    caller_.longest_pause = std::max(caller_.longest_pause, pause);
   }
+  caller_.last_part = now;
+}
 
-  [[nodiscard]] milliseconds TimeToDeadline() const {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        limits_.deadline - clock_.Now());
-    return std::max(left, milliseconds(1));
+ExchangeResult Exchange::MakeResult(ExchangeEnd end, std::string reason,
+                                    bool timed_out) const {
+  ExchangeResult result;
+  result.end = end;
+  result.reason = std::move(reason);
+  result.timed_out = timed_out;
+  if (stopped_ == StopReason::kSuperseded) {
+    result.reason = "given up for its silence";
+    result.timed_out = true;
   }
+  if (stopped_ == StopReason::kCancelled) {
+    result.end = ExchangeEnd::kCancelled;
+    result.reason = "another engine answers";
+  }
+  if (caller_.left) result.end = ExchangeEnd::kCallerLeft;
+  result.silence = watch_.Report();
+  result.relayed = relayed_;
+  return result;
+}
 
-  http::Client& engine_;
-  const EngineWire& wire_;
-  const CallerRequest& request_;
-  const ExchangeLimits limits_;
-  CallerConnection& caller_;
-  const core::Clock& clock_;
-  const ExchangeHooks hooks_;
-  const std::shared_ptr<http::Abort> abort_ = std::make_shared<http::Abort>();
-  SilenceWatch watch_;
-  std::unique_ptr<http::ResponseStream> stream_;
-  EngineAnswer answer_;
-  std::size_t relayed_ = 0;
-  fleet::InstanceId addressed_;
-};
-
-}  // namespace
-
-core::Task<ExchangeResult> RunExchange(
-    http::Client& engine, const EngineWire& wire, const CallerRequest& request,
-    SendOptions send, ExchangeLimits limits, bool is_stream,
-    CallerConnection& caller, const core::Clock& clock, ExchangeHooks hooks) {
-  const core::Executor executor = co_await boost::asio::this_coro::executor;
-  Exchange exchange(engine, wire, request, limits, caller, clock,
-                    std::move(hooks), executor);
-  co_return co_await exchange.Run(std::move(send), is_stream);
+milliseconds Exchange::TimeToDeadline() const {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(limits_.deadline - clock_.Now());
+  return std::max(left, milliseconds(1));
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -7,10 +7,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/clock_base.h"
 #include "core/task_type.h"
+#include "fleet/engine_type.h"
 #include "http/client_base.h"
 #include "http/server_base.h"
 #include "serving/caller_type.h"
@@ -28,6 +30,7 @@
   kLost,          ///< Nothing relayed; the request may have run.
   kCutMidway,     ///< Part of the stream was relayed; the rest was lost.
   kCallerLeft,    ///< The caller has closed its connection.
+  kCancelled,     ///< Ended by this entry: another engine answers the request.
 };
 
 struct ExchangeResult {
@@ -36,8 +39,8 @@
   std::string reason;
   /** With kEngineFailed: the engine's own answer. */
   std::optional<http::Response> failure;
-  /** The send exceeded its time limit or was given up because the engine was
-   * silent. */
+  /** The send exceeded its time limit, or another engine has taken the request
+   * because this one was silent. */
   bool timed_out = false;
   /** No connection could be made: the engine is down or cut off. */
   bool unreachable = false;
@@ -62,8 +65,8 @@
   bool begun = false;
   bool left = false;
   EventSplitter events;
-  /** Aborts the send in progress. */
-  std::shared_ptr<http::Abort> abort;
+  /** Abort the sends in progress. */
+  std::set<std::shared_ptr<http::Abort>> sends;
   /** When the last part of a stream was relayed, and the longest pause between
    * two parts so far, over all sends. */
   core::SteadyTime last_part;
@@ -75,8 +78,8 @@
   /** Time by which the caller must have its final answer. */
   core::SteadyTime deadline;
   /** Longest usual silence before the first byte of a stream or the end of any
-   * other answer, and between two parts of a stream; after it, another engine
-   * is tried if possible. Zero: no limit. */
+   * other answer, and between two parts of a stream; after it, the request is
+   * also sent to another engine if possible. Zero: no limit. */
   milliseconds first_byte_silence{0};
   milliseconds pause{0};
   /** Opens a new connection, for a request that must not run twice. */
@@ -90,19 +93,81 @@
       [](const EngineAnswer&) {};
   /** Called at most once: with the first part of a stream, or after the
    * complete body of any other answer. */
-  std::function<void()> first_byte;
-  /** Called with each part of a streamed answer. */
-  std::function<void()> received;
-  /** Called while the engine is silent; returns true to give the send up. */
-  std::function<bool()> should_give_up;
+  std::function<void()> first_byte = [] {};
+  /** Called with each part of a streamed answer and at its end. */
+  std::function<void()> received = [] {};
+  /** Called repeatedly while the engine is silent. */
+  std::function<void()> silent = [] {};
 };
 
-/** Sends a request to an engine and relays its answer: a complete body at once,
- * a stream event by event. Never sends twice. */
-core::Task<ExchangeResult> RunExchange(
-    http::Client& engine, const EngineWire& wire, const CallerRequest& request,
-    SendOptions send, ExchangeLimits limits, bool is_stream,
-    CallerConnection& caller, const core::Clock& clock, ExchangeHooks hooks);
+/** Why this entry ends a send. */
+enum class StopReason {
+  kNone,
+  kSuperseded,  ///< The engine was silent, and another one has answered.
+  kCancelled,   ///< The engine that was silent has answered after all.
+};
+
+/**
+ * One send of a request to one engine: `Open`, then `Relay` if the engine has
+ * taken the request. Never sends twice.
+ */
+class Exchange {
+ public:
+  /** @pre All references outlive the exchange. */
+  Exchange(http::Client& engine, const EngineWire& wire,
+           const CallerRequest& request, ExchangeLimits limits,
+           CallerConnection& caller, const core::Clock& clock,
+           ExchangeHooks hooks, const core::Executor& executor);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /**
+   * Sends the request and reads the head of the answer; nothing is relayed yet.
+   * @return The result, if the send has ended with that.
+   */
+  core::Task<std::optional<ExchangeResult>> Open(SendOptions send,
+                                                 bool is_stream);
+
+  /** Relays the answer: a complete body at once, a stream event by event. */
+  core::Task<ExchangeResult> Relay();
+
+  /** Closes the connection. Nothing more is relayed. */
+  void Stop(StopReason reason);
+
+  /** @return True if the engine has answered with a success. */
+  [[nodiscard]] bool succeeded() const;
+
+  /** @return A result of this send. */
+  [[nodiscard]] ExchangeResult MakeResult(ExchangeEnd end, std::string reason,
+                                          bool timed_out) const;
+
+ private:
+  [[nodiscard]] std::optional<ExchangeResult> EvaluateHead() const;
+  core::Task<ExchangeResult> RelayBody();
+  core::Task<ExchangeResult> RelayStream();
+  core::Task<ExchangeResult> SendBody(http::Response response);
+  core::Task<std::string> Write(const std::string& bytes, bool over);
+  void UpdateLongestPause();
+  [[nodiscard]] ExchangeEnd EndOfBrokenStream() const;
+  [[nodiscard]] milliseconds TimeToDeadline() const;
+
+  http::Client& engine_;
+  const EngineWire& wire_;
+  const CallerRequest& request_;
+  const ExchangeLimits limits_;
+  CallerConnection& caller_;
+  const core::Clock& clock_;
+  const ExchangeHooks hooks_;
+  const std::shared_ptr<http::Abort> abort_ = std::make_shared<http::Abort>();
+  SilenceWatch watch_;
+  std::unique_ptr<http::ResponseStream> stream_;
+  EngineAnswer answer_;
+  bool is_stream_ = false;
+  StopReason stopped_ = StopReason::kNone;
+  std::size_t relayed_ = 0;
+  fleet::InstanceId addressed_;
+};
 
 }  // namespace sapphire::serving
 
--- a/src/serving/exchange_test.cc
+++ b/src/serving/exchange_test.cc
@@ -87,14 +87,9 @@
   limits.deadline = clock.Now() + std::chrono::seconds(5);
   limits.first_byte_silence = kSilence;
   limits.pause = std::chrono::seconds(3);
-  int asked = 0;
+  int silences = 0;
   ExchangeHooks hooks;
-  hooks.first_byte = [] {};
-  hooks.received = [] {};
-  hooks.should_give_up = [&asked] {
-    ++asked;
-    return true;
-  };
+  hooks.silent = [&silences] { ++silences; };
   ExchangeResult result;
   boost::asio::steady_timer stall(io, kStallBegin);
   stall.async_wait([&engine](const auto&) {
@@ -106,16 +101,18 @@
   boost::asio::co_spawn(
       io,
       [&]() -> core::Task<> {
+        Exchange exchange(client, wire, request, limits, caller, clock,
+                          std::move(hooks), io.get_executor());
         SendOptions send;
-        result =
-            co_await RunExchange(client, wire, request, std::move(send), limits,
-                                 true, caller, clock, std::move(hooks));
+        const auto failure = co_await exchange.Open(std::move(send), true);
+        BOOST_TEST_REQUIRE(!failure.has_value());
+        result = co_await exchange.Relay();
       },
       [](const std::exception_ptr& e) {
         if (e) std::rethrow_exception(e);
       });
   io.run();
-  BOOST_TEST(asked == 0);
+  BOOST_TEST(silences == 0);
   BOOST_TEST((result.end == ExchangeEnd::kServed));
   BOOST_TEST(result.reason == "");
   BOOST_TEST(writer.body == kFirst + kSecond);
--- /dev/null
+++ b/src/serving/request_sender.cc
@@ -0,0 +1,144 @@
+/** @file request_sender.cc Begins and ends sends of requests to engines. */
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "serving/request_sender_base.h"
+#include "serving/send_limits_func.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+fleet::SendResult ResultOf(const ExchangeResult& result) {
+  switch (result.end) {
+    case ExchangeEnd::kServed:
+      return fleet::SendResult::kServed;
+    case ExchangeEnd::kNotRun:
+      return fleet::SendResult::kRefused;
+    case ExchangeEnd::kCallerLeft:
+    case ExchangeEnd::kCancelled:
+      return fleet::SendResult::kAbandoned;
+    default:
+      return fleet::SendResult::kFailed;
+  }
+}
+
+SendOptions OptionsOf(const RequestWork& work, const fleet::InstanceId& engine,
+                      core::SteadyTime now) {
+  SendOptions send;
+  send.instance = engine;
+  send.time_left = TimeLeft(work, now);
+  send.rank = work.rank;
+  send.pass_credentials = !work.identified_by->HasOrganisations();
+  if (work.organisation != nullptr) send.organisation = work.organisation->id;
+  send.last_event = work.caller.events.last_event();
+  return send;
+}
+
+}  // namespace
+
+std::string_view NameOf(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kServed:
+      return "served";
+    case ExchangeEnd::kEngineFailed:
+      return "engine_failed";
+    case ExchangeEnd::kNotRun:
+      return "not_run";
+    case ExchangeEnd::kLost:
+      return "lost";
+    case ExchangeEnd::kCutMidway:
+      return "cut_midway";
+    case ExchangeEnd::kCallerLeft:
+      return "caller_left";
+    case ExchangeEnd::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+std::shared_ptr<EngineSend> RequestSender::Begin(
+    RequestWork& work, const fleet::InstanceId& engine, int other_sends,
+    SendCallbacks callbacks, const core::Executor& executor) {
+  const fleet::EngineEntry* entry = deps_.registry.Find(engine);
+  if (entry == nullptr) return nullptr;
+  const core::SteadyTime now = deps_.clock.Now();
+  auto send = std::make_shared<EngineSend>();
+  send->engine = engine;
+  send->part = {work.request.model, work.request.adapter};
+  send->ticket = deps_.loads.Begin(engine, send->part);
+  send->watched = Watch(work, *entry);
+  send->options = OptionsOf(work, engine, now);
+  send->client = deps_.clients.Of(*entry);
+  ++work.sends;
+  if (!work.first_send) work.first_send = now;
+  const SendState state{work.route, work.deadline, TimeLeft(work, now),
+                        work.runs + other_sends};
+  send->exchange = std::make_unique<Exchange>(
+      *send->client, deps_.engine_wire, work.request, LimitsOfSend(state),
+      work.caller, deps_.clock, HooksOf(work, *send, std::move(callbacks)),
+      executor);
+  return send;
+}
+
+WatchedSend RequestSender::Watch(const RequestWork& work,
+                                 const fleet::EngineEntry& engine) {
+  WatchedSend watched;
+  watched.fingerprint = work.fingerprint;
+  watched.request = work.request.id;
+  watched.model = work.request.model;
+  watched.instance = engine.instance;
+  watched.address = engine.address;
+  deps_.crash_watch.Begin(watched);
+  return watched;
+}
+
+ExchangeHooks RequestSender::HooksOf(RequestWork& work, const EngineSend& send,
+                                     SendCallbacks callbacks) {
+  ExchangeHooks hooks;
+  hooks.head_received = [this, instance = send.engine,
+                         sent = deps_.clock.Now()](const EngineAnswer& answer) {
+    // A refusal without a limit says nothing: it may have been sent before the
+    // engine knew its limit.
+    if (!answer.genuine && !answer.limit.per_second) return;
+    deps_.rate_limiter.Apply(instance, answer.limit, sent);
+  };
+  hooks.first_byte = [this, &work, ticket = send.ticket,
+                      answered = callbacks.answered] {
+    answered();
+    deps_.loads.RecordFirstByte(ticket);
+    NotePrefix(work, ticket.instance);
+    if (!work.first_byte) work.first_byte = deps_.clock.Now();
+  };
+  hooks.received = [this, ticket = send.ticket,
+                    answered = std::move(callbacks.answered)] {
+    answered();
+    deps_.loads.RecordAnswerPart(ticket);
+  };
+  hooks.silent = std::move(callbacks.silent);
+  return hooks;
+}
+
+/** Records that the engine has read the request's prompt. */
+void RequestSender::NotePrefix(const RequestWork& work,
+                               const fleet::InstanceId& engine) {
+  std::vector<std::uint64_t> hashes;
+  for (const PromptPart& part : work.request.prompt_parts) {
+    hashes.push_back(part.hash);
+  }
+  deps_.loads.NotePrefix(engine, work.request.model, hashes);
+}
+
+void RequestSender::End(const RequestWork& work, EngineSend& send,
+                        const ExchangeResult& result) {
+  send.exchange.reset();
+  deps_.loads.End(send.ticket, ResultOf(result));
+  deps_.crash_watch.End(send.watched, result, work.first_byte);
+  if (result.unreachable) deps_.loads.MarkUnreachable(send.engine);
+  if (result.replaced) deps_.registry.MarkReplaced(send.engine);
+  if (result.lacks_model) deps_.loads.MarkLacking(send.engine, send.part);
+  deps_.metrics.SendEnded(NameOf(result.end));
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -21,6 +21,9 @@
 
 namespace sapphire::serving {
 
+struct EngineSend;
+struct Hedge;
+
 /** State of a request in progress. */
 struct RequestWork {
   RequestWork(CallerRequest caller_request, http::ResponseWriter& writer,
@@ -60,7 +63,12 @@
   bool repeat_granted = false;
   std::optional<core::SteadyTime> first_send;
   std::optional<core::SteadyTime> first_byte;
+  /** Engine of the latest send that was to serve the request. */
   fleet::InstanceId engine;
+  /** The send whose answer is relayed; null between two sends. */
+  std::shared_ptr<EngineSend> current;
+  /** A second send, while the engine of the current one is silent. */
+  std::shared_ptr<Hedge> hedge;
   int status = 0;
   std::string outcome;
   std::string reason;
--- a/src/serving/silence_watch.cc
+++ b/src/serving/silence_watch.cc
@@ -1,4 +1,4 @@
-/** @file silence_watch.cc Gives up a send whose engine is silent. */
+/** @file silence_watch.cc Reports engines that are silent. */
 #include <utility>
 
 #include "serving/silence_watch_base.h"
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Pause between two calls of `should_give_up` during a silence: endpoints
+/** Pause between two reports of a silence: endpoints
  * report a loaded model within this time. */
 constexpr std::chrono::milliseconds kRecheckInterval{200};
 /** A timer that is handled later than this was held up by a busy event loop. */
@@ -20,11 +20,10 @@
 
 /** Shared with the timer's handler, which may run after the watch has ended. */
 struct SilenceWatch::State : std::enable_shared_from_this<State> {
-  State(const core::Executor& executor, std::function<bool()> ask,
-        std::function<void()> end, const core::Clock& steady_clock)
+  State(const core::Executor& executor, std::function<void()> report,
+        const core::Clock& steady_clock)
       : timer(executor),
-        should_give_up(std::move(ask)),
-        abort(std::move(end)),
+        silent(std::move(report)),
         clock(steady_clock),
         last_received(clock.Now()) {}
 
@@ -48,13 +47,8 @@
       return;
     }
     caught_up = false;
-    if (!should_give_up()) {
-      Wait(kRecheckInterval);
-      return;
-    }
-    over = true;
-    gave_up = true;
-    abort();
+    Wait(kRecheckInterval);
+    silent();
   }
 
   [[nodiscard]] std::chrono::milliseconds Since(core::SteadyTime time) const {
@@ -64,8 +58,7 @@
 
   boost::asio::steady_timer timer;
   int waits = 0;
-  const std::function<bool()> should_give_up;
-  const std::function<void()> abort;
+  const std::function<void()> silent;
   const core::Clock& clock;
   core::SteadyTime last_received;
   core::SteadyTime due;
@@ -74,15 +67,12 @@
   /** True if the wait in progress is the one after a delayed timer. */
   bool caught_up = false;
   bool over = false;
-  bool gave_up = false;
 };
 
 SilenceWatch::SilenceWatch(const core::Executor& executor,
-                           std::function<bool()> should_give_up,
-                           std::function<void()> abort,
+                           std::function<void()> silent,
                            const core::Clock& clock)
-    : state_(std::make_shared<State>(executor, std::move(should_give_up),
-                                     std::move(abort), clock)) {}
+    : state_(std::make_shared<State>(executor, std::move(silent), clock)) {}
 
 SilenceWatch::~SilenceWatch() {
   state_->over = true;
@@ -97,8 +87,6 @@
   state_->Wait(silence);
 }
 
-bool SilenceWatch::gave_up() const { return state_->gave_up; }
-
 SilenceReport SilenceWatch::Report() const {
   return {state_->Since(state_->last_received), state_->limit,
           state_->timer_delay};
--- a/src/serving/silence_watch_base.h
+++ b/src/serving/silence_watch_base.h
@@ -1,4 +1,4 @@
-/** @file silence_watch_base.h Gives up a send whose engine is silent. */
+/** @file silence_watch_base.h Reports engines that are silent. */
 #ifndef SAPPHIRE_SERVING_SILENCE_WATCH_BASE_H_
 #define SAPPHIRE_SERVING_SILENCE_WATCH_BASE_H_
 
@@ -24,18 +24,14 @@
 };
 
 /**
- * Calls `should_give_up` while an engine is silent.
- *
- * Silence alone does not end a send: a busy engine may only pause. The call is
- * repeated until another engine can take over or the engine sends again.
+ * Reports that an engine is silent, again and again until it sends something.
+ * Silence alone does not end a send: a busy engine may only pause.
  */
 class SilenceWatch {
  public:
-  /** @param should_give_up Called while the engine is silent. When it returns
-   * true, `abort` is called and the watch ends. */
-  SilenceWatch(const core::Executor& executor,
-               std::function<bool()> should_give_up,
-               std::function<void()> abort, const core::Clock& clock);
+  /** @param silent Called while the engine is silent. */
+  SilenceWatch(const core::Executor& executor, std::function<void()> silent,
+               const core::Clock& clock);
   ~SilenceWatch();
   SilenceWatch(const SilenceWatch&) = delete;
   SilenceWatch& operator=(const SilenceWatch&) = delete;
@@ -46,9 +42,6 @@
    */
   void Restart(std::chrono::milliseconds silence);
 
-  /** @return True if the send was given up. */
-  [[nodiscard]] bool gave_up() const;
-
   [[nodiscard]] SilenceReport Report() const;
 
  private:
--- a/src/serving/silence_watch_test.cc
+++ b/src/serving/silence_watch_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <optional>
 #include <thread>
 
 #include "serving/silence_watch_base.h"
@@ -14,40 +15,40 @@
 
 using std::chrono::milliseconds;
 
+/** Longer than three reports of a silence take. */
+constexpr milliseconds kLongWait{1500};
+
 /** Guards against a stream that is cut as its engine begins to answer: on a
  * busy VM the expired silence and the answer are handled in one turn of the
  * event loop. */
 BOOST_AUTO_TEST_CASE(AnswerAtTimerExpiryKeepsTheSend) {
   boost::asio::io_context io;
   const core::SystemClock clock;
-  int asked = 0;
-  int aborted = 0;
+  int silences = 0;
   SilenceWatch watch(
-      io.get_executor(),
-      [&asked] {
-        ++asked;
-        return true;
-      },
-      [&aborted] { ++aborted; }, clock);
+      io.get_executor(), [&silences] { ++silences; }, clock);
   watch.Restart(milliseconds(1));
   std::this_thread::sleep_for(milliseconds(20));
   boost::asio::post(io, [&watch] { watch.Restart(std::chrono::hours(1)); });
   io.poll();
-  BOOST_TEST(asked == 0);
-  BOOST_TEST(aborted == 0);
+  BOOST_TEST(silences == 0);
 }
 
 /** Guards against a request that is held by an engine that never answers. */
-BOOST_AUTO_TEST_CASE(ASilentSendIsGivenUp) {
+BOOST_AUTO_TEST_CASE(SilenceIsReportedUntilTheEngineAnswers) {
   boost::asio::io_context io;
   const core::SystemClock clock;
-  int aborted = 0;
-  SilenceWatch watch(
-      io.get_executor(), [] { return true; }, [&aborted] { ++aborted; }, clock);
-  watch.Restart(milliseconds(1));
-  io.run();
-  BOOST_TEST(aborted == 1);
-  BOOST_TEST(watch.gave_up());
+  int silences = 0;
+  std::optional<SilenceWatch> watch;
+  watch.emplace(
+      io.get_executor(),
+      [&] {
+        if (++silences == 3) watch->Restart(std::chrono::hours(1));
+      },
+      clock);
+  watch->Restart(milliseconds(1));
+  io.run_for(kLongWait);
+  BOOST_TEST(silences == 3);
 }
 
 }  // namespace
