Take a queued request from the silent engine once the hedge is not refused

Cause: with the hedge of a request that no engine had begun stood in two queues until one of them answered, so that busy engines made all wait longer.

Change: the first send of a request of whose answer the caller has nothing is stopped when the hedge's engine has not refused within 100 ms; engines refuse within milliseconds. A stream that has begun is kept until the hedge's engine answers, as before: only such a stream can be cut.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -26,6 +26,8 @@
 constexpr double kFailureReserve = 0.5;
 constexpr int kMaxRank = 9;
 constexpr milliseconds kMinRetryAfter{50};
+/** An engine that can't take a request refuses it within this time. */
+constexpr milliseconds kRefusalTime{100};
 /** A send ends by itself within this time after the request's deadline. */
 constexpr milliseconds kSendEndMargin{200};
 constexpr double kHashRange = 18446744073709551616.0;
@@ -415,6 +417,9 @@
     if (work->hedge == hedge) work->hedge = nullptr;
     co_return;
   }
+  const core::Executor executor = co_await boost::asio::this_coro::executor;
+  core::Spawn(executor, deps_.log, "await_refusal",
+              [this, work, hedge] { return StopFirstSend(work, hedge); });
   const bool is_stream = work->route->kind == RequestKind::kStream;
   Exchange& exchange = *hedge->send->exchange;
   std::optional<ExchangeResult> failure =
@@ -438,6 +443,20 @@
   work->current->exchange->Stop(StopReason::kSuperseded);
 }
 
+/** Stops the first send of a request that has no part of its answer yet, unless
+ * the hedge's engine refuses the request at once. Two places in the queues of
+ * busy engines for one request would make all requests wait longer. */
+core::Task<> Dispatcher::StopFirstSend(SharedWork work,
+                                       std::shared_ptr<Hedge> hedge) {
+  co_await core::SleepFor(kRefusalTime);
+  // A refusal that arrived while the event loop was busy is handled first.
+  co_await core::SleepFor(kCatchUpTime);
+  const bool is_waiting = work->hedge == hedge && work->current != nullptr &&
+                          hedge->state == HedgeState::kPending;
+  if (!is_waiting || work->caller.begun) co_return;
+  work->current->exchange->Stop(StopReason::kSuperseded);
+}
+
 /** @return The send; null if the hedge is not sent after all. */
 core::Task<std::shared_ptr<EngineSend>> Dispatcher::BeginHedge(
     SharedWork work, const Hedge& hedge) {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -132,6 +132,7 @@
   core::Task<> RunHedge(SharedWork work, std::shared_ptr<Hedge> hedge);
   core::Task<std::shared_ptr<EngineSend>> BeginHedge(SharedWork work,
                                                      const Hedge& hedge);
+  core::Task<> StopFirstSend(SharedWork work, std::shared_ptr<Hedge> hedge);
   void DropHedge(RequestWork& work, const std::shared_ptr<Hedge>& hedge,
                  const ExchangeResult& result);
   void CancelHedge(RequestWork& work);
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -184,6 +184,25 @@
   BOOST_TEST(caller.whole);
 }
 
+/** Guards against requests that wait in two queues, so that all wait longer on
+ * busy engines. */
+BOOST_AUTO_TEST_CASE(QueuedRequestLeavesTheSilentEngine) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Silent());
+  rig.AddEngine(kDrafts, StreamingAfter(kLongPause, {kFirst, kSecond}));
+  RecordingWriter caller;
+  entry::testing::Outcome<bool> served;
+  entry::testing::StartTask(
+      rig.io, rig.ServeTask("/stream/", kLongWait, caller), served);
+  rig.Pass(kLongQueue + kCloseNoticed);
+  BOOST_TEST(rig.loads.Running(fleet::InstanceId("i-1")) == 0);
+  BOOST_TEST(rig.loads.Running(fleet::InstanceId("i-2")) == 1);
+  BOOST_TEST(entry::testing::RunUntil(
+      rig.io, [&] { return served.value.has_value(); }));
+  BOOST_TEST(caller.body == kFirst + kSecond);
+  BOOST_TEST(caller.whole);
+}
+
 /** Guards against two runs of one request: the silent engine answers before
  * the other one does, which is to stop. */
 BOOST_AUTO_TEST_CASE(HedgeIsCancelledWhenTheFirstEngineAnswers) {
--- a/src/serving/hedge_type.h
+++ b/src/serving/hedge_type.h
@@ -18,8 +18,9 @@
 
 /**
  * A second send of a request, to another engine, while the engine of the first
- * one is silent. The first send is stopped once the hedge's engine has taken
- * the request, and the hedge once the first engine answers.
+ * one is silent. The first send is stopped once the hedge's engine answers; if
+ * the caller has no part of the answer yet, once that engine has not refused at
+ * once. The hedge is stopped once the first engine answers.
  */
 struct Hedge {
   HedgeState state = HedgeState::kPending;
--- a/src/serving/silence_watch.cc
+++ b/src/serving/silence_watch.cc
@@ -12,9 +12,6 @@
 constexpr std::chrono::milliseconds kRecheckInterval{200};
 /** A timer that is handled later than this was held up by a busy event loop. */
 constexpr std::chrono::milliseconds kMaxTimerDelay{5};
-/** Wait after a delayed timer: what arrived while the loop was busy is handled
- * within it. */
-constexpr std::chrono::milliseconds kCatchUpTime{20};
 
 }  // namespace
 
--- a/src/serving/silence_watch_base.h
+++ b/src/serving/silence_watch_base.h
@@ -12,6 +12,10 @@
 
 namespace sapphire::serving {
 
+/** Wait after a delayed timer: what arrived while the event loop was busy is
+ * handled within it. */
+inline constexpr std::chrono::milliseconds kCatchUpTime{20};
+
 /** What a watch knows of the current silence, for the log. */
 struct SilenceReport {
   /** Time since the engine last sent something; until then, since the send. */
