Log how an engine's answer ended

The lines could not tell an answer that states its end, by a length or a last chunk, from one that ends with its connection, nor a whole stream from one that ends inside an event. A read of a body now returns a part or the way in which the body ended; `send_failed` and `request_end` name it (`body_end`) and the bytes of an event that was not complete (`partial_event_bytes`).

--- a/bench/load.cc
+++ b/bench/load.cc
@@ -61,8 +61,8 @@
         co_await run.client.Open(std::move(request), run.plan.timeout);
     std::optional<microseconds> first;
     for (;;) {
-      const auto part = co_await stream->Read(run.plan.timeout);
-      if (!part) break;
+      const http::BodyPart part = co_await stream->Read(run.plan.timeout);
+      if (std::holds_alternative<http::BodyEnd>(part)) break;
       if (!first) first = Since(start);
     }
     const int status = stream->head().status;
--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -132,9 +132,10 @@
     const auto stream = co_await client.Open(request, left());
     std::string body;
     while (true) {
-      const auto part = co_await stream->Read(left());
-      if (!part) break;
-      body += *part;
+      const http::BodyPart part = co_await stream->Read(left());
+      const auto* bytes = std::get_if<std::string>(&part);
+      if (bytes == nullptr) break;
+      body += *bytes;
       if (clock_.Now() >= end) {
         throw http::TransportError("too late", true, true);
       }
--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -169,11 +169,11 @@
   [[nodiscard]] const http::ResponseHead& head() const override {
     return head_;
   }
-  Task<std::optional<std::string>> Read(Millis /*timeout*/) override {
+  Task<http::BodyPart> Read(Millis /*timeout*/) override {
     co_await core::SleepFor(Millis(0));
     if (next_ < parts_.size()) co_return parts_[next_++];
     if (broken_) throw http::TransportError("cut", true, false);
-    co_return std::nullopt;
+    co_return http::BodyEnd::kStated;
   }
 
  private:
--- a/src/endpoint/runner.cc
+++ b/src/endpoint/runner.cc
@@ -208,7 +208,7 @@
   state->head_sent = true;
   while (true) {
     std::optional<http::TransportError> failure;
-    std::optional<std::string> part;
+    http::BodyPart part;
     try {
       part = co_await answer.Read(RemainingTime(*state));
     } catch (const http::TransportError& e) {
@@ -219,9 +219,11 @@
           co_await DiagnoseFailure(state, failure->timed_out());
       throw Error(why, state->run.request_id);
     }
-    if (!part) break;
-    state->bytes += static_cast<std::int64_t>(part->size());
-    co_await state->call->Send(ChunkMessage(state->chunks++, std::move(*part)));
+    auto* bytes = std::get_if<std::string>(&part);
+    if (bytes == nullptr) break;
+    state->bytes += static_cast<std::int64_t>(bytes->size());
+    co_await state->call->Send(
+        ChunkMessage(state->chunks++, std::move(*bytes)));
   }
   co_await state->call->Send(EndMessage(state->chunks, state->bytes));
 }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -191,8 +191,7 @@
 
   [[nodiscard]] const ResponseHead& head() const override { return head_; }
 
-  Task<std::optional<std::string>> Read(
-      std::chrono::milliseconds timeout) override {
+  Task<BodyPart> Read(std::chrono::milliseconds timeout) override {
     while (!parser_.is_done()) {
       std::string part(kReadBytes, '\0');
       parser_.get().body().data = part.data();
@@ -206,7 +205,8 @@
       if (!part.empty()) co_return part;
     }
     RecycleConnection();
-    co_return std::nullopt;
+    co_return parser_.need_eof() ? BodyEnd::kConnectionClosed
+                                 : BodyEnd::kStated;
   }
 
  private:
@@ -310,10 +310,11 @@
   while (true) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
-    const auto part =
+    const BodyPart part =
         co_await stream->Read(std::max(left, std::chrono::milliseconds(1)));
-    if (!part) co_return response;
-    response.body += *part;
+    const auto* bytes = std::get_if<std::string>(&part);
+    if (bytes == nullptr) co_return response;
+    response.body += *bytes;
   }
 }
 
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -8,12 +8,24 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "core/task_type.h"
 #include "http/http_type.h"
 
 namespace sapphire::http {
 
+/** How the end of a body was recognised. */
+enum class BodyEnd {
+  kStated,  ///< By its length or its last chunk: the body is complete.
+  /** Only by an orderly close of the connection, which also occurs when the
+   * server crashes. */
+  kConnectionClosed,
+};
+
+/** A part of a body, or its end. */
+using BodyPart = std::variant<std::string, BodyEnd>;
+
 /** An answer that is read in parts. Destroying it before the end closes the
  * connection, which cancels the request at the server. */
 class ResponseStream {
@@ -23,11 +35,10 @@
   [[nodiscard]] virtual const ResponseHead& head() const = 0;
 
   /**
-   * @return The next part of the body; nothing at the end of the body.
+   * @return The next part of the body, or its end.
    * @throws TransportError if the answer is incomplete or `timeout` expires.
    */
-  virtual core::Task<std::optional<std::string>> Read(
-      std::chrono::milliseconds timeout) = 0;
+  virtual core::Task<BodyPart> Read(std::chrono::milliseconds timeout) = 0;
 };
 
 /** Aborts an exchange at any point by closing its connection. Used on the
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -157,8 +157,8 @@
   peer.AwaitSent();
   int parts = 0;
   while (true) {
-    const auto part = co_await stream->Read(kLongTimeout);
-    if (!part) co_return parts;
+    const BodyPart part = co_await stream->Read(kLongTimeout);
+    if (std::holds_alternative<BodyEnd>(part)) co_return parts;
     ++parts;
   }
 }
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -46,6 +46,11 @@
   return "";
 }
 
+std::string_view NameOf(std::optional<http::BodyEnd> end) {
+  if (!end) return "none";
+  return *end == http::BodyEnd::kStated ? "stated" : "connection_closed";
+}
+
 /** Aborts the sends in progress when the caller closes its connection. */
 class DisconnectWatch {
  public:
@@ -319,6 +324,7 @@
   const std::shared_ptr<EngineSend> send = std::exchange(work.current, nullptr);
   sender_.End(work, *send, result);
   work.engine = send->engine;
+  work.answer_end = result.answer_end;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
   co_return co_await HandleResult(work, std::move(result));
@@ -344,18 +350,21 @@
   work.avoid.insert(work.engine);
   if (work.caller.begun) work.received = deps_.clock.Now();
   const RetryDecision retry = DecideRetry(work, result);
-  deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "send_failed",
-                  {{"request", work.request.id},
-                   {"instance", work.engine},
-                   {"end", work.outcome},
-                   {"reason", work.reason},
-                   {"sends", work.sends},
-                   {"left_ms", TimeLeft(work, deps_.clock.Now())},
-                   {"silent_ms", result.silence.silent},
-                   {"silence_limit_ms", result.silence.limit},
-                   {"timer_delay_ms", result.silence.timer_delay},
-                   {"relayed_bytes", result.relayed},
-                   {"retry", NameOf(retry)}});
+  deps_.log.Event(
+      LogLevel::kInfo, LogCategory::kRequest, "send_failed",
+      {{"request", work.request.id},
+       {"instance", work.engine},
+       {"end", work.outcome},
+       {"reason", work.reason},
+       {"sends", work.sends},
+       {"left_ms", TimeLeft(work, deps_.clock.Now())},
+       {"silent_ms", result.silence.silent},
+       {"silence_limit_ms", result.silence.limit},
+       {"timer_delay_ms", result.silence.timer_delay},
+       {"relayed_bytes", result.relayed},
+       {"body_end", NameOf(result.answer_end.body_end)},
+       {"partial_event_bytes", result.answer_end.partial_event_bytes},
+       {"retry", NameOf(retry)}});
   if (retry == RetryDecision::kGranted) co_return false;
   if (result.failure && !work.caller.begun) {
     co_await Answer(work, std::move(*result.failure));
@@ -627,6 +636,8 @@
        {"outcome", work.outcome},
        {"reason", work.reason},
        {"cut", work.cut},
+       {"body_end", NameOf(work.answer_end.body_end)},
+       {"partial_event_bytes", work.answer_end.partial_event_bytes},
        {"first_send_ms", since(work.first_send.value_or(work.arrived))},
        {"first_byte_ms", since(work.first_byte.value_or(work.arrived))},
        {"objective_ms",
--- a/src/serving/event_splitter_base.h
+++ b/src/serving/event_splitter_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_SERVING_EVENT_SPLITTER_BASE_H_
 #define SAPPHIRE_SERVING_EVENT_SPLITTER_BASE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,9 @@
   /** Drops an incomplete event: the next bytes are from another run. */
   void StartRun() { buffer_.clear(); }
 
+  /** @return Number of bytes after the last complete event. */
+  [[nodiscard]] std::size_t partial_bytes() const { return buffer_.size(); }
+
   [[nodiscard]] std::optional<std::int64_t> last_event() const {
     return last_event_;
   }
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -35,8 +35,8 @@
 
 /** Result of one read of an answer. */
 struct PartRead {
-  /** No value if the answer is complete, or if `error` is set. */
-  std::optional<std::string> bytes;
+  /** Unspecified if `error` is set. */
+  http::BodyPart part;
   std::string error;
   bool timed_out = false;
 };
@@ -45,7 +45,7 @@
                               milliseconds timeout) {
   PartRead read;
   try {
-    read.bytes = co_await stream.Read(timeout);
+    read.part = co_await stream.Read(timeout);
   } catch (const http::TransportError& e) {
     read.error = e.what();
     read.timed_out = e.timed_out();
@@ -159,8 +159,11 @@
     if (stopped_ != StopReason::kNone) {
       co_return MakeResult(ExchangeEnd::kLost, "", true);
     }
-    if (!read.bytes) break;
-    response.body += *read.bytes;
+    if (const auto* end = std::get_if<http::BodyEnd>(&read.part)) {
+      answer_end_.body_end = *end;
+      break;
+    }
+    response.body += std::get<std::string>(read.part);
   }
   hooks_.first_byte();
   if (!IsSuccess(answer_.status)) {
@@ -197,9 +200,14 @@
     if (stopped_ != StopReason::kNone) {
       co_return MakeResult(EndOfBrokenStream(), "", true);
     }
-    const bool over = !read.bytes.has_value();
+    const auto* end = std::get_if<http::BodyEnd>(&read.part);
+    const bool over = end != nullptr;
+    if (over) answer_end_.body_end = *end;
     std::string bytes =
-        over ? caller_.events.TakeRemainder() : caller_.events.Add(*read.bytes);
+        over ? caller_.events.TakeRemainder()
+             : caller_.events.Add(std::get<std::string>(read.part));
+    answer_end_.partial_event_bytes =
+        over ? bytes.size() : caller_.events.partial_bytes();
     if (!over) watch_.Restart(limits_.pause);
     hooks_.received();
     if (first && !over) {
@@ -267,6 +275,7 @@
     result.reason = "another engine answers";
   }
   if (caller_.left) result.end = ExchangeEnd::kCallerLeft;
+  result.answer_end = answer_end_;
   result.silence = watch_.Report();
   result.relayed = relayed_;
   return result;
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -33,6 +33,14 @@
   kCancelled,     ///< Ended by this entry: another engine answers the request.
 };
 
+/** How an engine's answer ended, for the log. */
+struct AnswerEnd {
+  /** No value if the answer broke off, or was not read to its end. */
+  std::optional<http::BodyEnd> body_end;
+  /** Bytes of a stream after its last complete event. */
+  std::size_t partial_event_bytes = 0;
+};
+
 struct ExchangeResult {
   ExchangeEnd end = ExchangeEnd::kLost;
   /** Reason of the end, for the log. */
@@ -48,6 +56,7 @@
   bool replaced = false;
   /** The engine does not hold the model, contrary to what was known. */
   bool lacks_model = false;
+  AnswerEnd answer_end;
   /** How long the engine was silent when the send ended, for the log. */
   SilenceReport silence;
   /** Bytes of this send's answer that were written to the caller. */
@@ -165,6 +174,7 @@
   EngineAnswer answer_;
   bool is_stream_ = false;
   StopReason stopped_ = StopReason::kNone;
+  AnswerEnd answer_end_;
   std::size_t relayed_ = 0;
   fleet::InstanceId addressed_;
 };
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -69,6 +69,8 @@
   std::shared_ptr<EngineSend> current;
   /** A second send, while the engine of the current one is silent. */
   std::shared_ptr<Hedge> hedge;
+  /** How the latest answer of an engine ended. */
+  AnswerEnd answer_end;
   int status = 0;
   std::string outcome;
   std::string reason;
--- a/standin/engine_stand_in_test.cc
+++ b/standin/engine_stand_in_test.cc
@@ -100,8 +100,12 @@
 
 core::Task<std::string> ReadAll(http::ResponseStream& stream) {
   std::string whole;
-  while (auto part = co_await stream.Read(kTimeout)) whole += *part;
-  co_return whole;
+  while (true) {
+    const http::BodyPart part = co_await stream.Read(kTimeout);
+    const auto* bytes = std::get_if<std::string>(&part);
+    if (bytes == nullptr) co_return whole;
+    whole += *bytes;
+  }
 }
 
 /** @return The concatenated text of all events of a stream. */
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -40,8 +40,11 @@
     const auto stream = co_await client.Open(std::move(request), limit);
     reply.status = stream->head().status;
     reply.headers = stream->head().headers;
-    while (const auto part = co_await stream->Read(limit)) {
-      reply.body += *part;
+    while (true) {
+      const http::BodyPart part = co_await stream->Read(limit);
+      const auto* bytes = std::get_if<std::string>(&part);
+      if (bytes == nullptr) break;
+      reply.body += *bytes;
     }
   } catch (const std::exception& e) {
     reply.failure = e.what();
