Do not end a stream as complete that its engine broke off

An engine's answer may have neither a length nor chunks and end with its connection; the system of a crashed engine closes that connection in an orderly way.

A stream that ends inside an event is now broken off, however its end was stated, and so is one that ends with its connection before its first event. Nothing of a truncated event is relayed. It is a cut like any other: it goes on at another engine after its last complete event where the route allows that, else the caller's connection is cut. A close after a complete event stays an end: nothing tells it from one.

--- a/src/serving/event_splitter.cc
+++ b/src/serving/event_splitter.cc
@@ -10,6 +10,7 @@
 
 constexpr std::string_view kUnixEnd = "\n\n";
 constexpr std::string_view kNetworkEnd = "\r\n\r\n";
+constexpr std::string_view kLineEnds = "\r\n";
 
 /** @return Length of the first event; 0 if none is complete. */
 std::size_t EndOfEvent(std::string_view bytes) {
@@ -50,6 +51,7 @@
     const std::string_view left = all.substr(begin);
     const std::size_t size = EndOfEvent(left);
     if (size == 0) break;
+    has_events_ = true;
     if (Accept(left.substr(0, size))) whole += left.substr(0, size);
     begin += size;
   }
@@ -57,10 +59,19 @@
   return whole;
 }
 
-std::string EventSplitter::TakeRemainder() {
+bool EventSplitter::IsInsideEvent() const {
+  return buffer_.find_first_not_of(kLineEnds) != buffer_.npos;
+}
+
+std::string EventSplitter::TakeBlankLines() {
   return std::exchange(buffer_, {});
 }
 
+void EventSplitter::StartRun() {
+  buffer_.clear();
+  has_events_ = false;
+}
+
 bool EventSplitter::Accept(std::string_view event) {
   const std::optional<std::int64_t> id = IdOf(event);
   if (!id) return true;
--- a/src/serving/event_splitter_base.h
+++ b/src/serving/event_splitter_base.h
@@ -28,12 +28,17 @@
   /** @return The events that these bytes complete. */
   std::string Add(std::string_view bytes);
 
-  /** @return The bytes after the last complete event, at the end of an answer.
-   */
-  std::string TakeRemainder();
+  /** @return True if bytes of an event have been added that is not complete. */
+  [[nodiscard]] bool IsInsideEvent() const;
+
+  /** @return The blank lines after the last event. @pre Not inside an event. */
+  std::string TakeBlankLines();
 
   /** Drops an incomplete event: the next bytes are from another run. */
-  void StartRun() { buffer_.clear(); }
+  void StartRun();
+
+  /** @return True once an event of the current run was complete. */
+  [[nodiscard]] bool has_events() const { return has_events_; }
 
   /** @return Number of bytes after the last complete event. */
   [[nodiscard]] std::size_t partial_bytes() const { return buffer_.size(); }
@@ -48,6 +53,7 @@
 
   std::optional<std::int64_t> last_event_;
   std::string buffer_;
+  bool has_events_ = false;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/event_splitter_test.cc
+++ b/src/serving/event_splitter_test.cc
@@ -13,7 +13,8 @@
   BOOST_TEST(*splitter.last_event() == 1);
   BOOST_TEST(splitter.Add("data: b\r\n\r\n") == "id: 2\ndata: b\r\n\r\n");
   BOOST_TEST(*splitter.last_event() == 2);
-  BOOST_TEST(splitter.TakeRemainder() == "");
+  BOOST_TEST(!splitter.IsInsideEvent());
+  BOOST_TEST(splitter.TakeBlankLines() == "");
 }
 
 /** Guards against a truncated and a duplicate event when a stream moves to a
@@ -28,6 +29,17 @@
              "id: 2\ndata: b\n\n");
 }
 
+/** Guards against an event that lacks its blank line and counts as complete,
+ * and against blank lines that count as an event. */
+BOOST_AUTO_TEST_CASE(EventEndsWithItsBlankLine) {
+  EventSplitter splitter(std::nullopt);
+  splitter.Add("id: 1\ndata: a\n");
+  BOOST_TEST(splitter.IsInsideEvent());
+  splitter.Add("\n\n");
+  BOOST_TEST(!splitter.IsInsideEvent());
+  BOOST_TEST(splitter.TakeBlankLines() == "\n");
+}
+
 BOOST_AUTO_TEST_CASE(ResumedCallerGetsNoDuplicateEvents) {
   EventSplitter splitter(7);
   BOOST_TEST(splitter.Add("id: 7\n\nid: 8\n\n") == "id: 8\n\n");
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -147,7 +147,8 @@
 }
 
 /** Reads the complete body first, as a truncated answer is never relayed;
- * only then calls `first_byte`. */
+ * only then calls `first_byte`. A plain body may end with an orderly close: an
+ * engine that breaks one off resets the connection. */
 core::Task<ExchangeResult> Exchange::RelayBody() {
   http::Response response;
   response.head = answer_.to_caller;
@@ -202,12 +203,17 @@
     }
     const auto* end = std::get_if<http::BodyEnd>(&read.part);
     const bool over = end != nullptr;
-    if (over) answer_end_.body_end = *end;
+    if (over) {
+      answer_end_.body_end = *end;
+      const std::string_view fault = FaultOfStreamEnd(*end);
+      if (!fault.empty()) {
+        co_return MakeResult(EndOfBrokenStream(), std::string(fault), false);
+      }
+    }
     std::string bytes =
-        over ? caller_.events.TakeRemainder()
+        over ? caller_.events.TakeBlankLines()
              : caller_.events.Add(std::get<std::string>(read.part));
-    answer_end_.partial_event_bytes =
-        over ? bytes.size() : caller_.events.partial_bytes();
+    answer_end_.partial_event_bytes = caller_.events.partial_bytes();
     if (!over) watch_.Restart(limits_.pause);
     hooks_.received();
     if (first && !over) {
@@ -222,6 +228,18 @@
   }
 }
 
+/** @return Why a stream that ends here was broken off; empty if it is complete.
+ * A crashed engine's system closes the connection in an orderly way, so that a
+ * close alone says little: inside an event, or before the first one, it is not
+ * the end. */
+std::string_view Exchange::FaultOfStreamEnd(http::BodyEnd end) const {
+  if (caller_.events.IsInsideEvent()) return "the stream ends inside an event";
+  if (end == http::BodyEnd::kConnectionClosed && !caller_.events.has_events()) {
+    return "the connection was closed before any event";
+  }
+  return "";
+}
+
 ExchangeEnd Exchange::EndOfBrokenStream() const {
   return caller_.begun ? ExchangeEnd::kCutMidway : ExchangeEnd::kLost;
 }
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "core/clock_base.h"
 #include "core/task_type.h"
@@ -158,6 +159,7 @@
   core::Task<ExchangeResult> SendBody(http::Response response);
   core::Task<std::string> Write(const std::string& bytes, bool over);
   void UpdateLongestPause();
+  [[nodiscard]] std::string_view FaultOfStreamEnd(http::BodyEnd end) const;
   [[nodiscard]] ExchangeEnd EndOfBrokenStream() const;
   [[nodiscard]] milliseconds TimeToDeadline() const;
 
