Refuse fetched answers whose end is not stated, unless the reader checks

An answer with neither a length nor chunks that is cut by a crash reads as a whole one: the same class as the truncated streams. `Fetch` returned it to all its readers, among them the operators' command line, which prints a body as it is.

AnswerWithoutStatedEndIsRefusedUnlessAccepted fails without the check.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -302,8 +302,9 @@
   co_return answer;
 }
 
-Task<Response> Client::Fetch(Request request,
-                             std::chrono::milliseconds timeout) {
+Task<Response> Client::Fetch(Request request, std::chrono::milliseconds timeout,
+                             UnstatedEnd unstated) {
+  const auto state = state_;
   const auto end = std::chrono::steady_clock::now() + timeout;
   const auto stream = co_await Open(std::move(request), timeout);
   Response response{stream->head(), {}};
@@ -312,9 +313,17 @@
         end - std::chrono::steady_clock::now());
     const BodyPart part =
         co_await stream->Read(std::max(left, std::chrono::milliseconds(1)));
-    const auto* bytes = std::get_if<std::string>(&part);
-    if (bytes == nullptr) co_return response;
-    response.body += *bytes;
+    if (const auto* bytes = std::get_if<std::string>(&part)) {
+      response.body += *bytes;
+      continue;
+    }
+    const bool is_stated = std::get<BodyEnd>(part) == BodyEnd::kStated;
+    if (!is_stated && unstated == UnstatedEnd::kRefuse) {
+      throw TransportError(
+          state->address + ": the connection was closed without a stated end",
+          true, false);
+    }
+    co_return response;
   }
 }
 
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -26,6 +26,14 @@
 /** A part of a body, or its end. */
 using BodyPart = std::variant<std::string, BodyEnd>;
 
+/** What a reader of a whole answer makes of BodyEnd::kConnectionClosed. */
+enum class UnstatedEnd {
+  kRefuse,  ///< The answer may be truncated: an error.
+  /** For a reader that detects a truncated body itself, such as a parser of a
+   * JSON object, or needs only the head. */
+  kAccept,
+};
+
 /** An answer that is read in parts. Destroying it before the end closes the
  * connection, which cancels the request at the server. */
 class ResponseStream {
@@ -91,10 +99,11 @@
 
   /**
    * Sends a request and reads the whole answer. Does not retry.
-   * @throws TransportError
+   * @throws TransportError, also for an answer whose end is not stated unless
+   *   `unstated` accepts it.
    */
-  core::Task<Response> Fetch(Request request,
-                             std::chrono::milliseconds timeout);
+  core::Task<Response> Fetch(Request request, std::chrono::milliseconds timeout,
+                             UnstatedEnd unstated = UnstatedEnd::kRefuse);
 
   /**
    * Sends a request and reads the head of its answer.
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -124,8 +124,10 @@
 /** Accepts one connection and sends one answer to it in a single write. */
 class OneAnswerServer {
  public:
-  explicit OneAnswerServer(std::string answer)
-      : acceptor_(io_, core::ParseAddress("127.0.0.1:0")),
+  /** @param close Close the connection after the answer. */
+  explicit OneAnswerServer(std::string answer, bool close = false)
+      : close_(close),
+        acceptor_(io_, core::ParseAddress("127.0.0.1:0")),
         thread_([this, text = std::move(answer)] { Send(text); }) {}
   ~OneAnswerServer() { thread_.join(); }
 
@@ -141,9 +143,11 @@
     asio::write(socket, asio::buffer(text));
     sent_.set_value();
     boost::system::error_code ec;
+    if (close_) socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     asio::read(socket, asio::buffer(request_), ec);
   }
 
+  const bool close_;
   asio::io_context io_;
   asio::ip::tcp::acceptor acceptor_;
   std::array<char, 4096> request_{};
@@ -184,6 +188,21 @@
                     TransportError);
 }
 
+/** Guards against a truncated answer that is taken for a whole one because its
+ * end is stated by neither a length nor chunks. */
+BOOST_FIXTURE_TEST_CASE(AnswerWithoutStatedEndIsRefusedUnlessAccepted,
+                        Fixture) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nhalf";
+  OneAnswerServer strict(answer, true);
+  Client refusing(strict.address());
+  BOOST_CHECK_THROW(Run(refusing.Fetch({}, kLongTimeout)), TransportError);
+  OneAnswerServer lenient(answer, true);
+  Client accepting(lenient.address());
+  BOOST_TEST(
+      Run(accepting.Fetch({}, kLongTimeout, UnstatedEnd::kAccept)).body ==
+      "half");
+}
+
 BOOST_FIXTURE_TEST_CASE(InvalidRequestsGetTheirErrorStatus, Fixture) {
   BOOST_TEST(SendRaw("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
   const std::string large(20000, 'x');
--- a/src/serving/load_gauges.cc
+++ b/src/serving/load_gauges.cc
@@ -79,8 +79,8 @@
   if (engine == nullptr) co_return;
   const std::shared_ptr<http::Client> client = clients_.Of(*engine);
   http::Request question = wire_.StateRequest(instance);
-  const http::Response answer =
-      co_await client->Fetch(std::move(question), kQueryTimeout);
+  const http::Response answer = co_await client->Fetch(
+      std::move(question), kQueryTimeout, http::UnstatedEnd::kAccept);
   gauges_[instance] = LoadGauge{wire_.ReadState(answer), clock_.Now(),
                                 loads_.Running(instance)};
 }
