Report an engine's answer without a stated end as cut, at the endpoint too

The endpoint process relayed such an answer and ended it as complete (RunEnd), so that the entry could not tell a crash of the engine from the end. It now diagnoses the engine as after a broken connection: crashed, or answer cut. The engines of this interface state each end.

AnswerWithoutStatedEndIsAnError failed before.

--- a/src/endpoint/fake_platform_test.h
+++ b/src/endpoint/fake_platform_test.h
@@ -158,11 +158,12 @@
   }
 };
 
-/** An answer in parts; a `broken` one ends with a transport error. */
+/** An answer in parts, which ends in this way, or with a transport error if
+ * there is none. */
 class FakeStream final : public http::ResponseStream {
  public:
-  FakeStream(std::vector<std::string> parts, bool broken)
-      : parts_(std::move(parts)), broken_(broken) {
+  FakeStream(std::vector<std::string> parts, std::optional<http::BodyEnd> end)
+      : parts_(std::move(parts)), end_(end) {
     head_.headers.push_back({"Content-Type", "text/plain"});
   }
 
@@ -172,14 +173,14 @@
   Task<http::BodyPart> Read(Millis /*timeout*/) override {
     co_await core::SleepFor(Millis(0));
     if (next_ < parts_.size()) co_return parts_[next_++];
-    if (broken_) throw http::TransportError("cut", true, false);
-    co_return http::BodyEnd::kStated;
+    if (!end_) throw http::TransportError("cut", true, false);
+    co_return *end_;
   }
 
  private:
   http::ResponseHead head_;
   std::vector<std::string> parts_;
-  bool broken_;
+  const std::optional<http::BodyEnd> end_;
   std::size_t next_ = 0;
 };
 
@@ -213,6 +214,8 @@
   std::vector<std::string> ran;
   /** The engine crashes in the middle of the next answer. */
   bool crash_next_run = false;
+  /** How answers of runs end that are not crashed. */
+  http::BodyEnd body_end = http::BodyEnd::kStated;
 
   Task<external::EngineStatus> Status() override {
     co_await core::SleepFor(Millis(0));
@@ -307,9 +310,11 @@
   }
 
  private:
-  static std::unique_ptr<http::ResponseStream> MakeAnswer(bool broken) {
+  [[nodiscard]] std::unique_ptr<http::ResponseStream> MakeAnswer(
+      bool broken) const {
     const std::vector<std::string> parts = {"part one ", "part two"};
-    return std::make_unique<FakeStream>(parts, broken);
+    return std::make_unique<FakeStream>(
+        parts, broken ? std::nullopt : std::optional(body_end));
   }
 
   bool PassesFence(const external::EngineOrder& order) {
--- a/src/endpoint/runner.cc
+++ b/src/endpoint/runner.cc
@@ -220,7 +220,12 @@
       throw Error(why, state->run.request_id);
     }
     auto* bytes = std::get_if<std::string>(&part);
-    if (bytes == nullptr) break;
+    if (bytes == nullptr) {
+      if (std::get<http::BodyEnd>(part) == http::BodyEnd::kStated) break;
+      // A crashed engine's connection is closed in an orderly way.
+      const ErrorCode why = co_await DiagnoseFailure(state, false);
+      throw Error(why, state->run.request_id);
+    }
     state->bytes += static_cast<std::int64_t>(bytes->size());
     co_await state->call->Send(
         ChunkMessage(state->chunks++, std::move(*bytes)));
--- a/src/endpoint/runner_test.cc
+++ b/src/endpoint/runner_test.cc
@@ -86,6 +86,17 @@
   BOOST_TEST(!scene.call->CompleteBody());
 }
 
+/** Guards against a truncated answer that looks complete: its engine crashed,
+ * and the close of the connection was taken for the end. */
+BOOST_AUTO_TEST_CASE(AnswerWithoutStatedEndIsAnError) {
+  RunnerRig scene;
+  scene.engine.body_end = http::BodyEnd::kConnectionClosed;
+  const auto error = scene.Serve(MakeRun("1"));
+  BOOST_REQUIRE(error);
+  BOOST_TEST((error->outcome() == core::Outcome::kUnknown));
+  BOOST_TEST(!scene.call->CompleteBody());
+}
+
 // If the connection to the engine is refused, the request has certainly not
 // run, and no copy of the attempt may run later.
 BOOST_AUTO_TEST_CASE(UnreachableEngineMeansNotRun) {
