Reset the connection of an HTTP/1.0 caller whose answer is cut

Answers to HTTP/1.0 callers end with their connection. A cut one was closed in the same orderly way as a whole one, so that the caller took it for complete. While such an answer is sent, the socket is set to reset on close: also if this process ends or is killed.

CutAnswerToHttp10CallerIsReset failed before (end of file, not a reset).

--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -75,8 +75,10 @@
         .get();
   }
 
-  /** Sends raw bytes and reads until the server closes. */
-  std::string SendRaw(const std::string& bytes) {
+  /** Sends raw bytes and reads until the server closes.
+   * @param end Set to how the connection ended. */
+  std::string SendRaw(const std::string& bytes,
+                      boost::system::error_code* end = nullptr) {
     asio::io_context own;
     asio::ip::tcp::socket socket(own);
     socket.connect(core::ParseAddress(server.address()));
@@ -84,6 +86,7 @@
     std::string answer;
     boost::system::error_code ec;
     asio::read(socket, asio::dynamic_buffer(answer), ec);
+    if (end != nullptr) *end = ec;
     return answer;
   }
 
@@ -188,6 +191,17 @@
                     TransportError);
 }
 
+/** Guards against an HTTP/1.0 caller that takes a cut answer for a whole one:
+ * its answers end with the connection, and an orderly close is their end. */
+BOOST_FIXTURE_TEST_CASE(CutAnswerToHttp10CallerIsReset, Fixture) {
+  boost::system::error_code end;
+  SendRaw("GET /cut HTTP/1.0\r\n\r\n", &end);
+  BOOST_TEST(end == asio::error::connection_reset);
+  const std::string whole = SendRaw("GET /parts HTTP/1.0\r\n\r\n", &end);
+  BOOST_TEST(end == asio::error::eof);
+  BOOST_TEST(whole.ends_with("partpartpart"));
+}
+
 /** Guards against a truncated answer that is taken for a whole one because its
  * end is stated by neither a length nor chunks. */
 BOOST_FIXTURE_TEST_CASE(AnswerWithoutStatedEndIsRefusedUnlessAccepted,
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -47,6 +47,8 @@
   /** True while waiting for a request, when the connection may be closed at any
    * time. Used only on the strand. */
   bool idle = false;
+  /** True while an answer is being sent that ends with the connection. */
+  bool reset_on_close = false;
 };
 
 using BeastRequest = beast::http::request<beast::http::string_body>;
@@ -103,14 +105,24 @@
   std::function<void()> callback_;
 };
 
+/** Makes a close of the connection, also by the end of this process, reset it:
+ * its peer then sees that an answer that ends with the connection was cut. */
+void ResetOnClose(Connection& connection, bool on) {
+  beast::error_code ignored;
+  connection.stream.socket().set_option(asio::socket_base::linger(on, 0),
+                                        ignored);
+  connection.reset_on_close = on;
+}
+
 /** Writes one answer to a connection. */
 class BeastWriter final : public ResponseWriter {
  public:
   /** @param leaving Read when the head is written. */
-  BeastWriter(beast::tcp_stream& stream, unsigned version, bool keep_alive,
+  BeastWriter(Connection& connection, unsigned version, bool keep_alive,
               const std::atomic<bool>& leaving,
               std::chrono::milliseconds write_timeout)
-      : stream_(stream),
+      : connection_(connection),
+        stream_(connection.stream),
         version_(version),
         keep_alive_(keep_alive),
         leaving_(leaving),
@@ -139,6 +151,7 @@
     started_ = true;
     chunked_ = version_ != kHttp10;
     keep_alive_ = keep_alive_ && chunked_;
+    if (!chunked_) ResetOnClose(connection_, true);
     beast::http::response<beast::http::empty_body> out;
     FillHead(out, head);
     out.chunked(chunked_);
@@ -170,6 +183,8 @@
       const auto [ec, n] = co_await asio::async_write(
           stream_, beast::http::make_chunk_last(), kTuple);
       ThrowOnError(ec);
+    } else {
+      ResetOnClose(connection_, false);
     }
     finished_ = true;
   }
@@ -215,6 +230,7 @@
                          ec == beast::error::timeout);
   }
 
+  Connection& connection_;
   beast::tcp_stream& stream_;
   const unsigned version_;
   bool keep_alive_;
@@ -356,7 +372,9 @@
               "connection_ended", {{"error", e.what()}});
   }
   beast::error_code ignored;
-  connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  if (!connection->reset_on_close) {
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
   connection->stream.close();
   const std::lock_guard lock(connections_mutex);
   connections.erase(connection);
@@ -395,8 +413,8 @@
     co_return false;
   }
   const BeastRequest in = parser.release();
-  BeastWriter writer(connection.stream, in.version(),
-                     in.keep_alive() && !stopping, leaving, now.write_timeout);
+  BeastWriter writer(connection, in.version(), in.keep_alive() && !stopping,
+                     leaving, now.write_timeout);
   ++in_progress;
   co_await Answer(FromBeast(in), writer);
   --in_progress;
@@ -439,7 +457,7 @@
 Task<> Server::State::AnswerReadError(Connection& connection,
                                       const core::Error& error) {
   constexpr unsigned kHttp11 = 11;
-  BeastWriter writer(connection.stream, kHttp11, false, leaving,
+  BeastWriter writer(connection, kHttp11, false, leaving,
                      CurrentLimits().write_timeout);
   co_await writer.Send(ProblemResponse(error, ""));
   beast::error_code ec;
