Let the soak's engines answer without length or chunks and break off

Tests and soak never met such an answer: the stand-ins state each end. The relay now forwards a reset as a reset, and no orderly end behind bytes that it dropped: a connection could not deliver it.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -60,6 +60,9 @@
                  "more; needs 40 s of traffic");
   app.add_flag("--organisations", plan.organisations,
                "Callers have keys; some are revoked, one quota is exceeded");
+  app.add_flag(
+      "--broken-answers", plan.broken_answers,
+      "Engines answer without length or chunks, and break answers off");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -3,9 +3,11 @@
 
 #include <utility>
 
+#include "core/random_func.h"
 #include "core/task_func.h"
 #include "external/json_func.h"
 #include "platform/wire_names.h"
+#include "soak_draw_base.h"
 #include "soak_engine_base.h"
 #include "soak_identity_func.h"
 
@@ -33,11 +35,35 @@
 constexpr milliseconds kEventInterval{20};
 constexpr milliseconds kPlainRunTime{40};
 constexpr milliseconds kRunPollInterval{5};
+/** One in this many streams is broken off. */
+constexpr int kBreakEvery = 6;
+constexpr int kMaxEventsBeforeBreak = 4;
 
 std::string HeaderOf(const http::Request& request, std::string_view name) {
   return std::string(http::FindHeader(request.headers, name).value_or(""));
 }
 
+/**
+ * Ends a stream in the middle. An orderly end falls inside an event or, without
+ * length or chunks, before the first one; elsewhere it would be the end of a
+ * complete stream.
+ * @param event The event that would follow.
+ * @throws http::ConnectionCut
+ */
+core::Task<> BreakOff(http::ResponseWriter& writer, const AnswerShape& shape,
+                      const std::string& event) {
+  if (shape.breaks_inside_event) {
+    co_await writer.Write(event.substr(0, event.size() / 2));
+  }
+  const bool is_empty = shape.events_before_break == 0;
+  const bool may_end =
+      shape.breaks_inside_event || (is_empty && shape.ends_with_connection);
+  if (!shape.breaks_orderly || !may_end) {
+    throw http::ConnectionCut("broken off");
+  }
+  co_await writer.End();
+}
+
 }  // namespace
 
 SoakEngine::SoakEngine(boost::asio::io_context& io, SoakEngineOptions options,
@@ -175,6 +201,18 @@
   return response;
 }
 
+AnswerShape SoakEngine::ShapeOf(const std::string& request) const {
+  AnswerShape shape;
+  if (!options_.broken_answers_seed) return shape;
+  Draw draw(*options_.broken_answers_seed ^ core::HashOf(request + instance_));
+  shape.ends_with_connection = draw.Below(2) == 0;
+  if (!breaks_answers_ || draw.Below(kBreakEvery) != 0) return shape;
+  shape.events_before_break = draw.Below(kMaxEventsBeforeBreak);
+  shape.breaks_inside_event = draw.Below(2) == 0;
+  shape.breaks_orderly = draw.Below(2) == 0;
+  return shape;
+}
+
 http::ResponseHead SoakEngine::MakeResponseHead(const std::string& id) const {
   http::ResponseHead head;
   head.headers.push_back({std::string(kRequestId), id});
@@ -214,33 +252,57 @@
   const std::string id = HeaderOf(request, kRequestId);
   Begin(request);
   co_await SleepUnlessCrashed(kPlainRunTime, crash_count_);
-  http::Response response = http::MakeResponse(kOk, "text/plain", id);
-  const http::ResponseHead mark = MakeResponseHead(id);
-  response.head.headers.insert(response.head.headers.end(),
-                               mark.headers.begin(), mark.headers.end());
+  http::ResponseHead head = MakeResponseHead(id);
+  head.headers.push_back({"Content-Type", "text/plain"});
+  head.ends_with_connection = ShapeOf(id).ends_with_connection;
+  if (head.ends_with_connection) {
+    co_await writer.Begin(std::move(head));
+    co_await writer.Write(id);
+    co_await writer.End();
+    co_return;
+  }
+  http::Response response{std::move(head), id};
   co_await writer.Send(std::move(response));
 }
 
-core::Task<> SoakEngine::RunStream(const http::Request& request,
-                                   http::ResponseWriter& writer) {
+/** @throws http::ConnectionCut if the engine crashes or breaks the stream off.
+ */
+core::Task<> SoakEngine::WriteEvents(const http::Request& request,
+                                     http::ResponseWriter& writer,
+                                     std::int64_t crash_count) {
   const std::string id = HeaderOf(request, kRequestId);
-  const std::string model = HeaderOf(request, kModel);
   const std::string tokens = HeaderOf(request, kTokenCount);
   const int events = std::stoi(tokens.substr(tokens.find(',') + 1));
   const std::string last = HeaderOf(request, kLastEvent);
+  const AnswerShape shape = ShapeOf(id);
+  http::ResponseHead head = MakeResponseHead(id);
+  head.ends_with_connection = shape.ends_with_connection;
+  co_await writer.Begin(std::move(head));
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  for (int i = first; i <= events; ++i) {
+    co_await SleepUnlessCrashed(kEventInterval, crash_count);
+    if (writer.CallerDisconnected()) throw http::ConnectionCut("caller gone");
+    const std::string event = fmt::format("id: {}\ndata: {}\n\n", i, id);
+    if (i == first + shape.events_before_break) {
+      co_await BreakOff(writer, shape, event);
+      co_return;
+    }
+    co_await writer.Write(event);
+  }
+  co_await writer.End();
+}
+
+core::Task<> SoakEngine::RunStream(const http::Request& request,
+                                   http::ResponseWriter& writer) {
+  const std::string id = HeaderOf(request, kRequestId);
+  const std::string model = HeaderOf(request, kModel);
   Begin(request);
   const std::size_t run = record_.runs[id].size() - 1;
   const std::int64_t crash_count = crash_count_;
   ++running_[model];
   std::exception_ptr end;
   try {
-    co_await writer.Begin(MakeResponseHead(id));
-    for (int i = last.empty() ? 1 : std::stoi(last) + 1; i <= events; ++i) {
-      co_await SleepUnlessCrashed(kEventInterval, crash_count);
-      if (writer.CallerDisconnected()) throw http::ConnectionCut("caller gone");
-      co_await writer.Write(fmt::format("id: {}\ndata: {}\n\n", i, id));
-    }
-    co_await writer.End();
+    co_await WriteEvents(request, writer, crash_count);
   } catch (...) {
     end = std::current_exception();
   }
--- a/deploy/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -4,8 +4,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,6 +30,19 @@
   std::set<std::string> disk;
   /** Number of models that fit into memory. */
   std::size_t max_models = 3;
+  /** Answers some streams without length or chunks, drawn from this seed. */
+  std::optional<std::uint64_t> broken_answers_seed;
+};
+
+/** How an engine frames an answer, and where it breaks a stream off. */
+struct AnswerShape {
+  /** The body has neither a length nor chunks and ends with its connection. */
+  bool ends_with_connection = false;
+  /** Events of this run before the break; negative: the stream is complete. */
+  int events_before_break = -1;
+  bool breaks_inside_event = false;
+  /** The answer's end is stated, or its connection closed; else it is reset. */
+  bool breaks_orderly = false;
 };
 
 /** Implements the platform's engine protocol and records the requests it runs.
@@ -42,6 +57,8 @@
   /** Restarts as a new instance without loaded models; checkpoints stay on its
    * disk. */
   void Restart(const std::string& instance);
+  /** Ends the time in which streams are broken off. */
+  void StopBreakingAnswers() { breaks_answers_ = false; }
   /** Aborts running requests and the current order, and drops loaded models. */
   void Crash();
 
@@ -59,12 +76,16 @@
   core::Task<> Unload(std::string model, std::int64_t crash_count);
   core::Task<> RunStream(const http::Request& request,
                          http::ResponseWriter& writer);
+  core::Task<> WriteEvents(const http::Request& request,
+                           http::ResponseWriter& writer,
+                           std::int64_t crash_count);
   core::Task<> RunPlain(const http::Request& request,
                         http::ResponseWriter& writer);
   http::Response Report() const;
   int AcceptOrder(const boost::json::object& order);
   http::Response NotRunResponse(int status) const;
   http::ResponseHead MakeResponseHead(const std::string& id) const;
+  [[nodiscard]] AnswerShape ShapeOf(const std::string& request) const;
   void Begin(const http::Request& request);
   core::Task<> SleepUnlessCrashed(milliseconds time,
                                   std::int64_t crash_count) const;
@@ -76,6 +97,7 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::string instance_;
+  bool breaks_answers_ = true;
   /** Counts crashes; work that began under an earlier value is aborted. */
   std::int64_t crash_count_ = 0;
   std::set<std::string> loaded_models_;
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <random>
 
+#include "soak_draw_base.h"
 #include "soak_identity_func.h"
 #include "soak_plan_func.h"
 
@@ -37,23 +38,6 @@
   return kind <= FaultKind::kEntryReload || kind == FaultKind::kStoreCut;
 }
 
-/** Draws random numbers. The standard distributions are not used because their
- * results differ between libraries. */
-class Draw {
- public:
-  explicit Draw(std::uint64_t seed) : random_(seed) {}
-  int Below(int bound) {
-    return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
-  }
-  milliseconds Between(milliseconds least, milliseconds most) {
-    return least +
-           milliseconds(Below(static_cast<int>((most - least).count()) + 1));
-  }
-
- private:
-  std::mt19937_64 random_;
-};
-
 /**
  * Draws store partitions of an entry during which an engine is deregistered
  * without draining. The engine keeps serving past the time by which the entry
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -57,6 +57,11 @@
           {"sticky", stream}};
 }
 
+core::Task<> SleepUntil(core::SteadyTime time, const core::Clock& clock) {
+  const auto left = std::chrono::ceil<milliseconds>(time - clock.Now());
+  co_await core::SleepFor(std::max(left, milliseconds(0)));
+}
+
 }  // namespace
 
 SoakRunner::SoakRunner(SoakOptions options, SoakPlan plan)
@@ -88,6 +93,7 @@
   engine.listen = fmt::format("{}:{}", Ip(kBehindRelayPart, number + 1), kPort);
   engine.instance = NextInstance();
   engine.max_models = kMaxModels;
+  if (plan_.broken_answers) engine.broken_answers_seed = plan_.seed;
   if (!plain) {
     engine.disk.insert(models_.begin(), models_.end());
     for (int i = 0; i < 2; ++i) {
@@ -254,15 +260,13 @@
                 [raw, end] { return raw->Run(end); });
   }
   for (const Fault& fault : plan_.faults) {
-    const auto wait = std::chrono::duration_cast<milliseconds>(
-        began + fault.at - clock_.Now());
-    co_await core::SleepFor(std::max(wait, milliseconds(0)));
+    co_await SleepUntil(began + fault.at, clock_);
     core::Spawn(io_.get_executor(), log_, "inject",
                 [this, fault] { return Inject(fault); });
   }
-  const auto rest =
-      std::chrono::duration_cast<milliseconds>(end + kWindDown - clock_.Now());
-  co_await core::SleepFor(rest);
+  co_await SleepUntil(record_.fault_free_from, clock_);
+  for (const auto& it : engines_) it->engine->StopBreakingAnswers();
+  co_await SleepUntil(end + kWindDown, clock_);
   RecordUnexpectedExits();
   finished_ = true;
 }
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -80,6 +80,9 @@
   int endpoint_outages = 0;
   /** Callers have keys, some keys are revoked, and one quota is exceeded. */
   bool organisations = false;
+  /** Engines answer some streams without length or chunks, and break some off
+   * while there are faults. */
+  bool broken_answers = false;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -32,6 +32,9 @@
 struct ResponseHead {
   int status = 200;
   std::vector<Header> headers;
+  /** Makes the server send a body with neither a length nor chunks, which ends
+   * with the connection. For stand-ins of other servers. */
+  bool ends_with_connection = false;
 };
 
 struct Response {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -149,7 +149,7 @@
 
   Task<> Begin(ResponseHead head) override {
     started_ = true;
-    chunked_ = version_ != kHttp10;
+    chunked_ = version_ != kHttp10 && !head.ends_with_connection;
     keep_alive_ = keep_alive_ && chunked_;
     if (!chunked_) ResetOnClose(connection_, true);
     beast::http::response<beast::http::empty_body> out;
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -25,13 +25,15 @@
   /** Sends a complete answer. @pre Nothing was sent yet. */
   virtual core::Task<> Send(Response response) = 0;
 
-  /** Starts a chunked answer. @pre Nothing was sent yet. */
+  /** Starts an answer in parts: in chunks, unless the caller speaks HTTP/1.0 or
+   * the head says otherwise. @pre Nothing was sent yet. */
   virtual core::Task<> Begin(ResponseHead head) = 0;
 
   /** Sends one part. @throws TransportError if the connection is closed. */
   virtual core::Task<> Write(std::string_view data) = 0;
 
-  /** Ends a chunked answer; without it the caller sees an incomplete one. */
+  /** Ends an answer in parts; without it the caller sees an incomplete one: the
+   * last chunk is missing, or the connection is reset. */
   virtual core::Task<> End() = 0;
 
   /** @return True once a byte of the answer may have been sent. */
--- a/tests/relay.cc
+++ b/tests/relay.cc
@@ -34,13 +34,29 @@
   std::atomic<std::int64_t> delay_ms{0};
 };
 
+/** Resets the connection instead of closing it in an orderly way. */
+void ResetSocket(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+/** Forwards one direction until it ends; the other side sees how it ended. Once
+ * bytes were dropped, an orderly end can't be delivered any more. */
 Task<> Pump(Socket from, Socket to, std::shared_ptr<DirectionFaults> faults) {
   std::array<char, 16384> buf;
+  bool is_broken = false;
   while (true) {
     const auto [ec, n] =
         co_await from->async_read_some(asio::buffer(buf), kTuple);
-    if (ec) break;
-    if (faults->cut) continue;
+    if (ec) {
+      is_broken = is_broken || ec == asio::error::connection_reset;
+      break;
+    }
+    if (faults->cut) {
+      is_broken = true;
+      continue;
+    }
     const std::chrono::milliseconds delay(faults->delay_ms.load());
     if (delay.count() > 0) {
       co_await core::SleepFor(delay);
@@ -51,7 +67,11 @@
   }
   boost::system::error_code ignored;
   from->close(ignored);
-  to->close(ignored);
+  if (is_broken && to->is_open()) {
+    ResetSocket(*to);
+  } else {
+    to->close(ignored);
+  }
 }
 
 }  // namespace
@@ -66,10 +86,7 @@
     for (const std::weak_ptr<tcp::socket>& it : std::exchange(sockets, {})) {
       const Socket socket = it.lock();
       if (!socket || !socket->is_open()) continue;
-      boost::system::error_code ignored;
-      // Closing with a zero linger time resets the connection.
-      socket->set_option(asio::socket_base::linger(true, 0), ignored);
-      socket->close(ignored);
+      ResetSocket(*socket);
     }
   }
 
