Log the software versions of engines and the stream that a caller takes up

No line named a software version, nor the attempt that a caller's retry goes on from, so that the lines could not tell a stream joined in one answer from one joined over a caller's tries. The registration's version is kept, taken at the send, and written with engine_known, send_failed and request_end; Resumes and the last event are written with request_end. Nothing decides by them yet.

--- a/src/fleet/engine_registry.cc
+++ b/src/fleet/engine_registry.cc
@@ -94,6 +94,7 @@
                entry.draining ? "engine_draining" : "engine_known",
                {{"instance", entry.instance},
                 {"service", entry.service},
+                {"software_version", entry.software_version},
                 {"address", entry.address},
                 {"engine_zone", entry.zone}});
   }
--- a/src/fleet/engine_type.h
+++ b/src/fleet/engine_type.h
@@ -15,6 +15,9 @@
 
 namespace sapphire::fleet {
 
+/** The version of an engine's own software, not of model weights. */
+using SoftwareVersion = core::StrongId<struct SoftwareVersionTag>;
+
 /** A model that is loaded in an engine's accelerators. */
 struct LoadedModel {
   core::ModelId model;
@@ -33,6 +36,9 @@
 struct EngineEntry {
   InstanceId instance;
   core::ServiceId service;
+  /** Engines of several versions may serve one service. A stream that one began
+   * can't go on at another version. */
+  SoftwareVersion software_version;
   /** "ip:port". */
   std::string address;
   core::ZoneId zone;
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -49,6 +49,9 @@
   std::vector<PromptPart> prompt_parts;
   /** Last event that the caller has received; the stream resumes after it. */
   std::optional<std::int64_t> last_event;
+  /** The caller's attempt that received the stream's first event; empty unless
+   * this one resumes it. */
+  core::RequestId resumes;
 };
 
 /** Parameters of one send to one engine. */
@@ -56,6 +59,8 @@
   /** The addressed instance; no other start of the engine may run the request.
    */
   fleet::InstanceId instance;
+  /** The software version of that instance when it was chosen. */
+  fleet::SoftwareVersion software_version;
   /** The engine stops processing after this. */
   milliseconds time_left{0};
   /** Priority inside the engine, 0 (first) to 9. */
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds kRefusalTime{100};
 /** A send ends by itself within this time after the request's deadline. */
 constexpr milliseconds kSendEndMargin{200};
+/** Logged for a request that does not resume a stream. */
+constexpr std::int64_t kNoEvent = -1;
 constexpr double kHashRange = 18446744073709551616.0;
 
 std::string_view NameOf(RetryDecision decision) {
@@ -324,6 +326,7 @@
   const std::shared_ptr<EngineSend> send = std::exchange(work.current, nullptr);
   sender_.End(work, *send, result);
   work.engine = send->engine;
+  work.software_version = send->options.software_version;
   work.answer_end = result.answer_end;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
@@ -354,6 +357,7 @@
       LogLevel::kInfo, LogCategory::kRequest, "send_failed",
       {{"request", work.request.id},
        {"instance", work.engine},
+       {"software_version", work.software_version},
        {"end", work.outcome},
        {"reason", work.reason},
        {"sends", work.sends},
@@ -631,6 +635,9 @@
        {"config",
         work.table == nullptr ? 0 : work.table->configuration().version},
        {"instance", work.engine},
+       {"software_version", work.software_version},
+       {"resumes", work.request.resumes},
+       {"after_event", work.request.last_event.value_or(kNoEvent)},
        {"sends", work.sends},
        {"status", work.status},
        {"outcome", work.outcome},
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -24,10 +24,11 @@
   }
 }
 
-SendOptions OptionsOf(const RequestWork& work, const fleet::InstanceId& engine,
+SendOptions OptionsOf(const RequestWork& work, const fleet::EngineEntry& engine,
                       core::SteadyTime now) {
   SendOptions send;
-  send.instance = engine;
+  send.instance = engine.instance;
+  send.software_version = engine.software_version;
   send.time_left = TimeLeft(work, now);
   send.rank = work.rank;
   send.pass_credentials = !work.identified_by->HasOrganisations();
@@ -69,7 +70,7 @@
   send->part = {work.request.model, work.request.adapter};
   send->ticket = deps_.loads.Begin(engine, send->part);
   send->watched = Watch(work, *entry);
-  send->options = OptionsOf(work, engine, now);
+  send->options = OptionsOf(work, *entry, now);
   send->client = deps_.clients.Of(*entry);
   ++work.sends;
   if (!work.first_send) work.first_send = now;
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -65,6 +65,8 @@
   std::optional<core::SteadyTime> first_byte;
   /** Engine of the latest send that was to serve the request. */
   fleet::InstanceId engine;
+  /** Software version of that engine when it was chosen. */
+  fleet::SoftwareVersion software_version;
   /** The send whose answer is relayed; null between two sends. */
   std::shared_ptr<EngineSend> current;
   /** A second send, while the engine of the current one is silent. */
