--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -32,6 +32,9 @@
     out.model = core::ModelId(Field(request, "model"));
     const std::string key = Field(request, "key");
     if (!key.empty()) out.api_key.emplace(key);
+    out.resumes = core::RequestId(Field(request, "resumes"));
+    const std::string last = Field(request, "last");
+    if (!last.empty()) out.last_event = std::stoll(last);
     out.forward = request;
     return out;
   }
@@ -290,6 +293,15 @@
     return *engines.back();
   }
 
+  /** Sets the software version of the engine, and its zone. */
+  void SetVersion(const std::string& instance, const std::string& version,
+                  const std::string& zone) {
+    fleet::EngineEntry entry = *registry.Find(fleet::InstanceId(instance));
+    entry.software_version = fleet::SoftwareVersion(version);
+    entry.zone = core::ZoneId(zone);
+    registry.Put(std::move(entry));
+  }
+
   /** Serves one request to its end. */
   void Serve(const std::string& path, milliseconds wait,
              RecordingWriter& writer) {
@@ -305,6 +317,10 @@
                        {"wait", std::to_string(wait.count())},
                        {"model", "m"},
                        {"key", key}};
+    if (resumes) {
+      request.headers.push_back({"resumes", resumes->attempt});
+      request.headers.push_back({"last", std::to_string(resumes->last_event)});
+    }
     try {
       co_await dispatcher.Serve(request, writer);
     } catch (const http::ConnectionCut&) {
@@ -357,6 +373,12 @@
   std::string public_prefix;
   /** API key that callers send; empty for none. */
   std::string key;
+  /** The stream that callers take up, if any. */
+  struct Resumption {
+    std::string attempt;
+    std::int64_t last_event = 0;
+  };
+  std::optional<Resumption> resumes;
 
  private:
   static quota::QuotaClientOptions EngineQuotaOptionsOfSelf() {
--- a/src/serving/unframed_answer_test.cc
+++ b/src/serving/unframed_answer_test.cc
@@ -142,13 +142,6 @@
   rig.registry.Put(std::move(entry));
 }
 
-/** Moves the engine to another zone. */
-void MoveAway(Rig& rig, const std::string& instance) {
-  fleet::EngineEntry entry = *rig.registry.Find(fleet::InstanceId(instance));
-  entry.zone = core::ZoneId("other");
-  rig.registry.Put(std::move(entry));
-}
-
 }  // namespace
 
 /** Guards against an engine's crash that reads as the end of its stream. */
@@ -215,7 +208,7 @@
   AddRawEngine(rig, broken);
   testing::TestEngine& next =
       rig.AddEngine(kDrafts, testing::Streaming({kSecond}, true));
-  MoveAway(rig, "i-1");
+  rig.SetVersion("i-1", "", "other");
   RecordingWriter writer;
   rig.Serve("/stream/", kWait, writer);
   BOOST_TEST(writer.body == kFirst + kSecond);
