Go on with a stream only at the software version that began it

The version is taken when an engine is chosen and kept with the caller's connection once its first event is relayed. From then on the choice, a hedge, a replica and a load of the model regard only engines of that version, and an exchange of another version relays nothing. If no engine of the version serves any more, the stream is cut at once: waiting would not help.

--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -60,6 +60,8 @@
               "No configuration is in force yet"},
     ErrorInfo{kNoEndpoint, "no_endpoint", 503, kNotRun,
               "No endpoint for this can be reached"},
+    ErrorInfo{kStreamVersionGone, "stream_version_gone", 503, kNotRun,
+              "No engine of the software version that began the stream serves"},
     ErrorInfo{kAttemptVoided, "attempt_voided", 503, kNotRun,
               "This attempt was called off before it started"},
     ErrorInfo{kInProgress, "in_progress", 409, kUnknown,
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -39,6 +39,7 @@
   kLeaving,
   kNotConfigured,
   kNoEndpoint,
+  kStreamVersionGone,
   kAttemptVoided,
   kInProgress,
   kOverMemory,
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -57,6 +57,12 @@
   return size;
 }
 
+/** @return The engines that may serve the request, other than `avoid`. */
+ReplicaQuery QueryOf(const RequestWork& work,
+                     const std::set<fleet::InstanceId>& avoid) {
+  return {work.service->id, work.request, avoid, work.caller.software_version};
+}
+
 std::vector<policy::ReplicaCandidate> ViewsOf(
     const std::vector<FoundReplica>& found) {
   std::vector<policy::ReplicaCandidate> views;
@@ -107,6 +113,7 @@
   while (true) {
     if (work.caller.left) co_return fleet::InstanceId();
     CheckShutdown(work, milliseconds(0));
+    CheckVersion(work);
     const std::uint64_t seen = loader_.changed().epoch();
     co_await QueryBusyEngines(work);
     if (const auto engine = TryChoose(work)) co_return *engine;
@@ -138,8 +145,8 @@
 
 /** @return Time until the next choice is due even without a notified change. */
 milliseconds EngineChooser::TimeToRecheck(const RequestWork& work) const {
-  const auto unthrottled = finder_.TimeToFirstUnthrottled(
-      work.service->id, work.request, work.avoid);
+  const auto unthrottled =
+      finder_.TimeToFirstUnthrottled(QueryOf(work, work.avoid));
   return std::min(unthrottled.value_or(kRecheckInterval), kRecheckInterval);
 }
 
@@ -152,8 +159,7 @@
   if (work.request.model.empty() || peer_table_.Age() <= kMaxReportAge) {
     co_return;
   }
-  std::vector<FoundReplica> found =
-      finder_.Find(work.service->id, work.request, work.avoid);
+  std::vector<FoundReplica> found = finder_.Find(QueryOf(work, work.avoid));
   std::erase_if(found, [](const FoundReplica& it) { return !it.has_adapter; });
   if (found.size() < 2) co_return;
   const policy::RequestSize size = SizeOf(work);
@@ -172,12 +178,12 @@
  * none. Also requests a replica if the model's engines are overloaded, and a
  * load of the adapter if no engine that can take the request has it. */
 std::optional<fleet::InstanceId> EngineChooser::TryChoose(RequestWork& work) {
-  std::vector<FoundReplica> found =
-      finder_.Find(work.service->id, work.request, work.avoid);
+  std::vector<FoundReplica> found = finder_.Find(QueryOf(work, work.avoid));
   if (found.empty() && work.request.model.empty()) {
     // Every engine has failed or refused the request; they may have recovered
     // by now.
-    found = finder_.Find(work.service->id, work.request, {});
+    const std::set<fleet::InstanceId> none;
+    found = finder_.Find(QueryOf(work, none));
   }
   if (!work.request.model.empty()) AddReplicaIfOverloaded(work, found);
   std::vector<FoundReplica> ready;
@@ -207,7 +213,8 @@
 /** Requests one more replica of a model whose engines are overloaded. */
 void EngineChooser::AddReplicaIfOverloaded(
     const RequestWork& work, const std::vector<FoundReplica>& holders) {
-  if (holders.empty()) return;
+  // The engines of one version say little about those of the model.
+  if (holders.empty() || work.caller.software_version) return;
   const std::vector<policy::ReplicaCandidate> views = ViewsOf(holders);
   const double demand = finder_.Demand(work.service->id, work.request.model);
   loader_.AddReplica(*work.service, work.request.model,
@@ -238,14 +245,14 @@
 /** Requests a load of the model unless an engine can serve it soon. @return
  * Time until it is expected to be available. */
 milliseconds EngineChooser::RequestModelLoad(RequestWork& work) {
-  const auto unthrottled = finder_.TimeToFirstUnthrottled(
-      work.service->id, work.request, work.avoid);
+  const auto unthrottled =
+      finder_.TimeToFirstUnthrottled(QueryOf(work, work.avoid));
   if (work.request.model.empty()) {
     if (unthrottled) return *unthrottled;
     ThrowUnavailable(work);
   }
   const std::vector<FoundReplica> held =
-      finder_.Find(work.service->id, work.request, work.avoid);
+      finder_.Find(QueryOf(work, work.avoid));
   const bool may_serve =
       std::ranges::any_of(held, [this](const FoundReplica& it) {
         return it.has_adapter || loader_.IsControllerReachable(it.instance);
@@ -255,13 +262,24 @@
   }
   if (unthrottled && *unthrottled <= kShortThrottle) return *unthrottled;
   const auto ready =
-      loader_.RequestLoad(*work.service, work.request.model, work.request.id);
+      loader_.RequestLoad(*work.service, work.request.model, work.request.id,
+                          work.caller.software_version);
   if (!ready && !unthrottled) ThrowUnavailable(work);
-  if (ready) AddReplicasForWaiting(work);
+  if (ready && !work.caller.software_version) AddReplicasForWaiting(work);
   return std::min(ready.value_or(milliseconds::max()),
                   unthrottled.value_or(milliseconds::max()));
 }
 
+/** Refuses to go on with a stream whose software version no engine serves any
+ * more: waiting would not help. @throws core::Error */
+void EngineChooser::CheckVersion(const RequestWork& work) const {
+  const auto& version = work.caller.software_version;
+  if (!version || finder_.HasVersion(work.service->id, *version)) return;
+  throw Error(work.runs == 0 ? ErrorCode::kStreamVersionGone
+                             : ErrorCode::kOutcomeUnknown,
+              "no engine of software version " + version->value());
+}
+
 /** Refuses a request that no engine can serve. @throws core::Error */
 void EngineChooser::ThrowUnavailable(const RequestWork& work) const {
   const auto reachable = loader_.TimeToFirstReachable(work.service->id);
@@ -275,8 +293,7 @@
     const RequestWork& work) const {
   std::set<fleet::InstanceId> avoid = work.avoid;
   avoid.insert(work.engine);
-  std::vector<FoundReplica> found =
-      finder_.Find(work.service->id, work.request, avoid);
+  std::vector<FoundReplica> found = finder_.Find(QueryOf(work, avoid));
   std::erase_if(found, [](const FoundReplica& it) {
     return !it.has_adapter || policy::IsSilent(it.view);
   });
@@ -287,11 +304,12 @@
   if (work.request.model.empty()) return;
   std::set<fleet::InstanceId> avoid = work.avoid;
   avoid.insert(work.engine);
-  const bool is_held =
-      !finder_.Find(work.service->id, work.request, avoid).empty();
+  const bool is_held = !finder_.Find(QueryOf(work, avoid)).empty();
   if (is_held) return;
+  constexpr int kAtOnce = 1;
   loader_.AddReplica(*work.service, work.request.model,
-                     policy::ReplicaNeed::kUseful);
+                     policy::ReplicaNeed::kUseful, kAtOnce,
+                     work.caller.software_version);
 }
 
 /** @return Time left until the idle timeout if the request is a stream, else
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -75,6 +75,7 @@
                           std::vector<FoundReplica> holders);
   void AddReplicasForWaiting(const RequestWork& work);
   milliseconds RequestModelLoad(RequestWork& work);
+  void CheckVersion(const RequestWork& work) const;
   [[noreturn]] void ThrowUnavailable(const RequestWork& work) const;
   [[nodiscard]] milliseconds TimeToShutdown() const;
   [[nodiscard]] milliseconds TimeToRecheck(const RequestWork& work) const;
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -75,6 +75,7 @@
 core::Task<std::optional<ExchangeResult>> Exchange::Open(SendOptions send,
                                                          bool is_stream) {
   addressed_ = send.instance;
+  software_version_ = send.software_version;
   is_stream_ = is_stream;
   http::OpenOptions options;
   options.timeout = TimeToDeadline();
@@ -189,6 +190,10 @@
 
 /** Relays a stream as it arrives, complete events only. */
 core::Task<ExchangeResult> Exchange::RelayStream() {
+  if (!MayContinueStream()) {
+    co_return MakeResult(EndOfBrokenStream(),
+                         "another software version began the stream", false);
+  }
   caller_.events.StartRun();
   bool first = true;
   while (true) {
@@ -228,6 +233,13 @@
   }
 }
 
+/** @return False if the caller has events of another software version: what two
+ * versions write does not fit together. */
+bool Exchange::MayContinueStream() const {
+  return !caller_.software_version ||
+         *caller_.software_version == software_version_;
+}
+
 /** @return Why a stream that ends here was broken off; empty if it is complete.
  * A crashed engine's system closes the connection in an orderly way, so that a
  * close alone says little: inside an event, or before the first one, it is not
@@ -254,6 +266,7 @@
       co_await caller_.writer.Begin(std::move(head));
     }
     if (!bytes.empty()) {
+      caller_.software_version = software_version_;
       UpdateLongestPause();
       co_await caller_.writer.Write(bytes);
       relayed_ += bytes.size();
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -74,6 +74,9 @@
   /** True once the head of a streamed answer has been sent to the caller. */
   bool begun = false;
   bool left = false;
+  /** Software version of the engines whose events the caller has of this
+   * stream, also from earlier attempts; no other may go on with it. */
+  std::optional<fleet::SoftwareVersion> software_version;
   EventSplitter events;
   /** Abort the sends in progress. */
   std::set<std::shared_ptr<http::Abort>> sends;
@@ -157,6 +160,7 @@
   core::Task<ExchangeResult> RelayBody();
   core::Task<ExchangeResult> RelayStream();
   core::Task<ExchangeResult> SendBody(http::Response response);
+  [[nodiscard]] bool MayContinueStream() const;
   core::Task<std::string> Write(const std::string& bytes, bool over);
   void UpdateLongestPause();
   [[nodiscard]] std::string_view FaultOfStreamEnd(http::BodyEnd end) const;
@@ -179,6 +183,7 @@
   AnswerEnd answer_end_;
   std::size_t relayed_ = 0;
   fleet::InstanceId addressed_;
+  fleet::SoftwareVersion software_version_;
 };
 
 }  // namespace sapphire::serving
--- a/src/serving/model_loader.cc
+++ b/src/serving/model_loader.cc
@@ -84,7 +84,7 @@
       request_usage_(clock) {}
 
 std::vector<PendingModelLoad> ModelLoader::PendingLoadsOf(
-    const LoadTarget& target) const {
+    const LoadTarget& target, const OptionalVersion& version) const {
   std::vector<PendingModelLoad> coming;
   if (target.adapter.empty()) {
     coming = finder_.FindPendingLoads(target.service, target.model);
@@ -99,12 +99,17 @@
     });
     coming.push_back({asked.instance, std::max(left, milliseconds(0))});
   }
+  if (version) {
+    std::erase_if(coming, [&](const PendingModelLoad& it) {
+      return !finder_.IsOfVersion(it.instance, version);
+    });
+  }
   return coming;
 }
 
 std::optional<milliseconds> ModelLoader::TimeUntilLoaded(
-    const LoadTarget& target) const {
-  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target);
+    const LoadTarget& target, const OptionalVersion& version) const {
+  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target, version);
   if (coming.empty()) return std::nullopt;
   return std::ranges::min(coming, {}, &PendingModelLoad::ready_in).ready_in;
 }
@@ -130,9 +135,10 @@
 /** @return Engines that could load the model and whose controllers are
  * reachable. */
 std::vector<LoadCandidate> ModelLoader::FindLoadCandidates(
-    const routing::Service& service, const core::ModelId& model) const {
+    const routing::Service& service, const core::ModelId& model,
+    const OptionalVersion& version) const {
   std::vector<LoadCandidate> loaders =
-      finder_.FindLoadCandidates(service, model);
+      finder_.FindLoadCandidates(service, model, version);
   std::erase_if(loaders, [this](const LoadCandidate& it) {
     return !IsControllerReachable(it.instance);
   });
@@ -176,15 +182,16 @@
 
 std::optional<milliseconds> ModelLoader::RequestLoad(
     const routing::Service& service, const core::ModelId& model,
-    const core::RequestId& request) {
+    const core::RequestId& request, const OptionalVersion& version) {
   const LoadTarget target{service.id, model, core::AdapterId()};
-  const auto left = TimeUntilLoaded(target);
+  const auto left = TimeUntilLoaded(target, version);
   if (left && *left < kSlowLoad) {
-    JoinLoad(target);
+    JoinLoad(target, version);
     return left;
   }
   if (!left) DropOverdue(target);
-  std::vector<LoadCandidate> loaders = FindLoadCandidates(service, model);
+  std::vector<LoadCandidate> loaders =
+      FindLoadCandidates(service, model, version);
   const std::size_t in_reach = loaders.size();
   const bool is_near =
       std::ranges::any_of(loaders, [](const LoadCandidate& it) {
@@ -266,7 +273,8 @@
 
 void ModelLoader::AddReplica(const routing::Service& service,
                              const core::ModelId& model,
-                             policy::ReplicaNeed need, int at_once) {
+                             policy::ReplicaNeed need, int at_once,
+                             const OptionalVersion& version) {
   if (need == policy::ReplicaNeed::kNone) return;
   const LoadTarget target{service.id, model, core::AdapterId()};
   const auto asked = last_attempt_.find(target);
@@ -274,12 +282,13 @@
   const milliseconds pause = at_once > 1 ? kUrgentReplicaPause : kReplicaPause;
   if (asked != last_attempt_.end() && now - asked->second < pause) return;
   last_attempt_[target] = now;
-  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target);
+  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target, version);
   const auto soon = std::ranges::count_if(
       coming,
       [](const PendingModelLoad& it) { return it.ready_in < kSlowLoad; });
   if (soon >= at_once) return;
-  std::vector<LoadCandidate> loaders = FindLoadCandidates(service, model);
+  std::vector<LoadCandidate> loaders =
+      FindLoadCandidates(service, model, version);
   // A load from the weight store is slow, so copies in memory or on disk are
   // tried in parallel.
   if (!coming.empty() || need != policy::ReplicaNeed::kUrgent) {
@@ -418,12 +427,14 @@
 
 /** Joins a load that another entry has requested, to learn of its end at once
  * instead of from the next update of the engine's entry in the store. */
-void ModelLoader::JoinLoad(const LoadTarget& target) {
+void ModelLoader::JoinLoad(const LoadTarget& target,
+                           const OptionalVersion& version) {
   const bool asked_here = std::ranges::any_of(pending_, [&](const auto& it) {
-    return !(it.first.target < target) && !(target < it.first.target);
+    return !(it.first.target < target) && !(target < it.first.target) &&
+           finder_.IsOfVersion(it.first.instance, version);
   });
   if (asked_here) return;
-  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target);
+  const std::vector<PendingModelLoad> coming = PendingLoadsOf(target, version);
   const auto first =
       std::ranges::min_element(coming, {}, &PendingModelLoad::ready_in);
   if (first == coming.end() || HasFailedRecently(target, first->instance)) {
--- a/src/serving/model_loader_base.h
+++ b/src/serving/model_loader_base.h
@@ -22,6 +22,8 @@
 
 namespace sapphire::serving {
 
+using OptionalVersion = std::optional<fleet::SoftwareVersion>;
+
 /** A model, or an adapter of a model, that is to be loaded. */
 struct LoadTarget {
   core::ServiceId service;
@@ -60,13 +62,15 @@
    * Requests a load of a model unless one is pending. If the pending one is
    * slow, a second one is requested from an engine that would be ready much
    * sooner.
+   * @param version If set, only engines of this software version count.
    * @return Time until the model is expected to serve, or until the next
    *   attempt if no load can be requested now; nullopt if no engine that could
    *   load it is reachable.
    */
   std::optional<milliseconds> RequestLoad(const routing::Service& service,
                                           const core::ModelId& model,
-                                          const core::RequestId& request);
+                                          const core::RequestId& request,
+                                          const OptionalVersion& version = {});
 
   /** Requests a load of an adapter on an engine that holds its model. */
   void RequestAdapterLoad(const core::ServiceId& service,
@@ -79,9 +83,11 @@
    * Requests a load of one more replica if the need justifies its cost.
    * @param at_once Number of the model's pending loads from which on no
    *   further one is requested; only loads that are due soon count.
+   * @param version As for RequestLoad.
    */
   void AddReplica(const routing::Service& service, const core::ModelId& model,
-                  policy::ReplicaNeed need, int at_once = 1);
+                  policy::ReplicaNeed need, int at_once = 1,
+                  const OptionalVersion& version = {});
 
   /** @return False if the engine's controller is unreachable. */
   [[nodiscard]] bool IsControllerReachable(
@@ -133,17 +139,19 @@
   };
 
   [[nodiscard]] std::vector<LoadCandidate> FindLoadCandidates(
-      const routing::Service& service, const core::ModelId& model) const;
+      const routing::Service& service, const core::ModelId& model,
+      const OptionalVersion& version) const;
   [[nodiscard]] milliseconds StoreLoadTime() const;
-  void JoinLoad(const LoadTarget& target);
+  void JoinLoad(const LoadTarget& target, const OptionalVersion& version);
   [[nodiscard]] bool MustDeferStoreLoad(const routing::Service& service,
                                         const core::ModelId& model) const;
   [[nodiscard]] bool IsBusyModel(const core::ModelId& model) const;
   /** @return The target's pending loads, as reported by peers or requested by
    * this entry. */
   [[nodiscard]] std::vector<PendingModelLoad> PendingLoadsOf(
-      const LoadTarget& target) const;
-  std::optional<milliseconds> TimeUntilLoaded(const LoadTarget& target) const;
+      const LoadTarget& target, const OptionalVersion& version = {}) const;
+  std::optional<milliseconds> TimeUntilLoaded(
+      const LoadTarget& target, const OptionalVersion& version = {}) const;
   std::optional<policy::WakeUpPlan> Plan(
       const routing::Service& service, const core::ModelId& model,
       std::vector<LoadCandidate>& loaders) const;
--- a/src/serving/model_loader_test.cc
+++ b/src/serving/model_loader_test.cc
@@ -52,6 +52,24 @@
   BOOST_TEST(near->load_requests == 1);
 }
 
+/** Guards against a load at an engine of another software version, which can't
+ * go on with the stream that needs it. */
+BOOST_AUTO_TEST_CASE(ModelOfABegunStreamIsLoadedAtItsVersion) {
+  Rig rig;
+  rig.PutEngine(rig.EngineAt("i-1", "127.0.0.1:1"));
+  const auto near = rig.AddEndpointWithDiskCopy();
+  const fleet::SoftwareVersion version("v1");
+  BOOST_TEST(!rig.loader.RequestLoad(rig.service, kModel, kRequest, version)
+                  .has_value());
+  fleet::EngineEntry same = rig.EngineAt("i-1", "127.0.0.1:1");
+  same.software_version = version;
+  rig.PutEngine(same);
+  rig.loader.RequestLoad(rig.service, kModel, kRequest, version);
+  rig.Settle();
+  BOOST_TEST(near->load_requests == 0);
+  BOOST_TEST(rig.endpoint.load_requests == 1);
+}
+
 /** Guards against an entry that crashes in the middle of its callers' streams.
  * On a slow VM, a load that another entry has reported may be pending when the
  * choice begins and overdue a moment later, in the same choice. */
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -47,28 +47,44 @@
       gauges_(gauges),
       clock_(clock) {}
 
+bool ReplicaFinder::HasVersion(const core::ServiceId& service,
+                               const fleet::SoftwareVersion& version) const {
+  return std::ranges::any_of(registry_.engines(), [&](const auto& it) {
+    const fleet::EngineEntry& engine = it.second;
+    return engine.service == service && !engine.draining &&
+           engine.software_version == version;
+  });
+}
+
+bool ReplicaFinder::IsOfVersion(
+    const fleet::InstanceId& instance,
+    const std::optional<fleet::SoftwareVersion>& version) const {
+  const fleet::EngineEntry* engine = registry_.Find(instance);
+  return engine != nullptr &&
+         (!version || engine->software_version == *version);
+}
+
 bool ReplicaFinder::Serves(const fleet::EngineEntry& engine,
-                           const core::ServiceId& service,
-                           const CallerRequest& request,
-                           const std::set<fleet::InstanceId>& avoid) const {
-  if (engine.service != service || engine.draining) return false;
+                           const ReplicaQuery& query) const {
+  const CallerRequest& request = query.request;
+  if (engine.service != query.service || engine.draining) return false;
+  if (query.version && engine.software_version != *query.version) return false;
   const fleet::ModelOrAdapter model{request.model, core::AdapterId()};
   // Checked first: few of hundreds of engines hold the model.
   const bool holds = request.model.empty() ||
                      FindHeld(engine, request.model) != nullptr ||
                      loads_.HasLoaded(engine.instance, model);
-  return holds && !avoid.contains(engine.instance) &&
+  return holds && !query.avoid.contains(engine.instance) &&
          !loads_.IsUnreachable(engine.instance) &&
          !loads_.Lacks(engine.instance, model);
 }
 
-std::vector<FoundReplica> ReplicaFinder::Find(
-    const core::ServiceId& service, const CallerRequest& request,
-    const std::set<fleet::InstanceId>& avoid) const {
+std::vector<FoundReplica> ReplicaFinder::Find(const ReplicaQuery& query) const {
+  const CallerRequest& request = query.request;
   std::vector<FoundReplica> found;
   const fleet::ModelOrAdapter part{request.model, request.adapter};
   for (const auto& [instance, engine] : registry_.engines()) {
-    if (!Serves(engine, service, request, avoid)) continue;
+    if (!Serves(engine, query)) continue;
     if (loads_.limits().ThrottledFor(instance) > milliseconds(0)) continue;
     FoundReplica replica;
     replica.instance = instance;
@@ -88,13 +104,12 @@
 }
 
 std::optional<milliseconds> ReplicaFinder::TimeToFirstUnthrottled(
-    const core::ServiceId& service, const CallerRequest& request,
-    const std::set<fleet::InstanceId>& avoid) const {
+    const ReplicaQuery& query) const {
   std::optional<milliseconds> first;
   for (const auto& [instance, engine] : registry_.engines()) {
     const milliseconds left = loads_.limits().ThrottledFor(instance);
     if (left == milliseconds(0)) continue;
-    if (!Serves(engine, service, request, avoid)) continue;
+    if (!Serves(engine, query)) continue;
     if (!first || left < *first) first = left;
   }
   return first;
@@ -165,7 +180,8 @@
 }
 
 std::vector<LoadCandidate> ReplicaFinder::FindLoadCandidates(
-    const routing::Service& service, const core::ModelId& model) const {
+    const routing::Service& service, const core::ModelId& model,
+    const std::optional<fleet::SoftwareVersion>& version) const {
   std::vector<LoadCandidate> found;
   for (const LoadCandidate& it : LoadCandidatesOf(service)) {
     const bool holds = std::ranges::any_of(
@@ -175,6 +191,7 @@
     if (holds || loads_.IsUnreachable(it.instance)) continue;
     const fleet::EngineEntry* engine = registry_.Find(it.instance);
     if (engine == nullptr || engine->draining) continue;
+    if (!IsOfVersion(it.instance, version)) continue;
     LoadCandidate loader = it;
     loader.view.tier = TierOf(*engine, model);
     loader.view.order_left = peer_table_.RemainingLoadTime(it.instance);
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -19,6 +19,16 @@
 
 namespace sapphire::serving {
 
+/** Which engines may serve a request. Refers to its parts. */
+struct ReplicaQuery {
+  const core::ServiceId& service;
+  const CallerRequest& request;
+  /** Engines that are left out. */
+  const std::set<fleet::InstanceId>& avoid;
+  /** Set for a stream that engines of this version have begun. */
+  const std::optional<fleet::SoftwareVersion>& version;
+};
+
 /** An engine that could serve a request now. */
 struct FoundReplica {
   fleet::InstanceId instance;
@@ -53,25 +63,35 @@
                 const core::Clock& clock);
 
   /** @return Engines of a plain service, or those that hold the model. */
-  [[nodiscard]] std::vector<FoundReplica> Find(
-      const core::ServiceId& service, const CallerRequest& request,
-      const std::set<fleet::InstanceId>& avoid) const;
+  [[nodiscard]] std::vector<FoundReplica> Find(const ReplicaQuery& query) const;
+
+  /** @return True if an engine of the service and version accepts requests. */
+  [[nodiscard]] bool HasVersion(const core::ServiceId& service,
+                                const fleet::SoftwareVersion& version) const;
 
   /** @return Time until the first engine becomes available that Find omits only
    * because it is throttled; nullopt if there is none. */
   [[nodiscard]] std::optional<milliseconds> TimeToFirstUnthrottled(
-      const core::ServiceId& service, const CallerRequest& request,
-      const std::set<fleet::InstanceId>& avoid) const;
+      const ReplicaQuery& query) const;
 
   /** @return Engines that do not hold the model and are reachable, as far as
-   * known. Usage figures are up to 250 ms old; pending loads are current. */
+   * known; only those of the version, if one is given. Usage figures are up to
+   * 250 ms old; pending loads are current. */
   [[nodiscard]] std::vector<LoadCandidate> FindLoadCandidates(
-      const routing::Service& service, const core::ModelId& model) const;
+      const routing::Service& service, const core::ModelId& model,
+      const std::optional<fleet::SoftwareVersion>& version =
+          std::nullopt) const;
 
   /** @return Pending loads of the model, as reported by entries. */
   [[nodiscard]] std::vector<PendingModelLoad> FindPendingLoads(
       const core::ServiceId& service, const core::ModelId& model) const;
 
+  /** @return True if the engine is registered and, if a version is given, of
+   * that version. */
+  [[nodiscard]] bool IsOfVersion(
+      const fleet::InstanceId& instance,
+      const std::optional<fleet::SoftwareVersion>& version) const;
+
   /** @return Number of engines that load from the weight store now, as reported
    * by entries. */
   [[nodiscard]] int CountStoreLoads(const core::ServiceId& service) const;
@@ -88,9 +108,7 @@
  private:
   /** @return True if the engine serves the model, even if it is throttled. */
   [[nodiscard]] bool Serves(const fleet::EngineEntry& engine,
-                            const core::ServiceId& service,
-                            const CallerRequest& request,
-                            const std::set<fleet::InstanceId>& avoid) const;
+                            const ReplicaQuery& query) const;
   [[nodiscard]] policy::ReplicaCandidate MakeView(
       const fleet::EngineEntry& engine, const CallerRequest& request) const;
 
