Let the soak's engines be of two software versions

Callers of the soak now take broken streams up, and check that all events of a stream carry one version.

--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -13,9 +13,11 @@
 
 using platform::kCredentials;
 using platform::kDeadline;
+using platform::kLastEvent;
 using platform::kModel;
 using platform::kRequestId;
 using platform::kResponseStamp;
+using platform::kResumes;
 using platform::kTokenCount;
 using routing::RequestKind;
 
@@ -29,6 +31,8 @@
  * deadly. */
 constexpr int kCancelEvery = 12;
 constexpr int kDeadlyEvery = 8;
+/** Attempts to take a broken stream up. */
+constexpr int kMaxTakeUps = 3;
 constexpr int kKinds = 4;
 constexpr int kOk = 200;
 
@@ -65,28 +69,62 @@
 
 core::Task<> SoakCaller::Run(core::SteadyTime end) {
   while (clock_.Now() < end) {
-    Attempt attempt;
-    attempt.id = fmt::format("{}-{}", options_.number, ++sent_);
-    attempt.kind = KindOf(RandomBelow(kKinds));
-    attempt.entry = RandomBelow(static_cast<int>(clients_.size()));
+    Attempt attempt = NextAttempt(KindOf(RandomBelow(kKinds)));
     const int events = 1 + RandomBelow(kMaxEvents);
     const bool leaves = RandomBelow(kCancelEvery) == 0;
     const milliseconds idle_timeout = leaves
                                           ? milliseconds(20 + RandomBelow(500))
                                           : kRouteTimeout + kAnswerSlack;
-    attempt.key = CurrentKey();
     const http::Request request = MakeRequest(attempt, events);
+    StreamProgress progress;
     attempt.sent = clock_.Now();
-    co_await Send(attempt, request, events, idle_timeout);
+    co_await Send(attempt, request, events, idle_timeout, progress);
     attempt.ended = clock_.Now();
     if (leaves && attempt.end == AttemptEnd::kTimedOut) {
       attempt.end = AttemptEnd::kCancelled;
     }
     record_.attempts.push_back(attempt);
+    const bool is_broken = attempt.end == AttemptEnd::kConnectionFailed;
+    if (options_.takes_up_streams && is_broken && progress.events > 0) {
+      co_await TakeUp(request, events, progress);
+    }
     co_await core::SleepFor(kPause + milliseconds(RandomBelow(60)));
   }
 }
 
+Attempt SoakCaller::NextAttempt(RequestKind kind) {
+  Attempt attempt;
+  attempt.id = fmt::format("{}-{}", options_.number, ++sent_);
+  attempt.kind = kind;
+  attempt.entry = RandomBelow(static_cast<int>(clients_.size()));
+  attempt.key = CurrentKey();
+  return attempt;
+}
+
+/** Goes on with a stream that was broken off, at entries drawn anew. */
+core::Task<> SoakCaller::TakeUp(http::Request request, int events,
+                                StreamProgress& progress) {
+  std::erase_if(request.headers,
+                [](const http::Header& it) { return it.name == kRequestId; });
+  for (int i = 0; i < kMaxTakeUps && progress.events < events; ++i) {
+    co_await core::SleepFor(kPause);
+    Attempt attempt = NextAttempt(RequestKind::kStream);
+    http::Request next = request;
+    next.headers.push_back({std::string(kRequestId), attempt.id});
+    next.headers.push_back({std::string(kResumes), progress.first_attempt});
+    next.headers.push_back(
+        {std::string(kLastEvent), std::to_string(progress.events)});
+    const int had = progress.events;
+    attempt.sent = clock_.Now();
+    co_await Send(attempt, next, events, kRouteTimeout + kAnswerSlack,
+                  progress);
+    attempt.ended = clock_.Now();
+    record_.attempts.push_back(attempt);
+    ++record_.taken_up;
+    if (progress.events > had) ++record_.went_on;
+  }
+}
+
 std::string SoakCaller::CurrentKey() const {
   if (options_.keys == nullptr) return "";
   const int organisation = OrganisationOf(options_.number);
@@ -120,7 +158,8 @@
 }
 
 core::Task<> SoakCaller::Send(Attempt& attempt, const http::Request& request,
-                              int events, milliseconds idle_timeout) {
+                              int events, milliseconds idle_timeout,
+                              StreamProgress& progress) {
   const core::SteadyTime end = clock_.Now() + idle_timeout;
   const auto left = [&] {
     const auto rest =
@@ -128,9 +167,9 @@
     return std::max(rest, milliseconds(1));
   };
   http::Client& client = *clients_.at(static_cast<std::size_t>(attempt.entry));
+  std::string body;
   try {
     const auto stream = co_await client.Open(request, left());
-    std::string body;
     while (true) {
       const http::BodyPart part = co_await stream->Read(left());
       const auto* bytes = std::get_if<std::string>(&part);
@@ -140,31 +179,56 @@
         throw http::TransportError("too late", true, true);
       }
     }
-    CheckAnswer(attempt, stream->head(), body, events);
+    CheckAnswer(attempt, stream->head(), body, events, progress);
   } catch (const http::TransportError& e) {
     attempt.end =
         e.timed_out() ? AttemptEnd::kTimedOut : AttemptEnd::kConnectionFailed;
+    if (attempt.kind == RequestKind::kStream) {
+      ReadEvents(attempt, body, progress);
+    }
+  }
+}
+
+/** Adds the events of an attempt's answer, which may end inside an event.
+ * @return True if the answer consists of complete events in order. */
+bool SoakCaller::ReadEvents(const Attempt& attempt, std::string_view body,
+                            StreamProgress& progress) {
+  constexpr std::string_view kEnd = "\n\n";
+  while (!body.empty()) {
+    const std::string begin =
+        fmt::format("id: {}\ndata: {}", progress.events + 1, attempt.id);
+    const std::size_t end = body.find(kEnd);
+    if (end == body.npos || !body.starts_with(begin)) return false;
+    const std::string version(body.substr(begin.size(), end - begin.size()));
+    if (!version.empty() && !version.starts_with('@')) return false;
+    if (progress.events == 0) {
+      progress.first_attempt = attempt.id;
+      progress.version = version;
+    } else if (version != progress.version) {
+      record_.joined_versions.push_back(progress.first_attempt);
+    }
+    ++progress.events;
+    body.remove_prefix(end + kEnd.size());
   }
+  return true;
 }
 
 void SoakCaller::CheckAnswer(Attempt& attempt, const http::ResponseHead& head,
-                             const std::string& body, int events) const {
+                             const std::string& body, int events,
+                             StreamProgress& progress) {
   attempt.status = head.status;
   if (head.status != kOk) {
     attempt.end = GuaranteesNotRun(head.status) ? AttemptEnd::kRefused
                                                 : AttemptEnd::kFailed;
     return;
   }
-  std::string whole = attempt.id;
-  if (attempt.kind == RequestKind::kStream) {
-    whole.clear();
-    for (int i = 1; i <= events; ++i) {
-      whole += fmt::format("id: {}\ndata: {}\n\n", i, attempt.id);
-    }
-  }
+  const bool is_whole =
+      attempt.kind == RequestKind::kStream
+          ? ReadEvents(attempt, body, progress) && progress.events == events
+          : body == attempt.id;
   attempt.end = AttemptEnd::kServed;
-  attempt.corrupt = body != whole ||
-                    !http::FindHeader(head.headers, kResponseStamp).has_value();
+  attempt.corrupt =
+      !is_whole || !http::FindHeader(head.headers, kResponseStamp).has_value();
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/task_type.h"
@@ -32,6 +33,8 @@
   core::SteadyTime deadly_until;
   /** Current keys of the organisations; null if no key is sent. */
   const KeyGenerations* keys = nullptr;
+  /** Takes up streams that were broken off. */
+  bool takes_up_streams = false;
 };
 
 /** Sends one request at a time over persistent connections. */
@@ -48,9 +51,15 @@
   [[nodiscard]] std::string CurrentKey() const;
   http::Request MakeRequest(const Attempt& attempt, int events);
   core::Task<> Send(Attempt& attempt, const http::Request& request, int events,
-                    milliseconds idle_timeout);
+                    milliseconds idle_timeout, StreamProgress& progress);
   void CheckAnswer(Attempt& attempt, const http::ResponseHead& head,
-                   const std::string& body, int events) const;
+                   const std::string& body, int events,
+                   StreamProgress& progress);
+  bool ReadEvents(const Attempt& attempt, std::string_view body,
+                  StreamProgress& progress);
+  core::Task<> TakeUp(http::Request request, int events,
+                      StreamProgress& progress);
+  [[nodiscard]] Attempt NextAttempt(routing::RequestKind kind);
   int RandomBelow(int bound);
 
   const SoakCallerOptions options_;
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -45,6 +45,9 @@
     CheckKeys();
     CheckQuota();
     CheckRecovery();
+    for (const std::string& it : record_.joined_versions) {
+      AddViolation("events of two software versions in one stream", it);
+    }
     for (const std::string& it : record_.misattributed) {
       AddViolation(
           "ran for another organisation or with the caller's credentials", it);
@@ -254,8 +257,10 @@
   for (std::size_t i = 0; i < kNames.size(); ++i) {
     text += fmt::format(" {}={}", kNames.at(i), counts.at(i));
   }
-  return text + fmt::format(" orders={} deadly_crashes={}",
-                            record.orders.size(), record.deadly_crashes);
+  return text +
+         fmt::format(" orders={} deadly_crashes={} taken_up={} went_on={}",
+                     record.orders.size(), record.deadly_crashes,
+                     record.taken_up, record.went_on);
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -282,7 +282,8 @@
   for (int i = first; i <= events; ++i) {
     co_await SleepUnlessCrashed(kEventInterval, crash_count);
     if (writer.CallerDisconnected()) throw http::ConnectionCut("caller gone");
-    const std::string event = fmt::format("id: {}\ndata: {}\n\n", i, id);
+    const std::string event =
+        fmt::format("id: {}\ndata: {}{}\n\n", i, id, options_.software_version);
     if (i == first + shape.events_before_break) {
       co_await BreakOff(writer, shape, event);
       co_return;
--- a/deploy/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -24,6 +24,8 @@
 struct SoakEngineOptions {
   std::string listen;
   std::string instance;
+  /** Written with each event; empty: not written. */
+  std::string software_version;
   /** Initially loaded models; empty for an engine of a plain service. */
   std::set<std::string> models;
   /** Models whose checkpoints are on the local disk; kept across restarts. */
@@ -63,6 +65,9 @@
   void Crash();
 
   [[nodiscard]] const std::string& instance() const { return instance_; }
+  [[nodiscard]] const std::string& software_version() const {
+    return options_.software_version;
+  }
   [[nodiscard]] const std::set<std::string>& loaded_models() const {
     return loaded_models_;
   }
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -93,6 +93,9 @@
   engine.listen = fmt::format("{}:{}", Ip(kBehindRelayPart, number + 1), kPort);
   engine.instance = NextInstance();
   engine.max_models = kMaxModels;
+  if (plan_.software_versions && !plain) {
+    engine.software_version = number % 2 == 0 ? "@v1" : "@v2";
+  }
   if (plan_.broken_answers) engine.broken_answers_seed = plan_.seed;
   if (!plain) {
     engine.disk.insert(models_.begin(), models_.end());
@@ -209,15 +212,16 @@
     models.push_back(json::object{{"name", it}, {"version", 1}});
   }
   Put("servers/" + vm.engine->instance(),
-      json::serialize(json::object{{"service", vm.service},
-                                   {"address", vm.address},
-                                   {"zone", "z"},
-                                   {"version", "v1"},
-                                   {"slots", vm.service == kPlain ? 6 : 64},
-                                   {"state", draining ? "draining" : "ready"},
-                                   {"coldLeftMs", 0},
-                                   {"seq", ++registration_seq_},
-                                   {"models", models}}));
+      json::serialize(
+          json::object{{"service", vm.service},
+                       {"address", vm.address},
+                       {"zone", "z"},
+                       {"version", "v" + vm.engine->software_version()},
+                       {"slots", vm.service == kPlain ? 6 : 64},
+                       {"state", draining ? "draining" : "ready"},
+                       {"coldLeftMs", 0},
+                       {"seq", ++registration_seq_},
+                       {"models", models}}));
 }
 
 void SoakRunner::Put(const std::string& key, const std::string& value) {
@@ -253,6 +257,7 @@
     caller.number = i;
     // A deadly request is a fault, so none is sent in the fault-free time.
     if (i == 0) caller.deadly_until = record_.fault_free_from;
+    caller.takes_up_streams = plan_.software_versions;
     if (plan_.organisations) caller.keys = &keys_;
     callers_.push_back(std::make_unique<SoakCaller>(caller, record_, clock_));
     SoakCaller* raw = callers_.back().get();
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -83,6 +83,9 @@
   /** Engines answer some streams without length or chunks, and break some off
    * while there are faults. */
   bool broken_answers = false;
+  /** Model engines are of two software versions in turn, and callers take up
+   * streams that were broken off. */
+  bool software_versions = false;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -96,6 +99,15 @@
   bool finished = false;
 };
 
+/** What a caller has of a stream, over its attempts. */
+struct StreamProgress {
+  /** The attempt that brought the first event; empty without any event. */
+  std::string first_attempt;
+  int events = 0;
+  /** Software version in the first event. */
+  std::string version;
+};
+
 /** Outcome of an attempt of a caller. */
 enum class AttemptEnd {
   kServed,
@@ -159,6 +171,11 @@
    * with the caller's credentials passed on to the engine. */
   std::vector<std::string> misattributed;
   std::vector<std::string> over_memory;
+  /** First attempts of streams with events of two software versions. */
+  std::vector<std::string> joined_versions;
+  /** Attempts that took a stream up, and those of them that got events. */
+  int taken_up = 0;
+  int went_on = 0;
   /** Disturbances of entries, by the entry's index. */
   std::map<int, std::vector<Disturbance>> entry_disturbed;
   std::vector<Disturbance> store_disturbed;
