--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -5914,6 +5914,10 @@
 void StreamAsk::__set_request_id(const std::string& val) {
   this->request_id = val;
 }
+
+void StreamAsk::__set_service_id(const std::string& val) {
+  this->service_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamAsk& obj)
 {
   obj.printTo(out);
@@ -5966,6 +5970,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_id);
+          this->__isset.service_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5995,6 +6007,10 @@
   xfer += oprot->writeString(this->request_id);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("service_id", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->service_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6005,6 +6021,7 @@
   swap(a.entry, b.entry);
   swap(a.number, b.number);
   swap(a.request_id, b.request_id);
+  swap(a.service_id, b.service_id);
   swap(a.__isset, b.__isset);
 }
 
@@ -6012,18 +6029,21 @@
   entry = other226.entry;
   number = other226.number;
   request_id = other226.request_id;
+  service_id = other226.service_id;
   __isset = other226.__isset;
 }
 StreamAsk::StreamAsk(StreamAsk&& other227) noexcept {
   entry = std::move(other227.entry);
   number = other227.number;
   request_id = std::move(other227.request_id);
+  service_id = std::move(other227.service_id);
   __isset = other227.__isset;
 }
 StreamAsk& StreamAsk::operator=(const StreamAsk& other228) {
   entry = other228.entry;
   number = other228.number;
   request_id = other228.request_id;
+  service_id = other228.service_id;
   __isset = other228.__isset;
   return *this;
 }
@@ -6031,6 +6051,7 @@
   entry = std::move(other229.entry);
   number = other229.number;
   request_id = std::move(other229.request_id);
+  service_id = std::move(other229.service_id);
   __isset = other229.__isset;
   return *this;
 }
@@ -6040,6 +6061,7 @@
   out << "entry=" << to_string(entry);
   out << ", " << "number=" << to_string(number);
   out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "service_id=" << to_string(service_id);
   out << ")";
 }
 
@@ -6060,6 +6082,10 @@
   this->origin = val;
 __isset.origin = true;
 }
+
+void StreamAnswer::__set_versions(const std::vector<std::string> & val) {
+  this->versions = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamAnswer& obj)
 {
   obj.printTo(out);
@@ -6112,6 +6138,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->versions.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
+            {
+              xfer += iprot->readString(this->versions[_i234]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6142,6 +6188,18 @@
     xfer += this->origin.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->versions.size()));
+    std::vector<std::string> ::const_iterator _iter235;
+    for (_iter235 = this->versions.begin(); _iter235 != this->versions.end(); ++_iter235)
+    {
+      xfer += oprot->writeString((*_iter235));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6152,33 +6210,38 @@
   swap(a.entry, b.entry);
   swap(a.number, b.number);
   swap(a.origin, b.origin);
+  swap(a.versions, b.versions);
   swap(a.__isset, b.__isset);
 }
 
-StreamAnswer::StreamAnswer(const StreamAnswer& other230) {
-  entry = other230.entry;
-  number = other230.number;
-  origin = other230.origin;
-  __isset = other230.__isset;
-}
-StreamAnswer::StreamAnswer(StreamAnswer&& other231) noexcept {
-  entry = std::move(other231.entry);
-  number = other231.number;
-  origin = std::move(other231.origin);
-  __isset = other231.__isset;
-}
-StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other232) {
-  entry = other232.entry;
-  number = other232.number;
-  origin = other232.origin;
-  __isset = other232.__isset;
+StreamAnswer::StreamAnswer(const StreamAnswer& other236) {
+  entry = other236.entry;
+  number = other236.number;
+  origin = other236.origin;
+  versions = other236.versions;
+  __isset = other236.__isset;
+}
+StreamAnswer::StreamAnswer(StreamAnswer&& other237) noexcept {
+  entry = std::move(other237.entry);
+  number = other237.number;
+  origin = std::move(other237.origin);
+  versions = std::move(other237.versions);
+  __isset = other237.__isset;
+}
+StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other238) {
+  entry = other238.entry;
+  number = other238.number;
+  origin = other238.origin;
+  versions = other238.versions;
+  __isset = other238.__isset;
   return *this;
 }
-StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other233) noexcept {
-  entry = std::move(other233.entry);
-  number = other233.number;
-  origin = std::move(other233.origin);
-  __isset = other233.__isset;
+StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other239) noexcept {
+  entry = std::move(other239.entry);
+  number = other239.number;
+  origin = std::move(other239.origin);
+  versions = std::move(other239.versions);
+  __isset = other239.__isset;
   return *this;
 }
 void StreamAnswer::printTo(std::ostream& out) const {
@@ -6187,6 +6250,7 @@
   out << "entry=" << to_string(entry);
   out << ", " << "number=" << to_string(number);
   out << ", " << "origin="; (__isset.origin ? (out << to_string(origin)) : (out << "<null>"));
+  out << ", " << "versions=" << to_string(versions);
   out << ")";
 }
 
@@ -6230,14 +6294,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->versions.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->versions.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += iprot->readString(this->versions[_i238]);
+              xfer += iprot->readString(this->versions[_i244]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6266,10 +6330,10 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->versions.size()));
-    std::vector<std::string> ::const_iterator _iter239;
-    for (_iter239 = this->versions.begin(); _iter239 != this->versions.end(); ++_iter239)
+    std::vector<std::string> ::const_iterator _iter245;
+    for (_iter245 = this->versions.begin(); _iter245 != this->versions.end(); ++_iter245)
     {
-      xfer += oprot->writeString((*_iter239));
+      xfer += oprot->writeString((*_iter245));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6286,22 +6350,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceVersions::ServiceVersions(const ServiceVersions& other240) {
-  versions = other240.versions;
-  __isset = other240.__isset;
+ServiceVersions::ServiceVersions(const ServiceVersions& other246) {
+  versions = other246.versions;
+  __isset = other246.__isset;
 }
-ServiceVersions::ServiceVersions(ServiceVersions&& other241) noexcept {
-  versions = std::move(other241.versions);
-  __isset = other241.__isset;
+ServiceVersions::ServiceVersions(ServiceVersions&& other247) noexcept {
+  versions = std::move(other247.versions);
+  __isset = other247.__isset;
 }
-ServiceVersions& ServiceVersions::operator=(const ServiceVersions& other242) {
-  versions = other242.versions;
-  __isset = other242.__isset;
+ServiceVersions& ServiceVersions::operator=(const ServiceVersions& other248) {
+  versions = other248.versions;
+  __isset = other248.__isset;
   return *this;
 }
-ServiceVersions& ServiceVersions::operator=(ServiceVersions&& other243) noexcept {
-  versions = std::move(other243.versions);
-  __isset = other243.__isset;
+ServiceVersions& ServiceVersions::operator=(ServiceVersions&& other249) noexcept {
+  versions = std::move(other249.versions);
+  __isset = other249.__isset;
   return *this;
 }
 void ServiceVersions::printTo(std::ostream& out) const {
@@ -6522,50 +6586,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryDatagram::EntryDatagram(const EntryDatagram& other244) {
-  record = other244.record;
-  quota_ask = other244.quota_ask;
-  quota_answer = other244.quota_answer;
-  engine_ask = other244.engine_ask;
-  engine_answer = other244.engine_answer;
-  stream_origins = other244.stream_origins;
-  stream_ask = other244.stream_ask;
-  stream_answer = other244.stream_answer;
-  __isset = other244.__isset;
-}
-EntryDatagram::EntryDatagram(EntryDatagram&& other245) noexcept {
-  record = std::move(other245.record);
-  quota_ask = std::move(other245.quota_ask);
-  quota_answer = std::move(other245.quota_answer);
-  engine_ask = std::move(other245.engine_ask);
-  engine_answer = std::move(other245.engine_answer);
-  stream_origins = std::move(other245.stream_origins);
-  stream_ask = std::move(other245.stream_ask);
-  stream_answer = std::move(other245.stream_answer);
-  __isset = other245.__isset;
-}
-EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other246) {
-  record = other246.record;
-  quota_ask = other246.quota_ask;
-  quota_answer = other246.quota_answer;
-  engine_ask = other246.engine_ask;
-  engine_answer = other246.engine_answer;
-  stream_origins = other246.stream_origins;
-  stream_ask = other246.stream_ask;
-  stream_answer = other246.stream_answer;
-  __isset = other246.__isset;
+EntryDatagram::EntryDatagram(const EntryDatagram& other250) {
+  record = other250.record;
+  quota_ask = other250.quota_ask;
+  quota_answer = other250.quota_answer;
+  engine_ask = other250.engine_ask;
+  engine_answer = other250.engine_answer;
+  stream_origins = other250.stream_origins;
+  stream_ask = other250.stream_ask;
+  stream_answer = other250.stream_answer;
+  __isset = other250.__isset;
+}
+EntryDatagram::EntryDatagram(EntryDatagram&& other251) noexcept {
+  record = std::move(other251.record);
+  quota_ask = std::move(other251.quota_ask);
+  quota_answer = std::move(other251.quota_answer);
+  engine_ask = std::move(other251.engine_ask);
+  engine_answer = std::move(other251.engine_answer);
+  stream_origins = std::move(other251.stream_origins);
+  stream_ask = std::move(other251.stream_ask);
+  stream_answer = std::move(other251.stream_answer);
+  __isset = other251.__isset;
+}
+EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other252) {
+  record = other252.record;
+  quota_ask = other252.quota_ask;
+  quota_answer = other252.quota_answer;
+  engine_ask = other252.engine_ask;
+  engine_answer = other252.engine_answer;
+  stream_origins = other252.stream_origins;
+  stream_ask = other252.stream_ask;
+  stream_answer = other252.stream_answer;
+  __isset = other252.__isset;
   return *this;
 }
-EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other247) noexcept {
-  record = std::move(other247.record);
-  quota_ask = std::move(other247.quota_ask);
-  quota_answer = std::move(other247.quota_answer);
-  engine_ask = std::move(other247.engine_ask);
-  engine_answer = std::move(other247.engine_answer);
-  stream_origins = std::move(other247.stream_origins);
-  stream_ask = std::move(other247.stream_ask);
-  stream_answer = std::move(other247.stream_answer);
-  __isset = other247.__isset;
+EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other253) noexcept {
+  record = std::move(other253.record);
+  quota_ask = std::move(other253.quota_ask);
+  quota_answer = std::move(other253.quota_answer);
+  engine_ask = std::move(other253.engine_ask);
+  engine_answer = std::move(other253.engine_answer);
+  stream_origins = std::move(other253.stream_origins);
+  stream_ask = std::move(other253.stream_ask);
+  stream_answer = std::move(other253.stream_answer);
+  __isset = other253.__isset;
   return *this;
 }
 void EntryDatagram::printTo(std::ostream& out) const {
@@ -6637,18 +6701,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other248) noexcept {
-  (void) other248;
+Drain::Drain(const Drain& other254) noexcept {
+  (void) other254;
 }
-Drain::Drain(Drain&& other249) noexcept {
-  (void) other249;
+Drain::Drain(Drain&& other255) noexcept {
+  (void) other255;
 }
-Drain& Drain::operator=(const Drain& other250) noexcept {
-  (void) other250;
+Drain& Drain::operator=(const Drain& other256) noexcept {
+  (void) other256;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other251) noexcept {
-  (void) other251;
+Drain& Drain::operator=(Drain&& other257) noexcept {
+  (void) other257;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -6733,22 +6797,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other252) noexcept {
-  running = other252.running;
-  __isset = other252.__isset;
+DrainState::DrainState(const DrainState& other258) noexcept {
+  running = other258.running;
+  __isset = other258.__isset;
 }
-DrainState::DrainState(DrainState&& other253) noexcept {
-  running = other253.running;
-  __isset = other253.__isset;
+DrainState::DrainState(DrainState&& other259) noexcept {
+  running = other259.running;
+  __isset = other259.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other254) noexcept {
-  running = other254.running;
-  __isset = other254.__isset;
+DrainState& DrainState::operator=(const DrainState& other260) noexcept {
+  running = other260.running;
+  __isset = other260.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other255) noexcept {
-  running = other255.running;
-  __isset = other255.__isset;
+DrainState& DrainState::operator=(DrainState&& other261) noexcept {
+  running = other261.running;
+  __isset = other261.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -6810,14 +6874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->have_parts.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->have_parts.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += iprot->readString(this->have_parts[_i260]);
+              xfer += iprot->readString(this->have_parts[_i266]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6850,10 +6914,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter261;
-    for (_iter261 = this->have_parts.begin(); _iter261 != this->have_parts.end(); ++_iter261)
+    std::vector<std::string> ::const_iterator _iter267;
+    for (_iter267 = this->have_parts.begin(); _iter267 != this->have_parts.end(); ++_iter267)
     {
-      xfer += oprot->writeString((*_iter261));
+      xfer += oprot->writeString((*_iter267));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6871,26 +6935,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other262) {
-  have_version = other262.have_version;
-  have_parts = other262.have_parts;
-  __isset = other262.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other268) {
+  have_version = other268.have_version;
+  have_parts = other268.have_parts;
+  __isset = other268.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other263) noexcept {
-  have_version = other263.have_version;
-  have_parts = std::move(other263.have_parts);
-  __isset = other263.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other269) noexcept {
+  have_version = other269.have_version;
+  have_parts = std::move(other269.have_parts);
+  __isset = other269.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other264) {
-  have_version = other264.have_version;
-  have_parts = other264.have_parts;
-  __isset = other264.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other270) {
+  have_version = other270.have_version;
+  have_parts = other270.have_parts;
+  __isset = other270.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other265) noexcept {
-  have_version = other265.have_version;
-  have_parts = std::move(other265.have_parts);
-  __isset = other265.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other271) noexcept {
+  have_version = other271.have_version;
+  have_parts = std::move(other271.have_parts);
+  __isset = other271.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -6994,26 +7058,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other266) {
-  hash = other266.hash;
-  data = other266.data;
-  __isset = other266.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other272) {
+  hash = other272.hash;
+  data = other272.data;
+  __isset = other272.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other267) noexcept {
-  hash = std::move(other267.hash);
-  data = std::move(other267.data);
-  __isset = other267.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other273) noexcept {
+  hash = std::move(other273.hash);
+  data = std::move(other273.data);
+  __isset = other273.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other268) {
-  hash = other268.hash;
-  data = other268.data;
-  __isset = other268.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other274) {
+  hash = other274.hash;
+  data = other274.data;
+  __isset = other274.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other269) noexcept {
-  hash = std::move(other269.hash);
-  data = std::move(other269.data);
-  __isset = other269.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other275) noexcept {
+  hash = std::move(other275.hash);
+  data = std::move(other275.data);
+  __isset = other275.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -7092,14 +7156,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->part_hashes.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->part_hashes.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += iprot->readString(this->part_hashes[_i274]);
+              xfer += iprot->readString(this->part_hashes[_i280]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7112,14 +7176,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->parts.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->parts.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->parts[_i279].read(iprot);
+              xfer += this->parts[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7156,10 +7220,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter280;
-    for (_iter280 = this->part_hashes.begin(); _iter280 != this->part_hashes.end(); ++_iter280)
+    std::vector<std::string> ::const_iterator _iter286;
+    for (_iter286 = this->part_hashes.begin(); _iter286 != this->part_hashes.end(); ++_iter286)
     {
-      xfer += oprot->writeString((*_iter280));
+      xfer += oprot->writeString((*_iter286));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7168,10 +7232,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter281;
-    for (_iter281 = this->parts.begin(); _iter281 != this->parts.end(); ++_iter281)
+    std::vector<ConfigPart> ::const_iterator _iter287;
+    for (_iter287 = this->parts.begin(); _iter287 != this->parts.end(); ++_iter287)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7191,34 +7255,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other282) {
-  version = other282.version;
-  plan_id = other282.plan_id;
-  part_hashes = other282.part_hashes;
-  parts = other282.parts;
-  __isset = other282.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other283) noexcept {
-  version = other283.version;
-  plan_id = std::move(other283.plan_id);
-  part_hashes = std::move(other283.part_hashes);
-  parts = std::move(other283.parts);
-  __isset = other283.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other284) {
-  version = other284.version;
-  plan_id = other284.plan_id;
-  part_hashes = other284.part_hashes;
-  parts = other284.parts;
-  __isset = other284.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other288) {
+  version = other288.version;
+  plan_id = other288.plan_id;
+  part_hashes = other288.part_hashes;
+  parts = other288.parts;
+  __isset = other288.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other289) noexcept {
+  version = other289.version;
+  plan_id = std::move(other289.plan_id);
+  part_hashes = std::move(other289.part_hashes);
+  parts = std::move(other289.parts);
+  __isset = other289.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other290) {
+  version = other290.version;
+  plan_id = other290.plan_id;
+  part_hashes = other290.part_hashes;
+  parts = other290.parts;
+  __isset = other290.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other285) noexcept {
-  version = other285.version;
-  plan_id = std::move(other285.plan_id);
-  part_hashes = std::move(other285.part_hashes);
-  parts = std::move(other285.parts);
-  __isset = other285.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other291) noexcept {
+  version = other291.version;
+  plan_id = std::move(other291.plan_id);
+  part_hashes = std::move(other291.part_hashes);
+  parts = std::move(other291.parts);
+  __isset = other291.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -7746,114 +7810,114 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other286) {
-  hello = other286.hello;
-  heartbeat = other286.heartbeat;
-  credit = other286.credit;
-  cancel = other286.cancel;
-  refusal = other286.refusal;
-  place = other286.place;
-  placed = other286.placed;
-  place_done = other286.place_done;
-  run = other286.run;
-  run_head = other286.run_head;
-  chunk = other286.chunk;
-  run_end = other286.run_end;
-  void_attempt = other286.void_attempt;
-  attempt_state = other286.attempt_state;
-  ensure_model = other286.ensure_model;
-  model_ready = other286.model_ready;
-  subscribe = other286.subscribe;
-  endpoint_report = other286.endpoint_report;
-  drain = other286.drain;
-  drain_state = other286.drain_state;
-  config_pull = other286.config_pull;
-  config_parts = other286.config_parts;
-  release_engine = other286.release_engine;
-  engine_released = other286.engine_released;
-  __isset = other286.__isset;
-}
-Message::Message(Message&& other287) noexcept {
-  hello = std::move(other287.hello);
-  heartbeat = std::move(other287.heartbeat);
-  credit = std::move(other287.credit);
-  cancel = std::move(other287.cancel);
-  refusal = std::move(other287.refusal);
-  place = std::move(other287.place);
-  placed = std::move(other287.placed);
-  place_done = std::move(other287.place_done);
-  run = std::move(other287.run);
-  run_head = std::move(other287.run_head);
-  chunk = std::move(other287.chunk);
-  run_end = std::move(other287.run_end);
-  void_attempt = std::move(other287.void_attempt);
-  attempt_state = std::move(other287.attempt_state);
-  ensure_model = std::move(other287.ensure_model);
-  model_ready = std::move(other287.model_ready);
-  subscribe = std::move(other287.subscribe);
-  endpoint_report = std::move(other287.endpoint_report);
-  drain = std::move(other287.drain);
-  drain_state = std::move(other287.drain_state);
-  config_pull = std::move(other287.config_pull);
-  config_parts = std::move(other287.config_parts);
-  release_engine = std::move(other287.release_engine);
-  engine_released = std::move(other287.engine_released);
-  __isset = other287.__isset;
-}
-Message& Message::operator=(const Message& other288) {
-  hello = other288.hello;
-  heartbeat = other288.heartbeat;
-  credit = other288.credit;
-  cancel = other288.cancel;
-  refusal = other288.refusal;
-  place = other288.place;
-  placed = other288.placed;
-  place_done = other288.place_done;
-  run = other288.run;
-  run_head = other288.run_head;
-  chunk = other288.chunk;
-  run_end = other288.run_end;
-  void_attempt = other288.void_attempt;
-  attempt_state = other288.attempt_state;
-  ensure_model = other288.ensure_model;
-  model_ready = other288.model_ready;
-  subscribe = other288.subscribe;
-  endpoint_report = other288.endpoint_report;
-  drain = other288.drain;
-  drain_state = other288.drain_state;
-  config_pull = other288.config_pull;
-  config_parts = other288.config_parts;
-  release_engine = other288.release_engine;
-  engine_released = other288.engine_released;
-  __isset = other288.__isset;
+Message::Message(const Message& other292) {
+  hello = other292.hello;
+  heartbeat = other292.heartbeat;
+  credit = other292.credit;
+  cancel = other292.cancel;
+  refusal = other292.refusal;
+  place = other292.place;
+  placed = other292.placed;
+  place_done = other292.place_done;
+  run = other292.run;
+  run_head = other292.run_head;
+  chunk = other292.chunk;
+  run_end = other292.run_end;
+  void_attempt = other292.void_attempt;
+  attempt_state = other292.attempt_state;
+  ensure_model = other292.ensure_model;
+  model_ready = other292.model_ready;
+  subscribe = other292.subscribe;
+  endpoint_report = other292.endpoint_report;
+  drain = other292.drain;
+  drain_state = other292.drain_state;
+  config_pull = other292.config_pull;
+  config_parts = other292.config_parts;
+  release_engine = other292.release_engine;
+  engine_released = other292.engine_released;
+  __isset = other292.__isset;
+}
+Message::Message(Message&& other293) noexcept {
+  hello = std::move(other293.hello);
+  heartbeat = std::move(other293.heartbeat);
+  credit = std::move(other293.credit);
+  cancel = std::move(other293.cancel);
+  refusal = std::move(other293.refusal);
+  place = std::move(other293.place);
+  placed = std::move(other293.placed);
+  place_done = std::move(other293.place_done);
+  run = std::move(other293.run);
+  run_head = std::move(other293.run_head);
+  chunk = std::move(other293.chunk);
+  run_end = std::move(other293.run_end);
+  void_attempt = std::move(other293.void_attempt);
+  attempt_state = std::move(other293.attempt_state);
+  ensure_model = std::move(other293.ensure_model);
+  model_ready = std::move(other293.model_ready);
+  subscribe = std::move(other293.subscribe);
+  endpoint_report = std::move(other293.endpoint_report);
+  drain = std::move(other293.drain);
+  drain_state = std::move(other293.drain_state);
+  config_pull = std::move(other293.config_pull);
+  config_parts = std::move(other293.config_parts);
+  release_engine = std::move(other293.release_engine);
+  engine_released = std::move(other293.engine_released);
+  __isset = other293.__isset;
+}
+Message& Message::operator=(const Message& other294) {
+  hello = other294.hello;
+  heartbeat = other294.heartbeat;
+  credit = other294.credit;
+  cancel = other294.cancel;
+  refusal = other294.refusal;
+  place = other294.place;
+  placed = other294.placed;
+  place_done = other294.place_done;
+  run = other294.run;
+  run_head = other294.run_head;
+  chunk = other294.chunk;
+  run_end = other294.run_end;
+  void_attempt = other294.void_attempt;
+  attempt_state = other294.attempt_state;
+  ensure_model = other294.ensure_model;
+  model_ready = other294.model_ready;
+  subscribe = other294.subscribe;
+  endpoint_report = other294.endpoint_report;
+  drain = other294.drain;
+  drain_state = other294.drain_state;
+  config_pull = other294.config_pull;
+  config_parts = other294.config_parts;
+  release_engine = other294.release_engine;
+  engine_released = other294.engine_released;
+  __isset = other294.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other289) noexcept {
-  hello = std::move(other289.hello);
-  heartbeat = std::move(other289.heartbeat);
-  credit = std::move(other289.credit);
-  cancel = std::move(other289.cancel);
-  refusal = std::move(other289.refusal);
-  place = std::move(other289.place);
-  placed = std::move(other289.placed);
-  place_done = std::move(other289.place_done);
-  run = std::move(other289.run);
-  run_head = std::move(other289.run_head);
-  chunk = std::move(other289.chunk);
-  run_end = std::move(other289.run_end);
-  void_attempt = std::move(other289.void_attempt);
-  attempt_state = std::move(other289.attempt_state);
-  ensure_model = std::move(other289.ensure_model);
-  model_ready = std::move(other289.model_ready);
-  subscribe = std::move(other289.subscribe);
-  endpoint_report = std::move(other289.endpoint_report);
-  drain = std::move(other289.drain);
-  drain_state = std::move(other289.drain_state);
-  config_pull = std::move(other289.config_pull);
-  config_parts = std::move(other289.config_parts);
-  release_engine = std::move(other289.release_engine);
-  engine_released = std::move(other289.engine_released);
-  __isset = other289.__isset;
+Message& Message::operator=(Message&& other295) noexcept {
+  hello = std::move(other295.hello);
+  heartbeat = std::move(other295.heartbeat);
+  credit = std::move(other295.credit);
+  cancel = std::move(other295.cancel);
+  refusal = std::move(other295.refusal);
+  place = std::move(other295.place);
+  placed = std::move(other295.placed);
+  place_done = std::move(other295.place_done);
+  run = std::move(other295.run);
+  run_head = std::move(other295.run_head);
+  chunk = std::move(other295.chunk);
+  run_end = std::move(other295.run_end);
+  void_attempt = std::move(other295.void_attempt);
+  attempt_state = std::move(other295.attempt_state);
+  ensure_model = std::move(other295.ensure_model);
+  model_ready = std::move(other295.model_ready);
+  subscribe = std::move(other295.subscribe);
+  endpoint_report = std::move(other295.endpoint_report);
+  drain = std::move(other295.drain);
+  drain_state = std::move(other295.drain_state);
+  config_pull = std::move(other295.config_pull);
+  config_parts = std::move(other295.config_parts);
+  release_engine = std::move(other295.release_engine);
+  engine_released = std::move(other295.engine_released);
+  __isset = other295.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -8013,34 +8077,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other290) {
-  call = other290.call;
-  from_opener = other290.from_opener;
-  config_version = other290.config_version;
-  message = other290.message;
-  __isset = other290.__isset;
-}
-Frame::Frame(Frame&& other291) noexcept {
-  call = other291.call;
-  from_opener = other291.from_opener;
-  config_version = other291.config_version;
-  message = std::move(other291.message);
-  __isset = other291.__isset;
-}
-Frame& Frame::operator=(const Frame& other292) {
-  call = other292.call;
-  from_opener = other292.from_opener;
-  config_version = other292.config_version;
-  message = other292.message;
-  __isset = other292.__isset;
+Frame::Frame(const Frame& other296) {
+  call = other296.call;
+  from_opener = other296.from_opener;
+  config_version = other296.config_version;
+  message = other296.message;
+  __isset = other296.__isset;
+}
+Frame::Frame(Frame&& other297) noexcept {
+  call = other297.call;
+  from_opener = other297.from_opener;
+  config_version = other297.config_version;
+  message = std::move(other297.message);
+  __isset = other297.__isset;
+}
+Frame& Frame::operator=(const Frame& other298) {
+  call = other298.call;
+  from_opener = other298.from_opener;
+  config_version = other298.config_version;
+  message = other298.message;
+  __isset = other298.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other293) noexcept {
-  call = other293.call;
-  from_opener = other293.from_opener;
-  config_version = other293.config_version;
-  message = std::move(other293.message);
-  __isset = other293.__isset;
+Frame& Frame::operator=(Frame&& other299) noexcept {
+  call = other299.call;
+  from_opener = other299.from_opener;
+  config_version = other299.config_version;
+  message = std::move(other299.message);
+  __isset = other299.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -2312,10 +2312,11 @@
 std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj);
 
 typedef struct _StreamAsk__isset {
-  _StreamAsk__isset() : entry(false), number(false), request_id(false) {}
+  _StreamAsk__isset() : entry(false), number(false), request_id(false), service_id(false) {}
   bool entry :1;
   bool number :1;
   bool request_id :1;
+  bool service_id :1;
 } _StreamAsk__isset;
 
 class StreamAsk : public virtual ::apache::thrift::TBase {
@@ -2328,13 +2329,15 @@
   StreamAsk() noexcept
             : entry(),
               number(0),
-              request_id() {
+              request_id(),
+              service_id() {
   }
 
   virtual ~StreamAsk() noexcept;
   std::string entry;
   int64_t number;
   std::string request_id;
+  std::string service_id;
 
   _StreamAsk__isset __isset;
 
@@ -2344,6 +2347,8 @@
 
   void __set_request_id(const std::string& val);
 
+  void __set_service_id(const std::string& val);
+
   bool operator == (const StreamAsk & rhs) const
   {
     if (!(entry == rhs.entry))
@@ -2352,6 +2357,8 @@
       return false;
     if (!(request_id == rhs.request_id))
       return false;
+    if (!(service_id == rhs.service_id))
+      return false;
     return true;
   }
   bool operator != (const StreamAsk &rhs) const {
@@ -2371,10 +2378,11 @@
 std::ostream& operator<<(std::ostream& out, const StreamAsk& obj);
 
 typedef struct _StreamAnswer__isset {
-  _StreamAnswer__isset() : entry(false), number(false), origin(false) {}
+  _StreamAnswer__isset() : entry(false), number(false), origin(false), versions(false) {}
   bool entry :1;
   bool number :1;
   bool origin :1;
+  bool versions :1;
 } _StreamAnswer__isset;
 
 class StreamAnswer : public virtual ::apache::thrift::TBase {
@@ -2393,6 +2401,7 @@
   std::string entry;
   int64_t number;
   StreamOrigin origin;
+  std::vector<std::string>  versions;
 
   _StreamAnswer__isset __isset;
 
@@ -2402,6 +2411,8 @@
 
   void __set_origin(const StreamOrigin& val);
 
+  void __set_versions(const std::vector<std::string> & val);
+
   bool operator == (const StreamAnswer & rhs) const
   {
     if (!(entry == rhs.entry))
@@ -2412,6 +2423,8 @@
       return false;
     else if (__isset.origin && !(origin == rhs.origin))
       return false;
+    if (!(versions == rhs.versions))
+      return false;
     return true;
   }
   bool operator != (const StreamAnswer &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -295,6 +295,7 @@
   1: string entry
   2: i64 number
   3: string request_id
+  4: string service_id
 }
 struct StreamAnswer {
   // The key of the answering entry's EntryPresence.
@@ -302,6 +303,8 @@
   2: i64 number
   // Not set if the entry does not know it.
   3: optional StreamOrigin origin
+  // Software versions that have lately served the service.
+  4: list<string> versions
 }
 
 // Software versions that have lately served a service. Stored in the key-value
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -237,7 +237,7 @@
         crash_watch(store, loads, io.get_executor(), clock, log),
         version_history(registry, clock),
         stream_directory(
-            {"self"}, version_history, peer_table,
+            {"self"}, version_history, peer_table, [] { return true; },
             [](const std::string&, const gen::EntryDatagram&) {}, clock),
         quota_client(
             {"self", "vm"}, peer_table,
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -241,6 +241,9 @@
       version_history_(registry_, clock),
       stream_directory_(
           DirectoryOptionsOf(presence_key_), version_history_, peer_table_,
+          [this] {
+            return !store_follower_.failing() && !store_follower_.IsLate();
+          },
           [this](const std::string& address,
                  const gen::EntryDatagram& datagram) {
             channel_.Send(address, datagram);
--- a/src/serving/version_store.cc
+++ b/src/serving/version_store.cc
@@ -1,6 +1,7 @@
 /** @file version_store.cc Shares the software versions of services through the
  * store. */
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -95,12 +96,23 @@
   for (const core::ServiceId& it : services) MaintainService(it);
 }
 
-void VersionStore::MaintainService(const core::ServiceId& service) {
-  streams::VersionSet versions = history_.Recent(service);
+/** @return The stored versions that are recent, and those that this entry has
+ * seen registered; none if that is one version. */
+streams::VersionSet VersionStore::VersionsToStore(
+    const core::ServiceId& service, const StoredVersions& stored) const {
+  streams::VersionSet versions = history_.Observed(service);
+  const streams::VersionSet recent = history_.Recent(service);
+  std::ranges::set_intersection(stored.versions, recent,
+                                std::inserter(versions, versions.end()));
   if (versions.size() < 2) versions.clear();
+  return versions;
+}
+
+void VersionStore::MaintainService(const core::ServiceId& service) {
   const auto it = stored_.find(service);
   const StoredVersions stored =
       it == stored_.end() ? StoredVersions() : it->second;
+  const streams::VersionSet versions = VersionsToStore(service, stored);
   if (versions == stored.versions) {
     due_.erase(service);
     return;
--- a/src/serving/version_store_base.h
+++ b/src/serving/version_store_base.h
@@ -52,6 +52,8 @@
   void ApplyListing(const std::vector<external::KvEntry>& entries);
   void Apply(const external::KvEntry& entry);
   void ApplyChange(const external::KvEvent& event);
+  [[nodiscard]] streams::VersionSet VersionsToStore(
+      const core::ServiceId& service, const StoredVersions& stored) const;
   void MaintainService(const core::ServiceId& service);
   core::Task<> Write(core::ServiceId service, streams::VersionSet versions,
                      std::int64_t revision);
--- a/src/serving/version_store_test.cc
+++ b/src/serving/version_store_test.cc
@@ -87,6 +87,29 @@
   BOOST_TEST(started.history.HasSeveral(kService));
 }
 
+/** Guards against entries that write a version that has left again and again,
+ * each because it has read it from the store. */
+BOOST_AUTO_TEST_CASE(ReportedVersionIsNotWrittenAgain) {
+  core::ManualClock store_clock;
+  entry::testing::MemoryKeyValue store(store_clock);
+  Rig rig(store);
+  rig.PutEngine("i-1", "v1");
+  rig.PutEngine("i-2", "v2");
+  rig.Maintain();
+  rig.registry.Remove(fleet::EngineId("i-1"), std::nullopt);
+  rig.clock.Advance(streams::kMaxStreamAge - std::chrono::seconds(1));
+  Rig later(store);
+  later.PutEngine("i-2", "v2");
+  later.Maintain();
+  rig.clock.Advance(std::chrono::seconds(2));
+  rig.Maintain();
+  BOOST_TEST_REQUIRE(!store.Peek(kKey).has_value());
+  later.Maintain();
+  later.clock.Advance(std::chrono::seconds(5));
+  later.Maintain();
+  BOOST_TEST(!store.Peek(kKey).has_value());
+}
+
 /** Guards against versions that are stored for ever, so that streams of unknown
  * origin are refused although one version serves. */
 BOOST_AUTO_TEST_CASE(VersionsThatLeftLongAgoAreRemoved) {
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -31,11 +31,13 @@
 
 StreamDirectory::StreamDirectory(DirectoryOptions options,
                                  VersionHistory& history,
-                                 const fleet::PeerTable& peer_table, Send send,
-                                 const core::Clock& clock)
+                                 const fleet::PeerTable& peer_table,
+                                 std::function<bool()> view_is_current,
+                                 Send send, const core::Clock& clock)
     : options_(std::move(options)),
       history_(history),
       peer_table_(peer_table),
+      view_is_current_(std::move(view_is_current)),
       send_(std::move(send)),
       clock_(clock),
       table_(clock) {}
@@ -101,16 +103,19 @@
                                                core::ServiceId service) {
   OriginLookup lookup;
   std::optional<StreamOrigin> origin = table_.Find(attempt);
-  if (origin) lookup.source = OriginSource::kOwnRecord;
-  const VersionSet versions = history_.Recent(service);
-  if (!origin && versions.size() == 1) {
-    lookup.source = OriginSource::kOnlyVersion;
-    lookup.version = *versions.begin();
-    co_return lookup;
-  }
-  if (!origin && !attempt.empty()) {
-    origin = co_await AskPeers(std::move(attempt), lookup.asked);
-    if (origin) lookup.source = OriginSource::kPeer;
+  if (origin) {
+    lookup.source = OriginSource::kOwnRecord;
+  } else {
+    const std::shared_ptr<Search> search = BeginSearch(attempt, service);
+    co_await RunSearch(search);
+    lookup.asked = search->asked;
+    origin = search->found;
+    if (origin) {
+      lookup.source = OriginSource::kPeer;
+    } else {
+      lookup.version = OnlyVersion(*search);
+      if (lookup.version) lookup.source = OriginSource::kOnlyVersion;
+    }
   }
   if (origin) {
     lookup.version = origin->version;
@@ -120,35 +125,55 @@
   co_return lookup;
 }
 
-/** @param asked Set to the number of entries that were asked. */
-core::Task<std::optional<StreamOrigin>> StreamDirectory::AskPeers(
-    core::RequestId attempt, int& asked) {
-  const std::int64_t number = ++last_number_;
+std::shared_ptr<StreamDirectory::Search> StreamDirectory::BeginSearch(
+    const core::RequestId& attempt, const core::ServiceId& service) {
   const auto search = std::make_shared<Search>();
-  searches_[number] = search;
+  search->service = service;
   gen::StreamAsk ask;
   ask.entry = options_.entry;
-  ask.number = number;
+  ask.number = ++last_number_;
   ask.request_id = attempt.value();
-  gen::EntryDatagram datagram;
-  datagram.__set_stream_ask(ask);
-  const std::vector<fleet::Peer> peers = RankedPeers(attempt);
+  ask.service_id = service.value();
+  search->question.__set_stream_ask(ask);
+  search->to_ask = RankedPeers(attempt);
+  std::ranges::reverse(search->to_ask);
+  searches_[ask.number] = search;
+  return search;
+}
+
+/** Asks the next `n` entries, or as many as are left. */
+void StreamDirectory::AskNext(Search& search, std::size_t n) {
+  for (std::size_t i = 0; i < n && !search.to_ask.empty(); ++i) {
+    const fleet::Peer& peer = search.to_ask.back();
+    search.unanswered.insert(peer.entry);
+    ++search.asked;
+    send_(peer.address, search.question);
+    search.to_ask.pop_back();
+  }
+}
+
+/** Asks the holders of the origin; then all others, if the origin is needed
+ * because several versions serve. */
+core::Task<> StreamDirectory::RunSearch(std::shared_ptr<Search> search) {
   const core::SteadyTime began = clock_.Now();
-  std::size_t next = 0;
-  const auto ask_up_to = [&](std::size_t n) {
-    for (; next < std::min(n, peers.size()); ++next, ++asked) {
-      search->unanswered.insert(peers[next].entry);
-      send_(peers[next].address, datagram);
-    }
-  };
-  ask_up_to(options_.holders);
+  AskNext(*search, options_.holders);
   co_await Await(search, began + options_.holder_timeout);
-  if (!search->found) {
-    ask_up_to(peers.size());
+  if (!search->found && history_.HasSeveral(search->service)) {
+    AskNext(*search, search->to_ask.size());
     co_await Await(search, began + options_.timeout);
   }
-  searches_.erase(number);
-  co_return search->found;
+  searches_.erase(search->question.stream_ask.number);
+}
+
+/** @return The only version that has lately served, unless this entry may have
+ * missed another one: then its view of the store is not current, and no other
+ * entry has answered. */
+std::optional<fleet::SoftwareVersion> StreamDirectory::OnlyVersion(
+    const Search& search) {
+  const VersionSet versions = history_.Recent(search.service);
+  const bool is_known = view_is_current_() || search.answered;
+  if (versions.size() != 1 || !is_known) return std::nullopt;
+  return *versions.begin();
 }
 
 /** Waits until the origin is found, all who were asked have answered, or the
@@ -176,6 +201,9 @@
   answer.number = ask.number;
   const auto origin = table_.Find(core::RequestId(ask.request_id));
   if (origin) answer.__set_origin(ToMessage(*origin));
+  for (const auto& it : history_.Observed(core::ServiceId(ask.service_id))) {
+    answer.versions.push_back(it.value());
+  }
   gen::EntryDatagram datagram;
   datagram.__set_stream_answer(answer);
   send_(address, datagram);
@@ -186,6 +214,12 @@
   if (it == searches_.end()) return;
   Search& search = *it->second;
   search.unanswered.erase(answer.entry);
+  search.answered = true;
+  VersionSet versions;
+  for (const std::string& version : answer.versions) {
+    versions.insert(fleet::SoftwareVersion(version));
+  }
+  history_.Add(search.service, versions);
   if (answer.__isset.origin) search.found = FromMessage(answer.origin);
   search.changed.Notify();
 }
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -45,7 +45,8 @@
  * An entry records the origin of each stream that it begins. While several
  * versions serve, it also sends the origin, with the stream's first event, to
  * the entries that come first by rendezvous hashing of the attempt's id. An
- * entry that has to go on with the stream asks these, then all others.
+ * entry that has to go on with the stream asks these, then all others. It asks
+ * even if it knows one version only, as its view of the store may be behind.
  *
  * Uses no network: it sends messages through a function. Not thread-safe.
  */
@@ -54,9 +55,13 @@
   using Send = std::function<void(const std::string& address,
                                   const gen::EntryDatagram& datagram)>;
 
-  /** @pre All references outlive the directory. */
+  /**
+   * @param view_is_current Returns false while the store can't be followed.
+   * @pre All references outlive the directory.
+   */
   StreamDirectory(DirectoryOptions options, VersionHistory& history,
-                  const fleet::PeerTable& peer_table, Send send,
+                  const fleet::PeerTable& peer_table,
+                  std::function<bool()> view_is_current, Send send,
                   const core::Clock& clock);
 
   /** Records that the attempt's stream begins, or is taken up, at a version. */
@@ -86,8 +91,14 @@
  private:
   /** A search in progress. */
   struct Search {
+    core::ServiceId service;
+    gen::EntryDatagram question;
+    /** Entries that are not asked yet, the next one last. */
+    std::vector<fleet::Peer> to_ask;
     /** Entries that have not answered yet. */
     std::set<std::string> unanswered;
+    int asked = 0;
+    bool answered = false;
     std::optional<StreamOrigin> found;
     core::Signal changed;
   };
@@ -96,8 +107,12 @@
   void PublishAll(const std::set<core::ServiceId>& services);
   [[nodiscard]] std::vector<fleet::Peer> RankedPeers(
       const core::RequestId& attempt) const;
-  core::Task<std::optional<StreamOrigin>> AskPeers(core::RequestId attempt,
-                                                   int& asked);
+  std::shared_ptr<Search> BeginSearch(const core::RequestId& attempt,
+                                      const core::ServiceId& service);
+  void AskNext(Search& search, std::size_t n);
+  core::Task<> RunSearch(std::shared_ptr<Search> search);
+  [[nodiscard]] std::optional<fleet::SoftwareVersion> OnlyVersion(
+      const Search& search);
   core::Task<> Await(std::shared_ptr<Search> search, core::SteadyTime until);
   [[nodiscard]] gen::StreamOrigin ToMessage(const StreamOrigin& origin) const;
   [[nodiscard]] StreamOrigin FromMessage(const gen::StreamOrigin& origin) const;
@@ -105,6 +120,7 @@
   const DirectoryOptions options_;
   VersionHistory& history_;
   const fleet::PeerTable& peer_table_;
+  const std::function<bool()> view_is_current_;
   const Send send_;
   const core::Clock& clock_;
   OriginTable table_;
--- a/src/streams/stream_directory_test.cc
+++ b/src/streams/stream_directory_test.cc
@@ -53,6 +53,7 @@
     registry.Put(std::move(engine));
   }
 
+  bool view_is_current = true;
   fleet::EngineRegistry registry;
   fleet::EngineLoads loads;
   fleet::PeerTable peer_table;
@@ -134,17 +135,25 @@
   int sent = 0;
   bool drops = false;
 
+  /** @return The presences of all other entries. */
+  [[nodiscard]] std::map<std::string, gen::EntryPresence> PeersOf(
+      const std::string& name) const {
+    std::map<std::string, gen::EntryPresence> others;
+    for (const auto& [other, ignored] : nodes) {
+      gen::EntryPresence presence;
+      presence.vm = other;
+      presence.address = other;
+      if (other != name) others[other] = presence;
+    }
+    return others;
+  }
+
+  [[nodiscard]] const core::Logger& log() const { return log_; }
+
  private:
   void Connect() {
     for (auto& [name, node] : nodes) {
-      std::map<std::string, gen::EntryPresence> others;
-      for (const auto& [other, ignored] : nodes) {
-        gen::EntryPresence presence;
-        presence.vm = other;
-        presence.address = other;
-        if (other != name) others[other] = presence;
-      }
-      node->peer_table.SetEntries(others);
+      node->peer_table.SetEntries(PeersOf(name));
     }
   }
 
@@ -165,6 +174,7 @@
       history(registry, clock),
       directory(
           OptionsOf(name), history, peer_table,
+          [this] { return view_is_current; },
           [&network, name](const std::string& address,
                            const gen::EntryDatagram& datagram) {
             network.Send(name, address, datagram);
@@ -275,16 +285,43 @@
 BOOST_FIXTURE_TEST_CASE(OnlyVersionIsOneThatHasServedAloneForLong, Network) {
   BOOST_TEST((Find("b", kAttempt).source == OriginSource::kOnlyVersion));
   AddNewVersion();
-  Node& node = *nodes.at("b");
-  node.registry.Remove(fleet::EngineId("i-old"), std::nullopt);
+  for (auto& [name, node] : nodes) {
+    node->registry.Remove(fleet::EngineId("i-old"), std::nullopt);
+  }
   BOOST_TEST((Find("b", kAttempt).source == OriginSource::kUnknown));
   clock.moved += kMaxStreamAge + std::chrono::seconds(1);
-  node.directory.Maintain();
+  for (auto& [name, node] : nodes) node->directory.Maintain();
   const OriginLookup lookup = Find("b", kAttempt);
   BOOST_TEST((lookup.source == OriginSource::kOnlyVersion));
   BOOST_TEST((lookup.version == kNew));
 }
 
+/** Guards against a wrong guess of an entry that has not heard of the second
+ * version yet. */
+BOOST_FIXTURE_TEST_CASE(EntryBehindTheStoreLearnsOfTheSecondVersion, Network) {
+  Kill("b");
+  AddNewVersion();
+  nodes.at("a")->directory.Record(kAttempt, kService, kNew);
+  Settle();
+  nodes["b"] = std::make_unique<Node>(*this, "b", clock, log());
+  nodes.at("b")->PutEngine("i-old", kOld);
+  nodes.at("b")->peer_table.SetEntries(PeersOf("b"));
+  BOOST_TEST((Find("b", kAttempt).version == kNew));
+  const OriginLookup other = Find("b", core::RequestId("other"));
+  BOOST_TEST((other.source == OriginSource::kUnknown));
+}
+
+/** Guards against a guess of an entry that reaches neither the store nor the
+ * other entries. */
+BOOST_FIXTURE_TEST_CASE(IsolatedEntryDoesNotGuess, Network) {
+  nodes.at("b")->view_is_current = false;
+  BOOST_TEST((Find("b", kAttempt).source == OriginSource::kOnlyVersion));
+  drops = true;
+  BOOST_TEST((Find("b", kAttempt).source == OriginSource::kUnknown));
+  nodes.at("b")->view_is_current = true;
+  BOOST_TEST((Find("b", kAttempt).source == OriginSource::kOnlyVersion));
+}
+
 /** Guards against a table that grows without bound, in number and in age. */
 BOOST_FIXTURE_TEST_CASE(OriginsAreBounded, Network) {
   StreamDirectory& directory = nodes.at("a")->directory;
--- a/src/streams/version_history.cc
+++ b/src/streams/version_history.cc
@@ -7,11 +7,11 @@
 void VersionHistory::Update() {
   const core::SteadyTime now = clock_.Now();
   for (const auto& [instance, engine] : registry_.engines()) {
-    last_seen_[engine.service][engine.software_version] = now;
+    last_seen_[engine.service][engine.software_version] = {now, true};
   }
   for (auto& [service, versions] : last_seen_) {
     std::erase_if(versions, [now](const auto& it) {
-      return now - it.second > kMaxStreamAge;
+      return now - it.second.at > kMaxStreamAge;
     });
   }
   std::erase_if(last_seen_, [](const auto& it) { return it.second.empty(); });
@@ -25,7 +25,7 @@
 void VersionHistory::Add(const core::ServiceId& service,
                          const VersionSet& versions) {
   for (const fleet::SoftwareVersion& it : versions) {
-    last_seen_[service].try_emplace(it, clock_.Now());
+    last_seen_[service].try_emplace(it, Seen{clock_.Now(), false});
   }
 }
 
@@ -34,10 +34,21 @@
   VersionSet recent;
   const auto it = last_seen_.find(service);
   if (it == last_seen_.end()) return recent;
-  for (const auto& [version, at] : it->second) recent.insert(version);
+  for (const auto& [version, seen] : it->second) recent.insert(version);
   return recent;
 }
 
+VersionSet VersionHistory::Observed(const core::ServiceId& service) {
+  UpdateIfChanged();
+  VersionSet observed;
+  const auto it = last_seen_.find(service);
+  if (it == last_seen_.end()) return observed;
+  for (const auto& [version, seen] : it->second) {
+    if (seen.by_this_entry) observed.insert(version);
+  }
+  return observed;
+}
+
 std::set<core::ServiceId> VersionHistory::Services() const {
   std::set<core::ServiceId> services;
   for (const auto& [service, versions] : last_seen_) services.insert(service);
--- a/src/streams/version_history_base.h
+++ b/src/streams/version_history_base.h
@@ -31,12 +31,17 @@
   /** Records the versions that are registered now; must be called regularly. */
   void Update();
 
-  /** Adds versions that another entry has seen. */
+  /** Adds versions that another entry has observed. */
   void Add(const core::ServiceId& service, const VersionSet& versions);
 
   /** @return The service's recent versions, as of now. */
   [[nodiscard]] VersionSet Recent(const core::ServiceId& service);
 
+  /** @return Those of the recent versions that this entry itself has seen
+   * registered. Only these are told to others: entries that repeat what they
+   * were told would keep a version recent for ever. */
+  [[nodiscard]] VersionSet Observed(const core::ServiceId& service);
+
   /** @return True if streams of the service may have several origins. */
   [[nodiscard]] bool HasSeveral(const core::ServiceId& service) {
     return Recent(service).size() > 1;
@@ -46,13 +51,17 @@
   [[nodiscard]] std::set<core::ServiceId> Services() const;
 
  private:
+  struct Seen {
+    core::SteadyTime at;
+    bool by_this_entry = false;
+  };
+
   void UpdateIfChanged();
 
   const fleet::EngineRegistry& registry_;
   const core::Clock& clock_;
-  /** When each version was last registered. */
-  std::map<core::ServiceId, std::map<fleet::SoftwareVersion, core::SteadyTime>>
-      last_seen_;
+  /** When each version was last registered, or reported. */
+  std::map<core::ServiceId, std::map<fleet::SoftwareVersion, Seen>> last_seen_;
   std::optional<std::int64_t> registry_generation_;
 };
 
