Rank the peers of a stream once for all its uses

Publishing all origins copied the table of peers for each of them. The bound of the table follows from what an entry keeps for its peers.

--- a/src/serving/unframed_answer_test.cc
+++ b/src/serving/unframed_answer_test.cc
@@ -102,7 +102,9 @@
         Exchange exchange(client, wire, request, limits, caller, clock,
                           ExchangeHooks(), io.get_executor());
         auto result = co_await exchange.Open(SendOptions(), is_stream);
-        if (!result) result = co_await exchange.Relay();
+        if (!result) {
+          result = co_await exchange.Relay();
+        }
         relayed.result = std::move(*result);
       },
       [](const std::exception_ptr& e) {
--- a/src/streams/origin_table_base.h
+++ b/src/streams/origin_table_base.h
@@ -16,9 +16,9 @@
  */
 class OriginTable {
  public:
-  /** A busy entry of a small fleet begins 50 streams a second and keeps as many
-   * for its peers. */
-  static constexpr std::size_t kMaxOrigins = 10'000;
+  /** An entry of a fleet that begins 50 streams a second at each entry keeps
+   * 12,000: its own, and three times as many for its peers. */
+  static constexpr std::size_t kMaxOrigins = 20'000;
 
   /** @pre `clock` outlives the table. */
   explicit OriginTable(const core::Clock& clock) : clock_(clock) {}
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -13,6 +13,24 @@
 /** Origins in one datagram, which is at most 60 kB long. */
 constexpr std::size_t kMaxOriginsPerDatagram = 200;
 
+/** @return The peers by rendezvous hashing: those that keep the attempt's
+ * origin come first. */
+std::vector<const fleet::Peer*> RankPeers(const std::vector<fleet::Peer>& peers,
+                                          const core::RequestId& attempt) {
+  std::vector<std::pair<std::uint64_t, const fleet::Peer*>> ranked;
+  ranked.reserve(peers.size());
+  for (const fleet::Peer& it : peers) {
+    const std::uint64_t rank =
+        core::HashOf(attempt.value(), core::HashOf(it.entry));
+    ranked.emplace_back(rank, &it);
+  }
+  std::ranges::sort(ranked, std::ranges::greater());
+  std::vector<const fleet::Peer*> sorted;
+  sorted.reserve(ranked.size());
+  for (const auto& [rank, peer] : ranked) sorted.push_back(peer);
+  return sorted;
+}
+
 }  // namespace
 
 std::string_view NameOf(OriginSource source) {
@@ -52,53 +70,43 @@
 
 void StreamDirectory::Publish(const StreamOrigin& origin) {
   gen::StreamOrigins message;
-  message.entry = options_.entry;
   message.origins.push_back(ToMessage(origin));
+  const std::vector<fleet::Peer> peers = peer_table_.Peers();
+  std::size_t sent = 0;
+  for (const fleet::Peer* it : RankPeers(peers, origin.attempt)) {
+    if (sent++ == options_.holders) return;
+    SendOrigins(it->address, message);
+  }
+}
+
+void StreamDirectory::SendOrigins(const std::string& address,
+                                  gen::StreamOrigins message) {
+  message.entry = options_.entry;
   gen::EntryDatagram datagram;
   datagram.__set_stream_origins(message);
-  const std::vector<fleet::Peer> peers = RankedPeers(origin.attempt);
-  const std::size_t n = std::min(options_.holders, peers.size());
-  for (std::size_t i = 0; i < n; ++i) send_(peers[i].address, datagram);
+  send_(address, datagram);
 }
 
 /** Sends the origins of these services to their holders, many at a time. */
 void StreamDirectory::PublishAll(const std::set<core::ServiceId>& services) {
+  const std::vector<fleet::Peer> peers = peer_table_.Peers();
   std::map<std::string, gen::StreamOrigins> by_address;
-  const auto flush = [this](const std::string& address,
-                            gen::StreamOrigins& message) {
-    gen::EntryDatagram datagram;
-    datagram.__set_stream_origins(message);
-    send_(address, datagram);
-    message.origins.clear();
-  };
   for (const StreamOrigin& origin : table_.origins()) {
     if (!services.contains(origin.service)) continue;
-    const std::vector<fleet::Peer> peers = RankedPeers(origin.attempt);
-    const std::size_t n = std::min(options_.holders, peers.size());
-    for (std::size_t i = 0; i < n; ++i) {
-      gen::StreamOrigins& message = by_address[peers[i].address];
-      message.entry = options_.entry;
+    std::vector<const fleet::Peer*> holders = RankPeers(peers, origin.attempt);
+    holders.resize(std::min(holders.size(), options_.holders));
+    for (const fleet::Peer* it : holders) {
+      gen::StreamOrigins& message = by_address[it->address];
       message.origins.push_back(ToMessage(origin));
-      if (message.origins.size() == kMaxOriginsPerDatagram) {
-        flush(peers[i].address, message);
-      }
+      if (message.origins.size() < kMaxOriginsPerDatagram) continue;
+      SendOrigins(it->address, std::exchange(message, {}));
     }
   }
   for (auto& [address, message] : by_address) {
-    if (!message.origins.empty()) flush(address, message);
+    if (!message.origins.empty()) SendOrigins(address, std::move(message));
   }
 }
 
-/** @return All peers, those that keep the attempt's origin first. */
-std::vector<fleet::Peer> StreamDirectory::RankedPeers(
-    const core::RequestId& attempt) const {
-  std::vector<fleet::Peer> peers = peer_table_.Peers();
-  std::ranges::sort(peers, std::ranges::greater(), [&](const fleet::Peer& it) {
-    return core::HashOf(attempt.value(), core::HashOf(it.entry));
-  });
-  return peers;
-}
-
 core::Task<OriginLookup> StreamDirectory::Find(core::RequestId attempt,
                                                core::ServiceId service) {
   OriginLookup lookup;
@@ -108,7 +116,7 @@
   } else {
     const std::shared_ptr<Search> search = BeginSearch(attempt, service);
     co_await RunSearch(search);
-    lookup.asked = search->asked;
+    lookup.asked = static_cast<int>(search->asked);
     origin = search->found;
     if (origin) {
       lookup.source = OriginSource::kPeer;
@@ -127,7 +135,7 @@
 
 std::shared_ptr<StreamDirectory::Search> StreamDirectory::BeginSearch(
     const core::RequestId& attempt, const core::ServiceId& service) {
-  const auto search = std::make_shared<Search>();
+  auto search = std::make_shared<Search>();
   search->service = service;
   gen::StreamAsk ask;
   ask.entry = options_.entry;
@@ -135,20 +143,20 @@
   ask.request_id = attempt.value();
   ask.service_id = service.value();
   search->question.__set_stream_ask(ask);
-  search->to_ask = RankedPeers(attempt);
-  std::ranges::reverse(search->to_ask);
+  const std::vector<fleet::Peer> peers = peer_table_.Peers();
+  for (const fleet::Peer* it : RankPeers(peers, attempt)) {
+    search->peers.push_back(*it);
+  }
   searches_[ask.number] = search;
   return search;
 }
 
-/** Asks the next `n` entries, or as many as are left. */
-void StreamDirectory::AskNext(Search& search, std::size_t n) {
-  for (std::size_t i = 0; i < n && !search.to_ask.empty(); ++i) {
-    const fleet::Peer& peer = search.to_ask.back();
+/** Asks the first `n` peers that were not asked before. */
+void StreamDirectory::AskUpTo(Search& search, std::size_t n) {
+  for (; search.asked < std::min(n, search.peers.size()); ++search.asked) {
+    const fleet::Peer& peer = search.peers[search.asked];
     search.unanswered.insert(peer.entry);
-    ++search.asked;
     send_(peer.address, search.question);
-    search.to_ask.pop_back();
   }
 }
 
@@ -156,10 +164,10 @@
  * because several versions serve. */
 core::Task<> StreamDirectory::RunSearch(std::shared_ptr<Search> search) {
   const core::SteadyTime began = clock_.Now();
-  AskNext(*search, options_.holders);
+  AskUpTo(*search, options_.holders);
   co_await Await(search, began + options_.holder_timeout);
   if (!search->found && history_.HasSeveral(search->service)) {
-    AskNext(*search, search->to_ask.size());
+    AskUpTo(*search, search->peers.size());
     co_await Await(search, began + options_.timeout);
   }
   searches_.erase(search->question.stream_ask.number);
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -93,11 +93,12 @@
   struct Search {
     core::ServiceId service;
     gen::EntryDatagram question;
-    /** Entries that are not asked yet, the next one last. */
-    std::vector<fleet::Peer> to_ask;
+    /** All other entries, those that keep the origin first. */
+    std::vector<fleet::Peer> peers;
     /** Entries that have not answered yet. */
     std::set<std::string> unanswered;
-    int asked = 0;
+    /** Number of the peers that were asked. */
+    std::size_t asked = 0;
     bool answered = false;
     std::optional<StreamOrigin> found;
     core::Signal changed;
@@ -105,11 +106,10 @@
 
   void Publish(const StreamOrigin& origin);
   void PublishAll(const std::set<core::ServiceId>& services);
-  [[nodiscard]] std::vector<fleet::Peer> RankedPeers(
-      const core::RequestId& attempt) const;
+  void SendOrigins(const std::string& address, gen::StreamOrigins message);
   std::shared_ptr<Search> BeginSearch(const core::RequestId& attempt,
                                       const core::ServiceId& service);
-  void AskNext(Search& search, std::size_t n);
+  void AskUpTo(Search& search, std::size_t n);
   core::Task<> RunSearch(std::shared_ptr<Search> search);
   [[nodiscard]] std::optional<fleet::SoftwareVersion> OnlyVersion(
       const Search& search);
