Keep the origins of streams for as long as their routes allow

A stream of a route that lets it last for minutes could be taken up after its origin had been forgotten, at any version if only one was left. Origins and versions are kept for twice the longest timeout of a stream's route, a minute at the least. OriginsOfLongStreamsAreKept.

--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -180,6 +180,16 @@
   return follow;
 }
 
+milliseconds LongestStreamOf(const routing::Configuration& configuration) {
+  milliseconds longest{0};
+  for (const routing::Route& it : configuration.routes) {
+    if (it.kind == routing::RequestKind::kStream) {
+      longest = std::max(longest, it.timeout);
+    }
+  }
+  return longest;
+}
+
 http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
   http::ServerLimits out;
   out.max_header_bytes = limits.max_header_bytes;
@@ -419,8 +429,10 @@
   const bool adopted = routing::AdoptDocument(
       configuration_, layout_.read_configuration, entry, log_);
   if (!adopted) return;
-  server_.SetLimits(
-      ServerLimitsOf(configuration_.current()->configuration().limits));
+  const routing::Configuration& current =
+      configuration_.current()->configuration();
+  server_.SetLimits(ServerLimitsOf(current.limits));
+  stream_directory_.SetLongestStream(LongestStreamOf(current));
   UpdateHeartbeats();
 }
 
--- a/src/serving/version_store_test.cc
+++ b/src/serving/version_store_test.cc
@@ -97,7 +97,7 @@
   rig.PutEngine("i-2", "v2");
   rig.Maintain();
   rig.registry.Remove(fleet::EngineId("i-1"), std::nullopt);
-  rig.clock.Advance(streams::kMaxStreamAge - std::chrono::seconds(1));
+  rig.clock.Advance(streams::kMinStreamAge - std::chrono::seconds(1));
   Rig later(store);
   later.PutEngine("i-2", "v2");
   later.Maintain();
@@ -121,7 +121,7 @@
   rig.Maintain();
   BOOST_TEST_REQUIRE(store.Peek(kKey).has_value());
   rig.registry.Remove(fleet::EngineId("i-1"), std::nullopt);
-  rig.clock.Advance(streams::kMaxStreamAge + std::chrono::seconds(1));
+  rig.clock.Advance(streams::kMinStreamAge + std::chrono::seconds(1));
   rig.Maintain();
   BOOST_TEST(!store.Peek(kKey).has_value());
   BOOST_TEST(!rig.history.HasSeveral(kService));
--- a/src/streams/origin_table.cc
+++ b/src/streams/origin_table.cc
@@ -19,17 +19,17 @@
   origins_.pop_front();
 }
 
-std::optional<StreamOrigin> OriginTable::Find(
-    const core::RequestId& attempt) const {
+std::optional<StreamOrigin> OriginTable::Find(const core::RequestId& attempt,
+                                              milliseconds max_age) const {
   const auto it = by_attempt_.find(attempt);
   if (it == by_attempt_.end()) return std::nullopt;
-  if (clock_.Now() - it->second->at > kMaxStreamAge) return std::nullopt;
+  if (clock_.Now() - it->second->at > max_age) return std::nullopt;
   return *it->second;
 }
 
-void OriginTable::Expire() {
+void OriginTable::Expire(milliseconds max_age) {
   const core::SteadyTime now = clock_.Now();
-  while (!origins_.empty() && now - origins_.front().at > kMaxStreamAge) {
+  while (!origins_.empty() && now - origins_.front().at > max_age) {
     by_attempt_.erase(origins_.front().attempt);
     origins_.pop_front();
   }
--- a/src/streams/origin_table_base.h
+++ b/src/streams/origin_table_base.h
@@ -26,11 +26,12 @@
   /** Adds the origin, or replaces an older one of the same stream. */
   void Put(StreamOrigin origin);
 
-  [[nodiscard]] std::optional<StreamOrigin> Find(
-      const core::RequestId& attempt) const;
+  /** @return The origin, unless it is older than `max_age`. */
+  [[nodiscard]] std::optional<StreamOrigin> Find(const core::RequestId& attempt,
+                                                 milliseconds max_age) const;
 
-  /** Removes the origins of streams that nobody takes up any more. */
-  void Expire();
+  /** Removes origins that are older than `max_age`. */
+  void Expire(milliseconds max_age);
 
   /** @return All origins, in the order in which they were put. */
   [[nodiscard]] const std::list<StreamOrigin>& origins() const {
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -60,6 +60,10 @@
       clock_(clock),
       table_(clock) {}
 
+void StreamDirectory::SetLongestStream(milliseconds time) {
+  history_.SetMaxAge(std::max(kMinStreamAge, 2 * time));
+}
+
 void StreamDirectory::Record(const core::RequestId& attempt,
                              const core::ServiceId& service,
                              const fleet::SoftwareVersion& version) {
@@ -110,7 +114,7 @@
 core::Task<OriginLookup> StreamDirectory::Find(core::RequestId attempt,
                                                core::ServiceId service) {
   OriginLookup lookup;
-  std::optional<StreamOrigin> origin = table_.Find(attempt);
+  std::optional<StreamOrigin> origin = table_.Find(attempt, history_.max_age());
   if (origin) {
     lookup.source = OriginSource::kOwnRecord;
   } else {
@@ -207,7 +211,8 @@
   gen::StreamAnswer answer;
   answer.entry = options_.entry;
   answer.number = ask.number;
-  const auto origin = table_.Find(core::RequestId(ask.request_id));
+  const auto origin =
+      table_.Find(core::RequestId(ask.request_id), history_.max_age());
   if (origin) answer.__set_origin(ToMessage(*origin));
   for (const auto& it : history_.Observed(core::ServiceId(ask.service_id))) {
     answer.versions.push_back(it.value());
@@ -234,7 +239,7 @@
 
 void StreamDirectory::Maintain() {
   history_.Update();
-  table_.Expire();
+  table_.Expire(history_.max_age());
   std::set<core::ServiceId> several;
   std::set<core::ServiceId> added;
   for (const core::ServiceId& it : history_.Services()) {
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -64,6 +64,10 @@
                   std::function<bool()> view_is_current, Send send,
                   const core::Clock& clock);
 
+  /** Sets the longest time that an attempt's stream may last. Its caller may
+   * take it up for as long again. */
+  void SetLongestStream(milliseconds time);
+
   /** Records that the attempt's stream begins, or is taken up, at a version. */
   void Record(const core::RequestId& attempt, const core::ServiceId& service,
               const fleet::SoftwareVersion& version);
--- a/src/streams/stream_directory_test.cc
+++ b/src/streams/stream_directory_test.cc
@@ -31,7 +31,7 @@
   [[nodiscard]] core::WallTime WallNow() const override {
     return system_.WallNow();
   }
-  std::chrono::seconds moved{0};
+  milliseconds moved{0};
 
  private:
   core::SystemClock system_;
@@ -289,7 +289,7 @@
     node->registry.Remove(fleet::EngineId("i-old"), std::nullopt);
   }
   BOOST_TEST((Find("b", kAttempt).source == OriginSource::kUnknown));
-  clock.moved += kMaxStreamAge + std::chrono::seconds(1);
+  clock.moved += kMinStreamAge + std::chrono::seconds(1);
   for (auto& [name, node] : nodes) node->directory.Maintain();
   const OriginLookup lookup = Find("b", kAttempt);
   BOOST_TEST((lookup.source == OriginSource::kOnlyVersion));
@@ -322,6 +322,21 @@
   BOOST_TEST((Find("b", kAttempt).source == OriginSource::kOnlyVersion));
 }
 
+/** Guards against forgetting the origin of a stream whose route lets it last
+ * for minutes. */
+BOOST_FIXTURE_TEST_CASE(OriginsOfLongStreamsAreKept, BegunStream) {
+  const std::string asker = Outsider();
+  for (auto& [name, node] : nodes) {
+    node->directory.SetLongestStream(std::chrono::minutes(3));
+  }
+  clock.moved += std::chrono::minutes(5);
+  for (auto& [name, node] : nodes) node->directory.Maintain();
+  BOOST_TEST((Find(asker, kAttempt).version == kOld));
+  clock.moved += std::chrono::minutes(2);
+  for (auto& [name, node] : nodes) node->directory.Maintain();
+  BOOST_TEST(!Find(asker, kAttempt).version.has_value());
+}
+
 /** Guards against a table that grows without bound, in number and in age. */
 BOOST_FIXTURE_TEST_CASE(OriginsAreBounded, Network) {
   StreamDirectory& directory = nodes.at("a")->directory;
@@ -329,7 +344,7 @@
     directory.Record(core::RequestId(std::to_string(i)), kService, kOld);
   }
   BOOST_TEST(directory.size() == OriginTable::kMaxOrigins);
-  clock.moved += kMaxStreamAge + std::chrono::seconds(1);
+  clock.moved += kMinStreamAge + std::chrono::seconds(1);
   directory.Maintain();
   BOOST_TEST(directory.size() == 0U);
 }
--- a/src/streams/stream_type.h
+++ b/src/streams/stream_type.h
@@ -14,9 +14,9 @@
 
 using std::chrono::milliseconds;
 
-/** Time after its first event for which callers may still take a stream up;
- * they rarely wait longer for an answer. */
-inline constexpr std::chrono::seconds kMaxStreamAge{60};
+/** Time after its first event for which callers may still take a stream up,
+ * unless a route allows longer streams; they rarely wait longer. */
+inline constexpr milliseconds kMinStreamAge{60'000};
 
 /** Which software version began a stream. */
 struct StreamOrigin {
--- a/src/streams/version_history.cc
+++ b/src/streams/version_history.cc
@@ -10,8 +10,8 @@
     last_seen_[engine.service][engine.software_version] = {now, true};
   }
   for (auto& [service, versions] : last_seen_) {
-    std::erase_if(versions, [now](const auto& it) {
-      return now - it.second.at > kMaxStreamAge;
+    std::erase_if(versions, [this, now](const auto& it) {
+      return now - it.second.at > max_age_;
     });
   }
   std::erase_if(last_seen_, [](const auto& it) { return it.second.empty(); });
--- a/src/streams/version_history_base.h
+++ b/src/streams/version_history_base.h
@@ -18,8 +18,8 @@
 
 /**
  * The software versions of each service's engines, including those that were
- * registered within kMaxStreamAge: a stream that one of them began may still be
- * taken up. Not thread-safe.
+ * registered within the last max_age(): a stream that one of them began may
+ * still be taken up. Not thread-safe.
  */
 class VersionHistory {
  public:
@@ -28,6 +28,10 @@
                  const core::Clock& clock)
       : registry_(registry), clock_(clock) {}
 
+  /** Sets the time for which callers may take a stream up. */
+  void SetMaxAge(milliseconds age) { max_age_ = age; }
+  [[nodiscard]] milliseconds max_age() const { return max_age_; }
+
   /** Records the versions that are registered now; must be called regularly. */
   void Update();
 
@@ -60,6 +64,7 @@
 
   const fleet::EngineRegistry& registry_;
   const core::Clock& clock_;
+  milliseconds max_age_ = kMinStreamAge;
   /** When each version was last registered, or reported. */
   std::map<core::ServiceId, std::map<fleet::SoftwareVersion, Seen>> last_seen_;
   std::optional<std::int64_t> registry_generation_;
