--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -1,5 +1,10 @@
 /** @file crash_watch.cc Refuses requests that crash engines. */
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <utility>
 
 #include "core/error_type.h"
@@ -25,6 +30,15 @@
 constexpr milliseconds kRetryAfter{60'000};
 /** Shift that keeps the sign bit of a hash clear. */
 constexpr int kSignBit = 1;
+/** Parts of a prompt that a log line names. */
+constexpr std::size_t kMaxLoggedParts = 8;
+
+std::string DescribeParts(const std::vector<std::uint64_t>& parts) {
+  const std::size_t n = std::min(parts.size(), kMaxLoggedParts);
+  return fmt::format(
+      "{:x}", fmt::join(parts.begin(),
+                        parts.begin() + static_cast<std::ptrdiff_t>(n), ","));
+}
 
 }  // namespace
 
@@ -35,6 +49,15 @@
   return static_cast<std::int64_t>(hash >> kSignBit);
 }
 
+std::vector<std::uint64_t> SharedPartsOf(const CallerRequest& request) {
+  std::vector<std::uint64_t> shared;
+  for (const PromptPart& part : request.prompt_parts) {
+    shared.push_back(part.hash);
+  }
+  if (!shared.empty()) shared.pop_back();
+  return shared;
+}
+
 CrashWatch::CrashWatch(external::KeyValueStore& store,
                        fleet::EngineLoads& loads,
                        const core::Executor& executor, const core::Clock& clock,
@@ -121,6 +144,7 @@
              {{"request", send.request},
               {"instance", send.instance},
               {"model", send.model},
+              {"shared_parts", DescribeParts(send.shared_parts)},
               {"fingerprint", send.fingerprint},
               {"crashes", quarantine_->StatusOf(send.fingerprint).crashes}});
 }
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
@@ -25,12 +26,18 @@
  * its caller has too. */
 std::int64_t FingerprintOf(const CallerRequest& request);
 
+/** @return The hashes of all parts of the prompt but the last, which belongs to
+ * the request alone. */
+std::vector<std::uint64_t> SharedPartsOf(const CallerRequest& request);
+
 /** One send that is watched for a crash of its engine. */
 struct WatchedSend {
   std::int64_t fingerprint = 0;
   std::int64_t number = 0;
   core::RequestId request;
   core::ModelId model;
+  /** Parts of the prompt that other requests may share: all but the last. */
+  std::vector<std::uint64_t> shared_parts;
   fleet::InstanceId instance;
   /** "ip:port" of the engine. */
   std::string address;
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -89,6 +89,7 @@
   watched.fingerprint = work.fingerprint;
   watched.request = work.request.id;
   watched.model = work.request.model;
+  watched.shared_parts = SharedPartsOf(work.request);
   watched.instance = engine.instance;
   watched.address = engine.address;
   deps_.crash_watch.Begin(watched);
