--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
     out.resumes = core::RequestId(Field(request, "resumes"));
     const std::string last = Field(request, "last");
     if (!last.empty()) out.last_event = std::stoll(last);
+    out.prompt_parts = PartsOf(Field(request, "parts"));
     out.forward = request;
     return out;
   }
@@ -45,6 +47,15 @@
   }
 
  private:
+  /** @param text Hashes in hexadecimal, each followed by a blank. */
+  static std::vector<PromptPart> PartsOf(const std::string& text) {
+    std::vector<PromptPart> parts;
+    std::istringstream in(text);
+    PromptPart part;
+    while (in >> std::hex >> part.hash) parts.push_back(part);
+    return parts;
+  }
+
   static std::string Field(const http::Request& request,
                            std::string_view name) {
     return std::string(http::FindHeader(request.headers, name).value_or(""));
