Judge a send's crash by its own first byte

A crash counts against a request only if its answer has been arriving for less than a second. The time was that of the request's first byte ever, so that a stream which was cut after a second and taken up by the next engine was never suspected of crashing that one, nor the ones after it.

Each send now keeps its own first byte. CrashUnderAResumedStreamIsCounted failed before (0 crashes stored, 1 expected).

--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -98,9 +98,8 @@
                               core::EndpointId(send.instance.value()));
 }
 
-void CrashWatch::End(const WatchedSend& send, const ExchangeResult& result,
-                     std::optional<core::SteadyTime> first_byte) {
-  if (!IsSuspicious(result, first_byte)) {
+void CrashWatch::End(const WatchedSend& send, const ExchangeResult& result) {
+  if (!IsSuspicious(send, result)) {
     RecordSendEnd(send, result.end == ExchangeEnd::kServed);
     return;
   }
@@ -108,14 +107,13 @@
               [this, send] { return ProbeEngine(send); });
 }
 
-bool CrashWatch::IsSuspicious(
-    const ExchangeResult& result,
-    std::optional<core::SteadyTime> first_byte) const {
+bool CrashWatch::IsSuspicious(const WatchedSend& send,
+                              const ExchangeResult& result) const {
   const bool broken =
       result.end == ExchangeEnd::kLost || result.end == ExchangeEnd::kCutMidway;
   // An engine that is silent has not crashed: its connections would have ended.
   if (!broken || result.timed_out) return false;
-  return !first_byte || clock_.Now() - *first_byte < kMaxTimeToCrash;
+  return !send.first_byte || clock_.Now() - *send.first_byte < kMaxTimeToCrash;
 }
 
 core::Task<> CrashWatch::ProbeEngine(WatchedSend send) {
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -41,6 +41,8 @@
   fleet::InstanceId instance;
   /** "ip:port" of the engine. */
   std::string address;
+  /** When the engine began to answer this send, if it did. */
+  std::optional<core::SteadyTime> first_byte;
 };
 
 /**
@@ -72,17 +74,12 @@
   /** Registers a send and assigns its number. */
   void Begin(WatchedSend& send);
 
-  /**
-   * Registers the end of a send.
-   * @param first_byte When the engine began to answer, if it did.
-   */
-  void End(const WatchedSend& send, const ExchangeResult& result,
-           std::optional<core::SteadyTime> first_byte);
+  /** Registers the end of a send. */
+  void End(const WatchedSend& send, const ExchangeResult& result);
 
  private:
-  [[nodiscard]] bool IsSuspicious(
-      const ExchangeResult& result,
-      std::optional<core::SteadyTime> first_byte) const;
+  [[nodiscard]] bool IsSuspicious(const WatchedSend& send,
+                                  const ExchangeResult& result) const;
   core::Task<> ProbeEngine(WatchedSend send);
   void RecordSendEnd(const WatchedSend& send, bool completed);
   void RecordSendCrash(const WatchedSend& send);
--- a/src/serving/crash_watch_test.cc
+++ b/src/serving/crash_watch_test.cc
@@ -83,7 +83,7 @@
     send.instance = fleet::InstanceId(instance);
     send.address = address;
     watch.Begin(send);
-    watch.End(send, EndedAs(end), std::nullopt);
+    watch.End(send, EndedAs(end));
     Pass(kSettled);
   }
 
@@ -173,8 +173,8 @@
   send.instance = fleet::InstanceId("i-1");
   send.address = ClosedPort(rig.io);
   watch->Begin(send);
-  const core::SteadyTime long_ago = rig.clock.Now() - std::chrono::seconds(3);
-  watch->End(send, EndedAs(ExchangeEnd::kCutMidway), long_ago);
+  send.first_byte = rig.clock.Now() - std::chrono::seconds(3);
+  watch->End(send, EndedAs(ExchangeEnd::kCutMidway));
   rig.Pass(kSettled);
   BOOST_TEST(rig.store.Keys("quarantine/").empty());
 }
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -361,7 +361,7 @@
 core::Task<bool> Dispatcher::EndCurrentSend(RequestWork& work,
                                             ExchangeResult result) {
   const std::shared_ptr<EngineSend> send = std::exchange(work.current, nullptr);
-  sender_.End(work, *send, result);
+  sender_.End(*send, result);
   work.engine = send->engine;
   work.software_version = send->options.software_version;
   work.answer_end = result.answer_end;
@@ -555,7 +555,7 @@
                      {"end", NameOf(result.end)},
                      {"reason", result.reason}});
   }
-  sender_.End(work, *hedge->send, result);
+  sender_.End(*hedge->send, result);
 }
 
 /** Ends a hedge that is not needed any more. */
@@ -570,7 +570,7 @@
   Exchange& exchange = *hedge->send->exchange;
   exchange.Stop(StopReason::kCancelled);
   if (hedge->state != HedgeState::kDecided) return;
-  sender_.End(work, *hedge->send,
+  sender_.End(*hedge->send,
               exchange.MakeResult(ExchangeEnd::kCancelled, "", false));
 }
 
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -515,6 +515,26 @@
   BOOST_TEST(statuses.back() == kUnprocessable);
 }
 
+/** Guards against a crash that counts for nothing because the stream had begun
+ * at another engine long before. */
+BOOST_AUTO_TEST_CASE(CrashUnderAResumedStreamIsCounted) {
+  Rig rig;
+  rig.crash_watch.Start();
+  rig.AddEngine(kDrafts, BreakingOffAfter(milliseconds(1200), kFirst));
+  rig.AddEngine(
+      kDrafts,
+      [&rig](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+        rig.engines[1]->server.StopAccepting();
+        throw http::ConnectionCut("the engine crashes");
+        co_return;
+      });
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  rig.Pass(kCrashNoticed);
+  BOOST_TEST(caller.cut);
+  BOOST_TEST(rig.store.Keys("quarantine/").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutAnEngineIsRefused) {
   Rig rig;
   RecordingWriter caller;
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -96,7 +96,7 @@
   return watched;
 }
 
-ExchangeHooks RequestSender::HooksOf(RequestWork& work, const EngineSend& send,
+ExchangeHooks RequestSender::HooksOf(RequestWork& work, EngineSend& send,
                                      SendCallbacks callbacks) {
   ExchangeHooks hooks;
   hooks.head_received = [this, instance = send.engine,
@@ -106,8 +106,9 @@
     if (!answer.genuine && !answer.limit.per_second) return;
     deps_.rate_limiter.Apply(instance, answer.limit, sent);
   };
-  hooks.first_byte = [this, &work, ticket = send.ticket,
-                      answered = callbacks.answered] {
+  hooks.first_byte = [this, &work, &watched = send.watched,
+                      ticket = send.ticket, answered = callbacks.answered] {
+    watched.first_byte = deps_.clock.Now();
     answered();
     deps_.loads.RecordFirstByte(ticket);
     NotePrefix(work, ticket.instance);
@@ -133,11 +134,10 @@
   deps_.loads.NotePrefix(engine, work.request.model, hashes);
 }
 
-void RequestSender::End(const RequestWork& work, EngineSend& send,
-                        const ExchangeResult& result) {
+void RequestSender::End(EngineSend& send, const ExchangeResult& result) {
   send.exchange.reset();
   deps_.loads.End(send.ticket, ResultOf(result));
-  deps_.crash_watch.End(send.watched, result, work.first_byte);
+  deps_.crash_watch.End(send.watched, result);
   if (result.unreachable) deps_.loads.MarkUnreachable(send.engine);
   if (result.replaced) deps_.registry.MarkReplaced(send.engine);
   if (result.lacks_model) deps_.loads.MarkLacking(send.engine, send.part);
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -72,12 +72,11 @@
                                     const core::Executor& executor);
 
   /** Records the end of a send and closes its connection. */
-  void End(const RequestWork& work, EngineSend& send,
-           const ExchangeResult& result);
+  void End(EngineSend& send, const ExchangeResult& result);
 
  private:
   WatchedSend Watch(const RequestWork& work, const fleet::EngineEntry& engine);
-  ExchangeHooks HooksOf(RequestWork& work, const EngineSend& send,
+  ExchangeHooks HooksOf(RequestWork& work, EngineSend& send,
                         SendCallbacks callbacks);
   void NotePrefix(const RequestWork& work, const fleet::InstanceId& engine);
 
