--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -6376,6 +6376,602 @@
 }
 
 
+RequestTrait::~RequestTrait() noexcept {
+}
+
+
+void RequestTrait::__set_whole_request(const bool val) {
+  this->whole_request = val;
+}
+
+void RequestTrait::__set_hash(const int64_t val) {
+  this->hash = val;
+}
+std::ostream& operator<<(std::ostream& out, const RequestTrait& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestTrait::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole_request);
+          this->__isset.whole_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RequestTrait::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestTrait");
+
+  xfer += oprot->writeFieldBegin("whole_request", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->whole_request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestTrait &a, RequestTrait &b) {
+  using ::std::swap;
+  swap(a.whole_request, b.whole_request);
+  swap(a.hash, b.hash);
+  swap(a.__isset, b.__isset);
+}
+
+RequestTrait::RequestTrait(const RequestTrait& other250) noexcept {
+  whole_request = other250.whole_request;
+  hash = other250.hash;
+  __isset = other250.__isset;
+}
+RequestTrait::RequestTrait(RequestTrait&& other251) noexcept {
+  whole_request = other251.whole_request;
+  hash = other251.hash;
+  __isset = other251.__isset;
+}
+RequestTrait& RequestTrait::operator=(const RequestTrait& other252) noexcept {
+  whole_request = other252.whole_request;
+  hash = other252.hash;
+  __isset = other252.__isset;
+  return *this;
+}
+RequestTrait& RequestTrait::operator=(RequestTrait&& other253) noexcept {
+  whole_request = other253.whole_request;
+  hash = other253.hash;
+  __isset = other253.__isset;
+  return *this;
+}
+void RequestTrait::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestTrait(";
+  out << "whole_request=" << to_string(whole_request);
+  out << ", " << "hash=" << to_string(hash);
+  out << ")";
+}
+
+
+CrashSeen::~CrashSeen() noexcept {
+}
+
+
+void CrashSeen::__set_engine_instance(const std::string& val) {
+  this->engine_instance = val;
+}
+
+void CrashSeen::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void CrashSeen::__set_traits(const std::vector<RequestTrait> & val) {
+  this->traits = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashSeen& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashSeen::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine_instance);
+          this->__isset.engine_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->traits.clear();
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->traits.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
+            {
+              xfer += this->traits[_i258].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.traits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashSeen::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashSeen");
+
+  xfer += oprot->writeFieldBegin("engine_instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine_instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("traits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->traits.size()));
+    std::vector<RequestTrait> ::const_iterator _iter259;
+    for (_iter259 = this->traits.begin(); _iter259 != this->traits.end(); ++_iter259)
+    {
+      xfer += (*_iter259).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashSeen &a, CrashSeen &b) {
+  using ::std::swap;
+  swap(a.engine_instance, b.engine_instance);
+  swap(a.age_ms, b.age_ms);
+  swap(a.traits, b.traits);
+  swap(a.__isset, b.__isset);
+}
+
+CrashSeen::CrashSeen(const CrashSeen& other260) {
+  engine_instance = other260.engine_instance;
+  age_ms = other260.age_ms;
+  traits = other260.traits;
+  __isset = other260.__isset;
+}
+CrashSeen::CrashSeen(CrashSeen&& other261) noexcept {
+  engine_instance = std::move(other261.engine_instance);
+  age_ms = other261.age_ms;
+  traits = std::move(other261.traits);
+  __isset = other261.__isset;
+}
+CrashSeen& CrashSeen::operator=(const CrashSeen& other262) {
+  engine_instance = other262.engine_instance;
+  age_ms = other262.age_ms;
+  traits = other262.traits;
+  __isset = other262.__isset;
+  return *this;
+}
+CrashSeen& CrashSeen::operator=(CrashSeen&& other263) noexcept {
+  engine_instance = std::move(other263.engine_instance);
+  age_ms = other263.age_ms;
+  traits = std::move(other263.traits);
+  __isset = other263.__isset;
+  return *this;
+}
+void CrashSeen::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashSeen(";
+  out << "engine_instance=" << to_string(engine_instance);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "traits=" << to_string(traits);
+  out << ")";
+}
+
+
+TraitSurvived::~TraitSurvived() noexcept {
+}
+
+
+void TraitSurvived::__set_trait(const RequestTrait& val) {
+  this->trait = val;
+}
+
+void TraitSurvived::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const TraitSurvived& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TraitSurvived::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->trait.read(iprot);
+          this->__isset.trait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TraitSurvived::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TraitSurvived");
+
+  xfer += oprot->writeFieldBegin("trait", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->trait.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TraitSurvived &a, TraitSurvived &b) {
+  using ::std::swap;
+  swap(a.trait, b.trait);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TraitSurvived::TraitSurvived(const TraitSurvived& other264) noexcept {
+  trait = other264.trait;
+  age_ms = other264.age_ms;
+  __isset = other264.__isset;
+}
+TraitSurvived::TraitSurvived(TraitSurvived&& other265) noexcept {
+  trait = std::move(other265.trait);
+  age_ms = other265.age_ms;
+  __isset = other265.__isset;
+}
+TraitSurvived& TraitSurvived::operator=(const TraitSurvived& other266) noexcept {
+  trait = other266.trait;
+  age_ms = other266.age_ms;
+  __isset = other266.__isset;
+  return *this;
+}
+TraitSurvived& TraitSurvived::operator=(TraitSurvived&& other267) noexcept {
+  trait = std::move(other267.trait);
+  age_ms = other267.age_ms;
+  __isset = other267.__isset;
+  return *this;
+}
+void TraitSurvived::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TraitSurvived(";
+  out << "trait=" << to_string(trait);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+CrashEvidence::~CrashEvidence() noexcept {
+}
+
+
+void CrashEvidence::__set_entry(const std::string& val) {
+  this->entry = val;
+}
+
+void CrashEvidence::__set_crashes(const std::vector<CrashSeen> & val) {
+  this->crashes = val;
+}
+
+void CrashEvidence::__set_survivals(const std::vector<TraitSurvived> & val) {
+  this->survivals = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->entry);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->crashes.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
+            {
+              xfer += this->crashes[_i272].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->survivals.clear();
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->survivals.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
+            {
+              xfer += this->survivals[_i277].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.survivals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvidence");
+
+  xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->entry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashSeen> ::const_iterator _iter278;
+    for (_iter278 = this->crashes.begin(); _iter278 != this->crashes.end(); ++_iter278)
+    {
+      xfer += (*_iter278).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
+    std::vector<TraitSurvived> ::const_iterator _iter279;
+    for (_iter279 = this->survivals.begin(); _iter279 != this->survivals.end(); ++_iter279)
+    {
+      xfer += (*_iter279).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvidence &a, CrashEvidence &b) {
+  using ::std::swap;
+  swap(a.entry, b.entry);
+  swap(a.crashes, b.crashes);
+  swap(a.survivals, b.survivals);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvidence::CrashEvidence(const CrashEvidence& other280) {
+  entry = other280.entry;
+  crashes = other280.crashes;
+  survivals = other280.survivals;
+  __isset = other280.__isset;
+}
+CrashEvidence::CrashEvidence(CrashEvidence&& other281) noexcept {
+  entry = std::move(other281.entry);
+  crashes = std::move(other281.crashes);
+  survivals = std::move(other281.survivals);
+  __isset = other281.__isset;
+}
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other282) {
+  entry = other282.entry;
+  crashes = other282.crashes;
+  survivals = other282.survivals;
+  __isset = other282.__isset;
+  return *this;
+}
+CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other283) noexcept {
+  entry = std::move(other283.entry);
+  crashes = std::move(other283.crashes);
+  survivals = std::move(other283.survivals);
+  __isset = other283.__isset;
+  return *this;
+}
+void CrashEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvidence(";
+  out << "entry=" << to_string(entry);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "survivals=" << to_string(survivals);
+  out << ")";
+}
+
+
 EntryDatagram::~EntryDatagram() noexcept {
 }
 
@@ -6419,6 +7015,11 @@
   this->stream_answer = val;
 __isset.stream_answer = true;
 }
+
+void EntryDatagram::__set_crash_evidence(const CrashEvidence& val) {
+  this->crash_evidence = val;
+__isset.crash_evidence = true;
+}
 std::ostream& operator<<(std::ostream& out, const EntryDatagram& obj)
 {
   obj.printTo(out);
@@ -6511,6 +7112,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_evidence.read(iprot);
+          this->__isset.crash_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6568,6 +7177,11 @@
     xfer += this->stream_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.crash_evidence) {
+    xfer += oprot->writeFieldBegin("crash_evidence", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->crash_evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6583,53 +7197,58 @@
   swap(a.stream_origins, b.stream_origins);
   swap(a.stream_ask, b.stream_ask);
   swap(a.stream_answer, b.stream_answer);
+  swap(a.crash_evidence, b.crash_evidence);
   swap(a.__isset, b.__isset);
 }
 
-EntryDatagram::EntryDatagram(const EntryDatagram& other250) {
-  record = other250.record;
-  quota_ask = other250.quota_ask;
-  quota_answer = other250.quota_answer;
-  engine_ask = other250.engine_ask;
-  engine_answer = other250.engine_answer;
-  stream_origins = other250.stream_origins;
-  stream_ask = other250.stream_ask;
-  stream_answer = other250.stream_answer;
-  __isset = other250.__isset;
-}
-EntryDatagram::EntryDatagram(EntryDatagram&& other251) noexcept {
-  record = std::move(other251.record);
-  quota_ask = std::move(other251.quota_ask);
-  quota_answer = std::move(other251.quota_answer);
-  engine_ask = std::move(other251.engine_ask);
-  engine_answer = std::move(other251.engine_answer);
-  stream_origins = std::move(other251.stream_origins);
-  stream_ask = std::move(other251.stream_ask);
-  stream_answer = std::move(other251.stream_answer);
-  __isset = other251.__isset;
-}
-EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other252) {
-  record = other252.record;
-  quota_ask = other252.quota_ask;
-  quota_answer = other252.quota_answer;
-  engine_ask = other252.engine_ask;
-  engine_answer = other252.engine_answer;
-  stream_origins = other252.stream_origins;
-  stream_ask = other252.stream_ask;
-  stream_answer = other252.stream_answer;
-  __isset = other252.__isset;
+EntryDatagram::EntryDatagram(const EntryDatagram& other284) {
+  record = other284.record;
+  quota_ask = other284.quota_ask;
+  quota_answer = other284.quota_answer;
+  engine_ask = other284.engine_ask;
+  engine_answer = other284.engine_answer;
+  stream_origins = other284.stream_origins;
+  stream_ask = other284.stream_ask;
+  stream_answer = other284.stream_answer;
+  crash_evidence = other284.crash_evidence;
+  __isset = other284.__isset;
+}
+EntryDatagram::EntryDatagram(EntryDatagram&& other285) noexcept {
+  record = std::move(other285.record);
+  quota_ask = std::move(other285.quota_ask);
+  quota_answer = std::move(other285.quota_answer);
+  engine_ask = std::move(other285.engine_ask);
+  engine_answer = std::move(other285.engine_answer);
+  stream_origins = std::move(other285.stream_origins);
+  stream_ask = std::move(other285.stream_ask);
+  stream_answer = std::move(other285.stream_answer);
+  crash_evidence = std::move(other285.crash_evidence);
+  __isset = other285.__isset;
+}
+EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other286) {
+  record = other286.record;
+  quota_ask = other286.quota_ask;
+  quota_answer = other286.quota_answer;
+  engine_ask = other286.engine_ask;
+  engine_answer = other286.engine_answer;
+  stream_origins = other286.stream_origins;
+  stream_ask = other286.stream_ask;
+  stream_answer = other286.stream_answer;
+  crash_evidence = other286.crash_evidence;
+  __isset = other286.__isset;
   return *this;
 }
-EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other253) noexcept {
-  record = std::move(other253.record);
-  quota_ask = std::move(other253.quota_ask);
-  quota_answer = std::move(other253.quota_answer);
-  engine_ask = std::move(other253.engine_ask);
-  engine_answer = std::move(other253.engine_answer);
-  stream_origins = std::move(other253.stream_origins);
-  stream_ask = std::move(other253.stream_ask);
-  stream_answer = std::move(other253.stream_answer);
-  __isset = other253.__isset;
+EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other287) noexcept {
+  record = std::move(other287.record);
+  quota_ask = std::move(other287.quota_ask);
+  quota_answer = std::move(other287.quota_answer);
+  engine_ask = std::move(other287.engine_ask);
+  engine_answer = std::move(other287.engine_answer);
+  stream_origins = std::move(other287.stream_origins);
+  stream_ask = std::move(other287.stream_ask);
+  stream_answer = std::move(other287.stream_answer);
+  crash_evidence = std::move(other287.crash_evidence);
+  __isset = other287.__isset;
   return *this;
 }
 void EntryDatagram::printTo(std::ostream& out) const {
@@ -6643,6 +7262,7 @@
   out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
   out << ", " << "stream_ask="; (__isset.stream_ask ? (out << to_string(stream_ask)) : (out << "<null>"));
   out << ", " << "stream_answer="; (__isset.stream_answer ? (out << to_string(stream_answer)) : (out << "<null>"));
+  out << ", " << "crash_evidence="; (__isset.crash_evidence ? (out << to_string(crash_evidence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6701,18 +7321,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other254) noexcept {
-  (void) other254;
+Drain::Drain(const Drain& other288) noexcept {
+  (void) other288;
 }
-Drain::Drain(Drain&& other255) noexcept {
-  (void) other255;
+Drain::Drain(Drain&& other289) noexcept {
+  (void) other289;
 }
-Drain& Drain::operator=(const Drain& other256) noexcept {
-  (void) other256;
+Drain& Drain::operator=(const Drain& other290) noexcept {
+  (void) other290;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other257) noexcept {
-  (void) other257;
+Drain& Drain::operator=(Drain&& other291) noexcept {
+  (void) other291;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -6797,22 +7417,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other258) noexcept {
-  running = other258.running;
-  __isset = other258.__isset;
+DrainState::DrainState(const DrainState& other292) noexcept {
+  running = other292.running;
+  __isset = other292.__isset;
 }
-DrainState::DrainState(DrainState&& other259) noexcept {
-  running = other259.running;
-  __isset = other259.__isset;
+DrainState::DrainState(DrainState&& other293) noexcept {
+  running = other293.running;
+  __isset = other293.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other260) noexcept {
-  running = other260.running;
-  __isset = other260.__isset;
+DrainState& DrainState::operator=(const DrainState& other294) noexcept {
+  running = other294.running;
+  __isset = other294.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other261) noexcept {
-  running = other261.running;
-  __isset = other261.__isset;
+DrainState& DrainState::operator=(DrainState&& other295) noexcept {
+  running = other295.running;
+  __isset = other295.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -6874,14 +7494,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->have_parts.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->have_parts.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += iprot->readString(this->have_parts[_i266]);
+              xfer += iprot->readString(this->have_parts[_i300]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6914,10 +7534,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter267;
-    for (_iter267 = this->have_parts.begin(); _iter267 != this->have_parts.end(); ++_iter267)
+    std::vector<std::string> ::const_iterator _iter301;
+    for (_iter301 = this->have_parts.begin(); _iter301 != this->have_parts.end(); ++_iter301)
     {
-      xfer += oprot->writeString((*_iter267));
+      xfer += oprot->writeString((*_iter301));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6935,26 +7555,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other268) {
-  have_version = other268.have_version;
-  have_parts = other268.have_parts;
-  __isset = other268.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other302) {
+  have_version = other302.have_version;
+  have_parts = other302.have_parts;
+  __isset = other302.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other269) noexcept {
-  have_version = other269.have_version;
-  have_parts = std::move(other269.have_parts);
-  __isset = other269.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other303) noexcept {
+  have_version = other303.have_version;
+  have_parts = std::move(other303.have_parts);
+  __isset = other303.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other270) {
-  have_version = other270.have_version;
-  have_parts = other270.have_parts;
-  __isset = other270.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other304) {
+  have_version = other304.have_version;
+  have_parts = other304.have_parts;
+  __isset = other304.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other271) noexcept {
-  have_version = other271.have_version;
-  have_parts = std::move(other271.have_parts);
-  __isset = other271.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other305) noexcept {
+  have_version = other305.have_version;
+  have_parts = std::move(other305.have_parts);
+  __isset = other305.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -7058,26 +7678,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other272) {
-  hash = other272.hash;
-  data = other272.data;
-  __isset = other272.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other306) {
+  hash = other306.hash;
+  data = other306.data;
+  __isset = other306.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other273) noexcept {
-  hash = std::move(other273.hash);
-  data = std::move(other273.data);
-  __isset = other273.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other307) noexcept {
+  hash = std::move(other307.hash);
+  data = std::move(other307.data);
+  __isset = other307.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other274) {
-  hash = other274.hash;
-  data = other274.data;
-  __isset = other274.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other308) {
+  hash = other308.hash;
+  data = other308.data;
+  __isset = other308.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other275) noexcept {
-  hash = std::move(other275.hash);
-  data = std::move(other275.data);
-  __isset = other275.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other309) noexcept {
+  hash = std::move(other309.hash);
+  data = std::move(other309.data);
+  __isset = other309.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -7156,14 +7776,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->part_hashes.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->part_hashes.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += iprot->readString(this->part_hashes[_i280]);
+              xfer += iprot->readString(this->part_hashes[_i314]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7176,14 +7796,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->parts.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->parts.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += this->parts[_i285].read(iprot);
+              xfer += this->parts[_i319].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7220,10 +7840,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter286;
-    for (_iter286 = this->part_hashes.begin(); _iter286 != this->part_hashes.end(); ++_iter286)
+    std::vector<std::string> ::const_iterator _iter320;
+    for (_iter320 = this->part_hashes.begin(); _iter320 != this->part_hashes.end(); ++_iter320)
     {
-      xfer += oprot->writeString((*_iter286));
+      xfer += oprot->writeString((*_iter320));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7232,10 +7852,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter287;
-    for (_iter287 = this->parts.begin(); _iter287 != this->parts.end(); ++_iter287)
+    std::vector<ConfigPart> ::const_iterator _iter321;
+    for (_iter321 = this->parts.begin(); _iter321 != this->parts.end(); ++_iter321)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter321).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7255,34 +7875,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other288) {
-  version = other288.version;
-  plan_id = other288.plan_id;
-  part_hashes = other288.part_hashes;
-  parts = other288.parts;
-  __isset = other288.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other289) noexcept {
-  version = other289.version;
-  plan_id = std::move(other289.plan_id);
-  part_hashes = std::move(other289.part_hashes);
-  parts = std::move(other289.parts);
-  __isset = other289.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other290) {
-  version = other290.version;
-  plan_id = other290.plan_id;
-  part_hashes = other290.part_hashes;
-  parts = other290.parts;
-  __isset = other290.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other322) {
+  version = other322.version;
+  plan_id = other322.plan_id;
+  part_hashes = other322.part_hashes;
+  parts = other322.parts;
+  __isset = other322.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other323) noexcept {
+  version = other323.version;
+  plan_id = std::move(other323.plan_id);
+  part_hashes = std::move(other323.part_hashes);
+  parts = std::move(other323.parts);
+  __isset = other323.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other324) {
+  version = other324.version;
+  plan_id = other324.plan_id;
+  part_hashes = other324.part_hashes;
+  parts = other324.parts;
+  __isset = other324.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other291) noexcept {
-  version = other291.version;
-  plan_id = std::move(other291.plan_id);
-  part_hashes = std::move(other291.part_hashes);
-  parts = std::move(other291.parts);
-  __isset = other291.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other325) noexcept {
+  version = other325.version;
+  plan_id = std::move(other325.plan_id);
+  part_hashes = std::move(other325.part_hashes);
+  parts = std::move(other325.parts);
+  __isset = other325.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -7810,114 +8430,114 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other292) {
-  hello = other292.hello;
-  heartbeat = other292.heartbeat;
-  credit = other292.credit;
-  cancel = other292.cancel;
-  refusal = other292.refusal;
-  place = other292.place;
-  placed = other292.placed;
-  place_done = other292.place_done;
-  run = other292.run;
-  run_head = other292.run_head;
-  chunk = other292.chunk;
-  run_end = other292.run_end;
-  void_attempt = other292.void_attempt;
-  attempt_state = other292.attempt_state;
-  ensure_model = other292.ensure_model;
-  model_ready = other292.model_ready;
-  subscribe = other292.subscribe;
-  endpoint_report = other292.endpoint_report;
-  drain = other292.drain;
-  drain_state = other292.drain_state;
-  config_pull = other292.config_pull;
-  config_parts = other292.config_parts;
-  release_engine = other292.release_engine;
-  engine_released = other292.engine_released;
-  __isset = other292.__isset;
-}
-Message::Message(Message&& other293) noexcept {
-  hello = std::move(other293.hello);
-  heartbeat = std::move(other293.heartbeat);
-  credit = std::move(other293.credit);
-  cancel = std::move(other293.cancel);
-  refusal = std::move(other293.refusal);
-  place = std::move(other293.place);
-  placed = std::move(other293.placed);
-  place_done = std::move(other293.place_done);
-  run = std::move(other293.run);
-  run_head = std::move(other293.run_head);
-  chunk = std::move(other293.chunk);
-  run_end = std::move(other293.run_end);
-  void_attempt = std::move(other293.void_attempt);
-  attempt_state = std::move(other293.attempt_state);
-  ensure_model = std::move(other293.ensure_model);
-  model_ready = std::move(other293.model_ready);
-  subscribe = std::move(other293.subscribe);
-  endpoint_report = std::move(other293.endpoint_report);
-  drain = std::move(other293.drain);
-  drain_state = std::move(other293.drain_state);
-  config_pull = std::move(other293.config_pull);
-  config_parts = std::move(other293.config_parts);
-  release_engine = std::move(other293.release_engine);
-  engine_released = std::move(other293.engine_released);
-  __isset = other293.__isset;
-}
-Message& Message::operator=(const Message& other294) {
-  hello = other294.hello;
-  heartbeat = other294.heartbeat;
-  credit = other294.credit;
-  cancel = other294.cancel;
-  refusal = other294.refusal;
-  place = other294.place;
-  placed = other294.placed;
-  place_done = other294.place_done;
-  run = other294.run;
-  run_head = other294.run_head;
-  chunk = other294.chunk;
-  run_end = other294.run_end;
-  void_attempt = other294.void_attempt;
-  attempt_state = other294.attempt_state;
-  ensure_model = other294.ensure_model;
-  model_ready = other294.model_ready;
-  subscribe = other294.subscribe;
-  endpoint_report = other294.endpoint_report;
-  drain = other294.drain;
-  drain_state = other294.drain_state;
-  config_pull = other294.config_pull;
-  config_parts = other294.config_parts;
-  release_engine = other294.release_engine;
-  engine_released = other294.engine_released;
-  __isset = other294.__isset;
+Message::Message(const Message& other326) {
+  hello = other326.hello;
+  heartbeat = other326.heartbeat;
+  credit = other326.credit;
+  cancel = other326.cancel;
+  refusal = other326.refusal;
+  place = other326.place;
+  placed = other326.placed;
+  place_done = other326.place_done;
+  run = other326.run;
+  run_head = other326.run_head;
+  chunk = other326.chunk;
+  run_end = other326.run_end;
+  void_attempt = other326.void_attempt;
+  attempt_state = other326.attempt_state;
+  ensure_model = other326.ensure_model;
+  model_ready = other326.model_ready;
+  subscribe = other326.subscribe;
+  endpoint_report = other326.endpoint_report;
+  drain = other326.drain;
+  drain_state = other326.drain_state;
+  config_pull = other326.config_pull;
+  config_parts = other326.config_parts;
+  release_engine = other326.release_engine;
+  engine_released = other326.engine_released;
+  __isset = other326.__isset;
+}
+Message::Message(Message&& other327) noexcept {
+  hello = std::move(other327.hello);
+  heartbeat = std::move(other327.heartbeat);
+  credit = std::move(other327.credit);
+  cancel = std::move(other327.cancel);
+  refusal = std::move(other327.refusal);
+  place = std::move(other327.place);
+  placed = std::move(other327.placed);
+  place_done = std::move(other327.place_done);
+  run = std::move(other327.run);
+  run_head = std::move(other327.run_head);
+  chunk = std::move(other327.chunk);
+  run_end = std::move(other327.run_end);
+  void_attempt = std::move(other327.void_attempt);
+  attempt_state = std::move(other327.attempt_state);
+  ensure_model = std::move(other327.ensure_model);
+  model_ready = std::move(other327.model_ready);
+  subscribe = std::move(other327.subscribe);
+  endpoint_report = std::move(other327.endpoint_report);
+  drain = std::move(other327.drain);
+  drain_state = std::move(other327.drain_state);
+  config_pull = std::move(other327.config_pull);
+  config_parts = std::move(other327.config_parts);
+  release_engine = std::move(other327.release_engine);
+  engine_released = std::move(other327.engine_released);
+  __isset = other327.__isset;
+}
+Message& Message::operator=(const Message& other328) {
+  hello = other328.hello;
+  heartbeat = other328.heartbeat;
+  credit = other328.credit;
+  cancel = other328.cancel;
+  refusal = other328.refusal;
+  place = other328.place;
+  placed = other328.placed;
+  place_done = other328.place_done;
+  run = other328.run;
+  run_head = other328.run_head;
+  chunk = other328.chunk;
+  run_end = other328.run_end;
+  void_attempt = other328.void_attempt;
+  attempt_state = other328.attempt_state;
+  ensure_model = other328.ensure_model;
+  model_ready = other328.model_ready;
+  subscribe = other328.subscribe;
+  endpoint_report = other328.endpoint_report;
+  drain = other328.drain;
+  drain_state = other328.drain_state;
+  config_pull = other328.config_pull;
+  config_parts = other328.config_parts;
+  release_engine = other328.release_engine;
+  engine_released = other328.engine_released;
+  __isset = other328.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other295) noexcept {
-  hello = std::move(other295.hello);
-  heartbeat = std::move(other295.heartbeat);
-  credit = std::move(other295.credit);
-  cancel = std::move(other295.cancel);
-  refusal = std::move(other295.refusal);
-  place = std::move(other295.place);
-  placed = std::move(other295.placed);
-  place_done = std::move(other295.place_done);
-  run = std::move(other295.run);
-  run_head = std::move(other295.run_head);
-  chunk = std::move(other295.chunk);
-  run_end = std::move(other295.run_end);
-  void_attempt = std::move(other295.void_attempt);
-  attempt_state = std::move(other295.attempt_state);
-  ensure_model = std::move(other295.ensure_model);
-  model_ready = std::move(other295.model_ready);
-  subscribe = std::move(other295.subscribe);
-  endpoint_report = std::move(other295.endpoint_report);
-  drain = std::move(other295.drain);
-  drain_state = std::move(other295.drain_state);
-  config_pull = std::move(other295.config_pull);
-  config_parts = std::move(other295.config_parts);
-  release_engine = std::move(other295.release_engine);
-  engine_released = std::move(other295.engine_released);
-  __isset = other295.__isset;
+Message& Message::operator=(Message&& other329) noexcept {
+  hello = std::move(other329.hello);
+  heartbeat = std::move(other329.heartbeat);
+  credit = std::move(other329.credit);
+  cancel = std::move(other329.cancel);
+  refusal = std::move(other329.refusal);
+  place = std::move(other329.place);
+  placed = std::move(other329.placed);
+  place_done = std::move(other329.place_done);
+  run = std::move(other329.run);
+  run_head = std::move(other329.run_head);
+  chunk = std::move(other329.chunk);
+  run_end = std::move(other329.run_end);
+  void_attempt = std::move(other329.void_attempt);
+  attempt_state = std::move(other329.attempt_state);
+  ensure_model = std::move(other329.ensure_model);
+  model_ready = std::move(other329.model_ready);
+  subscribe = std::move(other329.subscribe);
+  endpoint_report = std::move(other329.endpoint_report);
+  drain = std::move(other329.drain);
+  drain_state = std::move(other329.drain_state);
+  config_pull = std::move(other329.config_pull);
+  config_parts = std::move(other329.config_parts);
+  release_engine = std::move(other329.release_engine);
+  engine_released = std::move(other329.engine_released);
+  __isset = other329.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -8077,34 +8697,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other296) {
-  call = other296.call;
-  from_opener = other296.from_opener;
-  config_version = other296.config_version;
-  message = other296.message;
-  __isset = other296.__isset;
-}
-Frame::Frame(Frame&& other297) noexcept {
-  call = other297.call;
-  from_opener = other297.from_opener;
-  config_version = other297.config_version;
-  message = std::move(other297.message);
-  __isset = other297.__isset;
-}
-Frame& Frame::operator=(const Frame& other298) {
-  call = other298.call;
-  from_opener = other298.from_opener;
-  config_version = other298.config_version;
-  message = other298.message;
-  __isset = other298.__isset;
+Frame::Frame(const Frame& other330) {
+  call = other330.call;
+  from_opener = other330.from_opener;
+  config_version = other330.config_version;
+  message = other330.message;
+  __isset = other330.__isset;
+}
+Frame::Frame(Frame&& other331) noexcept {
+  call = other331.call;
+  from_opener = other331.from_opener;
+  config_version = other331.config_version;
+  message = std::move(other331.message);
+  __isset = other331.__isset;
+}
+Frame& Frame::operator=(const Frame& other332) {
+  call = other332.call;
+  from_opener = other332.from_opener;
+  config_version = other332.config_version;
+  message = other332.message;
+  __isset = other332.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other299) noexcept {
-  call = other299.call;
-  from_opener = other299.from_opener;
-  config_version = other299.config_version;
-  message = std::move(other299.message);
-  __isset = other299.__isset;
+Frame& Frame::operator=(Frame&& other333) noexcept {
+  call = other333.call;
+  from_opener = other333.from_opener;
+  config_version = other333.config_version;
+  message = std::move(other333.message);
+  __isset = other333.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -150,6 +150,14 @@
 
 class ServiceVersions;
 
+class RequestTrait;
+
+class CrashSeen;
+
+class TraitSurvived;
+
+class CrashEvidence;
+
 class EntryDatagram;
 
 class Drain;
@@ -2487,8 +2495,226 @@
 
 std::ostream& operator<<(std::ostream& out, const ServiceVersions& obj);
 
+typedef struct _RequestTrait__isset {
+  _RequestTrait__isset() : whole_request(false), hash(false) {}
+  bool whole_request :1;
+  bool hash :1;
+} _RequestTrait__isset;
+
+class RequestTrait : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestTrait(const RequestTrait&) noexcept;
+  RequestTrait(RequestTrait&&) noexcept;
+  RequestTrait& operator=(const RequestTrait&) noexcept;
+  RequestTrait& operator=(RequestTrait&&) noexcept;
+  RequestTrait() noexcept
+               : whole_request(0),
+                 hash(0) {
+  }
+
+  virtual ~RequestTrait() noexcept;
+  bool whole_request;
+  int64_t hash;
+
+  _RequestTrait__isset __isset;
+
+  void __set_whole_request(const bool val);
+
+  void __set_hash(const int64_t val);
+
+  bool operator == (const RequestTrait & rhs) const
+  {
+    if (!(whole_request == rhs.whole_request))
+      return false;
+    if (!(hash == rhs.hash))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestTrait &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestTrait & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestTrait &a, RequestTrait &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestTrait& obj);
+
+typedef struct _CrashSeen__isset {
+  _CrashSeen__isset() : engine_instance(false), age_ms(false), traits(false) {}
+  bool engine_instance :1;
+  bool age_ms :1;
+  bool traits :1;
+} _CrashSeen__isset;
+
+class CrashSeen : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashSeen(const CrashSeen&);
+  CrashSeen(CrashSeen&&) noexcept;
+  CrashSeen& operator=(const CrashSeen&);
+  CrashSeen& operator=(CrashSeen&&) noexcept;
+  CrashSeen() noexcept
+            : engine_instance(),
+              age_ms(0) {
+  }
+
+  virtual ~CrashSeen() noexcept;
+  std::string engine_instance;
+  int64_t age_ms;
+  std::vector<RequestTrait>  traits;
+
+  _CrashSeen__isset __isset;
+
+  void __set_engine_instance(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_traits(const std::vector<RequestTrait> & val);
+
+  bool operator == (const CrashSeen & rhs) const
+  {
+    if (!(engine_instance == rhs.engine_instance))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(traits == rhs.traits))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashSeen &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashSeen & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashSeen &a, CrashSeen &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashSeen& obj);
+
+typedef struct _TraitSurvived__isset {
+  _TraitSurvived__isset() : trait(false), age_ms(false) {}
+  bool trait :1;
+  bool age_ms :1;
+} _TraitSurvived__isset;
+
+class TraitSurvived : public virtual ::apache::thrift::TBase {
+ public:
+
+  TraitSurvived(const TraitSurvived&) noexcept;
+  TraitSurvived(TraitSurvived&&) noexcept;
+  TraitSurvived& operator=(const TraitSurvived&) noexcept;
+  TraitSurvived& operator=(TraitSurvived&&) noexcept;
+  TraitSurvived() noexcept
+                : age_ms(0) {
+  }
+
+  virtual ~TraitSurvived() noexcept;
+  RequestTrait trait;
+  int64_t age_ms;
+
+  _TraitSurvived__isset __isset;
+
+  void __set_trait(const RequestTrait& val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const TraitSurvived & rhs) const
+  {
+    if (!(trait == rhs.trait))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TraitSurvived &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TraitSurvived & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TraitSurvived &a, TraitSurvived &b);
+
+std::ostream& operator<<(std::ostream& out, const TraitSurvived& obj);
+
+typedef struct _CrashEvidence__isset {
+  _CrashEvidence__isset() : entry(false), crashes(false), survivals(false) {}
+  bool entry :1;
+  bool crashes :1;
+  bool survivals :1;
+} _CrashEvidence__isset;
+
+class CrashEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashEvidence(const CrashEvidence&);
+  CrashEvidence(CrashEvidence&&) noexcept;
+  CrashEvidence& operator=(const CrashEvidence&);
+  CrashEvidence& operator=(CrashEvidence&&) noexcept;
+  CrashEvidence() noexcept
+                : entry() {
+  }
+
+  virtual ~CrashEvidence() noexcept;
+  std::string entry;
+  std::vector<CrashSeen>  crashes;
+  std::vector<TraitSurvived>  survivals;
+
+  _CrashEvidence__isset __isset;
+
+  void __set_entry(const std::string& val);
+
+  void __set_crashes(const std::vector<CrashSeen> & val);
+
+  void __set_survivals(const std::vector<TraitSurvived> & val);
+
+  bool operator == (const CrashEvidence & rhs) const
+  {
+    if (!(entry == rhs.entry))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(survivals == rhs.survivals))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashEvidence &a, CrashEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashEvidence& obj);
+
 typedef struct _EntryDatagram__isset {
-  _EntryDatagram__isset() : record(false), quota_ask(false), quota_answer(false), engine_ask(false), engine_answer(false), stream_origins(false), stream_ask(false), stream_answer(false) {}
+  _EntryDatagram__isset() : record(false), quota_ask(false), quota_answer(false), engine_ask(false), engine_answer(false), stream_origins(false), stream_ask(false), stream_answer(false), crash_evidence(false) {}
   bool record :1;
   bool quota_ask :1;
   bool quota_answer :1;
@@ -2497,6 +2723,7 @@
   bool stream_origins :1;
   bool stream_ask :1;
   bool stream_answer :1;
+  bool crash_evidence :1;
 } _EntryDatagram__isset;
 
 class EntryDatagram : public virtual ::apache::thrift::TBase {
@@ -2518,6 +2745,7 @@
   StreamOrigins stream_origins;
   StreamAsk stream_ask;
   StreamAnswer stream_answer;
+  CrashEvidence crash_evidence;
 
   _EntryDatagram__isset __isset;
 
@@ -2537,6 +2765,8 @@
 
   void __set_stream_answer(const StreamAnswer& val);
 
+  void __set_crash_evidence(const CrashEvidence& val);
+
   bool operator == (const EntryDatagram & rhs) const
   {
     if (__isset.record != rhs.__isset.record)
@@ -2571,6 +2801,10 @@
       return false;
     else if (__isset.stream_answer && !(stream_answer == rhs.stream_answer))
       return false;
+    if (__isset.crash_evidence != rhs.__isset.crash_evidence)
+      return false;
+    else if (__isset.crash_evidence && !(crash_evidence == rhs.crash_evidence))
+      return false;
     return true;
   }
   bool operator != (const EntryDatagram &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -311,6 +311,36 @@
 // service while there are several.
 struct ServiceVersions { 1: list<string> versions }
 
+// A property of a request that may crash engines.
+struct RequestTrait {
+  // True for the request as a whole, false for a part of its prompt.
+  1: bool whole_request
+  2: i64 hash
+}
+
+// The traits of the requests that were beginning in an engine as it crashed.
+struct CrashSeen {
+  1: string engine_instance
+  // Time since the crash.
+  2: i64 age_ms
+  3: list<RequestTrait> traits
+}
+
+// A request with the trait was answered.
+struct TraitSurvived {
+  1: RequestTrait trait
+  // Time since the answer.
+  2: i64 age_ms
+}
+
+// What an entry has seen of engines' crashes and their causes.
+struct CrashEvidence {
+  // The key of the sender's EntryPresence.
+  1: string entry
+  2: list<CrashSeen> crashes
+  3: list<TraitSurvived> survivals
+}
+
 // One datagram between two entries. Exactly one field is set.
 struct EntryDatagram {
   1: optional EntryRecord record
@@ -322,6 +352,7 @@
   6: optional StreamOrigins stream_origins
   7: optional StreamAsk stream_ask
   8: optional StreamAnswer stream_answer
+  9: optional CrashEvidence crash_evidence
 }
 
 // Drains one endpoint, on an operator's command. Answered by DrainState.
--- a/src/crash/quarantine_store.cc
+++ b/src/crash/quarantine_store.cc
@@ -54,10 +54,6 @@
 void QuarantineStore::Start() {
   core::Spawn(executor_, log_, "quarantine_follow",
               [self = shared_from_this()] { return self->ReadAndWatch(); });
-  StartWriting();
-}
-
-void QuarantineStore::StartWriting() {
   core::Spawn(executor_, log_, "quarantine_flush",
               [self = shared_from_this()] { return self->WriteChanges(); });
 }
--- a/src/crash/quarantine_store_base.h
+++ b/src/crash/quarantine_store_base.h
@@ -48,17 +48,8 @@
 
   /** Starts reading, watching and writing. */
   void Start();
-  /** Starts writing only; the owner passes in what it reads by ApplyListing and
-   * ApplyEvent. */
-  void StartWriting();
   void Stop();
 
-  /** Applies a complete listing of kQuarantinePrefix. */
-  void ApplyListing(const std::vector<external::KvEntry>& entries);
-
-  /** Applies a change of a key under kQuarantinePrefix. */
-  void ApplyEvent(const external::KvEvent& event);
-
   /** Marks a fingerprint whose crashes changed in this process for writing. */
   void MarkDirty(std::int64_t fingerprint);
 
@@ -67,6 +58,10 @@
   [[nodiscard]] bool first_read_done() const { return first_read_done_; }
 
  private:
+  /** Applies a complete listing of kQuarantinePrefix. */
+  void ApplyListing(const std::vector<external::KvEntry>& entries);
+  /** Applies a change of a key under kQuarantinePrefix. */
+  void ApplyEvent(const external::KvEvent& event);
   core::Task<> ReadAndWatch();
   core::Task<std::int64_t> ReadAll();
   core::Task<> WatchFrom(std::int64_t revision);
--- a/src/fleet/entry_message.cc
+++ b/src/fleet/entry_message.cc
@@ -95,7 +95,10 @@
       (datagram.__isset.stream_origins &&
        !datagram.stream_origins.entry.empty()) ||
       (datagram.__isset.stream_ask && !datagram.stream_ask.entry.empty()) ||
-      (datagram.__isset.stream_answer && !datagram.stream_answer.entry.empty());
+      (datagram.__isset.stream_answer &&
+       !datagram.stream_answer.entry.empty()) ||
+      (datagram.__isset.crash_evidence &&
+       !datagram.crash_evidence.entry.empty());
   if (!has_sender) {
     throw core::Error(core::ErrorCode::kMalformedRequest,
                       "malformed entry message: no sender");
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -76,7 +76,7 @@
     : options_(options),
       deps_(parts),
       chooser_(options.pace, parts.registry, parts.peer_table, parts.gauges,
-               parts.finder, parts.loader, parts.clock),
+               parts.finder, parts.loader, parts.crash_watch, parts.clock),
       sender_({parts.rate_limiter, parts.registry, parts.loads, parts.clients,
                parts.crash_watch, parts.engine_wire, parts.metrics,
                parts.clock}) {}
@@ -130,7 +130,7 @@
   CheckStoreView(work);
   work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
   ResolveService(work);
-  deps_.crash_watch.Check(work.fingerprint);
+  deps_.crash_watch.Check(CandidateOf(work));
 }
 
 /** Refuses the request while the view of the store is too old: its routes and
@@ -311,8 +311,11 @@
 /** Chooses an engine and sends the request to it, at most once. @return True if
  * the request is over: it has its final answer, or the caller has left. False
  * if it is to be tried again, also if nothing was sent because the engine's
- * rate limit is used up or the engine is no longer registered. */
+ * rate limit is used up, the engine is no longer registered, or an engine has
+ * crashed meanwhile under a request that this one may be like. */
 core::Task<bool> Dispatcher::Attempt(SharedWork work) {
+  co_await deps_.crash_watch.AwaitTurn(CandidateOf(*work),
+                                       TimeLeft(*work, deps_.clock.Now()));
   work->engine = co_await chooser_.Choose(*work);
   const bool may_send =
       work->caller.left ||
@@ -321,7 +324,9 @@
     work->outcome = "caller_left";
     co_return true;
   }
-  if (!may_send) co_return false;
+  if (!may_send || !deps_.crash_watch.MaySend(CandidateOf(*work))) {
+    co_return false;
+  }
   CheckStoreView(*work);
   RecheckKey(*work);
   const core::Executor executor = co_await boost::asio::this_coro::executor;
@@ -514,7 +519,8 @@
   if (!engine) co_return nullptr;
   const bool may_send =
       co_await deps_.rate_limiter.Acquire(*engine, work->request.id);
-  if (!may_send || work->hedge.get() != &hedge || work->caller.left) {
+  if (!may_send || work->hedge.get() != &hedge || work->caller.left ||
+      deps_.crash_watch.IsSuspect(CandidateOf(*work))) {
     co_return nullptr;
   }
   try {
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -245,7 +245,11 @@
         loader(finder, calls, peer_table, registry, loads, metrics,
                io.get_executor(), clock, log),
         store(store_clock),
-        crash_watch(store, loads, io.get_executor(), clock, log),
+        crash_watch(
+            "self",
+            {peer_table, [](const std::string&, const gen::EntryDatagram&) {},
+             store, clock, log},
+            loads, io.get_executor(), clock, log),
         version_history(registry, clock),
         stream_directory(
             {"self"}, version_history, peer_table, [] { return true; },
--- a/src/serving/dispatcher_test.cc
+++ b/src/serving/dispatcher_test.cc
@@ -515,24 +515,24 @@
   BOOST_TEST(statuses.back() == kUnprocessable);
 }
 
-/** Guards against a crash that counts for nothing because the stream had begun
- * at another engine long before. */
+/** Guards against a crash that counts for nothing because the stream's first
+ * event came from another engine long before. */
 BOOST_AUTO_TEST_CASE(CrashUnderAResumedStreamIsCounted) {
   Rig rig;
   rig.crash_watch.Start();
-  rig.AddEngine(kDrafts, BreakingOffAfter(milliseconds(1200), kFirst));
+  rig.AddEngine(kDrafts, Streaming({kFirst}, false));
   rig.AddEngine(
       kDrafts,
       [&rig](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+        co_await core::SleepFor(milliseconds(1200));
         rig.engines[1]->server.StopAccepting();
         throw http::ConnectionCut("the engine crashes");
-        co_return;
       });
   RecordingWriter caller;
   rig.Serve("/stream/", kWait, caller);
   rig.Pass(kCrashNoticed);
   BOOST_TEST(caller.cut);
-  BOOST_TEST(rig.store.Keys("quarantine/").size() == 1U);
+  BOOST_TEST(rig.store.Keys(crash::kEvidencePrefix).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(RequestWithoutAnEngineIsRefused) {
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -98,13 +98,15 @@
                              fleet::EngineRegistry& registry,
                              const fleet::PeerTable& peer_table,
                              LoadGauges& gauges, const ReplicaFinder& finder,
-                             ModelLoader& loader, const core::Clock& clock)
+                             ModelLoader& loader, const CrashWatch& crash_watch,
+                             const core::Clock& clock)
     : pace_(pace),
       registry_(registry),
       peer_table_(peer_table),
       gauges_(gauges),
       finder_(finder),
       loader_(loader),
+      crash_watch_(crash_watch),
       clock_(clock) {}
 
 /** Waits until an engine can take the request. @return The engine; an empty id
@@ -114,6 +116,7 @@
     if (work.caller.left) co_return fleet::InstanceId();
     CheckShutdown(work, milliseconds(0));
     CheckVersion(work);
+    crash_watch_.Check(CandidateOf(work));
     const std::uint64_t seen = loader_.changed().epoch();
     co_await QueryBusyEngines(work);
     if (const auto engine = TryChoose(work)) co_return *engine;
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -36,7 +36,7 @@
   EngineChooser(policy::EnginePace pace, fleet::EngineRegistry& registry,
                 const fleet::PeerTable& peer_table, LoadGauges& gauges,
                 const ReplicaFinder& finder, ModelLoader& loader,
-                const core::Clock& clock);
+                const CrashWatch& crash_watch, const core::Clock& clock);
 
   /**
    * Waits until an engine can take the request.
@@ -89,6 +89,7 @@
   LoadGauges& gauges_;
   const ReplicaFinder& finder_;
   ModelLoader& loader_;
+  const CrashWatch& crash_watch_;
   const core::Clock& clock_;
   std::optional<core::SteadyTime> end_;
   const std::shared_ptr<WaitingCounts> waiting_ =
--- a/src/serving/engine_chooser_test.cc
+++ b/src/serving/engine_chooser_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/error_type.h"
+#include "entry/testing_key_value.h"
 #include "serving/dispatcher_rig_test.h"
 #include "serving/engine_chooser_base.h"
 #include "serving/loader_rig_test.h"
@@ -29,8 +30,14 @@
 /** A chooser on top of the model loader's rig. */
 struct Rig : testing::LoaderRig {
   Rig()
-      : chooser(policy::EnginePace(), registry, peer_table, gauges, finder,
-                loader, clock) {
+      : store(store_clock),
+        crash_watch(
+            "self",
+            {peer_table, [](const std::string&, const gen::EntryDatagram&) {},
+             store, clock, log},
+            loads, io.get_executor(), clock, log),
+        chooser(policy::EnginePace(), registry, peer_table, gauges, finder,
+                loader, crash_watch, clock) {
     route.kind = routing::RequestKind::kStream;
     route.idle_timeout = milliseconds(16'000);
     request.model = kModel;
@@ -56,6 +63,9 @@
     co_return error;
   }
 
+  core::ManualClock store_clock;
+  entry::testing::MemoryKeyValue store;
+  CrashWatch crash_watch;
   EngineChooser chooser;
   routing::Route route;
   CallerRequest request;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -25,6 +25,8 @@
  * connections may arrive for this long after the entry has stopped being ready.
  */
 constexpr milliseconds kBalancerLag{2500};
+/** Path on the metrics address that lists what may be crashing engines. */
+constexpr std::string_view kSuspectsPath = "/suspects";
 /** A link to an endpoint without a load request for this long is closed. */
 constexpr milliseconds kIdleLink{3000};
 /** Time reserved for the process to exit. */
@@ -242,7 +244,14 @@
       finder_(options_.zone, registry_, peer_table_, loads_, gauges_, clock),
       loader_(finder_, calls_, peer_table_, registry_, loads_, metrics_,
               executor, clock, log),
-      crash_watch_(store_, loads_, executor_, clock, log),
+      crash_watch_(presence_key_,
+                   {peer_table_,
+                    [this](const std::string& address,
+                           const gen::EntryDatagram& datagram) {
+                      channel_.Send(address, datagram);
+                    },
+                    store_, clock, log},
+                   loads_, executor_, clock, log),
       channel_(
           options_.link_listen,
           [this](const gen::EntryDatagram& datagram,
@@ -312,8 +321,10 @@
           log),
       metrics_server_(
           executor, options_.metrics_listen, http::ServerLimits(),
-          [this](const http::Request&, http::ResponseWriter& writer) {
-            return AnswerMetrics(writer);
+          [this](const http::Request& request, http::ResponseWriter& writer) {
+            return http::PathOf(request.target) == kSuspectsPath
+                       ? AnswerSuspects(writer)
+                       : AnswerMetrics(writer);
           },
           log) {}
 
@@ -370,6 +381,7 @@
   levels.entries = peer_table_.entries();
   levels.coordinators_suspected = quota_client_.suspected_count();
   levels.stream_origins = static_cast<std::int64_t>(stream_directory_.size());
+  levels.traits_suspected = crash_watch_.suspects();
   levels.ready = Ready();
   levels.store_age = age(store_follower_.last_answer());
   levels.view_age = age(store_follower_.current_as_of());
@@ -387,6 +399,12 @@
   co_await writer.Send(std::move(response));
 }
 
+core::Task<> Front::AnswerSuspects(http::ResponseWriter& writer) {
+  http::Response response =
+      http::MakeResponse(kOk, "text/plain", crash_watch_.Describe());
+  co_await writer.Send(std::move(response));
+}
+
 core::Task<> Front::AnswerReady(const http::Request& request,
                                 http::ResponseWriter& writer) {
   const bool asked = http::PathOf(request.target) == options_.ready_path;
@@ -469,6 +487,10 @@
     peer_table_.RecordDatagram(datagram.quota_answer.entry);
     quota_client_.OnAnswer(datagram.quota_answer);
   }
+  if (datagram.__isset.crash_evidence) {
+    peer_table_.RecordDatagram(datagram.crash_evidence.entry);
+    crash_watch_.OnDatagram(datagram.crash_evidence);
+  }
   OnStreamDatagram(datagram, address);
 }
 
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -97,6 +97,7 @@
   [[nodiscard]] bool Ready() const;
   [[nodiscard]] FrontLevels Levels() const;
   core::Task<> AnswerMetrics(http::ResponseWriter& writer);
+  core::Task<> AnswerSuspects(http::ResponseWriter& writer);
   core::Task<> AnswerReady(const http::Request& request,
                            http::ResponseWriter& writer);
   void AdoptConfiguration(const external::KvEntry& entry);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -30,6 +30,8 @@
   int coordinators_suspected = 0;
   /** Streams whose software version is recorded here. */
   std::int64_t stream_origins = 0;
+  /** What requests that may have crashed engines have in common. */
+  int traits_suspected = 0;
   bool ready = false;
   /** Age of the store's last answer. */
   std::chrono::milliseconds store_age{0};
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -86,10 +86,9 @@
 WatchedSend RequestSender::Watch(const RequestWork& work,
                                  const fleet::EngineEntry& engine) {
   WatchedSend watched;
-  watched.fingerprint = work.fingerprint;
+  watched.traits = work.traits;
   watched.request = work.request.id;
   watched.model = work.request.model;
-  watched.shared_parts = SharedPartsOf(work.request);
   watched.instance = engine.instance;
   watched.address = engine.address;
   deps_.crash_watch.Begin(watched);
@@ -108,14 +107,15 @@
   };
   hooks.first_byte = [this, &work, &watched = send.watched,
                       ticket = send.ticket, answered = callbacks.answered] {
-    watched.first_byte = deps_.clock.Now();
+    deps_.crash_watch.RecordAnswerPart(watched);
     answered();
     deps_.loads.RecordFirstByte(ticket);
     NotePrefix(work, ticket.instance);
     if (!work.first_byte) work.first_byte = deps_.clock.Now();
   };
-  hooks.received = [this, ticket = send.ticket,
+  hooks.received = [this, &watched = send.watched, ticket = send.ticket,
                     answered = std::move(callbacks.answered)] {
+    deps_.crash_watch.RecordAnswerPart(watched);
     answered();
     deps_.loads.RecordAnswerPart(ticket);
   };
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -4,12 +4,12 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/clock_base.h"
 #include "fleet/engine_type.h"
@@ -35,7 +35,7 @@
 
   CallerRequest request;
   CallerConnection caller;
-  std::int64_t fingerprint = FingerprintOf(request);
+  std::vector<crash::Trait> traits = TraitsOf(request);
   core::SteadyTime arrived;
   /** Start of a stream's idle timeout: when the request arrived or, if later,
    * when a send last failed after a part of the stream had been sent to the
@@ -80,6 +80,11 @@
   bool cut = false;
 };
 
+/** @return The request as a candidate for its next send. */
+inline CandidateSend CandidateOf(const RequestWork& work) {
+  return {work.request.id, work.traits, work.runs > 0};
+}
+
 /** @return Time until the caller must have its final answer. */
 inline milliseconds TimeLeft(const RequestWork& work, core::SteadyTime now) {
   const auto left =
