Let the soak's callers share prompt parts, one of which crashes engines

Tests and soak missed the fault because both repeat one body. The soak checks that no more than three such requests reach engines 3 s after the fifth crash, and that from 6 s after it sound ones begin at least half as often as without faults.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -65,6 +65,8 @@
       "Engines answer without length or chunks, and break answers off");
   app.add_flag("--software-versions", plan.software_versions,
                "Engines are of two software versions, callers take streams up");
+  app.add_flag("--crashing-part", plan.crashing_part,
+               "One part of callers' prompts crashes engines");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -15,6 +15,7 @@
 using platform::kDeadline;
 using platform::kLastEvent;
 using platform::kModel;
+using platform::kPromptParts;
 using platform::kRequestId;
 using platform::kResponseStamp;
 using platform::kResumes;
@@ -31,6 +32,10 @@
  * deadly. */
 constexpr int kCancelEvery = 12;
 constexpr int kDeadlyEvery = 8;
+/** One in this many streams has kCrashingPart. */
+constexpr int kCrashingPartEvery = 5;
+/** Sessions of a caller, whose requests share a prompt part. */
+constexpr int kSessions = 3;
 /** Attempts to take a broken stream up. */
 constexpr int kMaxTakeUps = 3;
 constexpr int kKinds = 4;
@@ -135,7 +140,19 @@
   return KeyOf(organisation, generation);
 }
 
-http::Request SoakCaller::MakeRequest(const Attempt& attempt, int events) {
+/** @return Parts that all streams share, that a session shares and that the
+ * request has alone; before the last one, maybe kCrashingPart. */
+std::string SoakCaller::DrawPromptParts(Attempt& attempt) {
+  attempt.crashes_engines = clock_.Now() < *options_.crashing_part_until &&
+                            RandomBelow(kCrashingPartEvery) == 0;
+  const int session = options_.number * kSessions + RandomBelow(kSessions);
+  return fmt::format(
+      "a1:80,{:x}:40,{}c{:x}{:04x}:9", 0xb0000 + session,
+      attempt.crashes_engines ? std::string(kCrashingPart) + "," : "",
+      options_.number, sent_);
+}
+
+http::Request SoakCaller::MakeRequest(Attempt& attempt, int events) {
   http::Request request;
   request.method = "POST";
   request.target = std::string(PathOf(attempt.kind)) + "x";
@@ -151,6 +168,9 @@
   const int model = RandomBelow(static_cast<int>(options_.models.size()));
   set(kModel, options_.models.at(static_cast<std::size_t>(model)));
   set(kTokenCount, fmt::format("100,{}", events));
+  if (options_.crashing_part_until) {
+    set(kPromptParts, DrawPromptParts(attempt));
+  }
   const bool deadly =
       clock_.Now() < options_.deadly_until && RandomBelow(kDeadlyEvery) == 0;
   if (deadly) request.body = kDeadlyBody;
--- a/deploy/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -4,6 +4,7 @@
 #define SAPPHIRE_DEPLOY_SOAK_SOAK_CALLER_BASE_H_
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
   core::SteadyTime deadly_until;
   /** Current keys of the organisations; null if no key is sent. */
   const KeyGenerations* keys = nullptr;
+  /** Requests share prompt parts; some have kCrashingPart until this time. */
+  std::optional<core::SteadyTime> crashing_part_until;
   /** Takes up streams that were broken off. */
   bool takes_up_streams = false;
 };
@@ -49,7 +52,8 @@
 
  private:
   [[nodiscard]] std::string CurrentKey() const;
-  http::Request MakeRequest(const Attempt& attempt, int events);
+  http::Request MakeRequest(Attempt& attempt, int events);
+  std::string DrawPromptParts(Attempt& attempt);
   core::Task<> Send(Attempt& attempt, const http::Request& request, int events,
                     milliseconds idle_timeout, StreamProgress& progress);
   void CheckAnswer(Attempt& attempt, const http::ResponseHead& head,
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 #include "soak_check_func.h"
 #include "soak_identity_func.h"
@@ -23,6 +24,14 @@
 /** Maximum number of crashes by deadly requests. Two crashes are needed to
  * identify a deadly request; more may already be under way then. */
 constexpr int kMaxDeadlyCrashes = 6;
+/** After so many crashes by one prompt part and kSettleTime, no more than
+ * kMaxLaterSends requests with it may reach engines. */
+constexpr std::size_t kCrashesToKnow = 5;
+constexpr int kMaxLaterSends = 3;
+/** From 2 * kSettleTime after these crashes on, requests without the part begin
+ * at least this share as often as without faults, if there are enough. */
+constexpr double kMinSoundShare = 0.5;
+constexpr int kMinSoundRequests = 20;
 constexpr int kUnauthorised = 401;
 constexpr int kOverQuota = 429;
 
@@ -45,6 +54,7 @@
     CheckKeys();
     CheckQuota();
     CheckRecovery();
+    CheckCrashingPart();
     for (const std::string& it : record_.joined_versions) {
       AddViolation("events of two software versions in one stream", it);
     }
@@ -234,6 +244,64 @@
     }
   }
 
+  /** @return The time of crash kCrashesToKnow; of the last one if there are
+   * fewer. */
+  [[nodiscard]] core::SteadyTime TimeOfLastNeededCrash() const {
+    const std::size_t n = std::min(record_.part_crashes.size(), kCrashesToKnow);
+    return record_.part_crashes[n - 1].second;
+  }
+
+  void CheckCrashingPart() {
+    if (record_.part_crashes.empty()) return;
+    const core::SteadyTime known = TimeOfLastNeededCrash();
+    std::set<std::string> undisturbed;
+    for (const Attempt& it : record_.attempts) {
+      if (!EntryDisturbed(it)) undisturbed.insert(it.id);
+    }
+    const auto later =
+        std::ranges::count_if(record_.part_crashes, [&](const auto& it) {
+          return it.second > known + kSettleTime &&
+                 undisturbed.contains(it.first);
+        });
+    if (later > kMaxLaterSends) {
+      AddViolation(
+          "a prompt part went on crashing engines",
+          fmt::format("{} crashes, {} of them late, limit {}",
+                      record_.part_crashes.size(), later, kMaxLaterSends));
+    }
+    CheckSoundRequests(known + 2 * kSettleTime);
+  }
+
+  /** Checks that requests which share their other parts with the crashing ones
+   * are served while those still come. */
+  void CheckSoundRequests(core::SteadyTime from) {
+    int sent = 0;
+    int begun = 0;
+    int usually_sent = 0;
+    int usually_begun = 0;
+    for (const Attempt& it : record_.attempts) {
+      const bool is_sound_stream =
+          it.kind == routing::RequestKind::kStream && !it.crashes_engines &&
+          it.end != AttemptEnd::kCancelled && !EntryDisturbed(it);
+      if (!is_sound_stream) continue;
+      const int has_begun = record_.runs.contains(it.id) ? 1 : 0;
+      if (it.sent >= record_.fault_free_from + kSettleTime) {
+        ++usually_sent;
+        usually_begun += has_begun;
+      } else if (it.sent >= from && it.sent < record_.fault_free_from) {
+        ++sent;
+        begun += has_begun;
+      }
+    }
+    if (std::min(sent, usually_sent) < kMinSoundRequests) return;
+    const double usual = static_cast<double>(usually_begun) / usually_sent;
+    if (begun < kMinSoundShare * usual * sent) {
+      AddViolation("requests beside a crashing prompt part did not begin",
+                   fmt::format("{} of {}, usually {} of {}", begun, sent,
+                               usually_begun, usually_sent));
+    }
+  }
+
   const SoakRecord& record_;
   const double min_served_share_;
   std::vector<std::string> violations_;
@@ -257,10 +325,12 @@
   for (std::size_t i = 0; i < kNames.size(); ++i) {
     text += fmt::format(" {}={}", kNames.at(i), counts.at(i));
   }
-  return text +
-         fmt::format(" orders={} deadly_crashes={} taken_up={} went_on={}",
-                     record.orders.size(), record.deadly_crashes,
-                     record.taken_up, record.went_on);
+  return text + fmt::format(
+                    " orders={} deadly_crashes={} part_crashes={} taken_up={} "
+                    "went_on={}",
+                    record.orders.size(), record.deadly_crashes,
+                    record.part_crashes.size(), record.taken_up,
+                    record.went_on);
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -21,6 +21,7 @@
 using platform::kModel;
 using platform::kNotRun;
 using platform::kOrganisation;
+using platform::kPromptParts;
 using platform::kRequestId;
 using platform::kResponseStamp;
 using platform::kTokenCount;
@@ -240,6 +241,16 @@
   record_.runs[id].push_back(run);
 }
 
+/** Crashes if the prompt has kCrashingPart. @throws http::ConnectionCut */
+void SoakEngine::CrashIfDeadly(const http::Request& request) {
+  const std::string parts = HeaderOf(request, kPromptParts);
+  if (parts.find(kCrashingPart) == std::string::npos) return;
+  record_.part_crashes.emplace_back(HeaderOf(request, kRequestId),
+                                    clock_.Now());
+  on_crash_();
+  throw http::ConnectionCut("crashed");
+}
+
 /** @throws http::ConnectionCut if the engine crashes during the pause. */
 core::Task<> SoakEngine::SleepUnlessCrashed(milliseconds time,
                                             std::int64_t crash_count) const {
@@ -278,6 +289,7 @@
   http::ResponseHead head = MakeResponseHead(id);
   head.ends_with_connection = shape.ends_with_connection;
   co_await writer.Begin(std::move(head));
+  CrashIfDeadly(request);
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
   for (int i = first; i <= events; ++i) {
     co_await SleepUnlessCrashed(kEventInterval, crash_count);
--- a/deploy/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -21,6 +21,9 @@
 /** Body of a request that crashes every engine that starts to run it. */
 inline constexpr std::string_view kDeadlyBody = "deadly";
 
+/** The prompt part that crashes every engine that begins to answer it. */
+inline constexpr std::string_view kCrashingPart = "dead:40";
+
 struct SoakEngineOptions {
   std::string listen;
   std::string instance;
@@ -92,6 +95,7 @@
   http::ResponseHead MakeResponseHead(const std::string& id) const;
   [[nodiscard]] AnswerShape ShapeOf(const std::string& request) const;
   void Begin(const http::Request& request);
+  void CrashIfDeadly(const http::Request& request);
   core::Task<> SleepUnlessCrashed(milliseconds time,
                                   std::int64_t crash_count) const;
 
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -257,6 +257,9 @@
     caller.number = i;
     // A deadly request is a fault, so none is sent in the fault-free time.
     if (i == 0) caller.deadly_until = record_.fault_free_from;
+    if (plan_.crashing_part) {
+      caller.crashing_part_until = record_.fault_free_from;
+    }
     caller.takes_up_streams = plan_.software_versions;
     if (plan_.organisations) caller.keys = &keys_;
     callers_.push_back(std::make_unique<SoakCaller>(caller, record_, clock_));
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/clock_base.h"
@@ -86,6 +87,9 @@
   /** Model engines are of two software versions in turn, and callers take up
    * streams that were broken off. */
   bool software_versions = false;
+  /** Callers share prompt parts, and one part crashes every engine that begins
+   * to answer it while there are faults. */
+  bool crashing_part = false;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -128,6 +132,8 @@
   int status = 0;
   /** API key of the request; empty if none was sent. */
   std::string key;
+  /** True for a request with kCrashingPart. */
+  bool crashes_engines = false;
   /** True for a success whose body is not the engine's complete answer to this
    * request. */
   bool corrupt = false;
@@ -183,6 +189,8 @@
   std::map<int, std::vector<Disturbance>> store_unreachable;
   /** Number of engine crashes caused by requests with kDeadlyBody. */
   int deadly_crashes = 0;
+  /** When requests with kCrashingPart crashed an engine, by attempt. */
+  std::vector<std::pair<std::string, core::SteadyTime>> part_crashes;
   /** VMs whose process exited unexpectedly. */
   std::vector<std::string> unexpected_exits;
   core::SteadyTime fault_free_from;
