--- a/src/crash/evidence_sharing.cc
+++ b/src/crash/evidence_sharing.cc
@@ -204,7 +204,9 @@
       unwritten_.insert(it);
       failed = true;
     }
-    if (failed) co_await core::SleepFor(kRetryPause);
+    if (failed) {
+      co_await core::SleepFor(kRetryPause);
+    }
   }
 }
 
--- a/src/crash/evidence_type.h
+++ b/src/crash/evidence_type.h
@@ -3,10 +3,10 @@
 #define SAPPHIRE_CRASH_EVIDENCE_TYPE_H_
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 
 #include "core/clock_base.h"
 #include "fleet/instance_type.h"
@@ -25,7 +25,10 @@
   TraitKind kind = TraitKind::kPromptPart;
   std::uint64_t hash = 0;
 
-  friend auto operator<=>(const Trait&, const Trait&) = default;
+  friend bool operator==(const Trait&, const Trait&) = default;
+  friend bool operator<(const Trait& a, const Trait& b) {
+    return std::tie(a.kind, a.hash) < std::tie(b.kind, b.hash);
+  }
 };
 
 /** The traits of the requests that were beginning in an engine as it crashed,
