Refuse new connections while an entry has more work than processor time

A load balancer may send most new connections of a zone to one entry for some seconds. Nothing bounds what an entry accepts: it reads every request, and all of them are answered late, those of its old connections too.

Timers that have all been more than 120 ms late for 750 ms show a standing queue of work; a single stall does not. Until one is in time again, new connections are reset before anything is read, which tells their callers that nothing ran and that another entry may serve them at once. The entry stays ready: taken out, it would send the crowd to the next one. Connections that are open are served.

--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -290,6 +290,7 @@
           RefreshOptionsOf(layout_), store_,
           [this](const external::KvEntry& it) { AdoptConfiguration(it); },
           clock, log),
+      overload_(clock, log),
       dispatcher_(
           options_.dispatch,
           MakeDependencies(configuration_, refresh_, MakeStoreView(), quota_,
@@ -382,6 +383,7 @@
   levels.coordinators_suspected = quota_client_.suspected_count();
   levels.stream_origins = static_cast<std::int64_t>(stream_directory_.size());
   levels.traits_suspected = crash_watch_.suspects();
+  levels.connections_refused = server_.refused();
   levels.ready = Ready();
   levels.store_age = age(store_follower_.last_answer());
   levels.view_age = age(store_follower_.current_as_of());
@@ -529,8 +531,11 @@
     const core::SteadyTime due = clock_.Now() + kHousekeepingInterval;
     co_await core::SleepFor(kHousekeepingInterval);
     // Whatever blocked the thread meanwhile has delayed this timer too.
-    stalls_.Record(
-        "any", std::chrono::duration_cast<milliseconds>(clock_.Now() - due));
+    const auto delay =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - due);
+    stalls_.Record("any", delay);
+    overload_.Record(delay);
+    server_.SetRefusing(overload_.is_overloaded());
   }
 }
 
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -32,6 +32,8 @@
   std::int64_t stream_origins = 0;
   /** What requests that may have crashed engines have in common. */
   int traits_suspected = 0;
+  /** Connections of callers that were refused in overload, so far. */
+  std::int64_t connections_refused = 0;
   bool ready = false;
   /** Age of the store's last answer. */
   std::chrono::milliseconds store_age{0};
