Find out cheaply whether another trait explains the same crashes

Every check of a suspected request looked at all traits of its first crash, up to 500, and collected the crashes of each. Whether a trait was there in all the crashes is looked up first, which is true of few. The gauge of suspects, which assessed every trait at each reading of the metrics, gives way to the number of crashes that are kept; /suspects lists them on demand.

--- a/src/crash/evidence.cc
+++ b/src/crash/evidence.cc
@@ -77,6 +77,11 @@
                  const std::vector<Trait>& traits) {
   const auto explains = [&](const Trait& other) {
     if (std::ranges::find(traits, other) != traits.end()) return false;
+    // Cheap, and true of few traits after more than one crash.
+    const bool was_there = std::ranges::all_of(
+        charges.crashes,
+        [&](const Crash* it) { return it->traits.contains(other); });
+    if (!was_there) return false;
     const Charges others = ChargesAgainst(evidence, other);
     return std::ranges::all_of(charges.crashes, [&](const Crash* it) {
       return std::ranges::find(others.crashes, it) != others.crashes.end();
@@ -231,9 +236,9 @@
 std::vector<Assessment> ListSuspects(const CrashEvidence& evidence,
                                      core::SteadyTime now) {
   std::vector<Assessment> suspects;
+  const auto first = [](const Trait&) { return 0; };
   for (const auto& [trait, instances] : evidence.crashes_of) {
-    const Assessment next = AssessTrait(evidence, trait, {trait}, now,
-                                        [](const Trait&) { return 0; });
+    const Assessment next = AssessTrait(evidence, trait, {trait}, now, first);
     if (next.is_suspect) suspects.push_back(next);
   }
   return suspects;
--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -294,9 +294,4 @@
   return text;
 }
 
-int CrashWatch::suspects() const {
-  return static_cast<int>(
-      crash::ListSuspects(sharing_.evidence(), clock_.Now()).size());
-}
-
 }  // namespace sapphire::serving
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_SERVING_CRASH_WATCH_BASE_H_
 #define SAPPHIRE_SERVING_CRASH_WATCH_BASE_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -104,13 +105,16 @@
   /** @return The suspected traits, one per line, for operators. */
   [[nodiscard]] std::string Describe() const;
 
-  /** @return Number of suspected traits. */
-  [[nodiscard]] int suspects() const;
+  /** @return Number of crashes that are kept as evidence. */
+  [[nodiscard]] std::size_t crashes() const {
+    return sharing_.evidence().crashes.size();
+  }
 
  private:
   /** Why a request may not be sent now. */
   struct Obstacle {
-    /** Empty if only time lifts it. */
+    /** Another request with one of the traits is in trial, or the engine of
+     * this one is being probed. */
     bool is_in_trial = false;
     crash::Assessment assessment;
   };
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -382,7 +382,7 @@
   levels.entries = peer_table_.entries();
   levels.coordinators_suspected = quota_client_.suspected_count();
   levels.stream_origins = static_cast<std::int64_t>(stream_directory_.size());
-  levels.traits_suspected = crash_watch_.suspects();
+  levels.crashes_known = static_cast<std::int64_t>(crash_watch_.crashes());
   levels.connections_refused = server_.refused();
   levels.ready = Ready();
   levels.store_age = age(store_follower_.last_answer());
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -174,7 +174,7 @@
   set("entries", levels.entries);
   set("coordinators_suspected", levels.coordinators_suspected);
   set("stream_origins", levels.stream_origins);
-  set("traits_suspected", levels.traits_suspected);
+  set("crashes_known", levels.crashes_known);
   set("connections_refused", levels.connections_refused);
   set("ready", levels.ready);
   set("store_age_ms", levels.store_age.count());
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -30,8 +30,8 @@
   int coordinators_suspected = 0;
   /** Streams whose software version is recorded here. */
   std::int64_t stream_origins = 0;
-  /** What requests that may have crashed engines have in common. */
-  int traits_suspected = 0;
+  /** Crashes of engines that are kept as evidence of their causes. */
+  std::int64_t crashes_known = 0;
   /** Connections of callers that were refused in overload, so far. */
   std::int64_t connections_refused = 0;
   bool ready = false;
