Pass the executor to the sharing of crash evidence with its other parts

The executor came only with Start, so that evidence applied before would have been announced on none. CrashWatch takes clock, log and executor from the same parts. A request that is refused while its engine is probed says so. Two findings of the linter in crash_watch_test.

--- a/src/crash/evidence.cc
+++ b/src/crash/evidence.cc
@@ -116,7 +116,7 @@
 /** Assesses one trait of a request with all of these traits. */
 Assessment AssessTrait(const CrashEvidence& evidence, const Trait& trait,
                        const std::vector<Trait>& traits, core::SteadyTime now,
-                       const RankOf& rank_of) {
+                       const RankFunction& rank_of) {
   Assessment result;
   const Charges charges = ChargesAgainst(evidence, trait);
   if (charges.crashes.empty()) return result;
@@ -210,7 +210,7 @@
 
 Assessment Assess(const CrashEvidence& evidence,
                   const std::vector<Trait>& traits, core::SteadyTime now,
-                  const RankOf& rank_of) {
+                  const RankFunction& rank_of) {
   Assessment worst;
   for (const Trait& trait : traits) {
     const Assessment next = AssessTrait(evidence, trait, traits, now, rank_of);
--- a/src/crash/evidence_func.h
+++ b/src/crash/evidence_func.h
@@ -40,7 +40,7 @@
 
 /** @return This entry's place among the entries that may try a trait, 0 for
  * the first; each trait has another order. */
-using RankOf = std::function<int(const Trait& trait)>;
+using RankFunction = std::function<int(const Trait& trait)>;
 
 /**
  * Decides whether a request may be sent.
@@ -60,7 +60,7 @@
  */
 Assessment Assess(const CrashEvidence& evidence,
                   const std::vector<Trait>& traits, core::SteadyTime now,
-                  const RankOf& rank_of);
+                  const RankFunction& rank_of);
 
 /** @return Those of the traits that crashes count against. */
 std::vector<Trait> SuspectsAmong(const CrashEvidence& evidence,
--- a/src/crash/evidence_model_test.cc
+++ b/src/crash/evidence_model_test.cc
@@ -87,7 +87,7 @@
   virtual ~Way() = default;
   /** @return True if the request may be sent now. */
   virtual bool MaySend(const ModelRequest& request, SteadyTime now,
-                       const RankOf& rank_of) = 0;
+                       const RankFunction& rank_of) = 0;
   virtual void OnCrash(const CrashReport& report) {
     AddCrash(evidence, report);
   }
@@ -103,7 +103,7 @@
 class CountingWay final : public Way {
  public:
   bool MaySend(const ModelRequest& request, SteadyTime /*now*/,
-               const RankOf& /*rank_of*/) override {
+               const RankFunction& /*rank_of*/) override {
     constexpr std::size_t kCrashesToRefuse = 3;
     return std::ranges::none_of(request.traits, [this](const Trait& it) {
       const auto found = evidence.crashes_of.find(it);
@@ -119,7 +119,7 @@
 class TrialWay final : public Way {
  public:
   bool MaySend(const ModelRequest& request, SteadyTime now,
-               const RankOf& rank_of) override {
+               const RankFunction& rank_of) override {
     const Assessment found = Assess(evidence, request.traits, now, rank_of);
     return !found.is_suspect || found.wait == milliseconds(0);
   }
@@ -249,7 +249,7 @@
 
   void TrySend(ModelRequest& request) {
     Way& way = *ways_[static_cast<std::size_t>(request.entry)];
-    const RankOf rank_of = [&](const Trait& trait) {
+    const RankFunction rank_of = [&](const Trait& trait) {
       const auto n = static_cast<std::uint64_t>(with_.entries);
       return static_cast<int>(
           (trait.hash + static_cast<std::uint64_t>(request.entry)) % n);
--- a/src/crash/evidence_sharing.cc
+++ b/src/crash/evidence_sharing.cc
@@ -41,11 +41,10 @@
       writer_(core::RandomHexId()),
       deps_(std::move(parts)) {}
 
-void EvidenceSharing::Start(const core::Executor& executor) {
-  executor_ = executor;
-  core::Spawn(executor, deps_.log, "send_crashes",
+void EvidenceSharing::Start() {
+  core::Spawn(deps_.executor, deps_.log, "send_crashes",
               [this] { return BroadcastCrashes(); });
-  core::Spawn(executor, deps_.log, "write_crash_evidence",
+  core::Spawn(deps_.executor, deps_.log, "write_crash_evidence",
               [this] { return WriteChanges(); });
 }
 
@@ -126,7 +125,7 @@
                                   deps_.clock.Now() - report.at)}});
   for (const Trait& it : report.traits) {
     if (!MustAnnounce(it)) continue;
-    core::Spawn(executor_, deps_.log, "announce_survival",
+    core::Spawn(deps_.executor, deps_.log, "announce_survival",
                 [this, it] { return AnnounceInTurn(it); });
   }
   changed_.Notify();
@@ -273,7 +272,7 @@
       }
     }
   }
-  core::Spawn(executor_, deps_.log, "expire_crash_evidence",
+  core::Spawn(deps_.executor, deps_.log, "expire_crash_evidence",
               [this, entries] { return DeleteExpired(entries); });
 }
 
--- a/src/crash/evidence_sharing_base.h
+++ b/src/crash/evidence_sharing_base.h
@@ -34,6 +34,7 @@
                      const gen::EntryDatagram& datagram)>
       send;
   external::KeyValueStore& store;
+  core::Executor executor;
   const core::Clock& clock;
   const core::Logger& log;
 };
@@ -53,8 +54,8 @@
   /** @param entry Key of this entry's own presence. */
   EvidenceSharing(std::string entry, SharingDependencies parts);
 
-  /** Starts sending and writing on this executor. */
-  void Start(const core::Executor& executor);
+  /** Starts sending and writing. */
+  void Start();
 
   /** Adds a crash that this entry has seen. */
   void ReportCrash(const CrashReport& report);
@@ -105,7 +106,6 @@
   /** Keys to be written, and the revisions of those that this entry wrote. */
   std::set<std::string> unwritten_;
   std::map<std::string, std::int64_t> revisions_;
-  core::Executor executor_;
   core::Signal changed_;
   core::Signal unsent_changed_;
   core::Signal unwritten_changed_;
--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -67,17 +67,16 @@
   return traits;
 }
 
-CrashWatch::CrashWatch(std::string entry, crash::SharingDependencies sharing,
-                       fleet::EngineLoads& loads,
-                       const core::Executor& executor, const core::Clock& clock,
-                       const core::Logger& log)
-    : sharing_(std::move(entry), std::move(sharing)),
+CrashWatch::CrashWatch(const std::string& entry,
+                       const crash::SharingDependencies& parts,
+                       fleet::EngineLoads& loads)
+    : sharing_(entry, parts),
       loads_(loads),
-      executor_(executor),
-      clock_(clock),
-      log_(log) {}
+      executor_(parts.executor),
+      clock_(parts.clock),
+      log_(parts.log) {}
 
-void CrashWatch::Start() { sharing_.Start(executor_); }
+void CrashWatch::Start() { sharing_.Start(); }
 
 routing::FollowHooks CrashWatch::Hooks() {
   routing::FollowHooks hooks;
@@ -118,10 +117,13 @@
 void CrashWatch::Refuse(const CandidateSend& candidate,
                         const Obstacle& obstacle) const {
   const crash::Assessment& found = obstacle.assessment;
-  const std::string detail =
-      fmt::format("{}: {} crashes, the last {} ms ago{}",
-                  crash::NameOf(found.trait), found.crashes, found.age.count(),
-                  obstacle.is_in_trial ? ", being tried" : "");
+  std::string detail = "its engine is being probed";
+  if (found.is_suspect) {
+    detail = fmt::format("{}: {} crashes, the last {} ms ago{}",
+                         crash::NameOf(found.trait), found.crashes,
+                         found.age.count(),
+                         obstacle.is_in_trial ? ", being tried" : "");
+  }
   if (candidate.may_have_run) {
     throw core::Error(core::ErrorCode::kOutcomeUnknown, detail);
   }
--- a/src/serving/crash_watch_base.h
+++ b/src/serving/crash_watch_base.h
@@ -62,9 +62,8 @@
    * @param entry Key of this entry's own presence.
    * @pre All references outlive the watch and its tasks.
    */
-  CrashWatch(std::string entry, crash::SharingDependencies sharing,
-             fleet::EngineLoads& loads, const core::Executor& executor,
-             const core::Clock& clock, const core::Logger& log);
+  CrashWatch(const std::string& entry, const crash::SharingDependencies& parts,
+             fleet::EngineLoads& loads);
 
   /** Starts sharing crashes with other entries. */
   void Start();
--- a/src/serving/crash_watch_test.cc
+++ b/src/serving/crash_watch_test.cc
@@ -85,19 +85,15 @@
     const std::string name = "entries/" + std::to_string(entries.size() + 1);
     auto& entry = entries[name] =
         std::make_unique<Entry>(name, loads, clock, log);
+    const auto send = [this](const std::string& address,
+                             const gen::EntryDatagram& datagram) {
+      Deliver(address, datagram);
+    };
     entry->watch = std::make_unique<CrashWatch>(
         name,
-        crash::SharingDependencies{entry->peer_table,
-                                   [this](const std::string& address,
-                                          const gen::EntryDatagram& datagram) {
-                                     const auto it = entries.find(address);
-                                     if (loses_datagrams || it == entries.end())
-                                       return;
-                                     it->second->watch->OnDatagram(
-                                         datagram.crash_evidence);
-                                   },
-                                   store, clock, log},
-        loads, io.get_executor(), clock, log);
+        crash::SharingDependencies{entry->peer_table, send, store,
+                                   io.get_executor(), clock, log},
+        loads);
     entry->watch->Start();
     followers.push_back(std::make_unique<routing::StoreFollower>(
         routing::FollowOptions(), std::vector{entry->watch->Hooks()}, store,
@@ -116,6 +112,12 @@
     return entry->watch.get();
   }
 
+  void Deliver(const std::string& address, const gen::EntryDatagram& datagram) {
+    const auto it = entries.find(address);
+    if (loses_datagrams || it == entries.end()) return;
+    it->second->watch->OnDatagram(datagram.crash_evidence);
+  }
+
   /** Sends a request from an entry to an engine; it ends with `end`. */
   void Send(CrashWatch& watch, const CallerRequest& request,
             const std::string& instance, const std::string& address,
@@ -268,8 +270,8 @@
 BOOST_AUTO_TEST_CASE(CrashesSeenAtOnceByManyEntriesAllCount) {
   Rig rig;
   rig.loses_datagrams = true;
-  std::vector<CrashWatch*> all;
-  for (int i = 0; i < 6; ++i) all.push_back(rig.MakeWatch());
+  std::vector<CrashWatch*> all(6);
+  for (CrashWatch*& it : all) it = rig.MakeWatch();
   const std::string dead = ClosedPort(rig.io);
   for (std::size_t i = 0; i < all.size(); ++i) {
     const std::string name = std::to_string(i);
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -248,8 +248,8 @@
         crash_watch(
             "self",
             {peer_table, [](const std::string&, const gen::EntryDatagram&) {},
-             store, clock, log},
-            loads, io.get_executor(), clock, log),
+             store, io.get_executor(), clock, log},
+            loads),
         version_history(registry, clock),
         stream_directory(
             {"self"}, version_history, peer_table, [] { return true; },
--- a/src/serving/engine_chooser_test.cc
+++ b/src/serving/engine_chooser_test.cc
@@ -34,8 +34,8 @@
         crash_watch(
             "self",
             {peer_table, [](const std::string&, const gen::EntryDatagram&) {},
-             store, clock, log},
-            loads, io.get_executor(), clock, log),
+             store, io.get_executor(), clock, log},
+            loads),
         chooser(policy::EnginePace(), registry, peer_table, gauges, finder,
                 loader, crash_watch, clock) {
     route.kind = routing::RequestKind::kStream;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -250,8 +250,8 @@
                            const gen::EntryDatagram& datagram) {
                       channel_.Send(address, datagram);
                     },
-                    store_, clock, log},
-                   loads_, executor_, clock, log),
+                    store_, executor_, clock, log},
+                   loads_),
       channel_(
           options_.link_listen,
           [this](const gen::EntryDatagram& datagram,
