--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -301,8 +301,6 @@
   const core::Logger& log;
   std::atomic<bool> stopping{false};
   std::atomic<bool> leaving{false};
-  std::atomic<bool> refusing{false};
-  std::atomic<std::int64_t> refused{0};
   std::atomic<int> in_progress{0};
   std::mutex connections_mutex;
   std::set<std::shared_ptr<Connection>> connections;
@@ -351,12 +349,6 @@
       continue;
     }
     beast::error_code ignored;
-    if (refusing) {
-      socket.set_option(asio::socket_base::linger(true, 0), ignored);
-      socket.close(ignored);
-      ++refused;
-      continue;
-    }
     socket.set_option(tcp::no_delay(true), ignored);
     core::EnableDeadPeerDetection(socket);
     const auto executor = socket.get_executor();
@@ -518,10 +510,6 @@
 
 void Server::AnnounceLeaving() { state_->leaving = true; }
 
-void Server::SetRefusing(bool refusing) { state_->refusing = refusing; }
-
 int Server::in_progress() const { return state_->in_progress; }
 
-std::int64_t Server::refused() const { return state_->refused; }
-
 }  // namespace sapphire::http
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -104,11 +104,6 @@
    * accepted and read, so that none is closed without an announcement. */
   void AnnounceLeaving();
 
-  /** While set, new connections are reset before anything is read from them:
-   * their callers know that nothing ran and may try elsewhere at once. Open
-   * connections are served. */
-  void SetRefusing(bool refusing);
-
   /** Stops accepting connections and closes idle ones. Requests in progress
    * continue, and their connections are closed after the answer. */
   void StopAccepting();
@@ -116,9 +111,6 @@
   /** @return Number of requests in progress. */
   [[nodiscard]] int in_progress() const;
 
-  /** @return Number of connections that were refused so far. */
-  [[nodiscard]] std::int64_t refused() const;
-
  private:
   struct State;
   std::shared_ptr<State> state_;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -290,7 +290,6 @@
           RefreshOptionsOf(layout_), store_,
           [this](const external::KvEntry& it) { AdoptConfiguration(it); },
           clock, log),
-      overload_(clock, log),
       dispatcher_(
           options_.dispatch,
           MakeDependencies(configuration_, refresh_, MakeStoreView(), quota_,
@@ -383,7 +382,6 @@
   levels.coordinators_suspected = quota_client_.suspected_count();
   levels.stream_origins = static_cast<std::int64_t>(stream_directory_.size());
   levels.crashes_known = static_cast<std::int64_t>(crash_watch_.crashes());
-  levels.connections_refused = server_.refused();
   levels.ready = Ready();
   levels.store_age = age(store_follower_.last_answer());
   levels.view_age = age(store_follower_.current_as_of());
@@ -531,11 +529,8 @@
     const core::SteadyTime due = clock_.Now() + kHousekeepingInterval;
     co_await core::SleepFor(kHousekeepingInterval);
     // Whatever blocked the thread meanwhile has delayed this timer too.
-    const auto delay =
-        std::chrono::duration_cast<milliseconds>(clock_.Now() - due);
-    stalls_.Record("any", delay);
-    overload_.Record(delay);
-    server_.SetRefusing(overload_.is_overloaded());
+    stalls_.Record(
+        "any", std::chrono::duration_cast<milliseconds>(clock_.Now() - due));
   }
 }
 
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -39,7 +39,6 @@
 #include "serving/holder_follower_base.h"
 #include "serving/load_broadcaster_base.h"
 #include "serving/model_loader_base.h"
-#include "serving/overload_gauge_base.h"
 #include "serving/peer_channel_base.h"
 #include "serving/quota_gate_base.h"
 #include "serving/replica_finder_base.h"
@@ -149,7 +148,6 @@
   quota::QuotaClient engine_quota_client_;
   EngineRateLimiter rate_limiter_;
   ConfigurationRefresh refresh_;
-  OverloadGauge overload_;
   Dispatcher dispatcher_;
   EntryPresence presence_;
   LoadBroadcaster broadcaster_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -175,7 +175,6 @@
   set("coordinators_suspected", levels.coordinators_suspected);
   set("stream_origins", levels.stream_origins);
   set("crashes_known", levels.crashes_known);
-  set("connections_refused", levels.connections_refused);
   set("ready", levels.ready);
   set("store_age_ms", levels.store_age.count());
   set("view_age_ms", levels.view_age.count());
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -32,8 +32,6 @@
   std::int64_t stream_origins = 0;
   /** Crashes of engines that are kept as evidence of their causes. */
   std::int64_t crashes_known = 0;
-  /** Connections of callers that were refused in overload, so far. */
-  std::int64_t connections_refused = 0;
   bool ready = false;
   /** Age of the store's last answer. */
   std::chrono::milliseconds store_age{0};
