--- a/src/crash/evidence_model_test.cc
+++ b/src/crash/evidence_model_test.cc
@@ -52,7 +52,7 @@
   /** Of the culprit with the most: sends later than kTimeToKnow after its crash
    * kCrashesToKnow. */
   int later_sends = 0;
-  /** Of all culprits. */
+  /** Crashes by all culprits. */
   int crashes = 0;
   int sound = 0;
   int sound_refused = 0;
@@ -73,7 +73,7 @@
   bool is_held = false;
 };
 
-/** What happened because of one culprit. */
+/** Crashes by one culprit, and sends after it had to be known. */
 struct Culprit {
   int crashes = 0;
   int later_sends = 0;
--- a/src/crash/evidence_sharing_base.h
+++ b/src/crash/evidence_sharing_base.h
@@ -97,7 +97,7 @@
   const std::string writer_;
   const SharingDependencies deps_;
   CrashEvidence evidence_;
-  /** What this entry has seen itself. */
+  /** Crashes that this entry has seen itself. */
   std::map<fleet::InstanceId, CrashReport> own_crashes_;
   /** Crashes that are to be sent to the other entries. */
   std::set<fleet::InstanceId> unsent_;
--- a/src/crash/evidence_type.h
+++ b/src/crash/evidence_type.h
@@ -1,4 +1,4 @@
-/** @file evidence_type.h What is known of the causes of engine crashes. */
+/** @file evidence_type.h Crashes of engines and their possible causes. */
 #ifndef SAPPHIRE_CRASH_EVIDENCE_TYPE_H_
 #define SAPPHIRE_CRASH_EVIDENCE_TYPE_H_
 
@@ -48,7 +48,7 @@
 /** One crash: an instance can crash only once. */
 struct Crash {
   core::SteadyTime at;
-  /** Of all requests that were beginning there, as reported by all entries. */
+  /** Traits of all requests that were beginning there, of all entries. */
   std::set<Trait> traits;
 };
 
--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -204,7 +204,7 @@
 void CrashWatch::End(WatchedSend& send, const ExchangeResult& result) {
   Release(send);
   if (IsSuspicious(send, result)) {
-    // What is not known to survive waits for the probe.
+    // Other requests with an unproven part wait for the probe.
     std::vector<crash::Trait> unknown;
     for (const crash::Trait& it : send.traits) {
       const bool is_part = it.kind == crash::TraitKind::kPromptPart;
