Refuse a repeated request whatever else was beginning in the engines

The entries' lines show it: after its second crash the request was refused for 10 s, but a sound request had been beginning in both engines too. To repeats, which lack that one's trait, the crashes counted as explained, so that they were tried again 0.8 to 9 s later, six times at two entries.

Explanations now relieve prompt parts only. Refusing a repeated request makes only its own caller wait, 10 s at first.

RepeatedRequestIsRefusedAlsoIfAnotherOneWasThere failed before.

--- a/src/crash/evidence.cc
+++ b/src/crash/evidence.cc
@@ -125,7 +125,10 @@
   result.trait = trait;
   result.crashes = static_cast<int>(charges.crashes.size());
   result.age = std::chrono::duration_cast<milliseconds>(now - last);
-  result.is_explained = IsExplained(evidence, charges, traits);
+  // A repeated request is refused all the same: only its caller waits, and a
+  // trial that its engine does not survive may go unnoticed.
+  result.is_explained = trait.kind == TraitKind::kPromptPart &&
+                        IsExplained(evidence, charges, traits);
   const milliseconds pause =
       PauseOf(LevelOf(trait, charges), result.is_explained, rank_of(trait));
   result.wait = std::max(std::chrono::ceil<milliseconds>(last + pause - now),
--- a/src/crash/evidence_func.h
+++ b/src/crash/evidence_func.h
@@ -54,9 +54,9 @@
  * - After several it is refused, and tried again after pauses that grow with
  *   each failed trial. A trait that was blamed wrongly, as when many
  *   engines fail at once for another reason, recovers with the first trial.
- * - If another trait, which this request lacks, was there in each of those
- *   crashes too, the request is tried soon whatever their number: it is more
- *   likely sound, and its answer clears all that it shares with the cause.
+ * - If another trait, which this request lacks, was there in each of a prompt
+ *   part's crashes too, the request is tried soon whatever their number: it is
+ *   more likely sound, and its answer clears all that it shares with the cause.
  */
 Assessment Assess(const CrashEvidence& evidence,
                   const std::vector<Trait>& traits, core::SteadyTime now,
--- a/src/serving/crash_watch_test.cc
+++ b/src/serving/crash_watch_test.cc
@@ -193,6 +193,22 @@
   }
 }
 
+/** Guards against repeats of a crashing request that are tried again and again
+ * because another request was beginning in the same engines. */
+BOOST_AUTO_TEST_CASE(RepeatedRequestIsRefusedAlsoIfAnotherOneWasThere) {
+  Rig rig;
+  CrashWatch& watch = *rig.MakeWatch();
+  const CallerRequest crashing = RequestOf(kCrashing);
+  const std::string dead = ClosedPort(rig.io);
+  for (const std::string instance : {"i-1", "i-2"}) {
+    Rig::SendAtOnce(watch, RequestOf(kHarmless), instance, dead,
+                    ExchangeEnd::kLost);
+    rig.Send(watch, crashing, instance, dead, ExchangeEnd::kLost);
+  }
+  rig.Pass(milliseconds(1000));
+  BOOST_TEST(Rig::Refuses(watch, crashing));
+}
+
 /** Guards against a sound request that is refused permanently: it ran beside a
  * request that crashed the engine, was retried and completed; when the next
  * engine crashed under it, that counted as its second crash. */
