Log what engines say of themselves in their answers

Exchange reports the head of every answer, also of one that is not relayed, and LoadGauges that of its queries; EngineNoticeRecorder attributes it to the instance that speaks, keeps it in fleet::EngineNotices and logs a change once. Metrics count the news and the engines that leave or rest. Nothing is decided by it yet.

--- a/src/fleet/engine_loads.cc
+++ b/src/fleet/engine_loads.cc
@@ -40,7 +40,7 @@
 }  // namespace
 
 EngineLoads::EngineLoads(const core::Clock& clock)
-    : clock_(clock), limits_(clock) {}
+    : clock_(clock), limits_(clock), notices_(clock) {}
 
 SendTicket EngineLoads::Begin(const InstanceId& instance,
                               const ModelOrAdapter& part) {
@@ -212,6 +212,7 @@
 
 void EngineLoads::Forget(const std::set<InstanceId>& alive) {
   limits_.Forget(alive);
+  notices_.Forget(alive);
   std::erase_if(loads_, [&alive](const auto& it) {
     return !alive.contains(it.first) && it.second.sent.empty();
   });
--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -13,6 +13,7 @@
 
 #include "core/clock_base.h"
 #include "fleet/engine_limits_base.h"
+#include "fleet/engine_notices_base.h"
 #include "fleet/engine_type.h"
 #include "fleet/model_usage_base.h"
 #include "fleet/usage_type.h"
@@ -44,6 +45,10 @@
   [[nodiscard]] EngineLimits& limits() { return limits_; }
   [[nodiscard]] const EngineLimits& limits() const { return limits_; }
 
+  /** @return What the engines have said of themselves. */
+  [[nodiscard]] EngineNotices& notices() { return notices_; }
+  [[nodiscard]] const EngineNotices& notices() const { return notices_; }
+
   /** Records that a request is sent. */
   SendTicket Begin(const InstanceId& instance, const ModelOrAdapter& part);
   /** Records that the first byte of the answer was received. */
@@ -140,6 +145,7 @@
 
   const core::Clock& clock_;
   EngineLimits limits_;
+  EngineNotices notices_;
   std::map<InstanceId, EngineLoad> loads_;
   std::int64_t next_number_ = 1;
 };
--- a/src/fleet/engine_registry_base.h
+++ b/src/fleet/engine_registry_base.h
@@ -92,6 +92,9 @@
 
   [[nodiscard]] const EngineEntry* Find(const InstanceId& instance) const;
 
+  /** @return The known instance of the engine; empty if there is none. */
+  [[nodiscard]] InstanceId KnownInstance(const EngineId& engine) const;
+
   /** @return Counter of all changes, for readers to detect them. */
   [[nodiscard]] std::int64_t generation() const { return generation_; }
 
@@ -111,8 +114,6 @@
   void KeepUntil(const InstanceId& instance, core::SteadyTime gone_at);
   void Drop(const InstanceId& instance, std::string_view reason);
   [[nodiscard]] bool IsReplaced(const InstanceId& instance) const;
-  /** @return The known instance of the engine; empty if there is none. */
-  [[nodiscard]] InstanceId KnownInstance(const EngineId& engine) const;
 
   const RegistryOptions options_;
   const core::Clock& clock_;
--- a/src/serving/caller_type.h
+++ b/src/serving/caller_type.h
@@ -11,6 +11,7 @@
 #include "core/error_type.h"
 #include "core/id_type.h"
 #include "fleet/engine_limits_base.h"
+#include "fleet/engine_notice_type.h"
 #include "fleet/engine_type.h"
 #include "http/http_type.h"
 #include "organisation/organisation_type.h"
@@ -86,6 +87,8 @@
   core::RequestId id;
   /** Rate limit that the engine announces. */
   fleet::LimitNotice limit;
+  /** What the engine says of itself. */
+  fleet::EngineNotice notice;
   /** Head of the answer to the caller. */
   http::ResponseHead to_caller;
 };
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -73,9 +73,9 @@
       deps_(parts),
       chooser_(options.pace, parts.registry, parts.peer_table, parts.gauges,
                parts.finder, parts.loader, parts.crash_watch, parts.clock),
-      sender_({parts.rate_limiter, parts.registry, parts.loads, parts.clients,
-               parts.crash_watch, parts.engine_wire, parts.metrics,
-               parts.clock}) {}
+      sender_({parts.rate_limiter, parts.notices, parts.registry, parts.loads,
+               parts.clients, parts.crash_watch, parts.engine_wire,
+               parts.metrics, parts.clock}) {}
 
 core::Task<> Dispatcher::Serve(const http::Request& request,
                                http::ResponseWriter& writer) {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -25,6 +25,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/engine_chooser_base.h"
 #include "serving/engine_clients_base.h"
+#include "serving/engine_notice_recorder_base.h"
 #include "serving/engine_rate_limiter_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
@@ -68,6 +69,7 @@
   StoreView view;
   QuotaGate& quota;
   EngineRateLimiter& rate_limiter;
+  EngineNoticeRecorder& notices;
   fleet::EngineRegistry& registry;
   fleet::EngineLoads& loads;
   fleet::PeerTable& peer_table;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -87,6 +87,11 @@
     if (const auto rate = http::FindHeader(head.headers, "takes-per-second")) {
       answer.limit.per_second = std::stod(std::string(*rate));
     }
+    answer.notice.leaving =
+        http::FindHeader(head.headers, "leaving").has_value();
+    if (const auto rest = http::FindHeader(head.headers, "rest-ms")) {
+      answer.notice.rest = milliseconds(std::stoll(std::string(*rest)));
+    }
     answer.to_caller.status = head.status;
     return answer;
   }
@@ -239,8 +244,11 @@
         holders(clock, log),
         calls({"127.0.0.1:2", 0}, nullptr, links, registry, holders, clock,
               log),
-        gauges(engine_wire, clients, registry, loads, io.get_executor(), clock,
-               log),
+        notices(
+            "self", loads, registry, [this] { loader.changed().Notify(); },
+            metrics, log),
+        gauges(engine_wire, clients, registry, loads, notices,
+               io.get_executor(), clock, log),
         finder(core::ZoneId("z"), registry, peer_table, loads, gauges, clock),
         loader(finder, calls, peer_table, registry, loads, metrics,
                io.get_executor(), clock, log),
@@ -368,6 +376,7 @@
   fleet::ControllerClient calls;
   EngineClients clients;
   TestEngineWire engine_wire;
+  EngineNoticeRecorder notices;
   LoadGauges gauges;
   FrontMetrics metrics;
   ReplicaFinder finder;
@@ -412,25 +421,10 @@
   DispatcherDependencies Dependencies() {
     const StoreView view{[this] { return keys_confirmed; },
                          [this] { return view_is_late; }};
-    return {configuration,
-            refresh,
-            view,
-            quota,
-            rate_limiter,
-            registry,
-            loads,
-            peer_table,
-            clients,
-            gauges,
-            finder,
-            loader,
-            crash_watch,
-            stream_directory,
-            caller_wire,
-            engine_wire,
-            metrics,
-            clock,
-            log};
+    return {configuration, refresh,     view,    quota,       rate_limiter,
+            notices,       registry,    loads,   peer_table,  clients,
+            gauges,        finder,      loader,  crash_watch, stream_directory,
+            caller_wire,   engine_wire, metrics, clock,       log};
   }
 
   static routing::Route MakeRoute(const std::string& prefix,
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -93,12 +93,12 @@
     failure.unreachable = !e.may_have_run() && stopped_ == StopReason::kNone;
     co_return failure;
   }
+  answer_ = wire_.Read(stream_->head());
+  hooks_.head_received(answer_);
   if (stopped_ != StopReason::kNone) {
     co_return MakeResult(ExchangeEnd::kLost, "", true);
   }
   if (is_stream_) watch_.Restart(limits_.pause);
-  answer_ = wire_.Read(stream_->head());
-  if (answer_.genuine || answer_.not_run) hooks_.head_received(answer_);
   co_return EvaluateHead();
 }
 
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -101,7 +101,7 @@
 
 /** Callbacks of a send in progress. */
 struct ExchangeHooks {
-  /** Called with the head of an answer of the engine. */
+  /** Called with the head of any answer, also of one that is not relayed. */
   std::function<void(const EngineAnswer& answer)> head_received =
       [](const EngineAnswer&) {};
   /** Called at most once: with the first part of a stream, or after the
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -84,32 +84,20 @@
 DispatcherDependencies MakeDependencies(
     const routing::ConfigurationHolder& configuration,
     ConfigurationRefresh& refresh, StoreView view, QuotaGate& quota,
-    EngineRateLimiter& rate_limiter, fleet::EngineRegistry& registry,
-    fleet::EngineLoads& loads, fleet::PeerTable& peer_table,
-    EngineClients& clients, LoadGauges& gauges, const ReplicaFinder& finder,
-    ModelLoader& loader, CrashWatch& crash_watch,
+    EngineRateLimiter& rate_limiter, EngineNoticeRecorder& notices,
+    fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
+    fleet::PeerTable& peer_table, EngineClients& clients, LoadGauges& gauges,
+    const ReplicaFinder& finder, ModelLoader& loader, CrashWatch& crash_watch,
     streams::StreamDirectory& stream_directory, const CallerWire& caller_wire,
     const EngineWire& engine_wire, FrontMetrics& metrics,
     const core::Clock& clock, const core::Logger& log) {
-  return {configuration,
-          refresh,
-          std::move(view),
-          quota,
-          rate_limiter,
-          registry,
-          loads,
-          peer_table,
-          clients,
-          gauges,
-          finder,
-          loader,
-          crash_watch,
-          stream_directory,
-          caller_wire,
-          engine_wire,
-          metrics,
-          clock,
-          log};
+  return {configuration, refresh,      std::move(view),
+          quota,         rate_limiter, notices,
+          registry,      loads,        peer_table,
+          clients,       gauges,       finder,
+          loader,        crash_watch,  stream_directory,
+          caller_wire,   engine_wire,  metrics,
+          clock,         log};
 }
 
 /** @return A store key that is unique to this start of the entry. */
@@ -240,7 +228,11 @@
           OrderCallOptionsOf(options_),
           [this](gen::EnsureModel it) { return EnsureLocally(std::move(it)); },
           links_, registry_, holders_, clock, log),
-      gauges_(engine_wire, clients_, registry_, loads_, executor, clock, log),
+      notices_(
+          presence_key_, loads_, registry_,
+          [this] { loader_.changed().Notify(); }, metrics_, log),
+      gauges_(engine_wire, clients_, registry_, loads_, notices_, executor,
+              clock, log),
       finder_(options_.zone, registry_, peer_table_, loads_, gauges_, clock),
       loader_(finder_, calls_, peer_table_, registry_, loads_, metrics_,
               executor, clock, log),
@@ -293,10 +285,10 @@
       dispatcher_(
           options_.dispatch,
           MakeDependencies(configuration_, refresh_, MakeStoreView(), quota_,
-                           rate_limiter_, registry_, loads_, peer_table_,
-                           clients_, gauges_, finder_, loader_, crash_watch_,
-                           stream_directory_, caller_wire, engine_wire,
-                           metrics_, clock, log)),
+                           rate_limiter_, notices_, registry_, loads_,
+                           peer_table_, clients_, gauges_, finder_, loader_,
+                           crash_watch_, stream_directory_, caller_wire,
+                           engine_wire, metrics_, clock, log)),
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
                    loader_, channel_, executor, clock, log),
@@ -378,6 +370,8 @@
   levels.engines_known = static_cast<int>(registry_.engines().size());
   levels.engines_held = registry_.held();
   levels.engines_limited = loads_.limits().limited();
+  levels.engines_leaving = loads_.notices().leaving();
+  levels.engines_resting = loads_.notices().resting();
   levels.entries = peer_table_.entries();
   levels.coordinators_suspected = quota_client_.suspected_count();
   levels.stream_origins = static_cast<std::int64_t>(stream_directory_.size());
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -33,6 +33,7 @@
 #include "serving/crash_watch_base.h"
 #include "serving/dispatcher_base.h"
 #include "serving/engine_follower_base.h"
+#include "serving/engine_notice_recorder_base.h"
 #include "serving/engine_rate_limiter_base.h"
 #include "serving/entry_follower_base.h"
 #include "serving/entry_presence_base.h"
@@ -134,6 +135,7 @@
   link::LinkNode links_;
   fleet::ControllerClient calls_;
   EngineClients clients_;
+  EngineNoticeRecorder notices_;
   LoadGauges gauges_;
   ReplicaFinder finder_;
   ModelLoader loader_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -75,6 +75,10 @@
   prometheus::Family<prometheus::Counter>& engine_limits = core::AddCounters(
       registry, "sapphire_front_engine_limit_decisions_total",
       "Sends asked of the limits that engines name, by bucket and answer");
+  prometheus::Family<prometheus::Counter>& engine_notices =
+      core::AddCounters(registry, "sapphire_front_engine_notices_total",
+                        "News that engines' answers brought of themselves: "
+                        "leaving, rest, unreadable");
   prometheus::Family<prometheus::Counter>& streams_taken_up =
       core::AddCounters(registry, "sapphire_front_streams_taken_up_total",
                         "Streams that callers took up, by how the version that "
@@ -131,6 +135,10 @@
       .Increment();
 }
 
+void FrontMetrics::EngineNoticed(std::string_view kind) {
+  state_->engine_notices.Add({{"kind", std::string(kind)}}).Increment();
+}
+
 void FrontMetrics::StreamTakenUp(std::string_view source) {
   state_->streams_taken_up.Add({{"source", std::string(source)}}).Increment();
 }
@@ -171,6 +179,8 @@
   set("engines_known", levels.engines_known);
   set("engines_held", levels.engines_held);
   set("engines_limited", levels.engines_limited);
+  set("engines_leaving", levels.engines_leaving);
+  set("engines_resting", levels.engines_resting);
   set("entries", levels.entries);
   set("coordinators_suspected", levels.coordinators_suspected);
   set("stream_origins", levels.stream_origins);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -26,6 +26,10 @@
   int entries = 0;
   /** Engines that have announced a rate limit. */
   int engines_limited = 0;
+  /** Engines that have said in an answer that they leave. */
+  int engines_leaving = 0;
+  /** Engines that have asked this VM for rest and not answered since. */
+  int engines_resting = 0;
   /** Quota coordinators that are bypassed as unresponsive. */
   int coordinators_suspected = 0;
   /** Streams whose software version is recorded here. */
@@ -65,6 +69,8 @@
    * @param source Bucket that decided.
    */
   void EngineLimitDecided(std::string_view source, bool granted);
+  /** @param kind "leaving", "rest" or "unreadable". */
+  void EngineNoticed(std::string_view kind);
   /** @param source How the version that began the stream was found. */
   void StreamTakenUp(std::string_view source);
   /** @param outcome "ok" or the error's name. */
--- a/src/serving/load_gauges.cc
+++ b/src/serving/load_gauges.cc
@@ -25,13 +25,14 @@
 
 LoadGauges::LoadGauges(const EngineWire& wire, EngineClients& clients,
                        fleet::EngineRegistry& registry,
-                       fleet::EngineLoads& loads,
+                       fleet::EngineLoads& loads, EngineNoticeRecorder& notices,
                        const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log)
     : wire_(wire),
       clients_(clients),
       registry_(registry),
       loads_(loads),
+      notices_(notices),
       executor_(executor),
       clock_(clock),
       log_(log) {}
@@ -81,6 +82,8 @@
   http::Request question = wire_.StateRequest(instance);
   const http::Response answer = co_await client->Fetch(
       std::move(question), kQueryTimeout, http::UnstatedEnd::kAccept);
+  notices_.Record({instance, "state", core::RequestId()},
+                  wire_.Read(answer.head));
   gauges_[instance] = LoadGauge{wire_.ReadState(answer), clock_.Now(),
                                 loads_.Running(instance)};
 }
--- a/src/serving/load_gauges_base.h
+++ b/src/serving/load_gauges_base.h
@@ -18,6 +18,7 @@
 #include "fleet/engine_registry_base.h"
 #include "serving/caller_type.h"
 #include "serving/engine_clients_base.h"
+#include "serving/engine_notice_recorder_base.h"
 
 namespace sapphire::serving {
 
@@ -40,8 +41,8 @@
   /** @pre All references outlive it. */
   LoadGauges(const EngineWire& wire, EngineClients& clients,
              fleet::EngineRegistry& registry, fleet::EngineLoads& loads,
-             const core::Executor& executor, const core::Clock& clock,
-             const core::Logger& log);
+             EngineNoticeRecorder& notices, const core::Executor& executor,
+             const core::Clock& clock, const core::Logger& log);
 
   /**
    * While `store_failing` returns true as the store can't be read, polls the
@@ -71,6 +72,7 @@
   EngineClients& clients_;
   fleet::EngineRegistry& registry_;
   fleet::EngineLoads& loads_;
+  EngineNoticeRecorder& notices_;
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
--- a/src/serving/loader_rig_test.h
+++ b/src/serving/loader_rig_test.h
@@ -113,8 +113,11 @@
         holders(loader_clock, log),
         calls({"127.0.0.1:2", PortOf(endpoint)}, nullptr, links, registry,
               holders, loader_clock, log),
-        gauges(engine_wire, clients, registry, loads, io.get_executor(), clock,
-               log),
+        notices(
+            "self", loads, registry, [this] { loader.changed().Notify(); },
+            metrics, log),
+        gauges(engine_wire, clients, registry, loads, notices,
+               io.get_executor(), clock, log),
         finder(core::ZoneId("z"), registry, peer_table, loads, gauges,
                loader_clock),
         loader(finder, calls, peer_table, registry, loads, metrics,
@@ -232,6 +235,7 @@
   fleet::ControllerClient calls;
   EngineClients clients;
   NullEngineWire engine_wire;
+  EngineNoticeRecorder notices;
   LoadGauges gauges;
   FrontMetrics metrics;
   ReplicaFinder finder;
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -98,8 +98,10 @@
 ExchangeHooks RequestSender::HooksOf(RequestWork& work, EngineSend& send,
                                      SendCallbacks callbacks) {
   ExchangeHooks hooks;
-  hooks.head_received = [this, instance = send.engine,
+  hooks.head_received = [this, &work, instance = send.engine,
                          sent = deps_.clock.Now()](const EngineAnswer& answer) {
+    deps_.notices.Record({instance, "request", work.request.id}, answer);
+    if (!answer.genuine && !answer.not_run) return;
     // A refusal without a limit says nothing: it may have been sent before the
     // engine knew its limit.
     if (!answer.genuine && !answer.limit.per_second) return;
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -12,6 +12,7 @@
 #include "fleet/engine_registry_base.h"
 #include "serving/crash_watch_base.h"
 #include "serving/engine_clients_base.h"
+#include "serving/engine_notice_recorder_base.h"
 #include "serving/engine_rate_limiter_base.h"
 #include "serving/exchange_base.h"
 #include "serving/front_metrics_base.h"
@@ -46,6 +47,7 @@
 /** Dependencies of the sender; all outlive it and its sends. */
 struct SenderDependencies {
   EngineRateLimiter& rate_limiter;
+  EngineNoticeRecorder& notices;
   fleet::EngineRegistry& registry;
   fleet::EngineLoads& loads;
   EngineClients& clients;
