Send no request to an engine that has said in an answer that it leaves

Callers' requests reached an engine 4.4 s after its answers had said that it leaves, and would have been lost had it stopped.

Both facts count now: EngineLoads::IsLeaving is true if the registration or an answer of the engine says so, and every place that asked for draining asks it instead. RequestSender asks once more as the send begins, since a send may have waited for a model, a quota or a rate limit since its engine was chosen; so a registration that turns draining meanwhile is heeded as well. Callers no longer wait for a model that this entry has had loaded on an engine that leaves.

--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -49,6 +49,12 @@
   [[nodiscard]] EngineNotices& notices() { return notices_; }
   [[nodiscard]] const EngineNotices& notices() const { return notices_; }
 
+  /** @return True if the engine leaves, by its registration or by its own
+   * answers. Either may be known first. */
+  [[nodiscard]] bool IsLeaving(const EngineEntry& engine) const {
+    return engine.draining || notices_.IsLeaving(engine.instance);
+  }
+
   /** Records that a request is sent. */
   SendTicket Begin(const InstanceId& instance, const ModelOrAdapter& part);
   /** Records that the first byte of the answer was received. */
--- a/src/serving/model_loader.cc
+++ b/src/serving/model_loader.cc
@@ -94,6 +94,8 @@
     const auto left =
         std::chrono::duration_cast<milliseconds>(pending.ready - clock_.Now());
     if (!same || left <= -kOverdue) continue;
+    const fleet::EngineEntry* engine = registry_.Find(asked.instance);
+    if (engine != nullptr && loads_.IsLeaving(*engine)) continue;
     std::erase_if(coming, [&asked = asked](const PendingModelLoad& it) {
       return it.instance == asked.instance;
     });
@@ -149,7 +151,7 @@
     const core::ServiceId& service) const {
   std::optional<milliseconds> first;
   for (const auto& [instance, engine] : registry_.engines()) {
-    if (engine.service != service || engine.draining) continue;
+    if (engine.service != service || loads_.IsLeaving(engine)) continue;
     const milliseconds left = calls_.UnreachableFor(instance);
     if (left == milliseconds(0)) continue;
     first = std::min(first.value_or(left), left);
--- a/src/serving/model_loader_test.cc
+++ b/src/serving/model_loader_test.cc
@@ -70,6 +70,24 @@
   BOOST_TEST(rig.endpoint.load_requests == 1);
 }
 
+/** Guards against callers that wait for a model which is loaded on an engine
+ * that has said in an answer that it leaves, and against a load there. */
+BOOST_AUTO_TEST_CASE(ModelIsLoadedElsewhereThanOnAnEngineThatLeaves) {
+  Rig rig;
+  rig.loader.RequestLoad(rig.service, kModel, kRequest);
+  fleet::EngineNotice leaving;
+  leaving.leaving = true;
+  rig.loads.notices().Apply(fleet::InstanceId("i-1"), leaving, milliseconds(0));
+  BOOST_TEST(
+      !rig.loader.RequestLoad(rig.service, kModel, kRequest).has_value());
+  const auto near = rig.AddEndpointWithDiskCopy();
+  BOOST_TEST((*rig.loader.RequestLoad(rig.service, kModel, kRequest) ==
+              milliseconds(2000)));
+  rig.Settle();
+  BOOST_TEST(near->load_requests == 1);
+  BOOST_TEST(rig.endpoint.load_requests == 1);
+}
+
 /** Guards against an entry that crashes in the middle of its callers' streams.
  * On a slow VM, a load that another entry has reported may be pending when the
  * choice begins and overdue a moment later, in the same choice. */
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -51,7 +51,7 @@
                                const fleet::SoftwareVersion& version) const {
   return std::ranges::any_of(registry_.engines(), [&](const auto& it) {
     const fleet::EngineEntry& engine = it.second;
-    return engine.service == service && !engine.draining &&
+    return engine.service == service && !loads_.IsLeaving(engine) &&
            engine.software_version == version;
   });
 }
@@ -67,7 +67,7 @@
 bool ReplicaFinder::Serves(const fleet::EngineEntry& engine,
                            const ReplicaQuery& query) const {
   const CallerRequest& request = query.request;
-  if (engine.service != query.service || engine.draining) return false;
+  if (engine.service != query.service || loads_.IsLeaving(engine)) return false;
   if (query.version && engine.software_version != *query.version) return false;
   const fleet::ModelOrAdapter model{request.model, core::AdapterId()};
   // Checked first: few of hundreds of engines hold the model.
@@ -190,7 +190,7 @@
         });
     if (holds || loads_.IsUnreachable(it.instance)) continue;
     const fleet::EngineEntry* engine = registry_.Find(it.instance);
-    if (engine == nullptr || engine->draining) continue;
+    if (engine == nullptr || loads_.IsLeaving(*engine)) continue;
     if (!IsOfVersion(it.instance, version)) continue;
     LoadCandidate loader = it;
     loader.view.tier = TierOf(*engine, model);
@@ -219,7 +219,7 @@
   std::map<core::ModelId, ModelTotals> totals;
   std::vector<LoadCandidate> made;
   for (const auto& [instance, engine] : registry_.engines()) {
-    if (engine.service != service.id || engine.draining) continue;
+    if (engine.service != service.id || loads_.IsLeaving(engine)) continue;
     LoadCandidate loader;
     loader.instance = instance;
     loader.view.memory_bytes = service.engine->memory_bytes;
@@ -246,8 +246,8 @@
   std::vector<PendingModelLoad> coming;
   for (const fleet::ComingLoad& it : peer_table_.LoadsOf(model)) {
     const fleet::EngineEntry* engine = registry_.Find(it.instance);
-    const bool counts =
-        engine != nullptr && engine->service == service && !engine->draining;
+    const bool counts = engine != nullptr && engine->service == service &&
+                        !loads_.IsLeaving(*engine);
     if (!counts) continue;
     const auto left =
         std::chrono::duration_cast<milliseconds>(it.ready - clock_.Now());
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -63,7 +63,8 @@
     RequestWork& work, const fleet::InstanceId& engine, int other_sends,
     SendCallbacks callbacks, const core::Executor& executor) {
   const fleet::EngineEntry* entry = deps_.registry.Find(engine);
-  if (entry == nullptr) return nullptr;
+  // The engine may have announced its leave since it was chosen.
+  if (entry == nullptr || deps_.loads.IsLeaving(*entry)) return nullptr;
   const core::SteadyTime now = deps_.clock.Now();
   auto send = std::make_shared<EngineSend>();
   send->engine = engine;
