Let engines rest that ask for it as they turn requests away

An engine that had turned an entry away with 503 and asked for 3 s of rest got up to six requests from it in that time. Nothing read the engine's Retry-After: a refusal kept only that one request away.

Find passes over an engine until its rest ends, and RequestSender asks again as the send begins, since the choice may be older than the notice. The longest of the rests in force counts; the rate limiter's throttle can't end it. Requests that have the time wait for the end of the rest; others are refused at once, with a Retry-After after the first end, spread over callers. Entries return within a tenth of the rest (200 ms at most), and in an entry one request returns first: the others follow once it is answered, or after 100 ms, in which an engine turns requests away. A request that was turned away may go to that engine again after the rest.

A rest is no failure, and no demand for one more replica. A model is loaded elsewhere only if that takes less time than the rest of the first engine that holds it. State queries leave a resting engine alone.

--- a/src/fleet/engine_loads_base.h
+++ b/src/fleet/engine_loads_base.h
@@ -3,6 +3,7 @@
 #ifndef SAPPHIRE_FLEET_ENGINE_LOADS_BASE_H_
 #define SAPPHIRE_FLEET_ENGINE_LOADS_BASE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -55,6 +56,14 @@
     return engine.draining || notices_.IsLeaving(engine.instance);
   }
 
+  /** @return Time until the engine may get its next request, by its rate limit
+   * and by the rest that it has asked for, or 0. */
+  [[nodiscard]] std::chrono::milliseconds BlockedFor(
+      const InstanceId& instance) const {
+    return std::max(limits_.ThrottledFor(instance),
+                    notices_.RestLeft(instance));
+  }
+
   /** Records that a request is sent. */
   SendTicket Begin(const InstanceId& instance, const ModelOrAdapter& part);
   /** Records that the first byte of the answer was received. */
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -388,7 +388,7 @@
   }
   // A hedge that was not sent yet might never be.
   if (work.hedge && !work.hedge->send) CancelHedge(work);
-  work.avoid.insert(work.engine);
+  AvoidUnlessResting(work, work.engine);
   if (work.caller.begun) work.received = deps_.clock.Now();
   const RetryDecision retry = DecideRetry(work, result);
   deps_.log.Event(
@@ -406,6 +406,7 @@
        {"relayed_bytes", result.relayed},
        {"body_end", NameOf(result.answer_end.body_end)},
        {"partial_event_bytes", result.answer_end.partial_event_bytes},
+       {"rest_ms", deps_.loads.notices().RestLeft(work.engine)},
        {"retry", NameOf(retry)}});
   if (retry == RetryDecision::kGranted) co_return false;
   if (result.failure && !work.caller.begun) {
@@ -420,6 +421,15 @@
       result.reason);
 }
 
+/** Keeps the request from an engine that has failed or refused it. An engine
+ * that rests gets no request until the end of its rest, and may serve this one
+ * then. */
+void Dispatcher::AvoidUnlessResting(RequestWork& work,
+                                    const fleet::InstanceId& engine) const {
+  const bool rests = deps_.loads.notices().RestLeft(engine) > milliseconds(0);
+  if (!rests) work.avoid.insert(engine);
+}
+
 /** Decides whether a request whose send has failed is sent again; takes the
  * retry from the budget. */
 RetryDecision Dispatcher::DecideRetry(RequestWork& work,
--- a/src/serving/engine_chooser.cc
+++ b/src/serving/engine_chooser.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/error_type.h"
+#include "core/random_func.h"
 #include "policy/cold_wait_func.h"
 #include "serving/engine_chooser_base.h"
 
@@ -40,6 +41,11 @@
  * VM needs a few hundred milliseconds. */
 constexpr milliseconds kAnswerMargin{300};
 
+/** Callers that are refused for an engine's rest return within this share of
+ * it, and within this time. */
+constexpr int kReturnSpreadDivisor = 5;
+constexpr milliseconds kMaxReturnSpread{500};
+
 /** Below this many running requests streams do not pause on any engine, so the
  * choice does not matter. */
 constexpr int kMinBusyRequests = 4;
@@ -127,8 +133,7 @@
     if (!policy::IsWorthWaiting(ready_in, left)) {
       throw Error(
           work.runs == 0 ? ErrorCode::kNoCapacity : ErrorCode::kOutcomeUnknown,
-          "no engine can serve it in its time",
-          std::max(ready_in, kDefaultRetryAfter));
+          "no engine can serve it in its time", RetryAfterOf(work, ready_in));
     }
     const WaitingScope waiting(waiting_, work.request.model);
     const milliseconds pause =
@@ -137,6 +142,21 @@
   }
 }
 
+/** @return When a refused caller should return. Those that are refused for an
+ * engine's rest return apart, not all at its end. */
+milliseconds EngineChooser::RetryAfterOf(const RequestWork& work,
+                                         milliseconds ready_in) const {
+  const milliseconds retry_after = std::max(ready_in, kDefaultRetryAfter);
+  const bool rests =
+      finder_.TimeToFirstRested(QueryOf(work, work.avoid)).has_value();
+  const milliseconds range =
+      std::min(retry_after / kReturnSpreadDivisor, kMaxReturnSpread);
+  if (!rests || range <= milliseconds(0)) return retry_after;
+  const std::uint64_t point = core::HashOf(work.request.id.value());
+  return retry_after +
+         milliseconds(point % static_cast<std::uint64_t>(range.count()));
+}
+
 /** @return Time until kAnswerMargin before the end of the process, when waiting
  * requests must be answered. */
 milliseconds EngineChooser::TimeToShutdown() const {
@@ -148,9 +168,18 @@
 
 /** @return Time until the next choice is due even without a notified change. */
 milliseconds EngineChooser::TimeToRecheck(const RequestWork& work) const {
-  const auto unthrottled =
-      finder_.TimeToFirstUnthrottled(QueryOf(work, work.avoid));
-  return std::min(unthrottled.value_or(kRecheckInterval), kRecheckInterval);
+  return std::min(TimeToFirstUnthrottled(work).value_or(kRecheckInterval),
+                  kRecheckInterval);
+}
+
+/** @return Time until the first engine that is throttled or rests can take the
+ * request. */
+std::optional<milliseconds> EngineChooser::TimeToFirstUnthrottled(
+    const RequestWork& work) const {
+  // As for the choice, no engine of a plain service is avoided for good.
+  const std::set<fleet::InstanceId> none;
+  return finder_.TimeToFirstUnthrottled(
+      QueryOf(work, work.request.model.empty() ? none : work.avoid));
 }
 
 /** Queries the load of the best candidates before a choice. Peers' reports may
@@ -189,8 +218,9 @@
     found = finder_.Find(QueryOf(work, none));
   }
   if (!work.request.model.empty()) {
-    AddReplicaIfOverloaded(
-        work, work.caller.software_version ? FindOfAllVersions(work) : found);
+    const bool sees_all = !work.caller.software_version &&
+                          !finder_.TimeToFirstRested(QueryOf(work, work.avoid));
+    AddReplicaIfOverloaded(work, sees_all ? found : FindHolders(work));
   }
   std::vector<FoundReplica> ready;
   std::ranges::copy_if(found, std::back_inserter(ready),
@@ -200,11 +230,13 @@
   return std::nullopt;
 }
 
-/** @return The engines that would serve the request if it were new. */
-std::vector<FoundReplica> EngineChooser::FindOfAllVersions(
+/** @return The engines that would serve the request if it were new and none of
+ * them rested: a rest is no demand for a further replica. */
+std::vector<FoundReplica> EngineChooser::FindHolders(
     const RequestWork& work) const {
   const std::optional<fleet::SoftwareVersion> any;
-  return finder_.Find({work.service->id, work.request, work.avoid, any});
+  return finder_.FindWithResting(
+      {work.service->id, work.request, work.avoid, any});
 }
 
 /** Loads the adapter on an engine that holds its model and accepts orders: an
@@ -257,8 +289,7 @@
 /** Requests a load of the model unless an engine can serve it soon. @return
  * Time until it is expected to be available. */
 milliseconds EngineChooser::RequestModelLoad(RequestWork& work) {
-  const auto unthrottled =
-      finder_.TimeToFirstUnthrottled(QueryOf(work, work.avoid));
+  const auto unthrottled = TimeToFirstUnthrottled(work);
   if (work.request.model.empty()) {
     if (unthrottled) return *unthrottled;
     ThrowUnavailable(work);
@@ -275,7 +306,8 @@
   if (unthrottled && *unthrottled <= kShortThrottle) return *unthrottled;
   const auto ready =
       loader_.RequestLoad(*work.service, work.request.model, work.request.id,
-                          work.caller.software_version);
+                          work.caller.software_version,
+                          finder_.TimeToFirstRested(QueryOf(work, work.avoid)));
   if (!ready && !unthrottled) ThrowUnavailable(work);
   if (ready) AddReplicasForWaiting(work);
   return std::min(ready.value_or(milliseconds::max()),
@@ -316,7 +348,7 @@
   if (work.request.model.empty()) return;
   std::set<fleet::InstanceId> avoid = work.avoid;
   avoid.insert(work.engine);
-  const bool is_held = !finder_.Find(QueryOf(work, avoid)).empty();
+  const bool is_held = !finder_.FindWithResting(QueryOf(work, avoid)).empty();
   if (is_held) return;
   constexpr int kAtOnce = 1;
   loader_.AddReplica(*work.service, work.request.model,
--- a/src/serving/engine_chooser_base.h
+++ b/src/serving/engine_chooser_base.h
@@ -75,12 +75,16 @@
                           std::vector<FoundReplica> holders);
   void AddReplicasForWaiting(const RequestWork& work);
   milliseconds RequestModelLoad(RequestWork& work);
-  [[nodiscard]] std::vector<FoundReplica> FindOfAllVersions(
+  [[nodiscard]] std::vector<FoundReplica> FindHolders(
       const RequestWork& work) const;
   void CheckVersion(const RequestWork& work) const;
   [[noreturn]] void ThrowUnavailable(const RequestWork& work) const;
   [[nodiscard]] milliseconds TimeToShutdown() const;
   [[nodiscard]] milliseconds TimeToRecheck(const RequestWork& work) const;
+  [[nodiscard]] std::optional<milliseconds> TimeToFirstUnthrottled(
+      const RequestWork& work) const;
+  [[nodiscard]] milliseconds RetryAfterOf(const RequestWork& work,
+                                          milliseconds ready_in) const;
   [[nodiscard]] milliseconds IdleTimeLeft(const RequestWork& work) const;
 
   const policy::EnginePace pace_;
--- a/src/serving/engine_leave_test.cc
+++ b/src/serving/engine_leave_test.cc
@@ -144,7 +144,8 @@
   Together together(rig);
   constexpr int kRequests = 8;
   for (int i = 0; i < kRequests; ++i) together.Begin("/safe/", kWait);
-  rig.notices.Record({kFirst, "request", core::RequestId("r")}, answer);
+  rig.notices.Record({kFirst, EngineCall::kRequest, core::RequestId("r")},
+                     answer);
   rig.Pass(milliseconds(700));
   BOOST_TEST(together.served() == kRequests);
   BOOST_TEST(first.requests.size() == 0U);
--- a/src/serving/engine_notice_recorder.cc
+++ b/src/serving/engine_notice_recorder.cc
@@ -19,6 +19,14 @@
 constexpr int kSpreadDivisor = 10;
 constexpr milliseconds kMaxSpread{200};
 
+std::string_view NameOf(EngineCall call) {
+  return call == EngineCall::kRequest ? "request" : "state";
+}
+
+bool IsEmpty(const fleet::EngineNotice& notice) {
+  return !notice.leaving && !notice.rest && !notice.unreadable;
+}
+
 }  // namespace
 
 EngineNoticeRecorder::EngineNoticeRecorder(
@@ -34,6 +42,9 @@
 
 void EngineNoticeRecorder::Record(const NoticeSource& source,
                                   const EngineAnswer& answer) {
+  // An engine that reports its load may still turn requests away.
+  const bool ends_rest = source.call == EngineCall::kRequest;
+  if (IsEmpty(answer.notice) && !ends_rest) return;
   const fleet::InstanceId speaker = SpeakerOf(source, answer);
   if (speaker.empty()) return;
   const milliseconds rest = answer.notice.rest.value_or(milliseconds(0));
@@ -81,7 +92,7 @@
                                const EngineAnswer& answer) const {
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, event,
              {{"instance", instance},
-              {"call", source.call},
+              {"call", NameOf(source.call)},
               {"request", source.request},
               {"status", answer.status},
               {"rest_ms", answer.notice.rest.value_or(milliseconds(0))},
--- a/src/serving/engine_notice_recorder_base.h
+++ b/src/serving/engine_notice_recorder_base.h
@@ -15,12 +15,16 @@
 
 namespace sapphire::serving {
 
-/** The answer that a notice came with. */
+enum class EngineCall {
+  kRequest,
+  kState,  ///< A query for the engine's load.
+};
+
+/** The call whose answer brings a notice. */
 struct NoticeSource {
   /** The instance that was addressed. */
   fleet::InstanceId addressed;
-  /** Kind of the call: "request" or "state". */
-  std::string_view call;
+  EngineCall call = EngineCall::kRequest;
   /** Empty if the call was not for a request. */
   core::RequestId request;
 };
--- a/src/serving/engine_rest_test.cc
+++ b/src/serving/engine_rest_test.cc
@@ -44,7 +44,8 @@
   Together together(rig);
   constexpr int kRequests = 8;
   for (int i = 0; i < kRequests; ++i) together.Begin("/safe/", kWait);
-  rig.notices.Record({kFirst, "request", core::RequestId("r")}, answer);
+  rig.notices.Record({kFirst, EngineCall::kRequest, core::RequestId("r")},
+                     answer);
   rig.Pass(milliseconds(700));
   BOOST_TEST(together.served() == kRequests);
   BOOST_TEST(first.requests.size() == 0U);
@@ -78,7 +79,7 @@
   rig.AddEngine(kPlain, Sound());
   ServeSome(rig, "/safe/", 1);
   rig.loads.limits().Throttle(kFirst, milliseconds(5));
-  rig.notices.Record({kFirst, "request", core::RequestId("r")},
+  rig.notices.Record({kFirst, EngineCall::kRequest, core::RequestId("r")},
                      rig.engine_wire.Read({503, {RestOf(milliseconds(10))}}));
   BOOST_TEST(ServeSome(rig, "/safe/", kLater, milliseconds(50)) == kLater);
   BOOST_TEST(resting.requests.size() == 1U);
--- a/src/serving/load_gauges.cc
+++ b/src/serving/load_gauges.cc
@@ -82,7 +82,7 @@
   http::Request question = wire_.StateRequest(instance);
   const http::Response answer = co_await client->Fetch(
       std::move(question), kQueryTimeout, http::UnstatedEnd::kAccept);
-  notices_.Record({instance, "state", core::RequestId()},
+  notices_.Record({instance, EngineCall::kState, core::RequestId()},
                   wire_.Read(answer.head));
   gauges_[instance] = LoadGauge{wire_.ReadState(answer), clock_.Now(),
                                 loads_.Running(instance)};
@@ -118,7 +118,8 @@
     const fleet::EngineEntry& engine = it->second;
     const bool of_model_service =
         !engine.models.empty() || !engine.copies.on_disk.empty();
-    if (!of_model_service) continue;
+    const bool rests = loads_.notices().RestLeft(it->first) > milliseconds(0);
+    if (!of_model_service || rests) continue;
     last_polled_ = it->first;
     return last_polled_;
   }
--- a/src/serving/model_loader.cc
+++ b/src/serving/model_loader.cc
@@ -184,7 +184,8 @@
 
 std::optional<milliseconds> ModelLoader::RequestLoad(
     const routing::Service& service, const core::ModelId& model,
-    const core::RequestId& request, const OptionalVersion& version) {
+    const core::RequestId& request, const OptionalVersion& version,
+    std::optional<milliseconds> rested_in) {
   const LoadTarget target{service.id, model, core::AdapterId()};
   const auto left = TimeUntilLoaded(target, version);
   if (left && *left < kSlowLoad) {
@@ -204,6 +205,7 @@
   // load was requested.
   const bool faster = plan && left && plan->ready_in + kSlowLoad < *left;
   if (left && !faster) return left;
+  if (rested_in && (!plan || plan->ready_in >= *rested_in)) return std::nullopt;
   const bool from_store =
       plan && loaders[plan->engine].view.tier == policy::Tier::kRemote;
   if (from_store && clock_.Now() - began_ < kDiscoveryTime) return kRetryDelay;
--- a/src/serving/model_loader_base.h
+++ b/src/serving/model_loader_base.h
@@ -63,14 +63,16 @@
    * slow, a second one is requested from an engine that would be ready much
    * sooner.
    * @param version If set, only engines of this software version count.
+   * @param rested_in Time until an engine that holds the model has rested, if
+   *   one does. No load that takes longer is requested.
    * @return Time until the model is expected to serve, or until the next
    *   attempt if no load can be requested now; nullopt if no engine that could
-   *   load it is reachable.
+   *   load it, or could before `rested_in`, is reachable.
    */
-  std::optional<milliseconds> RequestLoad(const routing::Service& service,
-                                          const core::ModelId& model,
-                                          const core::RequestId& request,
-                                          const OptionalVersion& version = {});
+  std::optional<milliseconds> RequestLoad(
+      const routing::Service& service, const core::ModelId& model,
+      const core::RequestId& request, const OptionalVersion& version = {},
+      std::optional<milliseconds> rested_in = {});
 
   /** Requests a load of an adapter on an engine that holds its model. */
   void RequestAdapterLoad(const core::ServiceId& service,
--- a/src/serving/model_loader_test.cc
+++ b/src/serving/model_loader_test.cc
@@ -88,6 +88,34 @@
   BOOST_TEST(rig.endpoint.load_requests == 1);
 }
 
+/** Guards against a model that is loaded once more for a rest of a second, and
+ * against callers that wait for a rest which outlasts a load elsewhere. */
+BOOST_AUTO_TEST_CASE(ModelIsLoadedElsewhereOnlyForALongRest) {
+  Rig rig;
+  const auto near = rig.AddEndpointWithDiskCopy();
+  BOOST_TEST(!rig.loader.RequestLoad(rig.service, kModel, kRequest, {},
+                                     milliseconds(1000)));
+  rig.Settle();
+  BOOST_TEST(near->load_requests == 0);
+  BOOST_TEST(
+      (*rig.loader.RequestLoad(rig.service, kModel, kRequest, {},
+                               milliseconds(5000)) == milliseconds(2000)));
+  rig.Settle();
+  BOOST_TEST(near->load_requests == 1);
+}
+
+/** Guards against callers that are told a time before the end of the rest of
+ * the engine that loads their model. */
+BOOST_AUTO_TEST_CASE(ModelLoadedDuringARestServesAfterIt) {
+  Rig rig;
+  const auto near = rig.AddEndpointWithDiskCopy();
+  fleet::EngineNotice rest;
+  rest.rest = milliseconds(3000);
+  rig.loads.notices().Apply(fleet::InstanceId("i-2"), rest, milliseconds(0));
+  BOOST_TEST((*rig.loader.RequestLoad(rig.service, kModel, kRequest) ==
+              milliseconds(5000)));
+}
+
 /** Guards against an entry that crashes in the middle of its callers' streams.
  * On a slow VM, a load that another entry has reported may be pending when the
  * choice begins and overdue a moment later, in the same choice. */
--- a/src/serving/replica_finder.cc
+++ b/src/serving/replica_finder.cc
@@ -80,37 +80,61 @@
 }
 
 std::vector<FoundReplica> ReplicaFinder::Find(const ReplicaQuery& query) const {
-  const CallerRequest& request = query.request;
   std::vector<FoundReplica> found;
-  const fleet::ModelOrAdapter part{request.model, request.adapter};
+  for (const auto& [instance, engine] : registry_.engines()) {
+    if (!Serves(engine, query)) continue;
+    if (loads_.BlockedFor(instance) > milliseconds(0)) continue;
+    found.push_back(Describe(engine, query.request));
+  }
+  return found;
+}
+
+std::vector<FoundReplica> ReplicaFinder::FindWithResting(
+    const ReplicaQuery& query) const {
+  std::vector<FoundReplica> found;
   for (const auto& [instance, engine] : registry_.engines()) {
     if (!Serves(engine, query)) continue;
     if (loads_.limits().ThrottledFor(instance) > milliseconds(0)) continue;
-    FoundReplica replica;
-    replica.instance = instance;
-    replica.view = MakeView(engine, request);
-    if (!request.model.empty()) {
-      const fleet::LoadedModel* held = FindHeld(engine, request.model);
-      replica.order_left = peer_table_.RemainingLoadTime(instance);
-      const bool listed =
-          held != nullptr && held->adapters.contains(request.adapter);
-      const bool has = (listed && !loads_.Lacks(instance, part)) ||
-                       loads_.HasLoaded(instance, part);
-      replica.has_adapter = request.adapter.empty() || has;
-    }
-    found.push_back(std::move(replica));
+    found.push_back(Describe(engine, query.request));
   }
   return found;
 }
 
+FoundReplica ReplicaFinder::Describe(const fleet::EngineEntry& engine,
+                                     const CallerRequest& request) const {
+  FoundReplica replica;
+  replica.instance = engine.instance;
+  replica.view = MakeView(engine, request);
+  if (request.model.empty()) return replica;
+  const fleet::ModelOrAdapter part{request.model, request.adapter};
+  const fleet::LoadedModel* held = FindHeld(engine, request.model);
+  replica.order_left = peer_table_.RemainingLoadTime(engine.instance);
+  const bool listed =
+      held != nullptr && held->adapters.contains(request.adapter);
+  const bool has = (listed && !loads_.Lacks(engine.instance, part)) ||
+                   loads_.HasLoaded(engine.instance, part);
+  replica.has_adapter = request.adapter.empty() || has;
+  return replica;
+}
+
 std::optional<milliseconds> ReplicaFinder::TimeToFirstUnthrottled(
     const ReplicaQuery& query) const {
   std::optional<milliseconds> first;
   for (const auto& [instance, engine] : registry_.engines()) {
-    const milliseconds left = loads_.limits().ThrottledFor(instance);
-    if (left == milliseconds(0)) continue;
-    if (!Serves(engine, query)) continue;
-    if (!first || left < *first) first = left;
+    const milliseconds left = loads_.BlockedFor(instance);
+    if (left == milliseconds(0) || !Serves(engine, query)) continue;
+    first = std::min(first.value_or(left), left);
+  }
+  return first;
+}
+
+std::optional<milliseconds> ReplicaFinder::TimeToFirstRested(
+    const ReplicaQuery& query) const {
+  std::optional<milliseconds> first;
+  for (const auto& [instance, engine] : registry_.engines()) {
+    const milliseconds left = loads_.notices().RestLeft(instance);
+    if (left == milliseconds(0) || !Serves(engine, query)) continue;
+    first = std::min(first.value_or(left), left);
   }
   return first;
 }
@@ -194,7 +218,10 @@
     if (!IsOfVersion(it.instance, version)) continue;
     LoadCandidate loader = it;
     loader.view.tier = TierOf(*engine, model);
-    loader.view.order_left = peer_table_.RemainingLoadTime(it.instance);
+    // A model that is loaded during a rest serves only after it.
+    loader.view.order_left =
+        std::max(peer_table_.RemainingLoadTime(it.instance),
+                 loads_.notices().RestLeft(it.instance));
     found.push_back(std::move(loader));
   }
   return found;
--- a/src/serving/replica_finder_base.h
+++ b/src/serving/replica_finder_base.h
@@ -62,18 +62,27 @@
                 const fleet::EngineLoads& loads, const LoadGauges& gauges,
                 const core::Clock& clock);
 
-  /** @return Engines of a plain service, or those that hold the model. */
+  /** @return Engines of a plain service, or those that hold the model; without
+   * those that are throttled or rest. */
   [[nodiscard]] std::vector<FoundReplica> Find(const ReplicaQuery& query) const;
 
+  /** @return As Find, and also the engines that rest. */
+  [[nodiscard]] std::vector<FoundReplica> FindWithResting(
+      const ReplicaQuery& query) const;
+
   /** @return True if an engine of the service and version accepts requests. */
   [[nodiscard]] bool HasVersion(const core::ServiceId& service,
                                 const fleet::SoftwareVersion& version) const;
 
   /** @return Time until the first engine becomes available that Find omits only
-   * because it is throttled; nullopt if there is none. */
+   * because it is throttled or rests; nullopt if there is none. */
   [[nodiscard]] std::optional<milliseconds> TimeToFirstUnthrottled(
       const ReplicaQuery& query) const;
 
+  /** @return As TimeToFirstUnthrottled, of the engines that rest. */
+  [[nodiscard]] std::optional<milliseconds> TimeToFirstRested(
+      const ReplicaQuery& query) const;
+
   /** @return Engines that do not hold the model and are reachable, as far as
    * known; only those of the version, if one is given. Usage figures are up to
    * 250 ms old; pending loads are current. */
@@ -109,6 +118,8 @@
   /** @return True if the engine serves the model, even if it is throttled. */
   [[nodiscard]] bool Serves(const fleet::EngineEntry& engine,
                             const ReplicaQuery& query) const;
+  [[nodiscard]] FoundReplica Describe(const fleet::EngineEntry& engine,
+                                      const CallerRequest& request) const;
   [[nodiscard]] policy::ReplicaCandidate MakeView(
       const fleet::EngineEntry& engine, const CallerRequest& request) const;
 
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -63,8 +63,11 @@
     RequestWork& work, const fleet::InstanceId& engine, int other_sends,
     SendCallbacks callbacks, const core::Executor& executor) {
   const fleet::EngineEntry* entry = deps_.registry.Find(engine);
-  // The engine may have announced its leave since it was chosen.
-  if (entry == nullptr || deps_.loads.IsLeaving(*entry)) return nullptr;
+  if (entry == nullptr) return nullptr;
+  // The engine may have said so since it was chosen.
+  const bool rests = deps_.loads.notices().RestLeft(engine) > milliseconds(0);
+  if (rests || deps_.loads.IsLeaving(*entry)) return nullptr;
+  deps_.loads.notices().RecordSend(engine);
   const core::SteadyTime now = deps_.clock.Now();
   auto send = std::make_shared<EngineSend>();
   send->engine = engine;
@@ -101,7 +104,8 @@
   ExchangeHooks hooks;
   hooks.head_received = [this, &work, instance = send.engine,
                          sent = deps_.clock.Now()](const EngineAnswer& answer) {
-    deps_.notices.Record({instance, "request", work.request.id}, answer);
+    deps_.notices.Record({instance, EngineCall::kRequest, work.request.id},
+                         answer);
     if (!answer.genuine && !answer.not_run) return;
     // A refusal without a limit says nothing: it may have been sent before the
     // engine knew its limit.
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -65,7 +65,8 @@
   /**
    * Begins a send; its exchange is to be opened next.
    * @param other_sends Sends of the request that are still in progress.
-   * @return The send; null if the engine is no longer registered, or leaves.
+   * @return The send; null if the engine is no longer registered, leaves or
+   *   rests.
    * @pre `work` outlives the send.
    */
   std::shared_ptr<EngineSend> Begin(RequestWork& work,
