--- a/src/serving/engine_notice_recorder.cc
+++ b/src/serving/engine_notice_recorder.cc
@@ -52,18 +52,22 @@
       loads_.notices().Apply(speaker, answer.notice, SpreadOf(speaker, rest));
   if (change.leaving) {
     metrics_.EngineNoticed("leaving");
-    Log("engine_leave_announced", speaker, source, answer);
+    Log(LogLevel::kInfo, LogCategory::kReplica, "engine_leave_announced",
+        speaker, source, answer);
   }
   if (change.rest) {
     metrics_.EngineNoticed("rest");
-    Log("engine_rest_requested", speaker, source, answer);
+    Log(LogLevel::kInfo, LogCategory::kReplica, "engine_rest_requested",
+        speaker, source, answer);
   }
   if (change.rest_ended) {
-    Log("engine_rest_ended", speaker, source, answer);
+    Log(LogLevel::kInfo, LogCategory::kReplica, "engine_rest_ended", speaker,
+        source, answer);
   }
   if (change.unreadable) {
     metrics_.EngineNoticed("unreadable");
-    Log("engine_notice_unreadable", speaker, source, answer);
+    Log(LogLevel::kWarning, LogCategory::kReplica, "engine_notice_unreadable",
+        speaker, source, answer);
   }
   if (change.leaving || change.rest_ended) on_change_();
 }
@@ -86,11 +90,12 @@
   return milliseconds(core::HashOf(entry_ + instance.value()) % steps);
 }
 
-void EngineNoticeRecorder::Log(std::string_view event,
+void EngineNoticeRecorder::Log(core::LogLevel level, core::LogCategory category,
+                               std::string_view event,
                                const fleet::InstanceId& instance,
                                const NoticeSource& source,
                                const EngineAnswer& answer) const {
-  log_.Event(LogLevel::kInfo, LogCategory::kReplica, event,
+  log_.Event(level, category, event,
              {{"instance", instance},
               {"call", NameOf(source.call)},
               {"request", source.request},
--- a/src/serving/engine_notice_recorder_base.h
+++ b/src/serving/engine_notice_recorder_base.h
@@ -52,7 +52,8 @@
                                             const EngineAnswer& answer) const;
   [[nodiscard]] milliseconds SpreadOf(const fleet::InstanceId& instance,
                                       milliseconds rest) const;
-  void Log(std::string_view event, const fleet::InstanceId& instance,
+  void Log(core::LogLevel level, core::LogCategory category,
+           std::string_view event, const fleet::InstanceId& instance,
            const NoticeSource& source, const EngineAnswer& answer) const;
 
   const std::string entry_;
