Let the soak's engines leave and ask for rest in their answers

The drawn engines say that they leave in answers of every status and to every call, while the store goes on calling them ready; others turn requests away and ask for a rest that ends before or after they accept requests again. The checker holds both rules from what callers received and what engines saw, beside the other faults.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -67,6 +67,9 @@
                "Engines are of two software versions, callers take streams up");
   app.add_flag("--crashing-part", plan.crashing_part,
                "One part of callers' prompts crashes engines");
+  app.add_option("--notices", plan.notices,
+                 "Times that engines say only in answers that they leave, and "
+                 "that engines ask for rest");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -13,6 +13,8 @@
 
 using platform::kCredentials;
 using platform::kDeadline;
+using platform::kEngineLeaving;
+using platform::kInstance;
 using platform::kLastEvent;
 using platform::kModel;
 using platform::kPromptParts;
@@ -190,6 +192,7 @@
   std::string body;
   try {
     const auto stream = co_await client.Open(request, left());
+    RecordLeaveNotice(attempt, stream->head());
     while (true) {
       const http::BodyPart part = co_await stream->Read(left());
       const auto* bytes = std::get_if<std::string>(&part);
@@ -209,6 +212,14 @@
   }
 }
 
+void SoakCaller::RecordLeaveNotice(const Attempt& attempt,
+                                   const http::ResponseHead& head) {
+  if (!http::FindHeader(head.headers, kEngineLeaving)) return;
+  const auto instance = http::FindHeader(head.headers, kInstance);
+  record_.leave_notices.push_back(
+      {attempt.entry, std::string(instance.value_or("")), clock_.Now()});
+}
+
 /** Adds the events of an attempt's answer, which may end inside an event.
  * @return True if the answer consists of complete events in order. */
 bool SoakCaller::ReadEvents(const Attempt& attempt, std::string_view body,
--- a/deploy/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -56,6 +56,8 @@
   std::string DrawPromptParts(Attempt& attempt);
   core::Task<> Send(Attempt& attempt, const http::Request& request, int events,
                     milliseconds idle_timeout, StreamProgress& progress);
+  void RecordLeaveNotice(const Attempt& attempt,
+                         const http::ResponseHead& head);
   void CheckAnswer(Attempt& attempt, const http::ResponseHead& head,
                    const std::string& body, int events,
                    StreamProgress& progress);
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -17,6 +17,10 @@
 constexpr milliseconds kSettleTime{3000};
 /** An engine that drains or is deregistered gets no new requests after this. */
 constexpr milliseconds kDepartureLimit{2000};
+/** Time from which on an engine that has asked for rest gets at most
+ * kMaxRequestsInRest requests until the end of its rest. */
+constexpr milliseconds kRestLatency{500};
+constexpr int kMaxRequestsInRest = 2;
 /** Minimum time between orders of two different holders to one engine. */
 constexpr milliseconds kMinHolderGap{3000};
 /** A run ends within this time after its caller has disconnected. */
@@ -51,6 +55,7 @@
     for (const Attempt& it : record_.attempts) CheckAttempt(it);
     CheckOrders();
     CheckDepartures();
+    CheckNotices();
     CheckKeys();
     CheckQuota();
     CheckRecovery();
@@ -192,6 +197,82 @@
     }
   }
 
+  /** A request that reached an engine. */
+  struct Arrival {
+    const Attempt* attempt = nullptr;
+    core::SteadyTime at;
+  };
+
+  /** @return The requests that reached each engine, by instance. */
+  [[nodiscard]] std::map<std::string, std::vector<Arrival>> Arrivals() const {
+    std::map<std::string, const Attempt*> attempts;
+    for (const Attempt& it : record_.attempts) attempts[it.id] = &it;
+    std::map<std::string, std::vector<Arrival>> arrivals;
+    const auto add = [&](const std::string& id, const std::string& instance,
+                         core::SteadyTime at) {
+      const auto it = attempts.find(id);
+      if (it != attempts.end()) arrivals[instance].push_back({it->second, at});
+    };
+    for (const auto& [id, runs] : record_.runs) {
+      for (const Run& it : runs) add(id, it.instance, it.began);
+    }
+    for (const TurnedAway& it : record_.turned_away) {
+      add(it.request, it.instance, it.at);
+    }
+    return arrivals;
+  }
+
+  /** @return True if the entry was restarted, paused or cut off from engines in
+   * this time, so that it may not know what they said before. */
+  [[nodiscard]] bool MayHaveForgotten(int entry, core::SteadyTime from,
+                                      core::SteadyTime to) const {
+    const auto is_in = [&](const Disturbances& times) {
+      const auto it = times.find(entry);
+      return it != times.end() && Overlaps(it->second, from, to);
+    };
+    return is_in(record_.entry_disturbed) || is_in(record_.entry_stopping);
+  }
+
+  /** Checks that entries heed what engines have said of themselves. */
+  void CheckNotices() {
+    const auto arrivals = Arrivals();
+    std::map<std::string, int> entry_of;
+    for (const Attempt& it : record_.attempts) entry_of[it.id] = it.entry;
+    for (const LeaveNotice& notice : record_.leave_notices) {
+      const auto found = arrivals.find(notice.instance);
+      if (found == arrivals.end()) continue;
+      for (const Arrival& it : found->second) CheckLeave(notice, it);
+    }
+    for (const TurnedAway& it : record_.turned_away) {
+      const auto entry = entry_of.find(it.request);
+      if (entry == entry_of.end()) continue;
+      CheckRest(it, entry->second, arrivals.at(it.instance));
+    }
+  }
+
+  void CheckLeave(const LeaveNotice& notice, const Arrival& arrival) {
+    const Attempt& attempt = *arrival.attempt;
+    const bool is_late = attempt.entry == notice.entry &&
+                         attempt.sent > notice.at + kDepartureLimit;
+    if (!is_late || MayHaveForgotten(notice.entry, notice.at, arrival.at)) {
+      return;
+    }
+    AddViolation("sent to an engine that had said that it leaves", attempt.id);
+  }
+
+  void CheckRest(const TurnedAway& turned_away, int entry,
+                 const std::vector<Arrival>& arrivals) {
+    const core::SteadyTime end = turned_away.at + turned_away.rest;
+    if (MayHaveForgotten(entry, turned_away.at, end)) return;
+    const auto n = std::ranges::count_if(arrivals, [&](const Arrival& it) {
+      return it.attempt->entry == entry &&
+             it.at > turned_away.at + kRestLatency && it.at < end;
+    });
+    if (n <= kMaxRequestsInRest) return;
+    AddViolation("an engine got requests in the rest that it had asked for",
+                 fmt::format("{} got {}", turned_away.instance, n));
+  }
+
   void CheckKeys() {
     for (const Revocation& it : record_.revocations) {
       for (const Attempt& attempt : record_.attempts) {
@@ -342,10 +423,10 @@
   }
   return text + fmt::format(
                     " orders={} deadly_crashes={} part_crashes={} taken_up={} "
-                    "went_on={}",
+                    "went_on={} leave_notices={} turned_away={}",
                     record.orders.size(), record.deadly_crashes,
-                    record.part_crashes.size(), record.taken_up,
-                    record.went_on);
+                    record.part_crashes.size(), record.taken_up, record.went_on,
+                    record.leave_notices.size(), record.turned_away.size());
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -15,6 +15,7 @@
 
 namespace json = boost::json;
 using platform::kCredentials;
+using platform::kEngineLeaving;
 using platform::kExpectInstance;
 using platform::kInstance;
 using platform::kLastEvent;
@@ -24,6 +25,7 @@
 using platform::kPromptParts;
 using platform::kRequestId;
 using platform::kResponseStamp;
+using platform::kRetryAfter;
 using platform::kTokenCount;
 
 namespace {
@@ -32,6 +34,7 @@
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr milliseconds kLoadTime{400};
 constexpr milliseconds kEventInterval{20};
 constexpr milliseconds kPlainRunTime{40};
@@ -98,6 +101,8 @@
 void SoakEngine::Restart(const std::string& instance) {
   Crash();
   instance_ = instance;
+  leaving_ = false;
+  turns_away_until_ = core::SteadyTime();
 }
 
 core::Task<> SoakEngine::Answer(const http::Request& request,
@@ -115,6 +120,10 @@
     co_await AnswerOrder(request, writer);
     co_return;
   }
+  if (clock_.Now() < turns_away_until_) {
+    co_await AnswerTurnedAway(request, writer);
+    co_return;
+  }
   const std::string model = HeaderOf(request, kModel);
   if (model.empty()) {
     co_await RunPlain(request, writer);
@@ -143,7 +152,10 @@
                             {"waiting", 0},
                             {"kvUsed", 0},
                             {"kvTotal", 100'000}};
-  return http::MakeResponse(kOk, "application/json", json::serialize(report));
+  http::Response response =
+      http::MakeResponse(kOk, "application/json", json::serialize(report));
+  AddNotice(response.head);
+  return response;
 }
 
 core::Task<> SoakEngine::AnswerOrder(const http::Request& request,
@@ -199,9 +211,26 @@
   http::Response response = http::MakeResponse(status, "text/plain", "");
   response.head.headers.push_back({std::string(kNotRun), "1"});
   response.head.headers.push_back({std::string(kInstance), instance_});
+  AddNotice(response.head);
   return response;
 }
 
+core::Task<> SoakEngine::AnswerTurnedAway(const http::Request& request,
+                                          http::ResponseWriter& writer) {
+  record_.turned_away.push_back(
+      {HeaderOf(request, kRequestId), instance_, clock_.Now(), rest_});
+  http::Response response = NotRunResponse(kUnavailable);
+  const std::chrono::duration<double> seconds = rest_;
+  response.head.headers.push_back(
+      {std::string(kRetryAfter), fmt::format("{:.3f}", seconds.count())});
+  co_await writer.Send(std::move(response));
+}
+
+void SoakEngine::AddNotice(http::ResponseHead& head) const {
+  if (!leaving_) return;
+  head.headers.push_back({std::string(kEngineLeaving), "1"});
+}
+
 AnswerShape SoakEngine::ShapeOf(const std::string& request) const {
   AnswerShape shape;
   if (!options_.broken_answers_seed) return shape;
@@ -219,6 +248,7 @@
   head.headers.push_back({std::string(kRequestId), id});
   head.headers.push_back({std::string(kResponseStamp), "soak"});
   head.headers.push_back({std::string(kInstance), instance_});
+  AddNotice(head);
   return head;
 }
 
--- a/deploy/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -62,6 +62,13 @@
   /** Restarts as a new instance without loaded models; checkpoints stay on its
    * disk. */
   void Restart(const std::string& instance);
+  /** Says in all answers from now on that it leaves. */
+  void Leave() { leaving_ = true; }
+  /** Turns requests away until `until` and asks for `rest` each time. */
+  void TurnAway(core::SteadyTime until, milliseconds rest) {
+    turns_away_until_ = until;
+    rest_ = rest;
+  }
   /** Ends the time in which streams are broken off. */
   void StopBreakingAnswers() { breaks_answers_ = false; }
   /** Aborts running requests and the current order, and drops loaded models. */
@@ -92,6 +99,9 @@
   http::Response Report() const;
   int AcceptOrder(const boost::json::object& order);
   http::Response NotRunResponse(int status) const;
+  core::Task<> AnswerTurnedAway(const http::Request& request,
+                                http::ResponseWriter& writer);
+  void AddNotice(http::ResponseHead& head) const;
   http::ResponseHead MakeResponseHead(const std::string& id) const;
   [[nodiscard]] AnswerShape ShapeOf(const std::string& request) const;
   void Begin(const http::Request& request);
@@ -107,6 +117,9 @@
   const core::Logger& log_;
   std::string instance_;
   bool breaks_answers_ = true;
+  bool leaving_ = false;
+  core::SteadyTime turns_away_until_;
+  milliseconds rest_{0};
   /** Counts crashes; work that began under an earlier value is aborted. */
   std::int64_t crash_count_ = 0;
   std::set<std::string> loaded_models_;
--- a/deploy/soak/soak_faults.cc
+++ b/deploy/soak/soak_faults.cc
@@ -25,7 +25,7 @@
     co_await InjectEntry(fault);
   } else if (fault.kind < FaultKind::kStoreBusy ||
              fault.kind == FaultKind::kEngineDeregistration ||
-             fault.kind == FaultKind::kEndpointOutage) {
+             fault.kind >= FaultKind::kEndpointOutage) {
     co_await InjectEngine(fault);
   } else {
     co_await InjectStore(fault);
@@ -94,6 +94,12 @@
     case FaultKind::kEngineDeregistration:
       co_await DeregisterEngine(vm, fault.duration);
       break;
+    case FaultKind::kEngineLeave:
+      co_await LeaveWithNotice(vm, fault.duration);
+      break;
+    case FaultKind::kEngineRest:
+      vm.engine->TurnAway(clock_.Now() + fault.duration, fault.rest);
+      break;
     case FaultKind::kEngineReset:
       vm.relay->Reset();
       break;
@@ -174,6 +180,18 @@
   co_await ReplaceEngine(vm);
 }
 
+/** The engine says in its answers that it leaves, while its registration is
+ * written once more as if it did not. */
+core::Task<> SoakRunner::LeaveWithNotice(EngineVm& vm,
+                                         milliseconds serving_time) {
+  vm.down = true;
+  vm.engine->Leave();
+  co_await core::SleepFor(serving_time / 2);
+  Register(vm, false);
+  co_await core::SleepFor(serving_time / 2);
+  co_await ReplaceEngine(vm);
+}
+
 /** Stops the engine and starts a new instance in its place. */
 core::Task<> SoakRunner::ReplaceEngine(EngineVm& vm) {
   const std::string instance = vm.engine->instance();
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -34,6 +34,16 @@
 constexpr milliseconds kMinEndpointOutage{24'000};
 constexpr milliseconds kMaxEndpointOutage{30'000};
 
+constexpr std::uint64_t kNoticeStream = 0x6e6f'7469'6365;
+/** A leaving engine serves on until after the time in which entries have to
+ * heed its notice. */
+constexpr milliseconds kMinLeaveTime{2500};
+constexpr milliseconds kMaxLeaveTime{6000};
+/** Rests from below the half second after which they are checked, and engines
+ * that accept requests before or after their end. */
+constexpr milliseconds kMinRest{300};
+constexpr milliseconds kMaxRest{4000};
+
 bool TargetsEntry(FaultKind kind) {
   return kind <= FaultKind::kEntryReload || kind == FaultKind::kStoreCut;
 }
@@ -75,6 +85,27 @@
   }
 }
 
+/** Draws engines that leave and say so in their answers alone, and engines that
+ * ask for rest. */
+void DrawNotices(SoakPlan& plan) {
+  Draw draw(plan.seed ^ kNoticeStream);
+  for (int i = 0; i < plan.notices; ++i) {
+    Fault leave;
+    leave.kind = FaultKind::kEngineLeave;
+    leave.duration = draw.Between(kMinLeaveTime, kMaxLeaveTime);
+    leave.at = draw.Between(milliseconds(0), plan.duration - leave.duration);
+    leave.target = draw.Below(plan.engines + plan.plain);
+    plan.faults.push_back(leave);
+    Fault rest;
+    rest.kind = FaultKind::kEngineRest;
+    rest.duration = draw.Between(kMinRest, kMaxRest);
+    rest.rest = draw.Between(kMinRest, kMaxRest);
+    rest.at = draw.Between(milliseconds(0), plan.duration - rest.duration);
+    rest.target = draw.Below(plan.engines + plan.plain);
+    plan.faults.push_back(rest);
+  }
+}
+
 /** Draws outages of endpoint processes that last until after an entry has taken
  * over the engine. */
 void DrawEndpointOutages(SoakPlan& plan) {
@@ -115,6 +146,7 @@
   DrawDepartures(plan);
   if (plan.organisations) DrawRevocations(plan);
   DrawEndpointOutages(plan);
+  DrawNotices(plan);
   std::ranges::stable_sort(plan.faults, {}, &Fault::at);
   return plan;
 }
--- a/deploy/soak/soak_runner_base.h
+++ b/deploy/soak/soak_runner_base.h
@@ -86,6 +86,7 @@
   core::Task<> CrashEngine(EngineVm& vm, milliseconds down);
   core::Task<> DrainEngine(EngineVm& vm, milliseconds serving_time);
   core::Task<> DeregisterEngine(EngineVm& vm, milliseconds serving_time);
+  core::Task<> LeaveWithNotice(EngineVm& vm, milliseconds serving_time);
   core::Task<> ReplaceEngine(EngineVm& vm);
   core::Task<> CutStore(Fault fault);
   void RevokeKey(int organisation);
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -42,18 +42,20 @@
   kEngineDeregistration,  ///< Its registration is deleted; it keeps serving.
   kKeyRevoke,             ///< An organisation's key is replaced by another.
   kEndpointOutage,        ///< SIGKILL, restarted after the fault's duration.
+  kEngineLeave,  ///< Says so in its answers only, serves on, is replaced.
+  kEngineRest,   ///< Turns requests away with 503 and asks for rest.
 };
 
 /** Number of leading fault kinds that the main random stream draws from. */
 inline constexpr int kBaseFaultKinds = 17;
 
-inline constexpr std::array<std::string_view, 21> kFaultNames = {
+inline constexpr std::array<std::string_view, 23> kFaultNames = {
     "entry_kill",    "entry_pause",     "entry_stop",          "entry_reload",
     "endpoint_kill", "endpoint_pause",  "engine_crash",        "engine_drain",
     "engine_reset",  "engine_delay",    "engine_silent",       "engine_cut",
     "store_busy",    "store_silent",    "store_loses_answers", "store_cut",
     "config_change", "store_partition", "engine_leave",        "key_revoke",
-    "endpoint_lost"};
+    "endpoint_lost", "engine_notice",   "engine_rest"};
 
 struct Fault {
   FaultKind kind = FaultKind::kEntryKill;
@@ -62,6 +64,8 @@
   milliseconds duration{0};
   /** Index of the target entry, engine or organisation, if the kind has one. */
   int target = 0;
+  /** With kEngineRest: the rest that the engine asks for. */
+  milliseconds rest{0};
 };
 
 struct SoakPlan {
@@ -90,6 +94,9 @@
   /** Callers share prompt parts, and one part crashes every engine that begins
    * to answer it while there are faults. */
   bool crashing_part = false;
+  /** Number of times that engines leave and say so in their answers alone, and
+   * that engines turn requests away and ask for rest. */
+  int notices = 0;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -151,6 +158,23 @@
   core::SteadyTime at;
 };
 
+/** An answer in which an engine said that it leaves, as a caller received it.
+ */
+struct LeaveNotice {
+  int entry = 0;
+  std::string instance;
+  core::SteadyTime at;
+};
+
+/** A request that an engine turned away. */
+struct TurnedAway {
+  std::string request;
+  std::string instance;
+  core::SteadyTime at;
+  /** The rest that the engine asked for; 0 for none. */
+  milliseconds rest{0};
+};
+
 /** The time at which a key was revoked and replaced by another. */
 struct Revocation {
   std::string key;
@@ -173,6 +197,8 @@
   std::vector<ReceivedOrder> orders;
   std::vector<EngineDeparture> engine_departures;
   std::vector<Revocation> revocations;
+  std::vector<LeaveNotice> leave_notices;
+  std::vector<TurnedAway> turned_away;
   /** Ids of requests that ran for another organisation than the caller's, or
    * with the caller's credentials passed on to the engine. */
   std::vector<std::string> misattributed;
