Refuse to load models on an engine that says that it leaves

The process that orders an engine dropped the heads of its answers, so that it loaded models for callers on an engine that was about to stop; they were lost with it, after up to a load's time of waiting. Only entries that had met the notice themselves passed the engine over.

--- a/src/orders/engine_controller.cc
+++ b/src/orders/engine_controller.cc
@@ -149,6 +149,7 @@
   co_await Poll();
   co_await AwaitHandover(load_request.deadline);
   usage_ = load_request.usage;
+  CheckLeaving(load_request);
   if (!Holds(load_request.model, core::AdapterId())) {
     CheckQueueTime(load_request);
     const core::SteadyTime now = clock_.Now();
@@ -197,6 +198,14 @@
   last_loaded_[{load_request.model, core::AdapterId()}] = clock_.Now();
 }
 
+/** Refuses to load anything on an engine that leaves: it would be lost, and the
+ * caller would wait for it in vain. */
+void EngineController::CheckLeaving(const LoadRequest& load_request) const {
+  if (!report_.leaving) return;
+  if (Holds(load_request.model, load_request.adapter)) return;
+  throw Error(ErrorCode::kEngineRefusedOrder, "the engine leaves");
+}
+
 /**
  * Refuses a load request that would wait long behind other orders, so that the
  * requesting entry tries another engine. A request for a model that is being
--- a/src/orders/engine_controller_base.h
+++ b/src/orders/engine_controller_base.h
@@ -109,6 +109,7 @@
   core::Task<> TryPoll();
   core::Task<> Fulfil(const LoadRequest& load_request);
   core::Task<> EnsureModel(const LoadRequest& load_request);
+  void CheckLeaving(const LoadRequest& load_request) const;
   void CheckQueueTime(const LoadRequest& load_request) const;
   core::Task<> EnsureAdapter(const LoadRequest& load_request);
   core::Task<> AwaitIdle(core::SteadyTime deadline);
--- a/src/orders/engine_controller_test.cc
+++ b/src/orders/engine_controller_test.cc
@@ -277,6 +277,17 @@
   BOOST_TEST((rig.clock.Now() - began < milliseconds(2000)));
 }
 
+/** Guards against a model that is loaded on an engine which says in its report
+ * that it leaves, and is lost with it. */
+BOOST_AUTO_TEST_CASE(EngineThatLeavesLoadsNothing) {
+  Rig rig;
+  BOOST_TEST(rig.EnsureLoaded("a", kLongTimeout) == "");
+  rig.engine.Leave();
+  BOOST_TEST(rig.EnsureLoaded("b", kLongTimeout) == "engine_refused_order");
+  BOOST_TEST(!rig.engine.Holds("b"));
+  BOOST_TEST(rig.EnsureLoaded("a", kLongTimeout) == "");
+}
+
 /**
  * Entries may still know an earlier instance of the engine; no order is given
  * then.
--- a/src/orders/engine_port_base.h
+++ b/src/orders/engine_port_base.h
@@ -28,6 +28,8 @@
   /** When the engine started; empty if it does not report that. */
   std::optional<fleet::EngineStartTime> start_time;
   bool order_in_progress = false;
+  /** It is about to stop: what it loads now is lost. */
+  bool leaving = false;
   /** Orders accepted since the engine's start. */
   std::int64_t order_count = 0;
   std::vector<fleet::LoadedModel> models;
--- a/src/orders/testing_engine.h
+++ b/src/orders/testing_engine.h
@@ -69,6 +69,9 @@
     late_orders_.clear();
   }
 
+  /** Reports from now on that it leaves. */
+  void Leave() { report_.leaving = true; }
+
   /** Reports this start time from now on. */
   void SetStartTime(fleet::EngineStartTime start_time) {
     report_.start_time = start_time;
