Test that a rest is no demand for a replica and stops polls

The test of replicas has a second part, in which the engine leaves instead: there the remaining engine is alone and a replica is loaded, so that the first part shows the rest's effect.

--- a/src/serving/engine_chooser_test.cc
+++ b/src/serving/engine_chooser_test.cc
@@ -147,6 +147,38 @@
   BOOST_TEST(rig.endpoint.load_requests + near->load_requests == 1);
 }
 
+/** Guards against a replica that is loaded because one of two engines that hold
+ * the model rests for a moment. */
+BOOST_AUTO_TEST_CASE(RestIsNoDemandForAReplica) {
+  for (const bool leaves : {false, true}) {
+    Rig rig;
+    rig.ChangeEngine(
+        [](fleet::EngineEntry& it) { it.copies.on_disk = {kModel}; });
+    const auto near = rig.AddEndpointWithDiskCopy(HoldModel);
+    fleet::EngineEntry third =
+        testing::LoaderRig::EngineAt("i-3", "127.0.0.3:1");
+    HoldModel(third);
+    rig.PutEngine(third);
+    for (int i = 0; i < 60; ++i) {
+      const fleet::SendTicket ticket = rig.loads.Begin(
+          fleet::InstanceId("i-2"), {kModel, core::AdapterId()});
+      rig.loads.End(ticket, fleet::SendResult::kServed);
+    }
+    fleet::EngineNotice notice;
+    notice.leaving = leaves;
+    if (!leaves) notice.rest = milliseconds(3000);
+    rig.loads.notices().Apply(third.instance, notice, milliseconds(0));
+    rig.Start(milliseconds(4000));
+    entry::testing::RunUntil(rig.io,
+                             [&] { return rig.outcome.value.has_value(); });
+    rig.Settle();
+    rig.Settle();
+    BOOST_TEST(*rig.outcome.value == "ok");
+    // Without the engine that leaves, one alone serves a model in demand.
+    BOOST_TEST(rig.endpoint.load_requests == (leaves ? 1 : 0));
+  }
+}
+
 /** Guards against a caller that waits 8 s and is refused then: its entry shuts
  * down before the model can be loaded, but waited for the load until the
  * process was about to end. */
--- a/src/serving/load_gauges_test.cc
+++ b/src/serving/load_gauges_test.cc
@@ -157,4 +157,19 @@
   BOOST_TEST(plain.requests.empty());
 }
 
+/** Guards against polls of an engine that has asked to be left alone. */
+BOOST_AUTO_TEST_CASE(RestingEngineIsNotPolled) {
+  Rig rig;
+  const TestEngine& resting = rig.AddEngine(kDrafts, Busy(1));
+  const TestEngine& other = rig.AddEngine(kDrafts, Busy(1));
+  fleet::EngineNotice rest;
+  rest.rest = milliseconds(10'000);
+  rig.loads.notices().Apply(fleet::InstanceId("i-1"), rest, milliseconds(0));
+  core::Spawn(rig.io.get_executor(), rig.log, "ask",
+              [&] { return rig.gauges.Poll([] { return true; }); });
+  rig.Pass(milliseconds(400));
+  BOOST_TEST(resting.requests.empty());
+  BOOST_TEST(!other.requests.empty());
+}
+
 }  // namespace sapphire::serving
