Log how old the view was behind each answer, and whose answer it was

Callers got 404 for proper requests. Three causes stay apart only if a line says which: the view of the store was behind, the newest configuration was passed over, or a stranger at an engine's address answered. The lines named the version and the number of sends, but not the age of the view, nor whether an answer bore an engine's mark.

request_end has view_age_ms, view_late and genuine; store_lost the time that the failed call took; config_in_force the size of the document. A histogram counts the age of the view at each denial (sapphire_front_denial_view_age_seconds).

No decision changes. Tests: LogTellsTheAgeOfTheViewBehindADenial, LogTellsWhetherAnAnswerBearsTheEnginesMark.

--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -108,6 +108,7 @@
             adopted ? "config_in_force" : "config_passed_over",
             {{"config", holder.version()},
              {"revision", document.revision},
+             {"bytes", document.value.size()},
              {"error", failure}});
   return adopted;
 }
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -108,7 +108,10 @@
   if (failing_since_) return;
   failing_since_ = clock_.Now();
   log_.Event(LogLevel::kWarning, LogCategory::kPlatform, "store_lost",
-             {{"prefix", options_.prefix}, {"error", what}});
+             {{"prefix", options_.prefix},
+              {"error", what},
+              {"call_ms", std::chrono::duration_cast<core::Millis>(
+                              *failing_since_ - call_began_)}});
 }
 
 void StoreFollower::HandleAnswer(core::SteadyTime as_of) {
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -25,6 +25,7 @@
  * retries after an engine's own failure must not use it. */
 constexpr double kFailureReserve = 0.5;
 constexpr int kMaxRank = 9;
+constexpr int kTooMany = 429;
 constexpr milliseconds kMinRetryAfter{50};
 /** Logged for a request that does not resume a stream. */
 constexpr std::int64_t kNoEvent = -1;
@@ -44,6 +45,13 @@
   return "";
 }
 
+/** @return True for a status that callers take as final: they don't retry. */
+bool IsDenial(int status) {
+  constexpr int kFirstDenial = 300;
+  constexpr int kFirstFailure = 500;
+  return status >= kFirstDenial && status < kFirstFailure && status != kTooMany;
+}
+
 std::string_view NameOf(std::optional<http::BodyEnd> end) {
   if (!end) return "none";
   return *end == http::BodyEnd::kStated ? "stated" : "connection_closed";
@@ -366,6 +374,7 @@
   work.engine = send->engine;
   work.software_version = send->options.software_version;
   work.answer_end = result.answer_end;
+  work.genuine = result.genuine;
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
   co_return co_await HandleResult(work, std::move(result));
@@ -503,8 +512,20 @@
   deps_.gauges.Forget(alive);
 }
 
+/** @return The age of the view of the store; negative before the first answer.
+ */
+milliseconds Dispatcher::ViewAge() const {
+  const auto as_of = deps_.view.as_of();
+  if (!as_of) return milliseconds(-1);
+  return std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - *as_of);
+}
+
 void Dispatcher::ReportEnd(const RequestWork& work) const {
   const core::SteadyTime now = deps_.clock.Now();
+  const milliseconds view_age = ViewAge();
+  if (work.sends == 0 && IsDenial(work.status)) {
+    deps_.metrics.Denied(work.outcome, view_age);
+  }
   const auto since = [&work](core::SteadyTime time) {
     return std::chrono::duration_cast<milliseconds>(time - work.arrived);
   };
@@ -526,6 +547,8 @@
        {"units", work.charged},
        {"config",
         work.table == nullptr ? 0 : work.table->configuration().version},
+       {"view_age_ms", view_age},
+       {"view_late", deps_.view.is_late()},
        {"instance", work.engine},
        {"software_version", work.software_version},
        {"resumes", work.request.resumes},
@@ -535,6 +558,7 @@
        {"outcome", work.outcome},
        {"reason", work.reason},
        {"cut", work.cut},
+       {"genuine", work.genuine},
        {"body_end", NameOf(work.answer_end.body_end)},
        {"partial_event_bytes", work.answer_end.partial_event_bytes},
        {"first_send_ms", since(work.first_send.value_or(work.arrived))},
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -60,6 +61,9 @@
   std::function<bool()> keys_confirmed;
   /** Returns true while the view is older than operators allow. */
   std::function<bool()> is_late;
+  /** Returns the time up to which all changes are known, if the store has ever
+   * answered. */
+  std::function<std::optional<core::SteadyTime>()> as_of;
 };
 
 /** Dependencies of the dispatcher; all outlive it. */
@@ -147,6 +151,7 @@
   [[nodiscard]] bool MayRunAgain(const RequestWork& work) const;
   bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
+  [[nodiscard]] milliseconds ViewAge() const;
   void ReportEnd(const RequestWork& work) const;
 
   DispatchOptions options_;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -273,7 +273,7 @@
         refresh(
             {"config", milliseconds(5000), milliseconds(1000)}, store,
             [this](const external::KvEntry&) {
-              if (reread) reread();
+              if (newest_is_readable && reread) reread();
             },
             clock, log),
         dispatcher(DispatchOptions(), Dependencies()) {
@@ -392,9 +392,13 @@
   EngineRateLimiter rate_limiter;
   /** Called when the newest configuration is read. */
   std::function<void()> reread;
+  /** False if the store's newest configuration can't be used. */
+  bool newest_is_readable = true;
   ConfigurationRefresh refresh;
   bool keys_confirmed = true;
   bool view_is_late = false;
+  /** Time up to which the entry knows all changes of the store. */
+  std::optional<core::SteadyTime> view_as_of;
   TestCallerWire caller_wire;
   Dispatcher dispatcher;
   std::vector<std::unique_ptr<TestEngine>> engines;
@@ -420,7 +424,8 @@
 
   DispatcherDependencies Dependencies() {
     const StoreView view{[this] { return keys_confirmed; },
-                         [this] { return view_is_late; }};
+                         [this] { return view_is_late; },
+                         [this] { return view_as_of; }};
     return {configuration, refresh,     view,    quota,       rate_limiter,
             notices,       registry,    loads,   peer_table,  clients,
             gauges,        finder,      loader,  crash_watch, stream_directory,
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -311,6 +311,7 @@
   }
   if (caller_.left) result.end = ExchangeEnd::kCallerLeft;
   result.answer_end = answer_end_;
+  result.genuine = answer_.genuine;
   result.silence = watch_.Report();
   result.relayed = relayed_;
   return result;
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -60,6 +60,8 @@
   /** The engine does not hold the model, contrary to what was known. */
   bool lacks_model = false;
   AnswerEnd answer_end;
+  /** The answer's head carried an engine's mark, for the log. */
+  bool genuine = false;
   /** How long the engine was silent when the send ended, for the log. */
   SilenceReport silence;
   /** Bytes of this send's answer that were written to the caller. */
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -348,6 +348,7 @@
   StoreView view;
   view.keys_confirmed = [this] { return KeysConfirmed(); };
   view.is_late = [this] { return store_follower_.IsLate(); };
+  view.as_of = [this] { return store_follower_.current_as_of(); };
   return view;
 }
 
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -72,6 +72,10 @@
   prometheus::Family<prometheus::Histogram>& view_ages = core::AddHistograms(
       registry, "sapphire_front_view_age_seconds",
       "Age of what follows the store at the moment an answer renews it");
+  prometheus::Family<prometheus::Histogram>& denials = core::AddHistograms(
+      registry, "sapphire_front_denial_view_age_seconds",
+      "Age of the view of the store as a request was denied (300 to 499 except "
+      "429, without a send), by outcome");
   prometheus::Family<prometheus::Counter>& engine_limits = core::AddCounters(
       registry, "sapphire_front_engine_limit_decisions_total",
       "Sends asked of the limits that engines name, by bucket and answer");
@@ -164,6 +168,12 @@
   state_->view_ages.Add({}, kSeconds).Observe(Seconds(age).count());
 }
 
+void FrontMetrics::Denied(std::string_view outcome,
+                          std::chrono::milliseconds view_age) {
+  state_->denials.Add({{"outcome", std::string(outcome)}}, kSeconds)
+      .Observe(Seconds(view_age).count());
+}
+
 void FrontMetrics::Stalled(std::string_view work,
                            std::chrono::milliseconds took) {
   state_->stalls.Add({{"work", std::string(work)}}, kStallSeconds)
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -82,6 +82,12 @@
   /** Records the age that the view of the store had when an answer renewed it.
    */
   void ViewRenewed(std::chrono::milliseconds age);
+  /**
+   * Counts an answer of this entry that callers take as final.
+   * @param outcome As in the log's request_end.
+   * @param view_age Age of the view of the store, on which the answer rests.
+   */
+  void Denied(std::string_view outcome, std::chrono::milliseconds view_age);
 
   /** @return Everything, in the Prometheus text format. */
   std::string Text(const FrontLevels& levels);
--- a/src/serving/log_trail_test.cc
+++ b/src/serving/log_trail_test.cc
@@ -74,6 +74,35 @@
 
 }  // namespace
 
+/** Guards against denials whose evidence can't be told afterwards: the line
+ * says how old the view of the store was. */
+BOOST_AUTO_TEST_CASE(LogTellsTheAgeOfTheViewBehindADenial) {
+  const LogFile file;
+  Rig rig(core::LogLevel::kInfo, file.fd());
+  rig.view_as_of = rig.clock.Now() - milliseconds(500);
+  RecordingWriter caller;
+  rig.Serve("/never/", kWait, caller);
+  const Event end = EndOf(file.Events());
+  BOOST_TEST(FieldOf(end, "outcome") == "unknown_path");
+  BOOST_TEST(FieldOf(end, "sends") == "0");
+  BOOST_TEST(std::stoi(FieldOf(end, "view_age_ms")) >= 500);
+  BOOST_TEST(FieldOf(end, "view_late") == "false");
+  BOOST_TEST(rig.metrics.Text({}).find(
+                 "sapphire_front_denial_view_age_seconds_count{outcome="
+                 "\"unknown_path\"} 1") != std::string::npos);
+}
+
+/** Guards against a relayed answer of a stranger at an engine's address that
+ * reads like the engine's own. */
+BOOST_AUTO_TEST_CASE(LogTellsWhetherAnAnswerBearsTheEnginesMark) {
+  const LogFile file;
+  Rig rig(core::LogLevel::kInfo, file.fd());
+  rig.AddEngine(kPlain, Answering(kFailed, false, "x"));
+  RecordingWriter caller;
+  rig.Serve("/once/", kWait, caller);
+  BOOST_TEST(FieldOf(EndOf(file.Events()), "genuine") == "true");
+}
+
 /** A caller is refused because the only engine that held its model has been
  * removed from the registry. */
 BOOST_AUTO_TEST_CASE(LogLinksARefusalToTheRemovedEngine) {
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -73,6 +73,8 @@
   std::shared_ptr<Hedge> hedge;
   /** How the latest answer of an engine ended. */
   AnswerEnd answer_end;
+  /** The latest answer of an engine carried an engine's mark. */
+  bool genuine = false;
   int status = 0;
   std::string outcome;
   std::string reason;
