Deny a request only by a configuration known to be the newest one

Cause: an unknown path, model or service was denied from memory, before the check that refuses known routes of a late view, and while calls to the store fail a view never counts as late. For an unknown key the store was read, but a read up to 5 s old counted as evidence. Callers take 401 and 404 as final.

All denials by the configuration now go one road (Dispatcher::Admit): they need evidence that the configuration in force was the newest one at most 1 s before the request came. That is the view itself if it is as young, else one read that all waiting requests share, 0.5 s at most; if the store does not tell, or the newest document can't be used, the answer is 503 with Retry-After. A late entry refuses unknown routes as it does known ones. The read is a watch from the revision that the entry knows, so its answer is empty unless something has changed; a document may have a megabyte. A revoked key is denied at once, as before.

--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -80,6 +80,14 @@
   return true;
 }
 
+void ConfigurationHolder::RecordDocument(std::int64_t revision, bool usable) {
+  if (!usable) {
+    unusable_revision_ = std::max(revision, unusable_revision_.value_or(0));
+  } else if (revision >= unusable_revision_.value_or(0)) {
+    unusable_revision_.reset();
+  }
+}
+
 void ConfigurationHolder::RecordRevokedKeys(const RoutingTable& next) {
   if (current_ == nullptr || !current_->HasOrganisations()) return;
   if (revoked_.size() > kMaxRevokedKeys) revoked_.clear();
@@ -103,6 +111,7 @@
   } catch (const core::Error& e) {
     failure = e.what();
   }
+  holder.RecordDocument(document.revision, failure.empty());
   log.Event(failure.empty() ? core::LogLevel::kInfo : core::LogLevel::kError,
             core::LogCategory::kConfig,
             adopted ? "config_in_force" : "config_passed_over",
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -84,6 +85,15 @@
   /** @return The version in force, or 0 before the first configuration. */
   [[nodiscard]] std::int64_t version() const;
 
+  /** Records whether the document at this revision of the store can be used. */
+  void RecordDocument(std::int64_t revision, bool usable);
+
+  /** @return True if a document that can't be used is newer than the
+   * configuration in force. */
+  [[nodiscard]] bool LacksNewest() const {
+    return unusable_revision_.has_value();
+  }
+
   /** @return True if an earlier configuration contained the key and a later one
    * removed it. */
   [[nodiscard]] bool WasRevoked(const organisation::ApiKey& key) const {
@@ -95,6 +105,7 @@
 
   std::shared_ptr<const RoutingTable> current_;
   std::unordered_set<organisation::ApiKey, organisation::ApiKeyHash> revoked_;
+  std::optional<std::int64_t> unusable_revision_;
 };
 
 /** @throws core::Error for a text that is not a valid configuration. */
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -4,6 +4,7 @@
 #define SAPPHIRE_ROUTING_STORE_FOLLOWER_BASE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -95,6 +96,12 @@
     return current_as_of_;
   }
 
+  /** @return The revision up to which changes are known, unless the keys have
+   * to be listed. */
+  [[nodiscard]] std::optional<std::int64_t> revision() const {
+    return revision_;
+  }
+
   /** @return True if the view is older than `late_after` although no call has
    * failed: this process is too busy to follow the store. */
   [[nodiscard]] bool IsLate() const;
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -1,52 +1,120 @@
-/** @file configuration_refresh.cc Reads the newest configuration on demand. */
+/** @file configuration_refresh.cc Confirms that the configuration in force is
+ * the newest one. */
+#include <exception>
 #include <utility>
 
 #include "core/error_type.h"
+#include "core/task_func.h"
 #include "serving/configuration_refresh_base.h"
 
 namespace sapphire::serving {
 
-ConfigurationRefresh::ConfigurationRefresh(RefreshOptions options,
-                                           external::KeyValueStore& store,
-                                           Adopt adopt,
-                                           const core::Clock& clock,
-                                           const core::Logger& log)
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Wait of a watch that only asks what has changed so far. */
+constexpr milliseconds kNoWait{1};
+
+}  // namespace
+
+ConfigurationRefresh::ConfigurationRefresh(
+    RefreshOptions options, FollowedState followed,
+    external::KeyValueStore& store, Adopt adopt, const core::Executor& executor,
+    const core::Clock& clock, const core::Logger& log)
     : options_(std::move(options)),
+      followed_(std::move(followed)),
       store_(store),
       adopt_(std::move(adopt)),
+      executor_(executor),
       clock_(clock),
       log_(log) {}
 
-core::Task<RefreshResult> ConfigurationRefresh::Read() {
-  if (reading_) {
+core::Task<bool> ConfigurationRefresh::Confirm(core::SteadyTime asked) {
+  const core::SteadyTime since = asked - options_.max_age;
+  const core::SteadyTime end = clock_.Now() + options_.limit;
+  while (!IsNewestSince(since)) {
     const std::uint64_t seen = ended_.epoch();
-    co_await ended_.Wait(seen, options_.limit);
-    co_return reading_ || failed_ ? RefreshResult::kFailed
-                                  : RefreshResult::kRead;
-  }
-  if (began_ && clock_.Now() - *began_ < options_.pause) {
-    co_return failed_ ? RefreshResult::kFailed : RefreshResult::kRecent;
+    if (!reading_) {
+      if (!MayRead()) co_return false;
+      StartRead();
+    }
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - clock_.Now());
+    if (left <= milliseconds(0)) co_return false;
+    co_await ended_.Wait(seen, left);
   }
+  co_return true;
+}
+
+bool ConfigurationRefresh::IsNewestSince(core::SteadyTime time) const {
+  const auto followed = followed_.as_of();
+  return (followed && *followed >= time) ||
+         (read_as_of_ && *read_as_of_ >= time);
+}
+
+/** @return False shortly after a read that failed: the next one likely fails
+ * too. */
+bool ConfigurationRefresh::MayRead() const {
+  return !failed_ || clock_.Now() - *failed_ >= options_.max_age;
+}
+
+/** Starts a read that goes on if the requests that wait for it give up. */
+void ConfigurationRefresh::StartRead() {
   reading_ = true;
-  began_ = clock_.Now();
-  co_await ReadNow();
-  reading_ = false;
-  ended_.Notify();
-  co_return failed_ ? RefreshResult::kFailed : RefreshResult::kRead;
+  core::Spawn(executor_, log_, "read_configuration", [this] { return Read(); });
 }
 
-core::Task<> ConfigurationRefresh::ReadNow() {
+core::Task<> ConfigurationRefresh::Read() {
+  const core::SteadyTime began = clock_.Now();
   std::string failure;
   try {
-    const auto entry = co_await store_.Get(options_.key);
-    if (entry) adopt_(*entry);
-  } catch (const core::Error& e) {
+    co_await AdoptNewest();
+  } catch (const std::exception& e) {
     failure = e.what();
   }
-  failed_ = !failure.empty();
-  log_.Event(failed_ ? core::LogLevel::kWarning : core::LogLevel::kInfo,
-             core::LogCategory::kConfig, "config_reread",
-             {{"key", options_.key}, {"error", failure}});
+  const core::SteadyTime now = clock_.Now();
+  if (failure.empty()) {
+    read_as_of_ = began;
+  } else {
+    failed_ = now;
+  }
+  reading_ = false;
+  ended_.Notify();
+  log_.Event(
+      failure.empty() ? core::LogLevel::kInfo : core::LogLevel::kWarning,
+      core::LogCategory::kConfig, "config_reread",
+      {{"key", options_.key},
+       {"took_ms", std::chrono::duration_cast<milliseconds>(now - began)},
+       {"error", failure}});
+}
+
+/** Asks only for changes where that is possible: a document may have a
+ * megabyte, which a slow link takes half a second to carry. */
+core::Task<> ConfigurationRefresh::AdoptNewest() {
+  const auto revision = followed_.revision();
+  if (revision && co_await AdoptChanges(*revision)) co_return;
+  const auto document = co_await store_.Get(options_.key);
+  if (document) AdoptDocument(*document);
+}
+
+/** @return False if the store no longer knows what has changed since. */
+core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
+  const external::WatchBatch batch =
+      co_await store_.Watch(options_.key, revision, kNoWait);
+  if (batch.gap) co_return false;
+  for (const external::KvEvent& it : batch.events) {
+    if (it.key != options_.key || !it.value) continue;
+    AdoptDocument({it.key, *it.value, it.revision});
+  }
+  co_return true;
+}
+
+/** @throws core::Error for a document that can't be used. */
+void ConfigurationRefresh::AdoptDocument(const external::KvEntry& document) {
+  if (adopt_(document)) return;
+  throw core::Error(core::ErrorCode::kConfigurationStale,
+                    "the newest configuration can't be used");
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -1,9 +1,10 @@
-/** @file configuration_refresh_base.h Reads the newest configuration on demand.
- */
+/** @file configuration_refresh_base.h Confirms that the configuration in force
+ * is the newest one. */
 #ifndef SAPPHIRE_SERVING_CONFIGURATION_REFRESH_BASE_H_
 #define SAPPHIRE_SERVING_CONFIGURATION_REFRESH_BASE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,43 +20,68 @@
 struct RefreshOptions {
   /** Store key of the newest configuration. */
   std::string key;
-  /** Minimum time between two reads: callers with unknown keys must not cause
-   * calls. */
-  std::chrono::milliseconds pause{5000};
-  /** How long a request waits for a read that another one started. */
-  std::chrono::milliseconds limit{1000};
+  /**
+   * How long before a request the configuration may have been the newest.
+   * Callers with unknown keys and paths cause one read in this time at most. A
+   * new version has to be in force within 2 s or more.
+   */
+  std::chrono::milliseconds max_age{1000};
+  /** How long a request waits for a read. */
+  std::chrono::milliseconds limit{500};
 };
 
-enum class RefreshResult {
-  kRead,    ///< The current configuration was the newest during the call.
-  kRecent,  ///< The last read was less than a pause ago.
-  kFailed,  ///< The store did not answer; a newer one may exist.
+/** What this entry knows of the store without asking it. */
+struct FollowedState {
+  /** Returns the time up to which the configuration's changes are known; no
+   * value before the first answer, or while the newest one can't be used. */
+  std::function<std::optional<core::SteadyTime>()> as_of;
+  /** Returns the revision up to which changes are known; no value while the
+   * keys have to be listed. */
+  std::function<std::optional<std::int64_t>()> revision;
 };
 
 /** Runs one read at a time, shared by all requests that wait for it. Not
  * thread-safe. */
 class ConfigurationRefresh {
  public:
-  using Adopt = std::function<void(const external::KvEntry& entry)>;
+  /** Puts the document into force if it is newer. @return False if it can't be
+   * used. */
+  using Adopt = std::function<bool(const external::KvEntry& document)>;
 
   /** @pre All references outlive it. */
-  ConfigurationRefresh(RefreshOptions options, external::KeyValueStore& store,
-                       Adopt adopt, const core::Clock& clock,
+  ConfigurationRefresh(RefreshOptions options, FollowedState followed,
+                       external::KeyValueStore& store, Adopt adopt,
+                       const core::Executor& executor, const core::Clock& clock,
                        const core::Logger& log);
 
-  core::Task<RefreshResult> Read();
+  /**
+   * Makes sure that the configuration in force was the newest one at a time
+   * shortly before `asked`, or later; reads the store if that is not known.
+   * @return False if the store does not tell: a newer one may be in force.
+   */
+  core::Task<bool> Confirm(core::SteadyTime asked);
 
  private:
-  core::Task<> ReadNow();
+  [[nodiscard]] bool IsNewestSince(core::SteadyTime time) const;
+  [[nodiscard]] bool MayRead() const;
+  void StartRead();
+  core::Task<> Read();
+  core::Task<> AdoptNewest();
+  core::Task<bool> AdoptChanges(std::int64_t revision);
+  void AdoptDocument(const external::KvEntry& document);
 
   const RefreshOptions options_;
+  const FollowedState followed_;
   external::KeyValueStore& store_;
   const Adopt adopt_;
+  const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
   bool reading_ = false;
-  bool failed_ = false;
-  std::optional<core::SteadyTime> began_;
+  /** Start of the latest read that told of the newest configuration, and end of
+   * the latest one that did not. */
+  std::optional<core::SteadyTime> read_as_of_;
+  std::optional<core::SteadyTime> failed_;
   core::Signal ended_;
 };
 
--- /dev/null
+++ b/src/serving/configuration_refresh_test.cc
@@ -0,0 +1,125 @@
+/** @file configuration_refresh_test.cc Tests how an entry confirms that its
+ * configuration is the newest one. */
+#define BOOST_TEST_MODULE configuration_refresh
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "entry/testing_key_value.h"
+#include "entry/testing_loop.h"
+#include "external/counting_store_base.h"
+#include "serving/configuration_refresh_base.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using entry::testing::RunTask;
+using std::chrono::milliseconds;
+
+const std::string kKey = "config";
+
+struct Rig {
+  Rig() { Publish(0, "first"); }
+
+  void Publish(std::int64_t expected, const std::string& text) {
+    RunTask(io, Write(expected, text));
+  }
+
+  core::Task<bool> Write(std::int64_t expected, std::string text) {
+    co_await memory.CompareAndSwap(kKey, expected, text, "");
+    co_return true;
+  }
+
+  bool Confirm() { return RunTask(io, refresh.Confirm(clock.Now())); }
+
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::Logger log{{"entry", core::VmId("v"), core::ZoneId("z")},
+                   core::LogLevel::kError,
+                   clock};
+  entry::testing::MemoryKeyValue memory{clock};
+  int calls = 0;
+  external::CountingStore store{
+      memory, [this](const external::StoreCall&) { ++calls; }, clock};
+  std::optional<std::int64_t> revision;
+  bool usable = true;
+  std::vector<std::string> adopted;
+  ConfigurationRefresh refresh{
+      {kKey},
+      {[] { return std::nullopt; }, [this] { return revision; }},
+      store,
+      [this](const external::KvEntry& it) {
+        adopted.push_back(it.value);
+        return usable;
+      },
+      io.get_executor(),
+      clock,
+      log};
+};
+
+}  // namespace
+
+/** Guards against reading a large document for each unknown path. */
+BOOST_AUTO_TEST_CASE(OnlyChangesAreReadWhereTheRevisionIsKnown) {
+  Rig rig;
+  rig.revision = 1;
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.memory.watches == 1);
+  BOOST_TEST(rig.memory.gets == 0);
+  BOOST_TEST(rig.adopted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AChangeSinceTheRevisionIsAdopted) {
+  Rig rig;
+  rig.revision = 1;
+  rig.Publish(1, "second");
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.adopted == std::vector<std::string>{"second"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ALostHistoryCausesAReadOfTheDocument) {
+  Rig rig;
+  rig.revision = 1;
+  external::WatchBatch gap;
+  gap.gap = true;
+  rig.memory.batches.push_back(gap);
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.memory.gets == 1);
+}
+
+/** Guards against calls to a store that is down for each unknown path. */
+BOOST_AUTO_TEST_CASE(AFailedReadIsNotRepeatedAtOnce) {
+  Rig rig;
+  rig.memory.down = true;
+  for (int i = 0; i < 20; ++i) BOOST_TEST(!rig.Confirm());
+  BOOST_TEST(rig.calls == 1);
+  rig.memory.down = false;
+  rig.clock.Advance(milliseconds(1000));
+  BOOST_TEST(rig.Confirm());
+}
+
+/** Guards against denials by a configuration that could not be replaced, and
+ * against a read of it for each of them. */
+BOOST_AUTO_TEST_CASE(AnUnusableDocumentConfirmsNothing) {
+  Rig rig;
+  rig.usable = false;
+  for (int i = 0; i < 20; ++i) BOOST_TEST(!rig.Confirm());
+  BOOST_TEST(rig.calls == 1);
+}
+
+/** Guards against a read that began long before the request as evidence. */
+BOOST_AUTO_TEST_CASE(ALaterRequestNeedsALaterRead) {
+  Rig rig;
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.calls == 1);
+  rig.clock.Advance(milliseconds(1100));
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.calls == 2);
+}
+
+}  // namespace sapphire::serving
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -52,6 +52,13 @@
   return status >= kFirstDenial && status < kFirstFailure && status != kTooMany;
 }
 
+/** @return True for a refusal that a newer configuration may not call for. */
+bool RestsOnConfiguration(ErrorCode code) {
+  return code == ErrorCode::kUnknownPath || code == ErrorCode::kUnknownModel ||
+         code == ErrorCode::kUnknownService ||
+         code == ErrorCode::kUnauthenticated;
+}
+
 std::string_view NameOf(std::optional<http::BodyEnd> end) {
   if (!end) return "none";
   return *end == http::BodyEnd::kStated ? "stated" : "connection_closed";
@@ -94,8 +101,7 @@
   const DisconnectWatch watch(work.caller);
   std::optional<Error> refusal;
   try {
-    Check(work);
-    co_await Authenticate(work);
+    co_await Admit(work);
     co_await ChargeQuota(work);
     co_await FindStreamOrigin(work);
     co_await Run(shared);
@@ -119,6 +125,44 @@
   if (work.cut) throw http::ConnectionCut(refusal->detail());
 }
 
+/** Refuses a request that can't be served. Callers take a denial as final, so
+ * one that rests on the configuration is given only if that is the newest one;
+ * otherwise callers are asked to return. */
+core::Task<> Dispatcher::Admit(RequestWork& work) {
+  std::optional<Error> denial = FindDenial(work);
+  if (!denial) co_return;
+  if (!IsRevoked(work)) {
+    const bool confirmed = co_await deps_.refresh.Confirm(work.arrived);
+    denial = FindDenial(work);
+    if (!denial) co_return;
+    if (!confirmed) {
+      throw Error(ErrorCode::kConfigurationStale, denial->what(),
+                  kDefaultRetryAfter);
+    }
+  }
+  throw Error(*denial);
+}
+
+/** @return Why the configuration in force does not allow the request, if it
+ * does not. @throws Error for any other refusal. */
+std::optional<Error> Dispatcher::FindDenial(RequestWork& work) const {
+  try {
+    Check(work);
+    Authenticate(work);
+  } catch (const Error& e) {
+    if (!RestsOnConfiguration(e.code())) throw;
+    return e;
+  }
+  return std::nullopt;
+}
+
+/** @return True if the configuration in force has withdrawn the caller's key.
+ */
+bool Dispatcher::IsRevoked(const RequestWork& work) const {
+  return work.route != nullptr && work.request.api_key &&
+         deps_.configuration.WasRevoked(*work.request.api_key);
+}
+
 /** Sets the request's deadline, configuration, route and service, and refuses
  * the request if it can't be served. */
 void Dispatcher::Check(RequestWork& work) const {
@@ -127,11 +171,11 @@
   if (work.table == nullptr) {
     throw Error(ErrorCode::kNotConfigured, "", kDefaultRetryAfter);
   }
+  CheckStoreView(work);
   const std::string& target = work.request.forward.target;
   work.route = work.table->Find(work.request.host, http::PathOf(target));
   if (work.route == nullptr) throw Error(ErrorCode::kUnknownPath, target);
   chooser_.CheckShutdown(work, milliseconds(0));
-  CheckStoreView(work);
   work.deadline = std::min(work.deadline, work.arrived + work.route->timeout);
   ResolveService(work);
   deps_.crash_watch.Check(CandidateOf(work));
@@ -146,32 +190,21 @@
               kDefaultRetryAfter);
 }
 
-/** Finds the organisation of the request. An unknown key may have been added a
- * moment ago, so the newest configuration is read before the request is
- * rejected; if that read fails, the caller is asked to retry later. */
-core::Task<> Dispatcher::Authenticate(RequestWork& work) {
+/** Finds the organisation of the request, if its route needs one. */
+void Dispatcher::Authenticate(RequestWork& work) const {
   IdentifyOrganisation(work);
   const bool needs_key =
       work.table->HasOrganisations() && !work.route->is_public;
-  if (!needs_key) co_return;
+  if (!needs_key) return;
   if (!deps_.view.keys_confirmed()) {
     throw Error(ErrorCode::kConfigurationStale, "", kDefaultRetryAfter);
   }
-  if (work.organisation != nullptr) co_return;
+  if (work.organisation != nullptr) return;
   if (!work.request.api_key) {
     throw Error(ErrorCode::kUnauthenticated, "one Bearer key is needed");
   }
-  const bool revoked = deps_.configuration.WasRevoked(*work.request.api_key);
-  if (!revoked) {
-    const RefreshResult read = co_await deps_.refresh.Read();
-    Check(work);
-    IdentifyOrganisation(work);
-    if (work.organisation != nullptr) co_return;
-    if (read == RefreshResult::kFailed) {
-      throw Error(ErrorCode::kConfigurationStale, "", kDefaultRetryAfter);
-    }
-  }
-  throw Error(ErrorCode::kUnauthenticated, revoked ? "revoked" : "unknown key");
+  throw Error(ErrorCode::kUnauthenticated,
+              IsRevoked(work) ? "revoked" : "unknown key");
 }
 
 /** Looks the key up in the current configuration. */
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -128,9 +128,12 @@
   core::Task<bool> HandleResult(RequestWork& work, ExchangeResult result);
   core::Task<> Answer(RequestWork& work, http::Response response);
   core::Task<> Refuse(RequestWork& work, const core::Error& error);
+  core::Task<> Admit(RequestWork& work);
+  std::optional<core::Error> FindDenial(RequestWork& work) const;
+  [[nodiscard]] bool IsRevoked(const RequestWork& work) const;
   void Check(RequestWork& work) const;
   void CheckStoreView(const RequestWork& work) const;
-  core::Task<> Authenticate(RequestWork& work);
+  void Authenticate(RequestWork& work) const;
   void IdentifyOrganisation(RequestWork& work) const;
   void RecheckKey(RequestWork& work) const;
   core::Task<> FindStreamOrigin(RequestWork& work);
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -271,11 +271,14 @@
             [](const std::string&, const gen::EntryDatagram&) {}, clock, log),
         rate_limiter(loads.limits(), engine_quota_client, metrics, log),
         refresh(
-            {"config", milliseconds(5000), milliseconds(1000)}, store,
+            {"config"},
+            {[this] { return view_as_of; }, [this] { return view_revision; }},
+            store,
             [this](const external::KvEntry&) {
               if (newest_is_readable && reread) reread();
+              return newest_is_readable;
             },
-            clock, log),
+            io.get_executor(), clock, log),
         dispatcher(DispatchOptions(), Dependencies()) {
     Configure(2);
   }
@@ -399,6 +402,8 @@
   bool view_is_late = false;
   /** Time up to which the entry knows all changes of the store. */
   std::optional<core::SteadyTime> view_as_of;
+  /** Revision of the store up to which the entry knows all changes. */
+  std::optional<std::int64_t> view_revision;
   TestCallerWire caller_wire;
   Dispatcher dispatcher;
   std::vector<std::unique_ptr<TestEngine>> engines;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -279,9 +279,12 @@
           clock, log),
       rate_limiter_(loads_.limits(), engine_quota_client_, metrics_, log),
       refresh_(
-          RefreshOptionsOf(layout_), store_,
-          [this](const external::KvEntry& it) { AdoptConfiguration(it); },
-          clock, log),
+          RefreshOptionsOf(layout_), MakeFollowedState(), store_,
+          [this](const external::KvEntry& it) {
+            AdoptConfiguration(it);
+            return !configuration_.LacksNewest();
+          },
+          executor_, clock, log),
       dispatcher_(
           options_.dispatch,
           MakeDependencies(configuration_, refresh_, MakeStoreView(), quota_,
@@ -352,6 +355,16 @@
   return view;
 }
 
+FollowedState Front::MakeFollowedState() {
+  FollowedState state;
+  state.as_of = [this] {
+    return configuration_.LacksNewest() ? std::nullopt
+                                        : store_follower_.current_as_of();
+  };
+  state.revision = [this] { return store_follower_.revision(); };
+  return state;
+}
+
 /** @return False if strict revocation is on and the store has not answered
  * recently: keys may have been revoked meanwhile. */
 bool Front::KeysConfirmed() const {
