Relay no redirect or denial that bears no engine's mark

What callers saw looks just like an entry's own denial: 404, no engine's mark, the body whole. Cause: only a success was asked for the mark, so 3xx and 4xx of whoever has the address of an engine now went to callers as the engine's answer, and callers take them as final.

Such an answer now ends the send as one without an answer: an idempotent request goes on to another engine, any other gets 502, which promises nothing. A status of 500 and above is relayed as before: callers don't take it as final.

--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -20,6 +20,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooMany = 429;
+constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 
 /** @return True for statuses that promise callers that the request has not run.
@@ -134,8 +135,13 @@
     return MakeResult(ExchangeEnd::kLost, "an answer to another request",
                       false);
   }
-  if (IsSuccess(answer_.status) && !answer_.genuine) {
-    return MakeResult(ExchangeEnd::kLost, "no answer of an engine", false);
+  // Another program may have the engine's address by now. Callers take a
+  // success, a redirect or a denial as final.
+  if (answer_.status < kFirstServerError && !answer_.genuine) {
+    return MakeResult(
+        ExchangeEnd::kLost,
+        "no answer of an engine: status " + std::to_string(answer_.status),
+        false);
   }
   // Relayed, the status would promise that the request has not run, which the
   // engine did not say.
