Refuse instead of deny where the configuration lacks a route's service

A route that names a service that the same document lacks is the operator's fault or ours. Callers got 404 unknown_service and took it as final; they get 503 with Retry-After now, as for a service of which no engine is known.

ARouteToAMissingServiceIsRefused failed before (404).

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -55,7 +55,6 @@
 /** @return True for a refusal that a newer configuration may not call for. */
 bool RestsOnConfiguration(ErrorCode code) {
   return code == ErrorCode::kUnknownPath || code == ErrorCode::kUnknownModel ||
-         code == ErrorCode::kUnknownService ||
          code == ErrorCode::kUnauthenticated;
 }
 
@@ -287,7 +286,9 @@
   const core::ServiceId& id = routing::ChooseService(*work.route, point);
   work.service = work.table->FindService(id);
   if (work.service == nullptr) {
-    throw Error(ErrorCode::kUnknownService, id.value());
+    throw Error(ErrorCode::kNoEndpoint,
+                "the configuration lacks service " + id.value(),
+                kDefaultRetryAfter);
   }
   if (!work.service->engine) {
     work.request.model = core::ModelId();
--- a/src/serving/unknown_route_test.cc
+++ b/src/serving/unknown_route_test.cc
@@ -152,6 +152,17 @@
   BOOST_TEST(rig.Status("/stream/") == kUnavailable);
 }
 
+/** Guards against 404 for a route whose service the same configuration lacks:
+ * that is never the caller's fault. */
+BOOST_AUTO_TEST_CASE(ARouteToAMissingServiceIsRefused) {
+  BehindRig rig;
+  routing::Configuration broken = rig.newest;
+  broken.services.erase(kPlain);
+  rig.Adopt(std::move(broken));
+  rig.store_has_newest = false;
+  BOOST_TEST(rig.Status("/safe/") == kUnavailable);
+}
+
 /** Guards against 401 for a key that was added after a read for another one.
  */
 BOOST_AUTO_TEST_CASE(AKeyAddedAfterAReadIsFound) {
