Read answers that arrive faster than they are read in larger parts

On a busy thread each read of an answer waits for its turn.

The size of a read doubles, up to the 64 KB that Beast reads at a time, as long as reads fill it.

LargeAnswerIsReadInLargeParts: 128 KB that have arrived took 9 reads before, 6 are allowed now.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -30,6 +31,9 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kReadBytes = 16 * 1024;
+/** Size of a read while bytes arrive faster than they are read: on a busy
+ * thread each read waits for its turn. Beast reads no more at a time. */
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
 constexpr std::size_t kMaxIdle = 32;
 /** How long before the end of a server's `Keep-Alive` timeout its connection is
  * no longer reused: the server might close it while a request is sent. */
@@ -193,7 +197,7 @@
 
   Task<BodyPart> Read(std::chrono::milliseconds timeout) override {
     while (!parser_.is_done()) {
-      std::string part(kReadBytes, '\0');
+      std::string part(read_bytes_, '\0');
       parser_.get().body().data = part.data();
       parser_.get().body().size = part.size();
       parser_.get().body().more = true;
@@ -201,7 +205,8 @@
       const auto [ec, n] =
           co_await beast::http::async_read_some(stream_, buf_, parser_, kTuple);
       if (ec && ec != beast::http::error::need_buffer) Fail(address_, ec, true);
-      part.resize(kReadBytes - parser_.get().body().size);
+      part.resize(read_bytes_ - parser_.get().body().size);
+      if (part.size() == read_bytes_) ReadMoreAtATime();
       if (!part.empty()) co_return part;
     }
     RecycleConnection();
@@ -210,6 +215,11 @@
   }
 
  private:
+  void ReadMoreAtATime() {
+    read_bytes_ = std::min(2 * read_bytes_, kMaxReadBytes);
+    buf_.reserve(read_bytes_);
+  }
+
   /** Returns the connection for reuse after a complete answer. */
   void RecycleConnection() {
     if (!recycle_ || !parser_.keep_alive() || buf_.size() > 0) return;
@@ -230,6 +240,7 @@
   const std::chrono::milliseconds max_idle_time_;
   std::shared_ptr<Abort> abort_;
   beast::flat_buffer buf_;
+  std::size_t read_bytes_ = kReadBytes;
   beast::http::response_parser<beast::http::buffer_body> parser_;
   ResponseHead head_;
 };
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -142,6 +142,9 @@
  private:
   void Send(const std::string& text) {
     asio::ip::tcp::socket socket = acceptor_.accept();
+    // Room for the whole answer: it is sent before the client reads.
+    socket.set_option(
+        asio::socket_base::send_buffer_size(static_cast<int>(text.size())));
     asio::read(socket, asio::buffer(request_, 1));
     asio::write(socket, asio::buffer(text));
     sent_.set_value();
@@ -183,6 +186,18 @@
   BOOST_TEST(parts <= 8);
 }
 
+/** Guards against the same with a large answer, such as a configuration with
+ * thousands of routes. */
+BOOST_FIXTURE_TEST_CASE(LargeAnswerIsReadInLargeParts, Fixture) {
+  constexpr std::size_t kBody = 128 * 1024;
+  OneAnswerServer peer(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n" + std::string(kBody, 'x'));
+  Client reader(peer.address());
+  const int parts = Run(CountParts(reader, peer));
+  BOOST_TEST(parts <= 6);
+}
+
 // An engine crashes in the middle of an answer. The caller must not mistake the
 // part for the complete answer: the chunked body ends without its last chunk,
 // which HTTP clients report as an error.
