Limit the store's silence, not the length of its answers

Cause: the time limit of a call held for its whole answer. What had been read was dropped, and all keys were listed anew, which takes longer still: a document that can't be taken in within one call's time locked the entry out until it shrank.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -315,21 +315,27 @@
 
 Task<Response> Client::Fetch(Request request, std::chrono::milliseconds timeout,
                              UnstatedEnd unstated) {
+  return Fetch(std::move(request),
+               FetchOptions{timeout, timeout, timeout, unstated});
+}
+
+Task<Response> Client::Fetch(Request request, FetchOptions options) {
   const auto state = state_;
-  const auto end = std::chrono::steady_clock::now() + timeout;
-  const auto stream = co_await Open(std::move(request), timeout);
+  const auto end = std::chrono::steady_clock::now() + options.timeout;
+  const auto stream = co_await Open(
+      std::move(request), std::min(options.head_timeout, options.timeout));
   Response response{stream->head(), {}};
   while (true) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
-    const BodyPart part =
-        co_await stream->Read(std::max(left, std::chrono::milliseconds(1)));
+    const BodyPart part = co_await stream->Read(
+        std::clamp(left, std::chrono::milliseconds(1), options.part_timeout));
     if (const auto* bytes = std::get_if<std::string>(&part)) {
       response.body += *bytes;
       continue;
     }
     const bool is_stated = std::get<BodyEnd>(part) == BodyEnd::kStated;
-    if (!is_stated && unstated == UnstatedEnd::kRefuse) {
+    if (!is_stated && options.unstated == UnstatedEnd::kRefuse) {
       throw TransportError(
           state->address + ": the connection was closed without a stated end",
           true, false);
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -77,6 +77,18 @@
   std::shared_ptr<Abort> abort;
 };
 
+/** Limits of an answer that is read whole. */
+struct FetchOptions {
+  /** Time limit until the head of the answer is read, connecting included. */
+  std::chrono::milliseconds head_timeout{30'000};
+  /** Time limit until the next bytes of the body. */
+  std::chrono::milliseconds part_timeout{30'000};
+  /** Time limit of the whole exchange: also an answer that keeps coming in
+   * ends. */
+  std::chrono::milliseconds timeout{30'000};
+  UnstatedEnd unstated = UnstatedEnd::kRefuse;
+};
+
 struct ClientOptions {
   /** How long an idle connection may be reused. Far below the time after which
    * servers close idle connections, so that no request is sent on one that is
@@ -105,6 +117,9 @@
   core::Task<Response> Fetch(Request request, std::chrono::milliseconds timeout,
                              UnstatedEnd unstated = UnstatedEnd::kRefuse);
 
+  /** The same, with separate time limits for the parts of the exchange. */
+  core::Task<Response> Fetch(Request request, FetchOptions options);
+
   /**
    * Sends a request and reads the head of its answer.
    * @throws TransportError
