Refer to no replaced configuration after a denial was confirmed

Also, a first check that found a plain service cleared the request's model, so a route that had come to be served by models was denied for the lack of one; and a revoked key kept its holder's 404 for a new model from being confirmed.

AViewThatBecomesLateDuringTheReadRefuses and ARouteThatMovesToAModelServiceDuringTheReadKeepsTheModel hold now. The first can only crash, not fail a check, and was not run under a sanitizer.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -124,22 +124,28 @@
   if (work.cut) throw http::ConnectionCut(refusal->detail());
 }
 
-/** Refuses a request that can't be served. Callers take a denial as final, so
+/** Refuses a request that can't be served; clears the model and adapter of one
+ * for a service without engine models. Callers take a denial as final, so
  * one that rests on the configuration is given only if that is the newest one;
  * otherwise callers are asked to return. */
 core::Task<> Dispatcher::Admit(RequestWork& work) {
   std::optional<Error> denial = FindDenial(work);
-  if (!denial) co_return;
-  if (!IsRevoked(work)) {
+  const bool is_certain = denial &&
+                          denial->code() == ErrorCode::kUnauthenticated &&
+                          IsRevoked(work);
+  if (denial && !is_certain) {
     const bool confirmed = co_await deps_.refresh.Confirm(work.arrived);
     denial = FindDenial(work);
-    if (!denial) co_return;
-    if (!confirmed) {
+    if (denial && !confirmed) {
       throw Error(ErrorCode::kConfigurationStale, denial->what(),
                   kDefaultRetryAfter);
     }
   }
-  throw Error(*denial);
+  if (denial) throw Error(*denial);
+  if (!work.service->engine) {
+    work.request.model = core::ModelId();
+    work.request.adapter = core::AdapterId();
+  }
 }
 
 /** @return Why the configuration in force does not allow the request, if it
@@ -155,10 +161,10 @@
   return std::nullopt;
 }
 
-/** @return True if the configuration in force has withdrawn the caller's key.
- */
+/** @return True if an earlier configuration contained the caller's key and a
+ * later one removed it. */
 bool Dispatcher::IsRevoked(const RequestWork& work) const {
-  return work.route != nullptr && work.request.api_key &&
+  return work.request.api_key &&
          deps_.configuration.WasRevoked(*work.request.api_key);
 }
 
@@ -166,6 +172,9 @@
  * the request if it can't be served. */
 void Dispatcher::Check(RequestWork& work) const {
   work.deadline = work.arrived + work.request.time_to_wait;
+  // Both point into the table, which may be replaced here.
+  work.route = nullptr;
+  work.service = nullptr;
   work.table = deps_.configuration.current();
   if (work.table == nullptr) {
     throw Error(ErrorCode::kNotConfigured, "", kDefaultRetryAfter);
@@ -278,8 +287,7 @@
                        work.charged);
 }
 
-/** Sets the service and checks that it serves the model; clears the model and
- * adapter if the service has no engine models. */
+/** Sets the service and checks that it serves the model. */
 void Dispatcher::ResolveService(RequestWork& work) const {
   const double point =
       static_cast<double>(core::HashOf(work.request.id.value())) / kHashRange;
@@ -290,11 +298,7 @@
                 "the configuration lacks service " + id.value(),
                 kDefaultRetryAfter);
   }
-  if (!work.service->engine) {
-    work.request.model = core::ModelId();
-    work.request.adapter = core::AdapterId();
-    return;
-  }
+  if (!work.service->engine) return;
   const auto& models = work.service->engine->models;
   if (!models.contains(work.request.model)) {
     throw Error(ErrorCode::kUnknownModel, work.request.model.value());
--- a/src/serving/unknown_route_test.cc
+++ b/src/serving/unknown_route_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using testing::Answering;
+using testing::kDrafts;
 using testing::kPlain;
 using testing::RecordingWriter;
 using testing::Rig;
@@ -137,6 +138,18 @@
   BOOST_TEST(rig.reads == 0);
 }
 
+/** Guards against an answer by a configuration that has been replaced while the
+ * store was asked: the request must not refer to it any more. */
+BOOST_AUTO_TEST_CASE(AViewThatBecomesLateDuringTheReadRefuses) {
+  BehindRig rig;
+  rig.LackModels();
+  rig.reread = [&rig] {
+    rig.Adopt(rig.newest);
+    rig.view_is_late = true;
+  };
+  BOOST_TEST(rig.Status("/stream/") == kUnavailable);
+}
+
 /** Guards against 404 for a model that was added a moment ago. */
 BOOST_AUTO_TEST_CASE(ANewModelIsReadFromTheStore) {
   BehindRig rig;
@@ -163,6 +176,22 @@
   BOOST_TEST(rig.Status("/safe/") == kUnavailable);
 }
 
+/** Guards against a denial for the lack of a model by which the caller's route
+ * has come to be served, after a read for its key. */
+BOOST_AUTO_TEST_CASE(ARouteThatMovesToAModelServiceDuringTheReadKeepsTheModel) {
+  BehindRig rig;
+  organisation::Organisation customer;
+  customer.id = core::OrganisationId("drafts-ltd");
+  rig.organisations = {customer};
+  rig.Configure(2);
+  customer.keys.emplace_back("k1");
+  rig.newest.organisations = {customer};
+  for (routing::Route& it : rig.newest.routes) it.services = {{kDrafts, 1}};
+  rig.key = "k1";
+  BOOST_TEST(rig.Status("/safe/") != kNotFound);
+  BOOST_TEST(rig.reads == 1);
+}
+
 /** Guards against 401 for a key that was added after a read for another one.
  */
 BOOST_AUTO_TEST_CASE(AKeyAddedAfterAReadIsFound) {
