Read each change of the configuration once to confirm denials

Found in review: the shared read asked for changes since the follower's revision each time, so while the follower is behind the same document of up to a megabyte came each second, was parsed before its version was compared, and took the link from the follower. And while the newest document can't be used, the watch after it is empty, which passed for news: such denials were 404 instead of 503.

The read remembers the revision up to which it has read; a document of a revision that has been read is not parsed again; of several changes only the latest counts; while the newest document can't be used, no revision is given.

AChangeIsReadOnce, OnlyTheLatestChangeIsAdopted, AnUnusableDocumentIsMissedUntilALaterUsableOne.

--- a/src/routing/routing_table_test.cc
+++ b/src/routing/routing_table_test.cc
@@ -62,4 +62,17 @@
   BOOST_TEST(holder.version() == 7);
 }
 
+/** Guards against denials by a configuration that an unusable document should
+ * have replaced. */
+BOOST_AUTO_TEST_CASE(AnUnusableDocumentIsMissedUntilALaterUsableOne) {
+  ConfigurationHolder holder;
+  BOOST_TEST(!holder.LacksNewest());
+  holder.RecordDocument(5, false);
+  BOOST_TEST(holder.LacksNewest());
+  holder.RecordDocument(4, true);
+  BOOST_TEST(holder.LacksNewest());
+  holder.RecordDocument(6, true);
+  BOOST_TEST(!holder.LacksNewest());
+}
+
 }  // namespace sapphire::routing
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -1,5 +1,6 @@
 /** @file configuration_refresh.cc Confirms that the configuration in force is
  * the newest one. */
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -14,7 +15,7 @@
 namespace {
 
 /** Wait of a watch that only asks what has changed so far. */
-constexpr milliseconds kNoWait{1};
+constexpr milliseconds kShortWait{1};
 
 }  // namespace
 
@@ -92,21 +93,27 @@
 /** Asks only for changes where that is possible: a document may have a
  * megabyte, which a slow link takes half a second to carry. */
 core::Task<> ConfigurationRefresh::AdoptNewest() {
-  const auto revision = followed_.revision();
-  if (revision && co_await AdoptChanges(*revision)) co_return;
+  const auto followed = followed_.revision();
+  if (followed &&
+      co_await AdoptChanges(std::max(*followed, changes_read_until_))) {
+    co_return;
+  }
   const auto document = co_await store_.Get(options_.key);
   if (document) AdoptDocument(*document);
 }
 
 /** @return False if the store no longer knows what has changed since. */
 core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
-  const external::WatchBatch batch =
-      co_await store_.Watch(options_.key, revision, kNoWait);
+  external::WatchBatch batch =
+      co_await store_.Watch(options_.key, revision, kShortWait);
   if (batch.gap) co_return false;
-  for (const external::KvEvent& it : batch.events) {
+  std::optional<external::KvEntry> newest;
+  for (external::KvEvent& it : batch.events) {
     if (it.key != options_.key || !it.value) continue;
-    AdoptDocument({it.key, *it.value, it.revision});
+    newest = {it.key, *std::move(it.value), it.revision};
   }
+  if (newest) AdoptDocument(*newest);
+  changes_read_until_ = std::max(revision, batch.revision);
   co_return true;
 }
 
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -20,11 +20,8 @@
 struct RefreshOptions {
   /** Store key of the newest configuration. */
   std::string key;
-  /**
-   * How long before a request the configuration may have been the newest.
-   * Callers with unknown keys and paths cause one read in this time at most. A
-   * new version has to be in force within 2 s or more.
-   */
+  /** How long before a request the configuration may have been the newest.
+   * Callers with unknown keys and paths cause one read in this time at most. */
   std::chrono::milliseconds max_age{1000};
   /** How long a request waits for a read. */
   std::chrono::milliseconds limit{500};
@@ -82,6 +79,9 @@
    * the latest one that did not. */
   std::optional<core::SteadyTime> read_as_of_;
   std::optional<core::SteadyTime> failed_;
+  /** Revision up to which changes have been read here, which may be ahead of
+   * the follower's. */
+  std::int64_t changes_read_until_ = 0;
   core::Signal ended_;
 };
 
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -91,6 +91,30 @@
   BOOST_TEST(rig.memory.gets == 1);
 }
 
+/** Guards against reading the same change again while the follower is behind.
+ */
+BOOST_AUTO_TEST_CASE(AChangeIsReadOnce) {
+  Rig rig;
+  rig.revision = 1;
+  rig.Publish(1, "second");
+  BOOST_TEST(rig.Confirm());
+  rig.clock.Advance(milliseconds(1100));
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.adopted.size() == 1);
+  BOOST_TEST(rig.memory.gets == 0);
+}
+
+/** Guards against an unusable document that hides a usable later one. */
+BOOST_AUTO_TEST_CASE(OnlyTheLatestChangeIsAdopted) {
+  Rig rig;
+  rig.revision = 1;
+  rig.Publish(1, "second");
+  rig.Publish(2, "third");
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.adopted == std::vector<std::string>{"third"},
+             boost::test_tools::per_element());
+}
+
 /** Guards against calls to a store that is down for each unknown path. */
 BOOST_AUTO_TEST_CASE(AFailedReadIsNotRepeatedAtOnce) {
   Rig rig;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -361,7 +361,10 @@
     return configuration_.LacksNewest() ? std::nullopt
                                         : store_follower_.current_as_of();
   };
-  state.revision = [this] { return store_follower_.revision(); };
+  state.revision = [this] {
+    return configuration_.LacksNewest() ? std::nullopt
+                                        : store_follower_.revision();
+  };
   return state;
 }
 
@@ -451,6 +454,9 @@
 
 void Front::AdoptConfiguration(const external::KvEntry& entry) {
   if (entry.key != layout_.configuration_key) return;
+  // Each listing and each read brings the document again.
+  if (entry.revision <= configuration_revision_) return;
+  configuration_revision_ = entry.revision;
   const core::StallWatch::Span span(stalls_, "configuration");
   const bool adopted = routing::AdoptDocument(
       configuration_, layout_.read_configuration, entry, log_);
