Renew no view of the store by a gap in its history

An answer that the history is no longer kept set the time up to which all changes are known, though it tells that some may have been missed: until the listing after it, the view passed for young. AGapDoesNotRenewTheView failed before; found in review.

--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -73,9 +73,10 @@
   external::WatchBatch batch =
       co_await store_.Watch(options_.prefix, *revision_, options_.watch_wait);
   // If there is no change, the store answers only after the whole wait.
-  const bool waited = !batch.gap && batch.events.empty();
-  HandleAnswer(waited ? call_began_ + options_.watch_wait : call_began_);
+  const bool waited = batch.events.empty();
   if (batch.gap) {
+    // It tells of no change, and some may have been missed.
+    HandleAnswer(current_as_of_.value_or(call_began_));
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
                {{"prefix", options_.prefix}, {"revision", *revision_}});
     revision_.reset();
@@ -84,6 +85,7 @@
     co_await core::SleepFor(options_.batch_pause);
     co_return;
   }
+  HandleAnswer(waited ? call_began_ + options_.watch_wait : call_began_);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
   }
--- a/src/routing/store_follower_test.cc
+++ b/src/routing/store_follower_test.cc
@@ -60,6 +60,22 @@
   BOOST_TEST(rig.RunUntil([&] { return !rig.follower.IsLate(); }));
 }
 
+/** Guards against a gap in the history that passes for news: it tells that
+ * changes may have been missed. */
+BOOST_AUTO_TEST_CASE(AGapDoesNotRenewTheView) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return rig.follower.last_answer().has_value(); }));
+  const core::SteadyTime before = *rig.follower.current_as_of();
+  const core::SteadyTime answered = *rig.follower.last_answer();
+  external::WatchBatch gap;
+  gap.gap = true;
+  rig.store.batches.push_back(gap);
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return *rig.follower.last_answer() != answered; }));
+  BOOST_TEST((*rig.follower.current_as_of() == before));
+}
+
 /** Guards against refusals while the store is unavailable, when no entry can
  * have newer data. */
 BOOST_AUTO_TEST_CASE(FollowerIsNotLateWhileTheStoreIsDown) {
