Take a request's limits as it comes, not as its connection became idle

A request on a kept connection was judged by the limits that were in force when the one before it ended: with limits raised since, callers got 413 or 431, which they take as final. So did the first request on a connection that was opened before the first configuration. LimitsRaisedWhileAConnectionIsIdleHold failed before.

--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -124,6 +124,18 @@
   BOOST_TEST(response.body.find("\"request_id\":\"r1\"") != std::string::npos);
 }
 
+/** Guards against a request on a kept connection that is denied by limits which
+ * have been raised since its last one. */
+BOOST_FIXTURE_TEST_CASE(LimitsRaisedWhileAConnectionIsIdleHold, Fixture) {
+  const std::string body(20'000, 'x');
+  Run(client.Fetch({"POST", "/echo", {}, "first"}, kLongTimeout));
+  server.SetLimits(ServerLimits{4096, 30'000});
+  const Response response =
+      Run(client.Fetch({"POST", "/echo", {}, body}, kLongTimeout));
+  BOOST_TEST(response.head.status == 200);
+  BOOST_TEST(client.connections_opened() == 1);
+}
+
 /** Accepts one connection and sends one answer to it in a single write. */
 class OneAnswerServer {
  public:
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -384,10 +384,10 @@
  * for another one. */
 Task<bool> Server::State::ServeOne(Connection& connection,
                                    beast::flat_buffer& buf) {
-  const ServerLimits now = CurrentLimits();
-  if (!co_await AwaitRequest(connection, buf, now.idle_timeout)) {
+  if (!co_await AwaitRequest(connection, buf, CurrentLimits().idle_timeout)) {
     co_return false;
   }
+  const ServerLimits now = CurrentLimits();
   beast::http::request_parser<beast::http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(now.max_header_bytes));
   parser.body_limit(now.max_body_bytes);
