Ask for added routes and for paths without one in the soak

Entries answered 404 for routes that the store had acknowledged, and no soak could see it: routes were added, but no caller asked for them.

Callers ask for added routes at all entries from the acknowledgement on, and for paths that never exist.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -70,6 +70,9 @@
   app.add_option("--notices", plan.notices,
                  "Times that engines say only in answers that they leave, and "
                  "that engines ask for rest");
+  app.add_option("--routes-behind-faults", plan.routes_behind_faults,
+                 "Times that a route is added while the store fails, or one "
+                 "entry can't reach it");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -36,6 +36,13 @@
 constexpr int kDeadlyEvery = 8;
 /** One in this many streams has kCrashingPart. */
 constexpr int kCrashingPartEvery = 5;
+/** One in this many requests that may be repeated has a path without a route.
+ */
+constexpr int kNoRouteEvery = 5;
+/** One in this many of the others has the path of an older route. */
+constexpr int kOldRouteEvery = 3;
+/** XORed with the seed to give paths a random stream of their own. */
+constexpr std::uint64_t kPathStream = 0x7061'7468;
 /** Sessions of a caller, whose requests share a prompt part. */
 constexpr int kSessions = 3;
 /** Attempts to take a broken stream up. */
@@ -52,19 +59,21 @@
   return drawn == 1 ? RequestKind::kNonIdempotent : RequestKind::kStream;
 }
 
-std::string_view PathOf(RequestKind kind) {
-  if (kind == RequestKind::kStream) return kStreamPath;
-  return kind == RequestKind::kIdempotent ? kSafePath : kOncePath;
-}
-
 }  // namespace
 
+std::string AddedPath(std::size_t number) {
+  return fmt::format("/added{}/", number);
+}
+
 SoakCaller::SoakCaller(SoakCallerOptions options, SoakRecord& record,
                        const core::Clock& clock)
     : options_(std::move(options)),
       record_(record),
       clock_(clock),
-      random_(options_.seed * 1000 + static_cast<unsigned>(options_.number)) {
+      random_(options_.seed * 1000 + static_cast<unsigned>(options_.number)),
+      path_draw_(
+          (options_.seed * 1000 + static_cast<unsigned>(options_.number)) ^
+          kPathStream) {
   for (const std::string& it : options_.entries) {
     clients_.push_back(std::make_unique<http::Client>(it));
   }
@@ -154,10 +163,30 @@
       options_.number, sent_);
 }
 
+/** Draws the path of a request: if it may be repeated, mostly that of the
+ * newest route. */
+std::string SoakCaller::DrawPath(Attempt& attempt) {
+  if (attempt.kind == RequestKind::kStream) return std::string(kStreamPath);
+  if (attempt.kind == RequestKind::kNonIdempotent) {
+    return std::string(kOncePath);
+  }
+  if (path_draw_.Below(kNoRouteEvery) == 0) {
+    attempt.route_since.reset();
+    return fmt::format("/never{}/", sent_);
+  }
+  const auto& added = record_.routes_added;
+  const int n = static_cast<int>(added.size());
+  const bool is_old = path_draw_.Below(kOldRouteEvery) == 0;
+  const int number = is_old ? path_draw_.Below(n + 1) - 1 : n - 1;
+  if (number < 0) return std::string(kSafePath);
+  attempt.route_since = added.at(static_cast<std::size_t>(number));
+  return AddedPath(static_cast<std::size_t>(number));
+}
+
 http::Request SoakCaller::MakeRequest(Attempt& attempt, int events) {
   http::Request request;
   request.method = "POST";
-  request.target = std::string(PathOf(attempt.kind)) + "x";
+  request.target = DrawPath(attempt) + "x";
   const auto set = [&request](std::string_view name, std::string value) {
     request.headers.push_back({std::string(name), std::move(value)});
   };
--- a/deploy/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -12,6 +12,7 @@
 
 #include "core/task_type.h"
 #include "http/client_base.h"
+#include "soak_draw_base.h"
 #include "soak_identity_func.h"
 #include "soak_type.h"
 
@@ -21,6 +22,9 @@
 inline constexpr std::string_view kStreamPath = "/stream/";
 inline constexpr std::string_view kOncePath = "/once/";
 inline constexpr std::string_view kSafePath = "/safe/";
+/** @return The path of the added route with this number. */
+std::string AddedPath(std::size_t number);
+
 /** Request timeout of the routes. */
 inline constexpr milliseconds kRouteTimeout{4000};
 
@@ -53,6 +57,7 @@
  private:
   [[nodiscard]] std::string CurrentKey() const;
   http::Request MakeRequest(Attempt& attempt, int events);
+  std::string DrawPath(Attempt& attempt);
   std::string DrawPromptParts(Attempt& attempt);
   core::Task<> Send(Attempt& attempt, const http::Request& request, int events,
                     milliseconds idle_timeout, StreamProgress& progress);
@@ -72,6 +77,8 @@
   SoakRecord& record_;
   const core::Clock& clock_;
   std::mt19937_64 random_;
+  /** Apart from the other draws, which routes that are added don't change. */
+  Draw path_draw_;
   std::vector<std::unique_ptr<http::Client>> clients_;
   int sent_ = 0;
 };
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -15,6 +15,9 @@
 
 /** Checks with a time limit apply again this long after a disturbance. */
 constexpr milliseconds kSettleTime{3000};
+/** A new configuration is in force this long after the store has acknowledged
+ * it; after that, an entry that can't know it refuses, but does not deny. */
+constexpr milliseconds kInForceLimit{2000};
 /** An engine that drains or is deregistered gets no new requests after this. */
 constexpr milliseconds kDepartureLimit{2000};
 /** Time from which on an engine that has asked for rest gets at most
@@ -37,6 +40,9 @@
 constexpr double kMinSoundShare = 0.5;
 constexpr int kMinSoundRequests = 20;
 constexpr int kUnauthorised = 401;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 constexpr int kOverQuota = 429;
 
 bool Overlaps(const std::vector<Disturbance>& times, core::SteadyTime from,
@@ -52,7 +58,10 @@
       : record_(record), min_served_share_(min_served_share) {}
 
   std::vector<std::string> Check() {
-    for (const Attempt& it : record_.attempts) CheckAttempt(it);
+    for (const Attempt& it : record_.attempts) {
+      CheckAttempt(it);
+      CheckDenial(it);
+    }
     CheckOrders();
     CheckDepartures();
     CheckNotices();
@@ -129,6 +138,39 @@
     }
   }
 
+  /** Checks that paths with a route are never denied, whatever state the entry
+   * is in, and that others are always denied or refused. */
+  void CheckDenial(const Attempt& attempt) {
+    if (!attempt.route_since) {
+      const bool was_denied =
+          attempt.status == kNotFound || attempt.status == kUnavailable;
+      const bool answered = attempt.status != 0;
+      if ((answered && !was_denied) || record_.runs.contains(attempt.id)) {
+        AddViolation("a path without a route was not denied",
+                     fmt::format("{} got {}", attempt.id, attempt.status));
+      }
+      return;
+    }
+    const bool denied = attempt.status == kUnauthorised ||
+                        attempt.status == kForbidden ||
+                        attempt.status == kNotFound;
+    if (!denied || attempt.sent <= *attempt.route_since + kInForceLimit ||
+        !KeyIsValid(attempt)) {
+      return;
+    }
+    AddViolation("a request for an existing route was denied",
+                 fmt::format("{} got {} from entry {}", attempt.id,
+                             attempt.status, attempt.entry));
+  }
+
+  /** @return True if every version that may be in force knows the key. */
+  [[nodiscard]] bool KeyIsValid(const Attempt& attempt) const {
+    return std::ranges::none_of(record_.revocations, [&](const auto& it) {
+      return (it.key == attempt.key && it.at <= attempt.ended) ||
+             (it.next == attempt.key && attempt.sent <= it.at + kInForceLimit);
+    });
+  }
+
   void CheckCancelled(const Attempt& attempt, const Run& run) {
     const bool late = run.finished && run.ended > attempt.ended + kCancelLimit;
     if (late) {
@@ -331,6 +373,7 @@
       if (it.sent < record_.fault_free_from + kSettleTime) continue;
       if (it.end == AttemptEnd::kCancelled) continue;
       if (it.status == kUnauthorised || it.status == kOverQuota) continue;
+      if (!it.route_since) continue;
       ++sent;
       if (it.end == AttemptEnd::kServed) ++served;
     }
@@ -414,19 +457,26 @@
   static constexpr std::array<std::string_view, 6> kNames = {
       "served", "refused", "failed", "broken", "silent", "left"};
   std::array<int, kNames.size()> counts{};
+  int to_added_routes = 0;
+  int without_route = 0;
   for (const Attempt& it : record.attempts) {
     ++counts.at(static_cast<std::size_t>(it.end));
+    if (!it.route_since) ++without_route;
+    if (it.route_since > core::SteadyTime()) ++to_added_routes;
   }
   std::string text = fmt::format("attempts={}", record.attempts.size());
   for (std::size_t i = 0; i < kNames.size(); ++i) {
     text += fmt::format(" {}={}", kNames.at(i), counts.at(i));
   }
-  return text + fmt::format(
-                    " orders={} deadly_crashes={} part_crashes={} taken_up={} "
-                    "went_on={} leave_notices={} turned_away={}",
-                    record.orders.size(), record.deadly_crashes,
-                    record.part_crashes.size(), record.taken_up, record.went_on,
-                    record.leave_notices.size(), record.turned_away.size());
+  return text +
+         fmt::format(
+             " orders={} deadly_crashes={} part_crashes={} taken_up={} "
+             "went_on={} leave_notices={} turned_away={} to_added_routes={} "
+             "without_route={}",
+             record.orders.size(), record.deadly_crashes,
+             record.part_crashes.size(), record.taken_up, record.went_on,
+             record.leave_notices.size(), record.turned_away.size(),
+             to_added_routes, without_route);
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_faults.cc
+++ b/deploy/soak/soak_faults.cc
@@ -219,7 +219,7 @@
     co_return;
   }
   if (fault.kind == FaultKind::kConfigChange) {
-    ++added_routes_;
+    record_.routes_added.push_back(clock_.Now());
     WriteConfiguration();
     co_return;
   }
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 #include "soak_draw_base.h"
@@ -34,6 +35,11 @@
 constexpr milliseconds kMinEndpointOutage{24'000};
 constexpr milliseconds kMaxEndpointOutage{30'000};
 
+constexpr std::uint64_t kRouteStream = 0x726f'7574'6573;
+/** The store fails this long before the route is added at most, so that callers
+ * ask for it under the fault for longer than a configuration may take. */
+constexpr milliseconds kMaxBeforeRoute{500};
+
 constexpr std::uint64_t kNoticeStream = 0x6e6f'7469'6365;
 /** A leaving engine serves on until after the time in which entries have to
  * heed its notice. */
@@ -85,6 +91,28 @@
   }
 }
 
+/** Draws routes that are added while one entry can't reach the store, or the
+ * store fails for all. */
+void DrawRoutesBehindFaults(SoakPlan& plan) {
+  static constexpr std::array kFaults = {
+      FaultKind::kStoreCut, FaultKind::kStorePartition, FaultKind::kStoreBusy,
+      FaultKind::kStoreSilent};
+  Draw draw(plan.seed ^ kRouteStream);
+  for (int i = 0; i < plan.routes_behind_faults; ++i) {
+    Fault fault;
+    fault.kind =
+        kFaults.at(static_cast<std::size_t>(draw.Below(kFaults.size())));
+    fault.duration = draw.Between(kMinPartition, kMaxPartition);
+    fault.at = draw.Between(milliseconds(0), plan.duration - fault.duration);
+    fault.target = draw.Below(plan.entries);
+    plan.faults.push_back(fault);
+    Fault change;
+    change.kind = FaultKind::kConfigChange;
+    change.at = fault.at + draw.Between(milliseconds(0), kMaxBeforeRoute);
+    plan.faults.push_back(change);
+  }
+}
+
 /** Draws engines that leave and say so in their answers alone, and engines that
  * ask for rest. */
 void DrawNotices(SoakPlan& plan) {
@@ -147,6 +175,7 @@
   if (plan.organisations) DrawRevocations(plan);
   DrawEndpointOutages(plan);
   DrawNotices(plan);
+  DrawRoutesBehindFaults(plan);
   std::ranges::stable_sort(plan.faults, {}, &Fault::at);
   return plan;
 }
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -173,8 +173,8 @@
   json::array routes = {Route(kStreamPath, "stream", kDrafts),
                         Route(kOncePath, "unsafe", kPlain),
                         Route(kSafePath, "safe", kPlain)};
-  for (int i = 0; i < added_routes_; ++i) {
-    routes.push_back(Route(fmt::format("/added{}/", i), "safe", kPlain));
+  for (std::size_t i = 0; i < record_.routes_added.size(); ++i) {
+    routes.push_back(Route(AddedPath(i), "safe", kPlain));
   }
   json::array models;
   for (const std::string& it : models_) {
--- a/deploy/soak/soak_runner_base.h
+++ b/deploy/soak/soak_runner_base.h
@@ -109,7 +109,6 @@
   std::vector<std::unique_ptr<EntryVm>> entries_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   std::int64_t version_ = 0;
-  int added_routes_ = 0;
   KeyGenerations keys_{};
   int instance_count_ = 0;
   int registration_seq_ = 0;
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -97,6 +98,9 @@
   /** Number of times that engines leave and say so in their answers alone, and
    * that engines turn requests away and ask for rest. */
   int notices = 0;
+  /** Number of times that a route is added while one entry can't reach the
+   * store, or the store fails. */
+  int routes_behind_faults = 0;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -141,6 +145,9 @@
   std::string key;
   /** True for a request with kCrashingPart. */
   bool crashes_engines = false;
+  /** When the store acknowledged the route; no value for a path without one.
+   */
+  std::optional<core::SteadyTime> route_since = core::SteadyTime();
   /** True for a success whose body is not the engine's complete answer to this
    * request. */
   bool corrupt = false;
@@ -197,6 +204,8 @@
   std::vector<ReceivedOrder> orders;
   std::vector<EngineDeparture> engine_departures;
   std::vector<Revocation> revocations;
+  /** When the store acknowledged each added route, by its number. */
+  std::vector<core::SteadyTime> routes_added;
   std::vector<LeaveNotice> leave_notices;
   std::vector<TurnedAway> turned_away;
   /** Ids of requests that ran for another organisation than the caller's, or
