Bound what a client holds of an answer that does not end

A peer in trouble may send bytes until its connection is closed. The client took in all of them: a body read whole had no limit, nor had what is no body (a chunk extension, trailers), which Beast gathers in its buffer and searches again with each read. A process with 160 MB was killed, or its thread was busy until the time limit; that limit itself held only if the next bytes were not there yet, as each read armed a new timer.

Fetch takes at most 16 MB of a body, or max_body_bytes. Bytes that belong to no body are limited to 128 KB in all and to 4 KB for a chunk's extension. Beyond it the connection is closed and OversizedAnswer thrown. Fetch checks its time limit after each part.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -34,6 +34,10 @@
 /** Size of a read while bytes arrive faster than they are read: on a busy
  * thread each read waits for its turn. Beast reads no more at a time. */
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
+/** Bytes received that belong to no body yet: a head, a chunk's header or the
+ * trailers, and what arrived with them. */
+constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxReadBytes;
+constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
 constexpr std::size_t kMaxIdle = 32;
 /** How long before the end of a server's `Keep-Alive` timeout its connection is
  * no longer reused: the server might close it while a request is sent. */
@@ -41,6 +45,10 @@
 
 [[noreturn]] void Fail(const std::string& address, const beast::error_code& ec,
                        bool may_have_run) {
+  if (ec == beast::http::error::header_limit ||
+      ec == beast::http::error::buffer_overflow) {
+    throw OversizedAnswer(address + ": " + ec.message(), may_have_run, false);
+  }
   throw TransportError(address + ": " + ec.message(), may_have_run,
                        ec == beast::error::timeout);
 }
@@ -136,6 +144,7 @@
         max_idle_time_(max_idle_time),
         abort_(std::move(abort)) {
     parser_.body_limit(boost::none);
+    parser_.on_chunk_header(check_chunk_header_);
     // Beast reads no more at a time than the free space of the buffer, which
     // is 512 bytes in a new one.
     buf_.reserve(kReadBytes);
@@ -185,7 +194,7 @@
   Task<> ReadHead() {
     const auto [ec, n] =
         co_await beast::http::async_read_header(stream_, buf_, parser_, kTuple);
-    if (ec) Fail(address_, ec, true);
+    if (ec) Break(ec);
     head_.status = static_cast<int>(parser_.get().result_int());
     for (const auto& field : parser_.get()) {
       head_.headers.push_back(
@@ -196,15 +205,15 @@
   [[nodiscard]] const ResponseHead& head() const override { return head_; }
 
   Task<BodyPart> Read(std::chrono::milliseconds timeout) override {
+    stream_.expires_after(timeout);
     while (!parser_.is_done()) {
       std::string part(read_bytes_, '\0');
       parser_.get().body().data = part.data();
       parser_.get().body().size = part.size();
       parser_.get().body().more = true;
-      stream_.expires_after(timeout);
       const auto [ec, n] =
           co_await beast::http::async_read_some(stream_, buf_, parser_, kTuple);
-      if (ec && ec != beast::http::error::need_buffer) Fail(address_, ec, true);
+      if (ec && ec != beast::http::error::need_buffer) Break(ec);
       part.resize(read_bytes_ - parser_.get().body().size);
       if (part.size() == read_bytes_) ReadMoreAtATime();
       if (!part.empty()) co_return part;
@@ -220,6 +229,20 @@
     buf_.reserve(read_bytes_);
   }
 
+  /** Closes the connection, so that no more of the answer is taken in. */
+  [[noreturn]] void Break(const beast::error_code& ec) {
+    stream_.close();
+    Fail(address_, ec, true);
+  }
+
+  static void CheckChunkHeader(std::uint64_t /*size*/,
+                               beast::string_view extensions,
+                               beast::error_code& ec) {
+    if (extensions.size() > kMaxChunkExtensionBytes) {
+      ec = beast::http::error::header_limit;
+    }
+  }
+
   /** Returns the connection for reuse after a complete answer. */
   void RecycleConnection() {
     if (!recycle_ || !parser_.keep_alive() || buf_.size() > 0) return;
@@ -239,8 +262,11 @@
   Recycle recycle_;
   const std::chrono::milliseconds max_idle_time_;
   std::shared_ptr<Abort> abort_;
-  beast::flat_buffer buf_;
+  beast::flat_buffer buf_{kMaxUnparsedBytes};
   std::size_t read_bytes_ = kReadBytes;
+  /** The parser refers to it. */
+  void (*check_chunk_header_)(std::uint64_t, beast::string_view,
+                              beast::error_code&) = CheckChunkHeader;
   beast::http::response_parser<beast::http::buffer_body> parser_;
   ResponseHead head_;
 };
@@ -331,7 +357,19 @@
     const BodyPart part = co_await stream->Read(
         std::clamp(left, std::chrono::milliseconds(1), options.part_timeout));
     if (const auto* bytes = std::get_if<std::string>(&part)) {
+      if (response.body.size() + bytes->size() > options.max_body_bytes) {
+        throw OversizedAnswer(
+            state->address + ": " +
+                DescribeOversizedAnswer(options.max_body_bytes),
+            true, false);
+      }
       response.body += *bytes;
+      // A timer does not end an answer whose next bytes are always there.
+      if (std::chrono::steady_clock::now() >= end) {
+        throw TransportError(
+            state->address + ": the answer takes longer than its time limit",
+            true, true);
+      }
       continue;
     }
     const bool is_stated = std::get<BodyEnd>(part) == BodyEnd::kStated;
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -3,6 +3,7 @@
 #define SAPPHIRE_HTTP_CLIENT_BASE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -45,6 +46,8 @@
   /**
    * @return The next part of the body, or its end.
    * @throws TransportError if the answer is incomplete or `timeout` expires.
+   * @throws OversizedAnswer if a chunk extension or the trailers exceed their
+   *   limit. The body itself is unlimited.
    */
   virtual core::Task<BodyPart> Read(std::chrono::milliseconds timeout) = 0;
 };
@@ -77,6 +80,9 @@
   std::shared_ptr<Abort> abort;
 };
 
+/** Largest body of an answer that is read whole, unless stated otherwise. */
+inline constexpr std::size_t kMaxFetchedBytes = 16 * 1024 * 1024;
+
 /** Limits of an answer that is read whole. */
 struct FetchOptions {
   /** Time limit until the head of the answer is read, connecting included. */
@@ -87,6 +93,7 @@
    * ends. */
   std::chrono::milliseconds timeout{30'000};
   UnstatedEnd unstated = UnstatedEnd::kRefuse;
+  std::size_t max_body_bytes = kMaxFetchedBytes;
 };
 
 struct ClientOptions {
@@ -112,7 +119,7 @@
   /**
    * Sends a request and reads the whole answer. Does not retry.
    * @throws TransportError, also for an answer whose end is not stated unless
-   *   `unstated` accepts it.
+   *   `unstated` accepts it, and OversizedAnswer.
    */
   core::Task<Response> Fetch(Request request, std::chrono::milliseconds timeout,
                              UnstatedEnd unstated = UnstatedEnd::kRefuse);
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -27,6 +27,10 @@
 
 }  // namespace
 
+std::string DescribeOversizedAnswer(std::size_t max_bytes) {
+  return "the answer exceeds " + std::to_string(max_bytes) + " bytes";
+}
+
 std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
                                            std::string_view name) {
   for (const Header& header : headers) {
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -12,6 +12,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "core/address_func.h"
 #include "core/error_type.h"
@@ -173,6 +174,54 @@
   std::thread thread_;
 };
 
+/** Accepts one connection and sends a head, then the same bytes over and over
+ * until the client closes or `kMostSent` were sent. */
+class EndlessServer {
+ public:
+  static constexpr std::size_t kMostSent = 32 * 1024 * 1024;
+
+  EndlessServer(std::string head, std::string part)
+      : acceptor_(io_, core::ParseAddress("127.0.0.1:0")),
+        thread_([this, head = std::move(head), part = std::move(part)] {
+          Send(head, part);
+        }) {}
+  ~EndlessServer() { thread_.join(); }
+
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  [[nodiscard]] std::string address() const {
+    return core::AddressText(acceptor_);
+  }
+  /** @return Bytes sent until the client closed. */
+  std::size_t AwaitSent() { return sent_.get_future().get(); }
+
+ private:
+  void Send(const std::string& head, const std::string& part) {
+    asio::ip::tcp::socket socket = acceptor_.accept();
+    std::array<char, 1> request{};
+    boost::system::error_code ec;
+    asio::read(socket, asio::buffer(request), ec);
+    asio::write(socket, asio::buffer(head), ec);
+    std::size_t sent = 0;
+    while (!ec && sent < kMostSent) {
+      sent += asio::write(socket, asio::buffer(part), ec);
+    }
+    sent_.set_value(sent);
+  }
+
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::promise<std::size_t> sent_;
+  std::thread thread_;
+};
+
+/** What a client does not read of an answer lies in the buffers of the two
+ * sockets. */
+constexpr std::size_t kMaxInSockets = 12 * 1024 * 1024;
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 Task<int> CountParts(Client& client, OneAnswerServer& peer) {
   Request request;
   const auto stream = co_await client.Open(std::move(request), kLongTimeout);
@@ -210,6 +259,80 @@
   BOOST_TEST(parts <= 6);
 }
 
+/** Guards against a process that fills its memory with a body that does not
+ * end. */
+BOOST_FIXTURE_TEST_CASE(FetchedBodyIsBounded, Fixture) {
+  const std::string text(0x4000, 'x');
+  for (const bool chunked : {true, false}) {
+    EndlessServer peer(chunked ? kChunkedHead : "HTTP/1.1 200 OK\r\n\r\n",
+                       chunked ? "4000\r\n" + text + "\r\n" : text);
+    Client reader(peer.address());
+    FetchOptions options;
+    options.unstated = UnstatedEnd::kAccept;
+    options.max_body_bytes = 1024 * 1024;
+    BOOST_CHECK_THROW(Run(reader.Fetch({}, options)), OversizedAnswer);
+    BOOST_TEST(peer.AwaitSent() <= options.max_body_bytes + kMaxInSockets);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(BodyAsLongAsTheLimitIsFetched, Fixture) {
+  const std::string text(0x4000, 'x');
+  OneAnswerServer peer("HTTP/1.1 200 OK\r\nContent-Length: 16384\r\n\r\n" +
+                       text);
+  Client reader(peer.address());
+  FetchOptions options;
+  options.max_body_bytes = text.size();
+  BOOST_TEST(Run(reader.Fetch({}, options)).body == text);
+}
+
+/** Guards against memory that is filled with what is no body: a chunk extension
+ * or trailers that do not end. */
+BOOST_FIXTURE_TEST_CASE(ChunkExtensionAndTrailersAreBounded, Fixture) {
+  const std::string text(0x4000, 'x');
+  const std::pair<std::string, std::string> answers[] = {
+      {"4;a=", text}, {"0\r\n", "A: b\r\n"}, {"0\r\nA: ", text}};
+  for (const auto& [begin, part] : answers) {
+    EndlessServer peer(kChunkedHead + begin, part);
+    Client reader(peer.address());
+    BOOST_CHECK_THROW(Run(reader.Fetch({}, kLongTimeout)), OversizedAnswer);
+    BOOST_TEST(peer.AwaitSent() <= kMaxInSockets);
+  }
+}
+
+/** Guards against an answer of chunks that are mostly extensions: 100 KB each
+ * for a byte of the body. */
+BOOST_FIXTURE_TEST_CASE(ExtensionOfEachChunkIsBounded, Fixture) {
+  const std::string extension(100 * 1024, 'x');
+  EndlessServer peer(kChunkedHead, "1;a=" + extension + "\r\nb\r\n");
+  Client reader(peer.address());
+  BOOST_CHECK_THROW(Run(reader.Fetch({}, kLongTimeout)), OversizedAnswer);
+  BOOST_TEST(peer.AwaitSent() <= kMaxInSockets);
+}
+
+/** Guards against a time limit that never takes effect: the next part of the
+ * answer is always there before the timer is asked. */
+BOOST_FIXTURE_TEST_CASE(AnswerWhosePartsNeverStopEndsInTime, Fixture) {
+  EndlessServer peer(kChunkedHead, "1\r\nx\r\n");
+  Client reader(peer.address());
+  const auto began = std::chrono::steady_clock::now();
+  BOOST_CHECK_THROW(Run(reader.Fetch({}, milliseconds(200))), TransportError);
+  BOOST_TEST((std::chrono::steady_clock::now() - began < milliseconds(1000)));
+}
+
+/** Guards against a connection that is reused in the middle of an answer that
+ * was given up. */
+BOOST_FIXTURE_TEST_CASE(OversizedAnswerEndsItsConnection, Fixture) {
+  const std::string body(8000, 'x');
+  FetchOptions options;
+  options.max_body_bytes = 100;
+  BOOST_CHECK_THROW(Run(client.Fetch({"POST", "/echo", {}, body}, options)),
+                    OversizedAnswer);
+  BOOST_TEST(
+      Run(client.Fetch({"POST", "/echo", {}, "next"}, kLongTimeout)).body ==
+      "next");
+  BOOST_TEST(client.connections_opened() == 2);
+}
+
 // An engine crashes in the middle of an answer. The caller must not mistake the
 // part for the complete answer: the chunked body ends without its last chunk,
 // which HTTP clients report as an error.
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_HTTP_HTTP_TYPE_H_
 #define SAPPHIRE_HTTP_HTTP_TYPE_H_
 
+#include <cstddef>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -60,6 +61,15 @@
   bool timed_out_;
 };
 
+/** An answer exceeds a limit of its size. Its connection is closed. */
+class OversizedAnswer final : public TransportError {
+ public:
+  using TransportError::TransportError;
+};
+
+/** @return The message of an OversizedAnswer. */
+std::string DescribeOversizedAnswer(std::size_t max_bytes);
+
 /** @return The path of a target, without its query. */
 std::string_view PathOf(std::string_view target);
 
