Search each byte of a stream once for the end of an event

An engine whose event does not end kept the entry's one thread busy until the engine gave up: the splitter searched all bytes of the event again with each part, and a part of many events to its end, for the other kind of line ends, with each of them.

The splitter remembers up to where it has searched.

EventsAreFoundAcrossParts and LineEndOfTheLastEventIsNoneOfTheNext hold on both.

--- a/src/serving/event_splitter.cc
+++ b/src/serving/event_splitter.cc
@@ -12,15 +12,6 @@
 constexpr std::string_view kNetworkEnd = "\r\n\r\n";
 constexpr std::string_view kLineEnds = "\r\n";
 
-/** @return Length of the first event; 0 if none is complete. */
-std::size_t EndOfEvent(std::string_view bytes) {
-  const std::size_t unix_end = bytes.find(kUnixEnd);
-  const std::size_t network_end = bytes.find(kNetworkEnd);
-  if (unix_end == bytes.npos && network_end == bytes.npos) return 0;
-  if (unix_end < network_end) return unix_end + kUnixEnd.size();
-  return network_end + kNetworkEnd.size();
-}
-
 /** @return The number in the event's `id:` line. */
 std::optional<std::int64_t> IdOf(std::string_view event) {
   static constexpr std::string_view kField = "id:";
@@ -44,31 +35,53 @@
 
 std::string EventSplitter::Add(std::string_view bytes) {
   buffer_ += bytes;
+  const std::string_view all = buffer_;
   std::string whole;
   std::size_t begin = 0;
   while (true) {
-    const std::string_view all = buffer_;
-    const std::string_view left = all.substr(begin);
-    const std::size_t size = EndOfEvent(left);
-    if (size == 0) break;
+    const std::size_t end = EndOfEvent(begin);
+    if (end == 0) break;
+    const std::string_view event = all.substr(begin, end - begin);
     has_events_ = true;
-    if (Accept(left.substr(0, size))) whole += left.substr(0, size);
-    begin += size;
+    if (Accept(event)) whole += event;
+    begin = end;
   }
   buffer_.erase(0, begin);
+  searched_ -= begin;
   return whole;
 }
 
+/** Searches on from where the last search ended, as an event may arrive in any
+ * number of parts.
+ * @return End of the event at `begin`; 0 if it is not complete. */
+std::size_t EventSplitter::EndOfEvent(std::size_t begin) {
+  const std::string_view all = buffer_;
+  while (true) {
+    const std::size_t line_end = all.find('\n', searched_);
+    if (line_end == all.npos) {
+      searched_ = all.size();
+      return 0;
+    }
+    searched_ = line_end + 1;
+    const std::string_view event = all.substr(begin, searched_ - begin);
+    if (event.ends_with(kUnixEnd) || event.ends_with(kNetworkEnd)) {
+      return searched_;
+    }
+  }
+}
+
 bool EventSplitter::IsInsideEvent() const {
   return buffer_.find_first_not_of(kLineEnds) != buffer_.npos;
 }
 
 std::string EventSplitter::TakeBlankLines() {
+  searched_ = 0;
   return std::exchange(buffer_, {});
 }
 
 void EventSplitter::StartRun() {
-  buffer_.clear();
+  buffer_ = std::string();
+  searched_ = 0;
   has_events_ = false;
 }
 
--- a/src/serving/event_splitter_base.h
+++ b/src/serving/event_splitter_base.h
@@ -48,11 +48,14 @@
   }
 
  private:
+  [[nodiscard]] std::size_t EndOfEvent(std::size_t begin);
   /** @return True if the event is to be relayed. */
   bool Accept(std::string_view event);
 
   std::optional<std::int64_t> last_event_;
   std::string buffer_;
+  /** Bytes of the buffer in which no event ends. */
+  std::size_t searched_ = 0;
   bool has_events_ = false;
 };
 
