Bound what an entry holds of engines' answers

An engine in trouble may send bytes without end. An entry gathered the body of an answer that is no stream until its end, and of a stream one incomplete event, whatever they came to: a VM of 160 MB is killed above, with all its requests. Neither ended at its deadline, as the next bytes were always there before the timer was asked. A crash of such an engine soon after was counted against the request.

A body is held up to 16 MB, an event up to 1 MB, and the error page of a program that is no engine up to 64 KB; all answers held by an entry share 48 MB, counted by the memory that they take and returned when the caller has the answer or the send ends. Beyond that the connection is closed and the send is lost, as after a broken answer: a failure of the engine, no evidence of a crash. Relaying a part is followed by a look at the deadline.

--- a/src/serving/crash_watch.cc
+++ b/src/serving/crash_watch.cc
@@ -229,7 +229,8 @@
   const bool broken =
       result.end == ExchangeEnd::kLost || result.end == ExchangeEnd::kCutMidway;
   // An engine that is silent has not crashed: its connections would have ended.
-  if (!broken || result.timed_out) return false;
+  // Neither has one whose answer goes on.
+  if (!broken || result.timed_out || result.oversized) return false;
   return !HasOutlivedCrash(send);
 }
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -84,12 +84,12 @@
 
 Dispatcher::Dispatcher(DispatchOptions options, DispatcherDependencies parts)
     : options_(options),
-      deps_(parts),
-      chooser_(options.pace, parts.registry, parts.peer_table, parts.gauges,
-               parts.finder, parts.loader, parts.crash_watch, parts.clock),
-      sender_({parts.rate_limiter, parts.notices, parts.registry, parts.loads,
-               parts.clients, parts.crash_watch, parts.engine_wire,
-               parts.metrics, parts.clock}) {}
+      deps_(std::move(parts)),
+      chooser_(options.pace, deps_.registry, deps_.peer_table, deps_.gauges,
+               deps_.finder, deps_.loader, deps_.crash_watch, deps_.clock),
+      sender_({deps_.rate_limiter, deps_.notices, deps_.registry, deps_.loads,
+               deps_.clients, deps_.crash_watch, deps_.engine_wire,
+               deps_.metrics, deps_.clock, deps_.answers}) {}
 
 core::Task<> Dispatcher::Serve(const http::Request& request,
                                http::ResponseWriter& writer) {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -21,6 +21,7 @@
 #include "http/server_base.h"
 #include "policy/repeat_budget_base.h"
 #include "routing/routing_table_base.h"
+#include "serving/answer_budget_base.h"
 #include "serving/caller_type.h"
 #include "serving/configuration_refresh_base.h"
 #include "serving/crash_watch_base.h"
@@ -88,6 +89,8 @@
   FrontMetrics& metrics;
   const core::Clock& clock;
   const core::Logger& log;
+  /** Limits what is held of engines' answers. */
+  std::shared_ptr<AnswerBudget> answers = std::make_shared<AnswerBudget>();
 };
 
 /** Whether a request whose send has failed is sent again, or why not. */
--- a/src/serving/event_splitter_base.h
+++ b/src/serving/event_splitter_base.h
@@ -10,6 +10,9 @@
 
 namespace sapphire::serving {
 
+/** Largest event that is held until it is complete. */
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 /**
  * Extracts the complete events of a `text/event-stream` and remembers the id of
  * the last one.
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -15,6 +15,14 @@
  * milliseconds. */
 constexpr milliseconds kConnectTimeout{400};
 
+/** Largest body that is held; callers get it only when it is complete. */
+constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/** The same for the error page of a program that is no engine. */
+constexpr std::size_t kMaxForeignErrorBytes = 64 * 1024;
+
+constexpr std::string_view kPastDeadline =
+    "the answer goes on after the deadline";
+
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kRequestTimeout = 408;
@@ -40,8 +48,13 @@
   http::BodyPart part;
   std::string error;
   bool timed_out = false;
+  bool oversized = false;
 };
 
+bool IsOversized(const http::TransportError& error) {
+  return dynamic_cast<const http::OversizedAnswer*>(&error) != nullptr;
+}
+
 core::Task<PartRead> ReadPart(http::ResponseStream& stream,
                               milliseconds timeout) {
   PartRead read;
@@ -50,6 +63,7 @@
   } catch (const http::TransportError& e) {
     read.error = e.what();
     read.timed_out = e.timed_out();
+    read.oversized = IsOversized(e);
   }
   co_return read;
 }
@@ -59,7 +73,8 @@
 Exchange::Exchange(http::Client& engine, const EngineWire& wire,
                    const CallerRequest& request, ExchangeLimits limits,
                    CallerConnection& caller, const core::Clock& clock,
-                   ExchangeHooks hooks, const core::Executor& executor)
+                   ExchangeHooks hooks, const core::Executor& executor,
+                   std::shared_ptr<AnswerBudget> budget)
     : engine_(engine),
       wire_(wire),
       request_(request),
@@ -67,7 +82,9 @@
       caller_(caller),
       clock_(clock),
       hooks_(std::move(hooks)),
-      watch_(executor, hooks_.silent, clock) {
+      watch_(executor, hooks_.silent, clock),
+      budget_(std::move(budget)),
+      event_share_(budget_) {
   caller_.sends.insert(abort_);
 }
 
@@ -91,6 +108,7 @@
     ExchangeResult failure =
         MakeResult(e.may_have_run() ? ExchangeEnd::kLost : ExchangeEnd::kNotRun,
                    e.what(), e.timed_out());
+    failure.oversized = IsOversized(e);
     failure.unreachable = !e.may_have_run() && stopped_ == StopReason::kNone;
     co_return failure;
   }
@@ -160,8 +178,12 @@
 core::Task<ExchangeResult> Exchange::RelayBody() {
   http::Response response;
   response.head = answer_.to_caller;
+  const auto share = std::make_shared<BudgetShare>(budget_);
   while (true) {
     PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
+    if (read.oversized) {
+      co_return GiveUpForSize(ExchangeEnd::kLost, read.error);
+    }
     if (!read.error.empty()) {
       co_return MakeResult(ExchangeEnd::kLost, read.error, read.timed_out);
     }
@@ -172,7 +194,14 @@
       answer_end_.body_end = *end;
       break;
     }
-    response.body += std::get<std::string>(read.part);
+    const std::string fault =
+        AppendWithin(response.body, std::get<std::string>(read.part),
+                     MaxBodyBytes(), *share);
+    if (!fault.empty()) co_return GiveUpForSize(ExchangeEnd::kLost, fault);
+    if (IsPastDeadline()) {
+      co_return MakeResult(ExchangeEnd::kLost, std::string(kPastDeadline),
+                           true);
+    }
   }
   hooks_.first_byte();
   if (!IsSuccess(answer_.status)) {
@@ -180,6 +209,7 @@
         MakeResult(ExchangeEnd::kEngineFailed,
                    "status " + std::to_string(answer_.status), false);
     result.failure = std::move(response);
+    result.failure_share = share;
     co_return result;
   }
   co_return co_await SendBody(std::move(response));
@@ -205,6 +235,9 @@
   bool first = true;
   while (true) {
     PartRead read = co_await ReadPart(*stream_, TimeToDeadline());
+    if (read.oversized) {
+      co_return GiveUpForSize(EndOfBrokenStream(), read.error);
+    }
     if (!read.error.empty()) {
       co_return MakeResult(EndOfBrokenStream(), read.error, read.timed_out);
     }
@@ -237,7 +270,46 @@
       co_return MakeResult(ExchangeEnd::kCallerLeft, failure, false);
     }
     if (over) co_return MakeResult(ExchangeEnd::kServed, "", false);
+    // Complete events count as relayed, so they are before the answer is given
+    // up.
+    const std::string fault = FaultOfPartialEvent();
+    if (!fault.empty()) co_return GiveUpForSize(EndOfBrokenStream(), fault);
+    if (IsPastDeadline()) {
+      co_return MakeResult(EndOfBrokenStream(), std::string(kPastDeadline),
+                           true);
+    }
+  }
+}
+
+/** @return Limit of the body; the answer is no success if it is no engine's. */
+std::size_t Exchange::MaxBodyBytes() const {
+  return answer_.genuine ? kMaxAnswerBytes : kMaxForeignErrorBytes;
+}
+
+/** @return Why the incomplete event can't be held; empty if it can. */
+std::string Exchange::FaultOfPartialEvent() {
+  const std::size_t bytes = caller_.events.partial_bytes();
+  if (bytes > kMaxEventBytes) {
+    return "an event exceeds " + std::to_string(kMaxEventBytes) + " bytes";
   }
+  if (event_share_.Resize(bytes)) return "";
+  return "the answers held exceed " + std::to_string(budget_->max_bytes()) +
+         " bytes";
+}
+
+/** A timer does not end an answer whose next bytes are always there. */
+bool Exchange::IsPastDeadline() const {
+  return clock_.Now() >= limits_.deadline;
+}
+
+/** Closes the connection, so that no more of the answer is taken in. */
+ExchangeResult Exchange::GiveUpForSize(ExchangeEnd end, std::string reason) {
+  abort_->Now();
+  caller_.events.StartRun();
+  event_share_.Resize(0);
+  ExchangeResult result = MakeResult(end, std::move(reason), false);
+  result.oversized = true;
+  return result;
 }
 
 /** @return False if the caller has events of another software version: what two
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -16,6 +16,7 @@
 #include "fleet/engine_type.h"
 #include "http/client_base.h"
 #include "http/server_base.h"
+#include "serving/answer_budget_base.h"
 #include "serving/caller_type.h"
 #include "serving/event_splitter_base.h"
 #include "serving/silence_watch_base.h"
@@ -46,13 +47,16 @@
   ExchangeEnd end = ExchangeEnd::kLost;
   /** Reason of the end, for the log. */
   std::string reason;
-  /** With kEngineFailed: the engine's own answer. */
+  /** With kEngineFailed: the engine's own answer, and the memory it takes. */
   std::optional<http::Response> failure;
+  std::shared_ptr<BudgetShare> failure_share;
   /** The send exceeded its time limit, or another engine has taken the request
    * because this one was silent. */
   bool timed_out = false;
   /** No connection could be made: the engine is down or cut off. */
   bool unreachable = false;
+  /** The answer was given up for its size. */
+  bool oversized = false;
   /** A later instance of the engine replied: the addressed one has ended. */
   bool replaced = false;
   /** The engine turned the request away and asks for rest. */
@@ -133,11 +137,16 @@
  */
 class Exchange {
  public:
-  /** @pre All references outlive the exchange. */
-  Exchange(http::Client& engine, const EngineWire& wire,
-           const CallerRequest& request, ExchangeLimits limits,
-           CallerConnection& caller, const core::Clock& clock,
-           ExchangeHooks hooks, const core::Executor& executor);
+  /**
+   * @param budget Limits what is held of answers, by this exchange and others.
+   * @pre All references outlive the exchange.
+   */
+  Exchange(
+      http::Client& engine, const EngineWire& wire,
+      const CallerRequest& request, ExchangeLimits limits,
+      CallerConnection& caller, const core::Clock& clock, ExchangeHooks hooks,
+      const core::Executor& executor,
+      std::shared_ptr<AnswerBudget> budget = std::make_shared<AnswerBudget>());
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -168,6 +177,10 @@
   core::Task<ExchangeResult> RelayStream();
   core::Task<ExchangeResult> SendBody(http::Response response);
   [[nodiscard]] bool MayContinueStream() const;
+  [[nodiscard]] std::size_t MaxBodyBytes() const;
+  std::string FaultOfPartialEvent();
+  [[nodiscard]] bool IsPastDeadline() const;
+  ExchangeResult GiveUpForSize(ExchangeEnd end, std::string reason);
   core::Task<std::string> Write(const std::string& bytes, bool over);
   void UpdateLongestPause();
   [[nodiscard]] std::string_view FaultOfStreamEnd(http::BodyEnd end) const;
@@ -183,6 +196,9 @@
   const ExchangeHooks hooks_;
   const std::shared_ptr<http::Abort> abort_ = std::make_shared<http::Abort>();
   SilenceWatch watch_;
+  const std::shared_ptr<AnswerBudget> budget_;
+  /** Memory that an incomplete event takes. */
+  BudgetShare event_share_;
   std::unique_ptr<http::ResponseStream> stream_;
   EngineAnswer answer_;
   bool is_stream_ = false;
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -83,7 +83,7 @@
   send->exchange = std::make_unique<Exchange>(
       *send->client, deps_.engine_wire, work.request, LimitsOfSend(state),
       work.caller, deps_.clock, HooksOf(work, *send, std::move(callbacks)),
-      executor);
+      executor, deps_.answers);
   return send;
 }
 
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <utility>
 
 #include "core/clock_base.h"
 #include "core/task_type.h"
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
+#include "serving/answer_budget_base.h"
 #include "serving/crash_watch_base.h"
 #include "serving/engine_clients_base.h"
 #include "serving/engine_notice_recorder_base.h"
@@ -55,12 +57,13 @@
   const EngineWire& engine_wire;
   FrontMetrics& metrics;
   const core::Clock& clock;
+  std::shared_ptr<AnswerBudget> answers;
 };
 
 /** Prepares sends, and records their begin and end. Not thread-safe. */
 class RequestSender {
  public:
-  explicit RequestSender(SenderDependencies parts) : deps_(parts) {}
+  explicit RequestSender(SenderDependencies parts) : deps_(std::move(parts)) {}
 
   /**
    * Begins a send; its exchange is to be opened next.
