Deliver an answer that is complete as its time limit passes

Found as the limits of endless answers were read: with them an answer was given up as soon as the clock passed its limit, also if its last bytes were there and only this process was late in reading them.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -351,6 +351,7 @@
   const auto stream = co_await Open(
       std::move(request), std::min(options.head_timeout, options.timeout));
   Response response{stream->head(), {}};
+  int late_parts = 0;
   while (true) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
@@ -365,7 +366,8 @@
       }
       response.body += *bytes;
       // A timer does not end an answer whose next bytes are always there.
-      if (std::chrono::steady_clock::now() >= end) {
+      if (std::chrono::steady_clock::now() >= end) ++late_parts;
+      if (late_parts > kMaxLateParts) {
         throw TransportError(
             state->address + ": the answer takes longer than its time limit",
             true, true);
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -83,6 +83,11 @@
 /** Largest body of an answer that is read whole, unless stated otherwise. */
 inline constexpr std::size_t kMaxFetchedBytes = 16 * 1024 * 1024;
 
+/** Parts of an answer that are still read after its time limit, if they are
+ * there already: a complete answer is not given up because this process is
+ * late. */
+inline constexpr int kMaxLateParts = 8;
+
 /** Limits of an answer that is read whole. */
 struct FetchOptions {
   /** Time limit until the head of the answer is read, connecting included. */
--- a/src/serving/exchange.cc
+++ b/src/serving/exchange.cc
@@ -198,7 +198,7 @@
         AppendWithin(response.body, std::get<std::string>(read.part),
                      MaxBodyBytes(), *share);
     if (!fault.empty()) co_return GiveUpForSize(ExchangeEnd::kLost, fault);
-    if (IsPastDeadline()) {
+    if (GoesOnPastDeadline()) {
       co_return MakeResult(ExchangeEnd::kLost, std::string(kPastDeadline),
                            true);
     }
@@ -274,7 +274,7 @@
     // up.
     const std::string fault = FaultOfPartialEvent();
     if (!fault.empty()) co_return GiveUpForSize(EndOfBrokenStream(), fault);
-    if (IsPastDeadline()) {
+    if (GoesOnPastDeadline()) {
       co_return MakeResult(EndOfBrokenStream(), std::string(kPastDeadline),
                            true);
     }
@@ -297,9 +297,13 @@
          " bytes";
 }
 
-/** A timer does not end an answer whose next bytes are always there. */
-bool Exchange::IsPastDeadline() const {
-  return clock_.Now() >= limits_.deadline;
+/** A timer does not end an answer whose next bytes are always there. On a busy
+ * thread the last bytes of a complete answer may be read late, so a few parts
+ * are. @return True if the answer is to be given up. */
+bool Exchange::GoesOnPastDeadline() {
+  if (clock_.Now() < limits_.deadline) return false;
+  ++late_parts_;
+  return late_parts_ > http::kMaxLateParts;
 }
 
 /** Closes the connection, so that no more of the answer is taken in. */
--- a/src/serving/exchange_base.h
+++ b/src/serving/exchange_base.h
@@ -179,7 +179,7 @@
   [[nodiscard]] bool MayContinueStream() const;
   [[nodiscard]] std::size_t MaxBodyBytes() const;
   std::string FaultOfPartialEvent();
-  [[nodiscard]] bool IsPastDeadline() const;
+  bool GoesOnPastDeadline();
   ExchangeResult GiveUpForSize(ExchangeEnd end, std::string reason);
   core::Task<std::string> Write(const std::string& bytes, bool over);
   void UpdateLongestPause();
@@ -205,6 +205,8 @@
   StopReason stopped_ = StopReason::kNone;
   AnswerEnd answer_end_;
   std::size_t relayed_ = 0;
+  /** Parts read after the deadline. */
+  int late_parts_ = 0;
   fleet::InstanceId addressed_;
   fleet::SoftwareVersion software_version_;
 };
