Test that an answer that is complete at its deadline is delivered

AnswerThatIsCompleteAsTheDeadlinePassesIsDelivered failed with no part allowed after the deadline ("the answer goes on after the deadline").

--- a/src/serving/exchange_test.cc
+++ b/src/serving/exchange_test.cc
@@ -67,6 +67,35 @@
   tcp::socket socket_;
 };
 
+/** Sends one stream request to the engine and runs the loop until it ends. */
+ExchangeResult Play(boost::asio::io_context& io, const std::string& address,
+                    ExchangeLimits limits, ExchangeHooks hooks,
+                    testing::RecordingWriter& writer) {
+  http::Client client(address);
+  const testing::TestEngineWire wire;
+  CallerRequest request;
+  request.forward.method = "POST";
+  request.forward.target = "/stream/";
+  CallerConnection caller(writer, std::nullopt);
+  const core::SystemClock clock;
+  ExchangeResult result;
+  boost::asio::co_spawn(
+      io,
+      [&]() -> core::Task<> {
+        Exchange exchange(client, wire, request, limits, caller, clock,
+                          std::move(hooks), io.get_executor());
+        SendOptions send;
+        const auto failure = co_await exchange.Open(std::move(send), true);
+        BOOST_TEST_REQUIRE(!failure.has_value());
+        result = co_await exchange.Relay();
+      },
+      [](const std::exception_ptr& e) {
+        if (e) std::rethrow_exception(e);
+      });
+  io.run();
+  return result;
+}
+
 }  // namespace
 
 /** Guards against a stream that is cut as its engine begins to answer: the
@@ -75,22 +104,14 @@
 BOOST_AUTO_TEST_CASE(AnswerThatArrivesWhileTheLoopIsBusyKeepsTheSend) {
   boost::asio::io_context io(1);
   BlockingEngine engine(io);
-  http::Client client(engine.address());
-  const testing::TestEngineWire wire;
-  CallerRequest request;
-  request.forward.method = "POST";
-  request.forward.target = "/stream/";
   testing::RecordingWriter writer;
-  CallerConnection caller(writer, std::nullopt);
-  const core::SystemClock clock;
   ExchangeLimits limits;
-  limits.deadline = clock.Now() + std::chrono::seconds(5);
+  limits.deadline = core::SystemClock().Now() + std::chrono::seconds(5);
   limits.first_byte_silence = kSilence;
   limits.pause = std::chrono::seconds(3);
   int silences = 0;
   ExchangeHooks hooks;
   hooks.silent = [&silences] { ++silences; };
-  ExchangeResult result;
   boost::asio::steady_timer stall(io, kStallBegin);
   stall.async_wait([&engine](const auto&) {
     engine.Begin();
@@ -98,20 +119,8 @@
   });
   boost::asio::steady_timer end(io, kNextEvent);
   end.async_wait([&engine](const auto&) { engine.End(); });
-  boost::asio::co_spawn(
-      io,
-      [&]() -> core::Task<> {
-        Exchange exchange(client, wire, request, limits, caller, clock,
-                          std::move(hooks), io.get_executor());
-        SendOptions send;
-        const auto failure = co_await exchange.Open(std::move(send), true);
-        BOOST_TEST_REQUIRE(!failure.has_value());
-        result = co_await exchange.Relay();
-      },
-      [](const std::exception_ptr& e) {
-        if (e) std::rethrow_exception(e);
-      });
-  io.run();
+  const ExchangeResult result =
+      Play(io, engine.address(), limits, std::move(hooks), writer);
   BOOST_TEST(silences == 0);
   BOOST_TEST((result.end == ExchangeEnd::kServed));
   BOOST_TEST(result.reason == "");
@@ -119,4 +128,26 @@
   BOOST_TEST(writer.whole);
 }
 
+/** Guards against an answer that is given up although all of it is there, as
+ * this process reads it after the deadline. */
+BOOST_AUTO_TEST_CASE(AnswerThatIsCompleteAsTheDeadlinePassesIsDelivered) {
+  boost::asio::io_context io(1);
+  BlockingEngine engine(io);
+  testing::RecordingWriter writer;
+  ExchangeLimits limits;
+  limits.deadline = core::SystemClock().Now() + 2 * kStallBegin;
+  limits.first_byte_silence = std::chrono::seconds(3);
+  limits.pause = std::chrono::seconds(3);
+  boost::asio::steady_timer stall(io, kStallBegin);
+  stall.async_wait([&engine](const auto&) {
+    engine.Begin();
+    engine.End();
+    std::this_thread::sleep_for(kStallTime);
+  });
+  const ExchangeResult result =
+      Play(io, engine.address(), limits, ExchangeHooks(), writer);
+  BOOST_TEST((result.end == ExchangeEnd::kServed), result.reason);
+  BOOST_TEST(writer.body == kFirst + kSecond);
+}
+
 }  // namespace sapphire::serving
