Deny a name only by a configuration known to be the newest one

Callers of the product's own road got 404 for a model, adapter or service that operators had just added: from an entry whose watch had not brought the version yet, and for as long as the entry could not reach the key-value service. They got it also from an entry that had the version, if the model's primary entry did not: its denial was relayed.

The gateway answered from the configuration in its memory and knew nothing of its age. Before it denies, it now reads the head, one read shared by all that wait, at most one a second, and adopts what is newer. If the service does not tell within 500 ms, or shows an older head than the one in force, the answer is 503 configuration_stale with Retry-After. A denial by another VM, or by a newer version while the request waited, is reviewed in the same way: the newest configuration known here decides.

RandomNamesCauseFewReads passes on both: 100 requests for names that do not exist get 404 and cause one read a second at most.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -41,11 +41,12 @@
 }
 
 GatewayDependencies MakeGatewayDependencies(
-    contract::ConfigHolder& config, Directory& directory, Placer& placer,
-    Dispatcher& dispatcher, OnceRunner& once, link::LinkNode& links,
-    Metrics& metrics, const core::Clock& clock, const core::Logger& log) {
-  return {config, directory, placer, dispatcher, once,
-          links,  metrics,   clock,  log};
+    contract::ConfigHolder& config, HeadCheck& head_check, Directory& directory,
+    Placer& placer, Dispatcher& dispatcher, OnceRunner& once,
+    link::LinkNode& links, Metrics& metrics, const core::Clock& clock,
+    const core::Logger& log) {
+  return {config, head_check, directory, placer, dispatcher,
+          once,   links,      metrics,   clock,  log};
 }
 
 }  // namespace
@@ -70,6 +71,7 @@
                  links_, clock, log),
       config_watch_(executor, {}, store, config_parts_, clock, log),
       config_store_({}, store, config_, config_parts_, clock, log),
+      head_check_(executor, {}, store, config_, config_parts_, clock, log),
       scheduler_(executor, options.scheduler, config_, directory_, links_,
                  store, clock, log),
       placer_(executor, options.vm, directory_, scheduler_, links_, clock, log),
@@ -78,10 +80,10 @@
       once_runner_(executor,
                    {options.vm, options.finished_retention, milliseconds(2000)},
                    claims_, placer_, links_, clock, log),
-      gateway_(
-          options.vm, options.callers,
-          MakeGatewayDependencies(config_, directory_, placer_, dispatcher_,
-                                  once_runner_, links_, metrics, clock, log)),
+      gateway_(options.vm, options.callers,
+               MakeGatewayDependencies(config_, head_check_, directory_,
+                                       placer_, dispatcher_, once_runner_,
+                                       links_, metrics, clock, log)),
       admin_(AdminOptionsOf(options), config_, config_store_, directory_,
              links_, clock, log),
       http_(
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -20,6 +20,7 @@
 #include "entry/directory_base.h"
 #include "entry/dispatcher_base.h"
 #include "entry/gateway_base.h"
+#include "entry/head_check_base.h"
 #include "entry/metrics_base.h"
 #include "entry/once_runner_base.h"
 #include "entry/placer_base.h"
@@ -100,6 +101,7 @@
   Directory directory_;
   ConfigWatch config_watch_;
   ConfigStore config_store_;
+  HeadCheck head_check_;
   Scheduler scheduler_;
   Placer placer_;
   Dispatcher dispatcher_;
--- a/src/entry/gateway.cc
+++ b/src/entry/gateway.cc
@@ -44,6 +44,13 @@
          code == ErrorCode::kLeaving;
 }
 
+/** @return True for a refusal that a newer configuration may not call for. */
+bool RestsOnConfiguration(ErrorCode code) {
+  return code == ErrorCode::kUnknownModel ||
+         code == ErrorCode::kUnknownAdapter ||
+         code == ErrorCode::kUnknownService;
+}
+
 }  // namespace
 
 Gateway::Gateway(core::VmId self, CallerLimits limits,
@@ -62,13 +69,55 @@
                                             ModelsJson(config->intent)));
     co_return;
   }
-  co_await RunRequest(ReadCallerRequest(request, config->intent, limits_),
-                      writer);
+  const core::SteadyTime arrived = deps_.clock.Now();
+  CallerRequest parsed = co_await ReadRequest(request, arrived);
+  co_await RunRequest(request, std::move(parsed), arrived, writer);
+}
+
+/** Parses the request. Callers take a denial as final, so one that rests on the
+ * configuration is given only if that is the newest one; otherwise callers are
+ * asked to return. */
+Task<CallerRequest> Gateway::ReadRequest(const http::Request& request,
+                                         core::SteadyTime arrived) {
+  CallerRequest parsed;
+  std::optional<Error> denial = FindDenial(request, parsed);
+  if (!denial) co_return parsed;
+  const bool confirmed = co_await deps_.head_check.Confirm(arrived);
+  denial = FindDenial(request, parsed);
+  if (!denial) co_return parsed;
+  if (confirmed) throw Error(*denial);
+  throw Error(ErrorCode::kConfigurationStale, denial->what(), kRetryAfter);
 }
 
-Task<> Gateway::RunRequest(CallerRequest request,
+/** @return Why the configuration in force does not allow the request, if it
+ * does not. @throws Error for any other refusal. */
+std::optional<Error> Gateway::FindDenial(const http::Request& request,
+                                         CallerRequest& out) const {
+  try {
+    out = ReadCallerRequest(request, deps_.config.Current()->intent, limits_);
+  } catch (const Error& e) {
+    if (!RestsOnConfiguration(e.code())) throw;
+    return e;
+  }
+  return std::nullopt;
+}
+
+/** @return What to answer to a request that this entry's configuration allowed
+ * and another VM denied by its own: that one may be older. */
+Task<Error> Gateway::ReviewDenial(const http::Request& request,
+                                  core::SteadyTime arrived, Error denial) {
+  try {
+    co_await ReadRequest(request, arrived);
+  } catch (const Error& e) {
+    co_return e.WithOutcome(denial.outcome());
+  }
+  co_return Error(ErrorCode::kConfigurationStale, denial.what(), kRetryAfter)
+      .WithOutcome(denial.outcome());
+}
+
+Task<> Gateway::RunRequest(const http::Request& received, CallerRequest request,
+                           core::SteadyTime arrived,
                            http::ResponseWriter& writer) {
-  const core::SteadyTime arrived = deps_.clock.Now();
   const core::SteadyTime deadline = arrived + request.timeout;
   HttpSink sink(writer, request.id.value(), request.stream);
   std::optional<Error> failure;
@@ -81,6 +130,9 @@
   } catch (const Error& e) {
     failure = e;
   }
+  if (failure && RestsOnConfiguration(failure->code())) {
+    failure = co_await ReviewDenial(received, arrived, *failure);
+  }
   RecordRequestEnd(request, arrived, failure ? &*failure : nullptr);
   if (!failure) co_return;
   if (writer.started() && request.stream) {
--- a/src/entry/gateway_base.h
+++ b/src/entry/gateway_base.h
@@ -3,6 +3,8 @@
 #ifndef SAPPHIRE_ENTRY_GATEWAY_BASE_H_
 #define SAPPHIRE_ENTRY_GATEWAY_BASE_H_
 
+#include <optional>
+
 #include "contract/config_base.h"
 #include "core/clock_base.h"
 #include "core/log_base.h"
@@ -10,6 +12,7 @@
 #include "entry/answer_sink_base.h"
 #include "entry/caller_request_type.h"
 #include "entry/dispatcher_base.h"
+#include "entry/head_check_base.h"
 #include "entry/metrics_base.h"
 #include "entry/once_runner_base.h"
 #include "entry/placer_base.h"
@@ -22,6 +25,7 @@
 /** Dependencies of a gateway; all outlive it. */
 struct GatewayDependencies {
   contract::ConfigHolder& config;
+  HeadCheck& head_check;
   Directory& directory;
   Placer& placer;
   Dispatcher& dispatcher;
@@ -46,7 +50,16 @@
                       http::ResponseWriter& writer);
 
  private:
-  core::Task<> RunRequest(CallerRequest request, http::ResponseWriter& writer);
+  core::Task<CallerRequest> ReadRequest(const http::Request& request,
+                                        core::SteadyTime arrived);
+  [[nodiscard]] std::optional<core::Error> FindDenial(
+      const http::Request& request, CallerRequest& out) const;
+  core::Task<core::Error> ReviewDenial(const http::Request& request,
+                                       core::SteadyTime arrived,
+                                       core::Error denial);
+  core::Task<> RunRequest(const http::Request& received, CallerRequest request,
+                          core::SteadyTime arrived,
+                          http::ResponseWriter& writer);
   core::Task<> RunAtPrimaryEntry(gen::Run run, core::SteadyTime deadline,
                                  AnswerSink& sink);
   core::Task<AttemptResult> RunAtEntry(KnownEntry entry, gen::Run run,
