--- a/src/serving/endless_answer_test.cc
+++ b/src/serving/endless_answer_test.cc
@@ -323,6 +323,8 @@
   BOOST_TEST(rig.loads.FailureRate(instance) > 0);
   BOOST_TEST((rig.loads.notices().RestLeft(instance) == milliseconds(0)));
   BOOST_TEST(rig.crash_watch.crashes() == 0U);
+  BOOST_TEST(rig.metrics.Text({}).find("oversized_answers_total 1") !=
+             std::string::npos);
 }
 
 /** Guards against a stream that ends with the engine that sent too much. */
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -54,6 +54,9 @@
   prometheus::Family<prometheus::Counter>& sends =
       core::AddCounters(registry, "sapphire_front_sends_total",
                         "Sends of requests to engines, by their end");
+  prometheus::Family<prometheus::Counter>& oversized_answers =
+      core::AddCounters(registry, "sapphire_front_oversized_answers_total",
+                        "Sends given up for the size of the engine's answer");
   prometheus::Family<prometheus::Counter>& repeats =
       core::AddCounters(registry, "sapphire_front_repeats_total",
                         "Repeats asked of the shared budget, by answer");
@@ -114,6 +117,10 @@
   state_->sends.Add({{"end", std::string(end)}}).Increment();
 }
 
+void FrontMetrics::AnswerOversized() {
+  state_->oversized_answers.Add({}).Increment();
+}
+
 void FrontMetrics::RepeatDecided(bool allowed) {
   state_->repeats.Add({{"answer", allowed ? "allowed" : "refused"}})
       .Increment();
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -59,6 +59,8 @@
   void FirstByte(routing::RequestKind kind, std::chrono::milliseconds waited);
   /** @param end As in the log's send_failed, or "served". */
   void SendEnded(std::string_view end);
+  /** Counts a send that was given up for the size of its answer. */
+  void AnswerOversized();
   void RepeatDecided(bool allowed);
   /** @param source Bucket that decided. Beyond a fixed number of organisations,
    * all others are counted together. */
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -149,6 +149,7 @@
   if (result.replaced) deps_.registry.MarkReplaced(send.engine);
   if (result.lacks_model) deps_.loads.MarkLacking(send.engine, send.part);
   deps_.metrics.SendEnded(NameOf(result.end));
+  if (result.oversized) deps_.metrics.AnswerOversized();
 }
 
 }  // namespace sapphire::serving
