Skip informational heads before an answer

A 103 before an honest 200 ended the exchange as a failed answer: the client took the first head for the answer's, and the caller got 502 or another engine.

Heads with a 1xx status are skipped, 16 at most; more end the exchange as an answer that exceeds its limits. A 101 is kept as an answer, as no client asks for it.

InformationalAnswersAreSkipped and InformationalAnswersAreBounded failed before (the status was 103; no error was raised).

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <memory>
 #include <mutex>
 #include <utility>
 
@@ -38,6 +39,8 @@
  * trailers, and what arrived with them. */
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxReadBytes;
 constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
+/** Heads with a 1xx status that may come before the answer itself. */
+constexpr int kMaxInformationalHeads = 16;
 constexpr std::size_t kMaxIdle = 32;
 /** How long before the end of a server's `Keep-Alive` timeout its connection is
  * no longer reused: the server might close it while a request is sent. */
@@ -53,6 +56,14 @@
                        ec == beast::error::timeout);
 }
 
+/** @return True for a head that another one follows. */
+bool IsInformational(unsigned status) {
+  constexpr unsigned kContinue = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kOk = 200;
+  return status >= kContinue && status < kOk && status != kSwitchingProtocols;
+}
+
 /** @return True if an idle connection is open and has no unread data. */
 bool StillUsable(int fd) {
   char c = 0;
@@ -143,8 +154,6 @@
         recycle_(std::move(recycle)),
         max_idle_time_(max_idle_time),
         abort_(std::move(abort)) {
-    parser_.body_limit(boost::none);
-    parser_.on_chunk_header(check_chunk_header_);
     // Beast reads no more at a time than the free space of the buffer, which
     // is 512 bytes in a new one.
     buf_.reserve(kReadBytes);
@@ -192,11 +201,24 @@
   }
 
   Task<> ReadHead() {
-    const auto [ec, n] =
-        co_await beast::http::async_read_header(stream_, buf_, parser_, kTuple);
-    if (ec) Break(ec);
-    head_.status = static_cast<int>(parser_.get().result_int());
-    for (const auto& field : parser_.get()) {
+    for (int i = 0; i <= kMaxInformationalHeads; ++i) {
+      parser_ = MakeParser();
+      const auto [ec, n] = co_await beast::http::async_read_header(
+          stream_, buf_, *parser_, kTuple);
+      if (ec) Break(ec);
+      if (!IsInformational(parser_->get().result_int())) {
+        KeepHead();
+        co_return;
+      }
+    }
+    stream_.close();
+    throw OversizedAnswer(address_ + ": informational answers without end",
+                          true, false);
+  }
+
+  void KeepHead() {
+    head_.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
       head_.headers.push_back(
           {std::string(field.name_string()), std::string(field.value())});
     }
@@ -206,24 +228,33 @@
 
   Task<BodyPart> Read(std::chrono::milliseconds timeout) override {
     stream_.expires_after(timeout);
-    while (!parser_.is_done()) {
+    while (!parser_->is_done()) {
       std::string part(read_bytes_, '\0');
-      parser_.get().body().data = part.data();
-      parser_.get().body().size = part.size();
-      parser_.get().body().more = true;
-      const auto [ec, n] =
-          co_await beast::http::async_read_some(stream_, buf_, parser_, kTuple);
+      parser_->get().body().data = part.data();
+      parser_->get().body().size = part.size();
+      parser_->get().body().more = true;
+      const auto [ec, n] = co_await beast::http::async_read_some(
+          stream_, buf_, *parser_, kTuple);
       if (ec && ec != beast::http::error::need_buffer) Break(ec);
-      part.resize(read_bytes_ - parser_.get().body().size);
+      part.resize(read_bytes_ - parser_->get().body().size);
       if (part.size() == read_bytes_) ReadMoreAtATime();
       if (!part.empty()) co_return part;
     }
     RecycleConnection();
-    co_return parser_.need_eof() ? BodyEnd::kConnectionClosed
-                                 : BodyEnd::kStated;
+    co_return parser_->need_eof() ? BodyEnd::kConnectionClosed
+                                  : BodyEnd::kStated;
   }
 
  private:
+  using Parser = beast::http::response_parser<beast::http::buffer_body>;
+
+  std::unique_ptr<Parser> MakeParser() {
+    auto parser = std::make_unique<Parser>();
+    parser->body_limit(boost::none);
+    parser->on_chunk_header(check_chunk_header_);
+    return parser;
+  }
+
   void ReadMoreAtATime() {
     read_bytes_ = std::min(2 * read_bytes_, kMaxReadBytes);
     buf_.reserve(read_bytes_);
@@ -245,7 +276,7 @@
 
   /** Returns the connection for reuse after a complete answer. */
   void RecycleConnection() {
-    if (!recycle_ || !parser_.keep_alive() || buf_.size() > 0) return;
+    if (!recycle_ || !parser_->keep_alive() || buf_.size() > 0) return;
     stream_.expires_never();
     if (abort_) std::exchange(abort_, nullptr)->Attach(nullptr);
     std::exchange(recycle_, nullptr)(stream_.release_socket(), IdleTime());
@@ -267,7 +298,8 @@
   /** The parser refers to it. */
   void (*check_chunk_header_)(std::uint64_t, beast::string_view,
                               beast::error_code&) = CheckChunkHeader;
-  beast::http::response_parser<beast::http::buffer_body> parser_;
+  /** Of the last head that was read. */
+  std::unique_ptr<Parser> parser_;
   ResponseHead head_;
 };
 
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -333,6 +333,27 @@
   BOOST_TEST(client.connections_opened() == 2);
 }
 
+/** Guards against an honest answer that is lost to an early hint before it. */
+BOOST_FIXTURE_TEST_CASE(InformationalAnswersAreSkipped, Fixture) {
+  const std::string hint = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+  std::string answer;
+  for (int i = 0; i < 16; ++i) answer += hint;
+  answer += "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  OneAnswerServer peer(answer);
+  Client reader(peer.address());
+  const Response response = Run(reader.Fetch({}, kLongTimeout));
+  BOOST_TEST(response.head.status == 200);
+  BOOST_TEST(!FindHeader(response.head.headers, "A").has_value());
+  BOOST_TEST(response.body == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(InformationalAnswersAreBounded, Fixture) {
+  EndlessServer peer("", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n");
+  Client reader(peer.address());
+  BOOST_CHECK_THROW(Run(reader.Fetch({}, kLongTimeout)), OversizedAnswer);
+  BOOST_TEST(peer.AwaitSent() <= kMaxInSockets);
+}
+
 // An engine crashes in the middle of an answer. The caller must not mistake the
 // part for the complete answer: the chunked body ends without its last chunk,
 // which HTTP clients report as an error.
