Renew the view of the store before it counts as late

An entry refused all requests in calm: an answer with changes tells of the time at which its call began, so a change at the end of one wait, the pause after it and another whole wait add up to more than the bound of 5 s and of 6 s. And after a call that took seconds for a large document the pause came on top.

The pause and the next wait are now cut so that the view is renewed 300 ms before it counts as late. A call whose answer is overdue can be told from one that waits for changes.

AQuietStoreDoesNotMakeTheViewLate failed with the whole wait.

--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -17,6 +17,12 @@
 /** Live engines whose keys expired have registered again this long after the
  * store has returned. */
 constexpr std::chrono::seconds kReregistrationTime{2};
+/** How long before the view becomes late it is to be renewed. */
+constexpr core::Millis kRenewalReserve{300};
+/** Minimum wait of a watch: without it, a process that is behind would call
+ * without a pause. */
+constexpr core::Millis kMinWatchWait{100};
+constexpr core::Millis kUsualAnswerTime{200};
 
 std::vector<external::KvEntry> UnderPrefix(
     const std::vector<external::KvEntry>& entries, const std::string& prefix) {
@@ -52,6 +58,7 @@
     } catch (const std::exception& e) {
       failure = e.what();
     }
+    answer_due_.reset();
     if (failure.empty()) continue;
     HandleFailure(failure);
     co_await core::SleepFor(options_.retry_pause);
@@ -60,7 +67,9 @@
 
 core::Task<> StoreFollower::ListAll() {
   call_began_ = clock_.Now();
+  answer_due_ = call_began_ + kUsualAnswerTime;
   external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
+  answer_due_.reset();
   HandleAnswer(call_began_);
   for (const FollowHooks& it : hooks_) {
     it.listed(UnderPrefix(snapshot.entries, it.prefix), CurrentLapseGraceEnd());
@@ -70,8 +79,11 @@
 
 core::Task<> StoreFollower::WatchOnce() {
   call_began_ = clock_.Now();
+  const core::Millis wait = WatchWait();
+  answer_due_ = call_began_ + wait + kUsualAnswerTime;
   external::WatchBatch batch =
-      co_await store_.Watch(options_.prefix, *revision_, options_.watch_wait);
+      co_await store_.Watch(options_.prefix, *revision_, wait);
+  answer_due_.reset();
   // If there is no change, the store answers only after the whole wait.
   const bool waited = batch.events.empty();
   if (batch.gap) {
@@ -85,13 +97,35 @@
     co_await core::SleepFor(options_.batch_pause);
     co_return;
   }
-  HandleAnswer(waited ? call_began_ + options_.watch_wait : call_began_);
+  HandleAnswer(waited ? call_began_ + wait : call_began_);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
   }
   revision_ = std::max(*revision_, batch.revision);
   if (batch.events.empty()) co_return;
-  co_await core::SleepFor(options_.batch_pause);
+  co_await core::SleepFor(BatchPause());
+}
+
+/** An answer with changes tells of the time at which its call began, so after a
+ * long call the view is renewed sooner than usual. */
+core::Millis StoreFollower::WatchWait() const {
+  return std::clamp(TimeToRenewal(),
+                    std::min(kMinWatchWait, options_.watch_wait),
+                    options_.watch_wait);
+}
+
+core::Millis StoreFollower::BatchPause() const {
+  return std::clamp(TimeToRenewal(), core::Millis(0), options_.batch_pause);
+}
+
+core::Millis StoreFollower::TimeToRenewal() const {
+  const core::SteadyTime late = *current_as_of_ + options_.late_after;
+  return std::chrono::duration_cast<core::Millis>(late - clock_.Now()) -
+         kRenewalReserve;
+}
+
+bool StoreFollower::IsAwaitingAnswer() const {
+  return answer_due_ && clock_.Now() > *answer_due_;
 }
 
 void StoreFollower::DispatchChange(external::KvEvent event) {
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -106,6 +106,10 @@
    * failed: this process is too busy to follow the store. */
   [[nodiscard]] bool IsLate() const;
 
+  /** @return True while a call takes longer than an idle store needs: its
+   * answer is coming in, or does not come. */
+  [[nodiscard]] bool IsAwaitingAnswer() const;
+
   /** @return True from a failed call until the next answer. */
   [[nodiscard]] bool failing() const { return failing_since_.has_value(); }
 
@@ -113,6 +117,9 @@
   core::Task<> ListAll();
   core::Task<> WatchOnce();
   void DispatchChange(external::KvEvent event);
+  [[nodiscard]] core::Millis WatchWait() const;
+  [[nodiscard]] core::Millis BatchPause() const;
+  [[nodiscard]] core::Millis TimeToRenewal() const;
   void HandleFailure(const std::string& what);
   /** @param as_of The answer includes all changes up to this time. */
   void HandleAnswer(core::SteadyTime as_of);
@@ -132,6 +139,8 @@
   std::optional<core::SteadyTime> failing_since_;
   /** Start of the latest call, and of the latest call that failed. */
   core::SteadyTime call_began_;
+  /** Time by which the call in progress is answered by an idle store. */
+  std::optional<core::SteadyTime> answer_due_;
   core::SteadyTime failed_call_began_;
   LapseGraceEnd grace_end_;
 };
--- a/src/routing/store_follower_test.cc
+++ b/src/routing/store_follower_test.cc
@@ -19,10 +19,10 @@
 /** Runs a follower on an in-memory store. Each store call advances the clock by
  * a millisecond; the test advances it further. */
 struct Rig {
-  Rig()
+  explicit Rig(const FollowOptions& options = Options())
       : log({"entry", core::VmId("vm"), core::ZoneId("z")},
             core::LogLevel::kError, clock),
-        follower(Options(), {}, store, clock, log) {
+        follower(options, {Hooks()}, store, clock, log) {
     core::Spawn(io.get_executor(), log, "follow",
                 [this] { return follower.Run(); });
   }
@@ -35,6 +35,20 @@
     return options;
   }
 
+  FollowHooks Hooks() {
+    FollowHooks hooks;
+    hooks.listed = [](const auto&, LapseGraceEnd) {};
+    hooks.changed = [this](const auto&, LapseGraceEnd) { ++changes; };
+    return hooks;
+  }
+
+  /** Writes a key, without time passing for the follower's other calls. */
+  void Change() {
+    core::Spawn(io.get_executor(), log, "change", [this]() -> core::Task<> {
+      co_await store.CompareAndSwap("key", 0, "value", "");
+    });
+  }
+
   bool RunUntil(const std::function<bool()>& done) {
     return entry::testing::RunUntil(io, done);
   }
@@ -43,6 +57,7 @@
   core::ManualClock clock;
   core::Logger log;
   entry::testing::MemoryKeyValue store{clock};
+  int changes = 0;
   StoreFollower follower;
 };
 
@@ -76,6 +91,42 @@
   BOOST_TEST((*rig.follower.current_as_of() == before));
 }
 
+/** Guards against a view that becomes late in calm: a change at the end of one
+ * wait, the pause after it and another whole wait exceed the bound. */
+BOOST_AUTO_TEST_CASE(AQuietStoreDoesNotMakeTheViewLate) {
+  FollowOptions options = Rig::Options();
+  options.watch_wait = milliseconds(200);
+  options.late_after = milliseconds(430);
+  Rig rig(options);
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 1; }));
+  rig.clock.Advance(milliseconds(150));
+  rig.Change();
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.changes == 1; }));
+  // The pause after a change takes no time of this clock.
+  rig.clock.Advance(options.batch_pause);
+  bool late = false;
+  BOOST_TEST(rig.RunUntil([&] {
+    late = late || rig.follower.IsLate();
+    return rig.store.watches == 4;
+  }));
+  BOOST_TEST(!late);
+}
+
+/** Guards against a call that is taken for one of a busy store while it only
+ * waits for changes, and the other way round. */
+BOOST_AUTO_TEST_CASE(AnOverdueAnswerIsAwaited) {
+  FollowOptions options = Rig::Options();
+  options.watch_wait = milliseconds(1000);
+  Rig rig(options);
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 1; }));
+  rig.clock.Advance(milliseconds(900));
+  BOOST_TEST(!rig.follower.IsAwaitingAnswer());
+  rig.clock.Advance(milliseconds(400));
+  BOOST_TEST(rig.follower.IsAwaitingAnswer());
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 2; }));
+  BOOST_TEST(!rig.follower.IsAwaitingAnswer());
+}
+
 /** Guards against refusals while the store is unavailable, when no entry can
  * have newer data. */
 BOOST_AUTO_TEST_CASE(FollowerIsNotLateWhileTheStoreIsDown) {
