Read no configuration beside an answer of the store that is awaited

While the follower received a document of 3 MB over a link of 20 Mbit/s, each second an unknown path caused a read that brought the same document again, up to 6.2 s for one.

NothingIsReadWhileTheFollowerAwaitsAnAnswer.

--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -57,6 +57,7 @@
 /** @return False shortly after a read that failed: the next one likely fails
  * too. */
 bool ConfigurationRefresh::MayRead() const {
+  if (followed_.awaits_answer()) return false;
   return !failed_ || clock_.Now() - *failed_ >= options_.max_age;
 }
 
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -35,6 +35,9 @@
   /** Returns the revision up to which changes are known; no value while the
    * keys have to be listed. */
   std::function<std::optional<std::int64_t>()> revision;
+  /** Returns true while an answer of the store is overdue or coming in: a
+   * further call would only delay it. */
+  std::function<bool()> awaits_answer;
 };
 
 /** Runs one read at a time, shared by all requests that wait for it. Not
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -46,10 +46,12 @@
       memory, [this](const external::StoreCall&) { ++calls; }, clock};
   std::optional<std::int64_t> revision;
   bool usable = true;
+  bool awaits_answer = false;
   std::vector<std::string> adopted;
   ConfigurationRefresh refresh{
       {kKey},
-      {[] { return std::nullopt; }, [this] { return revision; }},
+      {[] { return std::nullopt; }, [this] { return revision; },
+       [this] { return awaits_answer; }},
       store,
       [this](const external::KvEntry& it) {
         adopted.push_back(it.value);
@@ -104,6 +106,17 @@
   BOOST_TEST(rig.memory.gets == 0);
 }
 
+/** Guards against a second transfer of a large document over a slow link while
+ * the follower receives it. */
+BOOST_AUTO_TEST_CASE(NothingIsReadWhileTheFollowerAwaitsAnAnswer) {
+  Rig rig;
+  rig.awaits_answer = true;
+  BOOST_TEST(!rig.Confirm());
+  BOOST_TEST(rig.calls == 0);
+  rig.awaits_answer = false;
+  BOOST_TEST(rig.Confirm());
+}
+
 /** Guards against an unusable document that hides a usable later one. */
 BOOST_AUTO_TEST_CASE(OnlyTheLatestChangeIsAdopted) {
   Rig rig;
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -272,7 +272,8 @@
         rate_limiter(loads.limits(), engine_quota_client, metrics, log),
         refresh(
             {"config", milliseconds(1000), milliseconds(5000)},
-            {[this] { return view_as_of; }, [this] { return view_revision; }},
+            {[this] { return view_as_of; }, [this] { return view_revision; },
+             [this] { return view_awaits_answer; }},
             store,
             [this](const external::KvEntry&) {
               if (newest_is_readable && reread) reread();
@@ -404,6 +405,8 @@
   std::optional<core::SteadyTime> view_as_of;
   /** Revision of the store up to which the entry knows all changes. */
   std::optional<std::int64_t> view_revision;
+  /** An answer of the store is coming in. */
+  bool view_awaits_answer = false;
   TestCallerWire caller_wire;
   Dispatcher dispatcher;
   std::vector<std::unique_ptr<TestEngine>> engines;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -365,6 +365,7 @@
     return configuration_.LacksNewest() ? std::nullopt
                                         : store_follower_.revision();
   };
+  state.awaits_answer = [this] { return store_follower_.IsAwaitingAnswer(); };
   return state;
 }
 
