Refuse a trailer that is too long for Beast to keep

A chunked answer with a trailer of 64 KB or more ended the whole process: Beast throws std::length_error at such a field, within the event loop. The limit of 128 KB for bytes that belong to no body let it through, as no limit did before.

That limit is 64 KB now.

LongTrailerOfAnAnswerIsAnError failed before: the test program was aborted ("field value too large").

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -35,9 +35,10 @@
 /** Size of a read while bytes arrive faster than they are read: on a busy
  * thread each read waits for its turn. Beast reads no more at a time. */
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
-/** Bytes received that belong to no body yet: a head, a chunk's header or the
- * trailers, and what arrived with them. */
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxReadBytes;
+/** Bytes received that are not parsed: a head, a chunk's header, the trailers
+ * or a part of the body. Beast throws within the event loop at a field of 64
+ * KB. */
+constexpr std::size_t kMaxUnparsedBytes = kMaxReadBytes;
 constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
 /** Heads with a 1xx status that may come before the answer itself. */
 constexpr int kMaxInformationalHeads = 16;
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -299,6 +299,21 @@
   }
 }
 
+/** Guards against a process that ends: Beast throws within the event loop at a
+ * trailer of 64 KB. */
+BOOST_FIXTURE_TEST_CASE(LongTrailerOfAnAnswerIsAnError, Fixture) {
+  for (const std::size_t size : {65'520U, 65'530U, 65'540U, 100'000U}) {
+    OneAnswerServer peer(kChunkedHead + "2\r\nok\r\n0\r\nA: " +
+                         std::string(size, 'x') + "\r\n\r\n");
+    Client reader(peer.address());
+    try {
+      BOOST_TEST(Run(reader.Fetch({}, kLongTimeout)).body == "ok");
+    } catch (const OversizedAnswer&) {
+      BOOST_TEST(size > 65'000U);
+    }
+  }
+}
+
 /** Guards against an answer of chunks that are mostly extensions: 100 KB each
  * for a byte of the body. */
 BOOST_FIXTURE_TEST_CASE(ExtensionOfEachChunkIsBounded, Fixture) {
