Bound chunk extensions and trailers of callers' requests

A caller could end an entry with one request: chunked, with a trailer of 64 KB or more, at which Beast throws std::length_error within the event loop. Chunk extensions and trailers were gathered without a limit until the time limit of the request.

What is not parsed yet is limited to 64 KB, the head included, and a chunk's extension to 4 KB; beyond it the caller gets 431. A setting of max_header_bytes above 64 KB has no effect above it: a field that long ended the process too. The time limit is checked after each part of a body.

ChunkExtensionAndTrailersOfRequestsAreBounded failed before: 200 for extensions of 1 MB and of 8 KB, and the test program was aborted by a trailer of 1 MB. RequestThatKeepsComingEndsInTime holds on both.

--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -417,6 +417,59 @@
              "on");
 }
 
+/** Guards against a caller who fills the memory with what is no body: a chunk
+ * extension or trailers. */
+BOOST_FIXTURE_TEST_CASE(ChunkExtensionAndTrailersOfRequestsAreBounded,
+                        Fixture) {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string long_text(1024 * 1024, 'x');
+  const std::string short_text(8 * 1024, 'x');
+  const std::string end = "\r\non\r\n0\r\n\r\n";
+  BOOST_TEST(
+      SendRaw(head + "2;a=" + long_text + end).starts_with("HTTP/1.1 431"));
+  BOOST_TEST(
+      SendRaw(head + "2;a=" + short_text + end).starts_with("HTTP/1.1 431"));
+  BOOST_TEST(SendRaw(head + "2\r\non\r\n0\r\nA: " + long_text + "\r\n\r\n")
+                 .starts_with("HTTP/1.1 431"));
+  // Large enough for Beast to throw at a field, if it is parsed.
+  for (const std::size_t size : {65'000U, 65'500U, 65'536U, 70'000U}) {
+    const std::string field(size, 'x');
+    const std::string answer =
+        SendRaw(head + "2\r\non\r\n0\r\nA: " + field + "\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1"));
+  }
+  std::string trailers;
+  while (trailers.size() < long_text.size()) trailers += "A: b\r\n";
+  BOOST_TEST(SendRaw(head + "2\r\non\r\n0\r\n" + trailers + "\r\n")
+                 .starts_with("HTTP/1.1 431"));
+}
+
+/** Guards against a caller whose request comes in tiny parts without a pause
+ * and keeps its connection beyond the time limit. */
+BOOST_FIXTURE_TEST_CASE(RequestThatKeepsComingEndsInTime, Fixture) {
+  ServerLimits limits;
+  limits.max_body_bytes = 64 * 1024 * 1024;
+  limits.read_timeout = milliseconds(200);
+  server.SetLimits(limits);
+  asio::io_context own;
+  asio::ip::tcp::socket socket(own);
+  socket.connect(core::ParseAddress(server.address()));
+  const auto began = std::chrono::steady_clock::now();
+  boost::system::error_code ec;
+  asio::write(socket,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n")),
+              ec);
+  const std::string part = "1\r\nx\r\n";
+  for (int i = 0; !ec && i < 4'000'000; ++i) {
+    asio::write(socket, asio::buffer(part), ec);
+  }
+  BOOST_TEST(static_cast<bool>(ec));
+  BOOST_TEST((std::chrono::steady_clock::now() - began < milliseconds(2000)));
+}
+
 BOOST_FIXTURE_TEST_CASE(UnsentRequestIsKnownNotToHaveRun, Fixture) {
   asio::ip::tcp::acceptor closed(io);
   core::ListenOn(closed, "127.0.0.1:0");
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,11 @@
  * the connection with unread data would reset it before the caller has read the
  * answer. */
 constexpr std::chrono::milliseconds kLingerTime{1000};
+constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
+/** Bytes received that are not parsed: a head, a chunk's header, the trailers
+ * or a part of the body. Beast throws within the event loop at a field of 64
+ * KB. */
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
 /** A connection from a caller. */
 struct Connection {
@@ -52,6 +58,7 @@
 };
 
 using BeastRequest = beast::http::request<beast::http::string_body>;
+using BeastParser = beast::http::request_parser<beast::http::string_body>;
 
 Request FromBeast(const BeastRequest& in) {
   Request request;
@@ -334,6 +341,31 @@
   co_return true;
 }
 
+void CheckChunkHeader(std::uint64_t /*size*/, beast::string_view extensions,
+                      beast::error_code& ec) {
+  if (extensions.size() > kMaxChunkExtensionBytes) {
+    ec = beast::http::error::header_limit;
+  }
+}
+
+/** Reads the body after the head. A timer does not end a body whose next bytes
+ * are always there. */
+Task<beast::error_code> ReadBody(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buf, BeastParser& parser,
+                                 std::chrono::milliseconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  stream.expires_at(end);
+  while (!parser.is_done()) {
+    const auto [ec, n] =
+        co_await beast::http::async_read_some(stream, buf, parser, kTuple);
+    if (ec) co_return ec;
+    if (std::chrono::steady_clock::now() >= end) {
+      co_return beast::error::timeout;
+    }
+  }
+  co_return beast::error_code();
+}
+
 }  // namespace
 
 Task<> Server::State::AcceptLoop() {
@@ -363,7 +395,7 @@
 
 Task<> Server::State::Session(std::shared_ptr<Connection> connection) {
   const auto self = shared_from_this();
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(kMaxUnparsedBytes);
   try {
     while (!stopping && co_await ServeOne(*connection, buf)) {
     }
@@ -388,7 +420,9 @@
     co_return false;
   }
   const ServerLimits now = CurrentLimits();
-  beast::http::request_parser<beast::http::string_body> parser;
+  BeastParser parser;
+  auto check_chunk_header = CheckChunkHeader;
+  parser.on_chunk_header(check_chunk_header);
   parser.header_limit(static_cast<std::uint32_t>(now.max_header_bytes));
   parser.body_limit(now.max_body_bytes);
   connection.stream.expires_after(now.read_timeout);
@@ -401,9 +435,7 @@
         connection.stream, asio::buffer(kContinue), kTuple);
   }
   if (!ec) {
-    connection.stream.expires_after(now.read_timeout);
-    std::tie(ec, n) = co_await beast::http::async_read(connection.stream, buf,
-                                                       parser, kTuple);
+    ec = co_await ReadBody(connection.stream, buf, parser, now.read_timeout);
   }
   if (ec) {
     const auto failure = ReadFailure(ec);
@@ -462,9 +494,10 @@
   co_await writer.Send(ProblemResponse(error, ""));
   beast::error_code ec;
   connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-  connection.stream.expires_after(kLingerTime);
+  const auto end = std::chrono::steady_clock::now() + kLingerTime;
+  connection.stream.expires_at(end);
   std::array<char, 4096> discarded;
-  while (!ec) {
+  while (!ec && std::chrono::steady_clock::now() < end) {
     std::size_t n = 0;
     std::tie(ec, n) = co_await connection.stream.async_read_some(
         asio::buffer(discarded), kTuple);
