Serve a request whose last bytes are read as its time limit passes

Found as the limit of endless requests was read: a request that was complete was dropped if this process read its last bytes late. No test of its own: the moment can't be met without a clock in the server.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -359,7 +359,7 @@
     const auto [ec, n] =
         co_await beast::http::async_read_some(stream, buf, parser, kTuple);
     if (ec) co_return ec;
-    if (std::chrono::steady_clock::now() >= end) {
+    if (!parser.is_done() && std::chrono::steady_clock::now() >= end) {
       co_return beast::error::timeout;
     }
   }
