Read no more than 256 KB of an engine's state or answer to an order

Queries for an engine's load, its reports and its answers to orders are a few KB, but were read like the answers of a store, up to 16 MB each: many engines at once exceed the memory of an entry's VM.

--- a/src/external/http_engine.cc
+++ b/src/external/http_engine.cc
@@ -123,8 +123,9 @@
     http::Request request;
     request.target = "/engine/status";
     try {
-      const http::Response response =
-          co_await client_.Fetch(std::move(request), timeout_);
+      const http::Response response = co_await client_.Fetch(
+          std::move(request),
+          http::SmallAnswer(timeout_, http::UnstatedEnd::kRefuse));
       if (response.head.status == kOk) co_return ToStatus(response.body);
       throw core::Error(
           ErrorCode::kEngineUnavailable,
@@ -143,7 +144,9 @@
     request.body = ToJson(order);
     http::Response response;
     try {
-      response = co_await client_.Fetch(std::move(request), timeout);
+      response = co_await client_.Fetch(
+          std::move(request),
+          http::SmallAnswer(timeout, http::UnstatedEnd::kRefuse));
     } catch (const http::TransportError& e) {
       // The answer may be lost after the engine has loaded the model, so only
       // an order that was not sent certainly had no effect.
--- a/src/http/client_base.h
+++ b/src/http/client_base.h
@@ -82,6 +82,8 @@
 
 /** Largest body of an answer that is read whole, unless stated otherwise. */
 inline constexpr std::size_t kMaxFetchedBytes = 16 * 1024 * 1024;
+/** The same for an engine's state, or its answer to an order. */
+inline constexpr std::size_t kMaxStateBytes = 256 * 1024;
 
 /** Parts of an answer that are still read after its time limit, if they are
  * there already: a complete answer is not given up because this process is
@@ -101,6 +103,13 @@
   std::size_t max_body_bytes = kMaxFetchedBytes;
 };
 
+/** @return Limits of an answer that must be small and whole within `timeout`.
+ */
+inline FetchOptions SmallAnswer(std::chrono::milliseconds timeout,
+                                UnstatedEnd unstated) {
+  return {timeout, timeout, timeout, unstated, kMaxStateBytes};
+}
+
 struct ClientOptions {
   /** How long an idle connection may be reused. Far below the time after which
    * servers close idle connections, so that no request is sent on one that is
--- a/src/serving/load_gauges.cc
+++ b/src/serving/load_gauges.cc
@@ -81,7 +81,8 @@
   const std::shared_ptr<http::Client> client = clients_.Of(*engine);
   http::Request question = wire_.StateRequest(instance);
   const http::Response answer = co_await client->Fetch(
-      std::move(question), kQueryTimeout, http::UnstatedEnd::kAccept);
+      std::move(question),
+      http::SmallAnswer(kQueryTimeout, http::UnstatedEnd::kAccept));
   notices_.Record({instance, EngineCall::kState, core::RequestId()},
                   wire_.Read(answer.head));
   gauges_[instance] = LoadGauge{wire_.ReadState(answer), clock_.Now(),
--- a/src/serving/load_gauges_test.cc
+++ b/src/serving/load_gauges_test.cc
@@ -2,6 +2,8 @@
 #define BOOST_TEST_MODULE load_gauges
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "serving/dispatcher_rig_test.h"
 
@@ -64,6 +66,21 @@
   }
 };
 
+/** Answers each request with this text. */
+http::Handler Reporting(std::string text) {
+  return
+      [text = std::move(text)](const http::Request&,
+                               http::ResponseWriter& writer) -> core::Task<> {
+        co_await writer.Send(http::MakeResponse(kOk, "text/plain", text));
+      };
+}
+
+core::Task<bool> RefreshAll(LoadGauges& gauges,
+                            std::vector<fleet::InstanceId> instances) {
+  co_await gauges.Refresh(std::move(instances));
+  co_return true;
+}
+
 }  // namespace
 
 /** Guards against streams that pause on one engine while others are idle: a
@@ -175,4 +192,18 @@
   BOOST_TEST(!other.requests.empty());
 }
 
+/** Guards against an entry that fills its memory with what engines in trouble
+ * answer to its queries. */
+BOOST_AUTO_TEST_CASE(LongStateIsNotRead) {
+  Rig rig;
+  rig.AddEngine(kDrafts, Reporting("5"));
+  rig.AddEngine(kDrafts,
+                Reporting("5" + std::string(http::kMaxStateBytes, ' ')));
+  const fleet::InstanceId sound("i-1");
+  const fleet::InstanceId broken("i-2");
+  entry::testing::RunTask(rig.io, RefreshAll(rig.gauges, {sound, broken}));
+  BOOST_TEST((rig.gauges.Find(sound) != nullptr));
+  BOOST_TEST((rig.gauges.Find(broken) == nullptr));
+}
+
 }  // namespace sapphire::serving
