Log whose key a claim of an engine's lease replaced

engine_lease_held said that a process took the key over from one of its own VM, but not from which claim, nor whether it knew of another VM's. The causes of orders of two VMs within the handover gap can't be told apart without both.

--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -115,7 +115,7 @@
 core::Task<bool> EngineLeases::Claim(std::string engine) {
   external::CasResult result = co_await WriteKey(engine, 0);
   if (result.swapped) {
-    co_return co_await CompleteClaim(engine, result.revision, false);
+    co_return co_await CompleteClaim(engine, result.revision, std::nullopt);
   }
   if (!result.current) co_return false;
   const gen::EngineHolder holder =
@@ -123,9 +123,10 @@
   if (holder.address == options_.self.address) {
     // Written by an earlier process at this process's address, or by this
     // process in a write whose response was lost.
-    result = co_await WriteKey(engine, result.current->revision);
+    const PreviousKey previous{holder, result.current->revision};
+    result = co_await WriteKey(engine, previous.revision);
     if (!result.swapped) co_return false;
-    co_return co_await CompleteClaim(engine, result.revision, true);
+    co_return co_await CompleteClaim(engine, result.revision, previous);
   }
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_lease_taken",
              {{"engine", engine},
@@ -139,7 +140,7 @@
   co_await request_release_(holder, engine);
   result = co_await WriteKey(engine, 0);
   if (!result.swapped) co_return false;
-  co_return co_await CompleteClaim(engine, result.revision, false);
+  co_return co_await CompleteClaim(engine, result.revision, std::nullopt);
 }
 
 core::Task<external::CasResult> EngineLeases::WriteKey(std::string engine,
@@ -153,11 +154,11 @@
  * engine's lease is no longer requested here.
  * @return True if it is held.
  */
-core::Task<bool> EngineLeases::CompleteClaim(std::string engine,
-                                             std::int64_t revision,
-                                             bool same_vm) {
+core::Task<bool> EngineLeases::CompleteClaim(
+    std::string engine, std::int64_t revision,
+    std::optional<PreviousKey> replaced) {
   if (engines_.contains(engine)) {
-    RecordHeld(engine, revision, same_vm);
+    RecordHeld(engine, revision, replaced);
     co_return true;
   }
   co_await store_.DeleteIf(KeyOf(engine), revision);
@@ -165,12 +166,13 @@
 }
 
 /**
- * @param same_vm The key named this process's address: it was written by an
+ * @param replaced The key named this process's address: it was written by an
  *   earlier process at that address, which has ended, or by this process in a
- *   write whose response was lost.
+ *   write whose response was lost. Nothing if the key is new.
  */
 void EngineLeases::RecordHeld(const std::string& engine, std::int64_t revision,
-                              bool same_vm) {
+                              const std::optional<PreviousKey>& replaced) {
+  const bool same_vm = replaced.has_value();
   const core::SteadyTime now = clock_.Now();
   LeaseState& held = engines_.at(engine);
   const bool unbroken = held.revision != 0 && now < ValidUntil(held);
@@ -186,6 +188,9 @@
              {{"engine", engine},
               {"fence", revision},
               {"same_vm", same_vm},
+              {"replaced_vm", same_vm ? replaced->holder.vm : ""},
+              {"replaced_fence", same_vm ? replaced->revision : 0},
+              {"held_elsewhere", held.was_held_elsewhere},
               {"unbroken", unbroken},
               {"turn_left_ms", std::max(turn_left, milliseconds(0))}});
 }
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -118,16 +119,21 @@
     /** Another VM has been seen to hold the lease. */
     bool was_held_elsewhere = false;
   };
+  /** The key that a claim replaced. */
+  struct PreviousKey {
+    gen::EngineHolder holder;
+    std::int64_t revision = 0;
+  };
 
   core::Task<> RenewStoreLease();
   core::Task<bool> TryClaim(std::string engine);
   core::Task<bool> Claim(std::string engine);
   core::Task<bool> CompleteClaim(std::string engine, std::int64_t revision,
-                                 bool same_vm);
+                                 std::optional<PreviousKey> replaced);
   core::Task<external::CasResult> WriteKey(std::string engine,
                                            std::int64_t expected);
   void RecordHeld(const std::string& engine, std::int64_t revision,
-                  bool same_vm);
+                  const std::optional<PreviousKey>& replaced);
   void RecordLeaseEnd();
   void LogFailureChange(const std::string& failure);
   [[nodiscard]] core::SteadyTime ValidUntil(const LeaseState& held) const;
