Compare name and address of the VM that a lease names

The address alone told whether a key was this VM's own. A VM that replaces another at the same address took over the other's lease, and with it the other's right to order at once: orders of two VMs within the handover gap.

EngineLeases and ControllerPool compare both fields that EngineHolder has.

--- a/src/orders/controller_pool.cc
+++ b/src/orders/controller_pool.cc
@@ -73,7 +73,7 @@
 void ControllerPool::DropLostEngines() {
   for (const std::string& engine : leases_.RequestedEngines()) {
     const fleet::EngineHolder* holder = holders_.Find(engine);
-    const bool taken = holder != nullptr && holder->address != options_.address;
+    const bool taken = holder != nullptr && !IsThisVm(*holder);
     if (taken) {
       leases_.CancelRequest(engine);
       members_.erase(engine);
@@ -99,7 +99,7 @@
   const fleet::EngineHolder* holder = holders_.Find(engine);
   if (holder != nullptr) {
     // The previous process on this VM held the lease.
-    return holder->address == options_.address;
+    return IsThisVm(*holder);
   }
   const auto vacant = holders_.UnheldSince(engine);
   if (!vacant) return false;
@@ -110,6 +110,12 @@
   return clock_.Now() - since >= wait && IsPreferredEntry(engine);
 }
 
+/** @return True if the holder is a process of this VM. A VM that replaces
+ * another may have its address, but not its name. */
+bool ControllerPool::IsThisVm(const fleet::EngineHolder& holder) const {
+  return holder.vm == options_.vm && holder.address == options_.address;
+}
+
 /**
  * @return True if this entry is the first of all entries for the engine by
  *   rendezvous hashing.
--- a/src/orders/controller_pool_base.h
+++ b/src/orders/controller_pool_base.h
@@ -111,6 +111,7 @@
       const std::map<std::string, core::ServiceId>& engines);
   [[nodiscard]] std::map<std::string, core::ServiceId> OrderableEngines() const;
   [[nodiscard]] bool ShouldClaim(const std::string& engine) const;
+  [[nodiscard]] bool IsThisVm(const fleet::EngineHolder& holder) const;
   [[nodiscard]] bool IsPreferredEntry(const std::string& engine) const;
   void StartRelease(const std::string& engine);
   [[nodiscard]] std::shared_ptr<Member> MakeMember(
--- a/src/orders/controller_pool_test.cc
+++ b/src/orders/controller_pool_test.cc
@@ -303,6 +303,25 @@
   BOOST_TEST(rig.EnsureLoaded(*rig.LeaseHolders().front()) == "");
 }
 
+/**
+ * Guards against an entry that takes the lease of another VM for its own, as
+ * that VM had the entry's address before.
+ */
+BOOST_AUTO_TEST_CASE(LeaseOfAnotherVmAtTheSameAddressIsNotClaimed) {
+  Rig rig;
+  rig.AdvanceTime(seconds(10));
+  const TestEntry* holder = rig.LeaseHolders().front();
+  const bool is_first = holder == rig.entries.front().get();
+  rig.RemovePresence(*holder);
+  rig.entries.erase(rig.entries.begin() + (is_first ? 0 : 1));
+  rig.AddEntry("front-3", is_first ? "10.0.0.1:81" : "10.0.0.2:81");
+  rig.AdvanceTime(seconds(2));
+  BOOST_TEST(rig.LeaseHolders().empty());
+  BOOST_TEST(rig.entries.back()->leases.RequestedEngines().empty());
+  rig.AdvanceTime(seconds(20));
+  BOOST_TEST(rig.LeaseHolders().size() == 1);
+}
+
 /**
  * Guards against loads that are refused at each planned restart of an entry: it
  * gives orders until it ends, and the next process on its VM continues at once.
--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -24,6 +24,12 @@
  */
 constexpr milliseconds kHandoverMargin{500};
 
+/** @return True if both are the same VM. A VM that replaces another may have
+ * its address, but not its name. */
+bool IsSameVm(const gen::EngineHolder& a, const gen::EngineHolder& b) {
+  return a.vm == b.vm && a.address == b.address;
+}
+
 std::string KeyOf(const std::string& engine) {
   return std::string(fleet::kEngineLeasePrefix) + engine;
 }
@@ -157,9 +163,9 @@
   if (!result.current) co_return false;
   const gen::EngineHolder holder =
       fleet::DecodeEngineHolder(result.current->value);
-  if (holder.address == options_.self.address) {
-    // Written by an earlier process at this process's address, or by this
-    // process in a write whose response was lost.
+  if (IsSameVm(holder, options_.self)) {
+    // Written by an earlier process of this VM, or by this process in a write
+    // whose response was lost.
     const PreviousKey previous{holder, result.current->revision};
     result =
         co_await WriteKey(engine, previous.revision, holder.handover_complete);
@@ -207,9 +213,9 @@
 }
 
 /**
- * @param replaced The key named this process's address: it was written by an
- *   earlier process at that address, which has ended, or by this process in a
- *   write whose response was lost. Nothing if the key is new. That the key was
+ * @param replaced The key named this VM: it was written by an earlier process
+ *   here, which has ended, or by this process in a write whose response was
+ *   lost. Nothing if the key is new. That the key was
  *   this VM's says nothing of orders that another VM gave before: the writer
  *   may not have waited for the handover gap to its end.
  */
--- a/src/orders/engine_leases_test.cc
+++ b/src/orders/engine_leases_test.cc
@@ -291,6 +291,21 @@
   rig.CheckWaitsForGap(*endpoint);
 }
 
+/**
+ * Guards against orders within the handover gap by a VM that replaces another
+ * one at its address.
+ */
+BOOST_AUTO_TEST_CASE(VmAtAddressOfAnotherWaitsForGap) {
+  Rig rig;
+  auto old_vm = rig.StartEntry();
+  rig.AdvanceTime(seconds(8), {old_vm.get()});
+  BOOST_REQUIRE(rig.MayGiveOrders(*old_vm));
+  rig.last_entry_order = rig.clock.Now();
+  old_vm.reset();
+  const auto replacement = rig.Start("front-9", "10.0.0.2:81", rig.store);
+  rig.CheckWaitsForGap(*replacement);
+}
+
 /**
  * Guards against a wait after each restart: the wait is over once for all
  * processes of the VM, also if a response about that was lost.
