Go on deleting the key of a released engine until it is gone

Not seen with users. If the store failed as an entry released an engine, the entry forgot the engine but renewed its key together with its other keys. The process beside the engine asked again and again; the entry did nothing, yet noted each time that it had just released the engine, and so did not claim it either. Its controller was never dropped, as the exception of the store ended ControllerPool::Release. Loads on the engine were refused for as long as the entry lived.

EngineLeases remembers released engines and deletes their keys at each renewal until they are gone. Release does not throw any more, and deletes a key that an earlier process of the VM has left.

Before: KeyOfReleasedLeaseIsDeletedOnceTheStoreAnswers, KeyOfEarlierProcessIsReleasedOnRequest and EngineIsClaimedAgainAfterAFailedRelease failed.

--- a/src/orders/controller_pool_test.cc
+++ b/src/orders/controller_pool_test.cc
@@ -13,6 +13,7 @@
 #include "fleet/entry_message_func.h"
 #include "orders/controller_pool_base.h"
 #include "orders/testing_engine.h"
+#include "orders/testing_vm_store.h"
 
 namespace sapphire::orders {
 
@@ -74,11 +75,13 @@
             const routing::ConfigurationHolder& configuration,
             const core::Executor& executor, const core::Clock& clock,
             const core::Logger& log)
-      : registry(fleet::RegistryOptions(), clock, log),
+      : vm_store(store),
+        registry(fleet::RegistryOptions(), clock, log),
         loads(clock),
         peer_table("entries/" + vm, loads, clock, log),
         holders(clock, log),
-        leases(LeaseOf(vm, address), IgnoreReleaseRequest, store, clock, log),
+        leases(LeaseOf(vm, address), IgnoreReleaseRequest, vm_store, clock,
+               log),
         pool(
             PoolOf(vm, address),
             [&engine](const std::string&) {
@@ -95,6 +98,7 @@
     return options;
   }
 
+  VmStore vm_store;
   fleet::EngineRegistry registry;
   fleet::EngineLoads loads;
   fleet::PeerTable peer_table;
@@ -193,7 +197,11 @@
 
   void Release(TestEntry& entry) {
     RunTask(io, [](ControllerPool& pool) -> core::Task<bool> {
-      co_await pool.Release(kEngine);
+      try {
+        co_await pool.Release(kEngine);
+      } catch (const core::Error&) {
+        // The endpoint process that asked is told so, and asks again.
+      }
       co_return true;
     }(entry.pool));
   }
@@ -339,6 +347,19 @@
   BOOST_TEST(rig.LeaseHolders().front() != &holder);
 }
 
+/** Guards against an entry that never takes an engine over again, as the store
+ * did not answer when it released the engine before. */
+BOOST_AUTO_TEST_CASE(EngineIsClaimedAgainAfterAFailedRelease) {
+  Rig rig;
+  rig.AdvanceTime(seconds(10));
+  TestEntry& holder = *rig.LeaseHolders().front();
+  holder.vm_store.next_write = NextWrite::kAnswerLost;
+  rig.Release(holder);
+  rig.AdvanceTime(seconds(20));
+  BOOST_REQUIRE(rig.LeaseHolders().size() == 1);
+  BOOST_TEST(rig.EnsureLoaded(*rig.LeaseHolders().front()) == "");
+}
+
 /** Guards against an engine whose lease is given back while it restarts. */
 BOOST_AUTO_TEST_CASE(LeaseOfCrashedEngineIsKept) {
   Rig rig;
--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -62,9 +62,10 @@
 }
 
 core::Task<bool> EngineLeases::RenewOnce() {
-  if (engines_.empty() || !renewing_) co_return true;
+  if (!renewing_) co_return true;
+  bool all_held = co_await DeleteReleasedKeys();
+  if (engines_.empty()) co_return all_held;
   co_await RenewStoreLease();
-  bool all_held = true;
   for (const std::string& engine : RequestedEngines()) {
     if (!co_await TryClaim(engine)) all_held = false;
   }
@@ -142,7 +143,7 @@
   }
   const auto it = engines_.find(engine);
   if (it == engines_.end()) {
-    co_await store_.DeleteIf(KeyOf(engine), result.revision);
+    co_await Release(engine);
     co_return;
   }
   if (it->second.revision != expected) co_return;
@@ -208,7 +209,7 @@
     RecordHeld(engine, revision, replaced);
     co_return true;
   }
-  co_await store_.DeleteIf(KeyOf(engine), revision);
+  co_await Release(engine);
   co_return false;
 }
 
@@ -265,14 +266,57 @@
 }
 
 core::Task<> EngineLeases::Release(std::string engine) {
-  const auto it = engines_.find(engine);
-  if (it == engines_.end()) co_return;
-  const std::int64_t revision = it->second.revision;
-  engines_.erase(it);
-  if (revision == 0) co_return;
+  engines_.erase(engine);
+  released_.insert(engine);
+  co_await TryDeleteKey(engine);
+}
+
+/** @return True if no key of a released lease is left. */
+core::Task<bool> EngineLeases::DeleteReleasedKeys() {
+  bool all_deleted = true;
+  for (const std::string& engine : std::set(released_)) {
+    if (!co_await TryDeleteKey(engine)) all_deleted = false;
+  }
+  co_return all_deleted;
+}
+
+/**
+ * Deletes the key of a released lease. If that fails, it stays among the
+ * released ones, as the key would be renewed with those of other engines.
+ * @return True if nothing is left to delete.
+ */
+core::Task<bool> EngineLeases::TryDeleteKey(std::string engine) {
+  std::string failure;
+  try {
+    if (co_await DeleteKey(engine)) {
+      released_.erase(engine);
+      co_return true;
+    }
+    failure = "the key has changed";
+  } catch (const Error& e) {
+    failure = e.what();
+  }
+  log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
+             "engine_lease_undeleted",
+             {{"engine", engine}, {"error", failure}});
+  co_return false;
+}
+
+/**
+ * Deletes the engine's key if it names this VM and the lease is not requested
+ * again. The revision is read from the store: a write of this process whose
+ * response was lost may have changed it.
+ * @return False if the key has changed meanwhile.
+ */
+core::Task<bool> EngineLeases::DeleteKey(std::string engine) {
+  const auto key = co_await store_.Get(KeyOf(engine));
+  const bool is_own =
+      key && IsSameVm(fleet::DecodeEngineHolder(key->value), options_.self);
+  if (!is_own || engines_.contains(engine)) co_return true;
+  if (!co_await store_.DeleteIf(KeyOf(engine), key->revision)) co_return false;
   log_.Event(LogLevel::kInfo, LogCategory::kReplica, "engine_lease_released",
-             {{"engine", engine}, {"fence", revision}});
-  co_await store_.DeleteIf(KeyOf(engine), revision);
+             {{"engine", engine}, {"revision", key->revision}});
+  co_return true;
 }
 
 void EngineLeases::CancelRequest(const std::string& engine) {
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,7 +84,11 @@
   /** Requests the engine's lease, which Run then claims and renews. */
   void RequestLease(const std::string& engine);
 
-  /** Gives the lease back. @pre No order under it is open. */
+  /**
+   * Gives the lease back, or a key that an earlier process of this VM has left.
+   * If the store doesn't answer, Run goes on deleting the key.
+   * @pre No order under the lease is open.
+   */
   core::Task<> Release(std::string engine);
 
   /** Stops requesting a lease that another process holds. */
@@ -144,6 +149,9 @@
   core::Task<bool> Claim(std::string engine);
   core::Task<bool> CompleteClaim(std::string engine, std::int64_t revision,
                                  std::optional<PreviousKey> replaced);
+  core::Task<bool> DeleteReleasedKeys();
+  core::Task<bool> TryDeleteKey(std::string engine);
+  core::Task<bool> DeleteKey(std::string engine);
   core::Task<external::CasResult> WriteKey(std::string engine,
                                            std::int64_t expected,
                                            bool handover_complete);
@@ -162,6 +170,8 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::map<std::string, LeaseState> engines_;
+  /** Engines whose lease was given back and whose key may still exist. */
+  std::set<std::string> released_;
   /** Lease of the store; empty: none. */
   std::string lease_;
   /** Duration of the store lease after each renewal. */
--- a/src/orders/engine_leases_test.cc
+++ b/src/orders/engine_leases_test.cc
@@ -63,10 +63,14 @@
     AdvanceTime(seconds(5), {&entry});
     BOOST_REQUIRE(MayGiveOrders(entry));
     last_entry_order = clock.Now();
+    Release(entry);
+  }
+
+  void Release(EngineLeases& leases) {
     RunTask(io, [](EngineLeases& it) -> core::Task<bool> {
       co_await it.Release(kEngine);
       co_return true;
-    }(entry));
+    }(leases));
   }
 
   /** Renews until orders are allowed; they must not be before the handover gap
@@ -410,6 +414,37 @@
   BOOST_TEST(rig.MayGiveOrders(*endpoint));
 }
 
+/**
+ * Guards against an engine that nobody can give orders: the store did not
+ * answer as its key was to be deleted, and the key is renewed with others.
+ */
+BOOST_AUTO_TEST_CASE(KeyOfReleasedLeaseIsDeletedOnceTheStoreAnswers) {
+  Rig rig;
+  const auto holder = rig.StartEndpoint();
+  holder->RequestLease("10.0.0.9:80");
+  rig.AdvanceTime(seconds(5), {holder.get()});
+  rig.endpoint_store.rejects = true;
+  BOOST_CHECK_NO_THROW(rig.Release(*holder));
+  BOOST_REQUIRE(rig.store.Peek(kKey).has_value());
+  rig.endpoint_store.rejects = false;
+  rig.AdvanceTime(seconds(20), {holder.get()});
+  BOOST_TEST(!rig.store.Peek(kKey).has_value());
+}
+
+/**
+ * Guards against an engine that nobody can give orders until the lease of a
+ * killed process ends: the process after it is asked for a key that it has not
+ * claimed yet.
+ */
+BOOST_AUTO_TEST_CASE(KeyOfEarlierProcessIsReleasedOnRequest) {
+  Rig rig;
+  auto holder = rig.StartEntry();
+  rig.AdvanceTime(seconds(5), {holder.get()});
+  holder = rig.StartEntry();
+  rig.Release(*holder);
+  BOOST_TEST(!rig.store.Peek(kKey).has_value());
+}
+
 /**
  * Guards against a lease that is renewed permanently although it is no longer
  * requested.
