Don't take an engine's empty order count for proof of no orders

Not seen with users. A process beside an engine may order it before the handover gap is over if the engine's report proves that nobody else has ordered. Two of the proofs were none. An order count of 0 was read as "no orders yet": an engine that restarted after an entry's order says the same. And the count of another start of the engine was compared with the one that this process last saw, where the engine doesn't report its start time. With a process that has restarted too, nothing else stood behind it. The report could also be older than the claim, and miss an order of the holder before.

Only a report that was requested after the claim, of the same instance and with the same count as when this process was last allowed to order, is a proof now. A new process on a vacant key waits for the gap.

RestartedEngineNeedsHandoverDelay and SameOrderCountOfAnotherInstanceNeedsHandoverDelay failed before. The rig of the controller's tests starts from a key whose handover is complete; it had relied on the order count of 0.

--- a/src/orders/engine_controller.cc
+++ b/src/orders/engine_controller.cc
@@ -96,6 +96,7 @@
 }
 
 core::Task<> EngineController::Poll() {
+  const core::SteadyTime requested = clock_.Now();
   EngineReport report = co_await engine_.Report();
   // Responses of concurrent polls may arrive out of order.
   const bool overtaken = report.start_time &&
@@ -104,6 +105,7 @@
   if (overtaken) co_return;
   report_ = std::move(report);
   report_time_ = clock_.Now();
+  report_requested_ = requested;
   if (report_.start_time && !instance_.empty()) {
     UpdateInstance(
         fleet::MakeInstance(fleet::EngineOf(instance_), report_.start_time));
@@ -406,14 +408,20 @@
 
 /**
  * @return True if the engine has accepted no order of any other holder of its
- *   lease since this process was last allowed to give it orders.
+ *   lease since this process was last allowed to give it orders. A report from
+ *   before the claim may miss orders of the holder before. An engine without
+ *   orders proves nothing: it may have restarted since, and forgotten them.
  */
 bool EngineController::HasNoForeignOrders() const {
   if (!options_.reports_are_current || !report_time_) return false;
-  if (report_.order_count == 0) return true;
-  return last_held_state_ &&
-         last_held_state_->start_time == report_.start_time &&
-         last_held_state_->order_count == report_.order_count;
+  if (report_requested_ < leases_.HeldSince(options_.engine_address)) {
+    return false;
+  }
+  return last_held_state_ == ReportedState();
+}
+
+EngineController::HeldState EngineController::ReportedState() const {
+  return {instance_, report_.start_time, report_.order_count};
 }
 
 void EngineController::RecordHeldState() {
@@ -421,9 +429,7 @@
   const bool may_order =
       leases_.Holds(engine) &&
       leases_.HandoverDelay(engine, HasNoForeignOrders()) == milliseconds(0);
-  if (may_order) {
-    last_held_state_ = HeldState{report_.start_time, report_.order_count};
-  }
+  if (may_order) last_held_state_ = ReportedState();
 }
 
 /**
--- a/src/orders/engine_controller_base.h
+++ b/src/orders/engine_controller_base.h
@@ -101,8 +101,12 @@
    * to give it orders.
    */
   struct HeldState {
+    /** Distinguishes starts of an engine that doesn't report when it started.
+     */
+    fleet::InstanceId instance;
     std::optional<fleet::EngineStartTime> start_time;
     std::int64_t order_count = 0;
+    bool operator==(const HeldState&) const = default;
   };
 
   core::Task<> Poll();
@@ -119,6 +123,7 @@
   core::Task<bool> SubmitOnce(EngineOrder order);
   core::Task<> AwaitHandover(core::SteadyTime deadline);
   [[nodiscard]] bool HasNoForeignOrders() const;
+  [[nodiscard]] HeldState ReportedState() const;
   void RecordHeldState();
   void RemoveFinishedOrders();
   void UpdateForeignOrder();
@@ -150,6 +155,8 @@
   FifoMutex adapter_mutex_;
   EngineReport report_;
   std::optional<core::SteadyTime> report_time_;
+  /** When the report was requested. */
+  core::SteadyTime report_requested_;
   std::vector<OpenOrder> open_orders_;
   std::int64_t next_order_ = 1;
   std::vector<OpenLoadRequest> load_requests_;
--- a/src/orders/engine_controller_test.cc
+++ b/src/orders/engine_controller_test.cc
@@ -14,6 +14,7 @@
 #include "core/task_func.h"
 #include "entry/testing_key_value.h"
 #include "entry/testing_loop.h"
+#include "fleet/entry_message_func.h"
 #include "orders/engine_controller_base.h"
 #include "orders/testing_engine.h"
 
@@ -64,18 +65,23 @@
 
 /** A controller and its testing engine. */
 struct Rig {
-  explicit Rig(const LeaseOptions& lease = Lease())
+  /** @param handover_complete An earlier process on this VM has left its key,
+   * and the wait after the orders of other VMs is over. */
+  explicit Rig(const LeaseOptions& lease = Lease(),
+               bool handover_complete = true)
       : log({"endpoint", core::VmId("vm-1"), core::ZoneId("z")},
             core::LogLevel::kError, clock),
         leases(lease, IgnoreReleaseRequest, store, clock, log) {
     configuration.Adopt(MakeConfiguration());
-    // An earlier process on this VM holds the lease first, so that
-    // HandoverDelay is 0.
-    EngineLeases before(Lease(), IgnoreReleaseRequest, store, clock, log);
-    for (EngineLeases* it : {&before, &leases}) {
-      it->RequestLease(kEngine);
-      RunTask(io, it->RenewOnce());
+    if (handover_complete) {
+      gen::EngineHolder before = lease.self;
+      before.handover_complete = true;
+      RunTask(io, store.CompareAndSwap(
+                      std::string(fleet::kEngineLeasePrefix) + kEngine, 0,
+                      fleet::Encode(before), ""));
     }
+    leases.RequestLease(kEngine);
+    RunTask(io, leases.RenewOnce());
     Restart();
   }
 
@@ -522,4 +528,44 @@
   BOOST_TEST(rig.EnsureLoaded("b", kLongTimeout, "i-1@10000") == "no_capacity");
 }
 
+/**
+ * Guards against orders within the handover gap: an entry has ordered the
+ * engine, which has forgotten that in a restart.
+ */
+BOOST_AUTO_TEST_CASE(RestartedEngineNeedsHandoverDelay) {
+  LeaseOptions lease = Rig::Lease();
+  lease.handover_gap = std::chrono::hours(1);
+  Rig rig(lease, false);
+  EngineOrder foreign;
+  foreign.model = core::ModelId("a");
+  foreign.instance = rig.engine.instance;
+  BOOST_TEST(
+      (RunTask(rig.io, rig.engine.Submit(foreign)) == OrderAnswer::kAccepted));
+  rig.engine.Restart();
+  BOOST_TEST(rig.EnsureLoaded("b", kLongTimeout) == "no_capacity");
+}
+
+/**
+ * The same, where the engine has accepted as many orders since its restart as
+ * it had when this process last held the lease.
+ */
+BOOST_AUTO_TEST_CASE(SameOrderCountOfAnotherInstanceNeedsHandoverDelay) {
+  LeaseOptions lease = Rig::Lease();
+  lease.time_to_live = lease.margin + milliseconds(300);
+  lease.handover_gap = std::chrono::hours(1);
+  Rig rig(lease);
+  BOOST_TEST(rig.EnsureLoaded("a", kLongTimeout, "i-1") == "");
+  rig.WaitFor(milliseconds(400));
+  rig.engine.Restart();
+  rig.engine.instance = fleet::InstanceId("i-2");
+  EngineOrder foreign;
+  foreign.model = core::ModelId("c");
+  foreign.instance = rig.engine.instance;
+  BOOST_TEST(
+      (RunTask(rig.io, rig.engine.Submit(foreign)) == OrderAnswer::kAccepted));
+  rig.store.LapseLeases();
+  RunTask(rig.io, rig.leases.RenewOnce());
+  BOOST_TEST(rig.EnsureLoaded("b", kLongTimeout, "i-2") == "no_capacity");
+}
+
 }  // namespace sapphire::orders
--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -228,6 +228,7 @@
   LeaseState& held = engines_.at(engine);
   const bool unbroken = held.revision != 0 && now < ValidUntil(held);
   if (!unbroken) {
+    held.held_since = now;
     held.orders_allowed_from =
         handover_complete ? now : now + options_.handover_gap + kHandoverMargin;
   }
@@ -339,6 +340,11 @@
          clock_.Now() < ValidUntil(it->second);
 }
 
+core::SteadyTime EngineLeases::HeldSince(const std::string& engine) const {
+  return Holds(engine) ? engines_.at(engine).held_since
+                       : core::SteadyTime::max();
+}
+
 const EngineLeases::LeaseState& EngineLeases::RequireHeld(
     const std::string& engine) const {
   if (!Holds(engine)) {
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -101,6 +101,10 @@
    */
   [[nodiscard]] bool Holds(const std::string& engine) const;
 
+  /** @return When the lease that is held was claimed; the end of time if it is
+   * not held. */
+  [[nodiscard]] core::SteadyTime HeldSince(const std::string& engine) const;
+
   /**
    * @param no_foreign_orders The engine is known to have accepted no order of
    * another process, so no time between orders has to be kept.
@@ -131,6 +135,7 @@
     std::string lease;
     /** When the store lease ends, if it can no longer be renewed. */
     core::SteadyTime ended_lease_until;
+    core::SteadyTime held_since;
     core::SteadyTime orders_allowed_from;
     /** The key says that the handover is complete. */
     bool handover_recorded = false;
--- a/src/orders/engine_leases_test.cc
+++ b/src/orders/engine_leases_test.cc
@@ -359,10 +359,10 @@
 }
 
 /**
- * Guards against refused loads at each start: no other process has given orders
- * to an engine that has not accepted any yet.
+ * Guards against refused loads where the engine's report proves that no other
+ * process has given it orders.
  */
-BOOST_AUTO_TEST_CASE(EngineWithoutOrdersNeedsNoHandoverDelay) {
+BOOST_AUTO_TEST_CASE(EngineWithoutForeignOrdersNeedsNoHandoverDelay) {
   Rig rig;
   const auto endpoint = rig.StartEndpoint();
   rig.Renew(*endpoint);
