Kill endpoint processes in the soak as they take their engines back

The soak kept "orders of two holders" on all its seeds. A kill has to fall into the 3.5 s after an outage of 24 s or more of a process beside an engine, and no run with such outages drew that.

--kills-after-loss N kills the process N times, each 0.5 to 2.5 s after it is back.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -58,6 +58,9 @@
   app.add_option("--endpoint-losses", plan.endpoint_outages,
                  "Times that the process beside an engine is gone for 24 s or "
                  "more; needs 40 s of traffic");
+  app.add_option("--kills-after-loss", plan.kills_after_outage,
+                 "Times that the process is killed after each such loss, while "
+                 "it takes its engine back");
   app.add_flag("--organisations", plan.organisations,
                "Callers have keys; some are revoked, one quota is exceeded");
   app.add_flag(
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -34,6 +34,10 @@
 /** Long enough for an entry to take over the engine and send it orders. */
 constexpr milliseconds kMinEndpointOutage{24'000};
 constexpr milliseconds kMaxEndpointOutage{30'000};
+/** Within these times the process has claimed its engine's lease and waits for
+ * the minimum time between orders of two VMs. */
+constexpr milliseconds kMinBeforeKill{500};
+constexpr milliseconds kMaxBeforeKill{2500};
 
 constexpr std::uint64_t kRouteStream = 0x726f'7574'6573;
 /** The store fails this long before the route is added at most, so that callers
@@ -142,10 +146,19 @@
     Fault loss;
     loss.kind = FaultKind::kEndpointOutage;
     loss.duration = draw.Between(kMinEndpointOutage, kMaxEndpointOutage);
-    loss.at = draw.Between(milliseconds(0), plan.duration - loss.duration);
+    const milliseconds kills = plan.kills_after_outage * kMaxBeforeKill;
+    loss.at =
+        draw.Between(milliseconds(0), plan.duration - loss.duration - kills);
     loss.target = plan.engines_without_endpoint +
                   draw.Below(plan.engines - plan.engines_without_endpoint);
     plan.faults.push_back(loss);
+    Fault kill = loss;
+    kill.kind = FaultKind::kEndpointKill;
+    kill.at = loss.at + loss.duration;
+    for (int j = 0; j < plan.kills_after_outage; ++j) {
+      kill.at += draw.Between(kMinBeforeKill, kMaxBeforeKill);
+      plan.faults.push_back(kill);
+    }
   }
 }
 
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -84,6 +84,9 @@
   int engines_without_endpoint = 0;
   /** Number of long outages of an endpoint process. */
   int endpoint_outages = 0;
+  /** Number of times that an endpoint process is killed soon after it has
+   * returned from a long outage, while it takes its engine back. */
+  int kills_after_outage = 0;
   /** Callers have keys, some keys are revoked, and one quota is exceeded. */
   bool organisations = false;
   /** Engines answer some streams without length or chunks, and break some off
--- a/deploy/soak/soak_unattended_test.cc
+++ b/deploy/soak/soak_unattended_test.cc
@@ -20,4 +20,17 @@
   BOOST_TEST(ordered);
 }
 
+/** Guards against orders of an entry and of the process beside an engine within
+ * the minimum time, as that process is killed while it takes the engine back.
+ */
+BOOST_AUTO_TEST_CASE(EndpointKilledAsItTakesItsEngineBackKeepsTheGap) {
+  SoakPlan plan;
+  plan.seed = 6001;
+  plan.duration = std::chrono::seconds(40);
+  plan.callers = 24;
+  plan.endpoint_outages = 2;
+  plan.kills_after_outage = 2;
+  testing::RunPlan(plan);
+}
+
 }  // namespace sapphire::deploy::soak
