--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -119,8 +119,12 @@
   const auto it = engines_.find(engine);
   const bool is_current = it != engines_.end() && it->second.revision != 0 &&
                           it->second.lease == lease_;
-  if (!is_current) co_return co_await Claim(engine);
-  if (MustRecordHandover(engine)) co_await RecordHandover(engine);
+  if (!is_current) {
+    co_return co_await Claim(engine);
+  }
+  if (MustRecordHandover(engine)) {
+    co_await RecordHandover(engine);
+  }
   co_return true;
 }
 
--- a/src/orders/engine_leases_test.cc
+++ b/src/orders/engine_leases_test.cc
@@ -289,7 +289,7 @@
   const std::string earlier(
       "\x18\x06side-1\x18\x0b"
       "10.0.0.1:81\x00",
-      23);
+      22);
   RunTask(rig.io, rig.store.CompareAndSwap(kKey, 0, earlier, ""));
   const auto endpoint = rig.StartEndpoint();
   rig.CheckWaitsForGap(*endpoint);
--- a/src/orders/testing_vm_store.h
+++ b/src/orders/testing_vm_store.h
@@ -74,7 +74,9 @@
     }
     const external::CasResult result =
         co_await store_.CompareAndSwap(key, expected, value, lease);
-    if (before_answer) co_await std::exchange(before_answer, nullptr)();
+    if (before_answer) {
+      co_await std::exchange(before_answer, nullptr)();
+    }
     CheckAnswered(fault);
     co_return result;
   }
