Renew the lease before handovers are recorded and keys deleted

A holder of many engines wrote to their keys one after the other, in the round that renews its lease. With a store that loses answers each such write takes until its timeout of 1 s, so that a dozen of them end the lease, and its holder orders nothing.

The lease is renewed first, then keys are claimed as before; handovers are recorded and released keys deleted last, both up to the first failure, so that a round takes a timeout more at most for each.

RecordingOfHandoversStopsAtTheFirstFailure; the tests and histories of the leases pass.

--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -63,13 +63,21 @@
 
 core::Task<bool> EngineLeases::RenewOnce() {
   if (!renewing_) co_return true;
-  bool all_held = co_await DeleteReleasedKeys();
-  if (engines_.empty()) co_return all_held;
+  if (engines_.empty()) {
+    co_return co_await DeleteReleasedKeys();
+  }
   co_await RenewStoreLease();
+  bool all_held = true;
   for (const std::string& engine : RequestedEngines()) {
+    const auto it = engines_.find(engine);
+    const bool is_current = it != engines_.end() && it->second.revision != 0 &&
+                            it->second.lease == lease_;
+    if (is_current) continue;
     if (!co_await TryClaim(engine)) all_held = false;
   }
-  co_return all_held;
+  co_await RecordHandovers();
+  const bool all_deleted = co_await DeleteReleasedKeys();
+  co_return all_held&& all_deleted;
 }
 
 /** Renews the lease of the store, or grants a new one if it has ended. */
@@ -99,13 +107,13 @@
 }
 
 /**
- * Claims an engine's key unless it is held. A failure is logged and does not
- * stop the claims of other keys.
+ * Claims an engine's key. A failure is logged and does not stop the claims of
+ * other keys.
  */
 core::Task<bool> EngineLeases::TryClaim(std::string engine) {
   std::string failure;
   try {
-    co_return co_await EnsureHeld(engine);
+    co_return co_await Claim(engine);
   } catch (const Error& e) {
     failure = e.what();
   }
@@ -114,24 +122,32 @@
   co_return false;
 }
 
-/** @return True if this process now holds the engine's key. */
-core::Task<bool> EngineLeases::EnsureHeld(std::string engine) {
-  const auto it = engines_.find(engine);
-  const bool is_current = it != engines_.end() && it->second.revision != 0 &&
-                          it->second.lease == lease_;
-  if (!is_current) {
-    co_return co_await Claim(engine);
-  }
-  if (MustRecordHandover(engine)) {
-    co_await RecordHandover(engine);
+/**
+ * Records the handovers that are complete by now. Stops at the first failure,
+ * as the lease has to be renewed in time: each write that the store doesn't
+ * answer takes until its timeout.
+ */
+core::Task<> EngineLeases::RecordHandovers() {
+  for (const std::string& engine : RequestedEngines()) {
+    if (!MustRecordHandover(engine)) continue;
+    std::string failure;
+    try {
+      co_await RecordHandover(engine);
+    } catch (const Error& e) {
+      failure = e.what();
+    }
+    if (failure.empty()) continue;
+    log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
+               "engine_handover_unrecorded",
+               {{"engine", engine}, {"error", failure}});
+    co_return;
   }
-  co_return true;
 }
 
 bool EngineLeases::MustRecordHandover(const std::string& engine) const {
+  if (!Holds(engine)) return false;
   const LeaseState& held = engines_.at(engine);
-  return !held.handover_recorded && Holds(engine) &&
-         clock_.Now() >= held.orders_allowed_from;
+  return !held.handover_recorded && clock_.Now() >= held.orders_allowed_from;
 }
 
 /**
@@ -276,13 +292,16 @@
   co_await TryDeleteKey(engine);
 }
 
-/** @return True if no key of a released lease is left. */
+/**
+ * Deletes the keys of released leases. Stops at the first failure, like
+ * RecordHandovers.
+ * @return True if none is left.
+ */
 core::Task<bool> EngineLeases::DeleteReleasedKeys() {
-  bool all_deleted = true;
   for (const std::string& engine : std::set(released_)) {
-    if (!co_await TryDeleteKey(engine)) all_deleted = false;
+    if (!co_await TryDeleteKey(engine)) co_return false;
   }
-  co_return all_deleted;
+  co_return true;
 }
 
 /**
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -150,7 +150,6 @@
 
   core::Task<> RenewStoreLease();
   core::Task<bool> TryClaim(std::string engine);
-  core::Task<bool> EnsureHeld(std::string engine);
   core::Task<bool> Claim(std::string engine);
   core::Task<bool> CompleteClaim(std::string engine, std::int64_t revision,
                                  std::optional<PreviousKey> replaced);
@@ -160,6 +159,7 @@
   core::Task<external::CasResult> WriteKey(std::string engine,
                                            std::int64_t expected,
                                            bool handover_complete);
+  core::Task<> RecordHandovers();
   [[nodiscard]] bool MustRecordHandover(const std::string& engine) const;
   core::Task<> RecordHandover(std::string engine);
   void RecordHeld(const std::string& engine, std::int64_t revision,
--- a/src/orders/engine_leases_test.cc
+++ b/src/orders/engine_leases_test.cc
@@ -329,6 +329,23 @@
   }
 }
 
+/**
+ * Guards against a lease that ends while its renewal waits for one write after
+ * another that the store doesn't answer.
+ */
+BOOST_AUTO_TEST_CASE(RecordingOfHandoversStopsAtTheFirstFailure) {
+  Rig rig;
+  const auto endpoint = rig.StartEndpoint();
+  endpoint->RequestLease("10.0.0.8:80");
+  endpoint->RequestLease("10.0.0.9:80");
+  rig.Renew(*endpoint);
+  rig.clock.Advance(seconds(4));
+  rig.endpoint_store.next_write = NextWrite::kAnswerLost;
+  rig.endpoint_store.writes = 0;
+  BOOST_TEST(rig.Renew(*endpoint));
+  BOOST_TEST(rig.endpoint_store.writes == 1);
+}
+
 /** Guards against a fencing token that changes while orders with it are under
  * way. */
 BOOST_AUTO_TEST_CASE(TokenStaysWhenHandoverIsRecorded) {
--- a/src/orders/testing_vm_store.h
+++ b/src/orders/testing_vm_store.h
@@ -31,6 +31,8 @@
   explicit VmStore(external::KeyValueStore& store) : store_(store) {}
 
   bool rejects = false;
+  /** Writes of keys that were tried. */
+  int writes = 0;
   NextWrite next_write = NextWrite::kSound;
   /** Runs once, after the next write was executed and before its answer. */
   std::function<core::Task<>()> before_answer;
@@ -66,6 +68,7 @@
                                                  std::int64_t expected,
                                                  std::string value,
                                                  std::string lease) override {
+    ++writes;
     CheckServed();
     const NextWrite fault = std::exchange(next_write, NextWrite::kSound);
     if (fault == NextWrite::kTakesEffectLate) {
