--- a/src/orders/engine_leases.cc
+++ b/src/orders/engine_leases.cc
@@ -76,8 +76,8 @@
     if (!co_await TryClaim(engine)) all_held = false;
   }
   co_await RecordHandovers();
-  const bool all_deleted = co_await DeleteReleasedKeys();
-  co_return all_held&& all_deleted;
+  if (!co_await DeleteReleasedKeys()) all_held = false;
+  co_return all_held;
 }
 
 /** Renews the lease of the store, or grants a new one if it has ended. */
@@ -234,11 +234,10 @@
 }
 
 /**
- * @param replaced The key named this VM: it was written by an earlier process
- *   here, which has ended, or by this process in a write whose response was
- *   lost. Nothing if the key is new. That the key was
- *   this VM's says nothing of orders that another VM gave before: the writer
- *   may not have waited for the handover gap to its end.
+ * @param replaced Nothing if the key is new. Else it named this VM: an earlier
+ *   process here has written it and has ended, or this process has written it
+ *   and the response was lost. That alone says nothing of the orders that
+ *   another VM gave before, as the writer may have ended within its wait.
  */
 void EngineLeases::RecordHeld(const std::string& engine, std::int64_t revision,
                               const std::optional<PreviousKey>& replaced) {
--- a/src/orders/engine_leases_base.h
+++ b/src/orders/engine_leases_base.h
@@ -74,7 +74,7 @@
 
   /**
    * Runs one round of Run.
-   * @return True if all requested leases are held.
+   * @return True if all requested leases are held and no released key is left.
    */
   core::Task<bool> RenewOnce();
 
@@ -135,6 +135,7 @@
     std::string lease;
     /** When the store lease ends, if it can no longer be renewed. */
     core::SteadyTime ended_lease_until;
+    /** When this process claimed the key, without a break since. */
     core::SteadyTime held_since;
     core::SteadyTime orders_allowed_from;
     /** The key says that the handover is complete. */
