Log and count which organisation an engine is told

request_end names the organisation that the engine of the last send was told, the configuration of the key's lookup and whether the route is public; send_failed and hedge_sent name the organisation, hedge_skipped the configuration. sapphire_front_send_organisations_total counts sends by whether they named an organisation, and "missing" ones.

No change of behaviour: log_trail, dispatcher and dispatcher_identity tests pass as before.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -411,6 +411,7 @@
   sender_.End(*send, result);
   work.engine = send->engine;
   work.software_version = send->options.software_version;
+  work.organisation_sent = send->options.organisation;
   work.answer_end = result.answer_end;
   work.genuine = result.genuine;
   work.outcome = NameOf(result.end);
@@ -443,6 +444,7 @@
       {{"request", work.request.id},
        {"instance", work.engine},
        {"software_version", work.software_version},
+       {"organisation", work.organisation_sent},
        {"end", work.outcome},
        {"reason", work.reason},
        {"sends", work.sends},
@@ -581,6 +583,11 @@
        {"adapter", work.request.adapter},
        {"organisation", work.organisation == nullptr ? core::OrganisationId()
                                                      : work.organisation->id},
+       {"organisation_sent", work.organisation_sent},
+       {"key_config", work.identified_by == nullptr
+                          ? 0
+                          : work.identified_by->configuration().version},
+       {"public_route", work.route != nullptr && work.route->is_public},
        {"quota", work.quota_source},
        {"units", work.charged},
        {"config",
--- a/src/serving/dispatcher_hedge.cc
+++ b/src/serving/dispatcher_hedge.cc
@@ -107,7 +107,9 @@
     RecheckKey(*work);
   } catch (const Error& e) {
     deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_skipped",
-                    {{"request", work->request.id}, {"reason", e.detail()}});
+                    {{"request", work->request.id},
+                     {"reason", e.detail()},
+                     {"config", deps_.configuration.version()}});
     co_return nullptr;
   }
   const core::Executor executor = co_await boost::asio::this_coro::executor;
@@ -117,6 +119,7 @@
   deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_sent",
                   {{"request", work->request.id},
                    {"instance", *engine},
+                   {"organisation", send->options.organisation},
                    {"silent_instance", work->current->engine},
                    {"sends", work->sends},
                    {"left_ms", TimeLeft(*work, deps_.clock.Now())}});
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -54,6 +54,10 @@
   prometheus::Family<prometheus::Counter>& sends =
       core::AddCounters(registry, "sapphire_front_sends_total",
                         "Sends of requests to engines, by their end");
+  prometheus::Family<prometheus::Counter>& send_organisations =
+      core::AddCounters(registry, "sapphire_front_send_organisations_total",
+                        "Sends of requests to engines, by whether they named "
+                        "an organisation, or why they did not");
   prometheus::Family<prometheus::Counter>& oversized_answers =
       core::AddCounters(registry, "sapphire_front_oversized_answers_total",
                         "Sends given up for the size of the engine's answer");
@@ -117,6 +121,11 @@
   state_->sends.Add({{"end", std::string(end)}}).Increment();
 }
 
+void FrontMetrics::SendBegun(std::string_view organisation) {
+  state_->send_organisations.Add({{"organisation", std::string(organisation)}})
+      .Increment();
+}
+
 void FrontMetrics::AnswerOversized() {
   state_->oversized_answers.Add({}).Increment();
 }
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -57,6 +57,10 @@
   void RequestEnded(routing::RequestKind kind, std::string_view outcome,
                     std::chrono::milliseconds took);
   void FirstByte(routing::RequestKind kind, std::chrono::milliseconds waited);
+  /** @param organisation "named", "public_route", "no_organisations" (the
+   * configuration has none), or "missing" if the engine should have been told
+   * one and was not. */
+  void SendBegun(std::string_view organisation);
   /** @param end As in the log's send_failed, or "served". */
   void SendEnded(std::string_view end);
   /** Counts a send that was given up for the size of its answer. */
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -37,6 +37,13 @@
   return send;
 }
 
+/** @return Whether the send names an organisation, as a metric's label. */
+std::string_view OrganisationLabel(const RequestWork& work) {
+  if (work.organisation != nullptr) return "named";
+  if (!work.identified_by->HasOrganisations()) return "no_organisations";
+  return work.route->is_public ? "public_route" : "missing";
+}
+
 }  // namespace
 
 std::string_view NameOf(ExchangeEnd end) {
@@ -76,6 +83,7 @@
   send->watched = Watch(work, *entry);
   send->options = OptionsOf(work, *entry, now);
   send->client = deps_.clients.Of(*entry);
+  deps_.metrics.SendBegun(OrganisationLabel(work));
   ++work.sends;
   if (!work.first_send) work.first_send = now;
   const SendState state{work.route, work.deadline, TimeLeft(work, now),
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -67,6 +67,8 @@
   fleet::InstanceId engine;
   /** Software version of that engine when it was chosen. */
   fleet::SoftwareVersion software_version;
+  /** Organisation that this engine was told; empty if none. */
+  core::OrganisationId organisation_sent;
   /** The send whose answer is relayed; null between two sends. */
   std::shared_ptr<EngineSend> current;
   /** A second send, while the engine of the current one is silent. */
