Reproduce requests sent without their organisation

Callers got a proper answer; a second engine ran their request and was told no organisation. In the test the key is revoked while the first engine is silent: the hedge is skipped, and 200 ms later, or by the next retry, the request is sent all the same.

--- /dev/null
+++ b/src/serving/key_recheck_test.cc
@@ -0,0 +1,177 @@
+/** @file key_recheck_test.cc Tests of requests whose API key changes hands
+ * while an engine has them. */
+#define BOOST_TEST_MODULE key_recheck
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "serving/dispatcher_rig_test.h"
+
+namespace sapphire::serving {
+
+namespace {
+
+using testing::Answering;
+using testing::kDrafts;
+using testing::RecordingWriter;
+using testing::Rig;
+using testing::Streaming;
+using testing::TestEngine;
+
+constexpr milliseconds kWait{6000};
+/** Silences after which a request is sent to another engine too: of a stream
+ * that has begun, and of one that has not. */
+constexpr milliseconds kLongPause{1900};
+constexpr milliseconds kLongQueue{2700};
+constexpr int kUnauthorised = 401;
+constexpr int kUnavailable = 503;
+const std::string kFirst = "id: 1\ndata: a\n\n";
+const std::string kSecond = "id: 2\ndata: b\n\n";
+
+organisation::Organisation Make(const std::string& name,
+                                const std::string& key) {
+  organisation::Organisation out;
+  out.id = core::OrganisationId(name);
+  out.keys.emplace_back(key);
+  return out;
+}
+
+/** Callers send the key "k2", which belongs to reels-ltd. */
+struct KeyRig : Rig {
+  KeyRig() {
+    key = "k2";
+    SetHolder("reels-ltd");
+  }
+
+  /** Puts a configuration into force in which this organisation has the key. */
+  void SetHolder(const std::string& name) {
+    organisations = {Make("drafts-ltd", "k1"), Make(name, "k2")};
+    Configure(3);
+  }
+
+  /** Puts a configuration into force that lacks the key. */
+  void Revoke() {
+    organisations = {Make("drafts-ltd", "k1")};
+    Configure(3);
+  }
+};
+
+/** Sends the part, if there is one, revokes the key, and breaks off after a
+ * silence. */
+http::Handler RevokingAndBreakingOff(KeyRig& rig, milliseconds silence,
+                                     std::string part) {
+  return [&rig, silence, part = std::move(part)](
+             const http::Request& request,
+             http::ResponseWriter& writer) -> core::Task<> {
+    if (!part.empty()) {
+      http::ResponseHead head;
+      head.headers.push_back({"genuine", "1"});
+      head.headers.push_back(
+          {"id", std::string(*http::FindHeader(request.headers, "id"))});
+      co_await writer.Begin(head);
+      co_await writer.Write(part);
+    }
+    rig.Revoke();
+    co_await core::SleepFor(silence);
+    throw http::ConnectionCut("test");
+  };
+}
+
+/** @return The organisations that the engine was told, one a request. */
+std::vector<std::string> OrganisationsOf(const TestEngine& engine) {
+  std::vector<std::string> names;
+  for (const http::Request& it : engine.requests) {
+    names.emplace_back(
+        http::FindHeader(it.headers, "organisation").value_or(""));
+  }
+  return names;
+}
+
+}  // namespace
+
+/** Guards against a hedge that is sent without an organisation, 200 ms after it
+ * was skipped for a revoked key. */
+BOOST_AUTO_TEST_CASE(SilentStreamOfARevokedKeyIsNotHedged) {
+  KeyRig rig;
+  rig.AddEngine(kDrafts, RevokingAndBreakingOff(rig, kLongPause, kFirst));
+  const TestEngine& other = rig.AddEngine(kDrafts, Streaming({kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(other.requests.empty());
+  BOOST_TEST(caller.body == kFirst);
+  BOOST_TEST(caller.cut);
+}
+
+/** Guards against the same before the first event of the stream. */
+BOOST_AUTO_TEST_CASE(SilentRequestOfARevokedKeyIsNotHedged) {
+  KeyRig rig;
+  rig.AddEngine(kDrafts, RevokingAndBreakingOff(rig, kLongQueue, ""));
+  const TestEngine& other =
+      rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(other.requests.empty());
+  BOOST_TEST(caller.status != 200);
+}
+
+/** Guards against a retry without an organisation of a request whose hedge was
+ * skipped for a revoked key. */
+BOOST_AUTO_TEST_CASE(RefusedRequestOfARevokedKeyIsNotRetried) {
+  KeyRig rig;
+  rig.AddEngine(kDrafts,
+                [&rig, refuse = Answering(kUnavailable, true, "")](
+                    const http::Request& request,
+                    http::ResponseWriter& writer) -> core::Task<> {
+                  rig.Revoke();
+                  co_await core::SleepFor(kLongQueue);
+                  co_await refuse(request, writer);
+                });
+  const TestEngine& other =
+      rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(other.requests.empty());
+  BOOST_TEST(caller.status == kUnauthorised);
+}
+
+/** Guards against a request that is sent without an organisation although its
+ * key is allowed again. */
+BOOST_AUTO_TEST_CASE(RequestOfAKeyThatIsAllowedAgainNamesItsOrganisation) {
+  KeyRig rig;
+  rig.AddEngine(
+      kDrafts,
+      [&rig](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+        rig.Revoke();
+        co_await core::SleepFor(kLongQueue);
+        rig.SetHolder("reels-ltd");
+        throw http::ConnectionCut("test");
+      });
+  const TestEngine& other =
+      rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  for (const std::string& it : OrganisationsOf(other)) {
+    BOOST_TEST(it == "reels-ltd");
+  }
+}
+
+/** Guards against a hedge that names the former holder of a key. */
+BOOST_AUTO_TEST_CASE(HedgeNamesTheOrganisationThatHoldsTheKeyNow) {
+  KeyRig rig;
+  rig.AddEngine(
+      kDrafts,
+      [&rig](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+        rig.SetHolder("clips-ltd");
+        co_await core::SleepFor(kLongQueue);
+        throw http::ConnectionCut("test");
+      });
+  const TestEngine& other =
+      rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST_REQUIRE(other.requests.size() == 1U);
+  BOOST_TEST(OrganisationsOf(other).front() == "clips-ltd");
+}
+
+}  // namespace sapphire::serving
