Send requests only with a whole authorization

Callers got a proper answer, but an engine was told no organisation, after the key had been revoked while the first engine was silent.

Cause: the lookup of a key wrote the configuration, the organisation (none) and the rank into the request before the check threw. A skipped hedge catches that and the request lives on; every later check took "looked up in this configuration" for "allowed by it", and a send without an organisation could be composed.

Authorization is now one immutable value that says "organisation X by configuration N" or "none needed by configuration N". Authorize returns it or throws, and the request's is replaced only by a whole new one. RequestSender::Begin takes one, so a send without it can't be composed. After a skipped hedge the request keeps its former authorization for its logs and refund; its next send asks the configuration in force again and is refused again.

The metric label "missing" goes, as no send can be that any more. request_end names the authorization, which a later refusal leaves as it was; key_config is 0 if no configuration allowed the request.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -8,6 +8,7 @@
 #include "core/random_func.h"
 #include "core/task_func.h"
 #include "organisation/organisation_func.h"
+#include "serving/authorization_func.h"
 #include "serving/dispatcher_base.h"
 #include "serving/send_limits_func.h"
 
@@ -24,7 +25,6 @@
 /** Share of the retry budget that is reserved for retries after lost engines:
  * retries after an engine's own failure must not use it. */
 constexpr double kFailureReserve = 0.5;
-constexpr int kMaxRank = 9;
 constexpr int kTooMany = 429;
 constexpr milliseconds kMinRetryAfter{50};
 /** Logged for a request that does not resume a stream. */
@@ -198,60 +198,48 @@
               kDefaultRetryAfter);
 }
 
-/** Finds the organisation of the request, if its route needs one. */
+/** Authorizes the request by the configuration of its route. */
 void Dispatcher::Authenticate(RequestWork& work) const {
-  IdentifyOrganisation(work);
-  const bool needs_key =
-      work.table->HasOrganisations() && !work.route->is_public;
-  if (!needs_key) return;
-  if (!deps_.view.keys_confirmed()) {
+  if (NeedsKey(*work.table, *work.route) && !deps_.view.keys_confirmed()) {
     throw Error(ErrorCode::kConfigurationStale, "", kDefaultRetryAfter);
   }
-  if (work.organisation != nullptr) return;
-  if (!work.request.api_key) {
-    throw Error(ErrorCode::kUnauthenticated, "one Bearer key is needed");
-  }
-  throw Error(ErrorCode::kUnauthenticated,
-              IsRevoked(work) ? "revoked" : "unknown key");
-}
-
-/** Looks the key up in the current configuration. */
-void Dispatcher::IdentifyOrganisation(RequestWork& work) const {
-  work.identified_by = deps_.configuration.current();
-  work.organisation =
-      work.request.api_key
-          ? work.identified_by->FindOrganisation(*work.request.api_key)
-          : nullptr;
-  int rank = work.route->rank;
-  if (work.organisation != nullptr) {
-    rank = work.organisation->rank.value_or(rank);
+  try {
+    work.authorization =
+        Authorize(work.table, *work.route, work.request.api_key);
+  } catch (const Error& e) {
+    if (IsRevoked(work)) throw Error(e.code(), "revoked");
+    throw;
   }
-  work.rank = std::clamp(rank, 0, kMaxRank);
 }
 
-/** Refuses the request if its key was revoked while it waited. */
-void Dispatcher::RecheckKey(RequestWork& work) const {
-  if (work.identified_by == deps_.configuration.current()) return;
-  IdentifyOrganisation(work);
-  const bool needs_key =
-      work.identified_by->HasOrganisations() && !work.route->is_public;
-  if (!needs_key || work.organisation != nullptr) return;
-  throw Error(
-      work.runs == 0 ? ErrorCode::kUnauthenticated : ErrorCode::kOutcomeUnknown,
-      "revoked");
+/** Refuses the request if the configuration in force does not allow it any
+ * more; it then keeps its former authorization, which no send may use.
+ * @return Its authorization by that configuration. */
+const Authorization& Dispatcher::Reauthorize(RequestWork& work) const {
+  auto current = deps_.configuration.current();
+  if (work.authorization->table() == current) return *work.authorization;
+  try {
+    work.authorization =
+        Authorize(std::move(current), *work.route, work.request.api_key);
+  } catch (const Error& e) {
+    throw Error(work.runs == 0 ? e.code() : ErrorCode::kOutcomeUnknown,
+                "revoked");
+  }
+  return *work.authorization;
 }
 
 /** Charges the request to its organisation's quota once, however often it is
  * sent. */
 core::Task<> Dispatcher::ChargeQuota(RequestWork& work) {
-  if (work.organisation == nullptr) co_return;
-  const organisation::Organisation& organisation = *work.organisation;
+  if (work.authorization->organisation() == nullptr) co_return;
+  const organisation::Organisation& organisation =
+      *work.authorization->organisation();
   std::optional<organisation::TokenCount> tokens;
   if (work.request.states_tokens) {
     tokens = {work.request.prompt_tokens, work.request.max_output_tokens};
   }
   const double cost = organisation::CostOf(organisation.quota, tokens);
-  const std::int64_t version = work.identified_by->configuration().version;
+  const std::int64_t version = work.authorization->version();
   const quota::QuotaDecision decision =
       co_await deps_.quota.Take(organisation, version, cost);
   work.quota_source = NameOf(decision.source);
@@ -279,11 +267,10 @@
 }
 
 void Dispatcher::RefundUnused(const RequestWork& work) {
-  if (work.charged <= 0 || work.runs > 0 || work.organisation == nullptr) {
-    return;
-  }
-  deps_.quota.GiveBack(*work.organisation,
-                       work.identified_by->configuration().version,
+  if (work.charged <= 0 || work.runs > 0) return;
+  const Authorization& authorization = *work.authorization;
+  if (authorization.organisation() == nullptr) return;
+  deps_.quota.GiveBack(*authorization.organisation(), authorization.version(),
                        work.charged);
 }
 
@@ -370,9 +357,9 @@
     co_return false;
   }
   CheckStoreView(*work);
-  RecheckKey(*work);
   const core::Executor executor = co_await boost::asio::this_coro::executor;
-  const auto send = BeginSend(work, work->engine, 0, executor);
+  const auto send =
+      BeginSend(work, Reauthorize(*work), {work->engine, 0}, executor);
   if (send == nullptr) co_return false;
   work->current = send;
   const bool is_stream = work->route->kind == RequestKind::kStream;
@@ -383,14 +370,14 @@
   co_return co_await EndCurrentSend(*work, std::move(*result));
 }
 
-/** @param other_sends Sends of the request that are still in progress. */
 std::shared_ptr<EngineSend> Dispatcher::BeginSend(
-    const SharedWork& work, const fleet::InstanceId& engine, int other_sends,
-    const core::Executor& executor) {
+    const SharedWork& work, const Authorization& authorization,
+    const SendTarget& target, const core::Executor& executor) {
   // The callbacks are called while the send, and thus the work, exists.
   RequestWork* const raw = work.get();
   SendCallbacks callbacks;
-  callbacks.silent = [this, weak = std::weak_ptr(work), engine, executor] {
+  callbacks.silent = [this, weak = std::weak_ptr(work), engine = target.engine,
+                      executor] {
     const SharedWork shared = weak.lock();
     if (shared && shared->current && shared->current->engine == engine) {
       OnSilence(shared, executor);
@@ -401,7 +388,7 @@
     deps_.stream_directory.Record(raw->request.id, raw->service->id,
                                   *raw->caller.software_version);
   };
-  return sender_.Begin(*work, engine, other_sends, std::move(callbacks),
+  return sender_.Begin(*work, authorization, target, std::move(callbacks),
                        executor);
 }
 
@@ -581,12 +568,11 @@
        {"route", work.route == nullptr ? "" : work.route->name},
        {"model", work.request.model},
        {"adapter", work.request.adapter},
-       {"organisation", work.organisation == nullptr ? core::OrganisationId()
-                                                     : work.organisation->id},
+       {"organisation", work.authorization
+                            ? work.authorization->organisation_id()
+                            : core::OrganisationId()},
        {"organisation_sent", work.organisation_sent},
-       {"key_config", work.identified_by == nullptr
-                          ? 0
-                          : work.identified_by->configuration().version},
+       {"key_config", work.authorization ? work.authorization->version() : 0},
        {"public_route", work.route != nullptr && work.route->is_public},
        {"quota", work.quota_source},
        {"units", work.charged},
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -124,8 +124,8 @@
   core::Task<bool> Attempt(SharedWork work);
   core::Task<bool> ContinueWithHedge(SharedWork work);
   std::shared_ptr<EngineSend> BeginSend(const SharedWork& work,
-                                        const fleet::InstanceId& engine,
-                                        int other_sends,
+                                        const Authorization& authorization,
+                                        const SendTarget& target,
                                         const core::Executor& executor);
   core::Task<bool> EndCurrentSend(RequestWork& work, ExchangeResult result);
   core::Task<bool> HandleResult(RequestWork& work, ExchangeResult result);
@@ -137,8 +137,7 @@
   void Check(RequestWork& work) const;
   void CheckStoreView(const RequestWork& work) const;
   void Authenticate(RequestWork& work) const;
-  void IdentifyOrganisation(RequestWork& work) const;
-  void RecheckKey(RequestWork& work) const;
+  const Authorization& Reauthorize(RequestWork& work) const;
   core::Task<> FindStreamOrigin(RequestWork& work);
   core::Task<> ChargeQuota(RequestWork& work);
   void RefundUnused(const RequestWork& work);
--- a/src/serving/dispatcher_hedge.cc
+++ b/src/serving/dispatcher_hedge.cc
@@ -102,9 +102,10 @@
       deps_.crash_watch.IsSuspect(CandidateOf(*work))) {
     co_return nullptr;
   }
+  const Authorization* authorization = nullptr;
   try {
     CheckStoreView(*work);
-    RecheckKey(*work);
+    authorization = &Reauthorize(*work);
   } catch (const Error& e) {
     deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_skipped",
                     {{"request", work->request.id},
@@ -113,7 +114,7 @@
     co_return nullptr;
   }
   const core::Executor executor = co_await boost::asio::this_coro::executor;
-  const auto send = BeginSend(work, *engine, 1, executor);
+  const auto send = BeginSend(work, *authorization, {*engine, 1}, executor);
   if (send == nullptr) co_return nullptr;
   work->repeat_granted = false;
   deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_sent",
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -57,9 +57,7 @@
   void RequestEnded(routing::RequestKind kind, std::string_view outcome,
                     std::chrono::milliseconds took);
   void FirstByte(routing::RequestKind kind, std::chrono::milliseconds waited);
-  /** @param organisation "named", "public_route", "no_organisations" (the
-   * configuration has none), or "missing" if the engine should have been told
-   * one and was not. */
+  /** @param organisation As Authorization::label. */
   void SendBegun(std::string_view organisation);
   /** @param end As in the log's send_failed, or "served". */
   void SendEnded(std::string_view end);
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -24,26 +24,20 @@
   }
 }
 
-SendOptions OptionsOf(const RequestWork& work, const fleet::EngineEntry& engine,
-                      core::SteadyTime now) {
+SendOptions OptionsOf(const RequestWork& work,
+                      const Authorization& authorization,
+                      const fleet::EngineEntry& engine, core::SteadyTime now) {
   SendOptions send;
   send.instance = engine.instance;
   send.software_version = engine.software_version;
   send.time_left = TimeLeft(work, now);
-  send.rank = work.rank;
-  send.pass_credentials = !work.identified_by->HasOrganisations();
-  if (work.organisation != nullptr) send.organisation = work.organisation->id;
+  send.rank = authorization.rank();
+  send.pass_credentials = authorization.passes_credentials();
+  send.organisation = authorization.organisation_id();
   send.last_event = work.caller.events.last_event();
   return send;
 }
 
-/** @return Whether the send names an organisation, as a metric's label. */
-std::string_view OrganisationLabel(const RequestWork& work) {
-  if (work.organisation != nullptr) return "named";
-  if (!work.identified_by->HasOrganisations()) return "no_organisations";
-  return work.route->is_public ? "public_route" : "missing";
-}
-
 }  // namespace
 
 std::string_view NameOf(ExchangeEnd end) {
@@ -67,8 +61,10 @@
 }
 
 std::shared_ptr<EngineSend> RequestSender::Begin(
-    RequestWork& work, const fleet::InstanceId& engine, int other_sends,
-    SendCallbacks callbacks, const core::Executor& executor) {
+    RequestWork& work, const Authorization& authorization,
+    const SendTarget& target, SendCallbacks callbacks,
+    const core::Executor& executor) {
+  const fleet::InstanceId& engine = target.engine;
   const fleet::EngineEntry* entry = deps_.registry.Find(engine);
   if (entry == nullptr) return nullptr;
   // The engine may have said so since it was chosen.
@@ -81,13 +77,13 @@
   send->part = {work.request.model, work.request.adapter};
   send->ticket = deps_.loads.Begin(engine, send->part);
   send->watched = Watch(work, *entry);
-  send->options = OptionsOf(work, *entry, now);
+  send->options = OptionsOf(work, authorization, *entry, now);
   send->client = deps_.clients.Of(*entry);
-  deps_.metrics.SendBegun(OrganisationLabel(work));
+  deps_.metrics.SendBegun(authorization.label());
   ++work.sends;
   if (!work.first_send) work.first_send = now;
   const SendState state{work.route, work.deadline, TimeLeft(work, now),
-                        work.runs + other_sends};
+                        work.runs + target.other_sends};
   send->exchange = std::make_unique<Exchange>(
       *send->client, deps_.engine_wire, work.request, LimitsOfSend(state),
       work.caller, deps_.clock, HooksOf(work, *send, std::move(callbacks)),
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -36,6 +36,13 @@
   std::unique_ptr<Exchange> exchange;
 };
 
+/** Where a request is sent to. */
+struct SendTarget {
+  fleet::InstanceId engine;
+  /** Sends of the request that are still in progress. */
+  int other_sends = 0;
+};
+
 /** What the owner of a send is told of it. */
 struct SendCallbacks {
   /** Called repeatedly while the engine is silent. */
@@ -67,14 +74,15 @@
 
   /**
    * Begins a send; its exchange is to be opened next.
-   * @param other_sends Sends of the request that are still in progress.
+   * @param authorization Allows this send, by the configuration in force.
    * @return The send; null if the engine is no longer registered, leaves or
    *   rests.
    * @pre `work` outlives the send.
    */
   std::shared_ptr<EngineSend> Begin(RequestWork& work,
-                                    const fleet::InstanceId& engine,
-                                    int other_sends, SendCallbacks callbacks,
+                                    const Authorization& authorization,
+                                    const SendTarget& target,
+                                    SendCallbacks callbacks,
                                     const core::Executor& executor);
 
   /** Records the end of a send and closes its connection. */
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -15,6 +15,7 @@
 #include "fleet/engine_type.h"
 #include "http/server_base.h"
 #include "routing/routing_table_base.h"
+#include "serving/authorization_type.h"
 #include "serving/caller_type.h"
 #include "serving/crash_watch_base.h"
 #include "serving/exchange_base.h"
@@ -45,12 +46,8 @@
   std::shared_ptr<const routing::RoutingTable> table;
   const routing::Route* route = nullptr;
   const routing::Service* service = nullptr;
-  /** Configuration in which the organisation was looked up. */
-  std::shared_ptr<const routing::RoutingTable> identified_by;
-  /** Organisation that sent the request; null if none. */
-  const organisation::Organisation* organisation = nullptr;
-  /** Priority, 0 (first) to 9. */
-  int rank = 0;
+  /** The latest decision that allowed the request; none before it. */
+  std::optional<Authorization> authorization;
   /** Quota units charged for the request, and the source of the decision. */
   double charged = 0;
   std::string_view quota_source;
