Log what the version of a taken-up stream was decided on

The lines did not tell what an entry that guessed knew: `stream_taken_up` named neither the versions it had seen, nor whether the store's key of the service was read, nor for how long the entry had followed the engines, nor who had answered. It does now; `service_versions_known` says when the store's key is read or changes.

No decision is changed. The store's versions and the time of the latest listing are kept in VersionHistory, where the fix needs them.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -313,6 +313,11 @@
        {"source", NameOf(lookup.source)},
        {"age_ms", lookup.age},
        {"asked", lookup.asked},
+       {"answered", lookup.evidence.answered},
+       {"versions", lookup.evidence.recent_versions},
+       {"stored_versions", lookup.evidence.stored_versions.value_or(-1)},
+       {"followed_ms", lookup.evidence.followed.value_or(milliseconds(-1))},
+       {"view_late", lookup.evidence.view_late},
        {"took_ms", took}});
   if (!lookup.version) {
     throw Error(ErrorCode::kStreamVersionUnknown, attempt.value(),
--- a/src/serving/version_store.cc
+++ b/src/serving/version_store.cc
@@ -60,19 +60,35 @@
 }
 
 void VersionStore::ApplyListing(const std::vector<external::KvEntry>& entries) {
-  stored_.clear();
-  for (const external::KvEntry& it : entries) Apply(it);
+  history_.BeginFollowing();
+  const std::map<core::ServiceId, StoredVersions> before =
+      std::exchange(stored_, {});
+  for (const external::KvEntry& it : entries) {
+    const core::ServiceId service = ServiceOfKey(it.key);
+    const auto known = before.find(service);
+    const bool is_new =
+        known == before.end() || known->second.revision != it.revision;
+    Apply(service, it);
+    if (is_new) LogKnown(service, it.revision);
+  }
+  for (const auto& [service, stored] : before) {
+    if (!stored_.contains(service)) LogKnown(service, 0);
+  }
 }
 
 void VersionStore::ApplyChange(const external::KvEvent& event) {
+  const core::ServiceId service = ServiceOfKey(event.key);
   if (event.value) {
-    Apply({event.key, *event.value, event.revision});
+    Apply(service, {event.key, *event.value, event.revision});
   } else {
-    stored_.erase(ServiceOfKey(event.key));
+    stored_.erase(service);
+    history_.RemoveStored(service);
   }
+  LogKnown(service, event.revision);
 }
 
-void VersionStore::Apply(const external::KvEntry& entry) {
+void VersionStore::Apply(const core::ServiceId& service,
+                         const external::KvEntry& entry) {
   StoredVersions read;
   read.revision = entry.revision;
   try {
@@ -80,16 +96,27 @@
          fleet::DecodeServiceVersions(entry.value).versions) {
       read.versions.insert(fleet::SoftwareVersion(it));
     }
+    history_.SetStored(service, read.versions);
   } catch (const core::Error& e) {
+    history_.RemoveStored(service);
     log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
                "service_versions_unreadable",
                {{"key", entry.key}, {"error", e.what()}});
   }
-  const core::ServiceId service = ServiceOfKey(entry.key);
-  history_.Add(service, read.versions);
   stored_[service] = std::move(read);
 }
 
+/** @param revision 0 if the key was found to be absent. */
+void VersionStore::LogKnown(const core::ServiceId& service,
+                            std::int64_t revision) const {
+  const auto it = stored_.find(service);
+  const std::size_t versions =
+      it == stored_.end() ? 0 : it->second.versions.size();
+  log_.Event(
+      LogLevel::kInfo, LogCategory::kPlatform, "service_versions_known",
+      {{"service", service}, {"versions", versions}, {"revision", revision}});
+}
+
 void VersionStore::Maintain() {
   std::set<core::ServiceId> services = history_.Services();
   for (const auto& [service, stored] : stored_) services.insert(service);
--- a/src/serving/version_store_base.h
+++ b/src/serving/version_store_base.h
@@ -50,7 +50,8 @@
   };
 
   void ApplyListing(const std::vector<external::KvEntry>& entries);
-  void Apply(const external::KvEntry& entry);
+  void Apply(const core::ServiceId& service, const external::KvEntry& entry);
+  void LogKnown(const core::ServiceId& service, std::int64_t revision) const;
   void ApplyChange(const external::KvEvent& event);
   [[nodiscard]] streams::VersionSet VersionsToStore(
       const core::ServiceId& service, const StoredVersions& stored) const;
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -117,10 +117,13 @@
   std::optional<StreamOrigin> origin = table_.Find(attempt, history_.max_age());
   if (origin) {
     lookup.source = OriginSource::kOwnRecord;
+    lookup.evidence = EvidenceOf(service);
   } else {
     const std::shared_ptr<Search> search = BeginSearch(attempt, service);
     co_await RunSearch(search);
     lookup.asked = static_cast<int>(search->asked);
+    lookup.evidence = EvidenceOf(service);
+    lookup.evidence.answered = search->answered;
     origin = search->found;
     if (origin) {
       lookup.source = OriginSource::kPeer;
@@ -137,6 +140,18 @@
   co_return lookup;
 }
 
+OriginEvidence StreamDirectory::EvidenceOf(const core::ServiceId& service) {
+  OriginEvidence evidence;
+  evidence.recent_versions = static_cast<int>(history_.Recent(service).size());
+  const VersionSet* const stored = history_.Stored(service);
+  if (stored != nullptr) {
+    evidence.stored_versions = static_cast<int>(stored->size());
+  }
+  evidence.followed = history_.Followed();
+  evidence.view_late = !view_is_current_();
+  return evidence;
+}
+
 std::shared_ptr<StreamDirectory::Search> StreamDirectory::BeginSearch(
     const core::RequestId& attempt, const core::ServiceId& service) {
   auto search = std::make_shared<Search>();
@@ -183,7 +198,7 @@
 std::optional<fleet::SoftwareVersion> StreamDirectory::OnlyVersion(
     const Search& search) {
   const VersionSet versions = history_.Recent(search.service);
-  const bool is_known = view_is_current_() || search.answered;
+  const bool is_known = view_is_current_() || search.answered > 0;
   if (versions.size() != 1 || !is_known) return std::nullopt;
   return *versions.begin();
 }
@@ -227,7 +242,7 @@
   if (it == searches_.end()) return;
   Search& search = *it->second;
   search.unanswered.erase(answer.entry);
-  search.answered = true;
+  ++search.answered;
   VersionSet versions;
   for (const std::string& version : answer.versions) {
     versions.insert(fleet::SoftwareVersion(version));
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -103,7 +103,8 @@
     std::set<std::string> unanswered;
     /** Number of the peers that were asked. */
     std::size_t asked = 0;
-    bool answered = false;
+    /** Number of answers of other entries. */
+    int answered = 0;
     std::optional<StreamOrigin> found;
     core::Signal changed;
   };
@@ -115,6 +116,7 @@
                                       const core::ServiceId& service);
   void AskUpTo(Search& search, std::size_t n);
   core::Task<> RunSearch(std::shared_ptr<Search> search);
+  [[nodiscard]] OriginEvidence EvidenceOf(const core::ServiceId& service);
   [[nodiscard]] std::optional<fleet::SoftwareVersion> OnlyVersion(
       const Search& search);
   core::Task<> Await(std::shared_ptr<Search> search, core::SteadyTime until);
--- a/src/streams/stream_type.h
+++ b/src/streams/stream_type.h
@@ -39,6 +39,22 @@
 /** @return The source's name in log lines and metrics. */
 std::string_view NameOf(OriginSource source);
 
+/** What an entry knew as it searched for the version that began a stream. */
+struct OriginEvidence {
+  /** Number of versions that have lately served, as this entry knows. */
+  int recent_versions = 0;
+  /** Number of versions that the store's key of the service names; nothing if
+   * there is none or it was not read. */
+  std::optional<int> stored_versions;
+  /** For how long this entry has seen each change of the engines; nothing
+   * before the first listing. */
+  std::optional<milliseconds> followed;
+  /** True if this entry's view of the store may be behind. */
+  bool view_late = false;
+  /** Number of other entries that have answered. */
+  int answered = 0;
+};
+
 /** Result of a search for the version that began a stream. */
 struct OriginLookup {
   OriginSource source = OriginSource::kUnknown;
@@ -48,6 +64,7 @@
   milliseconds age{0};
   /** Number of entries that were asked. */
   int asked = 0;
+  OriginEvidence evidence;
 };
 
 }  // namespace sapphire::streams
--- a/src/streams/version_history.cc
+++ b/src/streams/version_history.cc
@@ -1,5 +1,7 @@
 /** @file version_history.cc Tracks the software versions that have lately
  * served each service. */
+#include <utility>
+
 #include "streams/version_history_base.h"
 
 namespace sapphire::streams {
@@ -29,6 +31,32 @@
   }
 }
 
+void VersionHistory::BeginFollowing() {
+  followed_since_ = clock_.Now();
+  stored_.clear();
+}
+
+void VersionHistory::SetStored(const core::ServiceId& service,
+                               VersionSet versions) {
+  Add(service, versions);
+  stored_[service] = std::move(versions);
+}
+
+void VersionHistory::RemoveStored(const core::ServiceId& service) {
+  stored_.erase(service);
+}
+
+const VersionSet* VersionHistory::Stored(const core::ServiceId& service) const {
+  const auto it = stored_.find(service);
+  return it == stored_.end() ? nullptr : &it->second;
+}
+
+std::optional<milliseconds> VersionHistory::Followed() const {
+  if (!followed_since_) return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(clock_.Now() -
+                                                  *followed_since_);
+}
+
 VersionSet VersionHistory::Recent(const core::ServiceId& service) {
   UpdateIfChanged();
   VersionSet recent;
--- a/src/streams/version_history_base.h
+++ b/src/streams/version_history_base.h
@@ -38,6 +38,23 @@
   /** Adds versions that another entry has observed. */
   void Add(const core::ServiceId& service, const VersionSet& versions);
 
+  /** Records that all engines and all keys of the store have just been listed:
+   * from now on this entry sees each change. */
+  void BeginFollowing();
+
+  /** Sets the versions that the store's key of the service names. */
+  void SetStored(const core::ServiceId& service, VersionSet versions);
+  /** Records that the store has no readable key of the service. */
+  void RemoveStored(const core::ServiceId& service);
+
+  /** @return What the store's key of the service names; null if it is absent or
+   * was not read. */
+  [[nodiscard]] const VersionSet* Stored(const core::ServiceId& service) const;
+
+  /** @return For how long this entry has seen each change; nothing before the
+   * first listing. */
+  [[nodiscard]] std::optional<milliseconds> Followed() const;
+
   /** @return The service's recent versions, as of now. */
   [[nodiscard]] VersionSet Recent(const core::ServiceId& service);
 
@@ -68,6 +85,9 @@
   /** When each version was last registered, or reported. */
   std::map<core::ServiceId, std::map<fleet::SoftwareVersion, Seen>> last_seen_;
   std::optional<std::int64_t> registry_generation_;
+  std::map<core::ServiceId, VersionSet> stored_;
+  /** Time of the latest listing. */
+  std::optional<core::SteadyTime> followed_since_;
 };
 
 }  // namespace sapphire::streams
