Give unused units back to the organisation that was charged

A request that no engine ran gave its units back to the organisation that its key had at the last lookup, with that configuration's quota: to another organisation if the key had moved, to nobody if the new holder's quota, or the organisation's own new one, is unlimited. The organisation that was charged lost them.

The charge is now recorded whole (organisation, quota, version, units) as it is granted, and just that is given back.

UnitsReturnToTheOrganisationThatWasCharged failed before in two of three cases (key kept under a new quota, key moved: level -1 instead of 0); the revoked key's case passes since requests keep their authorization. dispatcher_identity (14 cases) and key_recheck tests pass.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -238,15 +238,15 @@
   if (work.request.states_tokens) {
     tokens = {work.request.prompt_tokens, work.request.max_output_tokens};
   }
-  const double cost = organisation::CostOf(organisation.quota, tokens);
-  const std::int64_t version = work.authorization->version();
-  const quota::QuotaDecision decision =
-      co_await deps_.quota.Take(organisation, version, cost);
+  const QuotaCharge charge{organisation.id, organisation.quota,
+                           work.authorization->version(),
+                           organisation::CostOf(organisation.quota, tokens)};
+  const quota::QuotaDecision decision = co_await deps_.quota.Take(charge);
   work.quota_source = NameOf(decision.source);
   deps_.metrics.QuotaDecided(organisation.id, work.quota_source,
                              decision.granted);
   if (decision.granted) {
-    work.charged = cost;
+    work.charge = charge;
     if (decision.delay > milliseconds(0)) {
       co_await core::SleepFor(decision.delay);
     }
@@ -255,23 +255,19 @@
   deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "quota_exceeded",
                   {{"request", work.request.id},
                    {"organisation", organisation.id},
-                   {"units", cost},
+                   {"units", charge.units},
                    {"source", work.quota_source},
                    {"level", deps_.quota.LevelOf(organisation.id)},
                    {"per_second", organisation.quota.per_second},
                    {"burst", organisation.quota.burst},
-                   {"config", version},
+                   {"config", charge.version},
                    {"retry_after_ms", decision.delay}});
   throw Error(ErrorCode::kOverQuota, organisation.id.value(),
               std::max(decision.delay, kMinRetryAfter));
 }
 
 void Dispatcher::RefundUnused(const RequestWork& work) {
-  if (work.charged <= 0 || work.runs > 0) return;
-  const Authorization& authorization = *work.authorization;
-  if (authorization.organisation() == nullptr) return;
-  deps_.quota.GiveBack(*authorization.organisation(), authorization.version(),
-                       work.charged);
+  if (work.charge && work.runs == 0) deps_.quota.GiveBack(*work.charge);
 }
 
 /** Sets the service and checks that it serves the model. */
@@ -580,7 +576,7 @@
        {"key_config", work.authorization ? work.authorization->version() : 0},
        {"public_route", work.route != nullptr && work.route->is_public},
        {"quota", work.quota_source},
-       {"units", work.charged},
+       {"units", work.charge ? work.charge->units : 0.0},
        {"config",
         work.table == nullptr ? 0 : work.table->configuration().version},
        {"view_age_ms", view_age},
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -200,6 +200,32 @@
   BOOST_TEST(rig.Status("/once/", "k1") == kUnavailable);
 }
 
+/** Guards against units that are given back to nobody, or to another
+ * organisation than the one that was charged, as the key changed hands. */
+BOOST_AUTO_TEST_CASE(UnitsReturnToTheOrganisationThatWasCharged) {
+  for (const std::string holder : {"drafts-ltd", "reels-ltd", ""}) {
+    IdentityRig rig;
+    rig.organisations->front().quota.per_second = 0.01;
+    rig.Configure(2);
+    const core::OrganisationId drafts("drafts-ltd");
+    double charged_level = 0;
+    const http::Handler refuse = Answering(kUnavailable, true, "");
+    const auto hand_over = [&](const http::Request& request,
+                               http::ResponseWriter& writer) {
+      charged_level = rig.quota.LevelOf(drafts);
+      rig.organisations = {Make(holder.empty() ? "clips-ltd" : holder,
+                                holder.empty() ? "k3" : "k1")};
+      rig.Configure(2);
+      return refuse(request, writer);
+    };
+    rig.AddEngine(kPlain, hand_over);
+    rig.AddEngine(kPlain, refuse);
+    BOOST_TEST(rig.Status("/once/", "k1") ==
+               (holder.empty() ? kUnauthorised : kUnavailable));
+    BOOST_TEST(rig.quota.LevelOf(drafts) == charged_level + 1);
+  }
+}
+
 /** Guards against a retry that is charged like a further request. */
 BOOST_AUTO_TEST_CASE(ARetryIsChargedOnce) {
   IdentityRig rig;
--- a/src/serving/quota_gate.cc
+++ b/src/serving/quota_gate.cc
@@ -9,17 +9,16 @@
 
 namespace {
 
-quota::SharedLimit LimitOf(const organisation::Organisation& organisation,
-                           std::int64_t version) {
+quota::SharedLimit LimitOf(const QuotaCharge& charge) {
   quota::SharedLimit limit;
-  limit.version = version;
-  limit.limit.per_second = organisation.quota.per_second;
-  limit.limit.burst = organisation.quota.burst;
+  limit.version = charge.version;
+  limit.limit.per_second = charge.quota.per_second;
+  limit.limit.burst = charge.quota.burst;
   return limit;
 }
 
-quota::QuotaId QuotaOf(const organisation::Organisation& organisation) {
-  return quota::QuotaId(organisation.id.value());
+quota::QuotaId QuotaOf(const QuotaCharge& charge) {
+  return quota::QuotaId(charge.organisation.value());
 }
 
 /** A pending decision. Shared: the request may end before it arrives. */
@@ -47,20 +46,17 @@
   co_return *awaited->decision;
 }
 
-core::Task<quota::QuotaDecision> QuotaGate::Take(
-    organisation::Organisation organisation, std::int64_t version,
-    double cost) {
-  if (!organisation.quota.IsLimited()) {
+core::Task<quota::QuotaDecision> QuotaGate::Take(QuotaCharge charge) {
+  if (!charge.quota.IsLimited()) {
     co_return quota::QuotaDecision{true, quota::QuotaSource::kUnlimited, {}};
   }
-  co_return co_await TakeUnits(client_, QuotaOf(organisation),
-                               LimitOf(organisation, version), cost);
+  co_return co_await TakeUnits(client_, QuotaOf(charge), LimitOf(charge),
+                               charge.units);
 }
 
-void QuotaGate::GiveBack(const organisation::Organisation& organisation,
-                         std::int64_t version, double cost) {
-  if (!organisation.quota.IsLimited()) return;
-  client_.GiveBack(QuotaOf(organisation), LimitOf(organisation, version), cost);
+void QuotaGate::GiveBack(const QuotaCharge& charge) {
+  if (!charge.quota.IsLimited()) return;
+  client_.GiveBack(QuotaOf(charge), LimitOf(charge), charge.units);
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/quota_gate_base.h
+++ b/src/serving/quota_gate_base.h
@@ -10,6 +10,15 @@
 
 namespace sapphire::serving {
 
+/** Units of an organisation's quota. */
+struct QuotaCharge {
+  core::OrganisationId organisation;
+  organisation::Quota quota;
+  /** Version of the configuration that the quota is from. */
+  std::int64_t version = 0;
+  double units = 0;
+};
+
 /** Takes units of a quota and waits for the decision. @pre `client` outlives
  * the call. */
 core::Task<quota::QuotaDecision> TakeUnits(quota::QuotaClient& client,
@@ -23,16 +32,11 @@
   /** @pre `client` outlives it. */
   explicit QuotaGate(quota::QuotaClient& client) : client_(client) {}
 
-  /**
-   * Charges a request to its organisation.
-   * @param version Version of the configuration that the organisation is from.
-   */
-  core::Task<quota::QuotaDecision> Take(organisation::Organisation organisation,
-                                        std::int64_t version, double cost);
+  /** Charges a request to its organisation. */
+  core::Task<quota::QuotaDecision> Take(QuotaCharge charge);
 
   /** Returns the units of a request that did not run. */
-  void GiveBack(const organisation::Organisation& organisation,
-                std::int64_t version, double cost);
+  void GiveBack(const QuotaCharge& charge);
 
   [[nodiscard]] double LevelOf(const core::OrganisationId& id) const {
     return client_.LevelOf(quota::QuotaId(id.value()));
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -19,6 +19,7 @@
 #include "serving/caller_type.h"
 #include "serving/crash_watch_base.h"
 #include "serving/exchange_base.h"
+#include "serving/quota_gate_base.h"
 
 namespace sapphire::serving {
 
@@ -48,8 +49,8 @@
   const routing::Service* service = nullptr;
   /** The latest decision that allowed the request; none before it. */
   std::optional<Authorization> authorization;
-  /** Quota units charged for the request, and the source of the decision. */
-  double charged = 0;
+  /** What the request was charged, and the source of the decision. */
+  std::optional<QuotaCharge> charge;
   std::string_view quota_source;
   /** Engines that failed or refused the request. */
   std::set<fleet::InstanceId> avoid;
