Decide each send by the route and keys of one configuration

While a request waited for a retry or a hedge, its key was looked up in the configuration in force but whether its route needs one was taken from the configuration of its arrival. On a route that was made private meanwhile an unknown key reached another engine; on one that was made public a revoked key was refused. After a configuration without organisations the next engine was told no organisation and was handed the caller's key, which organisations had checked.

The route is now looked up in the same configuration; if that dropped it, the route of the arrival counts. A configuration without organisations revokes nothing: the request keeps its authorization, so that its organisation is named and its key is not passed on. public_route in request_end says what the authorization's configuration says.

--- a/src/serving/authorization.cc
+++ b/src/serving/authorization.cc
@@ -31,7 +31,8 @@
   }
   int rank = route.rank;
   if (organisation != nullptr) rank = organisation->rank.value_or(rank);
-  return {std::move(table), organisation, std::clamp(rank, 0, kMaxRank)};
+  return {std::move(table), organisation, route.is_public,
+          std::clamp(rank, 0, kMaxRank)};
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/authorization_type.h
+++ b/src/serving/authorization_type.h
@@ -35,6 +35,9 @@
                                     : organisation_->id;
   }
 
+  /** @return True if the route needs no key. */
+  [[nodiscard]] bool is_public_route() const { return is_public_route_; }
+
   /** @return Priority, 0 (first) to 9. */
   [[nodiscard]] int rank() const { return rank_; }
 
@@ -58,11 +61,16 @@
       const std::optional<organisation::ApiKey>& key);
 
   Authorization(std::shared_ptr<const routing::RoutingTable> table,
-                const organisation::Organisation* organisation, int rank)
-      : table_(std::move(table)), organisation_(organisation), rank_(rank) {}
+                const organisation::Organisation* organisation,
+                bool is_public_route, int rank)
+      : table_(std::move(table)),
+        organisation_(organisation),
+        is_public_route_(is_public_route),
+        rank_(rank) {}
 
   std::shared_ptr<const routing::RoutingTable> table_;
   const organisation::Organisation* organisation_;
+  bool is_public_route_;
   int rank_;
 };
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -214,13 +214,22 @@
 
 /** Refuses the request if the configuration in force does not allow it any
  * more; it then keeps its former authorization, which no send may use.
- * @return Its authorization by that configuration. */
+ * @return Its authorization, which that configuration has given or leaves. */
 const Authorization& Dispatcher::Reauthorize(RequestWork& work) const {
   auto current = deps_.configuration.current();
-  if (work.authorization->table() == current) return *work.authorization;
+  const Authorization& former = *work.authorization;
+  if (former.table() == current) return former;
+  // A configuration without organisations revokes no key, and the engine must
+  // not learn one that another configuration has checked.
+  if (!current->HasOrganisations() && !former.passes_credentials()) {
+    return former;
+  }
+  const routing::Route* route = current->Find(
+      work.request.host, http::PathOf(work.request.forward.target));
+  if (route == nullptr) route = work.route;
   try {
     work.authorization =
-        Authorize(std::move(current), *work.route, work.request.api_key);
+        Authorize(std::move(current), *route, work.request.api_key);
   } catch (const Error& e) {
     throw Error(work.runs == 0 ? e.code() : ErrorCode::kOutcomeUnknown,
                 "revoked");
@@ -574,7 +583,8 @@
                             : core::OrganisationId()},
        {"organisation_sent", work.organisation_sent},
        {"key_config", work.authorization ? work.authorization->version() : 0},
-       {"public_route", work.route != nullptr && work.route->is_public},
+       {"public_route",
+        work.authorization && work.authorization->is_public_route()},
        {"quota", work.quota_source},
        {"units", work.charge ? work.charge->units : 0.0},
        {"config",
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE dispatcher_identity
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,16 @@
   }
 };
 
+/** Makes the change, then refuses the request as not run. */
+http::Handler RefusingAfter(std::function<void()> change) {
+  return
+      [change = std::move(change), refuse = Answering(kUnavailable, true, "")](
+          const http::Request& request, http::ResponseWriter& writer) {
+        change();
+        return refuse(request, writer);
+      };
+}
+
 std::string FieldOf(const http::Request& request, const char* name) {
   return std::string(http::FindHeader(request.headers, name).value_or(""));
 }
@@ -158,6 +169,66 @@
   BOOST_TEST(other.requests.empty());
 }
 
+/** Guards against a retry by a route that needs a key since the first send. */
+BOOST_AUTO_TEST_CASE(ARouteThatIsMadePrivateNeedsAKeyForARetry) {
+  IdentityRig rig;
+  rig.public_prefix = "/safe/";
+  rig.Configure(2);
+  rig.AddEngine(kPlain, RefusingAfter([&rig] {
+                  rig.public_prefix = "";
+                  rig.Configure(2);
+                }));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  BOOST_TEST(rig.Status("/safe/", "k3") == kUnauthorised);
+  BOOST_TEST(other.requests.empty());
+}
+
+/** Guards against a retry that is refused by a route that needs no key. */
+BOOST_AUTO_TEST_CASE(ARouteThatIsMadePublicNeedsNoKeyForARetry) {
+  IdentityRig rig;
+  rig.AddEngine(kPlain, RefusingAfter([&rig] {
+                  rig.public_prefix = "/safe/";
+                  rig.organisations = {Make("drafts-ltd", "k1")};
+                  rig.Configure(2);
+                }));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  BOOST_TEST(rig.Status("/safe/", "k2") == kOk);
+  BOOST_TEST_REQUIRE(other.requests.size() == 1U);
+  BOOST_TEST(FieldOf(other.requests.back(), "organisation").empty());
+}
+
+/** Guards against an engine that is handed the key of an organisation. */
+BOOST_AUTO_TEST_CASE(AKeyIsNotPassedOnAfterOrganisationsAreDropped) {
+  IdentityRig rig;
+  rig.AddEngine(kPlain, RefusingAfter([&rig] {
+                  rig.organisations.reset();
+                  rig.Configure(2);
+                }));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  BOOST_TEST(rig.Status("/safe/", "k2") == kOk);
+  BOOST_TEST(FieldOf(other.requests.back(), "organisation") == "reels-ltd");
+  BOOST_TEST(FieldOf(other.requests.back(), "credentials").empty());
+  rig.Status("/safe/", "k2");
+  BOOST_TEST(FieldOf(other.requests.back(), "credentials") == "1");
+}
+
+/** Guards against a request that loses its route, or needs no key any more, as
+ * its route is dropped. */
+BOOST_AUTO_TEST_CASE(ARequestOfADroppedRouteStillNeedsItsKey) {
+  for (const bool is_revoked : {false, true}) {
+    IdentityRig rig;
+    rig.AddEngine(kPlain, RefusingAfter([&rig, is_revoked] {
+                    rig.lacks_routes = true;
+                    if (is_revoked) rig.organisations->pop_back();
+                    rig.Configure(2);
+                  }));
+    TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+    BOOST_TEST(rig.Status("/safe/", "k2") ==
+               (is_revoked ? kUnauthorised : kOk));
+    BOOST_TEST(other.requests.size() == (is_revoked ? 0U : 1U));
+  }
+}
+
 /** Guards against revoked keys that are served while the store is unavailable.
  */
 BOOST_AUTO_TEST_CASE(StrictRevocationRefusesUnconfirmedKeys) {
@@ -209,17 +280,14 @@
     rig.Configure(2);
     const core::OrganisationId drafts("drafts-ltd");
     double charged_level = 0;
-    const http::Handler refuse = Answering(kUnavailable, true, "");
-    const auto hand_over = [&](const http::Request& request,
-                               http::ResponseWriter& writer) {
-      charged_level = rig.quota.LevelOf(drafts);
-      rig.organisations = {Make(holder.empty() ? "clips-ltd" : holder,
-                                holder.empty() ? "k3" : "k1")};
-      rig.Configure(2);
-      return refuse(request, writer);
-    };
-    rig.AddEngine(kPlain, hand_over);
-    rig.AddEngine(kPlain, refuse);
+    rig.AddEngine(
+        kPlain, RefusingAfter([&] {
+          charged_level = rig.quota.LevelOf(drafts);
+          rig.organisations = {Make(holder.empty() ? "clips-ltd" : holder,
+                                    holder.empty() ? "k3" : "k1")};
+          rig.Configure(2);
+        }));
+    rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
     BOOST_TEST(rig.Status("/once/", "k1") ==
                (holder.empty() ? kUnauthorised : kUnavailable));
     BOOST_TEST(rig.quota.LevelOf(drafts) == charged_level + 1);
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -69,6 +69,7 @@
     http::Request out = request.forward;
     out.headers.push_back({"organisation", options.organisation.value()});
     out.headers.push_back({"rank", std::to_string(options.rank)});
+    if (options.pass_credentials) out.headers.push_back({"credentials", "1"});
     if (options.last_event) {
       out.headers.push_back({"after", std::to_string(*options.last_event)});
     }
@@ -297,6 +298,7 @@
       route.max_engines = max_engines;
       route.is_public = route.prefix == public_prefix;
     }
+    if (lacks_routes) next.routes.clear();
     next.organisations = organisations;
     routing::Service drafts;
     drafts.id = kDrafts;
@@ -413,6 +415,8 @@
   /** Organisations of the next configuration. */
   std::optional<std::vector<organisation::Organisation>> organisations;
   std::string public_prefix;
+  /** True if the next configuration has no routes. */
+  bool lacks_routes = false;
   /** API key that callers send; empty for none. */
   std::string key;
   /** The stream that callers take up, if any. */
