Check the key before a send takes a part of an engine's rate

While an engine stayed silent, a hedge that had been skipped was asked for again every 200 ms. Each time, and once more for a retry, a request of a revoked key took one of the requests that the other engine accepts a second, which was lost to others, and logged hedge_skipped.

The view of the store and the key are now checked before the engine's limit is asked, and again afterwards, as its answer may take a while. A hedge is skipped before anything is taken for it: the retry budget, the rate and a load elsewhere. hedge_skipped is logged once for each reason and configuration.

RequestOfARevokedKeyTakesNoneOfAnEnginesRate failed before: the limit was asked. LogTellsOnceWhyAHedgeIsSkipped saw 4 lines instead of 1. Both pass, as do dispatcher, dispatcher_identity and engine_limit tests.

A unit is still lost if the key is revoked, the engine leaves or rests, or a like request crashes an engine while the limit is asked.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -237,6 +237,13 @@
   return *work.authorization;
 }
 
+/** @return What allows the request to be sent now. @throws core::Error if it
+ * may not be. */
+const Authorization& Dispatcher::CheckSend(RequestWork& work) const {
+  CheckStoreView(work);
+  return Reauthorize(work);
+}
+
 /** Charges the request to its organisation's quota once, however often it is
  * sent. */
 core::Task<> Dispatcher::ChargeQuota(RequestWork& work) {
@@ -356,6 +363,8 @@
   co_await deps_.crash_watch.AwaitTurn(CandidateOf(*work),
                                        TimeLeft(*work, deps_.clock.Now()));
   work->engine = co_await chooser_.Choose(*work);
+  // Checked twice: a refused request must not use up the engine's rate.
+  if (!work->caller.left) CheckSend(*work);
   const bool may_send =
       work->caller.left ||
       co_await deps_.rate_limiter.Acquire(work->engine, work->request.id);
@@ -366,10 +375,9 @@
   if (!may_send || !deps_.crash_watch.MaySend(CandidateOf(*work))) {
     co_return false;
   }
-  CheckStoreView(*work);
   const core::Executor executor = co_await boost::asio::this_coro::executor;
   const auto send =
-      BeginSend(work, Reauthorize(*work), {work->engine, 0}, executor);
+      BeginSend(work, CheckSend(*work), {work->engine, 0}, executor);
   if (send == nullptr) co_return false;
   work->current = send;
   const bool is_stream = work->route->kind == RequestKind::kStream;
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -138,6 +138,8 @@
   void CheckStoreView(const RequestWork& work) const;
   void Authenticate(RequestWork& work) const;
   const Authorization& Reauthorize(RequestWork& work) const;
+  const Authorization& CheckSend(RequestWork& work) const;
+  const Authorization* AuthorizeHedge(RequestWork& work) const;
   core::Task<> FindStreamOrigin(RequestWork& work);
   core::Task<> ChargeQuota(RequestWork& work);
   void RefundUnused(const RequestWork& work);
--- a/src/serving/dispatcher_hedge.cc
+++ b/src/serving/dispatcher_hedge.cc
@@ -31,6 +31,8 @@
 void Dispatcher::OnSilence(const SharedWork& work,
                            const core::Executor& executor) {
   if (work->hedge || work->runs + 1 >= work->route->max_engines) return;
+  // Checked again once the engine's rate allows the hedge.
+  if (AuthorizeHedge(*work) == nullptr) return;
   if (!chooser_.FindAlternative(*work)) {
     chooser_.LoadElsewhere(*work);
     return;
@@ -43,6 +45,22 @@
               [this, work, hedge] { return RunHedge(work, hedge); });
 }
 
+/** @return What allows a hedge; null if it is skipped. */
+const Authorization* Dispatcher::AuthorizeHedge(RequestWork& work) const {
+  try {
+    return &CheckSend(work);
+  } catch (const Error& e) {
+    const HedgeSkip skip{e.detail(), deps_.configuration.version()};
+    if (work.hedge_skip == skip) return nullptr;
+    work.hedge_skip = skip;
+    deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_skipped",
+                    {{"request", work.request.id},
+                     {"reason", skip.reason},
+                     {"config", skip.config}});
+    return nullptr;
+  }
+}
+
 /** Sends a hedge and waits until its engine has taken or refused it. */
 core::Task<> Dispatcher::RunHedge(SharedWork work,
                                   std::shared_ptr<Hedge> hedge) {
@@ -102,17 +120,8 @@
       deps_.crash_watch.IsSuspect(CandidateOf(*work))) {
     co_return nullptr;
   }
-  const Authorization* authorization = nullptr;
-  try {
-    CheckStoreView(*work);
-    authorization = &Reauthorize(*work);
-  } catch (const Error& e) {
-    deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "hedge_skipped",
-                    {{"request", work->request.id},
-                     {"reason", e.detail()},
-                     {"config", deps_.configuration.version()}});
-    co_return nullptr;
-  }
+  const Authorization* const authorization = AuthorizeHedge(*work);
+  if (authorization == nullptr) co_return nullptr;
   const core::Executor executor = co_await boost::asio::this_coro::executor;
   const auto send = BeginSend(work, *authorization, {*engine, 1}, executor);
   if (send == nullptr) co_return nullptr;
--- a/src/serving/key_recheck_test.cc
+++ b/src/serving/key_recheck_test.cc
@@ -156,6 +156,24 @@
   }
 }
 
+/** Guards against an engine's rate that is used up by hedges that are skipped
+ * every 200 ms, or by a retry, for a key that was revoked before. */
+BOOST_AUTO_TEST_CASE(RequestOfARevokedKeyTakesNoneOfAnEnginesRate) {
+  KeyRig rig;
+  rig.AddEngine(kDrafts, RevokingAndBreakingOff(rig, kLongQueue, ""));
+  rig.AddEngine(kDrafts, Streaming({kFirst, kSecond}, true));
+  const fleet::InstanceId other("i-2");
+  fleet::LimitNotice notice;
+  notice.per_second = 1;
+  rig.rate_limiter.Apply(other, notice, rig.clock.Now());
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait, caller);
+  BOOST_TEST(caller.status != 200);
+  const std::string metrics = rig.metrics.Text({});
+  BOOST_TEST(metrics.find("sapphire_front_engine_limit_decisions_total{") ==
+             std::string::npos);
+}
+
 /** Guards against a hedge that names the former holder of a key. */
 BOOST_AUTO_TEST_CASE(HedgeNamesTheOrganisationThatHoldsTheKeyNow) {
   KeyRig rig;
--- a/src/serving/log_trail_test.cc
+++ b/src/serving/log_trail_test.cc
@@ -74,6 +74,24 @@
 
 }  // namespace
 
+/** Guards against a line every 200 ms for a hedge that stays skipped. */
+BOOST_AUTO_TEST_CASE(LogTellsOnceWhyAHedgeIsSkipped) {
+  const LogFile file;
+  Rig rig(core::LogLevel::kInfo, file.fd());
+  rig.AddEngine(
+      kDrafts,
+      [&rig](const http::Request&, http::ResponseWriter&) -> core::Task<> {
+        rig.view_is_late = true;
+        co_await core::SleepFor(2 * testing::kObjective + milliseconds(1200));
+        throw http::ConnectionCut("test");
+      });
+  rig.AddEngine(kDrafts, Streaming({"data: a\n\n"}, true));
+  RecordingWriter caller;
+  rig.Serve("/stream/", kWait + kWait, caller);
+  const std::vector<Event> events = file.Events();
+  BOOST_TEST(std::ranges::count(events, "hedge_skipped", &Event::name) == 1);
+}
+
 /** Guards against denials whose evidence can't be told afterwards: the line
  * says how old the view of the store was. */
 BOOST_AUTO_TEST_CASE(LogTellsTheAgeOfTheViewBehindADenial) {
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +27,14 @@
 struct EngineSend;
 struct Hedge;
 
+/** Why a hedge was not sent, by which configuration. */
+struct HedgeSkip {
+  std::string reason;
+  std::int64_t config = 0;
+
+  friend bool operator==(const HedgeSkip&, const HedgeSkip&) = default;
+};
+
 /** State of a request in progress. */
 struct RequestWork {
   RequestWork(CallerRequest caller_request, http::ResponseWriter& writer,
@@ -71,6 +80,8 @@
   std::shared_ptr<EngineSend> current;
   /** A second send, while the engine of the current one is silent. */
   std::shared_ptr<Hedge> hedge;
+  /** The latest one that was logged. */
+  std::optional<HedgeSkip> hedge_skip;
   /** How the latest answer of an engine ended. */
   AnswerEnd answer_end;
   /** The latest answer of an engine carried an engine's mark. */
