--- a/gen/link_types.cpp
+++ b/gen/link_types.cpp
@@ -6108,6 +6108,11 @@
 void StreamAnswer::__set_versions(const std::vector<std::string> & val) {
   this->versions = val;
 }
+
+void StreamAnswer::__set_all_versions(const std::vector<std::string> & val) {
+  this->all_versions = val;
+__isset.all_versions = true;
+}
 std::ostream& operator<<(std::ostream& out, const StreamAnswer& obj)
 {
   obj.printTo(out);
@@ -6180,6 +6185,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->all_versions.clear();
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->all_versions.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
+            {
+              xfer += iprot->readString(this->all_versions[_i239]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.all_versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6213,15 +6238,28 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->versions.size()));
-    std::vector<std::string> ::const_iterator _iter235;
-    for (_iter235 = this->versions.begin(); _iter235 != this->versions.end(); ++_iter235)
+    std::vector<std::string> ::const_iterator _iter240;
+    for (_iter240 = this->versions.begin(); _iter240 != this->versions.end(); ++_iter240)
     {
-      xfer += oprot->writeString((*_iter235));
+      xfer += oprot->writeString((*_iter240));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.all_versions) {
+    xfer += oprot->writeFieldBegin("all_versions", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->all_versions.size()));
+      std::vector<std::string> ::const_iterator _iter241;
+      for (_iter241 = this->all_versions.begin(); _iter241 != this->all_versions.end(); ++_iter241)
+      {
+        xfer += oprot->writeString((*_iter241));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6233,37 +6271,42 @@
   swap(a.number, b.number);
   swap(a.origin, b.origin);
   swap(a.versions, b.versions);
+  swap(a.all_versions, b.all_versions);
   swap(a.__isset, b.__isset);
 }
 
-StreamAnswer::StreamAnswer(const StreamAnswer& other236) {
-  entry = other236.entry;
-  number = other236.number;
-  origin = other236.origin;
-  versions = other236.versions;
-  __isset = other236.__isset;
-}
-StreamAnswer::StreamAnswer(StreamAnswer&& other237) noexcept {
-  entry = std::move(other237.entry);
-  number = other237.number;
-  origin = std::move(other237.origin);
-  versions = std::move(other237.versions);
-  __isset = other237.__isset;
-}
-StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other238) {
-  entry = other238.entry;
-  number = other238.number;
-  origin = other238.origin;
-  versions = other238.versions;
-  __isset = other238.__isset;
+StreamAnswer::StreamAnswer(const StreamAnswer& other242) {
+  entry = other242.entry;
+  number = other242.number;
+  origin = other242.origin;
+  versions = other242.versions;
+  all_versions = other242.all_versions;
+  __isset = other242.__isset;
+}
+StreamAnswer::StreamAnswer(StreamAnswer&& other243) noexcept {
+  entry = std::move(other243.entry);
+  number = other243.number;
+  origin = std::move(other243.origin);
+  versions = std::move(other243.versions);
+  all_versions = std::move(other243.all_versions);
+  __isset = other243.__isset;
+}
+StreamAnswer& StreamAnswer::operator=(const StreamAnswer& other244) {
+  entry = other244.entry;
+  number = other244.number;
+  origin = other244.origin;
+  versions = other244.versions;
+  all_versions = other244.all_versions;
+  __isset = other244.__isset;
   return *this;
 }
-StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other239) noexcept {
-  entry = std::move(other239.entry);
-  number = other239.number;
-  origin = std::move(other239.origin);
-  versions = std::move(other239.versions);
-  __isset = other239.__isset;
+StreamAnswer& StreamAnswer::operator=(StreamAnswer&& other245) noexcept {
+  entry = std::move(other245.entry);
+  number = other245.number;
+  origin = std::move(other245.origin);
+  versions = std::move(other245.versions);
+  all_versions = std::move(other245.all_versions);
+  __isset = other245.__isset;
   return *this;
 }
 void StreamAnswer::printTo(std::ostream& out) const {
@@ -6273,6 +6316,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "origin="; (__isset.origin ? (out << to_string(origin)) : (out << "<null>"));
   out << ", " << "versions=" << to_string(versions);
+  out << ", " << "all_versions="; (__isset.all_versions ? (out << to_string(all_versions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6284,6 +6328,11 @@
 void ServiceVersions::__set_versions(const std::vector<std::string> & val) {
   this->versions = val;
 }
+
+void ServiceVersions::__set_only_version(const std::string& val) {
+  this->only_version = val;
+__isset.only_version = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceVersions& obj)
 {
   obj.printTo(out);
@@ -6316,14 +6365,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size240;
-            ::apache::thrift::protocol::TType _etype243;
-            xfer += iprot->readListBegin(_etype243, _size240);
-            this->versions.resize(_size240);
-            uint32_t _i244;
-            for (_i244 = 0; _i244 < _size240; ++_i244)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->versions.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += iprot->readString(this->versions[_i244]);
+              xfer += iprot->readString(this->versions[_i250]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6332,6 +6381,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->only_version);
+          this->__isset.only_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6352,15 +6409,20 @@
   xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->versions.size()));
-    std::vector<std::string> ::const_iterator _iter245;
-    for (_iter245 = this->versions.begin(); _iter245 != this->versions.end(); ++_iter245)
+    std::vector<std::string> ::const_iterator _iter251;
+    for (_iter251 = this->versions.begin(); _iter251 != this->versions.end(); ++_iter251)
     {
-      xfer += oprot->writeString((*_iter245));
+      xfer += oprot->writeString((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.only_version) {
+    xfer += oprot->writeFieldBegin("only_version", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->only_version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6369,31 +6431,37 @@
 void swap(ServiceVersions &a, ServiceVersions &b) {
   using ::std::swap;
   swap(a.versions, b.versions);
+  swap(a.only_version, b.only_version);
   swap(a.__isset, b.__isset);
 }
 
-ServiceVersions::ServiceVersions(const ServiceVersions& other246) {
-  versions = other246.versions;
-  __isset = other246.__isset;
+ServiceVersions::ServiceVersions(const ServiceVersions& other252) {
+  versions = other252.versions;
+  only_version = other252.only_version;
+  __isset = other252.__isset;
 }
-ServiceVersions::ServiceVersions(ServiceVersions&& other247) noexcept {
-  versions = std::move(other247.versions);
-  __isset = other247.__isset;
+ServiceVersions::ServiceVersions(ServiceVersions&& other253) noexcept {
+  versions = std::move(other253.versions);
+  only_version = std::move(other253.only_version);
+  __isset = other253.__isset;
 }
-ServiceVersions& ServiceVersions::operator=(const ServiceVersions& other248) {
-  versions = other248.versions;
-  __isset = other248.__isset;
+ServiceVersions& ServiceVersions::operator=(const ServiceVersions& other254) {
+  versions = other254.versions;
+  only_version = other254.only_version;
+  __isset = other254.__isset;
   return *this;
 }
-ServiceVersions& ServiceVersions::operator=(ServiceVersions&& other249) noexcept {
-  versions = std::move(other249.versions);
-  __isset = other249.__isset;
+ServiceVersions& ServiceVersions::operator=(ServiceVersions&& other255) noexcept {
+  versions = std::move(other255.versions);
+  only_version = std::move(other255.only_version);
+  __isset = other255.__isset;
   return *this;
 }
 void ServiceVersions::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ServiceVersions(";
   out << "versions=" << to_string(versions);
+  out << ", " << "only_version="; (__isset.only_version ? (out << to_string(only_version)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6490,26 +6558,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestTrait::RequestTrait(const RequestTrait& other250) noexcept {
-  whole_request = other250.whole_request;
-  hash = other250.hash;
-  __isset = other250.__isset;
+RequestTrait::RequestTrait(const RequestTrait& other256) noexcept {
+  whole_request = other256.whole_request;
+  hash = other256.hash;
+  __isset = other256.__isset;
 }
-RequestTrait::RequestTrait(RequestTrait&& other251) noexcept {
-  whole_request = other251.whole_request;
-  hash = other251.hash;
-  __isset = other251.__isset;
+RequestTrait::RequestTrait(RequestTrait&& other257) noexcept {
+  whole_request = other257.whole_request;
+  hash = other257.hash;
+  __isset = other257.__isset;
 }
-RequestTrait& RequestTrait::operator=(const RequestTrait& other252) noexcept {
-  whole_request = other252.whole_request;
-  hash = other252.hash;
-  __isset = other252.__isset;
+RequestTrait& RequestTrait::operator=(const RequestTrait& other258) noexcept {
+  whole_request = other258.whole_request;
+  hash = other258.hash;
+  __isset = other258.__isset;
   return *this;
 }
-RequestTrait& RequestTrait::operator=(RequestTrait&& other253) noexcept {
-  whole_request = other253.whole_request;
-  hash = other253.hash;
-  __isset = other253.__isset;
+RequestTrait& RequestTrait::operator=(RequestTrait&& other259) noexcept {
+  whole_request = other259.whole_request;
+  hash = other259.hash;
+  __isset = other259.__isset;
   return *this;
 }
 void RequestTrait::printTo(std::ostream& out) const {
@@ -6584,14 +6652,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->traits.clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            this->traits.resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->traits.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += this->traits[_i258].read(iprot);
+              xfer += this->traits[_i264].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6628,10 +6696,10 @@
   xfer += oprot->writeFieldBegin("traits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->traits.size()));
-    std::vector<RequestTrait> ::const_iterator _iter259;
-    for (_iter259 = this->traits.begin(); _iter259 != this->traits.end(); ++_iter259)
+    std::vector<RequestTrait> ::const_iterator _iter265;
+    for (_iter265 = this->traits.begin(); _iter265 != this->traits.end(); ++_iter265)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter265).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6650,30 +6718,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashSeen::CrashSeen(const CrashSeen& other260) {
-  engine_instance = other260.engine_instance;
-  age_ms = other260.age_ms;
-  traits = other260.traits;
-  __isset = other260.__isset;
+CrashSeen::CrashSeen(const CrashSeen& other266) {
+  engine_instance = other266.engine_instance;
+  age_ms = other266.age_ms;
+  traits = other266.traits;
+  __isset = other266.__isset;
 }
-CrashSeen::CrashSeen(CrashSeen&& other261) noexcept {
-  engine_instance = std::move(other261.engine_instance);
-  age_ms = other261.age_ms;
-  traits = std::move(other261.traits);
-  __isset = other261.__isset;
+CrashSeen::CrashSeen(CrashSeen&& other267) noexcept {
+  engine_instance = std::move(other267.engine_instance);
+  age_ms = other267.age_ms;
+  traits = std::move(other267.traits);
+  __isset = other267.__isset;
 }
-CrashSeen& CrashSeen::operator=(const CrashSeen& other262) {
-  engine_instance = other262.engine_instance;
-  age_ms = other262.age_ms;
-  traits = other262.traits;
-  __isset = other262.__isset;
+CrashSeen& CrashSeen::operator=(const CrashSeen& other268) {
+  engine_instance = other268.engine_instance;
+  age_ms = other268.age_ms;
+  traits = other268.traits;
+  __isset = other268.__isset;
   return *this;
 }
-CrashSeen& CrashSeen::operator=(CrashSeen&& other263) noexcept {
-  engine_instance = std::move(other263.engine_instance);
-  age_ms = other263.age_ms;
-  traits = std::move(other263.traits);
-  __isset = other263.__isset;
+CrashSeen& CrashSeen::operator=(CrashSeen&& other269) noexcept {
+  engine_instance = std::move(other269.engine_instance);
+  age_ms = other269.age_ms;
+  traits = std::move(other269.traits);
+  __isset = other269.__isset;
   return *this;
 }
 void CrashSeen::printTo(std::ostream& out) const {
@@ -6778,26 +6846,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TraitSurvived::TraitSurvived(const TraitSurvived& other264) noexcept {
-  trait = other264.trait;
-  age_ms = other264.age_ms;
-  __isset = other264.__isset;
+TraitSurvived::TraitSurvived(const TraitSurvived& other270) noexcept {
+  trait = other270.trait;
+  age_ms = other270.age_ms;
+  __isset = other270.__isset;
 }
-TraitSurvived::TraitSurvived(TraitSurvived&& other265) noexcept {
-  trait = std::move(other265.trait);
-  age_ms = other265.age_ms;
-  __isset = other265.__isset;
+TraitSurvived::TraitSurvived(TraitSurvived&& other271) noexcept {
+  trait = std::move(other271.trait);
+  age_ms = other271.age_ms;
+  __isset = other271.__isset;
 }
-TraitSurvived& TraitSurvived::operator=(const TraitSurvived& other266) noexcept {
-  trait = other266.trait;
-  age_ms = other266.age_ms;
-  __isset = other266.__isset;
+TraitSurvived& TraitSurvived::operator=(const TraitSurvived& other272) noexcept {
+  trait = other272.trait;
+  age_ms = other272.age_ms;
+  __isset = other272.__isset;
   return *this;
 }
-TraitSurvived& TraitSurvived::operator=(TraitSurvived&& other267) noexcept {
-  trait = std::move(other267.trait);
-  age_ms = other267.age_ms;
-  __isset = other267.__isset;
+TraitSurvived& TraitSurvived::operator=(TraitSurvived&& other273) noexcept {
+  trait = std::move(other273.trait);
+  age_ms = other273.age_ms;
+  __isset = other273.__isset;
   return *this;
 }
 void TraitSurvived::printTo(std::ostream& out) const {
@@ -6864,14 +6932,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->crashes.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->crashes.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += this->crashes[_i272].read(iprot);
+              xfer += this->crashes[_i278].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6884,14 +6952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->survivals.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->survivals.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->survivals.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
             {
-              xfer += this->survivals[_i277].read(iprot);
+              xfer += this->survivals[_i283].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6924,10 +6992,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashSeen> ::const_iterator _iter278;
-    for (_iter278 = this->crashes.begin(); _iter278 != this->crashes.end(); ++_iter278)
+    std::vector<CrashSeen> ::const_iterator _iter284;
+    for (_iter284 = this->crashes.begin(); _iter284 != this->crashes.end(); ++_iter284)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter284).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6936,10 +7004,10 @@
   xfer += oprot->writeFieldBegin("survivals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->survivals.size()));
-    std::vector<TraitSurvived> ::const_iterator _iter279;
-    for (_iter279 = this->survivals.begin(); _iter279 != this->survivals.end(); ++_iter279)
+    std::vector<TraitSurvived> ::const_iterator _iter285;
+    for (_iter285 = this->survivals.begin(); _iter285 != this->survivals.end(); ++_iter285)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter285).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6958,30 +7026,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashEvidence::CrashEvidence(const CrashEvidence& other280) {
-  entry = other280.entry;
-  crashes = other280.crashes;
-  survivals = other280.survivals;
-  __isset = other280.__isset;
+CrashEvidence::CrashEvidence(const CrashEvidence& other286) {
+  entry = other286.entry;
+  crashes = other286.crashes;
+  survivals = other286.survivals;
+  __isset = other286.__isset;
 }
-CrashEvidence::CrashEvidence(CrashEvidence&& other281) noexcept {
-  entry = std::move(other281.entry);
-  crashes = std::move(other281.crashes);
-  survivals = std::move(other281.survivals);
-  __isset = other281.__isset;
+CrashEvidence::CrashEvidence(CrashEvidence&& other287) noexcept {
+  entry = std::move(other287.entry);
+  crashes = std::move(other287.crashes);
+  survivals = std::move(other287.survivals);
+  __isset = other287.__isset;
 }
-CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other282) {
-  entry = other282.entry;
-  crashes = other282.crashes;
-  survivals = other282.survivals;
-  __isset = other282.__isset;
+CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other288) {
+  entry = other288.entry;
+  crashes = other288.crashes;
+  survivals = other288.survivals;
+  __isset = other288.__isset;
   return *this;
 }
-CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other283) noexcept {
-  entry = std::move(other283.entry);
-  crashes = std::move(other283.crashes);
-  survivals = std::move(other283.survivals);
-  __isset = other283.__isset;
+CrashEvidence& CrashEvidence::operator=(CrashEvidence&& other289) noexcept {
+  entry = std::move(other289.entry);
+  crashes = std::move(other289.crashes);
+  survivals = std::move(other289.survivals);
+  __isset = other289.__isset;
   return *this;
 }
 void CrashEvidence::printTo(std::ostream& out) const {
@@ -7223,54 +7291,54 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryDatagram::EntryDatagram(const EntryDatagram& other284) {
-  record = other284.record;
-  quota_ask = other284.quota_ask;
-  quota_answer = other284.quota_answer;
-  engine_ask = other284.engine_ask;
-  engine_answer = other284.engine_answer;
-  stream_origins = other284.stream_origins;
-  stream_ask = other284.stream_ask;
-  stream_answer = other284.stream_answer;
-  crash_evidence = other284.crash_evidence;
-  __isset = other284.__isset;
-}
-EntryDatagram::EntryDatagram(EntryDatagram&& other285) noexcept {
-  record = std::move(other285.record);
-  quota_ask = std::move(other285.quota_ask);
-  quota_answer = std::move(other285.quota_answer);
-  engine_ask = std::move(other285.engine_ask);
-  engine_answer = std::move(other285.engine_answer);
-  stream_origins = std::move(other285.stream_origins);
-  stream_ask = std::move(other285.stream_ask);
-  stream_answer = std::move(other285.stream_answer);
-  crash_evidence = std::move(other285.crash_evidence);
-  __isset = other285.__isset;
-}
-EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other286) {
-  record = other286.record;
-  quota_ask = other286.quota_ask;
-  quota_answer = other286.quota_answer;
-  engine_ask = other286.engine_ask;
-  engine_answer = other286.engine_answer;
-  stream_origins = other286.stream_origins;
-  stream_ask = other286.stream_ask;
-  stream_answer = other286.stream_answer;
-  crash_evidence = other286.crash_evidence;
-  __isset = other286.__isset;
+EntryDatagram::EntryDatagram(const EntryDatagram& other290) {
+  record = other290.record;
+  quota_ask = other290.quota_ask;
+  quota_answer = other290.quota_answer;
+  engine_ask = other290.engine_ask;
+  engine_answer = other290.engine_answer;
+  stream_origins = other290.stream_origins;
+  stream_ask = other290.stream_ask;
+  stream_answer = other290.stream_answer;
+  crash_evidence = other290.crash_evidence;
+  __isset = other290.__isset;
+}
+EntryDatagram::EntryDatagram(EntryDatagram&& other291) noexcept {
+  record = std::move(other291.record);
+  quota_ask = std::move(other291.quota_ask);
+  quota_answer = std::move(other291.quota_answer);
+  engine_ask = std::move(other291.engine_ask);
+  engine_answer = std::move(other291.engine_answer);
+  stream_origins = std::move(other291.stream_origins);
+  stream_ask = std::move(other291.stream_ask);
+  stream_answer = std::move(other291.stream_answer);
+  crash_evidence = std::move(other291.crash_evidence);
+  __isset = other291.__isset;
+}
+EntryDatagram& EntryDatagram::operator=(const EntryDatagram& other292) {
+  record = other292.record;
+  quota_ask = other292.quota_ask;
+  quota_answer = other292.quota_answer;
+  engine_ask = other292.engine_ask;
+  engine_answer = other292.engine_answer;
+  stream_origins = other292.stream_origins;
+  stream_ask = other292.stream_ask;
+  stream_answer = other292.stream_answer;
+  crash_evidence = other292.crash_evidence;
+  __isset = other292.__isset;
   return *this;
 }
-EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other287) noexcept {
-  record = std::move(other287.record);
-  quota_ask = std::move(other287.quota_ask);
-  quota_answer = std::move(other287.quota_answer);
-  engine_ask = std::move(other287.engine_ask);
-  engine_answer = std::move(other287.engine_answer);
-  stream_origins = std::move(other287.stream_origins);
-  stream_ask = std::move(other287.stream_ask);
-  stream_answer = std::move(other287.stream_answer);
-  crash_evidence = std::move(other287.crash_evidence);
-  __isset = other287.__isset;
+EntryDatagram& EntryDatagram::operator=(EntryDatagram&& other293) noexcept {
+  record = std::move(other293.record);
+  quota_ask = std::move(other293.quota_ask);
+  quota_answer = std::move(other293.quota_answer);
+  engine_ask = std::move(other293.engine_ask);
+  engine_answer = std::move(other293.engine_answer);
+  stream_origins = std::move(other293.stream_origins);
+  stream_ask = std::move(other293.stream_ask);
+  stream_answer = std::move(other293.stream_answer);
+  crash_evidence = std::move(other293.crash_evidence);
+  __isset = other293.__isset;
   return *this;
 }
 void EntryDatagram::printTo(std::ostream& out) const {
@@ -7343,18 +7411,18 @@
   (void) b;
 }
 
-Drain::Drain(const Drain& other288) noexcept {
-  (void) other288;
+Drain::Drain(const Drain& other294) noexcept {
+  (void) other294;
 }
-Drain::Drain(Drain&& other289) noexcept {
-  (void) other289;
+Drain::Drain(Drain&& other295) noexcept {
+  (void) other295;
 }
-Drain& Drain::operator=(const Drain& other290) noexcept {
-  (void) other290;
+Drain& Drain::operator=(const Drain& other296) noexcept {
+  (void) other296;
   return *this;
 }
-Drain& Drain::operator=(Drain&& other291) noexcept {
-  (void) other291;
+Drain& Drain::operator=(Drain&& other297) noexcept {
+  (void) other297;
   return *this;
 }
 void Drain::printTo(std::ostream& out) const {
@@ -7439,22 +7507,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainState::DrainState(const DrainState& other292) noexcept {
-  running = other292.running;
-  __isset = other292.__isset;
+DrainState::DrainState(const DrainState& other298) noexcept {
+  running = other298.running;
+  __isset = other298.__isset;
 }
-DrainState::DrainState(DrainState&& other293) noexcept {
-  running = other293.running;
-  __isset = other293.__isset;
+DrainState::DrainState(DrainState&& other299) noexcept {
+  running = other299.running;
+  __isset = other299.__isset;
 }
-DrainState& DrainState::operator=(const DrainState& other294) noexcept {
-  running = other294.running;
-  __isset = other294.__isset;
+DrainState& DrainState::operator=(const DrainState& other300) noexcept {
+  running = other300.running;
+  __isset = other300.__isset;
   return *this;
 }
-DrainState& DrainState::operator=(DrainState&& other295) noexcept {
-  running = other295.running;
-  __isset = other295.__isset;
+DrainState& DrainState::operator=(DrainState&& other301) noexcept {
+  running = other301.running;
+  __isset = other301.__isset;
   return *this;
 }
 void DrainState::printTo(std::ostream& out) const {
@@ -7516,14 +7584,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have_parts.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->have_parts.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->have_parts.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += iprot->readString(this->have_parts[_i300]);
+              xfer += iprot->readString(this->have_parts[_i306]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7556,10 +7624,10 @@
   xfer += oprot->writeFieldBegin("have_parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->have_parts.size()));
-    std::vector<std::string> ::const_iterator _iter301;
-    for (_iter301 = this->have_parts.begin(); _iter301 != this->have_parts.end(); ++_iter301)
+    std::vector<std::string> ::const_iterator _iter307;
+    for (_iter307 = this->have_parts.begin(); _iter307 != this->have_parts.end(); ++_iter307)
     {
-      xfer += oprot->writeString((*_iter301));
+      xfer += oprot->writeString((*_iter307));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7577,26 +7645,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other302) {
-  have_version = other302.have_version;
-  have_parts = other302.have_parts;
-  __isset = other302.__isset;
+ConfigPull::ConfigPull(const ConfigPull& other308) {
+  have_version = other308.have_version;
+  have_parts = other308.have_parts;
+  __isset = other308.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other303) noexcept {
-  have_version = other303.have_version;
-  have_parts = std::move(other303.have_parts);
-  __isset = other303.__isset;
+ConfigPull::ConfigPull(ConfigPull&& other309) noexcept {
+  have_version = other309.have_version;
+  have_parts = std::move(other309.have_parts);
+  __isset = other309.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other304) {
-  have_version = other304.have_version;
-  have_parts = other304.have_parts;
-  __isset = other304.__isset;
+ConfigPull& ConfigPull::operator=(const ConfigPull& other310) {
+  have_version = other310.have_version;
+  have_parts = other310.have_parts;
+  __isset = other310.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other305) noexcept {
-  have_version = other305.have_version;
-  have_parts = std::move(other305.have_parts);
-  __isset = other305.__isset;
+ConfigPull& ConfigPull::operator=(ConfigPull&& other311) noexcept {
+  have_version = other311.have_version;
+  have_parts = std::move(other311.have_parts);
+  __isset = other311.__isset;
   return *this;
 }
 void ConfigPull::printTo(std::ostream& out) const {
@@ -7700,26 +7768,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other306) {
-  hash = other306.hash;
-  data = other306.data;
-  __isset = other306.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other312) {
+  hash = other312.hash;
+  data = other312.data;
+  __isset = other312.__isset;
 }
-ConfigPart::ConfigPart(ConfigPart&& other307) noexcept {
-  hash = std::move(other307.hash);
-  data = std::move(other307.data);
-  __isset = other307.__isset;
+ConfigPart::ConfigPart(ConfigPart&& other313) noexcept {
+  hash = std::move(other313.hash);
+  data = std::move(other313.data);
+  __isset = other313.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other308) {
-  hash = other308.hash;
-  data = other308.data;
-  __isset = other308.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other314) {
+  hash = other314.hash;
+  data = other314.data;
+  __isset = other314.__isset;
   return *this;
 }
-ConfigPart& ConfigPart::operator=(ConfigPart&& other309) noexcept {
-  hash = std::move(other309.hash);
-  data = std::move(other309.data);
-  __isset = other309.__isset;
+ConfigPart& ConfigPart::operator=(ConfigPart&& other315) noexcept {
+  hash = std::move(other315.hash);
+  data = std::move(other315.data);
+  __isset = other315.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -7798,14 +7866,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->part_hashes.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->part_hashes.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->part_hashes.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += iprot->readString(this->part_hashes[_i314]);
+              xfer += iprot->readString(this->part_hashes[_i320]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7818,14 +7886,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->parts.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->parts.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->parts[_i319].read(iprot);
+              xfer += this->parts[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7862,10 +7930,10 @@
   xfer += oprot->writeFieldBegin("part_hashes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->part_hashes.size()));
-    std::vector<std::string> ::const_iterator _iter320;
-    for (_iter320 = this->part_hashes.begin(); _iter320 != this->part_hashes.end(); ++_iter320)
+    std::vector<std::string> ::const_iterator _iter326;
+    for (_iter326 = this->part_hashes.begin(); _iter326 != this->part_hashes.end(); ++_iter326)
     {
-      xfer += oprot->writeString((*_iter320));
+      xfer += oprot->writeString((*_iter326));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7874,10 +7942,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<ConfigPart> ::const_iterator _iter321;
-    for (_iter321 = this->parts.begin(); _iter321 != this->parts.end(); ++_iter321)
+    std::vector<ConfigPart> ::const_iterator _iter327;
+    for (_iter327 = this->parts.begin(); _iter327 != this->parts.end(); ++_iter327)
     {
-      xfer += (*_iter321).write(oprot);
+      xfer += (*_iter327).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7897,34 +7965,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigParts::ConfigParts(const ConfigParts& other322) {
-  version = other322.version;
-  plan_id = other322.plan_id;
-  part_hashes = other322.part_hashes;
-  parts = other322.parts;
-  __isset = other322.__isset;
-}
-ConfigParts::ConfigParts(ConfigParts&& other323) noexcept {
-  version = other323.version;
-  plan_id = std::move(other323.plan_id);
-  part_hashes = std::move(other323.part_hashes);
-  parts = std::move(other323.parts);
-  __isset = other323.__isset;
-}
-ConfigParts& ConfigParts::operator=(const ConfigParts& other324) {
-  version = other324.version;
-  plan_id = other324.plan_id;
-  part_hashes = other324.part_hashes;
-  parts = other324.parts;
-  __isset = other324.__isset;
+ConfigParts::ConfigParts(const ConfigParts& other328) {
+  version = other328.version;
+  plan_id = other328.plan_id;
+  part_hashes = other328.part_hashes;
+  parts = other328.parts;
+  __isset = other328.__isset;
+}
+ConfigParts::ConfigParts(ConfigParts&& other329) noexcept {
+  version = other329.version;
+  plan_id = std::move(other329.plan_id);
+  part_hashes = std::move(other329.part_hashes);
+  parts = std::move(other329.parts);
+  __isset = other329.__isset;
+}
+ConfigParts& ConfigParts::operator=(const ConfigParts& other330) {
+  version = other330.version;
+  plan_id = other330.plan_id;
+  part_hashes = other330.part_hashes;
+  parts = other330.parts;
+  __isset = other330.__isset;
   return *this;
 }
-ConfigParts& ConfigParts::operator=(ConfigParts&& other325) noexcept {
-  version = other325.version;
-  plan_id = std::move(other325.plan_id);
-  part_hashes = std::move(other325.part_hashes);
-  parts = std::move(other325.parts);
-  __isset = other325.__isset;
+ConfigParts& ConfigParts::operator=(ConfigParts&& other331) noexcept {
+  version = other331.version;
+  plan_id = std::move(other331.plan_id);
+  part_hashes = std::move(other331.part_hashes);
+  parts = std::move(other331.parts);
+  __isset = other331.__isset;
   return *this;
 }
 void ConfigParts::printTo(std::ostream& out) const {
@@ -8452,114 +8520,114 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other326) {
-  hello = other326.hello;
-  heartbeat = other326.heartbeat;
-  credit = other326.credit;
-  cancel = other326.cancel;
-  refusal = other326.refusal;
-  place = other326.place;
-  placed = other326.placed;
-  place_done = other326.place_done;
-  run = other326.run;
-  run_head = other326.run_head;
-  chunk = other326.chunk;
-  run_end = other326.run_end;
-  void_attempt = other326.void_attempt;
-  attempt_state = other326.attempt_state;
-  ensure_model = other326.ensure_model;
-  model_ready = other326.model_ready;
-  subscribe = other326.subscribe;
-  endpoint_report = other326.endpoint_report;
-  drain = other326.drain;
-  drain_state = other326.drain_state;
-  config_pull = other326.config_pull;
-  config_parts = other326.config_parts;
-  release_engine = other326.release_engine;
-  engine_released = other326.engine_released;
-  __isset = other326.__isset;
-}
-Message::Message(Message&& other327) noexcept {
-  hello = std::move(other327.hello);
-  heartbeat = std::move(other327.heartbeat);
-  credit = std::move(other327.credit);
-  cancel = std::move(other327.cancel);
-  refusal = std::move(other327.refusal);
-  place = std::move(other327.place);
-  placed = std::move(other327.placed);
-  place_done = std::move(other327.place_done);
-  run = std::move(other327.run);
-  run_head = std::move(other327.run_head);
-  chunk = std::move(other327.chunk);
-  run_end = std::move(other327.run_end);
-  void_attempt = std::move(other327.void_attempt);
-  attempt_state = std::move(other327.attempt_state);
-  ensure_model = std::move(other327.ensure_model);
-  model_ready = std::move(other327.model_ready);
-  subscribe = std::move(other327.subscribe);
-  endpoint_report = std::move(other327.endpoint_report);
-  drain = std::move(other327.drain);
-  drain_state = std::move(other327.drain_state);
-  config_pull = std::move(other327.config_pull);
-  config_parts = std::move(other327.config_parts);
-  release_engine = std::move(other327.release_engine);
-  engine_released = std::move(other327.engine_released);
-  __isset = other327.__isset;
-}
-Message& Message::operator=(const Message& other328) {
-  hello = other328.hello;
-  heartbeat = other328.heartbeat;
-  credit = other328.credit;
-  cancel = other328.cancel;
-  refusal = other328.refusal;
-  place = other328.place;
-  placed = other328.placed;
-  place_done = other328.place_done;
-  run = other328.run;
-  run_head = other328.run_head;
-  chunk = other328.chunk;
-  run_end = other328.run_end;
-  void_attempt = other328.void_attempt;
-  attempt_state = other328.attempt_state;
-  ensure_model = other328.ensure_model;
-  model_ready = other328.model_ready;
-  subscribe = other328.subscribe;
-  endpoint_report = other328.endpoint_report;
-  drain = other328.drain;
-  drain_state = other328.drain_state;
-  config_pull = other328.config_pull;
-  config_parts = other328.config_parts;
-  release_engine = other328.release_engine;
-  engine_released = other328.engine_released;
-  __isset = other328.__isset;
+Message::Message(const Message& other332) {
+  hello = other332.hello;
+  heartbeat = other332.heartbeat;
+  credit = other332.credit;
+  cancel = other332.cancel;
+  refusal = other332.refusal;
+  place = other332.place;
+  placed = other332.placed;
+  place_done = other332.place_done;
+  run = other332.run;
+  run_head = other332.run_head;
+  chunk = other332.chunk;
+  run_end = other332.run_end;
+  void_attempt = other332.void_attempt;
+  attempt_state = other332.attempt_state;
+  ensure_model = other332.ensure_model;
+  model_ready = other332.model_ready;
+  subscribe = other332.subscribe;
+  endpoint_report = other332.endpoint_report;
+  drain = other332.drain;
+  drain_state = other332.drain_state;
+  config_pull = other332.config_pull;
+  config_parts = other332.config_parts;
+  release_engine = other332.release_engine;
+  engine_released = other332.engine_released;
+  __isset = other332.__isset;
+}
+Message::Message(Message&& other333) noexcept {
+  hello = std::move(other333.hello);
+  heartbeat = std::move(other333.heartbeat);
+  credit = std::move(other333.credit);
+  cancel = std::move(other333.cancel);
+  refusal = std::move(other333.refusal);
+  place = std::move(other333.place);
+  placed = std::move(other333.placed);
+  place_done = std::move(other333.place_done);
+  run = std::move(other333.run);
+  run_head = std::move(other333.run_head);
+  chunk = std::move(other333.chunk);
+  run_end = std::move(other333.run_end);
+  void_attempt = std::move(other333.void_attempt);
+  attempt_state = std::move(other333.attempt_state);
+  ensure_model = std::move(other333.ensure_model);
+  model_ready = std::move(other333.model_ready);
+  subscribe = std::move(other333.subscribe);
+  endpoint_report = std::move(other333.endpoint_report);
+  drain = std::move(other333.drain);
+  drain_state = std::move(other333.drain_state);
+  config_pull = std::move(other333.config_pull);
+  config_parts = std::move(other333.config_parts);
+  release_engine = std::move(other333.release_engine);
+  engine_released = std::move(other333.engine_released);
+  __isset = other333.__isset;
+}
+Message& Message::operator=(const Message& other334) {
+  hello = other334.hello;
+  heartbeat = other334.heartbeat;
+  credit = other334.credit;
+  cancel = other334.cancel;
+  refusal = other334.refusal;
+  place = other334.place;
+  placed = other334.placed;
+  place_done = other334.place_done;
+  run = other334.run;
+  run_head = other334.run_head;
+  chunk = other334.chunk;
+  run_end = other334.run_end;
+  void_attempt = other334.void_attempt;
+  attempt_state = other334.attempt_state;
+  ensure_model = other334.ensure_model;
+  model_ready = other334.model_ready;
+  subscribe = other334.subscribe;
+  endpoint_report = other334.endpoint_report;
+  drain = other334.drain;
+  drain_state = other334.drain_state;
+  config_pull = other334.config_pull;
+  config_parts = other334.config_parts;
+  release_engine = other334.release_engine;
+  engine_released = other334.engine_released;
+  __isset = other334.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other329) noexcept {
-  hello = std::move(other329.hello);
-  heartbeat = std::move(other329.heartbeat);
-  credit = std::move(other329.credit);
-  cancel = std::move(other329.cancel);
-  refusal = std::move(other329.refusal);
-  place = std::move(other329.place);
-  placed = std::move(other329.placed);
-  place_done = std::move(other329.place_done);
-  run = std::move(other329.run);
-  run_head = std::move(other329.run_head);
-  chunk = std::move(other329.chunk);
-  run_end = std::move(other329.run_end);
-  void_attempt = std::move(other329.void_attempt);
-  attempt_state = std::move(other329.attempt_state);
-  ensure_model = std::move(other329.ensure_model);
-  model_ready = std::move(other329.model_ready);
-  subscribe = std::move(other329.subscribe);
-  endpoint_report = std::move(other329.endpoint_report);
-  drain = std::move(other329.drain);
-  drain_state = std::move(other329.drain_state);
-  config_pull = std::move(other329.config_pull);
-  config_parts = std::move(other329.config_parts);
-  release_engine = std::move(other329.release_engine);
-  engine_released = std::move(other329.engine_released);
-  __isset = other329.__isset;
+Message& Message::operator=(Message&& other335) noexcept {
+  hello = std::move(other335.hello);
+  heartbeat = std::move(other335.heartbeat);
+  credit = std::move(other335.credit);
+  cancel = std::move(other335.cancel);
+  refusal = std::move(other335.refusal);
+  place = std::move(other335.place);
+  placed = std::move(other335.placed);
+  place_done = std::move(other335.place_done);
+  run = std::move(other335.run);
+  run_head = std::move(other335.run_head);
+  chunk = std::move(other335.chunk);
+  run_end = std::move(other335.run_end);
+  void_attempt = std::move(other335.void_attempt);
+  attempt_state = std::move(other335.attempt_state);
+  ensure_model = std::move(other335.ensure_model);
+  model_ready = std::move(other335.model_ready);
+  subscribe = std::move(other335.subscribe);
+  endpoint_report = std::move(other335.endpoint_report);
+  drain = std::move(other335.drain);
+  drain_state = std::move(other335.drain_state);
+  config_pull = std::move(other335.config_pull);
+  config_parts = std::move(other335.config_parts);
+  release_engine = std::move(other335.release_engine);
+  engine_released = std::move(other335.engine_released);
+  __isset = other335.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -8719,34 +8787,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other330) {
-  call = other330.call;
-  from_opener = other330.from_opener;
-  config_version = other330.config_version;
-  message = other330.message;
-  __isset = other330.__isset;
-}
-Frame::Frame(Frame&& other331) noexcept {
-  call = other331.call;
-  from_opener = other331.from_opener;
-  config_version = other331.config_version;
-  message = std::move(other331.message);
-  __isset = other331.__isset;
-}
-Frame& Frame::operator=(const Frame& other332) {
-  call = other332.call;
-  from_opener = other332.from_opener;
-  config_version = other332.config_version;
-  message = other332.message;
-  __isset = other332.__isset;
+Frame::Frame(const Frame& other336) {
+  call = other336.call;
+  from_opener = other336.from_opener;
+  config_version = other336.config_version;
+  message = other336.message;
+  __isset = other336.__isset;
+}
+Frame::Frame(Frame&& other337) noexcept {
+  call = other337.call;
+  from_opener = other337.from_opener;
+  config_version = other337.config_version;
+  message = std::move(other337.message);
+  __isset = other337.__isset;
+}
+Frame& Frame::operator=(const Frame& other338) {
+  call = other338.call;
+  from_opener = other338.from_opener;
+  config_version = other338.config_version;
+  message = other338.message;
+  __isset = other338.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other333) noexcept {
-  call = other333.call;
-  from_opener = other333.from_opener;
-  config_version = other333.config_version;
-  message = std::move(other333.message);
-  __isset = other333.__isset;
+Frame& Frame::operator=(Frame&& other339) noexcept {
+  call = other339.call;
+  from_opener = other339.from_opener;
+  config_version = other339.config_version;
+  message = std::move(other339.message);
+  __isset = other339.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/gen/link_types.h
+++ b/gen/link_types.h
@@ -2393,11 +2393,12 @@
 std::ostream& operator<<(std::ostream& out, const StreamAsk& obj);
 
 typedef struct _StreamAnswer__isset {
-  _StreamAnswer__isset() : entry(false), number(false), origin(false), versions(false) {}
+  _StreamAnswer__isset() : entry(false), number(false), origin(false), versions(false), all_versions(false) {}
   bool entry :1;
   bool number :1;
   bool origin :1;
   bool versions :1;
+  bool all_versions :1;
 } _StreamAnswer__isset;
 
 class StreamAnswer : public virtual ::apache::thrift::TBase {
@@ -2417,6 +2418,7 @@
   int64_t number;
   StreamOrigin origin;
   std::vector<std::string>  versions;
+  std::vector<std::string>  all_versions;
 
   _StreamAnswer__isset __isset;
 
@@ -2428,6 +2430,8 @@
 
   void __set_versions(const std::vector<std::string> & val);
 
+  void __set_all_versions(const std::vector<std::string> & val);
+
   bool operator == (const StreamAnswer & rhs) const
   {
     if (!(entry == rhs.entry))
@@ -2440,6 +2444,10 @@
       return false;
     if (!(versions == rhs.versions))
       return false;
+    if (__isset.all_versions != rhs.__isset.all_versions)
+      return false;
+    else if (__isset.all_versions && !(all_versions == rhs.all_versions))
+      return false;
     return true;
   }
   bool operator != (const StreamAnswer &rhs) const {
@@ -2459,8 +2467,9 @@
 std::ostream& operator<<(std::ostream& out, const StreamAnswer& obj);
 
 typedef struct _ServiceVersions__isset {
-  _ServiceVersions__isset() : versions(false) {}
+  _ServiceVersions__isset() : versions(false), only_version(false) {}
   bool versions :1;
+  bool only_version :1;
 } _ServiceVersions__isset;
 
 class ServiceVersions : public virtual ::apache::thrift::TBase {
@@ -2470,20 +2479,28 @@
   ServiceVersions(ServiceVersions&&) noexcept;
   ServiceVersions& operator=(const ServiceVersions&);
   ServiceVersions& operator=(ServiceVersions&&) noexcept;
-  ServiceVersions() noexcept {
+  ServiceVersions() noexcept
+                  : only_version() {
   }
 
   virtual ~ServiceVersions() noexcept;
   std::vector<std::string>  versions;
+  std::string only_version;
 
   _ServiceVersions__isset __isset;
 
   void __set_versions(const std::vector<std::string> & val);
 
+  void __set_only_version(const std::string& val);
+
   bool operator == (const ServiceVersions & rhs) const
   {
     if (!(versions == rhs.versions))
       return false;
+    if (__isset.only_version != rhs.__isset.only_version)
+      return false;
+    else if (__isset.only_version && !(only_version == rhs.only_version))
+      return false;
     return true;
   }
   bool operator != (const ServiceVersions &rhs) const {
--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -306,13 +306,22 @@
   2: i64 number
   // Not set if the entry does not know it.
   3: optional StreamOrigin origin
-  // Software versions that have lately served the service.
+  // Software versions that have lately served the service, as far as the
+  // answering entry itself has seen them.
   4: list<string> versions
+  // All versions that have lately served the service. Not set unless the
+  // answering entry's view is current and its knowledge complete.
+  5: optional list<string> all_versions
 }
 
-// Software versions that have lately served a service. Stored in the key-value
-// service while there are several.
-struct ServiceVersions { 1: list<string> versions }
+// Software versions that have lately served a service, under a key per service.
+struct ServiceVersions {
+  // Empty if there is only one.
+  1: list<string> versions
+  // The only version. Not in the list, as former entries delete a key that
+  // lists one version.
+  2: optional string only_version
+}
 
 // A property of a request that may crash engines.
 struct RequestTrait {
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -326,6 +326,7 @@
        {"age_ms", lookup.age},
        {"asked", lookup.asked},
        {"answered", lookup.evidence.answered},
+       {"vouched", lookup.evidence.vouched},
        {"versions", lookup.evidence.recent_versions},
        {"stored_versions", lookup.evidence.stored_versions.value_or(-1)},
        {"followed_ms", lookup.evidence.followed.value_or(milliseconds(-1))},
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -253,7 +253,9 @@
       stream_directory_(
           DirectoryOptionsOf(presence_key_), version_history_, peer_table_,
           [this] {
-            return !store_follower_.failing() && !store_follower_.IsLate();
+            // Without a revision, changes were missed.
+            return store_follower_.revision() && !store_follower_.failing() &&
+                   !store_follower_.IsLate();
           },
           [this](const std::string& address,
                  const gen::EntryDatagram& datagram) {
--- a/src/serving/stream_version_test.cc
+++ b/src/serving/stream_version_test.cc
@@ -135,6 +135,7 @@
   Rig rig;
   rig.AddEngine(kDrafts, testing::Streaming({kSecond}, true));
   rig.SetVersion("i-1", "v1", "z");
+  rig.version_history.SetStored(kDrafts, {fleet::SoftwareVersion("v1")});
   rig.resumes = {"r-unknown", 1};
   RecordingWriter writer;
   rig.Serve("/stream/", kWait, writer);
--- a/src/serving/version_store.cc
+++ b/src/serving/version_store.cc
@@ -1,7 +1,6 @@
 /** @file version_store.cc Shares the software versions of services through the
  * store. */
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -22,6 +21,9 @@
 /** Entries take turns at this interval, so that mostly one of them writes: the
  * others learn of the write meanwhile. */
 constexpr milliseconds kTurnInterval{300};
+/** The first key of a service is written after this time: entries that start
+ * together know each other by then. */
+constexpr milliseconds kSettleTime{1000};
 /** Pause before a write is tried again. */
 constexpr milliseconds kRetryPause{2000};
 
@@ -92,17 +94,22 @@
   StoredVersions read;
   read.revision = entry.revision;
   try {
-    for (const std::string& it :
-         fleet::DecodeServiceVersions(entry.value).versions) {
-      read.versions.insert(fleet::SoftwareVersion(it));
+    const gen::ServiceVersions message =
+        fleet::DecodeServiceVersions(entry.value);
+    for (const std::string& it : message.versions) read.versions.emplace(it);
+    if (message.__isset.only_version) {
+      read.versions.emplace(message.only_version);
     }
-    history_.SetStored(service, read.versions);
   } catch (const core::Error& e) {
-    history_.RemoveStored(service);
     log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
                "service_versions_unreadable",
                {{"key", entry.key}, {"error", e.what()}});
   }
+  if (read.versions.empty()) {
+    history_.RemoveStored(service);
+  } else {
+    history_.SetStored(service, read.versions);
+  }
   stored_[service] = std::move(read);
 }
 
@@ -123,31 +130,24 @@
   for (const core::ServiceId& it : services) MaintainService(it);
 }
 
-/** @return The stored versions that are recent, and those that this entry has
- * seen registered; none if that is one version. */
-streams::VersionSet VersionStore::VersionsToStore(
-    const core::ServiceId& service, const StoredVersions& stored) const {
-  streams::VersionSet versions = history_.Observed(service);
-  const streams::VersionSet recent = history_.Recent(service);
-  std::ranges::set_intersection(stored.versions, recent,
-                                std::inserter(versions, versions.end()));
-  if (versions.size() < 2) versions.clear();
-  return versions;
-}
-
 void VersionStore::MaintainService(const core::ServiceId& service) {
   const auto it = stored_.find(service);
   const StoredVersions stored =
       it == stored_.end() ? StoredVersions() : it->second;
-  const streams::VersionSet versions = VersionsToStore(service, stored);
-  if (versions == stored.versions) {
+  const streams::VersionSet versions = history_.VersionsToStore(service);
+  const bool unreadable = stored.revision != 0 && stored.versions.empty();
+  if (versions == stored.versions ||
+      (unreadable && !history_.HasFollowedLong())) {
     due_.erase(service);
     return;
   }
   const core::SteadyTime now = clock_.Now();
-  const auto [due, is_new] = due_.try_emplace(service, now + Turn(service));
-  if (now < due->second) return;
-  due->second = now + kRetryPause;
+  DueWrite& due = due_.try_emplace(service, DueWrite{now, {}}).first->second;
+  const bool is_urgent = stored.revision != 0 || versions.size() > 1;
+  const milliseconds wait = is_urgent ? milliseconds(0) : kSettleTime;
+  if (now < due.since + wait + Turn(service)) return;
+  if (due.retry_at && now < *due.retry_at) return;
+  due.retry_at = now + kRetryPause;
   core::Spawn(executor_, log_, "write_service_versions",
               [this, service, versions, revision = stored.revision] {
                 return Write(service, versions, revision);
@@ -171,8 +171,10 @@
                                  streams::VersionSet versions,
                                  std::int64_t revision) {
   gen::ServiceVersions message;
-  for (const fleet::SoftwareVersion& it : versions) {
-    message.versions.push_back(it.value());
+  if (versions.size() == 1) {
+    message.__set_only_version(versions.begin()->value());
+  } else {
+    for (const auto& it : versions) message.versions.push_back(it.value());
   }
   std::string failure;
   bool is_written = false;
--- a/src/serving/version_store_base.h
+++ b/src/serving/version_store_base.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,11 @@
 namespace sapphire::serving {
 
 /**
- * Keeps, under a key per service, the versions that have lately served it while
- * there are several. An entry that has just started thus knows whether streams
- * may have begun at a version that does not serve any more. A service of one
- * version has no key and costs no call. Not thread-safe.
+ * Keeps, under a key per service, the versions that have lately served it. An
+ * entry that has just started thus knows whether streams may have begun at a
+ * version that does not serve any more. A service without a key may have had
+ * any versions. Written by one entry when a version is new or has left for
+ * long; not thread-safe.
  */
 class VersionStore {
  public:
@@ -53,8 +55,6 @@
   void Apply(const core::ServiceId& service, const external::KvEntry& entry);
   void LogKnown(const core::ServiceId& service, std::int64_t revision) const;
   void ApplyChange(const external::KvEvent& event);
-  [[nodiscard]] streams::VersionSet VersionsToStore(
-      const core::ServiceId& service, const StoredVersions& stored) const;
   void MaintainService(const core::ServiceId& service);
   core::Task<> Write(core::ServiceId service, streams::VersionSet versions,
                      std::int64_t revision);
@@ -69,9 +69,14 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::map<core::ServiceId, StoredVersions> stored_;
-  /** When this entry writes the versions of a service that differ from the
-   * stored ones. */
-  std::map<core::ServiceId, core::SteadyTime> due_;
+  /** A write that is to come. */
+  struct DueWrite {
+    /** Since when the versions differ from the stored ones. */
+    core::SteadyTime since;
+    /** Not set before the first try. */
+    std::optional<core::SteadyTime> retry_at;
+  };
+  std::map<core::ServiceId, DueWrite> due_;
 };
 
 }  // namespace sapphire::serving
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -31,6 +31,18 @@
   return sorted;
 }
 
+std::vector<std::string> ToNames(const VersionSet& versions) {
+  std::vector<std::string> names;
+  for (const fleet::SoftwareVersion& it : versions) names.push_back(it.value());
+  return names;
+}
+
+VersionSet FromNames(const std::vector<std::string>& names) {
+  VersionSet versions;
+  for (const std::string& it : names) versions.emplace(it);
+  return versions;
+}
+
 }  // namespace
 
 std::string_view NameOf(OriginSource source) {
@@ -124,6 +136,7 @@
     lookup.asked = static_cast<int>(search->asked);
     lookup.evidence = EvidenceOf(service);
     lookup.evidence.answered = search->answered;
+    lookup.evidence.vouched = search->vouched.has_value();
     origin = search->found;
     if (origin) {
       lookup.source = OriginSource::kPeer;
@@ -180,25 +193,31 @@
 }
 
 /** Asks the holders of the origin; then all others, if the origin is needed
- * because several versions serve. */
+ * because several versions serve, or others may have served lately. */
 core::Task<> StreamDirectory::RunSearch(std::shared_ptr<Search> search) {
   const core::SteadyTime began = clock_.Now();
   AskUpTo(*search, options_.holders);
   co_await Await(search, began + options_.holder_timeout);
-  if (!search->found && history_.HasSeveral(search->service)) {
+  if (!search->found && !OnlyVersion(*search)) {
     AskUpTo(*search, search->peers.size());
     co_await Await(search, began + options_.timeout);
   }
   searches_.erase(search->question.stream_ask.number);
 }
 
-/** @return The only version that has lately served, unless this entry may have
- * missed another one: then its view of the store is not current, and no other
- * entry has answered. */
+bool StreamDirectory::KnowsAllVersions(const core::ServiceId& service) const {
+  return view_is_current_() && history_.IsComplete(service);
+}
+
+/** @return The only version that has lately served, unless another one may have
+ * been missed by this entry and by those that have answered. */
 std::optional<fleet::SoftwareVersion> StreamDirectory::OnlyVersion(
     const Search& search) {
-  const VersionSet versions = history_.Recent(search.service);
-  const bool is_known = view_is_current_() || search.answered > 0;
+  VersionSet versions = history_.Recent(search.service);
+  if (search.vouched) {
+    versions.insert(search.vouched->begin(), search.vouched->end());
+  }
+  const bool is_known = search.vouched || KnowsAllVersions(search.service);
   if (versions.size() != 1 || !is_known) return std::nullopt;
   return *versions.begin();
 }
@@ -229,8 +248,10 @@
   const auto origin =
       table_.Find(core::RequestId(ask.request_id), history_.max_age());
   if (origin) answer.__set_origin(ToMessage(*origin));
-  for (const auto& it : history_.Observed(core::ServiceId(ask.service_id))) {
-    answer.versions.push_back(it.value());
+  const core::ServiceId service(ask.service_id);
+  answer.versions = ToNames(history_.Observed(service));
+  if (KnowsAllVersions(service)) {
+    answer.__set_all_versions(ToNames(history_.Recent(service)));
   }
   gen::EntryDatagram datagram;
   datagram.__set_stream_answer(answer);
@@ -239,15 +260,17 @@
 
 void StreamDirectory::OnAnswer(const gen::StreamAnswer& answer) {
   const auto it = searches_.find(answer.number);
-  if (it == searches_.end()) return;
+  // A former presence on this VM leads here too.
+  const bool is_own = answer.entry == options_.entry;
+  if (it == searches_.end() || is_own) return;
   Search& search = *it->second;
   search.unanswered.erase(answer.entry);
   ++search.answered;
-  VersionSet versions;
-  for (const std::string& version : answer.versions) {
-    versions.insert(fleet::SoftwareVersion(version));
+  history_.Add(search.service, FromNames(answer.versions));
+  if (answer.__isset.all_versions) {
+    if (!search.vouched) search.vouched.emplace();
+    search.vouched->merge(FromNames(answer.all_versions));
   }
-  history_.Add(search.service, versions);
   if (answer.__isset.origin) search.found = FromMessage(answer.origin);
   search.changed.Notify();
 }
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -105,6 +105,9 @@
     std::size_t asked = 0;
     /** Number of answers of other entries. */
     int answered = 0;
+    /** Versions named by entries that know all of them; nothing if none has
+     * answered. */
+    std::optional<VersionSet> vouched;
     std::optional<StreamOrigin> found;
     core::Signal changed;
   };
@@ -117,6 +120,7 @@
   void AskUpTo(Search& search, std::size_t n);
   core::Task<> RunSearch(std::shared_ptr<Search> search);
   [[nodiscard]] OriginEvidence EvidenceOf(const core::ServiceId& service);
+  [[nodiscard]] bool KnowsAllVersions(const core::ServiceId& service) const;
   [[nodiscard]] std::optional<fleet::SoftwareVersion> OnlyVersion(
       const Search& search);
   core::Task<> Await(std::shared_ptr<Search> search, core::SteadyTime until);
--- a/src/streams/stream_directory_test.cc
+++ b/src/streams/stream_directory_test.cc
@@ -69,11 +69,14 @@
       : log_({"entry", core::VmId("vm"), core::ZoneId("z")},
              core::LogLevel::kError, clock) {
     for (const char* name : {"a", "b", "c", "d", "e"}) Add(name);
+    // They have seen each change for long.
+    clock.moved += kMinStreamAge;
   }
 
   void Add(const std::string& name) {
     nodes[name] = std::make_unique<Node>(*this, name, clock, log_);
     nodes[name]->PutEngine("i-old", kOld);
+    nodes[name]->history.BeginFollowing();
     Connect();
   }
 
--- a/src/streams/stream_type.h
+++ b/src/streams/stream_type.h
@@ -53,6 +53,8 @@
   bool view_late = false;
   /** Number of other entries that have answered. */
   int answered = 0;
+  /** True if one of them knows all versions that have lately served. */
+  bool vouched = false;
 };
 
 /** Result of a search for the version that began a stream. */
--- a/src/streams/version_history.cc
+++ b/src/streams/version_history.cc
@@ -57,9 +57,23 @@
                                                   *followed_since_);
 }
 
+VersionSet VersionHistory::VersionsToStore(const core::ServiceId& service) {
+  VersionSet versions = Observed(service);
+  const VersionSet* const stored = Stored(service);
+  if (stored == nullptr) return versions;
+  const auto seen = last_seen_.find(service);
+  for (const fleet::SoftwareVersion& it : *stored) {
+    const bool is_recent =
+        seen != last_seen_.end() && seen->second.contains(it);
+    if (is_recent || !HasFollowedLong()) versions.insert(it);
+  }
+  return versions;
+}
+
 VersionSet VersionHistory::Recent(const core::ServiceId& service) {
   UpdateIfChanged();
-  VersionSet recent;
+  const VersionSet* const stored = Stored(service);
+  VersionSet recent = stored == nullptr ? VersionSet() : *stored;
   const auto it = last_seen_.find(service);
   if (it == last_seen_.end()) return recent;
   for (const auto& [version, seen] : it->second) recent.insert(version);
@@ -80,6 +94,7 @@
 std::set<core::ServiceId> VersionHistory::Services() const {
   std::set<core::ServiceId> services;
   for (const auto& [service, versions] : last_seen_) services.insert(service);
+  for (const auto& [service, versions] : stored_) services.insert(service);
   return services;
 }
 
--- a/src/streams/version_history_base.h
+++ b/src/streams/version_history_base.h
@@ -19,7 +19,11 @@
 /**
  * The software versions of each service's engines, including those that were
  * registered within the last max_age(): a stream that one of them began may
- * still be taken up. Not thread-safe.
+ * still be taken up.
+ *
+ * They are complete if the store names the service's versions, or if this entry
+ * has seen each change of the engines for max_age(). Else versions may have
+ * served and left before this entry began to follow the store. Not thread-safe.
  */
 class VersionHistory {
  public:
@@ -55,7 +59,22 @@
    * first listing. */
   [[nodiscard]] std::optional<milliseconds> Followed() const;
 
-  /** @return The service's recent versions, as of now. */
+  /** @return True if no version that has lately served can be missing. */
+  [[nodiscard]] bool IsComplete(const core::ServiceId& service) const {
+    return Stored(service) != nullptr || HasFollowedLong();
+  }
+
+  /** @return True if this entry has seen each change for max_age(). */
+  [[nodiscard]] bool HasFollowedLong() const {
+    return Followed().value_or(milliseconds(0)) >= max_age_;
+  }
+
+  /** @return What the store's key is to name: the versions that this entry has
+   * seen registered, and those stored ones that it can't rule out. */
+  [[nodiscard]] VersionSet VersionsToStore(const core::ServiceId& service);
+
+  /** @return The service's recent versions, as of now, and those that the store
+   * names. */
   [[nodiscard]] VersionSet Recent(const core::ServiceId& service);
 
   /** @return Those of the recent versions that this entry itself has seen
