Never let a newer route replace the key of a waiting request

Reauthorize fell back on an older grant that a configuration in between had withdrawn.

A request now needs no key only if its route is public both by the configuration of its arrival, which chose its service, and by the one in force. If that drops the organisations, nothing is sent on. What only the change of configurations forbids is refused with 503 before any engine has run it, so that callers return to the newer configuration; 401 stays for a revoked key on a route that needs one. A send that should name an organisation and does not is counted again as "missing", judged by the route of the arrival.

--- a/src/serving/authorization.cc
+++ b/src/serving/authorization.cc
@@ -16,12 +16,8 @@
 
 }  // namespace
 
-bool NeedsKey(const routing::RoutingTable& table, const routing::Route& route) {
-  return table.HasOrganisations() && !route.is_public;
-}
-
 Authorization Authorize(std::shared_ptr<const routing::RoutingTable> table,
-                        const routing::Route& route,
+                        const RouteAccess& route,
                         const std::optional<organisation::ApiKey>& key) {
   const organisation::Organisation* organisation =
       key ? table->FindOrganisation(*key) : nullptr;
--- a/src/serving/authorization_func.h
+++ b/src/serving/authorization_func.h
@@ -11,13 +11,20 @@
 
 namespace sapphire::serving {
 
-/** @return True if requests of the route need the key of an organisation. */
-bool NeedsKey(const routing::RoutingTable& table, const routing::Route& route);
+[[nodiscard]] inline RouteAccess AccessOf(const routing::Route& route) {
+  return {route.is_public, route.rank};
+}
+
+/** @return True if requests need the key of an organisation. */
+[[nodiscard]] inline bool NeedsKey(const routing::RoutingTable& table,
+                                   const RouteAccess& route) {
+  return table.HasOrganisations() && !route.is_public;
+}
 
 /** @throws core::Error kUnauthenticated if the request needs a key and `key` is
  *   none of the configuration. */
 Authorization Authorize(std::shared_ptr<const routing::RoutingTable> table,
-                        const routing::Route& route,
+                        const RouteAccess& route,
                         const std::optional<organisation::ApiKey>& key);
 
 }  // namespace sapphire::serving
--- a/src/serving/authorization_type.h
+++ b/src/serving/authorization_type.h
@@ -12,6 +12,14 @@
 
 namespace sapphire::serving {
 
+/** What a route says of its callers. */
+struct RouteAccess {
+  /** True if requests need no key. */
+  bool is_public = false;
+  /** Priority of callers whose organisation has none of its own. */
+  int rank = 0;
+};
+
 /** A configuration's decision that a request may be sent: it has an
  * organisation, or needs none. Immutable; only Authorize makes one. */
 class Authorization {
@@ -57,8 +65,7 @@
  private:
   friend Authorization Authorize(
       std::shared_ptr<const routing::RoutingTable> table,
-      const routing::Route& route,
-      const std::optional<organisation::ApiKey>& key);
+      const RouteAccess& route, const std::optional<organisation::ApiKey>& key);
 
   Authorization(std::shared_ptr<const routing::RoutingTable> table,
                 const organisation::Organisation* organisation,
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -200,12 +200,12 @@
 
 /** Authorizes the request by the configuration of its route. */
 void Dispatcher::Authenticate(RequestWork& work) const {
-  if (NeedsKey(*work.table, *work.route) && !deps_.view.keys_confirmed()) {
+  const RouteAccess route = AccessOf(*work.route);
+  if (NeedsKey(*work.table, route) && !deps_.view.keys_confirmed()) {
     throw Error(ErrorCode::kConfigurationStale, "", kDefaultRetryAfter);
   }
   try {
-    work.authorization =
-        Authorize(work.table, *work.route, work.request.api_key);
+    work.authorization = Authorize(work.table, route, work.request.api_key);
   } catch (const Error& e) {
     if (IsRevoked(work)) throw Error(e.code(), "revoked");
     throw;
@@ -214,25 +214,34 @@
 
 /** Refuses the request if the configuration in force does not allow it any
  * more; it then keeps its former authorization, which no send may use.
- * @return Its authorization, which that configuration has given or leaves. */
+ * @return Its authorization by that configuration. */
 const Authorization& Dispatcher::Reauthorize(RequestWork& work) const {
   auto current = deps_.configuration.current();
-  const Authorization& former = *work.authorization;
-  if (former.table() == current) return former;
-  // A configuration without organisations revokes no key, and the engine must
-  // not learn one that another configuration has checked.
-  if (!current->HasOrganisations() && !former.passes_credentials()) {
-    return former;
-  }
-  const routing::Route* route = current->Find(
+  if (work.authorization->table() == current) return *work.authorization;
+  const routing::Route* const route = current->Find(
       work.request.host, http::PathOf(work.request.forward.target));
-  if (route == nullptr) route = work.route;
+  // The service is that of the route of the arrival, which the newer route may
+  // not send to: both have to be public.
+  RouteAccess access = AccessOf(*work.route);
+  access.is_public = access.is_public && route != nullptr && route->is_public;
+  // An engine must not receive a key that organisations were to check.
+  const bool drops_organisations =
+      work.table->HasOrganisations() && !current->HasOrganisations();
+  const bool is_denied = route != nullptr &&
+                         NeedsKey(*current, AccessOf(*route)) &&
+                         IsRevoked(work);
   try {
+    if (drops_organisations) throw Error(ErrorCode::kUnauthenticated);
     work.authorization =
-        Authorize(std::move(current), *route, work.request.api_key);
-  } catch (const Error& e) {
-    throw Error(work.runs == 0 ? e.code() : ErrorCode::kOutcomeUnknown,
-                "revoked");
+        Authorize(std::move(current), access, work.request.api_key);
+  } catch (const Error&) {
+    if (work.runs > 0) {
+      throw Error(ErrorCode::kOutcomeUnknown,
+                  is_denied ? "revoked" : "not allowed any more");
+    }
+    if (is_denied) throw Error(ErrorCode::kUnauthenticated, "revoked");
+    throw Error(ErrorCode::kConfigurationStale, "not allowed any more",
+                kDefaultRetryAfter);
   }
   return *work.authorization;
 }
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -57,7 +57,8 @@
   void RequestEnded(routing::RequestKind kind, std::string_view outcome,
                     std::chrono::milliseconds took);
   void FirstByte(routing::RequestKind kind, std::chrono::milliseconds waited);
-  /** @param organisation As Authorization::label. */
+  /** @param organisation As Authorization::label, or "missing" if the route of
+   * the arrival calls for one. */
   void SendBegun(std::string_view organisation);
   /** @param end As in the log's send_failed, or "served". */
   void SendEnded(std::string_view end);
--- a/src/serving/request_sender.cc
+++ b/src/serving/request_sender.cc
@@ -38,6 +38,16 @@
   return send;
 }
 
+/** @return The metric's label of the send: whether it names an organisation.
+ * Judged by the route of the arrival too, so that a wrong authorization shows
+ * as "missing". */
+std::string_view OrganisationLabel(const RequestWork& work,
+                                   const Authorization& authorization) {
+  const bool is_missing =
+      authorization.label() == "public_route" && !work.route->is_public;
+  return is_missing ? "missing" : authorization.label();
+}
+
 }  // namespace
 
 std::string_view NameOf(ExchangeEnd end) {
@@ -79,7 +89,7 @@
   send->watched = Watch(work, *entry);
   send->options = OptionsOf(work, authorization, *entry, now);
   send->client = deps_.clients.Of(*entry);
-  deps_.metrics.SendBegun(authorization.label());
+  deps_.metrics.SendBegun(OrganisationLabel(work, authorization));
   ++work.sends;
   if (!work.first_send) work.first_send = now;
   const SendState state{work.route, work.deadline, TimeLeft(work, now),
