Keep keys that a configuration without organisations leaves out

As a configuration without organisations came into force, each key of the one before was recorded as revoked. An entry that took organisations up again from an older document than the newest one then answered 401, which callers take as final, without asking the store for a newer one.

Only a configuration with organisations revokes keys now. AConfigurationWithoutOrganisationsRevokesNoKey failed before (1 check).

--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -90,6 +90,8 @@
 
 void ConfigurationHolder::RecordRevokedKeys(const RoutingTable& next) {
   if (current_ == nullptr || !current_->HasOrganisations()) return;
+  // A configuration without organisations needs no keys and revokes none.
+  if (!next.HasOrganisations()) return;
   if (revoked_.size() > kMaxRevokedKeys) revoked_.clear();
   for (const auto& it : *current_->configuration().organisations) {
     for (const organisation::ApiKey& key : it.keys) {
--- a/src/routing/routing_table_test.cc
+++ b/src/routing/routing_table_test.cc
@@ -75,4 +75,25 @@
   BOOST_TEST(!holder.LacksNewest());
 }
 
+/** Guards against a key that counts as revoked because a configuration without
+ * organisations was in force for a while. */
+BOOST_AUTO_TEST_CASE(AConfigurationWithoutOrganisationsRevokesNoKey) {
+  const organisation::ApiKey key("k");
+  organisation::Organisation holder;
+  holder.id = core::OrganisationId("drafts-ltd");
+  holder.keys = {key};
+  Configuration with_key = WithVersion(1);
+  with_key.organisations = {holder};
+  ConfigurationHolder configurations;
+  configurations.Adopt(with_key);
+  configurations.Adopt(WithVersion(2));
+  BOOST_TEST(!configurations.WasRevoked(key));
+  with_key.version = 3;
+  configurations.Adopt(with_key);
+  Configuration without_key = WithVersion(4);
+  without_key.organisations.emplace();
+  configurations.Adopt(without_key);
+  BOOST_TEST(configurations.WasRevoked(key));
+}
+
 }  // namespace sapphire::routing
