Check strict revocation before each send

With strict revocation an entry that can't confirm its keys refuses new requests. One that had been admitted and waited, for a model, its quota or a retry, was sent all the same: the decision of its arrival was taken for that of its send.

CheckSend now asks for confirmed keys too while no engine has run the request; later the rule for an old view holds, as for the store's view. StrictRevocationRefusesRetriesOfUnconfirmedKeys failed before (200 instead of 503, and a request at the second engine).

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -201,9 +201,7 @@
 /** Authorizes the request by the configuration of its route. */
 void Dispatcher::Authenticate(RequestWork& work) const {
   const RouteAccess route = AccessOf(*work.route);
-  if (NeedsKey(*work.table, route) && !deps_.view.keys_confirmed()) {
-    throw Error(ErrorCode::kConfigurationStale, "", kDefaultRetryAfter);
-  }
+  if (NeedsKey(*work.table, route)) CheckKeysConfirmed();
   try {
     work.authorization = Authorize(work.table, route, work.request.api_key);
   } catch (const Error& e) {
@@ -250,7 +248,19 @@
  * may not be. */
 const Authorization& Dispatcher::CheckSend(RequestWork& work) const {
   CheckStoreView(work);
-  return Reauthorize(work);
+  const Authorization& authorization = Reauthorize(work);
+  const bool is_by_key = authorization.organisation() != nullptr &&
+                         !authorization.is_public_route();
+  if (work.runs == 0 && is_by_key) CheckKeysConfirmed();
+  return authorization;
+}
+
+/** Refuses the request while strict revocation forbids relying on the keys of
+ * the configuration. */
+void Dispatcher::CheckKeysConfirmed() const {
+  if (deps_.view.keys_confirmed()) return;
+  throw Error(ErrorCode::kConfigurationStale, "keys are not confirmed",
+              kDefaultRetryAfter);
 }
 
 /** Charges the request to its organisation's quota once, however often it is
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -137,6 +137,7 @@
   void Check(RequestWork& work) const;
   void CheckStoreView(const RequestWork& work) const;
   void Authenticate(RequestWork& work) const;
+  void CheckKeysConfirmed() const;
   const Authorization& Reauthorize(RequestWork& work) const;
   const Authorization& CheckSend(RequestWork& work) const;
   const Authorization* AuthorizeHedge(RequestWork& work) const;
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -248,6 +248,15 @@
   BOOST_TEST(engine.requests.empty());
 }
 
+/** Guards against a retry by a key that can't be confirmed any more. */
+BOOST_AUTO_TEST_CASE(StrictRevocationRefusesRetriesOfUnconfirmedKeys) {
+  IdentityRig rig;
+  rig.AddEngine(kPlain, RefusingAfter([&rig] { rig.keys_confirmed = false; }));
+  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  BOOST_TEST(rig.Status("/safe/", "k1") == kUnavailable);
+  BOOST_TEST(other.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(OrganisationRankOverridesRouteRank) {
   IdentityRig rig;
   rig.organisations->front().rank = 3;
