Look revoked keys up again while the view is old

An entry answered 401, which callers take as final, to any key that it remembered as revoked, without asking the store. A key may be allowed again: an entry that the store's changes did not reach denied its caller, minutes after the configuration with the key was in force elsewhere. An old decision was taken for the present one.

The read of the store is left out only while the view is 2 s old or younger; else a revoked key is confirmed as any other denial is, with one read a second at the most, or refused with 503.

RevokedKeyIsLookedUpAgainIfTheViewIsOld failed before (401 twice). RevokedKeyIsRejectedWithoutAStoreCall names the age of its view now, over the second within which Confirm itself reads nothing.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -26,6 +26,9 @@
  * retries after an engine's own failure must not use it. */
 constexpr double kFailureReserve = 0.5;
 constexpr int kTooMany = 429;
+/** Maximum age of the view for a revoked key to be denied without a read of the
+ * store: a later configuration may have brought the key back. */
+constexpr milliseconds kMaxRevocationAge{2000};
 constexpr milliseconds kMinRetryAfter{50};
 /** Logged for a request that does not resume a stream. */
 constexpr std::int64_t kNoEvent = -1;
@@ -132,7 +135,8 @@
   std::optional<Error> denial = FindDenial(work);
   const bool is_certain = denial &&
                           denial->code() == ErrorCode::kUnauthenticated &&
-                          IsRevoked(work);
+                          IsRevoked(work) && ViewAge() >= milliseconds(0) &&
+                          ViewAge() <= kMaxRevocationAge;
   if (denial && !is_certain) {
     const bool confirmed = co_await deps_.refresh.Confirm(work.arrived);
     denial = FindDenial(work);
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -148,11 +148,32 @@
   rig.reread = [&reads] { ++reads; };
   rig.organisations = {Make("drafts-ltd", "k1")};
   rig.Configure(2);
+  rig.view_as_of = rig.clock.Now() - milliseconds(1500);
   BOOST_TEST(rig.Status("/safe/", "k2") == kUnauthorised);
   BOOST_TEST(engine.requests.empty());
   BOOST_TEST(reads == 0);
 }
 
+/** Guards against a final denial, by an entry that the store's changes do not
+ * reach, of a key that was revoked and is allowed again. */
+BOOST_AUTO_TEST_CASE(RevokedKeyIsLookedUpAgainIfTheViewIsOld) {
+  IdentityRig rig;
+  rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+  rig.Publish();
+  rig.organisations = {Make("drafts-ltd", "k1")};
+  rig.Configure(2);
+  rig.view_as_of = rig.clock.Now() - milliseconds(2500);
+  rig.store.down = true;
+  BOOST_TEST(rig.Status("/safe/", "k2") == kUnavailable);
+  rig.Pass(milliseconds(1100));
+  rig.store.down = false;
+  rig.reread = [&rig] {
+    rig.organisations->push_back(Make("reels-ltd", "k2"));
+    rig.Configure(2);
+  };
+  BOOST_TEST(rig.Status("/safe/", "k2") == kOk);
+}
+
 /** Guards against a retry for a key that was revoked since the first send. */
 BOOST_AUTO_TEST_CASE(ARequestOfARevokedKeyIsNotSentAgain) {
   IdentityRig rig;
