Let entries vouch for versions while the store is away

An entry vouches by what it knows as of its view, if that is complete: the store's key was read, or engines were followed for long. Nobody can see a new version while the store is away for all. If only some entries are cut off, the others may have seen one: who does not know all versions itself asks all entries, and the union of the answers counts.

OneVersionGoesOnWhileTheStoreIsAway guards it.

--- a/idl/link.thrift
+++ b/idl/link.thrift
@@ -309,8 +309,8 @@
   // Software versions that have lately served the service, as far as the
   // answering entry itself has seen them.
   4: list<string> versions
-  // All versions that have lately served the service. Not set unless the
-  // answering entry's view is current and its knowledge complete.
+  // All versions that have lately served the service, as of the answering
+  // entry's view. Not set unless its knowledge is complete.
   5: optional list<string> all_versions
 }
 
--- a/src/serving/restarted_origin_test.cc
+++ b/src/serving/restarted_origin_test.cc
@@ -98,6 +98,18 @@
   BOOST_TEST(TakeUp("a") == "");
 }
 
+/** Guards against refusing streams of a killed entry while the store is away,
+ * although one version has served all along. */
+BOOST_FIXTURE_TEST_CASE(OneVersionGoesOnWhileTheStoreIsAway, Fleet) {
+  for (const char* vm : {"b", "c", "d", "e", "f"}) Start(vm);
+  Pass(seconds(10));
+  store.state = StoreState::kAway;
+  for (const auto& [vm, entry] : entries) entry->behind = true;
+  Pass(seconds(5));
+  Kill("b");
+  for (const auto& [vm, entry] : entries) BOOST_TEST(TakeUp(vm) == "v1");
+}
+
 /** Guards against refusing streams for ever where the key can't be written. */
 BOOST_FIXTURE_TEST_CASE(VersionThatWasFollowedForLongIsKnown, WithoutKey) {
   entries.at("a")->behind = false;
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -193,12 +193,15 @@
 }
 
 /** Asks the holders of the origin; then all others, if the origin is needed
- * because several versions serve, or others may have served lately. */
+ * because several versions serve, or may have served lately: of those that
+ * answer, one may have seen a version that this entry has missed. */
 core::Task<> StreamDirectory::RunSearch(std::shared_ptr<Search> search) {
   const core::SteadyTime began = clock_.Now();
   AskUpTo(*search, options_.holders);
   co_await Await(search, began + options_.holder_timeout);
-  if (!search->found && !OnlyVersion(*search)) {
+  const bool is_needed = history_.HasSeveral(search->service) ||
+                         !KnowsAllVersions(search->service);
+  if (!search->found && is_needed) {
     AskUpTo(*search, search->peers.size());
     co_await Await(search, began + options_.timeout);
   }
@@ -250,7 +253,9 @@
   if (origin) answer.__set_origin(ToMessage(*origin));
   const core::ServiceId service(ask.service_id);
   answer.versions = ToNames(history_.Observed(service));
-  if (KnowsAllVersions(service)) {
+  // While the store is away for all entries, none has a current view, and no
+  // engine can register.
+  if (history_.IsComplete(service)) {
     answer.__set_all_versions(ToNames(history_.Recent(service)));
   }
   gen::EntryDatagram datagram;
