Match a stream's answers to the question that was asked

An entry numbered its questions from 1 at each start and took an answer by its number alone. An answer to the process that ran on the VM before, for instance of an entry that was frozen while all others were killed, brought the origin of another attempt: the caller's stream went on at its version.

Numbers begin at random, and an origin of another attempt is not taken. AnswersToAFormerProcessAreIgnored failed before (1 check).

--- a/src/serving/restarted_origin_test.cc
+++ b/src/serving/restarted_origin_test.cc
@@ -110,6 +110,39 @@
   for (const auto& [vm, entry] : entries) BOOST_TEST(TakeUp(vm) == "v1");
 }
 
+/** Guards against an answer that was meant for the process that ran here before
+ * and counted its questions in the same way. */
+BOOST_FIXTURE_TEST_CASE(AnswersToAFormerProcessAreIgnored, Fleet) {
+  PutEngine("i-2", "v2");
+  Start("b");
+  Pass(seconds(10));
+  Kill("b");
+  entry::testing::Outcome<streams::OriginLookup> outcome;
+  streams::StreamDirectory& directory = entries.at("a")->directory;
+  entry::testing::StartTask(
+      io, directory.Find(core::RequestId("mine"), testing::kService), outcome);
+  io.restart();
+  io.poll();
+  gen::StreamAnswer late;
+  late.entry = "entries/b@0";
+  gen::StreamOrigin other;
+  other.request_id = "another";
+  other.service_id = testing::kService.value();
+  other.software_version = "v2";
+  late.__set_origin(other);
+  for (late.number = 0; late.number < 3; ++late.number) {
+    directory.OnAnswer(late);
+  }
+  while (!outcome.value) {
+    clock.Advance(testing::milliseconds(1));
+    io.restart();
+    io.run_one();
+    io.restart();
+    io.poll();
+  }
+  BOOST_TEST(!outcome.value->version.has_value());
+}
+
 /** Guards against refusing streams for ever where the key can't be written. */
 BOOST_FIXTURE_TEST_CASE(VersionThatWasFollowedForLongIsKnown, WithoutKey) {
   entries.at("a")->behind = false;
--- a/src/streams/stream_directory.cc
+++ b/src/streams/stream_directory.cc
@@ -269,6 +269,10 @@
   const bool is_own = answer.entry == options_.entry;
   if (it == searches_.end() || is_own) return;
   Search& search = *it->second;
+  const bool is_of_another_attempt =
+      answer.__isset.origin &&
+      answer.origin.request_id != search.question.stream_ask.request_id;
+  if (is_of_another_attempt) return;
   search.unanswered.erase(answer.entry);
   ++search.answered;
   history_.Add(search.service, FromNames(answer.versions));
--- a/src/streams/stream_directory_base.h
+++ b/src/streams/stream_directory_base.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/clock_base.h"
+#include "core/random_func.h"
 #include "core/signal_base.h"
 #include "core/task_type.h"
 #include "fleet/peer_table_base.h"
@@ -134,7 +135,9 @@
   const Send send_;
   const core::Clock& clock_;
   OriginTable table_;
-  std::int64_t last_number_ = 0;
+  /** Random at the start: answers to the process that ran here before must not
+   * match a question. */
+  std::int64_t last_number_ = core::RandomPositive() / 2;
   std::map<std::int64_t, std::shared_ptr<Search>> searches_;
   /** Services whose origins are published as their streams begin. */
   std::set<core::ServiceId> published_;
