--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -66,6 +66,7 @@
  public:
   [[nodiscard]] http::Request Compose(
       const CallerRequest& request, const SendOptions& options) const override {
+    composed(options);
     http::Request out = request.forward;
     out.headers.push_back({"organisation", options.organisation.value()});
     out.headers.push_back({"rank", std::to_string(options.rank)});
@@ -114,6 +115,9 @@
     }
     return state;
   }
+
+  /** Called as a request is sent. */
+  std::function<void(const SendOptions&)> composed = [](const SendOptions&) {};
 };
 
 /** Records what a caller receives. */
@@ -296,6 +300,7 @@
         MakeRoute("/safe/", routing::RequestKind::kIdempotent, kPlain, false)};
     for (routing::Route& route : next.routes) {
       route.max_engines = max_engines;
+      route.objective = objective;
       route.is_public = route.prefix == public_prefix;
     }
     if (lacks_routes) next.routes.clear();
@@ -415,6 +420,7 @@
   /** Organisations of the next configuration. */
   std::optional<std::vector<organisation::Organisation>> organisations;
   std::string public_prefix;
+  milliseconds objective = kObjective;
   /** True if the next configuration has no routes. */
   bool lacks_routes = false;
   /** API key that callers send; empty for none. */
@@ -455,7 +461,6 @@
     route.kind = kind;
     route.services = {{service, 1}};
     route.timeout = milliseconds(5000);
-    route.objective = kObjective;
     route.idle_timeout = milliseconds(4000);
     route.resumable = resumable;
     return route;
