Write a service's first key sooner

Until a service has its first key, an entry that is killed leaves no trace of the versions that it has seen. The first write waited a second after the first engine was seen, also where the entries have known each other for long. Now only an entry that has just started waits, and for one turn (300 ms): more entries than one write only if they start within that time and without knowing each other, and then one of them succeeds.

OneVersionIsWrittenOnce still counts one write.

--- a/src/serving/version_store.cc
+++ b/src/serving/version_store.cc
@@ -21,9 +21,9 @@
 /** Entries take turns at this interval, so that mostly one of them writes: the
  * others learn of the write meanwhile. */
 constexpr milliseconds kTurnInterval{300};
-/** The first key of a service is written after this time: entries that start
- * together know each other by then. */
-constexpr milliseconds kSettleTime{1000};
+/** An entry that has just started writes no first key of a service for this
+ * time: those that start together know each other by then. */
+constexpr milliseconds kSettleTime{300};
 /** Pause before a write is tried again. */
 constexpr milliseconds kRetryPause{2000};
 
@@ -48,7 +48,8 @@
       store_(store),
       executor_(executor),
       clock_(clock),
-      log_(log) {}
+      log_(log),
+      began_(clock.Now()) {}
 
 routing::FollowHooks VersionStore::Hooks() {
   routing::FollowHooks hooks;
@@ -143,9 +144,10 @@
   }
   const core::SteadyTime now = clock_.Now();
   DueWrite& due = due_.try_emplace(service, DueWrite{now, {}}).first->second;
-  const bool is_urgent = stored.revision != 0 || versions.size() > 1;
-  const milliseconds wait = is_urgent ? milliseconds(0) : kSettleTime;
-  if (now < due.since + wait + Turn(service)) return;
+  const bool is_first = stored.revision == 0 && versions.size() == 1;
+  const core::SteadyTime since =
+      is_first ? std::max(due.since, began_ + kSettleTime) : due.since;
+  if (now < since + Turn(service)) return;
   if (due.retry_at && now < *due.retry_at) return;
   due.retry_at = now + kRetryPause;
   core::Spawn(executor_, log_, "write_service_versions",
--- a/src/serving/version_store_base.h
+++ b/src/serving/version_store_base.h
@@ -68,6 +68,7 @@
   const core::Executor executor_;
   const core::Clock& clock_;
   const core::Logger& log_;
+  const core::SteadyTime began_;
   std::map<core::ServiceId, StoredVersions> stored_;
   /** A write that is to come. */
   struct DueWrite {
