Play key changes beside silent engines in the soak

Cause: its engines let a request pass that named no organisation, and what comes before the fault did not come about: no engine was silent for long as keys changed, and no key left its organisation but for another one.

The check knows who held each key when, and replaces three checks by stricter ones: a request with a key has to name an organisation that held it by a configuration in force since it was sent; silent engines no longer suspend this. silent_revoked and silent_moved count the requests that were at a silent engine as their key changed hands.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -76,6 +76,9 @@
   app.add_option("--routes-behind-faults", plan.routes_behind_faults,
                  "Times that a route is added while the store fails, or one "
                  "entry can't reach it");
+  app.add_option("--key-moves", plan.key_moves,
+                 "Times that keys are revoked, returned or moved while an "
+                 "engine is silent; needs --organisations");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -72,9 +72,8 @@
     for (const std::string& it : record_.joined_versions) {
       AddViolation("events of two software versions in one stream", it);
     }
-    for (const std::string& it : record_.misattributed) {
-      AddViolation(
-          "ran for another organisation or with the caller's credentials", it);
+    for (const std::string& it : record_.credentials_passed_on) {
+      AddViolation("the caller's credentials were passed on", it);
     }
     for (const std::string& it : record_.over_memory) {
       AddViolation("loaded more models than fit into memory", it);
@@ -103,8 +102,17 @@
            Overlaps(it->second, attempt.sent, attempt.ended);
   }
 
+  /** An entry can't cancel a run at a silent engine, for example. */
   [[nodiscard]] bool EntryDisturbed(const Attempt& attempt) const {
-    return EntryIsIn(record_.entry_disturbed, attempt);
+    return EntryIsIn(record_.entry_disturbed, attempt) ||
+           EngineWasSilent(attempt.sent, attempt.ended);
+  }
+
+  [[nodiscard]] bool EngineWasSilent(core::SteadyTime from,
+                                     core::SteadyTime to) const {
+    return std::ranges::any_of(record_.engine_silences, [&](const auto& it) {
+      return Overlaps({it.time}, from, to);
+    });
   }
 
   /** @return False if the entry was about to stop, or could not reach the
@@ -165,9 +173,36 @@
 
   /** @return True if every version that may be in force knows the key. */
   [[nodiscard]] bool KeyIsValid(const Attempt& attempt) const {
-    return std::ranges::none_of(record_.revocations, [&](const auto& it) {
-      return (it.key == attempt.key && it.at <= attempt.ended) ||
-             (it.next == attempt.key && attempt.sent <= it.at + kInForceLimit);
+    if (attempt.key.empty()) return true;
+    const auto holders = HoldersOf(
+        attempt, attempt.ended,
+        [](core::SteadyTime changed_at) { return changed_at + kInForceLimit; });
+    return !holders.contains("");
+  }
+
+  /** @return The organisations that hold the attempt's key by a configuration
+   * that was in force between its start and `end`; "" for none.
+   * @param deadline Returns when a change has to be in force, by its time. */
+  template <typename Deadline>
+  [[nodiscard]] std::set<std::string> HoldersOf(
+      const Attempt& attempt, core::SteadyTime end,
+      const Deadline& deadline) const {
+    std::set<std::string> holders{""};
+    for (const KeyChange& it : record_.key_changes) {
+      if (it.key != attempt.key || it.at > end) continue;
+      if (attempt.sent > deadline(it.at)) holders.clear();
+      holders.insert(it.holder);
+    }
+    return holders;
+  }
+
+  /** As above, by the time in which the attempt's entry has to follow. */
+  [[nodiscard]] std::set<std::string> HoldersOf(const Attempt& attempt,
+                                                core::SteadyTime end) const {
+    const bool is_disturbed = EntryIsIn(record_.entry_disturbed, attempt);
+    return HoldersOf(attempt, end, [&](core::SteadyTime changed_at) {
+      return is_disturbed ? attempt.ended
+                          : NoticeDeadline(attempt.entry, changed_at);
     });
   }
 
@@ -272,7 +307,8 @@
       const auto it = times.find(entry);
       return it != times.end() && Overlaps(it->second, from, to);
     };
-    return is_in(record_.entry_disturbed) || is_in(record_.entry_stopping);
+    return is_in(record_.entry_disturbed) || is_in(record_.entry_stopping) ||
+           EngineWasSilent(from, to);
   }
 
   /** Checks that entries heed what engines have said of themselves. */
@@ -316,30 +352,30 @@
   }
 
   void CheckKeys() {
-    for (const Revocation& it : record_.revocations) {
-      for (const Attempt& attempt : record_.attempts) {
-        const core::SteadyTime limit = NoticeDeadline(attempt.entry, it.at);
-        if (attempt.sent <= limit || EntryDisturbed(attempt)) continue;
-        const bool ran = record_.runs.contains(attempt.id);
-        if (attempt.key == it.key && ran) {
-          AddViolation("ran with a revoked key", attempt.id);
-        }
-        const bool revoked_later =
-            std::ranges::any_of(record_.revocations, [&](const auto& other) {
-              return other.key == it.next && other.at <= attempt.ended;
-            });
-        if (attempt.key == it.next && attempt.status == kUnauthorised &&
-            !revoked_later) {
-          AddViolation("rejected a valid key", attempt.id);
-        }
-      }
+    std::map<std::string, const Attempt*> attempts;
+    for (const Attempt& it : record_.attempts) attempts[it.id] = &it;
+    for (const NamedOrganisation& it : record_.organisations) {
+      const auto found = attempts.find(it.request);
+      if (found == attempts.end()) continue;
+      const Attempt& attempt = *found->second;
+      const bool is_right = it.organisation.empty() == attempt.key.empty() &&
+                            HoldersOf(attempt, it.at).contains(it.organisation);
+      if (is_right) continue;
+      AddViolation("ran for an organisation that does not hold its key",
+                   fmt::format("{} for \"{}\" with {}", attempt.id,
+                               it.organisation, attempt.key));
+    }
+    for (const Attempt& it : record_.attempts) {
+      const bool is_rejected = !it.key.empty() && it.status == kUnauthorised &&
+                               !HoldersOf(it, it.ended).contains("");
+      if (is_rejected) AddViolation("rejected a valid key", it.id);
     }
   }
 
   /** Checks the quota in a sliding time window of the attempts that ran, by the
    * time they were sent. */
   void CheckQuota() {
-    if (record_.revocations.empty()) return;
+    if (record_.key_changes.empty()) return;
     std::vector<core::SteadyTime> sent;
     for (const Attempt& it : record_.attempts) {
       const bool limited =
@@ -453,6 +489,25 @@
   return RecordChecker(record, min_served_share).Check();
 }
 
+int CountSilentChanges(const SoakRecord& record, bool to_nobody) {
+  const auto is_counted = [&](const Attempt& attempt) {
+    const auto runs = record.runs.find(attempt.id);
+    if (runs == record.runs.end()) return false;
+    const Run& first = runs->second.front();
+    const auto changes_in = [&](const EngineSilence& silence) {
+      const auto from = std::max(silence.time.from, first.began);
+      const auto to = std::min(silence.time.to, attempt.ended);
+      return silence.instance == first.instance &&
+             std::ranges::any_of(record.key_changes, [&](const KeyChange& it) {
+               return it.key == attempt.key && from < it.at && it.at < to &&
+                      it.holder.empty() == to_nobody;
+             });
+    };
+    return std::ranges::any_of(record.engine_silences, changes_in);
+  };
+  return static_cast<int>(std::ranges::count_if(record.attempts, is_counted));
+}
+
 std::string Summary(const SoakRecord& record) {
   static constexpr std::array<std::string_view, 6> kNames = {
       "served", "refused", "failed", "broken", "silent", "left"};
@@ -472,11 +527,12 @@
          fmt::format(
              " orders={} deadly_crashes={} part_crashes={} taken_up={} "
              "went_on={} leave_notices={} turned_away={} to_added_routes={} "
-             "without_route={}",
+             "without_route={} silent_revoked={} silent_moved={}",
              record.orders.size(), record.deadly_crashes,
              record.part_crashes.size(), record.taken_up, record.went_on,
              record.leave_notices.size(), record.turned_away.size(),
-             to_added_routes, without_route);
+             to_added_routes, without_route, CountSilentChanges(record, true),
+             CountSilentChanges(record, false));
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_check_func.h
+++ b/deploy/soak/soak_check_func.h
@@ -23,6 +23,10 @@
 std::vector<std::string> FindViolations(
     const SoakRecord& record, double min_served_share = kMinServedShare);
 
+/** @return The number of requests that were at a silent engine as their key
+ * went to nobody, or to an organisation. */
+int CountSilentChanges(const SoakRecord& record, bool to_nobody);
+
 /** @return The number of attempts by outcome, of orders and of deadly crashes,
  * on one line. */
 std::string Summary(const SoakRecord& record);
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -9,7 +9,6 @@
 #include "platform/wire_names.h"
 #include "soak_draw_base.h"
 #include "soak_engine_base.h"
-#include "soak_identity_func.h"
 
 namespace sapphire::deploy::soak {
 
@@ -254,11 +253,10 @@
 
 void SoakEngine::Begin(const http::Request& request) {
   const std::string id = HeaderOf(request, kRequestId);
-  const std::string organisation = HeaderOf(request, kOrganisation);
-  const bool wrong =
-      !organisation.empty() && organisation != OrganisationOfId(id);
-  if (wrong || http::FindHeader(request.headers, kCredentials)) {
-    record_.misattributed.push_back(id);
+  record_.organisations.push_back(
+      {id, HeaderOf(request, kOrganisation), clock_.Now()});
+  if (http::FindHeader(request.headers, kCredentials)) {
+    record_.credentials_passed_on.push_back(id);
   }
   if (request.body == kDeadlyBody) {
     ++record_.deadly_crashes;
--- a/deploy/soak/soak_faults.cc
+++ b/deploy/soak/soak_faults.cc
@@ -21,7 +21,9 @@
 }  // namespace
 
 core::Task<> SoakRunner::Inject(Fault fault) {
-  if (fault.kind <= FaultKind::kEntryReload) {
+  if (fault.kind == FaultKind::kKeyMove) {
+    GiveKey(fault.target, fault.to);
+  } else if (fault.kind <= FaultKind::kEntryReload) {
     co_await InjectEntry(fault);
   } else if (fault.kind < FaultKind::kStoreBusy ||
              fault.kind == FaultKind::kEngineDeregistration ||
@@ -109,8 +111,9 @@
       vm.relay->Delay(milliseconds(0));
       break;
     default:
-      // An entry can't cancel a run through the cut after its caller has left.
-      DisturbAllEntries(fault.duration);
+      record_.engine_silences.push_back(
+          {vm.engine->instance(),
+           {clock_.Now(), clock_.Now() + fault.duration}});
       vm.relay->Cut(fault.kind == FaultKind::kEngineCut, true);
       co_await core::SleepFor(fault.duration);
       vm.relay->Cut(false, false);
@@ -206,11 +209,23 @@
 
 void SoakRunner::RevokeKey(int organisation) {
   int& generation = keys_.at(static_cast<std::size_t>(organisation));
-  const std::string key = KeyOf(organisation, generation);
+  SetHolder(KeyOf(organisation, generation), kNobody);
   ++generation;
+  SetHolder(KeyOf(organisation, generation), organisation);
   WriteConfiguration();
-  record_.revocations.push_back(
-      {key, KeyOf(organisation, generation), clock_.Now()});
+}
+
+/** Gives the key that the organisation's callers use to another one. */
+void SoakRunner::GiveKey(int organisation, int holder) {
+  const int generation = keys_.at(static_cast<std::size_t>(organisation));
+  SetHolder(KeyOf(organisation, generation), holder);
+  WriteConfiguration();
+}
+
+void SoakRunner::SetHolder(const std::string& key, int holder) {
+  holders_[key] = holder;
+  record_.key_changes.push_back(
+      {key, holder == kNobody ? "" : OrganisationName(holder), clock_.Now()});
 }
 
 core::Task<> SoakRunner::InjectStore(Fault fault) {
@@ -257,8 +272,4 @@
   record_.entry_disturbed[number].push_back({now, now + duration});
 }
 
-void SoakRunner::DisturbAllEntries(milliseconds duration) {
-  for (int i = 0; i < plan_.entries; ++i) DisturbEntry(i, duration);
-}
-
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_identity_func.h
+++ b/deploy/soak/soak_identity_func.h
@@ -7,7 +7,9 @@
 
 #include <array>
 #include <boost/json.hpp>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace sapphire::deploy::soak {
 
@@ -37,18 +39,19 @@
   return fmt::format("key-{}-{}", organisation, generation);
 }
 
-/** @return The organisation of the caller whose request has this id. */
-inline std::string OrganisationOfId(const std::string& id) {
-  return OrganisationName(OrganisationOf(std::stoi(id)));
-}
+/** The organisation that holds each key. */
+using KeyHolders = std::map<std::string, int>;
 
 /** @return The list of organisations for the configuration document. */
-inline boost::json::array OrganisationsOf(const KeyGenerations& generations) {
+inline boost::json::array OrganisationsOf(const KeyHolders& holders) {
   boost::json::array all;
   for (int i = 0; i < kOrganisations; ++i) {
-    const int generation = generations.at(static_cast<std::size_t>(i));
+    boost::json::array keys;
+    for (const auto& [key, holder] : holders) {
+      if (holder == i) keys.emplace_back(key);
+    }
     boost::json::object it{{"name", OrganisationName(i)},
-                           {"apiKeys", {KeyOf(i, generation)}},
+                           {"apiKeys", std::move(keys)},
                            {"unit", "requests"}};
     if (i == kLimitedOrganisation) {
       it["ratePerS"] = kLimitPerSecond;
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -54,6 +54,13 @@
 constexpr milliseconds kMinRest{300};
 constexpr milliseconds kMaxRest{4000};
 
+constexpr std::uint64_t kKeyStream = 0x6b65'7973;
+constexpr int kMaxKeyMoves = 3;
+/** Entries send a request to a second engine too after a silence of 1.5 to
+ * 2.5 s, and try again every 200 ms. */
+constexpr milliseconds kMinSilence{2500};
+constexpr milliseconds kMaxSilence{4500};
+
 bool TargetsEntry(FaultKind kind) {
   return kind <= FaultKind::kEntryReload || kind == FaultKind::kStoreCut;
 }
@@ -117,6 +124,37 @@
   }
 }
 
+/** Draws keys that are revoked, returned or given to another organisation while
+ * an engine is silent. In the end callers have their keys again. */
+void DrawKeyMoves(SoakPlan& plan) {
+  Draw draw(plan.seed ^ kKeyStream);
+  for (int i = 0; i < plan.key_moves; ++i) {
+    Fault silence;
+    silence.kind = FaultKind::kEngineSilent;
+    silence.duration = draw.Between(kMinSilence, kMaxSilence);
+    silence.at =
+        draw.Between(milliseconds(0), plan.duration - silence.duration);
+    silence.target = draw.Below(2) == 0 ? plan.engines + draw.Below(plan.plain)
+                                        : draw.Below(plan.engines);
+    plan.faults.push_back(silence);
+    // The quota of the limited organisation is checked by its callers.
+    for (int j = 0; j < kLimitedOrganisation; ++j) {
+      Fault move = silence;
+      move.kind = FaultKind::kKeyMove;
+      move.target = j;
+      for (int k = draw.Below(kMaxKeyMoves); k >= 0; --k) {
+        move.at += draw.Between(milliseconds(0), kMinSilence / 2);
+        move.to =
+            draw.Below(2) == 0 ? kNobody : draw.Below(kLimitedOrganisation);
+        plan.faults.push_back(move);
+      }
+      move.at = std::max(move.at, silence.at + silence.duration);
+      move.to = move.target;
+      plan.faults.push_back(move);
+    }
+  }
+}
+
 /** Draws engines that leave and say so in their answers alone, and engines that
  * ask for rest. */
 void DrawNotices(SoakPlan& plan) {
@@ -189,6 +227,7 @@
   DrawEndpointOutages(plan);
   DrawNotices(plan);
   DrawRoutesBehindFaults(plan);
+  DrawKeyMoves(plan);
   std::ranges::stable_sort(plan.faults, {}, &Fault::at);
   return plan;
 }
@@ -196,9 +235,11 @@
 std::string DescribeFaults(const SoakPlan& plan) {
   std::string text;
   for (const Fault& it : plan.faults) {
-    text += fmt::format("{} ms {} {} for {} ms\n", it.at.count(),
+    text += fmt::format("{} ms {} {} for {} ms", it.at.count(),
                         kFaultNames.at(static_cast<std::size_t>(it.kind)),
                         it.target, it.duration.count());
+    if (it.kind >= FaultKind::kKeyMove) text += fmt::format(" to {}", it.to);
+    text += "\n";
   }
   return text;
 }
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -74,6 +74,9 @@
              kStoreHistory) {
   store_.watches_wait = true;
   for (int i = 0; i < kModels; ++i) models_.push_back(fmt::format("m{}", i));
+  for (int i = 0; plan_.organisations && i < kOrganisations; ++i) {
+    SetHolder(KeyOf(i, 0), i);
+  }
   WriteConfiguration();
   for (int i = 0; i < plan_.engines + plan_.plain; ++i) AddEngine(i);
   for (int i = 0; i < plan_.entries; ++i) AddEntry(i);
@@ -202,7 +205,7 @@
       {"services",
        json::array{std::move(drafts), json::object{{"name", kPlain}}}},
       {"limits", limits}};
-  if (plan_.organisations) document["tenants"] = OrganisationsOf(keys_);
+  if (plan_.organisations) document["tenants"] = OrganisationsOf(holders_);
   Put("op/config", json::serialize(document));
 }
 
--- a/deploy/soak/soak_runner_base.h
+++ b/deploy/soak/soak_runner_base.h
@@ -90,10 +90,11 @@
   core::Task<> ReplaceEngine(EngineVm& vm);
   core::Task<> CutStore(Fault fault);
   void RevokeKey(int organisation);
+  void GiveKey(int organisation, int holder);
+  void SetHolder(const std::string& key, int holder);
   core::Task<> StopEntry(int number);
   core::Task<> DeregisterAfterSilence(std::string instance);
   void DisturbEntry(int number, milliseconds duration);
-  void DisturbAllEntries(milliseconds duration);
   void RecordUnexpectedExits();
 
   const SoakOptions options_;
@@ -110,6 +111,7 @@
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   std::int64_t version_ = 0;
   KeyGenerations keys_{};
+  KeyHolders holders_;
   int instance_count_ = 0;
   int registration_seq_ = 0;
   bool finished_ = false;
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -45,18 +45,22 @@
   kEndpointOutage,        ///< SIGKILL, restarted after the fault's duration.
   kEngineLeave,  ///< Says so in its answers only, serves on, is replaced.
   kEngineRest,   ///< Turns requests away with 503 and asks for rest.
+  kKeyMove,      ///< Nobody or another organisation gets a key.
 };
 
 /** Number of leading fault kinds that the main random stream draws from. */
 inline constexpr int kBaseFaultKinds = 17;
 
-inline constexpr std::array<std::string_view, 23> kFaultNames = {
+inline constexpr std::array<std::string_view, 24> kFaultNames = {
     "entry_kill",    "entry_pause",     "entry_stop",          "entry_reload",
     "endpoint_kill", "endpoint_pause",  "engine_crash",        "engine_drain",
     "engine_reset",  "engine_delay",    "engine_silent",       "engine_cut",
     "store_busy",    "store_silent",    "store_loses_answers", "store_cut",
     "config_change", "store_partition", "engine_leave",        "key_revoke",
-    "endpoint_lost", "engine_notice",   "engine_rest"};
+    "endpoint_lost", "engine_notice",   "engine_rest",         "key_move"};
+
+/** In place of an organisation: nobody holds the key. */
+inline constexpr int kNobody = -1;
 
 struct Fault {
   FaultKind kind = FaultKind::kEntryKill;
@@ -67,6 +71,8 @@
   int target = 0;
   /** With kEngineRest: the rest that the engine asks for. */
   milliseconds rest{0};
+  /** With kKeyMove: the organisation that gets the key, or kNobody. */
+  int to = 0;
 };
 
 struct SoakPlan {
@@ -104,6 +110,8 @@
   /** Number of times that a route is added while one entry can't reach the
    * store, or the store fails. */
   int routes_behind_faults = 0;
+  /** Number of times that keys change hands while an engine is silent. */
+  int key_moves = 0;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -185,13 +193,27 @@
   milliseconds rest{0};
 };
 
-/** The time at which a key was revoked and replaced by another. */
-struct Revocation {
+/** The time at which a configuration gave a key to an organisation. */
+struct KeyChange {
   std::string key;
-  std::string next;
+  /** The organisation; empty if nobody holds the key from then on. */
+  std::string holder;
+  core::SteadyTime at;
+};
+
+/** The organisation that an engine was told with a request. */
+struct NamedOrganisation {
+  std::string request;
+  std::string organisation;
   core::SteadyTime at;
 };
 
+/** A time in which an engine's answers did not arrive. */
+struct EngineSilence {
+  std::string instance;
+  Disturbance time;
+};
+
 /** An order that an engine received. */
 struct ReceivedOrder {
   std::string instance;
@@ -206,14 +228,18 @@
   std::vector<Attempt> attempts;
   std::vector<ReceivedOrder> orders;
   std::vector<EngineDeparture> engine_departures;
-  std::vector<Revocation> revocations;
+  /** In order of time, from the first holders on; empty without organisations.
+   */
+  std::vector<KeyChange> key_changes;
+  std::vector<NamedOrganisation> organisations;
+  std::vector<EngineSilence> engine_silences;
   /** When the store acknowledged each added route, by its number. */
   std::vector<core::SteadyTime> routes_added;
   std::vector<LeaveNotice> leave_notices;
   std::vector<TurnedAway> turned_away;
-  /** Ids of requests that ran for another organisation than the caller's, or
-   * with the caller's credentials passed on to the engine. */
-  std::vector<std::string> misattributed;
+  /** Ids of requests with which the caller's credentials were passed on to the
+   * engine. */
+  std::vector<std::string> credentials_passed_on;
   std::vector<std::string> over_memory;
   /** First attempts of streams with events of two software versions. */
   std::vector<std::string> joined_versions;
