Kill all entries at once in the soak

Streams joined from two software versions were reported from a system whose entries were all killed at once; the soak killed one at a time, and its engines kept their versions.

Callers try for 4 s to take up their streams. The promise that a stream has events of one version exists; versions_lost counts what has to come before the fault, rejoined and not_rejoined what became of the streams.

--- a/deploy/soak/sapphire_soak_main.cc
+++ b/deploy/soak/sapphire_soak_main.cc
@@ -79,6 +79,9 @@
   app.add_option("--key-moves", plan.key_moves,
                  "Times that keys are revoked, returned or moved while an "
                  "engine is silent; needs --organisations");
+  app.add_option("--kills-of-all", plan.kills_of_all_entries,
+                 "Times that all entries are killed, with --software-versions "
+                 "in part while engines are replaced by newer ones");
   app.add_option("--bin", bin_dir, "Where the programs are");
   app.add_option("--logs", directory, "Where logs go")->required();
   CLI11_PARSE(app, argc, argv);
--- a/deploy/soak/soak_caller.cc
+++ b/deploy/soak/soak_caller.cc
@@ -47,6 +47,8 @@
 constexpr int kSessions = 3;
 /** Attempts to take a broken stream up. */
 constexpr int kMaxTakeUps = 3;
+/** Attempts within options_.take_up_time, if refused at once. */
+constexpr int kTakeUpsInTime = 20;
 constexpr int kKinds = 4;
 constexpr int kOk = 200;
 
@@ -122,8 +124,16 @@
                                 StreamProgress& progress) {
   std::erase_if(request.headers,
                 [](const http::Header& it) { return it.name == kRequestId; });
-  for (int i = 0; i < kMaxTakeUps && progress.events < events; ++i) {
-    co_await core::SleepFor(kPause);
+  const core::SteadyTime began = clock_.Now();
+  const int had_at_first = progress.events;
+  const auto is_over = [&](int attempts) {
+    return progress.events >= events ||
+           (attempts >= kMaxTakeUps &&
+            clock_.Now() >= began + options_.take_up_time);
+  };
+  for (int i = 0; !is_over(i); ++i) {
+    co_await core::SleepFor(
+        std::max(kPause, options_.take_up_time / kTakeUpsInTime));
     Attempt attempt = NextAttempt(RequestKind::kStream);
     http::Request next = request;
     next.headers.push_back({std::string(kRequestId), attempt.id});
@@ -139,6 +149,11 @@
     ++record_.taken_up;
     if (progress.events > had) ++record_.went_on;
   }
+  const auto& kills = record_.kills_of_all_entries;
+  const bool is_killed = !kills.empty() && began >= kills.back() &&
+                         began <= kills.back() + kAnswerSlack;
+  if (!is_killed) co_return;
+  ++(progress.events > had_at_first ? record_.rejoined : record_.not_rejoined);
 }
 
 std::string SoakCaller::CurrentKey() const {
--- a/deploy/soak/soak_caller_base.h
+++ b/deploy/soak/soak_caller_base.h
@@ -42,6 +42,8 @@
   std::optional<core::SteadyTime> crashing_part_until;
   /** Takes up streams that were broken off. */
   bool takes_up_streams = false;
+  /** Time for which it tries to; at least kMaxTakeUps attempts. */
+  milliseconds take_up_time{0};
 };
 
 /** Sends one request at a time over persistent connections. */
--- a/deploy/soak/soak_check.cc
+++ b/deploy/soak/soak_check.cc
@@ -527,12 +527,16 @@
          fmt::format(
              " orders={} deadly_crashes={} part_crashes={} taken_up={} "
              "went_on={} leave_notices={} turned_away={} to_added_routes={} "
-             "without_route={} silent_revoked={} silent_moved={}",
+             "without_route={} silent_revoked={} silent_moved={} "
+             "kills_of_all={} "
+             "versions_lost={} rejoined={} not_rejoined={}",
              record.orders.size(), record.deadly_crashes,
              record.part_crashes.size(), record.taken_up, record.went_on,
              record.leave_notices.size(), record.turned_away.size(),
              to_added_routes, without_route, CountSilentChanges(record, true),
-             CountSilentChanges(record, false));
+             CountSilentChanges(record, false),
+             record.kills_of_all_entries.size(), record.versions_lost,
+             record.rejoined, record.not_rejoined);
 }
 
 }  // namespace sapphire::deploy::soak
--- a/deploy/soak/soak_engine.cc
+++ b/deploy/soak/soak_engine.cc
@@ -79,6 +79,7 @@
       clock_(clock),
       log_(log),
       instance_(options_.instance),
+      software_version_(options_.software_version),
       loaded_models_(options_.models),
       server_(
           io.get_executor(), options_.listen, http::ServerLimits(),
@@ -99,6 +100,7 @@
 
 void SoakEngine::Restart(const std::string& instance) {
   Crash();
+  if (std::exchange(starts_loaded_, false)) loaded_models_ = options_.models;
   instance_ = instance;
   leaving_ = false;
   turns_away_until_ = core::SteadyTime();
@@ -323,7 +325,7 @@
     co_await SleepUnlessCrashed(kEventInterval, crash_count);
     if (writer.CallerDisconnected()) throw http::ConnectionCut("caller gone");
     const std::string event =
-        fmt::format("id: {}\ndata: {}{}\n\n", i, id, options_.software_version);
+        fmt::format("id: {}\ndata: {}{}\n\n", i, id, software_version_);
     if (i == first + shape.events_before_break) {
       co_await BreakOff(writer, shape, event);
       co_return;
--- a/deploy/soak/soak_engine_base.h
+++ b/deploy/soak/soak_engine_base.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "core/log_base.h"
 #include "core/task_type.h"
@@ -27,7 +28,7 @@
 struct SoakEngineOptions {
   std::string listen;
   std::string instance;
-  /** Written with each event; empty: not written. */
+  /** Written with each event until another one is set; empty: not written. */
   std::string software_version;
   /** Initially loaded models; empty for an engine of a plain service. */
   std::set<std::string> models;
@@ -59,11 +60,17 @@
              SoakRecord& record, std::function<void()> on_crash,
              const core::Clock& clock, const core::Logger& log);
 
-  /** Restarts as a new instance without loaded models; checkpoints stay on its
-   * disk. */
+  /** Restarts as a new instance, without loaded models unless
+   * SetSoftwareVersion was called; checkpoints stay on its disk. */
   void Restart(const std::string& instance);
   /** Says in all answers from now on that it leaves. */
   void Leave() { leaving_ = true; }
+  /** Sets the software version of the next instance, which starts with the
+   * initial models loaded. */
+  void SetSoftwareVersion(std::string version) {
+    software_version_ = std::move(version);
+    starts_loaded_ = true;
+  }
   /** Turns requests away until `until` and asks for `rest` each time. */
   void TurnAway(core::SteadyTime until, milliseconds rest) {
     turns_away_until_ = until;
@@ -76,7 +83,7 @@
 
   [[nodiscard]] const std::string& instance() const { return instance_; }
   [[nodiscard]] const std::string& software_version() const {
-    return options_.software_version;
+    return software_version_;
   }
   [[nodiscard]] const std::set<std::string>& loaded_models() const {
     return loaded_models_;
@@ -116,6 +123,8 @@
   const core::Clock& clock_;
   const core::Logger& log_;
   std::string instance_;
+  std::string software_version_;
+  bool starts_loaded_ = false;
   bool breaks_answers_ = true;
   bool leaving_ = false;
   core::SteadyTime turns_away_until_;
--- a/deploy/soak/soak_faults.cc
+++ b/deploy/soak/soak_faults.cc
@@ -1,7 +1,13 @@
 /** @file soak_faults.cc Injects the faults of a soak from outside the
  * programs. */
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <csignal>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/task_func.h"
 #include "soak_runner_base.h"
@@ -21,7 +27,9 @@
 }  // namespace
 
 core::Task<> SoakRunner::Inject(Fault fault) {
-  if (fault.kind == FaultKind::kKeyMove) {
+  if (fault.kind == FaultKind::kAllEntriesKill) {
+    co_await KillAllEntries(fault.duration);
+  } else if (fault.kind == FaultKind::kKeyMove) {
     GiveKey(fault.target, fault.to);
   } else if (fault.kind <= FaultKind::kEntryReload) {
     co_await InjectEntry(fault);
@@ -71,12 +79,47 @@
   }
   entry.process->Signal(SIGKILL);
   entry.process->WaitForExit(kExitTimeout);
+  while (all_entries_down_) {
+    co_await core::SleepFor(kPollInterval);
+  }
   record_.entry_stopping[number].push_back({began, clock_.Now()});
   DisturbEntry(number, milliseconds(1000));
   StartEntry(entry);
   entry.stopping = false;
 }
 
+core::Task<> SoakRunner::KillAllEntries(milliseconds down) {
+  if (std::exchange(all_entries_down_, true)) co_return;
+  const std::set<std::string> before = ServingVersions();
+  record_.kills_of_all_entries.push_back(clock_.Now());
+  std::vector<EntryVm*> killed;
+  for (const auto& it : entries_) {
+    it->process->Signal(SIGKILL);
+    it->process->WaitForExit(kExitTimeout);
+    if (!std::exchange(it->stopping, true)) killed.push_back(it.get());
+  }
+  for (int i = 0; i < plan_.entries; ++i) {
+    DisturbEntry(i, down + milliseconds(1000));
+  }
+  co_await core::SleepFor(down);
+  for (EntryVm* it : killed) {
+    StartEntry(*it);
+    it->stopping = false;
+  }
+  const std::set<std::string> after = ServingVersions();
+  if (!std::ranges::includes(after, before)) ++record_.versions_lost;
+  all_entries_down_ = false;
+}
+
+std::set<std::string> SoakRunner::ServingVersions() const {
+  std::set<std::string> versions;
+  for (int i = 0; i < plan_.engines; ++i) {
+    const EngineVm& vm = *engines_.at(static_cast<std::size_t>(i));
+    versions.insert(vm.engine->software_version());
+  }
+  return versions;
+}
+
 core::Task<> SoakRunner::InjectEngine(Fault fault) {
   EngineVm& vm = *engines_.at(static_cast<std::size_t>(fault.target));
   if (fault.kind == FaultKind::kEndpointKill ||
@@ -99,6 +142,11 @@
     case FaultKind::kEngineLeave:
       co_await LeaveWithNotice(vm, fault.duration);
       break;
+    case FaultKind::kEngineRelease:
+      vm.down = true;
+      vm.engine->SetSoftwareVersion(fmt::format("@v{}", fault.to));
+      co_await ReplaceEngine(vm);
+      break;
     case FaultKind::kEngineRest:
       vm.engine->TurnAway(clock_.Now() + fault.duration, fault.rest);
       break;
--- a/deploy/soak/soak_plan.cc
+++ b/deploy/soak/soak_plan.cc
@@ -61,6 +61,18 @@
 constexpr milliseconds kMinSilence{2500};
 constexpr milliseconds kMaxSilence{4500};
 
+constexpr std::uint64_t kKillStream = 0x6b69'6c6c;
+constexpr milliseconds kMinDown{300};
+constexpr milliseconds kMaxDown{2000};
+constexpr milliseconds kFirstKill{1000};
+/** Entries write the versions of a service to the store up to 300 ms after they
+ * have seen a new one. */
+constexpr milliseconds kMaxBeforeKillOfAll{400};
+/** Parts of the model engines that are replaced together. */
+constexpr int kHalves = 2;
+/** Software versions that are released; the first one has the number 1. */
+constexpr int kFirstRelease = 2;
+
 bool TargetsEntry(FaultKind kind) {
   return kind <= FaultKind::kEntryReload || kind == FaultKind::kStoreCut;
 }
@@ -155,6 +167,31 @@
   }
 }
 
+/** Draws times at which all entries are killed. In half of them all model
+ * engines, in a quarter half of them, are replaced shortly before or while no
+ * entry is up. */
+void DrawKillsOfAllEntries(SoakPlan& plan) {
+  Draw draw(plan.seed ^ kKillStream);
+  for (int i = 0; i < plan.kills_of_all_entries; ++i) {
+    Fault kill;
+    kill.kind = FaultKind::kAllEntriesKill;
+    kill.duration = draw.Between(kMinDown, kMaxDown);
+    kill.at = draw.Between(kFirstKill, plan.duration - kill.duration);
+    plan.faults.push_back(kill);
+    const int halves =
+        plan.software_versions ? std::min(draw.Below(4), kHalves) : 0;
+    const milliseconds before = draw.Below(2) * kMaxBeforeKillOfAll;
+    for (int j = 0; j < halves * plan.engines / kHalves; ++j) {
+      Fault release;
+      release.kind = FaultKind::kEngineRelease;
+      release.at = kill.at + draw.Between(-before, kill.duration);
+      release.target = j;
+      release.to = kFirstRelease + i;
+      plan.faults.push_back(release);
+    }
+  }
+}
+
 /** Draws engines that leave and say so in their answers alone, and engines that
  * ask for rest. */
 void DrawNotices(SoakPlan& plan) {
@@ -228,6 +265,7 @@
   DrawNotices(plan);
   DrawRoutesBehindFaults(plan);
   DrawKeyMoves(plan);
+  DrawKillsOfAllEntries(plan);
   std::ranges::stable_sort(plan.faults, {}, &Fault::at);
   return plan;
 }
--- a/deploy/soak/soak_runner.cc
+++ b/deploy/soak/soak_runner.cc
@@ -37,6 +37,10 @@
 /** Time for callers and engines to finish their last requests. */
 constexpr milliseconds kWindDown{6500};
 
+/** Callers take streams up for this long if all entries may be down, whose
+ * restart takes up to 2 s. */
+constexpr milliseconds kTakeUpTime{4000};
+
 const char* const kDrafts = "drafts";
 const char* const kPlain = "booking";
 
@@ -97,7 +101,8 @@
   engine.instance = NextInstance();
   engine.max_models = kMaxModels;
   if (plan_.software_versions && !plain) {
-    engine.software_version = number % 2 == 0 ? "@v1" : "@v2";
+    const bool is_old = number % 2 == 0 || plan_.kills_of_all_entries > 0;
+    engine.software_version = is_old ? "@v1" : "@v2";
   }
   if (plan_.broken_answers) engine.broken_answers_seed = plan_.seed;
   if (!plain) {
@@ -264,6 +269,7 @@
       caller.crashing_part_until = record_.fault_free_from;
     }
     caller.takes_up_streams = plan_.software_versions;
+    if (plan_.kills_of_all_entries > 0) caller.take_up_time = kTakeUpTime;
     if (plan_.organisations) caller.keys = &keys_;
     callers_.push_back(std::make_unique<SoakCaller>(caller, record_, clock_));
     SoakCaller* raw = callers_.back().get();
--- a/deploy/soak/soak_runner_base.h
+++ b/deploy/soak/soak_runner_base.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,8 @@
   void RevokeKey(int organisation);
   void GiveKey(int organisation, int holder);
   void SetHolder(const std::string& key, int holder);
+  core::Task<> KillAllEntries(milliseconds down);
+  [[nodiscard]] std::set<std::string> ServingVersions() const;
   core::Task<> StopEntry(int number);
   core::Task<> DeregisterAfterSilence(std::string instance);
   void DisturbEntry(int number, milliseconds duration);
@@ -112,6 +115,7 @@
   std::int64_t version_ = 0;
   KeyGenerations keys_{};
   KeyHolders holders_;
+  bool all_entries_down_ = false;
   int instance_count_ = 0;
   int registration_seq_ = 0;
   bool finished_ = false;
--- a/deploy/soak/soak_type.h
+++ b/deploy/soak/soak_type.h
@@ -43,21 +43,24 @@
   kEngineDeregistration,  ///< Its registration is deleted; it keeps serving.
   kKeyRevoke,             ///< An organisation's key is replaced by another.
   kEndpointOutage,        ///< SIGKILL, restarted after the fault's duration.
-  kEngineLeave,  ///< Says so in its answers only, serves on, is replaced.
-  kEngineRest,   ///< Turns requests away with 503 and asks for rest.
-  kKeyMove,      ///< Nobody or another organisation gets a key.
+  kEngineLeave,     ///< Says so in its answers only, serves on, is replaced.
+  kEngineRest,      ///< Turns requests away with 503 and asks for rest.
+  kKeyMove,         ///< Nobody or another organisation gets a key.
+  kAllEntriesKill,  ///< SIGKILL to all, restarted after the duration.
+  kEngineRelease,   ///< Replaced by an engine of another software version.
 };
 
 /** Number of leading fault kinds that the main random stream draws from. */
 inline constexpr int kBaseFaultKinds = 17;
 
-inline constexpr std::array<std::string_view, 24> kFaultNames = {
+inline constexpr std::array<std::string_view, 26> kFaultNames = {
     "entry_kill",    "entry_pause",     "entry_stop",          "entry_reload",
     "endpoint_kill", "endpoint_pause",  "engine_crash",        "engine_drain",
     "engine_reset",  "engine_delay",    "engine_silent",       "engine_cut",
     "store_busy",    "store_silent",    "store_loses_answers", "store_cut",
     "config_change", "store_partition", "engine_leave",        "key_revoke",
-    "endpoint_lost", "engine_notice",   "engine_rest",         "key_move"};
+    "endpoint_lost", "engine_notice",   "engine_rest",         "key_move",
+    "entries_kill",  "engine_release"};
 
 /** In place of an organisation: nobody holds the key. */
 inline constexpr int kNobody = -1;
@@ -71,7 +74,8 @@
   int target = 0;
   /** With kEngineRest: the rest that the engine asks for. */
   milliseconds rest{0};
-  /** With kKeyMove: the organisation that gets the key, or kNobody. */
+  /** With kKeyMove: the organisation that gets the key, or kNobody; with
+   * kEngineRelease: the number of the software version. */
   int to = 0;
 };
 
@@ -112,6 +116,9 @@
   int routes_behind_faults = 0;
   /** Number of times that keys change hands while an engine is silent. */
   int key_moves = 0;
+  /** Number of times that all entries are killed, in some of which engines are
+   * replaced by those of another software version. */
+  int kills_of_all_entries = 0;
   /** Duration of traffic with faults; traffic without faults follows. */
   milliseconds duration{12'000};
   std::vector<Fault> faults;
@@ -246,6 +253,14 @@
   /** Attempts that took a stream up, and those of them that got events. */
   int taken_up = 0;
   int went_on = 0;
+  /** When all entries were killed, and in how many of these times the last
+   * engine of a software version left. */
+  std::vector<core::SteadyTime> kills_of_all_entries;
+  int versions_lost = 0;
+  /** Streams that these kills broke off: those that got more events when they
+   * were taken up, and those that did not. */
+  int rejoined = 0;
+  int not_rejoined = 0;
   /** Disturbances of entries, by the entry's index. */
   std::map<int, std::vector<Disturbance>> entry_disturbed;
   /** Graceful stops of entries, from the signal to the exit. */
