Draw releases, kills and store faults for the streams' versions

The model draws histories on a manual clock: engines of three versions come and leave, entries are killed one by one and all at once and come back, the store refuses writes, loses answers or is away, entries are behind, datagrams are lost, and callers take streams up at any entry within the time allowed (10 s here).

Nothing is left of what the killed entries had seen and not yet written.

--- a/src/serving/version_rig_test.h
+++ b/src/serving/version_rig_test.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -129,12 +130,12 @@
     };
   }
 
-  /** Starts an entry, which lists the store at once. */
+  /** Starts an entry, which lists the store at once if it can. */
   VersionEntry& Start(const std::string& vm) {
     const std::string key = "entries/" + vm + "@" + std::to_string(++started_);
     auto entry = std::make_unique<VersionEntry>(*this, vm, key);
     presences_[key] = {vm, std::nullopt};
-    List(*entry);
+    if (store.state != StoreState::kAway) List(*entry);
     entries[vm] = std::move(entry);
     ShareEntries();
     return *entries.at(vm);
@@ -211,6 +212,7 @@
 
   void Send(const std::string& from, const std::string& to,
             const gen::EntryDatagram& datagram) {
+    if (cut_off.contains(from) || cut_off.contains(to)) return;
     boost::asio::post(io, [this, from, to, datagram] {
       const auto it = entries.find(to);
       if (it == entries.end()) return;
@@ -233,6 +235,8 @@
   OneKeyStore store;
   std::map<std::string, fleet::EngineEntry> engines;
   std::map<std::string, std::unique_ptr<VersionEntry>> entries;
+  /** VMs whose datagrams are lost. */
+  std::set<std::string> cut_off;
 
  private:
   struct Presence {
