Try refused writes of versions less and less often

The pause now doubles after each try, up to 30 s; in the test one entry makes 4 to 6 calls in 60 s and writes the key once the store takes it.

--- a/src/serving/version_store.cc
+++ b/src/serving/version_store.cc
@@ -24,8 +24,10 @@
 /** An entry that has just started writes no first key of a service for this
  * time: those that start together know each other by then. */
 constexpr milliseconds kSettleTime{300};
-/** Pause before a write is tried again. */
+/** Pause before a write is tried again; each further pause is twice as long, so
+ * that a store that refuses writes is not called by all entries for ever. */
 constexpr milliseconds kRetryPause{2000};
+constexpr milliseconds kMaxRetryPause{30'000};
 
 core::ServiceId ServiceOfKey(const std::string& key) {
   return core::ServiceId(key.substr(fleet::kServiceVersionsPrefix.size()));
@@ -143,13 +145,15 @@
     return;
   }
   const core::SteadyTime now = clock_.Now();
-  DueWrite& due = due_.try_emplace(service, DueWrite{now, {}}).first->second;
+  DueWrite& due =
+      due_.try_emplace(service, DueWrite{now, {}, kRetryPause}).first->second;
   const bool is_first = stored.revision == 0 && versions.size() == 1;
   const core::SteadyTime since =
       is_first ? std::max(due.since, began_ + kSettleTime) : due.since;
   if (now < since + Turn(service)) return;
   if (due.retry_at && now < *due.retry_at) return;
-  due.retry_at = now + kRetryPause;
+  due.retry_at = now + due.retry_pause;
+  due.retry_pause = std::min(2 * due.retry_pause, kMaxRetryPause);
   core::Spawn(executor_, log_, "write_service_versions",
               [this, service, versions, revision = stored.revision] {
                 return Write(service, versions, revision);
--- a/src/serving/version_store_base.h
+++ b/src/serving/version_store_base.h
@@ -76,6 +76,7 @@
     core::SteadyTime since;
     /** Not set before the first try. */
     std::optional<core::SteadyTime> retry_at;
+    std::chrono::milliseconds retry_pause{0};
   };
   std::map<core::ServiceId, DueWrite> due_;
 };
--- a/src/serving/version_store_test.cc
+++ b/src/serving/version_store_test.cc
@@ -99,6 +99,20 @@
   BOOST_TEST(store.writes == 1);
 }
 
+/** Guards against entries that call a store that refuses writes for ever. */
+BOOST_FIXTURE_TEST_CASE(RefusedWritesAreTriedLessAndLessOften,
+                        testing::VersionFleet) {
+  PutEngine("i-1", "v1");
+  store.state = testing::StoreState::kRefusesWrites;
+  Start("a");
+  Pass(std::chrono::seconds(60));
+  BOOST_TEST(store.writes >= 4);
+  BOOST_TEST(store.writes <= 6);
+  store.state = testing::StoreState::kWorks;
+  Pass(std::chrono::seconds(31));
+  BOOST_TEST(Named(store.entry) == "v1");
+}
+
 /** Guards against keys of services that are gone. */
 BOOST_FIXTURE_TEST_CASE(KeyIsDeletedLongAfterTheLastEngine,
                         testing::VersionFleet) {
