Record a stream's version only once it has gone on there

An entry that concluded that one version had served recorded it for the caller's attempt at once, also if no engine took the request.

A conclusion is recorded once the stream has gone on at that version. OnlyVersionIsNotRecordedIfTheStreamDoesNotGoOn failed before (1 check); StreamOfUnknownAttemptIsRefusedWithoutTheVersionsKey is the case of the versions' key that the one beside it sets by hand.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -360,7 +360,10 @@
                 kDefaultRetryAfter);
   }
   work.caller.software_version = lookup.version;
-  if (!attempt.empty()) {
+  // The only version is a conclusion: another entry must not take it for a fact
+  // unless the stream has gone on at it.
+  const bool is_fact = lookup.source != streams::OriginSource::kOnlyVersion;
+  if (is_fact && !attempt.empty()) {
     deps_.stream_directory.Record(attempt, work.service->id, *lookup.version);
   }
 }
@@ -443,6 +446,11 @@
   work.organisation_sent = send->options.organisation;
   work.answer_end = result.answer_end;
   work.genuine = result.genuine;
+  const bool went_on = work.caller.begun && work.caller.software_version;
+  if (went_on && !work.request.resumes.empty()) {
+    deps_.stream_directory.Record(work.request.resumes, work.service->id,
+                                  *work.caller.software_version);
+  }
   work.outcome = NameOf(result.end);
   work.reason = result.reason;
   co_return co_await HandleResult(work, std::move(result));
--- a/src/serving/stream_version_test.cc
+++ b/src/serving/stream_version_test.cc
@@ -141,6 +141,34 @@
   rig.Serve("/stream/", kWait, writer);
   BOOST_TEST(writer.status == 200);
   BOOST_TEST(writer.body == kSecond);
+  BOOST_TEST(rig.stream_directory.size() == 1U);
+}
+
+/** Guards against a stream that is taken for one of the only version seen, also
+ * after another one is known, because an attempt to go on there was refused. */
+BOOST_AUTO_TEST_CASE(OnlyVersionIsNotRecordedIfTheStreamDoesNotGoOn) {
+  Rig rig;
+  rig.AddEngine(kDrafts, testing::Answering(503, true, ""));
+  rig.SetVersion("i-1", "v1", "z");
+  rig.version_history.SetStored(kDrafts, {fleet::SoftwareVersion("v1")});
+  rig.resumes = {"r-unknown", 1};
+  RecordingWriter writer;
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST(writer.status == 503);
+  BOOST_TEST(rig.stream_directory.size() == 0U);
+}
+
+/** Guards against the same guess without the knowledge of all versions. */
+BOOST_AUTO_TEST_CASE(StreamOfUnknownAttemptIsRefusedWithoutTheVersionsKey) {
+  Rig rig;
+  const TestEngine& engine =
+      rig.AddEngine(kDrafts, testing::Streaming({kSecond}, true));
+  rig.SetVersion("i-1", "v1", "z");
+  rig.resumes = {"r-unknown", 1};
+  RecordingWriter writer;
+  rig.Serve("/stream/", kWait, writer);
+  BOOST_TEST(writer.status == 503);
+  BOOST_TEST(engine.requests.empty());
 }
 
 }  // namespace sapphire::serving
