Split the refusal from the decision in Reauthorize

Reauthorize threw and caught an error of its own to reach the refusal. The refusal is a function now; no behaviour changes. dispatcher_identity, key_recheck, key_history and authorization tests pass.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -214,40 +214,45 @@
   }
 }
 
-/** Refuses the request if the configuration in force does not allow it any
- * more; it then keeps its former authorization, which no send may use.
+/** Authorizes the request by the configuration in force. If that refuses it,
+ * the request keeps its former authorization, which no send may use.
  * @return Its authorization by that configuration. */
 const Authorization& Dispatcher::Reauthorize(RequestWork& work) const {
   auto current = deps_.configuration.current();
   if (work.authorization->table() == current) return *work.authorization;
   const routing::Route* const route = current->Find(
       work.request.host, http::PathOf(work.request.forward.target));
+  // An engine must not receive a key that organisations were to check.
+  if (work.table->HasOrganisations() && !current->HasOrganisations()) {
+    ThrowNotAllowed(work, route);
+  }
   // The service is that of the route of the arrival, which the newer route may
   // not send to: both have to be public.
   RouteAccess access = AccessOf(*work.route);
   access.is_public = access.is_public && route != nullptr && route->is_public;
-  // An engine must not receive a key that organisations were to check.
-  const bool drops_organisations =
-      work.table->HasOrganisations() && !current->HasOrganisations();
-  const bool is_denied = route != nullptr &&
-                         NeedsKey(*current, AccessOf(*route)) &&
-                         IsRevoked(work);
   try {
-    if (drops_organisations) throw Error(ErrorCode::kUnauthenticated);
     work.authorization =
         Authorize(std::move(current), access, work.request.api_key);
   } catch (const Error&) {
-    if (work.runs > 0) {
-      throw Error(ErrorCode::kOutcomeUnknown,
-                  is_denied ? "revoked" : "not allowed any more");
-    }
-    if (is_denied) throw Error(ErrorCode::kUnauthenticated, "revoked");
-    throw Error(ErrorCode::kConfigurationStale, "not allowed any more",
-                kDefaultRetryAfter);
+    ThrowNotAllowed(work, route);
   }
   return *work.authorization;
 }
 
+/** Refuses a request that the configuration in force does not allow any more.
+ * Callers are asked to return to that one, unless it denies them for certain.
+ * @param route The request's route by that configuration; null if dropped. */
+void Dispatcher::ThrowNotAllowed(const RequestWork& work,
+                                 const routing::Route* route) const {
+  const routing::RoutingTable& current = *deps_.configuration.current();
+  const bool is_denied = route != nullptr &&
+                         NeedsKey(current, AccessOf(*route)) && IsRevoked(work);
+  const std::string reason = is_denied ? "revoked" : "not allowed any more";
+  if (work.runs > 0) throw Error(ErrorCode::kOutcomeUnknown, reason);
+  if (is_denied) throw Error(ErrorCode::kUnauthenticated, reason);
+  throw Error(ErrorCode::kConfigurationStale, reason, kDefaultRetryAfter);
+}
+
 /** @return What allows the request to be sent now. @throws core::Error if it
  * may not be. */
 const Authorization& Dispatcher::CheckSend(RequestWork& work) const {
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -139,6 +139,8 @@
   void Authenticate(RequestWork& work) const;
   void CheckKeysConfirmed() const;
   const Authorization& Reauthorize(RequestWork& work) const;
+  [[noreturn]] void ThrowNotAllowed(const RequestWork& work,
+                                    const routing::Route* route) const;
   const Authorization& CheckSend(RequestWork& work) const;
   const Authorization* AuthorizeHedge(RequestWork& work) const;
   core::Task<> FindStreamOrigin(RequestWork& work);
