--- a/src/serving/authorization_type.h
+++ b/src/serving/authorization_type.h
@@ -12,7 +12,7 @@
 
 namespace sapphire::serving {
 
-/** What a route says of its callers. */
+/** A route's terms for its callers. */
 struct RouteAccess {
   /** True if requests need no key. */
   bool is_public = false;
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -16,6 +16,7 @@
 
 using testing::Answering;
 using testing::kPlain;
+using testing::MakeOrganisation;
 using testing::RecordingWriter;
 using testing::Rig;
 using testing::TestEngine;
@@ -26,18 +27,11 @@
 constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
-organisation::Organisation Make(const std::string& name,
-                                const std::string& key) {
-  organisation::Organisation out;
-  out.id = core::OrganisationId(name);
-  out.keys.emplace_back(key);
-  return out;
-}
-
 /** Two organisations and an engine that answers. */
 struct IdentityRig : Rig {
   IdentityRig() {
-    organisations = {Make("drafts-ltd", "k1"), Make("reels-ltd", "k2")};
+    organisations = {MakeOrganisation("drafts-ltd", "k1"),
+                     MakeOrganisation("reels-ltd", "k2")};
     Configure(2);
   }
 
@@ -107,7 +101,7 @@
   rig.AddEngine(kPlain, Answering(kOk, false, "x"));
   rig.Publish();
   rig.reread = [&rig] {
-    rig.organisations->push_back(Make("new-ltd", "k3"));
+    rig.organisations->push_back(MakeOrganisation("new-ltd", "k3"));
     rig.Configure(2);
   };
   BOOST_TEST(rig.Status("/safe/", "k3") == kOk);
@@ -146,7 +140,7 @@
   int reads = 0;
   rig.Publish();
   rig.reread = [&reads] { ++reads; };
-  rig.organisations = {Make("drafts-ltd", "k1")};
+  rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
   rig.Configure(2);
   rig.view_as_of = rig.clock.Now() - milliseconds(1500);
   BOOST_TEST(rig.Status("/safe/", "k2") == kUnauthorised);
@@ -160,7 +154,7 @@
   IdentityRig rig;
   rig.AddEngine(kPlain, Answering(kOk, false, "x"));
   rig.Publish();
-  rig.organisations = {Make("drafts-ltd", "k1")};
+  rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
   rig.Configure(2);
   rig.view_as_of = rig.clock.Now() - milliseconds(2500);
   rig.store.down = true;
@@ -168,7 +162,7 @@
   rig.Pass(milliseconds(1100));
   rig.store.down = false;
   rig.reread = [&rig] {
-    rig.organisations->push_back(Make("reels-ltd", "k2"));
+    rig.organisations->push_back(MakeOrganisation("reels-ltd", "k2"));
     rig.Configure(2);
   };
   BOOST_TEST(rig.Status("/safe/", "k2") == kOk);
@@ -181,7 +175,7 @@
                 [&rig, refuse = Answering(kUnavailable, true, "")](
                     const http::Request& request,
                     http::ResponseWriter& writer) -> core::Task<> {
-                  rig.organisations = {Make("drafts-ltd", "k1")};
+                  rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
                   rig.Configure(2);
                   return refuse(request, writer);
                 });
@@ -215,7 +209,7 @@
   IdentityRig rig;
   rig.AddEngine(kPlain, RefusingAfter([&rig] {
                   rig.public_prefix = "/safe/";
-                  rig.organisations = {Make("drafts-ltd", "k1")};
+                  rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
                   rig.Configure(2);
                 }));
   TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
@@ -319,13 +313,13 @@
     rig.Configure(2);
     const core::OrganisationId drafts("drafts-ltd");
     double charged_level = 0;
-    rig.AddEngine(
-        kPlain, RefusingAfter([&] {
-          charged_level = rig.quota.LevelOf(drafts);
-          rig.organisations = {Make(holder.empty() ? "clips-ltd" : holder,
-                                    holder.empty() ? "k3" : "k1")};
-          rig.Configure(2);
-        }));
+    rig.AddEngine(kPlain, RefusingAfter([&] {
+                    charged_level = rig.quota.LevelOf(drafts);
+                    rig.organisations = {
+                        MakeOrganisation(holder.empty() ? "clips-ltd" : holder,
+                                         holder.empty() ? "k3" : "k1")};
+                    rig.Configure(2);
+                  }));
     rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
     BOOST_TEST(rig.Status("/once/", "k1") ==
                (holder.empty() ? kUnauthorised : kUnavailable));
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -235,6 +235,15 @@
   };
 }
 
+/** @return An organisation with one key and no limits. */
+inline organisation::Organisation MakeOrganisation(const std::string& name,
+                                                   const std::string& key) {
+  organisation::Organisation out;
+  out.id = core::OrganisationId(name);
+  out.keys.emplace_back(key);
+  return out;
+}
+
 class Rig {
  public:
   explicit Rig(core::LogLevel level = core::LogLevel::kError,
--- a/src/serving/key_history_test.cc
+++ b/src/serving/key_history_test.cc
@@ -39,7 +39,7 @@
 constexpr std::size_t kPauses = 17;
 constexpr int kUnauthorised = 401;
 
-/** What a configuration says of the request's route and key. */
+/** A configuration as far as it concerns the request. */
 struct Keys {
   bool organisations = true;
   /** Organisation that has the key; empty if none. */
@@ -48,7 +48,7 @@
   bool is_dropped = false;
 };
 
-/** What happened, so that a run in which nothing did can be told. */
+/** Counts of a run, which show whether the histories contain the faults. */
 struct Counts {
   int sends = 0;
   int sends_after_change = 0;
--- a/src/serving/key_recheck_test.cc
+++ b/src/serving/key_recheck_test.cc
@@ -14,6 +14,7 @@
 
 using testing::Answering;
 using testing::kDrafts;
+using testing::MakeOrganisation;
 using testing::RecordingWriter;
 using testing::Rig;
 using testing::Streaming;
@@ -29,14 +30,6 @@
 const std::string kFirst = "id: 1\ndata: a\n\n";
 const std::string kSecond = "id: 2\ndata: b\n\n";
 
-organisation::Organisation Make(const std::string& name,
-                                const std::string& key) {
-  organisation::Organisation out;
-  out.id = core::OrganisationId(name);
-  out.keys.emplace_back(key);
-  return out;
-}
-
 /** Callers send the key "k2", which belongs to reels-ltd. */
 struct KeyRig : Rig {
   KeyRig() {
@@ -46,13 +39,14 @@
 
   /** Puts a configuration into force in which this organisation has the key. */
   void SetHolder(const std::string& name) {
-    organisations = {Make("drafts-ltd", "k1"), Make(name, "k2")};
+    organisations = {MakeOrganisation("drafts-ltd", "k1"),
+                     MakeOrganisation(name, "k2")};
     Configure(3);
   }
 
   /** Puts a configuration into force that lacks the key. */
   void Revoke() {
-    organisations = {Make("drafts-ltd", "k1")};
+    organisations = {MakeOrganisation("drafts-ltd", "k1")};
     Configure(3);
   }
 };
--- a/src/serving/request_sender_base.h
+++ b/src/serving/request_sender_base.h
@@ -36,7 +36,7 @@
   std::unique_ptr<Exchange> exchange;
 };
 
-/** Where a request is sent to. */
+/** The engine of a send. */
 struct SendTarget {
   fleet::InstanceId engine;
   /** Sends of the request that are still in progress. */
--- a/src/serving/request_work_type.h
+++ b/src/serving/request_work_type.h
@@ -58,7 +58,7 @@
   const routing::Service* service = nullptr;
   /** The latest decision that allowed the request; none before it. */
   std::optional<Authorization> authorization;
-  /** What the request was charged, and the source of the decision. */
+  /** Units charged for the request, and the source of the decision. */
   std::optional<QuotaCharge> charge;
   std::string_view quota_source;
   /** Engines that failed or refused the request. */
--- a/src/streams/stream_type.h
+++ b/src/streams/stream_type.h
@@ -39,7 +39,7 @@
 /** @return The source's name in log lines and metrics. */
 std::string_view NameOf(OriginSource source);
 
-/** What an entry knew as it searched for the version that began a stream. */
+/** Evidence of an entry in its search for the version that began a stream. */
 struct OriginEvidence {
   /** Number of versions that have lately served, as this entry knows. */
   int recent_versions = 0;
