Limit the memory that callers' requests occupy

Callers saw their entry's process end: 100 bodies of 1 MB short of their end took 112 to 134 MB on a VM of 64 MB, 1,000 chunk extensions or trailers of 60 kB took 77 MB, and nothing bounded their sum.

RequestBudget holds all requests of a process from the first byte until their answer is over, charged by the memory taken and not by the length announced. If the budget is short, requests that are read the slowest are given up; then a new one is refused with 503, from its head alone where the length says so.

--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -70,6 +70,8 @@
               "The same non-idempotent request is still running"},
     ErrorInfo{kOverMemory, "over_memory", 503, kNotRun,
               "The endpoint's memory is spoken for"},
+    ErrorInfo{kNoRequestMemory, "no_request_memory", 503, kNotRun,
+              "This VM has no memory left for the request"},
     ErrorInfo{kLoadFailed, "load_failed", 503, kNotRun,
               "The model could not be loaded"},
     ErrorInfo{kEngineCrashed, "engine_crashed", 502, kUnknown,
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -44,6 +44,7 @@
   kAttemptVoided,
   kInProgress,
   kOverMemory,
+  kNoRequestMemory,
   // Failures during processing.
   kLoadFailed,
   kEngineCrashed,
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -27,6 +27,13 @@
 
 }  // namespace
 
+void SetCapacity(std::string& text, std::size_t capacity) {
+  std::string larger;
+  larger.reserve(capacity);
+  larger += text;
+  text = std::move(larger);
+}
+
 std::string DescribeOversizedAnswer(std::size_t max_bytes) {
   return "the answer exceeds " + std::to_string(max_bytes) + " bytes";
 }
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -69,6 +69,10 @@
   using TransportError::TransportError;
 };
 
+/** Makes room for `capacity` bytes in all. A string that grows by itself takes
+ * up to twice its size. @pre `capacity` is at least the string's size. */
+void SetCapacity(std::string& text, std::size_t capacity);
+
 /** @return The message of an OversizedAnswer. */
 std::string DescribeOversizedAnswer(std::size_t max_bytes);
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -23,6 +23,9 @@
 #include "core/error_type.h"
 #include "core/random_func.h"
 #include "core/task_func.h"
+#include "http/refusal_recorder_base.h"
+#include "http/request_budget_base.h"
+#include "http/request_reader_base.h"
 #include "http/server_base.h"
 
 namespace sapphire::http {
@@ -40,12 +43,6 @@
  * the connection with unread data would reset it before the caller has read the
  * answer. */
 constexpr std::chrono::milliseconds kLingerTime{1000};
-constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
-/** Bytes received that are not parsed: a head, a chunk's header, the trailers
- * or a part of the body. Beast throws within the event loop at a field of 64
- * KB. */
-constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
-
 /** A connection from a caller. */
 struct Connection {
   explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
@@ -53,25 +50,12 @@
   /** True while waiting for a request, when the connection may be closed at any
    * time. Used only on the strand. */
   bool idle = false;
+  /** True while a request is read. Used only on the strand. */
+  bool reading = false;
   /** True while an answer is being sent that ends with the connection. */
   bool reset_on_close = false;
 };
 
-using BeastRequest = beast::http::request<beast::http::string_body>;
-using BeastParser = beast::http::request_parser<beast::http::string_body>;
-
-Request FromBeast(BeastRequest&& in) {
-  Request request;
-  request.method = std::string(in.method_string());
-  request.target = std::string(in.target());
-  for (const auto& field : in) {
-    request.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(in.body());
-  return request;
-}
-
 /** Detects that the peer closes its connection while a request is handled. */
 class CloseWatch final : public std::enable_shared_from_this<CloseWatch> {
  public:
@@ -268,37 +252,19 @@
   return response;
 }
 
-/** @return The error to answer after a failed read of a request; nothing if the
- * caller has closed the connection. */
-std::optional<core::Error> ReadFailure(const beast::error_code& ec) {
-  if (ec == beast::http::error::header_limit ||
-      ec == beast::http::error::buffer_overflow) {
-    return core::Error(core::ErrorCode::kHeaderTooLarge, ec.message());
-  }
-  if (ec == beast::http::error::body_limit) {
-    return core::Error(core::ErrorCode::kBodyTooLarge, ec.message());
-  }
-  const bool gone = ec == beast::http::error::end_of_stream ||
-                    ec == beast::http::error::partial_message;
-  const bool http_error =
-      ec.category() ==
-      make_error_code(beast::http::error::bad_method).category();
-  if (http_error && !gone) {
-    return core::Error(core::ErrorCode::kMalformedRequest, ec.message());
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 struct Server::State : std::enable_shared_from_this<State> {
   State(const core::Executor& executor, ServerLimits server_limits,
-        Handler request_handler, const core::Logger& logger)
+        Handler request_handler, const core::Logger& logger,
+        std::shared_ptr<RequestBudget> request_budget)
       : strand(asio::make_strand(executor)),
         acceptor(strand),
         limits(server_limits),
         handler(std::move(request_handler)),
-        log(logger) {}
+        log(logger),
+        budget(std::move(request_budget)),
+        refusals(logger) {}
 
   asio::strand<core::Executor> strand;
   tcp::acceptor acceptor;
@@ -306,6 +272,8 @@
   ServerLimits limits;
   const Handler handler;
   const core::Logger& log;
+  const std::shared_ptr<RequestBudget> budget;
+  RefusalRecorder refusals;
   std::atomic<bool> stopping{false};
   std::atomic<bool> leaving{false};
   std::atomic<int> in_progress{0};
@@ -314,7 +282,12 @@
 
   Task<> AcceptLoop();
   Task<> Session(std::shared_ptr<Connection> connection);
-  Task<bool> ServeOne(Connection& connection, beast::flat_buffer& buf);
+  Task<bool> ServeOne(std::shared_ptr<Connection> connection,
+                      beast::flat_buffer& buf);
+  Task<std::optional<core::Error>> ServeRead(Connection& connection,
+                                             beast::flat_buffer& buf,
+                                             RequestShare& share,
+                                             bool& reusable);
   Task<> Answer(const Request& request, BeastWriter& writer);
   Task<> AnswerReadError(Connection& connection, const core::Error& error);
 
@@ -341,29 +314,23 @@
   co_return true;
 }
 
-void CheckChunkHeader(std::uint64_t /*size*/, beast::string_view extensions,
-                      beast::error_code& ec) {
-  if (extensions.size() > kMaxChunkExtensionBytes) {
-    ec = beast::http::error::header_limit;
-  }
+/** @return "ip:port" of the client, for the log. */
+std::string PeerOf(Connection& connection) {
+  beast::error_code ec;
+  const auto peer = connection.stream.socket().remote_endpoint(ec);
+  if (ec) return "";
+  return fmt::format("{}:{}", peer.address().to_string(), peer.port());
 }
 
-/** Reads the body after the head. A timer does not end a body whose next bytes
- * are always there. */
-Task<beast::error_code> ReadBody(beast::tcp_stream& stream,
-                                 beast::flat_buffer& buf, BeastParser& parser,
-                                 std::chrono::milliseconds timeout) {
-  const auto end = std::chrono::steady_clock::now() + timeout;
-  stream.expires_at(end);
-  while (!parser.is_done()) {
-    const auto [ec, n] =
-        co_await beast::http::async_read_some(stream, buf, parser, kTuple);
-    if (ec) co_return ec;
-    if (!parser.is_done() && std::chrono::steady_clock::now() >= end) {
-      co_return beast::error::timeout;
-    }
-  }
-  co_return beast::error_code();
+/** @return What ends the reading of a request that is given up. */
+std::function<void()> StopReading(const std::shared_ptr<Connection>& it) {
+  return [weak = std::weak_ptr(it)] {
+    const auto connection = weak.lock();
+    if (!connection) return;
+    asio::post(connection->stream.get_executor(), [connection] {
+      if (connection->reading) connection->stream.cancel();
+    });
+  };
 }
 
 }  // namespace
@@ -395,9 +362,9 @@
 
 Task<> Server::State::Session(std::shared_ptr<Connection> connection) {
   const auto self = shared_from_this();
-  beast::flat_buffer buf(kMaxUnparsedBytes);
+  beast::flat_buffer buf;
   try {
-    while (!stopping && co_await ServeOne(*connection, buf)) {
+    while (!stopping && co_await ServeOne(connection, buf)) {
     }
   } catch (const std::exception& e) {
     log.Event(core::LogLevel::kDebug, core::LogCategory::kRequest,
@@ -414,44 +381,49 @@
 
 /** Reads and answers one request. @return True if the connection can be used
  * for another one. */
-Task<bool> Server::State::ServeOne(Connection& connection,
+Task<bool> Server::State::ServeOne(std::shared_ptr<Connection> connection,
                                    beast::flat_buffer& buf) {
-  if (!co_await AwaitRequest(connection, buf, CurrentLimits().idle_timeout)) {
+  if (!co_await AwaitRequest(*connection, buf, CurrentLimits().idle_timeout)) {
     co_return false;
   }
-  const ServerLimits now = CurrentLimits();
-  BeastParser parser;
-  auto check_chunk_header = CheckChunkHeader;
-  parser.on_chunk_header(check_chunk_header);
-  parser.header_limit(static_cast<std::uint32_t>(now.max_header_bytes));
-  parser.body_limit(now.max_body_bytes);
-  connection.stream.expires_after(now.read_timeout);
-  auto [ec, n] = co_await beast::http::async_read_header(connection.stream, buf,
-                                                         parser, kTuple);
-  if (!ec && parser.get()[beast::http::field::expect] == "100-continue") {
-    static constexpr std::string_view kContinue =
-        "HTTP/1.1 100 Continue\r\n\r\n";
-    std::tie(ec, n) = co_await asio::async_write(
-        connection.stream, asio::buffer(kContinue), kTuple);
+  bool reusable = false;
+  std::optional<core::Error> failure;
+  {
+    RequestShare share(budget, StopReading(connection));
+    failure = co_await ServeRead(*connection, buf, share, reusable);
   }
-  if (!ec) {
-    ec = co_await ReadBody(connection.stream, buf, parser, now.read_timeout);
+  if (failure) {
+    // Nothing of the request is held while its caller reads the answer.
+    buf.clear();
+    buf.shrink_to_fit();
+    co_await AnswerReadError(*connection, *failure);
   }
-  if (ec) {
-    const auto failure = ReadFailure(ec);
-    if (failure) {
-      co_await AnswerReadError(connection, *failure);
-    }
-    co_return false;
-  }
-  BeastWriter writer(connection, parser.get().version(),
-                     parser.keep_alive() && !stopping, leaving,
-                     now.write_timeout);
-  const Request request = FromBeast(parser.release());
+  co_return reusable;
+}
+
+/** Reads a request and, if that succeeds, answers it.
+ * @param reusable Set if the connection can be used for another one.
+ * @return The error to answer if the request could not be read. */
+Task<std::optional<core::Error>> Server::State::ServeRead(
+    Connection& connection, beast::flat_buffer& buf, RequestShare& share,
+    bool& reusable) {
+  const ServerLimits now = CurrentLimits();
+  RequestReader reader(connection.stream, buf, now, share);
+  connection.reading = true;
+  const ReadResult read = co_await reader.Read();
+  connection.reading = false;
+  if (read.refused_by) {
+    refusals.Record({*read.refused_by, PeerOf(connection), reader.request_id(),
+                     reader.received()});
+  }
+  if (!read.request) co_return read.failure;
+  BeastWriter writer(connection, read.version, read.keep_alive && !stopping,
+                     leaving, now.write_timeout);
   ++in_progress;
-  co_await Answer(request, writer);
+  co_await Answer(*read.request, writer);
   --in_progress;
-  co_return writer.finished() && writer.keep_alive();
+  reusable = writer.finished() && writer.keep_alive();
+  co_return std::nullopt;
 }
 
 /** Runs the handler. An error before the answer has begun is answered as
@@ -507,9 +479,10 @@
 
 Server::Server(const core::Executor& executor,
                const std::string& listen_address, ServerLimits limits,
-               Handler handler, const core::Logger& log)
-    : state_(
-          std::make_shared<State>(executor, limits, std::move(handler), log)) {
+               Handler handler, const core::Logger& log,
+               std::shared_ptr<RequestBudget> budget)
+    : state_(std::make_shared<State>(executor, limits, std::move(handler), log,
+                                     std::move(budget))) {
   core::ListenOn(state_->acceptor, listen_address);
 }
 
@@ -546,4 +519,6 @@
 
 int Server::in_progress() const { return state_->in_progress; }
 
+RefusalCounts Server::refusals() const { return state_->refusals.counts(); }
+
 }  // namespace sapphire::http
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRE_HTTP_SERVER_BASE_H_
 #define SAPPHIRE_HTTP_SERVER_BASE_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +18,23 @@
 
 namespace sapphire::http {
 
+class RequestBudget;
+
+/** Which limit refused a request or a connection. */
+enum class RefusalReason {
+  kHead,         ///< The largest head, chunk header or trailers.
+  kBody,         ///< The largest body.
+  kMemory,       ///< The memory that is left for requests.
+  kSlow,         ///< The same, for the one that was read the slowest.
+  kConnections,  ///< The most connections.
+};
+inline constexpr std::size_t kRefusalReasons = 5;
+/** Refusals so far, by reason. */
+using RefusalCounts = std::array<std::int64_t, kRefusalReasons>;
+
+/** @return The name of the limit in logs and metrics. */
+std::string_view NameOf(RefusalReason reason);
+
 /** Sends one answer, either in one piece or in chunks. */
 class ResponseWriter {
  public:
@@ -81,11 +99,14 @@
  public:
   /**
    * @param listen_address "ip:port"; port 0 selects a free one.
+   * @param budget Limits the memory of requests, of this server and others;
+   * null: unlimited.
    * @pre `log` outlives the server and its connections.
    * @throws core::Error kBadSettings if it can't listen on the address.
    */
   Server(const core::Executor& executor, const std::string& listen_address,
-         ServerLimits limits, Handler handler, const core::Logger& log);
+         ServerLimits limits, Handler handler, const core::Logger& log,
+         std::shared_ptr<RequestBudget> budget = nullptr);
   ~Server();
 
   Server(const Server&) = delete;
@@ -111,6 +132,9 @@
   /** @return Number of requests in progress. */
   [[nodiscard]] int in_progress() const;
 
+  /** @return What its limits have refused so far. */
+  [[nodiscard]] RefusalCounts refusals() const;
+
  private:
   struct State;
   std::shared_ptr<State> state_;
--- a/src/serving/answer_budget.cc
+++ b/src/serving/answer_budget.cc
@@ -25,11 +25,7 @@
       return "the answers held exceed " + std::to_string(share.max_bytes()) +
              " bytes";
     }
-    // A string that grows by itself doubles its capacity.
-    std::string larger;
-    larger.reserve(capacity);
-    larger += body;
-    body = std::move(larger);
+    http::SetCapacity(body, capacity);
   }
   body += part;
   return "";
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -90,14 +90,14 @@
     const ReplicaFinder& finder, ModelLoader& loader, CrashWatch& crash_watch,
     streams::StreamDirectory& stream_directory, const CallerWire& caller_wire,
     const EngineWire& engine_wire, FrontMetrics& metrics,
-    const core::Clock& clock, const core::Logger& log) {
+    const core::Clock& clock, const core::Logger& log, std::size_t answers) {
   return {configuration, refresh,      std::move(view),
           quota,         rate_limiter, notices,
           registry,      loads,        peer_table,
           clients,       gauges,       finder,
           loader,        crash_watch,  stream_directory,
           caller_wire,   engine_wire,  metrics,
-          clock,         log};
+          clock,         log,          std::make_shared<AnswerBudget>(answers)};
 }
 
 /** @return A store key that is unique to this start of the entry. */
@@ -289,11 +289,11 @@
           executor_, clock, log),
       dispatcher_(
           options_.dispatch,
-          MakeDependencies(configuration_, refresh_, MakeStoreView(), quota_,
-                           rate_limiter_, notices_, registry_, loads_,
-                           peer_table_, clients_, gauges_, finder_, loader_,
-                           crash_watch_, stream_directory_, caller_wire,
-                           engine_wire, metrics_, clock, log)),
+          MakeDependencies(
+              configuration_, refresh_, MakeStoreView(), quota_, rate_limiter_,
+              notices_, registry_, loads_, peer_table_, clients_, gauges_,
+              finder_, loader_, crash_watch_, stream_directory_, caller_wire,
+              engine_wire, metrics_, clock, log, options_.memory.answers)),
       presence_(PresenceOptionsOf(options_, presence_key_), store_, log),
       broadcaster_(BroadcastOptionsOf(presence_key_), loads_, peer_table_,
                    loader_, channel_, executor, clock, log),
@@ -304,12 +304,14 @@
           log),
       store_follower_(FollowOptionsOf(options_.freshness, metrics_), AllHooks(),
                       store_, clock, log),
+      request_budget_(std::make_shared<http::RequestBudget>(
+          options_.memory.requests, clock)),
       server_(
           executor, options_.listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return dispatcher_.Serve(request, writer);
           },
-          log),
+          log, request_budget_),
       ready_server_(
           executor, options_.ready_listen, http::ServerLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
@@ -387,6 +389,8 @@
   FrontLevels levels;
   levels.config_version = configuration_.version();
   levels.requests_in_progress = server_.in_progress();
+  levels.request_bytes = static_cast<std::int64_t>(request_budget_->held());
+  levels.refusals = server_.refusals();
   levels.engines_known = static_cast<int>(registry_.engines().size());
   levels.engines_held = registry_.held();
   levels.engines_limited = loads_.limits().limited();
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -19,6 +19,7 @@
 #include "fleet/engine_loads_base.h"
 #include "fleet/engine_registry_base.h"
 #include "fleet/peer_table_base.h"
+#include "http/request_budget_base.h"
 #include "http/server_base.h"
 #include "link/link_base.h"
 #include "orders/controller_metrics_base.h"
@@ -39,6 +40,7 @@
 #include "serving/entry_presence_base.h"
 #include "serving/holder_follower_base.h"
 #include "serving/load_broadcaster_base.h"
+#include "serving/memory_limits_func.h"
 #include "serving/model_loader_base.h"
 #include "serving/peer_channel_base.h"
 #include "serving/quota_gate_base.h"
@@ -65,6 +67,7 @@
   DispatchOptions dispatch;
   /** Address on which metrics are served. */
   std::string metrics_listen;
+  MemoryLimits memory;
   Freshness freshness;
   RevocationOptions revocation;
   quota::QuotaRules quota;
@@ -160,6 +163,7 @@
   HolderFollower holder_follower_;
   EngineFollower engine_follower_;
   routing::StoreFollower store_follower_;
+  const std::shared_ptr<http::RequestBudget> request_budget_;
   http::Server server_;
   http::Server ready_server_;
   http::Server metrics_server_;
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -1,4 +1,5 @@
 /** @file front_metrics.cc Metrics of an entry's request path. */
+#include <fmt/format.h>
 #include <prometheus/text_serializer.h>
 
 #include <set>
@@ -202,6 +203,12 @@
   };
   set("config_version", levels.config_version);
   set("requests_in_progress", levels.requests_in_progress);
+  set("request_bytes", levels.request_bytes);
+  for (std::size_t i = 0; i < http::kRefusalReasons; ++i) {
+    const auto reason = static_cast<http::RefusalReason>(i);
+    const std::string name = fmt::format("refused_{}", http::NameOf(reason));
+    set(name.c_str(), levels.refusals.at(i));
+  }
   set("engines_known", levels.engines_known);
   set("engines_held", levels.engines_held);
   set("engines_limited", levels.engines_limited);
--- a/src/serving/front_metrics_base.h
+++ b/src/serving/front_metrics_base.h
@@ -11,6 +11,7 @@
 #include "core/id_type.h"
 #include "core/log_sink_base.h"
 #include "external/counting_store_base.h"
+#include "http/server_base.h"
 #include "policy/placement_type.h"
 #include "routing/route_type.h"
 
@@ -20,6 +21,10 @@
 struct FrontLevels {
   std::int64_t config_version = 0;
   int requests_in_progress = 0;
+  /** Memory that callers' requests occupy. */
+  std::int64_t request_bytes = 0;
+  /** Requests and connections of callers that a limit refused so far. */
+  http::RefusalCounts refusals{};
   int engines_known = 0;
   /** Known engines that the store does not list and that are still used. */
   int engines_held = 0;
--- /dev/null
+++ b/src/serving/memory_limits_func.h
@@ -0,0 +1,32 @@
+/** @file memory_limits_func.h Divides the memory of a VM among the uses whose
+ * size callers and peers decide. */
+#ifndef SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
+#define SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
+
+#include <algorithm>
+#include <cstddef>
+
+#include "serving/answer_budget_base.h"
+
+namespace sapphire::serving {
+
+/** The most that each use may occupy, in bytes. */
+struct MemoryLimits {
+  /** Requests, from their first byte until their answer is over. */
+  std::size_t requests = 0;
+  /** Engines' answers that are held. */
+  std::size_t answers = 0;
+};
+
+/** @return The limits on a VM with `memory` bytes; what is left is for the
+ * program itself, its tables and the sockets' buffers. */
+inline MemoryLimits DivideMemory(std::size_t memory) {
+  MemoryLimits limits;
+  limits.requests = memory / 10 * 3;
+  limits.answers = std::min(kMaxHeldBytes, memory / 10 * 3);
+  return limits;
+}
+
+}  // namespace sapphire::serving
+
+#endif  // SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
