Give a connection no larger buffer than a head needs

The read buffer of a connection could grow to 64 KiB, four times the largest head, and kept its size between requests, where no budget counts it: 2,000 connections that once sent a large head would keep 128 MB (calculated).

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
 /** Beast throws within the event loop at a field of 64 KB. */
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/** Buffer that a connection keeps between two requests. */
+constexpr std::size_t kKeptBytes = 4 * 1024;
 /** A refused caller returns after the stalled requests have been given up. */
 constexpr std::chrono::milliseconds kRetryAfter{1000};
 
@@ -41,6 +43,13 @@
   return request;
 }
 
+/** @return The largest buffer that a request may need: what is in it is a head,
+ * a chunk's header, the trailers or a part of the body. */
+std::size_t MaxUnparsed(const ServerLimits& limits, std::size_t received) {
+  const std::size_t needed = limits.max_header_bytes + kMaxChunkExtensionBytes;
+  return std::max(std::min(needed, kMaxUnparsedBytes), received);
+}
+
 }  // namespace
 
 RequestReader::RequestReader(beast::tcp_stream& stream, beast::flat_buffer& buf,
@@ -53,7 +62,7 @@
   parser_.on_chunk_header(check_chunk_header_);
   parser_.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
   parser_.body_limit(limits_.max_body_bytes);
-  buf_.max_size(kMaxUnparsedBytes);
+  buf_.max_size(MaxUnparsed(limits_, buf_.size()));
 }
 
 Task<ReadResult> RequestReader::Read() {
@@ -159,6 +168,7 @@
   result.keep_alive = parser_.keep_alive();
   const std::size_t body_bytes = parser_.get().body().capacity();
   Request request = FromBeast(parser_.release());
+  if (buf_.size() == 0 && buf_.capacity() > kKeptBytes) buf_.shrink_to_fit();
   const std::size_t held = buf_.capacity() + body_bytes;
   if (share_.Complete(held)) {
     result.request = std::move(request);
