Read no large bodies at the readiness and metrics addresses

100 bodies of 1 MB short of their end at the readiness or metrics address took 112 to 113 MB (VM: 64 MB), in entries and endpoint processes: these servers had the limits of a caller's, 1 MB and 60 s, though no query has a body.

--- a/src/endpoint/sapphire_endpoint_main.cc
+++ b/src/endpoint/sapphire_endpoint_main.cc
@@ -70,7 +70,8 @@
                   counting_store_, clock, log, metrics_),
         signals_(context_, SIGTERM, SIGINT),
         http_(
-            context_.get_executor(), settings.String("metrics_listen"), {},
+            context_.get_executor(), settings.String("metrics_listen"),
+            http::MonitoringLimits(),
             [this](const http::Request& request, http::ResponseWriter& writer) {
               return AnswerHttp(request, writer, endpoint_, metrics_);
             },
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -477,6 +477,14 @@
   }
 }
 
+ServerLimits MonitoringLimits() {
+  constexpr std::size_t kMaxBodyBytes = 1024;
+  ServerLimits limits;
+  limits.max_body_bytes = kMaxBodyBytes;
+  limits.read_timeout = std::chrono::milliseconds(5000);
+  return limits;
+}
+
 Server::Server(const core::Executor& executor,
                const std::string& listen_address, ServerLimits limits,
                Handler handler, const core::Logger& log,
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -87,6 +87,10 @@
   std::chrono::milliseconds write_timeout{30'000};
 };
 
+/** @return Limits for an address that only answers queries for readiness or
+ * metrics, whose bodies are not used. */
+ServerLimits MonitoringLimits();
+
 /**
  * Handles one request. A core::Error thrown before anything was sent becomes a
  * problem+json answer; thrown later, it closes the connection. A ConnectionCut
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -86,7 +86,7 @@
           link::NoVersions(), clock, log),
       follower_(FollowOptionsOf(options_), {Hooks()}, store_, clock, log),
       metrics_server_(
-          executor, options_.metrics_listen, http::ServerLimits(),
+          executor, options_.metrics_listen, http::MonitoringLimits(),
           [this](const http::Request&, http::ResponseWriter& writer) {
             return HandleMetricsRequest(writer);
           },
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -313,13 +313,13 @@
           },
           log, request_budget_),
       ready_server_(
-          executor, options_.ready_listen, http::ServerLimits(),
+          executor, options_.ready_listen, http::MonitoringLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return AnswerReady(request, writer);
           },
           log),
       metrics_server_(
-          executor, options_.metrics_listen, http::ServerLimits(),
+          executor, options_.metrics_listen, http::MonitoringLimits(),
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return http::PathOf(request.target) == kSuspectsPath
                        ? AnswerSuspects(writer)
