Make no room for more list elements than a message has bytes

One frame or one datagram of some 30 bytes took 416 or 291 MB of an entry or an endpoint process, from anyone who reaches the link address: Thrift makes room for as many elements as a list claims to have before it reads them, and its own check does not count structs. A larger claim ends the process.

Both decoders are one now, DecodeThrift, which allows no list or string longer than the message.

--- a/src/fleet/entry_message.cc
+++ b/src/fleet/entry_message.cc
@@ -10,6 +10,7 @@
 #include "core/address_func.h"
 #include "core/error_type.h"
 #include "fleet/entry_message_func.h"
+#include "link/thrift_decode_func.h"
 
 namespace sapphire::fleet {
 
@@ -33,19 +34,12 @@
 
 template <typename T>
 T DecodeAny(std::string_view bytes) {
-  // TMemoryBuffer takes a mutable pointer, but only reads in OBSERVE mode.
-  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
-  const auto buf = std::make_shared<TMemoryBuffer>(
-      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-  TCompactProtocol protocol(buf);
-  T message;
   try {
-    message.read(&protocol);
+    return link::DecodeThrift<T>(bytes);
   } catch (const apache::thrift::TException& e) {
     throw core::Error(core::ErrorCode::kMalformedRequest,
                       std::string("malformed entry message: ") + e.what());
   }
-  return message;
 }
 
 }  // namespace
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -6,6 +6,7 @@
 
 #include "core/error_type.h"
 #include "link/codec_func.h"
+#include "link/thrift_decode_func.h"
 
 namespace sapphire::link {
 
@@ -36,19 +37,12 @@
 }
 
 gen::Frame DecodeFrame(std::string_view body) {
-  // TMemoryBuffer takes a mutable pointer, but only reads in OBSERVE mode.
-  auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(body.data()));
-  const auto buf = std::make_shared<TMemoryBuffer>(
-      bytes, static_cast<std::uint32_t>(body.size()), TMemoryBuffer::OBSERVE);
-  TCompactProtocol protocol(buf);
-  gen::Frame frame;
   try {
-    frame.read(&protocol);
+    return DecodeThrift<gen::Frame>(body);
   } catch (const apache::thrift::TException& e) {
     throw core::Error(core::ErrorCode::kMalformedRequest,
                       std::string("link frame: ") + e.what());
   }
-  return frame;
 }
 
 std::uint32_t DecodeLength(std::string_view bytes) {
