Take memory for a frame as its bytes arrive

100 connections to the link address that sent four bytes each took 421 MB of an entry or an endpoint process (VM: 64 MB): a frame's announced length was made room for before a byte had come, and before its sender had said Hello. 30 frames of 4 MB short of their end took 133 MB.

Frames are read in parts of 16 KiB at first, a Hello may have 4 KiB, and the incomplete frames of all links together are limited. On the platform, where calls are small, a frame may have 64 KiB.

--- a/scripts/events_check.sh
+++ b/scripts/events_check.sh
@@ -2,7 +2,7 @@
 # Compares the event names in the code of the platform programs with docs/OPERATIONS.md.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-in_code=$(cat src/{http,serving,streams,quota,orders,fleet,routing}/*.cc src/crash/evidence_*.cc platform/*.cc src/core/{settings_watch,log_sink,stall_watch,task}.cc |
+in_code=$(cat src/{http,link,serving,streams,quota,orders,fleet,routing}/*.cc src/crash/evidence_*.cc platform/*.cc src/core/{settings_watch,log_sink,stall_watch,task}.cc |
   tr '\n' ' ' | grep -oE '(LogCategory::k[A-Za-z]+, *[^;{]*|event=)"?[a-z_]+"?[^;{]*' |
   grep -oE '"[a-z]+_[a-z_]+"|"(wake|woken|started|leaving|left)"|event=[a-z_]+' |
   sed -E 's/event=//; s/"//g' | sort -u)
--- a/src/link/connection.cc
+++ b/src/link/connection.cc
@@ -1,5 +1,6 @@
 /** @file connection.cc One TCP link: reads and writes frames and dispatches
  * them to calls. */
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 #include <utility>
 
 #include "core/task_func.h"
@@ -27,13 +29,37 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kWriteRecheck{60'000};
+/** A Hello holds two names and an address. */
+constexpr std::uint32_t kMaxHelloBytes = 4 * 1024;
+/** Frames of this size are read in one part, however many others are read. */
+constexpr std::size_t kSmallFrameBytes = 16 * 1024;
 /** Key of the frames that belong to the link itself: Hello and heartbeats. */
 constexpr CallKey kLinkKey{0, true};
+constexpr std::chrono::milliseconds kRetryAfter{1000};
 
 Error LinkLost(const std::string& why) {
   return Error(ErrorCode::kLinkLost, why);
 }
 
+/** What one link has read of an incomplete frame, counted with all others. */
+class IncompleteBytes {
+ public:
+  explicit IncompleteBytes(std::atomic<std::size_t>& all) : all_(all) {}
+  ~IncompleteBytes() { all_ -= bytes_; }
+  IncompleteBytes(const IncompleteBytes&) = delete;
+  IncompleteBytes& operator=(const IncompleteBytes&) = delete;
+
+  /** @return The bytes of all links then. @param bytes At least as before. */
+  std::size_t Set(std::size_t bytes) {
+    const std::size_t added = bytes - std::exchange(bytes_, bytes);
+    return all_ += added;
+  }
+
+ private:
+  std::atomic<std::size_t>& all_;
+  std::size_t bytes_ = 0;
+};
+
 /** Runs the handler of an accepted call; sends what it throws as a Refusal. */
 Task<> RunHandler(std::shared_ptr<NodeContext> context,
                   std::shared_ptr<CallState> state, gen::Message first) {
@@ -83,11 +109,8 @@
   gen::Message message;
   message.__set_hello(context_->options.self);
   Push(kLinkKey, std::move(message));
-  const gen::Frame frame = co_await ReadFrame();
-  if (!frame.message.__isset.hello) {
-    Close(LinkLost("the peer did not say hello"));
-    throw LinkLost("the peer did not say hello");
-  }
+  const gen::Frame frame = co_await ReadFrame(kMaxHelloBytes);
+  if (!frame.message.__isset.hello) Lose("the peer did not say hello");
   const gen::Hello& hello = frame.message.hello;
   const std::lock_guard lock(mutex_);
   peer_ = PeerInfo{core::VmId(hello.vm), core::ZoneId(hello.zone),
@@ -95,25 +118,39 @@
                    hello.listen_address, frame.config_version};
 }
 
-Task<gen::Frame> Connection::ReadFrame() {
+/** Reads the body of a frame. Memory is taken as bytes arrive, not as they are
+ * announced. */
+Task<boost::system::error_code> Connection::ReadBody(std::size_t size,
+                                                     std::string& body) {
+  IncompleteBytes incomplete(context_->incomplete_bytes);
+  while (body.size() < size) {
+    const std::size_t before = body.size();
+    const std::size_t part =
+        std::min(size - before, std::max(before, kSmallFrameBytes));
+    const std::size_t all = incomplete.Set(before + part);
+    if (size > kSmallFrameBytes &&
+        all > context_->options.max_incomplete_bytes) {
+      Lose("the incomplete frames of all links are over the limit");
+    }
+    body.resize(before + part);
+    const auto [ec, n] = co_await asio::async_read(
+        socket_, asio::buffer(body.data() + before, part), kTuple);
+    if (ec) co_return ec;
+  }
+  co_return boost::system::error_code();
+}
+
+Task<gen::Frame> Connection::ReadFrame(std::uint32_t max_bytes) {
   std::string length(kLengthBytes, '\0');
   auto [ec, n] =
       co_await asio::async_read(socket_, asio::buffer(length), kTuple);
   std::string body;
   if (!ec) {
     const std::uint32_t size = DecodeLength(length);
-    if (size > static_cast<std::uint32_t>(context_->options.max_frame_bytes)) {
-      Close(LinkLost("a frame is over the limit"));
-      throw LinkLost("a frame is over the limit");
-    }
-    body.resize(size);
-    std::tie(ec, n) =
-        co_await asio::async_read(socket_, asio::buffer(body), kTuple);
-  }
-  if (ec) {
-    Close(LinkLost(ec.message()));
-    throw LinkLost(ec.message());
+    if (size > max_bytes) Lose("a frame is over the limit");
+    ec = co_await ReadBody(size, body);
   }
+  if (ec) Lose(ec.message());
   last_received_ns_ = context_->clock.Now().time_since_epoch().count();
   ++context_->counters.frames_received;
   context_->counters.bytes_received +=
@@ -121,10 +158,17 @@
   co_return DecodeFrame(body);
 }
 
+void Connection::Lose(const std::string& why) {
+  Close(LinkLost(why));
+  throw LinkLost(why);
+}
+
 Task<> Connection::ReadLoop() {
   const auto self = shared_from_this();
   try {
-    while (!lost_) Receive(co_await ReadFrame());
+    const auto max =
+        static_cast<std::uint32_t>(context_->options.max_frame_bytes);
+    while (!lost_) Receive(co_await ReadFrame(max));
   } catch (const Error& e) {
     Close(LinkLost(e.detail()));
   }
@@ -182,18 +226,28 @@
   }
   const auto state = std::make_shared<CallState>(key, shared_from_this(),
                                                  context_->options.window);
+  std::optional<Error> refusal;
   if (!context_->accept_calls) {
-    gen::Message message;
-    message.__set_refusal(
-        ToRefusal(Error(ErrorCode::kLeaving, "the VM takes no new calls",
-                        std::chrono::milliseconds(1000))));
-    state->EndWith(std::move(message));
-    return;
+    refusal.emplace(ErrorCode::kLeaving, "the VM takes no new calls",
+                    kRetryAfter);
   }
   {
     const std::lock_guard lock(mutex_);
     if (lost_) return;
-    calls_[key] = state;
+    if (accepted_calls_ >= context_->options.max_accepted_calls) {
+      refusal.emplace(ErrorCode::kQueueFull, "too many calls on the link",
+                      kRetryAfter);
+    }
+    if (!refusal) {
+      calls_[key] = state;
+      ++accepted_calls_;
+    }
+  }
+  if (refusal) {
+    gen::Message message;
+    message.__set_refusal(ToRefusal(*refusal));
+    state->EndWith(std::move(message));
+    return;
   }
   asio::co_spawn(asio::make_strand(context_->executor),
                  RunHandler(context_, state, std::move(first)), asio::detached);
@@ -266,10 +320,16 @@
   frame.config_version = context_->hooks.current();
   frame.message = std::move(message);
   const std::string bytes = EncodeFrame(frame);
+  bool is_unread = false;
   {
     const std::lock_guard lock(mutex_);
     if (lost_) return;
-    outgoing_ += bytes;
+    is_unread = outgoing_.size() > context_->options.max_outgoing_bytes;
+    if (!is_unread) outgoing_ += bytes;
+  }
+  if (is_unread) {
+    Close(LinkLost("the peer does not read"));
+    return;
   }
   ++context_->counters.frames_sent;
   outgoing_added_.Notify();
@@ -277,7 +337,7 @@
 
 void Connection::RemoveCall(const CallKey& key) {
   const std::lock_guard lock(mutex_);
-  calls_.erase(key);
+  if (calls_.erase(key) > 0 && !key.opened_here) --accepted_calls_;
   last_call_end_ = context_->clock.Now();
 }
 
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -51,6 +51,8 @@
   const core::Logger& log;
   AtomicCounters counters;
   std::atomic<bool> accept_calls{true};
+  /** Bytes of incomplete frames, of all links. */
+  std::atomic<std::size_t> incomplete_bytes{0};
 };
 
 /**
@@ -85,7 +87,10 @@
 
  private:
   core::Task<> ExchangeHello();
-  core::Task<gen::Frame> ReadFrame();
+  core::Task<gen::Frame> ReadFrame(std::uint32_t max_bytes);
+  core::Task<boost::system::error_code> ReadBody(std::size_t size,
+                                                 std::string& body);
+  [[noreturn]] void Lose(const std::string& why);
   core::Task<> ReadLoop();
   core::Task<> WriteLoop();
   core::Task<> HeartbeatLoop();
@@ -109,8 +114,10 @@
   std::int64_t next_call_ = 1;
   /** When the last call ended; initially when the link was created. */
   core::SteadyTime last_call_end_;
-  /** Highest id of the calls that the peer has opened. */
+  /** Highest id of the calls that the peer has opened, and how many of them are
+   * open. */
   std::int64_t highest_accepted_id_ = 0;
+  std::size_t accepted_calls_ = 0;
   std::string outgoing_;
   core::Signal outgoing_added_;
 };
--- a/src/link/link_type.cc
+++ b/src/link/link_type.cc
@@ -7,6 +7,14 @@
 
 namespace sapphire::link {
 
+LinkOptions WithSmallLimits(LinkOptions options) {
+  options.max_frame_bytes = 64 * 1024;
+  options.max_incomplete_bytes = 4 * 1024 * 1024;
+  options.max_outgoing_bytes = 1024 * 1024;
+  options.max_accepted_calls = 256;
+  return options;
+}
+
 gen::Refusal ToRefusal(const core::Error& error) {
   gen::Refusal refusal;
   refusal.code = core::InfoOf(error.code()).name;
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -42,8 +42,20 @@
   int window = 64;
   /** Largest frame accepted, in bytes. */
   std::int32_t max_frame_bytes = 4 * 1024 * 1024;
+  /** Most bytes of incomplete frames, of all links together. Small frames are
+   * accepted beyond it. */
+  std::size_t max_incomplete_bytes = 64 * 1024 * 1024;
+  /** Most bytes that wait to be sent on one link; beyond, its peer does not
+   * read and the link is closed. */
+  std::size_t max_outgoing_bytes = 64 * 1024 * 1024;
+  /** Most calls that one peer may have open. */
+  std::size_t max_accepted_calls = 16 * 1024;
 };
 
+/** @return `options` with the limits of processes on the users' platform, whose
+ * calls are few and small: an order's lists of models take a few kB. */
+LinkOptions WithSmallLimits(LinkOptions options);
+
 /** Counters over all links of a process. */
 struct LinkCounters {
   std::int64_t frames_sent = 0;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -39,7 +39,7 @@
   links.self.role = gen::Role::ENTRY;
   links.idle_timeout = kIdleLink;
   links.self.incarnation = core::RandomPositive();
-  return links;
+  return link::WithSmallLimits(std::move(links));
 }
 
 orders::LeaseOptions LeaseOptionsOf(const FrontOptions& options) {
