Close connections that wait when their number is at its limit

400 half heads or silent connections at the callers' address of a program with 300 descriptors used all of them: no ordinary request was answered, and none was left for engines, peers and the store. The same at the readiness and the metrics address. The accept loop waited 10 ms and tried again; whoever came first kept its descriptor.

A server has a limit of connections, for callers five eighths of max_descriptors, which the template takes from the machine. Beyond it, and as descriptors run out, the connection is closed that has waited longest for a request or the end of a head, never one with a request; if all have one, the new one is closed, before it is read.

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -76,9 +76,12 @@
   buf_.max_size(MaxUnparsed(limits_, buf_.size()));
 }
 
-Task<ReadResult> RequestReader::Read() {
+Task<ReadResult> RequestReader::Read(std::function<void()> head_read) {
   auto ec = co_await ReadHead();
-  if (!ec) ec = co_await ReadBody();
+  if (!ec) {
+    head_read();
+    ec = co_await ReadBody();
+  }
   if (ec) co_return Explain(ec);
   co_return Take();
 }
--- a/src/http/request_reader_base.h
+++ b/src/http/request_reader_base.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -86,8 +87,9 @@
   RequestReader& operator=(const RequestReader&) = delete;
 
   /** Reads a request. The share is then what the request occupies until its
-   * answer is over. May be called once. */
-  core::Task<ReadResult> Read();
+   * answer is over. May be called once.
+   * @param head_read Called after the head. */
+  core::Task<ReadResult> Read(std::function<void()> head_read);
 
   /** @return Bytes of the request that were received, for the log. */
   [[nodiscard]] std::size_t received() const { return parsed_ + buf_.size(); }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -43,15 +43,37 @@
  * the connection with unread data would reset it before the caller has read the
  * answer. */
 constexpr std::chrono::milliseconds kLingerTime{1000};
+/** What a connection is used for. */
+enum class Phase {
+  kIdle,     ///< No request, or a refused one whose caller is waited for.
+  kHead,     ///< The head of a request is being read.
+  kBody,     ///< Its body is being read.
+  kServing,  ///< It is being handled and answered.
+};
+
 /** A connection from a caller. */
 struct Connection {
   explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+  void Enter(Phase next) {
+    since = std::chrono::steady_clock::now().time_since_epoch().count();
+    phase = next;
+  }
+  /** @return True if nothing is lost by closing the connection: no request on
+   * it has been read, or is about to be. */
+  [[nodiscard]] bool IsClosable() const {
+    const Phase now = phase;
+    return now == Phase::kIdle || now == Phase::kHead;
+  }
+  [[nodiscard]] bool IsReading() const {
+    const Phase now = phase;
+    return now == Phase::kHead || now == Phase::kBody;
+  }
+
   beast::tcp_stream stream;
-  /** True while waiting for a request, when the connection may be closed at any
-   * time. Used only on the strand. */
-  bool idle = false;
-  /** True while a request is read. Used only on the strand. */
-  bool reading = false;
+  /** Written on the strand, read on any thread. */
+  std::atomic<Phase> phase{Phase::kIdle};
+  std::atomic<core::SteadyTime::rep> since{0};
   /** True while an answer is being sent that ends with the connection. */
   bool reset_on_close = false;
 };
@@ -281,6 +303,9 @@
   std::set<std::shared_ptr<Connection>> connections;
 
   Task<> AcceptLoop();
+  bool IsFull();
+  bool CloseOldest();
+  void Refuse(Connection& connection);
   Task<> Session(std::shared_ptr<Connection> connection);
   Task<bool> ServeOne(std::shared_ptr<Connection> connection,
                       beast::flat_buffer& buf);
@@ -305,10 +330,9 @@
   if (buf.size() > 0) co_return true;
   constexpr std::size_t kFirstReadBytes = 4096;
   connection.stream.expires_after(idle_timeout);
-  connection.idle = true;
+  connection.Enter(Phase::kIdle);
   const auto [ec, n] = co_await connection.stream.async_read_some(
       buf.prepare(kFirstReadBytes), kTuple);
-  connection.idle = false;
   if (ec) co_return false;
   buf.commit(n);
   co_return true;
@@ -328,7 +352,7 @@
     const auto connection = weak.lock();
     if (!connection) return;
     asio::post(connection->stream.get_executor(), [connection] {
-      if (connection->reading) connection->stream.cancel();
+      if (connection->IsReading()) connection->stream.cancel();
     });
   };
 }
@@ -344,6 +368,7 @@
     if (ec) {
       // Out of file descriptors, or the caller has already closed the
       // connection: continue to accept.
+      if (ec == asio::error::no_descriptors) CloseOldest();
       co_await core::SleepFor(std::chrono::milliseconds(10));
       continue;
     }
@@ -352,6 +377,11 @@
     core::EnableDeadPeerDetection(socket);
     const auto executor = socket.get_executor();
     auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->Enter(Phase::kIdle);
+    if (IsFull() && !CloseOldest()) {
+      Refuse(*connection);
+      continue;
+    }
     {
       const std::lock_guard lock(connections_mutex);
       connections.insert(connection);
@@ -360,6 +390,39 @@
   }
 }
 
+bool Server::State::IsFull() {
+  const std::size_t max = CurrentLimits().max_connections;
+  const std::lock_guard lock(connections_mutex);
+  return connections.size() >= max;
+}
+
+/** Closes the connection that has been closable for the longest. @return False
+ * if there is none. */
+bool Server::State::CloseOldest() {
+  std::shared_ptr<Connection> oldest;
+  {
+    const std::lock_guard lock(connections_mutex);
+    for (const auto& it : connections) {
+      if (!it->IsClosable()) continue;
+      if (!oldest || it->since < oldest->since) oldest = it;
+    }
+    if (!oldest) return false;
+    connections.erase(oldest);
+  }
+  asio::post(oldest->stream.get_executor(),
+             [self = shared_from_this(), oldest] {
+               // A request may have been read meanwhile.
+               if (!oldest->IsClosable()) return;
+               self->Refuse(*oldest);
+               oldest->stream.close();
+             });
+  return true;
+}
+
+void Server::State::Refuse(Connection& connection) {
+  refusals.Record({RefusalReason::kConnections, PeerOf(connection), "", 0});
+}
+
 Task<> Server::State::Session(std::shared_ptr<Connection> connection) {
   const auto self = shared_from_this();
   beast::flat_buffer buf;
@@ -409,9 +472,10 @@
     bool& reusable) {
   const ServerLimits now = CurrentLimits();
   RequestReader reader(connection.stream, buf, now, share);
-  connection.reading = true;
-  const ReadResult read = co_await reader.Read();
-  connection.reading = false;
+  connection.Enter(Phase::kHead);
+  const ReadResult read =
+      co_await reader.Read([&connection] { connection.Enter(Phase::kBody); });
+  connection.Enter(Phase::kServing);
   if (read.refused_by) {
     refusals.Record({*read.refused_by, PeerOf(connection), reader.request_id(),
                      reader.received()});
@@ -467,6 +531,7 @@
   co_await writer.Send(ProblemResponse(error, ""));
   beast::error_code ec;
   connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  connection.Enter(Phase::kIdle);
   const auto end = std::chrono::steady_clock::now() + kLingerTime;
   connection.stream.expires_at(end);
   std::array<char, 4096> discarded;
@@ -479,7 +544,9 @@
 
 ServerLimits MonitoringLimits() {
   constexpr std::size_t kMaxBodyBytes = 1024;
+  constexpr std::size_t kMaxConnections = 32;
   ServerLimits limits;
+  limits.max_connections = kMaxConnections;
   limits.max_body_bytes = kMaxBodyBytes;
   limits.read_timeout = std::chrono::milliseconds(5000);
   return limits;
@@ -513,7 +580,7 @@
   const std::lock_guard lock(state_->connections_mutex);
   for (const auto& connection : state_->connections) {
     asio::post(connection->stream.get_executor(), [connection] {
-      if (connection->idle) connection->stream.close();
+      if (connection->phase == Phase::kIdle) connection->stream.close();
     });
   }
 }
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -85,6 +85,9 @@
   std::chrono::milliseconds read_timeout{60'000};
   /** Time limit of one write; after it the connection is closed. */
   std::chrono::milliseconds write_timeout{30'000};
+  /** Beyond this many, the one that has waited longest for a request or the end
+   * of a head is closed, or the new one if all have a request. */
+  std::size_t max_connections = SIZE_MAX;
 };
 
 /** @return Limits for an address that only answers queries for readiness or
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -180,8 +180,10 @@
   return longest;
 }
 
-http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits) {
+http::ServerLimits ServerLimitsOf(const routing::CallerLimits& limits,
+                                  const ConnectionLimits& connections) {
   http::ServerLimits out;
+  out.max_connections = connections.callers;
   out.max_header_bytes = limits.max_header_bytes;
   out.max_body_bytes = limits.max_body_bytes;
   out.read_timeout = limits.header_timeout;
@@ -189,6 +191,13 @@
   return out;
 }
 
+/** @return The limits before the first configuration. */
+http::ServerLimits InitialLimits(const ConnectionLimits& connections) {
+  http::ServerLimits limits;
+  limits.max_connections = connections.callers;
+  return limits;
+}
+
 }  // namespace
 
 Front::Front(const core::Executor& executor, FrontOptions options,
@@ -307,7 +316,7 @@
       request_budget_(std::make_shared<http::RequestBudget>(
           options_.memory.requests, clock)),
       server_(
-          executor, options_.listen, http::ServerLimits(),
+          executor, options_.listen, InitialLimits(options_.connections),
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return dispatcher_.Serve(request, writer);
           },
@@ -470,7 +479,7 @@
   if (!adopted) return;
   const routing::Configuration& current =
       configuration_.current()->configuration();
-  server_.SetLimits(ServerLimitsOf(current.limits));
+  server_.SetLimits(ServerLimitsOf(current.limits, options_.connections));
   stream_directory_.SetLongestStream(LongestStreamOf(current));
   UpdateHeartbeats();
 }
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -68,6 +68,7 @@
   /** Address on which metrics are served. */
   std::string metrics_listen;
   MemoryLimits memory;
+  ConnectionLimits connections;
   Freshness freshness;
   RevocationOptions revocation;
   quota::QuotaRules quota;
--- a/src/serving/memory_limits_func.h
+++ b/src/serving/memory_limits_func.h
@@ -1,10 +1,11 @@
-/** @file memory_limits_func.h Divides the memory of a VM among the uses whose
- * size callers and peers decide. */
+/** @file memory_limits_func.h Divides the memory and the descriptors of a VM
+ * among the uses whose size callers and peers decide. */
 #ifndef SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
 #define SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 #include "serving/answer_budget_base.h"
 
@@ -27,6 +28,18 @@
   return limits;
 }
 
+/** The most connections that others may hold open. */
+struct ConnectionLimits {
+  std::size_t callers = SIZE_MAX;
+  std::size_t links = SIZE_MAX;
+};
+
+/** @return The limits for a program with so many descriptors; what is left is
+ * for its own connections to engines, peers and the store, and for files. */
+inline ConnectionLimits DivideDescriptors(std::size_t descriptors) {
+  return {descriptors / 8 * 5, descriptors / 8};
+}
+
 }  // namespace sapphire::serving
 
 #endif  // SAPPHIRE_SERVING_MEMORY_LIMITS_FUNC_H_
