Limit the links that others may open

400 silent connections to the link address of a program with 300 descriptors used all of them, in entries and endpoint processes; links of strangers were counted by nobody.

--- a/src/link/connection.cc
+++ b/src/link/connection.cc
@@ -116,6 +116,7 @@
   peer_ = PeerInfo{core::VmId(hello.vm), core::ZoneId(hello.zone),
                    hello.role,           hello.incarnation,
                    hello.listen_address, frame.config_version};
+  greeted_ = true;
 }
 
 /** Reads the body of a frame. Memory is taken as bytes arrive, not as they are
@@ -307,6 +308,11 @@
   return calls_.empty() && context_->clock.Now() - last_call_end_ > limit;
 }
 
+bool Connection::HasCalls() const {
+  const std::lock_guard lock(mutex_);
+  return !calls_.empty();
+}
+
 void Connection::SendHeartbeat() {
   gen::Message message;
   message.__set_heartbeat(gen::Heartbeat());
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -78,6 +78,10 @@
   /** Queues a heartbeat for sending. */
   void SendHeartbeat();
 
+  /** @return True once the peer has said Hello. */
+  [[nodiscard]] bool greeted() const { return greeted_; }
+  [[nodiscard]] bool HasCalls() const;
+
   [[nodiscard]] PeerInfo peer() const override;
   [[nodiscard]] bool lost() const override { return lost_; }
   core::Task<std::shared_ptr<Call>> Open(gen::Message first) override;
@@ -104,6 +108,7 @@
   const std::shared_ptr<NodeContext> context_;
   boost::asio::ip::tcp::socket socket_;
   std::atomic<bool> lost_{false};
+  std::atomic<bool> greeted_{false};
   std::atomic<std::int64_t> last_received_ns_{0};
 
   /** Held while a call is opened, so that call ids are sent in order. */
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -48,6 +48,10 @@
   /** Most bytes that wait to be sent on one link; beyond, its peer does not
    * read and the link is closed. */
   std::size_t max_outgoing_bytes = 64 * 1024 * 1024;
+  /** Most links that others may have opened. Beyond, the one is closed whose
+   * Hello has been due for the longest, then one without calls; else the new
+   * one. */
+  std::size_t max_accepted_links = 1024;
   /** Most calls that one peer may have open. */
   std::size_t max_accepted_calls = 16 * 1024;
 };
--- a/src/link/node.cc
+++ b/src/link/node.cc
@@ -1,4 +1,5 @@
 /** @file node.cc Accepts, opens and keeps track of the links of a process. */
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -6,6 +7,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <list>
 #include <set>
 #include <utility>
 
@@ -40,6 +42,7 @@
 
   Task<> AcceptLoop();
   Task<> StartAccepted(std::shared_ptr<Connection> connection);
+  bool MakeRoom();
   Task<std::shared_ptr<Connection>> Dial(std::string address);
   Task<std::shared_ptr<Connection>> DialOnStrand(
       asio::strand<core::Executor> strand, std::string address);
@@ -56,6 +59,8 @@
   mutable std::mutex mutex;
   std::map<std::string, std::shared_ptr<Connection>> dialed;
   std::set<std::shared_ptr<Connection>> links;
+  /** Links that others opened, the oldest first. Used on `accept_strand`. */
+  std::list<std::weak_ptr<Connection>> accepted;
 };
 
 Task<> LinkNode::State::AcceptLoop() {
@@ -68,14 +73,44 @@
       co_await core::SleepFor(kAcceptRetryDelay);
       continue;
     }
+    if (!MakeRoom()) {
+      context->log.Event(core::LogLevel::kInfo, core::LogCategory::kLink,
+                         "link_refused",
+                         {{"error", "too many links with calls"}});
+      continue;
+    }
     const auto strand = socket.get_executor();
-    asio::co_spawn(
-        strand,
-        StartAccepted(std::make_shared<Connection>(context, std::move(socket))),
-        asio::detached);
+    const auto connection =
+        std::make_shared<Connection>(context, std::move(socket));
+    accepted.push_back(connection);
+    asio::co_spawn(strand, StartAccepted(connection), asio::detached);
   }
 }
 
+/** Closes a link if there is no room for another one. @return False if all have
+ * calls. */
+bool LinkNode::State::MakeRoom() {
+  std::erase_if(accepted, [](const auto& it) {
+    const auto connection = it.lock();
+    return !connection || connection->lost();
+  });
+  if (accepted.size() < context->options.max_accepted_links) return true;
+  const auto close_first = [this](auto may_close) {
+    const auto it = std::ranges::find_if(accepted, [&](const auto& weak) {
+      const auto connection = weak.lock();
+      return connection && may_close(*connection);
+    });
+    if (it == accepted.end()) return false;
+    if (const auto connection = it->lock()) {
+      connection->Close(Error(ErrorCode::kLinkLost, "too many links"));
+    }
+    accepted.erase(it);
+    return true;
+  };
+  return close_first([](const Connection& it) { return !it.greeted(); }) ||
+         close_first([](const Connection& it) { return !it.HasCalls(); });
+}
+
 Task<> LinkNode::State::StartAccepted(std::shared_ptr<Connection> connection) {
   const auto self = shared_from_this();
   try {
--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -23,6 +23,7 @@
   links.self.zone = options.zone.value();
   links.self.role = gen::Role::ENDPOINT;
   links.self.incarnation = core::RandomPositive();
+  links.max_accepted_links = options.max_links;
   return link::WithSmallLimits(std::move(links));
 }
 
--- a/src/orders/endpoint_base.h
+++ b/src/orders/endpoint_base.h
@@ -29,6 +29,8 @@
   std::string configuration_key;
   /** Address for metrics (HTTP), "ip:port". */
   std::string metrics_listen;
+  /** Most links that others may open. */
+  std::size_t max_links = 512;
   ControllerOptions controller;
   LeaseOptions leases;
 };
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -39,6 +39,7 @@
   links.self.role = gen::Role::ENTRY;
   links.idle_timeout = kIdleLink;
   links.self.incarnation = core::RandomPositive();
+  links.max_accepted_links = options.connections.links;
   return link::WithSmallLimits(std::move(links));
 }
 
