Limit what callers may send behind a request that waits

600 callers that went on sending behind a request that waits for its engine had 77 MB unread in the kernel, beside 24 MB of the process: such bytes count as memory of a VM, here of 64 MB. Each connection had the system's receive buffer.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -545,8 +545,10 @@
 ServerLimits MonitoringLimits() {
   constexpr std::size_t kMaxBodyBytes = 1024;
   constexpr std::size_t kMaxConnections = 32;
+  constexpr int kReceiveBufferBytes = 8 * 1024;
   ServerLimits limits;
   limits.max_connections = kMaxConnections;
+  limits.receive_buffer_bytes = kReceiveBufferBytes;
   limits.max_body_bytes = kMaxBodyBytes;
   limits.read_timeout = std::chrono::milliseconds(5000);
   return limits;
@@ -559,6 +561,12 @@
     : state_(std::make_shared<State>(executor, limits, std::move(handler), log,
                                      std::move(budget))) {
   core::ListenOn(state_->acceptor, listen_address);
+  if (limits.receive_buffer_bytes == 0) return;
+  // Accepted sockets inherit it. An error leaves the system's buffer.
+  beast::error_code ignored;
+  state_->acceptor.set_option(
+      asio::socket_base::receive_buffer_size(limits.receive_buffer_bytes),
+      ignored);
 }
 
 Server::~Server() { StopAccepting(); }
--- a/src/http/server_base.h
+++ b/src/http/server_base.h
@@ -88,6 +88,9 @@
   /** Beyond this many, the one that has waited longest for a request or the end
    * of a head is closed, or the new one if all have a request. */
   std::size_t max_connections = SIZE_MAX;
+  /** Receive buffer of a connection, for which the kernel takes twice as much;
+   * 0: as the system decides. Read when the server is created. */
+  int receive_buffer_bytes = 0;
 };
 
 /** @return Limits for an address that only answers queries for readiness or
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -196,6 +196,7 @@
 http::ServerLimits InitialLimits(const ConnectionLimits& connections) {
   http::ServerLimits limits;
   limits.max_connections = connections.callers;
+  limits.receive_buffer_bytes = kReceiveBufferBytes;
   return limits;
 }
 
--- a/src/serving/memory_limits_func.h
+++ b/src/serving/memory_limits_func.h
@@ -34,10 +34,18 @@
   std::size_t links = SIZE_MAX;
 };
 
+/** Receive buffer of a caller's connection. What its caller sends behind a
+ * request that waits stays there, and counts as memory of the VM. */
+inline constexpr int kReceiveBufferBytes = 16 * 1024;
+
 /** @return The limits for a program with so many descriptors; what is left is
- * for its own connections to engines, peers and the store, and for files. */
-inline ConnectionLimits DivideDescriptors(std::size_t descriptors) {
-  return {descriptors / 8 * 5, descriptors / 8};
+ * for its own connections to engines, peers and the store, and for files. The
+ * receive buffers may occupy a quarter of the VM's memory. */
+inline ConnectionLimits DivideDescriptors(std::size_t descriptors,
+                                          std::size_t memory) {
+  constexpr std::size_t kKernelBytes = std::size_t{2} * kReceiveBufferBytes;
+  return {std::min(descriptors / 8 * 5, memory / 4 / kKernelBytes),
+          descriptors / 8};
 }
 
 }  // namespace sapphire::serving
