Keep no origins of streams with long ids

A served stream's id is kept twice for up to a minute or more, and callers choose it: 20,000 ids of 15 kB are 600 MB (calculated, not played), long after their requests are over and their memory was given back.

OriginTable does not keep an origin with a name of over 256 bytes; the ids in callers' requests have 16. LongIdsAreNotKept failed before (2 origins kept instead of 1).

--- a/src/streams/origin_table.cc
+++ b/src/streams/origin_table.cc
@@ -1,4 +1,5 @@
 /** @file origin_table.cc Stores the origins of recent streams. */
+#include <algorithm>
 #include <utility>
 
 #include "streams/origin_table_base.h"
@@ -6,6 +7,10 @@
 namespace sapphire::streams {
 
 void OriginTable::Put(StreamOrigin origin) {
+  const std::size_t longest =
+      std::max({origin.attempt.value().size(), origin.service.value().size(),
+                origin.version.value().size()});
+  if (longest > kMaxNameBytes) return;
   const auto it = by_attempt_.find(origin.attempt);
   if (it != by_attempt_.end()) {
     if (origin.at < it->second->at) return;
--- a/src/streams/origin_table_base.h
+++ b/src/streams/origin_table_base.h
@@ -19,11 +19,14 @@
   /** An entry of a fleet that begins 50 streams a second at each entry keeps
    * 12,000: its own, and three times as many for its peers. */
   static constexpr std::size_t kMaxOrigins = 20'000;
+  /** Callers and peers choose the names in an origin. */
+  static constexpr std::size_t kMaxNameBytes = 256;
 
   /** @pre `clock` outlives the table. */
   explicit OriginTable(const core::Clock& clock) : clock_(clock) {}
 
-  /** Adds the origin, or replaces an older one of the same stream. */
+  /** Adds the origin, or replaces an older one of the same stream. One with a
+   * longer name than kMaxNameBytes is not kept. */
   void Put(StreamOrigin origin);
 
   /** @return The origin, unless it is older than `max_age`. */
--- a/src/streams/stream_directory_test.cc
+++ b/src/streams/stream_directory_test.cc
@@ -340,6 +340,16 @@
   BOOST_TEST(!Find(asker, kAttempt).version.has_value());
 }
 
+/** Guards against memory for ids of 16 kB, which outlive their requests. */
+BOOST_FIXTURE_TEST_CASE(LongIdsAreNotKept, Network) {
+  StreamDirectory& directory = nodes.at("a")->directory;
+  const std::string longest(OriginTable::kMaxNameBytes, 'x');
+  directory.Record(core::RequestId(longest), kService, kOld);
+  BOOST_TEST(directory.size() == 1U);
+  directory.Record(core::RequestId(longest + "x"), kService, kOld);
+  BOOST_TEST(directory.size() == 1U);
+}
+
 /** Guards against a table that grows without bound, in number and in age. */
 BOOST_FIXTURE_TEST_CASE(OriginsAreBounded, Network) {
   StreamDirectory& directory = nodes.at("a")->directory;
