--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -14,10 +14,6 @@
          std::tolower(static_cast<unsigned char>(b));
 }
 
-bool SameName(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), SameLetter);
-}
-
 int HexValue(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   if (c >= 'a' && c <= 'f') return c - 'a' + 10;
@@ -38,6 +34,10 @@
   return "the answer exceeds " + std::to_string(max_bytes) + " bytes";
 }
 
+bool SameName(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), SameLetter);
+}
+
 std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
                                            std::string_view name) {
   for (const Header& header : headers) {
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -18,6 +18,10 @@
   std::string value;
 };
 
+/** @return True if two names of header fields are the same, ignoring the case
+ * of ASCII letters. */
+bool SameName(std::string_view a, std::string_view b);
+
 /** @return The first value of the header field `name`, ignoring case. */
 std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
                                            std::string_view name);
