Limit requests and connections of our own entry

sapphire-entry, on the road without the platform, had none of these limits: 150 bodies of 1 MB short of their end took 165 MB where the VM has 96 MB, and 400 half heads 415 descriptors.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -5,6 +5,7 @@
 #include "core/task_func.h"
 #include "entry/attempt_func.h"
 #include "entry/entry_base.h"
+#include "http/request_budget_base.h"
 
 namespace sapphire::entry {
 
@@ -91,7 +92,8 @@
           [this](const http::Request& request, http::ResponseWriter& writer) {
             return AnswerHttp(request, writer);
           },
-          log) {
+          log,
+          std::make_shared<http::RequestBudget>(options.request_bytes, clock)) {
   config_.OnChange([this](const contract::Config& config) {
     log_.Event(LogLevel::kInfo, LogCategory::kConfig, "config_in_force",
                {{"version", config.version}, {"plan", config.plan}});
@@ -140,6 +142,7 @@
   MetricValues levels;
   levels.config_version = config_.version();
   levels.requests_in_progress = http_.in_progress();
+  levels.refusals = http_.refusals();
   levels.once_runs_in_progress = once_runner_.in_progress();
   for (const KnownEndpoint& endpoint : directory_.Endpoints()) {
     levels.endpoints_connected += endpoint.connected ? 1 : 0;
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -39,6 +39,8 @@
   std::string link_listen_address;
   link::LinkOptions links;
   http::ServerLimits http;
+  /** Memory that requests may occupy as the server holds them. */
+  std::size_t request_bytes = 0;
   CallerLimits callers;
   SchedulerOptions scheduler;
   ClaimStoreOptions claims;
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -41,6 +41,12 @@
                    "Longest body of a request"),
     core::CountRow("max_header_bytes", "16384", "bytes", 1024, 1048576,
                    "Longest header fields of a request"),
+    core::CountRow("memory_mb", "2048", "MB", 64, 1e6,
+                   "Memory of this VM: a tenth of it may hold requests, each "
+                   "of which is copied a few times"),
+    core::CountRow("max_connections", "8192", "", 16, 1e6,
+                   "Connections of callers: beyond, the one that has waited "
+                   "longest for a request is closed"),
     core::CountRow("max_queue", "2048", "", 1, 100000,
                    "Requests that may wait here for one model"),
     core::TimeRow("claim_patience_ms", "1500", 10,
--- a/src/entry/metrics.cc
+++ b/src/entry/metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/text_serializer.h>
 
 #include "entry/metrics_base.h"
+#include "http/refusal_levels_func.h"
 
 namespace sapphire::entry {
 
@@ -83,6 +84,7 @@
   };
   set("config_version", levels.config_version);
   set("requests_in_progress", levels.requests_in_progress);
+  http::SetRefusalLevels(levels.refusals, set);
   set("once_runs_in_progress", levels.once_runs_in_progress);
   set("endpoints_connected", levels.endpoints_connected);
   set("entries_live", levels.entries_live);
--- a/src/entry/metrics_base.h
+++ b/src/entry/metrics_base.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "entry/scheduler_base.h"
+#include "http/server_base.h"
 #include "link/link_type.h"
 
 namespace sapphire::entry {
@@ -26,6 +27,8 @@
 struct MetricValues {
   std::int64_t config_version = 0;
   int requests_in_progress = 0;
+  /** Requests and connections that a limit refused so far. */
+  http::RefusalCounts refusals{};
   int once_runs_in_progress = 0;
   int endpoints_connected = 0;
   int entries_live = 0;
--- a/src/entry/sapphire_entry_main.cc
+++ b/src/entry/sapphire_entry_main.cc
@@ -30,6 +30,14 @@
   return options;
 }
 
+/** @return What requests may occupy as the server holds them: a tenth of the
+ * VM's memory, as each body is copied for the caller's request, its run, the
+ * frame of the run and the link. */
+std::size_t RequestBytesOf(std::int64_t memory_mb) {
+  constexpr std::size_t kTenthOfMegabyte = 100'000;
+  return static_cast<std::size_t>(memory_mb) * kTenthOfMegabyte;
+}
+
 SchedulerOptions SchedulerOptionsFrom(const core::Settings& settings,
                                       Metrics& metrics) {
   SchedulerOptions options;
@@ -55,6 +63,9 @@
       static_cast<std::size_t>(settings.Integer("max_body_bytes"));
   options.http.max_header_bytes =
       static_cast<std::size_t>(settings.Integer("max_header_bytes"));
+  options.http.max_connections =
+      static_cast<std::size_t>(settings.Integer("max_connections"));
+  options.request_bytes = RequestBytesOf(settings.Integer("memory_mb"));
   options.callers = {settings.Millis("default_timeout_ms"),
                      settings.Millis("max_timeout_ms")};
   options.scheduler = SchedulerOptionsFrom(settings, metrics);
--- a/src/serving/front_metrics.cc
+++ b/src/serving/front_metrics.cc
@@ -1,10 +1,10 @@
 /** @file front_metrics.cc Metrics of an entry's request path. */
-#include <fmt/format.h>
 #include <prometheus/text_serializer.h>
 
 #include <set>
 
 #include "core/metric_family_func.h"
+#include "http/refusal_levels_func.h"
 #include "policy/placement_func.h"
 #include "serving/front_metrics_base.h"
 
@@ -204,11 +204,7 @@
   set("config_version", levels.config_version);
   set("requests_in_progress", levels.requests_in_progress);
   set("request_bytes", levels.request_bytes);
-  for (std::size_t i = 0; i < http::kRefusalReasons; ++i) {
-    const auto reason = static_cast<http::RefusalReason>(i);
-    const std::string name = fmt::format("refused_{}", http::NameOf(reason));
-    set(name.c_str(), levels.refusals.at(i));
-  }
+  http::SetRefusalLevels(levels.refusals, set);
   set("engines_known", levels.engines_known);
   set("engines_held", levels.engines_held);
   set("engines_limited", levels.engines_limited);
