Keep a stop from cutting refusals short

A refused caller is waited for so that it can read the answer. Since connections have a phase, such a one counted as idle, and a server that stops accepting closed it, which resets the connection before the answer is read. It has a phase of its own now: it is closed for newer connections, not by a stop.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -45,10 +45,11 @@
 constexpr std::chrono::milliseconds kLingerTime{1000};
 /** What a connection is used for. */
 enum class Phase {
-  kIdle,     ///< No request, or a refused one whose caller is waited for.
+  kIdle,     ///< No request.
   kHead,     ///< The head of a request is being read.
   kBody,     ///< Its body is being read.
   kServing,  ///< It is being handled and answered.
+  kLinger,   ///< It was refused, and its caller may still read the answer.
 };
 
 /** A connection from a caller. */
@@ -63,7 +64,7 @@
    * it has been read, or is about to be. */
   [[nodiscard]] bool IsClosable() const {
     const Phase now = phase;
-    return now == Phase::kIdle || now == Phase::kHead;
+    return now == Phase::kIdle || now == Phase::kHead || now == Phase::kLinger;
   }
   [[nodiscard]] bool IsReading() const {
     const Phase now = phase;
@@ -531,7 +532,7 @@
   co_await writer.Send(ProblemResponse(error, ""));
   beast::error_code ec;
   connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-  connection.Enter(Phase::kIdle);
+  connection.Enter(Phase::kLinger);
   const auto end = std::chrono::steady_clock::now() + kLingerTime;
   connection.stream.expires_at(end);
   std::array<char, 4096> discarded;
