--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -39,9 +40,9 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp10 = 10;
-/** How long data is still read from a caller whose request was refused: closing
- * the connection with unread data would reset it before the caller has read the
- * answer. */
+/** Pause after which no more data is read from a caller whose request was
+ * refused: closing the connection with unread data would reset it before the
+ * caller has read the answer. */
 constexpr std::chrono::milliseconds kLingerTime{1000};
 /** What a connection is used for. */
 enum class Phase {
@@ -533,11 +534,14 @@
   beast::error_code ec;
   connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
   connection.Enter(Phase::kLinger);
-  const auto end = std::chrono::steady_clock::now() + kLingerTime;
-  connection.stream.expires_at(end);
+  // As long as it might have taken to read the request.
+  const auto end =
+      std::chrono::steady_clock::now() + CurrentLimits().read_timeout;
   std::array<char, 4096> discarded;
   while (!ec && std::chrono::steady_clock::now() < end) {
     std::size_t n = 0;
+    connection.stream.expires_at(
+        std::min(end, std::chrono::steady_clock::now() + kLingerTime));
     std::tie(ec, n) = co_await connection.stream.async_read_some(
         asio::buffer(discarded), kTuple);
   }
