--- a/src/http/request_budget.cc
+++ b/src/http/request_budget.cc
@@ -28,7 +28,7 @@
  */
 bool RequestBudget::MakeRoom(const RequestShare& share, std::size_t bytes) {
   const std::size_t limit =
-      bytes <= kMaxSmallBytes ? max_bytes_ : max_bytes_ / 4 * 3;
+      bytes <= kMaxSmallBytes ? max_bytes_ : max_bytes_ / 8 * 7;
   while (held_ - share.bytes_ + bytes > limit) {
     if (!GiveUpSlowest(share)) return false;
   }
--- a/src/http/request_budget_base.h
+++ b/src/http/request_budget_base.h
@@ -18,7 +18,7 @@
 /**
  * Memory of all requests of a process, from their first byte until their answer
  * is over. Requests of up to kMaxSmallBytes may use all of it, larger ones
- * three quarters, so that they don't keep small ones out. If it is short, those
+ * seven eighths, so that they don't keep small ones out. If it is short, those
  * that are read the slowest are given up. Thread-safe.
  */
 class RequestBudget {
