--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -112,17 +112,26 @@
   co_return ec;
 }
 
-/** Parses what has arrived, or reads more if that is not enough. Beast's own
- * read would go on until it can parse, whatever the buffer then takes. A timer
- * does not end a request whose next bytes are always there. */
-Task<beast::error_code> RequestReader::ReadPart(
-    std::chrono::steady_clock::time_point end) {
+/** Parses what has arrived, up to the end of the head. */
+beast::error_code RequestReader::Parse() {
+  const bool in_head = !parser_.is_header_done();
   beast::error_code ec = error::need_more;
-  if (buf_.size() > 0) {
+  while (buf_.size() > 0) {
     const std::size_t n = parser_.put(buf_.data(), ec);
     buf_.consume(n);
     parsed_ += n;
+    if (ec || parser_.is_done()) break;
+    if (in_head && parser_.is_header_done()) break;
   }
+  return ec;
+}
+
+/** Parses what has arrived, or reads more if that is not enough. Beast's own
+ * read would go on until it can parse, whatever the buffer then takes. A timer
+ * does not end a request whose next bytes are always there. */
+Task<beast::error_code> RequestReader::ReadPart(
+    std::chrono::steady_clock::time_point end) {
+  beast::error_code ec = Parse();
   if (ec == error::need_more) {
     ec = co_await Receive(end);
   }
--- a/src/http/request_reader_base.h
+++ b/src/http/request_reader_base.h
@@ -102,6 +102,7 @@
 
   core::Task<boost::beast::error_code> ReadHead();
   core::Task<boost::beast::error_code> ReadBody();
+  boost::beast::error_code Parse();
   core::Task<boost::beast::error_code> ReadPart(
       std::chrono::steady_clock::time_point end);
   core::Task<boost::beast::error_code> Receive(
