Let other connections have their turn between many small chunks

400 callers with chunks of one byte kept new connections waiting: an entry accepts one for each round of its connections, and since a round parsed up to 3,400 chunks of each.

A turn parses 64 chunks.

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -1,6 +1,7 @@
 /** @file request_reader.cc Reads one request from a connection, within its
  * limits and the memory that is left. */
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <tuple>
@@ -21,6 +22,9 @@
 constexpr std::size_t kMaxChunkExtensionBytes = 4 * 1024;
 /** Beast throws within the event loop at a field of 64 KB. */
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/** Chunks that are parsed before other connections have their turn: a buffer
+ * may hold 3,000 chunks of a byte, but fewer than this many of 1 KB. */
+constexpr int kMaxElementsPerTurn = 64;
 /** Buffer that a connection keeps between two requests. */
 constexpr std::size_t kKeptBytes = 4 * 1024;
 /** A request's head is held by the server, by its handler and by the send to an
@@ -108,15 +112,19 @@
   beast::error_code ec;
   while (!ec && !parser_.is_done()) {
     ec = co_await ReadPart(end);
+    const bool is_more_buffered = !ec && !parser_.is_done() && buf_.size() > 0;
+    if (is_more_buffered) {
+      co_await asio::post(stream_.get_executor(), asio::use_awaitable);
+    }
   }
   co_return ec;
 }
 
-/** Parses what has arrived, up to the end of the head. */
+/** Parses what has arrived, up to the end of the head and for one turn. */
 beast::error_code RequestReader::Parse() {
   const bool in_head = !parser_.is_header_done();
   beast::error_code ec = error::need_more;
-  while (buf_.size() > 0) {
+  for (int i = 0; i < kMaxElementsPerTurn && buf_.size() > 0; ++i) {
     const std::size_t n = parser_.put(buf_.data(), ec);
     buf_.consume(n);
     parsed_ += n;
