--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -40,7 +40,7 @@
   link::LinkOptions links;
   http::ServerLimits http;
   /** Memory that requests may occupy as the server holds them. */
-  std::size_t request_bytes = 0;
+  std::size_t request_bytes = std::size_t{200} * 1024 * 1024;
   CallerLimits callers;
   SchedulerOptions scheduler;
   ClaimStoreOptions claims;
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -67,7 +67,7 @@
   DispatchOptions dispatch;
   /** Address on which metrics are served. */
   std::string metrics_listen;
-  MemoryLimits memory;
+  MemoryLimits memory = DivideMemory(std::size_t{256} * 1024 * 1024);
   ConnectionLimits connections;
   Freshness freshness;
   RevocationOptions revocation;
