--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -97,6 +97,7 @@
     co_await core::SleepFor(options_.batch_pause);
     co_return;
   }
+  LogSilence(batch, wait);
   HandleAnswer(waited ? call_began_ + wait : call_began_);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
@@ -106,6 +107,27 @@
   co_await core::SleepFor(BatchPause());
 }
 
+/** Logs an answer that may hide changes: it came before its wait was over, or
+ * names a revision beyond its changes although all keys are watched. */
+void StoreFollower::LogSilence(const external::WatchBatch& batch,
+                               core::Millis wait) const {
+  const auto took =
+      std::chrono::duration_cast<core::Millis>(clock_.Now() - call_began_);
+  const bool is_early = batch.events.empty() && took < wait;
+  const std::int64_t heard =
+      batch.events.empty() ? *revision_ : batch.events.back().revision;
+  const bool is_short = options_.prefix.empty() && heard < batch.revision;
+  if (!is_early && !is_short) return;
+  log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_incomplete",
+             {{"prefix", options_.prefix},
+              {"after", *revision_},
+              {"heard", heard},
+              {"until", batch.revision},
+              {"changes", batch.events.size()},
+              {"wait_ms", wait},
+              {"call_ms", took}});
+}
+
 /** An answer with changes tells of the time at which its call began, so after a
  * long call the view is renewed sooner than usual. */
 core::Millis StoreFollower::WatchWait() const {
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -48,10 +48,14 @@
   co_return true;
 }
 
+std::optional<core::SteadyTime> ConfigurationRefresh::newest_as_of() const {
+  // An empty optional compares as less than any time.
+  return std::max(followed_.as_of(), read_as_of_);
+}
+
 bool ConfigurationRefresh::IsNewestSince(core::SteadyTime time) const {
-  const auto followed = followed_.as_of();
-  return (followed && *followed >= time) ||
-         (read_as_of_ && *read_as_of_ >= time);
+  const auto as_of = newest_as_of();
+  return as_of && *as_of >= time;
 }
 
 /** @return False shortly after a read that failed: the next one likely fails
@@ -69,6 +73,7 @@
 
 core::Task<> ConfigurationRefresh::Read() {
   const core::SteadyTime began = clock_.Now();
+  record_ = ReadRecord();
   std::string failure;
   try {
     co_await AdoptNewest();
@@ -87,6 +92,10 @@
       failure.empty() ? core::LogLevel::kInfo : core::LogLevel::kWarning,
       core::LogCategory::kConfig, "config_reread",
       {{"key", options_.key},
+       {"asked", record_.asked},
+       {"after", record_.after},
+       {"until", record_.until},
+       {"changes", record_.changes},
        {"took_ms", std::chrono::duration_cast<milliseconds>(now - began)},
        {"error", failure}});
 }
@@ -99,15 +108,21 @@
       co_await AdoptChanges(std::max(*followed, changes_read_until_))) {
     co_return;
   }
+  record_ = {"document"};
   const auto document = co_await store_.Get(options_.key);
-  if (document) AdoptDocument(*document);
+  if (!document) co_return;
+  record_.until = document->revision;
+  AdoptDocument(*document);
 }
 
 /** @return False if the store no longer knows what has changed since. */
 core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
+  record_ = {"changes", revision};
   external::WatchBatch batch =
       co_await store_.Watch(options_.key, revision, kShortWait);
   if (batch.gap) co_return false;
+  record_.until = batch.revision;
+  record_.changes = batch.events.size();
   std::optional<external::KvEntry> newest;
   for (external::KvEvent& it : batch.events) {
     if (it.key != options_.key || !it.value) continue;
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -4,10 +4,12 @@
 #define SAPPHIRE_SERVING_CONFIGURATION_REFRESH_BASE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/clock_base.h"
 #include "core/log_base.h"
@@ -61,7 +63,21 @@
    */
   core::Task<bool> Confirm(core::SteadyTime asked);
 
+  /** @return The latest time of which it is known that the configuration in
+   * force was the newest one, if any. */
+  [[nodiscard]] std::optional<core::SteadyTime> newest_as_of() const;
+
  private:
+  /** What a read asked the store and was answered, for the log. */
+  struct ReadRecord {
+    /** "changes" since `after`, or the whole "document". */
+    std::string_view asked;
+    std::int64_t after = 0;
+    /** Revision that the answer names, or that of the document. */
+    std::int64_t until = 0;
+    std::size_t changes = 0;
+  };
+
   [[nodiscard]] bool IsNewestSince(core::SteadyTime time) const;
   [[nodiscard]] bool MayRead() const;
   void StartRead();
@@ -85,6 +101,7 @@
   /** Revision up to which changes have been read here, which may be ahead of
    * the follower's. */
   std::int64_t changes_read_until_ = 0;
+  ReadRecord record_;
   core::Signal ended_;
 };
 
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -145,13 +145,31 @@
                   kDefaultRetryAfter);
     }
   }
-  if (denial) throw Error(*denial);
+  if (denial) {
+    LogDenial(work);
+    throw Error(*denial);
+  }
   if (!work.service->engine) {
     work.request.model = core::ModelId();
     work.request.adapter = core::AdapterId();
   }
 }
 
+/** Logs how old the evidence was that no newer configuration allows the request
+ * as it arrived; -1 if there is none. */
+void Dispatcher::LogDenial(const RequestWork& work) const {
+  const auto as_of = deps_.refresh.newest_as_of();
+  const auto age = as_of ? std::max(std::chrono::duration_cast<milliseconds>(
+                                        work.arrived - *as_of),
+                                    milliseconds(0))
+                         : milliseconds(-1);
+  deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "request_denied",
+                  {{"request", work.request.id},
+                   {"config", deps_.configuration.version()},
+                   {"evidence_age_ms", age},
+                   {"view_age_ms", ViewAge()}});
+}
+
 /** @return Why the configuration in force does not allow the request, if it
  * does not. @throws Error for any other refusal. */
 std::optional<Error> Dispatcher::FindDenial(RequestWork& work) const {
