Take no answer that lacks changes for evidence that there are none

A watch of a store that is about to drop its history reports no changes for a second and names their revision all the same. The shared read of the configuration and the follower went on from the named revision, so that the change was never read: each later read confirmed the old configuration.

A watch of all keys can tell: its last change has the revision that the answer names, or changes are missing from it. The follower treats that like a gap and lists, and the shared read watches all keys, goes on from the revision of the document that it put into force, and reads the document if changes are missing.

--- a/src/external/key_value.cc
+++ b/src/external/key_value.cc
@@ -15,4 +15,10 @@
   co_return snapshot;
 }
 
+bool LacksChanges(const WatchBatch& batch, std::int64_t after) {
+  std::int64_t told = after;
+  for (const KvEvent& it : batch.events) told = std::max(told, it.revision);
+  return told < batch.revision;
+}
+
 }  // namespace sapphire::external
--- a/src/external/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -43,6 +43,14 @@
   bool gap = false;
 };
 
+/**
+ * @param batch Answer to a watch of all keys after revision `after`.
+ * @return True if changes are missing from it: it names a revision beyond its
+ *   last change. A store that is about to drop its history reports none of the
+ *   changes that are made meanwhile.
+ */
+bool LacksChanges(const WatchBatch& batch, std::int64_t after);
+
 /** All entries under a prefix, and the revision from which to watch them. */
 struct KvSnapshot {
   std::vector<KvEntry> entries;
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -86,18 +86,21 @@
   answer_due_.reset();
   // If there is no change, the store answers only after the whole wait.
   const bool waited = batch.events.empty();
-  if (batch.gap) {
-    // It tells of no change, and some may have been missed.
+  if (MissesChanges(batch)) {
+    // It does not renew the view, and its own changes come with the listing.
     HandleAnswer(current_as_of_.value_or(call_began_));
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
-               {{"prefix", options_.prefix}, {"revision", *revision_}});
+               {{"prefix", options_.prefix},
+                {"revision", *revision_},
+                {"until", batch.revision},
+                {"changes", batch.events.size()}});
     revision_.reset();
     // With a store that keeps little history, the next watch may have a gap at
     // once.
     co_await core::SleepFor(options_.batch_pause);
     co_return;
   }
-  LogSilence(batch, wait);
+  LogEarlyAnswer(batch, wait);
   HandleAnswer(waited ? call_began_ + wait : call_began_);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
@@ -107,23 +110,23 @@
   co_await core::SleepFor(BatchPause());
 }
 
-/** Logs an answer that may hide changes: it came before its wait was over, or
- * names a revision beyond its changes although all keys are watched. */
-void StoreFollower::LogSilence(const external::WatchBatch& batch,
-                               core::Millis wait) const {
+/** @return True if the answer does not tell of all changes. Only a watch of all
+ * keys can tell that it lacks some. */
+bool StoreFollower::MissesChanges(const external::WatchBatch& batch) const {
+  return batch.gap ||
+         (options_.prefix.empty() && external::LacksChanges(batch, *revision_));
+}
+
+/** Logs an answer without changes that came before its wait was over. */
+void StoreFollower::LogEarlyAnswer(const external::WatchBatch& batch,
+                                   core::Millis wait) const {
   const auto took =
       std::chrono::duration_cast<core::Millis>(clock_.Now() - call_began_);
-  const bool is_early = batch.events.empty() && took < wait;
-  const std::int64_t heard =
-      batch.events.empty() ? *revision_ : batch.events.back().revision;
-  const bool is_short = options_.prefix.empty() && heard < batch.revision;
-  if (!is_early && !is_short) return;
-  log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_incomplete",
+  if (!batch.events.empty() || took >= wait) return;
+  log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_ended_early",
              {{"prefix", options_.prefix},
               {"after", *revision_},
-              {"heard", heard},
               {"until", batch.revision},
-              {"changes", batch.events.size()},
               {"wait_ms", wait},
               {"call_ms", took}});
 }
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -117,7 +117,9 @@
   core::Task<> ListAll();
   core::Task<> WatchOnce();
   void DispatchChange(external::KvEvent event);
-  void LogSilence(const external::WatchBatch& batch, core::Millis wait) const;
+  [[nodiscard]] bool MissesChanges(const external::WatchBatch& batch) const;
+  void LogEarlyAnswer(const external::WatchBatch& batch,
+                      core::Millis wait) const;
   [[nodiscard]] core::Millis WatchWait() const;
   [[nodiscard]] core::Millis BatchPause() const;
   [[nodiscard]] core::Millis TimeToRenewal() const;
--- a/src/routing/store_follower_test.cc
+++ b/src/routing/store_follower_test.cc
@@ -91,6 +91,24 @@
   BOOST_TEST((*rig.follower.current_as_of() == before));
 }
 
+/** Guards against changes that are missed for good, as a watch that reported
+ * none named their revision. */
+BOOST_AUTO_TEST_CASE(AnAnswerThatLacksChangesDoesNotRenewTheView) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return rig.follower.last_answer().has_value(); }));
+  const core::SteadyTime before = *rig.follower.current_as_of();
+  const core::SteadyTime answered = *rig.follower.last_answer();
+  const std::int64_t revision = *rig.follower.revision();
+  external::WatchBatch silent;
+  silent.revision = revision + 1;
+  rig.store.batches.push_back(silent);
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return *rig.follower.last_answer() != answered; }));
+  BOOST_TEST((*rig.follower.current_as_of() == before));
+  BOOST_TEST(!rig.follower.revision().has_value());
+}
+
 /** Guards against a view that becomes late in calm: a change at the end of one
  * wait, the pause after it and another whole wait exceed the bound. */
 BOOST_AUTO_TEST_CASE(AQuietStoreDoesNotMakeTheViewLate) {
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -16,6 +16,8 @@
 
 /** Wait of a watch that only asks what has changed so far. */
 constexpr milliseconds kShortWait{1};
+/** Prefix of all keys. */
+constexpr const char* kAllKeys = "";
 
 }  // namespace
 
@@ -105,7 +107,7 @@
 core::Task<> ConfigurationRefresh::AdoptNewest() {
   const auto followed = followed_.revision();
   if (followed &&
-      co_await AdoptChanges(std::max(*followed, changes_read_until_))) {
+      co_await AdoptChanges(std::max(*followed, document_revision_))) {
     co_return;
   }
   record_ = {"document"};
@@ -115,29 +117,34 @@
   AdoptDocument(*document);
 }
 
-/** @return False if the store no longer knows what has changed since. */
+/**
+ * Watches all keys, as only then an answer without a change of the document can
+ * be told from one that lacks it.
+ * @return False if the answer does not tell of all changes since.
+ */
 core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
   record_ = {"changes", revision};
   external::WatchBatch batch =
-      co_await store_.Watch(options_.key, revision, kShortWait);
-  if (batch.gap) co_return false;
+      co_await store_.Watch(kAllKeys, revision, kShortWait);
   record_.until = batch.revision;
   record_.changes = batch.events.size();
+  if (batch.gap || external::LacksChanges(batch, revision)) co_return false;
   std::optional<external::KvEntry> newest;
   for (external::KvEvent& it : batch.events) {
     if (it.key != options_.key || !it.value) continue;
     newest = {it.key, *std::move(it.value), it.revision};
   }
   if (newest) AdoptDocument(*newest);
-  changes_read_until_ = std::max(revision, batch.revision);
   co_return true;
 }
 
 /** @throws core::Error for a document that can't be used. */
 void ConfigurationRefresh::AdoptDocument(const external::KvEntry& document) {
-  if (adopt_(document)) return;
-  throw core::Error(core::ErrorCode::kConfigurationStale,
-                    "the newest configuration can't be used");
+  if (!adopt_(document)) {
+    throw core::Error(core::ErrorCode::kConfigurationStale,
+                      "the newest configuration can't be used");
+  }
+  document_revision_ = std::max(document_revision_, document.revision);
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -98,9 +98,9 @@
    * the latest one that did not. */
   std::optional<core::SteadyTime> read_as_of_;
   std::optional<core::SteadyTime> failed_;
-  /** Revision up to which changes have been read here, which may be ahead of
-   * the follower's. */
-  std::int64_t changes_read_until_ = 0;
+  /** Revision of the newest document that was put into force here, which may be
+   * ahead of the follower's. */
+  std::int64_t document_revision_ = 0;
   ReadRecord record_;
   core::Signal ended_;
 };
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -93,6 +93,23 @@
   BOOST_TEST(rig.memory.gets == 1);
 }
 
+/** Guards against a change that is missed for good, as a watch that reported
+ * none named its revision. */
+BOOST_AUTO_TEST_CASE(AnAnswerThatLacksAChangeConfirmsNothing) {
+  Rig rig;
+  rig.revision = 1;
+  rig.Publish(1, "second");
+  rig.memory.miss_changes = true;
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.adopted == std::vector<std::string>{"second"},
+             boost::test_tools::per_element());
+  rig.memory.miss_changes = false;
+  rig.clock.Advance(milliseconds(1100));
+  rig.Publish(2, "third");
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.adopted.back() == "third");
+}
+
 /** Guards against reading the same change again while the follower is behind.
  */
 BOOST_AUTO_TEST_CASE(AChangeIsReadOnce) {
