Renew the view by what a call is known to have told

A watch without changes renewed the view by its whole wait. A watch that is cut ends sooner, and a busy thread reads its answer later, so that the view claimed up to a wait (2 s on the large site) that no answer covered, and denials rested on it. The time at which the call began is all that is known. The view is also renewed only once all changes of an answer are applied: one that fails left a renewed view behind.

--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -70,11 +70,12 @@
   answer_due_ = call_began_ + kUsualAnswerTime;
   external::KvSnapshot snapshot = co_await store_.Snapshot(options_.prefix);
   answer_due_.reset();
-  HandleAnswer(call_began_);
+  HandleAnswer();
   for (const FollowHooks& it : hooks_) {
     it.listed(UnderPrefix(snapshot.entries, it.prefix), CurrentLapseGraceEnd());
   }
   revision_ = snapshot.revision;
+  HandleApplied();
 }
 
 core::Task<> StoreFollower::WatchOnce() {
@@ -84,11 +85,9 @@
   external::WatchBatch batch =
       co_await store_.Watch(options_.prefix, *revision_, wait);
   answer_due_.reset();
-  // If there is no change, the store answers only after the whole wait.
-  const bool waited = batch.events.empty();
+  HandleAnswer();
   if (MissesChanges(batch)) {
     // It does not renew the view, and its own changes come with the listing.
-    HandleAnswer(current_as_of_.value_or(call_began_));
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
                {{"prefix", options_.prefix},
                 {"revision", *revision_},
@@ -101,11 +100,11 @@
     co_return;
   }
   LogEarlyAnswer(batch, wait);
-  HandleAnswer(waited ? call_began_ + wait : call_began_);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
   }
   revision_ = std::max(*revision_, batch.revision);
+  HandleApplied();
   if (batch.events.empty()) co_return;
   co_await core::SleepFor(BatchPause());
 }
@@ -131,8 +130,8 @@
               {"call_ms", took}});
 }
 
-/** An answer with changes tells of the time at which its call began, so after a
- * long call the view is renewed sooner than usual. */
+/** An answer tells of the time at which its call began, so after a long call
+ * the view is renewed sooner than usual. */
 core::Millis StoreFollower::WatchWait() const {
   return std::clamp(TimeToRenewal(),
                     std::min(kMinWatchWait, options_.watch_wait),
@@ -175,17 +174,26 @@
                               *failing_since_ - call_began_)}});
 }
 
-void StoreFollower::HandleAnswer(core::SteadyTime as_of) {
-  UpdateViewTime(as_of);
+/** Records an answer before its keys are applied, which depends on the grace
+ * period. */
+void StoreFollower::HandleAnswer() {
   last_answer_ = clock_.Now();
+  if (failing_since_ &&
+      *last_answer_ - *failing_since_ > options_.outage_after) {
+    grace_end_ = std::min(failed_call_began_ + options_.lapse_grace,
+                          *last_answer_ + kReregistrationTime);
+  }
+}
+
+/** Renews the view by an answer all of whose keys have been applied. Even one
+ * without changes is only known to include those before its call: a watch may
+ * be cut, and its answer read long after it was sent. */
+void StoreFollower::HandleApplied() {
+  UpdateViewTime(call_began_);
   if (!failing_since_) return;
   const auto away =
       std::chrono::duration_cast<core::Millis>(*last_answer_ - *failing_since_);
   failing_since_.reset();
-  if (away > options_.outage_after) {
-    grace_end_ = std::min(failed_call_began_ + options_.lapse_grace,
-                          *last_answer_ + kReregistrationTime);
-  }
   log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
              {{"prefix", options_.prefix}, {"away_ms", away}});
 }
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -89,8 +89,7 @@
 
   /**
    * @return The time up to which all changes are known, if the store ever
-   *   answered: the start of the call that was answered last, or the end of its
-   *   wait if there was no change.
+   *   answered: the start of the latest call whose answer was applied.
    */
   [[nodiscard]] std::optional<core::SteadyTime> current_as_of() const {
     return current_as_of_;
@@ -124,8 +123,9 @@
   [[nodiscard]] core::Millis BatchPause() const;
   [[nodiscard]] core::Millis TimeToRenewal() const;
   void HandleFailure(const std::string& what);
-  /** @param as_of The answer includes all changes up to this time. */
-  void HandleAnswer(core::SteadyTime as_of);
+  void HandleAnswer();
+  void HandleApplied();
+  /** @param as_of All changes up to this time have been applied. */
   void UpdateViewTime(core::SteadyTime as_of);
   [[nodiscard]] LapseGraceEnd CurrentLapseGraceEnd() const;
 
--- a/src/routing/store_follower_test.cc
+++ b/src/routing/store_follower_test.cc
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE store_follower
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 
 #include "core/task_func.h"
 #include "entry/testing_key_value.h"
@@ -38,7 +39,10 @@
   FollowHooks Hooks() {
     FollowHooks hooks;
     hooks.listed = [](const auto&, LapseGraceEnd) {};
-    hooks.changed = [this](const auto&, LapseGraceEnd) { ++changes; };
+    hooks.changed = [this](const auto&, LapseGraceEnd) {
+      if (throws) throw std::runtime_error("not understood");
+      ++changes;
+    };
     return hooks;
   }
 
@@ -58,6 +62,8 @@
   core::Logger log;
   entry::testing::MemoryKeyValue store{clock};
   int changes = 0;
+  /** A change can't be applied while true. */
+  bool throws = false;
   StoreFollower follower;
 };
 
@@ -109,6 +115,29 @@
   BOOST_TEST(!rig.follower.revision().has_value());
 }
 
+/** Guards against a change that counts as known although it was not applied. */
+BOOST_AUTO_TEST_CASE(AChangeThatFailsDoesNotRenewTheView) {
+  Rig rig;
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 1; }));
+  rig.throws = true;
+  const core::SteadyTime before = *rig.follower.current_as_of();
+  rig.Change();
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.follower.failing(); }));
+  BOOST_TEST((*rig.follower.current_as_of() == before));
+}
+
+/** Guards against an answer of a watch that was cut, read late, as news of the
+ * time after it was sent. */
+BOOST_AUTO_TEST_CASE(AnAnswerTellsOfTheTimeOfItsCall) {
+  FollowOptions options = Rig::Options();
+  options.watch_wait = milliseconds(1000);
+  Rig rig(options);
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 1; }));
+  const core::SteadyTime called = rig.clock.Now();
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.store.watches == 2; }));
+  BOOST_TEST((*rig.follower.current_as_of() <= called));
+}
+
 /** Guards against a view that becomes late in calm: a change at the end of one
  * wait, the pause after it and another whole wait exceed the bound. */
 BOOST_AUTO_TEST_CASE(AQuietStoreDoesNotMakeTheViewLate) {
