Take a missing configuration for no evidence

A store without the configuration's key, or with its deletion as the latest change, confirmed denials by the configuration in force: nothing had been read that says that it is the newest. Such requests get 503 configuration_stale now.

--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -112,7 +112,10 @@
   }
   record_ = {"document"};
   const auto document = co_await store_.Get(options_.key);
-  if (!document) co_return;
+  if (!document) {
+    throw core::Error(core::ErrorCode::kNotConfigured,
+                      "the store has no configuration");
+  }
   record_.until = document->revision;
   AdoptDocument(*document);
 }
@@ -120,7 +123,8 @@
 /**
  * Watches all keys, as only then an answer without a change of the document can
  * be told from one that lacks it.
- * @return False if the answer does not tell of all changes since.
+ * @return False if the answer does not tell of all changes since, or the
+ *   document is gone.
  */
 core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
   record_ = {"changes", revision};
@@ -129,12 +133,13 @@
   record_.until = batch.revision;
   record_.changes = batch.events.size();
   if (batch.gap || external::LacksChanges(batch, revision)) co_return false;
-  std::optional<external::KvEntry> newest;
+  external::KvEvent* newest = nullptr;
   for (external::KvEvent& it : batch.events) {
-    if (it.key != options_.key || !it.value) continue;
-    newest = {it.key, *std::move(it.value), it.revision};
+    if (it.key == options_.key) newest = &it;
   }
-  if (newest) AdoptDocument(*newest);
+  if (newest == nullptr) co_return true;
+  if (!newest->value) co_return false;
+  AdoptDocument({newest->key, *std::move(newest->value), newest->revision});
   co_return true;
 }
 
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -165,6 +165,19 @@
   BOOST_TEST(rig.calls == 1);
 }
 
+/** Guards against a store that has no configuration, as after a loss of its
+ * data, as evidence that the one in force is the newest. */
+BOOST_AUTO_TEST_CASE(AMissingDocumentConfirmsNothing) {
+  Rig rig;
+  const std::int64_t revision = rig.memory.Peek(kKey)->revision;
+  BOOST_REQUIRE(RunTask(rig.io, rig.memory.DeleteIf(kKey, revision)));
+  BOOST_TEST(!rig.Confirm());
+  rig.clock.Advance(milliseconds(1100));
+  rig.revision = revision;
+  BOOST_TEST(!rig.Confirm());
+  BOOST_TEST(rig.adopted.empty());
+}
+
 /** Guards against a read that began long before the request as evidence. */
 BOOST_AUTO_TEST_CASE(ALaterRequestNeedsALaterRead) {
   Rig rig;
