Record a configuration document as read once it is decided on

An entry recorded the revision of a document before it read it, in a field of its own, and only a core::Error made it unusable. After any other exception each listing took the document for known, nothing said that the newest was missing, and the entry denied by the older one for good, confirmed each time.

--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -2,9 +2,9 @@
  * configurations. */
 #include <algorithm>
 #include <cctype>
+#include <exception>
 #include <utility>
 
-#include "core/error_type.h"
 #include "routing/routing_table_base.h"
 
 namespace sapphire::routing {
@@ -81,11 +81,8 @@
 }
 
 void ConfigurationHolder::RecordDocument(std::int64_t revision, bool usable) {
-  if (!usable) {
-    unusable_revision_ = std::max(revision, unusable_revision_.value_or(0));
-  } else if (revision >= unusable_revision_.value_or(0)) {
-    unusable_revision_.reset();
-  }
+  if (newest_read_ && newest_read_->revision > revision) return;
+  newest_read_ = {revision, usable};
 }
 
 void ConfigurationHolder::RecordRevokedKeys(const RoutingTable& next) {
@@ -106,11 +103,12 @@
 
 bool AdoptDocument(ConfigurationHolder& holder, const ReadConfiguration& read,
                    const external::KvEntry& document, const core::Logger& log) {
+  if (holder.HasRead(document.revision)) return false;
   std::string failure;
   bool adopted = false;
   try {
     adopted = holder.Adopt(read(document.value));
-  } catch (const core::Error& e) {
+  } catch (const std::exception& e) {
     failure = e.what();
   }
   holder.RecordDocument(document.revision, failure.empty());
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -85,13 +85,20 @@
   /** @return The version in force, or 0 before the first configuration. */
   [[nodiscard]] std::int64_t version() const;
 
-  /** Records whether the document at this revision of the store can be used. */
+  /** Records that the document at this revision of the store was read, and
+   * whether it can be used. */
   void RecordDocument(std::int64_t revision, bool usable);
 
-  /** @return True if a document that can't be used is newer than the
-   * configuration in force. */
+  /** @return True if the document at this revision, or a later one, was read
+   * before. */
+  [[nodiscard]] bool HasRead(std::int64_t revision) const {
+    return newest_read_ && newest_read_->revision >= revision;
+  }
+
+  /** @return True if the newest document that was read can't be used, so that
+   * the configuration in force is an older one. */
   [[nodiscard]] bool LacksNewest() const {
-    return unusable_revision_.has_value();
+    return newest_read_ && !newest_read_->usable;
   }
 
   /** @return True if an earlier configuration contained the key and a later one
@@ -101,11 +108,16 @@
   }
 
  private:
+  struct ReadDocument {
+    std::int64_t revision = 0;
+    bool usable = false;
+  };
+
   void RecordRevokedKeys(const RoutingTable& next);
 
   std::shared_ptr<const RoutingTable> current_;
   std::unordered_set<organisation::ApiKey, organisation::ApiKeyHash> revoked_;
-  std::optional<std::int64_t> unusable_revision_;
+  std::optional<ReadDocument> newest_read_;
 };
 
 /** @throws core::Error for a text that is not a valid configuration. */
@@ -113,7 +125,9 @@
 
 /**
  * Adopts a configuration document from the store if it is newer, and logs the
- * result. An invalid document leaves the configuration in force unchanged.
+ * result; does nothing with one that was read before. A document that can't be
+ * read, for whatever reason, leaves the configuration in force unchanged and is
+ * recorded as unusable.
  * @return True if the document has replaced the configuration in force.
  */
 bool AdoptDocument(ConfigurationHolder& holder, const ReadConfiguration& read,
--- a/src/routing/routing_table_test.cc
+++ b/src/routing/routing_table_test.cc
@@ -2,6 +2,8 @@
  * configuration versions. */
 #define BOOST_TEST_MODULE routing_table
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
+#include <string>
 
 #include "routing/routing_table_base.h"
 
@@ -75,6 +77,25 @@
   BOOST_TEST(!holder.LacksNewest());
 }
 
+/** Guards against a document that counts as read although reading it failed:
+ * denials would rest on the older configuration for good. */
+BOOST_AUTO_TEST_CASE(ADocumentWhoseReadingFailsIsMissed) {
+  const core::ManualClock clock;
+  const core::Logger log({"entry", core::VmId("v"), core::ZoneId("z")},
+                         core::LogLevel::kError, clock);
+  ConfigurationHolder holder;
+  const auto fails = [](const std::string&) -> Configuration {
+    throw std::length_error("too long");
+  };
+  BOOST_TEST(!AdoptDocument(holder, fails, {"config", "", 5}, log));
+  BOOST_TEST(holder.LacksNewest());
+  const auto reads = [](const std::string&) { return WithVersion(2); };
+  BOOST_TEST(!AdoptDocument(holder, reads, {"config", "", 4}, log));
+  BOOST_TEST(holder.LacksNewest());
+  BOOST_TEST(AdoptDocument(holder, reads, {"config", "", 6}, log));
+  BOOST_TEST(!holder.LacksNewest());
+}
+
 /** Guards against a key that counts as revoked because a configuration without
  * organisations was in force for a while. */
 BOOST_AUTO_TEST_CASE(AConfigurationWithoutOrganisationsRevokesNoKey) {
--- a/src/serving/denial_history_test.cc
+++ b/src/serving/denial_history_test.cc
@@ -290,8 +290,6 @@
   }
 
   void Adopt(const external::KvEntry& document) {
-    if (document.revision <= revision_) return;
-    revision_ = document.revision;
     routing::AdoptDocument(holder_, Read, document, log_);
   }
 
@@ -370,7 +368,6 @@
                     clock_};
   DrawnStore store_{clock_, draw_};
   routing::ConfigurationHolder holder_;
-  std::int64_t revision_ = 0;
   routing::StoreFollower follower_{FollowOptionsOf(), Hooks(), store_, clock_,
                                    log_};
   const RefreshOptions options_{kKey};
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -472,9 +472,6 @@
 
 void Front::AdoptConfiguration(const external::KvEntry& entry) {
   if (entry.key != layout_.configuration_key) return;
-  // Each listing and each read brings the document again.
-  if (entry.revision <= configuration_revision_) return;
-  configuration_revision_ = entry.revision;
   const core::StallWatch::Span span(stalls_, "configuration");
   const bool adopted = routing::AdoptDocument(
       configuration_, layout_.read_configuration, entry, log_);
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -128,8 +128,6 @@
   core::StallWatch stalls_;
   external::CountingStore store_;
   routing::ConfigurationHolder configuration_;
-  /** Store revision of the latest document that was read. */
-  std::int64_t configuration_revision_ = 0;
   fleet::EngineRegistry registry_;
   fleet::EngineLoads loads_;
   const std::string presence_key_;
