Publish a configuration in the tests of unknown keys

Two cases expected 401 from an entry whose store has no configuration at all. Since a missing configuration is no evidence, such an entry answers 503; with the document in the store the cases check the same statuses as before.

--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -77,6 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(RequestsWithoutAKnownKeyAreRejected) {
   IdentityRig rig;
+  rig.Publish();
   TestEngine& engine = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
   BOOST_TEST(rig.Status("/safe/", "") == kUnauthorised);
   BOOST_TEST(rig.Status("/safe/", "k3") == kUnauthorised);
@@ -85,6 +86,7 @@
 
 BOOST_AUTO_TEST_CASE(APublicRouteNeedsNoKey) {
   IdentityRig rig;
+  rig.Publish();
   rig.public_prefix = "/safe/";
   rig.Configure(2);
   TestEngine& engine = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
