--- a/src/serving/unframed_answer_test.cc
+++ b/src/serving/unframed_answer_test.cc
@@ -3,27 +3,23 @@
 #define BOOST_TEST_MODULE unframed_answer
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <string>
 #include <utility>
 
-#include "core/address_func.h"
-#include "serving/dispatcher_rig_test.h"
 #include "serving/exchange_base.h"
+#include "serving/raw_engine_test.h"
 
 namespace sapphire::serving {
 
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
+using testing::AddRawEngine;
+using testing::Close;
 using testing::kDrafts;
+using testing::RawEngine;
 using testing::RecordingWriter;
 using testing::Rig;
 
@@ -34,47 +30,6 @@
 const std::string kPartial = "id: 2\nda";
 constexpr milliseconds kWait{3000};
 
-enum class Close { kOrderly, kReset };
-
-/** Answers one request with fixed bytes, then closes the connection. */
-class RawEngine {
- public:
-  RawEngine(asio::io_context& io, std::string answer, Close close)
-      : acceptor_(io, {asio::ip::address_v4::loopback(), 0}),
-        answer_(std::move(answer)),
-        close_(close) {
-    asio::co_spawn(io, Serve(), [](const std::exception_ptr& e) {
-      if (e) std::rethrow_exception(e);
-    });
-  }
-
-  [[nodiscard]] std::string address() const {
-    return core::AddressText(acceptor_);
-  }
-
- private:
-  core::Task<> Serve() {
-    tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-    asio::streambuf request;
-    co_await asio::async_read_until(socket, request, "\r\n\r\n",
-                                    asio::use_awaitable);
-    co_await asio::async_write(socket, asio::buffer(answer_),
-                               asio::use_awaitable);
-    if (close_ == Close::kOrderly) {
-      socket.shutdown(tcp::socket::shutdown_both);
-      co_return;
-    }
-    // A reset discards what the client has not read yet.
-    co_await core::SleepFor(milliseconds(50));
-    socket.set_option(asio::socket_base::linger(true, 0));
-    socket.close();
-  }
-
-  tcp::acceptor acceptor_;
-  const std::string answer_;
-  const Close close_;
-};
-
 /** Result of a send, and what the caller received. */
 struct Relayed {
   ExchangeResult result;
@@ -85,7 +40,7 @@
 /** Sends a request to an engine that answers with these bytes. */
 Relayed Relay(const std::string& answer, Close close, bool is_stream) {
   asio::io_context io(1);
-  const RawEngine engine(io, answer, close);
+  RawEngine engine(io, answer, close);
   http::Client client(engine.address());
   const testing::TestEngineWire wire;
   CallerRequest request;
@@ -106,6 +61,7 @@
           result = co_await exchange.Relay();
         }
         relayed.result = std::move(*result);
+        engine.Stop();
       },
       [](const std::exception_ptr& e) {
         if (e) std::rethrow_exception(e);
@@ -130,20 +86,6 @@
   BOOST_TEST(relayed.whole);
 }
 
-/** Adds the raw engine, which is preferred as it is in the rig's zone. */
-void AddRawEngine(Rig& rig, const RawEngine& engine) {
-  fleet::EngineEntry entry;
-  entry.instance = fleet::InstanceId("i-raw");
-  entry.service = kDrafts;
-  entry.address = engine.address();
-  entry.zone = core::ZoneId("z");
-  entry.max_running = 8;
-  fleet::LoadedModel held;
-  held.model = core::ModelId("m");
-  entry.models.push_back(held);
-  rig.registry.Put(std::move(entry));
-}
-
 }  // namespace
 
 /** Guards against an engine's crash that reads as the end of its stream. */
@@ -207,7 +149,7 @@
 BOOST_AUTO_TEST_CASE(BrokenStreamGoesOnAtAnotherEngine) {
   Rig rig;
   const RawEngine broken(rig.io, kHead + kFirst + kPartial, Close::kOrderly);
-  AddRawEngine(rig, broken);
+  AddRawEngine(rig, broken, kDrafts);
   testing::TestEngine& next =
       rig.AddEngine(kDrafts, testing::Streaming({kSecond}, true));
   rig.SetVersion("i-1", "", "other");
@@ -224,7 +166,7 @@
   Rig rig;
   rig.Configure(1);
   const RawEngine broken(rig.io, kHead + kFirst + kPartial, Close::kOrderly);
-  AddRawEngine(rig, broken);
+  AddRawEngine(rig, broken, kDrafts);
   RecordingWriter writer;
   rig.Serve("/stream/", kWait, writer);
   BOOST_TEST(writer.body == kFirst);
