Take no answer whose status HTTP does not know

Cause: Beast's parser takes any three digits for a status, and nothing behind it asks whether RFC 9110 knows the status. A 000 with an engine's mark was neither a success nor a refusal, so that it was relayed as the engine's own error. The same client reads all other answers, with worse results: a 000 marked as not run was proof that the request may be sent again, also one that must not run twice; an order that may have been carried out counted as refused, and a write to the store that was done counted as not done; a notice in such an answer or report took the engine's requests from it. 101 was relayed too, though nobody asks for a switch.

Fix: the client checks the status where it reads a head, also the informational ones that it skips. Outside 100 to 599, and with 101, the exchange has failed as one whose connection broke: it may have run, the connection is closed and nothing in the head is read. Each reader treats that correctly already: the request goes on at another engine if its kind allows that, else 502; an order or write has an unknown outcome; a report, a load or a read of the store has not come. `send_failed` names the engine and "invalid status 000".

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,4 +1,5 @@
 /** @file client.cc A small HTTP/1.1 client, built on Boost.Beast. */
+#include <fmt/format.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -57,12 +58,20 @@
                        ec == beast::error::timeout);
 }
 
-/** @return True for a head that another one follows. */
-bool IsInformational(unsigned status) {
-  constexpr unsigned kContinue = 100;
+/** @return True for a status of RFC 9110 that a server may answer with; Beast
+ * takes any three digits. No request asks for a switch of protocols, and after
+ * one the bytes are no HTTP. */
+bool IsValidStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
   constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kEnd = 600;
+  return status >= kFirst && status < kEnd && status != kSwitchingProtocols;
+}
+
+/** @return True for a valid status whose head is followed by another one. */
+bool IsInformational(unsigned status) {
   constexpr unsigned kOk = 200;
-  return status >= kContinue && status < kOk && status != kSwitchingProtocols;
+  return status < kOk;
 }
 
 /** @return True if an idle connection is open and has no unread data. */
@@ -208,6 +217,7 @@
       const auto [ec, n] = co_await beast::http::async_read_header(
           stream_, buf_, *parser_, kTuple);
       if (ec) Break(ec);
+      CheckHead();
       if (!IsInformational(parser_->get().result_int())) {
         KeepHead();
         co_return;
@@ -262,6 +272,17 @@
     buf_.reserve(read_bytes_);
   }
 
+  /** Closes the connection of a head that can't be trusted. Whether the request
+   * has run is unknown, whatever the head says.
+   * @throws TransportError without text of the server. */
+  void CheckHead() {
+    const unsigned status = parser_->get().result_int();
+    if (IsValidStatus(status)) return;
+    stream_.close();
+    throw TransportError(
+        fmt::format("{}: invalid status {:03}", address_, status), true, false);
+  }
+
   /** Closes the connection, so that no more of the answer is taken in. */
   [[noreturn]] void Break(const beast::error_code& ec) {
     stream_.close();
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -43,6 +43,10 @@
     co_await writer.End();
     co_return;
   }
+  if (path == "/invalid-status") {
+    co_await writer.Send(MakeResponse(0, "text/plain", "x"));
+    co_return;
+  }
   if (path == "/cut") {
     co_await writer.Begin(ResponseHead());
     co_await writer.Write("half");
@@ -363,6 +367,37 @@
   BOOST_TEST(response.body == "ok");
 }
 
+/** Guards against a status that HTTP does not know, or a switch of protocols
+ * that nobody asked for, read as an answer. */
+BOOST_FIXTURE_TEST_CASE(InvalidStatusIsNoAnswer, Fixture) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    OneAnswerServer peer(std::string("HTTP/1.1 ") + status +
+                         " X\r\nContent-Length: 2\r\n\r\nok");
+    Client reader(peer.address());
+    try {
+      Run(reader.Fetch({}, kLongTimeout));
+      BOOST_ERROR("answered with " << status);
+    } catch (const TransportError& e) {
+      BOOST_TEST(e.may_have_run());
+      BOOST_TEST(!e.timed_out());
+      BOOST_TEST(
+          std::string(e.what()).ends_with(std::string("status ") + status));
+    }
+  }
+}
+
+/** Guards against a connection that is reused after a head that can't be
+ * trusted. */
+BOOST_FIXTURE_TEST_CASE(InvalidStatusEndsItsConnection, Fixture) {
+  BOOST_CHECK_THROW(
+      Run(client.Fetch({"GET", "/invalid-status", {}, ""}, kLongTimeout)),
+      TransportError);
+  BOOST_TEST(
+      Run(client.Fetch({"POST", "/echo", {}, "next"}, kLongTimeout)).body ==
+      "next");
+  BOOST_TEST(client.connections_opened() == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(InformationalAnswersAreBounded, Fixture) {
   EndlessServer peer("", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n");
   Client reader(peer.address());
