Test that an invalid field name reaches no caller

It plays 14 lines in the head of a 200, a 500 and a stream, from the stand-in engine's socket to the caller's; the caller gets 502.

--- a/src/serving/broken_head_test.cc
+++ b/src/serving/broken_head_test.cc
@@ -169,6 +169,19 @@
   BOOST_TEST((rig.loads.notices().RestLeft(instance) == milliseconds(0)));
 }
 
+/** Guards against a line that is no header field, passed on to the caller. */
+BOOST_AUTO_TEST_CASE(InvalidFieldNameIsNotRelayed) {
+  for (const std::string& field :
+       {"X Trouble: 1"s, "X-Trouble : 1"s, "X\tTrouble: 1"s, " X-Trouble: 1"s,
+        "X\x01Trouble: 1"s, "X\0Trouble: 1"s, "X\x1bTrouble: 1"s,
+        "X\x7fTrouble: 1"s, "X\rTrouble: 1"s, "X\x80Trouble: 1"s, ": 1"s,
+        "X-Trouble"s, "Content-Length : 2"s, "Transfer-Encoding : chunked"s}) {
+    CheckLost(kOkLine + field + "\r\n" + kRest);
+    CheckLost("HTTP/1.1 500 X\r\n" + field + "\r\n" + kRest);
+    CheckLost(kOkLine + field + "\r\ngenuine: 1\r\n\r\n" + kEvent);
+  }
+}
+
 /** Guards against a check that turns sound answers away. */
 BOOST_AUTO_TEST_CASE(ValidHeadIsRelayed) {
   for (const char* status : {"200", "299", "302", "400", "418", "500", "599"}) {
