Take no answer of an unknown transfer coding

Of `Transfer-Encoding: xchunked`, `identity`, `chunked, gzip` and `chunked, chunked` they got the chunk headers as part of the body, with a length and as complete; of `gzip, chunked` the coded bytes as plain ones; chunks of HTTP/1.0, which does not know them, were taken off.

Cause: Beast's parser takes a coding that it does not know for "no framing" and reads until the connection closes, or by the length beside it; nothing behind it asks.

Fix: the client's check of a head also refuses each transfer coding but "chunked" alone, over all fields of that name, and any of HTTP/1.0: RFC 9112, 6.1 calls that faulty framing, and no request asks for another coding. It is treated as an invalid status: the request may have run, the connection is closed. All readers of answers share the check.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,6 +15,7 @@
 #include <charconv>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <utility>
 
 #include "core/address_func.h"
@@ -68,6 +69,26 @@
   return status >= kFirst && status < kEnd && status != kSwitchingProtocols;
 }
 
+/** @return True if the head names no transfer coding, or "chunked" once, as the
+ * only one. Beast leaves the bytes of other codings in the body, and takes
+ * chunks from a server of HTTP/1.0, which does not know them (RFC 9112, 6.1).
+ */
+bool IsFramingKnown(const beast::http::response_header<>& head) {
+  const auto [begin, end] =
+      head.equal_range(beast::http::field::transfer_encoding);
+  if (begin == end) return true;
+  int codings = 0;
+  for (auto it = begin; it != end; ++it) {
+    const beast::http::opt_token_list names(it->value());
+    if (!beast::http::validate_list(names)) return false;
+    for (const beast::string_view name : names) {
+      if (!beast::iequals(name, "chunked")) return false;
+      ++codings;
+    }
+  }
+  return codings == 1 && head.version() == kHttp11;
+}
+
 /** @return True for a valid status whose head is followed by another one. */
 bool IsInformational(unsigned status) {
   constexpr unsigned kOk = 200;
@@ -272,15 +293,22 @@
     buf_.reserve(read_bytes_);
   }
 
-  /** Closes the connection of a head that can't be trusted. Whether the request
-   * has run is unknown, whatever the head says.
-   * @throws TransportError without text of the server. */
+  /** @throws TransportError if Beast takes the head, but it is no valid HTTP.
+   */
   void CheckHead() {
     const unsigned status = parser_->get().result_int();
-    if (IsValidStatus(status)) return;
+    if (!IsValidStatus(status)) {
+      Reject(fmt::format("invalid status {:03}", status));
+    }
+    if (!IsFramingKnown(parser_->get())) Reject("unknown transfer coding");
+  }
+
+  /** Closes the connection of a head that can't be trusted. Whether the request
+   * has run is unknown, whatever the head says.
+   * @param fault Without text of the server, as callers get it. */
+  [[noreturn]] void Reject(std::string_view fault) {
     stream_.close();
-    throw TransportError(
-        fmt::format("{}: invalid status {:03}", address_, status), true, false);
+    throw TransportError(fmt::format("{}: {}", address_, fault), true, false);
   }
 
   /** Closes the connection, so that no more of the answer is taken in. */
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -398,6 +398,47 @@
   BOOST_TEST(client.connections_opened() == 2);
 }
 
+/** Guards against chunk headers, or coded bytes, that are read as the body:
+ * of all transfer codings only "chunked" alone is understood, from a server of
+ * HTTP/1.1. */
+BOOST_FIXTURE_TEST_CASE(UnknownTransferCodingIsNoAnswer, Fixture) {
+  const std::string body = "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;a=b",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked x",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+        "Transfer-Encoding: chunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"}) {
+    OneAnswerServer peer(head + body, true);
+    Client reader(peer.address());
+    try {
+      const Response response =
+          Run(reader.Fetch({}, kLongTimeout, UnstatedEnd::kAccept));
+      BOOST_ERROR(head << " is read as " << response.body);
+    } catch (const TransportError& e) {
+      BOOST_TEST(e.may_have_run());
+      BOOST_TEST(std::string(e.what()).ends_with("unknown transfer coding"));
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ChunkedCodingIsReadInAnySpelling, Fixture) {
+  for (const std::string value :
+       {"chunked", "CHUNKED", " Chunked ", ",chunked,"}) {
+    OneAnswerServer peer("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + value +
+                         "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    Client reader(peer.address());
+    BOOST_TEST(Run(reader.Fetch({}, kLongTimeout)).body == "ok");
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(InformationalAnswersAreBounded, Fixture) {
   EndlessServer peer("", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n");
   Client reader(peer.address());
--- a/src/serving/broken_head_test.cc
+++ b/src/serving/broken_head_test.cc
@@ -182,6 +182,18 @@
   }
 }
 
+/** Guards against chunk headers, or coded bytes, that callers get as the body.
+ */
+BOOST_AUTO_TEST_CASE(BodyOfAnUnknownTransferCodingIsNotRelayed) {
+  const std::string body = "genuine: 1\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const char* codings :
+       {"xchunked", "identity", "chunked, gzip", "gzip, chunked",
+        "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked"}) {
+    CheckLost(kOkLine + "Transfer-Encoding: " + codings + "\r\n" + body);
+  }
+  CheckLost("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + body);
+}
+
 /** Guards against a check that turns sound answers away. */
 BOOST_AUTO_TEST_CASE(ValidHeadIsRelayed) {
   for (const char* status : {"200", "299", "302", "400", "418", "500", "599"}) {
