--- a/deploy/soak/client_rig_test.h
+++ b/deploy/soak/client_rig_test.h
@@ -168,6 +168,9 @@
    * of kLargeAnswerBytes. */
   static constexpr std::string_view kWaitPath = "/safe/wait";
   static constexpr std::string_view kLargePath = "/safe/large";
+  /** Paths at which the engine's answer is no valid HTTP. */
+  static constexpr std::string_view kBadStatusPath = "/safe/bad-status";
+  static constexpr std::string_view kBadFieldPath = "/safe/bad-field";
   static constexpr std::size_t kLargeAnswerBytes = std::size_t{4} << 20;
 
   explicit ClientRig(ClientRigOptions options)
@@ -369,6 +372,10 @@
     response.head.headers.push_back(
         {std::string(platform::kResponseStamp), "test"});
     response.head.headers.push_back({std::string(platform::kInstance), "i-1"});
+    if (path == kBadStatusPath) response.head.status = 0;
+    if (path == kBadFieldPath) {
+      response.head.headers.push_back({"X Trouble\x01", "1"});
+    }
     co_await writer.Send(std::move(response));
   }
 
