--- a/src/serving/broken_head_test.cc
+++ b/src/serving/broken_head_test.cc
@@ -24,7 +24,6 @@
 
 namespace asio = boost::asio;
 using namespace std::string_literals;
-using testing::AddRawEngine;
 using testing::Answering;
 using testing::kDrafts;
 using testing::kPlain;
@@ -64,7 +63,7 @@
   Rig rig;
   rig.Configure(1);
   const RawEngine engine(rig.io, answer);
-  AddRawEngine(rig, engine, service);
+  rig.AddEngineAt("i-raw", engine.address(), service);
   http::Server server(
       rig.io.get_executor(), "127.0.0.1:0", http::ServerLimits(),
       [&rig](const http::Request& request, http::ResponseWriter& writer) {
@@ -115,7 +114,7 @@
     Rig rig;
     const RawEngine broken(
         rig.io, "HTTP/1.1 "s + status + " X\r\nnot-run: 1\r\n" + kRest);
-    AddRawEngine(rig, broken, kPlain);
+    rig.AddEngineAt("i-raw", broken.address(), kPlain);
     testing::TestEngine& other =
         rig.AddEngine(kPlain, Answering(kOk, false, "x"));
     rig.SetVersion("i-1", "", "other");
@@ -132,7 +131,7 @@
 BOOST_AUTO_TEST_CASE(IdempotentRequestGoesOnAfterAnInvalidStatus) {
   Rig rig;
   const RawEngine broken(rig.io, "HTTP/1.1 000 X\r\n" + kRest);
-  AddRawEngine(rig, broken, kPlain);
+  rig.AddEngineAt("i-raw", broken.address(), kPlain);
   rig.AddEngine(kPlain, Answering(kOk, false, "x"));
   rig.SetVersion("i-1", "", "other");
   RecordingWriter caller;
@@ -149,7 +148,7 @@
   const RawEngine broken(
       rig.io, "HTTP/1.1 000 X\r\ngenuine: 1\r\n\r\n" + "id: 2\ndata: b\n\n"s);
   rig.AddEngine(kDrafts, testing::Streaming({kEvent}, false));
-  AddRawEngine(rig, broken, kDrafts);
+  rig.AddEngineAt("i-raw", broken.address(), kDrafts);
   rig.SetVersion("i-raw", "", "other");
   RecordingWriter caller;
   rig.Serve("/stream/", kWait, caller);
@@ -164,7 +163,7 @@
   Rig rig;
   const RawEngine broken(
       rig.io, "HTTP/1.1 000 X\r\nleaving: 1\r\nrest-ms: 60000\r\n" + kRest);
-  AddRawEngine(rig, broken, kPlain);
+  rig.AddEngineAt("i-raw", broken.address(), kPlain);
   RecordingWriter caller;
   rig.Serve("/once/", kWait, caller);
   const fleet::InstanceId instance("i-raw");
--- a/src/serving/dispatcher_rig_test.h
+++ b/src/serving/dispatcher_rig_test.h
@@ -327,17 +327,26 @@
   TestEngine& AddEngine(const core::ServiceId& service, http::Handler handler) {
     engines.push_back(
         std::make_unique<TestEngine>(io, std::move(handler), log));
+    AddEngineAt("i-" + std::to_string(engines.size()),
+                engines.back()->server.address(), service,
+                engines.size() == 1 ? "z" : "other");
+    return *engines.back();
+  }
+
+  /** Registers an engine, which is preferred if it is in the rig's zone. */
+  void AddEngineAt(const std::string& instance, const std::string& address,
+                   const core::ServiceId& service,
+                   const std::string& zone = "z") {
     fleet::EngineEntry entry;
-    entry.instance = fleet::InstanceId("i-" + std::to_string(engines.size()));
+    entry.instance = fleet::InstanceId(instance);
     entry.service = service;
-    entry.address = engines.back()->server.address();
-    entry.zone = core::ZoneId(engines.size() == 1 ? "z" : "other");
+    entry.address = address;
+    entry.zone = core::ZoneId(zone);
     entry.max_running = 8;
     fleet::LoadedModel held;
     held.model = core::ModelId("m");
     entry.models.push_back(held);
     registry.Put(std::move(entry));
-    return *engines.back();
   }
 
   /** Sets the software version of the engine, and its zone. */
--- a/src/serving/endless_answer_test.cc
+++ b/src/serving/endless_answer_test.cc
@@ -168,21 +168,6 @@
   return outcome;
 }
 
-/** Adds the engine, which is preferred as it is in the rig's zone. */
-void AddEndlessEngine(Rig& rig, const EndlessEngine& engine,
-                      const core::ServiceId& service) {
-  fleet::EngineEntry entry;
-  entry.instance = fleet::InstanceId("i-endless");
-  entry.service = service;
-  entry.address = engine.address();
-  entry.zone = core::ZoneId("z");
-  entry.max_running = 8;
-  fleet::LoadedModel held;
-  held.model = core::ModelId("m");
-  entry.models.push_back(held);
-  rig.registry.Put(std::move(entry));
-}
-
 }  // namespace
 
 /** Guards against an entry that is killed for its memory: it holds a body until
@@ -292,7 +277,7 @@
 BOOST_AUTO_TEST_CASE(RequestWhoseAnswerDoesNotEndIsAnsweredAsLost) {
   Rig rig;
   EndlessEngine endless(rig.io, kGenuine + kChunked, kTextChunk);
-  AddEndlessEngine(rig, endless, kPlain);
+  rig.AddEngineAt("i-endless", endless.address(), kPlain);
   RecordingWriter once;
   rig.Serve("/once/", kWait, once);
   BOOST_TEST(once.status == kBadGateway);
@@ -301,7 +286,7 @@
 BOOST_AUTO_TEST_CASE(IdempotentRequestGoesOnAfterAnAnswerWithoutEnd) {
   Rig rig;
   EndlessEngine endless(rig.io, kGenuine + kChunked, kTextChunk);
-  AddEndlessEngine(rig, endless, kPlain);
+  rig.AddEngineAt("i-endless", endless.address(), kPlain);
   rig.AddEngine(kPlain, Answering(200, false, "x"));
   rig.SetVersion("i-1", "", "other");
   RecordingWriter safe;
@@ -316,7 +301,7 @@
 BOOST_AUTO_TEST_CASE(AnswerWithoutEndIsAFailureOfItsEngine) {
   Rig rig;
   EndlessEngine endless(rig.io, kGenuine + kChunked, kTextChunk);
-  AddEndlessEngine(rig, endless, kPlain);
+  rig.AddEngineAt("i-endless", endless.address(), kPlain);
   RecordingWriter caller;
   rig.Serve("/once/", kWait, caller);
   endless.Stop();
@@ -333,7 +318,7 @@
 BOOST_AUTO_TEST_CASE(StreamGoesOnAfterAnEventWithoutEnd) {
   Rig rig;
   EndlessEngine endless(rig.io, kGenuine + kChunked + kEventChunk, kTextChunk);
-  AddEndlessEngine(rig, endless, kDrafts);
+  rig.AddEngineAt("i-endless", endless.address(), kDrafts);
   rig.AddEngine(kDrafts, testing::Streaming({"id: 2\ndata: b\n\n"}, true));
   rig.SetVersion("i-1", "", "other");
   RecordingWriter caller;
--- a/src/serving/raw_engine_test.h
+++ b/src/serving/raw_engine_test.h
@@ -81,21 +81,6 @@
   const Close close_;
 };
 
-/** Adds the engine, which is preferred as it is in the rig's zone. */
-inline void AddRawEngine(Rig& rig, const RawEngine& engine,
-                         const core::ServiceId& service) {
-  fleet::EngineEntry entry;
-  entry.instance = fleet::InstanceId("i-raw");
-  entry.service = service;
-  entry.address = engine.address();
-  entry.zone = core::ZoneId("z");
-  entry.max_running = 8;
-  fleet::LoadedModel held;
-  held.model = core::ModelId("m");
-  entry.models.push_back(held);
-  rig.registry.Put(std::move(entry));
-}
-
 }  // namespace sapphire::serving::testing
 
 #endif  // SAPPHIRE_SERVING_RAW_ENGINE_TEST_H_
--- a/src/serving/unframed_answer_test.cc
+++ b/src/serving/unframed_answer_test.cc
@@ -16,7 +16,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using testing::AddRawEngine;
 using testing::Close;
 using testing::kDrafts;
 using testing::RawEngine;
@@ -149,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(BrokenStreamGoesOnAtAnotherEngine) {
   Rig rig;
   const RawEngine broken(rig.io, kHead + kFirst + kPartial, Close::kOrderly);
-  AddRawEngine(rig, broken, kDrafts);
+  rig.AddEngineAt("i-raw", broken.address(), kDrafts);
   testing::TestEngine& next =
       rig.AddEngine(kDrafts, testing::Streaming({kSecond}, true));
   rig.SetVersion("i-1", "", "other");
@@ -166,7 +165,7 @@
   Rig rig;
   rig.Configure(1);
   const RawEngine broken(rig.io, kHead + kFirst + kPartial, Close::kOrderly);
-  AddRawEngine(rig, broken, kDrafts);
+  rig.AddEngineAt("i-raw", broken.address(), kDrafts);
   RecordingWriter writer;
   rig.Serve("/stream/", kWait, writer);
   BOOST_TEST(writer.body == kFirst);
