Log the reason of a denial and answers that skip revisions

request_denied tells why and by which revision of the document a request was denied, which tells an old configuration from a service that lacks the model. The follower logs an answer of a watch of all keys that reports later changes but none at some revisions before them. No decision changes.

--- a/src/external/key_value.cc
+++ b/src/external/key_value.cc
@@ -1,5 +1,6 @@
 /** @file key_value.cc Default implementation of KeyValueStore::Snapshot. */
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "external/key_value_base.h"
@@ -21,4 +22,17 @@
   return told < batch.revision;
 }
 
+std::int64_t CountMissingRevisions(const WatchBatch& batch,
+                                   std::int64_t after) {
+  // A transaction may change several keys at one revision.
+  std::set<std::int64_t> told;
+  for (const KvEvent& it : batch.events) {
+    if (it.revision > after && it.revision <= batch.revision) {
+      told.insert(it.revision);
+    }
+  }
+  return std::max(batch.revision - after, std::int64_t{0}) -
+         static_cast<std::int64_t>(told.size());
+}
+
 }  // namespace sapphire::external
--- a/src/external/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -51,6 +51,13 @@
  */
 bool LacksChanges(const WatchBatch& batch, std::int64_t after);
 
+/**
+ * @param batch Answer to a watch of all keys after revision `after`.
+ * @return How many revisions from there to the one that it names no change of
+ *   it has.
+ */
+std::int64_t CountMissingRevisions(const WatchBatch& batch, std::int64_t after);
+
 /** All entries under a prefix, and the revision from which to watch them. */
 struct KvSnapshot {
   std::vector<KvEntry> entries;
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -95,6 +95,12 @@
     return newest_read_ && newest_read_->revision >= revision;
   }
 
+  /** @return The store's revision of the newest document that was read; 0 if
+   * none was. */
+  [[nodiscard]] std::int64_t newest_revision() const {
+    return newest_read_ ? newest_read_->revision : 0;
+  }
+
   /** @return True if the newest document that was read can't be used, so that
    * the configuration in force is an older one. */
   [[nodiscard]] bool LacksNewest() const {
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -100,6 +100,7 @@
     co_return;
   }
   LogEarlyAnswer(batch, wait);
+  LogMissingRevisions(batch);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
   }
@@ -130,6 +131,23 @@
               {"call_ms", took}});
 }
 
+/** Logs an answer that reports later changes, but none at some of the revisions
+ * before them. */
+void StoreFollower::LogMissingRevisions(
+    const external::WatchBatch& batch) const {
+  if (!options_.prefix.empty()) return;
+  const std::int64_t missing =
+      external::CountMissingRevisions(batch, *revision_);
+  if (missing == 0) return;
+  log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
+             "watch_skips_revisions",
+             {{"prefix", options_.prefix},
+              {"after", *revision_},
+              {"until", batch.revision},
+              {"changes", batch.events.size()},
+              {"missing", missing}});
+}
+
 /** An answer tells of the time at which its call began, so after a long call
  * the view is renewed sooner than usual. */
 core::Millis StoreFollower::WatchWait() const {
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -119,6 +119,7 @@
   [[nodiscard]] bool MissesChanges(const external::WatchBatch& batch) const;
   void LogEarlyAnswer(const external::WatchBatch& batch,
                       core::Millis wait) const;
+  void LogMissingRevisions(const external::WatchBatch& batch) const;
   [[nodiscard]] core::Millis WatchWait() const;
   [[nodiscard]] core::Millis BatchPause() const;
   [[nodiscard]] core::Millis TimeToRenewal() const;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -146,7 +146,7 @@
     }
   }
   if (denial) {
-    LogDenial(work);
+    LogDenial(work, denial->code());
     throw Error(*denial);
   }
   if (!work.service->engine) {
@@ -157,7 +157,7 @@
 
 /** Logs how old the evidence was that no newer configuration allows the request
  * as it arrived; -1 if there is none. */
-void Dispatcher::LogDenial(const RequestWork& work) const {
+void Dispatcher::LogDenial(const RequestWork& work, ErrorCode reason) const {
   const auto as_of = deps_.refresh.newest_as_of();
   const auto age = as_of ? std::max(std::chrono::duration_cast<milliseconds>(
                                         work.arrived - *as_of),
@@ -165,7 +165,9 @@
                          : milliseconds(-1);
   deps_.log.Event(LogLevel::kInfo, LogCategory::kRequest, "request_denied",
                   {{"request", work.request.id},
+                   {"reason", core::InfoOf(reason).name},
                    {"config", deps_.configuration.version()},
+                   {"revision", deps_.configuration.newest_revision()},
                    {"evidence_age_ms", age},
                    {"view_age_ms", ViewAge()}});
 }
--- a/src/serving/dispatcher_base.h
+++ b/src/serving/dispatcher_base.h
@@ -162,7 +162,7 @@
   bool TakeRepeat(const RequestWork& work, double reserve);
   policy::RepeatBudget& BudgetOf(const core::ServiceId& service);
   [[nodiscard]] milliseconds ViewAge() const;
-  void LogDenial(const RequestWork& work) const;
+  void LogDenial(const RequestWork& work, core::ErrorCode reason) const;
   void ReportEnd(const RequestWork& work) const;
 
   DispatchOptions options_;
--- a/src/serving/log_trail_test.cc
+++ b/src/serving/log_trail_test.cc
@@ -108,6 +108,7 @@
   const Event denial =
       LastWith(file.Events(), "request_denied", "request", kRequest.value());
   BOOST_TEST(std::stoi(FieldOf(denial, "evidence_age_ms")) >= 500);
+  BOOST_TEST(FieldOf(denial, "reason") == "unknown_path");
   BOOST_TEST(rig.metrics.Text({}).find(
                  "sapphire_front_denial_view_age_seconds_count{outcome="
                  "\"unknown_path\"} 1") != std::string::npos);
