Deny only by a configuration that the store confirms

Cause of the class: a denial rested on the absence of news. An answer of a watch that lacked a change counted as evidence that there was none if it named the revision that it was asked after, or reported a later change. From then on no read asked for the change again.

A listing, which reads the document too, is evidence as before; watches are none any more. The revision in force has one owner, ConfigurationHolder; the shared read keeps none of its own.

Changed tests: the shared read asked for changes and fell back on the document where history was lost; it needs no history any more (OnlyTheRevisionIsAskedWhereOneIsInForce, TheDocumentIsReadWhereNoneIsInForce, AConfirmationNeedsNoHistory).

--- a/src/entry/testing_key_value.h
+++ b/src/entry/testing_key_value.h
@@ -46,6 +46,7 @@
   /** Watches miss changes while true. */
   bool miss_changes = false;
   int gets = 0;
+  int checks = 0;
   int watches = 0;
 
   /** Applies the delayed writes. */
@@ -88,6 +89,17 @@
     co_return Peek(key);
   }
 
+  core::Task<external::RevisionCheck> CheckRevision(
+      std::string key, std::int64_t revision) override {
+    co_await Step();
+    ++checks;
+    const auto entry = Peek(key);
+    if (entry && entry->revision == revision) {
+      co_return external::RevisionCheck{true, std::nullopt};
+    }
+    co_return external::RevisionCheck{false, entry};
+  }
+
   core::Task<std::vector<external::KvEntry>> List(std::string prefix) override {
     co_await Step();
     std::vector<external::KvEntry> found;
--- a/src/external/counting_store.cc
+++ b/src/external/counting_store.cc
@@ -23,6 +23,11 @@
   return bytes;
 }
 
+std::int64_t BytesOf(const RevisionCheck& check) {
+  return check.current ? static_cast<std::int64_t>(check.current->value.size())
+                       : 0;
+}
+
 std::int64_t BytesOf(const WatchBatch& batch) {
   std::int64_t bytes = 0;
   for (const KvEvent& it : batch.events) {
@@ -58,6 +63,11 @@
   return Observed("list", store_.List(std::move(prefix)));
 }
 
+Task<RevisionCheck> CountingStore::CheckRevision(std::string key,
+                                                 std::int64_t revision) {
+  return Observed("check", store_.CheckRevision(std::move(key), revision));
+}
+
 Task<KvSnapshot> CountingStore::Snapshot(std::string prefix) {
   return Observed("list", store_.Snapshot(std::move(prefix)));
 }
--- a/src/external/counting_store_base.h
+++ b/src/external/counting_store_base.h
@@ -40,6 +40,8 @@
 
   core::Task<std::optional<KvEntry>> Get(std::string key) override;
   core::Task<std::vector<KvEntry>> List(std::string prefix) override;
+  core::Task<RevisionCheck> CheckRevision(std::string key,
+                                          std::int64_t revision) override;
   core::Task<KvSnapshot> Snapshot(std::string prefix) override;
   core::Task<CasResult> CompareAndSwap(std::string key, std::int64_t expected,
                                        std::string value,
--- a/src/external/key_value.cc
+++ b/src/external/key_value.cc
@@ -1,4 +1,4 @@
-/** @file key_value.cc Default implementation of KeyValueStore::Snapshot. */
+/** @file key_value.cc Default implementations of KeyValueStore. */
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -7,6 +7,14 @@
 
 namespace sapphire::external {
 
+core::Task<RevisionCheck> KeyValueStore::CheckRevision(std::string key,
+                                                       std::int64_t revision) {
+  RevisionCheck check;
+  check.current = co_await Get(std::move(key));
+  check.unchanged = check.current && check.current->revision == revision;
+  co_return check;
+}
+
 core::Task<KvSnapshot> KeyValueStore::Snapshot(std::string prefix) {
   KvSnapshot snapshot;
   snapshot.entries = co_await List(std::move(prefix));
--- a/src/external/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -28,6 +28,13 @@
   std::optional<KvEntry> current;
 };
 
+struct RevisionCheck {
+  /** True if the key's newest write is the one that was asked about. */
+  bool unchanged = false;
+  /** The key's entry if it was written since; nothing if the key is absent. */
+  std::optional<KvEntry> current;
+};
+
 /** One change reported by a watch; no value: the key was deleted. */
 struct KvEvent {
   std::string key;
@@ -83,6 +90,14 @@
   virtual core::Task<std::optional<KvEntry>> Get(std::string key) = 0;
   virtual core::Task<std::vector<KvEntry>> List(std::string prefix) = 0;
 
+  /**
+   * Asks whether the key's newest write is that of `revision`, at a time
+   * between the call and its answer. The default implementation reads the
+   * entry.
+   */
+  virtual core::Task<RevisionCheck> CheckRevision(std::string key,
+                                                  std::int64_t revision);
+
   /** Lists a prefix, with the revision to watch from. The default
    * implementation gives the highest revision of the listed entries. */
   virtual core::Task<KvSnapshot> Snapshot(std::string prefix);
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -101,6 +101,13 @@
     return newest_read_ ? newest_read_->revision : 0;
   }
 
+  /** @return The store's revision of the newest document, if it was read and
+   * can be used. */
+  [[nodiscard]] std::optional<std::int64_t> revision_in_force() const {
+    if (!newest_read_ || !newest_read_->usable) return std::nullopt;
+    return newest_read_->revision;
+  }
+
   /** @return True if the newest document that was read can't be used, so that
    * the configuration in force is an older one. */
   [[nodiscard]] bool LacksNewest() const {
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -75,6 +75,7 @@
     it.listed(UnderPrefix(snapshot.entries, it.prefix), CurrentLapseGraceEnd());
   }
   revision_ = snapshot.revision;
+  listed_as_of_ = call_began_;
   HandleApplied();
 }
 
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -95,6 +95,11 @@
     return current_as_of_;
   }
 
+  /** @return The start of the latest complete listing, if any. */
+  [[nodiscard]] std::optional<core::SteadyTime> listed_as_of() const {
+    return listed_as_of_;
+  }
+
   /** @return The revision up to which changes are known, unless the keys have
    * to be listed. */
   [[nodiscard]] std::optional<std::int64_t> revision() const {
@@ -140,6 +145,7 @@
   std::optional<std::int64_t> revision_;
   std::optional<core::SteadyTime> last_answer_;
   std::optional<core::SteadyTime> current_as_of_;
+  std::optional<core::SteadyTime> listed_as_of_;
   std::optional<core::SteadyTime> failing_since_;
   /** Start of the latest call, and of the latest call that failed. */
   core::SteadyTime call_began_;
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -12,14 +12,16 @@
 
 using std::chrono::milliseconds;
 
-namespace {
-
-/** Wait of a watch that only asks what has changed so far. */
-constexpr milliseconds kShortWait{1};
-/** Prefix of all keys. */
-constexpr const char* kAllKeys = "";
-
-}  // namespace
+FollowedState MakeFollowedState(const routing::ConfigurationHolder& holder,
+                                const routing::StoreFollower& follower) {
+  FollowedState state;
+  state.as_of = [&holder, &follower] {
+    return holder.LacksNewest() ? std::nullopt : follower.listed_as_of();
+  };
+  state.revision = [&holder] { return holder.revision_in_force(); };
+  state.awaits_answer = [&follower] { return follower.IsAwaitingAnswer(); };
+  return state;
+}
 
 ConfigurationRefresh::ConfigurationRefresh(
     RefreshOptions options, FollowedState followed,
@@ -95,61 +97,44 @@
       core::LogCategory::kConfig, "config_reread",
       {{"key", options_.key},
        {"asked", record_.asked},
-       {"after", record_.after},
-       {"until", record_.until},
-       {"changes", record_.changes},
+       {"in_force", record_.in_force},
+       {"newest", record_.newest},
        {"took_ms", std::chrono::duration_cast<milliseconds>(now - began)},
        {"error", failure}});
 }
 
-/** Asks only for changes where that is possible: a document may have a
- * megabyte, which a slow link takes half a second to carry. */
+/** @throws core::Error if the newest document is missing or can't be used. */
 core::Task<> ConfigurationRefresh::AdoptNewest() {
-  const auto followed = followed_.revision();
-  if (followed &&
-      co_await AdoptChanges(std::max(*followed, document_revision_))) {
-    co_return;
-  }
-  record_ = {"document"};
-  const auto document = co_await store_.Get(options_.key);
-  if (!document) {
-    throw core::Error(core::ErrorCode::kNotConfigured,
-                      "the store has no configuration");
+  const auto newer = co_await FindNewer();
+  if (!newer) co_return;
+  record_.newest = newer->revision;
+  if (!adopt_(*newer)) {
+    throw core::Error(core::ErrorCode::kConfigurationStale,
+                      "the newest configuration can't be used");
   }
-  record_.until = document->revision;
-  AdoptDocument(*document);
 }
 
-/**
- * Watches all keys, as only then an answer without a change of the document can
- * be told from one that lacks it.
- * @return False if the answer does not tell of all changes since, or the
- *   document is gone.
- */
-core::Task<bool> ConfigurationRefresh::AdoptChanges(std::int64_t revision) {
-  record_ = {"changes", revision};
-  external::WatchBatch batch =
-      co_await store_.Watch(kAllKeys, revision, kShortWait);
-  record_.until = batch.revision;
-  record_.changes = batch.events.size();
-  if (batch.gap || external::LacksChanges(batch, revision)) co_return false;
-  external::KvEvent* newest = nullptr;
-  for (external::KvEvent& it : batch.events) {
-    if (it.key == options_.key) newest = &it;
+/** Asks for the document only where none is in force: it may have a megabyte,
+ * which a slow link takes half a second to carry.
+ * @return Nothing if the configuration in force is the newest one.
+ * @throws core::Error if the store has none. */
+core::Task<std::optional<external::KvEntry>> ConfigurationRefresh::FindNewer() {
+  const auto in_force = followed_.revision();
+  external::RevisionCheck check;
+  if (in_force) {
+    record_ = {"revision", *in_force};
+    check = co_await store_.CheckRevision(options_.key, *in_force);
+    if (check.unchanged) record_.newest = *in_force;
+  } else {
+    record_ = {"document"};
+    check.current = co_await store_.Get(options_.key);
   }
-  if (newest == nullptr) co_return true;
-  if (!newest->value) co_return false;
-  AdoptDocument({newest->key, *std::move(newest->value), newest->revision});
-  co_return true;
-}
-
-/** @throws core::Error for a document that can't be used. */
-void ConfigurationRefresh::AdoptDocument(const external::KvEntry& document) {
-  if (!adopt_(document)) {
-    throw core::Error(core::ErrorCode::kConfigurationStale,
-                      "the newest configuration can't be used");
+  if (!check.unchanged && !check.current) {
+    throw core::Error(core::ErrorCode::kNotConfigured,
+                      "the store has no configuration");
   }
-  document_revision_ = std::max(document_revision_, document.revision);
+  if (check.unchanged) co_return std::nullopt;
+  co_return std::move(check.current);
 }
 
 }  // namespace sapphire::serving
--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -4,7 +4,6 @@
 #define SAPPHIRE_SERVING_CONFIGURATION_REFRESH_BASE_H_
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -16,6 +15,8 @@
 #include "core/signal_base.h"
 #include "core/task_type.h"
 #include "external/key_value_base.h"
+#include "routing/routing_table_base.h"
+#include "routing/store_follower_base.h"
 
 namespace sapphire::serving {
 
@@ -29,19 +30,28 @@
   std::chrono::milliseconds limit{500};
 };
 
-/** What this entry knows of the store without asking it. */
+/**
+ * What this entry knows of the store without asking it. A watch is no evidence
+ * that a configuration is the newest one: nothing in its answer tells that a
+ * change was left out.
+ */
 struct FollowedState {
-  /** Returns the time up to which the configuration's changes are known; no
-   * value before the first answer, or while the newest one can't be used. */
+  /** Returns the start of the latest listing, which told of the newest
+   * configuration; no value before the first one, or while the newest
+   * configuration can't be used. */
   std::function<std::optional<core::SteadyTime>()> as_of;
-  /** Returns the revision up to which changes are known; no value while the
-   * keys have to be listed. */
+  /** Returns the store's revision of the configuration in force; no value
+   * before the first one, or while the newest one can't be used. */
   std::function<std::optional<std::int64_t>()> revision;
   /** Returns true while an answer of the store is overdue or coming in: a
    * further call would only delay it. */
   std::function<bool()> awaits_answer;
 };
 
+/** @pre Both references outlive the result. */
+FollowedState MakeFollowedState(const routing::ConfigurationHolder& holder,
+                                const routing::StoreFollower& follower);
+
 /** Runs one read at a time, shared by all requests that wait for it. Not
  * thread-safe. */
 class ConfigurationRefresh {
@@ -70,12 +80,11 @@
  private:
   /** What a read asked the store and was answered, for the log. */
   struct ReadRecord {
-    /** "changes" since `after`, or the whole "document". */
+    /** Whether the "revision" in force is the newest, or the "document". */
     std::string_view asked;
-    std::int64_t after = 0;
-    /** Revision that the answer names, or that of the document. */
-    std::int64_t until = 0;
-    std::size_t changes = 0;
+    std::int64_t in_force = 0;
+    /** Revision of the newest document; 0 if the store did not tell. */
+    std::int64_t newest = 0;
   };
 
   [[nodiscard]] bool IsNewestSince(core::SteadyTime time) const;
@@ -83,8 +92,7 @@
   void StartRead();
   core::Task<> Read();
   core::Task<> AdoptNewest();
-  core::Task<bool> AdoptChanges(std::int64_t revision);
-  void AdoptDocument(const external::KvEntry& document);
+  core::Task<std::optional<external::KvEntry>> FindNewer();
 
   const RefreshOptions options_;
   const FollowedState followed_;
@@ -98,9 +106,6 @@
    * the latest one that did not. */
   std::optional<core::SteadyTime> read_as_of_;
   std::optional<core::SteadyTime> failed_;
-  /** Revision of the newest document that was put into force here, which may be
-   * ahead of the follower's. */
-  std::int64_t document_revision_ = 0;
   ReadRecord record_;
   core::Signal ended_;
 };
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -44,6 +44,7 @@
   int calls = 0;
   external::CountingStore store{
       memory, [this](const external::StoreCall&) { ++calls; }, clock};
+  /** Revision of the configuration in force. */
   std::optional<std::int64_t> revision;
   bool usable = true;
   bool awaits_answer = false;
@@ -55,6 +56,7 @@
       store,
       [this](const external::KvEntry& it) {
         adopted.push_back(it.value);
+        if (usable && revision) revision = it.revision;
         return usable;
       },
       io.get_executor(),
@@ -65,11 +67,12 @@
 }  // namespace
 
 /** Guards against reading a large document for each unknown path. */
-BOOST_AUTO_TEST_CASE(OnlyChangesAreReadWhereTheRevisionIsKnown) {
+BOOST_AUTO_TEST_CASE(OnlyTheRevisionIsAskedWhereOneIsInForce) {
   Rig rig;
   rig.revision = 1;
   BOOST_TEST(rig.Confirm());
-  BOOST_TEST(rig.memory.watches == 1);
+  BOOST_TEST(rig.memory.checks == 1);
+  BOOST_TEST(rig.memory.watches == 0);
   BOOST_TEST(rig.memory.gets == 0);
   BOOST_TEST(rig.adopted.empty());
 }
@@ -83,14 +86,26 @@
              boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(ALostHistoryCausesAReadOfTheDocument) {
+BOOST_AUTO_TEST_CASE(TheDocumentIsReadWhereNoneIsInForce) {
+  Rig rig;
+  BOOST_TEST(rig.Confirm());
+  BOOST_TEST(rig.memory.gets == 1);
+  BOOST_TEST(rig.adopted == std::vector<std::string>{"first"},
+             boost::test_tools::per_element());
+}
+
+/** Guards against watches as evidence, whose history may have been lost. */
+BOOST_AUTO_TEST_CASE(AConfirmationNeedsNoHistory) {
   Rig rig;
   rig.revision = 1;
+  rig.Publish(1, "second");
   external::WatchBatch gap;
   gap.gap = true;
   rig.memory.batches.push_back(gap);
   BOOST_TEST(rig.Confirm());
-  BOOST_TEST(rig.memory.gets == 1);
+  BOOST_TEST(rig.memory.watches == 0);
+  BOOST_TEST(rig.adopted == std::vector<std::string>{"second"},
+             boost::test_tools::per_element());
 }
 
 /** Guards against a change that is missed for good, as a watch that reported
--- a/src/serving/denial_history_test.cc
+++ b/src/serving/denial_history_test.cc
@@ -378,19 +378,16 @@
   routing::StoreFollower follower_{FollowOptionsOf(), Hooks(), store_, clock_,
                                    log_};
   const RefreshOptions options_{kKey};
-  ConfigurationRefresh refresh_{
-      options_,
-      {[this] { return follower_.current_as_of(); },
-       [this] { return follower_.revision(); },
-       [this] { return follower_.IsAwaitingAnswer(); }},
-      store_,
-      [this](const external::KvEntry& it) {
-        Adopt(it);
-        return !holder_.LacksNewest();
-      },
-      io_.get_executor(),
-      clock_,
-      log_};
+  ConfigurationRefresh refresh_{options_,
+                                MakeFollowedState(holder_, follower_),
+                                store_,
+                                [this](const external::KvEntry& it) {
+                                  Adopt(it);
+                                  return !holder_.LacksNewest();
+                                },
+                                io_.get_executor(),
+                                clock_,
+                                log_};
   /** When each version was written; the first is version 1. */
   std::vector<SteadyTime> written_;
   SteadyTime next_version_;
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -292,7 +292,8 @@
           clock, log),
       rate_limiter_(loads_.limits(), engine_quota_client_, metrics_, log),
       refresh_(
-          RefreshOptionsOf(layout_), MakeFollowedState(), store_,
+          RefreshOptionsOf(layout_),
+          MakeFollowedState(configuration_, store_follower_), store_,
           [this](const external::KvEntry& it) {
             AdoptConfiguration(it);
             return !configuration_.LacksNewest();
@@ -370,20 +371,6 @@
   return view;
 }
 
-FollowedState Front::MakeFollowedState() {
-  FollowedState state;
-  state.as_of = [this] {
-    return configuration_.LacksNewest() ? std::nullopt
-                                        : store_follower_.current_as_of();
-  };
-  state.revision = [this] {
-    return configuration_.LacksNewest() ? std::nullopt
-                                        : store_follower_.revision();
-  };
-  state.awaits_answer = [this] { return store_follower_.IsAwaitingAnswer(); };
-  return state;
-}
-
 /** @return False if strict revocation is on and the store has not answered
  * recently: keys may have been revoked meanwhile. */
 bool Front::KeysConfirmed() const {
--- a/src/serving/front_base.h
+++ b/src/serving/front_base.h
@@ -113,7 +113,6 @@
                   const std::string& address);
   [[nodiscard]] bool KeysConfirmed() const;
   StoreView MakeStoreView();
-  FollowedState MakeFollowedState();
   core::Task<> RunMaintenance();
   core::Task<> EnsureLocally(gen::EnsureModel load_request);
   std::vector<routing::FollowHooks> AllHooks();
