Take a watch that leaves a change out for a gap

An entry could miss a change of the configuration, of an engine or of a peer until the next listing: LacksChanges compared the revision that an answer names with its last change only, so that one that left a change out and reported a later one of any key counted as whole.

A watch of all keys now has to report a change at each revision up to the one that it names; several changes may share one. Otherwise the keys are listed anew, and the view is not renewed.

AnAnswerThatLeavesAChangeOutDoesNotRenewTheView failed before (three checks); SeveralChangesOfOneRevisionRenewTheView guards against listings without cause.

--- a/src/external/key_value.cc
+++ b/src/external/key_value.cc
@@ -24,14 +24,7 @@
   co_return snapshot;
 }
 
-bool LacksChanges(const WatchBatch& batch, std::int64_t after) {
-  std::int64_t told = after;
-  for (const KvEvent& it : batch.events) told = std::max(told, it.revision);
-  return told < batch.revision;
-}
-
-std::int64_t CountMissingRevisions(const WatchBatch& batch,
-                                   std::int64_t after) {
+std::int64_t CountMissingChanges(const WatchBatch& batch, std::int64_t after) {
   // A transaction may change several keys at one revision.
   std::set<std::int64_t> told;
   for (const KvEvent& it : batch.events) {
--- a/src/external/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -52,18 +52,12 @@
 
 /**
  * @param batch Answer to a watch of all keys after revision `after`.
- * @return True if changes are missing from it: it names a revision beyond its
- *   last change. A store that is about to drop its history reports none of the
- *   changes that are made meanwhile.
+ * @return How many changes are missing from it: the revisions from there to the
+ *   one that it names at which it has none. A store that is about to drop its
+ *   history may report later changes, or none, without those that are made
+ *   meanwhile.
  */
-bool LacksChanges(const WatchBatch& batch, std::int64_t after);
-
-/**
- * @param batch Answer to a watch of all keys after revision `after`.
- * @return How many revisions from there to the one that it names no change of
- *   it has.
- */
-std::int64_t CountMissingRevisions(const WatchBatch& batch, std::int64_t after);
+std::int64_t CountMissingChanges(const WatchBatch& batch, std::int64_t after);
 
 /** All entries under a prefix, and the revision from which to watch them. */
 struct KvSnapshot {
--- a/src/routing/store_follower.cc
+++ b/src/routing/store_follower.cc
@@ -87,13 +87,15 @@
       co_await store_.Watch(options_.prefix, *revision_, wait);
   answer_due_.reset();
   HandleAnswer();
-  if (MissesChanges(batch)) {
+  const std::int64_t missing = CountMissing(batch);
+  if (batch.gap || missing > 0) {
     // It does not renew the view, and its own changes come with the listing.
     log_.Event(LogLevel::kInfo, LogCategory::kPlatform, "watch_gap",
                {{"prefix", options_.prefix},
                 {"revision", *revision_},
                 {"until", batch.revision},
-                {"changes", batch.events.size()}});
+                {"changes", batch.events.size()},
+                {"missing", missing}});
     revision_.reset();
     // With a store that keeps little history, the next watch may have a gap at
     // once.
@@ -101,7 +103,6 @@
     co_return;
   }
   LogEarlyAnswer(batch, wait);
-  LogMissingRevisions(batch);
   for (external::KvEvent& event : batch.events) {
     DispatchChange(std::move(event));
   }
@@ -111,11 +112,12 @@
   co_await core::SleepFor(BatchPause());
 }
 
-/** @return True if the answer does not tell of all changes. Only a watch of all
- * keys can tell that it lacks some. */
-bool StoreFollower::MissesChanges(const external::WatchBatch& batch) const {
-  return batch.gap ||
-         (options_.prefix.empty() && external::LacksChanges(batch, *revision_));
+/** @return How many changes the answer leaves out; 0 for some keys only, as
+ * their changes have no revisions in sequence. */
+std::int64_t StoreFollower::CountMissing(
+    const external::WatchBatch& batch) const {
+  if (!options_.prefix.empty()) return 0;
+  return external::CountMissingChanges(batch, *revision_);
 }
 
 /** Logs an answer without changes that came before its wait was over. */
@@ -132,23 +134,6 @@
               {"call_ms", took}});
 }
 
-/** Logs an answer that reports later changes, but none at some of the revisions
- * before them. */
-void StoreFollower::LogMissingRevisions(
-    const external::WatchBatch& batch) const {
-  if (!options_.prefix.empty()) return;
-  const std::int64_t missing =
-      external::CountMissingRevisions(batch, *revision_);
-  if (missing == 0) return;
-  log_.Event(LogLevel::kWarning, LogCategory::kPlatform,
-             "watch_skips_revisions",
-             {{"prefix", options_.prefix},
-              {"after", *revision_},
-              {"until", batch.revision},
-              {"changes", batch.events.size()},
-              {"missing", missing}});
-}
-
 /** An answer tells of the time at which its call began, so after a long call
  * the view is renewed sooner than usual. */
 core::Millis StoreFollower::WatchWait() const {
--- a/src/routing/store_follower_base.h
+++ b/src/routing/store_follower_base.h
@@ -121,10 +121,10 @@
   core::Task<> ListAll();
   core::Task<> WatchOnce();
   void DispatchChange(external::KvEvent event);
-  [[nodiscard]] bool MissesChanges(const external::WatchBatch& batch) const;
+  [[nodiscard]] std::int64_t CountMissing(
+      const external::WatchBatch& batch) const;
   void LogEarlyAnswer(const external::WatchBatch& batch,
                       core::Millis wait) const;
-  void LogMissingRevisions(const external::WatchBatch& batch) const;
   [[nodiscard]] core::Millis WatchWait() const;
   [[nodiscard]] core::Millis BatchPause() const;
   [[nodiscard]] core::Millis TimeToRenewal() const;
--- a/src/routing/store_follower_test.cc
+++ b/src/routing/store_follower_test.cc
@@ -115,6 +115,43 @@
   BOOST_TEST(!rig.follower.revision().has_value());
 }
 
+/** Guards against a change that is missed until the next listing, as a watch
+ * left it out and reported a later one. */
+BOOST_AUTO_TEST_CASE(AnAnswerThatLeavesAChangeOutDoesNotRenewTheView) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return rig.follower.last_answer().has_value(); }));
+  const core::SteadyTime before = *rig.follower.current_as_of();
+  const core::SteadyTime answered = *rig.follower.last_answer();
+  const std::int64_t revision = *rig.follower.revision();
+  external::WatchBatch batch;
+  batch.revision = revision + 3;
+  batch.events = {{"a", "x", revision + 1}, {"c", "x", revision + 3}};
+  rig.store.batches.push_back(batch);
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return *rig.follower.last_answer() != answered; }));
+  BOOST_TEST((*rig.follower.current_as_of() == before));
+  BOOST_TEST(!rig.follower.revision().has_value());
+  BOOST_TEST(rig.changes == 0);
+}
+
+/** Guards against a listing after each transaction that changes several keys
+ * at one revision. */
+BOOST_AUTO_TEST_CASE(SeveralChangesOfOneRevisionRenewTheView) {
+  Rig rig;
+  BOOST_REQUIRE(
+      rig.RunUntil([&] { return rig.follower.last_answer().has_value(); }));
+  const std::int64_t revision = *rig.follower.revision();
+  external::WatchBatch batch;
+  batch.revision = revision + 2;
+  batch.events = {{"a", "x", revision + 1},
+                  {"b", "x", revision + 1},
+                  {"c", std::nullopt, revision + 2}};
+  rig.store.batches.push_back(batch);
+  BOOST_REQUIRE(rig.RunUntil([&] { return rig.changes == 3; }));
+  BOOST_TEST(*rig.follower.revision() == revision + 2);
+}
+
 /** Guards against a change that counts as known although it was not applied. */
 BOOST_AUTO_TEST_CASE(AChangeThatFailsDoesNotRenewTheView) {
   Rig rig;
