Deny nothing by a configuration that the store has not

A listing without the configuration, or its deletion, left the one in force confirmed: the listing counts as evidence, and the hooks ignored that the document was not there.

The absence is recorded beside the newest document that was read, and logged (config_missing). Entries and endpoint processes follow the key by one function, which also ignores longer keys that begin with it.

--- a/src/orders/endpoint.cc
+++ b/src/orders/endpoint.cc
@@ -9,6 +9,7 @@
 #include "core/random_func.h"
 #include "core/task_func.h"
 #include "orders/endpoint_base.h"
+#include "routing/document_hooks_func.h"
 
 namespace sapphire::orders {
 
@@ -155,19 +156,12 @@
 }
 
 routing::FollowHooks Endpoint::Hooks() {
-  const auto adopt = [this](const external::KvEntry& entry) {
-    routing::AdoptDocument(configuration_, read_configuration_, entry, log_);
-  };
-  routing::FollowHooks hooks;
-  hooks.prefix = options_.configuration_key;
-  hooks.listed = [adopt](std::vector<external::KvEntry> entries,
-                         routing::LapseGraceEnd) {
-    for (const external::KvEntry& it : entries) adopt(it);
-  };
-  hooks.changed = [adopt](external::KvEvent event, routing::LapseGraceEnd) {
-    if (event.value) adopt({event.key, *event.value, event.revision});
-  };
-  return hooks;
+  return routing::FollowDocument(
+      options_.configuration_key,
+      [this](const external::KvEntry& it) {
+        routing::AdoptDocument(configuration_, read_configuration_, it, log_);
+      },
+      [this] { routing::RecordMissingDocument(configuration_, log_); });
 }
 
 }  // namespace sapphire::orders
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -81,6 +81,7 @@
 }
 
 void ConfigurationHolder::RecordDocument(std::int64_t revision, bool usable) {
+  is_absent_ = false;
   if (newest_read_ && newest_read_->revision > revision) return;
   newest_read_ = {revision, usable};
 }
@@ -122,4 +123,12 @@
   return adopted;
 }
 
+void RecordMissingDocument(ConfigurationHolder& holder,
+                           const core::Logger& log) {
+  holder.RecordAbsence();
+  log.Event(
+      core::LogLevel::kWarning, core::LogCategory::kConfig, "config_missing",
+      {{"config", holder.version()}, {"revision", holder.newest_revision()}});
+}
+
 }  // namespace sapphire::routing
--- a/src/routing/routing_table_base.h
+++ b/src/routing/routing_table_base.h
@@ -89,10 +89,13 @@
    * whether it can be used. */
   void RecordDocument(std::int64_t revision, bool usable);
 
+  /** Records that the store has no document any more. */
+  void RecordAbsence() { is_absent_ = true; }
+
   /** @return True if the document at this revision, or a later one, was read
-   * before. */
+   * before and has not been absent since. */
   [[nodiscard]] bool HasRead(std::int64_t revision) const {
-    return newest_read_ && newest_read_->revision >= revision;
+    return !is_absent_ && newest_read_ && newest_read_->revision >= revision;
   }
 
   /** @return The store's revision of the newest document that was read; 0 if
@@ -104,14 +107,14 @@
   /** @return The store's revision of the newest document, if it was read and
    * can be used. */
   [[nodiscard]] std::optional<std::int64_t> revision_in_force() const {
-    if (!newest_read_ || !newest_read_->usable) return std::nullopt;
+    if (!newest_read_ || LacksNewest()) return std::nullopt;
     return newest_read_->revision;
   }
 
   /** @return True if the newest document that was read can't be used, so that
-   * the configuration in force is an older one. */
+   * the configuration in force is an older one, or if the store has none. */
   [[nodiscard]] bool LacksNewest() const {
-    return newest_read_ && !newest_read_->usable;
+    return is_absent_ || (newest_read_ && !newest_read_->usable);
   }
 
   /** @return True if an earlier configuration contained the key and a later one
@@ -131,6 +134,7 @@
   std::shared_ptr<const RoutingTable> current_;
   std::unordered_set<organisation::ApiKey, organisation::ApiKeyHash> revoked_;
   std::optional<ReadDocument> newest_read_;
+  bool is_absent_ = false;
 };
 
 /** @throws core::Error for a text that is not a valid configuration. */
@@ -146,6 +150,11 @@
 bool AdoptDocument(ConfigurationHolder& holder, const ReadConfiguration& read,
                    const external::KvEntry& document, const core::Logger& log);
 
+/** Records and logs that the store has no configuration. The one in force stays
+ * so, but nothing may be denied by it. */
+void RecordMissingDocument(ConfigurationHolder& holder,
+                           const core::Logger& log);
+
 }  // namespace sapphire::routing
 
 #endif  // SAPPHIRE_ROUTING_ROUTING_TABLE_BASE_H_
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -9,6 +9,7 @@
 #include "core/random_func.h"
 #include "core/task_func.h"
 #include "fleet/entry_message_func.h"
+#include "routing/document_hooks_func.h"
 #include "serving/front_base.h"
 
 namespace sapphire::serving {
@@ -444,21 +445,13 @@
 }
 
 routing::FollowHooks Front::ConfigurationHooks() {
-  routing::FollowHooks hooks;
-  hooks.prefix = layout_.configuration_key;
-  hooks.listed = [this](std::vector<external::KvEntry> entries,
-                        routing::LapseGraceEnd) {
-    for (const external::KvEntry& it : entries) AdoptConfiguration(it);
-  };
-  hooks.changed = [this](external::KvEvent event, routing::LapseGraceEnd) {
-    if (!event.value) return;
-    AdoptConfiguration({event.key, *event.value, event.revision});
-  };
-  return hooks;
+  return routing::FollowDocument(
+      layout_.configuration_key,
+      [this](const external::KvEntry& it) { AdoptConfiguration(it); },
+      [this] { routing::RecordMissingDocument(configuration_, log_); });
 }
 
 void Front::AdoptConfiguration(const external::KvEntry& entry) {
-  if (entry.key != layout_.configuration_key) return;
   const core::StallWatch::Span span(stalls_, "configuration");
   const bool adopted = routing::AdoptDocument(
       configuration_, layout_.read_configuration, entry, log_);
