Take no older configuration of the store for evidence

A replica that lags could answer the check of the revision in force with an older document, which counted as evidence for the one in force; the check of the product's own head refuses such an answer already.

--- a/src/external/key_value_base.h
+++ b/src/external/key_value_base.h
@@ -28,6 +28,7 @@
   std::optional<KvEntry> current;
 };
 
+/** What the store knows of a key that was written at a certain revision. */
 struct RevisionCheck {
   /** True if the key's newest write is the one that was asked about. */
   bool unchanged = false;
--- a/src/serving/configuration_refresh.cc
+++ b/src/serving/configuration_refresh.cc
@@ -117,7 +117,8 @@
 /** Asks for the document only where none is in force: it may have a megabyte,
  * which a slow link takes half a second to carry.
  * @return Nothing if the configuration in force is the newest one.
- * @throws core::Error if the store has none. */
+ * @throws core::Error if the store has none, or an older one: a replica that
+ * lags tells nothing of the newest one. */
 core::Task<std::optional<external::KvEntry>> ConfigurationRefresh::FindNewer() {
   const auto in_force = followed_.revision();
   external::RevisionCheck check;
@@ -134,6 +135,10 @@
                       "the store has no configuration");
   }
   if (check.unchanged) co_return std::nullopt;
+  if (in_force && check.current->revision < *in_force) {
+    throw core::Error(core::ErrorCode::kPlatformUnavailable,
+                      "the store shows an older configuration");
+  }
   co_return std::move(check.current);
 }
 
--- a/src/serving/configuration_refresh_test.cc
+++ b/src/serving/configuration_refresh_test.cc
@@ -193,6 +193,14 @@
   BOOST_TEST(rig.adopted.empty());
 }
 
+/** Guards against a replica of the store that lags as evidence. */
+BOOST_AUTO_TEST_CASE(AnOlderDocumentConfirmsNothing) {
+  Rig rig;
+  rig.revision = rig.memory.Peek(kKey)->revision + 1;
+  BOOST_TEST(!rig.Confirm());
+  BOOST_TEST(rig.adopted.empty());
+}
+
 /** Guards against a read that began long before the request as evidence. */
 BOOST_AUTO_TEST_CASE(ALaterRequestNeedsALaterRead) {
   Rig rig;
