Deny a retry for a revoked key only with evidence

A request whose key was revoked while an engine had it got a final 401 by the configuration in force, however old that was: an entry that is behind may just have got the revocation, and not yet the change that brought the key back. It is refused with 503 now unless that configuration is known to have been the newest one within the second before the request, as on arrival; no engine gets the request either way.

ARequestOfARevokedKeyIsNotSentAgain without evidence failed before (401); two other tests say now that there is evidence, and keep their 401.

--- a/src/serving/configuration_refresh_base.h
+++ b/src/serving/configuration_refresh_base.h
@@ -73,6 +73,11 @@
    */
   core::Task<bool> Confirm(core::SteadyTime asked);
 
+  /** @return True if Confirm would need no read. */
+  [[nodiscard]] bool IsConfirmed(core::SteadyTime asked) const {
+    return IsNewestSince(asked - options_.max_age);
+  }
+
   /** @return The latest time of which it is known that the configuration in
    * force was the newest one, if any. */
   [[nodiscard]] std::optional<core::SteadyTime> newest_as_of() const;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -253,13 +253,15 @@
 }
 
 /** Refuses a request that the configuration in force does not allow any more.
- * Callers are asked to return to that one, unless it denies them for certain.
+ * Callers are asked to return to that one, unless it denies them and is known
+ * to be the newest one.
  * @param route The request's route by that configuration; null if dropped. */
 void Dispatcher::ThrowNotAllowed(const RequestWork& work,
                                  const routing::Route* route) const {
   const routing::RoutingTable& current = *deps_.configuration.current();
-  const bool is_denied = route != nullptr &&
-                         NeedsKey(current, AccessOf(*route)) && IsRevoked(work);
+  const bool is_denied =
+      route != nullptr && NeedsKey(current, AccessOf(*route)) &&
+      IsRevoked(work) && deps_.refresh.IsConfirmed(work.arrived);
   const std::string reason = is_denied ? "revoked" : "not allowed any more";
   if (work.runs > 0) throw Error(ErrorCode::kOutcomeUnknown, reason);
   if (is_denied) throw Error(ErrorCode::kUnauthenticated, reason);
--- a/src/serving/dispatcher_identity_test.cc
+++ b/src/serving/dispatcher_identity_test.cc
@@ -179,20 +179,22 @@
   }
 }
 
-/** Guards against a retry for a key that was revoked since the first send. */
+/** Guards against a retry for a key that was revoked since the first send, and
+ * against a final denial by a configuration that may not be the newest one. */
 BOOST_AUTO_TEST_CASE(ARequestOfARevokedKeyIsNotSentAgain) {
-  IdentityRig rig;
-  rig.AddEngine(kPlain,
-                [&rig, refuse = Answering(kUnavailable, true, "")](
-                    const http::Request& request,
-                    http::ResponseWriter& writer) -> core::Task<> {
-                  rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
-                  rig.Configure(2);
-                  return refuse(request, writer);
-                });
-  TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
-  BOOST_TEST(rig.Status("/safe/", "k2") == kUnauthorised);
-  BOOST_TEST(other.requests.empty());
+  for (const bool is_confirmed : {true, false}) {
+    IdentityRig rig;
+    rig.AddEngine(kPlain, RefusingAfter([&rig, is_confirmed] {
+                    rig.organisations = {MakeOrganisation("drafts-ltd", "k1")};
+                    rig.Configure(2);
+                    rig.view_as_of = rig.clock.Now();
+                    if (is_confirmed) rig.listed_as_of = rig.view_as_of;
+                  }));
+    TestEngine& other = rig.AddEngine(kPlain, Answering(kOk, false, "x"));
+    BOOST_TEST(rig.Status("/safe/", "k2") ==
+               (is_confirmed ? kUnauthorised : kUnavailable));
+    BOOST_TEST(other.requests.empty());
+  }
 }
 
 /** Guards against a retry by a route that needs a key since the first send, or
@@ -330,6 +332,7 @@
                         MakeOrganisation(holder.empty() ? "clips-ltd" : holder,
                                          holder.empty() ? "k3" : "k1")};
                     rig.Configure(2);
+                    rig.listed_as_of = rig.clock.Now();
                   }));
     rig.AddEngine(kPlain, Answering(kUnavailable, true, ""));
     BOOST_TEST(rig.Status("/once/", "k1") ==
--- a/src/serving/key_recheck_test.cc
+++ b/src/serving/key_recheck_test.cc
@@ -121,6 +121,7 @@
                     const http::Request& request,
                     http::ResponseWriter& writer) -> core::Task<> {
                   rig.Revoke();
+                  rig.listed_as_of = rig.clock.Now();
                   co_await core::SleepFor(kLongQueue);
                   co_await refuse(request, writer);
                 });
