--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -271,8 +271,7 @@
             for it in call.get("puts", []):
                 if it.get("lease", 0) and it["lease"] not in self.leases:
                     return 404, {}, lost
-            if call.get("puts") or call.get("remove"):
-                self.revision += 1
+            self.revision += 1
             for it in call.get("puts", []):
                 self.apply(it["key"], base64.b64decode(it["value"]),
                            it.get("lease", 0))
